--- /dev/null
+++ b/crates/cli/src/dev.rs
@@ -0,0 +1,30 @@
+//! `reelreel dev`: everything on one machine, for a try.
+
+mod all;
+mod single;
+pub(crate) mod site;
+
+use std::process::ExitCode;
+
+use crate::options::DevCommand;
+
+/// Runs all of it, or one part.
+pub(crate) fn run(command: &DevCommand) -> eyre::Result<ExitCode> {
+    match command {
+        DevCommand::All(options) => all::run(options),
+        DevCommand::Platform(options) => single::platform(options),
+        DevCommand::Engine(options) => single::engine(options),
+        DevCommand::Service(options) => single::service(options),
+    }
+}
+
+/// Waits for the signal to stop.
+fn wait_for_signal() -> eyre::Result<()> {
+    use signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        iterator::Signals,
+    };
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    signals.forever().next();
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/dev/all.rs
@@ -0,0 +1,54 @@
+//! Everything as threads of one process, with a line to try.
+
+use std::{fs, process::ExitCode};
+
+use eyre::bail;
+use reelreel_core::settings::read_tree;
+
+use super::{
+    site::{DevSite, SiteShape},
+    wait_for_signal,
+};
+use crate::options::DevAll;
+
+/// The settings tree that is published where none is named.
+const BUILT_IN_TREE: &str =
+    include_str!(concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/dev.toml"));
+
+/// Runs a site until the signal to stop.
+pub(super) fn run(options: &DevAll) -> eyre::Result<ExitCode> {
+    let text = match &options.tree {
+        Some(file) => fs::read_to_string(file)?,
+        None => BUILT_IN_TREE.to_owned(),
+    };
+    let Ok(tree) = read_tree(&text) else {
+        bail!("the tree has mistakes; name them with `reelreel settings check`");
+    };
+    if options.hosts == 0 || options.halls == 0 {
+        bail!("at least one host and one hall are needed");
+    }
+    let shape = SiteShape {
+        hosts: options.hosts,
+        engines: options.engines,
+        halls: options.halls,
+        streams: 32,
+        port: options.port,
+    };
+    let site = DevSite::start(&shape, &tree)?;
+    let callers = site.callers();
+    println!("reelreel serves with {} hosts and {} engines.", shape.hosts, shape.engines);
+    println!("Try a stream through an adapter:\n");
+    println!(
+        "  curl -N http://{}/v1/completions -d '{{\"model\":\"north/brakes\",\"prompt\":\"part for a Hero?\",\"max_tokens\":24,\"stream\":true}}'\n",
+        callers[0]
+    );
+    println!("Other hosts: {callers:?}");
+    let operators: Vec<String> =
+        site.hosts.iter().map(|host| host.operators().to_string()).collect();
+    println!("State:       reelreel status {}", operators.join(" "));
+    println!("Time line:   reelreel timeline {}", operators.join(" "));
+    println!("Settings:    reelreel settings history --platform {}", site.platform.address());
+    println!("Ctrl-C stops it.");
+    wait_for_signal()?;
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/cli/src/dev/single.rs
@@ -0,0 +1,89 @@
+//! One stand-in as a process of its own, entered in the platform's host list.
+
+use std::{process::ExitCode, time::Duration};
+
+use eyre::WrapErr;
+use reelreel_stand_ins::{
+    EngineOptions, EngineStandIn, PlatformOptions, PlatformStandIn, ServiceOptions, ServiceStandIn,
+    platform::{HostRecord, HostRole, HostState},
+};
+
+use super::wait_for_signal;
+use crate::options::{DevEngine, DevPlatform, DevService};
+
+/// Prints where a stand-in listens, for whoever started it.
+fn announce(address: &str) {
+    println!("{{\"address\":\"{address}\"}}");
+}
+
+/// Runs a platform.
+pub(super) fn platform(options: &DevPlatform) -> eyre::Result<ExitCode> {
+    let stand_in = PlatformStandIn::start(&PlatformOptions {
+        address: options.listen.clone(),
+        retained: options.retained,
+        host_lag: Duration::from_millis(options.host_lag),
+        loads_per_second: options.loads,
+        ..PlatformOptions::default()
+    })?;
+    announce(stand_in.address());
+    wait_for_signal()?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Runs an engine.
+pub(super) fn engine(options: &DevEngine) -> eyre::Result<ExitCode> {
+    let stand_in = EngineStandIn::start(&EngineOptions {
+        address: options.listen.clone(),
+        platform: options.platform.clone(),
+        slots: options.slots as usize,
+        streams: options.streams as usize,
+        checks_fence: !options.no_fence,
+        ..EngineOptions::default()
+    })?;
+    let record = HostRecord {
+        role: HostRole::Engine,
+        id: options.id,
+        hall: options.hall,
+        address: stand_in.address().to_owned(),
+        state: HostState::Live,
+        incarnation: 1,
+        service: options.service.clone(),
+        slots: options.slots,
+        streams: options.streams,
+        checks_fence: !options.no_fence,
+    };
+    enter(&options.platform, &record)?;
+    announce(stand_in.address());
+    wait_for_signal()?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Runs a plain service.
+pub(super) fn service(options: &DevService) -> eyre::Result<ExitCode> {
+    let stand_in = ServiceStandIn::start(&ServiceOptions { address: options.listen.clone() })?;
+    let record = HostRecord {
+        role: HostRole::Server,
+        id: options.id,
+        hall: options.hall,
+        address: stand_in.address().to_owned(),
+        state: HostState::Live,
+        incarnation: 1,
+        service: options.service.clone(),
+        slots: 0,
+        streams: 0,
+        checks_fence: false,
+    };
+    enter(&options.platform, &record)?;
+    announce(stand_in.address());
+    wait_for_signal()?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Enters a stand-in in the platform's host list.
+fn enter(platform: &str, record: &HostRecord) -> eyre::Result<()> {
+    let body = serde_json::to_vec(record)?;
+    ureq::put(format!("http://{platform}/hosts"))
+        .send(&body[..])
+        .wrap_err_with(|| format!("platform {platform} does not answer; start it first"))?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/dev/site.rs
@@ -0,0 +1,159 @@
+//! A whole site as threads of one process.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use eyre::{bail, eyre};
+use reelreel_core::settings::{ChangeRecord, SettingsTree, change::RECORD_FORMAT};
+use reelreel_node::{EntryHost, NodeSettings};
+use reelreel_stand_ins::{
+    EngineOptions, EngineStandIn, PlatformOptions, PlatformStandIn, ServiceOptions, ServiceStandIn,
+    platform::{HostRecord, HostRole, HostState},
+};
+
+use crate::platform_log::PlatformLog;
+
+/// How long a site may take until every host serves.
+const READY_WITHIN: Duration = Duration::from_secs(30);
+
+/// How large a site is.
+#[derive(Debug, Clone)]
+pub(crate) struct SiteShape {
+    /// Entry hosts.
+    pub(crate) hosts: u32,
+    /// Engines.
+    pub(crate) engines: u32,
+    /// Data halls.
+    pub(crate) halls: u16,
+    /// Requests that an engine runs at once.
+    pub(crate) streams: u32,
+    /// Callers' port of the first host; zero picks free ones.
+    pub(crate) port: u16,
+}
+
+/// A running site. Dropping it stops everything.
+pub(crate) struct DevSite {
+    /// The entry hosts; stopped before what they talk to.
+    pub(crate) hosts: Vec<EntryHost>,
+    /// The engines.
+    pub(crate) engines: Vec<EngineStandIn>,
+    /// The plain service.
+    _service: ServiceStandIn,
+    /// The platform.
+    pub(crate) platform: PlatformStandIn,
+}
+
+impl DevSite {
+    /// Starts a site, publishes `tree` and waits until every host serves.
+    pub(crate) fn start(shape: &SiteShape, tree: &SettingsTree) -> eyre::Result<Self> {
+        let platform = PlatformStandIn::start(&PlatformOptions {
+            host_lag: Duration::from_millis(50),
+            ..PlatformOptions::default()
+        })?;
+        publish(platform.address(), tree)?;
+        let hall = |index: u32| 1 + u16::try_from(index % u32::from(shape.halls)).unwrap_or(0);
+        let mut engines = Vec::new();
+        for index in 0..shape.engines {
+            let engine = EngineStandIn::start(&EngineOptions {
+                platform: platform.address().to_owned(),
+                streams: shape.streams as usize,
+                ..EngineOptions::default()
+            })?;
+            let record = HostRecord {
+                role: HostRole::Engine,
+                id: index + 1,
+                hall: hall(index),
+                address: engine.address().to_owned(),
+                service: String::from("assist"),
+                slots: 4,
+                streams: shape.streams,
+                checks_fence: true,
+                ..entry_record(0, 0, "")
+            };
+            platform.hosts().put(record);
+            engines.push(engine);
+        }
+        let service = ServiceStandIn::start(&ServiceOptions::default())?;
+        platform.hosts().put(HostRecord {
+            role: HostRole::Server,
+            service: String::from("orders"),
+            ..entry_record(1, 1, service.address())
+        });
+        let mut hosts = Vec::new();
+        for index in 0..shape.hosts {
+            let port = if index == 0 { shape.port } else { 0 };
+            let host = EntryHost::start(&host_settings(
+                index + 1,
+                hall(index),
+                port,
+                platform.address(),
+            )?)?;
+            let peers = host.peers().to_string();
+            platform.hosts().put(entry_record(index + 1, hall(index), &peers));
+            hosts.push(host);
+        }
+        let site = Self { hosts, engines, _service: service, platform };
+        site.wait_ready()?;
+        Ok(site)
+    }
+
+    /// Returns where callers reach the hosts.
+    pub(crate) fn callers(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(EntryHost::callers).collect()
+    }
+
+    fn wait_ready(&self) -> eyre::Result<()> {
+        let until = Instant::now() + READY_WITHIN;
+        for host in &self.hosts {
+            let page = format!("http://{}/readyz", host.operators());
+            while ureq::get(&page).call().is_err() {
+                if Instant::now() > until {
+                    bail!("host at {} does not get ready", host.operators());
+                }
+                thread::sleep(Duration::from_millis(50));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn entry_record(id: u32, hall: u16, address: &str) -> HostRecord {
+    HostRecord {
+        role: HostRole::Entry,
+        id,
+        hall,
+        address: address.to_owned(),
+        state: HostState::Live,
+        incarnation: 1,
+        service: String::new(),
+        slots: 0,
+        streams: 0,
+        checks_fence: false,
+    }
+}
+
+fn host_settings(host: u32, hall: u16, port: u16, platform: &str) -> eyre::Result<NodeSettings> {
+    let text = format!(
+        "host = {host}\nhall = {hall}\ncallers = \"127.0.0.1:{port}\"\n\
+         peers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\nplatform = \"{platform}\"\n\
+         [log]\nlevel = \"warn\"\n[times]\nhosts_every_ms = 500\n"
+    );
+    NodeSettings::read(&text).map_err(|mistakes| eyre!("built-in settings: {}", mistakes[0]))
+}
+
+/// Publishes a whole tree.
+fn publish(platform: &str, tree: &SettingsTree) -> eyre::Result<()> {
+    let record = ChangeRecord {
+        format: RECORD_FORMAT,
+        change_id: String::from("dev"),
+        base_revision: 0,
+        author: String::from("dev"),
+        message: String::from("first tree"),
+        edits: SettingsTree::default().edits_towards(tree),
+    };
+    PlatformLog::new(platform).publish(&record)?.result?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,30 @@
+//! `reelreel`: the operators' command line.
+
+mod dev;
+mod measure;
+mod options;
+mod output;
+mod platform_log;
+mod settings;
+mod watch;
+
+use std::process::ExitCode;
+
+use options::{Command, command};
+
+fn main() -> ExitCode {
+    let result = match command().run() {
+        Command::Dev(options) => dev::run(&options),
+        Command::Settings(command) => settings::run(&command),
+        Command::Status(options) => watch::status(&options),
+        Command::Timeline(options) => watch::timeline(&options),
+        Command::Measure(options) => measure::run(&options),
+    };
+    match result {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("reelreel: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/measure.rs
@@ -0,0 +1,242 @@
+//! `reelreel measure`: what the path through entry hosts adds to calling an engine directly.
+
+use std::{
+    fmt::Write as _,
+    io::Read,
+    process::ExitCode,
+    sync::{Arc, Barrier},
+    thread,
+    time::{Duration, Instant},
+};
+
+use eyre::{bail, eyre};
+use hdrhistogram::Histogram;
+use reelreel_core::settings::read_tree;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::{
+    dev::site::{DevSite, SiteShape},
+    options::MeasureOptions,
+    output::print,
+};
+
+/// The adapter that is measured; one host owns its engine, the other passes requests on to it.
+const MODEL: &str = "assist/north/brakes@2";
+
+/// A tree with that one adapter.
+const TREE: &str = "deadline_ms = 60000\nqueue_limit = 100000\n[service.assist]\nbase_model = \"base\"\n\
+    [service.assist.organisation.north.adapter.brakes]\nversion = 2\n";
+
+/// The stack of a thread that reads one stream.
+const READER_STACK: usize = 128 << 10;
+
+/// Microseconds of one measurement, split where the caller sees them.
+#[derive(Debug, Clone, Serialize)]
+struct PathFigures {
+    streams: usize,
+    path: &'static str,
+    first_token_us_p50: u64,
+    first_token_us_p99: u64,
+    between_tokens_us_p50: u64,
+    between_tokens_us_p99: u64,
+    samples: u64,
+}
+
+struct Samples {
+    first: Histogram<u64>,
+    between: Histogram<u64>,
+}
+
+impl Samples {
+    fn new() -> eyre::Result<Self> {
+        let histogram = || Histogram::new_with_bounds(1, 600_000_000, 3);
+        Ok(Self { first: histogram()?, between: histogram()? })
+    }
+
+    fn figures(&self, streams: usize, path: &'static str) -> PathFigures {
+        PathFigures {
+            streams,
+            path,
+            first_token_us_p50: self.first.value_at_quantile(0.5),
+            first_token_us_p99: self.first.value_at_quantile(0.99),
+            between_tokens_us_p50: self.between.value_at_quantile(0.5),
+            between_tokens_us_p99: self.between.value_at_quantile(0.99),
+            samples: self.first.len(),
+        }
+    }
+}
+
+/// Where a stream is asked for.
+#[derive(Debug, Clone)]
+struct Target {
+    address: String,
+    /// The engine's present token, where the engine is called directly.
+    token: Option<u64>,
+}
+
+/// Returns the highest token that the engine has accepted, which a direct call must carry.
+fn engine_token(address: &str) -> eyre::Result<u64> {
+    let mut answer = ureq::get(format!("http://{address}/report")).call()?;
+    let report: serde_json::Value = serde_json::from_slice(&answer.body_mut().read_to_vec()?)?;
+    report["token"].as_u64().ok_or_else(|| eyre!("the engine's report has no token"))
+}
+
+/// Measures and prints.
+pub(crate) fn run(options: &MeasureOptions) -> eyre::Result<ExitCode> {
+    let tree = read_tree(TREE).map_err(|mistakes| eyre!("built-in tree: {}", mistakes[0]))?;
+    let most = options.streams.iter().copied().max().unwrap_or(1);
+    let streams = u32::try_from(most).unwrap_or(u32::MAX);
+    let shape = SiteShape { hosts: 2, engines: 1, halls: 1, streams, port: 0 };
+    let site = DevSite::start(&shape, &tree)?;
+    let hosts = site.callers();
+    for host in &hosts {
+        warm_up(&Target { address: host.to_string(), token: None })?;
+    }
+    let mut rows = Vec::new();
+    for streams in options.streams.iter().copied() {
+        let engine = site.engines[0].address().to_owned();
+        let direct = Target { token: Some(engine_token(&engine)?), address: engine };
+        let mut targets = vec![("engine", direct)];
+        for (name, host) in ["host 1", "host 2"].into_iter().zip(&hosts) {
+            targets.push((name, Target { address: host.to_string(), token: None }));
+        }
+        let mut samples: Vec<Samples> =
+            targets.iter().map(|_| Samples::new()).collect::<eyre::Result<_>>()?;
+        // The paths take turns within each round, so that noise of the machine meets all alike.
+        for round in 0..options.rounds.max(2) {
+            for ((_, target), samples) in targets.iter().zip(&mut samples) {
+                let measured = round_of(target, streams, options.tokens)?;
+                if round > 0 {
+                    samples.first.add(&measured.first)?;
+                    samples.between.add(&measured.between)?;
+                }
+            }
+        }
+        for ((name, _), samples) in targets.iter().zip(&samples) {
+            rows.push(samples.figures(streams, name));
+        }
+    }
+    print(options.output, &rows, || table(&rows))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn table(rows: &[PathFigures]) -> String {
+    let mut text = String::from(
+        "streams path     first token p50/p99 ms   between tokens p50/p99 ms  samples\n",
+    );
+    let millis = |micros: u64| micros as f64 / 1000.0;
+    for row in rows {
+        let _ = writeln!(
+            text,
+            "{:7} {:8} {:10.3} {:10.3}   {:12.3} {:10.3}  {:8}",
+            row.streams,
+            row.path,
+            millis(row.first_token_us_p50),
+            millis(row.first_token_us_p99),
+            millis(row.between_tokens_us_p50),
+            millis(row.between_tokens_us_p99),
+            row.samples
+        );
+    }
+    text
+}
+
+/// Asks until the adapter is loaded and every engine has its owner.
+fn warm_up(target: &Target) -> eyre::Result<()> {
+    const WITHIN: Duration = Duration::from_secs(20);
+    let until = Instant::now() + WITHIN;
+    loop {
+        match stream_once(target, 1, 0) {
+            Ok(_) => return Ok(()),
+            Err(error) if Instant::now() > until => return Err(error),
+            Err(_) => thread::sleep(Duration::from_millis(100)),
+        }
+    }
+}
+
+/// Opens all streams at once and reads each to its end.
+fn round_of(target: &Target, streams: usize, tokens: usize) -> eyre::Result<Samples> {
+    let barrier = Arc::new(Barrier::new(streams));
+    let mut readers = Vec::new();
+    for index in 0..streams {
+        let (target, barrier) = (target.clone(), Arc::clone(&barrier));
+        let reader = thread::Builder::new().stack_size(READER_STACK).spawn(move || {
+            barrier.wait();
+            stream_once(&target, tokens, index)
+        })?;
+        readers.push(reader);
+    }
+    let mut samples = Samples::new()?;
+    for reader in readers {
+        let times = reader.join().map_err(|_| eyre!("a reader panicked"))??;
+        samples.first.record(micros(times.first))?;
+        for between in times.between {
+            samples.between.record(micros(between))?;
+        }
+    }
+    Ok(samples)
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX).max(1)
+}
+
+struct StreamTimes {
+    first: Duration,
+    between: Vec<Duration>,
+}
+
+/// Reads one stream and checks that it is whole.
+fn stream_once(target: &Target, tokens: usize, index: usize) -> eyre::Result<StreamTimes> {
+    let body = json!({ "model": MODEL, "prompt": "p", "max_tokens": tokens, "stream": true });
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .max_idle_connections(0)
+        .timeout_global(Some(Duration::from_mins(2)))
+        .build()
+        .into();
+    let mut call = agent
+        .post(format!("http://{}/v1/completions", target.address))
+        .header("connection", "close");
+    if let Some(token) = target.token {
+        let id = format!("direct-{index}-{:?}", Instant::now()).replace(' ', "");
+        call = call.header("x-request-id", id).header("x-fence-token", token.to_string());
+    }
+    let begun = Instant::now();
+    let answer = call.send(&body.to_string().into_bytes()[..])?;
+    read_events(answer.into_body().into_reader(), begun, tokens)
+}
+
+/// Notes when each event of a stream came.
+fn read_events(mut source: impl Read, begun: Instant, tokens: usize) -> eyre::Result<StreamTimes> {
+    let mut times = StreamTimes { first: Duration::ZERO, between: Vec::with_capacity(tokens) };
+    let mut last = begun;
+    let mut seen = 0;
+    let mut tail = Vec::new();
+    let mut piece = [0; 4096];
+    loop {
+        let count = source.read(&mut piece)?;
+        if count == 0 {
+            break;
+        }
+        let now = Instant::now();
+        tail.extend_from_slice(&piece[..count]);
+        while let Some(end) = tail.windows(2).position(|pair| pair == b"\n\n") {
+            let event: Vec<u8> = tail.drain(..end + 2).collect();
+            if event.starts_with(b"id: ") {
+                match seen {
+                    0 => times.first = now - begun,
+                    _ => times.between.push(now - last),
+                }
+                seen += 1;
+                last = now;
+            } else if event != b"data: [DONE]\n\n" {
+                bail!("a stream held {}", String::from_utf8_lossy(&event));
+            }
+        }
+    }
+    if seen != tokens || !tail.is_empty() {
+        bail!("a stream of {tokens} tokens came with {seen}");
+    }
+    Ok(times)
+}
--- /dev/null
+++ b/crates/cli/src/output.rs
@@ -0,0 +1,48 @@
+//! How results are printed.
+
+use std::{fmt, str::FromStr};
+
+use serde::Serialize;
+
+/// For people or for scripts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OutputFormat {
+    /// For people.
+    Text,
+    /// One JSON value.
+    Json,
+}
+
+impl FromStr for OutputFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            other => Err(format!("`{other}` is no format; write text or json")),
+        }
+    }
+}
+
+impl fmt::Display for OutputFormat {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Text => "text",
+            Self::Json => "json",
+        })
+    }
+}
+
+/// Prints a value as JSON, or calls for its text.
+pub(crate) fn print(
+    format: OutputFormat,
+    value: &impl Serialize,
+    text: impl FnOnce() -> String,
+) -> eyre::Result<()> {
+    match format {
+        OutputFormat::Text => print!("{}", text()),
+        OutputFormat::Json => println!("{}", serde_json::to_string_pretty(value)?),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/platform_log.rs
@@ -0,0 +1,107 @@
+//! The settings stream as an operator's tool reads and writes it.
+
+use std::time::{Duration, Instant};
+
+use eyre::{WrapErr, bail};
+use reelreel_core::{
+    chart::{PublicationEvent, PublicationState},
+    node::{AppendResult, LogStream},
+    settings::{ChangeRecord, ChangeVerdict, SettingsFold, SettingsSnapshot},
+};
+use reelreel_node::border::{LogBorder, PlatformHttp};
+
+/// How long a publication may take to show up in the log.
+const SHOWN_WITHIN: Duration = Duration::from_secs(15);
+
+/// How long one read waits for records.
+const READ_WAIT: Duration = Duration::from_millis(500);
+
+/// The settings stream of one platform.
+pub(crate) struct PlatformLog {
+    border: PlatformHttp,
+}
+
+impl PlatformLog {
+    /// Names the platform.
+    pub(crate) fn new(address: &str) -> Self {
+        Self { border: PlatformHttp::new(address) }
+    }
+
+    /// Folds the settings stream up to its end, from a snapshot where the start has expired.
+    pub(crate) fn fold(&self) -> eyre::Result<SettingsFold> {
+        let mut fold = SettingsFold::default();
+        self.adopt_snapshot(&mut fold)?;
+        self.read_on(&mut fold, Duration::ZERO)?;
+        Ok(fold)
+    }
+
+    fn adopt_snapshot(&self, fold: &mut SettingsFold) -> eyre::Result<()> {
+        let mut from = 0;
+        let mut newest = None;
+        loop {
+            let batch = self.border.read(LogStream::Snapshots, from, Duration::ZERO)?;
+            let Some(last) = batch.records.last() else { break };
+            from = last.offset + 1;
+            newest = Some(last.payload.clone());
+        }
+        if let Some(payload) = newest {
+            let snapshot = SettingsSnapshot::from_json(&payload);
+            // A snapshot that can not be trusted is no loss while the log still has the records.
+            if let Ok(snapshot) = snapshot {
+                drop(fold.adopt(snapshot));
+            }
+        }
+        Ok(())
+    }
+
+    /// Folds what has come since; the first read waits up to `wait` for something.
+    fn read_on(&self, fold: &mut SettingsFold, wait: Duration) -> eyre::Result<()> {
+        let mut wait = wait;
+        loop {
+            let from = fold.next_offset();
+            let batch = self.border.read(LogStream::Settings, from, wait)?;
+            wait = Duration::ZERO;
+            let Some(first) = batch.records.first() else { return Ok(()) };
+            if first.offset > from {
+                bail!(
+                    "records from {from} have expired and no snapshot covers them; export the tree from a running host"
+                );
+            }
+            for record in batch.records {
+                if !fold.fold(record) {
+                    bail!("{}", fold.halt().map(ToString::to_string).unwrap_or_default());
+                }
+            }
+        }
+    }
+
+    /// Publishes a change and waits until the log shows what became of it.
+    ///
+    /// An append whose answer is lost is not repeated: the log itself tells whether it was written.
+    pub(crate) fn publish(&self, record: &ChangeRecord) -> eyre::Result<ChangeVerdict> {
+        let mut state = PublicationState::initial();
+        let mut fold = self.fold().wrap_err("the settings in force can not be read")?;
+        let payload = serde_json::to_vec(record)?;
+        let result = self.border.append(LogStream::Settings, &payload);
+        state = state.after(PublicationEvent::Appended);
+        if result == AppendResult::Refused {
+            state = state.after(PublicationEvent::AppendRefused);
+            bail!("publication {}: the platform took nothing; publish again", state.name());
+        }
+        let until = Instant::now() + SHOWN_WITHIN;
+        while Instant::now() < until {
+            // The log may be away for a moment; the verdict is in it all the same.
+            drop(self.read_on(&mut fold, READ_WAIT));
+            let verdict = fold.verdicts().find(|verdict| verdict.change_id == record.change_id);
+            if let Some(verdict) = verdict {
+                return Ok(verdict.clone());
+            }
+        }
+        bail!(
+            "publication {}: it did not show up in the log within {} s; look for {} with `reelreel settings history` before publishing again",
+            state.name(),
+            SHOWN_WITHIN.as_secs(),
+            record.change_id
+        )
+    }
+}
--- /dev/null
+++ b/crates/cli/src/settings.rs
@@ -0,0 +1,59 @@
+//! `reelreel settings`: check, show, diff, publish, history.
+
+mod publish;
+mod show;
+
+use std::{fs, path::Path, process::ExitCode};
+
+use eyre::{WrapErr, bail};
+use reelreel_core::settings::{SettingsTree, read_tree};
+
+use crate::options::SettingsCommand;
+
+/// Runs one of the settings commands.
+pub(crate) fn run(command: &SettingsCommand) -> eyre::Result<ExitCode> {
+    match command {
+        SettingsCommand::Check { file } => check(file),
+        SettingsCommand::Keys { output } => show::keys(*output),
+        SettingsCommand::Show { source, output, path } => show::show(source, path, *output),
+        SettingsCommand::Export { platform } => publish::export(platform),
+        SettingsCommand::Diff { platform, output, file } => publish::diff(platform, file, *output),
+        SettingsCommand::Publish(options) => publish::publish(options),
+        SettingsCommand::History { platform, output } => publish::history(platform, *output),
+    }
+}
+
+fn check(file: &Path) -> eyre::Result<ExitCode> {
+    let text = read_text(file)?;
+    match read_tree(&text) {
+        Ok(mut tree) => {
+            tree.reindex();
+            println!("{}: no mistakes, {} adapters", file.display(), tree.adapter_count());
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(mistakes) => {
+            for mistake in mistakes {
+                eprintln!("{}:{mistake}", file.display());
+            }
+            Ok(ExitCode::from(2))
+        }
+    }
+}
+
+fn read_text(file: &Path) -> eyre::Result<String> {
+    fs::read_to_string(file)
+        .wrap_err_with(|| format!("{} can not be read; name a TOML file", file.display()))
+}
+
+/// Reads a tree from a file, or fails with all mistakes in it.
+fn read_file(file: &Path) -> eyre::Result<SettingsTree> {
+    let text = read_text(file)?;
+    match read_tree(&text) {
+        Ok(tree) => Ok(tree),
+        Err(mistakes) => {
+            let lines: Vec<String> =
+                mistakes.iter().map(|mistake| format!("{}:{mistake}", file.display())).collect();
+            bail!("the file has mistakes:\n{}", lines.join("\n"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/settings/publish.rs
@@ -0,0 +1,115 @@
+//! Publications: what a file would change, publishing it, and what became of earlier ones.
+
+use std::{fmt::Write, path::Path, process::ExitCode, time::SystemTime};
+
+use eyre::eyre;
+use reelreel_core::settings::{
+    ChangeRecord, ChangeVerdict, EditAction, SettingsEdit, SettingsPath, change::RECORD_FORMAT,
+};
+
+use super::{read_file, read_text};
+use crate::{
+    options::PublishOptions,
+    output::{OutputFormat, print},
+    platform_log::PlatformLog,
+};
+
+/// The first line of an exported file, before the revision.
+const BASE_LINE: &str = "# made from revision ";
+
+/// Writes the tree in force as a file.
+pub(super) fn export(platform: &str) -> eyre::Result<ExitCode> {
+    let fold = PlatformLog::new(platform).fold()?;
+    println!("{BASE_LINE}{}", fold.revision());
+    print!("{}", fold.tree().to_toml());
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Returns the revision that a file says it was made from.
+fn base_of(text: &str) -> Option<u64> {
+    text.lines().next()?.strip_prefix(BASE_LINE)?.trim().parse().ok()
+}
+
+fn edit_line(edit: &SettingsEdit) -> String {
+    let path = &edit.path;
+    match &edit.action {
+        EditAction::Create => format!("create {path}"),
+        EditAction::Set(key, value) => format!("set    {path} {} = {value}", key.name()),
+        EditAction::Unset(key) => format!("unset  {path} {}", key.name()),
+        EditAction::Remove => format!("remove {path}"),
+    }
+}
+
+fn edits_text(edits: &[SettingsEdit]) -> String {
+    let mut text = String::new();
+    for edit in edits {
+        let _ = writeln!(text, "{}", edit_line(edit));
+    }
+    text
+}
+
+/// Shows what publishing a file would change.
+pub(super) fn diff(platform: &str, file: &Path, output: OutputFormat) -> eyre::Result<ExitCode> {
+    let wanted = read_file(file)?;
+    let fold = PlatformLog::new(platform).fold()?;
+    let edits = fold.tree().edits_towards(&wanted);
+    print(output, &edits, || edits_text(&edits))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Publishes a file.
+pub(super) fn publish(options: &PublishOptions) -> eyre::Result<ExitCode> {
+    let text = read_text(&options.file)?;
+    let wanted = read_file(&options.file)?;
+    let log = PlatformLog::new(&options.platform);
+    let fold = log.fold()?;
+    let mut edits = fold.tree().edits_towards(&wanted);
+    if let Some(at) = &options.at {
+        let at = SettingsPath::parse(at).map_err(|reason| eyre!(reason))?;
+        edits.retain(|edit| edit.path.segments().starts_with(at.segments()));
+    }
+    if edits.is_empty() {
+        println!("nothing to publish: revision {} is the same", fold.revision());
+        return Ok(ExitCode::SUCCESS);
+    }
+    let base_revision = options.base.or_else(|| base_of(&text)).unwrap_or(fold.revision());
+    let record = ChangeRecord {
+        format: RECORD_FORMAT,
+        change_id: change_id(),
+        base_revision,
+        author: options.author.clone(),
+        message: options.message.clone(),
+        edits,
+    };
+    let verdict = log.publish(&record)?;
+    print(options.output, &verdict, || match &verdict.result {
+        Ok(revision) => format!("accepted as revision {revision}\n{}", edits_text(&record.edits)),
+        Err(refusal) => format!("refused: {refusal}\n"),
+    })?;
+    Ok(if verdict.result.is_ok() { ExitCode::SUCCESS } else { ExitCode::from(3) })
+}
+
+/// Makes an id that no other publication has: time and process.
+fn change_id() -> String {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    format!("{:x}-{:x}", since.as_nanos(), std::process::id())
+}
+
+/// Shows the last publications.
+pub(super) fn history(platform: &str, output: OutputFormat) -> eyre::Result<ExitCode> {
+    let fold = PlatformLog::new(platform).fold()?;
+    let verdicts: Vec<&ChangeVerdict> = fold.verdicts().collect();
+    print(output, &verdicts, || {
+        let mut text = String::new();
+        for verdict in &verdicts {
+            let outcome = match &verdict.result {
+                Ok(revision) => format!("revision {revision}"),
+                Err(refusal) => format!("refused: {refusal}"),
+            };
+            let ChangeVerdict { offset, author, message, .. } = verdict;
+            let _ = writeln!(text, "{offset} {author} {message:?}: {outcome}");
+        }
+        text
+    })?;
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/cli/src/settings/show.rs
@@ -0,0 +1,100 @@
+//! What is in force where, and which keys there are.
+
+use std::{fmt::Write, process::ExitCode};
+
+use eyre::{bail, eyre};
+use reelreel_core::settings::{
+    SettingKey, SettingOrigin, SettingsPath, SettingsTree, source::closest,
+};
+use serde::Serialize;
+
+use super::read_file;
+use crate::{
+    options::TreeSource,
+    output::{OutputFormat, print},
+    platform_log::PlatformLog,
+};
+
+#[derive(Serialize)]
+struct KeyRow {
+    key: &'static str,
+    kind: String,
+    levels: Vec<&'static str>,
+    default: &'static str,
+    meaning: &'static str,
+}
+
+/// Lists all keys.
+pub(super) fn keys(output: OutputFormat) -> eyre::Result<ExitCode> {
+    let row = |key: &SettingKey| KeyRow {
+        key: key.name(),
+        kind: key.kind().to_string(),
+        levels: key.levels().iter().map(|level| level.name()).collect(),
+        default: key.default_text(),
+        meaning: key.meaning(),
+    };
+    let rows: Vec<KeyRow> = SettingKey::ALL.iter().map(row).collect();
+    print(output, &rows, || {
+        let mut text = String::new();
+        for row in &rows {
+            let default = if row.default.is_empty() { "none" } else { row.default };
+            let levels = row.levels.join(", ");
+            let _ = writeln!(text, "{} ({levels}): {}", row.key, row.meaning);
+            let _ = writeln!(text, "    {}; default {default}", row.kind);
+        }
+        text
+    })?;
+    Ok(ExitCode::SUCCESS)
+}
+
+#[derive(Serialize)]
+struct ValueRow {
+    key: &'static str,
+    value: String,
+    from: String,
+}
+
+/// Shows the values in force at a place.
+pub(super) fn show(
+    source: &TreeSource,
+    path: &str,
+    output: OutputFormat,
+) -> eyre::Result<ExitCode> {
+    let tree = match source {
+        TreeSource::Platform { platform } => PlatformLog::new(platform).fold()?.tree().clone(),
+        TreeSource::File { file } => read_file(file)?,
+    };
+    let path = SettingsPath::parse(path).map_err(|reason| eyre!(reason))?;
+    check_exists(&tree, &path)?;
+    let rows: Vec<ValueRow> = SettingKey::ALL
+        .iter()
+        .filter_map(|key| {
+            let (value, origin) = tree.effective_value(&path, *key)?;
+            let from = match origin {
+                SettingOrigin::Node(path) => path.to_string(),
+                SettingOrigin::Default => String::from("default"),
+            };
+            Some(ValueRow { key: key.name(), value: value.to_string(), from })
+        })
+        .collect();
+    print(output, &rows, || {
+        let width = rows.iter().map(|row| row.key.len()).max().unwrap_or_default();
+        let mut text = String::new();
+        for row in &rows {
+            let _ = writeln!(text, "{:width$} = {}  # from {}", row.key, row.value, row.from);
+        }
+        text
+    })?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn check_exists(tree: &SettingsTree, path: &SettingsPath) -> eyre::Result<()> {
+    let lineage = tree.lineage(path);
+    let depth = lineage.len() - 1;
+    let Some(missing) = path.segments().get(depth) else { return Ok(()) };
+    let known = lineage[depth].children.keys().map(|name| &**name);
+    match closest(missing, known) {
+        Some(known) => bail!("there is no `{missing}` in the tree; did you mean `{known}`?"),
+        None => bail!("there is no `{missing}` in the tree at {path}"),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/watch.rs
@@ -0,0 +1,94 @@
+//! `reelreel status` and `reelreel timeline`: what hosts say of themselves.
+
+use std::{fmt::Write, process::ExitCode, time::Duration};
+
+use eyre::{WrapErr, bail};
+use reelreel_core::{
+    node::NodeStatus,
+    timeline::{TimelineEvent, merge_timelines},
+};
+use serde::de::DeserializeOwned;
+
+use crate::{options::WatchOptions, output::print};
+
+/// How long a host may take to answer.
+const ANSWER: Duration = Duration::from_secs(3);
+
+fn fetch<T: DeserializeOwned>(host: &str, page: &str) -> eyre::Result<T> {
+    let url = format!("http://{host}/{page}");
+    let call = ureq::get(&url).config().timeout_global(Some(ANSWER)).build().call();
+    let mut answer =
+        call.wrap_err_with(|| format!("{host} does not answer; name its operators' address"))?;
+    let body = answer.body_mut().with_config().limit(64 << 20).read_to_vec()?;
+    serde_json::from_slice(&body).wrap_err_with(|| format!("{url} gave no usable answer"))
+}
+
+/// Asks every host; those that do not answer are named and left out.
+fn fetch_all<T: DeserializeOwned>(hosts: &[String], page: &str) -> eyre::Result<Vec<T>> {
+    let mut found = Vec::new();
+    for host in hosts {
+        match fetch(host, page) {
+            Ok(value) => found.push(value),
+            Err(error) => eprintln!("reelreel: {error:#}"),
+        }
+    }
+    if found.is_empty() {
+        bail!("none of the hosts answered");
+    }
+    Ok(found)
+}
+
+/// Shows the state of hosts.
+pub(crate) fn status(options: &WatchOptions) -> eyre::Result<ExitCode> {
+    let statuses: Vec<NodeStatus> = fetch_all(&options.hosts, "status")?;
+    print(options.output, &statuses, || statuses.iter().map(status_text).collect())?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn status_text(status: &NodeStatus) -> String {
+    let mut text = String::new();
+    let ready = if status.ready { "ready" } else { "not ready" };
+    let _ = writeln!(
+        text,
+        "host {} hall {}: {ready}, {}, revision {}, {} open requests, host {} gives store turns",
+        status.host,
+        status.hall,
+        status.drain,
+        status.revision,
+        status.open_requests,
+        status.turns_host
+    );
+    if let Some(halt) = &status.halt {
+        let _ = writeln!(text, "  {halt}");
+    }
+    for member in &status.members {
+        let _ = writeln!(text, "  host {} hall {}: {}", member.host, member.hall, member.state);
+    }
+    for engine in &status.engines {
+        let _ = writeln!(
+            text,
+            "  engine {}: {}, {} permits out, {} waiting, holds {}",
+            engine.engine,
+            engine.state,
+            engine.permits,
+            engine.waiting,
+            engine.residents.join(" ")
+        );
+    }
+    text
+}
+
+/// Shows the events of hosts in one order.
+pub(crate) fn timeline(options: &WatchOptions) -> eyre::Result<ExitCode> {
+    let parts: Vec<Vec<TimelineEvent>> = fetch_all(&options.hosts, "timeline")?;
+    let events = merge_timelines(parts.into_iter().flatten());
+    print(options.output, &events, || {
+        let mut text = String::new();
+        for event in &events {
+            let TimelineEvent { wall_millis, counter, host, subject, text: what } = event;
+            let _ = writeln!(text, "{wall_millis}.{counter} host {host} {subject}: {what}");
+        }
+        text
+    })?;
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/core/src/claim.rs
@@ -0,0 +1,10 @@
+//! Claims of idempotency keys: the first claim of a key in the platform's log wins.
+//!
+//! A claim is never handed on. A holder that was paused and wakes is still the only one that may
+//! run its request, so nobody needs to know whether it is alive.
+
+mod book;
+mod fold;
+
+pub use book::{ClaimBook, ClaimVerdict, OwnClaim};
+pub use fold::{ClaimFold, ClaimItem, ClaimRecord, DecidedClaim};
--- /dev/null
+++ b/crates/core/src/claim/book.rs
@@ -0,0 +1,174 @@
+//! One host's own claims, from the request's arrival to the log's verdict.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use super::fold::{ClaimItem, ClaimRecord, DecidedClaim};
+use crate::{
+    chart::{ClaimEvent, ClaimState},
+    clock::ClockMillis,
+    id::{KeyHash, RequestId},
+};
+
+/// How many claims one append carries at most.
+const CLAIMS_PER_APPEND: usize = 512;
+
+/// One claim of this host.
+#[derive(Debug, Clone)]
+pub struct OwnClaim {
+    /// The key.
+    pub key: KeyHash,
+    /// When the caller made the key, in milliseconds since the Unix epoch.
+    pub created_millis: Option<u64>,
+    /// Where the claim stands.
+    pub state: ClaimState,
+    /// The append that carries it.
+    pub ticket: u64,
+}
+
+/// What the log decided about one of this host's claims.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimVerdict {
+    /// The request may run.
+    Won(RequestId),
+    /// Another request holds the key.
+    Lost(RequestId),
+    /// The key was older than keys are remembered when it was claimed.
+    Expired(RequestId),
+}
+
+/// The claims of one host.
+#[derive(Debug)]
+pub struct ClaimBook {
+    claims: BTreeMap<RequestId, OwnClaim>,
+    releases: Vec<ClaimItem>,
+    sent_releases: Vec<ClaimItem>,
+    last_ticket: u64,
+    in_flight: Option<u64>,
+    next_append: ClockMillis,
+    interval: Duration,
+}
+
+impl ClaimBook {
+    /// Starts an empty book that appends at most once per `interval`.
+    pub fn new(interval: Duration) -> Self {
+        Self {
+            claims: BTreeMap::new(),
+            releases: Vec::new(),
+            sent_releases: Vec::new(),
+            last_ticket: 0,
+            in_flight: None,
+            next_append: ClockMillis::default(),
+            interval,
+        }
+    }
+
+    /// Enters a request's claim.
+    pub fn enter(&mut self, request: RequestId, key: KeyHash, created_millis: Option<u64>) {
+        let state = ClaimState::initial();
+        self.claims.insert(request, OwnClaim { key, created_millis, state, ticket: 0 });
+    }
+
+    /// Counts the claims whose verdict is awaited or that are held.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Says whether the book is empty.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Gathers what waits into one append, if it is time for one; returns its ticket and record.
+    pub fn next_append(&mut self, now: ClockMillis) -> Option<(u64, ClaimRecord)> {
+        if self.in_flight.is_some() || now < self.next_append {
+            return None;
+        }
+        let ticket = self.last_ticket + 1;
+        let pending =
+            self.claims.iter_mut().filter(|(_, claim)| claim.state == ClaimState::Pending);
+        let mut items = Vec::new();
+        for (request, claim) in pending.take(CLAIMS_PER_APPEND) {
+            claim.state = claim.state.after(ClaimEvent::Appended);
+            claim.ticket = ticket;
+            items.push(ClaimItem::new(claim.key, *request));
+        }
+        if items.is_empty() && self.releases.is_empty() {
+            return None;
+        }
+        self.last_ticket = ticket;
+        self.in_flight = Some(ticket);
+        self.next_append = now + self.interval;
+        self.sent_releases = std::mem::take(&mut self.releases);
+        Some((ticket, ClaimRecord::new(items, self.sent_releases.clone())))
+    }
+
+    /// Takes the platform's answer; `refused` says that it truly wrote nothing.
+    ///
+    /// A lost answer leaves the claims as sent: the log itself will show what became of them.
+    pub fn append_ended(&mut self, ticket: u64, refused: bool) {
+        if self.in_flight != Some(ticket) {
+            return;
+        }
+        self.in_flight = None;
+        let sent = std::mem::take(&mut self.sent_releases);
+        if !refused {
+            return;
+        }
+        // A release is worth the same once or twice, so it simply goes into the next append.
+        self.releases.extend(sent);
+        for claim in self.claims.values_mut().filter(|claim| claim.ticket == ticket) {
+            claim.state = claim.state.after(ClaimEvent::AppendRefused);
+        }
+    }
+
+    /// Takes a claim that the log decided; returns the verdict when a request of ours waits for it.
+    pub fn decided(&mut self, decided: DecidedClaim, window_millis: u64) -> Option<ClaimVerdict> {
+        let DecidedClaim { request, holder, .. } = decided;
+        let claim = self.claims.get_mut(&request)?;
+        if holder != request {
+            claim.state = claim.state.after(ClaimEvent::SeenLater);
+            self.claims.remove(&request);
+            return Some(ClaimVerdict::Lost(request));
+        }
+        if claim.state == ClaimState::Abandoned {
+            let key = claim.key;
+            self.claims.remove(&request);
+            self.releases.push(ClaimItem::new(key, request));
+            return None;
+        }
+        if claim.state == ClaimState::Won {
+            return None;
+        }
+        claim.state = claim.state.after(ClaimEvent::SeenFirst);
+        let created = claim.created_millis.unwrap_or(decided.written_millis);
+        if decided.written_millis.saturating_sub(created) > window_millis {
+            self.give_up(request);
+            return Some(ClaimVerdict::Expired(request));
+        }
+        Some(ClaimVerdict::Won(request))
+    }
+
+    /// Gives up the claim of a request that did not run and never will.
+    ///
+    /// What is known to stand in the log is released at once. What may still show up there is
+    /// released when it does.
+    pub fn give_up(&mut self, request: RequestId) {
+        let Some(claim) = self.claims.get_mut(&request) else { return };
+        match claim.state {
+            ClaimState::Pending => {
+                self.claims.remove(&request);
+            }
+            ClaimState::Won => {
+                let key = claim.key;
+                self.claims.remove(&request);
+                self.releases.push(ClaimItem::new(key, request));
+            }
+            _ => claim.state = claim.state.after(ClaimEvent::Abandoned),
+        }
+    }
+
+    /// Forgets the claim of a request that ran or may have run; its key stays claimed in the log.
+    pub fn keep_claimed(&mut self, request: RequestId) {
+        self.claims.remove(&request);
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/control.rs
@@ -0,0 +1,359 @@
+//! The owner's state of one engine and how ownership begins and ends.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use crate::{
+    chart::{EngineEvent, EngineState, ResidencyEvent, ResidencyState},
+    clock::ClockMillis,
+    engine::{
+        EngineFacts, EngineOrder, OrderAction, Residency, ResidencyPolicy,
+        permits::{GrantedPermit, WaitingPermit},
+    },
+    gossip::EngineDigest,
+    id::{AdapterKey, FenceToken, HostId, Incarnation, RequestId, next_token},
+    limit::FairQueue,
+    message::{Envelope, LoadAsk, LoadTurn, PeerMessage, PermitRefusal},
+};
+
+/// The times that ownership goes by.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineTimes {
+    /// How long a new owner of an engine without fence waits for the earlier owner to stop.
+    pub handover_wait: Duration,
+    /// How long bytes already sent may take to reach an engine without fence.
+    pub quiet: Duration,
+    /// How long to wait after the fence was lost before taking it again.
+    pub retake_wait: Duration,
+    /// The half-life of an adapter's popularity.
+    pub half_life: Duration,
+    /// How long a load takes where none has been measured.
+    pub usual_load: Duration,
+}
+
+/// A wish to the host that gives the turns at the weight store.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum StoreWish {
+    /// Asks for a turn, or says that it is still used.
+    Ask(LoadAsk),
+    /// Gives the turn, or the wish for it, back.
+    End(LoadTurn),
+}
+
+/// What follows from one call of [`EngineControl`].
+#[derive(Debug, Default)]
+pub struct ControlOutput {
+    /// Orders to the engine.
+    pub orders: Vec<EngineOrder>,
+    /// Messages to holders of permits.
+    pub messages: Vec<Envelope>,
+    /// Wishes to the host that gives the turns.
+    pub wishes: Vec<StoreWish>,
+    /// Lines for the time line.
+    pub notes: Vec<String>,
+    /// Loads that ended, whether they worked or not.
+    pub loads_ended: u32,
+    /// Loads that failed.
+    pub loads_failed: u32,
+    /// Permits given.
+    pub granted: u32,
+}
+
+impl ControlOutput {
+    pub(super) fn send(&mut self, to: HostId, message: PeerMessage) {
+        self.messages.push(Envelope { to, message });
+    }
+}
+
+/// One engine as a host sees it that owns it or may come to.
+pub struct EngineControl {
+    pub(super) facts: EngineFacts,
+    pub(super) host: HostId,
+    pub(super) policy: Arc<dyn ResidencyPolicy>,
+    pub(super) times: EngineTimes,
+    pub(super) state: EngineState,
+    /// The state was entered then; in `Waiting` it ends at `wait_until`.
+    pub(super) wait_until: ClockMillis,
+    /// Our token, once the take-over has begun.
+    pub(super) token: FenceToken,
+    /// The highest token known of.
+    pub(super) seen_token: FenceToken,
+    /// The engine's life as its reports have it.
+    pub(super) incarnation: Incarnation,
+    /// The sequence of the newest report.
+    pub(super) sequence: u64,
+    /// The first sequence written after our last raise took effect.
+    pub(super) truth_from: u64,
+    /// A raise is under way since then.
+    pub(super) raising: Option<ClockMillis>,
+    /// The last raise was ordered then.
+    pub(super) raised_at: ClockMillis,
+    /// An engine without fence must be left alone until then before a raise proves anything.
+    pub(super) quiet_until: ClockMillis,
+    pub(super) residencies: BTreeMap<AdapterKey, Residency>,
+    pub(super) permits: BTreeMap<RequestId, GrantedPermit>,
+    pub(super) queue: FairQueue<WaitingPermit>,
+    /// How long a permit is out, on average.
+    pub(super) service_seconds: f64,
+    /// How long a turn at the store takes, and how many went before at the last word.
+    pub(super) turn: Duration,
+    pub(super) asked_at: ClockMillis,
+    digest_sequence: u64,
+    digest_dirty: bool,
+}
+
+/// Assumed time a request runs, until some have been measured.
+const USUAL_SERVICE_SECONDS: f64 = 2.0;
+
+impl EngineControl {
+    /// Starts without ownership.
+    pub fn new(
+        facts: EngineFacts,
+        host: HostId,
+        policy: Arc<dyn ResidencyPolicy>,
+        times: EngineTimes,
+    ) -> Self {
+        let zero = ClockMillis::default();
+        Self {
+            incarnation: 0,
+            facts,
+            host,
+            policy,
+            times,
+            state: EngineState::initial(),
+            wait_until: zero,
+            token: 0,
+            seen_token: 0,
+            sequence: 0,
+            truth_from: u64::MAX,
+            raising: None,
+            raised_at: zero,
+            quiet_until: zero,
+            residencies: BTreeMap::new(),
+            permits: BTreeMap::new(),
+            queue: FairQueue::default(),
+            service_seconds: USUAL_SERVICE_SECONDS,
+            turn: times.usual_load,
+            asked_at: zero,
+            digest_sequence: 0,
+            digest_dirty: false,
+        }
+    }
+
+    /// Returns what the host list says of the engine.
+    pub const fn facts(&self) -> &EngineFacts {
+        &self.facts
+    }
+
+    /// Takes a new entry of the host list.
+    pub fn update_facts(&mut self, facts: EngineFacts) {
+        self.facts = facts;
+    }
+
+    /// Returns where ownership stands.
+    pub const fn state(&self) -> EngineState {
+        self.state
+    }
+
+    /// Returns our fence token.
+    pub const fn token(&self) -> FenceToken {
+        self.token
+    }
+
+    /// Returns the adapters known, with where each stands.
+    pub const fn residencies(&self) -> &BTreeMap<AdapterKey, Residency> {
+        &self.residencies
+    }
+
+    /// Counts the permits that are out.
+    pub fn permit_count(&self) -> usize {
+        self.permits.len()
+    }
+
+    /// Counts the requests that wait.
+    pub const fn waiting_count(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Says whether the engine's reports should be asked for.
+    pub const fn wants_reports(&self) -> bool {
+        !matches!(self.state, EngineState::Foreign)
+    }
+
+    /// Begins ownership: the view makes this host the owner.
+    ///
+    /// An engine that does not check fences is left alone until any earlier owner has stopped.
+    pub fn assign(&mut self, now: ClockMillis) {
+        if self.state != EngineState::Foreign {
+            return;
+        }
+        self.step(EngineEvent::Assigned);
+        let fenced = self.facts.checks_fence;
+        let wait = if fenced { Duration::ZERO } else { self.times.handover_wait };
+        self.wait_until = now + wait;
+    }
+
+    /// Ends ownership: every waiting request is sent to the new owner.
+    pub fn unassign(&mut self, now: ClockMillis, out: &mut ControlOutput) {
+        if self.state == EngineState::Foreign {
+            return;
+        }
+        self.step(EngineEvent::Unassigned);
+        self.forget(now, out);
+    }
+
+    /// Gives up what was known under the ownership that ended.
+    pub(super) fn forget(&mut self, now: ClockMillis, out: &mut ControlOutput) {
+        for waiting in self.queue.drain_where(|_| true) {
+            self.refuse(&waiting, PermitRefusal::NotOwner, None, out);
+        }
+        let loads: Vec<AdapterKey> = self.turn_holders().collect();
+        for adapter in loads {
+            self.end_turn(adapter, out);
+        }
+        self.permits.clear();
+        self.residencies.clear();
+        self.truth_from = u64::MAX;
+        self.raising = None;
+        self.raised_at = now;
+        self.digest_dirty = true;
+    }
+
+    /// Takes any sign that the engine is leaving: nothing new starts there.
+    pub fn leave_seen(&mut self, out: &mut ControlOutput) {
+        if !self.step(EngineEvent::LeaveSeen) {
+            return;
+        }
+        for waiting in self.queue.drain_where(|_| true) {
+            self.refuse(&waiting, PermitRefusal::Leaving, None, out);
+        }
+        let asked: Vec<AdapterKey> = self.turn_holders().collect();
+        for adapter in asked {
+            self.end_turn(adapter, out);
+        }
+        out.notes.push(String::from("leaving: takes nothing new"));
+    }
+
+    /// Does what is due by time alone.
+    pub fn tick(&mut self, now: ClockMillis, out: &mut ControlOutput) {
+        if self.state == EngineState::Waiting && now >= self.wait_until {
+            self.step(EngineEvent::HandoverOver);
+        }
+        self.raise_if_due(now, out);
+        self.refuse_late(now, out);
+        self.renew_wishes(now, out);
+        self.check_permits(now, out);
+        self.pump(now, out);
+    }
+
+    fn raise_if_due(&mut self, now: ClockMillis, out: &mut ControlOutput) {
+        const RAISE_PAUSE: Duration = Duration::from_millis(500);
+        const RAISE_ANSWER_WITHIN: Duration = Duration::from_secs(5);
+        if self.raising.is_some_and(|since| now.since(since) < RAISE_ANSWER_WITHIN) {
+            return;
+        }
+        let wanted = match self.state {
+            EngineState::TakingOver => true,
+            EngineState::Owned | EngineState::Leaving => self.in_doubt() && now >= self.quiet_until,
+            _ => false,
+        };
+        let first = self.truth_from == u64::MAX && self.raising.is_none();
+        if wanted && (first || now.since(self.raised_at) >= RAISE_PAUSE) {
+            self.raise(now, out);
+        }
+    }
+
+    fn in_doubt(&self) -> bool {
+        self.residencies.values().any(Residency::awaits_raise)
+    }
+
+    /// Orders a token above every one known. It holds for new permits at once: an engine accepts
+    /// the higher token from whichever message brings it first.
+    fn raise(&mut self, now: ClockMillis, out: &mut ControlOutput) {
+        self.token = next_token(self.seen_token.max(self.token), self.host);
+        self.seen_token = self.token;
+        self.raising = Some(now);
+        self.raised_at = now;
+        self.order(OrderAction::Raise, out);
+    }
+
+    pub(super) fn order(&self, action: OrderAction, out: &mut ControlOutput) {
+        out.orders.push(EngineOrder { engine: self.facts.engine, token: self.token, action });
+    }
+
+    /// Moves on by the chart; says whether the state changed.
+    pub(super) fn step(&mut self, event: EngineEvent) -> bool {
+        let state = self.state.after(event);
+        let changed = state != self.state;
+        if changed {
+            self.digest_dirty = true;
+        }
+        self.state = state;
+        changed
+    }
+
+    /// Notes that the fence is another's, or that the engine began a new life.
+    pub(super) fn lose(&mut self, event: EngineEvent, now: ClockMillis, out: &mut ControlOutput) {
+        if !self.step(event) {
+            return;
+        }
+        self.forget(now, out);
+        let wait = match event {
+            EngineEvent::Restarted => Duration::ZERO,
+            _ => self.times.retake_wait,
+        };
+        self.wait_until = now + wait;
+        out.notes.push(format!("ownership lost: {}", event.name()));
+    }
+
+    pub(super) fn mark_digest(&mut self) {
+        self.digest_dirty = true;
+    }
+
+    /// Returns the digest when it changed since it was last taken.
+    pub fn take_digest(&mut self) -> Option<EngineDigest> {
+        if !self.digest_dirty || self.token == 0 {
+            return None;
+        }
+        self.digest_dirty = false;
+        self.digest_sequence += 1;
+        let resident = |(adapter, stay): (&AdapterKey, &Residency)| {
+            (stay.state == ResidencyState::Resident).then_some(*adapter)
+        };
+        Some(EngineDigest {
+            engine: self.facts.engine,
+            owner: self.host,
+            token: self.token,
+            sequence: self.digest_sequence,
+            serving: self.state == EngineState::Owned,
+            residents: self.residencies.iter().filter_map(resident).collect(),
+        })
+    }
+
+    /// Takes out every residency that says nothing any more.
+    pub(super) fn prune(&mut self, now: ClockMillis) {
+        const FORGOTTEN_BELOW: f64 = 1e-3;
+        let half_life = self.times.half_life;
+        let backoff_over = |stay: &mut Residency| {
+            if stay.state == ResidencyState::Failed && now >= stay.retry_at {
+                stay.step(ResidencyEvent::BackoffOver, now);
+            }
+        };
+        self.residencies.values_mut().for_each(backoff_over);
+        self.residencies.retain(|_, stay| {
+            stay.state != ResidencyState::Absent
+                || stay.granted > 0
+                || stay.demand.weight_at(now, half_life) > FORGOTTEN_BELOW
+        });
+    }
+}
+
+impl EngineControl {
+    /// Takes the news that another host holds a higher token although the view makes this host
+    /// the owner.
+    pub fn overtaken(&mut self, token: FenceToken, now: ClockMillis, out: &mut ControlOutput) {
+        self.seen_token = self.seen_token.max(token);
+        if token > self.token && self.facts.checks_fence {
+            self.lose(EngineEvent::FenceLost, now, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/orders.rs
@@ -0,0 +1,156 @@
+//! What the engine's answers to orders mean.
+
+use crate::{
+    chart::{EngineEvent, EngineState, ResidencyState},
+    clock::ClockMillis,
+    engine::{ControlOutput, EngineControl, EngineOrder, OrderAction, OrderResult},
+    id::{AdapterKey, FenceToken},
+};
+
+impl EngineControl {
+    /// Takes the end of an order.
+    pub fn order_ended(
+        &mut self,
+        order: &EngineOrder,
+        result: OrderResult,
+        now: ClockMillis,
+        out: &mut ControlOutput,
+    ) {
+        if let OrderResult::Fenced { token } = result {
+            self.fenced(order, token, now, out);
+            return;
+        }
+        if let OrderResult::Done { incarnation, sequence } = result {
+            if incarnation != self.incarnation && self.incarnation != 0 {
+                // The engine was restarted in between; its next report tells the rest.
+                self.raising = None;
+                return;
+            }
+            self.incarnation = incarnation;
+            self.sequence = self.sequence.max(sequence);
+        }
+        match &order.action {
+            OrderAction::Raise => self.raise_ended(order.token, result, out),
+            OrderAction::Load(adapter) => self.load_ended(*adapter, result, now, out),
+            OrderAction::Unload(adapter) => self.unload_ended(*adapter, result, now, out),
+            OrderAction::UnloadStranger(_) => {}
+        }
+    }
+
+    /// An order was refused for its token. When the higher token is our own, a raise overtook the
+    /// order, which is simply repeated.
+    fn fenced(
+        &mut self,
+        order: &EngineOrder,
+        token: FenceToken,
+        now: ClockMillis,
+        out: &mut ControlOutput,
+    ) {
+        self.seen_token = self.seen_token.max(token);
+        if token > self.token {
+            self.raising = None;
+            self.lose(EngineEvent::FenceLost, now, out);
+            return;
+        }
+        if order.token == self.token {
+            self.raising = None;
+        }
+        let repeated = match &order.action {
+            OrderAction::Load(adapter) => self.is_in(*adapter, ResidencyState::Loading),
+            OrderAction::Unload(adapter) => self.is_in(*adapter, ResidencyState::Unloading),
+            _ => false,
+        };
+        if repeated {
+            self.order(order.action.clone(), out);
+        }
+    }
+
+    fn is_in(&self, adapter: AdapterKey, state: ResidencyState) -> bool {
+        self.residencies.get(&adapter).is_some_and(|stay| stay.state == state)
+    }
+
+    fn raise_ended(&mut self, token: FenceToken, result: OrderResult, out: &mut ControlOutput) {
+        if token != self.token {
+            return;
+        }
+        self.raising = None;
+        let OrderResult::Done { sequence, .. } = result else { return };
+        self.truth_from = sequence;
+        for stay in self.residencies.values_mut() {
+            // Whatever was in doubt was sent under a lower token, which the engine now refuses.
+            if stay.awaits_raise() && token > stay.doubt_token {
+                stay.proof_from = sequence;
+            }
+        }
+        if self.state == EngineState::TakingOver {
+            self.step(EngineEvent::FenceRaised);
+            out.notes.push(format!("fence raised to {token:x}"));
+        }
+    }
+
+    fn load_ended(
+        &mut self,
+        adapter: AdapterKey,
+        result: OrderResult,
+        now: ClockMillis,
+        out: &mut ControlOutput,
+    ) {
+        let Some(stay) = self.residencies.get_mut(&adapter) else { return };
+        if stay.state != ResidencyState::Loading {
+            return;
+        }
+        match result {
+            OrderResult::Done { sequence, .. } => self.load_done(adapter, sequence, now, out),
+            OrderResult::Failed | OrderResult::NeverSent => self.load_failed(adapter, now, out),
+            // It may have taken effect: the next raise and the report after it will tell.
+            _ => {
+                stay.doubtful = true;
+                stay.doubt(self.token);
+            }
+        }
+    }
+
+    fn unload_ended(
+        &mut self,
+        adapter: AdapterKey,
+        result: OrderResult,
+        now: ClockMillis,
+        out: &mut ControlOutput,
+    ) {
+        let Some(stay) = self.residencies.get(&adapter) else { return };
+        if stay.state != ResidencyState::Unloading {
+            return;
+        }
+        match result {
+            OrderResult::Done { .. } => self.slot_freed(adapter, now, out),
+            // No permit is given while it is being unloaded, so the order can simply be repeated.
+            _ => self.retry_unloads_at(now),
+        }
+    }
+
+    fn retry_unloads_at(&mut self, now: ClockMillis) {
+        const UNLOAD_PAUSE: std::time::Duration = std::time::Duration::from_millis(300);
+        for stay in self.residencies.values_mut() {
+            if stay.state == ResidencyState::Unloading {
+                stay.retry_at = now + UNLOAD_PAUSE;
+            }
+        }
+    }
+
+    /// Repeats unload orders whose answer was lost.
+    pub(super) fn repeat_unloads(&mut self, now: ClockMillis, out: &mut ControlOutput) {
+        let due: Vec<AdapterKey> = self
+            .residencies
+            .iter()
+            .filter(|(_, stay)| stay.state == ResidencyState::Unloading)
+            .filter(|(_, stay)| stay.retry_at > stay.since && now >= stay.retry_at)
+            .map(|(adapter, _)| *adapter)
+            .collect();
+        for adapter in due {
+            if let Some(stay) = self.residencies.get_mut(&adapter) {
+                stay.retry_at = stay.since;
+            }
+            self.order(OrderAction::Unload(adapter), out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/policy.rs
@@ -0,0 +1,75 @@
+//! What a load is worth and what an adapter's stay is worth.
+
+use std::time::Duration;
+
+/// What is known of an adapter that is wanted and not there.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadWish {
+    /// Worth of the requests that wait for it, each times its stall weight.
+    pub waiting_worth: f64,
+    /// How long the first of them has waited.
+    pub oldest_wait: Duration,
+    /// Worth asked for per second lately, decayed.
+    pub worth_per_second: f64,
+}
+
+/// What is known of an adapter that is there and idle.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AdapterStay {
+    /// Worth asked for per second lately, decayed.
+    pub worth_per_second: f64,
+    /// How long nothing has run on it.
+    pub idle: Duration,
+}
+
+/// Decides which load goes first and which adapter gives up its slot.
+pub trait ResidencyPolicy: Send + Sync {
+    /// Returns what a load is worth; the highest goes first.
+    fn load_value(&self, wish: &LoadWish) -> f64;
+
+    /// Returns what keeping an idle adapter is worth; the lowest goes first, and only for a load
+    /// that is worth more.
+    fn keep_value(&self, stay: &AdapterStay) -> f64;
+
+    /// Says whether a request whose load can not come in time is refused at once.
+    fn refuses_early(&self) -> bool;
+}
+
+/// How far ahead, in seconds, recent demand is taken to go on.
+const HORIZON_SECONDS: f64 = 10.0;
+
+/// Values loads by the worth that waits and the worth to be expected. The default.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ValuePolicy;
+
+impl ResidencyPolicy for ValuePolicy {
+    fn load_value(&self, wish: &LoadWish) -> f64 {
+        wish.waiting_worth + HORIZON_SECONDS * wish.worth_per_second
+    }
+
+    fn keep_value(&self, stay: &AdapterStay) -> f64 {
+        HORIZON_SECONDS * stay.worth_per_second
+    }
+
+    fn refuses_early(&self) -> bool {
+        true
+    }
+}
+
+/// First come, first loaded; least recently used, first unloaded. The baseline for measurements.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ArrivalPolicy;
+
+impl ResidencyPolicy for ArrivalPolicy {
+    fn load_value(&self, wish: &LoadWish) -> f64 {
+        wish.oldest_wait.as_secs_f64()
+    }
+
+    fn keep_value(&self, stay: &AdapterStay) -> f64 {
+        -1.0 - stay.idle.as_secs_f64()
+    }
+
+    fn refuses_early(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/core/src/gossip.rs
@@ -0,0 +1,86 @@
+//! What hosts pass on to a few others at a time until all have it.
+
+use std::collections::BTreeMap;
+
+use crate::id::{AdapterKey, EngineId, FenceToken, HostId};
+
+/// How often a change is passed on: this many times the logarithm of the number of hosts.
+///
+/// Three times the logarithm reaches all of `n` hosts with a probability above `1 - 1/n`
+/// (Demers et al., 1987); what is missed is repaired by the full exchange.
+const SPREAD_FACTOR: u32 = 3;
+
+/// The residency of one engine, as its owner passes it on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineDigest {
+    /// The engine.
+    pub engine: EngineId,
+    /// Its owner.
+    pub owner: HostId,
+    /// The owner's fence token; a digest of a higher token is newer.
+    pub token: FenceToken,
+    /// Counts the owner's digests of this engine.
+    pub sequence: u64,
+    /// Whether it takes new work.
+    pub serving: bool,
+    /// What requests may run on.
+    pub residents: Vec<AdapterKey>,
+}
+
+impl EngineDigest {
+    /// Returns what orders two digests of one engine.
+    pub const fn version(&self) -> (FenceToken, u64) {
+        (self.token, self.sequence)
+    }
+}
+
+/// Changes that wait to be passed on, least often passed first.
+#[derive(Debug, Clone)]
+pub struct GossipQueue<K> {
+    left: BTreeMap<K, u32>,
+}
+
+impl<K> Default for GossipQueue<K> {
+    fn default() -> Self {
+        Self { left: BTreeMap::new() }
+    }
+}
+
+impl<K: Ord + Copy> GossipQueue<K> {
+    /// Notes that `item` changed and must reach `hosts` hosts.
+    pub fn add(&mut self, item: K, hosts: usize) {
+        let rounds = hosts.max(2).ilog2() + 1;
+        self.left.insert(item, SPREAD_FACTOR * rounds);
+    }
+
+    /// Takes up to `most` items for one message, those passed on least first.
+    pub fn take(&mut self, most: usize) -> Vec<K> {
+        let mut items: Vec<(u32, K)> =
+            self.left.iter().map(|(item, left)| (*left, *item)).collect();
+        items.sort_by(|left, right| right.cmp(left));
+        items.truncate(most);
+        for (_, item) in &items {
+            self.pass(*item);
+        }
+        items.into_iter().map(|(_, item)| item).collect()
+    }
+
+    fn pass(&mut self, item: K) {
+        if let Some(left) = self.left.get_mut(&item) {
+            *left -= 1;
+            if *left == 0 {
+                self.left.remove(&item);
+            }
+        }
+    }
+
+    /// Returns how many items still spread.
+    pub fn len(&self) -> usize {
+        self.left.len()
+    }
+
+    /// Says whether nothing spreads.
+    pub fn is_empty(&self) -> bool {
+        self.left.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/core/src/id.rs
@@ -0,0 +1,75 @@
+//! Identifiers, as small integers so that tables at full size stay small.
+
+/// Names an entry host. Operators assign it in the host's own settings.
+pub type HostId = u32;
+
+/// Counts the lives of one host or backend server; a restart raises it. Unit: milliseconds of the
+/// wall clock at the start, so that no disk is needed to keep it rising.
+pub type Incarnation = u64;
+
+/// Names a model engine, as in the platform's host list.
+pub type EngineId = u32;
+
+/// Names a data hall by number, as in the platform's host list.
+pub type HallId = u16;
+
+/// Names an adapter. The settings fold assigns it in log order, so every host agrees on it.
+pub type AdapterId = u32;
+
+/// Names one immutable version of an adapter.
+pub type AdapterVersion = u32;
+
+/// Names an organisation within the settings fold.
+pub type OrganisationId = u32;
+
+/// Names a service within the settings fold.
+pub type ServiceId = u32;
+
+/// Names a request for ever: host, incarnation and counter, never reused across restarts.
+pub type RequestId = u128;
+
+/// The 128-bit hash of an idempotency key together with its organisation.
+pub type KeyHash = u128;
+
+/// A fence token. An engine refuses whatever carries a lower one than it has accepted.
+pub type FenceToken = u64;
+
+/// Counts accepted changes of the settings tree.
+pub type Revision = u64;
+
+/// A position in a stream of the platform's log.
+pub type LogOffset = u64;
+
+/// Bits of a fence token that hold the host, so that two hosts never order with one token.
+const TOKEN_HOST_BITS: u32 = 24;
+
+/// Returns the lowest token of `host` that is higher than `seen`.
+pub const fn next_token(seen: FenceToken, host: HostId) -> FenceToken {
+    let epoch = (seen >> TOKEN_HOST_BITS) + 1;
+    (epoch << TOKEN_HOST_BITS) | (host as u64 & ((1 << TOKEN_HOST_BITS) - 1))
+}
+
+/// Builds the id of the `counter`-th request of one life of `host`.
+pub const fn request_id(host: HostId, incarnation: Incarnation, counter: u32) -> RequestId {
+    ((host as u128) << 96) | ((incarnation as u128) << 32) | counter as u128
+}
+
+/// Returns the host that gave out a request id.
+pub const fn request_host(request: RequestId) -> HostId {
+    (request >> 96) as HostId
+}
+
+/// Returns the incarnation of the host that gave out a request id.
+#[expect(clippy::cast_possible_truncation, reason = "the incarnation is 64 bits of the id")]
+pub const fn request_incarnation(request: RequestId) -> Incarnation {
+    (request >> 32) as Incarnation
+}
+
+/// Names what an engine holds in a slot: one version of one adapter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AdapterKey {
+    /// The adapter.
+    pub adapter: AdapterId,
+    /// Its immutable version.
+    pub version: AdapterVersion,
+}
--- /dev/null
+++ b/crates/core/src/load.rs
@@ -0,0 +1,199 @@
+//! Turns at the weight store: one host of the site gives them, the most valuable load first.
+//!
+//! The store serves few loads a second and is fastest one at a time, so the order of loads decides
+//! most of how long requests wait. Which host gives the turns follows from the hosts' view of each
+//! other. When views differ, two hosts give turns for a moment and the store is asked for more than
+//! it likes, never for long; a hall that is cut off gives itself its share of the turns.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    chart::{LoadEvent, LoadState},
+    clock::ClockMillis,
+    id::{AdapterKey, EngineId, HostId},
+    message::{LoadAsk, LoadPlace, LoadTurn},
+};
+
+/// How long a load that is not asked for again is kept; owners repeat their asks twice a second.
+const HEARD_WITHIN: Duration = Duration::from_secs(3);
+
+/// How much a newly measured load moves the estimate of how long one takes.
+const TURN_LEARNING: f64 = 0.2;
+
+/// The store's limits, from the settings tree.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StoreLimits {
+    /// Loads a second for the whole site.
+    pub per_second: f64,
+    /// Loads at once at full speed.
+    pub parallel: usize,
+    /// The part of both that this host may give out: below one while halls are out of reach.
+    pub part: f64,
+}
+
+impl StoreLimits {
+    fn parallel_now(&self) -> usize {
+        let parallel = (self.parallel as f64 * self.part).floor();
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "small count")]
+        let parallel = parallel as usize;
+        parallel.max(1)
+    }
+}
+
+#[derive(Debug, Clone)]
+struct AskedLoad {
+    state: LoadState,
+    value: f64,
+    owner: HostId,
+    heard: ClockMillis,
+    granted: ClockMillis,
+}
+
+type LoadName = (EngineId, AdapterKey);
+
+/// A turn that was just given, and to whom.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GivenTurn {
+    /// The engine's owner.
+    pub owner: HostId,
+    /// The turn.
+    pub turn: LoadTurn,
+}
+
+/// The turns as the host that gives them sees them.
+#[derive(Debug)]
+pub struct StoreTurns {
+    loads: BTreeMap<LoadName, AskedLoad>,
+    /// Loads that may start at once, refilled at the store's rate.
+    allowance: f64,
+    refilled: ClockMillis,
+    turn_seconds: f64,
+}
+
+impl Default for StoreTurns {
+    fn default() -> Self {
+        // Three loads a second, one at a time: the brief's store, until one has been measured.
+        let turn_seconds = 1.0 / 3.0;
+        Self {
+            loads: BTreeMap::new(),
+            allowance: 1.0,
+            refilled: ClockMillis::default(),
+            turn_seconds,
+        }
+    }
+}
+
+impl StoreTurns {
+    /// Takes an ask, first or repeated.
+    pub fn ask(&mut self, from: HostId, ask: &LoadAsk, now: ClockMillis) {
+        let load = self.loads.entry((ask.engine, ask.adapter)).or_insert_with(|| AskedLoad {
+            // A load that runs already was granted by a host that gave the turns before.
+            state: if ask.running { LoadState::Running } else { LoadState::initial() },
+            value: ask.value,
+            owner: from,
+            heard: now,
+            granted: now,
+        });
+        load.value = ask.value;
+        load.owner = from;
+        load.heard = now;
+    }
+
+    /// Takes the end of a load, or of the wish for it.
+    pub fn end(&mut self, turn: LoadTurn, now: ClockMillis) {
+        let Some(load) = self.loads.get_mut(&(turn.engine, turn.adapter)) else { return };
+        if load.state == LoadState::Running {
+            let took = now.since(load.granted).as_secs_f64();
+            self.turn_seconds += TURN_LEARNING * (took - self.turn_seconds);
+        }
+        load.state = load.state.after(LoadEvent::Finished);
+        self.drop_ended();
+    }
+
+    /// Forgets what nobody asks for any more and gives the turns that are due.
+    pub fn give(&mut self, limits: StoreLimits, now: ClockMillis) -> Vec<GivenTurn> {
+        self.forget_silent(now);
+        self.refill(limits, now);
+        let mut given = Vec::new();
+        while self.running() < limits.parallel_now() && self.allowance >= 1.0 {
+            let Some(name) = self.most_valuable() else { break };
+            self.allowance -= 1.0;
+            let Some(load) = self.loads.get_mut(&name) else { break };
+            load.state = load.state.after(LoadEvent::Granted);
+            load.granted = now;
+            let turn = LoadTurn { engine: name.0, adapter: name.1 };
+            given.push(GivenTurn { owner: load.owner, turn });
+        }
+        given
+    }
+
+    /// Returns the turn again to an owner that repeats its ask although it has the turn: the
+    /// message that gave it was lost.
+    pub fn given_again(&self, ask: &LoadAsk) -> Option<LoadTurn> {
+        let load = self.loads.get(&(ask.engine, ask.adapter))?;
+        let lost = load.state == LoadState::Running && !ask.running;
+        lost.then_some(LoadTurn { engine: ask.engine, adapter: ask.adapter })
+    }
+
+    /// Says how many loads go before one that was asked for.
+    pub fn place(&self, engine: EngineId, adapter: AdapterKey) -> LoadPlace {
+        let value = self.loads.get(&(engine, adapter)).map_or(0.0, |load| load.value);
+        let before = |(name, load): &(&LoadName, &AskedLoad)| {
+            **name != (engine, adapter) && (load.state == LoadState::Running || load.value > value)
+        };
+        let before = self.loads.iter().filter(before).count();
+        LoadPlace {
+            engine,
+            adapter,
+            before: u32::try_from(before).unwrap_or(u32::MAX),
+            turn: Duration::from_secs_f64(self.turn_seconds.max(0.0)),
+        }
+    }
+
+    /// Counts the loads that wait or run.
+    pub fn len(&self) -> usize {
+        self.loads.len()
+    }
+
+    /// Says whether nothing waits or runs.
+    pub fn is_empty(&self) -> bool {
+        self.loads.is_empty()
+    }
+
+    /// Forgets everything, when another host gives the turns.
+    pub fn clear(&mut self) {
+        self.loads.clear();
+    }
+
+    fn running(&self) -> usize {
+        self.loads.values().filter(|load| load.state == LoadState::Running).count()
+    }
+
+    fn most_valuable(&self) -> Option<LoadName> {
+        self.loads
+            .iter()
+            .filter(|(_, load)| load.state == LoadState::Waiting)
+            .max_by(|left, right| left.1.value.total_cmp(&right.1.value))
+            .map(|(name, _)| *name)
+    }
+
+    fn forget_silent(&mut self, now: ClockMillis) {
+        for load in self.loads.values_mut() {
+            if now.since(load.heard) > HEARD_WITHIN {
+                load.state = load.state.after(LoadEvent::Dropped).after(LoadEvent::TimedOut);
+            }
+        }
+        self.drop_ended();
+    }
+
+    fn drop_ended(&mut self) {
+        self.loads.retain(|_, load| load.state != LoadState::Ended);
+    }
+
+    fn refill(&mut self, limits: StoreLimits, now: ClockMillis) {
+        let seconds = now.since(self.refilled).as_secs_f64();
+        let most = limits.parallel_now() as f64;
+        self.allowance = (self.allowance + seconds * limits.per_second * limits.part).min(most);
+        self.refilled = now;
+    }
+}
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,31 @@
+//! One entry host: its decision core, from events to orders.
+//!
+//! [`NodeCore::handle`] is the only way in. A border hands it an event and the time, and carries
+//! out the orders it gets back. The core never waits; what it waits for comes as an event.
+
+mod arrivals;
+mod config;
+mod counters;
+mod dispatch;
+mod event;
+mod inbox;
+mod log;
+mod open;
+mod owning;
+mod peers;
+mod permits;
+mod state;
+mod status;
+mod table;
+mod timers;
+mod turns;
+
+pub use config::{NodeConfig, NodeTimes};
+pub use counters::NodeCounters;
+pub use event::{
+    AppendResult, DispatchEnding, DispatchOrder, HostChange, HostEntry, HostKind, LogStream,
+    NodeEvent, NodeOrder, NodeReading, NotRunReason, ServerFacts,
+};
+pub use state::NodeCore;
+pub use status::{EngineStatus, MemberStatus, NodeStatus};
+pub use table::ServerId;
--- /dev/null
+++ b/crates/core/src/node/log.rs
@@ -0,0 +1,177 @@
+//! What the platform's log says, and what this host writes there.
+
+use crate::{
+    id::{HostId, LogOffset},
+    message::{PeerMessage, SettingsPull},
+    node::{AppendResult, LogStream, NodeCore, NodeOrder},
+    owner::{OwnedRole, rendezvous, role_key},
+    settings::{SettingKey, SettingsSnapshot, fold::LogRecord},
+};
+
+/// Tickets of appends that carry no claims start here.
+const OTHER_TICKETS: u64 = 1 << 62;
+
+impl NodeCore {
+    pub(super) fn log_read(&mut self, stream: LogStream, records: Vec<LogRecord>, end: LogOffset) {
+        match stream {
+            LogStream::Settings => self.read_settings(records, end),
+            LogStream::Snapshots => self.read_snapshots(&records),
+            LogStream::Claims => self.read_claims(&records, end),
+        }
+    }
+
+    fn read_settings(&mut self, records: Vec<LogRecord>, end: LogOffset) {
+        let gap = records.first().is_some_and(|first| first.offset > self.fold.next_offset());
+        if gap {
+            // The log's retention passed this host by: only a snapshot helps.
+            self.note("settings", "records expired before they were read");
+            self.ask_any_peer_for_settings();
+            return;
+        }
+        self.fold_records(records);
+        if self.fold.next_offset() >= end {
+            self.progress.settings_confirmed = true;
+        }
+    }
+
+    fn fold_records(&mut self, records: Vec<LogRecord>) {
+        let before = self.fold.revision();
+        for record in records {
+            self.fold.fold(record);
+        }
+        let after = self.fold.revision();
+        if after != before {
+            self.note("settings", format!("revision {after} in force"));
+            self.view_dirty = true;
+            self.settle_ownership();
+        }
+    }
+
+    fn ask_any_peer_for_settings(&mut self) {
+        use rand::seq::IndexedRandom;
+        let peers: Vec<HostId> = self.members.owners(None).collect();
+        let Some(peer) = peers.choose(&mut self.rng).copied() else { return };
+        if peer != self.config.host {
+            let pull = SettingsPull { next_offset: self.fold.next_offset() };
+            self.send(peer, PeerMessage::SettingsPull(pull));
+        }
+    }
+
+    fn read_snapshots(&mut self, records: &[LogRecord]) {
+        for record in records {
+            self.take_snapshot(&record.payload);
+        }
+    }
+
+    /// Takes a snapshot from the log or a peer, after checking it.
+    pub(super) fn take_snapshot(&mut self, payload: &[u8]) {
+        let adopted = SettingsSnapshot::from_json(payload).and_then(|snapshot| {
+            self.progress.snapshot_offset = self.progress.snapshot_offset.max(snapshot.next_offset);
+            if snapshot.next_offset == self.fold.next_offset() {
+                let own = self.fold.snapshot();
+                if own.digest != snapshot.digest {
+                    let revision = snapshot.revision;
+                    return Err(crate::settings::SnapshotError::WrongDigest(revision));
+                }
+            }
+            self.fold.adopt(snapshot)
+        });
+        match adopted {
+            Ok(true) => {
+                let (revision, from) = (self.fold.revision(), self.fold.next_offset());
+                self.note("settings", format!("revision {revision} taken from a snapshot"));
+                let stream = LogStream::Settings;
+                self.orders.push(NodeOrder::Follow { stream, from });
+                self.view_dirty = true;
+                self.settle_ownership();
+            }
+            Ok(false) => {}
+            Err(error) => {
+                self.counters.snapshots_refused += 1;
+                self.note("settings", format!("snapshot refused: {error}"));
+            }
+        }
+    }
+
+    /// Passes on to a peer what it lacks.
+    pub(super) fn take_pull(&mut self, from: HostId, pull: SettingsPull) {
+        let message = match self.fold.records_from(pull.next_offset) {
+            Some(records) if records.is_empty() => return,
+            Some(records) => PeerMessage::SettingsRecords(records),
+            None => PeerMessage::SettingsState(self.fold.snapshot().to_json()),
+        };
+        self.send(from, message);
+    }
+
+    /// Takes settings records from a peer; the fold passes over those that it knows.
+    pub(super) fn take_records(&mut self, records: Vec<LogRecord>) {
+        self.fold_records(records);
+    }
+
+    fn read_claims(&mut self, records: &[LogRecord], end: LogOffset) {
+        self.progress.claims_away = false;
+        let window = self.site_number(SettingKey::ClaimWindowMs);
+        for record in records {
+            for decided in self.claims.fold(record, window) {
+                if let Some(verdict) = self.book.decided(decided, window) {
+                    self.take_verdict(verdict);
+                }
+            }
+        }
+        if self.claims.next_offset() >= end {
+            self.progress.claims_read = true;
+        }
+        self.append_claims();
+    }
+
+    pub(super) fn log_away(&mut self, stream: LogStream) {
+        if stream != LogStream::Claims || self.progress.claims_away {
+            return;
+        }
+        self.progress.claims_away = true;
+        self.note("log", "claims stream is away");
+        self.refuse_claiming();
+    }
+
+    /// Appends the claims that have gathered, when an append is due.
+    pub(super) fn append_claims(&mut self) {
+        if self.progress.claims_away {
+            return;
+        }
+        let now = self.now();
+        let Some((ticket, record)) = self.book.next_append(now) else { return };
+        self.counters.appends += 1;
+        let payload = record.to_json();
+        let stream = LogStream::Claims;
+        self.orders.push(NodeOrder::Append { stream, payload, ticket });
+    }
+
+    pub(super) fn append_ended(&mut self, ticket: u64, result: AppendResult) {
+        if self.progress.snapshot_ticket == Some(ticket) {
+            self.progress.snapshot_ticket = None;
+            return;
+        }
+        self.book.append_ended(ticket, result == AppendResult::Refused);
+    }
+
+    /// Appends a snapshot when enough records have come since the last one. One host does it.
+    pub(super) fn append_snapshot(&mut self) {
+        let behind = self.fold.next_offset().saturating_sub(self.progress.snapshot_offset);
+        let due = behind >= self.config.times.snapshot_every;
+        if !due || self.progress.snapshot_ticket.is_some() || !self.is_ready() {
+            return;
+        }
+        let key = role_key(OwnedRole::Snapshots, 0);
+        if rendezvous(key, self.members.owners(None)) != Some(self.config.host) {
+            return;
+        }
+        self.progress.next_ticket += 1;
+        let ticket = OTHER_TICKETS + self.progress.next_ticket;
+        self.progress.snapshot_ticket = Some(ticket);
+        // Counted as written: if it was not, the next one comes with the records after it.
+        self.progress.snapshot_offset = self.fold.next_offset();
+        self.counters.appends += 1;
+        let payload = self.fold.snapshot().to_json();
+        self.orders.push(NodeOrder::Append { stream: LogStream::Snapshots, payload, ticket });
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/status.rs
@@ -0,0 +1,109 @@
+//! What operators see of a host.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    chart::ResidencyState,
+    engine::EngineControl,
+    id::{EngineId, HallId, HostId, LogOffset, Revision},
+    node::NodeCore,
+};
+
+/// A host's state, as `reelreel status` shows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// The host.
+    pub host: HostId,
+    /// Its data hall.
+    pub hall: HallId,
+    /// Whether callers may be sent to it.
+    pub ready: bool,
+    /// Where its planned stop stands.
+    pub drain: String,
+    /// The settings revision in force.
+    pub revision: Revision,
+    /// The next offset of the settings stream.
+    pub next_offset: LogOffset,
+    /// Why it stopped reading settings, if it did.
+    pub halt: Option<String>,
+    /// The host that gives turns at the weight store, as this host sees it.
+    pub turns_host: HostId,
+    /// Open requests.
+    pub open_requests: usize,
+    /// Idempotency keys remembered.
+    pub keys: usize,
+    /// The other hosts.
+    pub members: Vec<MemberStatus>,
+    /// The engines it owns or may come to own.
+    pub engines: Vec<EngineStatus>,
+}
+
+/// Another host, as this one sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// The host.
+    pub host: HostId,
+    /// Its data hall.
+    pub hall: HallId,
+    /// What is believed of it.
+    pub state: String,
+}
+
+/// An engine, as its owner sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineStatus {
+    /// The engine.
+    pub engine: EngineId,
+    /// Where ownership stands.
+    pub state: String,
+    /// The fence token, in hexadecimal.
+    pub token: String,
+    /// Permits that are out.
+    pub permits: usize,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// The adapters that are resident.
+    pub residents: Vec<String>,
+}
+
+impl NodeCore {
+    /// Returns what operators see of the host.
+    pub fn status(&self) -> NodeStatus {
+        let member = |entry: &crate::member::MemberEntry| MemberStatus {
+            host: entry.update.host,
+            hall: entry.update.hall,
+            state: entry.update.state.name().to_owned(),
+        };
+        NodeStatus {
+            host: self.config.host,
+            hall: self.config.hall,
+            ready: self.is_ready(),
+            drain: self.drain.name().to_owned(),
+            revision: self.fold.revision(),
+            next_offset: self.fold.next_offset(),
+            halt: self.fold.halt().map(ToString::to_string),
+            turns_host: self.turns_host,
+            open_requests: self.open.len(),
+            keys: self.claims.len(),
+            members: self.members.others().map(member).collect(),
+            engines: self.controls.values().map(|control| self.engine_status(control)).collect(),
+        }
+    }
+
+    fn engine_status(&self, control: &EngineControl) -> EngineStatus {
+        let residents = control
+            .residencies()
+            .iter()
+            .filter(|(_, stay)| stay.state == ResidencyState::Resident)
+            .filter_map(|(adapter, _)| self.fold.tree().adapter_name(*adapter))
+            .collect();
+        EngineStatus {
+            engine: control.facts().engine,
+            state: control.state().name().to_owned(),
+            token: format!("{:x}", control.token()),
+            permits: control.permit_count(),
+            waiting: control.waiting_count(),
+            residents,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/table.rs
@@ -0,0 +1,173 @@
+//! What a host knows of the backend servers: the host list, digests, and its own experience.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::{
+    clock::ClockMillis,
+    engine::EngineFacts,
+    gossip::EngineDigest,
+    id::{AdapterKey, EngineId, Incarnation},
+    node::{HostEntry, HostKind, ServerFacts},
+};
+
+/// Names a plain server, as in the platform's host list.
+pub type ServerId = u32;
+
+/// One engine as an entry host sees it.
+#[derive(Debug, Clone)]
+pub(super) struct EngineView {
+    pub(super) facts: EngineFacts,
+    pub(super) digest: Option<EngineDigest>,
+    /// The life in which any sign said that it is leaving; only a later life takes it back.
+    pub(super) left_in: Option<Incarnation>,
+    /// Not to be tried before.
+    pub(super) avoid_until: ClockMillis,
+    /// How full it was at the last permit, in hundredths, and our permits since.
+    pub(super) fill: u32,
+    pub(super) outstanding: u32,
+}
+
+impl EngineView {
+    /// Says whether new work may go there.
+    pub(super) fn open(&self, now: ClockMillis) -> bool {
+        self.left_in.is_none() && now >= self.avoid_until
+    }
+
+    /// Estimates how full it is, in hundredths.
+    pub(super) fn expected_fill(&self) -> u32 {
+        self.fill.max(100 * self.outstanding / self.facts.streams.max(1))
+    }
+}
+
+/// One plain server as an entry host sees it.
+#[derive(Debug, Clone)]
+pub(super) struct ServerView {
+    pub(super) facts: ServerFacts,
+    pub(super) left_in: Option<Incarnation>,
+    pub(super) avoid_until: ClockMillis,
+    pub(super) outstanding: u32,
+}
+
+/// All backend servers of the site.
+#[derive(Debug, Default)]
+pub(super) struct BackendTable {
+    pub(super) engines: BTreeMap<EngineId, EngineView>,
+    pub(super) servers: BTreeMap<ServerId, ServerView>,
+    pub(super) by_service: BTreeMap<String, Vec<EngineId>>,
+    holders: HashMap<AdapterKey, Vec<EngineId>>,
+}
+
+impl BackendTable {
+    /// Takes an engine of the host list. Being listed as leaving sticks until a later life.
+    pub(super) fn put_engine(&mut self, facts: EngineFacts, leaving: bool) {
+        let incarnation = facts.incarnation;
+        let engine = facts.engine;
+        let view = self.engines.entry(engine).or_insert_with(|| EngineView {
+            facts: facts.clone(),
+            digest: None,
+            left_in: None,
+            avoid_until: ClockMillis::default(),
+            fill: 0,
+            outstanding: 0,
+        });
+        if incarnation < view.facts.incarnation {
+            return;
+        }
+        if view.left_in.is_some_and(|left| left < incarnation) {
+            view.left_in = None;
+        }
+        if leaving {
+            view.left_in = Some(incarnation);
+        }
+        view.facts = facts;
+        self.index_services();
+    }
+
+    /// Takes a plain server of the host list.
+    pub(super) fn put_server(&mut self, facts: ServerFacts, leaving: bool) {
+        let incarnation = facts.incarnation;
+        let view = self.servers.entry(facts.server).or_insert_with(|| ServerView {
+            facts: facts.clone(),
+            left_in: None,
+            avoid_until: ClockMillis::default(),
+            outstanding: 0,
+        });
+        if incarnation < view.facts.incarnation {
+            return;
+        }
+        if view.left_in.is_some_and(|left| left < incarnation) {
+            view.left_in = None;
+        }
+        if leaving {
+            view.left_in = Some(incarnation);
+        }
+        view.facts = facts;
+    }
+
+    /// Forgets an engine that the host list has no more.
+    pub(super) fn remove_engine(&mut self, engine: EngineId) {
+        if let Some(view) = self.engines.remove(&engine) {
+            self.unindex(view.digest.as_ref());
+        }
+        self.index_services();
+    }
+
+    /// Takes a digest; says whether it was newer than the one known.
+    pub(super) fn put_digest(&mut self, digest: &EngineDigest) -> bool {
+        let Some(view) = self.engines.get_mut(&digest.engine) else { return false };
+        if view.digest.as_ref().is_some_and(|known| known.version() >= digest.version()) {
+            return false;
+        }
+        let old = view.digest.replace(digest.clone());
+        self.unindex(old.as_ref());
+        for adapter in &digest.residents {
+            self.holders.entry(*adapter).or_default().push(digest.engine);
+        }
+        true
+    }
+
+    fn unindex(&mut self, digest: Option<&EngineDigest>) {
+        let Some(digest) = digest else { return };
+        for adapter in &digest.residents {
+            if let Some(holders) = self.holders.get_mut(adapter) {
+                holders.retain(|engine| *engine != digest.engine);
+                if holders.is_empty() {
+                    self.holders.remove(adapter);
+                }
+            }
+        }
+    }
+
+    /// Forgets that an engine holds an adapter, when its owner says that it does not.
+    pub(super) fn forget_resident(&mut self, engine: EngineId, adapter: AdapterKey) {
+        if let Some(holders) = self.holders.get_mut(&adapter) {
+            holders.retain(|holder| *holder != engine);
+        }
+    }
+
+    /// Lists the backend servers as entries of the host list, for a host that has not seen it.
+    pub(super) fn host_entries(&self) -> Vec<HostEntry> {
+        let engine = |view: &EngineView| HostEntry {
+            kind: HostKind::Engine(view.facts.clone()),
+            leaving: view.left_in.is_some(),
+        };
+        let server = |view: &ServerView| HostEntry {
+            kind: HostKind::Server(view.facts.clone()),
+            leaving: view.left_in.is_some(),
+        };
+        let servers = self.servers.values().map(server);
+        self.engines.values().map(engine).chain(servers).collect()
+    }
+
+    /// Lists the engines that hold an adapter, as far as is known here.
+    pub(super) fn holders(&self, adapter: AdapterKey) -> &[EngineId] {
+        self.holders.get(&adapter).map_or(&[], Vec::as_slice)
+    }
+
+    fn index_services(&mut self) {
+        self.by_service.clear();
+        for (engine, view) in &self.engines {
+            self.by_service.entry(view.facts.service.clone()).or_default().push(*engine);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/turns.rs
@@ -0,0 +1,71 @@
+//! The host's part in giving turns at the weight store.
+
+use crate::{
+    id::HostId,
+    load::StoreLimits,
+    message::{LoadAsk, LoadTurn, PeerMessage},
+    node::NodeCore,
+    settings::SettingKey,
+};
+
+impl NodeCore {
+    pub(super) fn take_load_ask(&mut self, from: HostId, ask: &LoadAsk) {
+        if self.turns_host != self.config.host {
+            // The asker's view differs; it repeats its ask when the views agree.
+            return;
+        }
+        let now = self.now();
+        self.turns.ask(from, ask, now);
+        if let Some(turn) = self.turns.given_again(ask) {
+            self.send(from, PeerMessage::LoadGrant(turn));
+        }
+        self.give_turns();
+        let place = self.turns.place(ask.engine, ask.adapter);
+        self.send(from, PeerMessage::LoadPlace(place));
+    }
+
+    pub(super) fn take_load_end(&mut self, turn: LoadTurn) {
+        let now = self.now();
+        self.turns.end(turn, now);
+        self.give_turns();
+    }
+
+    pub(super) fn take_load_grant(&mut self, from: HostId, turn: LoadTurn) {
+        if self.controls.contains_key(&turn.engine) {
+            self.control(turn.engine, |control, now, out| {
+                control.turn_came(turn.adapter, now, out);
+            });
+            return;
+        }
+        self.send(from, PeerMessage::LoadEnd(turn));
+    }
+
+    /// Gives the turns that are due, if this host gives them.
+    pub(super) fn give_turns(&mut self) {
+        if self.turns_host != self.config.host || self.turns.is_empty() {
+            return;
+        }
+        let limits = self.store_limits();
+        let now = self.now();
+        for given in self.turns.give(limits, now) {
+            self.send(given.owner, PeerMessage::LoadGrant(given.turn));
+        }
+    }
+
+    /// Returns the store's limits, less the part of the halls that are out of reach: they give
+    /// turns of their own meanwhile.
+    fn store_limits(&self) -> StoreLimits {
+        let mut halls: Vec<_> =
+            self.backends.engines.values().map(|view| view.facts.hall).collect();
+        halls.sort_unstable();
+        halls.dedup();
+        let reached = halls.iter().filter(|hall| self.members.hall_reachable(**hall)).count();
+        let part = reached.max(1) as f64 / halls.len().max(1) as f64;
+        let parallel = self.site_number(SettingKey::StoreParallelLoads);
+        StoreLimits {
+            per_second: self.site_fraction(SettingKey::StoreLoadsPerSecond),
+            parallel: usize::try_from(parallel).unwrap_or(usize::MAX),
+            part,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/settings/fold.rs
@@ -0,0 +1,205 @@
+//! The fold that turns a prefix of the platform's log into the tree in force.
+//!
+//! Whether a publication is accepted depends on nothing but the records before it, so hosts that
+//! have read the same prefix hold the same tree, without asking one another.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::{LogOffset, Revision},
+    settings::{
+        ChangeRecord, ChangeRefusal, SettingsSnapshot, SettingsTree, SnapshotError,
+        change::RECORD_FORMAT,
+    },
+};
+
+/// How many records are kept to pass on to peers that lag; older ones are passed on as a snapshot.
+const KEPT_RECORDS: usize = 512;
+
+/// How many verdicts are kept for publishers who look for theirs.
+const KEPT_VERDICTS: usize = 512;
+
+/// What became of one publication.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ChangeVerdict {
+    /// Its place in the log.
+    pub offset: LogOffset,
+    /// The publication's id; empty when the record could not be read.
+    pub change_id: String,
+    /// Who published it.
+    pub author: String,
+    /// Why, in the operator's words.
+    pub message: String,
+    /// The revision it made, or why it was refused.
+    pub result: Result<Revision, ChangeRefusal>,
+}
+
+/// Why a host stopped folding.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum FoldHalt {
+    /// A record was written by a newer program.
+    #[error(
+        "record {offset} has format {format}, this program knows {RECORD_FORMAT}; update this host, until then it serves with revision {revision}"
+    )]
+    NewerFormat {
+        /// The record's place.
+        offset: LogOffset,
+        /// Its format.
+        format: u32,
+        /// The revision this host stays at.
+        revision: Revision,
+    },
+}
+
+/// One record of the log, as read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogRecord {
+    /// Its place in the stream.
+    pub offset: LogOffset,
+    /// When the platform wrote it, in milliseconds since the Unix epoch.
+    pub written_millis: u64,
+    /// What was appended.
+    pub payload: Vec<u8>,
+}
+
+/// The state after a prefix of the settings stream.
+#[derive(Debug, Clone, Default)]
+pub struct SettingsFold {
+    tree: SettingsTree,
+    revision: Revision,
+    next_offset: LogOffset,
+    halt: Option<FoldHalt>,
+    records: VecDeque<LogRecord>,
+    verdicts: VecDeque<ChangeVerdict>,
+}
+
+impl SettingsFold {
+    /// Returns the tree in force.
+    pub const fn tree(&self) -> &SettingsTree {
+        &self.tree
+    }
+
+    /// Returns the revision in force; zero before the first accepted publication.
+    pub const fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the offset of the first record not yet folded.
+    pub const fn next_offset(&self) -> LogOffset {
+        self.next_offset
+    }
+
+    /// Returns why folding stopped, if it did.
+    pub const fn halt(&self) -> Option<&FoldHalt> {
+        self.halt.as_ref()
+    }
+
+    /// Returns the last verdicts, oldest first.
+    pub fn verdicts(&self) -> impl DoubleEndedIterator<Item = &ChangeVerdict> {
+        self.verdicts.iter()
+    }
+
+    /// Folds one record; records before [`Self::next_offset`] are known and passed over.
+    ///
+    /// Returns whether the record was the next one. A gap changes nothing, so that a host that
+    /// fell behind the log's retention notices and asks for a snapshot.
+    pub fn fold(&mut self, record: LogRecord) -> bool {
+        if record.offset != self.next_offset || self.halt.is_some() {
+            return false;
+        }
+        let read = read_record(&record.payload);
+        if let Err(ReadError::NewerFormat(format)) = read {
+            let (offset, revision) = (record.offset, self.revision);
+            self.halt = Some(FoldHalt::NewerFormat { offset, format, revision });
+            return false;
+        }
+        let verdict = self.judge(record.offset, read);
+        push_bounded(&mut self.verdicts, verdict, KEPT_VERDICTS);
+        push_bounded(&mut self.records, record, KEPT_RECORDS);
+        self.next_offset += 1;
+        true
+    }
+
+    fn judge(&mut self, offset: LogOffset, read: Result<ChangeRecord, ReadError>) -> ChangeVerdict {
+        let record = match read {
+            Ok(record) => record,
+            Err(ReadError::Damaged(reason)) => {
+                let result = Err(ChangeRefusal::Damaged { reason });
+                let (change_id, author, message) = Default::default();
+                return ChangeVerdict { offset, change_id, author, message, result };
+            }
+            Err(ReadError::NewerFormat(_)) => unreachable!("handled before judging"),
+        };
+        let result = self.tree.check_change(&record, self.revision).map(|()| {
+            self.revision += 1;
+            self.tree.apply_change(&record, self.revision);
+            self.revision
+        });
+        let ChangeRecord { change_id, author, message, .. } = record;
+        ChangeVerdict { offset, change_id, author, message, result }
+    }
+
+    /// Returns the kept records from `offset` on, or `None` when they are kept no longer.
+    pub fn records_from(&self, offset: LogOffset) -> Option<Vec<LogRecord>> {
+        if offset >= self.next_offset {
+            return Some(Vec::new());
+        }
+        let first = self.records.front()?.offset;
+        if offset < first {
+            return None;
+        }
+        Some(self.records.iter().filter(|record| record.offset >= offset).cloned().collect())
+    }
+
+    /// Writes down the state after the records folded so far.
+    pub fn snapshot(&self) -> SettingsSnapshot {
+        SettingsSnapshot::new(&self.tree, self.revision, self.next_offset)
+    }
+
+    /// Takes over a snapshot that is further than this fold; says whether it was.
+    ///
+    /// # Errors
+    /// Returns why the snapshot can not be trusted.
+    pub fn adopt(&mut self, snapshot: SettingsSnapshot) -> Result<bool, SnapshotError> {
+        let further = snapshot.next_offset > self.next_offset;
+        // A fold that is halted only knows a prefix; a snapshot from beyond may hold newer forms.
+        if !further || self.halt.is_some() || snapshot.revision < self.revision {
+            return Ok(false);
+        }
+        let (revision, next_offset) = (snapshot.revision, snapshot.next_offset);
+        self.tree = snapshot.into_tree()?;
+        self.revision = revision;
+        self.next_offset = next_offset;
+        self.records.clear();
+        Ok(true)
+    }
+}
+
+enum ReadError {
+    Damaged(String),
+
+    NewerFormat(u32),
+}
+
+#[derive(Deserialize)]
+struct RecordFormat {
+    format: u32,
+}
+
+fn read_record(payload: &[u8]) -> Result<ChangeRecord, ReadError> {
+    let format: RecordFormat =
+        serde_json::from_slice(payload).map_err(|error| ReadError::Damaged(error.to_string()))?;
+    if format.format > RECORD_FORMAT {
+        return Err(ReadError::NewerFormat(format.format));
+    }
+    serde_json::from_slice(payload).map_err(|error| ReadError::Damaged(error.to_string()))
+}
+
+fn push_bounded<T>(kept: &mut VecDeque<T>, item: T, most: usize) {
+    if kept.len() == most {
+        kept.pop_front();
+    }
+    kept.push_back(item);
+}
--- /dev/null
+++ b/crates/core/src/settings/key.rs
@@ -0,0 +1,195 @@
+//! The keys an operator may set: their types, limits, defaults and meaning.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// A level of the settings tree, from the root down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum SettingLevel {
+    /// The whole site.
+    Site,
+    /// One service.
+    Service,
+    /// One organisation within a service.
+    Organisation,
+    /// One adapter of an organisation.
+    Adapter,
+}
+
+impl SettingLevel {
+    /// Returns the level's name as in messages.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Site => "site",
+            Self::Service => "service",
+            Self::Organisation => "organisation",
+            Self::Adapter => "adapter",
+        }
+    }
+}
+
+/// A value of the tree.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum SettingValue {
+    /// A switch.
+    Flag(bool),
+    /// A whole number.
+    Number(i64),
+    /// A fraction.
+    Fraction(f64),
+    /// A text.
+    Text(Box<str>),
+    /// A list of whole numbers.
+    Numbers(Box<[i64]>),
+}
+
+impl fmt::Display for SettingValue {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Flag(flag) => write!(formatter, "{flag}"),
+            Self::Number(number) => write!(formatter, "{number}"),
+            Self::Fraction(fraction) => write!(formatter, "{fraction:?}"),
+            Self::Text(text) => write!(formatter, "{text:?}"),
+            Self::Numbers(numbers) => write!(formatter, "{numbers:?}"),
+        }
+    }
+}
+
+/// What a key's value must be.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum SettingKind {
+    /// `true` or `false`.
+    Flag,
+    /// A whole number within the limits, both included.
+    Number(i64, i64),
+    /// A number within the limits, both included.
+    Fraction(f64, f64),
+    /// A text of at most that many bytes.
+    Text(usize),
+    /// One of these texts.
+    Choice(&'static [&'static str]),
+    /// A list of positive whole numbers.
+    Numbers,
+}
+
+impl fmt::Display for SettingKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Flag => write!(formatter, "true or false"),
+            Self::Number(low, high) => write!(formatter, "a whole number from {low} to {high}"),
+            Self::Fraction(low, high) => write!(formatter, "a number from {low} to {high}"),
+            Self::Text(most) => write!(formatter, "a text of at most {most} bytes"),
+            Self::Choice(choices) => write!(formatter, "one of {}", choices.join(", ")),
+            Self::Numbers => write!(formatter, "a list of positive whole numbers"),
+        }
+    }
+}
+
+macro_rules! setting_keys {
+    ($($variant:ident = $name:literal, $kind:expr, [$($level:ident),+], $default:literal, $doc:literal;)+) => {
+        /// A key of the settings tree.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub enum SettingKey { $(#[doc = $doc] #[serde(rename = $name)] $variant),+ }
+
+        impl SettingKey {
+            /// All keys, in the order of the reference.
+            pub const ALL: &'static [Self] = &[$(Self::$variant),+];
+
+            /// Returns the key as written in TOML.
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$variant => $name),+ }
+            }
+
+            /// Returns what the key's value must be.
+            pub const fn kind(self) -> SettingKind {
+                match self { $(Self::$variant => $kind),+ }
+            }
+
+            /// Lists the levels at which the key may be set.
+            pub const fn levels(self) -> &'static [SettingLevel] {
+                match self { $(Self::$variant => &[$(SettingLevel::$level),+]),+ }
+            }
+
+            /// Returns the default as written in TOML; empty when there is none.
+            pub const fn default_text(self) -> &'static str {
+                match self { $(Self::$variant => $default),+ }
+            }
+
+            /// Returns one sentence on the key's meaning, with its unit.
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Self::$variant => $doc),+ }
+            }
+        }
+    };
+}
+
+setting_keys! {
+    Kind = "kind", SettingKind::Choice(&["engine", "plain"]), [Service], "\"engine\"", "Whether model engines or plain servers answer for the service.";
+    BaseModel = "base_model", SettingKind::Text(200), [Service], "", "The base model that the service's engines run.";
+    PathPrefix = "path_prefix", SettingKind::Text(200), [Service], "", "The path below which callers reach a plain service, with a leading slash.";
+    Worth = "worth", SettingKind::Fraction(0.0, 1e6), [Site, Service, Organisation, Adapter], "1.0", "What one answered request is worth, relative to others.";
+    Share = "share", SettingKind::Fraction(0.01, 1e6), [Site, Service, Organisation], "1.0", "The organisation's weight when organisations wait for the same engine.";
+    DeadlineMs = "deadline_ms", SettingKind::Number(1, 3_600_000), [Site, Service, Organisation, Adapter], "10000", "How long a request may wait for its first token, in milliseconds, where the caller names no deadline.";
+    QueueLimit = "queue_limit", SettingKind::Number(0, 100_000), [Site, Service, Organisation], "64", "How many requests of one organisation may wait at one engine.";
+    MaxTokens = "max_tokens", SettingKind::Number(1, 1_000_000), [Site, Service, Organisation, Adapter], "1024", "The most tokens one answer may have.";
+    Priority = "priority", SettingKind::Number(-10, 10), [Site, Service, Organisation, Adapter], "0", "The priority handed to the engine; higher is served first.";
+    StallWeight = "stall_weight", SettingKind::Fraction(0.0, 1000.0), [Site, Service], "1.0", "How much a second of waiting for a load weighs when loads are chosen.";
+    BatchWeight = "batch_weight", SettingKind::Fraction(0.0, 1000.0), [Site, Service], "1.0", "How much a fuller engine step weighs when engines are chosen.";
+    Repeatable = "repeatable", SettingKind::Flag, [Site, Service, Organisation, Adapter], "true", "Whether a request that broke off may be sent again where the caller does not say.";
+    RetryShare = "retry_share", SettingKind::Fraction(0.0, 1.0), [Site, Service], "0.1", "Retries allowed per first try, over the last ten seconds of one host.";
+    Version = "version", SettingKind::Number(1, 4_294_967_295), [Adapter], "", "The version served when a caller names none.";
+    Versions = "versions", SettingKind::Numbers, [Adapter], "", "The versions that exist in the weight store.";
+    StoreLoadsPerSecond = "store_loads_per_second", SettingKind::Fraction(0.01, 100_000.0), [Site], "3.0", "How many loads a second the weight store allows the whole site.";
+    StoreParallelLoads = "store_parallel_loads", SettingKind::Number(1, 10_000), [Site], "1", "How many loads the weight store serves at once at full speed.";
+    PopularityHalfLifeMs = "popularity_half_life_ms", SettingKind::Number(1_000, 86_400_000), [Site], "300000", "The time after which a request counts half for an adapter's popularity, in milliseconds.";
+    ClaimWindowMs = "claim_window_ms", SettingKind::Number(10_000, 604_800_000), [Site], "3600000", "How long an idempotency key is remembered, in milliseconds; at most the log's retention.";
+}
+
+impl SettingKey {
+    /// Finds the key of that name.
+    pub fn find(name: &str) -> Option<Self> {
+        Self::ALL.iter().copied().find(|key| key.name() == name)
+    }
+
+    /// Returns the default value, if the key has one.
+    ///
+    /// # Panics
+    /// Never: a test parses every default.
+    pub fn default_value(self) -> Option<SettingValue> {
+        let text = self.default_text();
+        if text.is_empty() {
+            return None;
+        }
+        serde_json::from_str(text).ok()
+    }
+
+    /// Checks a value against the key's kind and brings numbers into the kind's form.
+    ///
+    /// # Errors
+    /// Returns the kind when the value does not fit it.
+    pub fn admit(self, value: SettingValue) -> Result<SettingValue, SettingKind> {
+        let kind = self.kind();
+        let fits = match (&kind, &value) {
+            (SettingKind::Flag, SettingValue::Flag(_)) => true,
+            (SettingKind::Number(low, high), SettingValue::Number(number)) => {
+                (low..=high).contains(&number)
+            }
+            (SettingKind::Fraction(low, high), SettingValue::Fraction(fraction)) => {
+                (low..=high).contains(&fraction)
+            }
+            (SettingKind::Fraction(..), SettingValue::Number(number)) => {
+                return self.admit(SettingValue::Fraction(*number as f64));
+            }
+            (SettingKind::Text(most), SettingValue::Text(text)) => text.len() <= *most,
+            (SettingKind::Choice(choices), SettingValue::Text(text)) => choices.contains(&&**text),
+            (SettingKind::Numbers, SettingValue::Numbers(numbers)) => {
+                let version = |number: &i64| (1..=i64::from(u32::MAX)).contains(number);
+                numbers.iter().all(version)
+            }
+            _ => false,
+        };
+        if fits { Ok(value) } else { Err(kind) }
+    }
+}
--- /dev/null
+++ b/crates/core/src/settings/source.rs
@@ -0,0 +1,259 @@
+//! Reads a settings tree from an operator's TOML file and names every mistake at once.
+
+use std::fmt::{self, Write};
+
+use toml::{
+    Spanned,
+    de::{DeTable, DeValue},
+};
+
+use crate::settings::{
+    SettingKey, SettingLevel, SettingValue, SettingsNode, SettingsPath, SettingsTree, tree::is_name,
+};
+
+/// How alike two words must be (Jaro-Winkler) for one to be offered in place of the other.
+const ALIKE: f64 = 0.75;
+
+/// One mistake in a file, with its place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SourceMistake {
+    /// Line, from 1.
+    pub line: usize,
+    /// Column in characters, from 1.
+    pub column: usize,
+    /// What is wrong, with the remedy.
+    pub message: String,
+}
+
+impl fmt::Display for SourceMistake {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}:{}: {}", self.line, self.column, self.message)
+    }
+}
+
+/// Returns line and column, both from 1, of a byte offset.
+pub fn place_of(text: &str, offset: usize) -> (usize, usize) {
+    let before = &text[..text.floor_char_boundary(offset.min(text.len()))];
+    let line = before.matches('\n').count() + 1;
+    let column = before.rsplit('\n').next().unwrap_or_default().chars().count() + 1;
+    (line, column)
+}
+
+/// Returns the word most like `word`, if any is alike enough to offer.
+pub fn closest<'a>(word: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    known
+        .into_iter()
+        .map(|candidate| (strsim::jaro_winkler(word, candidate), candidate))
+        .filter(|(alike, _)| *alike >= ALIKE)
+        .max_by(|left, right| left.0.total_cmp(&right.0))
+        .map(|(_, candidate)| candidate)
+}
+
+/// Reads a tree.
+///
+/// # Errors
+/// Returns every mistake in the file, in the order of their places.
+///
+/// # Example
+/// ```
+/// use reelreel_core::settings::read_tree;
+///
+/// let mistakes = read_tree("[service.parts]\nwroth = 2.0\n").unwrap_err();
+/// assert_eq!(
+///     mistakes[0].to_string(),
+///     "2:1: unknown key `wroth` for a service; did you mean `worth`?",
+/// );
+/// ```
+pub fn read_tree(text: &str) -> Result<SettingsTree, Vec<SourceMistake>> {
+    let mut reader = TreeReader { text, mistakes: Vec::new(), tree: SettingsTree::default() };
+    let (table, errors) = DeTable::parse_recoverable(text);
+    for error in errors {
+        let offset = error.span().map_or(0, |span| span.start);
+        reader.note(offset, format!("not valid TOML: {}", error.message()));
+    }
+    if reader.mistakes.is_empty() {
+        reader.read_node(table.get_ref(), &SettingsPath::site());
+    }
+    let TreeReader { mut mistakes, tree, .. } = reader;
+    if mistakes.is_empty() {
+        return Ok(tree);
+    }
+    mistakes.sort_by_key(|mistake| (mistake.line, mistake.column));
+    Err(mistakes)
+}
+
+struct TreeReader<'a> {
+    text: &'a str,
+    mistakes: Vec<SourceMistake>,
+    tree: SettingsTree,
+}
+
+/// Returns the name of the table that holds the children of a node at `level`.
+const fn child_table(level: SettingLevel) -> Option<&'static str> {
+    match level {
+        SettingLevel::Site => Some("service"),
+        SettingLevel::Service => Some("organisation"),
+        SettingLevel::Organisation => Some("adapter"),
+        SettingLevel::Adapter => None,
+    }
+}
+
+impl TreeReader<'_> {
+    fn note(&mut self, offset: usize, message: String) {
+        let (line, column) = place_of(self.text, offset);
+        self.mistakes.push(SourceMistake { line, column, message });
+    }
+
+    fn read_node(&mut self, table: &DeTable<'_>, path: &SettingsPath) {
+        self.tree.ensure(path, 0);
+        let level = path.level();
+        for (name, value) in table {
+            let offset = name.span().start;
+            let name: &str = name.get_ref();
+            if child_table(level) == Some(name) {
+                self.read_children(value, path);
+            } else if let Some(key) = SettingKey::find(name) {
+                self.read_value(offset, key, value, path);
+            } else {
+                let message = unknown_key(name, level);
+                self.note(offset, message);
+            }
+        }
+        self.check_versions(table, path);
+    }
+
+    fn read_children(&mut self, value: &Spanned<DeValue<'_>>, path: &SettingsPath) {
+        let DeValue::Table(children) = value.get_ref() else {
+            let what = child_table(path.level()).unwrap_or_default();
+            self.note(value.span().start, format!("`{what}` must hold tables, one for each name"));
+            return;
+        };
+        for (name, child) in children {
+            let offset = name.span().start;
+            if !is_name(name.get_ref()) {
+                let message = format!(
+                    "`{}` is not a name; use 1 to 64 letters, digits, dots, dashes or underscores",
+                    name.get_ref()
+                );
+                self.note(offset, message);
+                continue;
+            }
+            if let DeValue::Table(table) = child.get_ref() {
+                self.read_node(table, &path.child(name.get_ref()));
+            } else {
+                self.note(offset, format!("`{}` must be a table", name.get_ref()));
+            }
+        }
+    }
+
+    fn read_value(
+        &mut self,
+        offset: usize,
+        key: SettingKey,
+        value: &Spanned<DeValue<'_>>,
+        path: &SettingsPath,
+    ) {
+        let level = path.level();
+        if !key.levels().contains(&level) {
+            let allowed = key.levels().iter().map(|level| level.name()).collect::<Vec<_>>();
+            let message = format!(
+                "`{}` can not be set at the level {}; set it at: {}",
+                key.name(),
+                level.name(),
+                allowed.join(", ")
+            );
+            self.note(offset, message);
+            return;
+        }
+        let admitted = setting_value(value.get_ref()).map(|value| key.admit(value));
+        if let Some(Ok(value)) = admitted {
+            self.tree.ensure(path, 0).put(key, Some(value));
+        } else {
+            let message = format!("`{}` must be {}", key.name(), key.kind());
+            self.note(value.span().start, message);
+        }
+    }
+
+    fn check_versions(&mut self, table: &DeTable<'_>, path: &SettingsPath) {
+        let Some(node) = self.tree.node(path) else { return };
+        let (Some(SettingValue::Numbers(known)), Some(SettingValue::Number(current))) =
+            (node.value(SettingKey::Versions), node.value(SettingKey::Version))
+        else {
+            return;
+        };
+        if known.contains(current) {
+            return;
+        }
+        let message = format!("`version` {current} is not among `versions`; add it there");
+        let place = table.iter().find(|(name, _)| name.get_ref() == "version");
+        let offset = place.map_or(0, |(_, value)| value.span().start);
+        self.note(offset, message);
+    }
+}
+
+fn unknown_key(name: &str, level: SettingLevel) -> String {
+    let known = SettingKey::ALL
+        .iter()
+        .filter(|key| key.levels().contains(&level))
+        .map(|key| key.name())
+        .chain(child_table(level));
+    let article = if matches!(level, SettingLevel::Adapter | SettingLevel::Organisation) {
+        "an"
+    } else {
+        "a"
+    };
+    let start = format!("unknown key `{name}` for {article} {}", level.name());
+    match closest(name, known) {
+        Some(known) => format!("{start}; did you mean `{known}`?"),
+        None => format!("{start}; `reelreel settings keys` lists those that exist"),
+    }
+}
+
+fn setting_value(value: &DeValue<'_>) -> Option<SettingValue> {
+    match value {
+        DeValue::Boolean(flag) => Some(SettingValue::Flag(*flag)),
+        DeValue::Integer(number) => {
+            let digits = number.as_str();
+            i64::from_str_radix(digits, number.radix()).ok().map(SettingValue::Number)
+        }
+        DeValue::Float(fraction) => fraction.as_str().parse().ok().map(SettingValue::Fraction),
+        DeValue::String(text) => Some(SettingValue::Text(Box::from(&**text))),
+        DeValue::Array(items) => {
+            let number = |item: &Spanned<DeValue<'_>>| match setting_value(item.get_ref())? {
+                SettingValue::Number(number) => Some(number),
+                _ => None,
+            };
+            let numbers: Option<Vec<i64>> = items.iter().map(number).collect();
+            numbers.map(|numbers| SettingValue::Numbers(numbers.into_boxed_slice()))
+        }
+        DeValue::Datetime(_) | DeValue::Table(_) => None,
+    }
+}
+
+impl SettingsTree {
+    /// Writes the tree as an operator's TOML file.
+    pub fn to_toml(&self) -> String {
+        let mut text = String::new();
+        write_node(&self.root, "", SettingLevel::Site, &mut text);
+        text
+    }
+}
+
+fn write_node(node: &SettingsNode, header: &str, level: SettingLevel, text: &mut String) {
+    if !header.is_empty() {
+        let _infallible = writeln!(text, "\n[{header}]");
+    }
+    for (key, value) in &node.values {
+        let _infallible = writeln!(text, "{} = {value}", key.name());
+    }
+    let Some(table) = child_table(level) else { return };
+    let below = match level {
+        SettingLevel::Site => SettingLevel::Service,
+        SettingLevel::Service => SettingLevel::Organisation,
+        _ => SettingLevel::Adapter,
+    };
+    for (name, child) in &node.children {
+        let dot = if header.is_empty() { "" } else { "." };
+        write_node(child, &format!("{header}{dot}{table}.\"{name}\""), below, text);
+    }
+}
--- /dev/null
+++ b/crates/node/src/border/platform_http.rs
@@ -0,0 +1,163 @@
+//! The platform over HTTP: paths, field names and codes.
+
+use std::time::Duration;
+
+use reelreel_core::{
+    engine::EngineFacts,
+    id::LogOffset,
+    node::{AppendResult, HostChange, HostEntry, HostKind, LogStream, ServerFacts},
+    settings::fold::LogRecord,
+};
+use serde::{Deserialize, de::DeserializeOwned};
+
+use super::{BorderError, HostBorder, LogBorder, ReadBatch, http_agent, never_connected};
+
+/// How long the platform may take to accept a connection.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// How long a call may take beyond the wait that was asked for.
+const ANSWER: Duration = Duration::from_secs(4);
+
+/// The largest answer that is read: a snapshot record with all adapters.
+const MOST_ANSWER: u64 = 256 << 20;
+
+/// The status with which the platform says that it truly wrote nothing.
+const NOT_WRITTEN: u16 = 429;
+
+/// The platform at one address.
+#[derive(Debug, Clone)]
+pub struct PlatformHttp {
+    address: String,
+    agent: ureq::Agent,
+}
+
+#[derive(Deserialize)]
+struct ReadAnswer {
+    end: LogOffset,
+    records: Vec<RecordAnswer>,
+}
+
+#[derive(Deserialize)]
+struct RecordAnswer {
+    offset: LogOffset,
+    written_millis: u64,
+    payload: String,
+}
+
+#[derive(Deserialize)]
+struct HostsAnswer {
+    version: u64,
+    entries: Vec<HostAnswer>,
+    removed: Vec<(String, u32)>,
+}
+
+#[derive(Deserialize)]
+struct HostAnswer {
+    role: String,
+    id: u32,
+    hall: u16,
+    address: String,
+    state: String,
+    incarnation: u64,
+    #[serde(default)]
+    service: String,
+    #[serde(default)]
+    slots: u32,
+    #[serde(default)]
+    streams: u32,
+    #[serde(default)]
+    checks_fence: bool,
+}
+
+impl PlatformHttp {
+    /// Makes a client of the platform at `address`.
+    pub fn new(address: impl Into<String>) -> Self {
+        // The longest wait of a read is added for that call.
+        Self { address: address.into(), agent: http_agent(CONNECT, ANSWER) }
+    }
+
+    fn error(&self, reason: &impl std::fmt::Display) -> BorderError {
+        let (system, address) = ("platform", self.address.clone());
+        BorderError { system, address, reason: reason.to_string() }
+    }
+
+    fn fetch<T: DeserializeOwned>(&self, path: &str, whole: Duration) -> Result<T, BorderError> {
+        let url = format!("http://{}{path}", self.address);
+        let call = self.agent.get(url).config().timeout_global(Some(whole)).build().call();
+        let mut answer = call.map_err(|error| self.error(&error))?;
+        if answer.status().as_u16() != 200 {
+            return Err(self.error(&format!("status {}", answer.status())));
+        }
+        let body = answer.body_mut().with_config().limit(MOST_ANSWER).read_to_vec();
+        let body = body.map_err(|error| self.error(&error))?;
+        serde_json::from_slice(&body).map_err(|error| self.error(&error))
+    }
+}
+
+impl LogBorder for PlatformHttp {
+    fn read(
+        &self,
+        stream: LogStream,
+        from: LogOffset,
+        wait: Duration,
+    ) -> Result<ReadBatch, BorderError> {
+        let name = stream.name();
+        let path = format!("/streams/{name}/records?from={from}&wait_ms={}", wait.as_millis());
+        let answer: ReadAnswer = self.fetch(&path, wait + ANSWER)?;
+        let record = |record: RecordAnswer| LogRecord {
+            offset: record.offset,
+            written_millis: record.written_millis,
+            payload: record.payload.into_bytes(),
+        };
+        let records = answer.records.into_iter().map(record).collect();
+        Ok(ReadBatch { records, end: answer.end })
+    }
+
+    fn append(&self, stream: LogStream, payload: &[u8]) -> AppendResult {
+        let url = format!("http://{}/streams/{}/records", self.address, stream.name());
+        match self.agent.post(url).send(payload) {
+            Ok(answer) if answer.status().as_u16() == 201 => AppendResult::Written,
+            Ok(answer) if answer.status().as_u16() == NOT_WRITTEN => AppendResult::Refused,
+            Ok(_) => AppendResult::Lost,
+            Err(error) if never_connected(&error) => AppendResult::Refused,
+            Err(_) => AppendResult::Lost,
+        }
+    }
+}
+
+impl HostBorder for PlatformHttp {
+    fn changes(&self, since: u64) -> Result<(HostChange, u64), BorderError> {
+        let answer: HostsAnswer = self.fetch(&format!("/hosts?since={since}"), ANSWER)?;
+        let mut change = HostChange {
+            entries: answer.entries.into_iter().map(host_entry).collect(),
+            ..HostChange::default()
+        };
+        for (role, id) in answer.removed {
+            match role.as_str() {
+                "entry" => change.gone_hosts.push(id),
+                "engine" => change.gone_engines.push(id),
+                _ => change.gone_servers.push(id),
+            }
+        }
+        Ok((change, answer.version))
+    }
+}
+
+fn host_entry(host: HostAnswer) -> HostEntry {
+    let HostAnswer { role, id, hall, address, state, incarnation, service, .. } = host;
+    let kind = match role.as_str() {
+        "entry" => HostKind::Entry { host: id, hall, address },
+        "engine" => HostKind::Engine(EngineFacts {
+            engine: id,
+            hall,
+            service,
+            address,
+            slots: host.slots,
+            streams: host.streams,
+            checks_fence: host.checks_fence,
+            incarnation,
+        }),
+        _ => HostKind::Server(ServerFacts { server: id, hall, service, address, incarnation }),
+    };
+    HostEntry { kind, leaving: state == "leaving" }
+}
--- /dev/null
+++ b/crates/node/src/callers.rs
@@ -0,0 +1,123 @@
+//! The border to callers: HTTP in, answers out, one thread for each connection.
+//!
+//! The brief's `rouille` holds streamed chunks back until its buffer is full, and its nearest kin
+//! `tiny_http` gives no way to put a time limit on a slow sender, so heads are parsed by
+//! `httparse` on plain sockets here (docs/DESIGN.md, "HTTP towards callers"). Operators' pages,
+//! where neither matters, are served by `rouille`.
+
+mod answer;
+mod connection;
+mod events;
+mod exchange;
+mod plain;
+mod request;
+mod route;
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use reelreel_core::id::{HostId, Incarnation, RequestId, request_id};
+
+pub use connection::{HttpHead, HttpRequest};
+
+use crate::{control::ControlSender, settings::CallerLimits};
+
+/// The stack of a thread that serves one connection.
+const CONNECTION_STACK: usize = 256 << 10;
+
+/// How long an accept that failed rests.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What all connections share.
+pub struct CallerBorder {
+    host: HostId,
+    incarnation: Incarnation,
+    counter: AtomicU32,
+    open: AtomicUsize,
+    limits: CallerLimits,
+    control: ControlSender,
+    backends: ureq::Agent,
+}
+
+impl CallerBorder {
+    /// Makes the border of a host.
+    pub fn new(
+        host: HostId,
+        incarnation: Incarnation,
+        limits: CallerLimits,
+        control: ControlSender,
+    ) -> Self {
+        let backends = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .max_idle_connections(0)
+            .max_redirects(0)
+            .proxy(None)
+            .timeout_connect(Some(Duration::from_secs(1)))
+            .timeout_per_read(Some(limits.silence))
+            .input_buffer_size(16 << 10)
+            .output_buffer_size(16 << 10)
+            .build()
+            .into();
+        Self {
+            host,
+            incarnation,
+            counter: AtomicU32::new(0),
+            open: AtomicUsize::new(0),
+            limits,
+            control,
+            backends,
+        }
+    }
+
+    fn next_request(&self) -> RequestId {
+        let counter = self.counter.fetch_add(1, Ordering::Relaxed);
+        request_id(self.host, self.incarnation, counter)
+    }
+}
+
+/// Counts a connection as long as it lives.
+struct OpenGuard(Arc<CallerBorder>);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Starts to accept callers on a bound listener.
+///
+/// # Errors
+/// Returns why the listener has no address.
+pub fn start_callers(
+    border: Arc<CallerBorder>,
+    listener: TcpListener,
+    stop: Arc<AtomicBool>,
+) -> std::io::Result<SocketAddr> {
+    let address = listener.local_addr()?;
+    thread::Builder::new().name(String::from("callers")).spawn(move || {
+        while !stop.load(Ordering::Relaxed) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(ACCEPT_PAUSE);
+                continue;
+            };
+            let open = border.open.fetch_add(1, Ordering::Relaxed);
+            let guard = OpenGuard(Arc::clone(&border));
+            if open >= border.limits.connections {
+                connection::refuse_full(stream);
+                continue;
+            }
+            let spawned = thread::Builder::new().stack_size(CONNECTION_STACK).spawn(move || {
+                connection::serve(&guard.0, stream);
+            });
+            drop(spawned);
+        }
+    })?;
+    Ok(address)
+}
--- /dev/null
+++ b/crates/node/src/callers/connection.rs
@@ -0,0 +1,341 @@
+//! One caller's connection: requests are read whole, within limits of size and time.
+
+use std::{
+    fmt::Write as _,
+    io::{self, ErrorKind, Read, Write},
+    net::TcpStream,
+    time::{Duration, Instant},
+};
+
+use reelreel_core::request::{RefusalKind, RequestRefusal};
+
+use super::{CallerBorder, answer, route};
+
+/// Headers of one request at most.
+const MOST_HEADERS: usize = 64;
+
+/// Bytes read from the socket at a time.
+const READ_PIECE: usize = 8 << 10;
+
+/// A request's head.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HttpHead {
+    /// The method, as sent.
+    pub method: String,
+    /// Path and query, as sent.
+    pub target: String,
+    /// Names, as sent, and values.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Whether the connection may be used for another request.
+    pub keep_alive: bool,
+}
+
+impl HttpHead {
+    /// Returns a header's value if it is plain text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.and_then(|(_, value)| std::str::from_utf8(value).ok())
+    }
+
+    /// Says whether a header is there, whatever its value.
+    pub fn has(&self, name: &str) -> bool {
+        self.headers.iter().any(|(known, _)| known.eq_ignore_ascii_case(name))
+    }
+
+    /// Returns the path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+}
+
+/// A request, read whole.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HttpRequest {
+    /// The head.
+    pub head: HttpHead,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Why a request was not read whole.
+#[derive(Debug)]
+enum ReadFailure {
+    /// The caller closed the connection between requests.
+    Closed,
+    /// The caller is told what is wrong.
+    Bad(u16, &'static str),
+}
+
+/// Serves one connection until it ends.
+pub(super) fn serve(border: &CallerBorder, mut stream: TcpStream) {
+    drop(stream.set_nodelay(true));
+    drop(stream.set_write_timeout(Some(border.limits.silence)));
+    let mut buffer = Vec::new();
+    loop {
+        match read_request(border, &mut stream, &mut buffer) {
+            Ok(request) => {
+                let keep_alive = request.head.keep_alive;
+                let whole = route::answer(border, &mut stream, &request).is_ok();
+                if !whole || !keep_alive {
+                    break;
+                }
+            }
+            Err(ReadFailure::Closed) => break,
+            Err(ReadFailure::Bad(status, message)) => {
+                let refusal = RequestRefusal::not_run(RefusalKind::BadRequest, message);
+                drop(answer::refuse_with_status(&mut stream, &refusal, status, false));
+                linger(&mut stream);
+                break;
+            }
+        }
+    }
+    drop(stream.shutdown(std::net::Shutdown::Both));
+}
+
+/// Tells a caller that the host has no room for another connection.
+pub(super) fn refuse_full(mut stream: TcpStream) {
+    let message = "this host has as many connections as it may";
+    let refusal = RequestRefusal::not_run(RefusalKind::Overloaded, message)
+        .retry_after(Duration::from_secs(1));
+    drop(stream.set_write_timeout(Some(Duration::from_millis(200))));
+    drop(answer::refuse_with_status(&mut stream, &refusal, 503, false));
+}
+
+/// Lets the caller read the answer before the unread rest of its request resets the connection.
+fn linger(stream: &mut TcpStream) {
+    const LINGER: Duration = Duration::from_millis(200);
+    const MOST: usize = 64;
+    drop(stream.shutdown(std::net::Shutdown::Write));
+    drop(stream.set_read_timeout(Some(LINGER)));
+    let mut piece = [0; READ_PIECE];
+    for _ in 0..MOST {
+        match stream.read(&mut piece) {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+}
+
+/// Reads a piece before `until`; none means that the caller closed.
+fn read_piece(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    until: Instant,
+) -> Result<usize, ErrorKind> {
+    let left = until.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Err(ErrorKind::TimedOut);
+    }
+    stream.set_read_timeout(Some(left)).map_err(|error| error.kind())?;
+    let mut piece = [0; READ_PIECE];
+    match stream.read(&mut piece) {
+        Ok(count) => {
+            buffer.extend_from_slice(&piece[..count]);
+            Ok(count)
+        }
+        Err(error) if error.kind() == ErrorKind::WouldBlock => Err(ErrorKind::TimedOut),
+        Err(error) => Err(error.kind()),
+    }
+}
+
+fn read_request(
+    border: &CallerBorder,
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> Result<HttpRequest, ReadFailure> {
+    let (head, head_bytes) = read_head(border, stream, buffer)?;
+    buffer.drain(..head_bytes);
+    let length = body_length(border, &head)?;
+    if head.header("expect").is_some_and(|value| value.eq_ignore_ascii_case("100-continue")) {
+        let go_on = b"HTTP/1.1 100 Continue\r\n\r\n";
+        stream.write_all(go_on).map_err(|_| ReadFailure::Closed)?;
+    }
+    let until = Instant::now() + border.limits.body_time;
+    while buffer.len() < length {
+        match read_piece(stream, buffer, until) {
+            Ok(0) => return Err(ReadFailure::Bad(400, "the request body ends early")),
+            Ok(_) => {}
+            Err(ErrorKind::TimedOut) => {
+                return Err(ReadFailure::Bad(408, "the request body came too slowly"));
+            }
+            Err(_) => return Err(ReadFailure::Closed),
+        }
+    }
+    let body = buffer.drain(..length).collect();
+    Ok(HttpRequest { head, body })
+}
+
+fn read_head(
+    border: &CallerBorder,
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> Result<(HttpHead, usize), ReadFailure> {
+    let idle_until = Instant::now() + border.limits.idle_time;
+    let mut until = None;
+    loop {
+        if let Some(parsed) = parse_head(buffer)? {
+            return Ok(parsed);
+        }
+        if buffer.len() >= border.limits.head_bytes {
+            return Err(ReadFailure::Bad(431, "the request head is too large"));
+        }
+        let begun = !buffer.is_empty();
+        if begun && until.is_none() {
+            until = Some(Instant::now() + border.limits.head_time);
+        }
+        match read_piece(stream, buffer, until.unwrap_or(idle_until)) {
+            Ok(0) if begun => return Err(ReadFailure::Bad(400, "the request head ends early")),
+            Err(ErrorKind::TimedOut) if begun => {
+                return Err(ReadFailure::Bad(408, "the request head came too slowly"));
+            }
+            Ok(0) | Err(_) => return Err(ReadFailure::Closed),
+            Ok(_) => {}
+        }
+    }
+}
+
+/// Returns the head and its length, or `None` when more bytes are needed.
+fn parse_head(buffer: &[u8]) -> Result<Option<(HttpHead, usize)>, ReadFailure> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let parsed = request.parse(buffer).map_err(|error| match error {
+        httparse::Error::TooManyHeaders => ReadFailure::Bad(431, "too many headers"),
+        _ => ReadFailure::Bad(400, "the request head is not HTTP/1.1"),
+    })?;
+    let httparse::Status::Complete(length) = parsed else { return Ok(None) };
+    let mut head = HttpHead {
+        method: request.method.unwrap_or_default().to_owned(),
+        target: request.path.unwrap_or_default().to_owned(),
+        headers: request
+            .headers
+            .iter()
+            .map(|header| (header.name.to_owned(), header.value.to_vec()))
+            .collect(),
+        keep_alive: request.version == Some(1),
+    };
+    if let Some(connection) = head.header("connection") {
+        let says =
+            |word: &str| connection.split(',').any(|part| part.trim().eq_ignore_ascii_case(word));
+        head.keep_alive = !says("close") && (head.keep_alive || says("keep-alive"));
+    }
+    Ok(Some((head, length)))
+}
+
+fn body_length(border: &CallerBorder, head: &HttpHead) -> Result<usize, ReadFailure> {
+    if head.has("transfer-encoding") {
+        return Err(ReadFailure::Bad(411, "send the body with a Content-Length"));
+    }
+    let lengths: Vec<&[u8]> = head
+        .headers
+        .iter()
+        .filter(|(name, _)| name.eq_ignore_ascii_case("content-length"))
+        .map(|(_, value)| value.as_slice())
+        .collect();
+    let Some(first) = lengths.first() else { return Ok(0) };
+    if lengths.iter().any(|length| length != first) {
+        return Err(ReadFailure::Bad(400, "the Content-Length headers differ"));
+    }
+    let digits = std::str::from_utf8(first)
+        .ok()
+        .filter(|text| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit()));
+    let length = digits.and_then(|text| text.parse::<usize>().ok());
+    match length {
+        None => Err(ReadFailure::Bad(400, "the Content-Length is not a number")),
+        Some(length) if length > border.limits.body_bytes => {
+            Err(ReadFailure::Bad(413, "the request body is too large"))
+        }
+        Some(length) => Ok(length),
+    }
+}
+
+/// Says whether the caller has closed its side, without taking bytes it may have sent.
+pub(super) fn caller_gone(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    if stream.set_nonblocking(true).is_err() {
+        return true;
+    }
+    let peeked = stream.peek(&mut byte);
+    let restored = stream.set_nonblocking(false);
+    match peeked {
+        Ok(0) => true,
+        Ok(_) => restored.is_err(),
+        Err(error) => error.kind() != ErrorKind::WouldBlock || restored.is_err(),
+    }
+}
+
+/// Writes a whole answer.
+pub(super) fn write_whole(
+    stream: &mut TcpStream,
+    status: u16,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    keep_alive: bool,
+) -> io::Result<()> {
+    let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+    for (name, value) in headers {
+        let _infallible = write!(head, "{name}: {value}\r\n");
+    }
+    let connection = if keep_alive { "keep-alive" } else { "close" };
+    let _infallible =
+        write!(head, "content-length: {}\r\nconnection: {connection}\r\n\r\n", body.len());
+    let mut whole = head.into_bytes();
+    whole.extend_from_slice(body);
+    stream.write_all(&whole)
+}
+
+const fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
+
+/// Writes an answer piece by piece; each piece leaves at once.
+#[derive(Debug)]
+pub(super) struct PieceWriter<'a> {
+    stream: &'a mut TcpStream,
+}
+
+impl<'a> PieceWriter<'a> {
+    /// Begins the answer.
+    pub(super) fn begin(
+        stream: &'a mut TcpStream,
+        headers: &[(&str, &str)],
+        keep_alive: bool,
+    ) -> io::Result<Self> {
+        let mut head = String::from("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n");
+        for (name, value) in headers {
+            let _infallible = write!(head, "{name}: {value}\r\n");
+        }
+        let connection = if keep_alive { "keep-alive" } else { "close" };
+        let _infallible = write!(head, "connection: {connection}\r\n\r\n");
+        stream.write_all(head.as_bytes())?;
+        Ok(Self { stream })
+    }
+
+    /// Writes one piece with its length, in one packet where it fits.
+    pub(super) fn write(&mut self, piece: &[u8]) -> io::Result<()> {
+        let mut framed = format!("{:x}\r\n", piece.len()).into_bytes();
+        framed.extend_from_slice(piece);
+        framed.extend_from_slice(b"\r\n");
+        self.stream.write_all(&framed)
+    }
+
+    /// Ends the answer cleanly. Without it the caller sees that the answer is not whole.
+    pub(super) fn end(self) -> io::Result<()> {
+        self.stream.write_all(b"0\r\n\r\n")
+    }
+}
--- /dev/null
+++ b/crates/node/src/callers/events.rs
@@ -0,0 +1,74 @@
+//! Reads server-sent events from a backend's answer, whole and in order.
+
+use std::io::{self, Read};
+
+/// The largest event that is read.
+const MOST_EVENT: usize = 1 << 20;
+
+/// What ends a stream of completions.
+const DONE: &[u8] = b"data: [DONE]";
+
+/// One event as sent, blank line included.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct StreamEvent {
+    /// The bytes.
+    pub(super) bytes: Vec<u8>,
+    /// The number in its `id` field.
+    pub(super) number: Option<u64>,
+    /// Whether it says that the stream is complete.
+    pub(super) done: bool,
+}
+
+/// Cuts an answer into events.
+pub(super) struct EventReader<R> {
+    source: R,
+    buffer: Vec<u8>,
+}
+
+impl<R: Read> EventReader<R> {
+    /// Reads from an answer's body.
+    pub(super) const fn new(source: R) -> Self {
+        Self { source, buffer: Vec::new() }
+    }
+
+    /// Returns the next event, or `None` where the body ends between two.
+    ///
+    /// # Errors
+    /// Returns why the body could not be read, or that it ends within an event.
+    pub(super) fn next_event(&mut self) -> io::Result<Option<StreamEvent>> {
+        loop {
+            if let Some(end) = find_end(&self.buffer) {
+                let bytes: Vec<u8> = self.buffer.drain(..end).collect();
+                return Ok(Some(parse(bytes)));
+            }
+            if self.buffer.len() > MOST_EVENT {
+                return Err(io::Error::other("event is too large"));
+            }
+            let mut piece = [0; 4096];
+            let count = self.source.read(&mut piece)?;
+            if count == 0 {
+                if self.buffer.is_empty() {
+                    return Ok(None);
+                }
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            self.buffer.extend_from_slice(&piece[..count]);
+        }
+    }
+}
+
+fn find_end(buffer: &[u8]) -> Option<usize> {
+    buffer.windows(2).position(|pair| pair == b"\n\n").map(|place| place + 2)
+}
+
+fn parse(bytes: Vec<u8>) -> StreamEvent {
+    let mut number = None;
+    let mut done = false;
+    for line in bytes.split(|byte| *byte == b'\n') {
+        if let Some(id) = line.strip_prefix(b"id: ") {
+            number = std::str::from_utf8(id).ok().and_then(|text| text.trim().parse().ok());
+        }
+        done |= line.starts_with(DONE);
+    }
+    StreamEvent { bytes, number, done }
+}
--- /dev/null
+++ b/crates/node/src/callers/route.rs
@@ -0,0 +1,52 @@
+//! Which of the host's paths a caller came to.
+
+use std::{io, net::TcpStream};
+
+use reelreel_core::request::{RefusalKind, RequestRefusal};
+use serde_json::json;
+
+use super::{
+    CallerBorder, answer,
+    connection::{HttpRequest, write_whole},
+    exchange, plain,
+};
+use crate::control::ControlQuery;
+
+/// Answers one request. An error means that the connection can not be used any further.
+pub(super) fn answer(
+    border: &CallerBorder,
+    stream: &mut TcpStream,
+    request: &HttpRequest,
+) -> io::Result<()> {
+    let head = &request.head;
+    match (head.method.as_str(), head.path()) {
+        ("POST", "/v1/completions") => exchange::complete(border, stream, request, false),
+        ("POST", "/v1/chat/completions") => exchange::complete(border, stream, request, true),
+        ("GET", "/v1/models") => list_models(border, stream, request),
+        (_, "/v1/completions" | "/v1/chat/completions" | "/v1/models") => {
+            let message = "this path does not take that method";
+            let refusal = RequestRefusal::not_run(RefusalKind::BadRequest, message);
+            answer::refuse_with_status(stream, &refusal, 405, head.keep_alive)
+        }
+        _ => plain::forward(border, stream, request),
+    }
+}
+
+fn list_models(
+    border: &CallerBorder,
+    stream: &mut TcpStream,
+    request: &HttpRequest,
+) -> io::Result<()> {
+    let Some(names) = border.control.ask(ControlQuery::Models) else {
+        let refusal = RequestRefusal::not_run(RefusalKind::NotReady, "the host is busy");
+        return answer::refuse(stream, &refusal, request.head.keep_alive);
+    };
+    let model = |name: &String| {
+        let owner = name.split('/').nth(1).unwrap_or_default();
+        json!({ "id": name, "object": "model", "owned_by": owner })
+    };
+    let data: Vec<_> = names.iter().map(model).collect();
+    let body = json!({ "object": "list", "data": data }).to_string();
+    let headers = [("content-type", "application/json")];
+    write_whole(stream, 200, &headers, body.as_bytes(), request.head.keep_alive)
+}
--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,310 @@
+//! The control thread: the only one that holds the host's state.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        mpsc::{self, Receiver, RecvTimeoutError, Sender},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use reelreel_core::{
+    ClockSource, NodeCore, NodeEvent, NodeOrder, RequestRefusal,
+    engine::{
+        EngineOrder, EngineReport, OrderAction, OrderResult, ReportedAdapter, ReportedStranger,
+    },
+    id::{EngineId, RequestId},
+    node::{DispatchOrder, NodeCounters, NodeReading, NodeStatus},
+    request::ArrivedRequest,
+    settings::{ChangeVerdict, SettingsSnapshot},
+    timeline::TimelineEvent,
+};
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::{
+    border::{EngineBorder, NamedAction, NamedReport},
+    peers::OutgoingMessage,
+    platform::{AppendCall, FollowCall},
+};
+
+/// How often the core is told that time has passed.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The stack of a thread that carries one order to an engine.
+const ORDER_STACK: usize = 192 << 10;
+
+/// What a traffic thread is told about its request.
+#[derive(Debug)]
+pub enum TrafficOrder {
+    /// Send it to a backend server, once.
+    Dispatch(DispatchOrder),
+    /// Tell the caller that it ended.
+    Refuse(RequestRefusal),
+}
+
+/// What the control thread is asked by others.
+pub enum ControlQuery {
+    /// The host's state.
+    Status(Sender<NodeStatus>),
+    /// Its time line.
+    Timeline(Sender<Vec<TimelineEvent>>),
+    /// The names of all adapters.
+    Models(Sender<Vec<String>>),
+    /// Its counts.
+    Counters(Sender<NodeCounters>),
+    /// The last verdicts on publications.
+    History(Sender<Vec<ChangeVerdict>>),
+    /// The settings in force.
+    Snapshot(Sender<SettingsSnapshot>),
+}
+
+/// What the control thread takes in.
+pub enum ControlInput {
+    /// Something happened.
+    Event(NodeEvent),
+    /// A caller's request, with the channel to its traffic thread.
+    Arrived(ArrivedRequest, Sender<TrafficOrder>),
+    /// An engine's report, with names.
+    Report(EngineId, NamedReport),
+    /// A question.
+    Query(ControlQuery),
+}
+
+/// The way to the control thread. When all of them are dropped the thread ends.
+#[derive(Clone)]
+pub struct ControlSender {
+    sender: Sender<ControlInput>,
+}
+
+impl ControlSender {
+    /// Tells the control thread that something happened.
+    pub fn event(&self, event: NodeEvent) {
+        self.input(ControlInput::Event(event));
+    }
+
+    /// Hands the control thread anything it takes in.
+    pub fn input(&self, input: ControlInput) {
+        // The control thread outlives its borders but for the moment of the process's end.
+        drop(self.sender.send(input));
+    }
+
+    /// Asks the control thread and waits for its answer.
+    pub fn ask<T>(&self, query: impl FnOnce(Sender<T>) -> ControlQuery) -> Option<T> {
+        let (sender, receiver) = mpsc::channel();
+        self.input(ControlInput::Query(query(sender)));
+        receiver.recv_timeout(Duration::from_secs(2)).ok()
+    }
+}
+
+/// The ways out of the control thread.
+pub struct ControlOutputs {
+    /// To other entry hosts.
+    pub peers: UnboundedSender<OutgoingMessage>,
+    /// To the log's appender.
+    pub appends: Sender<AppendCall>,
+    /// To the log's readers.
+    pub follows: Sender<FollowCall>,
+    /// To the threads that ask engines for reports.
+    pub reports: Sender<(EngineId, String)>,
+    /// Orders to engines.
+    pub engines: Arc<dyn EngineBorder>,
+    /// Told when a planned stop is complete.
+    pub stopped: Sender<()>,
+}
+
+struct ControlThread {
+    core: NodeCore,
+    clock: Arc<dyn ClockSource>,
+    outputs: ControlOutputs,
+    traffic: HashMap<RequestId, Sender<TrafficOrder>>,
+    sender: ControlSender,
+}
+
+/// Makes the channel into the control thread.
+pub fn control_channel() -> (ControlSender, Receiver<ControlInput>) {
+    let (sender, receiver) = mpsc::channel();
+    (ControlSender { sender }, receiver)
+}
+
+/// Starts the control thread; it ends when `stop` is set or all senders are dropped.
+///
+/// # Panics
+/// Panics when the process has no room for another thread.
+pub fn start_control(
+    core: NodeCore,
+    clock: Arc<dyn ClockSource>,
+    outputs: ControlOutputs,
+    inputs: Receiver<ControlInput>,
+    sender: ControlSender,
+    stop: Arc<std::sync::atomic::AtomicBool>,
+) -> JoinHandle<()> {
+    let traffic = HashMap::new();
+    let mut control = ControlThread { core, clock, outputs, traffic, sender };
+    thread::Builder::new()
+        .name(String::from("control"))
+        .spawn(move || control.run(&inputs, &stop))
+        .expect("a thread can be started at the start of the process")
+}
+
+/// Returns the wall clock in milliseconds since the Unix epoch.
+pub fn wall_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or_default()
+}
+
+impl ControlThread {
+    fn run(&mut self, inputs: &Receiver<ControlInput>, stop: &std::sync::atomic::AtomicBool) {
+        let orders = self.core.start(self.reading());
+        self.carry_out(orders);
+        let mut next_tick = Instant::now();
+        while !stop.load(std::sync::atomic::Ordering::Relaxed) {
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            match inputs.recv_timeout(wait) {
+                Ok(input) => self.take(input),
+                Err(RecvTimeoutError::Timeout) => {
+                    next_tick = Instant::now() + TICK;
+                    self.handle(NodeEvent::Tick);
+                }
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn reading(&self) -> NodeReading {
+        NodeReading { now: self.clock.now(), wall_millis: wall_millis() }
+    }
+
+    fn take(&mut self, input: ControlInput) {
+        match input {
+            ControlInput::Event(event) => self.handle(event),
+            ControlInput::Arrived(request, traffic) => {
+                self.traffic.insert(request.id, traffic);
+                self.handle(NodeEvent::Arrived(request));
+            }
+            ControlInput::Report(engine, report) => {
+                let report = self.read_report(report);
+                self.handle(NodeEvent::Report { engine, report });
+            }
+            ControlInput::Query(query) => self.answer(query),
+        }
+    }
+
+    fn handle(&mut self, event: NodeEvent) {
+        let ended = match &event {
+            NodeEvent::DispatchEnded { request, .. } | NodeEvent::CallerGone(request) => {
+                Some(*request)
+            }
+            _ => None,
+        };
+        let orders = self.core.handle(self.reading(), event);
+        self.carry_out(orders);
+        if let Some(request) = ended.filter(|request| !self.core.is_open(*request)) {
+            self.traffic.remove(&request);
+        }
+    }
+
+    fn answer(&self, query: ControlQuery) {
+        // An asker that has given up waiting is no error.
+        match query {
+            ControlQuery::Status(to) => drop(to.send(self.core.status())),
+            ControlQuery::Timeline(to) => {
+                drop(to.send(self.core.timeline().events().cloned().collect()));
+            }
+            ControlQuery::Models(to) => {
+                let names = self.core.settings().tree().model_names();
+                drop(to.send(names.map(str::to_owned).collect()));
+            }
+            ControlQuery::Counters(to) => drop(to.send(self.core.counters().clone())),
+            ControlQuery::History(to) => {
+                drop(to.send(self.core.settings().verdicts().cloned().collect()));
+            }
+            ControlQuery::Snapshot(to) => drop(to.send(self.core.settings().snapshot())),
+        }
+    }
+
+    fn carry_out(&mut self, orders: Vec<NodeOrder>) {
+        for order in orders {
+            self.carry_out_one(order);
+        }
+    }
+
+    fn carry_out_one(&mut self, order: NodeOrder) {
+        match order {
+            NodeOrder::Send { address, stamp, message, .. } => {
+                drop(self.outputs.peers.send(OutgoingMessage { address, stamp, message }));
+            }
+            NodeOrder::Dispatch(order) => {
+                if let Some(traffic) = self.traffic.get(&order.request) {
+                    drop(traffic.send(TrafficOrder::Dispatch(order)));
+                }
+            }
+            NodeOrder::Refuse { request, refusal } => {
+                if let Some(traffic) = self.traffic.remove(&request) {
+                    drop(traffic.send(TrafficOrder::Refuse(refusal)));
+                }
+            }
+            NodeOrder::Order { address, order } => self.order(address, order),
+            NodeOrder::AskReport { engine, address } => {
+                drop(self.outputs.reports.send((engine, address)));
+            }
+            NodeOrder::Append { stream, payload, ticket } => {
+                drop(self.outputs.appends.send(AppendCall { stream, payload, ticket }));
+            }
+            NodeOrder::Follow { stream, from } => {
+                let _ended = self.outputs.follows.send(FollowCall { stream, from });
+            }
+            NodeOrder::Stopped => drop(self.outputs.stopped.send(())),
+        }
+    }
+
+    /// Carries an order to an engine on a thread of its own, as a load takes seconds.
+    fn order(&self, address: String, order: EngineOrder) {
+        let tree = self.core.settings().tree();
+        let action = match &order.action {
+            OrderAction::Raise => Some(NamedAction::Raise),
+            OrderAction::Load(adapter) => tree.adapter_name(*adapter).map(NamedAction::Load),
+            OrderAction::Unload(adapter) => tree.adapter_name(*adapter).map(NamedAction::Unload),
+            OrderAction::UnloadStranger(name) => Some(NamedAction::Unload(name.clone())),
+        };
+        let sender = self.sender.clone();
+        let Some(action) = action else {
+            // The adapter was removed from the settings since.
+            let result = OrderResult::Failed;
+            sender.event(NodeEvent::OrderEnded { order, result });
+            return;
+        };
+        let engines = Arc::clone(&self.outputs.engines);
+        let unsent = order.clone();
+        let spawned = thread::Builder::new().stack_size(ORDER_STACK).spawn(move || {
+            let result = engines.order(&address, order.token, &action);
+            sender.event(NodeEvent::OrderEnded { order, result });
+        });
+        if spawned.is_err() {
+            let result = OrderResult::NeverSent;
+            self.sender.event(NodeEvent::OrderEnded { order: unsent, result });
+        }
+    }
+
+    fn read_report(&self, report: NamedReport) -> EngineReport {
+        let tree = self.core.settings().tree();
+        let mut adapters = Vec::new();
+        let mut strangers = Vec::new();
+        for (name, running) in report.adapters {
+            match tree.adapter_key(&name) {
+                Some(adapter) => adapters.push(ReportedAdapter { adapter, running }),
+                None => strangers.push(ReportedStranger { name, running }),
+            }
+        }
+        EngineReport {
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            token: report.token,
+            leaving: report.leaving,
+            adapters,
+            loading: report.loading.iter().filter_map(|name| tree.adapter_key(name)).collect(),
+            strangers,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,135 @@
+//! Puts an entry host together: the control thread and its borders.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc::{self, Receiver},
+    },
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use eyre::WrapErr;
+use reelreel_core::{ClockSource, MonotonicClock, NodeConfig, NodeCore, NodeEvent};
+
+use crate::{
+    border::{EngineBorder, EngineHttp, HostBorder, LogBorder, PlatformHttp},
+    callers::{CallerBorder, start_callers},
+    control::{ControlOutputs, ControlSender, control_channel, start_control, wall_millis},
+    operators::start_operators,
+    peers::start_peers,
+    platform::{start_appender, start_host_list, start_readers, start_reports},
+    settings::NodeSettings,
+};
+
+/// A running entry host.
+pub struct EntryHost {
+    callers: SocketAddr,
+    peers: SocketAddr,
+    operators: SocketAddr,
+    control: ControlSender,
+    thread: Option<JoinHandle<()>>,
+    stop: Arc<AtomicBool>,
+    stopped: Receiver<()>,
+}
+
+impl EntryHost {
+    /// Starts an entry host.
+    ///
+    /// # Errors
+    /// Returns which address can not be listened on, and why.
+    pub fn start(settings: &NodeSettings) -> eyre::Result<Self> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (control, inputs) = control_channel();
+        let peer_listener = bind("peers", settings.peers)?;
+        let peer_address = peer_listener.local_addr()?;
+        let peers = start_peers(settings.host, peer_listener, control.clone())?;
+        let platform = PlatformHttp::new(settings.platform.to_string());
+        let log: Arc<dyn LogBorder> = Arc::new(platform.clone());
+        let hosts: Arc<dyn HostBorder> = Arc::new(platform);
+        let engines: Arc<dyn EngineBorder> = Arc::new(EngineHttp::new());
+        let incarnation = wall_millis();
+        let (stopped_sender, stopped) = mpsc::channel();
+        let outputs = ControlOutputs {
+            peers: peers.sender,
+            appends: start_appender(Arc::clone(&log), control.clone()),
+            follows: start_readers(&log, &control, &stop),
+            reports: start_reports(&engines, &control),
+            engines,
+            stopped: stopped_sender,
+        };
+        let config = NodeConfig::new(settings.host, settings.hall, incarnation)
+            .peer_address(peer_address.to_string())
+            .seeds(settings.seeds.clone())
+            .seed(incarnation ^ u64::from(settings.host))
+            .times(settings.times);
+        let clock: Arc<dyn ClockSource> = Arc::new(MonotonicClock::new());
+        let core = NodeCore::new(config);
+        let thread =
+            start_control(core, clock, outputs, inputs, control.clone(), Arc::clone(&stop));
+        start_host_list(hosts, settings.hosts_every, control.clone(), Arc::clone(&stop));
+        let operators = start_operators(
+            settings.operators,
+            control.clone(),
+            peers.counters,
+            Arc::clone(&stop),
+        )?;
+        let border =
+            CallerBorder::new(settings.host, incarnation, settings.limits, control.clone());
+        let listener = bind("callers", settings.callers)?;
+        let callers = start_callers(Arc::new(border), listener, Arc::clone(&stop))?;
+        log::info!("host {} serves callers at {callers}", settings.host);
+        Ok(Self {
+            callers,
+            peers: peer_address,
+            operators,
+            control,
+            thread: Some(thread),
+            stop,
+            stopped,
+        })
+    }
+
+    /// Returns where callers reach the host.
+    pub const fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns where peers reach the host.
+    pub const fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
+    /// Returns where operators reach the host.
+    pub const fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Begins the planned stop.
+    pub fn drain(&self) {
+        self.control.event(NodeEvent::StopAsked);
+    }
+
+    /// Waits until the planned stop is complete; says whether it is.
+    pub fn wait_stopped(&self, at_most: Duration) -> bool {
+        self.stopped.recv_timeout(at_most).is_ok()
+    }
+}
+
+impl Drop for EntryHost {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        // The callers' thread waits in accept; a connection lets it look at the stop flag.
+        drop(std::net::TcpStream::connect(self.callers));
+        if let Some(thread) = self.thread.take() {
+            drop(thread.join());
+        }
+    }
+}
+
+fn bind(what: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .wrap_err_with(|| format!("{what} address {address} can not be used; pick a free one"))
+}
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,80 @@
+//! `reelreeld`: one entry host.
+
+use std::{fs, path::PathBuf, process::ExitCode, time::Duration};
+
+use bpaf::Bpaf;
+use eyre::WrapErr;
+use reelreel_node::{EntryHost, NodeSettings, logs::start_logs};
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+
+/// How long a planned stop waits for the last streams to end.
+const LONGEST_STOP: Duration = Duration::from_mins(10);
+
+/// Runs one entry host of reelreel.
+///
+/// SIGTERM stops it in a planned way: it takes no new requests, hands its engines over and ends
+/// when its last stream has ended. A second SIGTERM ends it at once.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct DaemonOptions {
+    /// Only check the settings file, and name every mistake in it
+    check: bool,
+    /// The host's own settings, in TOML
+    #[bpaf(positional("SETTINGS"))]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let options = daemon_options().run();
+    match run(&options) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("reelreeld: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(options: &DaemonOptions) -> eyre::Result<ExitCode> {
+    let path = options.settings.display();
+    let text = fs::read_to_string(&options.settings)
+        .wrap_err_with(|| format!("{path} can not be read; name the host's settings file"))?;
+    let settings = match NodeSettings::read(&text) {
+        Ok(settings) => settings,
+        Err(mistakes) => {
+            for mistake in mistakes {
+                eprintln!("{path}:{mistake}");
+            }
+            return Ok(ExitCode::from(2));
+        }
+    };
+    if options.check {
+        println!("{path}: no mistakes");
+        return Ok(ExitCode::SUCCESS);
+    }
+    start_logs(settings.log_format, settings.log_level)?;
+    let host = EntryHost::start(&settings)?;
+    // One line for whoever starts hosts on free ports.
+    println!(
+        "{{\"callers\":\"{}\",\"peers\":\"{}\",\"operators\":\"{}\"}}",
+        host.callers(),
+        host.peers(),
+        host.operators()
+    );
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let first = signals.forever().next();
+    log::info!("signal {}: stopping", first.unwrap_or(SIGTERM));
+    host.drain();
+    std::thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            std::process::exit(1);
+        }
+    });
+    if !host.wait_stopped(LONGEST_STOP) {
+        log::warn!("streams still ran after {} s", LONGEST_STOP.as_secs());
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,76 @@
+//! The host's counts in the form that monitoring reads.
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+use reelreel_core::node::{NodeCounters, NodeStatus};
+
+use crate::peers::PeerCounters;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabel {
+    kind: String,
+}
+
+fn counter(registry: &mut Registry, name: &str, help: &str, value: u64) {
+    let counter: Counter = Counter::default();
+    counter.inc_by(value);
+    registry.register(name, help, counter);
+}
+
+fn gauge(registry: &mut Registry, name: &str, help: &str, value: usize) {
+    let gauge: Gauge = Gauge::default();
+    gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+    registry.register(name, help, gauge);
+}
+
+/// Returns all metrics as `OpenMetrics` text.
+///
+/// The counts live in the control thread; they are copied into a fresh registry at each scrape.
+///
+/// # Panics
+/// Never: writing to a string does not fail.
+pub fn metrics_text(counters: &NodeCounters, status: &NodeStatus, peers: &PeerCounters) -> String {
+    use std::sync::atomic::Ordering::Relaxed;
+    let mut registry = Registry::with_prefix("reelreel");
+    let registry_ref = &mut registry;
+    let counts: [(&str, &str, u64); 16] = [
+        ("requests_arrived", "Requests that arrived well formed", counters.arrived),
+        ("requests_answered", "Requests answered whole", counters.answered),
+        ("requests_unknown", "Requests whose outcome is unknown", counters.unknown),
+        ("requests_stalled", "Requests that waited for an adapter load", counters.stalled),
+        ("requests_retried", "Requests sent to a backend server again", counters.retries),
+        ("permits_granted", "Permits given for engines owned here", counters.permits_granted),
+        ("permit_asks_repeated", "Asks for permits that were repeated", counters.asks_repeated),
+        ("loads_ended", "Adapter loads that ended", counters.loads_ended),
+        ("loads_failed", "Adapter loads that failed", counters.loads_failed),
+        ("takeovers", "Take-overs of engines begun", counters.takeovers),
+        ("messages_sent", "Messages sent to peers", counters.messages_sent),
+        ("messages_received", "Messages received from peers", counters.messages_received),
+        ("messages_dropped", "Messages that could not be sent", peers.dropped.load(Relaxed)),
+        ("pauses", "Pauses of this process that it noticed", counters.pauses),
+        ("log_appends", "Appends to the platform's log", counters.appends),
+        ("snapshots_refused", "Settings snapshots refused", counters.snapshots_refused),
+    ];
+    for (name, help, value) in counts {
+        counter(registry_ref, name, help, value);
+    }
+    let refusals = Family::<RefusalLabel, Counter>::default();
+    for (kind, count) in &counters.refused {
+        let kind = serde_json::to_value(kind).ok();
+        let kind = kind.and_then(|kind| kind.as_str().map(str::to_owned)).unwrap_or_default();
+        refusals.get_or_create(&RefusalLabel { kind }).inc_by(*count);
+    }
+    registry_ref.register("requests_refused", "Requests not answered, by kind", refusals);
+    let revision = usize::try_from(status.revision).unwrap_or(usize::MAX);
+    gauge(registry_ref, "settings_revision", "Settings revision in force", revision);
+    gauge(registry_ref, "requests_open", "Requests open now", status.open_requests);
+    gauge(registry_ref, "engines_owned", "Engines owned by this host", status.engines.len());
+    gauge(registry_ref, "keys_remembered", "Idempotency keys remembered", status.keys);
+    gauge(registry_ref, "ready", "Whether callers may be sent here", usize::from(status.ready));
+    let mut text = String::new();
+    encode(&mut text, &registry).expect("writing to a string does not fail");
+    text
+}
--- /dev/null
+++ b/crates/node/src/platform.rs
@@ -0,0 +1,203 @@
+//! The threads that follow the platform's log, append to it, and ask for its host list.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc::{self, Receiver, RecvTimeoutError, Sender},
+    },
+    thread,
+    time::Duration,
+};
+
+use reelreel_core::{
+    NodeEvent,
+    id::{EngineId, LogOffset},
+    node::LogStream,
+};
+
+use crate::{
+    border::{EngineBorder, HostBorder, LogBorder},
+    control::{ControlInput, ControlSender},
+};
+
+/// How long one read waits for records.
+const READ_WAIT: Duration = Duration::from_secs(2);
+
+/// How long to wait after a failed read.
+const READ_PAUSE: Duration = Duration::from_millis(500);
+
+/// Threads that ask engines for reports; one that is stuck with a silent engine blocks no other.
+const REPORT_THREADS: usize = 6;
+
+/// An append to carry out.
+#[derive(Debug)]
+pub struct AppendCall {
+    /// The stream.
+    pub stream: LogStream,
+    /// The record.
+    pub payload: Vec<u8>,
+    /// Names it in its result.
+    pub ticket: u64,
+}
+
+/// A change of where a stream is read from.
+#[derive(Debug, Clone, Copy)]
+pub struct FollowCall {
+    /// The stream.
+    pub stream: LogStream,
+    /// The first offset wanted.
+    pub from: LogOffset,
+}
+
+/// Starts the threads that append; each stream has its own, so that none waits for another.
+pub fn start_appender(log: Arc<dyn LogBorder>, control: ControlSender) -> Sender<AppendCall> {
+    let (sender, calls) = mpsc::channel::<AppendCall>();
+    thread::spawn(move || {
+        let streams: Vec<(LogStream, Sender<AppendCall>)> = LogStream::ALL
+            .iter()
+            .map(|stream| (*stream, start_stream_appender(Arc::clone(&log), control.clone())))
+            .collect();
+        while let Ok(call) = calls.recv() {
+            let stream = streams.iter().find(|(stream, _)| *stream == call.stream);
+            if let Some((_, appender)) = stream {
+                drop(appender.send(call));
+            }
+        }
+    });
+    sender
+}
+
+fn start_stream_appender(log: Arc<dyn LogBorder>, control: ControlSender) -> Sender<AppendCall> {
+    let (sender, calls) = mpsc::channel::<AppendCall>();
+    thread::spawn(move || {
+        while let Ok(AppendCall { stream, payload, ticket }) = calls.recv() {
+            let result = log.append(stream, &payload);
+            control.event(NodeEvent::AppendEnded { ticket, result });
+        }
+    });
+    sender
+}
+
+/// Starts a reader for each stream; the core says where each begins.
+pub fn start_readers(
+    log: &Arc<dyn LogBorder>,
+    control: &ControlSender,
+    stop: &Arc<AtomicBool>,
+) -> Sender<FollowCall> {
+    let (sender, calls) = mpsc::channel::<FollowCall>();
+    let (log, control, stop) = (Arc::clone(log), control.clone(), Arc::clone(stop));
+    thread::spawn(move || {
+        let readers: Vec<(LogStream, Sender<LogOffset>)> = LogStream::ALL
+            .iter()
+            .map(|stream| {
+                let (sender, offsets) = mpsc::channel();
+                let (log, control) = (Arc::clone(&log), control.clone());
+                let (stream, stop) = (*stream, Arc::clone(&stop));
+                thread::spawn(move || read_stream(&*log, stream, &offsets, &control, &stop));
+                (stream, sender)
+            })
+            .collect();
+        while let Ok(FollowCall { stream, from }) = calls.recv() {
+            let reader = readers.iter().find(|(known, _)| *known == stream);
+            if let Some((_, reader)) = reader {
+                let _ended = reader.send(from);
+            }
+        }
+    });
+    sender
+}
+
+fn read_stream(
+    log: &dyn LogBorder,
+    stream: LogStream,
+    offsets: &Receiver<LogOffset>,
+    control: &ControlSender,
+    stop: &AtomicBool,
+) {
+    let Ok(mut from) = offsets.recv() else { return };
+    while !stop.load(Ordering::Relaxed) {
+        match offsets.try_recv() {
+            Ok(offset) => from = offset,
+            Err(mpsc::TryRecvError::Empty) => {}
+            Err(mpsc::TryRecvError::Disconnected) => return,
+        }
+        match log.read(stream, from, READ_WAIT) {
+            Ok(batch) => {
+                from = batch.records.last().map_or(from, |record| record.offset + 1);
+                let (records, end) = (batch.records, batch.end);
+                control.event(NodeEvent::LogRead { stream, records, end });
+            }
+            Err(error) => {
+                log::debug!("{} stream: {error}", stream.name());
+                control.event(NodeEvent::LogAway(stream));
+                thread::sleep(READ_PAUSE);
+            }
+        }
+    }
+}
+
+/// Starts the thread that asks for changes of the host list.
+pub fn start_host_list(
+    hosts: Arc<dyn HostBorder>,
+    every: Duration,
+    control: ControlSender,
+    stop: Arc<AtomicBool>,
+) {
+    thread::spawn(move || {
+        let mut version = 0;
+        let mut seen = false;
+        while !stop.load(Ordering::Relaxed) {
+            match hosts.changes(version) {
+                Ok((change, newer)) => {
+                    if newer != version || !seen {
+                        seen = true;
+                        control.event(NodeEvent::Hosts(change));
+                    }
+                    version = newer;
+                }
+                Err(error) => log::debug!("host list: {error}"),
+            }
+            // A host that has seen nothing yet asks more often, so that it serves sooner.
+            thread::sleep(if version == 0 { every / 8 } else { every });
+        }
+    });
+}
+
+/// Starts the threads that ask engines for their reports.
+pub fn start_reports(
+    engines: &Arc<dyn EngineBorder>,
+    control: &ControlSender,
+) -> Sender<(EngineId, String)> {
+    let (sender, calls) = mpsc::channel::<(EngineId, String)>();
+    let calls = Arc::new(std::sync::Mutex::new(calls));
+    for _ in 0..REPORT_THREADS {
+        let (calls, engines, control) = (Arc::clone(&calls), Arc::clone(engines), control.clone());
+        thread::spawn(move || {
+            loop {
+                let call = match calls.lock() {
+                    Ok(calls) => calls.recv_timeout(Duration::from_secs(1)),
+                    Err(_) => return,
+                };
+                match call {
+                    Ok((engine, address)) => ask_report(&*engines, engine, &address, &control),
+                    Err(RecvTimeoutError::Timeout) => {}
+                    Err(RecvTimeoutError::Disconnected) => return,
+                }
+            }
+        });
+    }
+    sender
+}
+
+fn ask_report(
+    engines: &dyn EngineBorder,
+    engine: EngineId,
+    address: &str,
+    control: &ControlSender,
+) {
+    match engines.report(address) {
+        Ok(report) => control.input(ControlInput::Report(engine, report)),
+        Err(error) => log::debug!("report of engine {engine}: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/engine/orders.rs
@@ -0,0 +1,162 @@
+//! Fenced orders: load, unload, raise.
+
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::engine::state::{EngineShared, Slot};
+
+/// An order.
+#[derive(Debug, Clone, Deserialize)]
+pub(super) struct OrderBody {
+    pub(super) token: u64,
+    pub(super) action: OrderAction,
+    #[serde(default)]
+    pub(super) adapter: String,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum OrderAction {
+    Raise,
+    Load,
+    Unload,
+}
+
+/// The answer to an order that was done.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub(super) struct OrderDone {
+    pub(super) incarnation: u64,
+    pub(super) sequence: u64,
+}
+
+/// Why an order was not done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OrderProblem {
+    Fenced(u64),
+    NoSlot,
+    LoadFailed,
+}
+
+impl EngineShared {
+    /// Checks a token and accepts it as the highest, if the engine checks fences.
+    pub(super) fn pass_fence(&self, token: u64) -> Result<(), u64> {
+        let mut state = self.lock();
+        if !self.options.checks_fence {
+            return Ok(());
+        }
+        if token < state.token {
+            return Err(state.token);
+        }
+        if token > state.token {
+            state.token = token;
+            state.changed();
+        }
+        Ok(())
+    }
+
+    pub(super) fn order(&self, order: &OrderBody) -> Result<OrderDone, OrderProblem> {
+        self.pass_fence(order.token).map_err(OrderProblem::Fenced)?;
+        match order.action {
+            OrderAction::Raise => Ok(()),
+            OrderAction::Load => self.load(&order.adapter),
+            OrderAction::Unload => {
+                self.unload(&order.adapter);
+                Ok(())
+            }
+        }?;
+        let state = self.lock();
+        Ok(OrderDone { incarnation: state.incarnation, sequence: state.sequence })
+    }
+
+    fn load(&self, adapter: &str) -> Result<(), OrderProblem> {
+        let incarnation = {
+            let mut state = self.lock();
+            match state.slots.get(adapter) {
+                Some(Slot::Loaded) => return Ok(()),
+                Some(Slot::Loading) => {
+                    drop(state);
+                    return self.wait_loaded(adapter);
+                }
+                None => {}
+            }
+            if state.slots.len() >= self.options.slots {
+                return Err(OrderProblem::NoSlot);
+            }
+            state.slots.insert(adapter.to_owned(), Slot::Loading);
+            state.changed();
+            state.incarnation
+        };
+        let fetched = self.faults.loads.apply(|| fetch(&self.options.platform, adapter));
+        let loaded = fetched == Some(true);
+        let mut state = self.lock();
+        if state.incarnation != incarnation {
+            return Err(OrderProblem::LoadFailed);
+        }
+        if loaded {
+            state.slots.insert(adapter.to_owned(), Slot::Loaded);
+            state.evidence.loads += 1;
+        } else {
+            state.slots.remove(adapter);
+        }
+        state.changed();
+        if loaded { Ok(()) } else { Err(OrderProblem::LoadFailed) }
+    }
+
+    fn wait_loaded(&self, adapter: &str) -> Result<(), OrderProblem> {
+        loop {
+            std::thread::sleep(Duration::from_millis(5));
+            match self.lock().slots.get(adapter) {
+                Some(Slot::Loaded) => return Ok(()),
+                Some(Slot::Loading) => {}
+                None => return Err(OrderProblem::LoadFailed),
+            }
+        }
+    }
+
+    /// Frees a slot. Like the real one it does not look whether something runs there.
+    fn unload(&self, adapter: &str) {
+        let mut state = self.lock();
+        if state.slots.get(adapter) != Some(&Slot::Loaded) {
+            return;
+        }
+        state.slots.remove(adapter);
+        let mut cut = 0;
+        for sequence in state.sequences.values_mut() {
+            if sequence.adapter == adapter && sequence.running() {
+                sequence.cut = true;
+                cut += 1;
+            }
+        }
+        state.evidence.cut_by_unload += cut;
+        state.changed();
+        drop(state);
+        self.stepped.notify_all();
+    }
+}
+
+/// Fetches an adapter from the weight store; says whether it came.
+fn fetch(platform: &str, adapter: &str) -> bool {
+    if platform.is_empty() {
+        return true;
+    }
+    let exchange = || -> std::io::Result<String> {
+        let body = serde_json::json!({ "adapter": adapter }).to_string();
+        let mut stream = TcpStream::connect(platform)?;
+        stream.set_read_timeout(Some(Duration::from_mins(1)))?;
+        write!(
+            stream,
+            "POST /store/loads HTTP/1.1\r\nhost: platform\r\nconnection: close\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        )?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        Ok(answer)
+    };
+    exchange().is_ok_and(|answer| answer.starts_with("HTTP/1.1 200"))
+}
--- /dev/null
+++ b/crates/stand-ins/src/engine/state.rs
@@ -0,0 +1,204 @@
+//! The engine's state, and the evidence of what happened.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Condvar, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::engine::{EngineFaults, EngineOptions};
+
+/// A request in the batch, or one that ended and can still be resumed.
+#[derive(Debug, Clone)]
+pub(super) struct Sequence {
+    pub(super) adapter: String,
+    pub(super) wanted: usize,
+    pub(super) produced: usize,
+    pub(super) cut: bool,
+    pub(super) priority: i32,
+    /// Readers attached; a stream that nobody reads for a while is cancelled.
+    pub(super) readers: usize,
+    pub(super) unread_since: Instant,
+}
+
+impl Sequence {
+    pub(super) fn running(&self) -> bool {
+        !self.cut && self.produced < self.wanted
+    }
+}
+
+/// One adapter in its slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Slot {
+    Loading,
+    Loaded,
+}
+
+/// What an engine says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct EngineReportBody {
+    /// Its life.
+    pub incarnation: u64,
+    /// Counts its changes of state in this life.
+    pub sequence: u64,
+    /// The highest token it has accepted.
+    pub token: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// The adapters loaded.
+    pub adapters: Vec<ReportedName>,
+    /// The adapters being loaded.
+    pub loading: Vec<String>,
+}
+
+/// A loaded adapter.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedName {
+    /// Its name.
+    pub name: String,
+    /// How many requests run on it.
+    pub running: u32,
+}
+
+/// What really happened, for tests.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct EngineEvidence {
+    /// How often each request id was begun.
+    pub runs: BTreeMap<String, u32>,
+    /// The adapter that each request id ran on.
+    pub adapters: BTreeMap<String, String>,
+    /// Requests cut because their adapter was unloaded.
+    pub cut_by_unload: u32,
+    /// Loads done.
+    pub loads: u32,
+    /// Steps with at least one request, and requests over all steps.
+    pub steps: u64,
+    /// Requests over all steps.
+    pub step_requests: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct EngineState {
+    pub(super) incarnation: u64,
+    pub(super) sequence: u64,
+    pub(super) token: u64,
+    pub(super) leaving: bool,
+    pub(super) slots: BTreeMap<String, Slot>,
+    pub(super) sequences: BTreeMap<String, Sequence>,
+    reports: VecDeque<(Instant, EngineReportBody)>,
+    pub(super) evidence: EngineEvidence,
+}
+
+/// What the engine's threads share.
+#[derive(Debug)]
+pub(super) struct EngineShared {
+    pub(super) options: EngineOptions,
+    pub(super) faults: EngineFaults,
+    state: Mutex<EngineState>,
+    pub(super) stepped: Condvar,
+}
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or_default()
+}
+
+impl EngineShared {
+    pub(super) fn new(options: EngineOptions) -> Self {
+        let state = EngineState {
+            incarnation: unix_millis(),
+            sequence: 1,
+            token: 0,
+            leaving: false,
+            slots: BTreeMap::new(),
+            sequences: BTreeMap::new(),
+            reports: VecDeque::new(),
+            evidence: EngineEvidence::default(),
+        };
+        let faults = EngineFaults::default();
+        Self { options, faults, state: Mutex::new(state), stepped: Condvar::new() }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn evidence(&self) -> EngineEvidence {
+        self.lock().evidence.clone()
+    }
+
+    pub(super) fn restart(&self) {
+        let mut state = self.lock();
+        state.incarnation = unix_millis().max(state.incarnation + 1);
+        state.sequence = 1;
+        state.token = 0;
+        state.leaving = false;
+        state.slots.clear();
+        state.reports.clear();
+        for sequence in state.sequences.values_mut() {
+            sequence.cut = true;
+        }
+        drop(state);
+        self.stepped.notify_all();
+    }
+
+    pub(super) fn leave(&self) {
+        let mut state = self.lock();
+        state.leaving = true;
+        state.changed();
+    }
+
+    /// Returns the newest report that is old enough to be shown.
+    pub(super) fn report(&self) -> EngineReportBody {
+        let mut state = self.lock();
+        state.write_report();
+        let lag = self.options.report_lag;
+        let old = |reports: &VecDeque<(Instant, EngineReportBody)>| {
+            reports.get(1).is_some_and(|(at, _)| at.elapsed() >= lag)
+        };
+        while old(&state.reports) {
+            state.reports.pop_front();
+        }
+        state.reports.front().map(|(_, report)| report.clone()).unwrap_or_default()
+    }
+}
+
+impl EngineState {
+    /// Counts a change of state and keeps the report that shows it.
+    pub(super) fn changed(&mut self) {
+        self.sequence += 1;
+        self.write_report();
+    }
+
+    fn write_report(&mut self) {
+        const KEPT: Duration = Duration::from_secs(5);
+        let newest = self.reports.back().map(|(_, report)| report.sequence);
+        if newest == Some(self.sequence) {
+            return;
+        }
+        let running = |name: &str| {
+            let on = |sequence: &&Sequence| sequence.adapter == name && sequence.running();
+            u32::try_from(self.sequences.values().filter(on).count()).unwrap_or(u32::MAX)
+        };
+        let loaded = self.slots.iter().filter(|(_, slot)| **slot == Slot::Loaded);
+        let loading = self.slots.iter().filter(|(_, slot)| **slot == Slot::Loading);
+        let report = EngineReportBody {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            token: self.token,
+            leaving: self.leaving,
+            adapters: loaded
+                .map(|(name, _)| ReportedName { name: name.clone(), running: running(name) })
+                .collect(),
+            loading: loading.map(|(name, _)| name.clone()).collect(),
+        };
+        self.reports.push_back((Instant::now(), report));
+        while self.reports.front().is_some_and(|(at, _)| at.elapsed() > KEPT)
+            && self.reports.len() > 1
+        {
+            self.reports.pop_front();
+        }
+    }
+}
