--- /dev/null
+++ b/crates/stand-ins/src/http.rs
@@ -0,0 +1,148 @@
+//! What the stand-ins' HTTP servers share.
+
+use std::{
+    collections::BTreeMap,
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use serde::Serialize;
+use tiny_http::{Header, Request, Response, Server};
+
+/// How often a server looks whether it is to stop.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// The stack of a thread that serves one request.
+const REQUEST_STACK: usize = 128 << 10;
+
+/// A server that runs until its guard is dropped.
+#[derive(Debug)]
+pub struct ServerGuard {
+    address: String,
+    stopping: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl ServerGuard {
+    /// Serves `address` with a thread for each request.
+    ///
+    /// # Errors
+    /// Returns why the address can not be listened on.
+    pub fn serve(
+        address: &str,
+        handler: impl Fn(Request) + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let server = Server::http(address).map_err(io::Error::other)?;
+        let address = server.server_addr().to_string();
+        let stopping = Arc::new(AtomicBool::new(false));
+        let stop = Arc::clone(&stopping);
+        let handler = Arc::new(handler);
+        let thread = thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                let Ok(Some(request)) = server.recv_timeout(STOP_LOOK) else { continue };
+                let handler = Arc::clone(&handler);
+                let spawned = thread::Builder::new()
+                    .stack_size(REQUEST_STACK)
+                    .spawn(move || handler(request));
+                drop(spawned);
+            }
+        });
+        Ok(Self { address, stopping, thread: Some(thread) })
+    }
+
+    /// Returns the address as `ip:port`.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+}
+
+impl Drop for ServerGuard {
+    fn drop(&mut self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            drop(thread.join());
+        }
+    }
+}
+
+/// Splits a URL into its path segments and its query.
+pub fn split_url(url: &str) -> (Vec<String>, BTreeMap<String, String>) {
+    let (path, query) = url.split_once('?').unwrap_or((url, ""));
+    let segments = path.split('/').filter(|part| !part.is_empty()).map(str::to_owned).collect();
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let query = pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect();
+    (segments, query)
+}
+
+/// Returns a request's header.
+pub fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    let found = request
+        .headers()
+        .iter()
+        .find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name));
+    found.map(|header| header.value.as_str())
+}
+
+/// Reads a request's whole body.
+pub fn read_body(request: &mut Request) -> Vec<u8> {
+    let mut body = Vec::new();
+    drop(request.as_reader().read_to_end(&mut body));
+    body
+}
+
+/// Answers with JSON.
+///
+/// # Panics
+/// Never: the header is a constant.
+pub fn respond_json(request: Request, status: u16, value: &impl Serialize) {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let kind = Header::from_bytes("content-type", "application/json").expect("constant header");
+    drop(request.respond(Response::from_data(body).with_status_code(status).with_header(kind)));
+}
+
+/// Writes an answer piece by piece; each piece leaves at once.
+///
+/// `tiny_http` holds back chunks until its buffer is full, so the framing stands here.
+pub struct StreamWriter {
+    writer: Box<dyn Write + Send>,
+}
+
+impl StreamWriter {
+    /// Begins an answer with these headers.
+    ///
+    /// # Errors
+    /// Returns why the caller can not be written to.
+    pub fn begin(request: Request, headers: &[(&str, &str)]) -> io::Result<Self> {
+        let mut writer = request.into_writer();
+        write!(writer, "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n")?;
+        for (name, value) in headers {
+            write!(writer, "{name}: {value}\r\n")?;
+        }
+        write!(writer, "\r\n")?;
+        writer.flush()?;
+        Ok(Self { writer })
+    }
+
+    /// Writes one piece.
+    ///
+    /// # Errors
+    /// Returns why the caller can not be written to.
+    pub fn write(&mut self, piece: &str) -> io::Result<()> {
+        write!(self.writer, "{:x}\r\n{piece}\r\n", piece.len())?;
+        self.writer.flush()
+    }
+
+    /// Ends the answer.
+    ///
+    /// # Errors
+    /// Returns why the caller can not be written to.
+    pub fn end(mut self) -> io::Result<()> {
+        write!(self.writer, "0\r\n\r\n")?;
+        self.writer.flush()
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/platform.rs
@@ -0,0 +1,212 @@
+//! The platform: an append-only log with offsets, a list of hosts, and the weight store.
+
+mod hosts;
+mod log;
+mod store;
+
+use std::{io, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tiny_http::{Method, Request};
+
+pub use hosts::{HostList, HostRecord, HostRole, HostState};
+pub use log::{LogService, ReadRecord, ReadResult};
+pub use store::WeightStore;
+
+use crate::{
+    fault::{FaultKind, FaultSwitch},
+    http::{ServerGuard, read_body, respond_json, split_url},
+};
+
+/// How a platform stand-in behaves.
+#[derive(Debug, Clone)]
+pub struct PlatformOptions {
+    /// Where it listens; port 0 picks a free one.
+    pub address: String,
+    /// Records of a stream that are kept.
+    pub retained: usize,
+    /// Appends a second, over all streams.
+    pub appends_per_second: u32,
+    /// How late the host list is.
+    pub host_lag: Duration,
+    /// Loads a second that the weight store gives, one at a time.
+    pub loads_per_second: f64,
+}
+
+impl Default for PlatformOptions {
+    fn default() -> Self {
+        Self {
+            address: String::from("127.0.0.1:0"),
+            retained: 100_000,
+            appends_per_second: 300,
+            host_lag: Duration::from_millis(500),
+            loads_per_second: 3.0,
+        }
+    }
+}
+
+/// The switches of a platform stand-in.
+#[derive(Debug, Clone, Default)]
+pub struct PlatformFaults {
+    /// Appends to the log.
+    pub append: FaultSwitch,
+    /// Reads of the log.
+    pub read: FaultSwitch,
+    /// The host list.
+    pub hosts: FaultSwitch,
+    /// Loads from the weight store.
+    pub store: FaultSwitch,
+}
+
+impl PlatformFaults {
+    fn switch(&self, name: &str) -> Option<&FaultSwitch> {
+        match name {
+            "append" => Some(&self.append),
+            "read" => Some(&self.read),
+            "hosts" => Some(&self.hosts),
+            "store" => Some(&self.store),
+            _ => None,
+        }
+    }
+}
+
+struct PlatformState {
+    log: LogService,
+    hosts: HostList,
+    store: WeightStore,
+    faults: PlatformFaults,
+}
+
+/// A running platform stand-in.
+pub struct PlatformStandIn {
+    guard: ServerGuard,
+    state: Arc<PlatformState>,
+}
+
+#[derive(Serialize)]
+struct Offset {
+    offset: u64,
+}
+
+#[derive(Serialize)]
+struct Problem {
+    error: &'static str,
+}
+
+#[derive(Deserialize)]
+struct LoadCall {
+    adapter: String,
+}
+
+impl PlatformStandIn {
+    /// Starts one.
+    ///
+    /// # Errors
+    /// Returns why the address can not be listened on.
+    pub fn start(options: &PlatformOptions) -> io::Result<Self> {
+        let state = Arc::new(PlatformState {
+            log: LogService::new(options.retained, options.appends_per_second),
+            hosts: HostList::new(options.host_lag),
+            store: WeightStore::new(options.loads_per_second),
+            faults: PlatformFaults::default(),
+        });
+        let served = Arc::clone(&state);
+        let guard = ServerGuard::serve(&options.address, move |request| serve(&served, request))?;
+        Ok(Self { guard, state })
+    }
+
+    /// Returns the address as `ip:port`.
+    pub fn address(&self) -> &str {
+        self.guard.address()
+    }
+
+    /// Returns the log, for tests that look past the protocol.
+    pub fn log(&self) -> &LogService {
+        &self.state.log
+    }
+
+    /// Returns the host list, for those who keep it.
+    pub fn hosts(&self) -> &HostList {
+        &self.state.hosts
+    }
+
+    /// Returns the switches.
+    pub fn faults(&self) -> &PlatformFaults {
+        &self.state.faults
+    }
+}
+
+fn serve(state: &PlatformState, mut request: Request) {
+    let (segments, query) = split_url(request.url());
+    let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
+    let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
+    let away = Problem { error: "unavailable" };
+    match (request.method().clone(), &segments[..]) {
+        (Method::Post, ["streams", stream, "records"]) => {
+            let body = String::from_utf8_lossy(&read_body(&mut request)).into_owned();
+            if state.faults.append.kind() == FaultKind::Refuse {
+                respond_json(request, 429, &Problem { error: "not written" });
+                return;
+            }
+            match state.faults.append.apply(|| state.log.append(stream, body)) {
+                Some(Some(offset)) => respond_json(request, 201, &Offset { offset }),
+                Some(None) => respond_json(request, 429, &Problem { error: "not written" }),
+                None => respond_json(request, 504, &away),
+            }
+        }
+        (Method::Get, ["streams", stream, "records"]) => {
+            let from = number("from").unwrap_or(0);
+            let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+            match state.faults.read.apply(|| state.log.read(stream, from, wait)) {
+                Some(read) => respond_json(request, 200, &read),
+                None => respond_json(request, 503, &away),
+            }
+        }
+        (Method::Get, ["hosts"]) => {
+            let since = number("since").unwrap_or(0);
+            match state.faults.hosts.apply(|| state.hosts.since(since)) {
+                Some(changes) => respond_json(request, 200, &changes),
+                None => respond_json(request, 503, &away),
+            }
+        }
+        (Method::Put, ["hosts"]) => {
+            let body = read_body(&mut request);
+            match serde_json::from_slice::<HostRecord>(&body) {
+                Ok(record) => {
+                    state.hosts.put(record);
+                    respond_json(request, 200, &Problem { error: "" });
+                }
+                Err(_) => respond_json(request, 400, &Problem { error: "not a host record" }),
+            }
+        }
+        (Method::Delete, ["hosts", role, id]) => {
+            let id = id.parse().unwrap_or_default();
+            state.hosts.remove(HostRole::parse(role), id);
+            respond_json(request, 200, &Problem { error: "" });
+        }
+        (Method::Post, ["store", "loads"]) => {
+            let body = read_body(&mut request);
+            let call = serde_json::from_slice::<LoadCall>(&body);
+            let loaded = call
+                .ok()
+                .and_then(|call| state.faults.store.apply(|| state.store.load(&call.adapter)));
+            match loaded {
+                Some(true) => respond_json(request, 200, &Problem { error: "" }),
+                Some(false) => respond_json(request, 404, &Problem { error: "no such adapter" }),
+                None => respond_json(request, 503, &away),
+            }
+        }
+        (Method::Put, ["faults", name]) => {
+            let body = read_body(&mut request);
+            let kind = serde_json::from_slice::<FaultKind>(&body).ok();
+            match (state.faults.switch(name), kind) {
+                (Some(switch), Some(kind)) => {
+                    switch.set(kind);
+                    respond_json(request, 200, &Problem { error: "" });
+                }
+                _ => respond_json(request, 400, &Problem { error: "no such fault" }),
+            }
+        }
+        _ => respond_json(request, 404, &Problem { error: "no such path" }),
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/platform/log.rs
@@ -0,0 +1,126 @@
+//! An append-only log: streams of records with offsets, kept for a limited time.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Condvar, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use serde::{Deserialize, Serialize};
+
+/// Records of one read at most.
+const READ_MOST: usize = 256;
+
+/// One record as read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadRecord {
+    /// Its place in the stream.
+    pub offset: u64,
+    /// When it was written, in milliseconds since the Unix epoch.
+    pub written_millis: u64,
+    /// What was appended.
+    pub payload: String,
+}
+
+/// The answer to a read.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ReadResult {
+    /// The first offset that is still kept.
+    pub first: u64,
+    /// The offset after the last record.
+    pub end: u64,
+    /// The records from the offset asked for, or from `first` where that is later.
+    pub records: Vec<ReadRecord>,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    first: u64,
+    records: Vec<ReadRecord>,
+}
+
+#[derive(Debug)]
+struct Streams {
+    by_name: BTreeMap<String, Stream>,
+    allowance: f64,
+    refilled: Instant,
+}
+
+/// The log service.
+#[derive(Debug)]
+pub struct LogService {
+    state: Mutex<Streams>,
+    appended: Condvar,
+    retained: usize,
+    per_second: f64,
+}
+
+impl LogService {
+    /// Starts an empty log.
+    pub fn new(retained: usize, appends_per_second: u32) -> Self {
+        let per_second = f64::from(appends_per_second);
+        let state =
+            Streams { by_name: BTreeMap::new(), allowance: per_second, refilled: Instant::now() };
+        Self { state: Mutex::new(state), appended: Condvar::new(), retained, per_second }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Streams> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Appends a record; returns its offset, or `None` when the rate is spent and nothing was
+    /// written.
+    pub fn append(&self, stream: &str, payload: String) -> Option<u64> {
+        let mut state = self.lock();
+        let seconds = state.refilled.elapsed().as_secs_f64();
+        state.refilled = Instant::now();
+        state.allowance = (state.allowance + seconds * self.per_second).min(self.per_second);
+        if state.allowance < 1.0 {
+            return None;
+        }
+        state.allowance -= 1.0;
+        let stream = state.by_name.entry(stream.to_owned()).or_default();
+        let offset = stream.first + stream.records.len() as u64;
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let written_millis = u64::try_from(since_epoch.as_millis()).unwrap_or_default();
+        stream.records.push(ReadRecord { offset, written_millis, payload });
+        if stream.records.len() > self.retained {
+            stream.records.remove(0);
+            stream.first += 1;
+        }
+        self.appended.notify_all();
+        Some(offset)
+    }
+
+    /// Reads from an offset on, waiting up to `wait` for a record to come.
+    pub fn read(&self, stream: &str, from: u64, wait: Duration) -> ReadResult {
+        let until = Instant::now() + wait;
+        let mut state = self.lock();
+        loop {
+            let result = Self::read_now(&state, stream, from);
+            let left = until.saturating_duration_since(Instant::now());
+            if !result.records.is_empty() || left.is_zero() {
+                return result;
+            }
+            state =
+                self.appended.wait_timeout(state, left).unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn read_now(state: &Streams, stream: &str, from: u64) -> ReadResult {
+        let Some(stream) = state.by_name.get(stream) else { return ReadResult::default() };
+        let skip = usize::try_from(from.saturating_sub(stream.first)).unwrap_or(usize::MAX);
+        let records = stream.records.iter().skip(skip).take(READ_MOST).cloned().collect();
+        let end = stream.first + stream.records.len() as u64;
+        ReadResult { first: stream.first, end, records }
+    }
+
+    /// Lets the oldest records expire, but for the last `keep`.
+    pub fn expire(&self, stream: &str, keep: usize) {
+        let mut state = self.lock();
+        let Some(stream) = state.by_name.get_mut(stream) else { return };
+        let gone = stream.records.len().saturating_sub(keep);
+        stream.records.drain(..gone);
+        stream.first += gone as u64;
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/platform/store.rs
@@ -0,0 +1,52 @@
+//! The weight store: a load has full speed only while it is alone.
+
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+/// How finely the store's speed is shared out.
+const SLICE: Duration = Duration::from_millis(5);
+
+/// The weight store.
+#[derive(Debug)]
+pub struct WeightStore {
+    load_alone: Duration,
+    active: AtomicUsize,
+    missing: Mutex<BTreeSet<String>>,
+}
+
+impl WeightStore {
+    /// Starts a store that gives that many loads a second, one after another.
+    pub fn new(loads_per_second: f64) -> Self {
+        Self {
+            load_alone: Duration::from_secs_f64(1.0 / loads_per_second),
+            active: AtomicUsize::new(0),
+            missing: Mutex::default(),
+        }
+    }
+
+    /// Makes loads of an adapter fail.
+    pub fn lose(&self, adapter: &str) {
+        let mut missing = self.missing.lock().unwrap_or_else(PoisonError::into_inner);
+        missing.insert(adapter.to_owned());
+    }
+
+    /// Loads an adapter, which takes longer the more loads run; says whether it is there.
+    pub fn load(&self, adapter: &str) -> bool {
+        self.active.fetch_add(1, Ordering::Relaxed);
+        let mut done = Duration::ZERO;
+        while done < self.load_alone {
+            thread::sleep(SLICE);
+            let sharing = self.active.load(Ordering::Relaxed).max(1);
+            done += SLICE / u32::try_from(sharing).unwrap_or(u32::MAX);
+        }
+        self.active.fetch_sub(1, Ordering::Relaxed);
+        !self.missing.lock().unwrap_or_else(PoisonError::into_inner).contains(adapter)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/convert/table.rs
@@ -0,0 +1,202 @@
+//! Heartbeats and the tables that hosts keep in step.
+
+use reelreel_core::{
+    chart::MemberState,
+    engine::EngineFacts,
+    gossip::EngineDigest,
+    id::HallId,
+    member::MemberUpdate,
+    message::{DigestVersion, Heartbeat, SyncAsk, SyncReply},
+    node::{HostEntry, HostKind, ServerFacts},
+};
+
+use super::{DecodeError, need};
+use crate::peer;
+
+impl From<MemberUpdate> for peer::Member {
+    fn from(update: MemberUpdate) -> Self {
+        let state = match update.state {
+            MemberState::Alive => peer::MemberState::Alive,
+            MemberState::Suspect => peer::MemberState::Suspect,
+            MemberState::Dead => peer::MemberState::Dead,
+            MemberState::Leaving => peer::MemberState::Leaving,
+        };
+        Self {
+            host: update.host,
+            hall: update.hall.into(),
+            address: update.address,
+            incarnation: update.incarnation,
+            refutations: update.refutations,
+            state: state.into(),
+        }
+    }
+}
+
+impl TryFrom<peer::Member> for MemberUpdate {
+    type Error = DecodeError;
+
+    fn try_from(member: peer::Member) -> Result<Self, DecodeError> {
+        let state = match member.state() {
+            peer::MemberState::Alive => MemberState::Alive,
+            peer::MemberState::Suspect => MemberState::Suspect,
+            peer::MemberState::Dead => MemberState::Dead,
+            peer::MemberState::Leaving => MemberState::Leaving,
+        };
+        let hall = HallId::try_from(member.hall).ok();
+        Ok(Self {
+            host: member.host,
+            hall: need(hall, "hall")?,
+            address: member.address,
+            incarnation: member.incarnation,
+            refutations: member.refutations,
+            state,
+        })
+    }
+}
+
+impl From<EngineDigest> for peer::Digest {
+    fn from(digest: EngineDigest) -> Self {
+        let EngineDigest { engine, owner, token, sequence, serving, residents } = digest;
+        let residents = residents.into_iter().map(Into::into).collect();
+        Self { engine, owner, token, sequence, serving, residents }
+    }
+}
+
+impl From<peer::Digest> for EngineDigest {
+    fn from(digest: peer::Digest) -> Self {
+        let peer::Digest { engine, owner, token, sequence, serving, residents } = digest;
+        let residents = residents.into_iter().map(Into::into).collect();
+        Self { engine, owner, token, sequence, serving, residents }
+    }
+}
+
+fn members(updates: Vec<MemberUpdate>) -> Vec<peer::Member> {
+    updates.into_iter().map(Into::into).collect()
+}
+
+fn read_members(members: Vec<peer::Member>) -> Result<Vec<MemberUpdate>, DecodeError> {
+    members.into_iter().map(MemberUpdate::try_from).collect()
+}
+
+impl From<Heartbeat> for peer::Heartbeat {
+    fn from(heartbeat: Heartbeat) -> Self {
+        Self {
+            sequence: heartbeat.sequence,
+            sender: Some(heartbeat.sender.into()),
+            revision: heartbeat.revision,
+            next_offset: heartbeat.next_offset,
+            table_hash: heartbeat.table_hash,
+            members: members(heartbeat.members),
+            digests: heartbeat.digests.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<peer::Heartbeat> for Heartbeat {
+    type Error = DecodeError;
+
+    fn try_from(heartbeat: peer::Heartbeat) -> Result<Self, DecodeError> {
+        Ok(Self {
+            sequence: heartbeat.sequence,
+            sender: need(heartbeat.sender, "sender")?.try_into()?,
+            revision: heartbeat.revision,
+            next_offset: heartbeat.next_offset,
+            table_hash: heartbeat.table_hash,
+            members: read_members(heartbeat.members)?,
+            digests: heartbeat.digests.into_iter().map(Into::into).collect(),
+        })
+    }
+}
+
+impl From<SyncAsk> for peer::SyncAsk {
+    fn from(ask: SyncAsk) -> Self {
+        let version = |version: DigestVersion| peer::DigestVersion {
+            engine: version.engine,
+            token: version.token,
+            sequence: version.sequence,
+        };
+        let digests = ask.digests.into_iter().map(version).collect();
+        Self { digests, members: members(ask.members), wants_backends: ask.wants_backends }
+    }
+}
+
+impl TryFrom<peer::SyncAsk> for SyncAsk {
+    type Error = DecodeError;
+
+    fn try_from(ask: peer::SyncAsk) -> Result<Self, DecodeError> {
+        let version = |version: peer::DigestVersion| DigestVersion {
+            engine: version.engine,
+            token: version.token,
+            sequence: version.sequence,
+        };
+        let digests = ask.digests.into_iter().map(version).collect();
+        let members = read_members(ask.members)?;
+        Ok(Self { digests, members, wants_backends: ask.wants_backends })
+    }
+}
+
+impl From<SyncReply> for peer::SyncReply {
+    fn from(reply: SyncReply) -> Self {
+        let digests = reply.digests.into_iter().map(Into::into).collect();
+        let backends = reply.backends.into_iter().filter_map(backend).collect();
+        Self { digests, members: members(reply.members), backends }
+    }
+}
+
+impl TryFrom<peer::SyncReply> for SyncReply {
+    type Error = DecodeError;
+
+    fn try_from(reply: peer::SyncReply) -> Result<Self, DecodeError> {
+        let digests = reply.digests.into_iter().map(Into::into).collect();
+        let backends = reply.backends.into_iter().map(read_backend).collect::<Result<_, _>>()?;
+        Ok(Self { digests, members: read_members(reply.members)?, backends })
+    }
+}
+
+/// Returns a backend server's frame; entry hosts are passed on as members instead.
+fn backend(HostEntry { kind, leaving }: HostEntry) -> Option<peer::Backend> {
+    match kind {
+        HostKind::Entry { .. } => None,
+        HostKind::Engine(facts) => Some(peer::Backend {
+            engine: true,
+            id: facts.engine,
+            hall: facts.hall.into(),
+            service: facts.service,
+            address: facts.address,
+            slots: facts.slots,
+            streams: facts.streams,
+            checks_fence: facts.checks_fence,
+            incarnation: facts.incarnation,
+            leaving,
+        }),
+        HostKind::Server(facts) => Some(peer::Backend {
+            id: facts.server,
+            hall: facts.hall.into(),
+            service: facts.service,
+            address: facts.address,
+            incarnation: facts.incarnation,
+            leaving,
+            ..peer::Backend::default()
+        }),
+    }
+}
+
+fn read_backend(backend: peer::Backend) -> Result<HostEntry, DecodeError> {
+    let hall = need(HallId::try_from(backend.hall).ok(), "hall")?;
+    let peer::Backend { id, service, address, incarnation, leaving, .. } = backend;
+    let kind = if backend.engine {
+        HostKind::Engine(EngineFacts {
+            engine: id,
+            hall,
+            service,
+            address,
+            slots: backend.slots,
+            streams: backend.streams,
+            checks_fence: backend.checks_fence,
+            incarnation,
+        })
+    } else {
+        HostKind::Server(ServerFacts { server: id, hall, service, address, incarnation })
+    };
+    Ok(HostEntry { kind, leaving })
+}
