feat: policy bench and capacity measurements

Cause: no figure said how loads are chosen, nor what a host costs at the size to design for.

Gossip falls silent sooner about what peers know already. Records kept for peers are bounded by bytes.

--- /dev/null
+++ b/crates/cli/src/bench/figures.rs
@@ -0,0 +1,112 @@
+//! What callers got, from what the fakes saw.
+
+use std::collections::BTreeMap;
+
+use reelreel_core::CallerOutcome;
+use reelreel_fakes::{CallerRecord, FakeSite};
+use serde::Serialize;
+
+use super::scenario::Scenario;
+
+/// Served calls that waited longer count as having waited, in milliseconds.
+const WAITED: u64 = 50;
+
+/// What one policy gave in one scenario.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct PolicyFigures {
+    pub(crate) scenario: String,
+    pub(crate) policy: String,
+    pub(crate) calls: usize,
+    /// Share of the worth whose first token came within its deadline and whose answer was whole.
+    pub(crate) worth_served: f64,
+    /// Share of served calls that waited.
+    pub(crate) share_waited: f64,
+    /// Waits of those, in seconds.
+    pub(crate) wait_p50: f64,
+    pub(crate) wait_p95: f64,
+    pub(crate) wait_p99: f64,
+    pub(crate) wait_longest: f64,
+    /// Share of an engine's streams that run while it runs any.
+    pub(crate) batch_fill: f64,
+    pub(crate) loads_per_thousand: f64,
+    /// Share of loads after which nothing ran before the adapter was unloaded again.
+    pub(crate) wasted_share: f64,
+    /// Median seconds from arrival to a refusal.
+    pub(crate) refused_after: f64,
+    /// Jain's index over organisations of the share of their worth that was served.
+    pub(crate) jain_index: f64,
+    /// The smallest of those shares.
+    pub(crate) worst_organisation: f64,
+}
+
+fn served(caller: &CallerRecord) -> bool {
+    let whole = matches!(caller.told, Some((CallerOutcome::Answered, _)));
+    let due = caller.arrived + caller.patience;
+    whole && caller.first_token.is_some_and(|first| first <= due)
+}
+
+fn quantile(sorted: &[f64], quantile: f64) -> f64 {
+    if sorted.is_empty() {
+        return 0.0;
+    }
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "an index")]
+    let place = ((sorted.len() - 1) as f64 * quantile).round() as usize;
+    sorted[place]
+}
+
+/// Works the figures out.
+pub(crate) fn figures(scenario: &Scenario, policy: &str, site: &FakeSite) -> PolicyFigures {
+    let (from, until) = scenario.counted();
+    let counted = |caller: &&CallerRecord| (from..until).contains(&caller.arrived);
+    let callers: Vec<&CallerRecord> = site.evidence.callers.values().filter(counted).collect();
+    let worth: f64 = callers.iter().map(|caller| caller.worth).sum();
+    let mut waits = Vec::new();
+    let mut refusals = Vec::new();
+    let mut served_worth = 0.0;
+    let mut served_count = 0;
+    let mut organisations: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+    for caller in &callers {
+        let share = organisations.entry(&caller.organisation).or_default();
+        share.1 += caller.worth;
+        if served(caller) {
+            share.0 += caller.worth;
+            served_worth += caller.worth;
+            served_count += 1;
+            let waited = caller.sent.unwrap_or(caller.arrived) - caller.arrived;
+            if waited > WAITED {
+                waits.push(waited as f64 / 1_000.0);
+            }
+        } else if let Some((_, at)) = caller.told {
+            refusals.push((at - caller.arrived) as f64 / 1_000.0);
+        }
+    }
+    waits.sort_by(f64::total_cmp);
+    refusals.sort_by(f64::total_cmp);
+    let shares: Vec<f64> =
+        organisations.values().map(|(served, asked)| served / asked.max(1e-9)).collect();
+    let sum: f64 = shares.iter().sum();
+    let squares: f64 = shares.iter().map(|share| share * share).sum();
+    let busy = site
+        .evidence
+        .busy
+        .values()
+        .fold((0.0, 0.0), |sum, (running, time)| (sum.0 + running, sum.1 + time));
+    PolicyFigures {
+        scenario: scenario.name.clone(),
+        policy: policy.to_owned(),
+        calls: callers.len(),
+        worth_served: served_worth / worth.max(1e-9),
+        share_waited: waits.len() as f64 / f64::from(served_count).max(1.0),
+        wait_p50: quantile(&waits, 0.5),
+        wait_p95: quantile(&waits, 0.95),
+        wait_p99: quantile(&waits, 0.99),
+        wait_longest: quantile(&waits, 1.0),
+        batch_fill: busy.0 / (busy.1 * f64::from(scenario.streams)).max(1e-9),
+        loads_per_thousand: site.evidence.loads as f64 * 1_000.0
+            / site.evidence.callers.len().max(1) as f64,
+        wasted_share: site.evidence.wasted_loads as f64 / (site.evidence.loads as f64).max(1.0),
+        refused_after: quantile(&refusals, 0.5),
+        jain_index: sum * sum / (shares.len() as f64 * squares).max(1e-9),
+        worst_organisation: shares.iter().copied().fold(1.0, f64::min),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/bench/scenario.rs
@@ -0,0 +1,251 @@
+//! A scenario: a site, its callers, and what happens to it.
+
+use std::sync::Arc;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use reelreel_core::{
+    engine::ResidencyPolicy,
+    settings::{
+        ChangeRecord, EditAction, SettingKey, SettingValue, SettingsEdit, SettingsPath,
+        change::RECORD_FORMAT,
+    },
+};
+use reelreel_fakes::{CallerCall, EngineShape, FakeSite, FaultPlan, SiteAction, SiteShape};
+use serde::Deserialize;
+
+/// Hosts and engines settle before callers come, in milliseconds.
+const SETTLED: u64 = 5_000;
+
+/// A scenario file.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Scenario {
+    /// Its name.
+    pub(crate) name: String,
+    /// Data halls.
+    halls: u16,
+    /// Entry hosts.
+    hosts: u32,
+    /// Engines.
+    engines: u32,
+    /// Adapters that an engine holds.
+    slots: u32,
+    /// Requests that an engine runs at once.
+    pub(crate) streams: u32,
+    /// Adapters.
+    adapters: u32,
+    /// Organisations, over which the adapters are spread.
+    organisations: u32,
+    /// Exponent of the adapters' popularity.
+    zipf: f64,
+    /// Calls a second.
+    rate: f64,
+    /// Seconds that count.
+    seconds: u64,
+    /// Seconds before them.
+    warm_up: u64,
+    /// Loads a second of the weight store.
+    loads_per_second: f64,
+    /// How long a caller waits for its first token, in milliseconds.
+    patience_ms: u64,
+    /// Tokens of an answer, on average; a step of 10 ms gives one.
+    tokens: u32,
+    /// Organisation 0 is worth this, the others 1.
+    #[serde(default = "one")]
+    first_worth: f64,
+    /// At these seconds other adapters become the popular ones.
+    #[serde(default)]
+    shifts: Vec<u64>,
+    /// Further callers of one organisation.
+    #[serde(default)]
+    floods: Vec<Flood>,
+    /// What happens.
+    #[serde(default)]
+    events: Vec<SiteEvent>,
+}
+
+const fn one() -> f64 {
+    1.0
+}
+
+/// Calls of one organisation on top of the others.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Flood {
+    organisation: u32,
+    rate: f64,
+    from: u64,
+    until: u64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SiteEvent {
+    at: u64,
+    what: EventKind,
+    #[serde(default)]
+    which: u32,
+    #[serde(default)]
+    seconds: u64,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum EventKind {
+    StoreAway,
+    RestartEngine,
+    KillHost,
+    DrainHost,
+    LeaveEngine,
+}
+
+impl Scenario {
+    /// Returns the milliseconds between which calls count.
+    pub(crate) const fn counted(&self) -> (u64, u64) {
+        let from = SETTLED + self.warm_up * 1_000;
+        (from, from + self.seconds * 1_000)
+    }
+
+    /// Plays it.
+    pub(crate) fn play(&self, policy: Arc<dyn ResidencyPolicy>, seed: u64) -> FakeSite {
+        let mut site = FakeSite::new(self.shape(policy, seed), FaultPlan::default());
+        site.act_at(1, SiteAction::Publish(self.tree()));
+        self.plan_events(&mut site);
+        self.plan_calls(&mut site, seed);
+        let (_, until) = self.counted();
+        site.run_until(until + self.patience_ms + 30_000);
+        site
+    }
+
+    fn shape(&self, policy: Arc<dyn ResidencyPolicy>, seed: u64) -> SiteShape {
+        let hall = |index: u32| 1 + u16::try_from(index % u32::from(self.halls)).unwrap_or(0);
+        let mut shape = SiteShape::new(seed);
+        shape.hosts = (1..=self.hosts).map(|host| (host, hall(host))).collect();
+        shape.engines = (1..=self.engines)
+            .map(|engine| EngineShape {
+                engine,
+                hall: hall(engine),
+                service: String::from("assist"),
+                slots: self.slots,
+                streams: self.streams,
+                checks_fence: true,
+            })
+            .collect();
+        shape.loads_per_second = self.loads_per_second;
+        shape.policy = policy;
+        shape
+    }
+
+    fn adapter(&self, index: u32) -> String {
+        format!("assist/firm-{}/adapter-{index}", index % self.organisations)
+    }
+
+    fn tree(&self) -> ChangeRecord {
+        let set = |path: &str, key, value| SettingsEdit {
+            path: SettingsPath::parse(path).unwrap_or_default(),
+            action: EditAction::Set(key, value),
+        };
+        let version =
+            |index| set(&self.adapter(index), SettingKey::Version, SettingValue::Number(1));
+        let mut edits: Vec<SettingsEdit> = (0..self.adapters).map(version).collect();
+        let worth = SettingValue::Fraction(self.first_worth);
+        edits.push(set("assist/firm-0", SettingKey::Worth, worth));
+        let rate = SettingValue::Fraction(self.loads_per_second);
+        edits.push(set("/", SettingKey::StoreLoadsPerSecond, rate));
+        edits.push(set("/", SettingKey::QueueLimit, SettingValue::Number(256)));
+        ChangeRecord {
+            format: RECORD_FORMAT,
+            change_id: self.name.clone(),
+            base_revision: 0,
+            author: String::from("bench"),
+            message: String::new(),
+            edits,
+        }
+    }
+
+    fn plan_events(&self, site: &mut FakeSite) {
+        for event in &self.events {
+            let SiteEvent { at, what, which, seconds } = event;
+            let at = SETTLED + at * 1_000;
+            let action = match what {
+                EventKind::StoreAway => SiteAction::StoreAway(seconds * 1_000),
+                EventKind::RestartEngine => SiteAction::RestartEngine(*which),
+                EventKind::KillHost => SiteAction::KillHost(*which, seconds * 1_000),
+                EventKind::DrainHost => SiteAction::DrainHost(*which),
+                EventKind::LeaveEngine => SiteAction::LeaveEngine(*which),
+            };
+            site.act_at(at, action);
+        }
+    }
+
+    /// Plans callers: exponential gaps, skewed adapters, the same for every policy.
+    fn plan_calls(&self, site: &mut FakeSite, seed: u64) {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xca11);
+        let ranks = zipf_ranks(self.adapters, self.zipf);
+        let (_, until) = self.counted();
+        let mut at = SETTLED as f64;
+        while at < until as f64 {
+            at += gap(&mut rng, self.rate);
+            let second = (at - SETTLED as f64) / 1_000.0;
+            let shifts = self.shifts.iter().filter(|shift| (**shift as f64) <= second).count();
+            let adapter = self.pick(&ranks, &mut rng, shifts);
+            self.plan_call(site, &mut rng, at, adapter);
+        }
+        for flood in &self.floods {
+            let mut at = (SETTLED + flood.from * 1_000) as f64;
+            let end = (SETTLED + flood.until * 1_000) as f64;
+            let own = self.adapters / self.organisations;
+            while at < end {
+                at += gap(&mut rng, flood.rate);
+                let adapter = rng.random_range(0..own.max(1)) * self.organisations;
+                self.plan_call(site, &mut rng, at, adapter + flood.organisation);
+            }
+        }
+    }
+
+    /// Picks an adapter by its rank; each shift gives the ranks to other adapters.
+    fn pick(&self, ranks: &[f64], rng: &mut Pcg64Mcg, shifts: usize) -> u32 {
+        let draw = rng.random_range(0.0..1.0);
+        let rank = ranks.partition_point(|sum| *sum < draw);
+        let rank = u32::try_from(rank).unwrap_or(0).min(self.adapters - 1);
+        let moved = u32::try_from(shifts).unwrap_or(0) * 977;
+        // A large odd factor spreads the ranks over the organisations.
+        (rank.wrapping_mul(7919) + moved) % self.adapters
+    }
+
+    fn plan_call(&self, site: &mut FakeSite, rng: &mut Pcg64Mcg, at: f64, adapter: u32) {
+        let low = self.tokens / 2;
+        let call = CallerCall {
+            host: None,
+            adapter: self.adapter(adapter),
+            version: None,
+            key: None,
+            repeatable: Some(true),
+            patience: self.patience_ms,
+            tokens: rng.random_range(low..=low * 3).max(1),
+        };
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a time")]
+        site.call_at(at as u64, call);
+    }
+}
+
+/// Draws the time to the next call, in milliseconds.
+fn gap(rng: &mut Pcg64Mcg, rate: f64) -> f64 {
+    let draw: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+    -draw.ln() * 1_000.0 / rate
+}
+
+/// Returns the cumulated popularity by rank.
+fn zipf_ranks(adapters: u32, exponent: f64) -> Vec<f64> {
+    let weights: Vec<f64> = (1..=adapters).map(|rank| f64::from(rank).powf(-exponent)).collect();
+    let all: f64 = weights.iter().sum();
+    let mut sum = 0.0;
+    weights
+        .iter()
+        .map(|weight| {
+            sum += weight / all;
+            sum
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/cli/src/capacity.rs
@@ -0,0 +1,78 @@
+//! `reelreel capacity`: what state, messages and decisions cost, as slopes over sizes.
+//!
+//! Time is what this machine took, so only ratios between sizes travel; bytes and counts are exact.
+//! Every row says what it ran on: the core alone, several cores against fakes in handed-in time, or
+//! the process itself.
+
+mod claims;
+mod decisions;
+mod hosts;
+mod tree;
+
+use std::{alloc::System, fmt::Write, process::ExitCode, time::Instant};
+
+use serde::Serialize;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+
+use crate::{options::CapacityOptions, output::print};
+
+/// One measured figure.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct CapacityRow {
+    /// What was measured, and on what.
+    what: String,
+    /// The size that is varied, in words.
+    size: String,
+    /// The figure.
+    value: f64,
+    /// Its unit.
+    unit: &'static str,
+}
+
+/// Gathers figures.
+#[derive(Debug, Default)]
+pub(crate) struct CapacityTable {
+    rows: Vec<CapacityRow>,
+}
+
+impl CapacityTable {
+    fn add(&mut self, what: &str, size: impl Into<String>, value: f64, unit: &'static str) {
+        self.rows.push(CapacityRow { what: what.to_owned(), size: size.into(), value, unit });
+    }
+}
+
+/// Measures and prints.
+pub(crate) fn run(options: &CapacityOptions) -> eyre::Result<ExitCode> {
+    let mut table = CapacityTable::default();
+    tree::measure(&mut table, options.quick)?;
+    claims::measure(&mut table);
+    decisions::measure(&mut table, options.quick)?;
+    hosts::measure(&mut table, options.quick)?;
+    let rows = table.rows;
+    print(options.output, &rows, || {
+        let mut text = String::new();
+        for row in &rows {
+            let CapacityRow { what, size, value, unit } = row;
+            let _infallible = writeln!(text, "{what:58} {size:34} {value:12.2} {unit}");
+        }
+        text
+    })?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Counts what is allocated, so that memory is measured exactly and not by pages.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// Returns the bytes that are allocated now.
+fn live_bytes() -> f64 {
+    let stats = ALLOCATOR.stats();
+    stats.bytes_allocated as f64 - stats.bytes_deallocated as f64
+}
+
+/// Returns microseconds that `work` took for each of `count` items, and its result.
+fn micros_each<T>(count: usize, work: impl FnOnce() -> T) -> (f64, T) {
+    let begun = Instant::now();
+    let result = work();
+    (begun.elapsed().as_secs_f64() * 1e6 / count.max(1) as f64, result)
+}
--- /dev/null
+++ b/crates/cli/src/capacity/tree.rs
@@ -0,0 +1,99 @@
+//! The settings tree: memory for each adapter, folding, snapshots, look-ups.
+
+use reelreel_core::settings::{
+    ChangeRecord, EditAction, SettingKey, SettingValue, SettingsEdit, SettingsFold, SettingsPath,
+    change::RECORD_FORMAT, fold::LogRecord,
+};
+
+use super::{CapacityTable, live_bytes, micros_each};
+
+/// Adapters of one organisation, as spread over the tree.
+const PER_ORGANISATION: usize = 50;
+
+/// Look-ups that are timed.
+const LOOKUPS: usize = 20_000;
+
+/// Names an adapter of the measured tree.
+pub(super) fn adapter_path(index: usize) -> String {
+    format!("assist/organisation-{}/adapter-{index}", index / PER_ORGANISATION)
+}
+
+/// Publishes that many adapters, each with a version, as one record.
+pub(super) fn adapters_record(count: usize) -> ChangeRecord {
+    let adapter = |index: usize| SettingsEdit {
+        path: SettingsPath::parse(&adapter_path(index)).unwrap_or_default(),
+        action: EditAction::Set(SettingKey::Version, SettingValue::Number(1)),
+    };
+    ChangeRecord {
+        format: RECORD_FORMAT,
+        change_id: String::from("capacity"),
+        base_revision: 0,
+        author: String::from("capacity"),
+        message: String::new(),
+        edits: (0..count).map(adapter).collect(),
+    }
+}
+
+/// Returns a record of the settings stream.
+pub(super) fn log_record(offset: u64, record: &ChangeRecord) -> eyre::Result<LogRecord> {
+    Ok(LogRecord { offset, written_millis: offset, payload: serde_json::to_vec(record)? })
+}
+
+pub(super) fn measure(table: &mut CapacityTable, quick: bool) -> eyre::Result<()> {
+    let sizes: &[usize] = if quick { &[1_000, 10_000] } else { &[1_000, 10_000, 94_000] };
+    for count in sizes.iter().copied() {
+        let size = format!("{count} adapters");
+        let record = log_record(0, &adapters_record(count))?;
+        let record_bytes = record.payload.len() as f64;
+        let mut fold = SettingsFold::default();
+        let (fold_micros, _) = micros_each(count, || fold.fold(record));
+        let (snapshot_micros, snapshot) = micros_each(count, || fold.snapshot());
+        let json = snapshot.to_json();
+        table.add(
+            "settings: first publication, per adapter",
+            &size,
+            record_bytes / count as f64,
+            "bytes",
+        );
+        table.add("settings: fold of it, per adapter", &size, fold_micros, "us");
+        table.add("settings: snapshot written, per adapter", &size, snapshot_micros, "us");
+        table.add(
+            "settings: snapshot, per adapter",
+            &size,
+            json.len() as f64 / count as f64,
+            "bytes",
+        );
+        let before = live_bytes();
+        let mut fresh = SettingsFold::default();
+        let (adopt_micros, adopted) = micros_each(count, || fresh.adopt(snapshot));
+        adopted?;
+        table.add("settings: snapshot taken over, per adapter", &size, adopt_micros, "us");
+        let held = (live_bytes() - before) / count as f64;
+        table.add("settings: memory of the tree, per adapter", &size, held, "bytes");
+        let names: Vec<String> =
+            (0..LOOKUPS).map(|index| adapter_path(index * 7919 % count)).collect();
+        let (resolve_micros, found) = micros_each(LOOKUPS, || {
+            names.iter().filter(|name| fresh.tree().resolve(name).is_ok()).count()
+        });
+        eyre::ensure!(found == LOOKUPS, "{found} of {LOOKUPS} models were found");
+        table.add("settings: a model resolved", &size, resolve_micros, "us");
+        let place = SettingsPath::parse(&names[0]).unwrap_or_default();
+        let (effective_micros, worth) = micros_each(LOOKUPS, || {
+            (0..LOOKUPS).map(|_| fresh.tree().effective(&place).worth).sum::<f64>()
+        });
+        eyre::ensure!(worth > 0.0, "the default worth is positive");
+        table.add("settings: effective values of a place", &size, effective_micros, "us");
+        let mut change = adapters_record(0);
+        change.edits = vec![SettingsEdit {
+            path: place,
+            action: EditAction::Set(SettingKey::Version, SettingValue::Number(2)),
+        }];
+        change.base_revision = 1;
+        let one = log_record(fresh.next_offset(), &change)?;
+        let one_bytes = one.payload.len() as f64;
+        let (one_micros, _) = micros_each(1, || fresh.fold(one));
+        table.add("settings: one further publication", &size, one_micros, "us");
+        table.add("settings: one further publication", &size, one_bytes, "bytes");
+    }
+    Ok(())
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,7 @@
 //! `reelreel`: the operators' command line.
 
+mod bench;
+mod capacity;
 mod dev;
 mod measure;
 mod options;
@@ -18,6 +20,8 @@
         Command::Settings(command) => settings::run(&command),
         Command::Status(options) => watch::status(&options),
         Command::Timeline(options) => watch::timeline(&options),
+        Command::Bench(options) => bench::run(&options),
+        Command::Capacity(options) => capacity::run(&options),
         Command::Measure(options) => measure::run(&options),
     };
     match result {
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -24,6 +24,12 @@
     /// Shows the events of hosts in one order, causes before effects
     #[bpaf(command)]
     Timeline(#[bpaf(external(watch_options))] WatchOptions),
+    /// Plays scenarios against several policies and prints what callers got
+    #[bpaf(command)]
+    Bench(#[bpaf(external(bench_options))] BenchOptions),
+    /// Measures what state, messages and decisions cost, for docs/CAPACITY.md
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity_options))] CapacityOptions),
     /// Measures what the path through entry hosts adds to calling an engine directly
     #[bpaf(command)]
     Measure(#[bpaf(external(measure_options))] MeasureOptions),
@@ -264,6 +270,31 @@
     pub(crate) output: OutputFormat,
 }
 
+/// Which scenarios are played.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct BenchOptions {
+    /// Seeds callers and hosts; the same seed gives the same table
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    pub(crate) seed: u64,
+    /// A scenario file; may be given several times. All built-in ones where none is named
+    #[bpaf(argument("FILE"), many)]
+    pub(crate) scenario: Vec<PathBuf>,
+    /// A policy (value, arrival); may be given several times. All where none is named
+    #[bpaf(argument("NAME"), many)]
+    pub(crate) policy: Vec<String>,
+    #[bpaf(external(output_format))]
+    pub(crate) output: OutputFormat,
+}
+
+/// What is measured for the capacity page.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct CapacityOptions {
+    /// Leave out the largest sizes
+    pub(crate) quick: bool,
+    #[bpaf(external(output_format))]
+    pub(crate) output: OutputFormat,
+}
+
 fn usual_streams(streams: Vec<usize>) -> Vec<usize> {
     if streams.is_empty() { vec![1, 64, 512] } else { streams }
 }
--- a/crates/core/src/engine/control.rs
+++ b/crates/core/src/engine/control.rs
@@ -184,6 +184,18 @@
         !matches!(self.state, EngineState::Foreign)
     }
 
+    /// Says whether a report is awaited that would settle a take-over or a doubt.
+    pub fn awaits_proof(&self) -> bool {
+        let unproven = |stay: &Residency| {
+            let there = matches!(
+                stay.state,
+                ResidencyState::Resident | ResidencyState::Draining | ResidencyState::Loading
+            );
+            there && !stay.proven_idle && !stay.awaits_raise()
+        };
+        self.state == EngineState::Settling || self.residencies.values().any(unproven)
+    }
+
     /// Begins ownership: the view makes this host the owner.
     ///
     /// An engine that does not check fences is left alone until any earlier owner has stopped.
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -85,6 +85,12 @@
         items.into_iter().map(|(_, item)| item).collect()
     }
 
+    /// Notes that a peer passed on an item that is known here already, which counts like passing
+    /// it on: the more hosts know of a change, the sooner they fall silent about it.
+    pub fn heard_again(&mut self, item: K) {
+        self.pass(item);
+    }
+
     fn pass(&mut self, item: K) {
         if let Some(left) = self.left.get_mut(&item) {
             *left -= 1;
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -63,7 +63,7 @@
             reroute_after: Duration::from_millis(100),
             claim_interval: Duration::from_millis(100),
             avoid_for: Duration::from_secs(2),
-            report_every: Duration::from_millis(500),
+            report_every: Duration::from_secs(2),
             pause_limit: Duration::from_secs(2),
             handover_limit: Duration::from_secs(8),
             join_wait: Duration::from_millis(1_500),
--- a/crates/core/src/node/owning.rs
+++ b/crates/core/src/node/owning.rs
@@ -5,7 +5,10 @@
 use crate::{
     chart::{DrainState, EngineState, MemberState},
     clock::ClockMillis,
-    engine::{ControlOutput, EngineControl, EngineOrder, EngineReport, OrderResult, StoreWish},
+    engine::{
+        ControlOutput, EngineControl, EngineOrder, EngineReport, OrderAction, OrderResult,
+        StoreWish,
+    },
     id::{EngineId, HostId},
     member::MemberUpdate,
     message::PeerMessage,
@@ -74,6 +77,10 @@
         self.control(order.engine, |control, now, out| {
             control.order_ended(order, result, now, out);
         });
+        let awaits = self.controls.get(&order.engine).is_some_and(EngineControl::awaits_proof);
+        if awaits && order.action == OrderAction::Raise {
+            self.report_due.insert(order.engine, self.now());
+        }
     }
 
     /// Takes changes of the platform's host list, which lags: it seeds, and never takes back.
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -180,6 +180,7 @@
         let owner = digest.owner;
         let (token, incarnation) = (digest.token, digest.incarnation);
         if !self.backends.put_digest(digest) {
+            self.digest_gossip.heard_again(engine);
             return;
         }
         let hosts = self.members.live_count();
--- a/crates/core/src/node/timers.rs
+++ b/crates/core/src/node/timers.rs
@@ -9,6 +9,9 @@
     request::{RefusalKind, RequestRefusal},
 };
 
+/// How many times as often a report is asked for while something waits for it.
+const FAST_REPORTS: u32 = 16;
+
 impl NodeCore {
     pub(super) fn tick(&mut self) {
         let now = self.now();
@@ -59,12 +62,9 @@
 
     fn report_pause(&mut self, engine: EngineId) -> std::time::Duration {
         let usual = self.config.times.report_every;
-        let settling = self
-            .controls
-            .get(&engine)
-            .is_some_and(|control| control.state() == EngineState::Settling);
-        // A take-over waits for the report, which lags: it is asked for more often.
-        if settling { usual / 5 } else { self.jitter(usual) }
+        let awaits = self.controls.get(&engine).is_some_and(EngineControl::awaits_proof);
+        // What waits for the report, which lags, asks for it more often.
+        if awaits { usual / FAST_REPORTS } else { self.jitter(usual) }
     }
 
     /// Sets or, with `None`, moves a request's timer to its deadline.
--- a/crates/core/src/settings/fold.rs
+++ b/crates/core/src/settings/fold.rs
@@ -15,8 +15,8 @@
     },
 };
 
-/// How many records are kept to pass on to peers that lag; older ones are passed on as a snapshot.
-const KEPT_RECORDS: usize = 512;
+/// Bytes of records kept to pass on to peers that lag; what is older is passed on as a snapshot.
+const KEPT_BYTES: usize = 256 << 10;
 
 /// How many verdicts are kept for publishers who look for theirs.
 const KEPT_VERDICTS: usize = 512;
@@ -72,6 +72,7 @@
     next_offset: LogOffset,
     halt: Option<FoldHalt>,
     records: VecDeque<LogRecord>,
+    kept_bytes: usize,
     verdicts: VecDeque<ChangeVerdict>,
 }
 
@@ -117,7 +118,7 @@
         }
         let verdict = self.judge(record.offset, read);
         push_bounded(&mut self.verdicts, verdict, KEPT_VERDICTS);
-        push_bounded(&mut self.records, record, KEPT_RECORDS);
+        self.keep(record);
         self.next_offset += 1;
         true
     }
@@ -141,6 +142,15 @@
         ChangeVerdict { offset, change_id, author, message, result }
     }
 
+    fn keep(&mut self, record: LogRecord) {
+        self.kept_bytes += record.payload.len();
+        self.records.push_back(record);
+        while self.kept_bytes > KEPT_BYTES {
+            let Some(oldest) = self.records.pop_front() else { break };
+            self.kept_bytes -= oldest.payload.len();
+        }
+    }
+
     /// Returns the kept records from `offset` on, or `None` when they are kept no longer.
     pub fn records_from(&self, offset: LogOffset) -> Option<Vec<LogRecord>> {
         if offset >= self.next_offset {
@@ -173,6 +183,7 @@
         self.revision = revision;
         self.next_offset = next_offset;
         self.records.clear();
+        self.kept_bytes = 0;
         Ok(true)
     }
 }
--- a/crates/fakes/src/evidence.rs
+++ b/crates/fakes/src/evidence.rs
@@ -96,6 +96,14 @@
     pub wasted_loads: u64,
     /// Messages between hosts.
     pub messages: u64,
+    /// Their bytes, where a measure is set.
+    pub message_bytes: u64,
+    /// Reports asked of engines.
+    pub reports: u64,
+    /// Orders to engines.
+    pub orders: u64,
+    /// Appends to the log.
+    pub appends: u64,
     /// Running requests times milliseconds, and milliseconds in which anything ran, by engine.
     pub busy: BTreeMap<u32, (f64, f64)>,
     /// Since when each engine's share of `busy` is added up.
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -22,5 +22,5 @@
 pub use fault::{FaultKind, FaultPlan, PlannedFault, StepKind};
 pub use log::FakeLog;
 pub use script::{SiteScript, standard_site, standard_tree};
-pub use site::{CallerCall, FakeSite, SiteMutation, SiteShape};
+pub use site::{CallerCall, FakeSite, SiteAction, SiteMutation, SiteShape};
 pub use store::FakeStore;
--- a/crates/fakes/src/site.rs
+++ b/crates/fakes/src/site.rs
@@ -254,6 +254,8 @@
     pub trace: Vec<String>,
     /// Whether `trace` is kept.
     pub keep_trace: bool,
+    /// Measures a message on its way, in bytes.
+    pub measure: Option<fn(&PeerMessage) -> u64>,
     /// Halls that are part of the site.
     pub(crate) halls: BTreeSet<HallId>,
 }
@@ -292,6 +294,7 @@
             active: ActiveFaults::default(),
             evidence: Evidence::default(),
             reference: SettingsFold::default(),
+            measure: None,
             trace: Vec::new(),
             keep_trace: false,
             halls: shape.hosts.iter().map(|(_, hall)| *hall).collect(),
@@ -628,13 +631,16 @@
                 self.push(delay, Arrival::Order { host: id, life: 0, order });
             }
             NodeOrder::Order { order, .. } => {
+                self.evidence.orders += 1;
                 let late = if self.active.order_late > 0 { 3_000 } else { 0 };
                 self.push(NEAR + late, Arrival::Order { host: id, life, order });
             }
             NodeOrder::AskReport { engine, .. } => {
+                self.evidence.reports += 1;
                 self.push(NEAR, Arrival::AskReport { host: id, life, engine });
             }
             NodeOrder::Append { stream, payload, ticket } => {
+                self.evidence.appends += 1;
                 let slow = if self.active.log_slow > 0 { 2_500 } else { 2 };
                 self.push(slow, Arrival::Append { host: id, life, stream, payload, ticket });
             }
@@ -651,6 +657,7 @@
     /// Puts a message between hosts on its way.
     fn post(&mut self, from: HostId, to: HostId, stamp: HybridStamp, message: PeerMessage) {
         self.evidence.messages += 1;
+        self.evidence.message_bytes += self.measure.map_or(0, |measure| measure(&message));
         if self.active.lossy > 0 && self.rng.random_range(0..3) == 0 {
             return;
         }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -187,7 +187,7 @@
         "times",
         "report_every_ms",
         MILLIS,
-        "500",
+        "2000",
         "How often an owned engine is asked for its report, in milliseconds.",
     ),
     field(
