--- a/crates/core/src/engine/slots.rs
+++ b/crates/core/src/engine/slots.rs
@@ -20,9 +20,6 @@
 /// How many turns one engine asks for at once; the rest wait for the next round.
 const MOST_WISHES: usize = 8;
 
-/// A load worth less than this part of what others give for a turn will not get one in time.
-const REACH: f64 = 0.5;
-
 /// How long a wish is put off for which no slot could be cleared.
 const NO_SLOT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -232,10 +229,6 @@
         if !queued || !self.policy.refuses_early() {
             return;
         }
-        if self.is_out_of_reach(&place, now) {
-            self.refuse_out_of_reach(&place, now, out);
-            return;
-        }
         let ready = now + place.turn * (place.before + 1);
         let late = |waiting: &WaitingPermit| {
             waiting.request.adapter == place.adapter && waiting.request.deadline < ready
@@ -247,28 +240,6 @@
         self.drop_unwanted(now, out);
     }
 
-    /// Says whether the turns go to loads worth so much more that this one would wait in vain.
-    fn is_out_of_reach(&self, place: &LoadPlace, now: ClockMillis) -> bool {
-        let wishes = self.wishes(now);
-        let Some(wish) = wishes.get(&place.adapter) else { return false };
-        place.before > 0 && self.policy.load_value(wish) < place.price * REACH
-    }
-
-    fn refuse_out_of_reach(
-        &mut self,
-        place: &LoadPlace,
-        now: ClockMillis,
-        out: &mut ControlOutput,
-    ) {
-        let waits = |waiting: &WaitingPermit| waiting.request.adapter == place.adapter;
-        let back = place.turn * (place.before + 1);
-        let reason = PermitRefusal::Final(RefusalKind::LoadTooLate);
-        for waiting in self.queue.drain_where(waits) {
-            self.refuse(&waiting, reason, Some(back), out);
-        }
-        self.drop_unwanted(now, out);
-    }
-
     /// Takes a turn: clears a slot where none is free, then loads.
     pub fn turn_came(&mut self, adapter: AdapterKey, now: ClockMillis, out: &mut ControlOutput) {
         let owned = self.state == EngineState::Owned;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -20,9 +20,6 @@
 /// How much a newly measured load moves the estimate of how long one takes.
 const TURN_LEARNING: f64 = 0.2;
 
-/// How much one turn moves the price of a turn: about the last half minute counts.
-const PRICE_LEARNING: f64 = 0.03;
-
 /// The store's limits, from the settings tree.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StoreLimits {
@@ -71,8 +68,6 @@
     allowance: f64,
     refilled: ClockMillis,
     turn_seconds: f64,
-    /// What the loads that got a turn while others waited were worth, averaged.
-    price: f64,
 }
 
 impl Default for StoreTurns {
@@ -84,7 +79,6 @@
             allowance: 1.0,
             refilled: ClockMillis::default(),
             turn_seconds,
-            price: 0.0,
         }
     }
 }
@@ -123,7 +117,6 @@
         let mut given = Vec::new();
         while self.running() < limits.parallel_now() && self.allowance >= 1.0 {
             let Some(name) = self.most_valuable() else { break };
-            self.note_price(name);
             self.allowance -= 1.0;
             let Some(load) = self.loads.get_mut(&name) else { break };
             load.state = load.state.after(LoadEvent::Granted);
@@ -154,7 +147,6 @@
             adapter,
             before: u32::try_from(before).unwrap_or(u32::MAX),
             turn: Duration::from_secs_f64(self.turn_seconds.max(0.0)),
-            price: self.price,
         }
     }
 
@@ -173,14 +165,6 @@
         self.loads.clear();
     }
 
-    /// Averages what it takes to be next; with nobody behind, anything is enough.
-    fn note_price(&mut self, next: LoadName) {
-        let waiting = self.loads.values().filter(|load| load.state == LoadState::Waiting).count();
-        let value = self.loads.get(&next).map_or(0.0, |load| load.value);
-        let price = if waiting > 1 { value } else { 0.0 };
-        self.price += PRICE_LEARNING * (price - self.price);
-    }
-
     fn running(&self) -> usize {
         self.loads.values().filter(|load| load.state == LoadState::Running).count()
     }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -203,7 +203,7 @@
 }
 
 /// How many loads go before.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadPlace {
     /// The engine.
     pub engine: EngineId,
@@ -213,8 +213,6 @@
     pub before: u32,
     /// How long one turn takes at present.
     pub turn: Duration,
-    /// What the loads that lately got a turn before others were worth; zero when none had to wait.
-    pub price: f64,
 }
 
 /// A turn at the weight store.
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -142,9 +142,8 @@
 }
 
 impl From<LoadPlace> for peer::LoadPlace {
-    fn from(LoadPlace { engine, adapter, before, turn, price }: LoadPlace) -> Self {
-        let turn_millis = permit::millis(turn);
-        Self { engine, adapter: Some(adapter.into()), before, turn_millis, price }
+    fn from(LoadPlace { engine, adapter, before, turn }: LoadPlace) -> Self {
+        Self { engine, adapter: Some(adapter.into()), before, turn_millis: permit::millis(turn) }
     }
 }
 
@@ -154,8 +153,7 @@
     fn try_from(place: peer::LoadPlace) -> Result<Self, DecodeError> {
         let adapter = need(place.adapter, "adapter")?.into();
         let turn = std::time::Duration::from_millis(place.turn_millis);
-        let peer::LoadPlace { engine, before, price, .. } = place;
-        Ok(Self { engine, adapter, before, turn, price })
+        Ok(Self { engine: place.engine, adapter, before: place.before, turn })
     }
 }
 
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -143,7 +143,6 @@
             adapter: ADAPTER,
             before: 3,
             turn: Duration::from_millis(333),
-            price: 2.5,
         }),
         PeerMessage::LoadGrant(LoadTurn { engine, adapter: ADAPTER }),
         PeerMessage::LoadEnd(LoadTurn { engine, adapter: ADAPTER }),
