perf(core): latest first among loads of like worth, and a truthful place

Cause: equal values were decided by the engine's number, so the same callers lost each time and were told so at their deadline. Change: a load loses a fifth of its value as its first caller waits ten seconds; a load that was passed by a later one is told that many more turns go before it, so its callers are refused as soon as their deadline can not be met.

--- a/crates/cli/src/capacity/hosts.rs
+++ b/crates/cli/src/capacity/hosts.rs
@@ -65,26 +65,26 @@
 
 fn idle(table: &mut CapacityTable, hosts: u32) {
     const SECONDS: u64 = 30;
-    let mut site = site(hosts, 3);
-    let size = format!("{hosts} hosts, {} engines, 3 halls", hosts * ENGINES_PER_HOST);
-    site.run_until(SETTLED);
-    let owned = owned_engines(&site);
-    table.add("fakes: engines owned 20 s after a start of all", &size, owned as f64, "engines");
-    let orders = site.evidence.orders as f64 / f64::from(hosts * ENGINES_PER_HOST);
-    table.add("fakes: orders per engine for that", &size, orders, "orders");
-    let (messages, bytes) = (site.evidence.messages, site.evidence.message_bytes);
-    let reports = site.evidence.reports;
+    let mut fakes = site(hosts, 3);
+    let scale = format!("{hosts} hosts, {} engines, 3 halls", hosts * ENGINES_PER_HOST);
+    fakes.run_until(SETTLED);
+    let owned = owned_engines(&fakes);
+    table.add("fakes: engines owned 20 s after a start of all", &scale, owned as f64, "engines");
+    let orders = fakes.evidence.orders as f64 / f64::from(hosts * ENGINES_PER_HOST);
+    table.add("fakes: orders per engine for that", &scale, orders, "orders");
+    let (messages, bytes) = (fakes.evidence.messages, fakes.evidence.message_bytes);
+    let reports = fakes.evidence.reports;
     let begun = Instant::now();
-    site.run_until(SETTLED + SECONDS * 1_000);
+    fakes.run_until(SETTLED + SECONDS * 1_000);
     let host_seconds = f64::from(hosts) * SECONDS as f64;
     let busy = begun.elapsed().as_secs_f64() * 1e6 / host_seconds;
-    table.add("fakes: idle control, per host and second (with fakes)", &size, busy, "us");
-    let messages = (site.evidence.messages - messages) as f64 / host_seconds;
-    table.add("fakes: idle messages sent, per host and second", &size, messages, "messages");
-    let bytes = (site.evidence.message_bytes - bytes) as f64 / host_seconds;
-    table.add("fakes: idle bytes sent, per host and second", &size, bytes, "bytes");
-    let reports = (site.evidence.reports - reports) as f64 / host_seconds;
-    table.add("fakes: engine reports asked, per host and second", &size, reports, "reports");
+    table.add("fakes: idle control, per host and second (with fakes)", &scale, busy, "us");
+    let messages = (fakes.evidence.messages - messages) as f64 / host_seconds;
+    table.add("fakes: idle messages sent, per host and second", &scale, messages, "messages");
+    let bytes = (fakes.evidence.message_bytes - bytes) as f64 / host_seconds;
+    table.add("fakes: idle bytes sent, per host and second", &scale, bytes, "bytes");
+    let reports = (fakes.evidence.reports - reports) as f64 / host_seconds;
+    table.add("fakes: engine reports asked, per host and second", &scale, reports, "reports");
 }
 
 fn owned_engines(site: &FakeSite) -> usize {
@@ -96,34 +96,34 @@
 
 /// Publishes a change while one hall is cut off, and measures when it is in force.
 fn change(table: &mut CapacityTable, hosts: u32) -> eyre::Result<()> {
-    let mut site = site(hosts, 3);
-    let size = format!("{hosts} hosts");
-    site.run_until(SETTLED);
+    let mut fakes = site(hosts, 3);
+    let scale = format!("{hosts} hosts");
+    fakes.run_until(SETTLED);
     let path = SettingsPath::site().child("assist");
     let mut record = adapters_record(0);
     record.base_revision = 1;
     let value = SettingValue::Fraction(2.0);
     record.edits = vec![SettingsEdit { path, action: EditAction::Set(SettingKey::Worth, value) }];
-    site.publish(&record);
-    site.run_until(SETTLED + 15_000);
-    let last = site.evidence.forced.iter().filter(|forced| forced.revision == 2);
+    fakes.publish(&record);
+    fakes.run_until(SETTLED + 15_000);
+    let last = fakes.evidence.forced.iter().filter(|forced| forced.revision == 2);
     let count = last.clone().count();
     eyre::ensure!(count == hosts as usize, "{count} of {hosts} hosts have the change");
     let last = last.map(|forced| forced.at).max().unwrap_or(0);
     let millis = last.saturating_sub(SETTLED) as f64;
-    table.add("fakes: change in force on all hosts", size, millis, "ms");
+    table.add("fakes: change in force on all hosts", scale, millis, "ms");
     Ok(())
 }
 
 /// Runs until as many engines are owned as there are, and returns how long that took.
-fn until_owned(site: &mut FakeSite, engines: usize, at_most: u64) -> f64 {
+fn until_owned(fakes: &mut FakeSite, engines: usize, at_most: u64) -> f64 {
     const STEP: u64 = 50;
-    let begun = site.now;
-    while owned_engines(site) < engines && site.now < begun + at_most {
-        let next = site.now + STEP;
-        site.run_until(next);
+    let begun = fakes.now;
+    while owned_engines(fakes) < engines && fakes.now < begun + at_most {
+        let next = fakes.now + STEP;
+        fakes.run_until(next);
     }
-    (site.now - begun) as f64
+    (fakes.now - begun) as f64
 }
 
 fn engines_of(hosts: u32) -> usize {
@@ -131,52 +131,52 @@
 }
 
 fn host_lost(table: &mut CapacityTable, hosts: u32) {
-    let mut site = site(hosts, 3);
-    let size = format!("{hosts} hosts, one killed");
-    site.run_until(SETTLED);
-    let orders = site.evidence.orders;
-    site.act_at(SETTLED, SiteAction::KillHost(1, 1_000_000));
-    site.run_until(SETTLED + 100);
-    let settled = until_owned(&mut site, engines_of(hosts), 60_000);
-    table.add("fakes: every engine owned again", &size, settled, "ms");
-    table.add("fakes: orders for that", &size, (site.evidence.orders - orders) as f64, "orders");
+    let mut fakes = site(hosts, 3);
+    let scale = format!("{hosts} hosts, one killed");
+    fakes.run_until(SETTLED);
+    let orders = fakes.evidence.orders;
+    fakes.act_at(SETTLED, SiteAction::KillHost(1, 1_000_000));
+    fakes.run_until(SETTLED + 100);
+    let settled = until_owned(&mut fakes, engines_of(hosts), 60_000);
+    table.add("fakes: every engine owned again", &scale, settled, "ms");
+    table.add("fakes: orders for that", &scale, (fakes.evidence.orders - orders) as f64, "orders");
 }
 
 fn hall_lost(table: &mut CapacityTable, hosts: u32) {
-    let mut site = site(hosts, 3);
-    let size = format!("{hosts} hosts, a third restarted at once");
-    site.run_until(SETTLED);
-    let orders = site.evidence.orders;
-    let (messages, bytes) = (site.evidence.messages, site.evidence.message_bytes);
+    let mut fakes = site(hosts, 3);
+    let scale = format!("{hosts} hosts, a third restarted at once");
+    fakes.run_until(SETTLED);
+    let orders = fakes.evidence.orders;
+    let (messages, bytes) = (fakes.evidence.messages, fakes.evidence.message_bytes);
     for host in (1..=hosts).filter(|host| host % 3 == 0) {
-        site.act_at(SETTLED, SiteAction::KillHost(host, 10_000));
+        fakes.act_at(SETTLED, SiteAction::KillHost(host, 10_000));
     }
-    site.run_until(SETTLED + 10_000);
-    let settled = until_owned(&mut site, engines_of(hosts), 60_000);
-    table.add("fakes: every engine owned after the hosts are back", &size, settled, "ms");
-    table.add("fakes: orders for that", &size, (site.evidence.orders - orders) as f64, "orders");
-    let seconds = (site.now - SETTLED) as f64 / 1_000.0;
+    fakes.run_until(SETTLED + 10_000);
+    let settled = until_owned(&mut fakes, engines_of(hosts), 60_000);
+    table.add("fakes: every engine owned after the hosts are back", &scale, settled, "ms");
+    table.add("fakes: orders for that", &scale, (fakes.evidence.orders - orders) as f64, "orders");
+    let seconds = (fakes.now - SETTLED) as f64 / 1_000.0;
     let per_host = 1.0 / (f64::from(hosts) * seconds);
-    let messages = (site.evidence.messages - messages) as f64 * per_host;
-    table.add("fakes: messages meanwhile, per host and second", &size, messages, "messages");
-    let bytes = (site.evidence.message_bytes - bytes) as f64 * per_host;
-    table.add("fakes: bytes meanwhile, per host and second", &size, bytes, "bytes");
+    let messages = (fakes.evidence.messages - messages) as f64 * per_host;
+    table.add("fakes: messages meanwhile, per host and second", &scale, messages, "messages");
+    let bytes = (fakes.evidence.message_bytes - bytes) as f64 * per_host;
+    table.add("fakes: bytes meanwhile, per host and second", &scale, bytes, "bytes");
 }
 
 /// Restarts a tenth of the hosts, one each two seconds, and counts engines that changed hands.
 fn rolling(table: &mut CapacityTable, hosts: u32) {
-    let mut site = site(hosts, 3);
-    let size = format!("{hosts} hosts, a tenth restarted in turn");
-    site.run_until(SETTLED);
-    let orders = site.evidence.orders;
+    let mut fakes = site(hosts, 3);
+    let scale = format!("{hosts} hosts, a tenth restarted in turn");
+    fakes.run_until(SETTLED);
+    let orders = fakes.evidence.orders;
     let restarted = (hosts / 10).max(1);
     for index in 0..restarted {
         let at = SETTLED + u64::from(index) * 2_000;
-        site.act_at(at, SiteAction::DrainHost(1 + index * 10));
+        fakes.act_at(at, SiteAction::DrainHost(1 + index * 10));
     }
-    site.run_until(SETTLED + u64::from(restarted) * 2_000 + 40_000);
-    let orders = (site.evidence.orders - orders) as f64 / f64::from(restarted);
-    table.add("fakes: take-over orders per planned restart", &size, orders, "orders");
-    let owned = owned_engines(&site) as f64;
-    table.add("fakes: engines owned afterwards", &size, owned, "engines");
+    fakes.run_until(SETTLED + u64::from(restarted) * 2_000 + 40_000);
+    let orders = (fakes.evidence.orders - orders) as f64 / f64::from(restarted);
+    table.add("fakes: take-over orders per planned restart", &scale, orders, "orders");
+    let owned = owned_engines(&fakes) as f64;
+    table.add("fakes: engines owned afterwards", &scale, owned, "engines");
 }
--- a/crates/core/src/engine/policy.rs
+++ b/crates/core/src/engine/policy.rs
@@ -38,13 +38,20 @@
 /// How far ahead, in seconds, recent demand is taken to go on.
 const HORIZON_SECONDS: f64 = 10.0;
 
+/// How much of its value a load loses as its first caller waits on.
+const RECENCY: f64 = 0.2;
+
 /// Values loads by the worth that waits and the worth to be expected. The default.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ValuePolicy;
 
 impl ResidencyPolicy for ValuePolicy {
     fn load_value(&self, wish: &LoadWish) -> f64 {
-        wish.waiting_worth + HORIZON_SECONDS * wish.worth_per_second
+        let worth = wish.waiting_worth + HORIZON_SECONDS * wish.worth_per_second;
+        // Among loads of like worth the latest goes first: it has most of its patience left. When
+        // the store can not keep up, oldest first has every load arrive as its callers give up.
+        let age = wish.oldest_wait.as_secs_f64() / HORIZON_SECONDS;
+        worth * (1.0 - RECENCY * age.min(1.0))
     }
 
     fn keep_value(&self, stay: &AdapterStay) -> f64 {
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -20,6 +20,9 @@
 /// How much a newly measured load moves the estimate of how long one takes.
 const TURN_LEARNING: f64 = 0.2;
 
+/// How many turns further back each pass puts a load in the estimate its callers are told.
+const PASSED_WEIGHT: u32 = 1;
+
 /// The store's limits, from the settings tree.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StoreLimits {
@@ -45,6 +48,10 @@
     state: LoadState,
     value: f64,
     owner: HostId,
+    /// When it was first asked for.
+    asked: ClockMillis,
+    /// Turns that went to loads asked for later: the store does not keep up.
+    passed: u32,
     heard: ClockMillis,
     granted: ClockMillis,
 }
@@ -91,6 +98,8 @@
             state: if ask.running { LoadState::Running } else { LoadState::initial() },
             value: ask.value,
             owner: from,
+            asked: now,
+            passed: 0,
             heard: now,
             granted: now,
         });
@@ -121,8 +130,10 @@
             let Some(load) = self.loads.get_mut(&name) else { break };
             load.state = load.state.after(LoadEvent::Granted);
             load.granted = now;
+            let (owner, asked) = (load.owner, load.asked);
+            self.pass_over(asked);
             let turn = LoadTurn { engine: name.0, adapter: name.1 };
-            given.push(GivenTurn { owner: load.owner, turn });
+            given.push(GivenTurn { owner, turn });
         }
         given
     }
@@ -139,9 +150,11 @@
     pub fn place(&self, engine: EngineId, adapter: AdapterKey) -> LoadPlace {
         let value = self.loads.get(&(engine, adapter)).map_or(0.0, |load| load.value);
         let before = |(name, load): &(&LoadName, &AskedLoad)| {
-            **name != (engine, adapter) && (load.state == LoadState::Running || load.value > value)
+            let ahead = load.state == LoadState::Running || load.value > value;
+            **name != (engine, adapter) && ahead
         };
-        let before = self.loads.iter().filter(before).count();
+        let passed = self.loads.get(&(engine, adapter)).map_or(0, |load| load.passed);
+        let before = self.loads.iter().filter(before).count() + (passed * PASSED_WEIGHT) as usize;
         LoadPlace {
             engine,
             adapter,
@@ -165,6 +178,14 @@
         self.loads.clear();
     }
 
+    fn pass_over(&mut self, asked: ClockMillis) {
+        for load in self.loads.values_mut() {
+            if load.state == LoadState::Waiting && load.asked < asked {
+                load.passed += 1;
+            }
+        }
+    }
+
     fn running(&self) -> usize {
         self.loads.values().filter(|load| load.state == LoadState::Running).count()
     }
