--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,6 +5,7 @@
 //! or networks: a message is an entry in a queue with a time. What the fakes saw is kept as
 //! [`Evidence`], and [`check_promises`] judges by that alone, never by what a core believes.
 
+mod actions;
 mod check;
 mod engine;
 mod evidence;
@@ -12,9 +13,11 @@
 mod fault;
 mod host;
 mod log;
+mod orders;
 mod script;
 mod site;
 mod store;
+mod strike;
 
 pub use check::{BrokenPromise, Promise, check_promises};
 pub use engine::{EngineShape, FakeEngine};
--- a/crates/fakes/src/site.rs
+++ b/crates/fakes/src/site.rs
@@ -3,33 +3,38 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap},
-    sync::Arc,
     time::Duration,
 };
 
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64Mcg;
 use reelreel_core::{
-    ClockMillis, NodeConfig, NodeCore, NodeEvent, NodeOrder,
-    clock::HybridStamp,
-    engine::{EngineOrder, OrderResult, ResidencyPolicy, ValuePolicy},
+    ClockMillis, NodeCore, NodeEvent, NodeOrder,
+    engine::{EngineOrder, OrderResult},
     id::{EngineId, HallId, HostId, RequestId},
     message::PeerMessage,
-    node::{
-        HostChange, HostEntry, HostKind, LogStream, NodeReading, NodeTimes, ServerFacts, ServerId,
-    },
-    settings::{ChangeRecord, SettingsFold, fold::LogRecord},
+    node::{HostChange, HostEntry, HostKind, NodeReading, ServerFacts, ServerId},
+    settings::SettingsFold,
 };
 
 use crate::{
-    engine::{EngineShape, FakeEngine},
+    engine::FakeEngine,
     evidence::Evidence,
-    fault::{FaultPlan, PlannedFault, StepKind},
+    fault::{FaultPlan, StepKind},
     host::{FakeHost, HostInput},
     log::FakeLog,
     store::{FakeStore, StoreLoad},
 };
 
+mod lives;
+mod post;
+mod queue;
+mod shape;
+
+use queue::QueueEntry;
+pub(crate) use queue::{Arrival, FaultTarget};
+pub use shape::{CallerCall, SiteAction, SiteMutation, SiteShape};
+
 /// The wall clock at time zero, in milliseconds since the Unix epoch.
 pub(crate) const WALL_START: u64 = 1_800_000_000_000;
 
@@ -43,87 +48,6 @@
 pub(crate) const NEAR: u64 = 1;
 pub(crate) const FAR: u64 = 2;
 
-/// A call by a caller.
-#[derive(Debug, Clone)]
-pub struct CallerCall {
-    /// The host it goes to; the balancer picks a ready one where it is `None`.
-    pub host: Option<HostId>,
-    /// The adapter as service/organisation/adapter; empty for the plain service.
-    pub adapter: String,
-    /// The version, where the caller names one.
-    pub version: Option<u32>,
-    /// The idempotency key.
-    pub key: Option<String>,
-    /// What the caller says of repeating it.
-    pub repeatable: Option<bool>,
-    /// How long it waits for the first token, in milliseconds.
-    pub patience: u64,
-    /// Tokens of the answer.
-    pub tokens: u32,
-}
-
-/// A switch that breaks one mechanism, to show that the checks see it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SiteMutation {
-    /// Engines do not check tokens although the host list says that they do, and holders report
-    /// every end as clean.
-    IgnoreFence,
-    /// A broken exchange is taken for one that never began.
-    BrokenMeansNotRun,
-    /// Every host reads its own claims first.
-    OwnClaimsFirst,
-    /// Nobody shows that a backend server is leaving.
-    HideLeaving,
-    /// A stopping host exits at once.
-    ExitAtOnce,
-    /// Hosts read the settings stream in different orders.
-    ShuffleSettings,
-    /// An answer goes to whichever request waits first, instead of the one it is for.
-    AnswerFirstWaiting,
-    /// Requests are run on another version than the one they named.
-    WrongVersion,
-}
-
-/// What a site is made of.
-#[derive(Clone)]
-pub struct SiteShape {
-    /// Hosts and their halls.
-    pub hosts: Vec<(HostId, HallId)>,
-    /// Engines.
-    pub engines: Vec<EngineShape>,
-    /// Plain servers and their halls.
-    pub servers: Vec<(ServerId, HallId)>,
-    /// The service of the plain servers.
-    pub plain_service: String,
-    /// Loads a second of the weight store.
-    pub loads_per_second: f64,
-    /// The hosts' times.
-    pub times: NodeTimes,
-    /// How loads are valued.
-    pub policy: Arc<dyn ResidencyPolicy>,
-    /// Seeds everything.
-    pub seed: u64,
-    /// Whether messages between hosts take time at all; policies are measured without.
-    pub mutation: Option<SiteMutation>,
-}
-
-impl SiteShape {
-    /// Makes a shape with nothing in it.
-    pub fn new(seed: u64) -> Self {
-        Self {
-            hosts: Vec::new(),
-            engines: Vec::new(),
-            servers: Vec::new(),
-            plain_service: String::from("orders"),
-            loads_per_second: 3.0,
-            times: NodeTimes::default(),
-            policy: Arc::new(ValuePolicy),
-            seed,
-            mutation: None,
-        }
-    }
-}
-
 /// A plain server.
 #[derive(Debug)]
 pub(crate) struct FakeServer {
@@ -131,81 +55,6 @@
     pub(crate) running: BTreeMap<RequestId, usize>,
 }
 
-/// What the site's scripts do.
-#[derive(Debug, Clone)]
-pub enum SiteAction {
-    /// Publishes a change.
-    Publish(ChangeRecord),
-    /// Begins a host's planned stop; it comes back 15 s after it ended.
-    DrainHost(HostId),
-    /// Begins an engine's planned stop; it comes back 10 s after it ended.
-    LeaveEngine(EngineId),
-    /// Kills a host; it comes back after that many milliseconds.
-    KillHost(HostId, u64),
-    /// Restarts an engine with nothing loaded.
-    RestartEngine(EngineId),
-    /// Switches the store off for that many milliseconds.
-    StoreAway(u64),
-}
-
-#[derive(Debug, Clone)]
-pub(crate) enum Arrival {
-    Tick(HostId, u64),
-    Poll(HostId, u64),
-    ReadLog(HostId, u64, LogStream),
-    Input(HostId, u64, HostInput),
-    Peer { from: HostId, to: HostId, stamp: HybridStamp, message: PeerMessage },
-    Order { host: HostId, life: u64, order: EngineOrder },
-    AskReport { host: HostId, life: u64, engine: EngineId },
-    Request { host: HostId, life: u64, order: reelreel_core::node::DispatchOrder },
-    FirstToken { backend: u32, incarnation: u64, request: RequestId },
-    Finish { backend: u32, incarnation: u64, request: RequestId },
-    StoreCheck,
-    Append { host: HostId, life: u64, stream: LogStream, payload: Vec<u8>, ticket: u64 },
-    Call(CallerCall),
-    Act(SiteAction),
-    EndFault(PlannedFault, FaultTarget),
-    Return(HostId),
-    EngineGone(EngineId),
-    EngineBack(EngineId),
-}
-
-/// Whom a fault struck.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct FaultTarget {
-    pub(crate) host: Option<HostId>,
-    pub(crate) engine: Option<EngineId>,
-    pub(crate) request: Option<RequestId>,
-    pub(crate) hall: Option<HallId>,
-}
-
-#[derive(Debug)]
-struct QueueEntry {
-    at: u64,
-    order: u64,
-    arrival: Arrival,
-}
-
-impl PartialEq for QueueEntry {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for QueueEntry {}
-
-impl PartialOrd for QueueEntry {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for QueueEntry {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 /// Faults that hold now; several of a kind may overlap.
 #[derive(Debug, Default)]
 pub(crate) struct ActiveFaults {
@@ -308,7 +157,7 @@
         site
     }
 
-    fn first_host_list(&mut self) {
+    pub(crate) fn first_host_list(&mut self) {
         let mut entries = Vec::new();
         for host in self.hosts.values() {
             let (id, hall) = (host.host, host.hall);
@@ -368,7 +217,7 @@
         self.now = end;
     }
 
-    fn take(&mut self, arrival: Arrival) {
+    pub(crate) fn take(&mut self, arrival: Arrival) {
         match arrival {
             Arrival::Tick(host, life) => self.tick(host, life),
             Arrival::Poll(host, life) => self.poll(host, life),
@@ -407,134 +256,6 @@
         }
     }
 
-    /// Starts a host's next life.
-    pub(crate) fn start_host(&mut self, id: HostId) {
-        let reading = self.reading(id);
-        let Some(host) = self.hosts.get_mut(&id) else { return };
-        if host.core.is_some() {
-            return;
-        }
-        host.life += 1;
-        host.best_revision = host.best_revision.max(host.last_revision);
-        host.last_revision = 0;
-        host.frozen = false;
-        host.drained = false;
-        host.waiting.clear();
-        host.exchanges.clear();
-        host.follows.clear();
-        host.hosts_version = 0;
-        let incarnation = WALL_START + self.now + 1;
-        let config = NodeConfig::new(id, host.hall, incarnation)
-            .peer_address(format!("host-{id}"))
-            .seed(self.shape.seed ^ u64::from(id) ^ (host.life << 32))
-            .times(self.shape.times)
-            .policy(Arc::clone(&self.shape.policy));
-        host.incarnation = incarnation;
-        let life = host.life;
-        let mut core = NodeCore::new(config);
-        let orders = core.start(reading);
-        host.core = Some(core);
-        self.carry_out(id, orders);
-        let jitter = self.rng.random_range(0..TICK);
-        self.push(jitter, Arrival::Tick(id, life));
-        self.push(jitter / 2, Arrival::Poll(id, life));
-    }
-
-    /// Ends a host's life at once. Callers and backend servers see their connections close.
-    pub(crate) fn kill_host(&mut self, id: HostId) {
-        let Some(host) = self.hosts.get_mut(&id) else { return };
-        host.core = None;
-        host.frozen = false;
-        host.exchanges.clear();
-        host.waiting.clear();
-        for caller in self.evidence.callers.values_mut() {
-            if caller.host == id && caller.told.is_none() {
-                caller.hung_up = true;
-            }
-        }
-    }
-
-    fn tick(&mut self, id: HostId, life: u64) {
-        let Some(host) = self.hosts.get(&id).filter(|host| host.life == life) else { return };
-        if host.core.is_none() {
-            return;
-        }
-        let runs = host.runs();
-        self.push(TICK, Arrival::Tick(id, life));
-        if runs {
-            self.handle(id, NodeEvent::Tick);
-        }
-    }
-
-    fn poll(&mut self, id: HostId, life: u64) {
-        let Some(host) = self.hosts.get(&id).filter(|host| host.life == life) else { return };
-        if host.core.is_none() {
-            return;
-        }
-        self.push(POLL, Arrival::Poll(id, life));
-        for stream in LogStream::ALL {
-            self.read_log(id, life, stream);
-        }
-        self.read_hosts(id, life);
-    }
-
-    /// Says whether a host reaches the platform.
-    pub(crate) fn reaches_platform(&self, id: HostId) -> bool {
-        let hall = self.hosts.get(&id).map(|host| host.hall);
-        hall.is_some_and(|hall| !self.active.cut_halls.contains(&hall))
-    }
-
-    fn read_log(&mut self, id: HostId, life: u64, stream: LogStream) {
-        let slow = if self.active.log_slow > 0 { 2_500 } else { 1 };
-        let away = self.active.log_away > 0 || !self.reaches_platform(id);
-        let mutation = self.shape.mutation;
-        let Some(host) = self.hosts.get_mut(&id).filter(|host| host.life == life) else { return };
-        let Some(from) = host.follows.get(&stream).copied() else { return };
-        if away {
-            let event = NodeEvent::LogAway(stream);
-            self.push(1, Arrival::Input(id, life, HostInput::Event(event)));
-            return;
-        }
-        let (mut records, end) = self.log.read(stream, from);
-        if let Some(last) = records.last() {
-            host.follows.insert(stream, last.offset + 1);
-        }
-        if mutation == Some(SiteMutation::ShuffleSettings) && stream == LogStream::Settings {
-            swap_payloads(&mut records, id);
-        }
-        if mutation == Some(SiteMutation::OwnClaimsFirst) && stream == LogStream::Claims {
-            own_claims_only(&mut records, id);
-        }
-        if !records.is_empty() {
-            match stream {
-                LogStream::Claims => self.step(StepKind::ClaimReads, Some(id), None, None),
-                LogStream::Settings => self.step(StepKind::PublicationReads, Some(id), None, None),
-                LogStream::Snapshots => {}
-            }
-        }
-        let first = self.log.first(stream);
-        let event = NodeEvent::LogRead { stream, first, records, end };
-        self.push(slow, Arrival::Input(id, life, HostInput::Event(event)));
-    }
-
-    fn read_hosts(&mut self, id: HostId, life: u64) {
-        if self.active.hosts_stale > 0 || !self.reaches_platform(id) {
-            return;
-        }
-        let now = self.now;
-        let Some(host) = self.hosts.get_mut(&id) else { return };
-        let shown = self.host_changes.iter().take_while(|(at, _)| *at <= now).count();
-        let fresh: Vec<HostChange> = self.host_changes[host.hosts_version.min(shown)..shown]
-            .iter()
-            .map(|(_, change)| change.clone())
-            .collect();
-        host.hosts_version = shown;
-        for change in fresh {
-            let event = NodeEvent::Hosts(change);
-            self.push(1, Arrival::Input(id, life, HostInput::Event(event)));
-        }
-    }
-
     /// Hands a host an event and carries out what follows.
     pub(crate) fn handle(&mut self, id: HostId, event: NodeEvent) {
         let reading = self.reading(id);
@@ -545,7 +266,7 @@
         self.carry_out(id, orders);
     }
 
-    fn note_revision(&mut self, id: HostId) {
+    pub(crate) fn note_revision(&mut self, id: HostId) {
         let at = self.now;
         let Some(host) = self.hosts.get_mut(&id) else { return };
         let Some(core) = host.core.as_ref() else { return };
@@ -607,7 +328,7 @@
         }
     }
 
-    fn carry_out(&mut self, id: HostId, orders: Vec<NodeOrder>) {
+    pub(crate) fn carry_out(&mut self, id: HostId, orders: Vec<NodeOrder>) {
         let Some(host) = self.hosts.get(&id) else { return };
         let life = host.life;
         for order in orders {
@@ -615,7 +336,7 @@
         }
     }
 
-    fn carry_out_one(&mut self, id: HostId, life: u64, order: NodeOrder) {
+    pub(crate) fn carry_out_one(&mut self, id: HostId, life: u64, order: NodeOrder) {
         match order {
             NodeOrder::Send { to, stamp, message, .. } => self.post(id, to, stamp, message),
             NodeOrder::Dispatch(order) => {
@@ -654,67 +375,6 @@
         }
     }
 
-    /// Puts a message between hosts on its way.
-    fn post(&mut self, from: HostId, to: HostId, stamp: HybridStamp, message: PeerMessage) {
-        self.evidence.messages += 1;
-        self.evidence.message_bytes += self.measure.map_or(0, |measure| measure(&message));
-        if self.active.lossy > 0 && self.rng.random_range(0..3) == 0 {
-            return;
-        }
-        let hall = |site: &Self, id: HostId| site.hosts.get(&id).map(|host| host.hall);
-        let near = hall(self, from) == hall(self, to);
-        let mut delay = if near { NEAR } else { FAR };
-        if self.active.late > 0 {
-            delay += 2_000;
-        }
-        if self.active.disorder > 0 {
-            delay += self.rng.random_range(0..800);
-        }
-        if self.active.doubled > 0 {
-            let again = delay + self.rng.random_range(0..2_000);
-            let message = message.clone();
-            self.push(again, Arrival::Peer { from, to, stamp, message });
-        }
-        self.push(delay, Arrival::Peer { from, to, stamp, message });
-    }
-
-    fn deliver(&mut self, from: HostId, to: HostId, stamp: HybridStamp, message: PeerMessage) {
-        let (Some(sender), Some(receiver)) = (self.hosts.get(&from), self.hosts.get(&to)) else {
-            return;
-        };
-        let crosses = sender.hall != receiver.hall;
-        let cut = |hall: &HallId| self.active.cut_halls.contains(hall);
-        if sender.mute > 0 || receiver.deaf > 0 {
-            return;
-        }
-        if crosses && (cut(&sender.hall) || cut(&receiver.hall)) {
-            return;
-        }
-        let life = receiver.life;
-        self.step_of_message(to, &message);
-        let event = NodeEvent::Peer { from, stamp, message };
-        self.input(to, life, HostInput::Event(event));
-    }
-
-    fn step_of_message(&mut self, to: HostId, message: &PeerMessage) {
-        let (kind, engine, request) = match message {
-            PeerMessage::PermitAsk(ask) => {
-                (StepKind::AskArrives, Some(ask.engine), Some(ask.request.request))
-            }
-            PeerMessage::PermitGranted(granted) => {
-                (StepKind::GrantArrives, Some(granted.engine), Some(granted.request))
-            }
-            PeerMessage::PermitDone(done) => {
-                (StepKind::DoneArrives, Some(done.engine), Some(done.request))
-            }
-            PeerMessage::LoadAsk(ask) => (StepKind::TurnAsked, Some(ask.engine), None),
-            PeerMessage::LoadGrant(turn) => (StepKind::TurnArrives, Some(turn.engine), None),
-            PeerMessage::Heartbeat(_) => (StepKind::HeartbeatArrives, None, None),
-            _ => return,
-        };
-        self.step(kind, Some(to), engine, request);
-    }
-
     /// Picks a host that says it is ready, as the balancer does.
     pub(crate) fn ready_host(&mut self) -> Option<HostId> {
         let ready: Vec<HostId> = self
@@ -749,25 +409,3 @@
         reelreel_core::clock::duration_millis(duration)
     }
 }
-
-/// Gives every other host a stream in which neighbours changed places.
-fn swap_payloads(records: &mut [LogRecord], host: HostId) {
-    if host.is_multiple_of(2) {
-        return;
-    }
-    for pair in records.chunks_exact_mut(2) {
-        let (left, right) = pair.split_at_mut(1);
-        std::mem::swap(&mut left[0].payload, &mut right[0].payload);
-    }
-}
-
-/// Leaves a host nothing but its own claims.
-fn own_claims_only(records: &mut [LogRecord], host: HostId) {
-    let own = format!("\"request\":\"{host:x}");
-    for record in records {
-        let text = String::from_utf8_lossy(&record.payload).into_owned();
-        if !text.contains(&own) {
-            record.payload = b"{\"format\":1}".to_vec();
-        }
-    }
-}
