--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -447,3 +447,17 @@
         prop_assert!(left.is_empty(), "{left:?}");
     }
 }
+
+#[test]
+fn the_example_trees_have_no_mistakes_and_differ_only_in_settings() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+    for name in ["dev.toml", "kigali.toml", "ljubljana.toml"] {
+        let text = std::fs::read_to_string(format!("{folder}/{name}")).expect("an example");
+        let mut tree = read_tree(&text).unwrap_or_else(|mistakes| panic!("{name}: {mistakes:?}"));
+        tree.reindex();
+        assert!(tree.adapter_count() >= 4, "{name}");
+        for model in tree.model_names().map(str::to_owned).collect::<Vec<_>>() {
+            assert!(tree.resolve(&model).is_ok(), "{name}: {model}");
+        }
+    }
+}
