feat: the base model must be echoed too; plain services are told by their kind

Cause: the settings' base model and kind were read by nobody, and the promise names adapter and version on the base model that the service has. Change: an answer is taken only if the engine says that it runs that base model; a path leads only to services of kind plain.

--- a/crates/core/src/node/arrivals.rs
+++ b/crates/core/src/node/arrivals.rs
@@ -126,6 +126,10 @@
             let place = SettingsPath::site().child(name);
             tree.text(&place, SettingKey::PathPrefix)
         };
+        let plain = |name: &str| {
+            let place = SettingsPath::site().child(name);
+            tree.text(&place, SettingKey::Kind).is_some_and(|kind| kind == "plain")
+        };
         let below = |prefix: &str| {
             path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
         };
@@ -134,7 +138,7 @@
             .children
             .iter()
             .filter_map(|(name, node)| Some((name, node, prefix(name)?)))
-            .filter(|(_, _, prefix)| !prefix.is_empty() && below(prefix))
+            .filter(|(name, _, prefix)| plain(name) && !prefix.is_empty() && below(prefix))
             .max_by_key(|(_, _, prefix)| prefix.len());
         let Some((name, node, _)) = service else {
             let message = format!("no service is reached at `{path}`");
@@ -157,8 +161,10 @@
         let patience = request.patience.unwrap_or(settings.deadline);
         let max_tokens =
             request.max_tokens.map_or(settings.max_tokens, |asked| asked.min(settings.max_tokens));
+        let base_model = self.fold.tree().text(path, SettingKey::BaseModel).unwrap_or_default();
         OpenRequest {
             id: request.id,
+            base_model,
             state: RequestState::initial(),
             service: 0,
             service_name,
--- a/crates/core/src/node/dispatch.rs
+++ b/crates/core/src/node/dispatch.rs
@@ -35,6 +35,7 @@
             request: id,
             address,
             adapter_name: String::new(),
+            base_model: String::new(),
             token: 0,
             priority: open.settings.priority,
             max_tokens: 0,
--- a/crates/core/src/node/event.rs
+++ b/crates/core/src/node/event.rs
@@ -221,6 +221,8 @@
     pub address: String,
     /// The adapter's name at the engine; empty for a plain server.
     pub adapter_name: String,
+    /// The base model that the engine must say it runs; empty where any will do.
+    pub base_model: String,
     /// The token the engine checks; zero for a plain server.
     pub token: FenceToken,
     /// The priority the engine is told.
--- a/crates/core/src/node/open.rs
+++ b/crates/core/src/node/open.rs
@@ -41,6 +41,8 @@
     pub(super) state: RequestState,
     pub(super) service: ServiceId,
     pub(super) service_name: String,
+    /// The base model that must answer; empty where the settings name none.
+    pub(super) base_model: String,
     pub(super) organisation: OrganisationId,
     pub(super) route: RequestRoute,
     pub(super) settings: EffectiveSettings,
--- a/crates/core/src/node/permits.rs
+++ b/crates/core/src/node/permits.rs
@@ -220,6 +220,7 @@
             request: granted.request,
             address,
             adapter_name: name.clone(),
+            base_model: open.base_model.clone(),
             token: granted.token,
             priority: open.settings.priority,
             max_tokens: open.max_tokens,
--- a/crates/core/src/settings/effective.rs
+++ b/crates/core/src/settings/effective.rs
@@ -30,8 +30,6 @@
     pub priority: i32,
     /// How much a second of waiting for a load weighs.
     pub stall_weight: f64,
-    /// How much a fuller engine step weighs.
-    pub batch_weight: f64,
     /// Whether a broken request may be sent again by default.
     pub repeatable: bool,
     /// Retries per first try.
@@ -70,7 +68,6 @@
             max_tokens: u32::try_from(number(SettingKey::MaxTokens)).unwrap_or(u32::MAX),
             priority: i32::try_from(number(SettingKey::Priority)).unwrap_or(0),
             stall_weight: fraction(SettingKey::StallWeight),
-            batch_weight: fraction(SettingKey::BatchWeight),
             repeatable: self.flag(path, SettingKey::Repeatable),
             retry_share: fraction(SettingKey::RetryShare),
         }
--- a/crates/core/src/settings/key.rs
+++ b/crates/core/src/settings/key.rs
@@ -136,7 +136,6 @@
     MaxTokens = "max_tokens", SettingKind::Number(1, 1_000_000), [Site, Service, Organisation, Adapter], "1024", "The most tokens one answer may have.";
     Priority = "priority", SettingKind::Number(-10, 10), [Site, Service, Organisation, Adapter], "0", "The priority handed to the engine; higher is served first.";
     StallWeight = "stall_weight", SettingKind::Fraction(0.0, 1000.0), [Site, Service], "1.0", "How much a second of waiting for a load weighs when loads are chosen.";
-    BatchWeight = "batch_weight", SettingKind::Fraction(0.0, 1000.0), [Site, Service], "1.0", "How much a fuller engine step weighs when engines are chosen.";
     Repeatable = "repeatable", SettingKind::Flag, [Site, Service, Organisation, Adapter], "true", "Whether a request that broke off may be sent again where the caller does not say.";
     RetryShare = "retry_share", SettingKind::Fraction(0.0, 1.0), [Site, Service], "0.1", "Retries allowed per first try, over the last ten seconds of one host.";
     Version = "version", SettingKind::Number(1, 4_294_967_295), [Adapter], "", "The version served when a caller names none.";
--- a/crates/node/src/callers/exchange.rs
+++ b/crates/node/src/callers/exchange.rs
@@ -195,10 +195,14 @@
             .send(&body[..])
     }
 
-    /// An answer is taken only if the engine says that it is by the very adapter version.
+    /// An answer is taken only if the engine says that it is by the very base model, adapter and
+    /// version.
     fn echoes(&self, answer: &EngineAnswer, order: &DispatchOrder) -> bool {
         let header = |name: &str| answer.headers().get(name).and_then(|value| value.to_str().ok());
-        header("x-served-model") == Some(order.adapter_name.as_str())
+        let base = order.base_model.as_str();
+        let same_base = base.is_empty() || header("x-base-model") == Some(base);
+        same_base
+            && header("x-served-model") == Some(order.adapter_name.as_str())
             && header("x-request-id") == Some(format!("{:x}", self.id).as_str())
     }
 
