--- a/crates/cli/src/capacity/hosts.rs
+++ b/crates/cli/src/capacity/hosts.rs
@@ -1,12 +1,15 @@
 //! Many hosts: idle cost, messages, time to settle after losses, time for a change to be in force.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use reelreel_core::{
+    ClockMillis,
     chart::EngineState,
     clock::HybridStamp,
-    message::PeerMessage,
+    id::{AdapterKey, takeover_token},
+    message::{PeerMessage, PermitAsk, PermitDone, PermitGranted},
+    request::PermitRequest,
     settings::{EditAction, SettingKey, SettingValue, SettingsEdit, SettingsPath},
 };
 use reelreel_fakes::{EngineShape, FakeSite, FaultPlan, SiteAction, SiteShape};
@@ -23,7 +26,8 @@
 
 fn frame_bytes(message: &PeerMessage) -> u64 {
     let mut bytes = BytesMut::new();
-    let frame = PeerFrame { from: 1, stamp: HybridStamp::default(), message: message.clone() };
+    let stamp = HybridStamp { wall_millis: 1_800_000_000_000, counter: 7 };
+    let frame = PeerFrame { from: 370, stamp, message: message.clone() };
     // A message that can not be written is no message; none is that large here.
     drop(FrameCodec::default().encode(frame, &mut bytes));
     bytes.len() as u64
@@ -50,7 +54,46 @@
     site
 }
 
+/// Adds what single messages take on the wire.
+fn frames(table: &mut CapacityTable) {
+    let (request, attempt, engine) = (u128::MAX / 3, 1, 2_000);
+    let adapter = AdapterKey { adapter: 94_000, version: 1 };
+    let permit = PermitRequest {
+        request,
+        service: 1,
+        organisation: 1_000,
+        adapter,
+        worth: 1.0,
+        share: 1.0,
+        queue_limit: 64,
+        stall_weight: 1.0,
+        deadline: ClockMillis::default(),
+    };
+    let ask = PeerMessage::PermitAsk(PermitAsk {
+        engine,
+        attempt,
+        patience: Duration::from_secs(10),
+        request: permit,
+        may_load: false,
+        replica: false,
+    });
+    let token = takeover_token(0, 370);
+    let granted = PeerMessage::PermitGranted(PermitGranted {
+        request,
+        attempt,
+        engine,
+        token,
+        fill: 50,
+        stalled: false,
+    });
+    let done = PeerMessage::PermitDone(PermitDone { request, attempt, engine, clean: true });
+    for (name, message) in [("ask", ask), ("granted", granted), ("done", done)] {
+        table.add("wire: a permit's message", name, frame_bytes(&message) as f64, "bytes");
+    }
+}
+
 pub(super) fn measure(table: &mut CapacityTable, quick: bool) -> eyre::Result<()> {
+    frames(table);
     let sizes: &[u32] = if quick { &[7, 30] } else { &[7, 30, 123] };
     for hosts in sizes.iter().copied() {
         idle(table, hosts);
--- a/crates/cli/src/platform_log.rs
+++ b/crates/cli/src/platform_log.rs
@@ -36,14 +36,10 @@
     }
 
     fn adopt_snapshot(&self, fold: &mut SettingsFold) -> eyre::Result<()> {
-        let mut from = 0;
-        let mut newest = None;
-        loop {
-            let batch = self.border.read(LogStream::Snapshots, from, Duration::ZERO)?;
-            let Some(last) = batch.records.last() else { break };
-            from = last.offset + 1;
-            newest = Some(last.payload.clone());
-        }
+        let end = self.border.read(LogStream::Snapshots, u64::MAX, Duration::ZERO)?.end;
+        let last = end.saturating_sub(1);
+        let batch = self.border.read(LogStream::Snapshots, last, Duration::ZERO)?;
+        let newest = batch.records.last().map(|record| record.payload.clone());
         if let Some(payload) = newest {
             let snapshot = SettingsSnapshot::from_json(&payload);
             // A snapshot that can not be trusted is no loss while the log still has the records.
--- a/crates/core/src/node/event.rs
+++ b/crates/core/src/node/event.rs
@@ -292,6 +292,11 @@
         /// The first offset wanted.
         from: LogOffset,
     },
+    /// Does not read a stream any more.
+    Ignore {
+        /// The stream.
+        stream: LogStream,
+    },
     /// The planned stop is complete: the process may exit.
     Stopped,
 }
--- a/crates/core/src/node/log.rs
+++ b/crates/core/src/node/log.rs
@@ -41,12 +41,22 @@
         if expired {
             // The log's retention passed this host by: only a snapshot helps.
             self.note("settings", "records expired before they were read");
+            self.orders.push(NodeOrder::Follow { stream: LogStream::Snapshots, from: 0 });
             self.ask_any_peer_for_settings();
             return;
         }
         self.fold_records(records);
         if self.fold.next_offset() >= end {
+            self.confirm_settings();
+        }
+    }
+
+    /// Notes that this host has all that there is. Snapshots are for those who have not: with
+    /// 94,000 adapters one takes 9 MB, which a host that folds the records need not read.
+    pub(super) fn confirm_settings(&mut self) {
+        if !self.progress.settings_confirmed {
             self.progress.settings_confirmed = true;
+            self.orders.push(NodeOrder::Ignore { stream: LogStream::Snapshots });
         }
     }
 
@@ -98,6 +108,7 @@
                 self.note("settings", format!("revision {revision} taken from a snapshot"));
                 let stream = LogStream::Settings;
                 self.orders.push(NodeOrder::Follow { stream, from });
+                self.orders.push(NodeOrder::Ignore { stream: LogStream::Snapshots });
                 self.view_dirty = true;
                 self.settle_ownership();
             }
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -148,7 +148,7 @@
         if heartbeat.next_offset > self.fold.next_offset() {
             self.pull_settings(from);
         } else if self.fold.revision() > 0 {
-            self.progress.settings_confirmed = true;
+            self.confirm_settings();
         }
         if heartbeat.table_hash != self.table_hash() || !self.hosts_known {
             self.ask_sync(from);
--- a/crates/fakes/src/site.rs
+++ b/crates/fakes/src/site.rs
@@ -371,6 +371,11 @@
                 }
                 self.push(1, Arrival::ReadLog(id, life, stream));
             }
+            NodeOrder::Ignore { stream } => {
+                if let Some(host) = self.hosts.get_mut(&id) {
+                    host.follows.remove(&stream);
+                }
+            }
             NodeOrder::Stopped => self.host_stopped(id),
         }
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -253,7 +253,10 @@
                 drop(self.outputs.appends.send(AppendCall { stream, payload, ticket }));
             }
             NodeOrder::Follow { stream, from } => {
-                let _ended = self.outputs.follows.send(FollowCall { stream, from });
+                let _ended = self.outputs.follows.send(FollowCall { stream, from: Some(from) });
+            }
+            NodeOrder::Ignore { stream } => {
+                let _ended = self.outputs.follows.send(FollowCall { stream, from: None });
             }
             NodeOrder::Stopped => drop(self.outputs.stopped.send(())),
         }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -24,6 +24,9 @@
 /// How long one read waits for records.
 const READ_WAIT: Duration = Duration::from_secs(2);
 
+/// An offset that no stream reaches: a read from there tells where the stream ends.
+const PAST_END: LogOffset = LogOffset::MAX;
+
 /// How long to wait after a failed read.
 const READ_PAUSE: Duration = Duration::from_millis(500);
 
@@ -46,8 +49,8 @@
 pub struct FollowCall {
     /// The stream.
     pub stream: LogStream,
-    /// The first offset wanted.
-    pub from: LogOffset,
+    /// The first offset wanted; none to read no further.
+    pub from: Option<LogOffset>,
 }
 
 /// Starts the threads that append; each stream has its own, so that none waits for another.
@@ -88,7 +91,7 @@
     let (sender, calls) = mpsc::channel::<FollowCall>();
     let (log, control, stop) = (Arc::clone(log), control.clone(), Arc::clone(stop));
     thread::spawn(move || {
-        let readers: Vec<(LogStream, Sender<LogOffset>)> = LogStream::ALL
+        let readers: Vec<(LogStream, Sender<Option<LogOffset>>)> = LogStream::ALL
             .iter()
             .map(|stream| {
                 let (sender, offsets) = mpsc::channel();
@@ -108,25 +111,46 @@
     sender
 }
 
+/// Waits until the stream is wanted; returns from where, or `None` at the process's end.
+fn next_offset(offsets: &Receiver<Option<LogOffset>>) -> Option<LogOffset> {
+    loop {
+        if let Some(offset) = offsets.recv().ok()? {
+            return Some(offset);
+        }
+    }
+}
+
 fn read_stream(
     log: &dyn LogBorder,
     stream: LogStream,
-    offsets: &Receiver<LogOffset>,
+    offsets: &Receiver<Option<LogOffset>>,
     control: &ControlSender,
     stop: &AtomicBool,
 ) {
-    let Ok(mut from) = offsets.recv() else { return };
+    let Some(mut from) = next_offset(offsets) else { return };
     // What is there already is read at once; only at the end is there anything to wait for.
     let mut wait = Duration::ZERO;
     while !stop.load(Ordering::Relaxed) {
         match offsets.try_recv() {
-            Ok(offset) => {
+            Ok(Some(offset)) => {
                 from = offset;
                 wait = Duration::ZERO;
             }
+            Ok(None) => match next_offset(offsets) {
+                Some(offset) => {
+                    from = offset;
+                    wait = Duration::ZERO;
+                }
+                None => return,
+            },
             Err(mpsc::TryRecvError::Empty) => {}
             Err(mpsc::TryRecvError::Disconnected) => return,
         }
+        if stream == LogStream::Snapshots && from == 0 {
+            // Only the newest one is of any use, and each may be large.
+            from = log.read(stream, PAST_END, Duration::ZERO).map_or(0, |batch| batch.end);
+            from = from.saturating_sub(1);
+        }
         match log.read(stream, from, wait) {
             Ok(batch) => {
                 from = batch.records.last().map_or(from, |record| record.offset + 1);
