fix(core): a request outlasts a take-over

Cause: an owner that says it is none was asked again every 0.1 s, and 24 attempts were used up in about three seconds; a take-over after a host's death takes 5.5 s. Ruled out: more attempts, which would only ask more often. Change: the rest between attempts grows up to eight times. Measured: the new test is refused after 3,260 ms and 24 asks before the change and outlasts five seconds after it; matrix and properties pass (one run).

--- a/crates/core/src/node/permits.rs
+++ b/crates/core/src/node/permits.rs
@@ -22,6 +22,9 @@
 /// How soon to come back when no backend server is there.
 const BACKEND_BACK_SOON: Duration = Duration::from_secs(2);
 
+/// A rest grows up to this many times the first one.
+const MOST_PAUSES: u32 = 8;
+
 /// Asks and sendings of one request at most.
 pub(super) const MOST_ATTEMPTS: u32 = 24;
 
@@ -162,9 +165,11 @@
         rendezvous(key, self.members.owners(Some(hall)))
     }
 
-    /// Lets a request rest before it is routed again.
+    /// Lets a request rest before it is routed again, longer with each attempt: a take-over takes
+    /// seconds, and the attempts must last beyond it.
     pub(super) fn pause(&mut self, id: RequestId) {
-        let pause = self.jitter(self.config.times.reroute_after);
+        let attempts = self.open.get(&id).map_or(1, |open| open.attempt.clamp(1, MOST_PAUSES));
+        let pause = self.jitter(self.config.times.reroute_after * attempts);
         let at = self.now() + pause;
         if let Some(open) = self.open.get_mut(&id) {
             open.ask = AskState::Paused;
--- /dev/null
+++ b/crates/core/tests/rerouting.rs
@@ -0,0 +1,124 @@
+//! A request outlasts a take-over: hosts that say they are no owner do not use its attempts up.
+
+use std::time::Duration;
+
+use reelreel_core::{
+    ClockMillis, NodeConfig, NodeCore, NodeEvent, NodeOrder,
+    clock::HybridStamp,
+    engine::EngineFacts,
+    id::request_id,
+    message::{PeerMessage, PermitAsk, PermitGranted, PermitRefusal, PermitRefused},
+    node::{HostChange, HostEntry, HostKind, LogStream, NodeReading},
+    request::{ArrivedRequest, RequestTarget},
+    settings::{ChangeRecord, SettingsTree, fold::LogRecord, read_tree},
+};
+
+const TREE: &str =
+    "[service.assist]\n[service.assist.organisation.north.adapter.brakes]\nversion = 1\n";
+
+const OWNER: u32 = 2;
+
+fn reading(millis: u64) -> NodeReading {
+    NodeReading { now: ClockMillis::from_millis(millis), wall_millis: millis }
+}
+
+/// Makes a host in hall 9 that knows one engine and one host in hall 1.
+fn core() -> NodeCore {
+    let mut core = NodeCore::new(NodeConfig::new(1, 9, 1));
+    core.start(reading(1));
+    let tree = read_tree(TREE).expect("no mistakes");
+    let record = ChangeRecord {
+        format: 1,
+        change_id: String::from("first"),
+        base_revision: 0,
+        author: String::new(),
+        message: String::new(),
+        edits: SettingsTree::default().edits_towards(&tree),
+    };
+    let payload = serde_json::to_vec(&record).expect("JSON");
+    let records = vec![LogRecord { offset: 0, written_millis: 0, payload }];
+    let read = NodeEvent::LogRead { stream: LogStream::Settings, first: 0, records, end: 1 };
+    core.handle(reading(2), read);
+    let address = String::from("10.0.0.2:7000");
+    let engine = EngineFacts {
+        engine: 1,
+        hall: 1,
+        service: String::from("assist"),
+        address: String::from("10.0.0.9:8000"),
+        slots: 4,
+        streams: 8,
+        checks_fence: true,
+        incarnation: 1,
+    };
+    let entries = vec![
+        HostEntry { kind: HostKind::Entry { host: OWNER, hall: 1, address }, leaving: false },
+        HostEntry { kind: HostKind::Engine(engine), leaving: false },
+    ];
+    core.handle(reading(3), NodeEvent::Hosts(HostChange { entries, ..HostChange::default() }));
+    core
+}
+
+fn ask_of(orders: &[NodeOrder]) -> Option<PermitAsk> {
+    orders.iter().find_map(|order| match order {
+        NodeOrder::Send { message: PeerMessage::PermitAsk(ask), .. } => Some(ask.clone()),
+        _ => None,
+    })
+}
+
+fn from_owner(message: PeerMessage) -> NodeEvent {
+    NodeEvent::Peer { from: OWNER, stamp: HybridStamp::default(), message }
+}
+
+#[test]
+fn a_request_outlasts_five_seconds_without_an_owner() {
+    let mut core = core();
+    let request = request_id(1, 1, 1);
+    let arrived = ArrivedRequest {
+        id: request,
+        target: RequestTarget::Model(String::from("north/brakes")),
+        patience: Some(Duration::from_secs(10)),
+        repeatable: None,
+        key: None,
+        max_tokens: None,
+    };
+    let mut orders = core.handle(reading(3_000), NodeEvent::Arrived(arrived));
+    let mut last_ask = None;
+    let mut asks = 0;
+    for millis in (3_000..8_000).step_by(20) {
+        let refused = orders.iter().any(|order| matches!(order, NodeOrder::Refuse { .. }));
+        assert!(!refused, "refused after {} ms and {asks} asks", millis - 3_000);
+        let mut next = core.handle(reading(millis), NodeEvent::Tick);
+        if let Some(ask) = ask_of(&orders) {
+            asks += 1;
+            let refused = PermitRefused {
+                request,
+                attempt: ask.attempt,
+                engine: ask.engine,
+                reason: PermitRefusal::NotOwner,
+                retry_after: None,
+            };
+            let message = PeerMessage::PermitRefused(refused);
+            next.extend(core.handle(reading(millis), from_owner(message)));
+        }
+        orders = next;
+    }
+    for millis in (8_000..10_000).step_by(20) {
+        last_ask = ask_of(&orders).or(last_ask);
+        if last_ask.is_some() {
+            break;
+        }
+        orders = core.handle(reading(millis), NodeEvent::Tick);
+    }
+    let ask = last_ask.expect("it asks on");
+    let granted = PermitGranted {
+        request,
+        attempt: ask.attempt,
+        engine: ask.engine,
+        token: 1 << 40,
+        fill: 10,
+        stalled: false,
+    };
+    let orders = core.handle(reading(10_000), from_owner(PeerMessage::PermitGranted(granted)));
+    let sent = orders.iter().any(|order| matches!(order, NodeOrder::Dispatch(_)));
+    assert!(sent, "{orders:?}");
+}
