fix(core): an engine that left is used again once it is back in a new life

Cause: a sign of leaving stuck until the host list showed a new life; an engine that restarted by itself, without the list counting it, was never used again. Change: the sign also ends when an owner says that the engine serves in a later life than the one it left in.

--- a/crates/core/src/engine/control.rs
+++ b/crates/core/src/engine/control.rs
@@ -71,7 +71,7 @@
     pub(super) policy: Arc<dyn ResidencyPolicy>,
     pub(super) times: EngineTimes,
     pub(super) state: EngineState,
-    /// The state was entered then; in `Waiting` it ends at `wait_until`.
+    /// The state `Waiting` lasts until then.
     pub(super) wait_until: ClockMillis,
     /// Our token, once the take-over has begun.
     pub(super) token: FenceToken,
@@ -94,8 +94,9 @@
     pub(super) queue: FairQueue<WaitingPermit>,
     /// How long a permit is out, on average.
     pub(super) service_seconds: f64,
-    /// How long a turn at the store takes, and how many went before at the last word.
+    /// How long a turn at the store takes, by the last word of the host that gives them.
     pub(super) turn: Duration,
+    /// Wishes were last repeated then.
     pub(super) asked_at: ClockMillis,
     digest_sequence: u64,
     digest_dirty: bool,
--- a/crates/core/src/node/dispatch.rs
+++ b/crates/core/src/node/dispatch.rs
@@ -51,7 +51,7 @@
         let open = self.open.get(&id)?;
         let usable = |view: &&ServerView| {
             view.facts.service == open.service_name
-                && view.left_in.is_none()
+                && !view.leave.holds()
                 && now >= view.avoid_until
         };
         let cost = |view: &&ServerView| {
@@ -224,8 +224,10 @@
 
     /// Takes any sign that an engine is leaving. It sticks until a later life of the engine.
     pub(super) fn mark_leaving(&mut self, engine: EngineId) {
+        let known = self.controls.get(&engine).map_or(0, EngineControl::incarnation);
         let Some(view) = self.backends.engines.get_mut(&engine) else { return };
-        if view.left_in.replace(view.facts.incarnation).is_none() {
+        let passed_on = view.digest.as_ref().map_or(0, |digest| digest.incarnation);
+        if view.leave.mark(view.facts.incarnation, known.max(passed_on)) {
             self.note(format!("engine {engine}"), "seen leaving");
         }
         self.control(engine, EngineControl::leave_seen);
@@ -233,7 +235,7 @@
 
     fn mark_server_leaving(&mut self, server: ServerId) {
         if let Some(view) = self.backends.servers.get_mut(&server) {
-            view.left_in = Some(view.facts.incarnation);
+            view.leave.mark(view.facts.incarnation, 0);
         }
     }
 }
--- a/crates/core/src/node/inbox.rs
+++ b/crates/core/src/node/inbox.rs
@@ -54,7 +54,7 @@
         }
         let left = |engine| {
             let view = self.backends.engines.get(&engine);
-            view.is_some_and(|view| view.left_in.is_some())
+            view.is_some_and(|view| view.leave.holds())
         };
         if left(ask.engine) {
             self.send(from, refuse(PermitRefusal::Leaving));
--- a/crates/core/src/node/owning.rs
+++ b/crates/core/src/node/owning.rs
@@ -167,7 +167,7 @@
         let (host, policy) = (self.config.host, self.config.policy.clone());
         let times = self.config.times.engine(half_life);
         let facts = &view.facts;
-        let left = view.left_in.is_some();
+        let left = view.leave.holds();
         self.controls
             .entry(engine)
             .or_insert_with(|| EngineControl::new(facts.clone(), host, policy, times));
--- a/crates/core/src/node/table.rs
+++ b/crates/core/src/node/table.rs
@@ -13,13 +13,51 @@
 /// Names a plain server, as in the platform's host list.
 pub type ServerId = u32;
 
+/// What says that a backend server is leaving. It sticks until a later life of the server.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct LeaveSign {
+    /// The life, as the host list counts it, in which it was seen leaving.
+    listed: Option<Incarnation>,
+    /// The life as the server itself counted it then; zero where that was not known.
+    own: Incarnation,
+}
+
+impl LeaveSign {
+    /// Says whether nothing new may go there.
+    pub(super) const fn holds(self) -> bool {
+        self.listed.is_some()
+    }
+
+    /// Takes an entry of the host list.
+    fn hear_list(&mut self, incarnation: Incarnation, leaving: bool) {
+        if self.listed.is_some_and(|left| left < incarnation) {
+            self.listed = None;
+        }
+        if leaving {
+            self.listed = Some(incarnation);
+        }
+    }
+
+    /// Notes any other sign; says whether it is the first.
+    pub(super) fn mark(&mut self, listed: Incarnation, own: Incarnation) -> bool {
+        self.own = self.own.max(own);
+        self.listed.replace(listed).is_none()
+    }
+
+    /// Takes the word that the server serves in a life of its own counting.
+    fn hear_serving(&mut self, own: Incarnation) {
+        if own > self.own {
+            self.listed = None;
+        }
+    }
+}
+
 /// One engine as an entry host sees it.
 #[derive(Debug, Clone)]
 pub(super) struct EngineView {
     pub(super) facts: EngineFacts,
     pub(super) digest: Option<EngineDigest>,
-    /// The life in which any sign said that it is leaving; only a later life takes it back.
-    pub(super) left_in: Option<Incarnation>,
+    pub(super) leave: LeaveSign,
     /// Not to be tried before.
     pub(super) avoid_until: ClockMillis,
     /// How full it was at the last permit, in hundredths, and our permits since.
@@ -30,7 +68,7 @@
 impl EngineView {
     /// Says whether new work may go there.
     pub(super) fn open(&self, now: ClockMillis) -> bool {
-        self.left_in.is_none() && now >= self.avoid_until
+        !self.leave.holds() && now >= self.avoid_until
     }
 
     /// Estimates how full it is, in hundredths.
@@ -43,7 +81,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct ServerView {
     pub(super) facts: ServerFacts,
-    pub(super) left_in: Option<Incarnation>,
+    pub(super) leave: LeaveSign,
     pub(super) avoid_until: ClockMillis,
     pub(super) outstanding: u32,
 }
@@ -65,7 +103,7 @@
         let view = self.engines.entry(engine).or_insert_with(|| EngineView {
             facts: facts.clone(),
             digest: None,
-            left_in: None,
+            leave: LeaveSign::default(),
             avoid_until: ClockMillis::default(),
             fill: 0,
             outstanding: 0,
@@ -73,12 +111,7 @@
         if incarnation < view.facts.incarnation {
             return;
         }
-        if view.left_in.is_some_and(|left| left < incarnation) {
-            view.left_in = None;
-        }
-        if leaving {
-            view.left_in = Some(incarnation);
-        }
+        view.leave.hear_list(incarnation, leaving);
         view.facts = facts;
         self.index_services();
     }
@@ -88,19 +121,14 @@
         let incarnation = facts.incarnation;
         let view = self.servers.entry(facts.server).or_insert_with(|| ServerView {
             facts: facts.clone(),
-            left_in: None,
+            leave: LeaveSign::default(),
             avoid_until: ClockMillis::default(),
             outstanding: 0,
         });
         if incarnation < view.facts.incarnation {
             return;
         }
-        if view.left_in.is_some_and(|left| left < incarnation) {
-            view.left_in = None;
-        }
-        if leaving {
-            view.left_in = Some(incarnation);
-        }
+        view.leave.hear_list(incarnation, leaving);
         view.facts = facts;
     }
 
@@ -118,6 +146,9 @@
         if view.digest.as_ref().is_some_and(|known| known.version() >= digest.version()) {
             return false;
         }
+        if digest.serving {
+            view.leave.hear_serving(digest.incarnation);
+        }
         let old = view.digest.replace(digest.clone());
         self.unindex(old.as_ref());
         for adapter in &digest.residents {
@@ -149,11 +180,11 @@
     pub(super) fn host_entries(&self) -> Vec<HostEntry> {
         let engine = |view: &EngineView| HostEntry {
             kind: HostKind::Engine(view.facts.clone()),
-            leaving: view.left_in.is_some(),
+            leaving: view.leave.holds(),
         };
         let server = |view: &ServerView| HostEntry {
             kind: HostKind::Server(view.facts.clone()),
-            leaving: view.left_in.is_some(),
+            leaving: view.leave.holds(),
         };
         let servers = self.servers.values().map(server);
         self.engines.values().map(engine).chain(servers).collect()
--- a/crates/core/tests/rerouting.rs
+++ b/crates/core/tests/rerouting.rs
@@ -6,8 +6,9 @@
     ClockMillis, NodeConfig, NodeCore, NodeEvent, NodeOrder,
     clock::HybridStamp,
     engine::EngineFacts,
+    gossip::EngineDigest,
     id::request_id,
-    message::{PeerMessage, PermitAsk, PermitGranted, PermitRefusal, PermitRefused},
+    message::{PeerMessage, PermitAsk, PermitGranted, PermitRefusal, PermitRefused, SyncReply},
     node::{HostChange, HostEntry, HostKind, LogStream, NodeReading},
     request::{ArrivedRequest, RequestTarget},
     settings::{ChangeRecord, SettingsTree, fold::LogRecord, read_tree},
@@ -69,19 +70,63 @@
     NodeEvent::Peer { from: OWNER, stamp: HybridStamp::default(), message }
 }
 
-#[test]
-fn a_request_outlasts_five_seconds_without_an_owner() {
-    let mut core = core();
-    let request = request_id(1, 1, 1);
-    let arrived = ArrivedRequest {
-        id: request,
+fn arrival(counter: u32) -> NodeEvent {
+    NodeEvent::Arrived(ArrivedRequest {
+        id: request_id(1, 1, counter),
         target: RequestTarget::Model(String::from("north/brakes")),
         patience: Some(Duration::from_secs(10)),
         repeatable: None,
         key: None,
         max_tokens: None,
+    })
+}
+
+#[test]
+fn a_leaving_engine_is_used_again_only_in_a_later_life() {
+    let mut core = core();
+    let left = |millis, core: &mut NodeCore, counter| {
+        let orders = core.handle(reading(millis), arrival(counter));
+        let refused = orders.iter().any(|order| matches!(order, NodeOrder::Refuse { .. }));
+        assert_ne!(refused, ask_of(&orders).is_some(), "{orders:?}");
+        refused
     };
-    let mut orders = core.handle(reading(3_000), NodeEvent::Arrived(arrived));
+    let digest = |incarnation, sequence| {
+        let digest = EngineDigest {
+            engine: 1,
+            incarnation,
+            owner: OWNER,
+            token: 1 << 40,
+            sequence,
+            serving: true,
+            residents: Vec::new(),
+        };
+        from_owner(PeerMessage::SyncReply(SyncReply {
+            digests: vec![digest],
+            ..SyncReply::default()
+        }))
+    };
+    core.handle(reading(2_000), digest(5, 1));
+    assert!(!left(2_001, &mut core, 1));
+    let refused = PermitRefused {
+        request: request_id(1, 1, 1),
+        attempt: 1,
+        engine: 1,
+        reason: PermitRefusal::Leaving,
+        retry_after: None,
+    };
+    core.handle(reading(2_002), from_owner(PeerMessage::PermitRefused(refused)));
+    assert!(left(2_003, &mut core, 2), "its owner says that it is leaving");
+    core.handle(reading(2_004), digest(5, 2));
+    assert!(left(2_005, &mut core, 3), "late news of the same life takes nothing back");
+    core.handle(reading(2_006), digest(6, 1));
+    assert!(!left(2_007, &mut core, 4), "it is back in a new life");
+}
+
+#[test]
+fn a_request_outlasts_five_seconds_without_an_owner() {
+    let mut core = core();
+    let request = request_id(1, 1, 1);
+    let mut orders = core.handle(reading(3_000), arrival(1));
     let mut last_ask = None;
     let mut asks = 0;
     for millis in (3_000..8_000).step_by(20) {
