--- a/crates/cli/src/dev/site.rs
+++ b/crates/cli/src/dev/site.rs
@@ -14,7 +14,7 @@
     platform::{HostRecord, HostRole, HostState},
 };
 
-use crate::platform_log::PlatformLog;
+use crate::{options::LogSource, platform_log::PlatformLog};
 
 /// How long a site may take until every host serves.
 const READY_WITHIN: Duration = Duration::from_secs(30);
@@ -154,6 +154,7 @@
         message: String::from("first tree"),
         edits: SettingsTree::default().edits_towards(tree),
     };
-    PlatformLog::new(platform).publish(&record)?.result?;
+    let log = LogSource { platform: platform.to_owned(), host: None };
+    PlatformLog::new(&log).publish(&record)?.result?;
     Ok(())
 }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -172,16 +172,14 @@
     /// Writes the tree in force as a file to change and publish
     #[bpaf(command)]
     Export {
-        /// The platform
-        #[bpaf(argument("ADDRESS"))]
-        platform: String,
+        #[bpaf(external(log_source))]
+        log: LogSource,
     },
     /// Shows what publishing a file would change
     #[bpaf(command)]
     Diff {
-        /// The platform
-        #[bpaf(argument("ADDRESS"))]
-        platform: String,
+        #[bpaf(external(log_source))]
+        log: LogSource,
         #[bpaf(external(output_format))]
         output: OutputFormat,
         /// The tree, in TOML
@@ -194,20 +192,29 @@
     /// Shows the last publications and what became of each
     #[bpaf(command)]
     History {
-        /// The platform
-        #[bpaf(argument("ADDRESS"))]
-        platform: String,
+        #[bpaf(external(log_source))]
+        log: LogSource,
         #[bpaf(external(output_format))]
         output: OutputFormat,
     },
 }
 
-/// How a file is published.
+/// Where the settings in force are read from.
 #[derive(Debug, Clone, Bpaf)]
-pub(crate) struct PublishOptions {
+pub(crate) struct LogSource {
     /// The platform
     #[bpaf(argument("ADDRESS"))]
     pub(crate) platform: String,
+    /// A host's operators' address, for when the log has forgotten the beginning
+    #[bpaf(argument("ADDRESS"))]
+    pub(crate) host: Option<String>,
+}
+
+/// How a file is published.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct PublishOptions {
+    #[bpaf(external(log_source))]
+    pub(crate) log: LogSource,
     /// Who publishes
     #[bpaf(argument("NAME"), fallback(String::from("operator")), display_fallback)]
     pub(crate) author: String,
@@ -232,9 +239,8 @@
 pub(crate) enum TreeSource {
     /// From the platform's log
     Platform {
-        /// Read the tree in force from the platform's log
-        #[bpaf(long("platform"), argument("ADDRESS"))]
-        platform: String,
+        #[bpaf(external(log_source))]
+        log: LogSource,
     },
     /// From a file
     File {
--- a/crates/cli/src/platform_log.rs
+++ b/crates/cli/src/platform_log.rs
@@ -10,6 +10,8 @@
 };
 use reelreel_node::border::{LogBorder, PlatformHttp};
 
+use crate::{options::LogSource, watch};
+
 /// How long a publication may take to show up in the log.
 const SHOWN_WITHIN: Duration = Duration::from_secs(15);
 
@@ -19,18 +21,26 @@
 /// The settings stream of one platform.
 pub(crate) struct PlatformLog {
     border: PlatformHttp,
+    /// A host that is asked where the log has forgotten the beginning.
+    host: Option<String>,
 }
 
 impl PlatformLog {
-    /// Names the platform.
-    pub(crate) fn new(address: &str) -> Self {
-        Self { border: PlatformHttp::new(address) }
+    /// Names the platform, and a host where the operator did.
+    pub(crate) fn new(source: &LogSource) -> Self {
+        Self { border: PlatformHttp::new(&source.platform), host: source.host.clone() }
     }
 
     /// Folds the settings stream up to its end, from a snapshot where the start has expired.
     pub(crate) fn fold(&self) -> eyre::Result<SettingsFold> {
         let mut fold = SettingsFold::default();
         self.adopt_snapshot(&mut fold)?;
+        if let Some(host) = &self.host {
+            // A host that can not be asked is no loss while the log still has the records.
+            if let Ok(snapshot) = watch::fetch::<SettingsSnapshot>(host, "settings") {
+                fold.adopt(snapshot)?;
+            }
+        }
         self.read_on(&mut fold, Duration::ZERO)?;
         Ok(fold)
     }
@@ -60,7 +70,7 @@
             let Some(first) = batch.records.first() else { return Ok(()) };
             if first.offset > from {
                 bail!(
-                    "records from {from} have expired and no snapshot covers them; export the tree from a running host"
+                    "records from {from} have expired and no snapshot covers them; name a running host with --host"
                 );
             }
             for record in batch.records {
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -17,10 +17,10 @@
         SettingsCommand::Keys { output } => show::keys(*output),
         SettingsCommand::HostKeys { output } => show::host_keys(*output),
         SettingsCommand::Show { source, output, path } => show::show(source, path, *output),
-        SettingsCommand::Export { platform } => publish::export(platform),
-        SettingsCommand::Diff { platform, output, file } => publish::diff(platform, file, *output),
+        SettingsCommand::Export { log } => publish::export(log),
+        SettingsCommand::Diff { log, output, file } => publish::diff(log, file, *output),
         SettingsCommand::Publish(options) => publish::publish(options),
-        SettingsCommand::History { platform, output } => publish::history(platform, *output),
+        SettingsCommand::History { log, output } => publish::history(log, *output),
     }
 }
 
--- a/crates/cli/src/settings/publish.rs
+++ b/crates/cli/src/settings/publish.rs
@@ -9,7 +9,7 @@
 
 use super::{read_file, read_text};
 use crate::{
-    options::PublishOptions,
+    options::{LogSource, PublishOptions},
     output::{OutputFormat, print},
     platform_log::PlatformLog,
 };
@@ -18,8 +18,8 @@
 const BASE_LINE: &str = "# made from revision ";
 
 /// Writes the tree in force as a file.
-pub(super) fn export(platform: &str) -> eyre::Result<ExitCode> {
-    let fold = PlatformLog::new(platform).fold()?;
+pub(super) fn export(log: &LogSource) -> eyre::Result<ExitCode> {
+    let fold = PlatformLog::new(log).fold()?;
     println!("{BASE_LINE}{}", fold.revision());
     print!("{}", fold.tree().to_toml());
     Ok(ExitCode::SUCCESS)
@@ -49,9 +49,9 @@
 }
 
 /// Shows what publishing a file would change.
-pub(super) fn diff(platform: &str, file: &Path, output: OutputFormat) -> eyre::Result<ExitCode> {
+pub(super) fn diff(log: &LogSource, file: &Path, output: OutputFormat) -> eyre::Result<ExitCode> {
     let wanted = read_file(file)?;
-    let fold = PlatformLog::new(platform).fold()?;
+    let fold = PlatformLog::new(log).fold()?;
     let edits = fold.tree().edits_towards(&wanted);
     print(output, &edits, || edits_text(&edits))?;
     Ok(ExitCode::SUCCESS)
@@ -61,7 +61,7 @@
 pub(super) fn publish(options: &PublishOptions) -> eyre::Result<ExitCode> {
     let text = read_text(&options.file)?;
     let wanted = read_file(&options.file)?;
-    let log = PlatformLog::new(&options.platform);
+    let log = PlatformLog::new(&options.log);
     let fold = log.fold()?;
     let mut edits = fold.tree().edits_towards(&wanted);
     if let Some(at) = &options.at {
@@ -96,8 +96,8 @@
 }
 
 /// Shows the last publications.
-pub(super) fn history(platform: &str, output: OutputFormat) -> eyre::Result<ExitCode> {
-    let fold = PlatformLog::new(platform).fold()?;
+pub(super) fn history(log: &LogSource, output: OutputFormat) -> eyre::Result<ExitCode> {
+    let fold = PlatformLog::new(log).fold()?;
     let verdicts: Vec<&ChangeVerdict> = fold.verdicts().collect();
     print(output, &verdicts, || {
         let mut text = String::new();
--- a/crates/cli/src/settings/show.rs
+++ b/crates/cli/src/settings/show.rs
@@ -94,7 +94,7 @@
     output: OutputFormat,
 ) -> eyre::Result<ExitCode> {
     let tree = match source {
-        TreeSource::Platform { platform } => PlatformLog::new(platform).fold()?.tree().clone(),
+        TreeSource::Platform { log } => PlatformLog::new(log).fold()?.tree().clone(),
         TreeSource::File { file } => read_file(file)?,
     };
     let path = SettingsPath::parse(path).map_err(|reason| eyre!(reason))?;
--- a/crates/cli/src/watch.rs
+++ b/crates/cli/src/watch.rs
@@ -14,7 +14,8 @@
 /// How long a host may take to answer.
 const ANSWER: Duration = Duration::from_secs(3);
 
-fn fetch<T: DeserializeOwned>(host: &str, page: &str) -> eyre::Result<T> {
+/// Fetches one of a host's pages.
+pub(crate) fn fetch<T: DeserializeOwned>(host: &str, page: &str) -> eyre::Result<T> {
     let url = format!("http://{host}/{page}");
     let call = ureq::get(&url).config().timeout_global(Some(ANSWER)).build().call();
     let mut answer =
--- a/crates/cli/tests/processes/configuration.rs
+++ b/crates/cli/tests/processes/configuration.rs
@@ -65,6 +65,46 @@
     }
 }
 
+/// Publishes that many changes, one after another.
+fn publish_changes(site: &Site, count: u64) {
+    for number in 0..count {
+        let worth = format!("worth = {}.5", number + 3);
+        let host = site.hosts[0].address("operators");
+        let tree = TREE.replace("worth = 2.0", &worth);
+        let (accepted, text) = site.publish(&tree, &["--host", host]);
+        assert!(accepted, "{text}");
+    }
+}
+
+#[test]
+fn a_host_starts_from_a_snapshot_when_the_log_has_forgotten() {
+    let mut site = Site::start_with_log(40);
+    publish_changes(&site, 66);
+    wait_until("revision 67 is in force", || site.hosts.iter().all(|host| revision(host) == 67));
+    let snapshots = || {
+        let path = "/streams/snapshots/records?from=0";
+        crate::site::get(site.platform.address("address"), path)["end"].as_u64().unwrap_or(0)
+    };
+    wait_until("a snapshot is in the log", || snapshots() > 0);
+    // Nobody is left whom a fresh host could ask: it has the log alone, from a snapshot on.
+    site.hosts.clear();
+    let fresh = site.start_host(1, 1, &HostOptions::default());
+    site.wait_ready(&fresh);
+    assert_eq!(revision(&fresh), 67);
+}
+
+#[test]
+fn a_host_that_the_log_has_passed_by_asks_its_peers() {
+    let site = Site::start_with_log(4);
+    publish_changes(&site, 9);
+    let (accepted, _) = site.publish(TREE, &[]);
+    assert!(!accepted, "without a host nobody knows what the log has forgotten");
+    wait_until("revision 10 is in force", || site.hosts.iter().all(|host| revision(host) == 10));
+    let fresh = site.start_host(9, 2, &HostOptions::default());
+    site.wait_ready(&fresh);
+    wait_until("the fresh host has it too", || revision(&fresh) == 10);
+}
+
 #[test]
 fn the_command_line_checks_shows_and_explains() {
     let site = Site::start();
--- a/crates/cli/tests/processes/site.rs
+++ b/crates/cli/tests/processes/site.rs
@@ -104,6 +104,11 @@
 impl Site {
     /// Starts a site of two halls with two hosts and two engines each and publishes the tree.
     pub(crate) fn start() -> Self {
+        Self::start_with_log(100_000)
+    }
+
+    /// Starts the same site with a log that keeps that many records of each stream.
+    pub(crate) fn start_with_log(retained: u32) -> Self {
         let number = SITES.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("reelreel-{}-{number}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder for the site");
@@ -112,7 +117,16 @@
             let arguments: Vec<String> = arguments.iter().map(ToString::to_string).collect();
             Process::start(&reelreel, &arguments)
         };
-        let platform = run(&["dev", "platform", "--host-lag", "100", "--loads", "6"]);
+        let platform = run(&[
+            "dev",
+            "platform",
+            "--host-lag",
+            "100",
+            "--loads",
+            "6",
+            "--retained",
+            &retained.to_string(),
+        ]);
         let address = platform.address("address").to_owned();
         let engine = |id: &str, hall: &str| {
             run(&["dev", "engine", "--id", id, "--hall", hall, "--platform", &address])
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -42,6 +42,10 @@
     pub join_wait: Duration,
     /// How many log records a snapshot may lie behind.
     pub snapshot_every: u64,
+    /// How long a snapshot may lie behind at all.
+    pub snapshot_after: Duration,
+    /// How long before a snapshot is written anew although nothing changed: the log forgets it too.
+    pub snapshot_renew: Duration,
     /// How long a new owner of an engine without fence waits for the earlier one to stop.
     pub handover_wait: Duration,
     /// How long bytes already sent may take to reach an engine without fence.
@@ -68,6 +72,8 @@
             handover_limit: Duration::from_secs(8),
             join_wait: Duration::from_millis(1_500),
             snapshot_every: 64,
+            snapshot_after: Duration::from_mins(30),
+            snapshot_renew: Duration::from_hours(6),
             handover_wait: Duration::from_secs(10),
             quiet: Duration::from_secs(10),
             retake_wait: Duration::from_secs(2),
--- a/crates/core/src/node/log.rs
+++ b/crates/core/src/node/log.rs
@@ -184,7 +184,10 @@
     /// Appends a snapshot when enough records have come since the last one. One host does it.
     pub(super) fn append_snapshot(&mut self) {
         let behind = self.fold.next_offset().saturating_sub(self.progress.snapshot_offset);
-        let due = behind >= self.config.times.snapshot_every;
+        let age = self.now().since(self.progress.snapshot_at);
+        let times = &self.config.times;
+        let late = behind > 0 && age >= times.snapshot_after;
+        let due = behind >= times.snapshot_every || late || age >= times.snapshot_renew;
         if !due || self.progress.snapshot_ticket.is_some() || !self.is_ready() {
             return;
         }
@@ -192,6 +195,7 @@
         if rendezvous(key, self.members.owners(None)) != Some(self.config.host) {
             return;
         }
+        self.progress.snapshot_at = self.now();
         self.progress.next_ticket += 1;
         let ticket = OTHER_TICKETS + self.progress.next_ticket;
         self.progress.snapshot_ticket = Some(ticket);
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -38,6 +38,8 @@
     pub(super) claims_away: bool,
     /// The offset that the newest snapshot in the log covers.
     pub(super) snapshot_offset: u64,
+    /// When this host last wrote a snapshot, or began.
+    pub(super) snapshot_at: ClockMillis,
     /// A snapshot's append is under way.
     pub(super) snapshot_ticket: Option<u64>,
     /// The next ticket of an append that is not of claims.
@@ -140,6 +142,7 @@
     pub fn start(&mut self, reading: NodeReading) -> Vec<NodeOrder> {
         self.reading = reading;
         self.started = reading.now;
+        self.progress.snapshot_at = reading.now;
         self.note("host", format!("started in hall {}", self.config.hall));
         for stream in LogStream::ALL {
             self.orders.push(NodeOrder::Follow { stream, from: 0 });
--- a/crates/core/tests/rerouting.rs
+++ b/crates/core/tests/one_host.rs
@@ -1,4 +1,4 @@
-//! A request outlasts a take-over: hosts that say they are no owner do not use its attempts up.
+//! One host, driven event by event: asking on, signs of leaving, snapshots by time.
 
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
     gossip::EngineDigest,
     id::request_id,
     message::{PeerMessage, PermitAsk, PermitGranted, PermitRefusal, PermitRefused, SyncReply},
-    node::{HostChange, HostEntry, HostKind, LogStream, NodeReading},
+    node::{AppendResult, HostChange, HostEntry, HostKind, LogStream, NodeReading},
     request::{ArrivedRequest, RequestTarget},
     settings::{ChangeRecord, SettingsTree, fold::LogRecord, read_tree},
 };
@@ -167,3 +167,26 @@
     let sent = orders.iter().any(|order| matches!(order, NodeOrder::Dispatch(_)));
     assert!(sent, "{orders:?}");
 }
+
+#[test]
+fn a_snapshot_is_written_by_time_too_and_anew_before_the_log_forgets_it() {
+    const MINUTE: u64 = 60_000;
+    let mut core = core();
+    // The host in hall 1 is not there: after a few silent heartbeats only this one is left.
+    let mut written = Vec::new();
+    for minute in 0..800 {
+        for second in 0..4 {
+            let now = 5_000 + minute * MINUTE + second * 5_000;
+            for order in core.handle(reading(now), NodeEvent::Tick) {
+                if let NodeOrder::Append { stream: LogStream::Snapshots, ticket, .. } = order {
+                    written.push(minute);
+                    let result = AppendResult::Written;
+                    core.handle(reading(now), NodeEvent::AppendEnded { ticket, result });
+                }
+            }
+        }
+    }
+    assert_eq!(written.len(), 3, "{written:?}");
+    assert!((30..=31).contains(&written[0]), "half an hour after the change: {written:?}");
+    assert!((390..=392).contains(&written[1]), "six hours after that: {written:?}");
+}
