refactor(stand-ins): one constructor for entries of the host list

Cause: the entry was written out in full in four places, and three commands ended in the same three lines. Change: HostRecord::new with fluent setters; one function that announces and waits.

--- a/crates/cli/src/dev/single.rs
+++ b/crates/cli/src/dev/single.rs
@@ -5,15 +5,17 @@
 use eyre::WrapErr;
 use reelreel_stand_ins::{
     EngineOptions, EngineStandIn, PlatformOptions, PlatformStandIn, ServiceOptions, ServiceStandIn,
-    platform::{HostRecord, HostRole, HostState},
+    platform::{HostRecord, HostRole},
 };
 
 use super::wait_for_signal;
 use crate::options::{DevEngine, DevPlatform, DevService};
 
-/// Prints where a stand-in listens, for whoever started it.
-fn announce(address: &str) {
+/// Prints where a stand-in listens, for whoever started it, and lets it run until the signal.
+fn run_at(address: &str) -> eyre::Result<ExitCode> {
     println!("{{\"address\":\"{address}\"}}");
+    wait_for_signal()?;
+    Ok(ExitCode::SUCCESS)
 }
 
 /// Runs a platform.
@@ -25,9 +27,7 @@
         loads_per_second: options.loads,
         ..PlatformOptions::default()
     })?;
-    announce(stand_in.address());
-    wait_for_signal()?;
-    Ok(ExitCode::SUCCESS)
+    run_at(stand_in.address())
 }
 
 /// Runs an engine.
@@ -40,43 +40,20 @@
         checks_fence: !options.no_fence,
         ..EngineOptions::default()
     })?;
-    let record = HostRecord {
-        role: HostRole::Engine,
-        id: options.id,
-        hall: options.hall,
-        address: stand_in.address().to_owned(),
-        state: HostState::Live,
-        incarnation: 1,
-        service: options.service.clone(),
-        slots: options.slots,
-        streams: options.streams,
-        checks_fence: !options.no_fence,
-    };
+    let record = HostRecord::new(HostRole::Engine, options.id, options.hall, stand_in.address())
+        .service(options.service.clone())
+        .engine(options.slots, options.streams, !options.no_fence);
     enter(&options.platform, &record)?;
-    announce(stand_in.address());
-    wait_for_signal()?;
-    Ok(ExitCode::SUCCESS)
+    run_at(stand_in.address())
 }
 
 /// Runs a plain service.
 pub(super) fn service(options: &DevService) -> eyre::Result<ExitCode> {
     let stand_in = ServiceStandIn::start(&ServiceOptions { address: options.listen.clone() })?;
-    let record = HostRecord {
-        role: HostRole::Server,
-        id: options.id,
-        hall: options.hall,
-        address: stand_in.address().to_owned(),
-        state: HostState::Live,
-        incarnation: 1,
-        service: options.service.clone(),
-        slots: 0,
-        streams: 0,
-        checks_fence: false,
-    };
+    let record = HostRecord::new(HostRole::Server, options.id, options.hall, stand_in.address())
+        .service(options.service.clone());
     enter(&options.platform, &record)?;
-    announce(stand_in.address());
-    wait_for_signal()?;
-    Ok(ExitCode::SUCCESS)
+    run_at(stand_in.address())
 }
 
 /// Enters a stand-in in the platform's host list.
--- a/crates/cli/src/dev/site.rs
+++ b/crates/cli/src/dev/site.rs
@@ -11,7 +11,7 @@
 use reelreel_node::{EntryHost, NodeSettings};
 use reelreel_stand_ins::{
     EngineOptions, EngineStandIn, PlatformOptions, PlatformStandIn, ServiceOptions, ServiceStandIn,
-    platform::{HostRecord, HostRole, HostState},
+    platform::{HostRecord, HostRole},
 };
 
 use crate::{options::LogSource, platform_log::PlatformLog};
@@ -62,26 +62,16 @@
                 streams: shape.streams as usize,
                 ..EngineOptions::default()
             })?;
-            let record = HostRecord {
-                role: HostRole::Engine,
-                id: index + 1,
-                hall: hall(index),
-                address: engine.address().to_owned(),
-                service: String::from("assist"),
-                slots: 4,
-                streams: shape.streams,
-                checks_fence: true,
-                ..entry_record(0, 0, "")
-            };
+            let record =
+                HostRecord::new(HostRole::Engine, index + 1, hall(index), engine.address())
+                    .service("assist")
+                    .engine(4, shape.streams, true);
             platform.hosts().put(record);
             engines.push(engine);
         }
         let service = ServiceStandIn::start(&ServiceOptions::default())?;
-        platform.hosts().put(HostRecord {
-            role: HostRole::Server,
-            service: String::from("orders"),
-            ..entry_record(1, 1, service.address())
-        });
+        let record = HostRecord::new(HostRole::Server, 1, 1, service.address()).service("orders");
+        platform.hosts().put(record);
         let mut hosts = Vec::new();
         for index in 0..shape.hosts {
             let port = if index == 0 { shape.port } else { 0 };
@@ -92,7 +82,8 @@
                 platform.address(),
             )?)?;
             let peers = host.peers().to_string();
-            platform.hosts().put(entry_record(index + 1, hall(index), &peers));
+            let record = HostRecord::new(HostRole::Entry, index + 1, hall(index), peers);
+            platform.hosts().put(record);
             hosts.push(host);
         }
         let site = Self { hosts, engines, _service: service, platform };
@@ -120,21 +111,6 @@
     }
 }
 
-fn entry_record(id: u32, hall: u16, address: &str) -> HostRecord {
-    HostRecord {
-        role: HostRole::Entry,
-        id,
-        hall,
-        address: address.to_owned(),
-        state: HostState::Live,
-        incarnation: 1,
-        service: String::new(),
-        slots: 0,
-        streams: 0,
-        checks_fence: false,
-    }
-}
-
 fn host_settings(host: u32, hall: u16, port: u16, platform: &str) -> eyre::Result<NodeSettings> {
     let text = format!(
         "host = {host}\nhall = {hall}\ncallers = \"127.0.0.1:{port}\"\n\
--- a/crates/stand-ins/src/platform/hosts.rs
+++ b/crates/stand-ins/src/platform/hosts.rs
@@ -70,6 +70,40 @@
     pub checks_fence: bool,
 }
 
+impl HostRecord {
+    /// Makes the entry of a live host in its first life.
+    pub fn new(role: HostRole, id: u32, hall: u16, address: impl Into<String>) -> Self {
+        Self {
+            role,
+            id,
+            hall,
+            address: address.into(),
+            state: HostState::Live,
+            incarnation: 1,
+            service: String::new(),
+            slots: 0,
+            streams: 0,
+            checks_fence: false,
+        }
+    }
+
+    /// Sets the service.
+    #[must_use]
+    pub fn service(mut self, service: impl Into<String>) -> Self {
+        self.service = service.into();
+        self
+    }
+
+    /// Sets what an engine has: adapter slots, requests at once, whether it checks fences.
+    #[must_use]
+    pub const fn engine(mut self, slots: u32, streams: u32, checks_fence: bool) -> Self {
+        self.slots = slots;
+        self.streams = streams;
+        self.checks_fence = checks_fence;
+        self
+    }
+}
+
 /// What changed since a version.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct HostChanges {
