fix(core): an ask that is given up for another is withdrawn

Cause: a request that was routed anew left its earlier ask in another owner's queue, where an adapter could be loaded for nobody. Change: the earlier ask is withdrawn; ending a request uses the same function.

--- a/crates/core/src/node/dispatch.rs
+++ b/crates/core/src/node/dispatch.rs
@@ -189,12 +189,7 @@
         if open.state.after(RequestEvent::GivenUp) == RequestState::Unknown {
             refusal.outcome = CallerOutcome::Unknown;
         }
-        let asked = open.ask != AskState::Paused;
-        let (attempt, engine, owner) = (open.attempt, open.engine, open.owner);
-        if let (true, Some(engine), Some(owner)) = (asked, engine, owner) {
-            let done = PermitDone { request: id, attempt, engine, clean: true };
-            self.send(owner, PeerMessage::PermitDone(done));
-        }
+        self.withdraw_ask(id);
         self.book.give_up(id);
         *self.counters.refused.entry(refusal.kind).or_default() += 1;
         if refusal.outcome == CallerOutcome::Unknown {
--- a/crates/core/src/node/permits.rs
+++ b/crates/core/src/node/permits.rs
@@ -73,6 +73,7 @@
             self.pause(id);
             return;
         };
+        self.withdraw_ask(id);
         let now = self.now();
         let ask_within = self.config.times.ask_within;
         let Some(open) = self.open.get_mut(&id) else { return };
@@ -86,6 +87,17 @@
         self.send(owner, PeerMessage::PermitAsk(ask));
     }
 
+    /// Tells the owner of an ask that still stands that it is not waited for any more, so that
+    /// nothing is loaded for it there.
+    pub(super) fn withdraw_ask(&mut self, id: RequestId) {
+        let Some(open) = self.open.get(&id) else { return };
+        let (attempt, asked) = (open.attempt, open.ask != AskState::Paused);
+        if let (true, Some(engine), Some(owner)) = (asked, open.engine, open.owner) {
+            let done = PermitDone { request: id, attempt, engine, clean: true };
+            self.send(owner, PeerMessage::PermitDone(done));
+        }
+    }
+
     /// Asks the same owner again under the same attempt, which it answers as before.
     pub(super) fn ask_again(&mut self, id: RequestId) {
         let now = self.now();
--- a/crates/core/tests/one_host.rs
+++ b/crates/core/tests/one_host.rs
@@ -168,6 +168,24 @@
     assert!(sent, "{orders:?}");
 }
 
+#[test]
+fn an_ask_that_is_given_up_for_another_is_withdrawn() {
+    let mut core = core();
+    let orders = core.handle(reading(3_000), arrival(1));
+    let first = ask_of(&orders).expect("it asks");
+    // No answer comes: after half a second it is routed anew.
+    let orders = core.handle(reading(3_600), NodeEvent::Tick);
+    let second = ask_of(&orders).expect("it asks again");
+    assert_eq!(second.attempt, first.attempt + 1);
+    let withdrawn = orders.iter().any(|order| match order {
+        NodeOrder::Send { message: PeerMessage::PermitDone(done), .. } => {
+            done.attempt == first.attempt && done.clean
+        }
+        _ => false,
+    });
+    assert!(withdrawn, "{orders:?}");
+}
+
 #[test]
 fn a_snapshot_is_written_by_time_too_and_anew_before_the_log_forgets_it() {
     const MINUTE: u64 = 60_000;
