fix(cli): a reader that has seen enough is no error

Cause: `reelreel timeline ... | head` ended in a panic on the closed pipe. Change: output goes through one function that takes a closed pipe for an end. Measured: the process test for the command line pipes into head and passes.

--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,6 +1,10 @@
 //! How results are printed.
 
-use std::{fmt, str::FromStr};
+use std::{
+    fmt,
+    io::{self, Write},
+    str::FromStr,
+};
 
 use serde::Serialize;
 
@@ -41,8 +45,15 @@
     text: impl FnOnce() -> String,
 ) -> eyre::Result<()> {
     match format {
-        OutputFormat::Text => print!("{}", text()),
-        OutputFormat::Json => println!("{}", serde_json::to_string_pretty(value)?),
+        OutputFormat::Text => write_out(&text()),
+        OutputFormat::Json => write_out(&format!("{}\n", serde_json::to_string_pretty(value)?)),
+    }
+}
+
+/// Writes to standard output. A reader that has seen enough, such as `head`, is no error.
+pub(crate) fn write_out(text: &str) -> eyre::Result<()> {
+    match io::stdout().write_all(text.as_bytes()) {
+        Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+        result => Ok(result?),
     }
-    Ok(())
 }
--- a/crates/cli/src/settings/publish.rs
+++ b/crates/cli/src/settings/publish.rs
@@ -10,7 +10,7 @@
 use super::{read_file, read_text};
 use crate::{
     options::{LogSource, PublishOptions},
-    output::{OutputFormat, print},
+    output::{OutputFormat, print, write_out},
     platform_log::PlatformLog,
 };
 
@@ -20,8 +20,7 @@
 /// Writes the tree in force as a file.
 pub(super) fn export(log: &LogSource) -> eyre::Result<ExitCode> {
     let fold = PlatformLog::new(log).fold()?;
-    println!("{BASE_LINE}{}", fold.revision());
-    print!("{}", fold.tree().to_toml());
+    write_out(&format!("{BASE_LINE}{}\n{}", fold.revision(), fold.tree().to_toml()))?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/cli/tests/processes/configuration.rs
+++ b/crates/cli/tests/processes/configuration.rs
@@ -131,6 +131,12 @@
     assert_eq!(status[0]["ready"], json!(true));
     let events = run(&["timeline", operators, site.hosts[1].address("operators")]);
     assert!(events.1.contains("revision 1"), "{}", events.1);
+    let shell = format!(
+        "'{}' settings host-keys | head -n 1 && test \"${{PIPESTATUS[0]}}\" = 0",
+        env!("CARGO_BIN_EXE_reelreel")
+    );
+    let piped = Command::new("bash").args(["-c", &shell]).output().expect("a shell");
+    assert!(piped.status.success() && piped.stderr.is_empty(), "{piped:?}");
     let history = run(&["settings", "history", "--platform", platform]);
     assert!(history.1.contains("revision 1"), "{}", history.1);
 }
