--- a/crates/fakes/src/actions.rs
+++ b/crates/fakes/src/actions.rs
@@ -3,7 +3,7 @@
 use reelreel_core::{
     NodeEvent,
     engine::OrderResult,
-    id::{EngineId, HostId, RequestId},
+    id::{EngineId, HallId, HostId, RequestId},
     node::{AppendResult, HostChange, HostEntry, HostKind, LogStream},
     settings::ChangeRecord,
 };
@@ -14,7 +14,16 @@
     site::{Arrival, FAR, FakeSite, FaultTarget, NEAR, SiteAction, SiteMutation, WALL_START},
 };
 
+/// Plans a fault that a script lets strike, whatever the step.
+const fn at_once(fault: FaultKind, lasts: u64) -> PlannedFault {
+    PlannedFault { fault, step: StepKind::LoadBegins, nth: 0, lasts }
+}
+
 impl FakeSite {
+    fn host_in(&self, hall: Option<HallId>) -> Option<HostId> {
+        self.hosts.values().find(|host| Some(host.hall) == hall).map(|host| host.host)
+    }
+
     pub(crate) fn append(
         &mut self,
         id: HostId,
@@ -84,13 +93,12 @@
             }
             SiteAction::RestartEngine(engine) => self.restart_engine(engine),
             SiteAction::StoreAway(millis) => {
-                let planned = PlannedFault {
-                    fault: FaultKind::StoreAway,
-                    step: StepKind::LoadBegins,
-                    nth: 0,
-                    lasts: millis,
-                };
-                self.begin_fault(planned, FaultTarget::default());
+                self.begin_fault(at_once(FaultKind::StoreAway, millis), FaultTarget::default());
+            }
+            SiteAction::CutHall(hall, millis) => {
+                let hall = Some(hall);
+                let target = FaultTarget { hall, host: self.host_in(hall), ..Default::default() };
+                self.begin_fault(at_once(FaultKind::HallCutOff, millis), target);
             }
         }
     }
--- a/crates/fakes/src/site/shape.rs
+++ b/crates/fakes/src/site/shape.rs
@@ -107,4 +107,6 @@
     RestartEngine(EngineId),
     /// Switches the store off for that many milliseconds.
     StoreAway(u64),
+    /// Cuts a hall off from the others and from the platform for that many milliseconds.
+    CutHall(HallId, u64),
 }
