--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -1,5 +1,7 @@
 //! `reelreeld`: one entry host.
 
+mod machine;
+
 use std::{fs, path::PathBuf, process::ExitCode, time::Duration};
 
 use bpaf::Bpaf;
@@ -22,9 +24,11 @@
 struct DaemonOptions {
     /// Only check the settings file, and name every mistake in it
     check: bool,
-    /// The host's own settings, in TOML
+    /// Serve on the users' platform, with the settings file that it lays down
+    platform: bool,
+    /// The host's own settings, in TOML; with --platform, another file than the platform names
     #[bpaf(positional("SETTINGS"))]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -39,8 +43,14 @@
 }
 
 fn run(options: &DaemonOptions) -> eyre::Result<ExitCode> {
-    let path = options.settings.display();
-    let text = fs::read_to_string(&options.settings)
+    if options.platform {
+        return machine::run_on_platform(options.settings.as_deref(), options.check);
+    }
+    let Some(settings) = &options.settings else {
+        eyre::bail!("name the host's settings file, or use --platform");
+    };
+    let path = settings.display();
+    let text = fs::read_to_string(settings)
         .wrap_err_with(|| format!("{path} can not be read; name the host's settings file"))?;
     let settings = match NodeSettings::read(&text) {
         Ok(settings) => settings,
--- a/crates/core/src/chart/cycles.rs
+++ b/crates/core/src/chart/cycles.rs
@@ -261,3 +261,38 @@
         StreamsEnded = "streams_ended",
     }
 }
+
+super::life_cycle! {
+    /// A host's hold on the lease of one placement domain.
+    TenureState, "tenure.toml", {
+        /// Another host holds the lease, or nobody does.
+        Absent = "absent",
+        /// This host holds it; orders of the holder before may still arrive.
+        Waiting = "waiting",
+        /// This host gives orders.
+        Acting = "acting",
+        /// The lease was not confirmed in time; it may have passed on.
+        Lapsed = "lapsed",
+        /// As `Lapsed`, before any order was given.
+        LapsedWaiting = "lapsed_waiting",
+        /// An engine has seen a later holder's token; this tenure gives no more orders.
+        Refused = "refused",
+    },
+    /// What moves a tenure between its states.
+    TenureEvent {
+        /// The lease was dealt to this host.
+        Listed = "listed",
+        /// The lease is no longer this host's.
+        Unlisted = "unlisted",
+        /// The holder before can not act any more.
+        WaitOver = "wait_over",
+        /// The lease was not confirmed within its time to live.
+        Lapsed = "lapsed",
+        /// The lease was confirmed in time, under the same tenure.
+        Confirmed = "confirmed",
+        /// An engine refused the tenure's token.
+        Refused = "refused",
+        /// The lease may have passed on and come back: a new tenure begins.
+        Renewed = "renewed",
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,75 @@
+//! What an entry host knows of the engines and routes that it serves, and how it chooses.
+//!
+//! The types here hold for engines that admit requests by themselves: they queue, refuse and fence
+//! on their own, so that a request needs no permit of an owner. [`routes`] says where a request may
+//! go, [`choice`] which engine it is sent to,
+//! [`cold`] whether it waits for its adapter, [`condition`] what the host's own requests tell about
+//! an engine, and [`retry_share`] how often it may be sent again.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+pub mod choice;
+pub mod cold;
+pub mod condition;
+pub mod retry_share;
+pub mod routes;
+
+/// Names one life of an engine; a restarted engine has another name.
+pub type EngineName = Arc<str>;
+
+/// Names a service.
+pub type ServiceName = Arc<str>;
+
+/// Names a data hall.
+pub type ZoneName = Arc<str>;
+
+/// Names a base model, or an adapter of one as `MODEL/ADAPTER`.
+pub type ModelKey = Arc<str>;
+
+/// A version of a model's or adapter's weights; versions of one key only rise.
+pub type WeightVersion = u64;
+
+/// Separates a base model from its adapter in a [`ModelKey`].
+pub const ADAPTER_SEPARATOR: char = '/';
+
+/// Returns the base model of a key.
+pub fn base_model(key: &str) -> &str {
+    key.split(ADAPTER_SEPARATOR).next().unwrap_or(key)
+}
+
+/// Returns the adapter of a key, if it names one.
+pub fn adapter_name(key: &str) -> Option<&str> {
+    key.split_once(ADAPTER_SEPARATOR).map(|(_, adapter)| adapter)
+}
+
+/// Something that an engine holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldModel {
+    /// The base model or adapter.
+    pub key: ModelKey,
+    /// The version of its weights.
+    pub version: WeightVersion,
+}
+
+/// One engine as it lists itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineEntry {
+    /// This life of the engine.
+    pub name: EngineName,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it takes requests and orders.
+    pub address: SocketAddr,
+    /// The data hall that it stands in.
+    pub zone: ZoneName,
+    /// How many requests it works on at a time.
+    pub slots: u32,
+    /// Whether it is leaving and must get no new work.
+    pub leaving: bool,
+    /// How long a leaving engine still serves, where it says so.
+    pub remaining: Option<Duration>,
+    /// How many orders it had taken.
+    pub sequence: u64,
+    /// What it held.
+    pub held: Vec<HeldModel>,
+}
--- /dev/null
+++ b/crates/core/src/fleet/choice.rs
@@ -0,0 +1,74 @@
+//! Which engine a request is sent to.
+
+use crate::{
+    clock::ClockMillis,
+    fleet::{EngineEntry, EngineName, condition::EngineCondition},
+};
+
+/// What an open request costs an engine, compared with a failure share of one.
+const FAILURE_WEIGHT: f64 = 40.0;
+
+/// What leaving the own data hall costs, in open requests.
+const ZONE_WEIGHT: f64 = 0.4;
+
+/// What being left alone costs: more than any load.
+const REST_WEIGHT: f64 = 10_000.0;
+
+/// How much of a slow engine's delay counts, in open requests for each multiple of the median.
+const DELAY_WEIGHT: f64 = 2.0;
+
+/// One engine that could take a request.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineCandidate<'table> {
+    /// The engine.
+    pub entry: &'table EngineEntry,
+    /// What this host's requests tell about it.
+    pub condition: &'table EngineCondition,
+    /// This host's open requests there.
+    pub open: u32,
+}
+
+/// Returns the best of the candidates, by open requests, failures, delay and data hall.
+///
+/// `tie` spreads equal candidates; any number that differs between requests does.
+pub fn best_engine(
+    candidates: &[EngineCandidate<'_>],
+    zone: &str,
+    tie: u64,
+    now: ClockMillis,
+) -> Option<EngineName> {
+    let median = median_delay(candidates);
+    let count = candidates.len() as u64;
+    candidates
+        .iter()
+        .enumerate()
+        .map(|(place, candidate)| {
+            let turn = (place as u64 + count - tie % count.max(1)) % count.max(1);
+            (cost(candidate, zone, median, now), turn, candidate)
+        })
+        .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)))
+        .map(|(_, _, candidate)| EngineName::clone(&candidate.entry.name))
+}
+
+fn cost(candidate: &EngineCandidate<'_>, zone: &str, median: Option<f64>, now: ClockMillis) -> f64 {
+    let condition = candidate.condition;
+    let mut cost = f64::from(candidate.open);
+    cost += FAILURE_WEIGHT * condition.failure_share().powi(2);
+    if &*candidate.entry.zone != zone {
+        cost += ZONE_WEIGHT;
+    }
+    if condition.is_resting(now) {
+        cost += REST_WEIGHT;
+    }
+    if let (Some(delay), Some(median)) = (condition.delay_millis(), median) {
+        cost += DELAY_WEIGHT * (delay / median.max(1.0) - 1.5).max(0.0);
+    }
+    cost
+}
+
+fn median_delay(candidates: &[EngineCandidate<'_>]) -> Option<f64> {
+    let delays = candidates.iter().filter_map(|candidate| candidate.condition.delay_millis());
+    let mut delays: Vec<f64> = delays.collect();
+    delays.sort_by(f64::total_cmp);
+    delays.get(delays.len() / 2).copied()
+}
--- /dev/null
+++ b/crates/core/src/fleet/cold.rs
@@ -0,0 +1,99 @@
+//! Whether a request waits for an adapter that no engine holds, or is refused at once.
+//!
+//! A client that is refused quickly and comes back once the adapter is there is served better than
+//! one that is held until it gives up. So a request waits when the load is expected in time, and is
+//! refused with a truthful time to come back otherwise. A short wait for the placer's estimate comes
+//! before either.
+
+use std::time::Duration;
+
+/// The part of the target for which a request waits for an estimate.
+const ESTIMATE_PART: f64 = 0.17;
+
+/// What the first event of an answer takes once the adapter is there.
+const FIRST_EVENT: Duration = Duration::from_millis(110);
+
+/// What is added to an estimate before a client is told to come back.
+const RETURN_MARGIN: Duration = Duration::from_millis(120);
+
+/// The shortest time after which a client is told to come back.
+const SHORTEST_RETURN: Duration = Duration::from_millis(250);
+
+/// When a client comes back where nobody knows when the load comes.
+const UNKNOWN_RETURN: Duration = Duration::from_secs(1);
+
+/// The part of its time for which a client waits before it comes back, at most.
+const RETURN_PART: u32 = 3;
+
+/// How many targets a client waits for a first event.
+const PATIENCE_TARGETS: u32 = 4;
+
+/// How long a client waits for a first event at least.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+
+/// What is left of a client's patience when a request that still waits is refused.
+const PATIENCE_RESERVE: Duration = Duration::from_millis(150);
+
+/// What is known of a request whose adapter is not there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdRequest {
+    /// Since when it waits.
+    pub elapsed: Duration,
+    /// Within which time its first event is wanted.
+    pub target: Duration,
+    /// What is left of its time.
+    pub remaining: Duration,
+    /// In what time the adapter is expected, if a placer has said so.
+    pub estimate: Option<Duration>,
+    /// Whether the client was refused before and came back.
+    pub returned: bool,
+}
+
+/// What becomes of the request now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ColdChoice {
+    /// It waits, for so long at most before it is looked at again.
+    Wait(Duration),
+    /// It is refused, and the client comes back after so long.
+    Refuse(Duration),
+}
+
+impl ColdRequest {
+    /// Returns how long the client waits for a first event at all.
+    fn patience(&self) -> Duration {
+        let patience = (self.target * PATIENCE_TARGETS).max(LEAST_PATIENCE);
+        patience.min(self.elapsed + self.remaining).saturating_sub(PATIENCE_RESERVE)
+    }
+
+    /// Returns what becomes of the request now.
+    pub fn choose(&self) -> ColdChoice {
+        let decide = self.target.mul_f64(ESTIMATE_PART);
+        let left = self.patience().saturating_sub(self.elapsed);
+        if left.is_zero() {
+            return ColdChoice::Refuse(self.return_time());
+        }
+        if self.elapsed > decide {
+            return ColdChoice::Wait(left);
+        }
+        let Some(estimate) = self.estimate else {
+            let until_decision = decide.saturating_sub(self.elapsed);
+            return if until_decision.is_zero() {
+                ColdChoice::Refuse(self.return_time())
+            } else {
+                ColdChoice::Wait(until_decision)
+            };
+        };
+        let useful = if self.returned { self.patience() } else { self.target };
+        if self.elapsed + estimate + FIRST_EVENT <= useful {
+            ColdChoice::Wait(left)
+        } else {
+            ColdChoice::Refuse(self.return_time())
+        }
+    }
+
+    /// Returns when the client should come back.
+    fn return_time(&self) -> Duration {
+        let time = self.estimate.map_or(UNKNOWN_RETURN, |estimate| estimate + RETURN_MARGIN);
+        time.max(SHORTEST_RETURN).min((self.remaining / RETURN_PART).max(SHORTEST_RETURN))
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/routes.rs
@@ -0,0 +1,215 @@
+//! Routes and services as the operator's configuration gives them.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use crate::fleet::ServiceName;
+
+/// Counts configurations; later ones have higher numbers.
+pub type ConfigRevision = u64;
+
+/// What may be done with a request whose outcome is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteKind {
+    /// It may run any number of times.
+    Repeatable,
+    /// It may run at most once.
+    Single,
+    /// Its answer is a stream of events; a resumable one may go on at another engine.
+    Stream {
+        /// Whether a broken stream may go on at another engine.
+        resumable: bool,
+    },
+}
+
+impl RouteKind {
+    /// Returns whether a request that may have run may be sent again.
+    pub const fn may_repeat(self) -> bool {
+        matches!(self, Self::Repeatable | Self::Stream { resumable: true })
+    }
+
+    /// Returns whether the answer is a stream of events.
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
+/// A service with its share of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WeightedBackend {
+    /// The service.
+    pub service: ServiceName,
+    /// Its share, relative to the other services of the route.
+    pub weight: u32,
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouteEntry {
+    /// The operator's name for it.
+    pub name: String,
+    /// The value of `Host` that it answers to.
+    pub host: String,
+    /// The beginning of the paths that it answers to, with a slash at both ends.
+    pub prefix: String,
+    /// What may be done with its requests.
+    pub kind: RouteKind,
+    /// How long a request may be held.
+    pub timeout: Duration,
+    /// Within which time an answer, or its first event, is wanted.
+    pub target: Duration,
+    /// The rank of its requests; zero is the most urgent.
+    pub priority: u8,
+    /// The services that run its requests, at least one.
+    pub backends: Vec<WeightedBackend>,
+    /// To how many engines one request may be sent.
+    pub most_attempts: u32,
+}
+
+impl RouteEntry {
+    /// Returns the service for a request with this number, spread by weight.
+    ///
+    /// The same number leads to the same service as long as the route does not change.
+    pub fn service(&self, number: u64) -> Option<&ServiceName> {
+        let total: u64 = self.backends.iter().map(|backend| u64::from(backend.weight)).sum();
+        let mut place = number.checked_rem(total)?;
+        for backend in &self.backends {
+            let weight = u64::from(backend.weight);
+            if place < weight {
+                return Some(&backend.service);
+            }
+            place -= weight;
+        }
+        None
+    }
+}
+
+/// The size of one base model and of its adapters.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModelSize {
+    /// The model's name.
+    pub name: String,
+    /// The size of its weights. Unit: megabytes.
+    pub weight_megabytes: f64,
+    /// The size of one adapter. Unit: megabytes.
+    pub adapter_megabytes: f64,
+    /// How long its weights take to load when nothing else loads.
+    pub load_time: Duration,
+}
+
+/// What the engines of a service can hold.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModelHosting {
+    /// The models that may be ordered.
+    pub models: Vec<ModelSize>,
+    /// Room for weights and adapters together. Unit: megabytes.
+    pub weight_megabytes: f64,
+    /// Places for adapters.
+    pub most_adapters: u32,
+    /// How many loads a second the weight store allows over all engines.
+    pub loads_per_second: f64,
+}
+
+impl ModelHosting {
+    /// Returns the size of a model.
+    pub fn model(&self, name: &str) -> Option<&ModelSize> {
+        self.models.iter().find(|model| model.name == name)
+    }
+}
+
+/// One service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceEntry {
+    /// Its name.
+    pub name: ServiceName,
+    /// The most connections that one of its engines takes from all hosts together.
+    pub most_connections: u32,
+    /// What its engines can hold; absent for plain services.
+    pub hosting: Option<ModelHosting>,
+}
+
+/// What a client may send, and how long it may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// The longest head. Unit: bytes.
+    pub head_bytes: usize,
+    /// The longest body. Unit: bytes.
+    pub body_bytes: usize,
+    /// How long a head may take from its first byte on.
+    pub head_time: Duration,
+    /// How long a connection may rest between requests.
+    pub idle_time: Duration,
+}
+
+impl Default for ClientLimits {
+    /// Limits for the time before any configuration is known.
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 1024 * 1024,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One whole configuration.
+#[derive(Debug, Clone, Default)]
+pub struct RouteTable {
+    revision: ConfigRevision,
+    limits: ClientLimits,
+    /// Routes by host, the longest prefix first.
+    routes: HashMap<String, Vec<Arc<RouteEntry>>>,
+    services: HashMap<ServiceName, Arc<ServiceEntry>>,
+}
+
+impl RouteTable {
+    /// Builds the table of one configuration.
+    pub fn new(
+        revision: ConfigRevision,
+        limits: ClientLimits,
+        routes: Vec<RouteEntry>,
+        services: Vec<ServiceEntry>,
+    ) -> Self {
+        let mut table = Self { revision, limits, ..Self::default() };
+        for route in routes {
+            let host = route.host.to_ascii_lowercase();
+            table.routes.entry(host).or_default().push(Arc::new(route));
+        }
+        for routes in table.routes.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        for service in services {
+            table.services.insert(Arc::clone(&service.name), Arc::new(service));
+        }
+        table
+    }
+
+    /// Returns the configuration's number.
+    pub const fn revision(&self) -> ConfigRevision {
+        self.revision
+    }
+
+    /// Returns what clients may send.
+    pub const fn limits(&self) -> &ClientLimits {
+        &self.limits
+    }
+
+    /// Returns the route of a request: of those of its host, the one with the longest prefix.
+    ///
+    /// A port in `host` and a query in `target` are passed over.
+    pub fn route(&self, host: &str, target: &str) -> Option<&Arc<RouteEntry>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let path = target.split('?').next().unwrap_or(target);
+        self.routes.get(&name)?.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &str) -> Option<&Arc<ServiceEntry>> {
+        self.services.get(name)
+    }
+
+    /// Iterates over the services whose engines hold models.
+    pub fn hosting_services(&self) -> impl Iterator<Item = &Arc<ServiceEntry>> {
+        self.services.values().filter(|service| service.hosting.is_some())
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement.rs
@@ -0,0 +1,20 @@
+//! Which engine holds which adapter: one placer per domain decides, as long as it holds the lease.
+//!
+//! A placement domain is the engines of one service. The placer alone gives orders there and spends
+//! the weight store's rate; whether this host is the placer says [`tenure`]. [`demand`] sums up what
+//! all hosts are asked for, [`inventory`] keeps what each engine holds in spite of lost and late
+//! answers, [`window`] keeps loads below the store's ceiling, and [`planner`] picks the next order.
+
+pub mod demand;
+pub mod inventory;
+pub mod planner;
+pub mod tenure;
+pub mod window;
+
+pub use demand::{DemandBook, DemandEntry};
+pub use inventory::{EngineInventory, EngineReport};
+pub use planner::{
+    OrderAnswer, OrderId, OrderKind, PlacementAction, PlacementPlanner, PlannedOrder,
+};
+pub use tenure::{LeaseRules, PlacerTenure};
+pub use window::LoadWindow;
--- /dev/null
+++ b/crates/core/src/placement/demand.rs
@@ -0,0 +1,117 @@
+//! What all hosts are asked for, by model key.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use crate::{clock::ClockMillis, fleet::ModelKey, popularity::DecayedRate};
+
+/// The half-life of an adapter's popularity: demand moves within seconds.
+pub const RATE_HALF_LIFE: Duration = Duration::from_secs(8);
+
+/// How long a host's word about its waiting requests holds without being renewed.
+const WAITING_HOLDS: Duration = Duration::from_secs(3);
+
+/// How long requests count that no load was ordered for.
+const UNSERVED_HOLDS: Duration = Duration::from_mins(1);
+
+/// The weight below which a popularity is forgotten.
+const FORGOTTEN: f64 = 0.02;
+
+/// What one host was asked for since its last word.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DemandEntry {
+    /// The model or adapter.
+    pub key: ModelKey,
+    /// Requests that came since the last word.
+    pub asked: u32,
+    /// Requests that wait for it now.
+    pub waiting: u32,
+    /// The worth of the waiting requests; the mean request is worth one.
+    pub waiting_worth: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct HostWaiting {
+    requests: u32,
+    worth: f64,
+    at: ClockMillis,
+}
+
+#[derive(Debug, Clone, Default)]
+struct KeyDemand {
+    rate: DecayedRate,
+    /// Requests since a load was last ordered.
+    unserved: u32,
+    asked: ClockMillis,
+    waiting: HashMap<Arc<str>, HostWaiting>,
+}
+
+/// Demand of one placement domain, summed over hosts.
+#[derive(Debug, Clone, Default)]
+pub struct DemandBook {
+    keys: HashMap<ModelKey, KeyDemand>,
+}
+
+impl DemandBook {
+    /// Takes what `host` was asked for.
+    pub fn note(&mut self, host: &Arc<str>, entries: &[DemandEntry], now: ClockMillis) {
+        for entry in entries {
+            let demand = self.keys.entry(Arc::clone(&entry.key)).or_default();
+            if entry.asked > 0 {
+                demand.rate.add(f64::from(entry.asked), now, RATE_HALF_LIFE);
+                demand.unserved = demand.unserved.saturating_add(entry.asked);
+                demand.asked = now;
+            }
+            if entry.waiting == 0 {
+                demand.waiting.remove(host);
+            } else {
+                let (requests, worth) = (entry.waiting, entry.waiting_worth);
+                demand.waiting.insert(Arc::clone(host), HostWaiting { requests, worth, at: now });
+            }
+        }
+    }
+
+    /// Forgets what nobody has asked for lately.
+    pub fn forget_old(&mut self, now: ClockMillis) {
+        self.keys.retain(|_, demand| {
+            demand.waiting.retain(|_, waiting| now.since(waiting.at) < WAITING_HOLDS);
+            let steady = demand.unserved > 1 && now.since(demand.asked) < UNSERVED_HOLDS;
+            steady
+                || !demand.waiting.is_empty()
+                || demand.rate.weight_at(now, RATE_HALF_LIFE) > FORGOTTEN
+        });
+    }
+
+    /// Iterates over the keys that anyone has asked for lately.
+    pub fn keys(&self) -> impl Iterator<Item = &ModelKey> {
+        self.keys.keys()
+    }
+
+    /// Returns how many requests a second ask for `key`.
+    pub fn rate(&self, key: &str, now: ClockMillis) -> f64 {
+        self.keys.get(key).map_or(0.0, |demand| demand.rate.per_second(now, RATE_HALF_LIFE))
+    }
+
+    /// Takes that a load of `key` was ordered.
+    pub fn served(&mut self, key: &str) {
+        if let Some(demand) = self.keys.get_mut(key) {
+            demand.unserved = 0;
+        }
+    }
+
+    /// Returns how many requests came since a load of `key` was last ordered.
+    pub fn unserved(&self, key: &str) -> f64 {
+        self.keys.get(key).map_or(0.0, |demand| f64::from(demand.unserved))
+    }
+
+    /// Returns how many requests wait for `key`.
+    pub fn waiting(&self, key: &str) -> u32 {
+        let Some(demand) = self.keys.get(key) else { return 0 };
+        demand.waiting.values().map(|waiting| waiting.requests).sum()
+    }
+
+    /// Returns the worth of the requests that wait for `key`.
+    pub fn waiting_worth(&self, key: &str) -> f64 {
+        let Some(demand) = self.keys.get(key) else { return 0.0 };
+        demand.waiting.values().map(|waiting| waiting.worth).sum()
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/inventory.rs
@@ -0,0 +1,188 @@
+//! What one engine holds, kept true in spite of lost answers, late orders and other placers.
+//!
+//! An engine counts the orders that it has taken. Each order names the count that it expects, so an
+//! order that arrives late, after another one, is refused by the engine itself. Whenever the count
+//! is in doubt, a report settles it; a report counts only when it can not be older than the last
+//! order.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::{
+    clock::ClockMillis,
+    fleet::{EngineEntry, HeldModel, ModelKey, WeightVersion, adapter_name, base_model},
+};
+
+/// How old the state in a report may be when it arrives.
+pub const REPORT_LAG: Duration = Duration::from_millis(250);
+
+/// How many loads may be in transit to one engine.
+pub const MOST_IN_TRANSIT: usize = 4;
+
+/// What an engine tells when it is asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineReport {
+    /// How many orders it had taken.
+    pub sequence: u64,
+    /// Whether a model's order is under way.
+    pub busy: bool,
+    /// What it held.
+    pub held: Vec<HeldModel>,
+    /// What was in transit to it.
+    pub pending: Vec<HeldModel>,
+}
+
+/// A load that was ordered and has not been seen to end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PendingLoad {
+    /// What is loaded.
+    pub key: ModelKey,
+    /// Its version, where one is named.
+    pub version: WeightVersion,
+    /// When it was ordered.
+    pub began: ClockMillis,
+    /// When it is expected to end.
+    pub due: ClockMillis,
+    /// Whether it uses the weight store.
+    pub from_store: bool,
+}
+
+/// One engine as its placer knows it.
+#[derive(Debug, Clone)]
+pub struct EngineInventory {
+    /// The engine as listed.
+    pub entry: Arc<EngineEntry>,
+    /// Orders taken, when that is known.
+    pub sequence: Option<u64>,
+    /// What it holds.
+    pub held: BTreeMap<ModelKey, WeightVersion>,
+    /// What is in transit to it.
+    pub pending: Vec<PendingLoad>,
+    /// What it held before and may bring back without the weight store.
+    pub remembered: BTreeSet<ModelKey>,
+    /// What it drops as soon as its runs have ended.
+    pub closing: BTreeSet<ModelKey>,
+    /// Whether an order is on its way.
+    pub ordering: bool,
+    /// When the last order ended.
+    pub ordered: ClockMillis,
+    /// When a report was last asked for.
+    pub asked: ClockMillis,
+    /// Whether a report is on its way.
+    pub asking: bool,
+    /// Whether the engine said that it is busy with a model.
+    pub busy: bool,
+}
+
+impl EngineInventory {
+    /// Starts with nothing known but the entry.
+    pub fn new(entry: Arc<EngineEntry>) -> Self {
+        Self {
+            entry,
+            sequence: None,
+            held: BTreeMap::new(),
+            pending: Vec::new(),
+            remembered: BTreeSet::new(),
+            closing: BTreeSet::new(),
+            ordering: false,
+            ordered: ClockMillis::default(),
+            asked: ClockMillis::default(),
+            asking: false,
+            busy: false,
+        }
+    }
+
+    /// Returns whether a report is needed before anything can be ordered or decided.
+    pub fn needs_report(&self, now: ClockMillis) -> bool {
+        if self.asking || self.ordering {
+            return false;
+        }
+        let settled = now.since(self.ordered) >= REPORT_LAG;
+        let rested = now.since(self.asked) >= REPORT_LAG;
+        let overdue = self.pending.iter().any(|load| now >= load.due + REPORT_LAG);
+        settled
+            && rested
+            && (self.sequence.is_none() || self.busy || overdue || !self.closing.is_empty())
+    }
+
+    /// Takes a report that was asked for at `asked`; returns whether it counted.
+    pub fn take_report(&mut self, report: &EngineReport, asked: ClockMillis) -> bool {
+        self.asking = false;
+        let fresh = asked.since(self.ordered) >= REPORT_LAG && !self.ordering;
+        if !fresh {
+            return false;
+        }
+        let held: BTreeMap<ModelKey, WeightVersion> =
+            report.held.iter().map(|held| (Arc::clone(&held.key), held.version)).collect();
+        self.remember_lost(&held);
+        self.held = held;
+        self.closing.retain(|key| self.held.contains_key(key));
+        self.busy = report.busy;
+        self.sequence = Some(report.sequence);
+        self.pending.retain(|load| report.pending.iter().any(|pending| pending.key == load.key));
+        for pending in &report.pending {
+            if !self.pending.iter().any(|load| load.key == pending.key) {
+                self.pending.push(PendingLoad {
+                    key: Arc::clone(&pending.key),
+                    version: pending.version,
+                    began: asked,
+                    due: asked + REPORT_LAG,
+                    from_store: true,
+                });
+            }
+        }
+        true
+    }
+
+    fn remember_lost(&mut self, held: &BTreeMap<ModelKey, WeightVersion>) {
+        for key in self.held.keys().chain(held.keys()) {
+            self.remembered.insert(Arc::clone(key));
+        }
+    }
+
+    /// Moves loads whose time has come to what is held; a later report corrects it.
+    ///
+    /// Returns whether anything moved.
+    pub fn settle_due(&mut self, now: ClockMillis) -> bool {
+        let mut moved = false;
+        for load in &self.pending {
+            let known = self.held.get(&load.key).is_some_and(|held| *held >= load.version);
+            if now >= load.due && !known && !self.busy {
+                self.held.insert(Arc::clone(&load.key), load.version);
+                self.remembered.insert(Arc::clone(&load.key));
+                moved = true;
+            }
+        }
+        moved
+    }
+
+    /// Returns whether the engine holds a base model, or is getting it.
+    pub fn has_model(&self, model: &str) -> bool {
+        self.held.contains_key(model) || self.pending.iter().any(|load| &*load.key == model)
+    }
+
+    /// Returns whether the engine holds `key` in `version` or a later one, or is getting it.
+    pub fn has(&self, key: &str, version: WeightVersion) -> bool {
+        let held = self.held.get(key).is_some_and(|held| *held >= version);
+        held || self.pending.iter().any(|load| &*load.key == key && load.version >= version)
+    }
+
+    /// Returns how many places for adapters are taken, those in transit included.
+    pub fn adapters_taken(&self) -> usize {
+        let held = self.held.keys().filter(|key| adapter_name(key).is_some());
+        let coming = self
+            .pending
+            .iter()
+            .filter(|load| adapter_name(&load.key).is_some() && !self.held.contains_key(&load.key));
+        held.count() + coming.count()
+    }
+
+    /// Returns how many adapters of a model the engine holds.
+    pub fn adapters_of(&self, model: &str) -> usize {
+        let adapters = self.held.keys().filter(|key| adapter_name(key).is_some());
+        adapters.filter(|key| base_model(key) == model).count()
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/tenure.rs
@@ -0,0 +1,136 @@
+//! Whether this host may give orders in a placement domain, and with which token.
+//!
+//! The platform deals each domain's lease to one member of a group. The generation at which a tenure
+//! began is its fencing token: generations only rise, and one generation deals a lease only once.
+
+use std::time::Duration;
+
+use crate::{
+    chart::{TenureEvent, TenureState},
+    clock::ClockMillis,
+    id::FenceToken,
+};
+
+/// The times that a tenure keeps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseRules {
+    /// How long the lease lives after a join was sent.
+    pub time_to_live: Duration,
+    /// How long a new holder waits for orders of the holder before to have ended.
+    pub handover_wait: Duration,
+    /// Whether engines refuse the orders of earlier tenures, so that a holder that can not confirm
+    /// its lease may go on until an engine refuses it.
+    pub engines_check: bool,
+}
+
+/// This host's hold on the lease of one domain.
+#[derive(Debug, Clone)]
+pub struct PlacerTenure {
+    rules: LeaseRules,
+    state: TenureState,
+    token: FenceToken,
+    began: ClockMillis,
+    confirmed: ClockMillis,
+    detached: bool,
+}
+
+impl PlacerTenure {
+    /// Starts without the lease.
+    pub fn new(rules: LeaseRules) -> Self {
+        Self {
+            rules,
+            state: TenureState::initial(),
+            token: 0,
+            began: ClockMillis::default(),
+            confirmed: ClockMillis::default(),
+            detached: false,
+        }
+    }
+
+    /// Takes the answer to a join that was sent at `sent`.
+    ///
+    /// A lease that was listed before and still is may have passed on and come back when the time
+    /// between two joins was longer than it lives, or when an engine has refused its token. Then a
+    /// new tenure begins with the present generation.
+    pub fn joined(
+        &mut self,
+        listed: bool,
+        generation: FenceToken,
+        sent: ClockMillis,
+        now: ClockMillis,
+    ) {
+        let gap_too_long = sent.since(self.confirmed) >= self.rules.time_to_live;
+        let held = self.state != TenureState::Absent;
+        self.detached = false;
+        let event = match (listed, held) {
+            (false, _) => TenureEvent::Unlisted,
+            (true, false) => TenureEvent::Listed,
+            (true, true) if generation > self.token && self.is_in_doubt(gap_too_long) => {
+                TenureEvent::Renewed
+            }
+            (true, true) => TenureEvent::Confirmed,
+        };
+        if matches!(event, TenureEvent::Listed | TenureEvent::Renewed) {
+            self.token = generation;
+            self.began = now;
+        }
+        if listed {
+            self.confirmed = sent;
+        }
+        self.state = self.state.after(event);
+    }
+
+    fn is_in_doubt(&self, gap_too_long: bool) -> bool {
+        gap_too_long || self.state == TenureState::Refused
+    }
+
+    /// Takes that a join got no answer or was refused by the platform.
+    pub fn join_failed(&mut self, now: ClockMillis) {
+        if now.since(self.confirmed) >= self.rules.time_to_live {
+            self.detached = true;
+        }
+    }
+
+    /// Takes that an engine refused the token that a tenure used.
+    pub fn refused(&mut self, token: FenceToken) {
+        if token == self.token {
+            self.state = self.state.after(TenureEvent::Refused);
+        }
+    }
+
+    /// Takes that this host left the group.
+    pub fn left(&mut self) {
+        self.state = self.state.after(TenureEvent::Unlisted);
+    }
+
+    /// Moves on with time and returns the token with which orders may be given now.
+    pub fn acting_token(&mut self, now: ClockMillis) -> Option<FenceToken> {
+        if now.since(self.confirmed) >= self.rules.time_to_live {
+            self.state = self.state.after(TenureEvent::Lapsed);
+        }
+        if now.since(self.began) >= self.rules.handover_wait {
+            self.state = self.state.after(TenureEvent::WaitOver);
+        }
+        let detached = self.detached && self.rules.engines_check;
+        match self.state {
+            TenureState::Acting => Some(self.token),
+            TenureState::Lapsed if detached => Some(self.token),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the lease is this host's as far as it knows, acting or not.
+    pub fn is_holder(&self) -> bool {
+        !matches!(self.state, TenureState::Absent)
+    }
+
+    /// Returns the present state.
+    pub const fn state(&self) -> TenureState {
+        self.state
+    }
+
+    /// Returns the token of the present or last tenure.
+    pub const fn token(&self) -> FenceToken {
+        self.token
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/border.rs
@@ -0,0 +1,269 @@
+//! What the machine needs from whatever it speaks with, as traits that only translate.
+//!
+//! An implementation writes calls and reads answers. It holds names and formats and decides
+//! nothing: no timer, no retry, no state. Sockets, patience and repeats are this crate's own.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use reelreel_core::{
+    fleet::{EngineEntry, HeldModel, ModelKey, WeightVersion, routes::RouteTable},
+    id::FenceToken,
+    placement::{EngineReport, OrderAnswer, PlannedOrder},
+};
+use reelreel_http::{HeaderFields, RequestHead, ResponseHead};
+
+/// A call as a head and a whole body; the body's length is added when it is sent.
+#[derive(Debug, Clone)]
+pub struct CallRequest {
+    /// The head, without `Host` and `Content-Length`.
+    pub head: RequestHead,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The answer to a call.
+#[derive(Debug, Clone)]
+pub struct CallAnswer {
+    /// The head.
+    pub head: ResponseHead,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Why an answer could not be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum BorderError {
+    /// The peer refused the call and did nothing.
+    #[error("the call was refused with status {0}; it is repeated later")]
+    Refused(u16),
+    /// The records from the asked offset on are gone; those from this offset on are kept.
+    #[error("the records asked for are gone; the newest values must be read anew")]
+    Trimmed(u64),
+    /// The answer is not what was asked for.
+    #[error("the answer can not be read: {0}")]
+    Malformed(String),
+}
+
+/// What a client's request says beside its route.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RequestFacts {
+    /// The attempt's own id.
+    pub id: String,
+    /// How long the client will wait.
+    pub deadline: Option<Duration>,
+    /// The base model or adapter that it names.
+    pub model: Option<ModelKey>,
+    /// Tokens of the prompt and, at most, of the answer.
+    pub tokens: (u64, u64),
+    /// The event after which a stream goes on.
+    pub last_event: Option<String>,
+}
+
+/// Why a client's request is refused at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum FactError {
+    /// It carries no id.
+    #[error("the request carries no id; send one that no other attempt carries")]
+    Id,
+    /// A field is not a number where one is due.
+    #[error("a header field is not the number that it should be; write it in decimal digits")]
+    Number,
+}
+
+/// What the machine adds to a request that it sends to an engine.
+#[derive(Debug, Clone)]
+pub struct SendTerms<'send> {
+    /// The life of the engine that must run it, no other.
+    pub engine: &'send str,
+    /// What is left of the time.
+    pub remaining: Duration,
+    /// The rank of the request; zero is the most urgent.
+    pub priority: u8,
+    /// The version of the weights that it must run on.
+    pub version: Option<WeightVersion>,
+    /// The event after which the stream goes on, when it does not begin anew.
+    pub resume_after: Option<&'send str>,
+}
+
+/// What an engine's answer says beside its body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// The id of the request that it answers.
+    pub id: Option<String>,
+    /// Whether the engine promises that the request has not run and will not.
+    pub not_run: bool,
+    /// Whether the answer says that something else is at this address, or not held there.
+    pub misdirected: bool,
+    /// Whether the engine itself made the answer.
+    pub signed: bool,
+}
+
+/// Translates between the machine and its clients and engines.
+pub trait ExchangeDialect: Send + Sync {
+    /// Reads what a client's request says.
+    ///
+    /// # Errors
+    /// Returns why the request is refused.
+    fn request_facts(&self, head: &RequestHead) -> Result<RequestFacts, FactError>;
+
+    /// Puts the terms into the header fields of a request that goes to an engine.
+    fn set_terms(&self, fields: &mut HeaderFields, terms: &SendTerms<'_>);
+
+    /// Reads what an engine's answer says.
+    fn answer_facts(&self, head: &ResponseHead) -> AnswerFacts;
+
+    /// Marks an answer of the machine's own as belonging to a request.
+    fn mark_own_answer(&self, fields: &mut HeaderFields, id: &str);
+
+    /// Returns the path that asks whether the machine takes requests.
+    fn readiness_path(&self) -> &'static str;
+}
+
+/// Translates between the machine and an engine's control side.
+pub trait EngineDialect: Send + Sync {
+    /// Writes an order.
+    fn order(&self, order: &PlannedOrder, holder: &str, token: FenceToken) -> CallRequest;
+
+    /// Reads the answer to an order.
+    fn order_answer(&self, answer: &CallAnswer) -> OrderAnswer;
+
+    /// Writes a call for a report.
+    fn report(&self, engine: &str) -> CallRequest;
+
+    /// Reads a report.
+    ///
+    /// # Errors
+    /// Returns that it is none.
+    fn report_answer(&self, answer: &CallAnswer) -> Result<EngineReport, BorderError>;
+}
+
+/// A record of a keyed topic.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyedRecord {
+    /// Its key.
+    pub key: String,
+    /// Its value; empty where the key was dropped.
+    pub value: Bytes,
+    /// Its place in the topic.
+    pub offset: u64,
+}
+
+/// A page of the newest record of each key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NewestPage {
+    /// The records of this page.
+    pub records: Vec<KeyedRecord>,
+    /// Whether more keys follow after the last one.
+    pub more: bool,
+    /// The end of the topic.
+    pub end: u64,
+}
+
+/// Records of a topic in order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecordBatch {
+    /// The records.
+    pub records: Vec<KeyedRecord>,
+    /// The end of the topic.
+    pub end: u64,
+}
+
+/// What the platform deals to a member of a group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GroupShare {
+    /// Rises with every change of the group.
+    pub generation: FenceToken,
+    /// The partitions that belong to the member.
+    pub partitions: Vec<u32>,
+}
+
+/// The topics that the operator and the engines write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum KeyedTopic {
+    /// Configurations and named versions.
+    Configuration,
+    /// The engines' own entries.
+    Engines,
+}
+
+/// What a record of the configuration topic says.
+#[derive(Debug, Clone)]
+pub enum ConfigurationRecord {
+    /// A whole configuration.
+    Routes(Arc<RouteTable>),
+    /// A version of a model's or adapter's weights.
+    Version(ModelKey, WeightVersion),
+    /// Something that concerns nobody here.
+    Other,
+}
+
+/// Translates between the machine and the platform's store.
+pub trait StoreDialect: Send + Sync {
+    /// Writes a call for a page of the newest records of a topic.
+    fn newest(&self, topic: KeyedTopic, after: Option<&str>) -> CallRequest;
+
+    /// Reads a page of newest records.
+    ///
+    /// # Errors
+    /// Returns that the store refused, or that the answer is none.
+    fn newest_answer(&self, answer: &CallAnswer) -> Result<NewestPage, BorderError>;
+
+    /// Writes a call for the records from an offset on, held until there are some.
+    fn read(&self, topic: KeyedTopic, from: u64, wait: Duration) -> CallRequest;
+
+    /// Reads records.
+    ///
+    /// # Errors
+    /// Returns that the store refused, that the records are gone, or that the answer is none.
+    fn read_answer(&self, from: u64, answer: &CallAnswer) -> Result<RecordBatch, BorderError>;
+
+    /// Writes a call that joins the group of machines, or stays in it.
+    fn join(&self, member: &str, time_to_live: Duration, generation: FenceToken) -> CallRequest;
+
+    /// Reads what was dealt to the member.
+    ///
+    /// # Errors
+    /// Returns that the store refused, or that the answer is none.
+    fn join_answer(&self, answer: &CallAnswer) -> Result<GroupShare, BorderError>;
+
+    /// Writes a call that leaves the group.
+    fn leave(&self, member: &str) -> CallRequest;
+
+    /// Writes a call for the holders of all partitions.
+    fn owners(&self) -> CallRequest;
+
+    /// Reads the holders, by partition.
+    ///
+    /// # Errors
+    /// Returns that the store refused, or that the answer is none.
+    fn owners_answer(&self, answer: &CallAnswer) -> Result<HashMap<u32, String>, BorderError>;
+
+    /// Reads a record of the configuration topic.
+    ///
+    /// # Errors
+    /// Returns that the record can not be read.
+    fn configuration(&self, record: &KeyedRecord) -> Result<ConfigurationRecord, BorderError>;
+
+    /// Reads an engine's entry.
+    ///
+    /// # Errors
+    /// Returns that the record can not be read.
+    fn engine(&self, record: &KeyedRecord) -> Result<EngineEntry, BorderError>;
+}
+
+/// Everything that is spoken at the machine's borders.
+#[derive(Clone)]
+pub struct BorderDialects {
+    /// With clients, and with engines about requests.
+    pub exchange: Arc<dyn ExchangeDialect>,
+    /// With engines about what they hold.
+    pub engine: Arc<dyn EngineDialect>,
+    /// With the platform's store.
+    pub store: Arc<dyn StoreDialect>,
+}
+
+/// Returns what an engine's entry and report call held models, for tests and status pages.
+pub fn held_keys(held: &[HeldModel]) -> impl Iterator<Item = &ModelKey> {
+    held.iter().map(|model| &model.key)
+}
--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,120 @@
+//! The control thread: everything that the machine believes, and its part in placement.
+
+pub mod domain;
+pub mod orders;
+pub mod state;
+
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+
+use tokio::{runtime::Builder, task::LocalSet};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    border::KeyedTopic,
+    control::state::ControlState,
+    machine::SharedState,
+    peers::{client::run_peer_client, server::run_peer_server},
+    store::{
+        Backoff, StoreClient,
+        follow::follow_topic,
+        membership::{leave, stay_member},
+    },
+};
+
+/// How often the thread looks at its domains while it holds a lease.
+const HOLDER_TICK: Duration = Duration::from_millis(20);
+
+/// How often it tells demand otherwise.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The least time between two reads of the engines' entries, so that heartbeats come in batches.
+const ENGINES_REST: Duration = Duration::from_millis(400);
+
+/// The least time between two reads of the configuration.
+const CONFIGURATION_REST: Duration = Duration::from_millis(20);
+
+/// The time to live of this machine's membership, where the store allows one as short.
+const MEMBERSHIP: Duration = Duration::from_secs(2);
+
+/// Control state as its tasks share it.
+pub type SharedControl = Rc<RefCell<ControlState>>;
+
+/// Runs the control thread until the machine stops.
+pub fn run_control(shared: &Arc<SharedState>) {
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            log::error!("the control thread can not run: {error}");
+            return;
+        }
+    };
+    let local = LocalSet::new();
+    local.block_on(&runtime, control(shared));
+}
+
+async fn control(shared: &Arc<SharedState>) {
+    let state: SharedControl = Rc::new(RefCell::new(ControlState::new(Arc::clone(shared))));
+    let tasks = [
+        tokio::task::spawn_local(follow_configuration(Rc::clone(&state))),
+        tokio::task::spawn_local(follow_engines(Rc::clone(&state))),
+        tokio::task::spawn_local(keep_membership(Rc::clone(&state))),
+        tokio::task::spawn_local(run_peer_server(Rc::clone(&state))),
+        tokio::task::spawn_local(run_peer_client(Rc::clone(&state))),
+    ];
+    let mut stopping = shared.stopping.subscribe();
+    loop {
+        let holds = state.borrow_mut().tick(&state);
+        let tick = if holds { HOLDER_TICK } else { TICK };
+        tokio::select! {
+            () = tokio::time::sleep(tick) => {}
+            changed = stopping.wait_for(|stopping| *stopping) => {
+                drop(changed);
+                break;
+            }
+        }
+    }
+    // The lease passes on before anything else ends, so that the next placer begins at once.
+    tasks[2].abort();
+    state.borrow_mut().leave_group();
+    let mut client = store_client(shared);
+    if let Err(error) = leave(&mut client, shared.profile.peers).await {
+        log::debug!("leave: {error}");
+    }
+    loop {
+        state.borrow_mut().tick(&state);
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+fn store_client(shared: &SharedState) -> StoreClient {
+    StoreClient::new(Arc::clone(&shared.dialects.store), shared.profile.store)
+}
+
+fn backoff(shared: &SharedState, salt: u64) -> Backoff {
+    Backoff::new(xxh3_64(shared.profile.name.as_bytes()) ^ salt)
+}
+
+async fn follow_configuration(state: SharedControl) {
+    let shared = Arc::clone(state.borrow().shared());
+    let client = store_client(&shared);
+    let topic = KeyedTopic::Configuration;
+    let sink = |update| state.borrow_mut().configuration_updated(update);
+    follow_topic(client, topic, CONFIGURATION_REST, backoff(&shared, 0x1111), sink).await;
+}
+
+async fn follow_engines(state: SharedControl) {
+    let shared = Arc::clone(state.borrow().shared());
+    let client = store_client(&shared);
+    let sink = |update| state.borrow_mut().engines_updated(update);
+    follow_topic(client, KeyedTopic::Engines, ENGINES_REST, backoff(&shared, 0x2222), sink).await;
+}
+
+async fn keep_membership(state: SharedControl) {
+    let shared = Arc::clone(state.borrow().shared());
+    let client = store_client(&shared);
+    let time_to_live = MEMBERSHIP.max(shared.profile.shortest_membership);
+    let clock = shared.clock.clone();
+    let member = shared.profile.peers;
+    let sink = |update| state.borrow_mut().membership_updated(update);
+    stay_member(client, member, time_to_live, clock, backoff(&shared, 0x3333), sink).await;
+}
--- /dev/null
+++ b/crates/gateway/src/control/domain.rs
@@ -0,0 +1,191 @@
+//! One placement domain as this machine sees it: its lease, its plan, and who listens to it.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use reelreel_core::{
+    ClockMillis,
+    fleet::{EngineName, HeldModel, ModelKey, ServiceName},
+    id::FenceToken,
+    placement::{DemandEntry, LeaseRules, PlacementPlanner, PlacerTenure},
+};
+use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::peers::frame::{
+    DemandFrame, EngineLine, EstimateLine, FrameBody, HeldLine, PeerFrame, PlanFrame,
+};
+
+/// How many frames wait for a slow peer before it is let go.
+pub const PEER_QUEUE: usize = 64;
+
+/// How many estimates go into one frame.
+const MOST_ESTIMATES: usize = 64;
+
+/// How long an estimate is kept after its time.
+const ESTIMATE_HOLDS: Duration = Duration::from_secs(2);
+
+/// Returns what a machine's demand says that it waits for.
+pub fn waited_keys(entries: &[DemandEntry]) -> impl Iterator<Item = ModelKey> {
+    entries.iter().filter(|entry| entry.waiting > 0).map(|entry| Arc::clone(&entry.key))
+}
+
+/// A machine that listens to this machine's plan.
+pub struct PlanSubscriber {
+    /// Its name.
+    pub machine: Arc<str>,
+    /// Where its frames go.
+    pub frames: mpsc::Sender<PeerFrame>,
+    /// What it waits for and has no estimate of yet.
+    pub asked: Vec<ModelKey>,
+}
+
+/// One placement domain.
+pub struct PlacementDomain {
+    /// The service whose engines it holds.
+    pub service: ServiceName,
+    /// The partition whose holder is its placer.
+    pub partition: u32,
+    /// This machine's hold on the lease.
+    pub tenure: PlacerTenure,
+    /// The planner, while this machine holds the lease.
+    pub planner: Option<PlacementPlanner>,
+    /// The token for which the planner was begun.
+    pub planned_token: FenceToken,
+    /// What engines hold, as the placer says.
+    pub plan: HashMap<EngineName, Vec<HeldModel>>,
+    /// The token of the placer whose plan this is.
+    pub plan_token: FenceToken,
+    /// Whether the placer's plan is kept up to date.
+    pub plan_live: bool,
+    /// When queued adapters are expected.
+    pub estimates: HashMap<ModelKey, ClockMillis>,
+    /// What this machine waits for and has no estimate of yet.
+    pub asked: Vec<ModelKey>,
+    /// Who listens to this machine's plan.
+    pub subscribers: Vec<PlanSubscriber>,
+    /// Where demand for the placer goes, while there is a connection.
+    pub placer: Option<mpsc::Sender<PeerFrame>>,
+}
+
+impl PlacementDomain {
+    /// Starts without lease and plan.
+    pub fn new(service: ServiceName, partitions: u32, rules: LeaseRules) -> Self {
+        let place = xxh3_64(service.as_bytes()) % u64::from(partitions.max(1));
+        Self {
+            service,
+            partition: u32::try_from(place).unwrap_or_default(),
+            tenure: PlacerTenure::new(rules),
+            planner: None,
+            planned_token: 0,
+            plan: HashMap::new(),
+            plan_token: 0,
+            plan_live: false,
+            estimates: HashMap::new(),
+            asked: Vec::new(),
+            subscribers: Vec::new(),
+            placer: None,
+        }
+    }
+
+    /// Tells demand to the own planner or to the placer; returns whether anyone took it.
+    pub fn tell_demand(
+        &mut self,
+        machine: &Arc<str>,
+        entries: &[DemandEntry],
+        now: ClockMillis,
+    ) -> bool {
+        if let Some(planner) = &mut self.planner {
+            planner.demand_noted(machine, entries, now);
+            self.asked.extend(waited_keys(entries));
+            return true;
+        }
+        let Some(placer) = &self.placer else { return false };
+        let frame = DemandFrame {
+            machine: machine.to_string(),
+            service: self.service.to_string(),
+            entries: entries.iter().map(Into::into).collect(),
+        };
+        placer.try_send(PeerFrame::new(FrameBody::Demand(frame))).is_ok()
+    }
+
+    /// Takes the own planner's residency into the plan; returns the engines that changed.
+    pub fn adopt_own_plan(&mut self) -> Vec<EngineName> {
+        let Some(planner) = &self.planner else { return Vec::new() };
+        let mut changed = Vec::new();
+        for (engine, held) in planner.residency() {
+            if self.plan.get(&engine) != Some(&held) {
+                self.plan.insert(Arc::clone(&engine), held);
+                changed.push(engine);
+            }
+        }
+        self.plan_token = self.planned_token;
+        self.plan_live = true;
+        changed
+    }
+
+    /// Takes a plan from the placer; returns whether it was the newest.
+    pub fn adopt_plan(&mut self, frame: &PlanFrame, now: ClockMillis) -> bool {
+        if frame.token < self.plan_token {
+            return false;
+        }
+        self.plan_token = frame.token;
+        for line in &frame.engines {
+            let held = line.held.iter().map(Into::into).collect();
+            self.plan.insert(Arc::from(line.engine.as_str()), held);
+        }
+        for line in &frame.estimates {
+            let due = now + Duration::from_millis(u64::from(line.millis));
+            self.estimates.insert(Arc::from(line.key.as_str()), due);
+        }
+        self.plan_live = true;
+        true
+    }
+
+    /// Writes the plan for the given engines.
+    pub fn plan_frame<'engine>(
+        &self,
+        engines: impl Iterator<Item = &'engine EngineName>,
+    ) -> PeerFrame {
+        let lines = engines.filter_map(|engine| {
+            let held = self.plan.get(engine)?.iter().map(HeldLine::from).collect();
+            Some(EngineLine { engine: engine.to_string(), held })
+        });
+        PeerFrame::new(FrameBody::Plan(PlanFrame {
+            service: self.service.to_string(),
+            token: self.planned_token,
+            engines: lines.collect(),
+            estimates: Vec::new(),
+        }))
+    }
+
+    /// Tells everybody who waits when the adapter is expected; returns whether this machine does.
+    pub fn answer_asked(&mut self, now: ClockMillis) -> bool {
+        self.estimates.retain(|_, due| now.since(*due) < ESTIMATE_HOLDS);
+        let Some(planner) = &self.planner else { return false };
+        let estimate = |key: &ModelKey| Some((Arc::clone(key), planner.estimate(key, now)?));
+        let own = self.asked.drain(..).filter_map(|key| estimate(&key));
+        let before = self.estimates.len();
+        let known = own.map(|(key, time)| (key, now + time)).collect::<Vec<_>>();
+        let told = !known.is_empty();
+        self.estimates.extend(known);
+        let (service, token) = (self.service.to_string(), self.planned_token);
+        for subscriber in &mut self.subscribers {
+            let lines = subscriber.asked.drain(..).filter_map(|key| estimate(&key));
+            let lines = lines.take(MOST_ESTIMATES).map(|(key, time)| EstimateLine::new(&key, time));
+            let estimates: Vec<EstimateLine> = lines.collect();
+            if estimates.is_empty() {
+                continue;
+            }
+            let (service, engines) = (service.clone(), Vec::new());
+            let frame = PlanFrame { service, token, engines, estimates };
+            // A subscriber that does not keep up is let go with the next change of the plan.
+            let _ = subscriber.frames.try_send(PeerFrame::new(FrameBody::Plan(frame)));
+        }
+        told || self.estimates.len() != before
+    }
+
+    /// Sends a frame to all subscribers and lets go of those that do not keep up.
+    pub fn broadcast(&mut self, frame: &PeerFrame) {
+        self.subscribers.retain(|subscriber| subscriber.frames.try_send(frame.clone()).is_ok());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/orders.rs
@@ -0,0 +1,122 @@
+//! Carrying out what the planner wants: orders and reports, each as a task of its own.
+
+use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+
+use reelreel_core::{
+    ClockSource,
+    fleet::{EngineEntry, EngineName, ServiceName},
+    id::FenceToken,
+    placement::{OrderAnswer, OrderKind, PlacementAction, PlannedOrder},
+};
+
+use crate::{
+    call::{CallClient, CallError},
+    control::SharedControl,
+    events::MachineEvent,
+    metrics::OrderLabels,
+};
+
+/// How long an order or report may take.
+const ORDER_PATIENCE: Duration = Duration::from_millis(800);
+
+/// Kept connections to the control side of engines.
+#[derive(Debug, Default)]
+pub struct OrderClients {
+    clients: HashMap<EngineName, CallClient>,
+}
+
+impl OrderClients {
+    fn take(&mut self, engine: &EngineEntry) -> CallClient {
+        self.clients.remove(&engine.name).unwrap_or_else(|| CallClient::new(engine.address))
+    }
+
+    fn keep(&mut self, engine: &EngineName, client: CallClient) {
+        self.clients.insert(Arc::clone(engine), client);
+    }
+
+    /// Closes connections to engines that are listed no more.
+    pub fn retain(&mut self, listed: impl Fn(&EngineName) -> bool) {
+        self.clients.retain(|engine, _| listed(engine));
+    }
+}
+
+/// Starts what the planner of a service wants done.
+pub fn start_actions(
+    state: &SharedControl,
+    service: &ServiceName,
+    token: FenceToken,
+    actions: Vec<PlacementAction>,
+) {
+    for action in actions {
+        let (state, service) = (Rc::clone(state), Arc::clone(service));
+        match action {
+            PlacementAction::Order(order) => {
+                tokio::task::spawn_local(send_order(state, service, token, order));
+            }
+            PlacementAction::Report(engine) => {
+                tokio::task::spawn_local(ask_report(state, service, engine));
+            }
+        }
+    }
+}
+
+async fn send_order(
+    state: SharedControl,
+    service: ServiceName,
+    token: FenceToken,
+    order: PlannedOrder,
+) {
+    let shared = Arc::clone(state.borrow().shared());
+    let dialect = &shared.dialects.engine;
+    let mut client = state.borrow_mut().order_clients().take(&order.engine);
+    let call = dialect.order(&order, &shared.profile.name, token);
+    let began = shared.clock.now();
+    let answer = match client.call(&call, ORDER_PATIENCE).await {
+        Ok(answer) => dialect.order_answer(&answer),
+        Err(CallError::NotSent(_)) => OrderAnswer::NotSent,
+        Err(CallError::NoAnswer(_) | CallError::TimedOut) => OrderAnswer::Unknown,
+    };
+    let now = shared.clock.now();
+    let mut state = state.borrow_mut();
+    state.order_clients().keep(&order.engine.name, client);
+    state.order_answered(&service, token, &order, answer, now);
+    let kind = kind_name(order.kind);
+    let labels = OrderLabels { kind: kind.to_owned(), answer: format!("{answer:?}") };
+    shared.metrics.orders.get_or_create(&labels).inc();
+    shared.events.write(MachineEvent::Order {
+        engine: order.engine.name.to_string(),
+        kind: kind.to_owned(),
+        key: order.key.to_string(),
+        sequence: order.expected_sequence,
+        token,
+        worth: order.worth,
+        waiting: order.waiting,
+        answer: format!("{answer:?}"),
+        millis: u64::try_from(now.since(began).as_millis()).unwrap_or(u64::MAX),
+    });
+}
+
+const fn kind_name(kind: OrderKind) -> &'static str {
+    match kind {
+        OrderKind::Load { from_store: true } => "load",
+        OrderKind::Load { from_store: false } => "bring_back",
+        OrderKind::Unload => "unload",
+    }
+}
+
+async fn ask_report(state: SharedControl, service: ServiceName, engine: Arc<EngineEntry>) {
+    let shared = Arc::clone(state.borrow().shared());
+    let dialect = &shared.dialects.engine;
+    let mut client = state.borrow_mut().order_clients().take(&engine);
+    let asked = shared.clock.now();
+    let call = dialect.report(&engine.name);
+    let answer = client.call(&call, ORDER_PATIENCE).await;
+    let report = answer.ok().and_then(|answer| dialect.report_answer(&answer).ok());
+    let mut state = state.borrow_mut();
+    state.order_clients().keep(&engine.name, client);
+    let Some(planner) = state.planner(&service) else { return };
+    match report {
+        Some(report) => planner.report_arrived(&engine.name, &report, asked),
+        None => planner.report_failed(&engine.name),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engines.rs
@@ -0,0 +1,7 @@
+//! Connections to engines, and what their answers say.
+
+pub mod pool;
+pub mod send;
+
+pub use pool::{EngineLease, EnginePool};
+pub use send::{EngineAnswer, SendFailure, send_request};
--- /dev/null
+++ b/crates/gateway/src/entry.rs
@@ -0,0 +1,192 @@
+//! The traffic thread: client connections, requests, and the way of each to an engine.
+//!
+//! Read [`connection`] for one client connection, [`prepare`] and [`exchange`] for one request,
+//! [`pick`] for where it goes, [`wait`] for what happens until its adapter is there, [`attempt`] for
+//! one send, [`pass`] for how an answer is passed on, and [`stream`] for answers in events.
+
+pub mod answer;
+pub mod attempt;
+pub mod connection;
+pub mod exchange;
+pub mod pass;
+pub mod pick;
+pub mod prepare;
+pub mod probe;
+pub mod stream;
+pub mod wait;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use reelreel_core::{
+    ClockMillis, ClockSource,
+    fleet::{EngineName, ModelKey, ServiceName, retry_share::RetryShare},
+};
+use tokio::{net::TcpListener, runtime::Builder, sync::watch, task::LocalSet};
+
+use crate::{engines::EnginePool, machine::SharedState, table::ServingTable};
+
+/// How often connections that rested too long are closed.
+const CLEAN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long to wait before an address is listened on again.
+const LISTEN_PAUSE: Duration = Duration::from_millis(100);
+
+/// How often listening is tried before the process gives up.
+const LISTEN_TRIES: u32 = 30;
+
+/// How long a stopping machine stays for clients that the balancer still sends.
+const LEAST_STOP: Duration = Duration::from_millis(2600);
+
+/// What a planned stop leaves of the operator's grace.
+const STOP_RESERVE: Duration = Duration::from_millis(500);
+
+/// How often a stopping machine looks whether it may end.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// How long an engine's word that it does not hold something is believed against the table.
+const ABSENCE_HOLDS: Duration = Duration::from_millis(700);
+
+/// What the traffic thread's tasks share.
+pub struct TrafficState {
+    /// What the machine's threads share.
+    pub shared: Arc<SharedState>,
+    /// Connections to engines.
+    pub pool: Rc<RefCell<EnginePool>>,
+    /// The share of each service's retry budget.
+    pub retries: RefCell<HashMap<ServiceName, RetryShare>>,
+    /// What engines said that they do not hold, and when.
+    absences: RefCell<HashMap<(EngineName, ModelKey), ClockMillis>>,
+    /// Bytes of request bodies that are held.
+    pub body_bytes: Cell<usize>,
+    /// Client connections that are open.
+    pub connections: Cell<usize>,
+    table: watch::Receiver<Arc<ServingTable>>,
+}
+
+impl TrafficState {
+    fn new(shared: Arc<SharedState>) -> Self {
+        let table = shared.table.subscribe();
+        Self {
+            shared,
+            pool: Rc::default(),
+            retries: RefCell::default(),
+            absences: RefCell::default(),
+            body_bytes: Cell::new(0),
+            connections: Cell::new(0),
+            table,
+        }
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> ClockMillis {
+        self.shared.clock.now()
+    }
+
+    /// Returns what the machine believes now.
+    pub fn table(&self) -> Arc<ServingTable> {
+        Arc::clone(&self.table.borrow())
+    }
+
+    /// Returns a receiver that tells when the machine believes something else.
+    pub fn table_changes(&self) -> watch::Receiver<Arc<ServingTable>> {
+        let mut changes = self.table.clone();
+        changes.mark_unchanged();
+        changes
+    }
+
+    /// Takes an engine's word that it does not hold a model or adapter.
+    pub fn note_absence(&self, engine: &EngineName, key: &ModelKey) {
+        let place = (Arc::clone(engine), Arc::clone(key));
+        self.absences.borrow_mut().insert(place, self.now());
+    }
+
+    /// Returns whether an engine said just now that it does not hold a model or adapter.
+    pub fn is_absent(&self, engine: &EngineName, key: &ModelKey) -> bool {
+        let place = (Arc::clone(engine), Arc::clone(key));
+        let said = self.absences.borrow().get(&place).copied();
+        said.is_some_and(|said| self.now().since(said) < ABSENCE_HOLDS)
+    }
+
+    fn clean(&self) {
+        let (table, now) = (self.table(), self.now());
+        let listed =
+            |engine: &str| table.engines.values().flatten().any(|entry| &*entry.name == engine);
+        self.pool.borrow_mut().clean(listed, now);
+        self.absences.borrow_mut().retain(|_, said| now.since(*said) < ABSENCE_HOLDS);
+        let allowance = &self.shared.profile.bounds.retries;
+        for share in self.retries.borrow_mut().values_mut() {
+            share.forget_old(allowance, now);
+        }
+    }
+}
+
+/// Carries the traffic until the planned stop has ended.
+///
+/// # Errors
+/// Returns that an address can not be listened on.
+pub fn run_entry(shared: &Arc<SharedState>) -> std::io::Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, entry(shared))
+}
+
+async fn entry(shared: &Arc<SharedState>) -> std::io::Result<()> {
+    let traffic = Rc::new(TrafficState::new(Arc::clone(shared)));
+    let clients = listen(shared.profile.clients).await?;
+    let readiness = listen(shared.profile.readiness).await?;
+    let metrics = listen(shared.profile.metrics).await?;
+    shared.events.write(crate::events::MachineEvent::Started {
+        clients: clients.local_addr()?,
+        peers: shared.profile.peers,
+    });
+    tokio::task::spawn_local(connection::accept_clients(Rc::clone(&traffic), clients));
+    tokio::task::spawn_local(probe::serve_readiness(Rc::clone(&traffic), readiness));
+    tokio::task::spawn_local(probe::serve_metrics(Rc::clone(&traffic), metrics));
+    tokio::task::spawn_local(clean_up(Rc::clone(&traffic)));
+    let mut stopping = shared.stopping.subscribe();
+    // The sender lives as long as the shared state, so waiting can not fail.
+    let _ = stopping.wait_for(|stopping| *stopping).await;
+    finish(&traffic).await;
+    Ok(())
+}
+
+async fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let mut tries = 0;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse && tries < LISTEN_TRIES => {
+                tries += 1;
+                tokio::time::sleep(LISTEN_PAUSE).await;
+            }
+            outcome => return outcome,
+        }
+    }
+}
+
+async fn clean_up(traffic: Rc<TrafficState>) {
+    loop {
+        tokio::time::sleep(CLEAN_INTERVAL).await;
+        traffic.clean();
+    }
+}
+
+/// Waits until all requests have ended, at most as long as the operator gives.
+async fn finish(traffic: &TrafficState) {
+    let longest = traffic.shared.profile.bounds.stop_grace.saturating_sub(STOP_RESERVE);
+    let began = traffic.now();
+    loop {
+        let waited = traffic.now().since(began);
+        let open = traffic.shared.open_requests.load(Ordering::Relaxed);
+        if waited >= longest || (waited >= LEAST_STOP && open == 0) {
+            return;
+        }
+        tokio::time::sleep(STOP_LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry/attempt.rs
@@ -0,0 +1,179 @@
+//! One send of a request to one engine.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use reelreel_core::{
+    ClockMillis,
+    fleet::{EngineEntry, WeightVersion, condition::EngineOutcome},
+};
+use reelreel_http::RequestHead;
+use tokio::time::Instant;
+
+use crate::{
+    border::SendTerms,
+    engines::{EngineAnswer, EngineLease, EnginePool, send_request},
+    entry::exchange::{Exchange, ExchangeEnd, SENT_AHEAD, SendEnd},
+};
+
+/// What an engine gets beyond the deadline to say itself that the time is over.
+const DEADLINE_SLACK: Duration = Duration::from_millis(120);
+
+impl Exchange<'_> {
+    /// Sends the request and passes on what comes.
+    pub async fn send(
+        &mut self,
+        entry: &Arc<EngineEntry>,
+        version: Option<WeightVersion>,
+    ) -> SendEnd {
+        let single = !self.route.kind.may_repeat();
+        let now = self.traffic.now();
+        let connecting = EnginePool::connect(&self.traffic.pool, entry, single, now);
+        let connected = tokio::select! {
+            biased;
+            connected = connecting => connected,
+            () = self.client.closed(SENT_AHEAD) => {
+                return SendEnd::Over(ExchangeEnd::Reset, "client_gone");
+            }
+        };
+        let Ok(mut lease) = connected else {
+            self.note(entry, EngineOutcome::Unreachable);
+            return SendEnd::NotSent;
+        };
+        if !lease.reused {
+            self.traffic.shared.metrics.connects.inc();
+        }
+        let request = self.engine_request(entry, version, None);
+        self.count_send(entry);
+        let began = self.traffic.now();
+        let dialect = Arc::clone(&self.traffic.shared.dialects.exchange);
+        let limit = self.until + DEADLINE_SLACK;
+        let sending = send_request(
+            &mut lease,
+            &*dialect,
+            &request,
+            &self.request.head.method,
+            &self.facts.id,
+        );
+        let answer = tokio::select! {
+            biased;
+            answer = sending => answer,
+            () = self.client.closed(SENT_AHEAD) => {
+                lease.close();
+                return SendEnd::Over(ExchangeEnd::Reset, "client_gone");
+            }
+            () = tokio::time::sleep_until(limit) => {
+                lease.close();
+                self.may_have_run = true;
+                return SendEnd::TimeOver;
+            }
+        };
+        let Ok(answer) = answer else {
+            lease.close();
+            self.may_have_run = true;
+            self.note(entry, EngineOutcome::Broken);
+            return SendEnd::Failed;
+        };
+        self.take_answer(lease, answer, began).await
+    }
+
+    async fn take_answer(
+        &mut self,
+        mut lease: EngineLease,
+        mut answer: EngineAnswer,
+        began: ClockMillis,
+    ) -> SendEnd {
+        let entry = Arc::clone(&lease.entry);
+        if answer.facts.not_run || answer.facts.misdirected {
+            if !answer.facts.misdirected {
+                self.note(&entry, EngineOutcome::Refused);
+            }
+            let absent = answer.facts.misdirected;
+            self.drain_and_keep(lease, answer).await;
+            return SendEnd::NotRun { absent };
+        }
+        self.may_have_run = true;
+        let promises = matches!(answer.head.status, 408 | 421 | 429 | 503);
+        let success = (200..300).contains(&answer.head.status);
+        if promises || (success && !answer.facts.signed) {
+            // The status would promise, or claim, what the engine did not.
+            lease.close();
+            self.note(&entry, EngineOutcome::Broken);
+            return SendEnd::Failed;
+        }
+        if success && self.route.kind.is_stream() {
+            return self.pass_stream(lease, answer, began).await;
+        }
+        let whole = self.read_whole(&mut lease, &mut answer).await;
+        let body = match whole {
+            Ok(body) => body,
+            Err(end) => {
+                lease.close();
+                if matches!(end, SendEnd::Failed) {
+                    self.note(&entry, EngineOutcome::Broken);
+                }
+                return end;
+            }
+        };
+        let delay = self.traffic.now().since(began);
+        self.keep_or_close(lease, &answer);
+        if answer.head.status >= 500 {
+            self.note(&entry, EngineOutcome::Erred);
+            return SendEnd::Erred(answer, body);
+        }
+        self.note(&entry, EngineOutcome::Answered(delay));
+        let end = self.pass_whole(&answer, &body).await;
+        SendEnd::Over(end, "answered")
+    }
+
+    /// Counts a send, and the engine among those that the request was sent to.
+    pub fn count_send(&mut self, entry: &EngineEntry) {
+        self.sends += 1;
+        if !self.sent_to.contains(&entry.name) {
+            self.sent_to.push(Arc::clone(&entry.name));
+        }
+        if self.sends == 1 {
+            let now = self.traffic.now();
+            let mut retries = self.traffic.retries.borrow_mut();
+            retries.entry(Arc::clone(&self.service)).or_default().note_request(now);
+        }
+    }
+
+    /// Counts how a send to an engine ended.
+    pub fn note(&self, entry: &EngineEntry, outcome: EngineOutcome) {
+        self.traffic.pool.borrow_mut().note(&entry.name, outcome, self.traffic.now());
+    }
+
+    /// Writes the request as the engine gets it: method, path and body unaltered.
+    pub fn engine_request(
+        &self,
+        entry: &EngineEntry,
+        version: Option<WeightVersion>,
+        resume_after: Option<&str>,
+    ) -> Bytes {
+        let mut fields = self.request.head.fields.end_to_end();
+        fields.retain(|field| !field.name.eq_ignore_ascii_case("content-length"));
+        let body = &self.request.body;
+        if !body.is_empty() || !matches!(self.request.head.method.as_str(), "GET" | "HEAD") {
+            fields.push("Content-Length", body.len().to_string());
+        }
+        let terms = SendTerms {
+            engine: &entry.name,
+            remaining: self.until.saturating_duration_since(Instant::now()),
+            priority: self.route.priority,
+            version,
+            resume_after,
+        };
+        self.traffic.shared.dialects.exchange.set_terms(&mut fields, &terms);
+        let head = RequestHead {
+            method: self.request.head.method.clone(),
+            target: self.request.head.target.clone(),
+            modern: true,
+            fields,
+        };
+        let mut bytes = BytesMut::with_capacity(512 + body.len());
+        head.write_to(&mut bytes);
+        bytes.extend_from_slice(body);
+        bytes.freeze()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry/exchange.rs
@@ -0,0 +1,379 @@
+//! One request, from its arrival to its final answer.
+
+use std::{
+    rc::Rc,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use reelreel_core::{
+    ClockMillis,
+    fleet::{
+        EngineEntry, EngineName, ServiceName, WeightVersion,
+        routes::{ConfigRevision, RouteEntry, RouteKind},
+    },
+};
+use reelreel_http::{HttpStream, RequestHead};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    border::RequestFacts,
+    engines::EngineAnswer,
+    entry::{
+        TrafficState,
+        answer::{ENGINE_FAILED, OwnAnswer, TIME_OVER},
+        pick::{EngineNeed, EnginePick, pick_engine},
+        prepare::{PreparedRequest, prepare, refuse_early},
+        wait::WaitEnd,
+    },
+    events::MachineEvent,
+    metrics::RequestLabels,
+};
+
+/// How many bytes a client may send ahead while its request runs.
+pub const SENT_AHEAD: usize = 16 * 1024;
+
+/// The pause before an engine that refused is asked again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(60);
+
+/// How often engines are connected to for one request.
+const MOST_CONNECTS: u32 = 4;
+
+/// How often one request is sent at all.
+const MOST_SENDS: u32 = 6;
+
+/// When a client refused for want of an engine comes back.
+const NO_ENGINE_PAUSE: Duration = Duration::from_millis(500);
+
+/// When a client refused by full engines comes back.
+const FULL_PAUSE: Duration = Duration::from_millis(250);
+
+/// One in so many requests that ended well is logged.
+const LOGGED_SHARE: u64 = 16;
+
+/// A client's request, read whole.
+#[derive(Debug)]
+pub struct ClientRequest {
+    /// The head.
+    pub head: RequestHead,
+    /// The body.
+    pub body: Bytes,
+    /// When its first byte was read.
+    pub arrived: ClockMillis,
+}
+
+/// What becomes of the client's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExchangeEnd {
+    /// It serves the next request.
+    Keep,
+    /// It is closed after the answer.
+    Close,
+    /// It is reset, so that nobody takes the answer for whole.
+    Reset,
+}
+
+/// How one send ended.
+pub enum SendEnd {
+    /// The client has its answer, or is gone.
+    Over(ExchangeEnd, &'static str),
+    /// Nothing reached the engine.
+    NotSent,
+    /// The engine promises that it did not run the request; `absent` when it lacks the adapter.
+    NotRun {
+        /// Whether it does not hold what was named, or is another engine.
+        absent: bool,
+    },
+    /// It may have run, and the client has got nothing.
+    Failed,
+    /// The engine answered with an error of its own, which is whole.
+    Erred(EngineAnswer, Bytes),
+    /// The time is over.
+    TimeOver,
+}
+
+/// One request on its way.
+pub struct Exchange<'client> {
+    /// What the thread's tasks share.
+    pub traffic: &'client Rc<TrafficState>,
+    /// The client's connection.
+    pub client: &'client mut HttpStream,
+    /// The request.
+    pub request: ClientRequest,
+    /// What it says.
+    pub facts: RequestFacts,
+    /// Its route.
+    pub route: Arc<RouteEntry>,
+    /// The service that runs it.
+    pub service: ServiceName,
+    /// Until when an answer is worth anything.
+    pub until: Instant,
+    /// The engines that it was sent to.
+    pub sent_to: Vec<EngineName>,
+    /// The status that the client got.
+    pub status: u16,
+    /// When the first byte of the answer went out. Unit: milliseconds after the arrival.
+    pub first: u64,
+    /// How often it was sent.
+    pub sends: u32,
+    /// Whether it may have run.
+    pub may_have_run: bool,
+    /// How long it waited for an adapter.
+    pub waited: Duration,
+    unreached: Vec<EngineName>,
+    connects: u32,
+    revision: ConfigRevision,
+}
+
+/// Runs one request to its final answer.
+pub async fn run_exchange(
+    traffic: &Rc<TrafficState>,
+    client: &mut HttpStream,
+    request: ClientRequest,
+) -> ExchangeEnd {
+    let _open = OpenRequest::new(traffic);
+    match prepare(traffic, &request) {
+        Ok(prepared) => {
+            let mut exchange = Exchange::new(traffic, client, request, prepared);
+            let (end, outcome) = exchange.run().await;
+            exchange.log(outcome);
+            end
+        }
+        Err(answer) => refuse_early(traffic, client, &request, answer).await,
+    }
+}
+
+/// Counts an open request for as long as it lives.
+struct OpenRequest<'traffic>(&'traffic TrafficState);
+
+impl<'traffic> OpenRequest<'traffic> {
+    fn new(traffic: &'traffic TrafficState) -> Self {
+        traffic.shared.open_requests.fetch_add(1, Ordering::Relaxed);
+        traffic.shared.metrics.open_requests.inc();
+        Self(traffic)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.shared.open_requests.fetch_sub(1, Ordering::Relaxed);
+        self.0.shared.metrics.open_requests.dec();
+    }
+}
+
+impl<'client> Exchange<'client> {
+    fn new(
+        traffic: &'client Rc<TrafficState>,
+        client: &'client mut HttpStream,
+        request: ClientRequest,
+        prepared: PreparedRequest,
+    ) -> Self {
+        let PreparedRequest { facts, route, service, revision } = prepared;
+        let spent = traffic.now().since(request.arrived);
+        let allowed = facts.deadline.unwrap_or(route.timeout).min(route.timeout);
+        Self {
+            traffic,
+            client,
+            until: Instant::now() + allowed.saturating_sub(spent),
+            request,
+            facts,
+            route,
+            service,
+            sent_to: Vec::new(),
+            status: 0,
+            first: 0,
+            unreached: Vec::new(),
+            sends: 0,
+            connects: 0,
+            may_have_run: false,
+            waited: Duration::ZERO,
+            revision,
+        }
+    }
+
+    async fn run(&mut self) -> (ExchangeEnd, &'static str) {
+        if let Some(key) = &self.facts.model {
+            self.traffic.shared.demand().asked(&self.service, key);
+        }
+        loop {
+            match self.pick() {
+                EnginePick::Engine(entry, version) => {
+                    if let Some(end) = self.try_engine(&entry, version).await {
+                        return end;
+                    }
+                }
+                EnginePick::Cold => match self.wait_for_adapter().await {
+                    WaitEnd::Changed => {}
+                    WaitEnd::ClientGone => return (ExchangeEnd::Reset, "client_gone"),
+                    WaitEnd::Refused(time) => return self.refuse_cold(time).await,
+                },
+                EnginePick::Nowhere => return self.give_up("no_engine").await,
+            }
+        }
+    }
+
+    /// Returns where the request may go now.
+    pub fn pick(&self) -> EnginePick {
+        let mut excluded = self.unreached.clone();
+        // Once the route's engines are used up, only those that were asked may be asked again.
+        let used_up = self.sent_to.len() >= self.route.most_attempts.max(1) as usize;
+        if used_up {
+            let table = self.traffic.table();
+            let others = table.ready_engines(&self.service);
+            let others = others.filter(|entry| !self.sent_to.contains(&entry.name));
+            excluded.extend(others.map(|entry| Arc::clone(&entry.name)));
+        }
+        let need = EngineNeed {
+            service: &self.service,
+            key: self.facts.model.as_ref(),
+            excluded: &excluded,
+            id: &self.facts.id,
+        };
+        let pick = pick_engine(self.traffic, &need);
+        match pick {
+            EnginePick::Cold if used_up => EnginePick::Nowhere,
+            pick => pick,
+        }
+    }
+
+    /// Sends the request to one engine; `None` when another send may follow.
+    async fn try_engine(
+        &mut self,
+        entry: &Arc<EngineEntry>,
+        version: Option<WeightVersion>,
+    ) -> Option<(ExchangeEnd, &'static str)> {
+        match self.send(entry, version).await {
+            SendEnd::Over(end, outcome) => Some((end, outcome)),
+            SendEnd::TimeOver if self.may_have_run => {
+                Some(self.answer(TIME_OVER, "time_over").await)
+            }
+            SendEnd::TimeOver => Some(self.give_up("time_over").await),
+            SendEnd::NotSent => {
+                self.unreached.push(Arc::clone(&entry.name));
+                self.connects += 1;
+                if self.connects < MOST_CONNECTS {
+                    return None;
+                }
+                Some(self.give_up("unreachable").await)
+            }
+            SendEnd::NotRun { absent } => {
+                if absent && let Some(key) = &self.facts.model {
+                    self.traffic.note_absence(&entry.name, key);
+                }
+                if !self.may_send_again() {
+                    return Some(self.give_up("not_run").await);
+                }
+                tokio::time::sleep(REPEAT_PAUSE).await;
+                None
+            }
+            SendEnd::Failed => {
+                let repeat = self.route.kind.may_repeat() && self.has_other_engine();
+                if repeat && self.may_send_again() {
+                    self.unreached.push(Arc::clone(&entry.name));
+                    return None;
+                }
+                Some(self.answer(ENGINE_FAILED, "engine_failed").await)
+            }
+            SendEnd::Erred(answer, body) => {
+                let repeat = self.route.kind == RouteKind::Repeatable && self.has_other_engine();
+                if repeat && self.may_send_again() {
+                    self.unreached.push(Arc::clone(&entry.name));
+                    return None;
+                }
+                let end = self.pass_whole(&answer, &body).await;
+                Some((end, "engine_error"))
+            }
+        }
+    }
+
+    fn has_other_engine(&self) -> bool {
+        self.sent_to.len() < self.route.most_attempts as usize
+    }
+
+    /// Takes one further send from the budgets that bound them.
+    pub fn may_send_again(&self) -> bool {
+        let bounds = &self.traffic.shared.profile.bounds;
+        let machines = self.traffic.table().machines;
+        if self.sends >= MOST_SENDS || Instant::now() + REPEAT_PAUSE >= self.until {
+            return false;
+        }
+        let mut retries = self.traffic.retries.borrow_mut();
+        let share = retries.entry(Arc::clone(&self.service)).or_default();
+        let taken = share.take(&bounds.retries, machines, self.traffic.now());
+        if taken {
+            self.traffic.shared.metrics.retries.inc();
+        }
+        taken
+    }
+
+    /// Refuses a request whose adapter is not there.
+    async fn refuse_cold(&mut self, retry_after: Duration) -> (ExchangeEnd, &'static str) {
+        if self.may_have_run {
+            return self.answer(ENGINE_FAILED, "adapter_absent").await;
+        }
+        let text = "the adapter is not loaded yet; come back after the time in Retry-After";
+        self.answer(OwnAnswer::refusal(text, retry_after), "adapter_absent").await
+    }
+
+    /// Ends a request that was not run with the time to come back, any other as unknown.
+    async fn give_up(&mut self, cause: &'static str) -> (ExchangeEnd, &'static str) {
+        if self.may_have_run {
+            return self.answer(ENGINE_FAILED, cause).await;
+        }
+        let answer = match cause {
+            "not_run" => OwnAnswer::refusal("the engines are full; come back later", FULL_PAUSE),
+            _ => OwnAnswer::refusal("no engine takes work now; come back later", NO_ENGINE_PAUSE),
+        };
+        self.answer(answer, cause).await
+    }
+
+    async fn answer(
+        &mut self,
+        answer: OwnAnswer,
+        outcome: &'static str,
+    ) -> (ExchangeEnd, &'static str) {
+        let keep = self.keeps_client();
+        let dialect = &*self.traffic.shared.dialects.exchange;
+        let bytes = answer.write(dialect, Some(&self.facts.id), !keep);
+        self.status = answer.status;
+        let sent = self.client.write(&bytes).await.is_ok();
+        let end = if keep && sent { ExchangeEnd::Keep } else { ExchangeEnd::Close };
+        (end, outcome)
+    }
+
+    /// Returns whether the client's connection serves another request after this one.
+    pub fn keeps_client(&self) -> bool {
+        self.request.head.keeps_connection() && !self.traffic.shared.is_stopping()
+    }
+
+    /// Returns the milliseconds since the request arrived.
+    pub fn elapsed(&self) -> u64 {
+        let elapsed = self.traffic.now().since(self.request.arrived);
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn log(&self, outcome: &'static str) {
+        let shared = &self.traffic.shared;
+        let labels = RequestLabels { route: self.route.name.clone(), outcome: outcome.to_owned() };
+        shared.metrics.requests.get_or_create(&labels).inc();
+        let number = xxh3_64(self.facts.id.as_bytes());
+        if outcome == "answered" && !number.is_multiple_of(LOGGED_SHARE) {
+            return;
+        }
+        shared.events.write(MachineEvent::Request {
+            id: self.facts.id.clone(),
+            route: self.route.name.clone(),
+            outcome,
+            status: self.status,
+            key: self.facts.model.as_ref().map(ToString::to_string),
+            engine: self.sent_to.last().map(ToString::to_string),
+            sends: self.sends,
+            waited: u64::try_from(self.waited.as_millis()).unwrap_or(u64::MAX),
+            first: self.first,
+            total: self.elapsed(),
+            revision: self.revision,
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry/prepare.rs
@@ -0,0 +1,89 @@
+//! What is found out about a request before it goes anywhere.
+
+use std::sync::Arc;
+
+use reelreel_core::fleet::{
+    ServiceName,
+    routes::{ConfigRevision, RouteEntry},
+};
+use reelreel_http::HttpStream;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    border::RequestFacts,
+    entry::{
+        TrafficState,
+        answer::{BAD_FIELDS, NO_REVISION, NO_ROUTE, NOT_READY, OwnAnswer},
+        exchange::{ClientRequest, ExchangeEnd},
+    },
+    events::MachineEvent,
+    metrics::RequestLabels,
+};
+
+/// What a request says and where its route leads.
+#[derive(Debug)]
+pub struct PreparedRequest {
+    /// What it says.
+    pub facts: RequestFacts,
+    /// Its route.
+    pub route: Arc<RouteEntry>,
+    /// The service that runs it.
+    pub service: ServiceName,
+    /// The configuration that decided its route.
+    pub revision: ConfigRevision,
+}
+
+/// Finds what a request says and where its route leads.
+///
+/// # Errors
+/// Returns the answer that refuses it at once.
+pub fn prepare(
+    traffic: &TrafficState,
+    request: &ClientRequest,
+) -> Result<PreparedRequest, OwnAnswer> {
+    let table = traffic.table();
+    let facts = traffic.shared.dialects.exchange.request_facts(&request.head);
+    let facts = facts.map_err(|_| BAD_FIELDS)?;
+    let Some(routes) = table.routes.as_ref().filter(|_| table.engines_known) else {
+        return Err(NOT_READY);
+    };
+    let host = request.head.fields.text("host").unwrap_or_default();
+    let Some(route) = routes.route(host, &request.head.target) else {
+        return Err(NO_ROUTE);
+    };
+    let Some(service) = route.service(xxh3_64(facts.id.as_bytes())) else {
+        return Err(NO_ROUTE);
+    };
+    let (route, service) = (Arc::clone(route), Arc::clone(service));
+    Ok(PreparedRequest { facts, route, service, revision: routes.revision() })
+}
+
+/// Answers a request that goes nowhere.
+pub async fn refuse_early(
+    traffic: &TrafficState,
+    client: &mut HttpStream,
+    request: &ClientRequest,
+    answer: OwnAnswer,
+) -> ExchangeEnd {
+    let keep = request.head.keeps_connection() && !traffic.shared.is_stopping();
+    let dialect = &traffic.shared.dialects.exchange;
+    let id = dialect.request_facts(&request.head).ok().map(|facts| facts.id);
+    let bytes = answer.write(&**dialect, id.as_deref(), !keep);
+    let sent = client.write(&bytes).await.is_ok();
+    let labels = RequestLabels { route: String::from("none"), outcome: answer.status.to_string() };
+    traffic.shared.metrics.requests.get_or_create(&labels).inc();
+    traffic.shared.events.write(MachineEvent::Request {
+        id: id.unwrap_or_default(),
+        route: request.head.target.clone(),
+        outcome: "refused_early",
+        status: answer.status,
+        key: None,
+        engine: None,
+        sends: 0,
+        waited: 0,
+        first: 0,
+        total: 0,
+        revision: NO_REVISION,
+    });
+    if keep && sent { ExchangeEnd::Keep } else { ExchangeEnd::Close }
+}
--- /dev/null
+++ b/crates/gateway/src/entry/wait.rs
@@ -0,0 +1,112 @@
+//! Waiting for an adapter that no engine holds yet.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use reelreel_core::fleet::{
+    ModelKey, ServiceName,
+    cold::{ColdChoice, ColdRequest},
+};
+use tokio::time::Instant;
+
+use crate::entry::{
+    TrafficState,
+    exchange::{Exchange, SENT_AHEAD},
+    pick::EnginePick,
+};
+
+/// The part of the route's time below which a deadline shows that the client came back.
+const RETURNED_PART: f64 = 0.985;
+
+/// How waiting for an adapter ended.
+pub enum WaitEnd {
+    /// An engine may take the request now.
+    Changed,
+    /// The client is gone.
+    ClientGone,
+    /// The request is refused; the client comes back after so long.
+    Refused(Duration),
+}
+
+/// Counts a waiting request for as long as it waits.
+struct WaitGuard {
+    traffic: Rc<TrafficState>,
+    service: ServiceName,
+    key: ModelKey,
+}
+
+/// The worth of one waiting request, until requests tell their own.
+const WAIT_WORTH: f64 = 1.0;
+
+impl WaitGuard {
+    fn new(traffic: &Rc<TrafficState>, service: &ServiceName, key: &ModelKey) -> Self {
+        traffic.shared.demand().wait_began(service, key, WAIT_WORTH);
+        let (service, key) = (Arc::clone(service), Arc::clone(key));
+        Self { traffic: Rc::clone(traffic), service, key }
+    }
+
+    /// Goes on counting the request until its client has come back.
+    fn hold_for(self, time: Duration) {
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(time).await;
+            drop(self);
+        });
+    }
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.traffic.shared.demand().wait_ended(&self.service, &self.key, WAIT_WORTH);
+    }
+}
+
+impl Exchange<'_> {
+    /// Waits until an engine may take the request, as long as that is worth it.
+    pub async fn wait_for_adapter(&mut self) -> WaitEnd {
+        let Some(key) = self.facts.model.clone() else { return WaitEnd::Refused(Duration::ZERO) };
+        let mut changes = self.traffic.table_changes();
+        if !matches!(self.pick(), EnginePick::Cold) {
+            return WaitEnd::Changed;
+        }
+        let began = self.traffic.now();
+        let guard = WaitGuard::new(self.traffic, &self.service, &key);
+        let end = loop {
+            let wait = match self.cold_request(&key).choose() {
+                ColdChoice::Wait(time) => time,
+                ColdChoice::Refuse(time) => break WaitEnd::Refused(time),
+            };
+            tokio::select! {
+                biased;
+                change = changes.changed() => {
+                    if change.is_err() {
+                        break WaitEnd::Refused(Duration::ZERO);
+                    }
+                }
+                () = self.client.closed(SENT_AHEAD) => break WaitEnd::ClientGone,
+                () = tokio::time::sleep(wait) => {}
+            }
+            if !matches!(self.pick(), EnginePick::Cold) {
+                break WaitEnd::Changed;
+            }
+        };
+        let waited = self.traffic.now().since(began);
+        self.waited += waited;
+        self.traffic.shared.metrics.load_wait.observe(waited.as_secs_f64());
+        if let WaitEnd::Refused(time) = end {
+            guard.hold_for(time + self.route.target);
+        }
+        end
+    }
+
+    fn cold_request(&self, key: &ModelKey) -> ColdRequest {
+        let now = self.traffic.now();
+        let due = self.traffic.table().estimates.get(key).copied();
+        let deadline = self.facts.deadline.unwrap_or(self.route.timeout);
+        ColdRequest {
+            elapsed: now.since(self.request.arrived),
+            target: self.route.target,
+            remaining: self.until.saturating_duration_since(Instant::now()),
+            estimate: due.map(|due| due.since(now)),
+            returned: deadline < self.route.timeout.mul_f64(RETURNED_PART),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,221 @@
+//! Structured log lines on standard output, one for each decision, never waited for.
+//!
+//! Events go through a bounded queue to one writer thread. When the queue is full an event is left
+//! out and counted; the next line that fits says how many were.
+
+use std::{
+    io::Write,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use serde::Serialize;
+
+/// How many lines wait for the writer at most.
+const QUEUE_LENGTH: usize = 512;
+
+/// The writer thread's stack. Unit: bytes.
+const WRITER_STACK: usize = 128 * 1024;
+
+/// How a request's way ended, or what was decided on it.
+#[derive(Debug, Clone, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum MachineEvent {
+    /// The process serves its addresses.
+    Started {
+        /// Where clients connect.
+        clients: SocketAddr,
+        /// Where other machines connect.
+        peers: SocketAddr,
+    },
+    /// The settings were read anew.
+    Reloaded {
+        /// What is wrong with them.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        mistake: Option<String>,
+    },
+    /// A planned stop began.
+    Stopping {
+        /// Requests that were open.
+        open: usize,
+    },
+    /// The process ends.
+    Stopped {
+        /// Requests that were cut off.
+        open: usize,
+    },
+    /// A configuration came into force.
+    ConfigurationInForce {
+        /// Its number.
+        revision: u64,
+    },
+    /// The store gave no useful answer after it had.
+    StoreLost {
+        /// What was read.
+        what: &'static str,
+    },
+    /// The store answers again.
+    StoreRegained {
+        /// What was read.
+        what: &'static str,
+    },
+    /// An engine was listed.
+    EngineJoined {
+        /// The engine.
+        engine: String,
+        /// Its service.
+        service: String,
+        /// Its address.
+        address: SocketAddr,
+    },
+    /// An engine gets no more work.
+    EngineLeaving {
+        /// The engine.
+        engine: String,
+    },
+    /// An engine is listed no more.
+    EngineGone {
+        /// The engine.
+        engine: String,
+    },
+    /// The lease of a placement domain moved to another state.
+    Lease {
+        /// The domain's service.
+        service: String,
+        /// The state.
+        state: &'static str,
+        /// The tenure's token.
+        token: u64,
+    },
+    /// An engine answered an order, or did not.
+    Order {
+        /// The engine.
+        engine: String,
+        /// Load or unload, and from where.
+        kind: String,
+        /// The model or adapter.
+        key: String,
+        /// Orders that the engine was to have taken before.
+        sequence: u64,
+        /// The tenure's token.
+        token: u64,
+        /// The worth of the load when it was picked.
+        worth: f64,
+        /// Requests that waited for it.
+        waiting: u32,
+        /// What the engine said.
+        answer: String,
+        /// How long that took. Unit: milliseconds.
+        millis: u64,
+    },
+    /// A request ended.
+    Request {
+        /// Its id.
+        id: String,
+        /// Its route.
+        route: String,
+        /// How it ended.
+        outcome: &'static str,
+        /// The status that the client got; zero when it got none.
+        status: u16,
+        /// The model or adapter.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        key: Option<String>,
+        /// The last engine that it was sent to.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        engine: Option<String>,
+        /// To how many engines it was sent.
+        sends: u32,
+        /// How long it waited for an adapter. Unit: milliseconds.
+        waited: u64,
+        /// When the first byte of the answer went out. Unit: milliseconds after its arrival.
+        first: u64,
+        /// When it ended. Unit: milliseconds after its arrival.
+        total: u64,
+        /// The configuration that decided its route.
+        revision: u64,
+    },
+}
+
+#[derive(Serialize)]
+struct EventLine<'event> {
+    at: u64,
+    machine: &'event str,
+    #[serde(flatten)]
+    event: &'event MachineEvent,
+    #[serde(skip_serializing_if = "is_zero")]
+    left_out: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the serializer hands references")]
+const fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
+/// Writes events without ever waiting.
+#[derive(Debug, Clone)]
+pub struct EventLog {
+    sender: SyncSender<(u64, MachineEvent)>,
+    left_out: Arc<AtomicU64>,
+}
+
+impl EventLog {
+    /// Starts the writer thread.
+    ///
+    /// # Errors
+    /// Returns that the thread could not be started.
+    pub fn start(machine: Arc<str>) -> std::io::Result<Self> {
+        let (sender, receiver) = sync_channel(QUEUE_LENGTH);
+        let left_out = Arc::new(AtomicU64::new(0));
+        let count = Arc::clone(&left_out);
+        std::thread::Builder::new()
+            .name(String::from("events"))
+            .stack_size(WRITER_STACK)
+            .spawn(move || write_events(&receiver, &machine, &count))?;
+        Ok(Self { sender, left_out })
+    }
+
+    /// Queues an event, or counts it as left out.
+    pub fn write(&self, event: MachineEvent) {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let at = u64::try_from(wall.as_millis()).unwrap_or(u64::MAX);
+        if self.sender.try_send((at, event)).is_err() {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn write_events(receiver: &Receiver<(u64, MachineEvent)>, machine: &str, left_out: &AtomicU64) {
+    let mut line = Vec::with_capacity(512);
+    while let Ok((at, event)) = receiver.recv() {
+        line.clear();
+        append_line(&mut line, machine, at, &event, left_out);
+        while line.len() < 16 * 1024
+            && let Ok((at, event)) = receiver.try_recv()
+        {
+            append_line(&mut line, machine, at, &event, left_out);
+        }
+        if std::io::stdout().write_all(&line).is_err() {
+            return;
+        }
+    }
+}
+
+fn append_line(
+    line: &mut Vec<u8>,
+    machine: &str,
+    at: u64,
+    event: &MachineEvent,
+    left_out: &AtomicU64,
+) {
+    let left_out = left_out.swap(0, Ordering::Relaxed);
+    let event = EventLine { at, machine, event, left_out };
+    if serde_json::to_writer(&mut *line, &event).is_ok() {
+        line.push(b'\n');
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,19 @@
+//! One machine of reelreel on a platform whose engines admit requests by themselves.
+//!
+//! One thread carries the traffic ([`entry`], [`engines`]), one keeps what the machine believes
+//! ([`control`], [`store`], [`peers`]). The second publishes a whole [`table::ServingTable`]
+//! whenever something changed; the first decides each request from the newest one. What is spoken
+//! with clients, engines and the store is behind the traits of [`border`].
+
+pub mod border;
+pub mod call;
+pub mod control;
+pub mod engines;
+pub mod entry;
+pub mod events;
+pub mod machine;
+pub mod metrics;
+pub mod peers;
+pub mod profile;
+pub mod store;
+pub mod table;
--- /dev/null
+++ b/crates/gateway/src/machine.rs
@@ -0,0 +1,194 @@
+//! One machine: its two threads and what they share.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use reelreel_core::{
+    ClockMillis, MonotonicClock,
+    fleet::{ModelKey, ServiceName},
+    placement::DemandEntry,
+};
+use tokio::sync::watch;
+
+use crate::{
+    border::BorderDialects,
+    control::run_control,
+    entry::run_entry,
+    events::{EventLog, MachineEvent},
+    metrics::MachineMetrics,
+    profile::MachineProfile,
+    table::ServingTable,
+};
+
+/// The control thread's stack. Unit: bytes.
+const CONTROL_STACK: usize = 512 * 1024;
+
+/// How long waiting demand stays unsaid before it is said again.
+const DEMAND_RENEWAL: Duration = Duration::from_secs(1);
+
+/// Demand for one model or adapter since it was last told.
+#[derive(Debug, Clone, Default)]
+struct DemandCount {
+    asked: u32,
+    waiting: u32,
+    waiting_worth: f64,
+    changed: bool,
+    told: ClockMillis,
+}
+
+/// Demand that the traffic thread sees and the control thread tells.
+#[derive(Debug, Default)]
+pub struct DemandCollector {
+    services: HashMap<ServiceName, HashMap<ModelKey, DemandCount>>,
+}
+
+impl DemandCollector {
+    fn count(&mut self, service: &ServiceName, key: &ModelKey) -> &mut DemandCount {
+        let keys = self.services.entry(Arc::clone(service)).or_default();
+        let count = keys.entry(Arc::clone(key)).or_default();
+        count.changed = true;
+        count
+    }
+
+    /// Counts a request.
+    pub fn asked(&mut self, service: &ServiceName, key: &ModelKey) {
+        self.count(service, key).asked += 1;
+    }
+
+    /// Counts a request that begins to wait.
+    pub fn wait_began(&mut self, service: &ServiceName, key: &ModelKey, worth: f64) {
+        let count = self.count(service, key);
+        count.waiting += 1;
+        count.waiting_worth += worth;
+    }
+
+    /// Counts a request that waits no longer.
+    pub fn wait_ended(&mut self, service: &ServiceName, key: &ModelKey, worth: f64) {
+        let count = self.count(service, key);
+        count.waiting = count.waiting.saturating_sub(1);
+        count.waiting_worth = (count.waiting_worth - worth).max(0.0);
+    }
+
+    /// Takes what must be told now.
+    pub fn drain(&mut self, now: ClockMillis) -> Vec<(ServiceName, Vec<DemandEntry>)> {
+        let mut drained = Vec::new();
+        for (service, keys) in &mut self.services {
+            let mut entries = Vec::new();
+            for (key, count) in keys.iter_mut() {
+                let renew = count.waiting > 0 && now.since(count.told) >= DEMAND_RENEWAL;
+                if !count.changed && !renew {
+                    continue;
+                }
+                entries.push(DemandEntry {
+                    key: Arc::clone(key),
+                    asked: std::mem::take(&mut count.asked),
+                    waiting: count.waiting,
+                    waiting_worth: count.waiting_worth,
+                });
+                count.changed = false;
+                count.told = now;
+            }
+            keys.retain(|_, count| count.waiting > 0 || count.changed);
+            if !entries.is_empty() {
+                drained.push((Arc::clone(service), entries));
+            }
+        }
+        drained
+    }
+
+    /// Makes the waiting demand of a service be told again, to a new placer.
+    pub fn tell_again(&mut self, service: &str) {
+        for count in self.services.get_mut(service).into_iter().flat_map(HashMap::values_mut) {
+            count.changed = true;
+        }
+    }
+}
+
+/// What the two threads share.
+pub struct SharedState {
+    /// What the machine is told about itself.
+    pub profile: MachineProfile,
+    /// What is spoken at its borders.
+    pub dialects: BorderDialects,
+    /// The machine's clock.
+    pub clock: MonotonicClock,
+    /// What the control thread believes.
+    pub table: watch::Sender<Arc<ServingTable>>,
+    /// Whether a planned stop has begun.
+    pub stopping: watch::Sender<bool>,
+    /// Structured log lines.
+    pub events: EventLog,
+    /// Counters and histograms.
+    pub metrics: MachineMetrics,
+    /// Requests that are open.
+    pub open_requests: AtomicUsize,
+    demand: Mutex<DemandCollector>,
+}
+
+impl SharedState {
+    /// Starts with nothing known.
+    pub fn new(profile: MachineProfile, dialects: BorderDialects, events: EventLog) -> Self {
+        Self {
+            profile,
+            dialects,
+            clock: MonotonicClock::new(),
+            table: watch::Sender::new(Arc::default()),
+            stopping: watch::Sender::new(false),
+            events,
+            metrics: MachineMetrics::default(),
+            open_requests: AtomicUsize::new(0),
+            demand: Mutex::default(),
+        }
+    }
+
+    /// Locks the demand for a moment.
+    pub fn demand(&self) -> MutexGuard<'_, DemandCollector> {
+        self.demand.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Notes that the settings were read anew; what a running machine uses of them does not change.
+    pub fn reloaded(&self, mistake: Option<impl std::fmt::Display>) {
+        let mistake = mistake.map(|mistake| mistake.to_string());
+        self.events.write(MachineEvent::Reloaded { mistake });
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        let open = self.open_requests.load(Ordering::Relaxed);
+        let began = self.stopping.send_if_modified(|stopping| !std::mem::replace(stopping, true));
+        if began {
+            self.events.write(MachineEvent::Stopping { open });
+        }
+    }
+}
+
+/// Runs a machine until its planned stop has ended.
+///
+/// The calling thread carries the traffic; one more thread keeps what the machine believes.
+///
+/// # Errors
+/// Returns that an address can not be listened on or a thread not be started.
+pub fn run_machine(shared: &Arc<SharedState>) -> std::io::Result<()> {
+    let control = Arc::clone(shared);
+    let thread = std::thread::Builder::new()
+        .name(String::from("control"))
+        .stack_size(CONTROL_STACK)
+        .spawn(move || run_control(&control))?;
+    run_entry(shared)?;
+    let open = shared.open_requests.load(Ordering::Relaxed);
+    shared.events.write(MachineEvent::Stopped { open });
+    // The control thread leaves the group as soon as the stop begins; it is not waited for.
+    drop(thread);
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,122 @@
+//! Counters, gauges and histograms, in the text format that Prometheus reads.
+
+use std::sync::Mutex;
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// What tells request counters apart.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// The route, or `none`.
+    pub route: String,
+    /// How the request ended.
+    pub outcome: String,
+}
+
+/// What tells order counters apart.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OrderLabels {
+    /// Load or unload.
+    pub kind: String,
+    /// What the engine said.
+    pub answer: String,
+}
+
+/// Everything that a machine counts.
+pub struct MachineMetrics {
+    registry: Mutex<Registry>,
+    /// Requests by route and outcome.
+    pub requests: Family<RequestLabels, Counter>,
+    /// Time to the first byte of an answer.
+    pub first_byte: Histogram,
+    /// Time that requests waited for an adapter.
+    pub load_wait: Histogram,
+    /// Orders by kind and answer.
+    pub orders: Family<OrderLabels, Counter>,
+    /// Requests sent again.
+    pub retries: Counter,
+    /// Streams taken up at another engine.
+    pub resumes: Counter,
+    /// New connections to engines.
+    pub connects: Counter,
+    /// Calls to the store that had no useful answer.
+    pub store_failures: Counter,
+    /// Client connections that are open.
+    pub connections: Gauge,
+    /// Requests that are open.
+    pub open_requests: Gauge,
+    /// The configuration in force.
+    pub revision: Gauge,
+    /// Placement domains whose lease this machine holds.
+    pub leases: Gauge,
+    /// Engines that are listed.
+    pub engines: Gauge,
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.002, 2.0, 14))
+}
+
+impl Default for MachineMetrics {
+    fn default() -> Self {
+        let metrics = Self {
+            registry: Mutex::default(),
+            requests: Family::default(),
+            first_byte: latency_histogram(),
+            load_wait: latency_histogram(),
+            orders: Family::default(),
+            retries: Counter::default(),
+            resumes: Counter::default(),
+            connects: Counter::default(),
+            store_failures: Counter::default(),
+            connections: Gauge::default(),
+            open_requests: Gauge::default(),
+            revision: Gauge::default(),
+            leases: Gauge::default(),
+            engines: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl MachineMetrics {
+    fn register(&self) {
+        let mut registry = Registry::with_prefix("reelreel");
+        registry.register("requests", "Requests by route and outcome", self.requests.clone());
+        let help = "Time to the first byte of an answer, in seconds";
+        registry.register("first_byte_seconds", help, self.first_byte.clone());
+        let help = "Time that requests waited for an adapter, in seconds";
+        registry.register("load_wait_seconds", help, self.load_wait.clone());
+        registry.register("orders", "Orders to engines by kind and answer", self.orders.clone());
+        registry.register("retries", "Requests sent again", self.retries.clone());
+        registry.register("resumes", "Streams taken up at another engine", self.resumes.clone());
+        registry.register("engine_connects", "New connections to engines", self.connects.clone());
+        let help = "Calls to the store without a useful answer";
+        registry.register("store_failures", help, self.store_failures.clone());
+        registry.register("connections", "Open client connections", self.connections.clone());
+        registry.register("open_requests", "Open requests", self.open_requests.clone());
+        registry.register("configuration", "Configuration in force", self.revision.clone());
+        registry.register("leases", "Placement leases that are held", self.leases.clone());
+        registry.register("engines", "Engines that are listed", self.engines.clone());
+        *self.registry.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = registry;
+    }
+
+    /// Writes all metrics as text.
+    pub fn encode(&self) -> String {
+        let registry = self.registry.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut text = String::new();
+        // Writing to a string can not fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,45 @@
+//! What machines of the system tell each other: demand to the placer, its plan back, and what a
+//! machine that the store turns away can not read itself.
+
+pub mod client;
+pub mod frame;
+pub mod server;
+
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use frame::PeerFrame;
+
+/// The longest frame. Unit: bytes.
+const LONGEST_FRAME: usize = 4 * 1024 * 1024;
+
+/// A connection between two machines, cut into frames.
+pub struct PeerStream {
+    framed: Framed<TcpStream, LengthDelimitedCodec>,
+}
+
+impl PeerStream {
+    /// Wraps a connected socket.
+    pub fn new(socket: TcpStream) -> Self {
+        let _ = socket.set_nodelay(true);
+        let codec = LengthDelimitedCodec::builder().max_frame_length(LONGEST_FRAME).new_codec();
+        Self { framed: Framed::new(socket, codec) }
+    }
+
+    /// Sends a frame.
+    ///
+    /// # Errors
+    /// Returns the socket's error.
+    pub async fn send(&mut self, frame: &PeerFrame) -> std::io::Result<()> {
+        let bytes = bytes::Bytes::from(frame.encode_to_vec());
+        self.framed.send(bytes).await
+    }
+
+    /// Receives the next frame; `None` when the peer has closed or sent what is none.
+    pub async fn receive(&mut self) -> Option<PeerFrame> {
+        let bytes = self.framed.next().await?.ok()?;
+        PeerFrame::decode(bytes).ok()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/client.rs
@@ -0,0 +1,119 @@
+//! Connects to the placers of other machines, and to any machine while the store can not be read.
+
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use reelreel_core::fleet::ServiceName;
+use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle};
+
+use crate::{
+    control::{SharedControl, domain::PEER_QUEUE},
+    peers::{
+        PeerStream,
+        frame::{AskFrame, DemandFrame, FrameBody, PeerFrame},
+    },
+};
+
+/// How often the placers are looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How long a connection to a peer may take.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(500);
+
+/// How long a peer may take to answer.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(700);
+
+/// How many looks pass between two asks of a peer for what the store does not tell.
+const LOOKS_PER_ASK: u32 = 4;
+
+/// Keeps one connection to each foreign placer for ever.
+pub async fn run_peer_client(state: SharedControl) {
+    let mut tasks: HashMap<ServiceName, (SocketAddr, JoinHandle<()>)> = HashMap::new();
+    let mut looks = 0;
+    loop {
+        let placers = state.borrow().foreign_placers();
+        tasks.retain(|service, (address, task)| {
+            let kept = placers.iter().any(|(name, placer)| name == service && placer == address);
+            if !kept && !task.is_finished() {
+                task.abort();
+                state.borrow_mut().placer_lost(service);
+            }
+            kept && !task.is_finished()
+        });
+        for (service, address) in placers {
+            tasks.entry(service.clone()).or_insert_with(|| {
+                let talk = talk_with_placer(Rc::clone(&state), service, address);
+                (address, tokio::task::spawn_local(talk))
+            });
+        }
+        if !state.borrow().is_complete() && looks % LOOKS_PER_ASK == 0 {
+            ask_any_peer(&state, looks / LOOKS_PER_ASK).await;
+        }
+        looks += 1;
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<PeerStream> {
+    let connecting = TcpStream::connect(address);
+    let socket = tokio::time::timeout(CONNECT_PATIENCE, connecting).await.ok()?.ok()?;
+    Some(PeerStream::new(socket))
+}
+
+/// Sends demand and receives plans until the connection ends.
+async fn talk_with_placer(state: SharedControl, service: ServiceName, address: SocketAddr) {
+    let Some(mut stream) = connect(address).await else { return };
+    let (sender, mut frames) = mpsc::channel(PEER_QUEUE);
+    if !greet(&state, &service, &sender) {
+        return;
+    }
+    loop {
+        let alive = tokio::select! {
+            received = stream.receive() => match received.and_then(|frame| frame.body) {
+                Some(FrameBody::Plan(plan)) => {
+                    state.borrow_mut().peer_plan(&plan);
+                    true
+                }
+                Some(_) => true,
+                None => false,
+            },
+            frame = frames.recv() => match frame {
+                Some(frame) => stream.send(&frame).await.is_ok(),
+                None => false,
+            },
+        };
+        if !alive {
+            break;
+        }
+    }
+    state.borrow_mut().placer_lost(&service);
+}
+
+/// Opens the way for demand, and tells what waits already.
+fn greet(state: &SharedControl, service: &ServiceName, sender: &mpsc::Sender<PeerFrame>) -> bool {
+    let mut state = state.borrow_mut();
+    let machine = state.shared().profile.name.to_string();
+    state.shared().demand().tell_again(service);
+    let Some(domain) = state.domain(service) else { return false };
+    let hello = DemandFrame { machine, service: service.to_string(), entries: Vec::new() };
+    let sent = sender.try_send(PeerFrame::new(FrameBody::Demand(hello))).is_ok();
+    domain.placer = Some(sender.clone());
+    sent
+}
+
+/// Asks one of the known machines for what it has read from the store.
+async fn ask_any_peer(state: &SharedControl, turn: u32) {
+    let mut peers = state.borrow().other_machines();
+    peers.extend_from_slice(&state.borrow().shared().profile.seeds);
+    let own = state.borrow().shared().profile.peers;
+    peers.retain(|peer| *peer != own);
+    let Some(place) = (turn as usize).checked_rem(peers.len()) else { return };
+    let asked = async {
+        let mut stream = connect(peers[place]).await?;
+        stream.send(&PeerFrame::new(FrameBody::Ask(AskFrame {}))).await.ok()?;
+        stream.receive().await?.body
+    };
+    let answer = tokio::time::timeout(ANSWER_PATIENCE, asked).await.ok().flatten();
+    if let Some(FrameBody::State(frame)) = answer {
+        state.borrow_mut().peer_state(&frame);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/frame.rs
@@ -0,0 +1,198 @@
+//! The frames between machines of the system.
+//!
+//! Field numbers are never used again; a frame kind that a machine does not know is passed over.
+
+use std::{sync::Arc, time::Duration};
+
+use reelreel_core::{
+    fleet::{HeldModel, ModelKey},
+    placement::DemandEntry,
+};
+
+/// One frame.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PeerFrame {
+    /// What it says.
+    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4")]
+    pub body: Option<FrameBody>,
+}
+
+/// What a frame says.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum FrameBody {
+    /// What a machine is asked for.
+    #[prost(message, tag = "1")]
+    Demand(DemandFrame),
+    /// What the placer has decided.
+    #[prost(message, tag = "2")]
+    Plan(PlanFrame),
+    /// Asks for what the peer has read from the store.
+    #[prost(message, tag = "3")]
+    Ask(AskFrame),
+    /// What a machine has read from the store.
+    #[prost(message, tag = "4")]
+    State(StateFrame),
+}
+
+/// What a machine is asked for in one placement domain.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DemandFrame {
+    /// The machine.
+    #[prost(string, tag = "1")]
+    pub machine: String,
+    /// The domain's service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// What changed since the last frame.
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<DemandLine>,
+}
+
+/// Demand for one model or adapter.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DemandLine {
+    /// The model or adapter.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Requests since the last frame.
+    #[prost(uint32, tag = "2")]
+    pub asked: u32,
+    /// Requests that wait now.
+    #[prost(uint32, tag = "3")]
+    pub waiting: u32,
+    /// Their worth; the mean request is worth one.
+    #[prost(float, tag = "4")]
+    pub waiting_worth: f32,
+}
+
+/// What the placer of one domain has decided.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PlanFrame {
+    /// The domain's service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The placer's token; a frame of an earlier one is passed over.
+    #[prost(uint64, tag = "2")]
+    pub token: u64,
+    /// What engines hold whose holdings changed.
+    #[prost(message, repeated, tag = "3")]
+    pub engines: Vec<EngineLine>,
+    /// In what time queued adapters are expected.
+    #[prost(message, repeated, tag = "4")]
+    pub estimates: Vec<EstimateLine>,
+}
+
+/// What one engine holds.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EngineLine {
+    /// The engine.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// Everything that it holds.
+    #[prost(message, repeated, tag = "2")]
+    pub held: Vec<HeldLine>,
+}
+
+/// Something that an engine holds.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct HeldLine {
+    /// The model or adapter.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Its version.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+}
+
+/// When an adapter is expected.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EstimateLine {
+    /// The adapter.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// In what time it is expected. Unit: milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub millis: u32,
+}
+
+/// Asks for what the peer has read from the store.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AskFrame {}
+
+/// What a machine has read from the store.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StateFrame {
+    /// Newest records of the configuration topic.
+    #[prost(message, repeated, tag = "1")]
+    pub configuration: Vec<RecordLine>,
+    /// Newest records of the engines' topic.
+    #[prost(message, repeated, tag = "2")]
+    pub engines: Vec<RecordLine>,
+    /// The peer addresses of the machines that are known.
+    #[prost(string, repeated, tag = "3")]
+    pub machines: Vec<String>,
+}
+
+/// A record of a keyed topic.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RecordLine {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Its value as the store gave it.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: bytes::Bytes,
+    /// Its place in the topic.
+    #[prost(uint64, tag = "3")]
+    pub offset: u64,
+}
+
+impl PeerFrame {
+    /// Wraps what a frame says.
+    pub const fn new(body: FrameBody) -> Self {
+        Self { body: Some(body) }
+    }
+}
+
+impl From<&DemandEntry> for DemandLine {
+    fn from(entry: &DemandEntry) -> Self {
+        #[expect(clippy::cast_possible_truncation, reason = "a worth needs few digits")]
+        let waiting_worth = entry.waiting_worth as f32;
+        Self {
+            key: entry.key.to_string(),
+            asked: entry.asked,
+            waiting: entry.waiting,
+            waiting_worth,
+        }
+    }
+}
+
+impl From<&DemandLine> for DemandEntry {
+    fn from(line: &DemandLine) -> Self {
+        Self {
+            key: Arc::from(line.key.as_str()),
+            asked: line.asked,
+            waiting: line.waiting,
+            waiting_worth: f64::from(line.waiting_worth),
+        }
+    }
+}
+
+impl From<&HeldModel> for HeldLine {
+    fn from(held: &HeldModel) -> Self {
+        Self { key: held.key.to_string(), version: held.version }
+    }
+}
+
+impl From<&HeldLine> for HeldModel {
+    fn from(line: &HeldLine) -> Self {
+        Self { key: Arc::from(line.key.as_str()), version: line.version }
+    }
+}
+
+impl EstimateLine {
+    /// Writes an estimate.
+    pub fn new(key: &ModelKey, time: Duration) -> Self {
+        Self { key: key.to_string(), millis: u32::try_from(time.as_millis()).unwrap_or(u32::MAX) }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/server.rs
@@ -0,0 +1,121 @@
+//! Takes connections from other machines.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+};
+
+use crate::{
+    control::{
+        SharedControl,
+        domain::{PEER_QUEUE, PlanSubscriber},
+    },
+    peers::{
+        PeerStream,
+        frame::{DemandFrame, FrameBody, PeerFrame},
+    },
+};
+
+/// How long to wait before listening is tried again.
+const LISTEN_PAUSE: Duration = Duration::from_millis(200);
+
+/// Takes connections for ever.
+pub async fn run_peer_server(state: SharedControl) {
+    let address = state.borrow().shared().profile.peers;
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(error) => {
+                log::warn!("peers can not connect to {address}: {error}");
+                tokio::time::sleep(LISTEN_PAUSE).await;
+            }
+        }
+    };
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                tokio::task::spawn_local(serve_peer(Rc::clone(&state), socket));
+            }
+            Err(error) => {
+                log::warn!("a peer could not connect: {error}");
+                tokio::time::sleep(LISTEN_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one peer until it closes, or until it asks for a plan that another machine makes.
+async fn serve_peer(state: SharedControl, socket: TcpStream) {
+    let mut stream = PeerStream::new(socket);
+    let (sender, mut frames) = mpsc::channel(PEER_QUEUE);
+    let mut subscribed: Vec<String> = Vec::new();
+    loop {
+        tokio::select! {
+            received = stream.receive() => {
+                let Some(frame) = received else { return };
+                match frame.body {
+                    Some(FrameBody::Demand(demand)) => {
+                        let taken = take_demand(&state, &demand, &sender, &mut subscribed);
+                        if !taken {
+                            return;
+                        }
+                    }
+                    Some(FrameBody::Ask(_)) => {
+                        let answer = state.borrow().state_frame();
+                        let frame = PeerFrame::new(FrameBody::State(answer));
+                        if stream.send(&frame).await.is_err() {
+                            return;
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            frame = frames.recv() => {
+                let Some(frame) = frame else { return };
+                if stream.send(&frame).await.is_err() {
+                    return;
+                }
+            }
+        }
+        if !is_subscribed(&state, &sender, &subscribed) {
+            return;
+        }
+    }
+}
+
+/// Takes demand; returns false when this machine makes no plan for the service.
+fn take_demand(
+    state: &SharedControl,
+    demand: &DemandFrame,
+    sender: &mpsc::Sender<PeerFrame>,
+    subscribed: &mut Vec<String>,
+) -> bool {
+    let new = !subscribed.contains(&demand.service);
+    let listener = new.then(|| PlanSubscriber {
+        machine: Arc::from(demand.machine.as_str()),
+        frames: sender.clone(),
+        asked: Vec::new(),
+    });
+    let taken = state.borrow_mut().peer_demand(demand, listener);
+    if new && taken {
+        subscribed.push(demand.service.clone());
+    }
+    taken
+}
+
+/// Returns whether the machine still makes the plans that the peer listens to.
+fn is_subscribed(
+    state: &SharedControl,
+    sender: &mpsc::Sender<PeerFrame>,
+    subscribed: &[String],
+) -> bool {
+    let mut state = state.borrow_mut();
+    subscribed.iter().all(|service| {
+        state.domain(service).is_some_and(|domain| {
+            let mut listeners = domain.subscribers.iter();
+            domain.planner.is_some() && listeners.any(|known| known.frames.same_channel(sender))
+        })
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/profile.rs
@@ -0,0 +1,55 @@
+//! What a machine is told about itself when it starts.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use reelreel_core::fleet::{ZoneName, retry_share::RetryAllowance};
+
+/// Times and amounts that the operator binds the machine to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OperatorBounds {
+    /// How long a stopped machine has before it is killed.
+    pub stop_grace: Duration,
+    /// How long a holder of a lease waits out the holder before.
+    pub lease: Duration,
+    /// Whether engines refuse the orders of earlier holders.
+    pub engines_check_fences: bool,
+    /// Within which time nothing may begin on an older version of an adapter.
+    pub version_apply: Duration,
+    /// Further sends over all machines.
+    pub retries: RetryAllowance,
+    /// The window over which loads from the weight store are counted.
+    pub load_window: Duration,
+    /// How far loads may exceed the store's rate within a window.
+    pub load_overage: f64,
+}
+
+/// What a machine is told about itself when it starts.
+#[derive(Debug, Clone)]
+pub struct MachineProfile {
+    /// The machine's name.
+    pub name: Arc<str>,
+    /// The data hall that it stands in.
+    pub zone: ZoneName,
+    /// Where clients connect.
+    pub clients: SocketAddr,
+    /// Where the balancer asks whether the machine takes requests.
+    pub readiness: SocketAddr,
+    /// Where other machines of the system connect.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// Addresses at which other machines of the system may be found.
+    pub seeds: Vec<SocketAddr>,
+    /// The most client connections at a time.
+    pub most_connections: usize,
+    /// The most bytes of request bodies held at a time.
+    pub most_body_bytes: usize,
+    /// Where the platform's store is.
+    pub store: SocketAddr,
+    /// How many partitions the store deals to a group.
+    pub partitions: u32,
+    /// The shortest time to live that the store takes for a member of a group.
+    pub shortest_membership: Duration,
+    /// Times and amounts that the operator binds the machine to.
+    pub bounds: OperatorBounds,
+}
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,89 @@
+//! Following the platform's store: configuration, engines, and the lease of placement domains.
+
+pub mod follow;
+pub mod membership;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use crate::{
+    border::{BorderError, CallAnswer, CallRequest, StoreDialect},
+    call::{CallClient, CallError},
+};
+
+/// The first pause after a call that failed.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest pause between calls that fail.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// Why the store gave no useful answer.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// There was no answer.
+    #[error(transparent)]
+    Call(#[from] CallError),
+    /// The answer was a refusal or none that can be read.
+    #[error(transparent)]
+    Answer(#[from] BorderError),
+}
+
+/// Calls the store over one kept connection.
+pub struct StoreClient {
+    dialect: Arc<dyn StoreDialect>,
+    client: CallClient,
+}
+
+impl StoreClient {
+    /// Starts without a connection.
+    pub fn new(dialect: Arc<dyn StoreDialect>, address: SocketAddr) -> Self {
+        Self { dialect, client: CallClient::new(address) }
+    }
+
+    /// Returns what translates the calls.
+    pub fn dialect(&self) -> &dyn StoreDialect {
+        &*self.dialect
+    }
+
+    async fn call(
+        &mut self,
+        request: &CallRequest,
+        patience: Duration,
+    ) -> Result<CallAnswer, CallError> {
+        self.client.call(request, patience).await
+    }
+}
+
+/// Pauses that double with each failure in a row, spread so that machines do not call together.
+#[derive(Debug, Clone)]
+pub struct Backoff {
+    failures: u32,
+    random: u64,
+}
+
+impl Backoff {
+    /// Starts with a number that differs between machines.
+    pub const fn new(seed: u64) -> Self {
+        Self { failures: 0, random: seed | 1 }
+    }
+
+    /// Takes a success: the next failure begins with the shortest pause.
+    pub const fn succeeded(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Takes a failure and returns how long to pause.
+    pub fn failed(&mut self) -> Duration {
+        let pause = FIRST_PAUSE.saturating_mul(1 << self.failures.min(6)).min(LONGEST_PAUSE);
+        self.failures += 1;
+        self.spread(pause)
+    }
+
+    /// Returns a time between three quarters and five quarters of `pause`.
+    pub fn spread(&mut self, pause: Duration) -> Duration {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        let part = (self.random % 1024) as f64 / 2048.0;
+        pause.mul_f64(0.75 + part)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store/follow.rs
@@ -0,0 +1,118 @@
+//! Keeps up with a keyed topic: read whole at the start, then followed record by record.
+
+use std::time::Duration;
+
+use crate::{
+    border::{BorderError, KeyedRecord, KeyedTopic, RecordBatch},
+    store::{Backoff, StoreClient, StoreError},
+};
+
+/// How long a call that is not held may take.
+const CALL_PATIENCE: Duration = Duration::from_millis(1500);
+
+/// How long the store holds a call for which there is no record yet.
+const READ_WAIT: Duration = Duration::from_secs(2);
+
+/// How long a held call may take beyond its wait.
+const READ_PATIENCE: Duration = Duration::from_millis(700);
+
+/// What was learned of a topic.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TopicUpdate {
+    /// The newest record of every key, up to an end of the topic.
+    Whole {
+        /// The records.
+        records: Vec<KeyedRecord>,
+        /// The end of the topic.
+        end: u64,
+    },
+    /// Records that followed.
+    Records(Vec<KeyedRecord>),
+    /// The store gave no useful answer.
+    Away,
+}
+
+/// Follows `topic` for ever and hands every update to `sink`.
+///
+/// `rest` is the least time between two calls, so that a busy topic is read in batches.
+pub async fn follow_topic(
+    mut client: StoreClient,
+    topic: KeyedTopic,
+    rest: Duration,
+    mut backoff: Backoff,
+    sink: impl Fn(TopicUpdate),
+) {
+    loop {
+        let from = match read_whole(&mut client, topic).await {
+            Ok((records, end)) => {
+                backoff.succeeded();
+                sink(TopicUpdate::Whole { records, end });
+                end
+            }
+            Err(error) => {
+                log::debug!("{topic:?}: {error}");
+                sink(TopicUpdate::Away);
+                tokio::time::sleep(backoff.failed()).await;
+                continue;
+            }
+        };
+        follow_records(&mut client, topic, rest, &mut backoff, from, &sink).await;
+    }
+}
+
+/// Follows records from an offset on, until they are gone and must be read whole again.
+async fn follow_records(
+    client: &mut StoreClient,
+    topic: KeyedTopic,
+    rest: Duration,
+    backoff: &mut Backoff,
+    mut from: u64,
+    sink: &impl Fn(TopicUpdate),
+) {
+    loop {
+        tokio::time::sleep(rest).await;
+        match read_on(client, topic, from).await {
+            Ok(batch) => {
+                backoff.succeeded();
+                if let Some(last) = batch.records.last() {
+                    from = last.offset + 1;
+                }
+                sink(TopicUpdate::Records(batch.records));
+            }
+            Err(StoreError::Answer(BorderError::Trimmed(_))) => return,
+            Err(error) => {
+                log::debug!("{topic:?} from {from}: {error}");
+                sink(TopicUpdate::Away);
+                tokio::time::sleep(backoff.failed()).await;
+            }
+        }
+    }
+}
+
+async fn read_whole(
+    client: &mut StoreClient,
+    topic: KeyedTopic,
+) -> Result<(Vec<KeyedRecord>, u64), StoreError> {
+    let mut records: Vec<KeyedRecord> = Vec::new();
+    loop {
+        let after = records.last().map(|record| record.key.as_str());
+        let call = client.dialect().newest(topic, after);
+        let answer = client.call(&call, CALL_PATIENCE).await?;
+        let page = client.dialect().newest_answer(&answer)?;
+        let empty = page.records.is_empty();
+        records.extend(page.records);
+        if !page.more || empty {
+            return Ok((records, page.end));
+        }
+    }
+}
+
+async fn read_on(
+    client: &mut StoreClient,
+    topic: KeyedTopic,
+    from: u64,
+) -> Result<RecordBatch, StoreError> {
+    let call = client.dialect().read(topic, from, READ_WAIT);
+    let answer = client.call(&call, READ_WAIT + READ_PATIENCE).await?;
+    Ok(client.dialect().read_answer(from, &answer)?)
+}
--- /dev/null
+++ b/crates/gateway/src/store/membership.rs
@@ -0,0 +1,99 @@
+//! This machine's membership in the group to which the store deals the placement leases.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use reelreel_core::{ClockMillis, ClockSource, MonotonicClock, id::FenceToken};
+
+use crate::{
+    border::GroupShare,
+    store::{Backoff, StoreClient, StoreError},
+};
+
+/// How long a join may take; a later answer would confirm a lease that has run out.
+const JOIN_PATIENCE: Duration = Duration::from_millis(700);
+
+/// How many joins go into one time to live.
+const JOINS_PER_LIFE: u32 = 3;
+
+/// What was learned of the group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MembershipUpdate {
+    /// The store dealt the machine its share.
+    Joined {
+        /// What was dealt.
+        share: GroupShare,
+        /// When the join was sent.
+        sent: ClockMillis,
+    },
+    /// A join got no useful answer.
+    Failed,
+    /// Who holds which partition, by the peer address that each member is named after.
+    Owners(HashMap<u32, SocketAddr>),
+}
+
+/// Stays in the group for ever and hands every update to `sink`.
+pub async fn stay_member(
+    mut client: StoreClient,
+    member: SocketAddr,
+    time_to_live: Duration,
+    clock: MonotonicClock,
+    mut backoff: Backoff,
+    sink: impl Fn(MembershipUpdate),
+) {
+    let mut generation: FenceToken = 0;
+    let mut owners_of: FenceToken = 0;
+    let name = member.to_string();
+    loop {
+        let sent = clock.now();
+        match join(&mut client, &name, time_to_live, generation).await {
+            Ok(share) => {
+                backoff.succeeded();
+                generation = share.generation;
+                sink(MembershipUpdate::Joined { share, sent });
+            }
+            Err(error) => {
+                log::debug!("join: {error}");
+                sink(MembershipUpdate::Failed);
+                tokio::time::sleep(backoff.failed()).await;
+                continue;
+            }
+        }
+        if owners_of != generation
+            && let Ok(owners) = owners(&mut client).await
+        {
+            owners_of = generation;
+            sink(MembershipUpdate::Owners(owners));
+        }
+        let pause = backoff.spread(time_to_live / JOINS_PER_LIFE);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn join(
+    client: &mut StoreClient,
+    member: &str,
+    time_to_live: Duration,
+    generation: FenceToken,
+) -> Result<GroupShare, StoreError> {
+    let call = client.dialect().join(member, time_to_live, generation);
+    let answer = client.call(&call, JOIN_PATIENCE).await?;
+    Ok(client.dialect().join_answer(&answer)?)
+}
+
+async fn owners(client: &mut StoreClient) -> Result<HashMap<u32, SocketAddr>, StoreError> {
+    let call = client.dialect().owners();
+    let answer = client.call(&call, JOIN_PATIENCE).await?;
+    let owners = client.dialect().owners_answer(&answer)?;
+    let known = owners.into_iter().filter_map(|(part, name)| Some((part, name.parse().ok()?)));
+    Ok(known.collect())
+}
+
+/// Leaves the group, so that the leases pass on at once.
+///
+/// # Errors
+/// Returns that the store gave no answer; the membership then ends with its time to live.
+pub async fn leave(client: &mut StoreClient, member: SocketAddr) -> Result<(), StoreError> {
+    let call = client.dialect().leave(&member.to_string());
+    client.call(&call, JOIN_PATIENCE).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/http/src/head.rs
@@ -0,0 +1,297 @@
+//! Heads of requests and responses: parsing, checks and writing.
+
+use std::fmt::Write as _;
+
+use bytes::{Buf, BytesMut};
+
+/// The most header fields that a head may have.
+const MOST_FIELDS: usize = 64;
+
+/// Header fields that concern one connection and are never passed on.
+const CONNECTION_FIELDS: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "http2-settings",
+];
+
+/// Why a head was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum HeadError {
+    /// The head is longer than allowed.
+    #[error("the head is longer than the limit; send fewer or shorter header fields")]
+    TooLarge,
+    /// The head is not HTTP/1.1 as RFC 9112 writes it.
+    #[error("the head is malformed; end lines with CRLF and use plain header fields")]
+    Malformed,
+    /// The length of the body is given twice, in two ways, or not as a number.
+    #[error("the body's length is ambiguous; send one Content-Length or chunked coding")]
+    AmbiguousLength,
+    /// The request lacks its one `Host` field.
+    #[error("a request must carry exactly one Host field")]
+    Host,
+    /// A transfer coding other than chunked.
+    #[error("only the chunked transfer coding is known")]
+    Coding,
+}
+
+/// One header field.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeaderField {
+    /// The name as written.
+    pub name: String,
+    /// The value, without surrounding white space.
+    pub value: Vec<u8>,
+}
+
+/// Header fields in the order in which they were written.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HeaderFields(Vec<HeaderField>);
+
+impl HeaderFields {
+    /// Adds a field at the end.
+    pub fn push(&mut self, name: impl Into<String>, value: impl Into<Vec<u8>>) {
+        self.0.push(HeaderField { name: name.into(), value: value.into() });
+    }
+
+    /// Iterates over all fields.
+    pub fn iter(&self) -> impl Iterator<Item = &HeaderField> {
+        self.0.iter()
+    }
+
+    /// Iterates over the values of all fields called `name`.
+    pub fn values<'fields>(&'fields self, name: &str) -> impl Iterator<Item = &'fields [u8]> {
+        self.0
+            .iter()
+            .filter(move |field| field.name.eq_ignore_ascii_case(name))
+            .map(|field| field.value.as_slice())
+    }
+
+    /// Returns the value of the first field called `name`, if it is text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.values(name).next().and_then(|value| std::str::from_utf8(value).ok())
+    }
+
+    /// Returns whether a comma-separated list called `name` contains `token`.
+    pub fn lists(&self, name: &str, token: &str) -> bool {
+        self.values(name).any(|value| {
+            String::from_utf8_lossy(value)
+                .split(',')
+                .any(|part| part.trim().eq_ignore_ascii_case(token))
+        })
+    }
+
+    /// Returns the fields that concern more than this connection.
+    ///
+    /// Fields that `Connection` names are left out too, as RFC 9110 section 7.6.1 asks for. Of the
+    /// framing fields, `Content-Length` stays.
+    #[must_use]
+    pub fn end_to_end(&self) -> Self {
+        let kept = self.0.iter().filter(|field| {
+            let plain = !CONNECTION_FIELDS.iter().any(|name| field.name.eq_ignore_ascii_case(name));
+            plain && !self.lists("connection", &field.name)
+        });
+        Self(kept.cloned().collect())
+    }
+
+    /// Keeps the fields for which `keep` holds.
+    pub fn retain(&mut self, mut keep: impl FnMut(&HeaderField) -> bool) {
+        self.0.retain(|field| keep(field));
+    }
+
+    fn write_to(&self, out: &mut BytesMut) {
+        for field in &self.0 {
+            out.extend_from_slice(field.name.as_bytes());
+            out.extend_from_slice(b": ");
+            out.extend_from_slice(&field.value);
+            out.extend_from_slice(b"\r\n");
+        }
+    }
+}
+
+/// The head of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// The method, such as `POST`.
+    pub method: String,
+    /// The path and query, beginning with a slash.
+    pub target: String,
+    /// Whether the peer speaks HTTP/1.1; HTTP/1.0 otherwise.
+    pub modern: bool,
+    /// The header fields.
+    pub fields: HeaderFields,
+}
+
+/// The head of a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// The status code.
+    pub status: u16,
+    /// The reason phrase.
+    pub reason: String,
+    /// Whether the peer speaks HTTP/1.1; HTTP/1.0 otherwise.
+    pub modern: bool,
+    /// The header fields.
+    pub fields: HeaderFields,
+}
+
+impl RequestHead {
+    /// Takes a request's head from the front of `buffer`; `None` when more bytes are needed.
+    ///
+    /// # Errors
+    /// Returns why the head can not be accepted; the connection must then be closed.
+    pub fn take(buffer: &mut BytesMut, limit: usize) -> Result<Option<Self>, HeadError> {
+        skip_blank_lines(buffer);
+        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+        let mut request = httparse::Request::new(&mut fields);
+        let Some(length) = parsed(request.parse(buffer), buffer, limit)? else {
+            return Ok(None);
+        };
+        check_line_ends(&buffer[..length])?;
+        let head = Self {
+            method: request.method.ok_or(HeadError::Malformed)?.to_owned(),
+            target: request.path.ok_or(HeadError::Malformed)?.to_owned(),
+            modern: request.version == Some(1),
+            fields: copied(request.headers),
+        };
+        if !head.target.starts_with('/') {
+            return Err(HeadError::Malformed);
+        }
+        if head.fields.values("host").count() != 1 {
+            return Err(HeadError::Host);
+        }
+        buffer.advance(length);
+        Ok(Some(head))
+    }
+
+    /// Writes the head, with its end, to `out`.
+    pub fn write_to(&self, out: &mut BytesMut) {
+        out.extend_from_slice(self.method.as_bytes());
+        out.extend_from_slice(b" ");
+        out.extend_from_slice(self.target.as_bytes());
+        out.extend_from_slice(b" HTTP/1.1\r\n");
+        self.fields.write_to(out);
+        out.extend_from_slice(b"\r\n");
+    }
+
+    /// Returns whether the peer wants to keep the connection.
+    pub fn keeps_connection(&self) -> bool {
+        keeps_connection(&self.fields, self.modern)
+    }
+}
+
+impl ResponseHead {
+    /// Returns a head without header fields.
+    pub fn new(status: u16) -> Self {
+        let reason = reason_phrase(status).to_owned();
+        Self { status, reason, modern: true, fields: HeaderFields::default() }
+    }
+
+    /// Takes a response's head from the front of `buffer`; `None` when more bytes are needed.
+    ///
+    /// # Errors
+    /// Returns why the head can not be accepted; the connection must then be closed.
+    pub fn take(buffer: &mut BytesMut, limit: usize) -> Result<Option<Self>, HeadError> {
+        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+        let mut response = httparse::Response::new(&mut fields);
+        let Some(length) = parsed(response.parse(buffer), buffer, limit)? else {
+            return Ok(None);
+        };
+        check_line_ends(&buffer[..length])?;
+        let head = Self {
+            status: response.code.ok_or(HeadError::Malformed)?,
+            reason: response.reason.unwrap_or_default().to_owned(),
+            modern: response.version == Some(1),
+            fields: copied(response.headers),
+        };
+        buffer.advance(length);
+        Ok(Some(head))
+    }
+
+    /// Writes the head, with its end, to `out`.
+    pub fn write_to(&self, out: &mut BytesMut) {
+        let mut line = String::with_capacity(32);
+        let _ = write!(line, "HTTP/1.1 {} {}\r\n", self.status, self.reason);
+        out.extend_from_slice(line.as_bytes());
+        self.fields.write_to(out);
+        out.extend_from_slice(b"\r\n");
+    }
+
+    /// Returns whether the peer keeps the connection after this answer.
+    pub fn keeps_connection(&self) -> bool {
+        keeps_connection(&self.fields, self.modern)
+    }
+}
+
+/// Returns the usual reason phrase of a status.
+pub const fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        417 => "Expectation Failed",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
+
+fn keeps_connection(fields: &HeaderFields, modern: bool) -> bool {
+    if fields.lists("connection", "close") {
+        return false;
+    }
+    modern || fields.lists("connection", "keep-alive")
+}
+
+fn parsed(
+    outcome: Result<httparse::Status<usize>, httparse::Error>,
+    buffer: &BytesMut,
+    limit: usize,
+) -> Result<Option<usize>, HeadError> {
+    match outcome {
+        Ok(httparse::Status::Complete(length)) if length > limit => Err(HeadError::TooLarge),
+        Ok(httparse::Status::Complete(length)) => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if buffer.len() >= limit => Err(HeadError::TooLarge),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(HeadError::TooLarge),
+        Err(_) => Err(HeadError::Malformed),
+    }
+}
+
+/// Refuses line feeds without a carriage return: two readers could split the head differently.
+fn check_line_ends(head: &[u8]) -> Result<(), HeadError> {
+    let bare = head
+        .iter()
+        .enumerate()
+        .any(|(place, byte)| *byte == b'\n' && (place == 0 || head[place - 1] != b'\r'));
+    if bare { Err(HeadError::Malformed) } else { Ok(()) }
+}
+
+/// Skips empty lines before a request, as RFC 9112 section 2.2 asks a server to do.
+fn skip_blank_lines(buffer: &mut BytesMut) {
+    while buffer.starts_with(b"\r\n") {
+        buffer.advance(2);
+    }
+}
+
+fn copied(fields: &[httparse::Header<'_>]) -> HeaderFields {
+    let fields = fields
+        .iter()
+        .map(|field| HeaderField { name: field.name.to_owned(), value: field.value.to_vec() });
+    HeaderFields(fields.collect())
+}
