perf(core): loads at the store's pace; orders without an answer are given again

Change: loads are paced by the ceiling's window, an unanswered order is given again at once with the same count of orders (the engine carries out one at most), its load is refunded when a later answer shows that it did not begin; base models have their own load time; no wait before a tenure where engines check tokens.

--- a/crates/core/src/placement/inventory.rs
+++ b/crates/core/src/placement/inventory.rs
@@ -50,6 +50,15 @@
     pub from_store: bool,
 }
 
+/// A load order that got no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DoubtedLoad {
+    /// What was to be loaded.
+    pub key: ModelKey,
+    /// When the order was counted against the weight store's rate.
+    pub noted: ClockMillis,
+}
+
 /// One engine as its placer knows it.
 #[derive(Debug, Clone)]
 pub struct EngineInventory {
@@ -67,6 +76,12 @@
     pub closing: BTreeSet<ModelKey>,
     /// Whether an order is on its way.
     pub ordering: bool,
+    /// Load orders without an answer at the present count of orders: one may still be carried out.
+    pub doubted: Vec<DoubtedLoad>,
+    /// Whether the last order was a load from the weight store.
+    pub loads_from_store: bool,
+    /// When the last order was given.
+    pub noted: ClockMillis,
     /// When the last order ended.
     pub ordered: ClockMillis,
     /// When a report was last asked for.
@@ -88,6 +103,9 @@
             remembered: BTreeSet::new(),
             closing: BTreeSet::new(),
             ordering: false,
+            loads_from_store: false,
+            doubted: Vec::new(),
+            noted: ClockMillis::default(),
             ordered: ClockMillis::default(),
             asked: ClockMillis::default(),
             asking: false,
@@ -121,6 +139,9 @@
         self.held = held;
         self.closing.retain(|key| self.held.contains_key(key));
         self.busy = report.busy;
+        if self.sequence.is_some_and(|known| known < report.sequence) {
+            self.doubted.clear();
+        }
         self.sequence = Some(report.sequence);
         self.pending.retain(|load| report.pending.iter().any(|pending| pending.key == load.key));
         for pending in &report.pending {
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -19,7 +19,7 @@
     },
     placement::{
         DemandBook, DemandEntry, EngineInventory, EngineReport, LoadWindow,
-        inventory::{MOST_IN_TRANSIT, PendingLoad},
+        inventory::{DoubtedLoad, MOST_IN_TRANSIT, PendingLoad},
     },
 };
 
@@ -32,8 +32,8 @@
 /// How long a load of something an engine held lately takes.
 const REMEMBERED_LOAD_TIME: Duration = Duration::from_millis(40);
 
-/// How long before the expected end of a load the next one is ordered, so that the store never rests.
-const LOAD_OVERLAP: Duration = Duration::from_millis(40);
+/// How much sooner than its turn a load may be ordered, since turns are looked at in steps.
+const TICK_SLACK: Duration = Duration::from_millis(10);
 
 /// What is added to the expected time of a load, for the order's way to the engine.
 const ORDER_TIME: Duration = Duration::from_millis(10);
@@ -45,12 +45,15 @@
 const RATE_HORIZON: f64 = 6.0;
 
 /// What an engine without any base model is worth to fill.
-const EMPTY_ENGINE_WORTH: f64 = 1_000.0;
+const EMPTY_ENGINE_WORTH: f64 = 20.0;
 
 /// What each request is worth that was asked for since its adapter was last there.
 ///
 /// It does not fade, so that what is asked for seldom but steadily has its turn.
-const UNSERVED_WEIGHT: f64 = 0.5;
+const UNSERVED_WEIGHT: f64 = 0.3;
+
+/// What a load is worth that nobody waits for, compared with one that somebody does.
+const IDLE_FACTOR: f64 = 0.25;
 
 /// How much more the newest version of a held adapter is worth than a new adapter.
 const VERSION_FACTOR: f64 = 2.0;
@@ -67,6 +70,9 @@
 /// The version of weights for which no other was named.
 pub const FIRST_VERSION: WeightVersion = 1;
 
+/// How often an order without an answer is given again before a report is asked for.
+const MOST_DOUBTED: usize = 2;
+
 /// What an order asks an engine for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderKind {
@@ -148,6 +154,7 @@
     window: LoadWindow,
     versions: HashMap<ModelKey, WeightVersion>,
     load_time: Duration,
+    last_load: ClockMillis,
     next_order: OrderId,
     outstanding: HashMap<OrderId, PlannedOrder>,
     queue: Vec<ModelKey>,
@@ -163,6 +170,7 @@
             window,
             versions: HashMap::new(),
             load_time: FIRST_LOAD_TIME,
+            last_load: ClockMillis::default(),
             next_order: 0,
             outstanding: HashMap::new(),
             queue: Vec::new(),
@@ -207,7 +215,7 @@
         let expected: Vec<ModelKey> = inventory
             .pending
             .iter()
-            .filter(|load| asked >= load.due)
+            .filter(|load| asked >= load.due && adapter_name(&load.key).is_some())
             .map(|load| Arc::clone(&load.key))
             .collect();
         if !inventory.take_report(report, asked) {
@@ -229,20 +237,23 @@
     /// Takes an engine's word, or silence, on an order.
     pub fn order_answered(&mut self, id: OrderId, answer: OrderAnswer, now: ClockMillis) {
         let Some(order) = self.outstanding.remove(&id) else { return };
-        let (load_time, version) = (self.load_time, self.newest(&order.key));
+        let version = self.newest(&order.key);
+        let from_store = order.kind == OrderKind::Load { from_store: true };
+        let due = self.load_due(&order.key, from_store, now);
         let Some(inventory) = self.engines.get_mut(&order.engine.name) else { return };
         inventory.ordering = false;
         inventory.ordered = now;
+        let noted = inventory.noted;
+        settle_doubts(inventory, &mut self.window, &order, answer, noted);
         match (answer, order.kind) {
             (OrderAnswer::Accepted, OrderKind::Load { from_store }) => {
                 inventory.sequence = Some(order.expected_sequence + 1);
                 self.demand.served(&order.key);
-                let time = if from_store { load_time } else { REMEMBERED_LOAD_TIME };
                 inventory.pending.push(PendingLoad {
                     key: Arc::clone(&order.key),
                     version,
                     began: now,
-                    due: now + time + ORDER_TIME,
+                    due,
                     from_store,
                 });
             }
@@ -256,6 +267,8 @@
                 inventory.held.remove(&order.key);
                 inventory.remembered.insert(Arc::clone(&order.key));
             }
+            // The same order is given again: whichever comes first makes the engine refuse the other.
+            (OrderAnswer::Unknown, _) if inventory.doubted.len() <= MOST_DOUBTED => {}
             // The counts of orders that changed nothing are not told: a report settles them.
             _ => inventory.sequence = None,
         }
@@ -380,7 +393,7 @@
     fn worth(&self, key: &str, now: ClockMillis) -> f64 {
         let copies = self.copies(key);
         if copies == 0.0 {
-            return self.interest(key, now) + UNSERVED_WEIGHT * self.demand.unserved(key);
+            return self.interest(key, now) + UNSERVED_WEIGHT * self.demand.unserved(key).powi(2);
         }
         let spare = self.demand.rate(key, now) / copies - COPY_RATE;
         (RATE_HORIZON * spare).max(0.0)
@@ -417,7 +430,14 @@
             .min_by_key(|inventory| {
                 let remembered = self.comes_back(inventory, key);
                 let full = !self.has_place(inventory, key);
-                (!remembered, full, self.load_of(inventory, now), Arc::clone(&inventory.entry.name))
+                let doubted = inventory.doubted.iter().any(|load| load.key == *key);
+                (
+                    !doubted,
+                    !remembered,
+                    full,
+                    self.load_of(inventory, now),
+                    Arc::clone(&inventory.entry.name),
+                )
             })?;
         let name = Arc::clone(&best.entry.name);
         if self.has_place(best, key) {
@@ -446,15 +466,43 @@
     }
 
     fn store_is_free(&mut self, now: ClockMillis) -> bool {
-        let under_way = self.engines.values().flat_map(|inventory| &inventory.pending);
-        let loading =
-            under_way.filter(|load| load.from_store && now + LOAD_OVERLAP < load.due).count();
-        let ordered = self
-            .outstanding
-            .values()
-            .filter(|order| order.kind == OrderKind::Load { from_store: true })
-            .count();
-        loading + ordered < self.loads_at_once() && self.window.has_room(now)
+        let under_way = self.loads_under_way(now) + self.loads_ordered(now);
+        let paced = now.since(self.last_load) + TICK_SLACK >= self.window.pace();
+        under_way <= self.loads_at_once() && paced && self.window.has_room(now)
+    }
+
+    fn loads_under_way(&self, now: ClockMillis) -> usize {
+        let loads = self.engines.values().flat_map(|inventory| &inventory.pending);
+        loads.filter(|load| load.from_store && now < load.due).count()
+    }
+
+    /// Returns how many loads were ordered and not answered yet.
+    ///
+    /// An order without an answer holds the store up no longer than a load takes.
+    fn loads_ordered(&self, now: ClockMillis) -> usize {
+        let ordered = self.engines.values().filter(|inventory| {
+            let waited = now.since(inventory.ordered);
+            inventory.ordering && inventory.loads_from_store && waited < self.load_time
+        });
+        ordered.count()
+    }
+
+    /// Returns when a load that begins now is expected to end.
+    ///
+    /// Loads beyond those that the store serves at full speed share it, so the new one ends after
+    /// what is left of the others.
+    fn load_due(&self, key: &str, from_store: bool, now: ClockMillis) -> ClockMillis {
+        if !from_store {
+            return now + REMEMBERED_LOAD_TIME + ORDER_TIME;
+        }
+        let model = self.hosting.model(key);
+        let time = model.map_or(self.load_time, |model| model.load_time);
+        let shared = if self.loads_under_way(now) >= self.loads_at_once() {
+            self.store_busy(now)
+        } else {
+            Duration::ZERO
+        };
+        now + time + shared + ORDER_TIME
     }
 
     /// Returns how many loads at once keep the store at its rate.
@@ -544,8 +592,11 @@
         let expected_sequence = inventory.sequence?;
         inventory.ordering = true;
         inventory.ordered = now;
+        inventory.noted = now;
+        inventory.loads_from_store = kind == (OrderKind::Load { from_store: true });
         if kind == (OrderKind::Load { from_store: true }) {
             self.window.note(now);
+            self.last_load = now;
         }
         self.next_order += 1;
         let order = PlannedOrder {
@@ -614,3 +665,43 @@
         loads.map(|load| Reverse(load.due)).max().map(|Reverse(due)| due)
     }
 }
+
+/// Settles what earlier orders without an answer have become, from the answer to a later one.
+///
+/// All of them named the same count of orders, so the engine carried out one of them at most. An
+/// accepted order makes it refuse the earlier ones; a conflict shows that one of those was first.
+fn settle_doubts(
+    inventory: &mut EngineInventory,
+    window: &mut LoadWindow,
+    order: &PlannedOrder,
+    answer: OrderAnswer,
+    noted: ClockMillis,
+) {
+    let from_store = order.kind == OrderKind::Load { from_store: true };
+    match answer {
+        OrderAnswer::Unknown => {
+            if from_store {
+                inventory.doubted.push(DoubtedLoad { key: Arc::clone(&order.key), noted });
+            }
+        }
+        OrderAnswer::Accepted => {
+            for load in inventory.doubted.drain(..) {
+                window.refund(load.noted);
+            }
+        }
+        OrderAnswer::Conflict | OrderAnswer::Done => {
+            if from_store {
+                window.refund(noted);
+            }
+            for load in inventory.doubted.drain(..).skip(1) {
+                window.refund(load.noted);
+            }
+        }
+        OrderAnswer::NotSent | OrderAnswer::Fenced | OrderAnswer::Rejected => {
+            if from_store {
+                window.refund(noted);
+            }
+        }
+        OrderAnswer::OtherEngine => inventory.doubted.clear(),
+    }
+}
--- a/crates/core/src/placement/tenure.rs
+++ b/crates/core/src/placement/tenure.rs
@@ -16,7 +16,8 @@
 pub struct LeaseRules {
     /// How long the lease lives after a join was sent.
     pub time_to_live: Duration,
-    /// How long a new holder waits for orders of the holder before to have ended.
+    /// How long a new holder waits for orders of the holder before to have ended, where engines
+    /// don't refuse them; and how long a host waits that had the lease just before another did.
     pub handover_wait: Duration,
     /// Whether engines refuse the orders of earlier tenures, so that a holder that can not confirm
     /// its lease may go on until an engine refuses it.
@@ -32,6 +33,8 @@
     began: ClockMillis,
     confirmed: ClockMillis,
     detached: bool,
+    /// When orders were last given, in any tenure.
+    acted: Option<ClockMillis>,
 }
 
 impl PlacerTenure {
@@ -44,6 +47,7 @@
             began: ClockMillis::default(),
             confirmed: ClockMillis::default(),
             detached: false,
+            acted: None,
         }
     }
 
@@ -98,6 +102,17 @@
         }
     }
 
+    /// Returns how long this tenure waits before its first order.
+    ///
+    /// Engines that check tokens refuse the holder before. Even so, a host that held the lease just
+    /// before somebody else did must not seem to take turns with them.
+    fn wait(&self) -> Duration {
+        let returns = self.acted.is_some_and(|acted| {
+            self.began >= acted && self.began.since(acted) < self.rules.handover_wait
+        });
+        if self.rules.engines_check && !returns { Duration::ZERO } else { self.rules.handover_wait }
+    }
+
     /// Takes that this host left the group.
     pub fn left(&mut self) {
         self.state = self.state.after(TenureEvent::Unlisted);
@@ -108,15 +123,20 @@
         if now.since(self.confirmed) >= self.rules.time_to_live {
             self.state = self.state.after(TenureEvent::Lapsed);
         }
-        if now.since(self.began) >= self.rules.handover_wait {
+        if now.since(self.began) >= self.wait() {
             self.state = self.state.after(TenureEvent::WaitOver);
         }
         let detached = self.detached && self.rules.engines_check;
-        match self.state {
-            TenureState::Acting => Some(self.token),
-            TenureState::Lapsed if detached => Some(self.token),
-            _ => None,
+        let acting = match self.state {
+            TenureState::Acting => true,
+            TenureState::Lapsed => detached,
+            _ => false,
+        };
+        if !acting {
+            return None;
         }
+        self.acted = Some(now);
+        Some(self.token)
     }
 
     /// Returns whether the lease is this host's as far as it knows, acting or not.
--- a/crates/core/src/placement/window.rs
+++ b/crates/core/src/placement/window.rs
@@ -7,8 +7,11 @@
 /// Loads that the operator's rule allows beside the rate.
 const RULE_SLACK: f64 = 3.0;
 
-/// Loads kept back, for orders whose fate is not known and for clocks that differ.
-const RESERVE: f64 = 1.0;
+/// The part of a load that is kept back, so that a sum of fractions never counts as one load more.
+const RESERVE: f64 = 0.3;
+
+/// How much longer than the operator's window loads are counted, since they begin after their order.
+const JITTER: Duration = Duration::from_millis(100);
 
 /// Counts loads from the weight store within a sliding window.
 #[derive(Debug, Clone)]
@@ -28,7 +31,7 @@
             reason = "small, positive"
         )]
         let most = allowed.max(1.0) as usize;
-        Self { length, most, begun: VecDeque::new() }
+        Self { length: length + JITTER, most, begun: VecDeque::new() }
     }
 
     /// Returns whether one more load may begin.
@@ -45,6 +48,13 @@
         self.begun.push_back(now);
     }
 
+    /// Takes a load back that was counted at `noted` and turned out not to have begun.
+    pub fn refund(&mut self, noted: ClockMillis) {
+        if let Some(place) = self.begun.iter().position(|begun| *begun == noted) {
+            self.begun.remove(place);
+        }
+    }
+
     /// Counts loads that another placer may have begun before `now`.
     pub fn assume(&mut self, loads: usize, now: ClockMillis) {
         self.begun.extend(std::iter::repeat_n(now, loads));
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -16,8 +16,11 @@
     metrics::OrderLabels,
 };
 
-/// How long an order or report may take.
-const ORDER_PATIENCE: Duration = Duration::from_millis(800);
+/// How long an order may take: a lost answer must not hold up the next load.
+const ORDER_PATIENCE: Duration = Duration::from_millis(250);
+
+/// How long a report may take.
+const REPORT_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Kept connections to the control side of engines.
 #[derive(Debug, Default)]
@@ -110,7 +113,7 @@
     let mut client = state.borrow_mut().order_clients().take(&engine);
     let asked = shared.clock.now();
     let call = dialect.report(&engine.name);
-    let answer = client.call(&call, ORDER_PATIENCE).await;
+    let answer = client.call(&call, REPORT_PATIENCE).await;
     let report = answer.ok().and_then(|answer| dialect.report_answer(&answer).ok());
     let mut state = state.borrow_mut();
     state.order_clients().keep(&engine.name, client);
