perf(core): adapters are loaded as soon as a request waits, several at a time

Ruled out: a change of order alone (waiters, popularity, steady demand: all within noise of each other). The planner is split by role (order, candidates, target).

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -5,16 +5,18 @@
 //! all hosts are asked for, [`inventory`] keeps what each engine holds in spite of lost and late
 //! answers, [`window`] keeps loads below the store's ceiling, and [`planner`] picks the next order.
 
+mod candidates;
 pub mod demand;
 pub mod inventory;
+pub mod order;
 pub mod planner;
+mod target;
 pub mod tenure;
 pub mod window;
 
 pub use demand::{DemandBook, DemandEntry};
 pub use inventory::{EngineInventory, EngineReport};
-pub use planner::{
-    OrderAnswer, OrderId, OrderKind, PlacementAction, PlacementPlanner, PlannedOrder,
-};
+pub use order::{OrderAnswer, OrderId, OrderKind, PlacementAction, PlannedOrder};
+pub use planner::PlacementPlanner;
 pub use tenure::{LeaseRules, PlacerTenure};
 pub use window::LoadWindow;
--- /dev/null
+++ b/crates/core/src/placement/candidates.rs
@@ -0,0 +1,141 @@
+//! What is worth loading now.
+
+use std::sync::Arc;
+
+use crate::{
+    clock::ClockMillis,
+    fleet::{EngineName, ModelKey, adapter_name, base_model, routes::ModelSize},
+    placement::{EngineInventory, OrderKind, PlacementPlanner},
+};
+
+/// Requests a second to one copy from which on another copy is worth a load.
+const COPY_RATE: f64 = 3.0;
+
+/// How many seconds of future requests a load is credited with.
+const RATE_HORIZON: f64 = 6.0;
+
+/// What an engine without any base model is worth to fill.
+const EMPTY_ENGINE_WORTH: f64 = 20.0;
+
+/// How much more the newest version of a held adapter is worth than a new adapter.
+const VERSION_FACTOR: f64 = 2.0;
+
+/// What each request is worth that was asked for since its adapter was last there.
+///
+/// It does not fade, so that what is asked for seldom but steadily has its turn.
+const UNSERVED_WEIGHT: f64 = 0.3;
+
+/// The value below which nothing is loaded.
+const LEAST_WORTH: f64 = 0.05;
+
+/// A load that would be worth something.
+#[derive(Debug, Clone)]
+pub(super) struct LoadCandidate {
+    pub(super) key: ModelKey,
+    pub(super) worth: f64,
+    /// The one engine that it is for; any engine of the domain otherwise.
+    pub(super) engine: Option<EngineName>,
+}
+
+impl PlacementPlanner {
+    /// Returns every load that would be worth something, in no order.
+    pub(super) fn candidates(&self, now: ClockMillis) -> Vec<LoadCandidate> {
+        let mut candidates = self.empty_engines(now);
+        for key in self.demand.keys() {
+            if adapter_name(key).is_none() {
+                continue;
+            }
+            let worth = self.worth(key, now);
+            if worth >= LEAST_WORTH {
+                candidates.push(LoadCandidate { key: Arc::clone(key), worth, engine: None });
+            }
+        }
+        candidates.extend(self.outdated(now));
+        candidates
+    }
+
+    /// Returns a load of the most wanted base model for each engine that has none.
+    fn empty_engines(&self, now: ClockMillis) -> Vec<LoadCandidate> {
+        let wanted = self.hosting.models.iter().max_by(|left, right| {
+            let rate = |name: &str| self.model_rate(name, now) / (1.0 + self.model_copies(name));
+            rate(&left.name).total_cmp(&rate(&right.name))
+        });
+        let Some(model) = wanted else { return Vec::new() };
+        let empty = self.engines.values().filter(|inventory| {
+            let any = |size: &ModelSize| inventory.has_model(&size.name);
+            !inventory.entry.leaving && !inventory.busy && !self.hosting.models.iter().any(any)
+        });
+        empty
+            .map(|inventory| LoadCandidate {
+                key: Arc::from(model.name.as_str()),
+                worth: EMPTY_ENGINE_WORTH,
+                engine: Some(Arc::clone(&inventory.entry.name)),
+            })
+            .collect()
+    }
+
+    fn model_rate(&self, model: &str, now: ClockMillis) -> f64 {
+        let keys = self.demand.keys().filter(|key| base_model(key) == model);
+        keys.map(|key| self.demand.rate(key, now)).sum()
+    }
+
+    fn model_copies(&self, model: &str) -> f64 {
+        self.engines.values().filter(|inventory| inventory.has_model(model)).count() as f64
+    }
+
+    /// Returns a replacement for each held adapter whose newest version is not there yet.
+    fn outdated(&self, now: ClockMillis) -> Vec<LoadCandidate> {
+        let mut candidates = Vec::new();
+        for (key, version) in &self.versions {
+            for (name, inventory) in &self.engines {
+                let held = inventory.held.get(key).is_some_and(|held| held < version);
+                if !held || inventory.has(key, *version) {
+                    continue;
+                }
+                let worth = VERSION_FACTOR * self.interest(key, now) / self.copies(key).max(1.0);
+                if worth >= LEAST_WORTH {
+                    let (key, engine) = (Arc::clone(key), Some(Arc::clone(name)));
+                    candidates.push(LoadCandidate { key, worth, engine });
+                }
+            }
+        }
+        candidates
+    }
+
+    /// Returns how much an adapter is wanted: by what waits, and by what will come.
+    pub(super) fn interest(&self, key: &str, now: ClockMillis) -> f64 {
+        self.demand.waiting_worth(key) + RATE_HORIZON * self.demand.rate(key, now)
+    }
+
+    /// Returns what one more copy of an adapter is worth.
+    ///
+    /// The first copy is worth something only when somebody waits for it; another one only when the
+    /// copies there are asked for more than they can bear.
+    fn worth(&self, key: &str, now: ClockMillis) -> f64 {
+        let copies = self.copies(key);
+        if copies > 0.0 {
+            let spare = self.demand.rate(key, now) / copies - COPY_RATE;
+            return (RATE_HORIZON * spare).max(0.0);
+        }
+        if self.demand.waiting(key) == 0 {
+            return 0.0;
+        }
+        self.interest(key, now) + UNSERVED_WEIGHT * self.demand.unserved(key).powi(2)
+    }
+
+    /// Returns how many engines hold the newest version of an adapter, or are getting it.
+    pub(super) fn copies(&self, key: &str) -> f64 {
+        let newest = self.newest(key);
+        let holds = |inventory: &&EngineInventory| {
+            !inventory.entry.leaving
+                && inventory.has(key, newest)
+                && !inventory.closing.contains(key)
+        };
+        let holders = self.engines.values().filter(holds).count();
+        let ordered = self
+            .outstanding
+            .values()
+            .filter(|order| matches!(order.kind, OrderKind::Load { .. }) && &*order.key == key);
+        (holders + ordered.count()) as f64
+    }
+}
--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Returns when `key` was last asked for.
+    pub fn last_asked(&self, key: &str) -> ClockMillis {
+        self.keys.get(key).map(|demand| demand.asked).unwrap_or_default()
+    }
+
     /// Returns how many requests came since a load of `key` was last ordered.
     pub fn unserved(&self, key: &str) -> f64 {
         self.keys.get(key).map_or(0.0, |demand| f64::from(demand.unserved))
--- a/crates/core/src/placement/inventory.rs
+++ b/crates/core/src/placement/inventory.rs
@@ -6,7 +6,7 @@
 //! order.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -14,11 +14,15 @@
 use crate::{
     clock::ClockMillis,
     fleet::{EngineEntry, HeldModel, ModelKey, WeightVersion, adapter_name, base_model},
+    placement::OrderKind,
 };
 
 /// How old the state in a report may be when it arrives.
 pub const REPORT_LAG: Duration = Duration::from_millis(250);
 
+/// How many adapters an engine is expected to remember.
+const MOST_REMEMBERED: usize = 100;
+
 /// How many loads may be in transit to one engine.
 pub const MOST_IN_TRANSIT: usize = 4;
 
@@ -55,8 +59,8 @@
 pub struct DoubtedLoad {
     /// What was to be loaded.
     pub key: ModelKey,
-    /// When the order was counted against the weight store's rate.
-    pub noted: ClockMillis,
+    /// When the order was counted against the weight store's rate, if it was.
+    pub noted: Option<ClockMillis>,
 }
 
 /// One engine as its placer knows it.
@@ -70,16 +74,14 @@
     pub held: BTreeMap<ModelKey, WeightVersion>,
     /// What is in transit to it.
     pub pending: Vec<PendingLoad>,
-    /// What it held before and may bring back without the weight store.
-    pub remembered: BTreeSet<ModelKey>,
+    /// What it held before and may bring back without the weight store, the latest last.
+    remembered: VecDeque<ModelKey>,
     /// What it drops as soon as its runs have ended.
     pub closing: BTreeSet<ModelKey>,
-    /// Whether an order is on its way.
-    pub ordering: bool,
+    /// The order that is on its way.
+    pub order: Option<OrderKind>,
     /// Load orders without an answer at the present count of orders: one may still be carried out.
     pub doubted: Vec<DoubtedLoad>,
-    /// Whether the last order was a load from the weight store.
-    pub loads_from_store: bool,
     /// When the last order was given.
     pub noted: ClockMillis,
     /// When the last order ended.
@@ -100,10 +102,9 @@
             sequence: None,
             held: BTreeMap::new(),
             pending: Vec::new(),
-            remembered: BTreeSet::new(),
+            remembered: VecDeque::new(),
             closing: BTreeSet::new(),
-            ordering: false,
-            loads_from_store: false,
+            order: None,
             doubted: Vec::new(),
             noted: ClockMillis::default(),
             ordered: ClockMillis::default(),
@@ -115,7 +116,7 @@
 
     /// Returns whether a report is needed before anything can be ordered or decided.
     pub fn needs_report(&self, now: ClockMillis) -> bool {
-        if self.asking || self.ordering {
+        if self.asking || self.order.is_some() {
             return false;
         }
         let settled = now.since(self.ordered) >= REPORT_LAG;
@@ -129,13 +130,16 @@
     /// Takes a report that was asked for at `asked`; returns whether it counted.
     pub fn take_report(&mut self, report: &EngineReport, asked: ClockMillis) -> bool {
         self.asking = false;
-        let fresh = asked.since(self.ordered) >= REPORT_LAG && !self.ordering;
+        let fresh = asked.since(self.ordered) >= REPORT_LAG && self.order.is_none();
         if !fresh {
             return false;
         }
         let held: BTreeMap<ModelKey, WeightVersion> =
             report.held.iter().map(|held| (Arc::clone(&held.key), held.version)).collect();
-        self.remember_lost(&held);
+        let known: Vec<ModelKey> = self.held.keys().chain(held.keys()).cloned().collect();
+        for key in known {
+            self.remember(&key);
+        }
         self.held = held;
         self.closing.retain(|key| self.held.contains_key(key));
         self.busy = report.busy;
@@ -158,26 +162,38 @@
         true
     }
 
-    fn remember_lost(&mut self, held: &BTreeMap<ModelKey, WeightVersion>) {
-        for key in self.held.keys().chain(held.keys()) {
-            self.remembered.insert(Arc::clone(key));
+    /// Takes that the engine holds, or has just dropped, a model or adapter.
+    pub fn remember(&mut self, key: &ModelKey) {
+        if let Some(place) = self.remembered.iter().position(|known| known == key) {
+            self.remembered.remove(place);
+        }
+        self.remembered.push_back(Arc::clone(key));
+        if self.remembered.len() > MOST_REMEMBERED {
+            self.remembered.pop_front();
         }
     }
 
+    /// Returns whether the engine held something lately.
+    pub fn remembers(&self, key: &str) -> bool {
+        self.remembered.iter().any(|known| &**known == key)
+    }
+
     /// Moves loads whose time has come to what is held; a later report corrects it.
     ///
     /// Returns whether anything moved.
     pub fn settle_due(&mut self, now: ClockMillis) -> bool {
-        let mut moved = false;
+        let mut landed = Vec::new();
         for load in &self.pending {
             let known = self.held.get(&load.key).is_some_and(|held| *held >= load.version);
             if now >= load.due && !known && !self.busy {
                 self.held.insert(Arc::clone(&load.key), load.version);
-                self.remembered.insert(Arc::clone(&load.key));
-                moved = true;
+                landed.push(Arc::clone(&load.key));
             }
         }
-        moved
+        for key in &landed {
+            self.remember(key);
+        }
+        !landed.is_empty()
     }
 
     /// Returns whether the engine holds a base model, or is getting it.
--- /dev/null
+++ b/crates/core/src/placement/target.rs
@@ -0,0 +1,188 @@
+//! Where a load goes, and what makes room for it.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    clock::ClockMillis,
+    fleet::{ADAPTER_SEPARATOR, ModelKey, adapter_name, base_model},
+    placement::{
+        EngineInventory, OrderKind, PlacementPlanner, PlannedOrder, candidates::LoadCandidate,
+        inventory::MOST_IN_TRANSIT,
+    },
+};
+
+/// How long a load of something an engine held lately takes.
+const REMEMBERED_LOAD_TIME: Duration = Duration::from_millis(30);
+
+/// What is added to the expected time of a load, for the order's way to the engine.
+const ORDER_TIME: Duration = Duration::from_millis(8);
+
+/// How many adapters at a time come at full speed, for each load a second that the store allows.
+const ADAPTERS_PER_LOAD: f64 = 2.7;
+
+/// How far beyond full speed adapters are ordered at a time.
+const ADAPTER_OVERLOAD: f64 = 1.5;
+
+/// The fewest adapters that are ordered at a time.
+const LEAST_AT_ONCE: usize = 4;
+
+/// How long an adapter must not have been asked for before it is dropped for another one.
+const RESTED: Duration = Duration::from_millis(1500);
+
+impl PlacementPlanner {
+    /// Returns the order that a candidate needs next, if one can be given now.
+    pub(super) fn order_for(
+        &mut self,
+        candidate: &LoadCandidate,
+        now: ClockMillis,
+    ) -> Option<PlannedOrder> {
+        let key = &candidate.key;
+        let store_free = self.store_is_free(key, now);
+        let engines: Vec<&EngineInventory> = match &candidate.engine {
+            Some(name) => self.engines.get(name).into_iter().collect(),
+            None => self.engines.values().collect(),
+        };
+        let able = engines.into_iter().filter(|inventory| self.is_able(inventory, candidate));
+        let best = able
+            .filter(|inventory| store_free || self.comes_back(inventory, key))
+            .min_by_key(|inventory| {
+                let doubted = inventory.doubted.iter().any(|load| load.key == *key);
+                let remembered = self.comes_back(inventory, key);
+                let full = !self.has_place(inventory, key);
+                let load = self.load_of(inventory, now);
+                (!doubted, !remembered, full, load, Arc::clone(&inventory.entry.name))
+            })?;
+        let name = Arc::clone(&best.entry.name);
+        if self.has_place(best, key) {
+            let from_store = !self.comes_back(best, key);
+            let kind = OrderKind::Load { from_store };
+            return self.give(&name, kind, Arc::clone(key), candidate.worth, now);
+        }
+        let victim = self.victim(best, candidate.worth, now)?;
+        self.give(&name, OrderKind::Unload, victim, candidate.worth, now)
+    }
+
+    /// Returns whether the engine has held this version and can bring it back by itself.
+    fn comes_back(&self, inventory: &EngineInventory, key: &str) -> bool {
+        inventory.remembers(key) && !self.versions.contains_key(key)
+    }
+
+    fn is_able(&self, inventory: &EngineInventory, candidate: &LoadCandidate) -> bool {
+        let key = &candidate.key;
+        let ready = !inventory.entry.leaving && inventory.sequence.is_some();
+        let idle = inventory.order.is_none() && !inventory.busy;
+        let transit = inventory.pending.len() < MOST_IN_TRANSIT;
+        let is_adapter = adapter_name(key).is_some();
+        let model_held = inventory.held.contains_key(base_model(key));
+        let absent = !inventory.has(key, self.newest(key));
+        ready && idle && transit && absent && (!is_adapter || model_held)
+    }
+
+    /// Returns whether a load from the weight store may be ordered now.
+    fn store_is_free(&mut self, key: &str, now: ClockMillis) -> bool {
+        if adapter_name(key).is_some() {
+            return self.adapters_under_way(now) < self.adapters_at_once();
+        }
+        self.window.has_room(now)
+    }
+
+    fn adapters_under_way(&self, now: ClockMillis) -> usize {
+        let loads = self.engines.values().flat_map(|inventory| &inventory.pending);
+        let loading = loads.filter(|load| load.from_store && now < load.due).count();
+        let ordered = self.outstanding.values().filter(|order| order.kind.loads_from_store());
+        loading + ordered.count()
+    }
+
+    fn full_speed(&self) -> f64 {
+        ADAPTERS_PER_LOAD * self.hosting.loads_per_second
+    }
+
+    /// Returns how many adapters are ordered from the store at a time.
+    pub(super) fn adapters_at_once(&self) -> usize {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "small, positive"
+        )]
+        let at_once = (ADAPTER_OVERLOAD * self.full_speed()).round() as usize;
+        at_once.max(LEAST_AT_ONCE)
+    }
+
+    /// Returns when a load that begins now is expected to end.
+    ///
+    /// Adapters beyond those that the store serves at full speed take proportionally longer.
+    pub(super) fn load_due(&self, key: &str, from_store: bool, now: ClockMillis) -> ClockMillis {
+        if !from_store {
+            return now + REMEMBERED_LOAD_TIME + ORDER_TIME;
+        }
+        if let Some(model) = self.hosting.model(key) {
+            return now + model.load_time + ORDER_TIME;
+        }
+        let share = (self.adapters_under_way(now) as f64 + 1.0) / self.full_speed().max(1.0);
+        now + self.load_time.mul_f64(share.max(1.0)) + ORDER_TIME
+    }
+
+    fn has_place(&self, inventory: &EngineInventory, key: &str) -> bool {
+        if adapter_name(key).is_none() || inventory.held.contains_key(key) {
+            return true;
+        }
+        let places = usize::try_from(self.hosting.most_adapters).unwrap_or(usize::MAX);
+        inventory.adapters_taken() < places && self.has_weight_room(inventory, key)
+    }
+
+    fn has_weight_room(&self, inventory: &EngineInventory, key: &str) -> bool {
+        let coming =
+            inventory.pending.iter().filter(|load| !inventory.held.contains_key(&load.key));
+        let keys = inventory.held.keys().chain(coming.map(|load| &load.key));
+        let taken: f64 = keys.map(|key| self.megabytes(key)).sum();
+        taken + self.megabytes(key) <= self.hosting.weight_megabytes
+    }
+
+    fn megabytes(&self, key: &str) -> f64 {
+        let Some(model) = self.hosting.model(base_model(key)) else { return 0.0 };
+        if key.contains(ADAPTER_SEPARATOR) {
+            model.adapter_megabytes
+        } else {
+            model.weight_megabytes
+        }
+    }
+
+    /// Returns the engine's load by what it holds, in requests for a thousand seconds.
+    fn load_of(&self, inventory: &EngineInventory, now: ClockMillis) -> u64 {
+        let coming = inventory.pending.iter().map(|load| &load.key);
+        let coming = coming.filter(|key| !inventory.held.contains_key(*key));
+        let keys = inventory.held.keys().chain(coming);
+        let rate: f64 =
+            keys.map(|key| self.demand.rate(key, now) / self.copies(key).max(1.0)).sum();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "small, positive"
+        )]
+        let load = (rate * 1000.0) as u64;
+        load
+    }
+
+    /// Returns the adapter that is worth least at an engine, if it is worth less than `worth`.
+    ///
+    /// What was asked for just now is left: its requests still run there.
+    fn victim(
+        &self,
+        inventory: &EngineInventory,
+        worth: f64,
+        now: ClockMillis,
+    ) -> Option<ModelKey> {
+        let adapters = inventory.held.keys().filter(|key| adapter_name(key).is_some());
+        let stays = |key: &ModelKey| {
+            let pending = inventory.pending.iter().any(|load| load.key == *key);
+            let rested = now.since(self.demand.last_asked(key)) >= RESTED;
+            pending || !rested || inventory.closing.contains(key)
+        };
+        adapters
+            .filter(|key| !stays(key))
+            .map(|key| (self.interest(key, now) / self.copies(key).max(1.0), key))
+            .min_by(|left, right| left.0.total_cmp(&right.0))
+            .filter(|(kept, _)| *kept < worth)
+            .map(|(_, key)| Arc::clone(key))
+    }
+}
--- a/crates/core/src/placement/window.rs
+++ b/crates/core/src/placement/window.rs
@@ -60,11 +60,6 @@
         self.begun.extend(std::iter::repeat_n(now, loads));
     }
 
-    /// Returns the mean time between loads at the ceiling.
-    pub fn pace(&self) -> Duration {
-        self.length / u32::try_from(self.most).unwrap_or(u32::MAX).max(1)
-    }
-
     /// Returns the most loads within one window.
     pub const fn most(&self) -> usize {
         self.most
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,7 +1,9 @@
 //! The control thread: everything that the machine believes, and its part in placement.
 
 pub mod domain;
+pub mod mirror;
 pub mod orders;
+pub mod placing;
 pub mod state;
 
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
@@ -21,10 +23,7 @@
     },
 };
 
-/// How often the thread looks at its domains while it holds a lease.
-const HOLDER_TICK: Duration = Duration::from_millis(20);
-
-/// How often it tells demand otherwise.
+/// How often the thread looks at its domains when nothing wakes it.
 const TICK: Duration = Duration::from_millis(50);
 
 /// The least time between two reads of the engines' entries, so that heartbeats come in batches.
@@ -63,10 +62,10 @@
     ];
     let mut stopping = shared.stopping.subscribe();
     loop {
-        let holds = state.borrow_mut().tick(&state);
-        let tick = if holds { HOLDER_TICK } else { TICK };
+        let pause = state.borrow_mut().tick(&state);
         tokio::select! {
-            () = tokio::time::sleep(tick) => {}
+            () = tokio::time::sleep(pause) => {}
+            () = shared.wake_control.notified() => {}
             changed = stopping.wait_for(|stopping| *stopping) => {
                 drop(changed);
                 break;
--- /dev/null
+++ b/crates/gateway/src/control/placing.rs
@@ -0,0 +1,164 @@
+//! This machine's part in placement: its domains' leases, its own planners, and their peers.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+
+use reelreel_core::{
+    ClockMillis, ClockSource,
+    fleet::{EngineEntry, ModelKey, ServiceName, WeightVersion, routes::ModelHosting},
+    id::FenceToken,
+    placement::{LoadWindow, OrderAnswer, PlacementPlanner, PlannedOrder},
+};
+
+use crate::{
+    control::{
+        TICK,
+        domain::{PlanSubscriber, waited_keys},
+        orders::start_actions,
+        state::ControlState,
+    },
+    events::MachineEvent,
+    peers::frame::{DemandFrame, PlanFrame},
+};
+
+/// The shortest pause between two looks at the domains.
+const LEAST_PAUSE: Duration = Duration::from_millis(2);
+
+impl ControlState {
+    /// Takes a peer's demand; `subscriber` gets the plan from now on.
+    pub fn peer_demand(&mut self, frame: &DemandFrame, subscriber: Option<PlanSubscriber>) -> bool {
+        let now = self.shared.clock.now();
+        let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return false };
+        let Some(planner) = &mut domain.planner else { return false };
+        let entries: Vec<_> = frame.entries.iter().map(Into::into).collect();
+        let machine = Arc::from(frame.machine.as_str());
+        planner.demand_noted(&machine, &entries, now);
+        self.shared.wake_control.notify_one();
+        let waited: Vec<ModelKey> = waited_keys(&entries).collect();
+        for known in domain.subscribers.iter_mut().filter(|known| known.machine == machine) {
+            known.asked.extend(waited.iter().cloned());
+        }
+        if let Some(subscriber) = subscriber {
+            let whole = domain.plan_frame(domain.plan.keys());
+            if subscriber.frames.try_send(whole).is_ok() {
+                domain.subscribers.push(subscriber);
+            }
+        }
+        true
+    }
+
+    /// Takes a placer's plan.
+    pub fn peer_plan(&mut self, frame: &PlanFrame) {
+        let now = self.shared.clock.now();
+        let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return };
+        if domain.planner.is_none() && domain.adopt_plan(frame, now) {
+            self.changed = true;
+            self.publish();
+        }
+    }
+
+    /// Takes an engine's word on an order.
+    pub fn order_answered(
+        &mut self,
+        service: &str,
+        token: FenceToken,
+        order: &PlannedOrder,
+        answer: OrderAnswer,
+        now: ClockMillis,
+    ) {
+        let Some(domain) = self.domains.get_mut(service) else { return };
+        if answer == OrderAnswer::Fenced {
+            domain.tenure.refused(token);
+        }
+        if domain.planned_token == token
+            && let Some(planner) = &mut domain.planner
+        {
+            planner.order_answered(order.id, answer, now);
+            self.shared.wake_control.notify_one();
+        }
+    }
+
+    /// Does what is due: demand, placement, publication. Returns when it is to be called again.
+    pub fn tick(&mut self, own: &Rc<RefCell<Self>>) -> Duration {
+        let now = self.shared.clock.now();
+        self.tell_demand(now);
+        let services: Vec<ServiceName> = self.domains.keys().cloned().collect();
+        let mut pause = TICK;
+        for service in services {
+            let due = self.tick_domain(&service, own, now);
+            pause = due.map_or(pause, |due| pause.min(due.since(now).max(LEAST_PAUSE)));
+        }
+        self.publish();
+        pause
+    }
+
+    fn tell_demand(&mut self, now: ClockMillis) {
+        let drained = self.shared.demand().drain(now);
+        let machine = Arc::clone(&self.shared.profile.name);
+        for (service, entries) in drained {
+            if let Some(domain) = self.domains.get_mut(&service) {
+                domain.tell_demand(&machine, &entries, now);
+            }
+        }
+    }
+
+    /// Does what is due in one domain; returns when its next load ends, if this machine knows.
+    fn tick_domain(
+        &mut self,
+        service: &ServiceName,
+        own: &Rc<RefCell<Self>>,
+        now: ClockMillis,
+    ) -> Option<ClockMillis> {
+        let hosting = self.hosting(service)?;
+        let window = self.load_window(&hosting);
+        let listed = self.engines.values().filter(|entry| entry.service == *service);
+        let engines: Vec<Arc<EngineEntry>> = listed.cloned().collect();
+        let versions = self.versions.iter().map(|(key, named)| (Arc::clone(key), named.version));
+        let versions: HashMap<ModelKey, WeightVersion> = versions.collect();
+        let domain = self.domains.get_mut(service)?;
+        let token = domain.tenure.acting_token(now);
+        let state = domain.tenure.state();
+        if self.lease_states.insert(Arc::clone(service), state) != Some(state) {
+            let (service, token) = (service.to_string(), domain.tenure.token());
+            self.shared.events.write(MachineEvent::Lease { service, state: state.name(), token });
+        }
+        if !domain.tenure.is_holder() {
+            if domain.planner.take().is_some() {
+                domain.subscribers.clear();
+                domain.plan_live = false;
+                self.shared.demand().tell_again(service);
+            }
+            return None;
+        }
+        let begins = domain.planner.is_none() || domain.planned_token != domain.tenure.token();
+        let new = || PlacementPlanner::new(hosting.clone(), window);
+        let planner = domain.planner.get_or_insert_with(new);
+        planner.hosting_changed(&hosting);
+        if begins {
+            domain.planned_token = domain.tenure.token();
+            planner.begin_tenure(now);
+            self.shared.demand().tell_again(service);
+        }
+        planner.engines_listed(&engines);
+        planner.versions_named(&versions);
+        let actions = planner.plan(token.is_some(), now);
+        let due = planner.next_due(now);
+        let changed = domain.adopt_own_plan();
+        if !changed.is_empty() {
+            let frame = domain.plan_frame(changed.iter());
+            domain.broadcast(&frame);
+            self.changed = true;
+        }
+        self.changed |= domain.answer_asked(now);
+        start_actions(own, service, domain.planned_token, actions);
+        due
+    }
+
+    fn hosting(&self, service: &str) -> Option<ModelHosting> {
+        self.routes.as_ref()?.service(service)?.hosting.clone()
+    }
+
+    fn load_window(&self, hosting: &ModelHosting) -> LoadWindow {
+        let bounds = &self.shared.profile.bounds;
+        LoadWindow::new(hosting.loads_per_second, bounds.load_window, bounds.load_overage)
+    }
+}
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,99 +1,43 @@
 //! Everything that the machine believes, and how each message changes it.
 
 use std::{
-    cell::RefCell,
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
-    rc::Rc,
     sync::Arc,
 };
 
 use reelreel_core::{
-    ClockMillis, ClockSource,
+    ClockSource,
     chart::TenureState,
-    fleet::{
-        EngineEntry, EngineName, ModelKey, ServiceName,
-        routes::{ModelHosting, RouteTable},
-    },
-    id::FenceToken,
-    placement::{LeaseRules, LoadWindow, OrderAnswer, PlacementPlanner, PlannedOrder},
+    fleet::{EngineEntry, EngineName, ModelKey, ServiceName, routes::RouteTable},
+    placement::{LeaseRules, PlacementPlanner},
 };
 
 use crate::{
     border::{ConfigurationRecord, KeyedRecord},
-    control::{
-        domain::{PlacementDomain, PlanSubscriber, waited_keys},
-        orders::{OrderClients, start_actions},
-    },
+    control::{domain::PlacementDomain, mirror::TopicMirror, orders::OrderClients},
     events::MachineEvent,
     machine::SharedState,
-    peers::frame::{DemandFrame, PlanFrame, RecordLine, StateFrame},
+    peers::frame::{RecordLine, StateFrame},
     store::{follow::TopicUpdate, membership::MembershipUpdate},
     table::{NamedVersion, ServingTable, copies_by_key},
 };
 
-/// A topic's newest records and how far it was read.
-#[derive(Debug, Default)]
-struct TopicMirror {
-    records: HashMap<String, KeyedRecord>,
-    /// The highest offset seen of each key, dropped keys included.
-    offsets: HashMap<String, u64>,
-    end: u64,
-    away: bool,
-    known: bool,
-}
-
-impl TopicMirror {
-    /// Takes a record unless a newer one of its key was seen.
-    fn take(&mut self, record: &KeyedRecord) -> bool {
-        let seen = self.offsets.get(&record.key);
-        if seen.is_some_and(|seen| *seen >= record.offset) {
-            return false;
-        }
-        self.offsets.insert(record.key.clone(), record.offset);
-        if record.value.is_empty() {
-            self.records.remove(&record.key);
-        } else {
-            self.records.insert(record.key.clone(), record.clone());
-        }
-        self.end = self.end.max(record.offset + 1);
-        true
-    }
-
-    /// Returns the keys that a whole reading up to `end` no longer has.
-    fn dropped(&self, records: &[KeyedRecord], end: u64) -> Vec<String> {
-        if end < self.end {
-            return Vec::new();
-        }
-        let kept: BTreeSet<&str> = records.iter().map(|record| record.key.as_str()).collect();
-        self.records.keys().filter(|key| !kept.contains(key.as_str())).cloned().collect()
-    }
-
-    fn lines(&self) -> Vec<RecordLine> {
-        let lines = self.records.values().map(|record| RecordLine {
-            key: record.key.clone(),
-            value: record.value.clone(),
-            offset: record.offset,
-        });
-        lines.collect()
-    }
-}
-
 /// Everything that the machine believes.
 pub struct ControlState {
-    shared: Arc<SharedState>,
+    pub(super) shared: Arc<SharedState>,
     configuration: TopicMirror,
     engine_records: TopicMirror,
-    routes: Option<Arc<RouteTable>>,
-    engines: BTreeMap<EngineName, Arc<EngineEntry>>,
+    pub(super) routes: Option<Arc<RouteTable>>,
+    pub(super) engines: BTreeMap<EngineName, Arc<EngineEntry>>,
     /// Engines that were ever seen leaving; a later record of the same life does not undo it.
     leaving: BTreeSet<EngineName>,
-    versions: HashMap<ModelKey, NamedVersion>,
-    domains: BTreeMap<ServiceName, PlacementDomain>,
+    pub(super) versions: HashMap<ModelKey, NamedVersion>,
+    pub(super) domains: BTreeMap<ServiceName, PlacementDomain>,
     owners: HashMap<u32, SocketAddr>,
     clients: OrderClients,
-    changed: bool,
-    lease_states: HashMap<ServiceName, TenureState>,
+    pub(super) changed: bool,
+    pub(super) lease_states: HashMap<ServiceName, TenureState>,
 }
 
 impl ControlState {
@@ -132,7 +76,7 @@
 
     /// Takes what was read of the configuration.
     pub fn configuration_updated(&mut self, update: TopicUpdate) {
-        note_reachability(&mut self.configuration, &self.shared, "configuration", &update);
+        self.configuration.note_reachability(&self.shared, "configuration", &update);
         let (TopicUpdate::Whole { records, .. } | TopicUpdate::Records(records)) = update else {
             return;
         };
@@ -196,7 +140,7 @@
 
     /// Takes what was read of the engines' entries.
     pub fn engines_updated(&mut self, update: TopicUpdate) {
-        note_reachability(&mut self.engine_records, &self.shared, "engines", &update);
+        self.engine_records.note_reachability(&self.shared, "engines", &update);
         match update {
             TopicUpdate::Away => return,
             TopicUpdate::Whole { records, end } => {
@@ -327,37 +271,6 @@
         self.domains.get_mut(service)
     }
 
-    /// Takes a peer's demand; `subscriber` gets the plan from now on.
-    pub fn peer_demand(&mut self, frame: &DemandFrame, subscriber: Option<PlanSubscriber>) -> bool {
-        let now = self.shared.clock.now();
-        let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return false };
-        let Some(planner) = &mut domain.planner else { return false };
-        let entries: Vec<_> = frame.entries.iter().map(Into::into).collect();
-        let machine = Arc::from(frame.machine.as_str());
-        planner.demand_noted(&machine, &entries, now);
-        let waited: Vec<ModelKey> = waited_keys(&entries).collect();
-        for known in domain.subscribers.iter_mut().filter(|known| known.machine == machine) {
-            known.asked.extend(waited.iter().cloned());
-        }
-        if let Some(subscriber) = subscriber {
-            let whole = domain.plan_frame(domain.plan.keys());
-            if subscriber.frames.try_send(whole).is_ok() {
-                domain.subscribers.push(subscriber);
-            }
-        }
-        true
-    }
-
-    /// Takes a placer's plan.
-    pub fn peer_plan(&mut self, frame: &PlanFrame) {
-        let now = self.shared.clock.now();
-        let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return };
-        if domain.planner.is_none() && domain.adopt_plan(frame, now) {
-            self.changed = true;
-            self.publish();
-        }
-    }
-
     /// Takes that the connection to the placer of a service has ended.
     pub fn placer_lost(&mut self, service: &str) {
         if let Some(domain) = self.domains.get_mut(service) {
@@ -396,107 +309,8 @@
         self.routes.is_some() && self.engine_records.known
     }
 
-    /// Takes an engine's word on an order.
-    pub fn order_answered(
-        &mut self,
-        service: &str,
-        token: FenceToken,
-        order: &PlannedOrder,
-        answer: OrderAnswer,
-        now: ClockMillis,
-    ) {
-        let Some(domain) = self.domains.get_mut(service) else { return };
-        if answer == OrderAnswer::Fenced {
-            domain.tenure.refused(token);
-        }
-        if domain.planned_token == token
-            && let Some(planner) = &mut domain.planner
-        {
-            planner.order_answered(order.id, answer, now);
-        }
-    }
-
-    /// Does what is due: demand, placement, publication. Returns whether a lease is held.
-    pub fn tick(&mut self, own: &Rc<RefCell<Self>>) -> bool {
-        let now = self.shared.clock.now();
-        self.tell_demand(now);
-        let services: Vec<ServiceName> = self.domains.keys().cloned().collect();
-        let mut holds = false;
-        for service in services {
-            holds |= self.tick_domain(&service, own, now);
-        }
-        self.publish();
-        holds
-    }
-
-    fn tell_demand(&mut self, now: ClockMillis) {
-        let drained = self.shared.demand().drain(now);
-        let machine = Arc::clone(&self.shared.profile.name);
-        for (service, entries) in drained {
-            if let Some(domain) = self.domains.get_mut(&service) {
-                domain.tell_demand(&machine, &entries, now);
-            }
-        }
-    }
-
-    fn tick_domain(
-        &mut self,
-        service: &ServiceName,
-        own: &Rc<RefCell<Self>>,
-        now: ClockMillis,
-    ) -> bool {
-        let Some(hosting) = self.hosting(service) else { return false };
-        let window = self.load_window(&hosting);
-        let engines: Vec<Arc<EngineEntry>> =
-            self.engines.values().filter(|entry| entry.service == *service).cloned().collect();
-        let Some(domain) = self.domains.get_mut(service) else { return false };
-        let token = domain.tenure.acting_token(now);
-        let state = domain.tenure.state();
-        if self.lease_states.insert(Arc::clone(service), state) != Some(state) {
-            let (service, token) = (service.to_string(), domain.tenure.token());
-            self.shared.events.write(MachineEvent::Lease { service, state: state.name(), token });
-        }
-        if !domain.tenure.is_holder() {
-            if domain.planner.take().is_some() {
-                domain.subscribers.clear();
-                domain.plan_live = false;
-                self.shared.demand().tell_again(service);
-            }
-            return false;
-        }
-        let begins = domain.planner.is_none() || domain.planned_token != domain.tenure.token();
-        let planner = domain.planner.get_or_insert_with(|| PlacementPlanner::new(hosting, window));
-        if begins {
-            domain.planned_token = domain.tenure.token();
-            planner.begin_tenure(now);
-            self.shared.demand().tell_again(service);
-        }
-        planner.engines_listed(&engines);
-        let versions = self.versions.iter().map(|(key, named)| (Arc::clone(key), named.version));
-        planner.versions_named(&versions.collect());
-        let actions = planner.plan(token.is_some(), now);
-        let changed = domain.adopt_own_plan();
-        if !changed.is_empty() {
-            let frame = domain.plan_frame(changed.iter());
-            domain.broadcast(&frame);
-            self.changed = true;
-        }
-        self.changed |= domain.answer_asked(now);
-        start_actions(own, service, domain.planned_token, actions);
-        true
-    }
-
-    fn hosting(&self, service: &str) -> Option<ModelHosting> {
-        self.routes.as_ref()?.service(service)?.hosting.clone()
-    }
-
-    fn load_window(&self, hosting: &ModelHosting) -> LoadWindow {
-        let bounds = &self.shared.profile.bounds;
-        LoadWindow::new(hosting.loads_per_second, bounds.load_window, bounds.load_overage)
-    }
-
     /// Publishes what is believed, if it changed.
-    fn publish(&mut self) {
+    pub(super) fn publish(&mut self) {
         if !std::mem::take(&mut self.changed) {
             return;
         }
@@ -526,24 +340,3 @@
         self.shared.table.send_replace(Arc::new(table));
     }
 }
-
-fn note_reachability(
-    mirror: &mut TopicMirror,
-    shared: &SharedState,
-    what: &'static str,
-    update: &TopicUpdate,
-) {
-    let away = *update == TopicUpdate::Away;
-    if away {
-        shared.metrics.store_failures.inc();
-    }
-    if away != mirror.away {
-        mirror.away = away;
-        let event = if away {
-            MachineEvent::StoreLost { what }
-        } else {
-            MachineEvent::StoreRegained { what }
-        };
-        shared.events.write(event);
-    }
-}
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -40,6 +40,7 @@
 impl WaitGuard {
     fn new(traffic: &Rc<TrafficState>, service: &ServiceName, key: &ModelKey) -> Self {
         traffic.shared.demand().wait_began(service, key, WAIT_WORTH);
+        traffic.shared.wake_control.notify_one();
         let (service, key) = (Arc::clone(service), Arc::clone(key));
         Self { traffic: Rc::clone(traffic), service, key }
     }
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -14,7 +14,7 @@
     fleet::{ModelKey, ServiceName},
     placement::DemandEntry,
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     border::BorderDialects,
@@ -132,6 +132,8 @@
     /// Requests that are open.
     pub open_requests: AtomicUsize,
     stop_began: OnceLock<ClockMillis>,
+    /// Wakes the control thread when there is something to tell at once.
+    pub wake_control: Notify,
     demand: Mutex<DemandCollector>,
 }
 
@@ -148,6 +150,7 @@
             metrics: MachineMetrics::default(),
             open_requests: AtomicUsize::new(0),
             stop_began: OnceLock::new(),
+            wake_control: Notify::new(),
             demand: Mutex::default(),
         }
     }
