--- a/crates/core/src/placement/inventory.rs
+++ b/crates/core/src/placement/inventory.rs
@@ -95,12 +95,13 @@
 }
 
 impl EngineInventory {
-    /// Starts with nothing known but the entry.
+    /// Starts with what the engine's entry says that it holds.
     pub fn new(entry: Arc<EngineEntry>) -> Self {
+        let held = entry.held.iter().map(|model| (Arc::clone(&model.key), model.version));
         Self {
+            held: held.collect(),
             entry,
             sequence: None,
-            held: BTreeMap::new(),
             pending: Vec::new(),
             remembered: VecDeque::new(),
             closing: BTreeSet::new(),
--- /dev/null
+++ b/crates/core/tests/tenure.rs
@@ -0,0 +1,284 @@
+//! Who may give orders in a placement domain, and with which token.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use reelreel_core::{
+    ClockMillis,
+    chart::TenureState,
+    placement::{LeaseRules, PlacerTenure},
+};
+
+const CHECKED: LeaseRules = LeaseRules {
+    time_to_live: Duration::from_secs(2),
+    handover_wait: Duration::from_secs(3),
+    engines_check: true,
+};
+
+const UNCHECKED: LeaseRules = LeaseRules { engines_check: false, ..CHECKED };
+
+enum Step {
+    /// A join sent at the first time is answered at the second.
+    Joined(bool, u64, u64, u64),
+    Failed(u64),
+    Refused(u64),
+    Left,
+}
+
+struct TenureCase {
+    name: &'static str,
+    rules: LeaseRules,
+    steps: &'static [Step],
+    at: u64,
+    token: Option<u64>,
+    state: TenureState,
+}
+
+const CASES: &[TenureCase] = &[
+    TenureCase {
+        name: "without the lease no order",
+        rules: CHECKED,
+        steps: &[Step::Joined(false, 4, 10, 12)],
+        at: 20,
+        token: None,
+        state: TenureState::Absent,
+    },
+    TenureCase {
+        name: "engines that check tokens need no wait",
+        rules: CHECKED,
+        steps: &[Step::Joined(true, 4, 10, 12)],
+        at: 13,
+        token: Some(4),
+        state: TenureState::Acting,
+    },
+    TenureCase {
+        name: "engines that do not check tokens need one",
+        rules: UNCHECKED,
+        steps: &[Step::Joined(true, 4, 10, 12), Step::Joined(true, 4, 1500, 1501)],
+        at: 3000,
+        token: None,
+        state: TenureState::Waiting,
+    },
+    TenureCase {
+        name: "after the wait the holder acts",
+        rules: UNCHECKED,
+        steps: &[
+            Step::Joined(true, 4, 10, 12),
+            Step::Joined(true, 4, 1500, 1501),
+            Step::Joined(true, 4, 2900, 2901),
+        ],
+        at: 3013,
+        token: Some(4),
+        state: TenureState::Acting,
+    },
+    TenureCase {
+        name: "the token stays while others join",
+        rules: CHECKED,
+        steps: &[Step::Joined(true, 4, 10, 12), Step::Joined(true, 9, 600, 601)],
+        at: 700,
+        token: Some(4),
+        state: TenureState::Acting,
+    },
+    TenureCase {
+        name: "a frozen holder gives no order when it wakes",
+        rules: CHECKED,
+        steps: &[Step::Joined(true, 4, 10, 12)],
+        at: 9000,
+        token: None,
+        state: TenureState::Lapsed,
+    },
+    TenureCase {
+        name: "a frozen holder that still has the lease in a later generation begins anew",
+        rules: CHECKED,
+        steps: &[Step::Joined(true, 4, 10, 12), Step::Joined(true, 7, 9000, 9003)],
+        at: 9004,
+        token: Some(7),
+        state: TenureState::Acting,
+    },
+    TenureCase {
+        name: "a holder that the store does not answer goes on where engines check",
+        rules: CHECKED,
+        steps: &[Step::Joined(true, 4, 10, 12), Step::Failed(1900), Step::Failed(2600)],
+        at: 2700,
+        token: Some(4),
+        state: TenureState::Lapsed,
+    },
+    TenureCase {
+        name: "and stops where they do not",
+        rules: UNCHECKED,
+        steps: &[Step::Joined(true, 4, 10, 12), Step::Failed(1900), Step::Failed(3600)],
+        at: 3700,
+        token: None,
+        state: TenureState::LapsedWaiting,
+    },
+    TenureCase {
+        name: "a refused token is not used again",
+        rules: CHECKED,
+        steps: &[Step::Joined(true, 4, 10, 12), Step::Refused(4), Step::Joined(true, 4, 500, 501)],
+        at: 600,
+        token: None,
+        state: TenureState::Refused,
+    },
+    TenureCase {
+        name: "the refusal of an earlier token does not end the tenure",
+        rules: CHECKED,
+        steps: &[Step::Joined(true, 4, 10, 12), Step::Refused(3)],
+        at: 600,
+        token: Some(4),
+        state: TenureState::Acting,
+    },
+    TenureCase {
+        name: "after a refusal a later generation begins a new tenure, which waits the other out",
+        rules: CHECKED,
+        steps: &[Step::Joined(true, 4, 10, 12), Step::Refused(4), Step::Joined(true, 6, 500, 501)],
+        at: 600,
+        token: None,
+        state: TenureState::Waiting,
+    },
+    TenureCase {
+        name: "and then acts with the new token",
+        rules: CHECKED,
+        steps: &[
+            Step::Joined(true, 4, 10, 12),
+            Step::Refused(4),
+            Step::Joined(true, 6, 500, 501),
+            Step::Joined(true, 6, 2000, 2001),
+            Step::Joined(true, 6, 3400, 3401),
+        ],
+        at: 3600,
+        token: Some(6),
+        state: TenureState::Acting,
+    },
+    TenureCase {
+        name: "who gives the lease up gives no order",
+        rules: CHECKED,
+        steps: &[Step::Joined(true, 4, 10, 12), Step::Left],
+        at: 20,
+        token: None,
+        state: TenureState::Absent,
+    },
+];
+
+fn apply(tenure: &mut PlacerTenure, step: &Step) {
+    let at = ClockMillis::from_millis;
+    match *step {
+        Step::Joined(listed, generation, sent, now) => {
+            // The machine looks at its lease all the time.
+            tenure.acting_token(at(sent));
+            tenure.joined(listed, generation, at(sent), at(now));
+            tenure.acting_token(at(now));
+        }
+        Step::Failed(now) => tenure.join_failed(at(now)),
+        Step::Refused(token) => tenure.refused(token),
+        Step::Left => tenure.left(),
+    }
+}
+
+#[test]
+fn a_tenure_acts_only_while_it_holds() {
+    for case in CASES {
+        let mut tenure = PlacerTenure::new(case.rules);
+        for step in case.steps {
+            apply(&mut tenure, step);
+        }
+        let token = tenure.acting_token(ClockMillis::from_millis(case.at));
+        assert_eq!(token, case.token, "{}", case.name);
+        assert_eq!(tenure.state(), case.state, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_holder_that_had_the_lease_just_before_another_waits() {
+    let at = ClockMillis::from_millis;
+    let mut tenure = PlacerTenure::new(CHECKED);
+    tenure.joined(true, 4, at(10), at(11));
+    assert_eq!(tenure.acting_token(at(500)), Some(4));
+    tenure.joined(false, 5, at(600), at(601));
+    tenure.joined(true, 6, at(1200), at(1201));
+    assert_eq!(tenure.acting_token(at(1300)), None, "it would take turns with the holder between");
+    tenure.joined(true, 6, at(2500), at(2501));
+    tenure.joined(true, 6, at(4000), at(4001));
+    assert_eq!(tenure.acting_token(at(4300)), Some(6));
+}
+
+/// A group as the store keeps it: members, their last joins, and who was dealt the lease.
+struct StoreGroup {
+    holder: Option<usize>,
+    generation: u64,
+    joined: [u64; 3],
+    time_to_live: u64,
+}
+
+impl StoreGroup {
+    fn expire(&mut self, now: u64) {
+        if let Some(holder) = self.holder
+            && now >= self.joined[holder] + self.time_to_live
+        {
+            self.holder = None;
+            self.generation += 1;
+        }
+    }
+
+    fn join(&mut self, member: usize, now: u64) -> (bool, u64) {
+        self.joined[member] = now;
+        if self.holder.is_none() {
+            self.holder = Some(member);
+            self.generation += 1;
+        }
+        (self.holder == Some(member), self.generation)
+    }
+}
+
+proptest! {
+    /// Whatever joins are lost and whoever freezes: no two machines ever act with one token, and
+    /// where engines don't check tokens no two act at the same time.
+    #[test]
+    fn no_two_machines_act_with_one_token(
+        checked in any::<bool>(),
+        steps in proptest::collection::vec((0usize..3, 0u8..10, 1u64..900), 1..200),
+    ) {
+        let rules = if checked { CHECKED } else { UNCHECKED };
+        let mut store =
+            StoreGroup { holder: None, generation: 0, joined: [0; 3], time_to_live: 2000 };
+        let mut tenures: Vec<PlacerTenure> = (0..3).map(|_| PlacerTenure::new(rules)).collect();
+        let mut users: std::collections::HashMap<u64, usize> = std::collections::HashMap::new();
+        let mut now = 1;
+        for (member, fate, pause) in steps {
+            now += pause;
+            let at = ClockMillis::from_millis(now);
+            store.expire(now);
+            match fate {
+                // The join is lost on its way.
+                0 => tenures[member].join_failed(at),
+                // It arrives and its answer is lost.
+                1 => {
+                    store.join(member, now);
+                    tenures[member].join_failed(at);
+                }
+                // The store deals anew at once, unasked; only tokens that engines check cover that.
+                2 if checked => {
+                    store.holder = Some((member + 1) % 3);
+                    store.joined[(member + 1) % 3] = now;
+                    store.generation += 1;
+                }
+                // The machine is frozen meanwhile.
+                2 | 3 => {}
+                _ => {
+                    let (listed, generation) = store.join(member, now);
+                    tenures[member].joined(listed, generation, at, at);
+                }
+            }
+            let mut acting = Vec::new();
+            for (machine, tenure) in tenures.iter_mut().enumerate() {
+                if let Some(token) = tenure.acting_token(at) {
+                    let user = users.entry(token).or_insert(machine);
+                    prop_assert_eq!(*user, machine, "token {} has two users", token);
+                    acting.push(machine);
+                }
+            }
+            if !checked {
+                prop_assert!(acting.len() <= 1, "{:?} act at the same time", acting);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/machine/configuration.rs
@@ -0,0 +1,66 @@
+//! Configuration and engines: nothing is served before they are known, and nothing is forgotten.
+
+use std::{thread, time::Duration};
+
+use crate::site::{TestSite, wait_until};
+
+#[test]
+fn without_configuration_the_machine_is_not_ready_and_refuses() {
+    let site = TestSite::without_configuration();
+    let machine = site.cold_machine("cold", Vec::new());
+    wait_until("the machine listens", || {
+        machine.get("/single/a", "X-Request: a1\r\n").starts_with("HTTP/1.1")
+    });
+    assert!(!machine.is_ready());
+    let answer = machine.get("/single/a", "X-Request: a2\r\n");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("Retry-After"), "{answer}");
+    site.store.put("configuration", "routes", "1");
+    machine.wait_ready();
+    let answer = machine.get("/single/a", "X-Request: a3\r\n");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+#[test]
+fn a_new_configuration_is_in_force_within_a_second_and_never_falls_back() {
+    let site = TestSite::start();
+    let machine = site.machine("newer");
+    let answer = machine.get("/late/a", "X-Request: n1\r\n");
+    assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+    site.store.put("configuration", "routes", "2");
+    thread::sleep(Duration::from_millis(700));
+    let answer = machine.get("/late/a", "X-Request: n2\r\n");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    site.store.put("configuration", "routes", "1");
+    thread::sleep(Duration::from_millis(700));
+    let answer = machine.get("/late/a", "X-Request: n3\r\n");
+    assert!(answer.starts_with("HTTP/1.1 200"), "an older configuration came back: {answer}");
+}
+
+#[test]
+fn a_machine_goes_on_with_what_it_knows_while_the_store_refuses() {
+    let site = TestSite::start();
+    let machine = site.machine("outage");
+    site.store.refuse(true);
+    let before = site.store.calls();
+    for number in 0..20 {
+        let answer = machine.post("/single/a", &format!("X-Request: o{number}\r\n"), "body");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        thread::sleep(Duration::from_millis(100));
+    }
+    assert!(machine.is_ready());
+    let calls = site.store.calls() - before;
+    assert!(calls < 40, "{calls} calls in two seconds to a store that refuses");
+}
+
+#[test]
+fn a_machine_that_the_store_refuses_learns_from_a_peer() {
+    let site = TestSite::start();
+    let first = site.machine("first");
+    let seed = first.shared.profile.peers;
+    site.store.refuse(true);
+    let second = site.cold_machine("second", vec![seed]);
+    second.wait_ready();
+    let answer = second.post("/single/a", "X-Request: p1\r\n", "body");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- /dev/null
+++ b/crates/gateway/tests/machine/dialect.rs
@@ -0,0 +1,245 @@
+//! The project's own plain dialect: what the stand-ins of these tests speak.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use reelreel_core::{
+    fleet::{EngineEntry, HeldModel, ModelKey, routes::RouteTable},
+    id::FenceToken,
+    placement::{EngineReport, OrderAnswer, OrderKind, PlannedOrder},
+};
+use reelreel_gateway::border::{
+    AnswerFacts, BorderDialects, BorderError, CallAnswer, CallRequest, ConfigurationRecord,
+    EngineDialect, ExchangeDialect, FactError, GroupShare, KeyedRecord, KeyedTopic, NewestPage,
+    RecordBatch, RequestFacts, SendTerms, StoreDialect,
+};
+use reelreel_http::{HeaderFields, RequestHead, ResponseHead};
+use serde_json::{Value, json};
+
+pub(crate) const REQUEST: &str = "X-Request";
+pub(crate) const DEADLINE: &str = "X-Deadline";
+pub(crate) const MODEL: &str = "X-Model";
+pub(crate) const ENGINE: &str = "X-Engine";
+pub(crate) const NOT_RUN: &str = "X-Not-Run";
+pub(crate) const RUN_BY: &str = "X-Run-By";
+pub(crate) const AFTER: &str = "X-After";
+
+/// The configurations that records name by their revision.
+pub(crate) type KnownRoutes = Arc<HashMap<u64, Arc<RouteTable>>>;
+
+pub(crate) struct PlainExchange;
+
+impl ExchangeDialect for PlainExchange {
+    fn request_facts(&self, head: &RequestHead) -> Result<RequestFacts, FactError> {
+        let deadline = match head.fields.text(DEADLINE) {
+            Some(text) => Some(text.parse().map_err(|_| FactError::Number)?),
+            None => None,
+        };
+        Ok(RequestFacts {
+            id: head.fields.text(REQUEST).ok_or(FactError::Id)?.to_owned(),
+            deadline: deadline.map(Duration::from_millis),
+            model: head.fields.text(MODEL).map(ModelKey::from),
+            tokens: (0, 0),
+            last_event: head.fields.text(AFTER).map(ToOwned::to_owned),
+        })
+    }
+
+    fn set_terms(&self, fields: &mut HeaderFields, terms: &SendTerms<'_>) {
+        fields.retain(|field| !field.name.eq_ignore_ascii_case(DEADLINE));
+        fields.push(DEADLINE, terms.remaining.as_millis().to_string());
+        fields.push(ENGINE, terms.engine);
+        if let Some(event) = terms.resume_after {
+            fields.push(AFTER, event);
+        }
+    }
+
+    fn answer_facts(&self, head: &ResponseHead) -> AnswerFacts {
+        AnswerFacts {
+            id: head.fields.text(REQUEST).map(ToOwned::to_owned),
+            not_run: head.fields.text(NOT_RUN).is_some(),
+            misdirected: head.status == 421,
+            signed: head.fields.text(RUN_BY).is_some(),
+        }
+    }
+
+    fn mark_own_answer(&self, fields: &mut HeaderFields, id: &str) {
+        fields.push(REQUEST, id);
+    }
+
+    fn readiness_path(&self) -> &'static str {
+        "/ready"
+    }
+}
+
+pub(crate) fn call(method: &str, target: String, body: &Value) -> CallRequest {
+    let head = RequestHead {
+        method: method.to_owned(),
+        target,
+        modern: true,
+        fields: HeaderFields::default(),
+    };
+    let body = if body.is_null() { Vec::new() } else { body.to_string().into_bytes() };
+    CallRequest { head, body: Bytes::from(body) }
+}
+
+fn read(answer: &CallAnswer) -> Result<Value, BorderError> {
+    match answer.head.status {
+        200 => serde_json::from_slice(&answer.body)
+            .map_err(|error| BorderError::Malformed(error.to_string())),
+        410 => Err(BorderError::Trimmed(0)),
+        status => Err(BorderError::Refused(status)),
+    }
+}
+
+pub(crate) struct PlainEngines;
+
+fn held(value: &Value) -> Vec<HeldModel> {
+    let keys = value.as_array().into_iter().flatten().filter_map(Value::as_str);
+    keys.map(|key| HeldModel { key: Arc::from(key), version: 1 }).collect()
+}
+
+impl EngineDialect for PlainEngines {
+    fn order(&self, order: &PlannedOrder, holder: &str, token: FenceToken) -> CallRequest {
+        let load = matches!(order.kind, OrderKind::Load { .. });
+        let body = json!({
+            "load": load, "key": &*order.key, "sequence": order.expected_sequence,
+            "holder": holder, "token": token,
+        });
+        call("POST", String::from("/orders"), &body)
+    }
+
+    fn order_answer(&self, answer: &CallAnswer) -> OrderAnswer {
+        match answer.head.status {
+            202 => OrderAnswer::Accepted,
+            200 => OrderAnswer::Done,
+            409 => OrderAnswer::Conflict,
+            412 => OrderAnswer::Fenced,
+            _ => OrderAnswer::Unknown,
+        }
+    }
+
+    fn report(&self, _engine: &str) -> CallRequest {
+        call("GET", String::from("/state"), &Value::Null)
+    }
+
+    fn report_answer(&self, answer: &CallAnswer) -> Result<EngineReport, BorderError> {
+        let body = read(answer)?;
+        Ok(EngineReport {
+            sequence: body["sequence"].as_u64().unwrap_or_default(),
+            busy: false,
+            held: held(&body["held"]),
+            pending: held(&body["pending"]),
+        })
+    }
+}
+
+pub(crate) struct PlainStore {
+    pub(crate) routes: KnownRoutes,
+}
+
+const fn topic_name(topic: KeyedTopic) -> &'static str {
+    match topic {
+        KeyedTopic::Configuration => "configuration",
+        KeyedTopic::Engines => "engines",
+    }
+}
+
+fn records(value: &Value) -> Vec<KeyedRecord> {
+    let record = |value: &Value| KeyedRecord {
+        key: value["key"].as_str().unwrap_or_default().to_owned(),
+        value: Bytes::from(value["value"].as_str().unwrap_or_default().to_owned()),
+        offset: value["offset"].as_u64().unwrap_or_default(),
+    };
+    value["records"].as_array().into_iter().flatten().map(record).collect()
+}
+
+impl StoreDialect for PlainStore {
+    fn newest(&self, topic: KeyedTopic, _after: Option<&str>) -> CallRequest {
+        call("GET", format!("/newest/{}", topic_name(topic)), &Value::Null)
+    }
+
+    fn newest_answer(&self, answer: &CallAnswer) -> Result<NewestPage, BorderError> {
+        let body = read(answer)?;
+        let end = body["end"].as_u64().unwrap_or_default();
+        Ok(NewestPage { records: records(&body), more: false, end })
+    }
+
+    fn read(&self, topic: KeyedTopic, from: u64, wait: Duration) -> CallRequest {
+        let target = format!("/read/{}/{from}/{}", topic_name(topic), wait.as_millis());
+        call("GET", target, &Value::Null)
+    }
+
+    fn read_answer(&self, _from: u64, answer: &CallAnswer) -> Result<RecordBatch, BorderError> {
+        let body = read(answer)?;
+        let end = body["end"].as_u64().unwrap_or_default();
+        Ok(RecordBatch { records: records(&body), end })
+    }
+
+    fn join(&self, member: &str, time_to_live: Duration, generation: FenceToken) -> CallRequest {
+        let body = json!({
+            "member": member, "millis": time_to_live.as_millis(), "generation": generation,
+        });
+        call("POST", String::from("/join"), &body)
+    }
+
+    fn join_answer(&self, answer: &CallAnswer) -> Result<GroupShare, BorderError> {
+        let body = read(answer)?;
+        let parts = body["partitions"].as_array().into_iter().flatten().filter_map(Value::as_u64);
+        Ok(GroupShare {
+            generation: body["generation"].as_u64().unwrap_or_default(),
+            partitions: parts.filter_map(|part| u32::try_from(part).ok()).collect(),
+        })
+    }
+
+    fn leave(&self, member: &str) -> CallRequest {
+        call("POST", String::from("/leave"), &json!({ "member": member }))
+    }
+
+    fn owners(&self) -> CallRequest {
+        call("GET", String::from("/owners"), &Value::Null)
+    }
+
+    fn owners_answer(&self, answer: &CallAnswer) -> Result<HashMap<u32, String>, BorderError> {
+        let body = read(answer)?;
+        let owners =
+            body.as_object().into_iter().flatten().filter_map(|(part, member)| {
+                Some((part.parse().ok()?, member.as_str()?.to_owned()))
+            });
+        Ok(owners.collect())
+    }
+
+    fn configuration(&self, record: &KeyedRecord) -> Result<ConfigurationRecord, BorderError> {
+        let malformed = || BorderError::Malformed(record.key.clone());
+        let text = std::str::from_utf8(&record.value).map_err(|_| malformed())?;
+        let revision: u64 = text.parse().map_err(|_| malformed())?;
+        let routes = self.routes.get(&revision).ok_or_else(malformed)?;
+        Ok(ConfigurationRecord::Routes(Arc::clone(routes)))
+    }
+
+    fn engine(&self, record: &KeyedRecord) -> Result<EngineEntry, BorderError> {
+        let body: Value = serde_json::from_slice(&record.value)
+            .map_err(|error| BorderError::Malformed(error.to_string()))?;
+        let text = |name: &str| body[name].as_str().unwrap_or_default().to_owned();
+        Ok(EngineEntry {
+            name: Arc::from(record.key.as_str()),
+            service: Arc::from(text("service")),
+            address: text("address")
+                .parse()
+                .map_err(|_| BorderError::Malformed(record.key.clone()))?,
+            zone: Arc::from("hall"),
+            slots: 8,
+            leaving: body["leaving"].as_bool().unwrap_or_default(),
+            remaining: None,
+            sequence: 0,
+            held: held(&body["held"]),
+        })
+    }
+}
+
+pub(crate) fn dialects(routes: KnownRoutes) -> BorderDialects {
+    BorderDialects {
+        exchange: Arc::new(PlainExchange),
+        engine: Arc::new(PlainEngines),
+        store: Arc::new(PlainStore { routes }),
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/machine/engine.rs
@@ -0,0 +1,249 @@
+//! A stand-in for an engine that admits requests by itself, and does wrong when told to.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+
+use crate::{
+    dialect::{AFTER, DEADLINE, ENGINE, MODEL, NOT_RUN, REQUEST, RUN_BY},
+    server::{ServedConnection, ServedRequest, serve},
+};
+
+/// How an engine treats the next requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EngineMood {
+    /// It answers with the request's body.
+    Well,
+    /// It answers with so many events, a while apart.
+    Stream(u32),
+    /// It breaks the stream off after so many events, in the middle of one.
+    StreamCut(u32),
+    /// It says that it did not run the request.
+    NotRun,
+    /// It answers with an error of its own.
+    Error,
+    /// It closes the connection without an answer.
+    Silent,
+    /// It resets the answer in the middle of its body.
+    CutBody,
+    /// It answers twice.
+    Twice,
+    /// It first sends the answer to another request.
+    StrayFirst,
+    /// Its answer has no length and ends with the connection.
+    Unframed,
+    /// It sends bytes that are no answer.
+    Garbage,
+    /// It refuses with a status that would promise what it does not know.
+    FalsePromise,
+}
+
+#[derive(Default)]
+struct EngineState {
+    moods: Vec<EngineMood>,
+    runs: Vec<ServedRequest>,
+    heads: Vec<ServedRequest>,
+    held: BTreeSet<String>,
+    orders: Vec<Value>,
+    sequence: u64,
+    clients_gone: u32,
+}
+
+/// A stand-in for an engine.
+#[derive(Clone)]
+pub(crate) struct StandInEngine {
+    state: Arc<Mutex<EngineState>>,
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+}
+
+impl StandInEngine {
+    pub(crate) fn start(name: &str, held: &[&str]) -> Self {
+        let state: Arc<Mutex<EngineState>> = Arc::default();
+        let mut locked = state.lock().unwrap_or_else(PoisonError::into_inner);
+        locked.held = held.iter().map(|key| (*key).to_owned()).collect();
+        drop(locked);
+        let served = Arc::clone(&state);
+        let own = name.to_owned();
+        let address = serve(move |connection| serve_engine(&served, &own, connection));
+        Self { state, name: name.to_owned(), address }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets how the next requests are treated; the last mood stays.
+    pub(crate) fn treat(&self, moods: &[EngineMood]) {
+        self.lock().moods = moods.iter().rev().copied().collect();
+    }
+
+    /// Returns the requests that it ran.
+    pub(crate) fn runs(&self) -> Vec<ServedRequest> {
+        self.lock().runs.clone()
+    }
+
+    /// Returns the requests that reached it, run or not.
+    pub(crate) fn arrivals(&self) -> Vec<ServedRequest> {
+        self.lock().heads.clone()
+    }
+
+    pub(crate) fn orders(&self) -> Vec<Value> {
+        self.lock().orders.clone()
+    }
+
+    /// Returns how many clients left while it worked for them.
+    pub(crate) fn clients_gone(&self) -> u32 {
+        self.lock().clients_gone
+    }
+
+    pub(crate) fn entry(&self, service: &str, leaving: bool) -> String {
+        let held: Vec<String> = self.lock().held.iter().cloned().collect();
+        let address = self.address.to_string();
+        json!({ "service": service, "address": address, "leaving": leaving, "held": held })
+            .to_string()
+    }
+}
+
+fn serve_engine(state: &Mutex<EngineState>, name: &str, connection: &mut ServedConnection) {
+    while let Some(request) = connection.next_request() {
+        let locked = || state.lock().unwrap_or_else(PoisonError::into_inner);
+        let served = match request.head.target.as_str() {
+            "/orders" => {
+                let answer = take_order(&mut locked(), &request);
+                connection.answer(answer, "", "null")
+            }
+            "/state" => {
+                let state = locked();
+                let report =
+                    json!({ "sequence": state.sequence, "held": state.held, "pending": [] });
+                drop(state);
+                connection.answer(200, "", &report.to_string())
+            }
+            _ => run(state, name, &request, connection),
+        };
+        if served.is_none() {
+            return;
+        }
+    }
+}
+
+fn take_order(state: &mut EngineState, request: &ServedRequest) -> u16 {
+    let order: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    if order["sequence"].as_u64() != Some(state.sequence) {
+        return 409;
+    }
+    let key = order["key"].as_str().unwrap_or_default().to_owned();
+    state.sequence += 1;
+    let load = order["load"].as_bool().unwrap_or_default();
+    state.orders.push(order);
+    if load {
+        state.held.insert(key);
+        202
+    } else {
+        state.held.remove(&key);
+        200
+    }
+}
+
+fn run(
+    state: &Mutex<EngineState>,
+    name: &str,
+    request: &ServedRequest,
+    connection: &mut ServedConnection,
+) -> Option<()> {
+    let id = request.head.fields.text(REQUEST).unwrap_or_default().to_owned();
+    let mut locked = state.lock().unwrap_or_else(PoisonError::into_inner);
+    locked.heads.push(request.clone());
+    let expected = request.head.fields.text(ENGINE);
+    let key = request.head.fields.text(MODEL);
+    let absent = key.is_some_and(|key| !locked.held.contains(key));
+    if expected != Some(name) || absent {
+        drop(locked);
+        return connection.answer(421, &format!("{REQUEST}: {id}\r\n"), "");
+    }
+    let mood = match locked.moods.len() {
+        0 => EngineMood::Well,
+        1 => locked.moods[0],
+        _ => locked.moods.pop().unwrap_or(EngineMood::Well),
+    };
+    if mood != EngineMood::NotRun {
+        locked.runs.push(request.clone());
+    }
+    drop(locked);
+    let head = format!("{REQUEST}: {id}\r\n{RUN_BY}: {name}\r\n");
+    let body = String::from_utf8_lossy(&request.body).into_owned();
+    match mood {
+        EngineMood::Well => connection.answer(200, &head, &body),
+        EngineMood::Error => connection.answer(500, &head, "an error of the engine"),
+        EngineMood::FalsePromise => connection.answer(503, &head, "busy"),
+        EngineMood::NotRun => {
+            connection.answer(503, &format!("{REQUEST}: {id}\r\n{NOT_RUN}: 1\r\n"), "")
+        }
+        EngineMood::Silent => None,
+        EngineMood::Garbage => {
+            connection.write("these bytes are no answer\r\n\r\n")?;
+            None
+        }
+        EngineMood::CutBody => {
+            connection
+                .write(&format!("HTTP/1.1 200 OK\r\n{head}Content-Length: 900\r\n\r\nshort"))?;
+            None
+        }
+        EngineMood::Twice => {
+            connection.answer(200, &head, &body)?;
+            connection.answer(200, &head, "a second answer")
+        }
+        EngineMood::StrayFirst => {
+            let stray = format!("{REQUEST}: another\r\n{RUN_BY}: {name}\r\n");
+            connection.answer(200, &stray, "somebody else's")?;
+            connection.answer(200, &head, &body)
+        }
+        EngineMood::Unframed => {
+            connection.write(&format!("HTTP/1.1 200 OK\r\n{head}\r\n{body}"))?;
+            None
+        }
+        EngineMood::Stream(count) => stream(state, request, connection, &head, count, None),
+        EngineMood::StreamCut(count) => {
+            stream(state, request, connection, &head, count, Some("id: 99\nda"))
+        }
+    }
+}
+
+fn stream(
+    state: &Mutex<EngineState>,
+    request: &ServedRequest,
+    connection: &mut ServedConnection,
+    head: &str,
+    count: u32,
+    cut: Option<&str>,
+) -> Option<()> {
+    let first = request.head.fields.text(AFTER).and_then(|after| after.parse().ok());
+    connection.write(&format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n"))?;
+    for number in first.map_or(0, |after: u32| after + 1)..count {
+        let event = format!("id: {number}\ndata: {number}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        if connection.write(&chunk).is_none() || connection.closes_within(Duration::from_millis(15))
+        {
+            state.lock().unwrap_or_else(PoisonError::into_inner).clients_gone += 1;
+            return None;
+        }
+    }
+    if let Some(partial) = cut {
+        connection.write(&format!("{:x}\r\n{partial}\r\n", partial.len()))?;
+        thread::sleep(Duration::from_millis(5));
+        return None;
+    }
+    connection.write("0\r\n\r\n")
+}
+
+/// Returns what an engine was told about the time that is left.
+pub(crate) fn told_deadline(request: &ServedRequest) -> Option<u64> {
+    request.head.fields.text(DEADLINE)?.parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/tests/machine/engines.rs
@@ -0,0 +1,192 @@
+//! What engines do wrong, and what the client sees of it.
+
+use std::{thread, time::Duration};
+
+use crate::{
+    engine::{EngineMood, told_deadline},
+    site::{TestSite, wait_until},
+};
+
+struct MoodCase {
+    name: &'static str,
+    path: &'static str,
+    moods: &'static [EngineMood],
+    /// How the client's answer begins.
+    answer: &'static str,
+    /// What the client's body is, where it is whole.
+    body: Option<&'static str>,
+    runs: usize,
+}
+
+const CASES: &[MoodCase] = &[
+    MoodCase {
+        name: "a whole answer is passed on",
+        path: "/single/a",
+        moods: &[EngineMood::Well],
+        answer: "HTTP/1.1 200",
+        body: Some("hello"),
+        runs: 1,
+    },
+    MoodCase {
+        name: "an error of the engine is passed on",
+        path: "/single/a",
+        moods: &[EngineMood::Error],
+        answer: "HTTP/1.1 500",
+        body: Some("an error of the engine"),
+        runs: 1,
+    },
+    MoodCase {
+        name: "no answer to a request that may run once is unknown",
+        path: "/single/a",
+        moods: &[EngineMood::Silent, EngineMood::Well],
+        answer: "HTTP/1.1 502",
+        body: None,
+        runs: 1,
+    },
+    MoodCase {
+        name: "what did not run is told so, with a time to come back",
+        path: "/single/a",
+        moods: &[EngineMood::NotRun],
+        answer: "HTTP/1.1 503",
+        body: None,
+        runs: 0,
+    },
+    MoodCase {
+        name: "an engine that refuses once is asked again",
+        path: "/single/a",
+        moods: &[EngineMood::NotRun, EngineMood::Well],
+        answer: "HTTP/1.1 200",
+        body: Some("hello"),
+        runs: 1,
+    },
+    MoodCase {
+        name: "a body cut short never reaches the client",
+        path: "/single/a",
+        moods: &[EngineMood::CutBody],
+        answer: "HTTP/1.1 502",
+        body: None,
+        runs: 1,
+    },
+    MoodCase {
+        name: "bytes that are no answer are none",
+        path: "/single/a",
+        moods: &[EngineMood::Garbage],
+        answer: "HTTP/1.1 502",
+        body: None,
+        runs: 1,
+    },
+    MoodCase {
+        name: "the answer to another request is read over",
+        path: "/single/a",
+        moods: &[EngineMood::StrayFirst],
+        answer: "HTTP/1.1 200",
+        body: Some("hello"),
+        runs: 1,
+    },
+    MoodCase {
+        name: "an answer without length is whole when its connection ends",
+        path: "/single/a",
+        moods: &[EngineMood::Unframed],
+        answer: "HTTP/1.1 200",
+        body: Some("hello"),
+        runs: 1,
+    },
+    MoodCase {
+        name: "a status that promises what nobody knows is not passed on",
+        path: "/single/a",
+        moods: &[EngineMood::FalsePromise],
+        answer: "HTTP/1.1 502",
+        body: None,
+        runs: 1,
+    },
+];
+
+#[test]
+fn answers_are_whole_or_none() {
+    let site = TestSite::start();
+    let machine = site.machine("moods");
+    let mut runs = 0;
+    for (number, case) in CASES.iter().enumerate() {
+        site.plain.treat(case.moods);
+        let answer = machine.post(case.path, &format!("X-Request: m{number}\r\n"), "hello");
+        assert!(answer.starts_with(case.answer), "{}: {answer}", case.name);
+        let body = answer.split_once("\r\n\r\n").map(|(_, body)| body).unwrap_or_default();
+        if let Some(expected) = case.body {
+            assert_eq!(body, expected, "{}", case.name);
+        }
+        let refused = answer.starts_with("HTTP/1.1 503");
+        assert_eq!(answer.contains("Retry-After"), refused, "{}: {answer}", case.name);
+        runs += case.runs;
+        assert_eq!(site.plain.runs().len(), runs, "{}", case.name);
+        // A rest after a failure must not decide the next case.
+        thread::sleep(Duration::from_millis(450));
+    }
+}
+
+#[test]
+fn a_second_answer_never_reaches_the_next_request() {
+    let site = TestSite::start();
+    let machine = site.machine("twice");
+    site.plain.treat(&[EngineMood::Twice, EngineMood::Well]);
+    for number in 0..4 {
+        let body = format!("body {number}");
+        let answer = machine.post("/single/a", &format!("X-Request: t{number}\r\n"), &body);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(answer.ends_with(&body), "{answer}");
+    }
+    assert_eq!(site.plain.runs().len(), 4);
+}
+
+#[test]
+fn the_request_arrives_unaltered_with_what_is_left_of_its_time() {
+    let site = TestSite::start();
+    let machine = site.machine("unaltered");
+    let fields =
+        "X-Request: u1\r\nX-Deadline: 900\r\nX-Own: kept\r\nX-Hop: gone\r\nConnection: X-Hop\r\n";
+    let request = format!(
+        "POST /single/a/b?c=d&e HTTP/1.1\r\nHost: site.example\r\n{fields}Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    );
+    let answer = crate::site::raw_exchange(machine.clients, request.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let runs = site.plain.runs();
+    let run = &runs[0];
+    assert_eq!(run.head.method, "POST");
+    assert_eq!(run.head.target, "/single/a/b?c=d&e");
+    assert_eq!(run.body, b"abcde");
+    assert_eq!(run.head.fields.text("X-Own"), Some("kept"));
+    assert_eq!(run.head.fields.text("X-Hop"), None);
+    assert_eq!(run.head.fields.values("X-Request").count(), 1);
+    let told = told_deadline(run).expect("a deadline");
+    assert!((500..=900).contains(&told), "{told}");
+}
+
+#[test]
+fn the_longest_prefix_decides() {
+    let site = TestSite::start();
+    let machine = site.machine("prefix");
+    // `/safe/` may be repeated, `/safe/deeper/` may not.
+    site.plain.treat(&[EngineMood::Silent, EngineMood::Well]);
+    let answer = machine.get("/safe/deeper/a", "X-Request: x1\r\n");
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    let answer = machine.get("/elsewhere/", "X-Request: x2\r\n");
+    assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+}
+
+#[test]
+fn a_leaving_engine_gets_no_new_request() {
+    let site = TestSite::start();
+    let machine = site.machine("leaving");
+    let answer = machine.post("/single/a", "X-Request: v1\r\n", "one");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    site.store.put("engines", "plain-1", &site.plain.entry("plain", true));
+    wait_until("the engine is left", || {
+        machine.post("/single/a", "X-Request: v2\r\n", "two").starts_with("HTTP/1.1 503")
+    });
+    let before = site.plain.arrivals().len();
+    // A later entry of the same life does not undo it.
+    site.store.put("engines", "plain-1", &site.plain.entry("plain", false));
+    thread::sleep(Duration::from_millis(900));
+    let answer = machine.post("/single/a", "X-Request: v3\r\n", "three");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert_eq!(site.plain.arrivals().len(), before);
+}
--- /dev/null
+++ b/crates/gateway/tests/machine/main.rs
@@ -0,0 +1,13 @@
+//! A whole machine over real sockets, against stand-ins that speak the project's plain dialect.
+
+mod configuration;
+mod dialect;
+mod engine;
+mod engines;
+mod hostile;
+mod placement;
+mod server;
+mod site;
+mod stopping;
+mod store;
+mod streams;
--- /dev/null
+++ b/crates/gateway/tests/machine/placement.rs
@@ -0,0 +1,55 @@
+//! Adapters that are asked for come, through whichever machine holds the lease.
+
+use std::collections::BTreeSet;
+
+use crate::{
+    engine::EngineMood,
+    site::{MODEL_NAME, TestSite, wait_until},
+};
+
+fn tokens(site: &TestSite) -> BTreeSet<(String, u64)> {
+    let orders = site.engines.iter().flat_map(crate::engine::StandInEngine::orders);
+    orders
+        .map(|order| {
+            let holder = order["holder"].as_str().unwrap_or_default().to_owned();
+            (holder, order["token"].as_u64().unwrap_or_default())
+        })
+        .collect()
+}
+
+#[test]
+fn an_adapter_that_is_asked_for_is_loaded_and_served() {
+    let site = TestSite::start();
+    let machines = [site.machine("one"), site.machine("two")];
+    for engine in &site.engines {
+        engine.treat(&[EngineMood::Stream(3)]);
+    }
+    for (number, machine) in machines.iter().enumerate() {
+        // The first request may be refused while the lease is dealt; its client comes back.
+        wait_until("the adapter is served", || {
+            let fields =
+                format!("X-Request: a{number}\r\nX-Model: {MODEL_NAME}/adapter-{number}\r\n");
+            machine.post("/stream/a", &fields, "{}").starts_with("HTTP/1.1 200")
+        });
+    }
+    let tokens = tokens(&site);
+    let holders: BTreeSet<&String> = tokens.iter().map(|(holder, _)| holder).collect();
+    let different: BTreeSet<u64> = tokens.iter().map(|(_, token)| *token).collect();
+    assert!(!tokens.is_empty());
+    assert_eq!(different.len(), tokens.len(), "one token for each holder: {tokens:?}");
+    assert!(holders.len() <= 2);
+}
+
+#[test]
+fn a_stopped_placer_hands_over() {
+    let site = TestSite::start();
+    let (first, second) = (site.machine("first"), site.machine("second"));
+    let ask = |machine: &crate::site::TestMachine, adapter: &str| {
+        let fields = format!("X-Request: {adapter}\r\nX-Model: {MODEL_NAME}/{adapter}\r\n");
+        machine.post("/stream/a", &fields, "{}").starts_with("HTTP/1.1 200")
+    };
+    wait_until("the first adapter is served", || ask(&second, "early"));
+    first.stop();
+    wait_until("an adapter is served after the stop", || ask(&second, "later"));
+    second.stop();
+}
--- /dev/null
+++ b/crates/gateway/tests/machine/server.rs
@@ -0,0 +1,101 @@
+//! A small HTTP server for stand-ins: one thread for each connection, on the loopback.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+use bytes::BytesMut;
+use reelreel_http::{BodyDecoder, BodyFraming, BodyPart, RequestHead};
+
+/// A request as a stand-in gets it.
+#[derive(Debug, Clone)]
+pub(crate) struct ServedRequest {
+    pub(crate) head: RequestHead,
+    pub(crate) body: Vec<u8>,
+}
+
+/// One connection of a stand-in.
+pub(crate) struct ServedConnection {
+    pub(crate) socket: TcpStream,
+    buffer: BytesMut,
+}
+
+impl ServedConnection {
+    fn fill(&mut self) -> Option<()> {
+        let mut bytes = [0; 4096];
+        let count = self.socket.read(&mut bytes).ok().filter(|count| *count > 0)?;
+        self.buffer.extend_from_slice(&bytes[..count]);
+        Some(())
+    }
+
+    pub(crate) fn next_head(&mut self) -> Option<RequestHead> {
+        loop {
+            if let Some(head) = RequestHead::take(&mut self.buffer, 65_536).ok()? {
+                return Some(head);
+            }
+            self.fill()?;
+        }
+    }
+
+    pub(crate) fn body(&mut self, head: &RequestHead) -> Option<Vec<u8>> {
+        let mut decoder = BodyDecoder::new(BodyFraming::of_request(head).ok()?);
+        let mut body = Vec::new();
+        loop {
+            match decoder.next_part(&mut self.buffer).ok()? {
+                BodyPart::Data(data) => body.extend_from_slice(&data),
+                BodyPart::End => return Some(body),
+                BodyPart::More => self.fill()?,
+            }
+        }
+    }
+
+    pub(crate) fn next_request(&mut self) -> Option<ServedRequest> {
+        let head = self.next_head()?;
+        let body = self.body(&head)?;
+        Some(ServedRequest { head, body })
+    }
+
+    pub(crate) fn write(&mut self, text: &str) -> Option<()> {
+        self.socket.write_all(text.as_bytes()).ok()
+    }
+
+    pub(crate) fn answer(&mut self, status: u16, fields: &str, body: &str) -> Option<()> {
+        let length = body.len();
+        self.write(&format!(
+            "HTTP/1.1 {status} Status\r\n{fields}Content-Length: {length}\r\n\r\n{body}"
+        ))
+    }
+
+    /// Returns whether the peer closes its side within `patience`.
+    pub(crate) fn closes_within(&mut self, patience: Duration) -> bool {
+        let _ = self.socket.set_read_timeout(Some(patience));
+        let mut byte = [0; 1];
+        let closed = match self.socket.read(&mut byte) {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() == std::io::ErrorKind::ConnectionReset,
+        };
+        let _ = self.socket.set_read_timeout(None);
+        closed
+    }
+}
+
+/// Serves connections with `serve` on a free port until the process ends.
+pub(crate) fn serve(serve: impl Fn(&mut ServedConnection) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            let serve = Arc::clone(&serve);
+            thread::spawn(move || {
+                let _ = socket.set_nodelay(true);
+                serve(&mut ServedConnection { socket, buffer: BytesMut::new() });
+            });
+        }
+    });
+    address
+}
--- /dev/null
+++ b/crates/gateway/tests/machine/site.rs
@@ -0,0 +1,247 @@
+//! Machines with their stand-ins, started for one test, and a client that sees raw bytes.
+
+use std::{
+    collections::HashMap,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use reelreel_core::fleet::{
+    retry_share::RetryAllowance,
+    routes::{
+        ClientLimits, ModelHosting, ModelSize, RouteEntry, RouteKind, RouteTable, ServiceEntry,
+        WeightedBackend,
+    },
+};
+use reelreel_gateway::{
+    events::EventLog,
+    machine::{SharedState, run_machine},
+    profile::{MachineProfile, OperatorBounds},
+};
+
+use crate::{dialect::dialects, engine::StandInEngine, store::StandInStore};
+
+/// How long a test waits for something to come about.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(10);
+
+/// One machine that a test started.
+pub(crate) struct TestMachine {
+    pub(crate) shared: Arc<SharedState>,
+    pub(crate) clients: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// The stand-ins of one test.
+pub(crate) struct TestSite {
+    pub(crate) store: StandInStore,
+    pub(crate) engines: Vec<StandInEngine>,
+    pub(crate) plain: StandInEngine,
+}
+
+pub(crate) const MODEL_NAME: &str = "base";
+
+fn route(prefix: &str, kind: RouteKind, service: &str, attempts: u32) -> RouteEntry {
+    RouteEntry {
+        name: prefix.trim_matches('/').to_owned(),
+        host: String::from("site.example"),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout: Duration::from_millis(1500),
+        target: Duration::from_millis(500),
+        priority: 1,
+        backends: vec![WeightedBackend { service: Arc::from(service), weight: 1 }],
+        most_attempts: attempts,
+    }
+}
+
+pub(crate) fn limits() -> ClientLimits {
+    ClientLimits {
+        head_bytes: 4096,
+        body_bytes: 256 * 1024,
+        head_time: Duration::from_millis(400),
+        idle_time: Duration::from_millis(1500),
+    }
+}
+
+fn routes(revision: u64, with_late_route: bool) -> RouteTable {
+    let mut routes = vec![
+        route("/safe/", RouteKind::Repeatable, "plain", 2),
+        route("/single/", RouteKind::Single, "plain", 1),
+        route("/stream/", RouteKind::Stream { resumable: false }, "assist", 1),
+        route("/resumable/", RouteKind::Stream { resumable: true }, "assist", 2),
+        route("/safe/deeper/", RouteKind::Single, "plain", 1),
+    ];
+    if with_late_route {
+        routes.push(route("/late/", RouteKind::Single, "plain", 1));
+    }
+    let hosting = ModelHosting {
+        models: vec![ModelSize {
+            name: MODEL_NAME.to_owned(),
+            weight_megabytes: 1000.0,
+            adapter_megabytes: 10.0,
+            load_time: Duration::from_millis(600),
+        }],
+        weight_megabytes: 1300.0,
+        most_adapters: 8,
+        loads_per_second: 3.3,
+    };
+    let service = |name: &str, hosting| ServiceEntry {
+        name: Arc::from(name),
+        most_connections: 200,
+        hosting,
+    };
+    let services = vec![service("plain", None), service("assist", Some(hosting))];
+    RouteTable::new(revision, limits(), routes, services)
+}
+
+impl TestSite {
+    /// Starts a store with a configuration, two engines and a plain service.
+    pub(crate) fn start() -> Self {
+        let site = Self::without_configuration();
+        site.store.put("configuration", "routes", "1");
+        site
+    }
+
+    pub(crate) fn without_configuration() -> Self {
+        let store = StandInStore::start();
+        let engines = vec![
+            StandInEngine::start("engine-1", &[MODEL_NAME]),
+            StandInEngine::start("engine-2", &[MODEL_NAME]),
+        ];
+        let plain = StandInEngine::start("plain-1", &[]);
+        let site = Self { store, engines, plain };
+        for engine in &site.engines {
+            site.store.put("engines", &engine.name, &engine.entry("assist", false));
+        }
+        site.store.put("engines", "plain-1", &site.plain.entry("plain", false));
+        site
+    }
+
+    /// Starts a machine and waits until it is ready.
+    pub(crate) fn machine(&self, name: &str) -> TestMachine {
+        let machine = self.cold_machine(name, Vec::new());
+        machine.wait_ready();
+        machine
+    }
+
+    /// Starts a machine without waiting for anything.
+    pub(crate) fn cold_machine(&self, name: &str, seeds: Vec<SocketAddr>) -> TestMachine {
+        let known =
+            HashMap::from([(1, Arc::new(routes(1, false))), (2, Arc::new(routes(2, true)))]);
+        let profile = MachineProfile {
+            name: Arc::from(name),
+            zone: Arc::from("hall"),
+            clients: free_address(),
+            readiness: free_address(),
+            peers: free_address(),
+            metrics: free_address(),
+            seeds,
+            most_connections: 2500,
+            most_body_bytes: 8 * 1024 * 1024,
+            store: self.store.address,
+            partitions: 4,
+            shortest_membership: Duration::from_millis(500),
+            bounds: OperatorBounds {
+                stop_grace: Duration::from_secs(6),
+                lease: Duration::from_millis(600),
+                engines_check_fences: true,
+                version_apply: Duration::from_secs(2),
+                retries: RetryAllowance {
+                    ratio: 0.2,
+                    burst: 50.0,
+                    window: Duration::from_secs(10),
+                },
+                load_window: Duration::from_secs(5),
+                load_overage: 1.1,
+            },
+        };
+        let (clients, readiness) = (profile.clients, profile.readiness);
+        let events = EventLog::start(Arc::from(name)).expect("a thread for log lines");
+        let shared = Arc::new(SharedState::new(profile, dialects(Arc::new(known)), events));
+        let run = Arc::clone(&shared);
+        let thread = thread::spawn(move || run_machine(&run).expect("the machine runs"));
+        TestMachine { shared, clients, readiness, thread: Some(thread) }
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+impl TestMachine {
+    pub(crate) fn is_ready(&self) -> bool {
+        let request = "GET /ready HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n";
+        raw_exchange(self.readiness, request.as_bytes()).starts_with("HTTP/1.1 200")
+    }
+
+    pub(crate) fn wait_ready(&self) {
+        wait_until("the machine is ready", || self.is_ready());
+    }
+
+    /// Stops the machine in a planned way and waits until it has ended.
+    pub(crate) fn stop(mut self) -> Duration {
+        let began = Instant::now();
+        self.shared.stop();
+        if let Some(thread) = self.thread.take() {
+            thread.join().expect("the machine ends");
+        }
+        began.elapsed()
+    }
+
+    pub(crate) fn get(&self, path: &str, fields: &str) -> String {
+        self.send("GET", path, fields, "")
+    }
+
+    pub(crate) fn post(&self, path: &str, fields: &str, body: &str) -> String {
+        self.send("POST", path, fields, body)
+    }
+
+    fn send(&self, method: &str, path: &str, fields: &str, body: &str) -> String {
+        let length = if body.is_empty() && method == "GET" {
+            String::new()
+        } else {
+            format!("Content-Length: {}\r\n", body.len())
+        };
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: site.example\r\nConnection: close\r\n{fields}{length}\r\n{body}"
+        );
+        raw_exchange(self.clients, request.as_bytes())
+    }
+}
+
+/// Waits until `condition` holds.
+pub(crate) fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !condition() {
+        assert!(began.elapsed() < PATIENCE, "{what}: not within {} s", PATIENCE.as_secs());
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Sends bytes and returns everything that comes back until the connection ends.
+///
+/// A reset at the end shows as the line `<reset>`.
+pub(crate) fn raw_exchange(address: SocketAddr, request: &[u8]) -> String {
+    let Ok(mut socket) = TcpStream::connect(address) else { return String::from("<refused>") };
+    let _ = socket.set_read_timeout(Some(PATIENCE));
+    let _ = socket.write_all(request);
+    read_all(&mut socket)
+}
+
+/// Reads everything until the connection ends.
+pub(crate) fn read_all(socket: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let mut bytes = [0; 4096];
+    loop {
+        match socket.read(&mut bytes) {
+            Ok(0) => return String::from_utf8_lossy(&text).into_owned(),
+            Ok(count) => text.extend_from_slice(&bytes[..count]),
+            Err(_) => return format!("{}<reset>", String::from_utf8_lossy(&text)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/machine/stopping.rs
@@ -0,0 +1,38 @@
+//! A planned stop: not ready at once, open answers whole, gone within the operator's grace.
+
+use std::{thread, time::Duration};
+
+use crate::{
+    engine::EngineMood,
+    site::{MODEL_NAME, TestSite, raw_exchange},
+};
+
+#[test]
+fn a_stop_cuts_no_stream_and_ends_in_time() {
+    let site = TestSite::start();
+    let machine = site.machine("stop");
+    for engine in &site.engines {
+        engine.treat(&[EngineMood::Stream(60)]);
+    }
+    let clients = machine.clients;
+    let stream = thread::spawn(move || {
+        let request = format!(
+            "POST /stream/a HTTP/1.1\r\nHost: site.example\r\nX-Request: t1\r\nX-Model: {MODEL_NAME}\r\nContent-Length: 2\r\n\r\n{{}}"
+        );
+        raw_exchange(clients, request.as_bytes())
+    });
+    thread::sleep(Duration::from_millis(150));
+    let readiness = machine.readiness;
+    let shared = std::sync::Arc::clone(&machine.shared);
+    let stopping = thread::spawn(move || machine.stop());
+    while !shared.is_stopping() {
+        thread::sleep(Duration::from_millis(1));
+    }
+    let probe = "GET /ready HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n";
+    let answer = raw_exchange(readiness, probe.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    let answer = stream.join().expect("the client ends");
+    assert!(answer.ends_with("0\r\n\r\n"), "the stream was cut: {answer}");
+    let took = stopping.join().expect("the machine ends");
+    assert!(took < Duration::from_secs(6), "{took:?}");
+}
--- /dev/null
+++ b/crates/gateway/tests/machine/store.rs
@@ -0,0 +1,171 @@
+//! A stand-in for the platform's store: two keyed topics and one group.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+
+use crate::server::{ServedConnection, ServedRequest, serve};
+
+const PARTITIONS: u32 = 4;
+
+#[derive(Default)]
+struct Topic {
+    records: Vec<(String, String)>,
+}
+
+impl Topic {
+    fn newest(&self) -> Vec<Value> {
+        let mut newest = BTreeMap::new();
+        for (offset, (key, value)) in self.records.iter().enumerate() {
+            newest.insert(key.clone(), (offset, value.clone()));
+        }
+        newest.retain(|_, (_, value)| !value.is_empty());
+        newest
+            .into_iter()
+            .map(|(key, (offset, value))| json!({ "key": key, "value": value, "offset": offset }))
+            .collect()
+    }
+
+    fn since(&self, from: usize) -> Vec<Value> {
+        let records = self.records.iter().enumerate().skip(from);
+        records
+            .map(|(offset, (key, value))| json!({ "key": key, "value": value, "offset": offset }))
+            .collect()
+    }
+}
+
+#[derive(Default)]
+struct StoreState {
+    topics: BTreeMap<String, Topic>,
+    members: BTreeMap<String, Instant>,
+    generation: u64,
+    refuses: bool,
+    calls: u64,
+}
+
+impl StoreState {
+    fn owners(&self) -> BTreeMap<u32, String> {
+        let members: Vec<&String> = self.members.keys().collect();
+        let mut owners = BTreeMap::new();
+        for part in 0..PARTITIONS {
+            if let Some(place) = (part as usize).checked_rem(members.len()) {
+                owners.insert(part, members[place].clone());
+            }
+        }
+        owners
+    }
+}
+
+/// A stand-in for the platform's store.
+#[derive(Clone)]
+pub(crate) struct StandInStore {
+    state: Arc<(Mutex<StoreState>, Condvar)>,
+    pub(crate) address: SocketAddr,
+}
+
+impl StandInStore {
+    pub(crate) fn start() -> Self {
+        let state: Arc<(Mutex<StoreState>, Condvar)> = Arc::default();
+        let served = Arc::clone(&state);
+        let address = serve(move |connection| serve_store(&served, connection));
+        Self { state, address }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreState> {
+        self.state.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn put(&self, topic: &str, key: &str, value: &str) {
+        let mut state = self.lock();
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        topic.records.push((key.to_owned(), value.to_owned()));
+        drop(state);
+        self.state.1.notify_all();
+    }
+
+    /// Makes the store refuse every call, or serve again.
+    pub(crate) fn refuse(&self, refuses: bool) {
+        self.lock().refuses = refuses;
+        self.state.1.notify_all();
+    }
+
+    pub(crate) fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+}
+
+fn serve_store(state: &(Mutex<StoreState>, Condvar), connection: &mut ServedConnection) {
+    while let Some(request) = connection.next_request() {
+        let (status, body) = store_answer(state, &request);
+        if connection.answer(status, "", &body.to_string()).is_none() {
+            return;
+        }
+    }
+}
+
+fn store_answer(state: &(Mutex<StoreState>, Condvar), request: &ServedRequest) -> (u16, Value) {
+    let mut locked = state.0.lock().unwrap_or_else(PoisonError::into_inner);
+    locked.calls += 1;
+    if locked.refuses {
+        return (503, Value::Null);
+    }
+    let parts: Vec<&str> = request.head.target.split('/').skip(1).collect();
+    match parts.as_slice() {
+        ["newest", topic] => {
+            let topic = locked.topics.entry((*topic).to_owned()).or_default();
+            (200, json!({ "records": topic.newest(), "end": topic.records.len() }))
+        }
+        ["read", topic, from, wait] => {
+            let from: usize = from.parse().unwrap_or_default();
+            let wait = Duration::from_millis(wait.parse().unwrap_or_default());
+            let (locked, _) = state
+                .1
+                .wait_timeout_while(locked, wait, |state| {
+                    let topic = state.topics.get(*topic);
+                    !state.refuses && topic.is_none_or(|topic| topic.records.len() <= from)
+                })
+                .unwrap_or_else(PoisonError::into_inner);
+            if locked.refuses {
+                return (503, Value::Null);
+            }
+            let Some(topic) = locked.topics.get(*topic) else {
+                return (200, json!({ "records": [], "end": 0 }));
+            };
+            (200, json!({ "records": topic.since(from), "end": topic.records.len() }))
+        }
+        ["join"] => {
+            let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+            let member = body["member"].as_str().unwrap_or_default().to_owned();
+            let millis = body["millis"].as_u64().unwrap_or_default();
+            let now = Instant::now();
+            let before = locked.members.len();
+            locked.members.retain(|_, until| *until > now);
+            let gone = locked.members.len() != before;
+            let until = now + Duration::from_millis(millis);
+            let new = locked.members.insert(member.clone(), until).is_none();
+            if new || gone {
+                locked.generation += 1;
+            }
+            let owned = locked.owners().into_iter().filter(|(_, owner)| *owner == member);
+            let partitions: Vec<u32> = owned.map(|(part, _)| part).collect();
+            (200, json!({ "generation": locked.generation, "partitions": partitions }))
+        }
+        ["leave"] => {
+            let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+            locked.members.remove(body["member"].as_str().unwrap_or_default());
+            locked.generation += 1;
+            (200, Value::Null)
+        }
+        ["owners"] => {
+            let owners = locked.owners();
+            let owners = owners.into_iter().map(|(part, member)| (part.to_string(), json!(member)));
+            (200, Value::Object(owners.collect()))
+        }
+        _ => (404, Value::Null),
+    }
+}
