fix(core): a load counts as late only by a report that can not be older than its time

Cause: reports are asked for an engine, not for a load; one that was asked for another load's sake, just after this one was due, showed it under way as it stood a hundred ms before.

--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -22,7 +22,7 @@
     placement::{
         DemandBook, DemandEntry, EngineInventory, EngineReport, LoadWindow, OrderAnswer, OrderId,
         OrderKind, PlacementAction, PlannedOrder,
-        inventory::{DoubtedLoad, PendingLoad},
+        inventory::{DoubtedLoad, PendingLoad, REPORT_LAG},
     },
 };
 
@@ -117,7 +117,8 @@
     pub fn report_arrived(&mut self, engine: &str, report: &EngineReport, asked: ClockMillis) {
         let Some(inventory) = self.engines.get_mut(engine) else { return };
         let due = inventory.pending.iter().filter(|load| {
-            asked >= load.due && load.from_store && adapter_name(&load.key).is_some()
+            let settled = asked >= load.due + REPORT_LAG;
+            settled && load.from_store && adapter_name(&load.key).is_some()
         });
         let late =
             due.filter(|load| report.pending.iter().any(|pending| pending.key == load.key)).count();
