--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -212,6 +212,10 @@
             if orders.len() >= MOST_ORDERS {
                 break;
             }
+            let given = orders.iter().any(|order: &PlannedOrder| order.key == candidate.key);
+            if given && candidate.engine.is_none() {
+                continue;
+            }
             match self.order_for(&candidate, now) {
                 Some(order) => orders.push(order),
                 None => self.queue.push(candidate.key),
