--- a/crates/core/src/fleet/cold.rs
+++ b/crates/core/src/fleet/cold.rs
@@ -20,7 +20,7 @@
 const SHORTEST_RETURN: Duration = Duration::from_millis(250);
 
 /// When a client comes back where nobody knows when the load comes.
-const UNKNOWN_RETURN: Duration = Duration::from_secs(1);
+const UNKNOWN_RETURN: Duration = Duration::from_secs(3);
 
 /// The part of its time for which a client waits before it comes back, at most.
 const RETURN_PART: u32 = 3;
--- a/crates/core/src/fleet/condition.rs
+++ b/crates/core/src/fleet/condition.rs
@@ -17,6 +17,9 @@
 /// How strongly the newest outcome moves the failure share.
 const FAILURE_GAIN: f64 = 0.2;
 
+/// What a refusal counts as, compared with a failure.
+const REFUSAL_SAMPLE: f64 = 0.5;
+
 /// How strongly the newest first byte moves the smoothed delay.
 const DELAY_GAIN: f64 = 0.25;
 
@@ -55,7 +58,8 @@
             }
             // An error of its own is part of an ordinary day; only its share counts.
             EngineOutcome::Erred => self.mix_failure(1.0),
-            EngineOutcome::Refused => self.rest(now, FIRST_REST / 4),
+            // It may be full, or not have one adapter yet: others are asked first, if there are any.
+            EngineOutcome::Refused => self.mix_failure(REFUSAL_SAMPLE),
             EngineOutcome::Unreachable | EngineOutcome::Broken => {
                 self.mix_failure(1.0);
                 self.rest(now, FIRST_REST);
--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -1,6 +1,6 @@
 //! What is worth loading now.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     clock::ClockMillis,
@@ -11,6 +11,9 @@
 /// Requests a second to one copy from which on another copy is worth a load.
 const COPY_RATE: f64 = 3.0;
 
+/// How long requests wait for an adapter that is there before it counts as out of their reach.
+const OUT_OF_REACH: Duration = Duration::from_millis(250);
+
 /// How many seconds of future requests a load is credited with.
 const RATE_HORIZON: f64 = 6.0;
 
@@ -111,6 +114,9 @@
     /// copies there are asked for more than they can bear.
     fn worth(&self, key: &str, now: ClockMillis) -> f64 {
         let copies = self.copies(key);
+        if copies > 0.0 && self.is_out_of_reach(key, now) {
+            return self.interest(key, now);
+        }
         if copies > 0.0 {
             let spare = self.demand.rate(key, now) / copies - COPY_RATE;
             return (RATE_HORIZON * spare).max(0.0);
@@ -121,6 +127,21 @@
         self.interest(key, now) + UNSERVED_WEIGHT * self.demand.unserved(key).powi(2)
     }
 
+    /// Returns whether requests wait for an adapter though its copies are there: then those who wait
+    /// can not reach them.
+    fn is_out_of_reach(&self, key: &str, now: ClockMillis) -> bool {
+        let Some(since) = self.demand.waiting_since(key) else { return false };
+        let coming = self.engines.values().flat_map(|inventory| &inventory.pending);
+        let latest = coming.filter(|load| &*load.key == key).map(|load| load.due).max();
+        let there = latest.unwrap_or_default().max(since);
+        now.since(there) >= OUT_OF_REACH && !self.is_ordered(key)
+    }
+
+    fn is_ordered(&self, key: &str) -> bool {
+        let mut orders = self.outstanding.values();
+        orders.any(|order| matches!(order.kind, OrderKind::Load { .. }) && &*order.key == key)
+    }
+
     /// Returns how many engines hold the newest version of an adapter, or are getting it.
     pub(super) fn copies(&self, key: &str) -> f64 {
         let newest = self.newest(key);
--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -43,6 +43,18 @@
     unserved: u32,
     asked: ClockMillis,
     waiting: HashMap<Arc<str>, HostWaiting>,
+    /// Since when somebody has waited without a pause.
+    waiting_since: Option<ClockMillis>,
+}
+
+impl KeyDemand {
+    fn note_waiting(&mut self, now: ClockMillis) {
+        if self.waiting.is_empty() {
+            self.waiting_since = None;
+        } else {
+            self.waiting_since.get_or_insert(now);
+        }
+    }
 }
 
 /// Demand of one placement domain, summed over hosts.
@@ -67,6 +79,7 @@
                 let (requests, worth) = (entry.waiting, entry.waiting_worth);
                 demand.waiting.insert(Arc::clone(host), HostWaiting { requests, worth, at: now });
             }
+            demand.note_waiting(now);
         }
     }
 
@@ -74,6 +87,7 @@
     pub fn forget_old(&mut self, now: ClockMillis) {
         self.keys.retain(|_, demand| {
             demand.waiting.retain(|_, waiting| now.since(waiting.at) < WAITING_HOLDS);
+            demand.note_waiting(now);
             let steady = demand.unserved > 1 && now.since(demand.asked) < UNSERVED_HOLDS;
             steady
                 || !demand.waiting.is_empty()
@@ -108,6 +122,11 @@
         self.keys.get(key).map_or(0.0, |demand| f64::from(demand.unserved))
     }
 
+    /// Returns since when somebody has waited for `key` without a pause.
+    pub fn waiting_since(&self, key: &str) -> Option<ClockMillis> {
+        self.keys.get(key)?.waiting_since
+    }
+
     /// Returns how many requests wait for `key`.
     pub fn waiting(&self, key: &str) -> u32 {
         let Some(demand) = self.keys.get(key) else { return 0 };
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -372,6 +372,28 @@
     assert_ne!(Some(loads[0]), holder.as_ref(), "it would wait for the runs there");
 }
 
+#[test]
+fn who_waits_beside_a_copy_gets_another_one() {
+    let mut world = World::new(3);
+    settle(&mut world);
+    world.ask(1, 1);
+    for _ in 0..14 {
+        world.step(20, OrderFate::Answered);
+    }
+    world.ask(1, 0);
+    settle(&mut world);
+    let holders = |world: &World| {
+        world.engines.iter().filter(|engine| engine.held.contains_key(&key(1))).count()
+    };
+    assert_eq!(holders(&world), 1);
+    // A machine that can not reach the holder goes on waiting.
+    world.ask(1, 1);
+    for _ in 0..28 {
+        world.step(20, OrderFate::Answered);
+    }
+    assert_eq!(holders(&world), 2);
+}
+
 #[test]
 fn a_planner_that_does_not_act_only_asks_for_reports() {
     let mut world = World::new(2);
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -12,7 +12,7 @@
 use reelreel_http::HttpStream;
 
 /// How long a connection may take to come about.
-const CONNECT_PATIENCE: Duration = Duration::from_millis(400);
+const CONNECT_PATIENCE: Duration = Duration::from_millis(300);
 
 /// After which silence of the engine's host a connection fails.
 const SILENCE: Duration = Duration::from_millis(2500);
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -11,7 +11,7 @@
     ClockMillis,
     fleet::{
         EngineEntry, EngineName, ServiceName, WeightVersion,
-        routes::{ConfigRevision, RouteEntry, RouteKind},
+        routes::{ConfigRevision, RouteEntry},
     },
 };
 use reelreel_http::{HttpStream, RequestHead};
@@ -277,7 +277,7 @@
                 Some(self.answer(ENGINE_FAILED, "engine_failed").await)
             }
             SendEnd::Erred(answer, body) => {
-                let repeat = self.route.kind == RouteKind::Repeatable && self.has_other_engine();
+                let repeat = self.route.kind.may_repeat() && self.has_other_engine();
                 if repeat && self.may_send_again() {
                     self.unreached.push(Arc::clone(&entry.name));
                     return None;
--- a/crates/gateway/src/entry/pick.rs
+++ b/crates/gateway/src/entry/pick.rs
@@ -55,6 +55,11 @@
             able.push((entry, version, condition, open));
         }
     }
+    if need.key.is_some() {
+        // Who can not be reached does not count as a holder: the placer is told that a request
+        // waits, and loads another copy.
+        able.retain(|(_, _, condition, _)| !condition.is_resting(now));
+    }
     if able.is_empty() {
         let cold = ready && need.key.is_some();
         return if cold { EnginePick::Cold } else { EnginePick::Nowhere };
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -17,6 +17,12 @@
 /// The part of the route's time below which a deadline shows that the client came back.
 const RETURNED_PART: f64 = 0.985;
 
+/// How often a waiting request looks whether a holder can be reached again.
+const LOOK_INTERVAL: Duration = Duration::from_millis(150);
+
+/// How long an estimate counts after its time.
+const ESTIMATE_GRACE: Duration = Duration::from_millis(300);
+
 /// How waiting for an adapter ended.
 pub enum WaitEnd {
     /// An engine may take the request now.
@@ -45,11 +51,19 @@
         Self { traffic: Rc::clone(traffic), service, key }
     }
 
-    /// Goes on counting the request until its client has come back.
+    /// Goes on counting the request until its adapter is there or its client has come back.
     fn hold_for(self, time: Duration) {
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(time).await;
-            drop(self);
+            let mut changes = self.traffic.table_changes();
+            let loaded = async {
+                while !self.traffic.table().copies.contains_key(&self.key) {
+                    if changes.changed().await.is_err() {
+                        return;
+                    }
+                }
+            };
+            // Either way the request is counted no longer.
+            let _ = tokio::time::timeout(time, loaded).await;
         });
     }
 }
@@ -83,7 +97,7 @@
                     }
                 }
                 () = self.client.closed(SENT_AHEAD) => break WaitEnd::ClientGone,
-                () = tokio::time::sleep(wait) => {}
+                () = tokio::time::sleep(wait.min(LOOK_INTERVAL)) => {}
             }
             if !matches!(self.pick(), EnginePick::Cold) {
                 break WaitEnd::Changed;
@@ -106,7 +120,7 @@
             elapsed: now.since(self.request.arrived),
             target: self.route.target,
             remaining: self.until.saturating_duration_since(Instant::now()),
-            estimate: due.map(|due| due.since(now)),
+            estimate: due.filter(|due| now.since(*due) < ESTIMATE_GRACE).map(|due| due.since(now)),
             returned: deadline < self.route.timeout.mul_f64(RETURNED_PART),
         }
     }
