--- a/crates/core/src/fleet/condition.rs
+++ b/crates/core/src/fleet/condition.rs
@@ -18,7 +18,7 @@
 const FAILURE_GAIN: f64 = 0.2;
 
 /// What a refusal counts as, compared with a failure.
-const REFUSAL_SAMPLE: f64 = 0.5;
+const REFUSAL_SAMPLE: f64 = 0.2;
 
 /// How strongly the newest first byte moves the smoothed delay.
 const DELAY_GAIN: f64 = 0.25;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -15,7 +15,7 @@
 pub mod window;
 
 pub use demand::{DemandBook, DemandEntry};
-pub use inventory::{EngineInventory, EngineReport};
+pub use inventory::{EngineInventory, EngineMemory, EngineReport};
 pub use order::{OrderAnswer, OrderId, OrderKind, PlacementAction, PlannedOrder};
 pub use planner::PlacementPlanner;
 pub use tenure::{LeaseRules, PlacerTenure};
--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -12,7 +12,7 @@
 const COPY_RATE: f64 = 3.0;
 
 /// How long requests wait for an adapter that is there before it counts as out of their reach.
-const OUT_OF_REACH: Duration = Duration::from_millis(250);
+const OUT_OF_REACH: Duration = Duration::from_millis(700);
 
 /// How many seconds of future requests a load is credited with.
 const RATE_HORIZON: f64 = 6.0;
--- a/crates/core/src/placement/inventory.rs
+++ b/crates/core/src/placement/inventory.rs
@@ -23,6 +23,30 @@
 /// How many adapters an engine is expected to remember.
 const MOST_REMEMBERED: usize = 100;
 
+/// What an engine held lately and may bring back without the weight store, the latest last.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EngineMemory {
+    keys: VecDeque<ModelKey>,
+}
+
+impl EngineMemory {
+    /// Takes that the engine holds, or has just dropped, a model or adapter.
+    pub fn note(&mut self, key: &ModelKey) {
+        if let Some(place) = self.keys.iter().position(|known| known == key) {
+            self.keys.remove(place);
+        }
+        self.keys.push_back(Arc::clone(key));
+        if self.keys.len() > MOST_REMEMBERED {
+            self.keys.pop_front();
+        }
+    }
+
+    /// Returns whether the engine held something lately.
+    pub fn contains(&self, key: &str) -> bool {
+        self.keys.iter().any(|known| &**known == key)
+    }
+}
+
 /// How many loads may be in transit to one engine.
 pub const MOST_IN_TRANSIT: usize = 4;
 
@@ -75,7 +99,7 @@
     /// What is in transit to it.
     pub pending: Vec<PendingLoad>,
     /// What it held before and may bring back without the weight store, the latest last.
-    remembered: VecDeque<ModelKey>,
+    pub memory: EngineMemory,
     /// What it drops as soon as its runs have ended.
     pub closing: BTreeSet<ModelKey>,
     /// The order that is on its way.
@@ -103,7 +127,7 @@
             entry,
             sequence: None,
             pending: Vec::new(),
-            remembered: VecDeque::new(),
+            memory: EngineMemory::default(),
             closing: BTreeSet::new(),
             order: None,
             doubted: Vec::new(),
@@ -165,18 +189,12 @@
 
     /// Takes that the engine holds, or has just dropped, a model or adapter.
     pub fn remember(&mut self, key: &ModelKey) {
-        if let Some(place) = self.remembered.iter().position(|known| known == key) {
-            self.remembered.remove(place);
-        }
-        self.remembered.push_back(Arc::clone(key));
-        if self.remembered.len() > MOST_REMEMBERED {
-            self.remembered.pop_front();
-        }
+        self.memory.note(key);
     }
 
     /// Returns whether the engine held something lately.
     pub fn remembers(&self, key: &str) -> bool {
-        self.remembered.iter().any(|known| &**known == key)
+        self.memory.contains(key)
     }
 
     /// Moves loads whose time has come to what is held; a later report corrects it.
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -22,7 +22,7 @@
     placement::{
         DemandBook, DemandEntry, EngineInventory, EngineReport, LoadWindow, OrderAnswer, OrderId,
         OrderKind, PlacementAction, PlannedOrder,
-        inventory::{DoubtedLoad, PendingLoad, REPORT_LAG},
+        inventory::{DoubtedLoad, EngineMemory, PendingLoad, REPORT_LAG},
     },
 };
 
@@ -96,6 +96,15 @@
         }
     }
 
+    /// Takes what engines held lately under the placer before, for engines that are listed.
+    pub fn recall(&mut self, memories: &HashMap<EngineName, EngineMemory>) {
+        for (engine, memory) in memories {
+            if let Some(inventory) = self.engines.get_mut(engine) {
+                inventory.memory.clone_from(memory);
+            }
+        }
+    }
+
     /// Takes the service's hosting as it is configured now.
     pub fn hosting_changed(&mut self, hosting: &ModelHosting) {
         if self.hosting != *hosting {
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -4,9 +4,9 @@
 
 use reelreel_core::{
     ClockMillis,
-    fleet::{EngineName, HeldModel, ModelKey, ServiceName},
+    fleet::{EngineName, HeldModel, ModelKey, ServiceName, adapter_name},
     id::FenceToken,
-    placement::{DemandEntry, LeaseRules, PlacementPlanner, PlacerTenure},
+    placement::{DemandEntry, EngineMemory, LeaseRules, PlacementPlanner, PlacerTenure},
 };
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
@@ -29,6 +29,18 @@
     entries.iter().filter(|entry| entry.waiting > 0).map(|entry| Arc::clone(&entry.key))
 }
 
+/// Notes what an engine holds now among what it held lately.
+fn note_memory(
+    memories: &mut HashMap<EngineName, EngineMemory>,
+    engine: &EngineName,
+    held: &[HeldModel],
+) {
+    let memory = memories.entry(Arc::clone(engine)).or_default();
+    for model in held.iter().filter(|model| adapter_name(&model.key).is_some()) {
+        memory.note(&model.key);
+    }
+}
+
 /// A machine that listens to this machine's plan.
 pub struct PlanSubscriber {
     /// Its name.
@@ -53,6 +65,8 @@
     pub planned_token: FenceToken,
     /// What engines hold, as the placer says.
     pub plan: HashMap<EngineName, Vec<HeldModel>>,
+    /// What engines held lately, as far as plans have told; a new placer begins with it.
+    pub memories: HashMap<EngineName, EngineMemory>,
     /// The token of the placer whose plan this is.
     pub plan_token: FenceToken,
     /// Whether the placer's plan is kept up to date.
@@ -78,6 +92,7 @@
             planner: None,
             planned_token: 0,
             plan: HashMap::new(),
+            memories: HashMap::new(),
             plan_token: 0,
             plan_live: false,
             estimates: HashMap::new(),
@@ -114,6 +129,7 @@
         let mut changed = Vec::new();
         for (engine, held) in planner.residency() {
             if self.plan.get(&engine) != Some(&held) {
+                note_memory(&mut self.memories, &engine, &held);
                 self.plan.insert(Arc::clone(&engine), held);
                 changed.push(engine);
             }
@@ -130,8 +146,10 @@
         }
         self.plan_token = frame.token;
         for line in &frame.engines {
-            let held = line.held.iter().map(Into::into).collect();
-            self.plan.insert(Arc::from(line.engine.as_str()), held);
+            let held: Vec<HeldModel> = line.held.iter().map(Into::into).collect();
+            let engine = EngineName::from(line.engine.as_str());
+            note_memory(&mut self.memories, &engine, &held);
+            self.plan.insert(engine, held);
         }
         for line in &frame.estimates {
             let due = now + Duration::from_millis(u64::from(line.millis));
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -139,6 +139,9 @@
             self.shared.demand().tell_again(service);
         }
         planner.engines_listed(&engines);
+        if begins {
+            planner.recall(&domain.memories);
+        }
         planner.versions_named(&versions);
         let actions = planner.plan(token.is_some(), now);
         let due = planner.next_due(now);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -207,6 +207,7 @@
             self.shared.events.write(MachineEvent::EngineGone { engine });
             if let Some(domain) = self.domains.get_mut(&entry.service) {
                 domain.plan.remove(name);
+                domain.memories.remove(name);
             }
             let engines = &self.engines;
             self.clients.retain(|engine| engines.contains_key(engine));
