--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -9,7 +9,7 @@
 };
 
 /// Requests a second to one copy from which on another copy is worth a load.
-const COPY_RATE: f64 = 3.0;
+const COPY_RATE: f64 = 1.5;
 
 /// How long requests wait for an adapter that is there before it counts as out of their reach.
 const OUT_OF_REACH: Duration = Duration::from_millis(700);
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -32,6 +32,12 @@
 /// How long an adapter may be expected to take at most, in first times.
 const LONGEST_LOAD_TIMES: u32 = 8;
 
+/// How much longer loads are expected to take after one was late.
+const LATE_GROWTH: f64 = 1.1;
+
+/// How much shorter loads are expected to take after one was not.
+const TIMELY_DECAY: f64 = 0.97;
+
 /// How often an order without an answer is given again before a report is asked for.
 const MOST_DOUBTED: usize = 2;
 
@@ -130,10 +136,17 @@
             settled && load.from_store && adapter_name(&load.key).is_some()
         });
         let late =
-            due.filter(|load| report.pending.iter().any(|pending| pending.key == load.key)).count();
-        if inventory.take_report(report, asked) && late > 0 {
+            |load: &&PendingLoad| report.pending.iter().any(|pending| pending.key == load.key);
+        let (late, ended): (Vec<_>, Vec<_>) = due.partition(late);
+        let (late, ended) = (late.len(), ended.len());
+        if !inventory.take_report(report, asked) {
+            return;
+        }
+        if late > 0 {
             let longest = FIRST_LOAD_TIME * LONGEST_LOAD_TIMES;
-            self.load_time = (self.load_time * 11 / 10).min(longest);
+            self.load_time = self.load_time.mul_f64(LATE_GROWTH).min(longest);
+        } else if ended > 0 {
+            self.load_time = self.load_time.mul_f64(TIMELY_DECAY).max(FIRST_LOAD_TIME);
         }
     }
 
