--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -27,7 +27,7 @@
 const TICK: Duration = Duration::from_millis(50);
 
 /// The least time between two reads of the engines' entries, so that heartbeats come in batches.
-const ENGINES_REST: Duration = Duration::from_millis(600);
+const ENGINES_REST: Duration = Duration::from_millis(900);
 
 /// The least time between two reads of the configuration.
 const CONFIGURATION_REST: Duration = Duration::from_millis(20);
