perf(core): loads share the store in the expectation; who was sent too early waits

Loads beyond the store's full speed were expected too early: those that begin later put off those under way. In rolling stops up to 67 requests in two seconds were refused by machines that were stopping. Change: the expectation projects all loads under way (store_share.rs); such a request waits on for the same engine; plain routes, whose time is short, are served longer in a stop. Tests: adapters_beyond_full_speed_put_each_other_off and the machine tests.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -10,6 +10,7 @@
 pub mod inventory;
 pub mod order;
 pub mod planner;
+mod store_share;
 mod target;
 pub mod tenure;
 pub mod window;
--- a/crates/core/src/placement/inventory.rs
+++ b/crates/core/src/placement/inventory.rs
@@ -76,6 +76,8 @@
     pub due: ClockMillis,
     /// Whether it uses the weight store.
     pub from_store: bool,
+    /// What was left of it at the last projection, at the store's full speed.
+    pub left: Duration,
 }
 
 /// A load order that got no answer.
@@ -181,6 +183,7 @@
                     began: asked,
                     due: asked + REPORT_LAG,
                     from_store: true,
+                    left: Duration::ZERO,
                 });
             }
         }
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -60,6 +60,7 @@
     pub(super) versions: HashMap<ModelKey, WeightVersion>,
     pub(super) load_time: Duration,
     pub(super) outstanding: HashMap<OrderId, PlannedOrder>,
+    pub(super) projected: ClockMillis,
     next_order: OrderId,
     queue: Vec<ModelKey>,
 }
@@ -75,6 +76,7 @@
             versions: HashMap::new(),
             load_time: FIRST_LOAD_TIME,
             outstanding: HashMap::new(),
+            projected: ClockMillis::default(),
             next_order: 0,
             queue: Vec::new(),
         }
@@ -160,8 +162,11 @@
     /// Takes an engine's word, or silence, on an order.
     pub fn order_answered(&mut self, id: OrderId, answer: OrderAnswer, now: ClockMillis) {
         let Some(order) = self.outstanding.remove(&id) else { return };
+        // What was done until now was done without the load that may begin.
+        self.project_store(now);
         let version = self.newest(&order.key);
-        let due = self.load_due(&order.key, order.kind.loads_from_store(), now);
+        let time = self.load_time_of(&order.key, order.kind.loads_from_store());
+        let due = now + time;
         let Some(inventory) = self.engines.get_mut(&order.engine.name) else { return };
         inventory.order = None;
         inventory.ordered = now;
@@ -175,7 +180,9 @@
                     began: now,
                     due,
                     from_store,
+                    left: time,
                 });
+                self.project_store(now);
                 self.demand.served(&order.key);
             }
             // The adapter keeps its place until its runs have ended, which a report tells.
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -7,7 +7,7 @@
     fleet::{ADAPTER_SEPARATOR, ModelKey, adapter_name, base_model},
     placement::{
         EngineInventory, OrderKind, PlacementPlanner, PlannedOrder, candidates::LoadCandidate,
-        inventory::MOST_IN_TRANSIT,
+        inventory::MOST_IN_TRANSIT, store_share::project,
     },
 };
 
@@ -110,18 +110,23 @@
         at_once.max(LEAST_AT_ONCE)
     }
 
-    /// Returns when a load that begins now is expected to end.
-    ///
-    /// Adapters beyond those that the store serves at full speed take proportionally longer.
-    pub(super) fn load_due(&self, key: &str, from_store: bool, now: ClockMillis) -> ClockMillis {
+    /// Returns how long a load takes when the store serves it at full speed.
+    pub(super) fn load_time_of(&self, key: &str, from_store: bool) -> Duration {
         if !from_store {
-            return now + REMEMBERED_LOAD_TIME + ORDER_TIME;
-        }
-        if let Some(model) = self.hosting.model(key) {
-            return now + model.load_time + ORDER_TIME;
+            return REMEMBERED_LOAD_TIME + ORDER_TIME;
         }
-        let share = (self.adapters_under_way(now) as f64 + 1.0) / self.full_speed().max(1.0);
-        now + self.load_time.mul_f64(share.max(1.0)) + ORDER_TIME
+        let model = self.hosting.model(key);
+        model.map_or(self.load_time, |model| model.load_time) + ORDER_TIME
+    }
+
+    /// Projects anew when the adapters under way from the store are due.
+    pub(super) fn project_store(&mut self, now: ClockMillis) {
+        let full_speed = self.full_speed();
+        let loads = self.engines.values_mut().flat_map(|inventory| inventory.pending.iter_mut());
+        let adapters = loads.filter(|load| load.from_store && adapter_name(&load.key).is_some());
+        let mut adapters: Vec<_> = adapters.collect();
+        project(&mut adapters, full_speed, self.projected, now);
+        self.projected = now;
     }
 
     fn has_place(&self, inventory: &EngineInventory, key: &str) -> bool {
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -390,6 +390,27 @@
     assert_eq!(orders, [(engine, OrderKind::Load { from_store: false })]);
 }
 
+#[test]
+fn adapters_beyond_full_speed_put_each_other_off() {
+    // Full speed is 2.7 adapters for each load a second: 8.9 here.
+    let mut world = World::new(6);
+    settle(&mut world);
+    let began = world.at();
+    for number in 0..12 {
+        world.ask(number, 1);
+    }
+    for _ in 0..4 {
+        world.step(4, OrderFate::Answered);
+    }
+    let dues = |world: &World| -> Vec<u128> {
+        let loads = world.planner.inventories().flat_map(|inventory| &inventory.pending);
+        loads.map(|load| load.due.since(began).as_millis()).collect()
+    };
+    let together = dues(&world);
+    assert_eq!(together.len(), 12, "{together:?}");
+    assert!(together.iter().all(|due| (320..420).contains(due)), "{together:?}");
+}
+
 #[test]
 fn who_waits_beside_a_copy_gets_another_one() {
     let mut world = World::new(3);
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -51,7 +51,7 @@
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
 /// How long an engine's word that it does not hold something is believed against the table.
-const ABSENCE_HOLDS: Duration = Duration::from_millis(700);
+const ABSENCE_HOLDS: Duration = Duration::from_millis(120);
 
 /// What the traffic thread's tasks share.
 pub struct TrafficState {
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -231,11 +231,7 @@
             excluded: &excluded,
             id: &self.facts.id,
         };
-        let pick = pick_engine(self.traffic, &need);
-        match pick {
-            EnginePick::Cold if used_up => EnginePick::Nowhere,
-            pick => pick,
-        }
+        pick_engine(self.traffic, &need)
     }
 
     /// Sends the request to one engine; `None` when another send may follow.
--- a/crates/gateway/src/entry/prepare.rs
+++ b/crates/gateway/src/entry/prepare.rs
@@ -48,12 +48,13 @@
         return Err(NOT_READY);
     };
     let host = request.head.fields.text("host").unwrap_or_default();
-    if traffic.shared.is_past_new_work() {
-        return Err(STOPPING);
-    }
     let Some(route) = routes.route(host, &request.head.target) else {
         return Err(NO_ROUTE);
     };
+    let longest = (!route.kind.is_stream()).then_some(route.timeout);
+    if traffic.shared.is_too_late_for(longest) {
+        return Err(STOPPING);
+    }
     let Some(service) = route.service(xxh3_64(facts.id.as_bytes())) else {
         return Err(NO_ROUTE);
     };
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -32,6 +32,9 @@
 /// For how long a stopping machine begins new requests, until the balancer sends none any more.
 const STOP_SERVES: Duration = Duration::from_millis(2400);
 
+/// What a stopping machine leaves between the end of its last request and the operator's grace.
+const STOP_MARGIN: Duration = Duration::from_millis(1500);
+
 /// How long waiting demand stays unsaid before it is said again.
 const DEMAND_RENEWAL: Duration = Duration::from_secs(1);
 
@@ -165,9 +168,17 @@
         *self.stopping.borrow()
     }
 
-    /// Returns whether a planned stop has gone so far that a new request might not end in time.
-    pub fn is_past_new_work(&self) -> bool {
-        self.stop_began.get().is_some_and(|began| self.clock.now().since(*began) > STOP_SERVES)
+    /// Returns whether a planned stop has gone so far that a request might not end in time.
+    ///
+    /// `longest` is how long the request may take, where that is known to be short.
+    pub fn is_too_late_for(&self, longest: Option<Duration>) -> bool {
+        let Some(began) = self.stop_began.get() else { return false };
+        let stopping = self.clock.now().since(*began);
+        let until = longest.map_or(STOP_SERVES, |longest| {
+            let grace = self.profile.bounds.stop_grace;
+            grace.saturating_sub(longest + STOP_MARGIN).max(STOP_SERVES)
+        });
+        stopping > until
     }
 
     /// Notes that the settings were read anew; what a running machine uses of them does not change.
