feat(gateway): engines that give no first byte are left; repeatable requests go elsewhere

Change: a send without a first byte for twice its target counts against the engine; a request that may run again goes to another engine that could run it, within max_attempts and the budget. Test: a_resumable_stream_leaves_an_engine_that_hangs.

--- a/crates/core/src/fleet/condition.rs
+++ b/crates/core/src/fleet/condition.rs
@@ -32,6 +32,8 @@
     Erred,
     /// It refused to run the request.
     Refused,
+    /// It gave no first byte for so long that its client left or it was left for another one.
+    Overdue,
     /// No connection came about.
     Unreachable,
     /// It fell silent or broke off.
@@ -60,7 +62,7 @@
             EngineOutcome::Erred => self.mix_failure(1.0),
             // It may be full, or not have one adapter yet: others are asked first, if there are any.
             EngineOutcome::Refused => self.mix_failure(REFUSAL_SAMPLE),
-            EngineOutcome::Unreachable | EngineOutcome::Broken => {
+            EngineOutcome::Unreachable | EngineOutcome::Broken | EngineOutcome::Overdue => {
                 self.mix_failure(1.0);
                 self.rest(now, FIRST_REST);
             }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -114,6 +114,19 @@
         said.is_some_and(|said| self.now().since(said) < ABSENCE_HOLDS)
     }
 
+    /// Takes a further send to a service from this machine's share of the retry budget.
+    pub fn take_retry(&self, service: &ServiceName) -> bool {
+        let allowance = &self.shared.profile.bounds.retries;
+        let machines = self.table().machines;
+        let mut retries = self.retries.borrow_mut();
+        let share = retries.entry(Arc::clone(service)).or_default();
+        let taken = share.take(allowance, machines, self.now());
+        if taken {
+            self.shared.metrics.retries.inc();
+        }
+        taken
+    }
+
     fn clean(&self) {
         let (table, now) = (self.table(), self.now());
         let listed =
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -1,6 +1,6 @@
 //! One send of a request to one engine.
 
-use std::{sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use reelreel_core::{
@@ -13,13 +13,41 @@
 use crate::{
     border::SendTerms,
     engines::{EngineAnswer, EngineLease, EnginePool, send_request},
-    entry::exchange::{Exchange, ExchangeEnd, SENT_AHEAD, SendEnd},
+    entry::{
+        exchange::{Exchange, ExchangeEnd, SENT_AHEAD, SendEnd},
+        pick::{EngineNeed, EnginePick, pick_engine},
+    },
 };
 
 /// What an engine gets beyond the deadline to say itself that the time is over.
 const DEADLINE_SLACK: Duration = Duration::from_millis(120);
 
+/// How many targets an engine may take for the first byte before it counts as overdue.
+const OVERDUE_TARGETS: u32 = 2;
+
 impl Exchange<'_> {
+    /// Waits until the first byte is overdue and the request may go to another engine that could
+    /// run it; takes the further send from the budgets.
+    fn overdue(&self, entry: &EngineEntry) -> impl Future<Output = ()> + use<> {
+        let possible = self.route.kind.may_repeat() && self.has_other_engine();
+        let possible = possible && self.sends_are_left();
+        let (traffic, service) = (Rc::clone(self.traffic), Arc::clone(&self.service));
+        let (key, id) = (self.facts.model.clone(), self.facts.id.clone());
+        let (patience, excluded) = (self.route.target * OVERDUE_TARGETS, [Arc::clone(&entry.name)]);
+        async move {
+            if possible {
+                tokio::time::sleep(patience).await;
+                let key = key.as_ref();
+                let need = EngineNeed { service: &service, key, excluded: &excluded, id: &id };
+                let other = pick_engine(&traffic, &need);
+                if matches!(other, EnginePick::Engine(..)) && traffic.take_retry(&service) {
+                    return;
+                }
+            }
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Sends the request and passes on what comes.
     pub async fn send(
         &mut self,
@@ -48,6 +76,7 @@
         let began = self.traffic.now();
         let dialect = Arc::clone(&self.traffic.shared.dialects.exchange);
         let limit = self.until + DEADLINE_SLACK;
+        let overdue = self.overdue(entry);
         let sending = send_request(
             &mut lease,
             &*dialect,
@@ -60,8 +89,17 @@
             answer = sending => answer,
             () = self.client.closed(SENT_AHEAD) => {
                 lease.close();
+                if self.traffic.now().since(began) > self.route.target * OVERDUE_TARGETS {
+                    self.note(entry, EngineOutcome::Overdue);
+                }
                 return SendEnd::Over(ExchangeEnd::Reset, "client_gone");
             }
+            () = overdue => {
+                lease.close();
+                self.may_have_run = true;
+                self.note(entry, EngineOutcome::Overdue);
+                return SendEnd::Overdue;
+            }
             () = tokio::time::sleep_until(limit) => {
                 lease.close();
                 self.may_have_run = true;
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -86,6 +86,8 @@
         /// Whether it does not hold what was named, or is another engine.
         absent: bool,
     },
+    /// It gave no first byte in time; a further send was taken from the budgets.
+    Overdue,
     /// It may have run, and the client has got nothing.
     Failed,
     /// The engine answered with an error of its own, which is whole.
@@ -264,6 +266,10 @@
                 tokio::time::sleep(REPEAT_PAUSE).await;
                 None
             }
+            SendEnd::Overdue => {
+                self.unreached.push(Arc::clone(&entry.name));
+                None
+            }
             SendEnd::Failed => {
                 let repeat = self.route.kind.may_repeat() && self.has_other_engine();
                 if repeat && self.may_send_again() {
@@ -284,24 +290,19 @@
         }
     }
 
-    fn has_other_engine(&self) -> bool {
+    /// Returns whether the route allows another engine.
+    pub fn has_other_engine(&self) -> bool {
         self.sent_to.len() < self.route.most_attempts as usize
     }
 
+    /// Returns whether the request may be sent once more as far as its own bounds go.
+    pub fn sends_are_left(&self) -> bool {
+        self.sends < MOST_SENDS && Instant::now() + REPEAT_PAUSE < self.until
+    }
+
     /// Takes one further send from the budgets that bound them.
     pub fn may_send_again(&self) -> bool {
-        let bounds = &self.traffic.shared.profile.bounds;
-        let machines = self.traffic.table().machines;
-        if self.sends >= MOST_SENDS || Instant::now() + REPEAT_PAUSE >= self.until {
-            return false;
-        }
-        let mut retries = self.traffic.retries.borrow_mut();
-        let share = retries.entry(Arc::clone(&self.service)).or_default();
-        let taken = share.take(&bounds.retries, machines, self.traffic.now());
-        if taken {
-            self.traffic.shared.metrics.retries.inc();
-        }
-        taken
+        self.sends_are_left() && self.traffic.take_retry(&self.service)
     }
 
     /// Refuses a request whose adapter is not there.
--- a/crates/gateway/tests/machine/engine.rs
+++ b/crates/gateway/tests/machine/engine.rs
@@ -30,6 +30,8 @@
     Error,
     /// It closes the connection without an answer.
     Silent,
+    /// It gives no answer and keeps the connection.
+    Hangs,
     /// It resets the answer in the middle of its body.
     CutBody,
     /// It answers twice.
@@ -187,6 +189,10 @@
             connection.answer(503, &format!("{REQUEST}: {id}\r\n{NOT_RUN}: 1\r\n"), "")
         }
         EngineMood::Silent => None,
+        EngineMood::Hangs => {
+            connection.closes_within(Duration::from_secs(5));
+            None
+        }
         EngineMood::Garbage => {
             connection.write("these bytes are no answer\r\n\r\n")?;
             None
--- a/crates/gateway/tests/machine/streams.rs
+++ b/crates/gateway/tests/machine/streams.rs
@@ -87,3 +87,20 @@
         site.engines.iter().map(crate::engine::StandInEngine::clients_gone).sum::<u32>() == 1
     });
 }
+
+#[test]
+fn a_resumable_stream_leaves_an_engine_that_hangs() {
+    let site = TestSite::start();
+    let machine = site.machine("hangs");
+    site.engines[0].treat(&[EngineMood::Hangs]);
+    site.engines[1].treat(&[EngineMood::Stream(3)]);
+    for number in 0..20 {
+        let hung = site.engines[0].arrivals().len();
+        let answer = machine.post("/resumable/a", &fields(&format!("h{number}")), "{}");
+        assert_eq!(events(&answer), [0, 1, 2], "{answer}");
+        if site.engines[0].arrivals().len() > hung {
+            return;
+        }
+    }
+    panic!("the hanging engine was never asked");
+}
