--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -6,7 +6,7 @@
 //! [`cold`] whether it waits for its adapter, [`condition`] what the host's own requests tell about
 //! an engine, and [`retry_share`] how often it may be sent again.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
 pub mod choice;
 pub mod cold;
@@ -62,12 +62,8 @@
     pub address: SocketAddr,
     /// The data hall that it stands in.
     pub zone: ZoneName,
-    /// How many requests it works on at a time.
-    pub slots: u32,
     /// Whether it is leaving and must get no new work.
     pub leaving: bool,
-    /// How long a leaving engine still serves, where it says so.
-    pub remaining: Option<Duration>,
     /// How many orders it had taken.
     pub sequence: u64,
     /// What it held.
--- a/crates/core/src/placement/window.rs
+++ b/crates/core/src/placement/window.rs
@@ -59,9 +59,4 @@
     pub fn assume(&mut self, loads: usize, now: ClockMillis) {
         self.begun.extend(std::iter::repeat_n(now, loads));
     }
-
-    /// Returns the most loads within one window.
-    pub const fn most(&self) -> usize {
-        self.most
-    }
 }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -236,9 +236,7 @@
         service: Arc::from("assist"),
         address: "127.0.0.1:9000".parse().expect("an address"),
         zone: Arc::from(zone),
-        slots: 8,
         leaving: false,
-        remaining: None,
         sequence: 0,
         held: Vec::new(),
     }
--- /dev/null
+++ b/crates/core/tests/placement/main.rs
@@ -0,0 +1,5 @@
+//! The planner against engines that lose answers, carry orders out late, restart and leave.
+
+mod choices;
+mod faults;
+mod world;
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use reelreel_core::{
-    fleet::{EngineEntry, HeldModel, ModelKey, WeightVersion, routes::RouteTable},
+    fleet::{EngineEntry, ModelKey, WeightVersion, routes::RouteTable},
     id::FenceToken,
     placement::{EngineReport, OrderAnswer, PlannedOrder},
 };
@@ -54,10 +54,6 @@
     pub deadline: Option<Duration>,
     /// The base model or adapter that it names.
     pub model: Option<ModelKey>,
-    /// Tokens of the prompt and, at most, of the answer.
-    pub tokens: (u64, u64),
-    /// The event after which a stream goes on.
-    pub last_event: Option<String>,
 }
 
 /// Why a client's request is refused at once.
@@ -262,8 +258,3 @@
     /// With the platform's store.
     pub store: Arc<dyn StoreDialect>,
 }
-
-/// Returns what an engine's entry and report call held models, for tests and status pages.
-pub fn held_keys(held: &[HeldModel]) -> impl Iterator<Item = &ModelKey> {
-    held.iter().map(|model| &model.key)
-}
--- a/crates/gateway/tests/machine/dialect.rs
+++ b/crates/gateway/tests/machine/dialect.rs
@@ -39,8 +39,6 @@
             id: head.fields.text(REQUEST).ok_or(FactError::Id)?.to_owned(),
             deadline: deadline.map(Duration::from_millis),
             model: head.fields.text(MODEL).map(ModelKey::from),
-            tokens: (0, 0),
-            last_event: head.fields.text(AFTER).map(ToOwned::to_owned),
         })
     }
 
@@ -227,9 +225,7 @@
                 .parse()
                 .map_err(|_| BorderError::Malformed(record.key.clone()))?,
             zone: Arc::from("hall"),
-            slots: 8,
             leaving: body["leaving"].as_bool().unwrap_or_default(),
-            remaining: None,
             sequence: 0,
             held: held(&body["held"]),
         })
