--- a/crates/core/tests/placement/choices.rs
+++ b/crates/core/tests/placement/choices.rs
@@ -1,19 +1,11 @@
 //! What is loaded where, and what makes room.
 
-use std::{
-    collections::HashMap,
-    sync::Arc,
-};
+use std::{collections::HashMap, sync::Arc};
 
 use reelreel_core::{
     ClockMillis,
-    fleet::{
-        EngineEntry, HeldModel,
-    },
-    placement::{
-        EngineMemory, OrderKind,
-        PlacementAction,
-    },
+    fleet::{EngineEntry, HeldModel},
+    placement::{EngineMemory, OrderKind, PlacementAction},
 };
 
 use crate::world::*;
--- a/crates/core/tests/placement/faults.rs
+++ b/crates/core/tests/placement/faults.rs
@@ -1,6 +1,5 @@
 //! Whatever becomes of orders and engines: no engine falls, and what waits comes.
 
-
 use proptest::prelude::*;
 
 use crate::world::*;
--- a/crates/core/tests/placement/world.rs
+++ b/crates/core/tests/placement/world.rs
@@ -1,10 +1,6 @@
 //! Engines as the platform describes them, and a planner that orders them in handed-in time.
 
-use std::{
-    collections::BTreeMap,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use reelreel_core::{
     ClockMillis,
@@ -13,8 +9,8 @@
         routes::{ModelHosting, ModelSize},
     },
     placement::{
-        DemandEntry, EngineReport, LoadWindow, OrderAnswer, OrderKind,
-        PlacementAction, PlacementPlanner, PlannedOrder,
+        DemandEntry, EngineReport, LoadWindow, OrderAnswer, OrderKind, PlacementAction,
+        PlacementPlanner, PlannedOrder,
     },
 };
 
--- /dev/null
+++ b/crates/gateway/examples/path_cost.rs
@@ -0,0 +1,88 @@
+//! Measures what the way through a machine adds to a request, against stand-ins on the loopback.
+//!
+//! `cargo run --release -p reelreel-gateway --example path_cost` prints, for plain requests and for
+//! streams, the median and the 99th percentile of the time to the first byte of the answer, at the
+//! engine itself and through the machine, in one run.
+
+#![expect(
+    dead_code,
+    reason = "the stand-ins are those of the machine tests, which use more of them"
+)]
+
+#[path = "../tests/machine/dialect.rs"]
+mod dialect;
+#[path = "../tests/machine/engine.rs"]
+mod engine;
+#[path = "../tests/machine/server.rs"]
+mod server;
+#[path = "../tests/machine/site.rs"]
+mod site;
+#[path = "../tests/machine/store.rs"]
+mod store;
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::{Duration, Instant},
+};
+
+use engine::EngineMood;
+use site::{MODEL_NAME, TestSite};
+
+/// How many requests are timed of each kind.
+const ROUNDS: usize = 400;
+
+/// How many requests go before, so that connections are there.
+const WARM_UP: usize = 20;
+
+struct TimedKind {
+    name: &'static str,
+    path: &'static str,
+    model: Option<&'static str>,
+}
+
+const KINDS: &[TimedKind] = &[
+    TimedKind { name: "plain", path: "/single/a", model: None },
+    TimedKind { name: "stream", path: "/stream/a", model: Some(MODEL_NAME) },
+];
+
+fn main() {
+    let site = TestSite::start();
+    let machine = site.machine("path-cost");
+    for engine in &site.engines {
+        engine.treat(&[EngineMood::Stream(2)]);
+    }
+    println!("kind     where    median us  99th us");
+    for kind in KINDS {
+        let target = if kind.model.is_some() { &site.engines[0] } else { &site.plain };
+        report(kind, "engine", target.address, &target.name);
+        report(kind, "machine", machine.clients, &target.name);
+    }
+}
+
+fn report(kind: &TimedKind, place: &str, address: SocketAddr, engine: &str) {
+    let mut times: Vec<Duration> = (0..WARM_UP + ROUNDS)
+        .map(|number| first_byte(kind, address, engine, &format!("{place}-{number}")))
+        .skip(WARM_UP)
+        .collect();
+    times.sort_unstable();
+    let median = times[times.len() / 2].as_micros();
+    let tail = times[times.len() * 99 / 100].as_micros();
+    println!("{:<8} {place:<8} {median:>9} {tail:>8}", kind.name);
+}
+
+/// Sends one request on a new connection and returns the time to the first byte of its answer.
+fn first_byte(kind: &TimedKind, address: SocketAddr, engine: &str, id: &str) -> Duration {
+    let mut socket = TcpStream::connect(address).expect("a connection");
+    socket.set_nodelay(true).expect("no delay");
+    let model = kind.model.map(|model| format!("X-Model: {model}\r\n")).unwrap_or_default();
+    let request = format!(
+        "POST {} HTTP/1.1\r\nHost: site.example\r\nX-Request: {id}\r\nX-Engine: {engine}\r\n{model}Connection: close\r\nContent-Length: 2\r\n\r\n{{}}",
+        kind.path
+    );
+    let began = Instant::now();
+    socket.write_all(request.as_bytes()).expect("the request is sent");
+    let mut byte = [0; 1];
+    socket.read_exact(&mut byte).expect("an answer");
+    began.elapsed()
+}
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -154,14 +154,19 @@
     let traffic = Rc::new(TrafficState::new(Arc::clone(shared)));
     let clients = listen(shared.profile.clients).await?;
     let readiness = listen(shared.profile.readiness).await?;
-    let metrics = listen(shared.profile.metrics).await?;
+    match listen(shared.profile.metrics).await {
+        Ok(metrics) => {
+            tokio::task::spawn_local(probe::serve_metrics(Rc::clone(&traffic), metrics));
+        }
+        // Requests matter more than what is counted of them.
+        Err(error) => log::warn!("no metrics at {}: {error}", shared.profile.metrics),
+    }
     shared.events.write(crate::events::MachineEvent::Started {
         clients: clients.local_addr()?,
         peers: shared.profile.peers,
     });
     tokio::task::spawn_local(connection::accept_clients(Rc::clone(&traffic), clients));
     tokio::task::spawn_local(probe::serve_readiness(Rc::clone(&traffic), readiness));
-    tokio::task::spawn_local(probe::serve_metrics(Rc::clone(&traffic), metrics));
     tokio::task::spawn_local(clean_up(Rc::clone(&traffic)));
     let mut stopping = shared.stopping.subscribe();
     // The sender lives as long as the shared state, so waiting can not fail.
