--- a/crates/core/tests/proofs_page.rs
+++ b/crates/core/tests/proofs_page.rs
@@ -18,7 +18,9 @@
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     let page = fs::read_to_string(root.join("docs/PROOFS.md")).expect("the page is there");
     let mut text = String::new();
-    sources(&root.join("crates"), &mut text);
+    for folder in ["crates", "platform"] {
+        sources(&root.join(folder), &mut text);
+    }
     let mut named = 0;
     for name in page.split('`').skip(1).step_by(2) {
         let is_test = name.contains('_') && name.chars().all(|c| c.is_lowercase() || c == '_');
