--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -3,8 +3,7 @@
 //! An adapter is loaded as soon as a request waits for it: adapters come several at a time, and an
 //! engine brings back what it held lately by itself. Base models share the weight store's rate and
 //! its ceiling. The planner keeps what it knows of each engine true through answers that are lost or
-//! late; [`candidates`](super::candidates) says what is worth loading, and
-//! [`target`](super::target) where.
+//! late; `candidates` says what is worth loading, and `target` where.
 
 use std::{
     cmp::Reverse,
