perf(gateway): a few machines read the store, the others follow them

Besides, the lease went to machines with 0.12 of a core and a 10 Mbit/s link, whose orders were late or lost.

Ruled out: longer waits per read alone (the engines' topic always has records; fewer, later reads break DRAIN's bound).

Change: machines with a fifth of a core and 50 Mbit/s join the group, up to eight, weak ones only while it has under three members (core: placement/candidacy). The holders of three partitions read the store and pass on what changed (control/feed, peers/feed); they say five times a second that they are up to date and let followers go when the store has not answered for 1.1 s. Placers tell how many machines listen, which the shares of the retry budget are counted by: until now it was the holders of partitions, at most 48.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -5,6 +5,7 @@
 //! all hosts are asked for, [`inventory`] keeps what each engine holds in spite of lost and late
 //! answers, [`window`] keeps loads below the store's ceiling, and [`planner`] picks the next order.
 
+pub mod candidacy;
 mod candidates;
 pub mod demand;
 pub mod inventory;
@@ -16,6 +17,7 @@
 mod totals;
 pub mod window;
 
+pub use candidacy::MachineCapacity;
 pub use demand::{DemandBook, DemandEntry};
 pub use inventory::{EngineInventory, EngineMemory, EngineReport};
 pub use order::{OrderAnswer, OrderId, OrderKind, PlacementAction, PlannedOrder};
--- /dev/null
+++ b/crates/core/src/placement/candidacy.rs
@@ -0,0 +1,46 @@
+//! Which machines stand for leases and read the store for the others.
+//!
+//! Every machine could do both, but each member of the group and each reader of the store costs
+//! calls, and a small machine that is dealt a large domain falls behind. So a few machines stand,
+//! strong ones first; the others follow them.
+
+/// The part of a processor from which on a machine counts as strong.
+const STRONG_PROCESSOR: f64 = 0.2;
+
+/// The bandwidth from which on a machine counts as strong. Unit: megabits a second.
+const STRONG_BANDWIDTH: f64 = 50.0;
+
+/// How many members a group has before strong machines stay out of it.
+const ENOUGH_MEMBERS: usize = 8;
+
+/// How many members a group has before all other machines stay out of it.
+const LEAST_MEMBERS: usize = 3;
+
+/// What a machine has to work with.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct MachineCapacity {
+    /// Its share of a processor.
+    pub processor: f64,
+    /// What its link carries. Unit: megabits a second.
+    pub bandwidth: f64,
+}
+
+impl MachineCapacity {
+    /// Returns whether the machine can bear the work of a large domain.
+    pub fn is_strong(&self) -> bool {
+        self.processor >= STRONG_PROCESSOR && self.bandwidth >= STRONG_BANDWIDTH
+    }
+
+    /// Returns whether the machine joins a group that has `members` already.
+    pub fn should_join(&self, members: usize) -> bool {
+        members < if self.is_strong() { ENOUGH_MEMBERS } else { LEAST_MEMBERS }
+    }
+}
+
+/// How many partitions make their holders read the store for the others.
+const READER_PARTITIONS: u32 = 3;
+
+/// Returns the partitions whose holders read the store for the others, spread over all of them.
+pub fn reader_partitions(partitions: u32) -> impl Iterator<Item = u32> {
+    (0..READER_PARTITIONS.min(partitions)).map(move |place| place * partitions / READER_PARTITIONS)
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,6 +1,8 @@
 //! The control thread: everything that the machine believes, and its part in placement.
 
 pub mod domain;
+pub mod feed;
+pub mod machine_count;
 pub mod mirror;
 pub mod orders;
 pub mod placing;
@@ -15,11 +17,11 @@
     border::KeyedTopic,
     control::state::ControlState,
     machine::SharedState,
-    peers::{client::run_peer_client, server::run_peer_server},
+    peers::{client::run_peer_client, feed::run_feed_client, server::run_peer_server},
     store::{
         Backoff, StoreClient,
         follow::follow_topic,
-        membership::{leave, stay_member},
+        membership::{MembershipUpdate, leave, owners, stay_member},
     },
 };
 
@@ -30,7 +32,7 @@
 const LEAST_TICK: Duration = Duration::from_millis(4);
 
 /// The least time between two reads of the engines' entries, so that heartbeats come in batches.
-const ENGINES_REST: Duration = Duration::from_millis(900);
+const ENGINES_REST: Duration = Duration::from_millis(700);
 
 /// The least time between two reads of the configuration.
 const CONFIGURATION_REST: Duration = Duration::from_millis(20);
@@ -38,6 +40,20 @@
 /// The time to live of this machine's membership, where the store allows one as short.
 const MEMBERSHIP: Duration = Duration::from_secs(2);
 
+/// How often a machine outside the group looks whether it should join.
+const CANDIDACY_INTERVAL: Duration = Duration::from_millis(600);
+
+/// How long a weak machine leaves the group to strong ones.
+///
+/// Strong ones join at once, but the store lists them as holders only after others joined again.
+const WEAK_DELAY: Duration = Duration::from_secs(3);
+
+/// How many looks in a row show a weak machine that the group lacks members.
+const WEAK_LOOKS: u32 = 3;
+
+/// Over which time weak machines spread, so that not all join at once. Unit: milliseconds.
+const WEAK_SPREAD_MILLIS: u64 = 2000;
+
 /// Control state as its tasks share it.
 pub type SharedControl = Rc<RefCell<ControlState>>;
 
@@ -62,6 +78,7 @@
         tokio::task::spawn_local(keep_membership(Rc::clone(&state))),
         tokio::task::spawn_local(run_peer_server(Rc::clone(&state))),
         tokio::task::spawn_local(run_peer_client(Rc::clone(&state))),
+        tokio::task::spawn_local(run_feed_client(Rc::clone(&state))),
     ];
     let mut stopping = shared.stopping.subscribe();
     loop {
@@ -102,19 +119,60 @@
     let client = store_client(&shared);
     let topic = KeyedTopic::Configuration;
     let sink = |update| state.borrow_mut().configuration_updated(update);
-    follow_topic(client, topic, CONFIGURATION_REST, backoff(&shared, 0x1111), sink).await;
+    let gate = state.borrow().following();
+    follow_topic(client, topic, CONFIGURATION_REST, backoff(&shared, 0x1111), gate, sink).await;
 }
 
 async fn follow_engines(state: SharedControl) {
     let shared = Arc::clone(state.borrow().shared());
     let client = store_client(&shared);
     let sink = |update| state.borrow_mut().engines_updated(update);
-    follow_topic(client, KeyedTopic::Engines, ENGINES_REST, backoff(&shared, 0x2222), sink).await;
+    let (topic, gate) = (KeyedTopic::Engines, state.borrow().following());
+    follow_topic(client, topic, ENGINES_REST, backoff(&shared, 0x2222), gate, sink).await;
+}
+
+/// Waits until this machine should be a member of the group.
+///
+/// Machines that stay out of the group learn from the reader that they follow who is in it, and ask
+/// the store only while they follow none.
+async fn await_candidacy(state: &SharedControl, client: &mut StoreClient, backoff: &mut Backoff) {
+    let shared = Arc::clone(state.borrow().shared());
+    let capacity = shared.profile.capacity;
+    if !capacity.is_strong() {
+        let spread = xxh3_64(shared.profile.name.as_bytes()) % WEAK_SPREAD_MILLIS;
+        tokio::time::sleep(WEAK_DELAY + Duration::from_millis(spread)).await;
+    }
+    let mut wanted = 0;
+    loop {
+        let follows = *state.borrow().following().borrow();
+        if !follows || capacity.should_join(state.borrow().known_members()) {
+            match owners(client).await {
+                Ok(owners) => {
+                    backoff.succeeded();
+                    state.borrow_mut().membership_updated(MembershipUpdate::Owners(owners));
+                }
+                Err(error) => {
+                    log::debug!("owners: {error}");
+                    state.borrow_mut().membership_updated(MembershipUpdate::Failed);
+                    tokio::time::sleep(backoff.failed()).await;
+                    continue;
+                }
+            }
+            let want = capacity.should_join(state.borrow().known_members());
+            wanted = if want { wanted + 1 } else { 0 };
+            if wanted >= if capacity.is_strong() { 1 } else { WEAK_LOOKS } {
+                return;
+            }
+        }
+        tokio::time::sleep(backoff.spread(CANDIDACY_INTERVAL)).await;
+    }
 }
 
 async fn keep_membership(state: SharedControl) {
     let shared = Arc::clone(state.borrow().shared());
-    let client = store_client(&shared);
+    let mut client = store_client(&shared);
+    let mut pauses = backoff(&shared, 0x4444);
+    await_candidacy(&state, &mut client, &mut pauses).await;
     let time_to_live = MEMBERSHIP.max(shared.profile.shortest_membership);
     let clock = shared.clock.clone();
     let member = shared.profile.peers;
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Returns how many machines listen to the placer, itself included.
+    pub fn listeners(&self) -> u32 {
+        u32::try_from(self.subscribers.len() + 1).unwrap_or(u32::MAX)
+    }
+
     /// Tells the subscribers what changed, in batches.
     pub fn tell_plan(&mut self, changed: Vec<EngineName>, now: ClockMillis) {
         self.untold.extend(changed);
@@ -198,6 +203,7 @@
             token: self.planned_token,
             engines: lines.collect(),
             estimates: Vec::new(),
+            machines: self.listeners(),
         }))
     }
 
@@ -212,6 +218,7 @@
         let told = !known.is_empty();
         self.estimates.extend(known);
         let (service, token) = (self.service.to_string(), self.planned_token);
+        let machines = self.listeners();
         for subscriber in &mut self.subscribers {
             let lines = subscriber.asked.drain(..).filter_map(|key| estimate(&key));
             let lines = lines.take(MOST_ESTIMATES).map(|(key, time)| EstimateLine::new(&key, time));
@@ -220,7 +227,7 @@
                 continue;
             }
             let (service, engines) = (service.clone(), Vec::new());
-            let frame = PlanFrame { service, token, engines, estimates };
+            let frame = PlanFrame { service, token, engines, estimates, machines };
             // A subscriber that does not keep up is let go with the next change of the plan.
             let _ = subscriber.frames.try_send(PeerFrame::new(FrameBody::Plan(frame)));
         }
--- /dev/null
+++ b/crates/gateway/src/control/feed.rs
@@ -0,0 +1,150 @@
+//! Passing on what was read from the store, so that a few machines read it for all.
+//!
+//! The holders of some partitions of the group read the store; every other machine follows one of
+//! them and reads the store itself only while it can not. A reader passes on each change at once and
+//! says often that it is up to date; when it can no longer say so it lets its followers go.
+
+use std::{net::SocketAddr, time::Duration};
+
+use reelreel_core::{ClockMillis, ClockSource, placement::candidacy::reader_partitions};
+use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    control::state::ControlState,
+    peers::frame::{FrameBody, OwnerLine, PeerFrame, RecordLine, StateFrame},
+};
+
+/// How often a reader says that it is up to date when nothing has changed.
+const ALIVE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How long a machine goes on reading for others once it was dealt no such partition any more, so that
+/// they need not all move whenever the group changes.
+const READER_STAYS: Duration = Duration::from_secs(8);
+
+/// What a reader passes on, and to whom.
+#[derive(Default)]
+pub struct FeedSource {
+    followers: Vec<mpsc::Sender<PeerFrame>>,
+    next: StateFrame,
+    told: ClockMillis,
+}
+
+impl FeedSource {
+    /// Takes a record of the configuration that is to be passed on.
+    pub fn configuration_changed(&mut self, record: RecordLine) {
+        if !self.followers.is_empty() {
+            self.next.configuration.push(record);
+        }
+    }
+
+    /// Takes a record of the engines that is to be passed on.
+    pub fn engine_changed(&mut self, record: RecordLine) {
+        if !self.followers.is_empty() {
+            self.next.engines.push(record);
+        }
+    }
+
+    /// Takes that everything is to be passed on anew.
+    pub const fn all_changed(&mut self) {
+        self.next.whole = true;
+    }
+
+    fn send(&mut self, frame: &PeerFrame, now: ClockMillis) {
+        // Who does not keep up is let go, and reads the store or follows another reader.
+        self.followers.retain(|follower| follower.try_send(frame.clone()).is_ok());
+        self.told = now;
+    }
+}
+
+impl ControlState {
+    /// Returns whether this machine reads the store for others now.
+    pub fn is_reader(&self) -> bool {
+        let now = self.shared.clock.now();
+        now < self.reads_until && self.health.is_fresh(now) && self.is_complete()
+    }
+
+    /// Takes what a join that was sent at `sent` dealt to this machine.
+    pub(super) fn dealt(&mut self, partitions: &[u32], sent: ClockMillis) {
+        let mut readers = reader_partitions(self.shared.profile.partitions);
+        if readers.any(|partition| partitions.contains(&partition)) {
+            self.reads_until = sent + READER_STAYS;
+        }
+    }
+
+    /// Returns the other machines that read the store, in this machine's order of preference.
+    pub fn other_readers(&self) -> Vec<SocketAddr> {
+        let own = self.shared.profile.peers;
+        let partitions = reader_partitions(self.shared.profile.partitions);
+        let mut readers: Vec<SocketAddr> =
+            partitions.filter_map(|partition| self.owners.get(&partition).copied()).collect();
+        readers.retain(|reader| *reader != own);
+        readers.sort_unstable();
+        readers.dedup();
+        let name = &self.shared.profile.name;
+        readers.sort_by_key(|reader| xxh3_64(format!("{name} {reader}").as_bytes()));
+        readers
+    }
+
+    /// Takes a machine that wants to follow; returns false when this one is no reader.
+    pub fn add_follower(&mut self, follower: mpsc::Sender<PeerFrame>) -> bool {
+        if !self.is_reader() {
+            return false;
+        }
+        let whole = PeerFrame::new(FrameBody::State(self.state_frame()));
+        let sent = follower.try_send(whole).is_ok();
+        if sent {
+            self.feed.followers.push(follower);
+        }
+        sent
+    }
+
+    /// Passes on what has changed, or that nothing has.
+    pub fn tick_feed(&mut self, now: ClockMillis) {
+        if self.feed.followers.is_empty() {
+            self.feed.next = StateFrame::default();
+            return;
+        }
+        if !self.is_reader() {
+            self.feed.followers.clear();
+            return;
+        }
+        let next = std::mem::take(&mut self.feed.next);
+        let changed = next != StateFrame::default();
+        if !changed && now.since(self.feed.told) < ALIVE_INTERVAL {
+            return;
+        }
+        let frame = if next.whole { self.state_frame() } else { next };
+        self.feed.send(&PeerFrame::new(FrameBody::State(frame)), now);
+    }
+
+    /// Passes on who holds which partition.
+    pub fn owners_changed(&mut self) {
+        self.feed.next.owners = self.owner_lines();
+    }
+
+    /// Returns who holds which partition, as it goes to a peer.
+    pub fn owner_lines(&self) -> Vec<OwnerLine> {
+        let lines = self.owners.iter();
+        lines
+            .map(|(partition, machine)| OwnerLine {
+                partition: *partition,
+                machine: machine.to_string(),
+            })
+            .collect()
+    }
+
+    /// Sets whether this machine follows a reader, so that it need not read the store.
+    pub fn set_following(&self, follows: bool) {
+        self.following
+            .send_if_modified(|following| std::mem::replace(following, follows) != follows);
+    }
+
+    /// Returns how many members the group is known to have.
+    pub fn known_members(&self) -> usize {
+        let mut members: Vec<&SocketAddr> = self.owners.values().collect();
+        members.sort_unstable();
+        members.dedup();
+        members.len()
+    }
+}
--- a/crates/gateway/src/control/mirror.rs
+++ b/crates/gateway/src/control/mirror.rs
@@ -46,14 +46,14 @@
         self.records.keys().filter(|key| !kept.contains(key.as_str())).cloned().collect()
     }
 
+    /// Returns how far the topic was read.
+    pub const fn end(&self) -> u64 {
+        self.end
+    }
+
     /// Returns the newest records as they go to a peer.
     pub fn lines(&self) -> Vec<RecordLine> {
-        let lines = self.records.values().map(|record| RecordLine {
-            key: record.key.clone(),
-            value: record.value.clone(),
-            offset: record.offset,
-        });
-        lines.collect()
+        self.records.values().map(RecordLine::from).collect()
     }
 }
 
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -51,6 +51,7 @@
         let now = self.shared.clock.now();
         let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return };
         if domain.planner.is_none() && domain.adopt_plan(frame, now) {
+            self.machine_count.told(frame.machines);
             self.changed = true;
             self.publish();
         }
@@ -82,6 +83,8 @@
     pub fn tick(&mut self, own: &Rc<RefCell<Self>>) -> Duration {
         let now = self.shared.clock.now();
         self.tell_demand(now);
+        self.drop_lapsed(now);
+        self.tick_feed(now);
         let services: Vec<ServiceName> = self.domains.keys().cloned().collect();
         let mut pause = TICK;
         for service in services {
@@ -149,6 +152,7 @@
         let changed = domain.adopt_own_plan();
         self.changed |= !changed.is_empty();
         domain.tell_plan(changed, now);
+        self.machine_count.told(domain.listeners());
         self.changed |= domain.answer_asked(now);
         start_actions(own, service, domain.planned_token, actions);
         due
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -6,25 +6,45 @@
     sync::Arc,
 };
 
+use bytes::Bytes;
 use reelreel_core::{
-    ClockSource,
+    ClockMillis, ClockSource,
     chart::TenureState,
     fleet::{
-        EngineEntry, EngineName, ModelKey, ServiceName, choice::NamedVersion, routes::RouteTable,
+        EngineEntry, EngineName, ModelKey, ServiceName, adapter_name, choice::NamedVersion,
+        routes::RouteTable,
     },
     placement::{LeaseRules, PlacementPlanner},
 };
 
+use tokio::sync::watch;
+
 use crate::{
     border::{ConfigurationRecord, KeyedRecord},
-    control::{domain::PlacementDomain, mirror::TopicMirror, orders::OrderClients},
+    control::{
+        domain::PlacementDomain, feed::FeedSource, machine_count::MachineCount,
+        mirror::TopicMirror, orders::OrderClients,
+    },
     events::MachineEvent,
     machine::SharedState,
-    peers::frame::{RecordLine, StateFrame},
-    store::{follow::TopicUpdate, membership::MembershipUpdate},
+    peers::frame::{OwnerLine, RecordLine, StateFrame},
+    store::{follow::TopicUpdate, health::StoreHealth, membership::MembershipUpdate},
     table::{ServingTable, copies_by_key},
 };
 
+/// Returns whether a machine that knows `old` needs no word of `new`: plans tell which adapters an
+/// engine holds.
+fn is_told_by(old: &EngineEntry, new: &EngineEntry) -> bool {
+    let bases = |entry: &EngineEntry| {
+        let held = entry.held.iter().filter(|held| adapter_name(&held.key).is_none());
+        held.cloned().collect::<Vec<_>>()
+    };
+    old.leaving == new.leaving
+        && old.address == new.address
+        && old.service == new.service
+        && bases(old) == bases(new)
+}
+
 /// Everything that the machine believes.
 pub struct ControlState {
     pub(super) shared: Arc<SharedState>,
@@ -36,7 +56,15 @@
     leaving: BTreeSet<EngineName>,
     pub(super) versions: HashMap<ModelKey, NamedVersion>,
     pub(super) domains: BTreeMap<ServiceName, PlacementDomain>,
-    owners: HashMap<u32, SocketAddr>,
+    pub(super) owners: HashMap<u32, SocketAddr>,
+    /// Until when this machine reads the store for others, as far as the group goes.
+    pub(super) reads_until: ClockMillis,
+    pub(super) health: StoreHealth,
+    pub(super) feed: FeedSource,
+    pub(super) following: watch::Sender<bool>,
+    pub(super) machine_count: MachineCount,
+    /// Engines whose entries have gone just after an outage, and until when they count.
+    lapsed: BTreeMap<EngineName, (RecordLine, ClockMillis)>,
     clients: OrderClients,
     pub(super) changed: bool,
     pub(super) lease_states: HashMap<ServiceName, TenureState>,
@@ -55,6 +83,12 @@
             versions: HashMap::new(),
             domains: BTreeMap::new(),
             owners: HashMap::new(),
+            reads_until: ClockMillis::default(),
+            health: StoreHealth::default(),
+            feed: FeedSource::default(),
+            following: watch::Sender::new(false),
+            machine_count: MachineCount::default(),
+            lapsed: BTreeMap::new(),
             clients: OrderClients::default(),
             changed: false,
             lease_states: HashMap::new(),
@@ -66,6 +100,11 @@
         &self.shared
     }
 
+    /// Returns a receiver that tells whether another machine reads the store for this one.
+    pub fn following(&self) -> watch::Receiver<bool> {
+        self.following.subscribe()
+    }
+
     /// Returns the kept connections for orders.
     pub const fn order_clients(&mut self) -> &mut OrderClients {
         &mut self.clients
@@ -79,6 +118,7 @@
     /// Takes what was read of the configuration.
     pub fn configuration_updated(&mut self, update: TopicUpdate) {
         self.configuration.note_reachability(&self.shared, "configuration", &update);
+        self.note_health(update != TopicUpdate::Away);
         let (TopicUpdate::Whole { records, .. } | TopicUpdate::Records(records)) = update else {
             return;
         };
@@ -90,6 +130,8 @@
             if !self.configuration.take(record) || record.value.is_empty() {
                 continue;
             }
+            self.feed.configuration_changed(RecordLine::from(record));
+            self.shared.wake_control.notify_one();
             match self.shared.dialects.store.configuration(record) {
                 Ok(ConfigurationRecord::Routes(routes)) => self.take_routes(routes),
                 Ok(ConfigurationRecord::Version(key, version)) => self.take_version(key, version),
@@ -122,7 +164,7 @@
         self.changed = true;
     }
 
-    fn lease_rules(&self) -> LeaseRules {
+    pub(super) fn lease_rules(&self) -> LeaseRules {
         let profile = &self.shared.profile;
         LeaseRules {
             time_to_live: super::MEMBERSHIP.max(profile.shortest_membership),
@@ -143,38 +185,86 @@
     /// Takes what was read of the engines' entries.
     pub fn engines_updated(&mut self, update: TopicUpdate) {
         self.engine_records.note_reachability(&self.shared, "engines", &update);
+        self.note_health(update != TopicUpdate::Away);
         match update {
             TopicUpdate::Away => return,
-            TopicUpdate::Whole { records, end } => {
-                for key in self.engine_records.dropped(&records, end) {
-                    self.engine_records.records.remove(&key);
-                    self.drop_engine(&key);
-                }
-                self.engine_records.known = true;
-                self.take_engines(&records);
-            }
+            TopicUpdate::Whole { records, end } => self.take_whole_engines(&records, end),
             TopicUpdate::Records(records) => self.take_engines(&records),
         }
         self.publish();
     }
 
+    fn note_health(&mut self, answered: bool) {
+        let now = self.shared.clock.now();
+        if answered {
+            self.health.answered(now);
+        } else {
+            self.health.failed(now);
+        }
+    }
+
+    fn take_whole_engines(&mut self, records: &[KeyedRecord], end: u64) {
+        for key in self.engine_records.dropped(records, end) {
+            self.engine_records.records.remove(&key);
+            self.entry_gone(&RecordLine { key, value: Bytes::new(), offset: end });
+            self.feed.all_changed();
+        }
+        self.engine_records.known = true;
+        self.take_engines(records);
+    }
+
+    /// Takes that an engine's entry is gone; just after an outage the engine counts for a while.
+    fn entry_gone(&mut self, record: &RecordLine) {
+        let now = self.shared.clock.now();
+        let until = self.health.relisting_until(now);
+        let listed = self.engines.get(record.key.as_str());
+        match (listed, until) {
+            (Some(entry), Some(until)) if !entry.leaving => {
+                self.lapsed.insert(Arc::clone(&entry.name), (record.clone(), until));
+            }
+            _ => {
+                self.drop_engine(&record.key);
+                self.feed.engine_changed(record.clone());
+            }
+        }
+    }
+
+    /// Drops the engines whose entries have not come back in time after an outage.
+    pub(super) fn drop_lapsed(&mut self, now: ClockMillis) {
+        while let Some(name) =
+            self.lapsed.iter().find(|(_, (_, until))| now >= *until).map(|(name, _)| name.clone())
+        {
+            if let Some((record, _)) = self.lapsed.remove(&name) {
+                self.drop_engine(&name);
+                self.feed.engine_changed(record);
+            }
+        }
+    }
+
     fn take_engines(&mut self, records: &[KeyedRecord]) {
         for record in records {
             if !self.engine_records.take(record) {
                 continue;
             }
             if record.value.is_empty() {
-                self.drop_engine(&record.key);
+                self.entry_gone(&RecordLine::from(record));
                 continue;
             }
             match self.shared.dialects.store.engine(record) {
-                Ok(entry) => self.take_engine(entry),
+                Ok(entry) => {
+                    if self.take_engine(entry) {
+                        self.feed.engine_changed(RecordLine::from(record));
+                        self.shared.wake_control.notify_one();
+                    }
+                }
                 Err(error) => log::warn!("engine {}: {error}", record.key),
             }
         }
     }
 
-    fn take_engine(&mut self, mut entry: EngineEntry) {
+    /// Takes an engine's entry; returns whether something changed that all machines must know.
+    fn take_engine(&mut self, mut entry: EngineEntry) -> bool {
+        self.lapsed.remove(&entry.name);
         if entry.leaving && self.leaving.insert(Arc::clone(&entry.name)) {
             let engine = entry.name.to_string();
             self.shared.events.write(MachineEvent::EngineLeaving { engine });
@@ -198,7 +288,9 @@
             old.leaving == entry.leaving && old.address == entry.address && old.held == entry.held
         });
         self.changed |= !unchanged;
+        let told = old.is_some_and(|old| is_told_by(old, &entry));
         self.engines.insert(Arc::clone(&entry.name), Arc::new(entry));
+        !told
     }
 
     fn drop_engine(&mut self, name: &str) {
@@ -220,6 +312,8 @@
         let now = self.shared.clock.now();
         match update {
             MembershipUpdate::Joined { share, sent } => {
+                self.health.answered(now);
+                self.dealt(&share.partitions, sent);
                 for domain in self.domains.values_mut() {
                     let listed = share.partitions.contains(&domain.partition);
                     domain.tenure.joined(listed, share.generation, sent, now);
@@ -227,12 +321,14 @@
             }
             MembershipUpdate::Failed => {
                 self.shared.metrics.store_failures.inc();
+                self.health.failed(now);
                 for domain in self.domains.values_mut() {
                     domain.tenure.join_failed(now);
                 }
             }
             MembershipUpdate::Owners(owners) => {
                 self.owners = owners;
+                self.owners_changed();
                 self.changed = true;
             }
         }
@@ -245,14 +341,13 @@
         }
     }
 
-    /// Returns how many machines the group has, at least one.
+    /// Returns how many machines share what is counted over all of them, at least one.
     pub fn machines(&self) -> u32 {
-        let members: BTreeSet<&SocketAddr> = self.owners.values().collect();
-        u32::try_from(members.len()).unwrap_or(1).max(1)
+        self.machine_count.get(self.shared.profile.partitions)
     }
 
-    /// Returns the machines that other than this one are known.
-    pub fn other_machines(&self) -> Vec<SocketAddr> {
+    /// Returns the members of the group other than this machine.
+    pub fn other_members(&self) -> Vec<SocketAddr> {
         let own = self.shared.profile.peers;
         let members: BTreeSet<SocketAddr> = self.owners.values().copied().collect();
         members.into_iter().filter(|member| *member != own).collect()
@@ -287,7 +382,9 @@
         StateFrame {
             configuration: self.configuration.lines(),
             engines: self.engine_records.lines(),
-            machines: self.owners.values().map(ToString::to_string).collect(),
+            owners: self.owner_lines(),
+            whole: true,
+            engines_end: self.engine_records.end(),
         }
     }
 
@@ -302,11 +399,24 @@
             lines.iter().map(record).collect()
         };
         self.take_configuration(&records(&frame.configuration));
-        self.take_engines(&records(&frame.engines));
-        self.engine_records.known |= !frame.engines.is_empty();
+        if frame.whole && !frame.engines.is_empty() {
+            self.take_whole_engines(&records(&frame.engines), frame.engines_end);
+        } else {
+            self.take_engines(&records(&frame.engines));
+        }
+        self.take_owners(&frame.owners);
         self.publish();
     }
 
+    fn take_owners(&mut self, lines: &[OwnerLine]) {
+        let owner = |line: &OwnerLine| Some((line.partition, line.machine.parse().ok()?));
+        let owners: HashMap<u32, SocketAddr> = lines.iter().filter_map(owner).collect();
+        if !owners.is_empty() && owners != self.owners {
+            self.owners = owners;
+            self.changed = true;
+        }
+    }
+
     /// Returns whether configuration and engines are known.
     pub fn is_complete(&self) -> bool {
         self.routes.is_some() && self.engine_records.known
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -64,6 +64,16 @@
         /// What was read.
         what: &'static str,
     },
+    /// The machine follows another one that reads the store for it.
+    Following {
+        /// That machine's address for peers.
+        reader: String,
+    },
+    /// The machine that was followed fell silent or reads no longer.
+    ReaderLost {
+        /// That machine's address for peers.
+        reader: String,
+    },
     /// An engine was listed.
     EngineJoined {
         /// The engine.
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -53,7 +53,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<PeerStream> {
+/// Connects to another machine, unless that takes too long.
+pub(super) async fn connect(address: SocketAddr) -> Option<PeerStream> {
     let connecting = TcpStream::connect(address);
     let socket = tokio::time::timeout(CONNECT_PATIENCE, connecting).await.ok()?.ok()?;
     Some(PeerStream::new(socket))
@@ -102,7 +103,7 @@
 
 /// Asks one of the known machines for what it has read from the store.
 async fn ask_any_peer(state: &SharedControl, turn: u32) {
-    let mut peers = state.borrow().other_machines();
+    let mut peers = state.borrow().other_members();
     peers.extend_from_slice(&state.borrow().shared().profile.seeds);
     let own = state.borrow().shared().profile.peers;
     peers.retain(|peer| *peer != own);
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -9,11 +9,13 @@
     placement::DemandEntry,
 };
 
+use crate::border::KeyedRecord;
+
 /// One frame.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerFrame {
     /// What it says.
-    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5")]
     pub body: Option<FrameBody>,
 }
 
@@ -32,6 +34,9 @@
     /// What a machine has read from the store.
     #[prost(message, tag = "4")]
     State(StateFrame),
+    /// Asks for what the peer reads from the store from now on.
+    #[prost(message, tag = "5")]
+    Follow(FollowFrame),
 }
 
 /// What a machine is asked for in one placement domain.
@@ -80,6 +85,9 @@
     /// In what time queued adapters are expected.
     #[prost(message, repeated, tag = "4")]
     pub estimates: Vec<EstimateLine>,
+    /// How many machines listen to the placer, itself included.
+    #[prost(uint32, tag = "5")]
+    pub machines: u32,
 }
 
 /// What one engine holds.
@@ -119,7 +127,11 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct AskFrame {}
 
-/// What a machine has read from the store.
+/// Asks for what the peer reads from the store from now on.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct FollowFrame {}
+
+/// What a machine has read from the store: everything, or what has changed since the last frame.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct StateFrame {
     /// Newest records of the configuration topic.
@@ -128,9 +140,26 @@
     /// Newest records of the engines' topic.
     #[prost(message, repeated, tag = "2")]
     pub engines: Vec<RecordLine>,
-    /// The peer addresses of the machines that are known.
-    #[prost(string, repeated, tag = "3")]
-    pub machines: Vec<String>,
+    /// Who holds which partition of the group; empty when that did not change.
+    #[prost(message, repeated, tag = "4")]
+    pub owners: Vec<OwnerLine>,
+    /// Whether this is everything.
+    #[prost(bool, tag = "5")]
+    pub whole: bool,
+    /// How far the engines' topic was read, where this is everything.
+    #[prost(uint64, tag = "6")]
+    pub engines_end: u64,
+}
+
+/// Who holds a partition of the group.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct OwnerLine {
+    /// The partition.
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    /// The machine's address for peers.
+    #[prost(string, tag = "2")]
+    pub machine: String,
 }
 
 /// A record of a keyed topic.
@@ -178,6 +207,13 @@
     }
 }
 
+impl From<&KeyedRecord> for RecordLine {
+    fn from(record: &KeyedRecord) -> Self {
+        let (key, value) = (record.key.clone(), record.value.clone());
+        Self { key, value, offset: record.offset }
+    }
+}
+
 impl From<&HeldModel> for HeldLine {
     fn from(held: &HeldModel) -> Self {
         Self { key: held.key.to_string(), version: held.version }
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -69,6 +69,13 @@
                             return;
                         }
                     }
+                    Some(FrameBody::Follow(_)) => {
+                        // The sender lives with the feed: when it drops it, this task ends.
+                        if state.borrow_mut().add_follower(sender.clone()) {
+                            feed_follower(stream, sender, frames).await;
+                        }
+                        return;
+                    }
                     _ => {}
                 }
             }
@@ -85,6 +92,30 @@
     }
 }
 
+/// Passes the feed on until this machine lets the follower go or the follower closes.
+async fn feed_follower(
+    mut stream: PeerStream,
+    own: mpsc::Sender<PeerFrame>,
+    mut frames: mpsc::Receiver<PeerFrame>,
+) {
+    drop(own);
+    loop {
+        tokio::select! {
+            received = stream.receive() => {
+                if received.is_none() {
+                    return;
+                }
+            }
+            frame = frames.recv() => {
+                let Some(frame) = frame else { return };
+                if stream.send(&frame).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
 /// Takes demand; returns false when this machine makes no plan for the service.
 fn take_demand(
     state: &SharedControl,
--- a/crates/gateway/src/profile.rs
+++ b/crates/gateway/src/profile.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use reelreel_core::fleet::{ZoneName, retry_share::RetryAllowance};
+use reelreel_core::{
+    fleet::{ZoneName, retry_share::RetryAllowance},
+    placement::MachineCapacity,
+};
 
 /// Times and amounts that the operator binds the machine to.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -50,6 +53,8 @@
     pub partitions: u32,
     /// The shortest time to live that the store takes for a member of a group.
     pub shortest_membership: Duration,
+    /// What the machine has to work with.
+    pub capacity: MachineCapacity,
     /// Times and amounts that the operator binds the machine to.
     pub bounds: OperatorBounds,
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,6 +1,7 @@
 //! Following the platform's store: configuration, engines, and the lease of placement domains.
 
 pub mod follow;
+pub mod health;
 pub mod membership;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tokio::sync::watch;
+
 use crate::{
     border::{BorderError, KeyedRecord, KeyedTopic, RecordBatch},
     store::{Backoff, StoreClient, StoreError},
@@ -34,15 +36,21 @@
 
 /// Follows `topic` for ever and hands every update to `sink`.
 ///
-/// `rest` is the least time between two calls, so that a busy topic is read in batches.
+/// `rest` is the least time between two calls, so that a busy topic is read in batches. While `gate`
+/// holds true another machine reads the topic for this one.
 pub async fn follow_topic(
     mut client: StoreClient,
     topic: KeyedTopic,
     rest: Duration,
     mut backoff: Backoff,
+    mut gate: watch::Receiver<bool>,
     sink: impl Fn(TopicUpdate),
 ) {
     loop {
+        // Waiting fails only when the control state is gone, and with it this task.
+        if gate.wait_for(|follows| !*follows).await.is_err() {
+            return;
+        }
         let from = match read_whole(&mut client, topic).await {
             Ok((records, end)) => {
                 backoff.succeeded();
@@ -56,7 +64,11 @@
                 continue;
             }
         };
-        follow_records(&mut client, topic, rest, &mut backoff, from, &sink).await;
+        let reading = follow_records(&mut client, topic, rest, &mut backoff, from, &sink);
+        tokio::select! {
+            () = reading => {}
+            follows = gate.wait_for(|follows| *follows) => drop(follows),
+        }
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/store/health.rs
@@ -0,0 +1,52 @@
+//! Whether the store has answered lately, and how it went before.
+
+use std::time::Duration;
+
+use reelreel_core::ClockMillis;
+
+/// How long the store's last answer makes what was read count as fresh.
+const FRESH: Duration = Duration::from_millis(1100);
+
+/// The shortest outage in which engines' entries may lapse although the engines live.
+const LAPSE_OUTAGE: Duration = Duration::from_millis(1500);
+
+/// Within which time after an outage living engines have listed themselves again.
+const RELISTING: Duration = Duration::from_millis(2200);
+
+/// What calls to the store tell of it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StoreHealth {
+    heard: Option<ClockMillis>,
+    failing_since: Option<ClockMillis>,
+    returned: Option<ClockMillis>,
+}
+
+impl StoreHealth {
+    /// Takes that a call was answered.
+    pub fn answered(&mut self, now: ClockMillis) {
+        if let Some(since) = self.failing_since.take()
+            && now.since(since) >= LAPSE_OUTAGE
+        {
+            self.returned = Some(now);
+        }
+        self.heard = Some(now);
+    }
+
+    /// Takes that a call got no useful answer.
+    pub fn failed(&mut self, now: ClockMillis) {
+        // The outage began after the last answer at the earliest, and was seen later.
+        self.failing_since.get_or_insert(self.heard.unwrap_or(now));
+    }
+
+    /// Returns whether what was read from the store can be passed on as its present state.
+    pub fn is_fresh(&self, now: ClockMillis) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) < FRESH)
+    }
+
+    /// Returns until when an engine counts whose entry has gone: engines whose entries lapsed in an
+    /// outage list themselves again soon after it.
+    pub fn relisting_until(&self, now: ClockMillis) -> Option<ClockMillis> {
+        let until = self.returned? + RELISTING;
+        (now < until).then_some(until)
+    }
+}
--- a/crates/gateway/src/store/membership.rs
+++ b/crates/gateway/src/store/membership.rs
@@ -80,7 +80,11 @@
     Ok(client.dialect().join_answer(&answer)?)
 }
 
-async fn owners(client: &mut StoreClient) -> Result<HashMap<u32, SocketAddr>, StoreError> {
+/// Asks who holds which partition.
+///
+/// # Errors
+/// Returns that the store gave no useful answer.
+pub async fn owners(client: &mut StoreClient) -> Result<HashMap<u32, SocketAddr>, StoreError> {
     let call = client.dialect().owners();
     let answer = client.call(&call, JOIN_PATIENCE).await?;
     let owners = client.dialect().owners_answer(&answer)?;
--- a/crates/gateway/tests/machine/site.rs
+++ b/crates/gateway/tests/machine/site.rs
@@ -9,12 +9,15 @@
     time::{Duration, Instant},
 };
 
-use reelreel_core::fleet::{
-    retry_share::RetryAllowance,
-    routes::{
-        ClientLimits, ModelHosting, ModelSize, RouteEntry, RouteKind, RouteTable, ServiceEntry,
-        WeightedBackend,
+use reelreel_core::{
+    fleet::{
+        retry_share::RetryAllowance,
+        routes::{
+            ClientLimits, ModelHosting, ModelSize, RouteEntry, RouteKind, RouteTable, ServiceEntry,
+            WeightedBackend,
+        },
     },
+    placement::MachineCapacity,
 };
 use reelreel_gateway::{
     events::EventLog,
@@ -145,6 +148,7 @@
             store: self.store.address,
             partitions: 4,
             shortest_membership: Duration::from_millis(500),
+            capacity: MachineCapacity { processor: 0.25, bandwidth: 1000.0 },
             bounds: OperatorBounds {
                 stop_grace: Duration::from_secs(6),
                 lease: Duration::from_millis(600),
