test(gateway): followers of a reader, outages in which entries lapse, candidacy

They found two faults: with fewer than three partitions two reader partitions were the same one, and a weak machine asked who reads only after its delay for joining (3 s), until when it read the store itself; both mended. New metrics: store_calls, following.

--- a/crates/core/src/placement/candidacy.rs
+++ b/crates/core/src/placement/candidacy.rs
@@ -42,5 +42,6 @@
 
 /// Returns the partitions whose holders read the store for the others, spread over all of them.
 pub fn reader_partitions(partitions: u32) -> impl Iterator<Item = u32> {
-    (0..READER_PARTITIONS.min(partitions)).map(move |place| place * partitions / READER_PARTITIONS)
+    let readers = READER_PARTITIONS.min(partitions);
+    (0..readers).map(move |place| place * partitions / readers)
 }
--- /dev/null
+++ b/crates/core/tests/placement/candidacy.rs
@@ -0,0 +1,44 @@
+//! Which machines stand for leases and read the store.
+
+use std::collections::BTreeSet;
+
+use reelreel_core::placement::{MachineCapacity, candidacy::reader_partitions};
+
+struct CandidacyCase {
+    name: &'static str,
+    capacity: MachineCapacity,
+    members: usize,
+    joins: bool,
+}
+
+const STRONG: MachineCapacity = MachineCapacity { processor: 0.25, bandwidth: 1000.0 };
+const SLOW: MachineCapacity = MachineCapacity { processor: 0.12, ..STRONG };
+const NARROW: MachineCapacity = MachineCapacity { bandwidth: 10.0, ..STRONG };
+
+const CASES: &[CandidacyCase] = &[
+    CandidacyCase { name: "the first", capacity: STRONG, members: 0, joins: true },
+    CandidacyCase { name: "the eighth", capacity: STRONG, members: 7, joins: true },
+    CandidacyCase { name: "the ninth", capacity: STRONG, members: 8, joins: false },
+    CandidacyCase { name: "slow, alone", capacity: SLOW, members: 0, joins: true },
+    CandidacyCase { name: "slow, the third", capacity: SLOW, members: 2, joins: true },
+    CandidacyCase { name: "slow, the fourth", capacity: SLOW, members: 3, joins: false },
+    CandidacyCase { name: "a narrow link", capacity: NARROW, members: 3, joins: false },
+];
+
+#[test]
+fn strong_machines_join_first_and_weak_ones_only_while_the_group_is_small() {
+    for case in CASES {
+        assert_eq!(case.capacity.should_join(case.members), case.joins, "{}", case.name);
+    }
+}
+
+#[test]
+fn reader_partitions_are_distinct_and_exist() {
+    for partitions in 0..60 {
+        let readers: Vec<u32> = reader_partitions(partitions).collect();
+        let distinct: BTreeSet<u32> = readers.iter().copied().collect();
+        assert_eq!(distinct.len(), readers.len(), "{partitions}");
+        assert!(readers.iter().all(|reader| *reader < partitions), "{partitions}");
+        assert_eq!(readers.len(), partitions.min(3) as usize, "{partitions}");
+    }
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -10,6 +10,7 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
+use reelreel_core::ClockSource;
 use tokio::{runtime::Builder, task::LocalSet};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -107,7 +108,8 @@
 }
 
 fn store_client(shared: &SharedState) -> StoreClient {
-    StoreClient::new(Arc::clone(&shared.dialects.store), shared.profile.store)
+    let calls = shared.metrics.store_calls.clone();
+    StoreClient::new(Arc::clone(&shared.dialects.store), shared.profile.store, calls)
 }
 
 fn backoff(shared: &SharedState, salt: u64) -> Backoff {
@@ -138,10 +140,13 @@
 async fn await_candidacy(state: &SharedControl, client: &mut StoreClient, backoff: &mut Backoff) {
     let shared = Arc::clone(state.borrow().shared());
     let capacity = shared.profile.capacity;
-    if !capacity.is_strong() {
-        let spread = xxh3_64(shared.profile.name.as_bytes()) % WEAK_SPREAD_MILLIS;
-        tokio::time::sleep(WEAK_DELAY + Duration::from_millis(spread)).await;
-    }
+    let spread = xxh3_64(shared.profile.name.as_bytes()) % WEAK_SPREAD_MILLIS;
+    let patience = if capacity.is_strong() {
+        Duration::ZERO
+    } else {
+        WEAK_DELAY + Duration::from_millis(spread)
+    };
+    let began = shared.clock.now();
     let mut wanted = 0;
     loop {
         let follows = *state.borrow().following().borrow();
@@ -158,7 +163,8 @@
                     continue;
                 }
             }
-            let want = capacity.should_join(state.borrow().known_members());
+            let patient = shared.clock.now().since(began) < patience;
+            let want = !patient && capacity.should_join(state.borrow().known_members());
             wanted = if want { wanted + 1 } else { 0 };
             if wanted >= if capacity.is_strong() { 1 } else { WEAK_LOOKS } {
                 return;
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -136,6 +136,7 @@
 
     /// Sets whether this machine follows a reader, so that it need not read the store.
     pub fn set_following(&self, follows: bool) {
+        self.shared.metrics.following.set(i64::from(follows));
         self.following
             .send_if_modified(|following| std::mem::replace(following, follows) != follows);
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,6 +50,10 @@
     pub connects: Counter,
     /// Calls to the store that had no useful answer.
     pub store_failures: Counter,
+    /// Calls to the store.
+    pub store_calls: Counter,
+    /// Whether another machine reads the store for this one.
+    pub following: Gauge,
     /// Client connections that are open.
     pub connections: Gauge,
     /// Requests that are open.
@@ -78,6 +82,8 @@
             resumes: Counter::default(),
             connects: Counter::default(),
             store_failures: Counter::default(),
+            store_calls: Counter::default(),
+            following: Gauge::default(),
             connections: Gauge::default(),
             open_requests: Gauge::default(),
             revision: Gauge::default(),
@@ -103,6 +109,9 @@
         registry.register("engine_connects", "New connections to engines", self.connects.clone());
         let help = "Calls to the store without a useful answer";
         registry.register("store_failures", help, self.store_failures.clone());
+        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        let help = "Whether another machine reads the store for this one";
+        registry.register("following", help, self.following.clone());
         registry.register("connections", "Open client connections", self.connections.clone());
         registry.register("open_requests", "Open requests", self.open_requests.clone());
         registry.register("configuration", "Configuration in force", self.revision.clone());
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -6,6 +6,8 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use prometheus_client::metrics::counter::Counter;
+
 use crate::{
     border::{BorderError, CallAnswer, CallRequest, StoreDialect},
     call::{CallClient, CallError},
@@ -32,12 +34,13 @@
 pub struct StoreClient {
     dialect: Arc<dyn StoreDialect>,
     client: CallClient,
+    calls: Counter,
 }
 
 impl StoreClient {
-    /// Starts without a connection.
-    pub fn new(dialect: Arc<dyn StoreDialect>, address: SocketAddr) -> Self {
-        Self { dialect, client: CallClient::new(address) }
+    /// Starts without a connection; `calls` counts the calls.
+    pub fn new(dialect: Arc<dyn StoreDialect>, address: SocketAddr, calls: Counter) -> Self {
+        Self { dialect, client: CallClient::new(address), calls }
     }
 
     /// Returns what translates the calls.
@@ -50,6 +53,7 @@
         request: &CallRequest,
         patience: Duration,
     ) -> Result<CallAnswer, CallError> {
+        self.calls.inc();
         self.client.call(request, patience).await
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/machine/following.rs
@@ -0,0 +1,160 @@
+//! A few machines read the store; the others follow them, and read it themselves when they must.
+
+use std::{thread, time::Duration};
+
+use reelreel_core::{ClockMillis, placement::MachineCapacity};
+use reelreel_gateway::store::health::StoreHealth;
+
+use crate::site::{TestMachine, TestSite, wait_until};
+
+const WEAK: MachineCapacity = MachineCapacity { processor: 0.1, bandwidth: 10.0 };
+
+fn follower(site: &TestSite, name: &str) -> TestMachine {
+    let machine = site.machine_with(name, Vec::new(), WEAK);
+    machine.wait_ready();
+    wait_until("the machine follows", || machine.shared.metrics.following.get() == 1);
+    machine
+}
+
+fn serves_the_late_route(machine: &TestMachine, id: &str) -> bool {
+    machine.get("/late/a", &format!("X-Request: {id}\r\n")).starts_with("HTTP/1.1 200")
+}
+
+#[test]
+fn a_follower_learns_a_configuration_without_a_call_of_its_own() {
+    let site = TestSite::start();
+    // A group of three needs no weak member.
+    let _readers = ["one", "two", "three"].map(|name| site.machine(name));
+    let machine = follower(&site, "follower");
+    // A last look at the group may still be under way when it begins to follow.
+    thread::sleep(Duration::from_millis(1200));
+    let calls = machine.shared.metrics.store_calls.get();
+    site.store.put("configuration", "routes", "2");
+    thread::sleep(Duration::from_millis(300));
+    let answer = machine.get("/late/a", "X-Request: f1\r\n");
+    assert!(answer.starts_with("HTTP/1.1 200"), "not passed on in 0.3 s: {answer}");
+    assert_eq!(machine.shared.metrics.store_calls.get(), calls);
+}
+
+#[test]
+fn a_follower_learns_that_an_engine_leaves() {
+    let site = TestSite::start();
+    let _reader = site.machine("reader");
+    let machine = follower(&site, "follower");
+    site.store.put("engines", "plain-1", &site.plain.entry("plain", true));
+    wait_until("the engine is left", || {
+        let table = machine.shared.table.borrow().clone();
+        table.ready_engines("plain").next().is_none()
+    });
+}
+
+#[test]
+fn a_follower_whose_reader_stops_reads_the_store_itself() {
+    let site = TestSite::start();
+    let reader = site.machine("reader");
+    let machine = follower(&site, "follower");
+    reader.stop();
+    site.store.put("configuration", "routes", "2");
+    wait_until("the change is in force", || serves_the_late_route(&machine, "s1"));
+    assert_eq!(machine.shared.metrics.following.get(), 0);
+}
+
+#[test]
+fn a_reader_that_the_store_refuses_lets_its_followers_go() {
+    let site = TestSite::start();
+    let _reader = site.machine("reader");
+    let machine = follower(&site, "follower");
+    site.store.refuse(true);
+    wait_until("the follower is on its own", || machine.shared.metrics.following.get() == 0);
+    assert!(machine.is_ready());
+    site.store.refuse(false);
+    site.store.put("configuration", "routes", "2");
+    wait_until("the change is in force", || serves_the_late_route(&machine, "r1"));
+}
+
+#[test]
+fn engines_that_lapse_in_an_outage_count_until_they_can_have_listed_themselves_again() {
+    let site = TestSite::start();
+    let machine = site.machine("lapse");
+    let listed = || machine.shared.table.borrow().ready_engines("plain").count();
+    site.store.refuse(true);
+    thread::sleep(Duration::from_millis(2200));
+    site.store.put("engines", "plain-1", "");
+    site.store.refuse(false);
+    // The pause between two tries while the store refuses is a second and a quarter at most.
+    for number in 0..15 {
+        let answer = machine.get("/safe/a", &format!("X-Request: l{number}\r\n"));
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        thread::sleep(Duration::from_millis(100));
+    }
+    wait_until("what did not come back is gone", || listed() == 0);
+    site.store.put("engines", "plain-1", &site.plain.entry("plain", false));
+    wait_until("what comes back later counts again", || listed() == 1);
+}
+
+struct HealthCase {
+    name: &'static str,
+    /// Times of calls, and whether they were answered.
+    calls: &'static [(u64, bool)],
+    at: u64,
+    fresh: bool,
+    relisting_until: Option<u64>,
+}
+
+const HEALTH_CASES: &[HealthCase] = &[
+    HealthCase { name: "nothing yet", calls: &[], at: 10, fresh: false, relisting_until: None },
+    HealthCase {
+        name: "an answer just now",
+        calls: &[(1000, true)],
+        at: 2000,
+        fresh: true,
+        relisting_until: None,
+    },
+    HealthCase {
+        name: "an answer a while ago",
+        calls: &[(1000, true)],
+        at: 2200,
+        fresh: false,
+        relisting_until: None,
+    },
+    HealthCase {
+        name: "one failure is no outage",
+        calls: &[(1000, true), (1700, false), (1800, true)],
+        at: 1900,
+        fresh: true,
+        relisting_until: None,
+    },
+    HealthCase {
+        name: "after an outage",
+        calls: &[(1000, true), (1700, false), (2600, false), (4000, true)],
+        at: 4100,
+        fresh: true,
+        relisting_until: Some(6200),
+    },
+    HealthCase {
+        name: "a while after an outage",
+        calls: &[(1000, true), (1700, false), (4000, true), (6000, true)],
+        at: 6300,
+        fresh: true,
+        relisting_until: None,
+    },
+];
+
+#[test]
+fn health_tells_freshness_and_outages() {
+    for case in HEALTH_CASES {
+        let mut health = StoreHealth::default();
+        for (at, answered) in case.calls {
+            let now = ClockMillis::from_millis(*at);
+            if *answered {
+                health.answered(now);
+            } else {
+                health.failed(now);
+            }
+        }
+        let now = ClockMillis::from_millis(case.at);
+        assert_eq!(health.is_fresh(now), case.fresh, "{}", case.name);
+        let until = case.relisting_until.map(ClockMillis::from_millis);
+        assert_eq!(health.relisting_until(now), until, "{}", case.name);
+    }
+}
--- a/crates/gateway/tests/machine/site.rs
+++ b/crates/gateway/tests/machine/site.rs
@@ -133,6 +133,16 @@
 
     /// Starts a machine without waiting for anything.
     pub(crate) fn cold_machine(&self, name: &str, seeds: Vec<SocketAddr>) -> TestMachine {
+        self.machine_with(name, seeds, MachineCapacity { processor: 0.25, bandwidth: 1000.0 })
+    }
+
+    /// Starts a machine of some strength without waiting for anything.
+    pub(crate) fn machine_with(
+        &self,
+        name: &str,
+        seeds: Vec<SocketAddr>,
+        capacity: MachineCapacity,
+    ) -> TestMachine {
         let known =
             HashMap::from([(1, Arc::new(routes(1, false))), (2, Arc::new(routes(2, true)))]);
         let profile = MachineProfile {
@@ -148,7 +158,7 @@
             store: self.store.address,
             partitions: 4,
             shortest_membership: Duration::from_millis(500),
-            capacity: MachineCapacity { processor: 0.25, bandwidth: 1000.0 },
+            capacity,
             bounds: OperatorBounds {
                 stop_grace: Duration::from_secs(6),
                 lease: Duration::from_millis(600),
