perf(core): machines share engines' open requests; copies follow bursts and busy engines

Cause: on the grown site requests queued at single engines (12 slots) while others were free: of 381 logged requests whose client left first 356 had waited at an engine, of 98 late ones 74. Each machine saw only its own requests there (91 machines), and another copy was loaded by a rate with a half-life of 8 s.

Ruled out: waiting for adapters (14 of 98 late ones), grey engines (spread over all engines).

Change: machines tell the placer their open requests at engines, the placer tells the sums (each quarter second, what changed); choices go by them, spread over up to four requests by the number of machines.

Tests: many_hosts_spread_over_engines_that_are_nearly_equal, the one with fewer open requests of all hosts, a_burst_gets_copies_within_two_load_times, an_adapter_whose_engines_are_busy_gets_another_copy.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -62,6 +62,8 @@
     pub address: SocketAddr,
     /// The data hall that it stands in.
     pub zone: ZoneName,
+    /// How many requests it runs at a time.
+    pub slots: u32,
     /// Whether it is leaving and must get no new work.
     pub leaving: bool,
     /// How many orders it had taken.
--- a/crates/core/src/fleet/choice.rs
+++ b/crates/core/src/fleet/choice.rs
@@ -16,6 +16,12 @@
 /// What being left alone costs: more than any load.
 const REST_WEIGHT: f64 = 10_000.0;
 
+/// Over how many open requests each host that chooses spreads its choice.
+const SPREAD_PER_HOST: f64 = 1.0 / 25.0;
+
+/// Over how many open requests a choice is spread at most.
+const MOST_SPREAD: f64 = 4.0;
+
 /// How much of a slow engine's delay counts, in open requests for each multiple of the median.
 const DELAY_WEIGHT: f64 = 2.0;
 
@@ -52,25 +58,31 @@
     pub condition: &'table EngineCondition,
     /// This host's open requests there.
     pub open: u32,
+    /// The open requests of all hosts there, as far as this host was told.
+    pub told: u32,
 }
 
 /// Returns the best of the candidates, by open requests, failures, delay and data hall.
 ///
-/// `tie` spreads equal candidates; any number that differs between requests does.
+/// `tie` spreads equal candidates; any number that differs between requests does. `hosts` choose with
+/// the same word of the engines' loads, so that many of them must not all choose the same engine.
 pub fn best_engine(
     candidates: &[EngineCandidate<'_>],
     zone: &str,
     tie: u64,
+    hosts: u32,
     now: ClockMillis,
 ) -> Option<EngineName> {
     let median = median_delay(candidates);
+    let spread = (f64::from(hosts) * SPREAD_PER_HOST).min(MOST_SPREAD);
     let count = candidates.len() as u64;
     candidates
         .iter()
         .enumerate()
         .map(|(place, candidate)| {
             let turn = (place as u64 + count - tie % count.max(1)) % count.max(1);
-            (cost(candidate, zone, median, now), turn, candidate)
+            let spread = spread * turn as f64 / count as f64;
+            (cost(candidate, zone, median, now) + spread, turn, candidate)
         })
         .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)))
         .map(|(_, _, candidate)| EngineName::clone(&candidate.entry.name))
@@ -78,7 +90,7 @@
 
 fn cost(candidate: &EngineCandidate<'_>, zone: &str, median: Option<f64>, now: ClockMillis) -> f64 {
     let condition = candidate.condition;
-    let mut cost = f64::from(candidate.open);
+    let mut cost = f64::from(candidate.open.max(candidate.told));
     cost += FAILURE_WEIGHT * condition.failure_share().powi(2);
     if &*candidate.entry.zone != zone {
         cost += ZONE_WEIGHT;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -8,6 +8,7 @@
 pub mod candidacy;
 mod candidates;
 pub mod demand;
+pub mod engine_loads;
 pub mod inventory;
 pub mod order;
 pub mod planner;
@@ -19,6 +20,7 @@
 
 pub use candidacy::MachineCapacity;
 pub use demand::{DemandBook, DemandEntry};
+pub use engine_loads::LoadBook;
 pub use inventory::{EngineInventory, EngineMemory, EngineReport};
 pub use order::{OrderAnswer, OrderId, OrderKind, PlacementAction, PlannedOrder};
 pub use planner::PlacementPlanner;
--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -11,6 +11,15 @@
 /// Requests a second to one copy from which on another copy is worth a load.
 const COPY_RATE: f64 = 1.5;
 
+/// Requests a second to one copy by the last seconds alone from which on another copy is worth a load.
+const COPY_BURST_RATE: f64 = 3.0;
+
+/// The part of an engine's slots from which on it counts as busy.
+const BUSY_PART: f64 = 0.75;
+
+/// Requests a second for an adapter from which on busy engines make another copy worth a load.
+const BUSY_RATE: f64 = 0.3;
+
 /// How long requests wait for an adapter that is there before it counts as out of their reach.
 const OUT_OF_REACH: Duration = Duration::from_millis(700);
 
@@ -123,7 +132,12 @@
             return self.interest(key, now);
         }
         if copies > 0.0 {
-            let spare = self.demand.rate(key, now) / copies - COPY_RATE;
+            let rate = self.demand.rate(key, now);
+            let burst = self.demand.burst_rate(key, now);
+            if rate >= BUSY_RATE && self.totals.least_busy(key) >= BUSY_PART {
+                return RATE_HORIZON * rate;
+            }
+            let spare = (rate / copies - COPY_RATE).max(burst / copies - COPY_BURST_RATE);
             return (RATE_HORIZON * spare).max(0.0);
         }
         if self.demand.waiting(key) == 0 {
--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -7,6 +7,9 @@
 /// The half-life of an adapter's popularity: demand moves within seconds.
 pub const RATE_HALF_LIFE: Duration = Duration::from_secs(8);
 
+/// The half-life of the rate that tells a burst.
+const BURST_HALF_LIFE: Duration = Duration::from_millis(1500);
+
 /// How long a host's word about its waiting requests holds without being renewed.
 const WAITING_HOLDS: Duration = Duration::from_secs(3);
 
@@ -39,6 +42,7 @@
 #[derive(Debug, Clone, Default)]
 struct KeyDemand {
     rate: DecayedRate,
+    burst: DecayedRate,
     /// Requests since a load was last ordered.
     unserved: u32,
     asked: ClockMillis,
@@ -70,6 +74,7 @@
             let demand = self.keys.entry(Arc::clone(&entry.key)).or_default();
             if entry.asked > 0 {
                 demand.rate.add(f64::from(entry.asked), now, RATE_HALF_LIFE);
+                demand.burst.add(f64::from(entry.asked), now, BURST_HALF_LIFE);
                 demand.unserved = demand.unserved.saturating_add(entry.asked);
                 demand.asked = now;
             }
@@ -105,6 +110,11 @@
         self.keys.get(key).map_or(0.0, |demand| demand.rate.per_second(now, RATE_HALF_LIFE))
     }
 
+    /// Returns how many requests a second ask for `key` by the last seconds alone.
+    pub fn burst_rate(&self, key: &str, now: ClockMillis) -> f64 {
+        self.keys.get(key).map_or(0.0, |demand| demand.burst.per_second(now, BURST_HALF_LIFE))
+    }
+
     /// Takes that a load of `key` was ordered.
     pub fn served(&mut self, key: &str) {
         if let Some(demand) = self.keys.get_mut(key) {
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -19,8 +19,8 @@
         routes::ModelHosting,
     },
     placement::{
-        DemandBook, DemandEntry, EngineInventory, EngineReport, LoadWindow, OrderAnswer, OrderId,
-        OrderKind, PlacementAction, PlannedOrder,
+        DemandBook, DemandEntry, EngineInventory, EngineReport, LoadBook, LoadWindow, OrderAnswer,
+        OrderId, OrderKind, PlacementAction, PlannedOrder,
         inventory::{DoubtedLoad, EngineMemory, PendingLoad, REPORT_LAG},
         totals::RoundTotals,
     },
@@ -56,6 +56,7 @@
     pub(super) hosting: ModelHosting,
     pub(super) engines: BTreeMap<EngineName, EngineInventory>,
     pub(super) demand: DemandBook,
+    pub(super) loads: LoadBook,
     pub(super) window: LoadWindow,
     pub(super) versions: HashMap<ModelKey, WeightVersion>,
     pub(super) load_time: Duration,
@@ -73,6 +74,7 @@
             hosting,
             engines: BTreeMap::new(),
             demand: DemandBook::default(),
+            loads: LoadBook::default(),
             window,
             versions: HashMap::new(),
             load_time: FIRST_LOAD_TIME,
@@ -132,6 +134,18 @@
         self.demand.note(host, entries, now);
     }
 
+    /// Takes how many requests a host has open at engines.
+    pub fn loads_noted(&mut self, host: &Arc<str>, loads: &[(EngineName, u32)], now: ClockMillis) {
+        for (engine, open) in loads {
+            self.loads.note(host, engine, *open, now);
+        }
+    }
+
+    /// Returns the sums of open requests that have changed since the last call.
+    pub fn take_changed_loads(&mut self) -> Vec<(EngineName, u32)> {
+        self.loads.take_changed()
+    }
+
     /// Takes an engine's report that was asked for at `asked`.
     pub fn report_arrived(&mut self, engine: &str, report: &EngineReport, asked: ClockMillis) {
         let Some(inventory) = self.engines.get_mut(engine) else { return };
@@ -213,6 +227,7 @@
             inventory.settle_due(now);
         }
         self.demand.forget_old(now);
+        self.loads.forget_old(now);
         let mut actions = self.wanted_reports(now);
         if acting {
             let orders = self.wanted_orders(now);
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -26,6 +26,9 @@
 /// The fewest adapters that are ordered at a time.
 const LEAST_AT_ONCE: usize = 4;
 
+/// How many requests a second an open request counts as, when a place for a load is sought.
+const OPEN_RATE: f64 = 0.3;
+
 /// How long an adapter must not have been asked for before it is dropped for another one.
 const RESTED: Duration = Duration::from_millis(1500);
 
@@ -147,14 +150,22 @@
         }
     }
 
-    /// Returns the engine's load by what it holds, in requests for a thousand seconds.
+    /// Returns the part of its slots that an engine has taken.
+    pub(super) fn busy_part(&self, inventory: &EngineInventory) -> f64 {
+        let open = self.loads.total(&inventory.entry.name);
+        f64::from(open) / f64::from(inventory.entry.slots.max(1))
+    }
+
+    /// Returns the engine's load by what it holds and has open, in requests for a thousand seconds.
     fn load_of(&self, inventory: &EngineInventory) -> u64 {
+        let open = OPEN_RATE * f64::from(self.loads.total(&inventory.entry.name));
+        let rate = self.totals.engine_rate(&inventory.entry.name) + open;
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "small, positive"
         )]
-        let load = (self.totals.engine_rate(&inventory.entry.name) * 1000.0) as u64;
+        let load = (rate * 1000.0) as u64;
         load
     }
 
--- a/crates/core/src/placement/totals.rs
+++ b/crates/core/src/placement/totals.rs
@@ -20,6 +20,8 @@
 pub(super) struct RoundTotals {
     /// Engines that hold the newest version of a key, or are getting it.
     copies: HashMap<ModelKey, u32>,
+    /// The least part of its slots that any engine with a key has taken.
+    least_busy: HashMap<ModelKey, f64>,
     /// When the last load of a key under way is due.
     due: HashMap<ModelKey, ClockMillis>,
     /// Keys whose load was ordered without an answer yet.
@@ -56,10 +58,13 @@
         if inventory.entry.leaving {
             return;
         }
+        let busy = planner.busy_part(inventory);
         for key in keys_of(inventory) {
             let newest = inventory.has(key, planner.newest(key));
             if newest && !inventory.closing.contains(key) {
                 *self.copies.entry(Arc::clone(key)).or_default() += 1;
+                let least = self.least_busy.entry(Arc::clone(key)).or_insert(busy);
+                *least = least.min(busy);
             }
         }
     }
@@ -103,6 +108,15 @@
         self.copies.get(key).copied().unwrap_or_default()
     }
 
+    /// Returns the least part of its slots that any engine with `key` has taken, none while a load of
+    /// `key` is on its way to an engine.
+    pub(super) fn least_busy(&self, key: &str) -> f64 {
+        if self.is_ordered(key) {
+            return 0.0;
+        }
+        self.least_busy.get(key).copied().unwrap_or_default()
+    }
+
     /// Returns when the last load of `key` under way is due, the epoch if there is none.
     pub(super) fn latest_due(&self, key: &str) -> ClockMillis {
         self.due.get(key).copied().unwrap_or_default()
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -236,6 +236,7 @@
         service: Arc::from("assist"),
         address: "127.0.0.1:9000".parse().expect("an address"),
         zone: Arc::from(zone),
+        slots: 16,
         leaving: false,
         sequence: 0,
         held: Vec::new(),
@@ -245,6 +246,7 @@
 struct ChoiceCase {
     name: &'static str,
     open: [u32; 2],
+    told: [u32; 2],
     zones: [&'static str; 2],
     outcomes: [&'static [EngineOutcome]; 2],
     best: &'static str,
@@ -256,6 +258,15 @@
     ChoiceCase {
         name: "the one with fewer open requests",
         open: [3, 1],
+        told: [0, 0],
+        zones: ["here", "here"],
+        outcomes: [&[], &[]],
+        best: "second",
+    },
+    ChoiceCase {
+        name: "the one with fewer open requests of all hosts",
+        open: [0, 1],
+        told: [9, 2],
         zones: ["here", "here"],
         outcomes: [&[], &[]],
         best: "second",
@@ -263,6 +274,7 @@
     ChoiceCase {
         name: "the own data hall among equals",
         open: [1, 1],
+        told: [0, 0],
         zones: ["there", "here"],
         outcomes: [&[], &[]],
         best: "second",
@@ -270,6 +282,7 @@
     ChoiceCase {
         name: "not the one that broke off just now",
         open: [0, 5],
+        told: [0, 0],
         zones: ["here", "here"],
         outcomes: [&[EngineOutcome::Broken], &[WELL]],
         best: "second",
@@ -277,6 +290,7 @@
     ChoiceCase {
         name: "not the one that errs often",
         open: [0, 2],
+        told: [0, 0],
         zones: ["here", "here"],
         outcomes: [&[EngineOutcome::Erred; 6], &[WELL]],
         best: "second",
@@ -284,6 +298,7 @@
     ChoiceCase {
         name: "not the one that is many times as slow",
         open: [0, 2],
+        told: [0, 0],
         zones: ["here", "here"],
         outcomes: [&[EngineOutcome::Answered(Duration::from_millis(400)); 4], &[WELL]],
         best: "second",
@@ -304,12 +319,35 @@
             entry: &entries[place],
             condition: &conditions[place],
             open: case.open[place],
+            told: case.told[place],
         });
-        let best = best_engine(&candidates, "here", 0, at(1010));
+        let best = best_engine(&candidates, "here", 0, 1, at(1010));
         assert_eq!(best.as_deref(), Some(case.best), "{}", case.name);
     }
 }
 
+/// Many hosts that were told the same loads must not all choose the engine with the least.
+#[test]
+fn many_hosts_spread_over_engines_that_are_nearly_equal() {
+    let entries: Vec<EngineEntry> =
+        (0..8).map(|number| entry(&format!("engine-{number}"), "here")).collect();
+    let condition = EngineCondition::default();
+    let told = [3, 2, 3, 3, 2, 3, 14, 3];
+    let candidates: Vec<EngineCandidate<'_>> = entries
+        .iter()
+        .zip(told)
+        .map(|(entry, told)| EngineCandidate { entry, condition: &condition, open: 0, told })
+        .collect();
+    let mut chosen = std::collections::BTreeMap::new();
+    for tie in 0..800 {
+        let best = best_engine(&candidates, "here", tie, 100, at(1010)).expect("an engine");
+        *chosen.entry(best.to_string()).or_insert(0) += 1;
+    }
+    assert!(!chosen.contains_key("engine-6"), "the busy one is left: {chosen:?}");
+    assert!(chosen.values().all(|count| *count <= 300), "{chosen:?}");
+    assert!(chosen.len() >= 5, "{chosen:?}");
+}
+
 #[test]
 fn a_failed_engine_is_tried_again_after_a_rest_that_grows() {
     let mut condition = EngineCondition::default();
--- a/crates/core/tests/placement/choices.rs
+++ b/crates/core/tests/placement/choices.rs
@@ -173,6 +173,43 @@
     assert_eq!(holders(&world), 2);
 }
 
+fn holders(world: &World, number: usize) -> usize {
+    world.engines.iter().filter(|engine| engine.held.contains_key(&key(number))).count()
+}
+
+/// The slow rate would show such a burst only after seconds, in which one engine's queue fills.
+#[test]
+fn a_burst_gets_copies_within_two_load_times() {
+    let mut world = World::new(6);
+    settle(&mut world);
+    for _ in 0..30 {
+        world.ask(1, 3);
+        world.step(20, OrderFate::Answered);
+    }
+    assert!(holders(&world, 1) >= 3, "{} copies for fifty requests a second", holders(&world, 1));
+}
+
+#[test]
+fn an_adapter_whose_engines_are_busy_gets_another_copy() {
+    let mut world = World::new(3);
+    settle(&mut world);
+    world.ask(1, 1);
+    for _ in 0..14 {
+        world.step(20, OrderFate::Answered);
+    }
+    for _ in 0..5 {
+        world.ask(1, 0);
+        settle(&mut world);
+    }
+    assert_eq!(holders(&world, 1), 1);
+    let holder = world.engines.iter().find(|engine| engine.held.contains_key(&key(1)));
+    let name = Arc::clone(&holder.expect("a holder").entry.name);
+    let host = Arc::from("host");
+    world.planner.loads_noted(&host, &[(name, 13)], world.at());
+    settle(&mut world);
+    assert_eq!(holders(&world, 1), 2, "13 of 16 slots are taken");
+}
+
 #[test]
 fn a_planner_that_does_not_act_only_asks_for_reports() {
     let mut world = World::new(2);
--- a/crates/core/tests/placement/world.rs
+++ b/crates/core/tests/placement/world.rs
@@ -59,6 +59,7 @@
             service: Arc::from("assist"),
             address: format!("127.0.0.1:{}", 9000 + number).parse().expect("an address"),
             zone: Arc::from("hall"),
+            slots: 16,
             leaving: false,
             sequence: 0,
             held: Vec::new(),
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::machine::ToldDemand;
 use crate::peers::frame::{
     DemandFrame, EngineLine, EstimateLine, FrameBody, HeldLine, PeerFrame, PlanFrame,
 };
@@ -28,6 +29,9 @@
 /// The least time between two frames of the plan to a subscriber: each makes it publish anew.
 const PLAN_PAUSE: Duration = Duration::from_millis(15);
 
+/// The least time between two words of how many requests engines have open.
+const LOADS_PAUSE: Duration = Duration::from_millis(250);
+
 /// How long an estimate is kept after its time.
 const ESTIMATE_HOLDS: Duration = Duration::from_secs(2);
 
@@ -90,6 +94,8 @@
     untold: BTreeSet<EngineName>,
     /// When changes were last told.
     told: ClockMillis,
+    /// When open requests were last told.
+    loads_told: ClockMillis,
 }
 
 impl PlacementDomain {
@@ -112,9 +118,31 @@
             placer: None,
             untold: BTreeSet::new(),
             told: ClockMillis::default(),
+            loads_told: ClockMillis::default(),
         }
     }
 
+    /// Tells the subscribers how many requests engines have open; returns what changed.
+    pub fn tell_loads(&mut self, now: ClockMillis) -> Vec<(EngineName, u32)> {
+        let Some(planner) = &mut self.planner else { return Vec::new() };
+        if now.since(self.loads_told) < LOADS_PAUSE {
+            return Vec::new();
+        }
+        self.loads_told = now;
+        let changed = planner.take_changed_loads();
+        if !changed.is_empty() {
+            let frame = PlanFrame {
+                service: self.service.to_string(),
+                token: self.planned_token,
+                machines: self.listeners(),
+                loads: changed.iter().map(Into::into).collect(),
+                ..PlanFrame::default()
+            };
+            self.broadcast(&PeerFrame::new(FrameBody::Plan(frame)));
+        }
+        changed
+    }
+
     /// Returns how many machines listen to the placer, itself included.
     pub fn listeners(&self) -> u32 {
         u32::try_from(self.subscribers.len() + 1).unwrap_or(u32::MAX)
@@ -133,22 +161,19 @@
     }
 
     /// Tells demand to the own planner or to the placer; returns whether anyone took it.
-    pub fn tell_demand(
-        &mut self,
-        machine: &Arc<str>,
-        entries: &[DemandEntry],
-        now: ClockMillis,
-    ) -> bool {
+    pub fn tell_demand(&mut self, machine: &Arc<str>, told: &ToldDemand, now: ClockMillis) -> bool {
         if let Some(planner) = &mut self.planner {
-            planner.demand_noted(machine, entries, now);
-            self.asked.extend(waited_keys(entries));
+            planner.demand_noted(machine, &told.entries, now);
+            planner.loads_noted(machine, &told.loads, now);
+            self.asked.extend(waited_keys(&told.entries));
             return true;
         }
         let Some(placer) = &self.placer else { return false };
         let frame = DemandFrame {
             machine: machine.to_string(),
             service: self.service.to_string(),
-            entries: entries.iter().map(Into::into).collect(),
+            entries: told.entries.iter().map(Into::into).collect(),
+            loads: told.loads.iter().map(Into::into).collect(),
         };
         placer.try_send(PeerFrame::new(FrameBody::Demand(frame))).is_ok()
     }
@@ -202,8 +227,8 @@
             service: self.service.to_string(),
             token: self.planned_token,
             engines: lines.collect(),
-            estimates: Vec::new(),
             machines: self.listeners(),
+            ..PlanFrame::default()
         }))
     }
 
@@ -226,8 +251,8 @@
             if estimates.is_empty() {
                 continue;
             }
-            let (service, engines) = (service.clone(), Vec::new());
-            let frame = PlanFrame { service, token, engines, estimates, machines };
+            let service = service.clone();
+            let frame = PlanFrame { service, token, estimates, machines, ..PlanFrame::default() };
             // A subscriber that does not keep up is let go with the next change of the plan.
             let _ = subscriber.frames.try_send(PeerFrame::new(FrameBody::Plan(frame)));
         }
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -32,6 +32,8 @@
         let entries: Vec<_> = frame.entries.iter().map(Into::into).collect();
         let machine = Arc::from(frame.machine.as_str());
         planner.demand_noted(&machine, &entries, now);
+        let loads: Vec<_> = frame.loads.iter().map(Into::into).collect();
+        planner.loads_noted(&machine, &loads, now);
         self.shared.wake_control.notify_one();
         let waited: Vec<ModelKey> = waited_keys(&entries).collect();
         for known in domain.subscribers.iter_mut().filter(|known| known.machine == machine) {
@@ -52,7 +54,10 @@
         let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return };
         if domain.planner.is_none() && domain.adopt_plan(frame, now) {
             self.machine_count.told(frame.machines);
-            self.changed = true;
+            let loads: Vec<_> = frame.loads.iter().map(Into::into).collect();
+            self.shared.engine_loads().take(loads);
+            let only_loads = frame.engines.is_empty() && frame.estimates.is_empty();
+            self.changed |= !only_loads;
             self.publish();
         }
     }
@@ -98,9 +103,9 @@
     fn tell_demand(&mut self, now: ClockMillis) {
         let drained = self.shared.demand().drain(now);
         let machine = Arc::clone(&self.shared.profile.name);
-        for (service, entries) in drained {
+        for (service, told) in drained {
             if let Some(domain) = self.domains.get_mut(&service) {
-                domain.tell_demand(&machine, &entries, now);
+                domain.tell_demand(&machine, &told, now);
             }
         }
     }
@@ -153,6 +158,8 @@
         self.changed |= !changed.is_empty();
         domain.tell_plan(changed, now);
         self.machine_count.told(domain.listeners());
+        let loads = domain.tell_loads(now);
+        self.shared.engine_loads().take(loads);
         self.changed |= domain.answer_asked(now);
         start_actions(own, service, domain.planned_token, actions);
         due
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -374,6 +374,7 @@
         if let Some(domain) = self.domains.get_mut(service) {
             domain.placer = None;
             domain.plan_live = false;
+            self.shared.engine_loads().clear();
         }
     }
 
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -68,6 +68,11 @@
             .unwrap_or_default()
     }
 
+    /// Returns this machine's open requests at an engine.
+    pub fn open(&self, engine: &str) -> u32 {
+        self.engines.get(engine).map_or(0, |state| state.open)
+    }
+
     /// Counts how a send to an engine ended.
     pub fn note(&mut self, engine: &EngineName, outcome: EngineOutcome, now: ClockMillis) {
         self.engines.entry(Arc::clone(engine)).or_default().condition.note(outcome, now);
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -35,6 +35,9 @@
 /// How often connections that rested too long are closed.
 const CLEAN_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often open requests are counted for the placers.
+const COUNT_INTERVAL: Duration = Duration::from_millis(150);
+
 /// How long to wait before an address is listened on again.
 const LISTEN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -127,6 +130,18 @@
         taken
     }
 
+    /// Counts open requests at the engines that hold models, for their placers.
+    fn count_open(&self) {
+        let table = self.table();
+        let Some(routes) = &table.routes else { return };
+        let (pool, mut demand) = (self.pool.borrow(), self.shared.demand());
+        for service in routes.hosting_services() {
+            for entry in table.engines.get(&service.name).into_iter().flatten() {
+                demand.engine_open(&service.name, &entry.name, pool.open(&entry.name));
+            }
+        }
+    }
+
     fn clean(&self) {
         let (table, now) = (self.table(), self.now());
         let listed =
@@ -168,6 +183,7 @@
     tokio::task::spawn_local(connection::accept_clients(Rc::clone(&traffic), clients));
     tokio::task::spawn_local(probe::serve_readiness(Rc::clone(&traffic), readiness));
     tokio::task::spawn_local(clean_up(Rc::clone(&traffic)));
+    tokio::task::spawn_local(tell_open(Rc::clone(&traffic)));
     let mut stopping = shared.stopping.subscribe();
     // The sender lives as long as the shared state, so waiting can not fail.
     let _ = stopping.wait_for(|stopping| *stopping).await;
@@ -188,6 +204,13 @@
     }
 }
 
+async fn tell_open(traffic: Rc<TrafficState>) {
+    loop {
+        tokio::time::sleep(COUNT_INTERVAL).await;
+        traffic.count_open();
+    }
+}
+
 async fn clean_up(traffic: Rc<TrafficState>) {
     loop {
         tokio::time::sleep(CLEAN_INTERVAL).await;
--- a/crates/gateway/src/entry/pick.rs
+++ b/crates/gateway/src/entry/pick.rs
@@ -65,13 +65,18 @@
         return if cold { EnginePick::Cold } else { EnginePick::Nowhere };
     }
     let newest = able.iter().map(|(_, version, _, _)| *version).max().flatten();
+    let loads = traffic.shared.engine_loads();
     let candidates: Vec<EngineCandidate<'_>> = able
         .iter()
         .filter(|(_, version, _, _)| *version == newest)
-        .map(|(entry, _, condition, open)| EngineCandidate { entry, condition, open: *open })
+        .map(|(entry, _, condition, open)| {
+            let told = loads.at(&entry.name);
+            EngineCandidate { entry, condition, open: *open, told }
+        })
         .collect();
+    drop(loads);
     let zone = &traffic.shared.profile.zone;
-    let best = best_engine(&candidates, zone, xxh3_64(need.id.as_bytes()), now);
+    let best = best_engine(&candidates, zone, xxh3_64(need.id.as_bytes()), table.machines, now);
     let chosen = best.and_then(|best| able.iter().find(|(entry, ..)| entry.name == best));
     chosen.map_or(EnginePick::Nowhere, |(entry, version, _, _)| {
         EnginePick::Engine(Arc::clone(entry), *version)
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -11,7 +11,7 @@
 
 use reelreel_core::{
     ClockMillis, ClockSource, MonotonicClock,
-    fleet::{ModelKey, ServiceName},
+    fleet::{EngineName, ModelKey, ServiceName},
     placement::DemandEntry,
 };
 use tokio::sync::{Notify, watch};
@@ -48,10 +48,57 @@
     told: ClockMillis,
 }
 
+/// Open requests at one engine since they were last told.
+#[derive(Debug, Clone, Default)]
+struct OpenCount {
+    open: u32,
+    changed: bool,
+    told: ClockMillis,
+}
+
+/// What a machine tells the placer of one service.
+#[derive(Debug, Clone, Default)]
+pub struct ToldDemand {
+    /// What it is asked for.
+    pub entries: Vec<DemandEntry>,
+    /// Its open requests at engines.
+    pub loads: Vec<(EngineName, u32)>,
+}
+
+/// Open requests of all machines by engine, as the placers say.
+#[derive(Debug, Default)]
+pub struct EngineLoads {
+    open: HashMap<EngineName, u32>,
+}
+
+impl EngineLoads {
+    /// Takes what a placer says.
+    pub fn take(&mut self, loads: Vec<(EngineName, u32)>) {
+        for (engine, open) in loads {
+            if open == 0 {
+                self.open.remove(&engine);
+            } else {
+                self.open.insert(engine, open);
+            }
+        }
+    }
+
+    /// Forgets everything, since nobody keeps it up to date.
+    pub fn clear(&mut self) {
+        self.open.clear();
+    }
+
+    /// Returns the open requests at an engine, none where nobody told any.
+    pub fn at(&self, engine: &str) -> u32 {
+        self.open.get(engine).copied().unwrap_or_default()
+    }
+}
+
 /// Demand that the traffic thread sees and the control thread tells.
 #[derive(Debug, Default)]
 pub struct DemandCollector {
     services: HashMap<ServiceName, HashMap<ModelKey, DemandCount>>,
+    engines: HashMap<ServiceName, HashMap<EngineName, OpenCount>>,
 }
 
 impl DemandCollector {
@@ -81,9 +128,20 @@
         count.waiting_worth = (count.waiting_worth - worth).max(0.0);
     }
 
-    /// Takes what must be told now.
-    pub fn drain(&mut self, now: ClockMillis) -> Vec<(ServiceName, Vec<DemandEntry>)> {
-        let mut drained = Vec::new();
+    /// Takes how many requests are open at an engine.
+    pub fn engine_open(&mut self, service: &ServiceName, engine: &EngineName, open: u32) {
+        let engines = self.engines.entry(Arc::clone(service)).or_default();
+        if open == 0 && !engines.contains_key(engine) {
+            return;
+        }
+        let count = engines.entry(Arc::clone(engine)).or_default();
+        count.changed |= count.open != open;
+        count.open = open;
+    }
+
+    /// Takes what must be told now, by service.
+    pub fn drain(&mut self, now: ClockMillis) -> HashMap<ServiceName, ToldDemand> {
+        let mut drained = self.drain_loads(now);
         for (service, keys) in &mut self.services {
             let mut entries = Vec::new();
             for (key, count) in keys.iter_mut() {
@@ -102,8 +160,24 @@
             }
             keys.retain(|_, count| count.waiting > 0 || count.changed);
             if !entries.is_empty() {
-                drained.push((Arc::clone(service), entries));
+                drained.entry(Arc::clone(service)).or_default().entries = entries;
+            }
+        }
+        drained
+    }
+
+    fn drain_loads(&mut self, now: ClockMillis) -> HashMap<ServiceName, ToldDemand> {
+        let mut drained: HashMap<ServiceName, ToldDemand> = HashMap::new();
+        for (service, engines) in &mut self.engines {
+            for (engine, count) in engines.iter_mut() {
+                let renew = count.open > 0 && now.since(count.told) >= DEMAND_RENEWAL;
+                if count.changed || renew {
+                    let told = drained.entry(Arc::clone(service)).or_default();
+                    told.loads.push((Arc::clone(engine), count.open));
+                    (count.changed, count.told) = (false, now);
+                }
             }
+            engines.retain(|_, count| count.open > 0);
         }
         drained
     }
@@ -113,6 +187,9 @@
         for count in self.services.get_mut(service).into_iter().flat_map(HashMap::values_mut) {
             count.changed = true;
         }
+        for count in self.engines.get_mut(service).into_iter().flat_map(HashMap::values_mut) {
+            count.changed = true;
+        }
     }
 }
 
@@ -138,6 +215,7 @@
     /// Wakes the control thread when there is something to tell at once.
     pub wake_control: Notify,
     demand: Mutex<DemandCollector>,
+    engine_loads: Mutex<EngineLoads>,
 }
 
 impl SharedState {
@@ -155,6 +233,7 @@
             stop_began: OnceLock::new(),
             wake_control: Notify::new(),
             demand: Mutex::default(),
+            engine_loads: Mutex::default(),
         }
     }
 
@@ -163,6 +242,11 @@
         self.demand.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the engines' loads for a moment.
+    pub fn engine_loads(&self) -> MutexGuard<'_, EngineLoads> {
+        self.engine_loads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -95,7 +95,7 @@
     let machine = state.shared().profile.name.to_string();
     state.shared().demand().tell_again(service);
     let Some(domain) = state.domain(service) else { return false };
-    let hello = DemandFrame { machine, service: service.to_string(), entries: Vec::new() };
+    let hello = DemandFrame { machine, service: service.to_string(), ..DemandFrame::default() };
     let sent = sender.try_send(PeerFrame::new(FrameBody::Demand(hello))).is_ok();
     domain.placer = Some(sender.clone());
     sent
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use reelreel_core::{
-    fleet::{HeldModel, ModelKey},
+    fleet::{EngineName, HeldModel, ModelKey},
     placement::DemandEntry,
 };
 
@@ -51,6 +51,20 @@
     /// What changed since the last frame.
     #[prost(message, repeated, tag = "3")]
     pub entries: Vec<DemandLine>,
+    /// Open requests at engines where they changed.
+    #[prost(message, repeated, tag = "4")]
+    pub loads: Vec<LoadLine>,
+}
+
+/// Open requests at an engine.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LoadLine {
+    /// The engine.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// Requests that are open there.
+    #[prost(uint32, tag = "2")]
+    pub open: u32,
 }
 
 /// Demand for one model or adapter.
@@ -88,6 +102,9 @@
     /// How many machines listen to the placer, itself included.
     #[prost(uint32, tag = "5")]
     pub machines: u32,
+    /// Open requests of all machines at engines where they changed.
+    #[prost(message, repeated, tag = "6")]
+    pub loads: Vec<LoadLine>,
 }
 
 /// What one engine holds.
@@ -214,6 +231,18 @@
     }
 }
 
+impl From<&(EngineName, u32)> for LoadLine {
+    fn from((engine, open): &(EngineName, u32)) -> Self {
+        Self { engine: engine.to_string(), open: *open }
+    }
+}
+
+impl From<&LoadLine> for (EngineName, u32) {
+    fn from(line: &LoadLine) -> Self {
+        (Arc::from(line.engine.as_str()), line.open)
+    }
+}
+
 impl From<&HeldModel> for HeldLine {
     fn from(held: &HeldModel) -> Self {
         Self { key: held.key.to_string(), version: held.version }
--- a/crates/gateway/tests/machine/dialect.rs
+++ b/crates/gateway/tests/machine/dialect.rs
@@ -225,6 +225,7 @@
                 .parse()
                 .map_err(|_| BorderError::Malformed(record.key.clone()))?,
             zone: Arc::from("hall"),
+            slots: 16,
             leaving: body["leaving"].as_bool().unwrap_or_default(),
             sequence: 0,
             held: held(&body["held"]),
