--- a/crates/core/src/fleet/choice.rs
+++ b/crates/core/src/fleet/choice.rs
@@ -11,7 +11,7 @@
 const FAILURE_WEIGHT: f64 = 40.0;
 
 /// What leaving the own data hall costs, in open requests.
-const ZONE_WEIGHT: f64 = 0.4;
+const ZONE_WEIGHT: f64 = 2.0;
 
 /// What being left alone costs: more than any load.
 const REST_WEIGHT: f64 = 10_000.0;
