feat(cli): explain one request from all machines' logs; losses by cause

On-call engineers have only logs. 'reelreel explain REQUEST LOG...' shows the request, the lines of all machines that concern it in their order, and names the cause; 'reelreel losses LOG...' counts requests by cause and route and over time, as text or JSON. Events can be read back (Deserialize) and the writer takes any output.

--- /dev/null
+++ b/crates/cli/src/logs/explain.rs
@@ -0,0 +1,81 @@
+//! `reelreel explain`: what all machines' logs say of one request, and the cause of its end.
+
+use std::{fmt::Write as _, path::PathBuf};
+
+use eyre::bail;
+use reelreel_gateway::events::MachineEvent;
+
+use super::{
+    cause::{RequestCause, RequestLine},
+    line::{LogLine, MachineLogs},
+};
+
+/// The most lines around a request that are shown.
+const MOST_LINES: usize = 60;
+
+/// Explains one request from the logs in `files`.
+///
+/// # Errors
+/// Returns that a file can not be read, or that no line tells of the request.
+pub(crate) fn explain(id: &str, files: &[PathBuf]) -> eyre::Result<String> {
+    let logs = MachineLogs::read(files)?;
+    let request = logs.lines.iter().filter_map(RequestLine::of).find(|request| request.id == id);
+    let Some(request) = request else {
+        bail!(
+            "no line tells of request {id}; name the logs of all machines, and mind that of requests \
+             that ended well one in sixteen is logged"
+        );
+    };
+    let mut text = String::new();
+    describe(&mut text, &request)?;
+    let (from, until) = request.span();
+    let around: Vec<&LogLine> =
+        logs.between(from, until).iter().filter(|line| concerns(line, &request)).collect();
+    writeln!(text, "\nAround it, in milliseconds after its arrival:")?;
+    for line in around.iter().take(MOST_LINES) {
+        let after = i128::from(line.at) - i128::from(request.arrived());
+        let event = serde_json::to_string(&line.event)?;
+        writeln!(text, "{after:>8}  {:<20} {event}", line.machine)?;
+    }
+    if around.len() > MOST_LINES {
+        writeln!(text, "          and {} lines more", around.len() - MOST_LINES)?;
+    }
+    let left_out: u64 = logs.between(from, until).iter().map(|line| line.left_out).sum();
+    if left_out > 0 {
+        writeln!(text, "          {left_out} lines found no room in this time")?;
+    }
+    writeln!(text, "\nCause: {}", RequestCause::of(&request, &logs))?;
+    Ok(text)
+}
+
+fn describe(text: &mut String, request: &RequestLine) -> eyre::Result<()> {
+    writeln!(text, "Request {} at {}", request.id, request.machine)?;
+    writeln!(text, "  route     {} (configuration {})", request.route, request.revision)?;
+    writeln!(text, "  named     {}", request.key.as_deref().unwrap_or("no model"))?;
+    let engine = request.engine.as_deref().unwrap_or("no engine");
+    writeln!(text, "  sent      {} times, last to {engine}", request.sends)?;
+    writeln!(text, "  waited    {} ms for its adapter", request.waited)?;
+    writeln!(text, "  first     {} ms after its arrival (0: none)", request.first)?;
+    writeln!(
+        text,
+        "  ended     {} ms after its arrival: {}, status {}",
+        request.total, request.outcome, request.status
+    )?;
+    Ok(())
+}
+
+/// Returns whether a line tells of something that may explain the request.
+fn concerns(line: &LogLine, request: &RequestLine) -> bool {
+    let own_machine = line.machine == request.machine;
+    match &line.event {
+        MachineEvent::Request { id, .. } => *id == request.id,
+        MachineEvent::Order { key, .. } => Some(key) == request.key.as_ref(),
+        MachineEvent::EngineJoined { engine, .. }
+        | MachineEvent::EngineLeaving { engine }
+        | MachineEvent::EngineGone { engine } => {
+            own_machine && Some(engine) == request.engine.as_ref()
+        }
+        MachineEvent::Lease { state, .. } => own_machine || state == "acting",
+        _ => own_machine,
+    }
+}
--- /dev/null
+++ b/crates/cli/src/logs/line.rs
@@ -0,0 +1,76 @@
+//! Reading log lines.
+
+use std::{
+    fs::File,
+    io::{BufRead, BufReader, stdin},
+    path::Path,
+};
+
+use eyre::WrapErr;
+use reelreel_gateway::events::MachineEvent;
+use serde::Deserialize;
+
+/// A line of a machine's log.
+#[derive(Debug, Clone, Deserialize)]
+pub(super) struct LogLine {
+    /// The wall clock. Unit: milliseconds since 1970.
+    pub(super) at: u64,
+    /// The machine.
+    pub(super) machine: String,
+    /// What it says.
+    #[serde(flatten)]
+    pub(super) event: MachineEvent,
+    /// How many lines before it found no room.
+    #[serde(default)]
+    pub(super) left_out: u64,
+}
+
+/// The lines of several machines in the order of their times.
+#[derive(Debug, Default)]
+pub(super) struct MachineLogs {
+    /// The lines.
+    pub(super) lines: Vec<LogLine>,
+    /// Lines that are none of a machine's events.
+    pub(super) passed_over: usize,
+}
+
+impl MachineLogs {
+    /// Reads files; `-` is the standard input. Whatever stands before a line's first brace is passed
+    /// over, so that lines may carry a collector's own time and name.
+    pub(super) fn read(files: &[impl AsRef<Path>]) -> eyre::Result<Self> {
+        let mut logs = Self::default();
+        for file in files {
+            let path = file.as_ref();
+            if path == Path::new("-") {
+                logs.take(stdin().lock())?;
+                continue;
+            }
+            let opened = File::open(path)
+                .wrap_err_with(|| format!("{} can not be read; name a log file", path.display()))?;
+            logs.take(BufReader::new(opened))?;
+        }
+        logs.lines.sort_by_key(|line| line.at);
+        Ok(logs)
+    }
+
+    fn take(&mut self, mut reader: impl BufRead) -> eyre::Result<()> {
+        let mut bytes = Vec::new();
+        while reader.read_until(b'\n', &mut bytes)? > 0 {
+            let text = String::from_utf8_lossy(&bytes);
+            let line = text.find('{').and_then(|start| serde_json::from_str(&text[start..]).ok());
+            match line {
+                Some(line) => self.lines.push(line),
+                None => self.passed_over += 1,
+            }
+            bytes.clear();
+        }
+        Ok(())
+    }
+
+    /// Returns the lines within a span of the wall clock, both ends included.
+    pub(super) fn between(&self, from: u64, until: u64) -> &[LogLine] {
+        let start = self.lines.partition_point(|line| line.at < from);
+        let end = self.lines.partition_point(|line| line.at <= until);
+        &self.lines[start..end]
+    }
+}
--- /dev/null
+++ b/crates/cli/src/logs/losses.rs
@@ -0,0 +1,148 @@
+//! `reelreel losses`: how the requests of some logs ended, by cause, and what loading cost them.
+
+use std::{collections::BTreeMap, fmt::Write as _, path::PathBuf};
+
+use reelreel_gateway::{entry::exchange::LOGGED_SHARE, events::MachineEvent};
+use serde::Serialize;
+
+use super::{
+    cause::{RequestCause, RequestLine},
+    line::{LogLine, MachineLogs},
+};
+use crate::output::OutputFormat;
+
+/// The span of one row of the table over time. Unit: milliseconds.
+const ROW_MILLIS: u64 = 2000;
+
+/// Requests by cause.
+#[derive(Debug, Serialize)]
+struct CauseRow {
+    cause: String,
+    route: String,
+    requests: u64,
+    /// The mean time that they waited for an adapter. Unit: milliseconds.
+    waited: u64,
+    /// The mean time until they ended. Unit: milliseconds.
+    total: u64,
+}
+
+/// What happened in one span of time.
+#[derive(Debug, Default, Serialize)]
+struct SpanRow {
+    /// The beginning of the span after the first line. Unit: milliseconds.
+    from: u64,
+    served: u64,
+    lost: u64,
+    loads: u64,
+    unloads: u64,
+    /// Orders without a useful answer.
+    lost_orders: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct LossTable {
+    causes: Vec<CauseRow>,
+    spans: Vec<SpanRow>,
+    passed_over: usize,
+}
+
+/// Counts how the requests in the logs of `files` ended.
+///
+/// # Errors
+/// Returns that a file can not be read.
+pub(crate) fn losses(files: &[PathBuf], output: OutputFormat) -> eyre::Result<String> {
+    let logs = MachineLogs::read(files)?;
+    let table =
+        LossTable { causes: causes(&logs), spans: spans(&logs), passed_over: logs.passed_over };
+    match output {
+        OutputFormat::Json => Ok(serde_json::to_string_pretty(&table)?),
+        OutputFormat::Text => text(&table),
+    }
+}
+
+fn causes(logs: &MachineLogs) -> Vec<CauseRow> {
+    let mut sums: BTreeMap<(RequestCause, String), (u64, u64, u64)> = BTreeMap::new();
+    for request in logs.lines.iter().filter_map(RequestLine::of) {
+        let cause = RequestCause::of(&request, logs);
+        let count = weight(&cause);
+        let sum = sums.entry((cause, request.route.clone())).or_default();
+        sum.0 += count;
+        sum.1 += count * request.waited;
+        sum.2 += count * request.total;
+    }
+    let rows = sums.into_iter().map(|((cause, route), (requests, waited, total))| CauseRow {
+        cause: cause.to_string(),
+        route,
+        requests,
+        waited: waited / requests,
+        total: total / requests,
+    });
+    let mut rows: Vec<CauseRow> = rows.collect();
+    rows.sort_by_key(|row| std::cmp::Reverse(row.requests));
+    rows
+}
+
+/// Returns how many requests one line stands for.
+fn weight(cause: &RequestCause) -> u64 {
+    if *cause == RequestCause::Served { LOGGED_SHARE } else { 1 }
+}
+
+fn spans(logs: &MachineLogs) -> Vec<SpanRow> {
+    let Some(begin) = logs.lines.first().map(|line| line.at) else { return Vec::new() };
+    let mut rows: BTreeMap<u64, SpanRow> = BTreeMap::new();
+    for line in &logs.lines {
+        let from = (line.at - begin) / ROW_MILLIS * ROW_MILLIS;
+        let row = rows.entry(from).or_insert_with(|| SpanRow { from, ..SpanRow::default() });
+        count(row, line);
+    }
+    rows.into_values().collect()
+}
+
+fn count(row: &mut SpanRow, line: &LogLine) {
+    match &line.event {
+        MachineEvent::Request { outcome, .. } if outcome == "answered" => {
+            row.served += LOGGED_SHARE;
+        }
+        MachineEvent::Request { .. } => row.lost += 1,
+        MachineEvent::Order { kind, answer, .. } => match (kind.as_str(), answer.as_str()) {
+            ("unload", "Accepted" | "Done") => row.unloads += 1,
+            (_, "Accepted") => row.loads += 1,
+            (_, "Done") => {}
+            _ => row.lost_orders += 1,
+        },
+        _ => {}
+    }
+}
+
+fn text(table: &LossTable) -> eyre::Result<String> {
+    let mut text = String::new();
+    writeln!(
+        text,
+        "{:>8}  {:<48} {:<16} {:>8} {:>8}",
+        "requests", "cause", "route", "waited", "total"
+    )?;
+    for row in &table.causes {
+        let CauseRow { cause, route, requests, waited, total } = row;
+        writeln!(text, "{requests:>8}  {cause:<48} {route:<16} {waited:>8} {total:>8}")?;
+    }
+    writeln!(
+        text,
+        "\nServed requests are estimated: one in {LOGGED_SHARE} is logged. Times are means in ms."
+    )?;
+    writeln!(
+        text,
+        "\n{:>8} {:>8} {:>8} {:>8} {:>8} {:>12}",
+        "from ms", "served", "lost", "loads", "unloads", "lost orders"
+    )?;
+    for row in &table.spans {
+        let SpanRow { from, served, lost, loads, unloads, lost_orders } = row;
+        writeln!(
+            text,
+            "{from:>8} {served:>8} {lost:>8} {loads:>8} {unloads:>8} {lost_orders:>12}"
+        )?;
+    }
+    if table.passed_over > 0 {
+        writeln!(text, "\n{} lines are no events of a machine.", table.passed_over)?;
+    }
+    Ok(text)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod capacity;
 mod dev;
+mod logs;
 mod measure;
 mod options;
 mod output;
@@ -20,6 +21,8 @@
         Command::Settings(command) => settings::run(&command),
         Command::Status(options) => watch::status(&options),
         Command::Timeline(options) => watch::timeline(&options),
+        Command::Explain(options) => print_text(logs::explain::explain(&options.id, &options.logs)),
+        Command::Losses(options) => print_text(logs::losses::losses(&options.logs, options.output)),
         Command::Bench(options) => bench::run(&options),
         Command::Capacity(options) => capacity::run(&options),
         Command::Measure(options) => measure::run(&options),
@@ -32,3 +35,8 @@
         }
     }
 }
+
+fn print_text(text: eyre::Result<String>) -> eyre::Result<ExitCode> {
+    output::write_out(&text?)?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -24,6 +24,12 @@
     /// Shows the events of hosts in one order, causes before effects
     #[bpaf(command)]
     Timeline(#[bpaf(external(watch_options))] WatchOptions),
+    /// Puts together what all machines' logs say of one request, and names the cause of its end
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_options))] ExplainOptions),
+    /// Counts how the requests in machines' logs ended, by cause and over time
+    #[bpaf(command)]
+    Losses(#[bpaf(external(losses_options))] LossesOptions),
     /// Plays scenarios against several policies and prints what callers got
     #[bpaf(command)]
     Bench(#[bpaf(external(bench_options))] BenchOptions),
@@ -260,6 +266,33 @@
     pub(crate) hosts: Vec<String>,
 }
 
+/// Which request is explained.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct ExplainOptions {
+    /// The request's id
+    #[bpaf(positional("REQUEST"))]
+    pub(crate) id: String,
+    /// Log files of machines on a platform; - for the standard input
+    #[bpaf(
+        positional("LOG"),
+        some("name the log files of all machines, or - for the standard input")
+    )]
+    pub(crate) logs: Vec<PathBuf>,
+}
+
+/// Whose losses are counted.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct LossesOptions {
+    #[bpaf(external(output_format))]
+    pub(crate) output: OutputFormat,
+    /// Log files of machines on a platform; - for the standard input
+    #[bpaf(
+        positional("LOG"),
+        some("name the log files of all machines, or - for the standard input")
+    )]
+    pub(crate) logs: Vec<PathBuf>,
+}
+
 /// What is measured.
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct MeasureOptions {
--- /dev/null
+++ b/crates/cli/tests/logs/main.rs
@@ -0,0 +1,167 @@
+//! `reelreel explain` and `reelreel losses`, over lines as machines write them.
+
+use std::{fs, path::PathBuf, process::Command};
+
+/// A log file that is removed when the test ends.
+struct LogFile {
+    path: PathBuf,
+}
+
+impl LogFile {
+    fn new(name: &str, lines: &[&str]) -> Self {
+        let file = format!("reelreel-{}-{name}.log", std::process::id());
+        let path = std::env::temp_dir().join(file);
+        fs::write(&path, lines.join("\n") + "\n").expect("a log file");
+        Self { path }
+    }
+}
+
+impl Drop for LogFile {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.path);
+    }
+}
+
+fn reelreel(arguments: &[&str], log: &LogFile) -> (bool, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_reelreel"))
+        .args(arguments)
+        .arg(&log.path)
+        .output()
+        .expect("the program runs");
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.success(), String::from_utf8_lossy(&text).into_owned())
+}
+
+struct CauseCase {
+    name: &'static str,
+    /// How the request `r1` ended at 10,000.
+    request: &'static str,
+    /// Lines around it.
+    around: &'static [&'static str],
+    cause: &'static str,
+}
+
+const CAUSE_CASES: &[CauseCase] = &[
+    CauseCase {
+        name: "loaded-late",
+        request: r#""outcome":"adapter_absent","status":503,"key":"m/a1","sends":0,"waited":6,"first":0,"total":7"#,
+        around: &[
+            r#"{"at":11400,"machine":"two","event":"order","engine":"e1","kind":"load","key":"m/a1","sequence":4,"token":8,"worth":4.1,"waiting":2,"answer":"Accepted","millis":3}"#,
+        ],
+        cause: "its adapter was loaded too late",
+    },
+    CauseCase {
+        name: "order-lost",
+        request: r#""outcome":"adapter_absent","status":503,"key":"m/a1","sends":0,"waited":130,"first":0,"total":130"#,
+        around: &[
+            r#"{"at":9950,"machine":"two","event":"order","engine":"e1","kind":"load","key":"m/a1","sequence":4,"token":8,"worth":4.1,"waiting":2,"answer":"Unknown","millis":250}"#,
+        ],
+        cause: "the order to load its adapter got no answer",
+    },
+    CauseCase {
+        name: "no-placer",
+        request: r#""outcome":"adapter_absent","status":503,"key":"m/a1","sends":0,"waited":130,"first":0,"total":130"#,
+        around: &[
+            r#"{"at":1000,"machine":"two","event":"lease","service":"s","state":"acting","token":8}"#,
+            r#"{"at":4000,"machine":"two","event":"lease","service":"s","state":"absent","token":8}"#,
+        ],
+        cause: "nobody held the placement lease",
+    },
+    CauseCase {
+        name: "never-loaded",
+        request: r#""outcome":"adapter_absent","status":503,"key":"m/a1","sends":0,"waited":130,"first":0,"total":130"#,
+        around: &[
+            r#"{"at":1000,"machine":"two","event":"lease","service":"s","state":"acting","token":8}"#,
+        ],
+        cause: "its adapter was not loaded",
+    },
+    CauseCase {
+        name: "engine-gone",
+        request: r#""outcome":"engine_failed","status":502,"engine":"e1","sends":1,"waited":0,"first":0,"total":5"#,
+        around: &[r#"{"at":12000,"machine":"one","event":"engine_gone","engine":"e1"}"#],
+        cause: "its engine went away",
+    },
+    CauseCase {
+        name: "engine-stays",
+        request: r#""outcome":"engine_failed","status":502,"engine":"e1","sends":1,"waited":0,"first":0,"total":5"#,
+        around: &[r#"{"at":12000,"machine":"one","event":"engine_gone","engine":"e2"}"#],
+        cause: "its engine broke off and stayed listed",
+    },
+    CauseCase {
+        name: "no-configuration",
+        request: r#""outcome":"refused_early","status":503,"sends":0,"waited":0,"first":0,"total":0"#,
+        around: &[],
+        cause: "the machine knew no configuration",
+    },
+    CauseCase {
+        name: "left-queued",
+        request: r#""outcome":"client_gone","status":0,"engine":"e1","sends":1,"waited":0,"first":0,"total":3200"#,
+        around: &[],
+        cause: "its client left before the engine's first byte",
+    },
+];
+
+#[test]
+fn the_cause_of_a_failed_request_is_named() {
+    for case in CAUSE_CASES {
+        let revision = if case.name == "no-configuration" { 0 } else { 3 };
+        let request = format!(
+            r#"  7.1 one {{"at":10000,"machine":"one","event":"request","id":"r1","route":"r",{},"revision":{revision}}}"#,
+            case.request
+        );
+        let mut lines = vec![request.as_str(), "no event at all"];
+        lines.extend(case.around);
+        let log = LogFile::new(case.name, &lines);
+        let (done, text) = reelreel(&["explain", "r1"], &log);
+        assert!(done, "{}: {text}", case.name);
+        assert!(text.contains(&format!("Cause: {}\n", case.cause)), "{}: {text}", case.name);
+        let (done, text) = reelreel(&["losses"], &log);
+        assert!(done && text.contains(case.cause), "{}: {text}", case.name);
+        assert!(text.contains("1 lines are no events"), "{}: {text}", case.name);
+    }
+}
+
+#[test]
+fn lines_around_a_request_are_shown_in_order_and_others_are_not() {
+    let log = LogFile::new(
+        "around",
+        &[
+            r#"{"at":10000,"machine":"one","event":"request","id":"r1","route":"r","outcome":"adapter_absent","status":503,"key":"m/a1","sends":0,"waited":6,"first":0,"total":7,"revision":3}"#,
+            r#"{"at":9000,"machine":"one","event":"store_lost","what":"engines"}"#,
+            r#"{"at":9100,"machine":"three","event":"store_lost","what":"engines"}"#,
+            r#"{"at":9200,"machine":"two","event":"order","engine":"e1","kind":"load","key":"m/a2","sequence":4,"token":8,"worth":4.1,"waiting":2,"answer":"Accepted","millis":3}"#,
+            r#"{"at":10500,"machine":"two","event":"order","engine":"e1","kind":"load","key":"m/a1","sequence":4,"token":8,"worth":4.1,"waiting":2,"answer":"Accepted","millis":3}"#,
+        ],
+    );
+    let (done, text) = reelreel(&["explain", "r1"], &log);
+    assert!(done, "{text}");
+    let lost = text.find("store_lost").expect("the machine's own line");
+    let order = text.find("m/a1\",\"sequence").expect("the order for its adapter");
+    assert!(lost < order, "{text}");
+    assert!(!text.contains("m/a2") && !text.contains("three"), "{text}");
+}
+
+#[test]
+fn a_request_that_no_line_tells_of_is_an_error_that_says_so() {
+    let log = LogFile::new("none", &[r#"{"at":1,"machine":"one","event":"stopping","open":0}"#]);
+    let (done, text) = reelreel(&["explain", "r9"], &log);
+    assert!(!done);
+    assert!(text.contains("no line tells of request r9"), "{text}");
+}
+
+#[test]
+fn losses_as_json_count_one_line_of_a_served_request_for_all_it_stands_for() {
+    let log = LogFile::new(
+        "json",
+        &[
+            r#"{"at":10000,"machine":"one","event":"request","id":"r1","route":"r","outcome":"answered","status":200,"engine":"e","sends":1,"waited":0,"first":9,"total":20,"revision":3}"#,
+            r#"{"at":10001,"machine":"one","event":"request","id":"r2","route":"r","outcome":"time_over","status":504,"engine":"e","sends":1,"waited":0,"first":0,"total":800,"revision":3}"#,
+        ],
+    );
+    let (done, text) = reelreel(&["losses", "--output", "json"], &log);
+    assert!(done, "{text}");
+    let table: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(table["causes"][0]["requests"], 16);
+    assert_eq!(table["causes"][1]["requests"], 1);
+    assert_eq!(table["spans"][0]["lost"], 1);
+}
--- a/crates/gateway/src/control/mirror.rs
+++ b/crates/gateway/src/control/mirror.rs
@@ -72,9 +72,9 @@
         if away != self.away {
             self.away = away;
             let event = if away {
-                MachineEvent::StoreLost { what }
+                MachineEvent::StoreLost { what: what.into() }
             } else {
-                MachineEvent::StoreRegained { what }
+                MachineEvent::StoreRegained { what: what.into() }
             };
             shared.events.write(event);
         }
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -128,7 +128,8 @@
         let state = domain.tenure.state();
         if self.lease_states.insert(Arc::clone(service), state) != Some(state) {
             let (service, token) = (service.to_string(), domain.tenure.token());
-            self.shared.events.write(MachineEvent::Lease { service, state: state.name(), token });
+            let state = state.name().into();
+            self.shared.events.write(MachineEvent::Lease { service, state, token });
         }
         if !domain.tenure.is_holder() {
             if domain.planner.take().is_some() {
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -51,7 +51,7 @@
 const FULL_PAUSE: Duration = Duration::from_millis(250);
 
 /// One in so many requests that ended well is logged.
-const LOGGED_SHARE: u64 = 16;
+pub const LOGGED_SHARE: u64 = 16;
 
 /// A client's request, read whole.
 #[derive(Debug)]
@@ -362,7 +362,7 @@
         shared.events.write(MachineEvent::Request {
             id: self.facts.id.clone(),
             route: self.route.name.clone(),
-            outcome,
+            outcome: outcome.into(),
             status: self.status,
             key: self.facts.model.as_ref().map(ToString::to_string),
             engine: self.sent_to.last().map(ToString::to_string),
--- a/crates/gateway/src/entry/prepare.rs
+++ b/crates/gateway/src/entry/prepare.rs
@@ -79,7 +79,7 @@
     traffic.shared.events.write(MachineEvent::Request {
         id: id.unwrap_or_default(),
         route: request.head.target.clone(),
-        outcome: "refused_early",
+        outcome: "refused_early".into(),
         status: answer.status,
         key: None,
         engine: None,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -4,6 +4,7 @@
 //! out and counted; the next line that fits says how many were.
 
 use std::{
+    borrow::Cow,
     io::Write,
     net::SocketAddr,
     sync::{
@@ -14,7 +15,7 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// How many lines wait for the writer at most.
 const QUEUE_LENGTH: usize = 512;
@@ -23,7 +24,7 @@
 const WRITER_STACK: usize = 128 * 1024;
 
 /// How a request's way ended, or what was decided on it.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum MachineEvent {
     /// The process serves its addresses.
@@ -36,7 +37,7 @@
     /// The settings were read anew.
     Reloaded {
         /// What is wrong with them.
-        #[serde(skip_serializing_if = "Option::is_none")]
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         mistake: Option<String>,
     },
     /// A planned stop began.
@@ -57,12 +58,12 @@
     /// The store gave no useful answer after it had.
     StoreLost {
         /// What was read.
-        what: &'static str,
+        what: Cow<'static, str>,
     },
     /// The store answers again.
     StoreRegained {
         /// What was read.
-        what: &'static str,
+        what: Cow<'static, str>,
     },
     /// The machine follows another one that reads the store for it.
     Following {
@@ -98,7 +99,7 @@
         /// The domain's service.
         service: String,
         /// The state.
-        state: &'static str,
+        state: Cow<'static, str>,
         /// The tenure's token.
         token: u64,
     },
@@ -130,14 +131,14 @@
         /// Its route.
         route: String,
         /// How it ended.
-        outcome: &'static str,
+        outcome: Cow<'static, str>,
         /// The status that the client got; zero when it got none.
         status: u16,
         /// The model or adapter.
-        #[serde(skip_serializing_if = "Option::is_none")]
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         key: Option<String>,
         /// The last engine that it was sent to.
-        #[serde(skip_serializing_if = "Option::is_none")]
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         engine: Option<String>,
         /// To how many engines it was sent.
         sends: u32,
@@ -175,18 +176,29 @@
 }
 
 impl EventLog {
-    /// Starts the writer thread.
+    /// Starts the writer thread, which writes to standard output.
     ///
     /// # Errors
     /// Returns that the thread could not be started.
     pub fn start(machine: Arc<str>) -> std::io::Result<Self> {
+        Self::start_to(machine, std::io::stdout())
+    }
+
+    /// Starts the writer thread, which writes to `output`.
+    ///
+    /// # Errors
+    /// Returns that the thread could not be started.
+    pub fn start_to(
+        machine: Arc<str>,
+        output: impl Write + Send + 'static,
+    ) -> std::io::Result<Self> {
         let (sender, receiver) = sync_channel(QUEUE_LENGTH);
         let left_out = Arc::new(AtomicU64::new(0));
         let count = Arc::clone(&left_out);
         std::thread::Builder::new()
             .name(String::from("events"))
             .stack_size(WRITER_STACK)
-            .spawn(move || write_events(&receiver, &machine, &count))?;
+            .spawn(move || write_events(&receiver, &machine, &count, output))?;
         Ok(Self { sender, left_out })
     }
 
@@ -200,7 +212,12 @@
     }
 }
 
-fn write_events(receiver: &Receiver<(u64, MachineEvent)>, machine: &str, left_out: &AtomicU64) {
+fn write_events(
+    receiver: &Receiver<(u64, MachineEvent)>,
+    machine: &str,
+    left_out: &AtomicU64,
+    mut output: impl Write,
+) {
     let mut line = Vec::with_capacity(512);
     while let Ok((at, event)) = receiver.recv() {
         line.clear();
@@ -210,7 +227,7 @@
         {
             append_line(&mut line, machine, at, &event, left_out);
         }
-        if std::io::stdout().write_all(&line).is_err() {
+        if output.write_all(&line).is_err() {
             return;
         }
     }
--- /dev/null
+++ b/crates/gateway/tests/machine/events.rs
@@ -0,0 +1,143 @@
+//! Structured log lines: a reader that stalls delays nothing, and the page on them is complete.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io::{BufRead, BufReader},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use reelreel_gateway::events::{EventLog, MachineEvent};
+use serde_json::Value;
+
+/// Lines that are written: many times what a pipe and the queue hold.
+const LINES: u64 = 20_000;
+
+#[test]
+fn a_reader_that_stalls_delays_nothing_and_hears_how_much_was_left_out() {
+    let (reader, writer) = std::io::pipe().expect("a pipe");
+    let log = EventLog::start_to(Arc::from("stalled"), writer).expect("a thread");
+    let mut longest = Duration::ZERO;
+    for number in 0..LINES {
+        let began = Instant::now();
+        log.write(MachineEvent::ConfigurationInForce { revision: number });
+        longest = longest.max(began.elapsed());
+    }
+    // A write that waited for the reader would never return; the bound leaves room for a busy box.
+    assert!(longest < Duration::from_secs(1), "a write took {longest:?}");
+    // Once somebody reads again, what is queued comes, and a line says how many found no room.
+    let reading = std::thread::spawn(move || {
+        let lines = BufReader::new(reader).lines().map_while(Result::ok);
+        let lines = lines.map(|line| serde_json::from_str(&line).expect("a JSON line"));
+        lines.collect::<Vec<Value>>()
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    log.write(MachineEvent::ConfigurationInForce { revision: LINES });
+    drop(log);
+    let lines = reading.join().expect("the reader ends");
+    let left_out: u64 = lines.iter().filter_map(|line| line["left_out"].as_u64()).sum();
+    assert!(left_out > 0, "{} lines came", lines.len());
+    assert_eq!(left_out + lines.len() as u64, LINES + 1);
+}
+
+/// One event of each kind.
+fn one_of_each() -> Vec<MachineEvent> {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let engine = || String::from("e1");
+    vec![
+        MachineEvent::Started { clients: address, peers: address },
+        MachineEvent::Reloaded { mistake: Some(String::from("none")) },
+        MachineEvent::Stopping { open: 1 },
+        MachineEvent::Stopped { open: 1 },
+        MachineEvent::ConfigurationInForce { revision: 1 },
+        MachineEvent::StoreLost { what: "engines".into() },
+        MachineEvent::StoreRegained { what: "engines".into() },
+        MachineEvent::Following { reader: String::from("127.0.0.1:1") },
+        MachineEvent::ReaderLost { reader: String::from("127.0.0.1:1") },
+        MachineEvent::EngineJoined { engine: engine(), service: String::from("s"), address },
+        MachineEvent::EngineLeaving { engine: engine() },
+        MachineEvent::EngineGone { engine: engine() },
+        MachineEvent::Lease { service: String::from("s"), state: "acting".into(), token: 1 },
+        MachineEvent::Order {
+            engine: engine(),
+            kind: String::from("load"),
+            key: String::from("m/a1"),
+            sequence: 1,
+            token: 1,
+            worth: 1.0,
+            waiting: 1,
+            answer: String::from("Accepted"),
+            millis: 1,
+        },
+        MachineEvent::Request {
+            id: String::from("r1"),
+            route: String::from("r"),
+            outcome: "answered".into(),
+            status: 200,
+            key: Some(String::from("m/a1")),
+            engine: Some(engine()),
+            sends: 1,
+            waited: 1,
+            first: 1,
+            total: 1,
+            revision: 1,
+        },
+    ]
+}
+
+/// Fails to compile when a kind of event is added and [`one_of_each`] is not extended.
+fn is_listed(event: &MachineEvent) -> bool {
+    use MachineEvent as Event;
+    match event {
+        Event::Started { .. }
+        | Event::Reloaded { .. }
+        | Event::Stopping { .. }
+        | Event::Stopped { .. }
+        | Event::ConfigurationInForce { .. }
+        | Event::StoreLost { .. }
+        | Event::StoreRegained { .. }
+        | Event::Following { .. }
+        | Event::ReaderLost { .. }
+        | Event::EngineJoined { .. }
+        | Event::EngineLeaving { .. }
+        | Event::EngineGone { .. }
+        | Event::Lease { .. }
+        | Event::Order { .. }
+        | Event::Request { .. } => true,
+    }
+}
+
+/// Returns the events and fields that the page's table names, by event.
+fn page() -> BTreeMap<String, BTreeSet<String>> {
+    let page = include_str!("../../../../docs/OPERATIONS.md");
+    let table = page.split("## The lines").nth(1).expect("the table of lines");
+    let rows = table.lines().filter(|line| line.starts_with("| `"));
+    let mut named = BTreeMap::new();
+    for row in rows.take_while(|row| !row.contains("reelreel_")) {
+        let cells: Vec<&str> = row.split('|').collect();
+        let words = |cell: &str| -> BTreeSet<String> {
+            cell.split('`').skip(1).step_by(2).map(ToOwned::to_owned).collect()
+        };
+        for event in words(cells[1]) {
+            named.insert(event, words(cells[2]));
+        }
+    }
+    named
+}
+
+#[test]
+fn the_page_names_every_event_and_field() {
+    let page = page();
+    let events = one_of_each();
+    assert_eq!(events.len(), page.len(), "the page names {:?}", page.keys());
+    for event in events {
+        assert!(is_listed(&event));
+        let line = serde_json::to_value(&event).expect("a JSON value");
+        let line = line.as_object().expect("an object");
+        let name = line["event"].as_str().expect("a name");
+        let fields = page.get(name).unwrap_or_else(|| panic!("the page lacks `{name}`"));
+        for field in line.keys().filter(|field| *field != "event") {
+            assert!(fields.contains(field), "the page lacks field `{field}` of `{name}`");
+        }
+    }
+}
--- a/crates/gateway/tests/machine/main.rs
+++ b/crates/gateway/tests/machine/main.rs
@@ -4,6 +4,7 @@
 mod dialect;
 mod engine;
 mod engines;
+mod events;
 mod following;
 mod hostile;
 mod placement;
