fix(gateway): weak members leave when strong ones are back

Change: names of members tell whether they are strong; strong machines count only strong members, weak ones leave once three strong ones are back and do not all join at the same look.

Test: a_weak_machine_stands_in_and_leaves_when_strong_ones_are_back, candidacy tables.

--- a/crates/core/src/placement/candidacy.rs
+++ b/crates/core/src/placement/candidacy.rs
@@ -31,9 +31,18 @@
         self.processor >= STRONG_PROCESSOR && self.bandwidth >= STRONG_BANDWIDTH
     }
 
-    /// Returns whether the machine joins a group that has `members` already.
-    pub fn should_join(&self, members: usize) -> bool {
-        members < if self.is_strong() { ENOUGH_MEMBERS } else { LEAST_MEMBERS }
+    /// Returns whether the machine joins a group that has `members` already, `strong` ones among them.
+    ///
+    /// Strong machines do not count weak members, who only stand in for them.
+    pub fn should_join(&self, members: usize, strong: usize) -> bool {
+        if self.is_strong() { strong < ENOUGH_MEMBERS } else { members < LEAST_MEMBERS }
+    }
+}
+
+impl MachineCapacity {
+    /// Returns whether a member leaves its work to the `strong` members that the group has again.
+    pub fn should_leave(&self, strong: usize) -> bool {
+        !self.is_strong() && strong >= LEAST_MEMBERS
     }
 }
 
--- a/crates/core/tests/placement/candidacy.rs
+++ b/crates/core/tests/placement/candidacy.rs
@@ -8,6 +8,7 @@
     name: &'static str,
     capacity: MachineCapacity,
     members: usize,
+    strong: usize,
     joins: bool,
 }
 
@@ -16,22 +17,41 @@
 const NARROW: MachineCapacity = MachineCapacity { bandwidth: 10.0, ..STRONG };
 
 const CASES: &[CandidacyCase] = &[
-    CandidacyCase { name: "the first", capacity: STRONG, members: 0, joins: true },
-    CandidacyCase { name: "the eighth", capacity: STRONG, members: 7, joins: true },
-    CandidacyCase { name: "the ninth", capacity: STRONG, members: 8, joins: false },
-    CandidacyCase { name: "slow, alone", capacity: SLOW, members: 0, joins: true },
-    CandidacyCase { name: "slow, the third", capacity: SLOW, members: 2, joins: true },
-    CandidacyCase { name: "slow, the fourth", capacity: SLOW, members: 3, joins: false },
-    CandidacyCase { name: "a narrow link", capacity: NARROW, members: 3, joins: false },
+    CandidacyCase { name: "the first", capacity: STRONG, members: 0, strong: 0, joins: true },
+    CandidacyCase { name: "the eighth", capacity: STRONG, members: 7, strong: 7, joins: true },
+    CandidacyCase { name: "the ninth", capacity: STRONG, members: 8, strong: 8, joins: false },
+    CandidacyCase {
+        name: "beside weak ones",
+        capacity: STRONG,
+        members: 9,
+        strong: 0,
+        joins: true,
+    },
+    CandidacyCase { name: "slow, alone", capacity: SLOW, members: 0, strong: 0, joins: true },
+    CandidacyCase { name: "slow, the third", capacity: SLOW, members: 2, strong: 2, joins: true },
+    CandidacyCase { name: "slow, the fourth", capacity: SLOW, members: 3, strong: 3, joins: false },
+    CandidacyCase { name: "a narrow link", capacity: NARROW, members: 3, strong: 3, joins: false },
 ];
 
 #[test]
 fn strong_machines_join_first_and_weak_ones_only_while_the_group_is_small() {
     for case in CASES {
-        assert_eq!(case.capacity.should_join(case.members), case.joins, "{}", case.name);
+        assert_eq!(
+            case.capacity.should_join(case.members, case.strong),
+            case.joins,
+            "{}",
+            case.name
+        );
     }
 }
 
+#[test]
+fn weak_members_leave_when_enough_strong_ones_are_back() {
+    assert!(!SLOW.should_leave(2));
+    assert!(SLOW.should_leave(3));
+    assert!(!STRONG.should_leave(8));
+}
+
 #[test]
 fn reader_partitions_are_distinct_and_exist() {
     for partitions in 0..60 {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -22,7 +22,7 @@
     store::{
         Backoff, StoreClient,
         follow::follow_topic,
-        membership::{MembershipUpdate, leave, owners, stay_member},
+        membership::{GroupMember, MembershipUpdate, leave, owners, stay_member},
     },
 };
 
@@ -50,7 +50,10 @@
 const WEAK_DELAY: Duration = Duration::from_secs(3);
 
 /// How many looks in a row show a weak machine that the group lacks members.
-const WEAK_LOOKS: u32 = 3;
+const WEAK_LOOKS: u64 = 3;
+
+/// Each such part of its spread makes a weak machine look once more. Unit: milliseconds.
+const WEAK_SPREAD_STEP: u64 = 200;
 
 /// Over which time weak machines spread, so that not all join at once. Unit: milliseconds.
 const WEAK_SPREAD_MILLIS: u64 = 2000;
@@ -98,7 +101,7 @@
     tasks[2].abort();
     state.borrow_mut().leave_group();
     let mut client = store_client(shared);
-    if let Err(error) = leave(&mut client, shared.profile.peers).await {
+    if let Err(error) = leave(&mut client, own_member(shared)).await {
         log::debug!("leave: {error}");
     }
     loop {
@@ -139,18 +142,17 @@
 /// the store only while they follow none.
 async fn await_candidacy(state: &SharedControl, client: &mut StoreClient, backoff: &mut Backoff) {
     let shared = Arc::clone(state.borrow().shared());
-    let capacity = shared.profile.capacity;
+    let is_strong = shared.profile.capacity.is_strong();
     let spread = xxh3_64(shared.profile.name.as_bytes()) % WEAK_SPREAD_MILLIS;
-    let patience = if capacity.is_strong() {
-        Duration::ZERO
-    } else {
-        WEAK_DELAY + Duration::from_millis(spread)
-    };
+    let patience =
+        if is_strong { Duration::ZERO } else { WEAK_DELAY + Duration::from_millis(spread) };
+    // Not all weak machines that see that members are missing stand in at the same time.
+    let looks = if is_strong { 1 } else { WEAK_LOOKS + spread / WEAK_SPREAD_STEP };
     let began = shared.clock.now();
     let mut wanted = 0;
     loop {
         let follows = *state.borrow().following().borrow();
-        if !follows || capacity.should_join(state.borrow().known_members()) {
+        if !follows || state.borrow().should_join() {
             match owners(client).await {
                 Ok(owners) => {
                     backoff.succeeded();
@@ -164,9 +166,9 @@
                 }
             }
             let patient = shared.clock.now().since(began) < patience;
-            let want = !patient && capacity.should_join(state.borrow().known_members());
+            let want = !patient && state.borrow().should_join();
             wanted = if want { wanted + 1 } else { 0 };
-            if wanted >= if capacity.is_strong() { 1 } else { WEAK_LOOKS } {
+            if wanted >= looks {
                 return;
             }
         }
@@ -178,10 +180,21 @@
     let shared = Arc::clone(state.borrow().shared());
     let mut client = store_client(&shared);
     let mut pauses = backoff(&shared, 0x4444);
-    await_candidacy(&state, &mut client, &mut pauses).await;
     let time_to_live = MEMBERSHIP.max(shared.profile.shortest_membership);
-    let clock = shared.clock.clone();
-    let member = shared.profile.peers;
+    let member = own_member(&shared);
+    let unneeded = || shared.profile.capacity.should_leave(state.borrow().strong_members());
     let sink = |update| state.borrow_mut().membership_updated(update);
-    stay_member(client, member, time_to_live, clock, backoff(&shared, 0x3333), sink).await;
+    loop {
+        await_candidacy(&state, &mut client, &mut pauses).await;
+        let (clock, backoff) = (shared.clock.clone(), backoff(&shared, 0x3333));
+        stay_member(&mut client, member, time_to_live, clock, backoff, unneeded, sink).await;
+        state.borrow_mut().leave_group();
+        if let Err(error) = leave(&mut client, member).await {
+            log::debug!("leave: {error}");
+        }
+    }
+}
+
+fn own_member(shared: &SharedState) -> GroupMember {
+    GroupMember { address: shared.profile.peers, strong: shared.profile.capacity.is_strong() }
 }
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -4,7 +4,7 @@
 //! them and reads the store itself only while it can not. A reader passes on each change at once and
 //! says often that it is up to date; when it can no longer say so it lets its followers go.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use reelreel_core::{ClockMillis, ClockSource, placement::candidacy::reader_partitions};
 use tokio::sync::mpsc;
@@ -13,6 +13,7 @@
 use crate::{
     control::state::ControlState,
     peers::frame::{FrameBody, OwnerLine, PeerFrame, RecordLine, StateFrame},
+    store::membership::GroupMember,
 };
 
 /// How often a reader says that it is up to date when nothing has changed.
@@ -76,8 +77,8 @@
     pub fn other_readers(&self) -> Vec<SocketAddr> {
         let own = self.shared.profile.peers;
         let partitions = reader_partitions(self.shared.profile.partitions);
-        let mut readers: Vec<SocketAddr> =
-            partitions.filter_map(|partition| self.owners.get(&partition).copied()).collect();
+        let holders = partitions.filter_map(|partition| self.owners.get(&partition));
+        let mut readers: Vec<SocketAddr> = holders.map(|holder| holder.address).collect();
         readers.retain(|reader| *reader != own);
         readers.sort_unstable();
         readers.dedup();
@@ -141,11 +142,17 @@
             .send_if_modified(|following| std::mem::replace(following, follows) != follows);
     }
 
-    /// Returns how many members the group is known to have.
-    pub fn known_members(&self) -> usize {
-        let mut members: Vec<&SocketAddr> = self.owners.values().collect();
-        members.sort_unstable();
-        members.dedup();
-        members.len()
+    /// Returns whether this machine should join the group as it is known.
+    pub fn should_join(&self) -> bool {
+        self.shared.profile.capacity.should_join(self.members().len(), self.strong_members())
+    }
+
+    /// Returns how many members of the group are strong machines.
+    pub fn strong_members(&self) -> usize {
+        self.members().iter().filter(|member| member.strong).count()
+    }
+
+    fn members(&self) -> BTreeSet<GroupMember> {
+        self.owners.values().copied().collect()
     }
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -28,7 +28,11 @@
     events::MachineEvent,
     machine::SharedState,
     peers::frame::{OwnerLine, RecordLine, StateFrame},
-    store::{follow::TopicUpdate, health::StoreHealth, membership::MembershipUpdate},
+    store::{
+        follow::TopicUpdate,
+        health::StoreHealth,
+        membership::{GroupMember, MembershipUpdate},
+    },
     table::{ServingTable, copies_by_key},
 };
 
@@ -56,7 +60,7 @@
     leaving: BTreeSet<EngineName>,
     pub(super) versions: HashMap<ModelKey, NamedVersion>,
     pub(super) domains: BTreeMap<ServiceName, PlacementDomain>,
-    pub(super) owners: HashMap<u32, SocketAddr>,
+    pub(super) owners: HashMap<u32, GroupMember>,
     /// Until when this machine reads the store for others, as far as the group goes.
     pub(super) reads_until: ClockMillis,
     pub(super) health: StoreHealth,
@@ -349,7 +353,8 @@
     /// Returns the members of the group other than this machine.
     pub fn other_members(&self) -> Vec<SocketAddr> {
         let own = self.shared.profile.peers;
-        let members: BTreeSet<SocketAddr> = self.owners.values().copied().collect();
+        let members: BTreeSet<SocketAddr> =
+            self.owners.values().map(|member| member.address).collect();
         members.into_iter().filter(|member| *member != own).collect()
     }
 
@@ -357,7 +362,7 @@
     pub fn foreign_placers(&self) -> Vec<(ServiceName, SocketAddr)> {
         let own = self.shared.profile.peers;
         let placers = self.domains.values().filter_map(|domain| {
-            let placer = *self.owners.get(&domain.partition)?;
+            let placer = self.owners.get(&domain.partition)?.address;
             let foreign = placer != own && domain.planner.is_none();
             foreign.then(|| (Arc::clone(&domain.service), placer))
         });
@@ -411,7 +416,7 @@
 
     fn take_owners(&mut self, lines: &[OwnerLine]) {
         let owner = |line: &OwnerLine| Some((line.partition, line.machine.parse().ok()?));
-        let owners: HashMap<u32, SocketAddr> = lines.iter().filter_map(owner).collect();
+        let owners: HashMap<u32, GroupMember> = lines.iter().filter_map(owner).collect();
         if !owners.is_empty() && owners != self.owners {
             self.owners = owners;
             self.changed = true;
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -174,7 +174,7 @@
     /// The partition.
     #[prost(uint32, tag = "1")]
     pub partition: u32,
-    /// The machine's address for peers.
+    /// The name of the member that holds it.
     #[prost(string, tag = "2")]
     pub machine: String,
 }
--- a/crates/gateway/src/store/membership.rs
+++ b/crates/gateway/src/store/membership.rs
@@ -1,6 +1,6 @@
 //! This machine's membership in the group to which the store deals the placement leases.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{collections::HashMap, fmt, net::SocketAddr, str::FromStr, time::Duration};
 
 use reelreel_core::{ClockMillis, ClockSource, MonotonicClock, id::FenceToken};
 
@@ -15,6 +15,38 @@
 /// How many joins go into one time to live.
 const JOINS_PER_LIFE: u32 = 3;
 
+/// How many looks in a row show a member that the group does not need it.
+const UNNEEDED_LOOKS: u32 = 4;
+
+/// What stands behind the address in the name of a weak member.
+const WEAK_MARK: &str = "/weak";
+
+/// A member of the group, as its name tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct GroupMember {
+    /// Its address for peers.
+    pub address: SocketAddr,
+    /// Whether it is a strong machine.
+    pub strong: bool,
+}
+
+impl fmt::Display for GroupMember {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mark = if self.strong { "" } else { WEAK_MARK };
+        write!(formatter, "{}{mark}", self.address)
+    }
+}
+
+impl FromStr for GroupMember {
+    type Err = std::net::AddrParseError;
+
+    fn from_str(name: &str) -> Result<Self, Self::Err> {
+        let address = name.strip_suffix(WEAK_MARK);
+        let strong = address.is_none();
+        Ok(Self { address: address.unwrap_or(name).parse()?, strong })
+    }
+}
+
 /// What was learned of the group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MembershipUpdate {
@@ -27,25 +59,31 @@
     },
     /// A join got no useful answer.
     Failed,
-    /// Who holds which partition, by the peer address that each member is named after.
-    Owners(HashMap<u32, SocketAddr>),
+    /// Who holds which partition.
+    Owners(HashMap<u32, GroupMember>),
 }
 
-/// Stays in the group for ever and hands every update to `sink`.
+/// Stays in the group until `unneeded` has held for some looks, and hands every update to `sink`.
 pub async fn stay_member(
-    mut client: StoreClient,
-    member: SocketAddr,
+    client: &mut StoreClient,
+    member: GroupMember,
     time_to_live: Duration,
     clock: MonotonicClock,
     mut backoff: Backoff,
+    unneeded: impl Fn() -> bool,
     sink: impl Fn(MembershipUpdate),
 ) {
+    let mut unneeded_looks = 0;
     let mut generation: FenceToken = 0;
     let mut owners_of: FenceToken = 0;
     let name = member.to_string();
     loop {
         let sent = clock.now();
-        match join(&mut client, &name, time_to_live, generation).await {
+        unneeded_looks = if unneeded() { unneeded_looks + 1 } else { 0 };
+        if unneeded_looks >= UNNEEDED_LOOKS {
+            return;
+        }
+        match join(client, &name, time_to_live, generation).await {
             Ok(share) => {
                 backoff.succeeded();
                 generation = share.generation;
@@ -59,7 +97,7 @@
             }
         }
         if owners_of != generation
-            && let Ok(owners) = owners(&mut client).await
+            && let Ok(owners) = owners(client).await
         {
             owners_of = generation;
             sink(MembershipUpdate::Owners(owners));
@@ -84,7 +122,7 @@
 ///
 /// # Errors
 /// Returns that the store gave no useful answer.
-pub async fn owners(client: &mut StoreClient) -> Result<HashMap<u32, SocketAddr>, StoreError> {
+pub async fn owners(client: &mut StoreClient) -> Result<HashMap<u32, GroupMember>, StoreError> {
     let call = client.dialect().owners();
     let answer = client.call(&call, JOIN_PATIENCE).await?;
     let owners = client.dialect().owners_answer(&answer)?;
@@ -96,7 +134,7 @@
 ///
 /// # Errors
 /// Returns that the store gave no answer; the membership then ends with its time to live.
-pub async fn leave(client: &mut StoreClient, member: SocketAddr) -> Result<(), StoreError> {
+pub async fn leave(client: &mut StoreClient, member: GroupMember) -> Result<(), StoreError> {
     let call = client.dialect().leave(&member.to_string());
     client.call(&call, JOIN_PATIENCE).await?;
     Ok(())
--- a/crates/gateway/tests/machine/following.rs
+++ b/crates/gateway/tests/machine/following.rs
@@ -92,6 +92,19 @@
     wait_until("what comes back later counts again", || listed() == 1);
 }
 
+#[test]
+fn a_weak_machine_stands_in_and_leaves_when_strong_ones_are_back() {
+    let site = TestSite::start();
+    let weak = site.machine_with("weak", Vec::new(), WEAK);
+    weak.wait_ready();
+    wait_until("it stands in", || weak.shared.metrics.leases.get() == 1);
+    let strong = ["one", "two", "three"].map(|name| site.machine(name));
+    wait_until("it has left", || {
+        let leases = strong.iter().map(|machine| machine.shared.metrics.leases.get());
+        weak.shared.metrics.leases.get() == 0 && leases.sum::<i64>() == 1
+    });
+}
+
 struct HealthCase {
     name: &'static str,
     /// Times of calls, and whether they were answered.
