--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,8 +1,10 @@
 //! The control thread: everything that the machine believes, and its part in placement.
 
 pub mod domain;
+pub mod engine_list;
 pub mod feed;
 pub mod machine_count;
+pub mod membership;
 pub mod mirror;
 pub mod orders;
 pub mod placing;
@@ -10,20 +12,18 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
-use reelreel_core::ClockSource;
 use tokio::{runtime::Builder, task::LocalSet};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     border::KeyedTopic,
-    control::state::ControlState,
+    control::{
+        membership::{keep_membership, own_member},
+        state::ControlState,
+    },
     machine::SharedState,
     peers::{client::run_peer_client, feed::run_feed_client, server::run_peer_server},
-    store::{
-        Backoff, StoreClient,
-        follow::follow_topic,
-        membership::{GroupMember, MembershipUpdate, leave, owners, stay_member},
-    },
+    store::{Backoff, StoreClient, follow::follow_topic, membership::leave},
 };
 
 /// How often the thread looks at its domains when nothing wakes it.
@@ -41,23 +41,6 @@
 /// The time to live of this machine's membership, where the store allows one as short.
 const MEMBERSHIP: Duration = Duration::from_secs(2);
 
-/// How often a machine outside the group looks whether it should join.
-const CANDIDACY_INTERVAL: Duration = Duration::from_millis(600);
-
-/// How long a weak machine leaves the group to strong ones.
-///
-/// Strong ones join at once, but the store lists them as holders only after others joined again.
-const WEAK_DELAY: Duration = Duration::from_secs(3);
-
-/// How many looks in a row show a weak machine that the group lacks members.
-const WEAK_LOOKS: u64 = 3;
-
-/// Each such part of its spread makes a weak machine look once more. Unit: milliseconds.
-const WEAK_SPREAD_STEP: u64 = 200;
-
-/// Over which time weak machines spread, so that not all join at once. Unit: milliseconds.
-const WEAK_SPREAD_MILLIS: u64 = 2000;
-
 /// Control state as its tasks share it.
 pub type SharedControl = Rc<RefCell<ControlState>>;
 
@@ -135,66 +118,3 @@
     let (topic, gate) = (KeyedTopic::Engines, state.borrow().following());
     follow_topic(client, topic, ENGINES_REST, backoff(&shared, 0x2222), gate, sink).await;
 }
-
-/// Waits until this machine should be a member of the group.
-///
-/// Machines that stay out of the group learn from the reader that they follow who is in it, and ask
-/// the store only while they follow none.
-async fn await_candidacy(state: &SharedControl, client: &mut StoreClient, backoff: &mut Backoff) {
-    let shared = Arc::clone(state.borrow().shared());
-    let is_strong = shared.profile.capacity.is_strong();
-    let spread = xxh3_64(shared.profile.name.as_bytes()) % WEAK_SPREAD_MILLIS;
-    let patience =
-        if is_strong { Duration::ZERO } else { WEAK_DELAY + Duration::from_millis(spread) };
-    // Not all weak machines that see that members are missing stand in at the same time.
-    let looks = if is_strong { 1 } else { WEAK_LOOKS + spread / WEAK_SPREAD_STEP };
-    let began = shared.clock.now();
-    let mut wanted = 0;
-    loop {
-        let follows = *state.borrow().following().borrow();
-        if !follows || state.borrow().should_join() {
-            match owners(client).await {
-                Ok(owners) => {
-                    backoff.succeeded();
-                    state.borrow_mut().membership_updated(MembershipUpdate::Owners(owners));
-                }
-                Err(error) => {
-                    log::debug!("owners: {error}");
-                    state.borrow_mut().membership_updated(MembershipUpdate::Failed);
-                    tokio::time::sleep(backoff.failed()).await;
-                    continue;
-                }
-            }
-            let patient = shared.clock.now().since(began) < patience;
-            let want = !patient && state.borrow().should_join();
-            wanted = if want { wanted + 1 } else { 0 };
-            if wanted >= looks {
-                return;
-            }
-        }
-        tokio::time::sleep(backoff.spread(CANDIDACY_INTERVAL)).await;
-    }
-}
-
-async fn keep_membership(state: SharedControl) {
-    let shared = Arc::clone(state.borrow().shared());
-    let mut client = store_client(&shared);
-    let mut pauses = backoff(&shared, 0x4444);
-    let time_to_live = MEMBERSHIP.max(shared.profile.shortest_membership);
-    let member = own_member(&shared);
-    let unneeded = || shared.profile.capacity.should_leave(state.borrow().strong_members());
-    let sink = |update| state.borrow_mut().membership_updated(update);
-    loop {
-        await_candidacy(&state, &mut client, &mut pauses).await;
-        let (clock, backoff) = (shared.clock.clone(), backoff(&shared, 0x3333));
-        stay_member(&mut client, member, time_to_live, clock, backoff, unneeded, sink).await;
-        state.borrow_mut().leave_group();
-        if let Err(error) = leave(&mut client, member).await {
-            log::debug!("leave: {error}");
-        }
-    }
-}
-
-fn own_member(shared: &SharedState) -> GroupMember {
-    GroupMember { address: shared.profile.peers, strong: shared.profile.capacity.is_strong() }
-}
--- /dev/null
+++ b/crates/gateway/src/control/membership.rs
@@ -0,0 +1,122 @@
+//! This machine's membership in the group, from the moment that the group needs it.
+
+use std::{sync::Arc, time::Duration};
+
+use reelreel_core::ClockSource;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    control::{MEMBERSHIP, SharedControl, backoff, store_client},
+    machine::SharedState,
+    store::{
+        Backoff, StoreClient, StoreError,
+        membership::{GroupMember, MembershipUpdate, leave, owners, stay_member},
+    },
+};
+
+/// How often a machine outside the group looks whether it should join.
+const CANDIDACY_INTERVAL: Duration = Duration::from_millis(600);
+
+/// How long a weak machine leaves the group to strong ones.
+///
+/// Strong ones join at once, but the store lists them as holders only after others joined again.
+const WEAK_DELAY: Duration = Duration::from_secs(3);
+
+/// How many looks in a row show a weak machine that the group lacks members.
+const WEAK_LOOKS: u64 = 3;
+
+/// Each such part of its spread makes a weak machine look once more. Unit: milliseconds.
+const WEAK_SPREAD_STEP: u64 = 200;
+
+/// Over which time weak machines spread, so that not all join at once. Unit: milliseconds.
+const WEAK_SPREAD_MILLIS: u64 = 2000;
+
+/// How many looks in a row must show that the group needs this machine, and from when on they count.
+struct JoinPatience {
+    delay: Duration,
+    looks: u64,
+}
+
+impl JoinPatience {
+    /// Strong machines join at once; not all weak ones that see that members are missing stand in at
+    /// the same time.
+    fn new(shared: &SharedState) -> Self {
+        if shared.profile.capacity.is_strong() {
+            return Self { delay: Duration::ZERO, looks: 1 };
+        }
+        let spread = xxh3_64(shared.profile.name.as_bytes()) % WEAK_SPREAD_MILLIS;
+        Self {
+            delay: WEAK_DELAY + Duration::from_millis(spread),
+            looks: WEAK_LOOKS + spread / WEAK_SPREAD_STEP,
+        }
+    }
+}
+
+/// Is a member of the group whenever the group needs this machine, for ever.
+pub async fn keep_membership(state: SharedControl) {
+    let shared = Arc::clone(state.borrow().shared());
+    let mut client = store_client(&shared);
+    let mut pauses = backoff(&shared, 0x4444);
+    let time_to_live = MEMBERSHIP.max(shared.profile.shortest_membership);
+    let member = own_member(&shared);
+    let unneeded = || shared.profile.capacity.should_leave(state.borrow().strong_members());
+    let sink = |update| state.borrow_mut().membership_updated(update);
+    loop {
+        await_candidacy(&state, &mut client, &mut pauses).await;
+        let (clock, backoff) = (shared.clock.clone(), backoff(&shared, 0x3333));
+        stay_member(&mut client, member, time_to_live, clock, backoff, unneeded, sink).await;
+        state.borrow_mut().leave_group();
+        if let Err(error) = leave(&mut client, member).await {
+            log::debug!("leave: {error}");
+        }
+    }
+}
+
+/// Returns this machine as a member of the group.
+pub fn own_member(shared: &SharedState) -> GroupMember {
+    GroupMember { address: shared.profile.peers, strong: shared.profile.capacity.is_strong() }
+}
+
+/// Waits until this machine should be a member of the group.
+///
+/// Machines that stay out of the group learn from the reader that they follow who is in it, and ask
+/// the store only while they follow none.
+async fn await_candidacy(state: &SharedControl, client: &mut StoreClient, backoff: &mut Backoff) {
+    let shared = Arc::clone(state.borrow().shared());
+    let patience = JoinPatience::new(&shared);
+    let began = shared.clock.now();
+    let mut wanted = 0;
+    loop {
+        let follows = *state.borrow().following().borrow();
+        if !follows || state.borrow().should_join() {
+            if let Err(error) = learn_owners(state, client).await {
+                log::debug!("owners: {error}");
+                tokio::time::sleep(backoff.failed()).await;
+                continue;
+            }
+            backoff.succeeded();
+            let early = shared.clock.now().since(began) < patience.delay;
+            let want = !early && state.borrow().should_join();
+            wanted = if want { wanted + 1 } else { 0 };
+            if wanted >= patience.looks {
+                return;
+            }
+        }
+        tokio::time::sleep(backoff.spread(CANDIDACY_INTERVAL)).await;
+    }
+}
+
+async fn learn_owners(state: &SharedControl, client: &mut StoreClient) -> Result<(), StoreError> {
+    let owners = owners(client).await;
+    let mut state = state.borrow_mut();
+    match owners {
+        Ok(owners) => {
+            state.membership_updated(MembershipUpdate::Owners(owners));
+            Ok(())
+        }
+        Err(error) => {
+            state.membership_updated(MembershipUpdate::Failed);
+            Err(error)
+        }
+    }
+}
