test(gateway): test ports below those of outgoing connections

Cause: a_follower_learns_that_an_engine_leaves failed once in nine runs of the whole file, and another test took 10.0 s once: addresses were taken from the system's own choice of port and released until the machine listens; the test with two thousand connections, which runs beside, can take them in between for its own ends (the system gives 32768 to 60999). Ruled out: the feed itself (0.71 s in twelve runs of that test alone).

Change: tests take ports from 18000 to 31999.

--- a/crates/gateway/tests/machine/site.rs
+++ b/crates/gateway/tests/machine/site.rs
@@ -4,7 +4,10 @@
     collections::HashMap,
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU16, Ordering},
+    },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
@@ -182,9 +185,25 @@
     }
 }
 
+/// The ports that tests take addresses from: below those that the system gives to outgoing connections.
+///
+/// A port of the system's own choice could be taken by one of the thousands of connections that other
+/// tests open before the machine listens on it.
+const TEST_PORTS: std::ops::Range<u16> = 18_000..32_000;
+
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let width = TEST_PORTS.end - TEST_PORTS.start;
+    // Test programs that run at the same time begin at different places.
+    let begin = u16::try_from(std::process::id() * 97 % u32::from(width)).unwrap_or_default();
+    for _ in 0..width {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = TEST_PORTS.start + (begin.wrapping_add(step)) % width;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
+    panic!("no port between {} and {} is free", TEST_PORTS.start, TEST_PORTS.end);
 }
 
 impl TestMachine {
