perf(core): what has hardly any run left is dropped first

Ruled out: the store's rate (3 to 8 of 13 loads under way), missing victims or places.

Change: of the adapters that are worth less than the load, those not asked for within five seconds make room before the others.

Knowing the runs of each adapter, instead of when it was asked for, is the rest of it.

--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -32,6 +32,10 @@
 /// How long an adapter must not have been asked for before it is dropped for another one.
 const RESTED: Duration = Duration::from_millis(1500);
 
+/// How long after its last request an adapter has hardly any run left: dropped earlier, it may keep its
+/// engine from other orders until its runs have ended.
+const RUNS_ENDED: Duration = Duration::from_secs(5);
+
 impl PlacementPlanner {
     /// Returns the order that a candidate needs next, if one can be given now.
     pub(super) fn order_for(
@@ -193,8 +197,11 @@
         adapters
             .filter(|key| !stays(key))
             .map(|key| (self.kept_worth(inventory, key, now), key))
-            .min_by(|left, right| left.0.total_cmp(&right.0))
             .filter(|(kept, _)| *kept < worth)
+            .min_by(|left, right| {
+                let runs = |key: &str| now.since(self.demand.last_asked(key)) < RUNS_ENDED;
+                runs(left.1).cmp(&runs(right.1)).then(left.0.total_cmp(&right.0))
+            })
             .map(|(_, key)| Arc::clone(key))
     }
 }
--- a/crates/core/tests/placement/choices.rs
+++ b/crates/core/tests/placement/choices.rs
@@ -173,6 +173,39 @@
     assert_eq!(holders(&world), 2);
 }
 
+/// An unload waits for the runs on its adapter and keeps its engine from other orders meanwhile.
+#[test]
+fn what_has_hardly_any_run_left_is_dropped_before_what_was_asked_for_just_now() {
+    let mut world = World::new(1);
+    settle(&mut world);
+    for number in 0..4 {
+        world.ask(number, 1);
+        for _ in 0..14 {
+            world.step(20, OrderFate::Answered);
+        }
+        world.ask(number, 0);
+    }
+    // The first one was asked for more often, but longer ago.
+    for _ in 0..3 {
+        world.ask(0, 0);
+    }
+    for _ in 0..180 {
+        world.step(20, OrderFate::Answered);
+    }
+    for number in 1..4 {
+        world.ask(number, 0);
+    }
+    for _ in 0..90 {
+        world.step(20, OrderFate::Answered);
+    }
+    world.ask(9, 4);
+    for _ in 0..25 {
+        world.step(20, OrderFate::Answered);
+    }
+    assert!(world.holds(&key(9)));
+    assert!(!world.holds(&key(0)), "the one without runs makes room");
+}
+
 fn holders(world: &World, number: usize) -> usize {
     world.engines.iter().filter(|engine| engine.held.contains_key(&key(number))).count()
 }
