--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -1,6 +1,6 @@
 //! What machines' structured log lines say: of one request, and of all that were not served.
 //!
-//! [`line`] reads lines, [`cause`] names why a request ended as it did, [`explain`] puts together what
+//! [`mod@line`] reads lines, [`cause`] names why a request ended as it did, [`explain`] puts together what
 //! all machines say of one request, and [`losses`] counts causes.
 
 mod cause;
