fix(gateway): fields that only the system sets never come from a client

Cause: every header field of a client but the four that a send replaces went to the engine as it was written, so that a client could name a reserved place, pin memory or name another engine's memory to go on from. Besides breaking UNASKED this made engines refuse: a hold that does not exist is a refusal.

Ruled out: the engines' answers (they refuse a forged hold as told), routing.

Change: the dialect names the fields (SYSTEM_FIELDS), one function of the forwarder takes them out on every send (entry/forward.rs): first send, repeat, resume, plain service, chunked body. A table over paths and ways of writing them, seen failing first, and a property over arbitrary heads.

--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -103,7 +103,13 @@
     /// Returns why the request is refused.
     fn request_facts(&self, head: &RequestHead) -> Result<RequestFacts, FactError>;
 
+    /// Returns the fields of a request that only this system sets: what a client wrote there is
+    /// taken out before a request goes to an engine.
+    fn system_fields(&self) -> &'static [&'static str];
+
     /// Puts the terms into the header fields of a request that goes to an engine.
+    ///
+    /// The fields of [`Self::system_fields`] have been taken out before.
     fn set_terms(&self, fields: &mut HeaderFields, terms: &SendTerms<'_>);
 
     /// Reads what an engine's answer says.
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod connection;
 pub mod exchange;
+pub mod forward;
 pub mod pass;
 pub mod pick;
 pub mod prepare;
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -2,12 +2,11 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use reelreel_core::{
     ClockMillis,
     fleet::{EngineEntry, WeightVersion, condition::EngineOutcome},
 };
-use reelreel_http::RequestHead;
 use tokio::time::Instant;
 
 use crate::{
@@ -15,6 +14,7 @@
     engines::{EngineAnswer, EngineLease, EnginePool, send_request},
     entry::{
         exchange::{Exchange, ExchangeEnd, SENT_AHEAD, SendEnd},
+        forward::forwarded_request,
         pick::{EngineNeed, EnginePick, pick_engine},
     },
 };
@@ -182,19 +182,13 @@
         self.traffic.pool.borrow_mut().note(&entry.name, outcome, self.traffic.now());
     }
 
-    /// Writes the request as the engine gets it: method, path and body unaltered.
+    /// Writes the request as the engine gets it.
     pub fn engine_request(
         &self,
         entry: &EngineEntry,
         version: Option<WeightVersion>,
         resume_after: Option<&str>,
     ) -> Bytes {
-        let mut fields = self.request.head.fields.end_to_end();
-        fields.retain(|field| !field.name.eq_ignore_ascii_case("content-length"));
-        let body = &self.request.body;
-        if !body.is_empty() || !matches!(self.request.head.method.as_str(), "GET" | "HEAD") {
-            fields.push("Content-Length", body.len().to_string());
-        }
         let terms = SendTerms {
             engine: &entry.name,
             remaining: self.until.saturating_duration_since(Instant::now()),
@@ -202,16 +196,7 @@
             version,
             resume_after,
         };
-        self.traffic.shared.dialects.exchange.set_terms(&mut fields, &terms);
-        let head = RequestHead {
-            method: self.request.head.method.clone(),
-            target: self.request.head.target.clone(),
-            modern: true,
-            fields,
-        };
-        let mut bytes = BytesMut::with_capacity(512 + body.len());
-        head.write_to(&mut bytes);
-        bytes.extend_from_slice(body);
-        bytes.freeze()
+        let dialect = &*self.traffic.shared.dialects.exchange;
+        forwarded_request(dialect, &self.request, &terms)
     }
 }
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -327,7 +327,7 @@
 /// Returns an engine's head without what concerned only its connection and framing.
 fn client_head(head: &ResponseHead) -> ResponseHead {
     let mut fields = head.fields.end_to_end();
-    fields.retain(|field| !field.name.eq_ignore_ascii_case("content-length"));
+    fields.remove_all(&["Content-Length"]);
     ResponseHead { status: head.status, reason: head.reason.clone(), modern: true, fields }
 }
 
--- a/crates/gateway/tests/machine/dialect.rs
+++ b/crates/gateway/tests/machine/dialect.rs
@@ -23,6 +23,8 @@
 pub(crate) const NOT_RUN: &str = "X-Not-Run";
 pub(crate) const RUN_BY: &str = "X-Run-By";
 pub(crate) const AFTER: &str = "X-After";
+pub(crate) const HOLD: &str = "X-Hold";
+pub(crate) const PIN: &str = "X-Pin";
 
 /// The configurations that records name by their revision.
 pub(crate) type KnownRoutes = Arc<HashMap<u64, Arc<RouteTable>>>;
@@ -42,12 +44,15 @@
         })
     }
 
+    fn system_fields(&self) -> &'static [&'static str] {
+        &[DEADLINE, ENGINE, HOLD, PIN]
+    }
+
     fn set_terms(&self, fields: &mut HeaderFields, terms: &SendTerms<'_>) {
-        fields.retain(|field| !field.name.eq_ignore_ascii_case(DEADLINE));
         fields.push(DEADLINE, terms.remaining.as_millis().to_string());
         fields.push(ENGINE, terms.engine);
         if let Some(event) = terms.resume_after {
-            fields.push(AFTER, event);
+            fields.replace(AFTER, event);
         }
     }
 
--- a/crates/gateway/tests/machine/main.rs
+++ b/crates/gateway/tests/machine/main.rs
@@ -13,3 +13,4 @@
 mod stopping;
 mod store;
 mod streams;
+mod system_fields;
--- /dev/null
+++ b/crates/gateway/tests/machine/system_fields.rs
@@ -0,0 +1,141 @@
+//! Header fields that only the system sets: what a client writes there never reaches an engine.
+
+use crate::{
+    dialect::{HOLD, PIN, REQUEST},
+    engine::EngineMood,
+    server::ServedRequest,
+    site::{MODEL_NAME, TestMachine, TestSite, raw_exchange},
+};
+
+/// How a client writes the fields that are not its own.
+struct ForgedCase {
+    name: &'static str,
+    fields: &'static str,
+}
+
+const CASES: &[ForgedCase] = &[
+    ForgedCase { name: "as documented", fields: "X-Hold: h-1\r\nX-Pin: 4000\r\n" },
+    ForgedCase { name: "in odd case", fields: "x-hOLD: h-1\r\nX-PIN: 4000\r\n" },
+    ForgedCase { name: "twice", fields: "X-Hold: h-1\r\nX-Hold: h-2\r\nX-Pin: 1\r\nX-Pin: 2\r\n" },
+    ForgedCase { name: "empty", fields: "X-Hold:\r\nX-Pin: \r\n" },
+    ForgedCase { name: "surrounded by blanks", fields: "X-Hold: \t h-1 \r\nX-Pin:4000\t\r\n" },
+    ForgedCase {
+        name: "named by Connection too",
+        fields: "Connection: X-Pin, X-Hold\r\nX-Hold: h-1\r\nX-Pin: 4000\r\n",
+    },
+    ForgedCase {
+        name: "with bytes that are no text",
+        fields: "X-Hold: \u{e9}\r\nX-Pin: \u{fc}\r\n",
+    },
+];
+
+/// A way on which a request reaches an engine.
+struct ForwardPath {
+    name: &'static str,
+    path: &'static str,
+    body: ForwardBody,
+    /// Whether an engine with models serves it.
+    streams: bool,
+    moods: &'static [EngineMood],
+}
+
+enum ForwardBody {
+    Length,
+    Chunked,
+}
+
+const PATHS: &[ForwardPath] = &[
+    ForwardPath {
+        name: "plain service",
+        path: "/single/a",
+        body: ForwardBody::Length,
+        streams: false,
+        moods: &[EngineMood::Well],
+    },
+    ForwardPath {
+        name: "chunked body",
+        path: "/single/a",
+        body: ForwardBody::Chunked,
+        streams: false,
+        moods: &[EngineMood::Well],
+    },
+    ForwardPath {
+        name: "sent again after an error",
+        path: "/safe/a",
+        body: ForwardBody::Length,
+        streams: false,
+        moods: &[EngineMood::Error, EngineMood::Well],
+    },
+    ForwardPath {
+        name: "sent again after a refusal",
+        path: "/stream/a",
+        body: ForwardBody::Length,
+        streams: true,
+        moods: &[EngineMood::NotRun, EngineMood::Stream(3)],
+    },
+    ForwardPath {
+        name: "stream taken up again",
+        path: "/resumable/a",
+        body: ForwardBody::Length,
+        streams: true,
+        moods: &[EngineMood::StreamCut(2), EngineMood::Stream(4)],
+    },
+];
+
+fn send(machine: &TestMachine, path: &ForwardPath, case: &ForgedCase, id: &str) {
+    let body = match path.body {
+        ForwardBody::Length => "Content-Length: 2\r\n\r\n{}",
+        ForwardBody::Chunked => {
+            "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX-Hold: late\r\n\r\n"
+        }
+    };
+    let model = if path.streams { format!("X-Model: {MODEL_NAME}\r\n") } else { String::new() };
+    let head = format!("POST {} HTTP/1.1\r\nHost: site.example\r\nX-Request: {id}\r\n", path.path);
+    let fields = format!("{model}X-Kept: yes\r\nConnection: close\r\n{}", case.fields);
+    let request = format!("{head}{fields}{body}");
+    raw_exchange(machine.clients, request.as_bytes());
+}
+
+fn arrivals(site: &TestSite) -> Vec<ServedRequest> {
+    let engines = site.engines.iter().chain([&site.plain]);
+    engines.flat_map(|engine| engine.arrivals()).collect()
+}
+
+#[test]
+fn fields_that_only_the_system_sets_never_come_from_a_client() {
+    for path in PATHS {
+        let site = TestSite::start();
+        let machine = site.machine(&path.name.replace(' ', "-"));
+        for (number, case) in CASES.iter().enumerate() {
+            for engine in site.engines.iter().chain([&site.plain]) {
+                engine.treat(path.moods);
+            }
+            send(&machine, path, case, &format!("f{number}"));
+        }
+        let arrivals = arrivals(&site);
+        assert!(arrivals.len() >= CASES.len(), "{}: {} arrivals", path.name, arrivals.len());
+        for arrival in arrivals {
+            let fields = &arrival.head.fields;
+            let case = &CASES[case_number(fields.text(REQUEST).expect("an id"))];
+            for name in [HOLD, PIN] {
+                let passed = fields.values(name).count();
+                assert_eq!(passed, 0, "{}, {}: {:?}", path.name, case.name, arrival.head);
+            }
+            assert_eq!(fields.text("X-Kept"), Some("yes"), "{}: other fields pass", path.name);
+        }
+    }
+}
+
+fn case_number(id: &str) -> usize {
+    id.trim_start_matches('f').parse().expect("the number of a case")
+}
+
+#[test]
+fn a_folded_field_that_only_the_system_sets_is_refused() {
+    let site = TestSite::start();
+    let machine = site.machine("folded-forged");
+    let request = "GET /safe/a HTTP/1.1\r\nHost: site.example\r\nX-Request: o1\r\nX-Kept: a\r\n X-Hold: h-1\r\n\r\n";
+    let answer = raw_exchange(machine.clients, request.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
+    assert_eq!(site.plain.arrivals().len(), 0);
+}
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -101,9 +101,15 @@
         Self(kept.cloned().collect())
     }
 
-    /// Keeps the fields for which `keep` holds.
-    pub fn retain(&mut self, mut keep: impl FnMut(&HeaderField) -> bool) {
-        self.0.retain(|field| keep(field));
+    /// Puts one field in the place of all fields called `name`.
+    pub fn replace(&mut self, name: &str, value: impl Into<Vec<u8>>) {
+        self.remove_all(&[name]);
+        self.push(name, value);
+    }
+
+    /// Takes out every field that carries one of `names`, in whatever case.
+    pub fn remove_all(&mut self, names: &[&str]) {
+        self.0.retain(|field| !names.iter().any(|name| field.name.eq_ignore_ascii_case(name)));
     }
 
     fn write_to(&self, out: &mut BytesMut) {
