feat(gateway): late answers are logged, with prompt, last send and longest pause

Change: a request's line carries its prompt's length, when it was sent last and the longest pause between two events, and whether it was late; late ones are all logged. reelreel losses and explain tell four causes of lateness. The prompt's parts and the route's longest pause are read from the platform, as types of the core. The line's fields stand once (RequestEvent), not twice.

--- a/crates/cli/src/logs/cause.rs
+++ b/crates/cli/src/logs/cause.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use reelreel_gateway::events::MachineEvent;
+use reelreel_gateway::events::{MachineEvent, RequestEvent};
 
 use super::line::{LogLine, MachineLogs};
 
@@ -17,72 +17,22 @@
 pub(super) struct RequestLine {
     /// When it ended, by the wall clock. Unit: milliseconds since 1970.
     pub(super) at: u64,
-    /// The machine that had it.
-    pub(super) machine: String,
-    /// Its id.
-    pub(super) id: String,
-    /// Its route.
-    pub(super) route: String,
+    /// The host that had it.
+    pub(super) host: String,
     /// How it ended.
-    pub(super) outcome: String,
-    /// The status that its client got; zero for none.
-    pub(super) status: u16,
-    /// What it named.
-    pub(super) key: Option<String>,
-    /// The last engine that it was sent to.
-    pub(super) engine: Option<String>,
-    /// To how many engines it was sent.
-    pub(super) sends: u32,
-    /// How long it waited for its adapter. Unit: milliseconds.
-    pub(super) waited: u64,
-    /// When its first byte went out. Unit: milliseconds after its arrival.
-    pub(super) first: u64,
-    /// When it ended. Unit: milliseconds after its arrival.
-    pub(super) total: u64,
-    /// The configuration that decided its route.
-    pub(super) revision: u64,
+    pub(super) event: RequestEvent,
 }
 
 impl RequestLine {
     /// Returns what a line says of a request, if it does.
     pub(super) fn of(line: &LogLine) -> Option<Self> {
-        let MachineEvent::Request {
-            id,
-            route,
-            outcome,
-            status,
-            key,
-            engine,
-            sends,
-            waited,
-            first,
-            total,
-            revision,
-        } = line.event.clone()
-        else {
-            return None;
-        };
-        let (at, machine, outcome) = (line.at, line.machine.clone(), outcome.into_owned());
-        Some(Self {
-            at,
-            machine,
-            id,
-            route,
-            outcome,
-            status,
-            key,
-            engine,
-            sends,
-            waited,
-            first,
-            total,
-            revision,
-        })
+        let MachineEvent::Request(event) = &line.event else { return None };
+        Some(Self { at: line.at, host: line.machine.clone(), event: event.clone() })
     }
 
     /// Returns when it arrived, by the wall clock. Unit: milliseconds since 1970.
     pub(super) const fn arrived(&self) -> u64 {
-        self.at.saturating_sub(self.total)
+        self.at.saturating_sub(self.event.total)
     }
 
     /// Returns the span of the wall clock in which something may explain it.
@@ -94,8 +44,16 @@
 /// Why a request ended as it did.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) enum RequestCause {
-    /// It was served.
+    /// It was served in time.
     Served,
+    /// It was served late: its stream paused longer than its route wants.
+    LatePause,
+    /// It was served late after it had been sent more than once.
+    LateResent,
+    /// It was served late: it waited for its adapter for longer than its engine then took.
+    LateWaiting,
+    /// It was served late: its engine took most of the time until its first event.
+    LateReading,
     /// No configuration was known to the machine.
     NoConfiguration,
     /// The configuration has no route for it.
@@ -135,7 +93,11 @@
 impl fmt::Display for RequestCause {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let text = match self {
-            Self::Served => "served",
+            Self::Served => "served in time",
+            Self::LatePause => "served with a long pause in its stream",
+            Self::LateResent => "served late, sent more than once",
+            Self::LateWaiting => "served late, most of it spent on its adapter",
+            Self::LateReading => "served late, most of it spent at its engine",
             Self::NoConfiguration => "the machine knew no configuration",
             Self::NoRoute => "the configuration has no route for it",
             Self::RefusedEarly => "refused before any engine was thought of",
@@ -161,10 +123,11 @@
 impl RequestCause {
     /// Names the cause from the request's line and the lines around it.
     pub(super) fn of(request: &RequestLine, logs: &MachineLogs) -> Self {
-        match request.outcome.as_str() {
+        match &*request.event.outcome {
+            "answered" if request.event.late => Self::of_lateness(&request.event),
             "answered" => Self::Served,
-            "refused_early" if request.status == 404 => Self::NoRoute,
-            "refused_early" if request.revision == 0 => Self::NoConfiguration,
+            "refused_early" if request.event.status == 404 => Self::NoRoute,
+            "refused_early" if request.event.revision == 0 => Self::NoConfiguration,
             "refused_early" => Self::RefusedEarly,
             "adapter_absent" => Self::of_absence(request, logs),
             "not_run" => Self::EnginesRefused,
@@ -173,18 +136,33 @@
             "engine_failed" | "stream_broken" => Self::EngineBrokeOff,
             "engine_error" => Self::EngineError,
             "time_over" => Self::TimeOver,
-            "client_gone" if request.first > 0 || request.status > 0 => Self::LeftMidway,
-            "client_gone" if request.sends == 0 => Self::LeftWaiting,
+            "client_gone" if request.event.first > 0 || request.event.status > 0 => {
+                Self::LeftMidway
+            }
+            "client_gone" if request.event.sends == 0 => Self::LeftWaiting,
             "client_gone" => Self::LeftQueued,
             _ => Self::Unknown,
         }
     }
 
+    fn of_lateness(event: &RequestEvent) -> Self {
+        let at_engine = event.first.saturating_sub(event.sent);
+        if event.pause > at_engine.max(event.waited) {
+            Self::LatePause
+        } else if event.sends > 1 {
+            Self::LateResent
+        } else if event.waited > at_engine {
+            Self::LateWaiting
+        } else {
+            Self::LateReading
+        }
+    }
+
     fn of_absence(request: &RequestLine, logs: &MachineLogs) -> Self {
         let (from, until) = request.span();
         let loads = logs.between(from, until).iter().filter_map(|line| match &line.event {
             MachineEvent::Order { kind, key, answer, .. }
-                if kind != "unload" && Some(key) == request.key.as_ref() =>
+                if kind != "unload" && Some(key) == request.event.key.as_ref() =>
             {
                 Some((line.at, answer.as_str()))
             }
@@ -204,7 +182,7 @@
 fn engine_went(request: &RequestLine, logs: &MachineLogs) -> bool {
     let (from, until) = request.span();
     logs.between(from, until).iter().any(|line| match &line.event {
-        MachineEvent::EngineGone { engine } => Some(engine) == request.engine.as_ref(),
+        MachineEvent::EngineGone { engine } => Some(engine) == request.event.engine.as_ref(),
         _ => false,
     })
 }
--- a/crates/cli/src/logs/explain.rs
+++ b/crates/cli/src/logs/explain.rs
@@ -19,11 +19,12 @@
 /// Returns that a file can not be read, or that no line tells of the request.
 pub(crate) fn explain(id: &str, files: &[PathBuf]) -> eyre::Result<String> {
     let logs = MachineLogs::read(files)?;
-    let request = logs.lines.iter().filter_map(RequestLine::of).find(|request| request.id == id);
+    let request =
+        logs.lines.iter().filter_map(RequestLine::of).find(|request| request.event.id == id);
     let Some(request) = request else {
         bail!(
             "no line tells of request {id}; name the logs of all machines, and mind that of requests \
-             that ended well one in sixteen is logged"
+             that were served in time one in sixteen is logged"
         );
     };
     let mut text = String::new();
@@ -49,31 +50,35 @@
 }
 
 fn describe(text: &mut String, request: &RequestLine) -> eyre::Result<()> {
-    writeln!(text, "Request {} at {}", request.id, request.machine)?;
-    writeln!(text, "  route     {} (configuration {})", request.route, request.revision)?;
-    writeln!(text, "  named     {}", request.key.as_deref().unwrap_or("no model"))?;
-    let engine = request.engine.as_deref().unwrap_or("no engine");
-    writeln!(text, "  sent      {} times, last to {engine}", request.sends)?;
-    writeln!(text, "  waited    {} ms for its adapter", request.waited)?;
-    writeln!(text, "  first     {} ms after its arrival (0: none)", request.first)?;
+    writeln!(text, "Request {} at {}", request.event.id, request.host)?;
+    writeln!(
+        text,
+        "  route     {} (configuration {})",
+        request.event.route, request.event.revision
+    )?;
+    writeln!(text, "  named     {}", request.event.key.as_deref().unwrap_or("no model"))?;
+    let engine = request.event.engine.as_deref().unwrap_or("no engine");
+    writeln!(text, "  sent      {} times, last to {engine}", request.event.sends)?;
+    writeln!(text, "  waited    {} ms for its adapter", request.event.waited)?;
+    writeln!(text, "  first     {} ms after its arrival (0: none)", request.event.first)?;
     writeln!(
         text,
         "  ended     {} ms after its arrival: {}, status {}",
-        request.total, request.outcome, request.status
+        request.event.total, request.event.outcome, request.event.status
     )?;
     Ok(())
 }
 
 /// Returns whether a line tells of something that may explain the request.
 fn concerns(line: &LogLine, request: &RequestLine) -> bool {
-    let own_machine = line.machine == request.machine;
+    let own_machine = line.machine == request.host;
     match &line.event {
-        MachineEvent::Request { id, .. } => *id == request.id,
-        MachineEvent::Order { key, .. } => Some(key) == request.key.as_ref(),
+        MachineEvent::Request(event) => event.id == request.event.id,
+        MachineEvent::Order { key, .. } => Some(key) == request.event.key.as_ref(),
         MachineEvent::EngineJoined { engine, .. }
         | MachineEvent::EngineLeaving { engine }
         | MachineEvent::EngineGone { engine } => {
-            own_machine && Some(engine) == request.engine.as_ref()
+            own_machine && Some(engine) == request.event.engine.as_ref()
         }
         MachineEvent::Lease { state, .. } => own_machine || state == "acting",
         _ => own_machine,
--- a/crates/cli/src/logs/losses.rs
+++ b/crates/cli/src/logs/losses.rs
@@ -65,10 +65,10 @@
     for request in logs.lines.iter().filter_map(RequestLine::of) {
         let cause = RequestCause::of(&request, logs);
         let count = weight(&cause);
-        let sum = sums.entry((cause, request.route.clone())).or_default();
+        let sum = sums.entry((cause, request.event.route.clone())).or_default();
         sum.0 += count;
-        sum.1 += count * request.waited;
-        sum.2 += count * request.total;
+        sum.1 += count * request.event.waited;
+        sum.2 += count * request.event.total;
     }
     let rows = sums.into_iter().map(|((cause, route), (requests, waited, total))| CauseRow {
         cause: cause.to_string(),
@@ -100,10 +100,10 @@
 
 fn count(row: &mut SpanRow, line: &LogLine) {
     match &line.event {
-        MachineEvent::Request { outcome, .. } if outcome == "answered" => {
+        MachineEvent::Request(event) if event.outcome == "answered" => {
             row.served += LOGGED_SHARE;
         }
-        MachineEvent::Request { .. } => row.lost += 1,
+        MachineEvent::Request(_) => row.lost += 1,
         MachineEvent::Order { kind, answer, .. } => match (kind.as_str(), answer.as_str()) {
             ("unload", "Accepted" | "Done") => row.unloads += 1,
             (_, "Accepted") => row.loads += 1,
--- a/crates/cli/tests/logs/main.rs
+++ b/crates/cli/tests/logs/main.rs
@@ -42,6 +42,30 @@
 }
 
 const CAUSE_CASES: &[CauseCase] = &[
+    CauseCase {
+        name: "late-reading",
+        request: r#""outcome":"answered","late":true,"status":200,"engine":"e1","sends":1,"prompt":9000,"waited":200,"sent":210,"first":900,"pause":90,"total":2000"#,
+        around: &[],
+        cause: "served late, most of it spent at its engine",
+    },
+    CauseCase {
+        name: "late-waiting",
+        request: r#""outcome":"answered","late":true,"status":200,"engine":"e1","sends":1,"prompt":900,"waited":600,"sent":610,"first":700,"pause":90,"total":2000"#,
+        around: &[],
+        cause: "served late, most of it spent on its adapter",
+    },
+    CauseCase {
+        name: "late-pause",
+        request: r#""outcome":"answered","late":true,"status":200,"engine":"e1","sends":1,"prompt":900,"waited":0,"sent":1,"first":100,"pause":400,"total":2000"#,
+        around: &[],
+        cause: "served with a long pause in its stream",
+    },
+    CauseCase {
+        name: "late-resent",
+        request: r#""outcome":"answered","late":true,"status":200,"engine":"e1","sends":2,"prompt":900,"waited":0,"sent":700,"first":800,"pause":40,"total":2000"#,
+        around: &[],
+        cause: "served late, sent more than once",
+    },
     CauseCase {
         name: "loaded-late",
         request: r#""outcome":"adapter_absent","status":503,"key":"m/a1","sends":0,"waited":6,"first":0,"total":7"#,
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -11,6 +11,7 @@
 pub mod choice;
 pub mod cold;
 pub mod condition;
+pub mod prompt;
 pub mod retry_share;
 pub mod routes;
 
--- a/crates/core/src/fleet/routes.rs
+++ b/crates/core/src/fleet/routes.rs
@@ -57,6 +57,8 @@
     pub timeout: Duration,
     /// Within which time an answer, or its first event, is wanted.
     pub target: Duration,
+    /// The longest pause between two events with which a stream is still in time, where one is named.
+    pub longest_pause: Option<Duration>,
     /// The rank of its requests; zero is the most urgent.
     pub priority: u8,
     /// The services that run its requests, at least one.
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -59,6 +59,7 @@
         kind: RouteKind::Single,
         timeout: millis(1000),
         target: millis(100),
+        longest_pause: None,
         priority: 1,
         backends: backends.iter().map(backend).collect(),
         most_attempts: 1,
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use reelreel_core::{
-    fleet::{EngineEntry, ModelKey, WeightVersion, routes::RouteTable},
+    fleet::{EngineEntry, ModelKey, WeightVersion, prompt::PromptFacts, routes::RouteTable},
     id::FenceToken,
     placement::{EngineReport, OrderAnswer, PlannedOrder},
 };
@@ -54,6 +54,8 @@
     pub deadline: Option<Duration>,
     /// The base model or adapter that it names.
     pub model: Option<ModelKey>,
+    /// What its prompt and answer are made of, as far as it says.
+    pub prompt: PromptFacts,
 }
 
 /// Why a client's request is refused at once.
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -167,6 +167,7 @@
     /// Counts a send, and the engine among those that the request was sent to.
     pub fn count_send(&mut self, entry: &EngineEntry) {
         self.sends += 1;
+        self.sent = self.elapsed();
         if !self.sent_to.contains(&entry.name) {
             self.sent_to.push(Arc::clone(&entry.name));
         }
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -28,7 +28,7 @@
         prepare::{PreparedRequest, prepare, refuse_early},
         wait::WaitEnd,
     },
-    events::MachineEvent,
+    events::{MachineEvent, RequestEvent},
     metrics::RequestLabels,
 };
 
@@ -118,6 +118,10 @@
     pub status: u16,
     /// When the first byte of the answer went out. Unit: milliseconds after the arrival.
     pub first: u64,
+    /// When it was sent the last time. Unit: milliseconds after the arrival.
+    pub sent: u64,
+    /// The longest pause between two events that were passed on.
+    pub longest_pause: Duration,
     /// How often it was sent.
     pub sends: u32,
     /// Whether it may have run.
@@ -186,6 +190,8 @@
             sent_to: Vec::new(),
             status: 0,
             first: 0,
+            sent: 0,
+            longest_pause: Duration::ZERO,
             unreached: Vec::new(),
             sends: 0,
             connects: 0,
@@ -347,30 +353,45 @@
 
     /// Returns the milliseconds since the request arrived.
     pub fn elapsed(&self) -> u64 {
-        let elapsed = self.traffic.now().since(self.request.arrived);
-        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+        whole_millis(self.traffic.now().since(self.request.arrived))
     }
 
     fn log(&self, outcome: &'static str) {
         let shared = &self.traffic.shared;
         let labels = RequestLabels { route: self.route.name.clone(), outcome: outcome.to_owned() };
         shared.metrics.requests.get_or_create(&labels).inc();
+        let late = outcome == "answered" && self.is_late();
         let number = xxh3_64(self.facts.id.as_bytes());
-        if outcome == "answered" && !number.is_multiple_of(LOGGED_SHARE) {
+        if outcome == "answered" && !late && !number.is_multiple_of(LOGGED_SHARE) {
             return;
         }
-        shared.events.write(MachineEvent::Request {
+        shared.events.write(MachineEvent::Request(RequestEvent {
             id: self.facts.id.clone(),
             route: self.route.name.clone(),
             outcome: outcome.into(),
+            late,
             status: self.status,
             key: self.facts.model.as_ref().map(ToString::to_string),
             engine: self.sent_to.last().map(ToString::to_string),
             sends: self.sends,
-            waited: u64::try_from(self.waited.as_millis()).unwrap_or(u64::MAX),
+            prompt: self.facts.prompt.tokens(),
+            waited: whole_millis(self.waited),
+            sent: self.sent,
             first: self.first,
+            pause: whole_millis(self.longest_pause),
             total: self.elapsed(),
             revision: self.revision,
-        });
+        }));
     }
+
+    /// Returns whether the answer came later than the route wants it, or with too long a pause.
+    fn is_late(&self) -> bool {
+        let first = Duration::from_millis(self.first);
+        let pauses = self.route.longest_pause.is_some_and(|most| self.longest_pause > most);
+        first > self.route.target || pauses
+    }
+}
+
+fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -49,6 +49,8 @@
 struct StreamProgress {
     head: Option<ResponseHead>,
     cutter: EventCutter,
+    /// When events were last passed on.
+    last_event: Option<ClockMillis>,
     resumable: bool,
     chunked: bool,
     keep: bool,
@@ -144,6 +146,7 @@
         let mut progress = StreamProgress {
             head: Some(stream_head(&answer.head, chunked, keep)),
             cutter: EventCutter::default(),
+            last_event: None,
             resumable: self.route.kind == RouteKind::Stream { resumable: true },
             chunked,
             keep,
@@ -238,6 +241,10 @@
         events: &[u8],
         progress: &mut StreamProgress,
     ) -> std::io::Result<()> {
+        let now = self.traffic.now();
+        if let Some(last) = progress.last_event.replace(now) {
+            self.longest_pause = self.longest_pause.max(now.since(last));
+        }
         let mut bytes = BytesMut::with_capacity(events.len() + 512);
         if let Some(head) = progress.head.take() {
             head.write_to(&mut bytes);
--- a/crates/gateway/src/entry/prepare.rs
+++ b/crates/gateway/src/entry/prepare.rs
@@ -16,7 +16,7 @@
         answer::{BAD_FIELDS, NO_REVISION, NO_ROUTE, NOT_READY, OwnAnswer, STOPPING},
         exchange::{ClientRequest, ExchangeEnd},
     },
-    events::MachineEvent,
+    events::{MachineEvent, RequestEvent},
     metrics::RequestLabels,
 };
 
@@ -76,18 +76,13 @@
     let sent = client.write(&bytes).await.is_ok();
     let labels = RequestLabels { route: String::from("none"), outcome: answer.status.to_string() };
     traffic.shared.metrics.requests.get_or_create(&labels).inc();
-    traffic.shared.events.write(MachineEvent::Request {
+    traffic.shared.events.write(MachineEvent::Request(RequestEvent {
         id: id.unwrap_or_default(),
         route: request.head.target.clone(),
         outcome: "refused_early".into(),
         status: answer.status,
-        key: None,
-        engine: None,
-        sends: 0,
-        waited: 0,
-        first: 0,
-        total: 0,
         revision: NO_REVISION,
-    });
+        ..RequestEvent::default()
+    }));
     if keep && sent { ExchangeEnd::Keep } else { ExchangeEnd::Close }
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -125,32 +125,53 @@
         millis: u64,
     },
     /// A request ended.
-    Request {
-        /// Its id.
-        id: String,
-        /// Its route.
-        route: String,
-        /// How it ended.
-        outcome: Cow<'static, str>,
-        /// The status that the client got; zero when it got none.
-        status: u16,
-        /// The model or adapter.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        key: Option<String>,
-        /// The last engine that it was sent to.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        engine: Option<String>,
-        /// To how many engines it was sent.
-        sends: u32,
-        /// How long it waited for an adapter. Unit: milliseconds.
-        waited: u64,
-        /// When the first byte of the answer went out. Unit: milliseconds after its arrival.
-        first: u64,
-        /// When it ended. Unit: milliseconds after its arrival.
-        total: u64,
-        /// The configuration that decided its route.
-        revision: u64,
-    },
+    Request(RequestEvent),
+}
+
+/// How one request ended, and what decided it.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct RequestEvent {
+    /// Its id.
+    pub id: String,
+    /// Its route.
+    pub route: String,
+    /// How it ended.
+    pub outcome: Cow<'static, str>,
+    /// Whether its client got a whole answer, but later than the route wants it, or with a longer pause.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub late: bool,
+    /// The status that the client got; zero when it got none.
+    pub status: u16,
+    /// The model or adapter.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key: Option<String>,
+    /// The last engine that it was sent to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub engine: Option<String>,
+    /// To how many engines it was sent.
+    pub sends: u32,
+    /// The length of its prompt. Unit: tokens.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub prompt: u64,
+    /// How long it waited for an adapter. Unit: milliseconds.
+    pub waited: u64,
+    /// When it was sent the last time. Unit: milliseconds after its arrival.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub sent: u64,
+    /// When the first byte of the answer went out. Unit: milliseconds after its arrival.
+    pub first: u64,
+    /// The longest pause between two events of its stream. Unit: milliseconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub pause: u64,
+    /// When it ended. Unit: milliseconds after its arrival.
+    pub total: u64,
+    /// The configuration that decided its route.
+    pub revision: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the serializer hands references")]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
 }
 
 #[derive(Serialize)]
--- a/crates/gateway/tests/machine/dialect.rs
+++ b/crates/gateway/tests/machine/dialect.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use reelreel_core::{
-    fleet::{EngineEntry, HeldModel, ModelKey, routes::RouteTable},
+    fleet::{EngineEntry, HeldModel, ModelKey, prompt::PromptFacts, routes::RouteTable},
     id::FenceToken,
     placement::{EngineReport, OrderAnswer, OrderKind, PlannedOrder},
 };
@@ -41,6 +41,7 @@
             id: head.fields.text(REQUEST).ok_or(FactError::Id)?.to_owned(),
             deadline: deadline.map(Duration::from_millis),
             model: head.fields.text(MODEL).map(ModelKey::from),
+            prompt: PromptFacts::default(),
         })
     }
 
--- a/crates/gateway/tests/machine/events.rs
+++ b/crates/gateway/tests/machine/events.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use reelreel_gateway::events::{EventLog, MachineEvent};
+use reelreel_gateway::events::{EventLog, MachineEvent, RequestEvent};
 use serde_json::Value;
 
 /// Lines that are written: many times what a pipe and the queue hold.
@@ -69,19 +69,23 @@
             answer: String::from("Accepted"),
             millis: 1,
         },
-        MachineEvent::Request {
+        MachineEvent::Request(RequestEvent {
             id: String::from("r1"),
             route: String::from("r"),
             outcome: "answered".into(),
+            late: true,
             status: 200,
             key: Some(String::from("m/a1")),
             engine: Some(engine()),
             sends: 1,
+            prompt: 1,
             waited: 1,
+            sent: 1,
             first: 1,
+            pause: 1,
             total: 1,
             revision: 1,
-        },
+        }),
     ]
 }
 
@@ -103,7 +107,7 @@
         | Event::EngineGone { .. }
         | Event::Lease { .. }
         | Event::Order { .. }
-        | Event::Request { .. } => true,
+        | Event::Request(_) => true,
     }
 }
 
--- a/crates/gateway/tests/machine/site.rs
+++ b/crates/gateway/tests/machine/site.rs
@@ -58,6 +58,7 @@
         kind,
         timeout: Duration::from_millis(1500),
         target: Duration::from_millis(500),
+        longest_pause: None,
         priority: 1,
         backends: vec![WeightedBackend { service: Arc::from(service), weight: 1 }],
         most_attempts: attempts,
--- a/crates/gateway/tests/machine/system_fields.rs
+++ b/crates/gateway/tests/machine/system_fields.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     dialect::{HOLD, PIN, REQUEST},
-    engine::EngineMood,
+    engine::{EngineMood, StandInEngine},
     server::ServedRequest,
     site::{MODEL_NAME, TestMachine, TestSite, raw_exchange},
 };
@@ -98,7 +98,7 @@
 
 fn arrivals(site: &TestSite) -> Vec<ServedRequest> {
     let engines = site.engines.iter().chain([&site.plain]);
-    engines.flat_map(|engine| engine.arrivals()).collect()
+    engines.flat_map(StandInEngine::arrivals).collect()
 }
 
 #[test]
