perf(core): the placer knows the runs of each adapter; what makes room has none

Change: hosts tell their requests by engine and adapter, every 50 ms where they changed (DemandCollector, RunLine); the placer drops only what has no run and was not asked for within 250 ms, and looks for room at every engine, not at one. Demand and work moved out of machine.rs into a module of their own.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -14,6 +14,7 @@
 pub mod prompt;
 pub mod retry_share;
 pub mod routes;
+pub mod work;
 
 /// Names one life of an engine; a restarted engine has another name.
 pub type EngineName = Arc<str>;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -8,7 +8,6 @@
 pub mod candidacy;
 mod candidates;
 pub mod demand;
-pub mod engine_loads;
 pub mod inventory;
 pub mod order;
 pub mod planner;
@@ -17,12 +16,13 @@
 pub mod tenure;
 mod totals;
 pub mod window;
+pub mod work;
 
 pub use candidacy::MachineCapacity;
 pub use demand::{DemandBook, DemandEntry};
-pub use engine_loads::LoadBook;
 pub use inventory::{EngineInventory, EngineMemory, EngineReport};
 pub use order::{OrderAnswer, OrderId, OrderKind, PlacementAction, PlannedOrder};
 pub use planner::PlacementPlanner;
 pub use tenure::{LeaseRules, PlacerTenure};
 pub use window::LoadWindow;
+pub use work::{HostWork, RunEntry, WorkBook};
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -16,11 +16,11 @@
     clock::ClockMillis,
     fleet::{
         EngineEntry, EngineName, HeldModel, ModelKey, WeightVersion, adapter_name,
-        routes::ModelHosting,
+        routes::ModelHosting, work::EngineWork,
     },
     placement::{
-        DemandBook, DemandEntry, EngineInventory, EngineReport, LoadBook, LoadWindow, OrderAnswer,
-        OrderId, OrderKind, PlacementAction, PlannedOrder,
+        DemandBook, DemandEntry, EngineInventory, EngineReport, HostWork, LoadWindow, OrderAnswer,
+        OrderId, OrderKind, PlacementAction, PlannedOrder, WorkBook,
         inventory::{DoubtedLoad, EngineMemory, PendingLoad, REPORT_LAG},
         totals::RoundTotals,
     },
@@ -56,7 +56,7 @@
     pub(super) hosting: ModelHosting,
     pub(super) engines: BTreeMap<EngineName, EngineInventory>,
     pub(super) demand: DemandBook,
-    pub(super) loads: LoadBook,
+    pub(super) work: WorkBook,
     pub(super) window: LoadWindow,
     pub(super) versions: HashMap<ModelKey, WeightVersion>,
     pub(super) load_time: Duration,
@@ -74,7 +74,7 @@
             hosting,
             engines: BTreeMap::new(),
             demand: DemandBook::default(),
-            loads: LoadBook::default(),
+            work: WorkBook::default(),
             window,
             versions: HashMap::new(),
             load_time: FIRST_LOAD_TIME,
@@ -134,16 +134,14 @@
         self.demand.note(host, entries, now);
     }
 
-    /// Takes how many requests a host has open at engines.
-    pub fn loads_noted(&mut self, host: &Arc<str>, loads: &[(EngineName, u32)], now: ClockMillis) {
-        for (engine, open) in loads {
-            self.loads.note(host, engine, *open, now);
-        }
+    /// Takes what a host has at engines.
+    pub fn work_noted(&mut self, host: &Arc<str>, told: &HostWork, now: ClockMillis) {
+        self.work.note(host, told, now);
     }
 
-    /// Returns the sums of open requests that have changed since the last call.
-    pub fn take_changed_loads(&mut self) -> Vec<(EngineName, u32)> {
-        self.loads.take_changed()
+    /// Returns what engines have to do, where that has changed since the last call.
+    pub fn take_changed_work(&mut self) -> Vec<(EngineName, EngineWork)> {
+        self.work.take_changed()
     }
 
     /// Takes an engine's report that was asked for at `asked`.
@@ -227,7 +225,7 @@
             inventory.settle_due(now);
         }
         self.demand.forget_old(now);
-        self.loads.forget_old(now);
+        self.work.forget_old(now);
         let mut actions = self.wanted_reports(now);
         if acting {
             let orders = self.wanted_orders(now);
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -29,12 +29,10 @@
 /// How many requests a second an open request counts as, when a place for a load is sought.
 const OPEN_RATE: f64 = 0.3;
 
-/// How long an adapter must not have been asked for before it is dropped for another one.
-const RESTED: Duration = Duration::from_millis(1500);
-
-/// How long after its last request an adapter has hardly any run left: dropped earlier, it may keep its
-/// engine from other orders until its runs have ended.
-const RUNS_ENDED: Duration = Duration::from_secs(5);
+/// How long after an adapter was asked for it may have a run that its host has not told yet: hosts count
+/// their runs every 50 ms and the control thread tells them within another 50; the rest is the way of
+/// the plan to a host whose request waits.
+const UNTOLD_RUN: Duration = Duration::from_millis(250);
 
 impl PlacementPlanner {
     /// Returns the order that a candidate needs next, if one can be given now.
@@ -50,25 +48,45 @@
             None => self.engines.values().collect(),
         };
         let able = engines.into_iter().filter(|inventory| self.is_able(inventory, candidate));
-        let best = able
-            .filter(|inventory| store_free || self.comes_back(inventory, key))
-            .min_by_key(|inventory| {
-                let doubted = inventory.doubted.iter().any(|load| load.key == *key);
-                let remembered = self.comes_back(inventory, key);
-                let full = !self.has_place(inventory, key);
-                let load = self.load_of(inventory);
-                // A replacement waits for the runs on the version before.
-                let replaces = inventory.held.contains_key(key);
-                (!doubted, replaces, !remembered, full, load, Arc::clone(&inventory.entry.name))
-            })?;
+        let able = able.filter(|inventory| store_free || self.comes_back(inventory, key));
+        let rooms = able.filter_map(|inventory| {
+            let room = self.room(inventory, key, candidate.worth, now)?;
+            Some((inventory, room))
+        });
+        let (best, room) = rooms.min_by_key(|(inventory, room)| {
+            let doubted = inventory.doubted.iter().any(|load| load.key == *key);
+            let remembered = self.comes_back(inventory, key);
+            let load = self.load_of(inventory);
+            // A replacement waits for the runs on the version before.
+            let replaces = inventory.held.contains_key(key);
+            let full = matches!(room, LoadRoom::After(_));
+            (!doubted, replaces, !remembered, full, load, Arc::clone(&inventory.entry.name))
+        })?;
         let name = Arc::clone(&best.entry.name);
-        if self.has_place(best, key) {
-            let from_store = !self.comes_back(best, key);
-            let kind = OrderKind::Load { from_store };
-            return self.give(&name, kind, Arc::clone(key), candidate.worth, now);
+        let from_store = !self.comes_back(best, key);
+        match room {
+            LoadRoom::Free => {
+                let kind = OrderKind::Load { from_store };
+                self.give(&name, kind, Arc::clone(key), candidate.worth, now)
+            }
+            LoadRoom::After(victim) => {
+                self.give(&name, OrderKind::Unload, victim, candidate.worth, now)
+            }
         }
-        let victim = self.victim(best, candidate.worth, now)?;
-        self.give(&name, OrderKind::Unload, victim, candidate.worth, now)
+    }
+
+    /// Returns where an engine has room for a load, if it has any.
+    fn room(
+        &self,
+        inventory: &EngineInventory,
+        key: &str,
+        worth: f64,
+        now: ClockMillis,
+    ) -> Option<LoadRoom> {
+        if self.has_place(inventory, key) {
+            return Some(LoadRoom::Free);
+        }
+        self.victim(inventory, worth, now).map(LoadRoom::After)
     }
 
     /// Returns whether the engine has held this version and can bring it back by itself.
@@ -156,13 +174,13 @@
 
     /// Returns the part of its slots that an engine has taken.
     pub(super) fn busy_part(&self, inventory: &EngineInventory) -> f64 {
-        let open = self.loads.total(&inventory.entry.name);
+        let open = self.work.total(&inventory.entry.name).open;
         f64::from(open) / f64::from(inventory.entry.slots.max(1))
     }
 
     /// Returns the engine's load by what it holds and has open, in requests for a thousand seconds.
     fn load_of(&self, inventory: &EngineInventory) -> u64 {
-        let open = OPEN_RATE * f64::from(self.loads.total(&inventory.entry.name));
+        let open = OPEN_RATE * f64::from(self.work.total(&inventory.entry.name).open);
         let rate = self.totals.engine_rate(&inventory.entry.name) + open;
         #[expect(
             clippy::cast_possible_truncation,
@@ -179,9 +197,11 @@
         if outdated { 0.0 } else { self.interest(key, now) / self.copies(key).max(1.0) }
     }
 
-    /// Returns the adapter that is worth least at an engine, if it is worth less than `worth`.
+    /// Returns the adapter without a run that is worth least at an engine, if it is worth less than
+    /// `worth`.
     ///
-    /// What was asked for just now is left: its requests still run there.
+    /// An adapter with a run would keep its place, and its engine from other orders, until the run
+    /// has ended.
     fn victim(
         &self,
         inventory: &EngineInventory,
@@ -189,19 +209,28 @@
         now: ClockMillis,
     ) -> Option<ModelKey> {
         let adapters = inventory.held.keys().filter(|key| adapter_name(key).is_some());
-        let stays = |key: &ModelKey| {
-            let pending = inventory.pending.iter().any(|load| load.key == *key);
-            let rested = now.since(self.demand.last_asked(key)) >= RESTED;
-            pending || !rested || inventory.closing.contains(key)
-        };
         adapters
-            .filter(|key| !stays(key))
+            .filter(|key| !self.is_used(inventory, key, now))
             .map(|key| (self.kept_worth(inventory, key, now), key))
             .filter(|(kept, _)| *kept < worth)
-            .min_by(|left, right| {
-                let runs = |key: &str| now.since(self.demand.last_asked(key)) < RUNS_ENDED;
-                runs(left.1).cmp(&runs(right.1)).then(left.0.total_cmp(&right.0))
-            })
+            .min_by(|left, right| left.0.total_cmp(&right.0))
             .map(|(_, key)| Arc::clone(key))
     }
+
+    /// Returns whether an adapter has a run at an engine, or may have one that was not told yet.
+    fn is_used(&self, inventory: &EngineInventory, key: &ModelKey, now: ClockMillis) -> bool {
+        let runs = self.work.runs(&inventory.entry.name, key) > 0;
+        let pending = inventory.pending.iter().any(|load| load.key == *key);
+        let asked = now.since(self.demand.last_asked(key)) < UNTOLD_RUN;
+        runs || pending || asked || inventory.closing.contains(key)
+    }
+}
+
+/// Where an engine has room for a load.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum LoadRoom {
+    /// In a free place.
+    Free,
+    /// In the place of an adapter that is dropped first.
+    After(ModelKey),
 }
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -8,14 +8,14 @@
 
 use reelreel_core::{
     ClockMillis,
-    fleet::{EngineName, HeldModel, ModelKey, ServiceName, adapter_name},
+    fleet::{EngineName, HeldModel, ModelKey, ServiceName, adapter_name, work::EngineWork},
     id::FenceToken,
     placement::{DemandEntry, EngineMemory, LeaseRules, PlacementPlanner, PlacerTenure},
 };
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::machine::ToldDemand;
+use crate::demand::ToldDemand;
 use crate::peers::frame::{
     DemandFrame, EngineLine, EstimateLine, FrameBody, HeldLine, PeerFrame, PlanFrame,
 };
@@ -29,8 +29,8 @@
 /// The least time between two frames of the plan to a subscriber: each makes it publish anew.
 const PLAN_PAUSE: Duration = Duration::from_millis(15);
 
-/// The least time between two words of how many requests engines have open.
-const LOADS_PAUSE: Duration = Duration::from_millis(250);
+/// The least time between two words of what engines have to do.
+const WORK_PAUSE: Duration = Duration::from_millis(250);
 
 /// How long an estimate is kept after its time.
 const ESTIMATE_HOLDS: Duration = Duration::from_secs(2);
@@ -94,8 +94,8 @@
     untold: BTreeSet<EngineName>,
     /// When changes were last told.
     told: ClockMillis,
-    /// When open requests were last told.
-    loads_told: ClockMillis,
+    /// When the engines' work was last told.
+    work_told: ClockMillis,
 }
 
 impl PlacementDomain {
@@ -118,24 +118,24 @@
             placer: None,
             untold: BTreeSet::new(),
             told: ClockMillis::default(),
-            loads_told: ClockMillis::default(),
+            work_told: ClockMillis::default(),
         }
     }
 
-    /// Tells the subscribers how many requests engines have open; returns what changed.
-    pub fn tell_loads(&mut self, now: ClockMillis) -> Vec<(EngineName, u32)> {
+    /// Tells the subscribers what engines have to do; returns what changed.
+    pub fn tell_work(&mut self, now: ClockMillis) -> Vec<(EngineName, EngineWork)> {
         let Some(planner) = &mut self.planner else { return Vec::new() };
-        if now.since(self.loads_told) < LOADS_PAUSE {
+        if now.since(self.work_told) < WORK_PAUSE {
             return Vec::new();
         }
-        self.loads_told = now;
-        let changed = planner.take_changed_loads();
+        self.work_told = now;
+        let changed = planner.take_changed_work();
         if !changed.is_empty() {
             let frame = PlanFrame {
                 service: self.service.to_string(),
                 token: self.planned_token,
                 machines: self.listeners(),
-                loads: changed.iter().map(Into::into).collect(),
+                work: changed.iter().map(Into::into).collect(),
                 ..PlanFrame::default()
             };
             self.broadcast(&PeerFrame::new(FrameBody::Plan(frame)));
@@ -164,7 +164,7 @@
     pub fn tell_demand(&mut self, machine: &Arc<str>, told: &ToldDemand, now: ClockMillis) -> bool {
         if let Some(planner) = &mut self.planner {
             planner.demand_noted(machine, &told.entries, now);
-            planner.loads_noted(machine, &told.loads, now);
+            planner.work_noted(machine, &told.work, now);
             self.asked.extend(waited_keys(&told.entries));
             return true;
         }
@@ -173,7 +173,8 @@
             machine: machine.to_string(),
             service: self.service.to_string(),
             entries: told.entries.iter().map(Into::into).collect(),
-            loads: told.loads.iter().map(Into::into).collect(),
+            work: told.work.engines.iter().map(Into::into).collect(),
+            runs: told.work.runs.iter().map(Into::into).collect(),
         };
         placer.try_send(PeerFrame::new(FrameBody::Demand(frame))).is_ok()
     }
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -32,8 +32,7 @@
         let entries: Vec<_> = frame.entries.iter().map(Into::into).collect();
         let machine = Arc::from(frame.machine.as_str());
         planner.demand_noted(&machine, &entries, now);
-        let loads: Vec<_> = frame.loads.iter().map(Into::into).collect();
-        planner.loads_noted(&machine, &loads, now);
+        planner.work_noted(&machine, &frame.work(), now);
         self.shared.wake_control.notify_one();
         let waited: Vec<ModelKey> = waited_keys(&entries).collect();
         for known in domain.subscribers.iter_mut().filter(|known| known.machine == machine) {
@@ -54,10 +53,10 @@
         let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return };
         if domain.planner.is_none() && domain.adopt_plan(frame, now) {
             self.machine_count.told(frame.machines);
-            let loads: Vec<_> = frame.loads.iter().map(Into::into).collect();
-            self.shared.engine_loads().take(loads);
-            let only_loads = frame.engines.is_empty() && frame.estimates.is_empty();
-            self.changed |= !only_loads;
+            let work: Vec<_> = frame.work.iter().map(Into::into).collect();
+            self.shared.shared_work().take(work);
+            let only_work = frame.engines.is_empty() && frame.estimates.is_empty();
+            self.changed |= !only_work;
             self.publish();
         }
     }
@@ -159,8 +158,8 @@
         self.changed |= !changed.is_empty();
         domain.tell_plan(changed, now);
         self.machine_count.told(domain.listeners());
-        let loads = domain.tell_loads(now);
-        self.shared.engine_loads().take(loads);
+        let work = domain.tell_work(now);
+        self.shared.shared_work().take(work);
         self.changed |= domain.answer_asked(now);
         start_actions(own, service, domain.planned_token, actions);
         due
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -249,7 +249,7 @@
         if let Some(domain) = self.domains.get_mut(service) {
             domain.placer = None;
             domain.plan_live = false;
-            self.shared.engine_loads().clear();
+            self.shared.shared_work().clear();
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/demand.rs
@@ -0,0 +1,211 @@
+//! What the traffic thread tells the control thread for the placers: what requests ask for, and what
+//! they have at engines.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use reelreel_core::{
+    ClockMillis,
+    fleet::{EngineName, ModelKey, ServiceName, work::EngineWork},
+    placement::{DemandEntry, HostWork, RunEntry},
+};
+
+/// How long a word that still holds stays unsaid before it is said again; placers forget after three
+/// times as long.
+const WORD_RENEWAL: Duration = Duration::from_secs(1);
+
+/// Demand for one model or adapter since it was last told.
+#[derive(Debug, Clone, Default)]
+struct DemandCount {
+    asked: u32,
+    waiting: u32,
+    waiting_worth: f64,
+    changed: bool,
+    told: ClockMillis,
+}
+
+/// What this host has at one engine.
+#[derive(Debug, Clone, Default)]
+struct WorkCount {
+    work: EngineWork,
+    runs: BTreeMap<ModelKey, u32>,
+    /// Runs that were told last; those among them that are gone must be told too.
+    told_runs: BTreeMap<ModelKey, u32>,
+    told_work: EngineWork,
+    told: ClockMillis,
+}
+
+impl WorkCount {
+    /// Appends what must be told now: what changed, or everything when it must be renewed.
+    fn tell(&mut self, engine: &EngineName, now: ClockMillis, told: &mut HostWork) {
+        let renew = self.work.open > 0 && now.since(self.told) >= WORD_RENEWAL;
+        if renew || self.work != self.told_work {
+            told.engines.push((Arc::clone(engine), self.work));
+        }
+        let before = told.runs.len();
+        for (key, open) in &self.runs {
+            if renew || self.told_runs.get(key) != Some(open) {
+                let (engine, key) = (Arc::clone(engine), Arc::clone(key));
+                told.runs.push(RunEntry { engine, key, open: *open });
+            }
+        }
+        for key in self.told_runs.keys().filter(|key| !self.runs.contains_key(*key)) {
+            let (engine, key) = (Arc::clone(engine), Arc::clone(key));
+            told.runs.push(RunEntry { engine, key, open: 0 });
+        }
+        if renew || told.runs.len() > before || self.work != self.told_work {
+            self.told = now;
+        }
+        self.told_work = self.work;
+        self.told_runs.clone_from(&self.runs);
+    }
+}
+
+/// What a host tells the placer of one service.
+#[derive(Debug, Clone, Default)]
+pub struct ToldDemand {
+    /// What it is asked for.
+    pub entries: Vec<DemandEntry>,
+    /// What it has at engines.
+    pub work: HostWork,
+}
+
+/// Demand that the traffic thread sees and the control thread tells.
+#[derive(Debug, Default)]
+pub struct DemandCollector {
+    services: HashMap<ServiceName, HashMap<ModelKey, DemandCount>>,
+    engines: HashMap<ServiceName, HashMap<EngineName, WorkCount>>,
+}
+
+impl DemandCollector {
+    fn count(&mut self, service: &ServiceName, key: &ModelKey) -> &mut DemandCount {
+        let keys = self.services.entry(Arc::clone(service)).or_default();
+        let count = keys.entry(Arc::clone(key)).or_default();
+        count.changed = true;
+        count
+    }
+
+    /// Counts a request.
+    pub fn asked(&mut self, service: &ServiceName, key: &ModelKey) {
+        self.count(service, key).asked += 1;
+    }
+
+    /// Counts a request that begins to wait.
+    pub fn wait_began(&mut self, service: &ServiceName, key: &ModelKey, worth: f64) {
+        let count = self.count(service, key);
+        count.waiting += 1;
+        count.waiting_worth += worth;
+    }
+
+    /// Counts a request that waits no longer.
+    pub fn wait_ended(&mut self, service: &ServiceName, key: &ModelKey, worth: f64) {
+        let count = self.count(service, key);
+        count.waiting = count.waiting.saturating_sub(1);
+        count.waiting_worth = (count.waiting_worth - worth).max(0.0);
+    }
+
+    /// Takes what this host has at an engine.
+    pub fn engine_work(
+        &mut self,
+        service: &ServiceName,
+        engine: &EngineName,
+        work: EngineWork,
+        runs: BTreeMap<ModelKey, u32>,
+    ) {
+        let engines = self.engines.entry(Arc::clone(service)).or_default();
+        let count = engines.entry(Arc::clone(engine)).or_default();
+        (count.work, count.runs) = (work, runs);
+    }
+
+    /// Forgets an engine that is listed no more, or that holds no models.
+    pub fn forget_engine(&mut self, engine: &str) {
+        for engines in self.engines.values_mut() {
+            engines.remove(engine);
+        }
+    }
+
+    /// Takes what must be told now, by service.
+    pub fn drain(&mut self, now: ClockMillis) -> HashMap<ServiceName, ToldDemand> {
+        let mut drained = self.drain_work(now);
+        for (service, keys) in &mut self.services {
+            let mut entries = Vec::new();
+            for (key, count) in keys.iter_mut() {
+                let renew = count.waiting > 0 && now.since(count.told) >= WORD_RENEWAL;
+                if !count.changed && !renew {
+                    continue;
+                }
+                entries.push(DemandEntry {
+                    key: Arc::clone(key),
+                    asked: std::mem::take(&mut count.asked),
+                    waiting: count.waiting,
+                    waiting_worth: count.waiting_worth,
+                });
+                count.changed = false;
+                count.told = now;
+            }
+            keys.retain(|_, count| count.waiting > 0 || count.changed);
+            if !entries.is_empty() {
+                drained.entry(Arc::clone(service)).or_default().entries = entries;
+            }
+        }
+        drained
+    }
+
+    fn drain_work(&mut self, now: ClockMillis) -> HashMap<ServiceName, ToldDemand> {
+        let mut drained: HashMap<ServiceName, ToldDemand> = HashMap::new();
+        for (service, engines) in &mut self.engines {
+            let mut work = HostWork::default();
+            for (engine, count) in engines.iter_mut() {
+                count.tell(engine, now, &mut work);
+            }
+            engines.retain(|_, count| count.work.open > 0);
+            if !work.is_empty() {
+                drained.entry(Arc::clone(service)).or_default().work = work;
+            }
+        }
+        drained
+    }
+
+    /// Makes everything that holds be told again, to a new placer of a service.
+    pub fn tell_again(&mut self, service: &str) {
+        for count in self.services.get_mut(service).into_iter().flat_map(HashMap::values_mut) {
+            count.changed = true;
+        }
+        for count in self.engines.get_mut(service).into_iter().flat_map(HashMap::values_mut) {
+            count.told_runs.clear();
+            count.told_work = EngineWork::default();
+        }
+    }
+}
+
+/// What all hosts have at engines, as the placers say.
+#[derive(Debug, Default)]
+pub struct SharedWork {
+    engines: HashMap<EngineName, EngineWork>,
+}
+
+impl SharedWork {
+    /// Takes what a placer says.
+    pub fn take(&mut self, told: Vec<(EngineName, EngineWork)>) {
+        for (engine, work) in told {
+            if work.open == 0 {
+                self.engines.remove(&engine);
+            } else {
+                self.engines.insert(engine, work);
+            }
+        }
+    }
+
+    /// Forgets everything, since nobody keeps it up to date.
+    pub fn clear(&mut self) {
+        self.engines.clear();
+    }
+
+    /// Returns what an engine has to do, nothing where nobody told any.
+    pub fn at(&self, engine: &str) -> EngineWork {
+        self.engines.get(engine).copied().unwrap_or_default()
+    }
+}
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -3,5 +3,5 @@
 pub mod pool;
 pub mod send;
 
-pub use pool::{EngineLease, EnginePool};
+pub use pool::{ConnectTerms, EngineLease, EnginePool};
 pub use send::{EngineAnswer, SendFailure, send_request};
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -1,12 +1,19 @@
 //! Kept connections to each engine, and what this machine knows from its own requests.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use reelreel_core::{
     ClockMillis,
     fleet::{
-        EngineEntry, EngineName,
+        EngineEntry, EngineName, ModelKey,
         condition::{EngineCondition, EngineOutcome},
+        work::EngineWork,
     },
 };
 use reelreel_http::HttpStream;
@@ -39,7 +46,12 @@
 struct EngineState {
     idle: Vec<IdleConnection>,
     condition: EngineCondition,
-    open: u32,
+    /// What this host has there.
+    work: EngineWork,
+    /// This host's requests there by model or adapter.
+    runs: BTreeMap<ModelKey, u32>,
+    /// Whether this host's work there has changed since it was last counted.
+    touched: bool,
 }
 
 /// Kept connections to each engine, and what this machine knows from its own requests.
@@ -50,7 +62,7 @@
 
 /// A connection to an engine, with an open request counted for as long as it lives.
 pub struct EngineLease {
-    count: OpenCount,
+    count: RunCount,
     /// The engine.
     pub entry: Arc<EngineEntry>,
     /// The connection.
@@ -64,13 +76,19 @@
     pub fn view(&self, engine: &str) -> (EngineCondition, u32) {
         self.engines
             .get(engine)
-            .map(|state| (state.condition.clone(), state.open))
+            .map(|state| (state.condition.clone(), state.work.open))
             .unwrap_or_default()
     }
 
-    /// Returns this machine's open requests at an engine.
-    pub fn open(&self, engine: &str) -> u32 {
-        self.engines.get(engine).map_or(0, |state| state.open)
+    /// Takes this host's work at the engines where it has changed since the last call.
+    pub fn take_changed_work(&mut self) -> Vec<(EngineName, EngineWork, BTreeMap<ModelKey, u32>)> {
+        let touched = self.engines.iter_mut().filter(|(_, state)| state.touched);
+        touched
+            .map(|(engine, state)| {
+                state.touched = false;
+                (Arc::clone(engine), state.work, state.runs.clone())
+            })
+            .collect()
     }
 
     /// Counts how a send to an engine ended.
@@ -82,7 +100,7 @@
     pub fn clean(&mut self, listed: impl Fn(&str) -> bool, now: ClockMillis) {
         self.engines.retain(|engine, state| {
             state.idle.retain(|idle| now < idle.until && idle.stream.is_quiet());
-            listed(engine) || state.open > 0
+            listed(engine) || state.work.open > 0 || state.touched
         });
     }
 
@@ -100,7 +118,7 @@
 
     /// Connects to an engine, over a kept connection if there is one.
     ///
-    /// A request that may run only once (`single`) gets a connection that was used just now or a
+    /// A request that may run only once gets a connection that was used just now or a
     /// new one, so that the engine does not close it at the same moment.
     ///
     /// # Errors
@@ -108,12 +126,12 @@
     pub async fn connect(
         pool: &Rc<RefCell<Self>>,
         entry: &Arc<EngineEntry>,
-        single: bool,
+        terms: ConnectTerms,
         now: ClockMillis,
     ) -> std::io::Result<EngineLease> {
-        let kept = pool.borrow_mut().take_idle(&entry.name, single, now);
+        let kept = pool.borrow_mut().take_idle(&entry.name, terms.single, now);
         let reused = kept.is_some();
-        let count = OpenCount::new(pool, &entry.name);
+        let count = RunCount::new(pool, &entry.name, terms);
         let stream = if let Some(stream) = kept {
             stream
         } else {
@@ -125,28 +143,76 @@
     }
 }
 
-/// Counts an open request for as long as it lives.
-struct OpenCount {
+/// What a request asks of a connection to an engine.
+#[derive(Debug, Clone)]
+pub struct ConnectTerms {
+    /// Whether the request may run only once.
+    pub single: bool,
+    /// The model or adapter that it names.
+    pub key: Option<ModelKey>,
+    /// How much of its prompt the engine is expected to read. Unit: tokens.
+    pub unread: u64,
+}
+
+/// Counts a request at its engine for as long as it lives.
+struct RunCount {
     pool: Rc<RefCell<EnginePool>>,
     engine: EngineName,
+    key: Option<ModelKey>,
+    unread: u64,
 }
 
-impl OpenCount {
-    fn new(pool: &Rc<RefCell<EnginePool>>, engine: &EngineName) -> Self {
-        pool.borrow_mut().engines.entry(Arc::clone(engine)).or_default().open += 1;
-        Self { pool: Rc::clone(pool), engine: Arc::clone(engine) }
+impl RunCount {
+    fn new(pool: &Rc<RefCell<EnginePool>>, engine: &EngineName, terms: ConnectTerms) -> Self {
+        let mut locked = pool.borrow_mut();
+        let state = locked.engines.entry(Arc::clone(engine)).or_default();
+        state.work = state.work + EngineWork { open: 1, unread: terms.unread };
+        if let Some(key) = &terms.key {
+            *state.runs.entry(Arc::clone(key)).or_default() += 1;
+        }
+        state.touched = true;
+        drop(locked);
+        Self {
+            pool: Rc::clone(pool),
+            engine: Arc::clone(engine),
+            key: terms.key,
+            unread: terms.unread,
+        }
+    }
+
+    /// Takes that the engine has read the prompt.
+    fn prompt_read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        if let Some(state) = self.pool.borrow_mut().engines.get_mut(&self.engine) {
+            state.work.unread = state.work.unread.saturating_sub(unread);
+            state.touched |= unread > 0;
+        }
     }
 }
 
-impl Drop for OpenCount {
+impl Drop for RunCount {
     fn drop(&mut self) {
-        if let Some(state) = self.pool.borrow_mut().engines.get_mut(&self.engine) {
-            state.open = state.open.saturating_sub(1);
+        self.prompt_read();
+        let mut pool = self.pool.borrow_mut();
+        let Some(state) = pool.engines.get_mut(&self.engine) else { return };
+        state.work.open = state.work.open.saturating_sub(1);
+        state.touched = true;
+        let Some(key) = &self.key else { return };
+        if let Some(open) = state.runs.get_mut(key) {
+            *open -= 1;
+            if *open == 0 {
+                state.runs.remove(key);
+            }
         }
     }
 }
 
 impl EngineLease {
+    /// Takes that the engine has read the request's prompt: its first event is there.
+    pub fn prompt_read(&mut self) {
+        self.count.prompt_read();
+    }
+
     /// Keeps the connection for another request; `kept` is how long the engine keeps it.
     pub fn keep(self, kept: Option<Duration>, now: ClockMillis) {
         let Self { count, entry, mut stream, .. } = self;
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -36,8 +36,9 @@
 /// How often connections that rested too long are closed.
 const CLEAN_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How often open requests are counted for the placers.
-const COUNT_INTERVAL: Duration = Duration::from_millis(150);
+/// How often the work at engines is counted for the placers: a fifth of what an adapter takes to load,
+/// so that a place whose last run has ended is soon used again.
+const COUNT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How long to wait before an address is listened on again.
 const LISTEN_PAUSE: Duration = Duration::from_millis(100);
@@ -131,14 +132,21 @@
         taken
     }
 
-    /// Counts open requests at the engines that hold models, for their placers.
-    fn count_open(&self) {
+    /// Counts what this host has at the engines that hold models, for their placers.
+    fn count_work(&self) {
         let table = self.table();
         let Some(routes) = &table.routes else { return };
-        let (pool, mut demand) = (self.pool.borrow(), self.shared.demand());
-        for service in routes.hosting_services() {
-            for entry in table.engines.get(&service.name).into_iter().flatten() {
-                demand.engine_open(&service.name, &entry.name, pool.open(&entry.name));
+        let changed = self.pool.borrow_mut().take_changed_work();
+        if changed.is_empty() {
+            return;
+        }
+        let mut demand = self.shared.demand();
+        for (engine, work, runs) in changed {
+            let mut services = routes.hosting_services();
+            let service = services.find(|service| table.serves(&service.name, &engine));
+            match service {
+                Some(service) => demand.engine_work(&service.name, &engine, work, runs),
+                None => demand.forget_engine(&engine),
             }
         }
     }
@@ -184,7 +192,7 @@
     tokio::task::spawn_local(connection::accept_clients(Rc::clone(&traffic), clients));
     tokio::task::spawn_local(probe::serve_readiness(Rc::clone(&traffic), readiness));
     tokio::task::spawn_local(clean_up(Rc::clone(&traffic)));
-    tokio::task::spawn_local(tell_open(Rc::clone(&traffic)));
+    tokio::task::spawn_local(tell_work(Rc::clone(&traffic)));
     let mut stopping = shared.stopping.subscribe();
     // The sender lives as long as the shared state, so waiting can not fail.
     let _ = stopping.wait_for(|stopping| *stopping).await;
@@ -205,10 +213,10 @@
     }
 }
 
-async fn tell_open(traffic: Rc<TrafficState>) {
+async fn tell_work(traffic: Rc<TrafficState>) {
     loop {
         tokio::time::sleep(COUNT_INTERVAL).await;
-        traffic.count_open();
+        traffic.count_work();
     }
 }
 
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     border::SendTerms,
-    engines::{EngineAnswer, EngineLease, EnginePool, send_request},
+    engines::{ConnectTerms, EngineAnswer, EngineLease, EnginePool, send_request},
     entry::{
         exchange::{Exchange, ExchangeEnd, SENT_AHEAD, SendEnd},
         forward::forwarded_request,
@@ -54,9 +54,9 @@
         entry: &Arc<EngineEntry>,
         version: Option<WeightVersion>,
     ) -> SendEnd {
-        let single = !self.route.kind.may_repeat();
         let now = self.traffic.now();
-        let connecting = EnginePool::connect(&self.traffic.pool, entry, single, now);
+        let terms = self.connect_terms(!self.route.kind.may_repeat());
+        let connecting = EnginePool::connect(&self.traffic.pool, entry, terms, now);
         let connected = tokio::select! {
             biased;
             connected = connecting => connected,
@@ -164,6 +164,15 @@
         SendEnd::Over(end, "answered")
     }
 
+    /// Returns what the request asks of a connection; `fresh` for one that was used just now or is new.
+    pub fn connect_terms(&self, fresh: bool) -> ConnectTerms {
+        ConnectTerms {
+            single: fresh,
+            key: self.facts.model.clone(),
+            unread: self.facts.prompt.tokens(),
+        }
+    }
+
     /// Counts a send, and the engine among those that the request was sent to.
     pub fn count_send(&mut self, entry: &EngineEntry) {
         self.sends += 1;
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -216,6 +216,7 @@
                 Err(_) => return PartEnd::Broken,
             };
             if std::mem::take(&mut first) {
+                lease.prompt_read();
                 let delay = self.traffic.now().since(began);
                 self.note(&lease.entry, EngineOutcome::Answered(delay));
             }
@@ -298,7 +299,10 @@
             return None;
         };
         let now = self.traffic.now();
-        let mut lease = EnginePool::connect(&self.traffic.pool, &entry, true, now).await.ok()?;
+        let mut lease = {
+            let terms = self.connect_terms(true);
+            EnginePool::connect(&self.traffic.pool, &entry, terms, now).await.ok()?
+        };
         let request = self.engine_request(&entry, version, progress.cutter.last_id());
         self.count_send(&entry);
         self.traffic.shared.metrics.resumes.inc();
--- a/crates/gateway/src/entry/pick.rs
+++ b/crates/gateway/src/entry/pick.rs
@@ -65,16 +65,16 @@
         return if cold { EnginePick::Cold } else { EnginePick::Nowhere };
     }
     let newest = able.iter().map(|(_, version, _, _)| *version).max().flatten();
-    let loads = traffic.shared.engine_loads();
+    let shared = traffic.shared.shared_work();
     let candidates: Vec<EngineCandidate<'_>> = able
         .iter()
         .filter(|(_, version, _, _)| *version == newest)
         .map(|(entry, _, condition, open)| {
-            let told = loads.at(&entry.name);
+            let told = shared.at(&entry.name).open;
             EngineCandidate { entry, condition, open: *open, told }
         })
         .collect();
-    drop(loads);
+    drop(shared);
     let zone = &traffic.shared.profile.zone;
     let best = best_engine(&candidates, zone, xxh3_64(need.id.as_bytes()), table.machines, now);
     let chosen = best.and_then(|best| able.iter().find(|(entry, ..)| entry.name == best));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod border;
 pub mod call;
 pub mod control;
+pub mod demand;
 pub mod engines;
 pub mod entry;
 pub mod events;
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -5,8 +5,8 @@
 use std::{sync::Arc, time::Duration};
 
 use reelreel_core::{
-    fleet::{EngineName, HeldModel, ModelKey},
-    placement::DemandEntry,
+    fleet::{EngineName, HeldModel, ModelKey, work::EngineWork},
+    placement::{DemandEntry, HostWork, RunEntry},
 };
 
 use crate::border::KeyedRecord;
@@ -51,20 +51,40 @@
     /// What changed since the last frame.
     #[prost(message, repeated, tag = "3")]
     pub entries: Vec<DemandLine>,
-    /// Open requests at engines where they changed.
+    /// The host's work at engines where it changed.
     #[prost(message, repeated, tag = "4")]
-    pub loads: Vec<LoadLine>,
+    pub work: Vec<WorkLine>,
+    /// The host's requests at engines by model or adapter where they changed.
+    #[prost(message, repeated, tag = "5")]
+    pub runs: Vec<RunLine>,
 }
 
-/// Open requests at an engine.
+/// What an engine has to do.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct LoadLine {
+pub struct WorkLine {
     /// The engine.
     #[prost(string, tag = "1")]
     pub engine: String,
     /// Requests that are open there.
     #[prost(uint32, tag = "2")]
     pub open: u32,
+    /// Prompts that it has not read yet. Unit: tokens.
+    #[prost(uint64, tag = "3")]
+    pub unread: u64,
+}
+
+/// A host's requests at an engine for one model or adapter.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RunLine {
+    /// The engine.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// The model or adapter.
+    #[prost(string, tag = "2")]
+    pub key: String,
+    /// Requests that are open; none ends an earlier word.
+    #[prost(uint32, tag = "3")]
+    pub open: u32,
 }
 
 /// Demand for one model or adapter.
@@ -102,9 +122,9 @@
     /// How many machines listen to the placer, itself included.
     #[prost(uint32, tag = "5")]
     pub machines: u32,
-    /// Open requests of all machines at engines where they changed.
+    /// The work of all machines at engines where it changed.
     #[prost(message, repeated, tag = "6")]
-    pub loads: Vec<LoadLine>,
+    pub work: Vec<WorkLine>,
 }
 
 /// What one engine holds.
@@ -231,15 +251,39 @@
     }
 }
 
-impl From<&(EngineName, u32)> for LoadLine {
-    fn from((engine, open): &(EngineName, u32)) -> Self {
-        Self { engine: engine.to_string(), open: *open }
+impl DemandFrame {
+    /// Returns what the host has at engines.
+    pub fn work(&self) -> HostWork {
+        HostWork {
+            engines: self.work.iter().map(Into::into).collect(),
+            runs: self.runs.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<&(EngineName, EngineWork)> for WorkLine {
+    fn from((engine, work): &(EngineName, EngineWork)) -> Self {
+        Self { engine: engine.to_string(), open: work.open, unread: work.unread }
+    }
+}
+
+impl From<&WorkLine> for (EngineName, EngineWork) {
+    fn from(line: &WorkLine) -> Self {
+        let work = EngineWork { open: line.open, unread: line.unread };
+        (Arc::from(line.engine.as_str()), work)
+    }
+}
+
+impl From<&RunEntry> for RunLine {
+    fn from(run: &RunEntry) -> Self {
+        Self { engine: run.engine.to_string(), key: run.key.to_string(), open: run.open }
     }
 }
 
-impl From<&LoadLine> for (EngineName, u32) {
-    fn from(line: &LoadLine) -> Self {
-        (Arc::from(line.engine.as_str()), line.open)
+impl From<&RunLine> for RunEntry {
+    fn from(line: &RunLine) -> Self {
+        let engine = Arc::from(line.engine.as_str());
+        Self { engine, key: Arc::from(line.key.as_str()), open: line.open }
     }
 }
 
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -43,6 +43,11 @@
         self.engines.get(service).into_iter().flatten().filter(|entry| !entry.leaving)
     }
 
+    /// Returns whether an engine is listed for a service.
+    pub fn serves(&self, service: &str, engine: &str) -> bool {
+        self.engines.get(service).into_iter().flatten().any(|entry| &*entry.name == engine)
+    }
+
     /// Returns the version in which an engine holds `key`, if it does.
     pub fn held_version(&self, key: &str, engine: &str) -> Option<WeightVersion> {
         let copies = self.copies.get(key)?;
