perf(core): a load goes where the least is left to read

Change: demand tells tokens of prompts that came and that wait; the place of a load is chosen by what the engine has not read yet (told by all hosts), by the prompts that come for its adapters within half a second, and by open requests as a part of a mean prompt.

--- a/crates/core/src/fleet/prompt.rs
+++ b/crates/core/src/fleet/prompt.rs
@@ -25,9 +25,9 @@
 }
 
 impl PromptFacts {
-    /// Returns how many tokens an engine that keeps nothing reads.
+    /// Returns how many tokens an engine that keeps nothing reads, at least one.
     pub fn tokens(&self) -> u64 {
         let parts: u64 = self.parts.iter().map(|part| u64::from(part.tokens)).sum();
-        parts.max(u64::from(self.length))
+        parts.max(u64::from(self.length)).max(1)
     }
 }
--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -26,8 +26,12 @@
     pub key: ModelKey,
     /// Requests that came since the last word.
     pub asked: u32,
+    /// The prompts of those. Unit: tokens.
+    pub asked_tokens: u64,
     /// Requests that wait for it now.
     pub waiting: u32,
+    /// The prompts of those. Unit: tokens.
+    pub waiting_tokens: u64,
     /// The worth of the waiting requests; the mean request is worth one.
     pub waiting_worth: f64,
 }
@@ -35,6 +39,7 @@
 #[derive(Debug, Clone, Copy)]
 struct HostWaiting {
     requests: u32,
+    tokens: u64,
     worth: f64,
     at: ClockMillis,
 }
@@ -43,6 +48,8 @@
 struct KeyDemand {
     rate: DecayedRate,
     burst: DecayedRate,
+    /// Tokens of the prompts that came.
+    reading: DecayedRate,
     /// Requests since a load was last ordered.
     unserved: u32,
     asked: ClockMillis,
@@ -75,14 +82,20 @@
             if entry.asked > 0 {
                 demand.rate.add(f64::from(entry.asked), now, RATE_HALF_LIFE);
                 demand.burst.add(f64::from(entry.asked), now, BURST_HALF_LIFE);
+                demand.reading.add(entry.asked_tokens as f64, now, RATE_HALF_LIFE);
                 demand.unserved = demand.unserved.saturating_add(entry.asked);
                 demand.asked = now;
             }
             if entry.waiting == 0 {
                 demand.waiting.remove(host);
             } else {
-                let (requests, worth) = (entry.waiting, entry.waiting_worth);
-                demand.waiting.insert(Arc::clone(host), HostWaiting { requests, worth, at: now });
+                let waiting = HostWaiting {
+                    requests: entry.waiting,
+                    tokens: entry.waiting_tokens,
+                    worth: entry.waiting_worth,
+                    at: now,
+                };
+                demand.waiting.insert(Arc::clone(host), waiting);
             }
             demand.note_waiting(now);
         }
@@ -110,6 +123,28 @@
         self.keys.get(key).map_or(0.0, |demand| demand.rate.per_second(now, RATE_HALF_LIFE))
     }
 
+    /// Returns how many tokens of prompts a second come for `key`.
+    pub fn reading_rate(&self, key: &str, now: ClockMillis) -> f64 {
+        self.keys.get(key).map_or(0.0, |demand| demand.reading.per_second(now, RATE_HALF_LIFE))
+    }
+
+    /// Returns the prompts of the requests that wait for `key`. Unit: tokens.
+    pub fn waiting_tokens(&self, key: &str) -> u64 {
+        let Some(demand) = self.keys.get(key) else { return 0 };
+        demand.waiting.values().map(|waiting| waiting.tokens).sum()
+    }
+
+    /// Returns the mean prompt of all requests that come. Unit: tokens.
+    pub fn mean_prompt(&self, now: ClockMillis) -> f64 {
+        let rates = self.keys.values().map(|demand| {
+            let requests = demand.rate.per_second(now, RATE_HALF_LIFE);
+            (requests, demand.reading.per_second(now, RATE_HALF_LIFE))
+        });
+        let (requests, tokens) =
+            rates.fold((0.0, 0.0), |sum, rate| (sum.0 + rate.0, sum.1 + rate.1));
+        if requests > 0.0 { tokens / requests } else { 0.0 }
+    }
+
     /// Returns how many requests a second ask for `key` by the last seconds alone.
     pub fn burst_rate(&self, key: &str, now: ClockMillis) -> f64 {
         self.keys.get(key).map_or(0.0, |demand| demand.burst.per_second(now, BURST_HALF_LIFE))
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -26,8 +26,9 @@
 /// The fewest adapters that are ordered at a time.
 const LEAST_AT_ONCE: usize = 4;
 
-/// How many requests a second an open request counts as, when a place for a load is sought.
-const OPEN_RATE: f64 = 0.3;
+/// The part of a mean prompt that an open request counts as, when a place for a load is sought: half of
+/// the 0.3 requests a second that it counted as before prompts were known (docs/DECISIONS.md).
+const OPEN_PROMPT: f64 = 0.15;
 
 /// How long after an adapter was asked for it may have a run that its host has not told yet: hosts count
 /// their runs every 50 ms and the control thread tells them within another 50; the rest is the way of
@@ -56,11 +57,11 @@
         let (best, room) = rooms.min_by_key(|(inventory, room)| {
             let doubted = inventory.doubted.iter().any(|load| load.key == *key);
             let remembered = self.comes_back(inventory, key);
-            let load = self.load_of(inventory);
+            let backlog = self.backlog(inventory);
             // A replacement waits for the runs on the version before.
             let replaces = inventory.held.contains_key(key);
             let full = matches!(room, LoadRoom::After(_));
-            (!doubted, replaces, !remembered, full, load, Arc::clone(&inventory.entry.name))
+            (!doubted, replaces, !remembered, full, backlog, Arc::clone(&inventory.entry.name))
         })?;
         let name = Arc::clone(&best.entry.name);
         let from_store = !self.comes_back(best, key);
@@ -178,17 +179,20 @@
         f64::from(open) / f64::from(inventory.entry.slots.max(1))
     }
 
-    /// Returns the engine's load by what it holds and has open, in requests for a thousand seconds.
-    fn load_of(&self, inventory: &EngineInventory) -> u64 {
-        let open = OPEN_RATE * f64::from(self.work.total(&inventory.entry.name).open);
-        let rate = self.totals.engine_rate(&inventory.entry.name) + open;
+    /// Returns what an engine has to read, and will have to soon. Unit: tokens.
+    ///
+    /// An open request counts with a part of a mean prompt: it takes a slot and slows the others.
+    fn backlog(&self, inventory: &EngineInventory) -> u64 {
+        let work = self.work.total(&inventory.entry.name);
+        let open = OPEN_PROMPT * f64::from(work.open) * self.totals.mean_prompt();
+        let backlog = work.unread as f64 + self.totals.coming(&inventory.entry.name) + open;
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "small, positive"
         )]
-        let load = (rate * 1000.0) as u64;
-        load
+        let backlog = backlog as u64;
+        backlog
     }
 
     /// Returns what an adapter is worth where it is: nothing once a later version was named.
--- a/crates/core/src/placement/totals.rs
+++ b/crates/core/src/placement/totals.rs
@@ -7,6 +7,7 @@
 use std::{
     collections::{HashMap, HashSet},
     sync::Arc,
+    time::Duration,
 };
 
 use crate::{
@@ -15,6 +16,10 @@
     placement::{EngineInventory, OrderKind, PlacementPlanner, PlannedOrder},
 };
 
+/// How far ahead prompts are counted that an engine will have to read: about the time in which an
+/// adapter that is ordered now comes and the prompt that waits for it is read.
+const SOON: Duration = Duration::from_millis(500);
+
 /// Sums over all engines of a domain.
 #[derive(Debug, Clone, Default)]
 pub(super) struct RoundTotals {
@@ -26,10 +31,12 @@
     due: HashMap<ModelKey, ClockMillis>,
     /// Keys whose load was ordered without an answer yet.
     ordered: HashSet<ModelKey>,
-    /// Requests a second for the copies that an engine holds or gets.
-    rates: HashMap<EngineName, f64>,
-    /// Requests a second for each key.
-    demand: HashMap<ModelKey, f64>,
+    /// Prompts that come soon for the copies that an engine holds or gets. Unit: tokens.
+    coming: HashMap<EngineName, f64>,
+    /// Prompts that come soon for each key. Unit: tokens.
+    prompts: HashMap<ModelKey, f64>,
+    /// The mean prompt of the requests that come. Unit: tokens.
+    mean_prompt: f64,
     /// Adapters under way from the weight store.
     under_way: usize,
 }
@@ -37,9 +44,13 @@
 impl RoundTotals {
     /// Counts what `planner` knows at `now`.
     pub(super) fn count(planner: &PlacementPlanner, now: ClockMillis) -> Self {
-        let keys = planner.demand.keys();
-        let demand = keys.map(|key| (Arc::clone(key), planner.demand.rate(key, now)));
-        let mut totals = Self { demand: demand.collect(), ..Self::default() };
+        let prompts = planner.demand.keys().map(|key| {
+            let expected = SOON.as_secs_f64() * planner.demand.reading_rate(key, now);
+            let waiting = planner.demand.waiting_tokens(key) as f64;
+            (Arc::clone(key), expected + waiting)
+        });
+        let mean_prompt = planner.demand.mean_prompt(now);
+        let mut totals = Self { prompts: prompts.collect(), mean_prompt, ..Self::default() };
         for inventory in planner.engines.values() {
             totals.add_copies(planner, inventory);
             totals.add_loads(inventory, now);
@@ -48,8 +59,8 @@
             totals.add_order(order);
         }
         for inventory in planner.engines.values() {
-            let rate = keys_of(inventory).map(|key| totals.rate_of_copy(key)).sum();
-            totals.rates.insert(Arc::clone(&inventory.entry.name), rate);
+            let coming = keys_of(inventory).map(|key| totals.prompts_of_copy(key)).sum();
+            totals.coming.insert(Arc::clone(&inventory.entry.name), coming);
         }
         totals
     }
@@ -93,14 +104,14 @@
     pub(super) fn note_order(&mut self, order: &PlannedOrder) {
         self.add_order(order);
         if matches!(order.kind, OrderKind::Load { .. }) {
-            let rate = self.rate_of_copy(&order.key);
-            *self.rates.entry(Arc::clone(&order.engine.name)).or_default() += rate;
+            let prompts = self.prompts_of_copy(&order.key);
+            *self.coming.entry(Arc::clone(&order.engine.name)).or_default() += prompts;
         }
     }
 
-    fn rate_of_copy(&self, key: &str) -> f64 {
-        let rate = self.demand.get(key).copied().unwrap_or_default();
-        rate / f64::from(self.copies(key).max(1))
+    fn prompts_of_copy(&self, key: &str) -> f64 {
+        let prompts = self.prompts.get(key).copied().unwrap_or_default();
+        prompts / f64::from(self.copies(key).max(1))
     }
 
     /// Returns how many engines hold the newest version of `key`, or are getting it.
@@ -127,9 +138,14 @@
         self.ordered.contains(key)
     }
 
-    /// Returns how many requests a second ask for what an engine holds or gets.
-    pub(super) fn engine_rate(&self, engine: &str) -> f64 {
-        self.rates.get(engine).copied().unwrap_or_default()
+    /// Returns the prompts that come soon for what an engine holds or gets. Unit: tokens.
+    pub(super) fn coming(&self, engine: &str) -> f64 {
+        self.coming.get(engine).copied().unwrap_or_default()
+    }
+
+    /// Returns the mean prompt of the requests that come. Unit: tokens.
+    pub(super) const fn mean_prompt(&self) -> f64 {
+        self.mean_prompt
     }
 
     /// Returns how many adapters are under way from the weight store.
--- a/crates/core/tests/placement/world.rs
+++ b/crates/core/tests/placement/world.rs
@@ -132,6 +132,9 @@
     NotSent,
 }
 
+/// The prompt of a request. Unit: tokens.
+const PROMPT: u64 = 1000;
+
 pub(crate) struct World {
     pub(crate) planner: PlacementPlanner,
     pub(crate) engines: Vec<TestEngine>,
@@ -171,8 +174,14 @@
     }
 
     pub(crate) fn ask(&mut self, number: usize, waiting: u32) {
-        let entry =
-            DemandEntry { key: key(number), asked: 1, waiting, waiting_worth: f64::from(waiting) };
+        let entry = DemandEntry {
+            key: key(number),
+            asked: 1,
+            asked_tokens: PROMPT,
+            waiting,
+            waiting_tokens: u64::from(waiting) * PROMPT,
+            waiting_worth: f64::from(waiting),
+        };
         self.planner.demand_noted(&Arc::from("host"), &[entry], self.at());
     }
 
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -21,7 +21,9 @@
 #[derive(Debug, Clone, Default)]
 struct DemandCount {
     asked: u32,
+    asked_tokens: u64,
     waiting: u32,
+    waiting_tokens: u64,
     waiting_worth: f64,
     changed: bool,
     told: ClockMillis,
@@ -88,21 +90,25 @@
         count
     }
 
-    /// Counts a request.
-    pub fn asked(&mut self, service: &ServiceName, key: &ModelKey) {
-        self.count(service, key).asked += 1;
+    /// Counts a request with a prompt of so many tokens.
+    pub fn asked(&mut self, service: &ServiceName, key: &ModelKey, tokens: u64) {
+        let count = self.count(service, key);
+        count.asked += 1;
+        count.asked_tokens += tokens;
     }
 
     /// Counts a request that begins to wait.
-    pub fn wait_began(&mut self, service: &ServiceName, key: &ModelKey, worth: f64) {
+    pub fn wait_began(&mut self, service: &ServiceName, key: &ModelKey, tokens: u64, worth: f64) {
         let count = self.count(service, key);
         count.waiting += 1;
+        count.waiting_tokens += tokens;
         count.waiting_worth += worth;
     }
 
     /// Counts a request that waits no longer.
-    pub fn wait_ended(&mut self, service: &ServiceName, key: &ModelKey, worth: f64) {
+    pub fn wait_ended(&mut self, service: &ServiceName, key: &ModelKey, tokens: u64, worth: f64) {
         let count = self.count(service, key);
+        count.waiting_tokens = count.waiting_tokens.saturating_sub(tokens);
         count.waiting = count.waiting.saturating_sub(1);
         count.waiting_worth = (count.waiting_worth - worth).max(0.0);
     }
@@ -140,6 +146,8 @@
                 entries.push(DemandEntry {
                     key: Arc::clone(key),
                     asked: std::mem::take(&mut count.asked),
+                    asked_tokens: std::mem::take(&mut count.asked_tokens),
+                    waiting_tokens: count.waiting_tokens,
                     waiting: count.waiting,
                     waiting_worth: count.waiting_worth,
                 });
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -203,7 +203,8 @@
 
     async fn run(&mut self) -> (ExchangeEnd, &'static str) {
         if let Some(key) = &self.facts.model {
-            self.traffic.shared.demand().asked(&self.service, key);
+            let tokens = self.facts.prompt.tokens();
+            self.traffic.shared.demand().asked(&self.service, key, tokens);
         }
         loop {
             match self.pick() {
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -38,17 +38,18 @@
     traffic: Rc<TrafficState>,
     service: ServiceName,
     key: ModelKey,
+    tokens: u64,
 }
 
 /// The worth of one waiting request, until requests tell their own.
 const WAIT_WORTH: f64 = 1.0;
 
 impl WaitGuard {
-    fn new(traffic: &Rc<TrafficState>, service: &ServiceName, key: &ModelKey) -> Self {
-        traffic.shared.demand().wait_began(service, key, WAIT_WORTH);
+    fn new(traffic: &Rc<TrafficState>, service: &ServiceName, key: &ModelKey, tokens: u64) -> Self {
+        traffic.shared.demand().wait_began(service, key, tokens, WAIT_WORTH);
         traffic.shared.wake_control.notify_one();
         let (service, key) = (Arc::clone(service), Arc::clone(key));
-        Self { traffic: Rc::clone(traffic), service, key }
+        Self { traffic: Rc::clone(traffic), service, key, tokens }
     }
 
     /// Goes on counting the request until its adapter is there or its client has come back.
@@ -70,7 +71,8 @@
 
 impl Drop for WaitGuard {
     fn drop(&mut self) {
-        self.traffic.shared.demand().wait_ended(&self.service, &self.key, WAIT_WORTH);
+        let mut demand = self.traffic.shared.demand();
+        demand.wait_ended(&self.service, &self.key, self.tokens, WAIT_WORTH);
     }
 }
 
@@ -83,7 +85,10 @@
             return WaitEnd::Changed;
         }
         let began = self.traffic.now();
-        let guard = WaitGuard::new(self.traffic, &self.service, &key);
+        let guard = {
+            let tokens = self.facts.prompt.tokens();
+            WaitGuard::new(self.traffic, &self.service, &key, tokens)
+        };
         let end = loop {
             let wait = match self.cold_request(&key).choose() {
                 ColdChoice::Wait(time) => time,
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -102,6 +102,12 @@
     /// Their worth; the mean request is worth one.
     #[prost(float, tag = "4")]
     pub waiting_worth: f32,
+    /// The prompts of the requests since the last frame. Unit: tokens.
+    #[prost(uint64, tag = "5")]
+    pub asked_tokens: u64,
+    /// The prompts of the requests that wait. Unit: tokens.
+    #[prost(uint64, tag = "6")]
+    pub waiting_tokens: u64,
 }
 
 /// What the placer of one domain has decided.
@@ -229,6 +235,8 @@
             asked: entry.asked,
             waiting: entry.waiting,
             waiting_worth,
+            asked_tokens: entry.asked_tokens,
+            waiting_tokens: entry.waiting_tokens,
         }
     }
 }
@@ -238,7 +246,9 @@
         Self {
             key: Arc::from(line.key.as_str()),
             asked: line.asked,
+            asked_tokens: line.asked_tokens,
             waiting: line.waiting,
+            waiting_tokens: line.waiting_tokens,
             waiting_worth: f64::from(line.waiting_worth),
         }
     }
