perf(core): engines are chosen by what they have to read

Change: hosts learn the reading speed of a service from their own first events (a median, so that kept prompts and unknown queues do not mislead), and the choice adds the time that an engine's unread prompts take. The placer tells the engines' work the sooner the fewer hosts listen.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -12,6 +12,7 @@
 pub mod cold;
 pub mod condition;
 pub mod prompt;
+pub mod reading;
 pub mod retry_share;
 pub mod routes;
 pub mod work;
--- a/crates/core/src/fleet/choice.rs
+++ b/crates/core/src/fleet/choice.rs
@@ -13,6 +13,10 @@
 /// What leaving the own data hall costs, in open requests.
 const ZONE_WEIGHT: f64 = 2.0;
 
+/// How much reading ahead costs as much as an open request: about what one prompt of some hundred tokens
+/// takes.
+const READING_PER_OPEN: Duration = Duration::from_millis(30);
+
 /// What being left alone costs: more than any load.
 const REST_WEIGHT: f64 = 10_000.0;
 
@@ -60,9 +64,12 @@
     pub open: u32,
     /// The open requests of all hosts there, as far as this host was told.
     pub told: u32,
+    /// How long it takes to read what it has not read yet.
+    pub reading: Duration,
 }
 
-/// Returns the best of the candidates, by open requests, failures, delay and data hall.
+/// Returns the best of the candidates, by open requests, reading ahead, failures, delay and
+/// data hall.
 ///
 /// `tie` spreads equal candidates; any number that differs between requests does. `hosts` choose with
 /// the same word of the engines' loads, so that many of them must not all choose the same engine.
@@ -91,6 +98,7 @@
 fn cost(candidate: &EngineCandidate<'_>, zone: &str, median: Option<f64>, now: ClockMillis) -> f64 {
     let condition = candidate.condition;
     let mut cost = f64::from(candidate.open.max(candidate.told));
+    cost += candidate.reading.div_duration_f64(READING_PER_OPEN);
     cost += FAILURE_WEIGHT * condition.failure_share().powi(2);
     if &*candidate.entry.zone != zone {
         cost += ZONE_WEIGHT;
--- /dev/null
+++ b/crates/core/src/fleet/reading.rs
@@ -0,0 +1,53 @@
+//! How fast the engines of a service read prompts, learnt from a host's own requests.
+//!
+//! Nobody tells the speed. A request that was sent to an engine shows it by its first event: until then
+//! the engine read what was ahead of it and its own prompt. Single samples mislead, since an engine may
+//! have kept a part of the prompt (it seems faster) or have had more ahead than was known (it seems
+//! slower); the median of many does not.
+
+use std::time::Duration;
+
+/// By which part the speed moves with a sample: some thirty samples bridge a factor of two.
+const MEDIAN_STEP: f64 = 0.025;
+
+/// The shortest prompt that shows a speed, as a part of the mean one: what comes before the first event
+/// beside reading weighs more in shorter ones.
+const LEAST_PART: f64 = 0.5;
+
+/// How strongly the newest prompt moves the mean one.
+const MEAN_GAIN: f64 = 0.02;
+
+/// The reading speed of a service's engines, once samples have come.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ReadingSpeed {
+    /// Unit: tokens per millisecond.
+    tokens_per_milli: Option<f64>,
+    /// The mean prompt. Unit: tokens.
+    mean_prompt: f64,
+}
+
+impl ReadingSpeed {
+    /// Takes that an engine gave a first event so long after a request was sent, with `prompt` tokens of
+    /// its own and `ahead` tokens of others before it.
+    pub fn note(&mut self, prompt: u64, ahead: u64, time: Duration) {
+        let prompt = prompt as f64;
+        if self.mean_prompt == 0.0 {
+            self.mean_prompt = prompt;
+        }
+        self.mean_prompt += MEAN_GAIN * (prompt - self.mean_prompt);
+        let millis = time.as_secs_f64() * 1000.0;
+        if millis <= 0.0 || prompt <= 1.0 || prompt < LEAST_PART * self.mean_prompt {
+            return;
+        }
+        let sample = (prompt + ahead as f64) / millis;
+        let speed = self.tokens_per_milli.get_or_insert(sample);
+        *speed *= if sample > *speed { 1.0 + MEDIAN_STEP } else { 1.0 - MEDIAN_STEP };
+    }
+
+    /// Returns how long engines take to read so many tokens, nothing while that is not known.
+    pub fn time_for(&self, tokens: u64) -> Duration {
+        self.tokens_per_milli.map_or(Duration::ZERO, |speed| {
+            Duration::from_secs_f64(tokens as f64 / speed.max(f64::MIN_POSITIVE) / 1000.0)
+        })
+    }
+}
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -29,8 +29,12 @@
 /// The least time between two frames of the plan to a subscriber: each makes it publish anew.
 const PLAN_PAUSE: Duration = Duration::from_millis(15);
 
-/// The least time between two words of what engines have to do.
-const WORK_PAUSE: Duration = Duration::from_millis(250);
+/// The least time between two words of what engines have to do, for each host that hears them: what all of
+/// them read of it stays the same, however many they are.
+const WORK_PAUSE_PER_HOST: Duration = Duration::from_millis(8);
+
+/// The longest time between two such words: a quarter of a second is what an adapter takes to load.
+const LONGEST_WORK_PAUSE: Duration = Duration::from_millis(250);
 
 /// How long an estimate is kept after its time.
 const ESTIMATE_HOLDS: Duration = Duration::from_secs(2);
@@ -124,8 +128,9 @@
 
     /// Tells the subscribers what engines have to do; returns what changed.
     pub fn tell_work(&mut self, now: ClockMillis) -> Vec<(EngineName, EngineWork)> {
+        let pause = (WORK_PAUSE_PER_HOST * self.listeners()).min(LONGEST_WORK_PAUSE);
         let Some(planner) = &mut self.planner else { return Vec::new() };
-        if now.since(self.work_told) < WORK_PAUSE {
+        if now.since(self.work_told) < pause {
             return Vec::new();
         }
         self.work_told = now;
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -72,11 +72,11 @@
 }
 
 impl EnginePool {
-    /// Returns an engine's condition and this machine's open requests there.
-    pub fn view(&self, engine: &str) -> (EngineCondition, u32) {
+    /// Returns an engine's condition and this host's work there.
+    pub fn view(&self, engine: &str) -> (EngineCondition, EngineWork) {
         self.engines
             .get(engine)
-            .map(|state| (state.condition.clone(), state.work.open))
+            .map(|state| (state.condition.clone(), state.work))
             .unwrap_or_default()
     }
 
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -177,6 +177,7 @@
     pub fn count_send(&mut self, entry: &EngineEntry) {
         self.sends += 1;
         self.sent = self.elapsed();
+        self.ahead = self.unread_before(entry);
         if !self.sent_to.contains(&entry.name) {
             self.sent_to.push(Arc::clone(&entry.name));
         }
@@ -187,6 +188,13 @@
         }
     }
 
+    /// Returns what an engine has to read before this request's prompt, which counts there already.
+    fn unread_before(&self, entry: &EngineEntry) -> u64 {
+        let told = self.traffic.shared.shared_work().at(&entry.name).unread;
+        let (_, own) = self.traffic.pool.borrow().view(&entry.name);
+        told.max(own.unread.saturating_sub(self.facts.prompt.tokens()))
+    }
+
     /// Counts how a send to an engine ended.
     pub fn note(&self, entry: &EngineEntry, outcome: EngineOutcome) {
         self.traffic.pool.borrow_mut().note(&entry.name, outcome, self.traffic.now());
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -120,6 +120,8 @@
     pub first: u64,
     /// When it was sent the last time. Unit: milliseconds after the arrival.
     pub sent: u64,
+    /// What its engine had to read before its prompt when it was sent the last time. Unit: tokens.
+    pub ahead: u64,
     /// The longest pause between two events that were passed on.
     pub longest_pause: Duration,
     /// How often it was sent.
@@ -191,6 +193,7 @@
             status: 0,
             first: 0,
             sent: 0,
+            ahead: 0,
             longest_pause: Duration::ZERO,
             unreached: Vec::new(),
             sends: 0,
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -217,6 +217,8 @@
             };
             if std::mem::take(&mut first) {
                 lease.prompt_read();
+                let (time, prompt) = (self.traffic.now().since(began), self.facts.prompt.tokens());
+                self.traffic.note_reading(&self.service, prompt, self.ahead, time);
                 let delay = self.traffic.now().since(began);
                 self.note(&lease.entry, EngineOutcome::Answered(delay));
             }
--- a/crates/gateway/src/entry/pick.rs
+++ b/crates/gateway/src/entry/pick.rs
@@ -50,9 +50,9 @@
         }
         let copy = usable_copy(traffic, &table, need.key, &entry.name, now);
         let CopyUse::Usable(version) = copy else { continue };
-        let (condition, open) = traffic.pool.borrow().view(&entry.name);
-        if open < most {
-            able.push((entry, version, condition, open));
+        let (condition, own) = traffic.pool.borrow().view(&entry.name);
+        if own.open < most {
+            able.push((entry, version, condition, own));
         }
     }
     if need.key.is_some() {
@@ -69,9 +69,16 @@
     let candidates: Vec<EngineCandidate<'_>> = able
         .iter()
         .filter(|(_, version, _, _)| *version == newest)
-        .map(|(entry, _, condition, open)| {
-            let told = shared.at(&entry.name).open;
-            EngineCandidate { entry, condition, open: *open, told }
+        .map(|(entry, _, condition, own)| {
+            let told = shared.at(&entry.name);
+            let unread = told.unread.max(own.unread);
+            EngineCandidate {
+                entry,
+                condition,
+                open: own.open,
+                told: told.open,
+                reading: traffic.reading_time(need.service, unread),
+            }
         })
         .collect();
     drop(shared);
