perf(core): copies by the part of an engine's time that reading for one adapter takes

Hypothesis: 1.5 requests a second to a copy was found on sites with short prompts; what matters is how much of an engine's time one adapter takes.

--- a/crates/core/src/fleet/reading.rs
+++ b/crates/core/src/fleet/reading.rs
@@ -44,6 +44,13 @@
         *speed *= if sample > *speed { 1.0 + MEDIAN_STEP } else { 1.0 - MEDIAN_STEP };
     }
 
+    /// Returns the part of its time that an engine reads so many tokens a second in, none while the speed is
+    /// not known.
+    pub fn share_for(&self, tokens_per_second: f64) -> f64 {
+        let speed = self.tokens_per_milli.map(|speed| speed.max(f64::MIN_POSITIVE) * 1000.0);
+        speed.map_or(0.0, |speed| tokens_per_second / speed)
+    }
+
     /// Returns how long engines take to read so many tokens, nothing while that is not known.
     pub fn time_for(&self, tokens: u64) -> Duration {
         self.tokens_per_milli.map_or(Duration::ZERO, |speed| {
--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -8,11 +8,12 @@
     placement::{EngineInventory, PlacementPlanner},
 };
 
-/// Requests a second to one copy from which on another copy is worth a load.
-const COPY_RATE: f64 = 1.5;
+/// The part of an engine's time that reading for one adapter may take before another copy is worth a
+/// load. What else it reads then queues behind that adapter for a fifth of the time.
+const COPY_SHARE: f64 = 0.2;
 
-/// Requests a second to one copy by the last seconds alone from which on another copy is worth a load.
-const COPY_BURST_RATE: f64 = 3.0;
+/// The same by the last seconds alone, in which chance weighs more.
+const COPY_BURST_SHARE: f64 = 0.4;
 
 /// The part of an engine's slots from which on it counts as busy.
 const BUSY_PART: f64 = 0.75;
@@ -133,12 +134,10 @@
         }
         if copies > 0.0 {
             let rate = self.demand.rate(key, now);
-            let burst = self.demand.burst_rate(key, now);
             if rate >= BUSY_RATE && self.totals.least_busy(key) >= BUSY_PART {
                 return RATE_HORIZON * rate;
             }
-            let spare = (rate / copies - COPY_RATE).max(burst / copies - COPY_BURST_RATE);
-            return (RATE_HORIZON * spare).max(0.0);
+            return RATE_HORIZON * self.copy_gain(key, now);
         }
         if self.demand.waiting(key) == 0 {
             return 0.0;
@@ -146,6 +145,18 @@
         self.interest(key, now) + UNSERVED_WEIGHT * self.demand.unserved(key).powi(2)
     }
 
+    /// Returns how many requests a second one more copy takes off those that are there.
+    fn copy_gain(&self, key: &str, now: ClockMillis) -> f64 {
+        let copies = self.copies(key);
+        let spare = |rate: f64, tokens: f64, most: f64| {
+            let share = self.reading.share_for(tokens) / copies;
+            if share > most { rate / copies * (1.0 - most / share) } else { 0.0 }
+        };
+        let lasting = (self.demand.rate(key, now), self.demand.reading_rate(key, now));
+        let burst = (self.demand.burst_rate(key, now), self.demand.burst_reading_rate(key, now));
+        spare(lasting.0, lasting.1, COPY_SHARE).max(spare(burst.0, burst.1, COPY_BURST_SHARE))
+    }
+
     /// Returns whether requests wait for an adapter though its copies are there: then those who wait
     /// can not reach them.
     fn is_out_of_reach(&self, key: &str, now: ClockMillis) -> bool {
--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -50,6 +50,7 @@
     burst: DecayedRate,
     /// Tokens of the prompts that came.
     reading: DecayedRate,
+    burst_reading: DecayedRate,
     /// Requests since a load was last ordered.
     unserved: u32,
     asked: ClockMillis,
@@ -82,7 +83,9 @@
             if entry.asked > 0 {
                 demand.rate.add(f64::from(entry.asked), now, RATE_HALF_LIFE);
                 demand.burst.add(f64::from(entry.asked), now, BURST_HALF_LIFE);
-                demand.reading.add(entry.asked_tokens as f64, now, RATE_HALF_LIFE);
+                let tokens = entry.asked_tokens as f64;
+                demand.reading.add(tokens, now, RATE_HALF_LIFE);
+                demand.burst_reading.add(tokens, now, BURST_HALF_LIFE);
                 demand.unserved = demand.unserved.saturating_add(entry.asked);
                 demand.asked = now;
             }
@@ -128,6 +131,12 @@
         self.keys.get(key).map_or(0.0, |demand| demand.reading.per_second(now, RATE_HALF_LIFE))
     }
 
+    /// Returns how many tokens of prompts a second come for `key` by the last seconds alone.
+    pub fn burst_reading_rate(&self, key: &str, now: ClockMillis) -> f64 {
+        let Some(demand) = self.keys.get(key) else { return 0.0 };
+        demand.burst_reading.per_second(now, BURST_HALF_LIFE)
+    }
+
     /// Returns the prompts of the requests that wait for `key`. Unit: tokens.
     pub fn waiting_tokens(&self, key: &str) -> u64 {
         let Some(demand) = self.keys.get(key) else { return 0 };
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -16,6 +16,7 @@
     clock::ClockMillis,
     fleet::{
         EngineEntry, EngineName, HeldModel, ModelKey, WeightVersion, adapter_name,
+        reading::ReadingSpeed,
         routes::ModelHosting, work::EngineWork,
     },
     placement::{
@@ -60,6 +61,7 @@
     pub(super) window: LoadWindow,
     pub(super) versions: HashMap<ModelKey, WeightVersion>,
     pub(super) load_time: Duration,
+    pub(super) reading: ReadingSpeed,
     pub(super) outstanding: HashMap<OrderId, PlannedOrder>,
     pub(super) projected: ClockMillis,
     pub(super) totals: RoundTotals,
@@ -78,6 +80,7 @@
             window,
             versions: HashMap::new(),
             load_time: FIRST_LOAD_TIME,
+            reading: ReadingSpeed::default(),
             outstanding: HashMap::new(),
             projected: ClockMillis::default(),
             totals: RoundTotals::default(),
@@ -134,6 +137,11 @@
         self.demand.note(host, entries, now);
     }
 
+    /// Takes how fast the domain's engines read prompts, as far as this host has learnt it.
+    pub fn reading_learnt(&mut self, speed: ReadingSpeed) {
+        self.reading = speed;
+    }
+
     /// Takes what a host has at engines.
     pub fn work_noted(&mut self, host: &Arc<str>, told: &HostWork, now: ClockMillis) {
         self.work.note(host, told, now);
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -152,6 +152,9 @@
             planner.recall(&domain.memories);
         }
         planner.versions_named(&versions);
+        if let Some(speed) = self.shared.reading().get(service) {
+            planner.reading_learnt(*speed);
+        }
         let actions = planner.plan(token.is_some(), now);
         let due = planner.next_due(now);
         let changed = domain.adopt_own_plan();
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -27,9 +27,7 @@
 
 use reelreel_core::{
     ClockMillis, ClockSource,
-    fleet::{
-        EngineName, ModelKey, ServiceName, reading::ReadingSpeed, retry_share::RetryShare,
-    },
+    fleet::{EngineName, ModelKey, ServiceName, retry_share::RetryShare},
 };
 use tokio::{net::TcpListener, runtime::Builder, sync::watch, task::LocalSet};
 
@@ -68,8 +66,6 @@
     pub pool: Rc<RefCell<EnginePool>>,
     /// The share of each service's retry budget.
     pub retries: RefCell<HashMap<ServiceName, RetryShare>>,
-    /// How fast the engines of each service read prompts.
-    reading: RefCell<HashMap<ServiceName, ReadingSpeed>>,
     /// What engines said that they do not hold, and when.
     absences: RefCell<HashMap<(EngineName, ModelKey), ClockMillis>>,
     /// Bytes of request bodies that are held.
@@ -86,7 +82,6 @@
             shared,
             pool: Rc::default(),
             retries: RefCell::default(),
-            reading: RefCell::default(),
             absences: RefCell::default(),
             body_bytes: Cell::new(0),
             connections: Cell::new(0),
@@ -113,13 +108,13 @@
 
     /// Takes that an engine gave a first event so long after a send, with so much to read before it.
     pub fn note_reading(&self, service: &ServiceName, prompt: u64, ahead: u64, time: Duration) {
-        let mut reading = self.reading.borrow_mut();
+        let mut reading = self.shared.reading();
         reading.entry(Arc::clone(service)).or_default().note(prompt, ahead, time);
     }
 
     /// Returns how long an engine of a service takes to read so many tokens.
     pub fn reading_time(&self, service: &str, tokens: u64) -> Duration {
-        let reading = self.reading.borrow();
+        let reading = self.shared.reading();
         reading.get(service).map_or(Duration::ZERO, |speed| speed.time_for(tokens))
     }
 
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -1,6 +1,7 @@
 //! One machine: its two threads and what they share.
 
 use std::{
+    collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicUsize, Ordering},
@@ -8,7 +9,10 @@
     time::Duration,
 };
 
-use reelreel_core::{ClockMillis, ClockSource, MonotonicClock};
+use reelreel_core::{
+    ClockMillis, ClockSource, MonotonicClock,
+    fleet::{ServiceName, reading::ReadingSpeed},
+};
 use tokio::sync::{Notify, watch};
 
 use crate::{
@@ -54,6 +58,7 @@
     pub wake_control: Notify,
     demand: Mutex<DemandCollector>,
     shared_work: Mutex<SharedWork>,
+    reading: Mutex<HashMap<ServiceName, ReadingSpeed>>,
 }
 
 impl SharedState {
@@ -72,6 +77,7 @@
             wake_control: Notify::new(),
             demand: Mutex::default(),
             shared_work: Mutex::default(),
+            reading: Mutex::default(),
         }
     }
 
@@ -80,6 +86,11 @@
         self.demand.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks how fast the engines of each service read prompts for a moment.
+    pub fn reading(&self) -> MutexGuard<'_, HashMap<ServiceName, ReadingSpeed>> {
+        self.reading.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks what all hosts have at engines for a moment.
     pub fn shared_work(&self) -> MutexGuard<'_, SharedWork> {
         self.shared_work.lock().unwrap_or_else(PoisonError::into_inner)
