fix(gateway): runs are renewed though other runs change; waits by turns and by reading

Half of all looks found an engine kept by such an unload.

An adapter that requests wait for, or waited for within 250 ms, is not dropped. The expectation of what queues goes by the rate of loads lately, not by rounds of all loads at once; a cold request counts what reading its prompt takes, in place of 110 ms, and a client's patience of eight pauses.

--- a/crates/core/src/fleet/cold.rs
+++ b/crates/core/src/fleet/cold.rs
@@ -10,8 +10,12 @@
 /// The part of the target for which a request waits for an estimate.
 const ESTIMATE_PART: f64 = 0.17;
 
-/// What the first event of an answer takes once the adapter is there.
-const FIRST_EVENT: Duration = Duration::from_millis(110);
+/// What the first event of an answer takes beside reading its prompt, once the adapter is there: the plan's
+/// way to the host, the request's way to the engine, and a step of the engine.
+const FIRST_STEP: Duration = Duration::from_millis(60);
+
+/// How many pauses that a stream may have a client waits for a first event.
+const PATIENCE_PAUSES: u32 = 8;
 
 /// What is added to an estimate before a client is told to come back.
 const RETURN_MARGIN: Duration = Duration::from_millis(120);
@@ -45,6 +49,10 @@
     pub remaining: Duration,
     /// In what time the adapter is expected, if a placer has said so.
     pub estimate: Option<Duration>,
+    /// How long an engine takes to read its prompt, as far as that is known.
+    pub reading: Duration,
+    /// The longest pause with which its stream is in time, where one is named.
+    pub longest_pause: Option<Duration>,
     /// Whether the client was refused before and came back.
     pub returned: bool,
 }
@@ -61,7 +69,8 @@
 impl ColdRequest {
     /// Returns how long the client waits for a first event at all.
     fn patience(&self) -> Duration {
-        let patience = (self.target * PATIENCE_TARGETS).max(LEAST_PATIENCE);
+        let pauses = self.longest_pause.unwrap_or_default() * PATIENCE_PAUSES;
+        let patience = (self.target * PATIENCE_TARGETS).max(LEAST_PATIENCE).max(pauses);
         patience.min(self.elapsed + self.remaining).saturating_sub(PATIENCE_RESERVE)
     }
 
@@ -84,7 +93,7 @@
             };
         };
         let useful = if self.returned { self.patience() } else { self.target };
-        if self.elapsed + estimate + FIRST_EVENT <= useful {
+        if self.elapsed + estimate + self.reading + FIRST_STEP <= useful {
             ColdChoice::Wait(left)
         } else {
             ColdChoice::Refuse(self.return_time())
--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -54,6 +54,8 @@
     /// Requests since a load was last ordered.
     unserved: u32,
     asked: ClockMillis,
+    /// When requests last began or ended to wait, as far as hosts have told.
+    waited: ClockMillis,
     waiting: HashMap<Arc<str>, HostWaiting>,
     /// Since when somebody has waited without a pause.
     waiting_since: Option<ClockMillis>,
@@ -89,6 +91,9 @@
                 demand.unserved = demand.unserved.saturating_add(entry.asked);
                 demand.asked = now;
             }
+            if entry.waiting > 0 || demand.waiting.contains_key(host) {
+                demand.waited = now;
+            }
             if entry.waiting == 0 {
                 demand.waiting.remove(host);
             } else {
@@ -166,9 +171,9 @@
         }
     }
 
-    /// Returns when `key` was last asked for.
-    pub fn last_asked(&self, key: &str) -> ClockMillis {
-        self.keys.get(key).map(|demand| demand.asked).unwrap_or_default()
+    /// Returns when a request for `key` last came, or last began or ended to wait.
+    pub fn last_wanted(&self, key: &str) -> ClockMillis {
+        self.keys.get(key).map(|demand| demand.asked.max(demand.waited)).unwrap_or_default()
     }
 
     /// Returns how many requests came since a load of `key` was last ordered.
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -16,8 +16,7 @@
     clock::ClockMillis,
     fleet::{
         EngineEntry, EngineName, HeldModel, ModelKey, WeightVersion, adapter_name,
-        reading::ReadingSpeed,
-        routes::ModelHosting, work::EngineWork,
+        reading::ReadingSpeed, routes::ModelHosting, work::EngineWork,
     },
     placement::{
         DemandBook, DemandEntry, EngineInventory, EngineReport, HostWork, LoadWindow, OrderAnswer,
@@ -25,6 +24,7 @@
         inventory::{DoubtedLoad, EngineMemory, PendingLoad, REPORT_LAG},
         totals::RoundTotals,
     },
+    popularity::DecayedRate,
 };
 
 /// How long an adapter from the weight store is expected to take until reports tell better.
@@ -39,6 +39,14 @@
 /// How much shorter loads are expected to take after one was not.
 const TIMELY_DECAY: f64 = 0.97;
 
+/// The half-life of the rate of loads by which the turns of what queues are expected: as fast as demand
+/// moves within a burst.
+const LOAD_RATE_HALF_LIFE: Duration = Duration::from_millis(1500);
+
+/// The rate that is expected while nothing was loaded lately. Unit: loads a second; one takes its place
+/// after a load time.
+const LEAST_LOAD_RATE: f64 = 4.0;
+
 /// How often an order without an answer is given again before a report is asked for.
 const MOST_DOUBTED: usize = 2;
 
@@ -61,6 +69,8 @@
     pub(super) window: LoadWindow,
     pub(super) versions: HashMap<ModelKey, WeightVersion>,
     pub(super) load_time: Duration,
+    /// How many loads were ordered lately: what queues has its turn at that rate.
+    load_rate: DecayedRate,
     pub(super) reading: ReadingSpeed,
     pub(super) outstanding: HashMap<OrderId, PlannedOrder>,
     pub(super) projected: ClockMillis,
@@ -80,6 +90,7 @@
             window,
             versions: HashMap::new(),
             load_time: FIRST_LOAD_TIME,
+            load_rate: DecayedRate::default(),
             reading: ReadingSpeed::default(),
             outstanding: HashMap::new(),
             projected: ClockMillis::default(),
@@ -313,6 +324,9 @@
             worth,
             waiting,
         };
+        if matches!(kind, OrderKind::Load { .. }) {
+            self.load_rate.add(1.0, now, LOAD_RATE_HALF_LIFE);
+        }
         self.outstanding.insert(order.id, order.clone());
         self.totals.note_order(&order);
         Some(order)
@@ -347,8 +361,9 @@
             return Some(self.load_time);
         }
         let place = self.queue.iter().position(|queued| &**queued == key)?;
-        let rounds = place / self.adapters_at_once() + 2;
-        Some(self.load_time.saturating_mul(u32::try_from(rounds).unwrap_or(u32::MAX)))
+        let turns = (place + 1) as f64
+            / self.load_rate.per_second(now, LOAD_RATE_HALF_LIFE).max(LEAST_LOAD_RATE);
+        Some(self.load_time + Duration::from_secs_f64(turns))
     }
 
     /// Returns the engines as the planner knows them, for status pages and tests.
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -30,7 +30,8 @@
 /// the 0.3 requests a second that it counted as before prompts were known (docs/DECISIONS.md).
 const OPEN_PROMPT: f64 = 0.15;
 
-/// How long after an adapter was asked for it may have a run that its host has not told yet: hosts count
+/// How long after a request for an adapter came, or ended to wait for it, it may have a run that its host
+/// has not told yet: hosts count
 /// their runs every 50 ms and the control thread tells them within another 50; the rest is the way of
 /// the plan to a host whose request waits.
 const UNTOLD_RUN: Duration = Duration::from_millis(250);
@@ -225,8 +226,9 @@
     fn is_used(&self, inventory: &EngineInventory, key: &ModelKey, now: ClockMillis) -> bool {
         let runs = self.work.runs(&inventory.entry.name, key) > 0;
         let pending = inventory.pending.iter().any(|load| load.key == *key);
-        let asked = now.since(self.demand.last_asked(key)) < UNTOLD_RUN;
-        runs || pending || asked || inventory.closing.contains(key)
+        let waited = self.demand.waiting(key) > 0;
+        let wanted = now.since(self.demand.last_wanted(key)) < UNTOLD_RUN;
+        runs || pending || waited || wanted || inventory.closing.contains(key)
     }
 }
 
--- a/crates/core/tests/placement/world.rs
+++ b/crates/core/tests/placement/world.rs
@@ -6,6 +6,7 @@
     ClockMillis,
     fleet::{
         EngineEntry, HeldModel, ModelKey,
+        reading::ReadingSpeed,
         routes::{ModelHosting, ModelSize},
     },
     placement::{
@@ -135,6 +136,9 @@
 /// The prompt of a request. Unit: tokens.
 const PROMPT: u64 = 1000;
 
+/// How long an engine takes to read it.
+const PROMPT_TIME: Duration = Duration::from_millis(50);
+
 pub(crate) struct World {
     pub(crate) planner: PlacementPlanner,
     pub(crate) engines: Vec<TestEngine>,
@@ -161,6 +165,9 @@
         };
         world.list();
         world.planner.begin_tenure(world.at());
+        let mut speed = ReadingSpeed::default();
+        speed.note(PROMPT, 0, PROMPT_TIME);
+        world.planner.reading_learnt(speed);
         world
     }
 
--- /dev/null
+++ b/crates/core/tests/reading.rs
@@ -0,0 +1,82 @@
+//! How the speed is learnt at which engines read prompts.
+
+use std::time::Duration;
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use reelreel_core::fleet::reading::ReadingSpeed;
+
+/// Samples of one service, and the time for 10,000 tokens that is learnt from them.
+struct SpeedCase {
+    name: &'static str,
+    /// Prompt, tokens ahead of it, and milliseconds to the first event; taken in turn.
+    samples: &'static [(u64, u64, u64)],
+    /// The shortest and the longest time for 10,000 tokens that counts as learnt. Unit: milliseconds.
+    learnt: (u64, u64),
+}
+
+const CASES: &[SpeedCase] = &[
+    SpeedCase { name: "nothing seen", samples: &[], learnt: (0, 0) },
+    SpeedCase { name: "steady", samples: &[(9000, 0, 300)], learnt: (310, 360) },
+    SpeedCase { name: "behind others", samples: &[(9000, 9000, 600)], learnt: (310, 360) },
+    SpeedCase {
+        name: "one in four kept, one in four queued",
+        samples: &[(9000, 0, 300), (9000, 0, 100), (9000, 0, 300), (9000, 0, 900)],
+        learnt: (290, 380),
+    },
+    SpeedCase {
+        name: "short prompts that show nothing",
+        samples: &[(9000, 0, 300), (100, 0, 60)],
+        learnt: (310, 360),
+    },
+    SpeedCase { name: "no length said", samples: &[(1, 0, 60)], learnt: (0, 0) },
+];
+
+fn learnt(samples: &[(u64, u64, u64)]) -> ReadingSpeed {
+    let mut speed = ReadingSpeed::default();
+    for (prompt, ahead, millis) in samples.iter().cycle().take(samples.len() * 100) {
+        speed.note(*prompt, *ahead, Duration::from_millis(*millis));
+    }
+    speed
+}
+
+#[test]
+fn the_speed_is_the_median_of_what_first_events_show() {
+    for case in CASES {
+        let time = learnt(case.samples).time_for(10_000);
+        let (least, most) = case.learnt;
+        let expected = Duration::from_millis(least)..=Duration::from_millis(most);
+        assert!(expected.contains(&time), "{}: {time:?}", case.name);
+    }
+}
+
+#[test]
+fn a_slowdown_is_followed_within_sixty_requests() {
+    let mut speed = learnt(&[(9000, 0, 300)]);
+    for _ in 0..60 {
+        speed.note(9000, 0, Duration::from_millis(900));
+    }
+    assert!(speed.time_for(9000) > Duration::from_millis(800), "{:?}", speed.time_for(9000));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(0x4ead),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn more_to_read_never_takes_less_time(
+        samples in proptest::collection::vec((1u64..50_000, 0u64..90_000, 0u64..4000), 0..60),
+        tokens in 0u64..100_000,
+        more in 0u64..100_000,
+    ) {
+        let mut speed = ReadingSpeed::default();
+        for (prompt, ahead, millis) in samples {
+            speed.note(prompt, ahead, Duration::from_millis(millis));
+        }
+        prop_assert!(speed.time_for(tokens) <= speed.time_for(tokens + more));
+        prop_assert!(speed.share_for(tokens as f64) <= speed.share_for((tokens + more) as f64));
+    }
+}
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -37,17 +37,17 @@
     /// Runs that were told last; those among them that are gone must be told too.
     told_runs: BTreeMap<ModelKey, u32>,
     told_work: EngineWork,
-    told: ClockMillis,
+    /// When all of it was last told, changed or not.
+    renewed: ClockMillis,
 }
 
 impl WorkCount {
     /// Appends what must be told now: what changed, or everything when it must be renewed.
     fn tell(&mut self, engine: &EngineName, now: ClockMillis, told: &mut HostWork) {
-        let renew = self.work.open > 0 && now.since(self.told) >= WORD_RENEWAL;
+        let renew = self.work.open > 0 && now.since(self.renewed) >= WORD_RENEWAL;
         if renew || self.work != self.told_work {
             told.engines.push((Arc::clone(engine), self.work));
         }
-        let before = told.runs.len();
         for (key, open) in &self.runs {
             if renew || self.told_runs.get(key) != Some(open) {
                 let (engine, key) = (Arc::clone(engine), Arc::clone(key));
@@ -58,8 +58,8 @@
             let (engine, key) = (Arc::clone(engine), Arc::clone(key));
             told.runs.push(RunEntry { engine, key, open: 0 });
         }
-        if renew || told.runs.len() > before || self.work != self.told_work {
-            self.told = now;
+        if renew {
+            self.renewed = now;
         }
         self.told_work = self.work;
         self.told_runs.clone_from(&self.runs);
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -126,6 +126,8 @@
             target: self.route.target,
             remaining: self.until.saturating_duration_since(Instant::now()),
             estimate: due.filter(|due| now.since(*due) < ESTIMATE_GRACE).map(|due| due.since(now)),
+            reading: self.traffic.reading_time(&self.service, self.facts.prompt.tokens()),
+            longest_pause: self.route.longest_pause,
             returned: deadline < self.route.timeout.mul_f64(RETURNED_PART),
         }
     }
