--- a/crates/core/src/fleet/cold.rs
+++ b/crates/core/src/fleet/cold.rs
@@ -11,7 +11,9 @@
 const ESTIMATE_PART: f64 = 0.17;
 
 /// What the first event of an answer takes beside reading its prompt, once the adapter is there: the plan's
-/// way to the host, the request's way to the engine, and a step of the engine.
+/// way to the host (15 ms apart at least), the request's way to the engine, and a step of the engine.
+/// Engines gave short prompts their first event after 20 to 44 ms in the quickest quarter of a played day
+/// (docs/DECISIONS.md).
 const FIRST_STEP: Duration = Duration::from_millis(60);
 
 /// How many pauses that a stream may have a client waits for a first event.
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -361,9 +361,9 @@
             return Some(self.load_time);
         }
         let place = self.queue.iter().position(|queued| &**queued == key)?;
-        let turns = (place + 1) as f64
-            / self.load_rate.per_second(now, LOAD_RATE_HALF_LIFE).max(LEAST_LOAD_RATE);
-        Some(self.load_time + Duration::from_secs_f64(turns))
+        let rate = self.load_rate.per_second(now, LOAD_RATE_HALF_LIFE).max(LEAST_LOAD_RATE);
+        let turn = Duration::from_secs_f64((place + 1) as f64 / rate);
+        Some(self.load_time + turn)
     }
 
     /// Returns the engines as the planner knows them, for status pages and tests.
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -30,12 +30,20 @@
 /// the 0.3 requests a second that it counted as before prompts were known (docs/DECISIONS.md).
 const OPEN_PROMPT: f64 = 0.15;
 
-/// How long after a request for an adapter came, or ended to wait for it, it may have a run that its host
-/// has not told yet: hosts count
-/// their runs every 50 ms and the control thread tells them within another 50; the rest is the way of
-/// the plan to a host whose request waits.
+/// How long after a request for an adapter came, or ended to wait for it, there may be a run that its host
+/// has not told yet: hosts count their runs every 50 ms and the control thread tells them within another
+/// 50; the rest is the way of the plan to a host whose request waits.
 const UNTOLD_RUN: Duration = Duration::from_millis(250);
 
+/// Where an engine has room for a load.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum LoadRoom {
+    /// In a free place.
+    Free,
+    /// In the place of an adapter that is dropped first.
+    After(ModelKey),
+}
+
 impl PlacementPlanner {
     /// Returns the order that a candidate needs next, if one can be given now.
     pub(super) fn order_for(
@@ -226,17 +234,8 @@
     fn is_used(&self, inventory: &EngineInventory, key: &ModelKey, now: ClockMillis) -> bool {
         let runs = self.work.runs(&inventory.entry.name, key) > 0;
         let pending = inventory.pending.iter().any(|load| load.key == *key);
-        let waited = self.demand.waiting(key) > 0;
-        let wanted = now.since(self.demand.last_wanted(key)) < UNTOLD_RUN;
-        runs || pending || waited || wanted || inventory.closing.contains(key)
+        let awaited = self.demand.waiting(key) > 0;
+        let lately = now.since(self.demand.last_wanted(key)) < UNTOLD_RUN;
+        runs || pending || awaited || lately || inventory.closing.contains(key)
     }
 }
-
-/// Where an engine has room for a load.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum LoadRoom {
-    /// In a free place.
-    Free,
-    /// In the place of an adapter that is dropped first.
-    After(ModelKey),
-}
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -80,15 +80,16 @@
             .unwrap_or_default()
     }
 
-    /// Takes this host's work at the engines where it has changed since the last call.
+    /// Takes this host's work at the engines where it has changed since the last call, with its requests
+    /// there by model or adapter.
     pub fn take_changed_work(&mut self) -> Vec<(EngineName, EngineWork, BTreeMap<ModelKey, u32>)> {
-        let touched = self.engines.iter_mut().filter(|(_, state)| state.touched);
-        touched
-            .map(|(engine, state)| {
-                state.touched = false;
-                (Arc::clone(engine), state.work, state.runs.clone())
-            })
-            .collect()
+        let mut changed = Vec::new();
+        for (engine, state) in &mut self.engines {
+            if std::mem::take(&mut state.touched) {
+                changed.push((Arc::clone(engine), state.work, state.runs.clone()));
+            }
+        }
+        changed
     }
 
     /// Counts how a send to an engine ended.
@@ -104,11 +105,11 @@
         });
     }
 
-    fn take_idle(&mut self, engine: &str, single: bool, now: ClockMillis) -> Option<HttpStream> {
+    fn take_idle(&mut self, engine: &str, fresh: bool, now: ClockMillis) -> Option<HttpStream> {
         let state = self.engines.get_mut(engine)?;
         while let Some(idle) = state.idle.pop() {
             let rested = now.since(idle.since);
-            let usable = now < idle.until && (!single || rested < FRESH);
+            let usable = now < idle.until && (!fresh || rested < FRESH);
             if usable && idle.stream.is_quiet() {
                 return Some(idle.stream);
             }
@@ -129,7 +130,7 @@
         terms: ConnectTerms,
         now: ClockMillis,
     ) -> std::io::Result<EngineLease> {
-        let kept = pool.borrow_mut().take_idle(&entry.name, terms.single, now);
+        let kept = pool.borrow_mut().take_idle(&entry.name, terms.fresh, now);
         let reused = kept.is_some();
         let count = RunCount::new(pool, &entry.name, terms);
         let stream = if let Some(stream) = kept {
@@ -146,8 +147,8 @@
 /// What a request asks of a connection to an engine.
 #[derive(Debug, Clone)]
 pub struct ConnectTerms {
-    /// Whether the request may run only once.
-    pub single: bool,
+    /// Whether a kept connection must have been used just now: for a request that may run only once.
+    pub fresh: bool,
     /// The model or adapter that it names.
     pub key: Option<ModelKey>,
     /// How much of its prompt the engine is expected to read. Unit: tokens.
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -166,11 +166,7 @@
 
     /// Returns what the request asks of a connection; `fresh` for one that was used just now or is new.
     pub fn connect_terms(&self, fresh: bool) -> ConnectTerms {
-        ConnectTerms {
-            single: fresh,
-            key: self.facts.model.clone(),
-            unread: self.facts.prompt.tokens(),
-        }
+        ConnectTerms { fresh, key: self.facts.model.clone(), unread: self.facts.prompt.tokens() }
     }
 
     /// Counts a send, and the engine among those that the request was sent to.
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -301,10 +301,9 @@
             return None;
         };
         let now = self.traffic.now();
-        let mut lease = {
-            let terms = self.connect_terms(true);
-            EnginePool::connect(&self.traffic.pool, &entry, terms, now).await.ok()?
-        };
+        let terms = self.connect_terms(true);
+        let connecting = EnginePool::connect(&self.traffic.pool, &entry, terms, now);
+        let mut lease = connecting.await.ok()?;
         let request = self.engine_request(&entry, version, progress.cutter.last_id());
         self.count_send(&entry);
         self.traffic.shared.metrics.resumes.inc();
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -85,10 +85,8 @@
             return WaitEnd::Changed;
         }
         let began = self.traffic.now();
-        let guard = {
-            let tokens = self.facts.prompt.tokens();
-            WaitGuard::new(self.traffic, &self.service, &key, tokens)
-        };
+        let tokens = self.facts.prompt.tokens();
+        let guard = WaitGuard::new(self.traffic, &self.service, &key, tokens);
         let end = loop {
             let wait = match self.cold_request(&key).choose() {
                 ColdChoice::Wait(time) => time,
