--- a/crates/cli/src/logs/losses.rs
+++ b/crates/cli/src/logs/losses.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, fmt::Write as _, path::PathBuf};
 
-use reelreel_gateway::{entry::exchange::LOGGED_SHARE, events::MachineEvent};
+use reelreel_gateway::{entry::record::LOGGED_SHARE, events::MachineEvent};
 use serde::Serialize;
 
 use super::{
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -8,6 +8,7 @@
 pub mod candidacy;
 mod candidates;
 pub mod demand;
+mod doubts;
 pub mod inventory;
 pub mod order;
 pub mod planner;
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -21,7 +21,8 @@
     placement::{
         DemandBook, DemandEntry, EngineInventory, EngineReport, HostWork, LoadWindow, OrderAnswer,
         OrderId, OrderKind, PlacementAction, PlannedOrder, WorkBook,
-        inventory::{DoubtedLoad, EngineMemory, PendingLoad, REPORT_LAG},
+        doubts::{counts_against_rate, settle_doubts},
+        inventory::{EngineMemory, PendingLoad, REPORT_LAG},
         totals::RoundTotals,
     },
     popularity::DecayedRate,
@@ -378,43 +379,3 @@
         due.map(Reverse).max().map(|Reverse(due)| due)
     }
 }
-
-/// Returns whether an order counts against the weight store's rate: loads of base models do.
-fn counts_against_rate(kind: OrderKind, key: &str) -> bool {
-    kind.loads_from_store() && adapter_name(key).is_none()
-}
-
-/// Settles what earlier orders without an answer have become, from the answer to a later one.
-///
-/// All of them named the same count of orders, so the engine carried out one of them at most. An
-/// accepted order makes it refuse the earlier ones; a conflict shows that one of those was first.
-fn settle_doubts(
-    inventory: &mut EngineInventory,
-    window: &mut LoadWindow,
-    order: &PlannedOrder,
-    answer: OrderAnswer,
-) {
-    let counted = counts_against_rate(order.kind, &order.key);
-    let own = counted.then_some(inventory.noted);
-    let mut refunded: Vec<ClockMillis> = Vec::new();
-    match answer {
-        OrderAnswer::Unknown => {
-            if let OrderKind::Load { .. } = order.kind {
-                let key = Arc::clone(&order.key);
-                inventory.doubted.push(DoubtedLoad { key, noted: own });
-            }
-        }
-        OrderAnswer::Accepted => {
-            refunded.extend(inventory.doubted.drain(..).filter_map(|load| load.noted));
-        }
-        OrderAnswer::Conflict | OrderAnswer::Done => {
-            refunded.extend(own);
-            refunded.extend(inventory.doubted.drain(..).skip(1).filter_map(|load| load.noted));
-        }
-        OrderAnswer::NotSent | OrderAnswer::Fenced | OrderAnswer::Rejected => refunded.extend(own),
-        OrderAnswer::OtherEngine => inventory.doubted.clear(),
-    }
-    for noted in refunded {
-        window.refund(noted);
-    }
-}
--- /dev/null
+++ b/crates/core/tests/engine_choice.rs
@@ -0,0 +1,187 @@
+//! Which engine a request is sent to, and what a host learns of an engine's condition.
+
+use std::{sync::Arc, time::Duration};
+
+use reelreel_core::{
+    ClockMillis,
+    fleet::{
+        EngineEntry,
+        choice::{EngineCandidate, best_engine},
+        condition::{EngineCondition, EngineOutcome},
+    },
+};
+
+const fn at(millis: u64) -> ClockMillis {
+    ClockMillis::from_millis(millis)
+}
+
+const fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn entry(name: &str, zone: &str) -> EngineEntry {
+    EngineEntry {
+        name: Arc::from(name),
+        service: Arc::from("assist"),
+        address: "127.0.0.1:9000".parse().expect("an address"),
+        zone: Arc::from(zone),
+        slots: 16,
+        leaving: false,
+        sequence: 0,
+        held: Vec::new(),
+    }
+}
+
+struct ChoiceCase {
+    name: &'static str,
+    open: [u32; 2],
+    told: [u32; 2],
+    /// What each has to read before a new prompt. Unit: milliseconds.
+    reading: [u64; 2],
+    zones: [&'static str; 2],
+    outcomes: [&'static [EngineOutcome]; 2],
+    best: &'static str,
+}
+
+const WELL: EngineOutcome = EngineOutcome::Answered(Duration::from_millis(40));
+
+const CHOICE_CASES: &[ChoiceCase] = &[
+    ChoiceCase {
+        name: "the one with fewer open requests",
+        open: [3, 1],
+        told: [0, 0],
+        reading: [0, 0],
+        zones: ["here", "here"],
+        outcomes: [&[], &[]],
+        best: "second",
+    },
+    ChoiceCase {
+        name: "the one with fewer open requests of all hosts",
+        open: [0, 1],
+        told: [9, 2],
+        reading: [0, 0],
+        zones: ["here", "here"],
+        outcomes: [&[], &[]],
+        best: "second",
+    },
+    ChoiceCase {
+        name: "the one with less to read, though more is open there",
+        open: [0, 4],
+        told: [1, 4],
+        reading: [600, 40],
+        zones: ["here", "here"],
+        outcomes: [&[], &[]],
+        best: "second",
+    },
+    ChoiceCase {
+        name: "the one with less to read in the other data hall",
+        open: [1, 1],
+        told: [1, 1],
+        reading: [300, 0],
+        zones: ["here", "there"],
+        outcomes: [&[], &[]],
+        best: "second",
+    },
+    ChoiceCase {
+        name: "the own data hall among equals",
+        open: [1, 1],
+        told: [0, 0],
+        reading: [0, 0],
+        zones: ["there", "here"],
+        outcomes: [&[], &[]],
+        best: "second",
+    },
+    ChoiceCase {
+        name: "not the one that broke off just now",
+        open: [0, 5],
+        told: [0, 0],
+        reading: [0, 0],
+        zones: ["here", "here"],
+        outcomes: [&[EngineOutcome::Broken], &[WELL]],
+        best: "second",
+    },
+    ChoiceCase {
+        name: "not the one that errs often",
+        open: [0, 2],
+        told: [0, 0],
+        reading: [0, 0],
+        zones: ["here", "here"],
+        outcomes: [&[EngineOutcome::Erred; 6], &[WELL]],
+        best: "second",
+    },
+    ChoiceCase {
+        name: "not the one that is many times as slow",
+        open: [0, 2],
+        told: [0, 0],
+        reading: [0, 0],
+        zones: ["here", "here"],
+        outcomes: [&[EngineOutcome::Answered(Duration::from_millis(400)); 4], &[WELL]],
+        best: "second",
+    },
+];
+
+#[test]
+fn the_best_engine_is_chosen() {
+    for case in CHOICE_CASES {
+        let entries = [entry("first", case.zones[0]), entry("second", case.zones[1])];
+        let mut conditions = [EngineCondition::default(), EngineCondition::default()];
+        for (condition, outcomes) in conditions.iter_mut().zip(case.outcomes) {
+            for outcome in outcomes {
+                condition.note(*outcome, at(1000));
+            }
+        }
+        let candidates = [0, 1].map(|place| EngineCandidate {
+            entry: &entries[place],
+            condition: &conditions[place],
+            open: case.open[place],
+            told: case.told[place],
+            reading: millis(case.reading[place]),
+        });
+        let best = best_engine(&candidates, "here", 0, 1, at(1010));
+        assert_eq!(best.as_deref(), Some(case.best), "{}", case.name);
+    }
+}
+
+/// Many hosts that were told the same loads must not all choose the engine with the least.
+#[test]
+fn many_hosts_spread_over_engines_that_are_nearly_equal() {
+    let entries: Vec<EngineEntry> =
+        (0..8).map(|number| entry(&format!("engine-{number}"), "here")).collect();
+    let condition = EngineCondition::default();
+    let told = [3, 2, 3, 3, 2, 3, 14, 3];
+    let candidates: Vec<EngineCandidate<'_>> = entries
+        .iter()
+        .zip(told)
+        .map(|(entry, told)| EngineCandidate {
+            entry,
+            condition: &condition,
+            open: 0,
+            told,
+            reading: Duration::ZERO,
+        })
+        .collect();
+    let mut chosen = std::collections::BTreeMap::new();
+    for tie in 0..800 {
+        let best = best_engine(&candidates, "here", tie, 100, at(1010)).expect("an engine");
+        *chosen.entry(best.to_string()).or_insert(0) += 1;
+    }
+    assert!(!chosen.contains_key("engine-6"), "the busy one is left: {chosen:?}");
+    assert!(chosen.values().all(|count| *count <= 300), "{chosen:?}");
+    assert!(chosen.len() >= 5, "{chosen:?}");
+}
+
+#[test]
+fn a_failed_engine_is_tried_again_after_a_rest_that_grows() {
+    let mut condition = EngineCondition::default();
+    let mut rests = Vec::new();
+    for round in 0..5u64 {
+        let now = 1000 + round * 10_000;
+        condition.note(EngineOutcome::Broken, at(now));
+        let rest = (0..6000).find(|wait| !condition.is_resting(at(now + wait)));
+        rests.push(rest.expect("a rest that ends"));
+    }
+    assert!(rests.windows(2).all(|pair| pair[0] <= pair[1]), "{rests:?}");
+    assert!(rests[0] < 500 && rests[4] <= 3000, "{rests:?}");
+    condition.note(WELL, at(90_000));
+    assert!(!condition.is_resting(at(90_000)));
+}
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -13,6 +13,7 @@
 pub mod pick;
 pub mod prepare;
 pub mod probe;
+pub mod record;
 pub mod stream;
 pub mod wait;
 
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use reelreel_core::{
     ClockMillis,
+    clock::duration_millis,
     fleet::{
         EngineEntry, EngineName, ServiceName, WeightVersion,
         routes::{ConfigRevision, RouteEntry},
@@ -16,7 +17,6 @@
 };
 use reelreel_http::{HttpStream, RequestHead};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     border::RequestFacts,
@@ -28,8 +28,6 @@
         prepare::{PreparedRequest, prepare, refuse_early},
         wait::WaitEnd,
     },
-    events::{MachineEvent, RequestEvent},
-    metrics::RequestLabels,
 };
 
 /// How many bytes a client may send ahead while its request runs.
@@ -50,9 +48,6 @@
 /// When a client refused by full engines comes back.
 const FULL_PAUSE: Duration = Duration::from_millis(250);
 
-/// One in so many requests that ended well is logged.
-pub const LOGGED_SHARE: u64 = 16;
-
 /// A client's request, read whole.
 #[derive(Debug)]
 pub struct ClientRequest {
@@ -132,7 +127,8 @@
     pub waited: Duration,
     unreached: Vec<EngineName>,
     connects: u32,
-    revision: ConfigRevision,
+    /// The configuration that decided its route.
+    pub revision: ConfigRevision,
 }
 
 /// Runs one request to its final answer.
@@ -357,45 +353,6 @@
 
     /// Returns the milliseconds since the request arrived.
     pub fn elapsed(&self) -> u64 {
-        whole_millis(self.traffic.now().since(self.request.arrived))
-    }
-
-    fn log(&self, outcome: &'static str) {
-        let shared = &self.traffic.shared;
-        let labels = RequestLabels { route: self.route.name.clone(), outcome: outcome.to_owned() };
-        shared.metrics.requests.get_or_create(&labels).inc();
-        let late = outcome == "answered" && self.is_late();
-        let number = xxh3_64(self.facts.id.as_bytes());
-        if outcome == "answered" && !late && !number.is_multiple_of(LOGGED_SHARE) {
-            return;
-        }
-        shared.events.write(MachineEvent::Request(RequestEvent {
-            id: self.facts.id.clone(),
-            route: self.route.name.clone(),
-            outcome: outcome.into(),
-            late,
-            status: self.status,
-            key: self.facts.model.as_ref().map(ToString::to_string),
-            engine: self.sent_to.last().map(ToString::to_string),
-            sends: self.sends,
-            prompt: self.facts.prompt.tokens(),
-            waited: whole_millis(self.waited),
-            sent: self.sent,
-            first: self.first,
-            pause: whole_millis(self.longest_pause),
-            total: self.elapsed(),
-            revision: self.revision,
-        }));
+        duration_millis(self.traffic.now().since(self.request.arrived))
     }
-
-    /// Returns whether the answer came later than the route wants it, or with too long a pause.
-    fn is_late(&self) -> bool {
-        let first = Duration::from_millis(self.first);
-        let pauses = self.route.longest_pause.is_some_and(|most| self.longest_pause > most);
-        first > self.route.target || pauses
-    }
-}
-
-fn whole_millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/crates/gateway/src/entry/record.rs
@@ -0,0 +1,55 @@
+//! What is counted and logged of a request when it has ended.
+
+use std::time::Duration;
+
+use reelreel_core::clock::duration_millis;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    entry::exchange::Exchange,
+    events::{MachineEvent, RequestEvent},
+    metrics::RequestLabels,
+};
+
+/// One in so many requests that were served in time is logged.
+pub const LOGGED_SHARE: u64 = 16;
+
+impl Exchange<'_> {
+    /// Counts how the request ended, and writes its line.
+    ///
+    /// Of requests that were served in time only a share is written.
+    pub fn log(&self, outcome: &'static str) {
+        let shared = &self.traffic.shared;
+        let labels = RequestLabels { route: self.route.name.clone(), outcome: outcome.to_owned() };
+        shared.metrics.requests.get_or_create(&labels).inc();
+        let late = outcome == "answered" && self.is_late();
+        let number = xxh3_64(self.facts.id.as_bytes());
+        if outcome == "answered" && !late && !number.is_multiple_of(LOGGED_SHARE) {
+            return;
+        }
+        shared.events.write(MachineEvent::Request(RequestEvent {
+            id: self.facts.id.clone(),
+            route: self.route.name.clone(),
+            outcome: outcome.into(),
+            late,
+            status: self.status,
+            key: self.facts.model.as_ref().map(ToString::to_string),
+            engine: self.sent_to.last().map(ToString::to_string),
+            sends: self.sends,
+            prompt: self.facts.prompt.tokens(),
+            waited: duration_millis(self.waited),
+            sent: self.sent,
+            first: self.first,
+            pause: duration_millis(self.longest_pause),
+            total: self.elapsed(),
+            revision: self.revision,
+        }));
+    }
+
+    /// Returns whether the answer came later than the route wants it, or with too long a pause.
+    fn is_late(&self) -> bool {
+        let first = Duration::from_millis(self.first);
+        let pauses = self.route.longest_pause.is_some_and(|most| self.longest_pause > most);
+        first > self.route.target || pauses
+    }
+}
