perf(gateway): in an outage one task of a machine calls the store, the others are woken

Each of 195 machines went on calling with three tasks (configuration, engines, owners), each once a second.

Ruled out: polling by readers alone, since the others would not hear of a store that turns only readers away.

Change: the configuration's reader finds out that the store is back, with pauses of up to two seconds; the other tasks are woken by the first answer and call by themselves only every six. Joins keep their second: the leases wait for them.

Test: calls of one machine in four seconds of an outage, at most ten (twelve by the pauses before; not run on the old code), and a configuration in force within 2.7 s of the return.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -23,7 +23,7 @@
     },
     machine::SharedState,
     peers::{client::run_peer_client, feed::run_feed_client, server::run_peer_server},
-    store::{Backoff, StoreClient, follow::follow_topic, membership::leave},
+    store::{Backoff, StoreClient, StorePause, follow::follow_topic, membership::leave},
 };
 
 /// How often the thread looks at its domains when nothing wakes it.
@@ -108,7 +108,8 @@
     let topic = KeyedTopic::Configuration;
     let sink = |update| state.borrow_mut().configuration_updated(update);
     let gate = state.borrow().following();
-    follow_topic(client, topic, CONFIGURATION_REST, backoff(&shared, 0x1111), gate, sink).await;
+    let pause = StorePause::finding(backoff(&shared, 0x1111));
+    follow_topic(client, topic, CONFIGURATION_REST, pause, gate, sink).await;
 }
 
 async fn follow_engines(state: SharedControl) {
@@ -116,5 +117,7 @@
     let client = store_client(&shared);
     let sink = |update| state.borrow_mut().engines_updated(update);
     let (topic, gate) = (KeyedTopic::Engines, state.borrow().following());
-    follow_topic(client, topic, ENGINES_REST, backoff(&shared, 0x2222), gate, sink).await;
+    let returns = state.borrow().store_returns();
+    let pause = StorePause::woken(backoff(&shared, 0x2222), returns);
+    follow_topic(client, topic, ENGINES_REST, pause, gate, sink).await;
 }
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -9,7 +9,7 @@
     control::{MEMBERSHIP, SharedControl, backoff, store_client},
     machine::SharedState,
     store::{
-        Backoff, StoreClient, StoreError,
+        Backoff, StoreClient, StoreError, StorePause,
         membership::{GroupMember, MembershipUpdate, leave, owners, stay_member},
     },
 };
@@ -22,6 +22,9 @@
 /// Strong ones join at once, but the store lists them as holders only after others joined again.
 const WEAK_DELAY: Duration = Duration::from_secs(3);
 
+/// The longest pause between joins that fail: a join costs the store little, and the leases wait for it.
+const LONGEST_JOIN_PAUSE: Duration = Duration::from_secs(1);
+
 /// How many looks in a row show a weak machine that the group lacks members.
 const WEAK_LOOKS: u64 = 3;
 
@@ -56,14 +59,17 @@
 pub async fn keep_membership(state: SharedControl) {
     let shared = Arc::clone(state.borrow().shared());
     let mut client = store_client(&shared);
-    let mut pauses = backoff(&shared, 0x4444);
+    let returns = state.borrow().store_returns();
+    let mut pause = StorePause::woken(backoff(&shared, 0x4444), returns);
+    let mut spread = backoff(&shared, 0x5555);
     let time_to_live = MEMBERSHIP.max(shared.profile.shortest_membership);
     let member = own_member(&shared);
     let unneeded = || shared.profile.capacity.should_leave(state.borrow().strong_members());
     let sink = |update| state.borrow_mut().membership_updated(update);
     loop {
-        await_candidacy(&state, &mut client, &mut pauses).await;
-        let (clock, backoff) = (shared.clock.clone(), backoff(&shared, 0x3333));
+        await_candidacy(&state, &mut client, &mut pause, &mut spread).await;
+        let backoff = backoff(&shared, 0x3333).longest(LONGEST_JOIN_PAUSE);
+        let clock = shared.clock.clone();
         stay_member(&mut client, member, time_to_live, clock, backoff, unneeded, sink).await;
         state.borrow_mut().leave_group();
         if let Err(error) = leave(&mut client, member).await {
@@ -81,7 +87,12 @@
 ///
 /// Machines that stay out of the group learn from the reader that they follow who is in it, and ask
 /// the store only while they follow none.
-async fn await_candidacy(state: &SharedControl, client: &mut StoreClient, backoff: &mut Backoff) {
+async fn await_candidacy(
+    state: &SharedControl,
+    client: &mut StoreClient,
+    pause: &mut StorePause,
+    spread: &mut Backoff,
+) {
     let shared = Arc::clone(state.borrow().shared());
     let patience = JoinPatience::new(&shared);
     let began = shared.clock.now();
@@ -91,10 +102,10 @@
         if !follows || state.borrow().should_join() {
             if let Err(error) = learn_owners(state, client).await {
                 log::debug!("owners: {error}");
-                tokio::time::sleep(backoff.failed()).await;
+                pause.after_failure().await;
                 continue;
             }
-            backoff.succeeded();
+            pause.succeeded();
             let early = shared.clock.now().since(began) < patience.delay;
             let want = !early && state.borrow().should_join();
             wanted = if want { wanted + 1 } else { 0 };
@@ -102,7 +113,7 @@
                 return;
             }
         }
-        tokio::time::sleep(backoff.spread(CANDIDACY_INTERVAL)).await;
+        tokio::time::sleep(spread.spread(CANDIDACY_INTERVAL)).await;
     }
 }
 
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -27,6 +27,7 @@
     machine::SharedState,
     peers::frame::{OwnerLine, RecordLine, StateFrame},
     store::{
+        StoreReturns,
         follow::TopicUpdate,
         health::StoreHealth,
         membership::{GroupMember, MembershipUpdate},
@@ -51,6 +52,8 @@
     pub(super) health: StoreHealth,
     pub(super) feed: FeedSource,
     pub(super) following: watch::Sender<bool>,
+    /// Counts how often the store has answered again after a failure.
+    store_returns: watch::Sender<u32>,
     pub(super) machine_count: MachineCount,
     /// Engines whose entries have gone just after an outage, and until when they count.
     pub(super) lapsed: BTreeMap<EngineName, (RecordLine, ClockMillis)>,
@@ -76,6 +79,7 @@
             health: StoreHealth::default(),
             feed: FeedSource::default(),
             following: watch::Sender::new(false),
+            store_returns: watch::Sender::new(0),
             machine_count: MachineCount::default(),
             lapsed: BTreeMap::new(),
             clients: OrderClients::default(),
@@ -94,6 +98,11 @@
         self.following.subscribe()
     }
 
+    /// Returns a receiver that tells when the store has answered again after a failure.
+    pub fn store_returns(&self) -> StoreReturns {
+        self.store_returns.subscribe()
+    }
+
     /// Returns the kept connections for orders.
     pub const fn order_clients(&mut self) -> &mut OrderClients {
         &mut self.clients
@@ -175,18 +184,24 @@
     pub(super) fn note_health(&mut self, answered: bool) {
         let now = self.shared.clock.now();
         if answered {
-            self.health.answered(now);
+            self.store_answered(now);
         } else {
             self.health.failed(now);
         }
     }
 
+    fn store_answered(&mut self, now: ClockMillis) {
+        if self.health.answered(now) {
+            self.store_returns.send_modify(|returns| *returns = returns.wrapping_add(1));
+        }
+    }
+
     /// Takes what was learned of the group.
     pub fn membership_updated(&mut self, update: MembershipUpdate) {
         let now = self.shared.clock.now();
         match update {
             MembershipUpdate::Joined { share, sent } => {
-                self.health.answered(now);
+                self.store_answered(now);
                 self.dealt(&share.partitions, sent);
                 for domain in self.domains.values_mut() {
                     let listed = share.partitions.contains(&domain.partition);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -7,6 +7,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use prometheus_client::metrics::counter::Counter;
+use tokio::sync::watch;
 
 use crate::{
     border::{BorderError, CallAnswer, CallRequest, StoreDialect},
@@ -16,8 +17,18 @@
 /// The first pause after a call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
-/// The longest pause between calls that fail.
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// The longest pause between calls that fail: a machine must have heard from a store that is back within the least
+/// time that its users give, three seconds.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// How many times longer a task pauses that is woken when another task's call is answered.
+const WOKEN_STRETCH: u32 = 4;
+
+/// The longest pause of a task that is woken.
+const LONGEST_WOKEN_PAUSE: Duration = Duration::from_secs(6);
+
+/// Says how often the store has answered again after a failure.
+pub type StoreReturns = watch::Receiver<u32>;
 
 /// Why the store gave no useful answer.
 #[derive(Debug, thiserror::Error)]
@@ -63,12 +74,19 @@
 pub struct Backoff {
     failures: u32,
     random: u64,
+    longest: Duration,
 }
 
 impl Backoff {
     /// Starts with a number that differs between machines.
     pub const fn new(seed: u64) -> Self {
-        Self { failures: 0, random: seed | 1 }
+        Self { failures: 0, random: seed | 1, longest: LONGEST_PAUSE }
+    }
+
+    /// Sets the longest pause.
+    #[must_use]
+    pub const fn longest(self, longest: Duration) -> Self {
+        Self { longest, ..self }
     }
 
     /// Takes a success: the next failure begins with the shortest pause.
@@ -78,7 +96,7 @@
 
     /// Takes a failure and returns how long to pause.
     pub fn failed(&mut self) -> Duration {
-        let pause = FIRST_PAUSE.saturating_mul(1 << self.failures.min(6)).min(LONGEST_PAUSE);
+        let pause = FIRST_PAUSE.saturating_mul(1 << self.failures.min(6)).min(self.longest);
         self.failures += 1;
         self.spread(pause)
     }
@@ -92,3 +110,43 @@
         pause.mul_f64(0.75 + part)
     }
 }
+
+/// The pauses of one task among several that call the store.
+///
+/// One of them finds out that the store is back; the others are woken by its first answer and call seldom by
+/// themselves, so that many machines do not press on a store in trouble.
+#[derive(Debug, Clone)]
+pub struct StorePause {
+    backoff: Backoff,
+    returns: Option<StoreReturns>,
+}
+
+impl StorePause {
+    /// Pauses for the task that finds out.
+    pub const fn finding(backoff: Backoff) -> Self {
+        Self { backoff, returns: None }
+    }
+
+    /// Pauses for a task that is woken.
+    pub const fn woken(backoff: Backoff, returns: StoreReturns) -> Self {
+        Self { backoff, returns: Some(returns) }
+    }
+
+    /// Takes a success: the next failure begins with the shortest pause.
+    pub const fn succeeded(&mut self) {
+        self.backoff.succeeded();
+    }
+
+    /// Waits after a call that failed.
+    pub async fn after_failure(&mut self) {
+        let pause = self.backoff.failed();
+        let Some(returns) = &mut self.returns else {
+            tokio::time::sleep(pause).await;
+            return;
+        };
+        let pause = (pause * WOKEN_STRETCH).min(LONGEST_WOKEN_PAUSE);
+        returns.mark_unchanged();
+        // Either way the call is tried again; the sender is gone only when the process ends.
+        let _ = tokio::time::timeout(pause, returns.changed()).await;
+    }
+}
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     border::{BorderError, KeyedRecord, KeyedTopic, RecordBatch},
-    store::{Backoff, StoreClient, StoreError},
+    store::{StoreClient, StoreError, StorePause},
 };
 
 /// How long a call that is not held may take.
@@ -42,7 +42,7 @@
     mut client: StoreClient,
     topic: KeyedTopic,
     rest: Duration,
-    mut backoff: Backoff,
+    mut pause: StorePause,
     mut gate: watch::Receiver<bool>,
     sink: impl Fn(TopicUpdate),
 ) {
@@ -53,18 +53,18 @@
         }
         let from = match read_whole(&mut client, topic).await {
             Ok((records, end)) => {
-                backoff.succeeded();
+                pause.succeeded();
                 sink(TopicUpdate::Whole { records, end });
                 end
             }
             Err(error) => {
                 log::debug!("{topic:?}: {error}");
                 sink(TopicUpdate::Away);
-                tokio::time::sleep(backoff.failed()).await;
+                pause.after_failure().await;
                 continue;
             }
         };
-        let reading = follow_records(&mut client, topic, rest, &mut backoff, from, &sink);
+        let reading = follow_records(&mut client, topic, rest, &mut pause, from, &sink);
         tokio::select! {
             () = reading => {}
             follows = gate.wait_for(|follows| *follows) => drop(follows),
@@ -77,7 +77,7 @@
     client: &mut StoreClient,
     topic: KeyedTopic,
     rest: Duration,
-    backoff: &mut Backoff,
+    pause: &mut StorePause,
     mut from: u64,
     sink: &impl Fn(TopicUpdate),
 ) {
@@ -85,7 +85,7 @@
         tokio::time::sleep(rest).await;
         match read_on(client, topic, from).await {
             Ok(batch) => {
-                backoff.succeeded();
+                pause.succeeded();
                 if let Some(last) = batch.records.last() {
                     from = last.offset + 1;
                 }
@@ -95,7 +95,7 @@
             Err(error) => {
                 log::debug!("{topic:?} from {from}: {error}");
                 sink(TopicUpdate::Away);
-                tokio::time::sleep(backoff.failed()).await;
+                pause.after_failure().await;
             }
         }
     }
--- a/crates/gateway/src/store/health.rs
+++ b/crates/gateway/src/store/health.rs
@@ -22,14 +22,14 @@
 }
 
 impl StoreHealth {
-    /// Takes that a call was answered.
-    pub fn answered(&mut self, now: ClockMillis) {
-        if let Some(since) = self.failing_since.take()
-            && now.since(since) >= LAPSE_OUTAGE
-        {
+    /// Takes that a call was answered; returns whether one had failed since the last answer.
+    pub fn answered(&mut self, now: ClockMillis) -> bool {
+        let failing_since = self.failing_since.take();
+        if failing_since.is_some_and(|since| now.since(since) >= LAPSE_OUTAGE) {
             self.returned = Some(now);
         }
         self.heard = Some(now);
+        failing_since.is_some()
     }
 
     /// Takes that a call got no useful answer.
--- a/crates/gateway/tests/machine/configuration.rs
+++ b/crates/gateway/tests/machine/configuration.rs
@@ -53,6 +53,24 @@
     assert!(calls < 40, "{calls} calls in two seconds to a store that refuses");
 }
 
+/// In an outage every machine called the store three times a second: a tenth of a day's worth in calls.
+#[test]
+fn a_store_in_trouble_is_called_seldom_and_heard_soon_when_it_is_back() {
+    let site = TestSite::start();
+    let machine = site.machine("patient");
+    site.store.refuse(true);
+    thread::sleep(Duration::from_millis(2500));
+    let before = site.store.calls();
+    thread::sleep(Duration::from_secs(4));
+    let calls = site.store.calls() - before;
+    assert!(calls <= 10, "{calls} calls in four seconds to a store that refuses");
+    site.store.put("configuration", "routes", "2");
+    site.store.refuse(false);
+    thread::sleep(Duration::from_millis(2700));
+    let answer = machine.get("/late/a", "X-Request: s1\r\n");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 #[test]
 fn a_machine_that_the_store_refuses_learns_from_a_peer() {
     let site = TestSite::start();
