feat(core): a waiting request counts with what its caller still gets

Each waiting request counted as one, also when it could only be late, so that loads for those went before loads that could still be in time.

Change: a request that can not be in time any more, or that came back, counts as a fifth.

Test: table of worth.

--- a/crates/core/src/fleet/cold.rs
+++ b/crates/core/src/fleet/cold.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use crate::placement::store_pace::LEAST_LOAD_TIME;
+
 /// The part of the target for which a request waits for an estimate.
 const ESTIMATE_PART: f64 = 0.17;
 
@@ -40,6 +42,10 @@
 /// What is left of a client's patience when a request that still waits is refused.
 const PATIENCE_RESERVE: Duration = Duration::from_millis(150);
 
+/// What a request is worth to its caller that can only be answered after its target; one in time is worth one. Source:
+/// the users' sheets, a tenth to a third.
+pub const LATE_WORTH: f64 = 0.2;
+
 /// What is known of a request whose adapter is not there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ColdRequest {
@@ -76,6 +82,12 @@
         patience.min(self.elapsed + self.remaining).saturating_sub(PATIENCE_RESERVE)
     }
 
+    /// Returns what the request is worth to its caller if its adapter is ordered now.
+    pub fn worth(&self) -> f64 {
+        let answered = self.elapsed + LEAST_LOAD_TIME + self.reading + FIRST_STEP;
+        if self.returned || answered > self.target { LATE_WORTH } else { 1.0 }
+    }
+
     /// Returns what becomes of the request now.
     pub fn choose(&self) -> ColdChoice {
         let decide = self.target.mul_f64(ESTIMATE_PART);
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -7,7 +7,7 @@
     ClockMillis,
     fleet::{
         choice::NamedVersion,
-        cold::{ColdChoice, ColdRequest},
+        cold::{ColdChoice, ColdRequest, LATE_WORTH},
         retry_share::{RetryAllowance, RetryShare},
         routes::{ClientLimits, RouteEntry, RouteKind, RouteTable, WeightedBackend},
     },
@@ -271,3 +271,36 @@
         }
     }
 }
+
+/// What a cold request is worth that wants its first event within 600 ms.
+struct WorthCase {
+    name: &'static str,
+    elapsed: u64,
+    reading: u64,
+    returned: bool,
+    worth: f64,
+}
+
+const WORTH_CASES: &[WorthCase] = &[
+    WorthCase { name: "fresh", elapsed: 0, reading: 50, returned: false, worth: 1.0 },
+    WorthCase { name: "just in time", elapsed: 240, reading: 50, returned: false, worth: 1.0 },
+    WorthCase { name: "too late", elapsed: 241, reading: 50, returned: false, worth: LATE_WORTH },
+    WorthCase { name: "long prompt", elapsed: 0, reading: 300, returned: false, worth: LATE_WORTH },
+    WorthCase { name: "came back", elapsed: 0, reading: 50, returned: true, worth: LATE_WORTH },
+];
+
+#[test]
+fn a_cold_request_is_worth_what_its_caller_still_gets() {
+    for case in WORTH_CASES {
+        let request = ColdRequest {
+            elapsed: millis(case.elapsed),
+            target: millis(600),
+            remaining: millis(9000),
+            estimate: None,
+            reading: millis(case.reading),
+            longest_pause: None,
+            returned: case.returned,
+        };
+        assert!((request.worth() - case.worth).abs() < f64::EPSILON, "{}", case.name);
+    }
+}
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -114,6 +114,12 @@
         count.waiting_worth += worth;
     }
 
+    /// Counts a waiting request with more or less worth than before.
+    pub fn wait_revalued(&mut self, service: &ServiceName, key: &ModelKey, difference: f64) {
+        let count = self.count(service, key);
+        count.waiting_worth = (count.waiting_worth + difference).max(0.0);
+    }
+
     /// Counts a request that waits no longer.
     pub fn wait_ended(&mut self, service: &ServiceName, key: &ModelKey, tokens: u64, worth: f64) {
         let count = self.count(service, key);
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -4,7 +4,7 @@
 
 use reelreel_core::fleet::{
     ModelKey, ServiceName,
-    cold::{ColdChoice, ColdRequest},
+    cold::{ColdChoice, ColdRequest, LATE_WORTH},
 };
 use tokio::time::Instant;
 
@@ -39,17 +39,30 @@
     service: ServiceName,
     key: ModelKey,
     tokens: u64,
+    worth: f64,
 }
 
-/// The worth of one waiting request, until requests tell their own.
-const WAIT_WORTH: f64 = 1.0;
-
 impl WaitGuard {
-    fn new(traffic: &Rc<TrafficState>, service: &ServiceName, key: &ModelKey, tokens: u64) -> Self {
-        traffic.shared.demand().wait_began(service, key, tokens, WAIT_WORTH);
+    fn new(
+        traffic: &Rc<TrafficState>,
+        service: &ServiceName,
+        key: &ModelKey,
+        tokens: u64,
+        worth: f64,
+    ) -> Self {
+        traffic.shared.demand().wait_began(service, key, tokens, worth);
         traffic.shared.wake_control.notify_one();
         let (service, key) = (Arc::clone(service), Arc::clone(key));
-        Self { traffic: Rc::clone(traffic), service, key, tokens }
+        Self { traffic: Rc::clone(traffic), service, key, tokens, worth }
+    }
+
+    /// Counts the request with what it is worth now.
+    fn revalue(&mut self, worth: f64) {
+        if worth.total_cmp(&self.worth).is_ne() {
+            let mut demand = self.traffic.shared.demand();
+            demand.wait_revalued(&self.service, &self.key, worth - self.worth);
+            self.worth = worth;
+        }
     }
 
     /// Goes on counting the request until its adapter is there or its client has come back.
@@ -72,7 +85,7 @@
 impl Drop for WaitGuard {
     fn drop(&mut self) {
         let mut demand = self.traffic.shared.demand();
-        demand.wait_ended(&self.service, &self.key, self.tokens, WAIT_WORTH);
+        demand.wait_ended(&self.service, &self.key, self.tokens, self.worth);
     }
 }
 
@@ -86,8 +99,10 @@
         }
         let began = self.traffic.now();
         let tokens = self.facts.prompt.tokens();
-        let guard = WaitGuard::new(self.traffic, &self.service, &key, tokens);
+        let worth = self.cold_request(&key).worth();
+        let mut guard = WaitGuard::new(self.traffic, &self.service, &key, tokens, worth);
         let end = loop {
+            guard.revalue(self.cold_request(&key).worth());
             let wait = match self.cold_request(&key).choose() {
                 ColdChoice::Wait(time) => time,
                 ColdChoice::Refuse(time) => break WaitEnd::Refused(time),
@@ -110,6 +125,7 @@
         self.waited += waited;
         self.traffic.shared.metrics.load_wait.observe(waited.as_secs_f64());
         if let WaitEnd::Refused(time) = end {
+            guard.revalue(LATE_WORTH);
             guard.hold_for(time + self.route.target);
         }
         end
