feat(core): the pace of the store is kept over rests and proved step by step; logged

Change: nothing fades while nothing is loaded; loads in time age what spoke against more at a time; store_pace is a line of the log.

Tests: nothing_is_forgotten_while_nothing_is_loaded failed before.

--- a/crates/core/src/placement/store_pace.rs
+++ b/crates/core/src/placement/store_pace.rs
@@ -47,6 +47,9 @@
 /// After what time an earlier report counts half, where few come.
 const TIME_HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// After how many loads in time what spoke against more at a time counts half: they are tried again.
+const PROVING_HALF_LIFE: f64 = 40.0;
+
 /// After what time it counts half how many loads were tried at a time.
 const TRIED_HALF_LIFE: Duration = Duration::from_secs(5);
 
@@ -243,6 +246,7 @@
     /// Takes what was seen of a load, as was told at `now`.
     pub fn load_seen(&mut self, sight: &LoadSight, now: ClockMillis) {
         self.serve_until(now);
+        let chosen = self.pace();
         let Some(record) = self.loads.get_mut(&sight.load) else { return };
         if sight.at <= record.began {
             return;
@@ -256,7 +260,8 @@
         let weight = (record.among as f64 / self.most_among).min(1.0);
         // A load counts once, by the sight that tells most.
         let counts = if before.is_some() { 0.0 } else { weight };
-        let passed = now.since(self.seen).as_secs_f64();
+        // What is known does not fade while nothing is loaded.
+        let passed = now.since(self.seen).min(LEAST_LOAD_TIME).as_secs_f64();
         self.seen = now;
         let fading = (-counts / HALF_LIFE - passed / TIME_HALF_LIFE.as_secs_f64()).exp2();
         let forgetting = (-passed / TRIED_HALF_LIFE.as_secs_f64()).exp2();
@@ -272,10 +277,14 @@
         }
         if !self.odd.is_odd(&record.engine) {
             self.reports = self.reports * fading + counts;
+            let in_time = sight.there && !late;
+            let proving = if in_time { (-weight / PROVING_HALF_LIFE).exp2() } else { 1.0 };
             for (model, end) in self.models.iter_mut().zip(&record.ends) {
                 let time = model.end_time(*end, self.counted);
                 let told = before.map_or(0.0, |before| before.miss(time));
                 let miss = weight * (sight.miss(time) - told).max(0.0);
+                let untried = model.pace.full_speed > chosen.full_speed;
+                let fading = if untried { fading * proving } else { fading };
                 model.doubt = model.doubt * fading + miss;
                 if sight.there {
                     model.has_ended(*end);
--- a/crates/core/tests/store_pace.rs
+++ b/crates/core/tests/store_pace.rs
@@ -296,6 +296,18 @@
     }
 }
 
+/// After fourteen seconds without demand a placer took the store to carry sixteen, whatever it had known.
+#[test]
+fn nothing_is_forgotten_while_nothing_is_loaded() {
+    let mut store = PlayedStore::new(32.0, 250.0, StorePace::assumed(22.0), 1);
+    store.play(6, FULL);
+    let before = store.learner.pace().full_speed;
+    store.play(14, &[0]);
+    store.play(1, &[12]);
+    let after = store.learner.pace().full_speed;
+    assert!(after >= before / 1.2, "{before} before, {after} after the rest");
+}
+
 #[test]
 fn a_change_is_followed() {
     let mut store = PlayedStore::new(40.0, 250.0, StorePace::assumed(22.0), 1);
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -96,6 +96,8 @@
     pub subscribers: Vec<PlanSubscriber>,
     /// Where demand for the placer goes, while there is a connection.
     pub placer: Option<mpsc::Sender<PeerFrame>>,
+    /// The pace that was logged last.
+    logged_pace: Option<StorePace>,
     /// Engines whose change was not told to the subscribers yet.
     untold: BTreeSet<EngineName>,
     /// When changes were last told.
@@ -123,6 +125,7 @@
             asked: Vec::new(),
             subscribers: Vec::new(),
             placer: None,
+            logged_pace: None,
             untold: BTreeSet::new(),
             told: ClockMillis::default(),
             work_told: ClockMillis::default(),
@@ -206,6 +209,13 @@
         changed
     }
 
+    /// Returns the weight store's pace if it is another than at the last call.
+    pub fn take_changed_pace(&mut self) -> Option<StorePace> {
+        let changed = self.pace != self.logged_pace;
+        self.logged_pace = self.pace;
+        self.pace.filter(|_| changed)
+    }
+
     /// Takes a plan from the placer; returns whether it was the newest.
     pub fn adopt_plan(&mut self, frame: &PlanFrame, now: ClockMillis) -> bool {
         if frame.token < self.plan_token {
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -4,6 +4,7 @@
 
 use reelreel_core::{
     ClockMillis, ClockSource,
+    clock::duration_millis,
     fleet::{EngineEntry, ModelKey, ServiceName, WeightVersion, routes::ModelHosting},
     id::FenceToken,
     placement::{LoadWindow, OrderAnswer, PlacementPlanner, PlannedOrder},
@@ -161,6 +162,13 @@
         let actions = planner.plan(token.is_some(), now);
         let due = planner.next_due(now);
         let changed = domain.adopt_own_plan();
+        if let Some(pace) = domain.take_changed_pace() {
+            self.shared.events.write(MachineEvent::StorePace {
+                service: service.to_string(),
+                full_speed: pace.full_speed,
+                load_millis: duration_millis(pace.load_time),
+            });
+        }
         self.changed |= !changed.is_empty();
         domain.tell_plan(changed, now);
         self.machine_count.told(domain.listeners());
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -103,6 +103,15 @@
         /// The tenure's token.
         token: u64,
     },
+    /// The placer takes the weight store to serve adapters at another pace.
+    StorePace {
+        /// The domain's service.
+        service: String,
+        /// How many come at a time without slowing one another down.
+        full_speed: f64,
+        /// How long one of these takes. Unit: milliseconds.
+        load_millis: u64,
+    },
     /// An engine answered an order, or did not.
     Order {
         /// The engine.
--- a/crates/gateway/tests/machine/events.rs
+++ b/crates/gateway/tests/machine/events.rs
@@ -58,6 +58,7 @@
         MachineEvent::EngineLeaving { engine: engine() },
         MachineEvent::EngineGone { engine: engine() },
         MachineEvent::Lease { service: String::from("s"), state: "acting".into(), token: 1 },
+        MachineEvent::StorePace { service: String::from("s"), full_speed: 32.0, load_millis: 250 },
         MachineEvent::Order {
             engine: engine(),
             kind: String::from("load"),
@@ -106,6 +107,7 @@
         | Event::EngineLeaving { .. }
         | Event::EngineGone { .. }
         | Event::Lease { .. }
+        | Event::StorePace { .. }
         | Event::Order { .. }
         | Event::Request(_) => true,
     }
