feat(core): a data hall that is silent is left as a whole; its copies are loaded elsewhere at once

Cause: a hall that is cut off is silent, and each of 195 hosts found that out for each of its 16 engines by itself, 300 ms a connection and up to four of them for a request whose target is 600 to 1,000. The placer counted the copies there as held until requests had waited 700 ms for them.

Ruled out: the placer taking engines out of the plan, since hosts within the hall reach them; one host's word, since that host may be cut off itself.

Change: a connection is given as long as connections took lately, with room (80 to 300 ms). After three silent engines of a hall, none answering in between, a host leaves the hall for 400 ms, 1.6 s at most. Hosts whose connections come about quickly tell the placer which engines they can not reach; what two of them can not reach counts as no copy and gets no load.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,7 +4,8 @@
 //! on their own, so that a request needs no permit of an owner. [`routes`] says where a request may
 //! go, [`choice`] which engine it is sent to,
 //! [`cold`] whether it waits for its adapter, [`condition`] what the host's own requests tell about
-//! an engine, and [`retry_share`] how often it may be sent again.
+//! an engine, [`reach`] what its connections tell about a data hall, and [`retry_share`] how often it
+//! may be sent again.
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -12,6 +13,7 @@
 pub mod cold;
 pub mod condition;
 pub mod prompt;
+pub mod reach;
 pub mod reading;
 pub mod retry_share;
 pub mod routes;
--- a/crates/core/src/placement/inventory.rs
+++ b/crates/core/src/placement/inventory.rs
@@ -26,6 +26,13 @@
 /// How long after a load is due a report is asked for: one that shows the engine just after the load has ended.
 const REPORT_DELAY: Duration = Duration::from_millis(130);
 
+/// How long a host's word holds that it could not connect to an engine: hosts leave such an engine for 400 ms at first
+/// and say it again when they have tried again.
+const UNREACHED_HOLDS: Duration = Duration::from_millis(1500);
+
+/// How many hosts must say so: one may be cut off itself.
+const LEAST_UNREACHED: usize = 2;
+
 /// By how much that may be wrong either way.
 const REPORT_BLUR: Duration = Duration::from_millis(40);
 
@@ -144,6 +151,8 @@
     pub busy: bool,
     /// When a host was told that it lacks something that it is taken to hold, until a report has settled that.
     pub contradicted: Option<ClockMillis>,
+    /// Hosts that could not connect to it, and when they said so.
+    unreached: BTreeMap<Arc<str>, ClockMillis>,
     /// Whether what requests may be sent to has changed since it was last told.
     pub touched: bool,
 }
@@ -167,6 +176,7 @@
             asking: false,
             busy: false,
             contradicted: None,
+            unreached: BTreeMap::new(),
             touched: true,
         }
     }
@@ -227,6 +237,18 @@
         true
     }
 
+    /// Takes that a host could not connect to it.
+    pub fn unreached_by(&mut self, host: &Arc<str>, now: ClockMillis) {
+        self.unreached.retain(|_, said| now.since(*said) < UNREACHED_HOLDS);
+        self.unreached.insert(Arc::clone(host), now);
+    }
+
+    /// Returns whether hosts can not reach it, so that another copy of what it holds is worth a load.
+    pub fn is_unreached(&self, now: ClockMillis) -> bool {
+        let lately = self.unreached.values().filter(|said| now.since(**said) < UNREACHED_HOLDS);
+        lately.count() >= LEAST_UNREACHED
+    }
+
     /// Returns what a report that was asked for at `asked` shows of the adapters on their way from the store.
     pub fn load_sights(&self, report: &EngineReport, asked: ClockMillis) -> Vec<LoadSight> {
         let at = asked - REPORT_AGE;
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -157,6 +157,11 @@
         for absent in &told.absent {
             self.absence_noted(absent, now);
         }
+        for engine in &told.unreached {
+            if let Some(inventory) = self.engines.get_mut(engine) {
+                inventory.unreached_by(host, now);
+            }
+        }
     }
 
     /// Returns what engines have to do, where that has changed since the last call.
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -63,7 +63,7 @@
             Some(name) => self.engines.get(name).into_iter().collect(),
             None => self.engines.values().collect(),
         };
-        let able = engines.into_iter().filter(|inventory| self.is_able(inventory, candidate));
+        let able = engines.into_iter().filter(|inventory| self.is_able(inventory, candidate, now));
         let able = able.filter(|inventory| store_free || self.comes_back(inventory, key));
         let rooms = able.filter_map(|inventory| {
             let room = self.room(inventory, key, candidate.worth, now)?;
@@ -110,9 +110,15 @@
         inventory.remembers(key) && !self.versions.contains_key(key)
     }
 
-    fn is_able(&self, inventory: &EngineInventory, candidate: &LoadCandidate) -> bool {
+    fn is_able(
+        &self,
+        inventory: &EngineInventory,
+        candidate: &LoadCandidate,
+        now: ClockMillis,
+    ) -> bool {
         let key = &candidate.key;
-        let ready = !inventory.entry.leaving && inventory.sequence.is_some();
+        let reached = !inventory.is_unreached(now);
+        let ready = reached && !inventory.entry.leaving && inventory.sequence.is_some();
         let idle = inventory.order.is_none() && !inventory.busy;
         let transit = inventory.pending.len() < MOST_IN_TRANSIT;
         let is_adapter = adapter_name(key).is_some();
--- a/crates/core/src/placement/totals.rs
+++ b/crates/core/src/placement/totals.rs
@@ -52,7 +52,7 @@
         let mean_prompt = planner.demand.mean_prompt(now);
         let mut totals = Self { prompts: prompts.collect(), mean_prompt, ..Self::default() };
         for inventory in planner.engines.values() {
-            totals.add_copies(planner, inventory);
+            totals.add_copies(planner, inventory, now);
             totals.add_loads(inventory, now);
         }
         for order in planner.outstanding.values() {
@@ -65,8 +65,13 @@
         totals
     }
 
-    fn add_copies(&mut self, planner: &PlacementPlanner, inventory: &EngineInventory) {
-        if inventory.entry.leaving {
+    fn add_copies(
+        &mut self,
+        planner: &PlacementPlanner,
+        inventory: &EngineInventory,
+        now: ClockMillis,
+    ) {
+        if inventory.entry.leaving || inventory.is_unreached(now) {
             return;
         }
         let busy = planner.busy_part(inventory);
--- a/crates/core/src/placement/work.rs
+++ b/crates/core/src/placement/work.rs
@@ -45,12 +45,15 @@
     pub runs: Vec<RunEntry>,
     /// What engines said that they do not hold.
     pub absent: Vec<AbsentEntry>,
+    /// Engines to which no connection came about.
+    pub unreached: Vec<EngineName>,
 }
 
 impl HostWork {
     /// Returns whether there is nothing to tell.
     pub const fn is_empty(&self) -> bool {
-        self.engines.is_empty() && self.runs.is_empty() && self.absent.is_empty()
+        let Self { engines, runs, absent, unreached } = self;
+        engines.is_empty() && runs.is_empty() && absent.is_empty() && unreached.is_empty()
     }
 }
 
--- a/crates/core/tests/placement/lateness.rs
+++ b/crates/core/tests/placement/lateness.rs
@@ -1,4 +1,4 @@
-//! Loads that are not there when they are due, and copies that an engine denies.
+//! Loads that are not there when they are due, and copies that an engine denies or that can not be reached.
 
 use crate::world::*;
 
@@ -68,3 +68,27 @@
     settle(&mut world);
     assert!(!world.published(&key(1)));
 }
+
+/// A hall was cut off with its copies, and requests waited for 700 ms before another copy was ordered.
+#[test]
+fn what_two_hosts_can_not_reach_is_loaded_elsewhere_at_once() {
+    for hosts in [&["north"][..], &["north", "south"]] {
+        let mut world = World::new(2);
+        settle(&mut world);
+        world.ask(1, 1);
+        assert!(is_published_soon(&mut world, 1));
+        world.ask(1, 0);
+        settle(&mut world);
+        let holder = (0..2).find(|place| world.engines[*place].held.contains_key(&key(1)));
+        let holder = holder.expect("one engine holds it");
+        for host in hosts {
+            world.tell_unreached(host, holder);
+        }
+        world.ask(1, 1);
+        for _ in 0..30 {
+            world.step(10, OrderFate::Answered);
+        }
+        let copied = world.engines[1 - holder].held.contains_key(&key(1));
+        assert_eq!(copied, hosts.len() > 1, "{hosts:?}");
+    }
+}
--- a/crates/core/tests/placement/world.rs
+++ b/crates/core/tests/placement/world.rs
@@ -225,6 +225,13 @@
         self.tell_open(engine, numbers, 0);
     }
 
+    /// Tells that a host could not connect to an engine.
+    pub(crate) fn tell_unreached(&mut self, host: &str, engine: usize) {
+        let unreached = vec![Arc::clone(&self.engines[engine].entry.name)];
+        let told = HostWork { unreached, ..HostWork::default() };
+        self.planner.work_noted(&Arc::from(host), &told, self.at());
+    }
+
     /// Tells that an engine said just now that it does not hold an adapter.
     pub(crate) fn tell_absent(&mut self, engine: usize, number: usize) {
         let engine = Arc::clone(&self.engines[engine].entry.name);
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -188,6 +188,7 @@
             work: told.work.engines.iter().map(Into::into).collect(),
             runs: told.work.runs.iter().map(Into::into).collect(),
             absent: told.work.absent.iter().map(Into::into).collect(),
+            unreached: told.work.unreached.iter().map(ToString::to_string).collect(),
         };
         placer.try_send(PeerFrame::new(FrameBody::Demand(frame))).is_ok()
     }
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -2,7 +2,7 @@
 //! they have at engines.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -89,6 +89,7 @@
     services: HashMap<ServiceName, HashMap<ModelKey, DemandCount>>,
     engines: HashMap<ServiceName, HashMap<EngineName, WorkCount>>,
     absent: HashMap<ServiceName, Vec<AbsentWord>>,
+    unreached: HashMap<ServiceName, BTreeSet<EngineName>>,
 }
 
 impl DemandCollector {
@@ -154,6 +155,12 @@
         words.push(AbsentWord { engine, key, said: now });
     }
 
+    /// Takes that no connection to an engine came about.
+    pub fn not_reached(&mut self, service: &ServiceName, engine: &EngineName) {
+        let engines = self.unreached.entry(Arc::clone(service)).or_default();
+        engines.insert(Arc::clone(engine));
+    }
+
     /// Forgets an engine that is listed no more, or that holds no models.
     pub fn forget_engine(&mut self, engine: &str) {
         for engines in self.engines.values_mut() {
@@ -194,6 +201,9 @@
             });
             drained.entry(service).or_default().work.absent = words.collect();
         }
+        for (service, engines) in self.unreached.drain() {
+            drained.entry(service).or_default().work.unreached = engines.into_iter().collect();
+        }
         drained
     }
 
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -11,15 +11,14 @@
 use reelreel_core::{
     ClockMillis,
     fleet::{
-        EngineEntry, EngineName, ModelKey,
+        EngineEntry, EngineName, ModelKey, ZoneName,
         condition::{EngineCondition, EngineOutcome},
+        reach::{ConnectTime, HallReach},
         work::EngineWork,
     },
 };
 use reelreel_http::HttpStream;
-
-/// How long a connection may take to come about.
-const CONNECT_PATIENCE: Duration = Duration::from_millis(300);
+use tokio::time::Instant;
 
 /// After which silence of the engine's host a connection fails.
 const SILENCE: Duration = Duration::from_millis(2500);
@@ -46,6 +45,8 @@
 struct EngineState {
     idle: Vec<IdleConnection>,
     condition: EngineCondition,
+    /// The engine's data hall, once a connection was tried.
+    hall: Option<ZoneName>,
     /// What this host has there.
     work: EngineWork,
     /// This host's requests there by model or adapter.
@@ -58,6 +59,8 @@
 #[derive(Default)]
 pub struct EnginePool {
     engines: HashMap<EngineName, EngineState>,
+    halls: HashMap<ZoneName, HallReach>,
+    connect_time: ConnectTime,
 }
 
 /// A connection to an engine, with an open request counted for as long as it lives.
@@ -94,7 +97,40 @@
 
     /// Counts how a send to an engine ended.
     pub fn note(&mut self, engine: &EngineName, outcome: EngineOutcome, now: ClockMillis) {
-        self.engines.entry(Arc::clone(engine)).or_default().condition.note(outcome, now);
+        let state = self.engines.entry(Arc::clone(engine)).or_default();
+        state.condition.note(outcome, now);
+        let heard = matches!(
+            outcome,
+            EngineOutcome::Answered(_) | EngineOutcome::Erred | EngineOutcome::Refused
+        );
+        if heard
+            && let Some(hall) = &state.hall
+            && let Some(reach) = self.halls.get_mut(hall)
+        {
+            reach.answered();
+        }
+    }
+
+    /// Returns whether an engine's data hall seems to be cut off from this host.
+    pub fn is_out_of_reach(&self, entry: &EngineEntry, now: ClockMillis) -> bool {
+        self.halls.get(&entry.zone).is_some_and(|reach| reach.is_resting(now))
+    }
+
+    /// Returns whether connections come about quickly, so that one that does not shows something of its engine.
+    pub fn connects_quickly(&self) -> bool {
+        self.connect_time.is_quick()
+    }
+
+    fn connected(&mut self, entry: &EngineEntry, time: Duration) {
+        self.connect_time.note(time);
+        self.halls.entry(Arc::clone(&entry.zone)).or_default().answered();
+    }
+
+    fn not_connected(&mut self, entry: &EngineEntry, error: &std::io::Error, now: ClockMillis) {
+        if error.kind() == std::io::ErrorKind::TimedOut {
+            self.connect_time.note_silence();
+            self.halls.entry(Arc::clone(&entry.zone)).or_default().silent(&entry.name, now);
+        }
     }
 
     /// Closes connections that have rested too long, and forgets engines that are not listed.
@@ -131,19 +167,44 @@
         now: ClockMillis,
     ) -> std::io::Result<EngineLease> {
         let kept = pool.borrow_mut().take_idle(&entry.name, terms.fresh, now);
+        let hall = Some(Arc::clone(&entry.zone));
+        pool.borrow_mut().engines.entry(Arc::clone(&entry.name)).or_default().hall = hall;
         let reused = kept.is_some();
         let count = RunCount::new(pool, &entry.name, terms);
         let stream = if let Some(stream) = kept {
             stream
         } else {
-            let stream = HttpStream::connect(entry.address, CONNECT_PATIENCE).await?;
-            stream.fail_when_silent(SILENCE)?;
-            stream
+            Self::connect_anew(pool, entry, now).await?
         };
         Ok(EngineLease { count, entry: Arc::clone(entry), stream, reused })
     }
 }
 
+impl EnginePool {
+    async fn connect_anew(
+        pool: &Rc<RefCell<Self>>,
+        entry: &EngineEntry,
+        now: ClockMillis,
+    ) -> std::io::Result<HttpStream> {
+        let patience = pool.borrow().connect_time.patience();
+        let began = Instant::now();
+        let connected = HttpStream::connect(entry.address, patience).await;
+        let time = began.elapsed();
+        let mut pool = pool.borrow_mut();
+        match connected {
+            Ok(stream) => {
+                pool.connected(entry, time);
+                stream.fail_when_silent(SILENCE)?;
+                Ok(stream)
+            }
+            Err(error) => {
+                pool.not_connected(entry, &error, now + time);
+                Err(error)
+            }
+        }
+    }
+}
+
 /// What a request asks of a connection to an engine.
 #[derive(Debug, Clone)]
 pub struct ConnectTerms {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -128,6 +128,14 @@
         self.shared.wake_control.notify_one();
     }
 
+    /// Has the placer told that no connection to an engine came about, unless this host is held up itself.
+    pub fn note_unreached(&self, service: &ServiceName, engine: &EngineName) {
+        if self.pool.borrow().connects_quickly() {
+            self.shared.demand().not_reached(service, engine);
+            self.shared.wake_control.notify_one();
+        }
+    }
+
     /// Returns whether an engine said just now that it does not hold a model or adapter.
     pub fn is_absent(&self, engine: &EngineName, key: &ModelKey) -> bool {
         let place = (Arc::clone(engine), Arc::clone(key));
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -66,6 +66,7 @@
         };
         let Ok(mut lease) = connected else {
             self.note(entry, EngineOutcome::Unreachable);
+            self.traffic.note_unreached(&self.service, &entry.name);
             return SendEnd::NotSent;
         };
         if !lease.reused {
--- a/crates/gateway/src/entry/pick.rs
+++ b/crates/gateway/src/entry/pick.rs
@@ -58,7 +58,16 @@
     if need.key.is_some() {
         // Who can not be reached does not count as a holder: the placer is told that a request
         // waits, and loads another copy.
-        able.retain(|(_, _, condition, _)| !condition.is_resting(now));
+        let pool = traffic.pool.borrow();
+        able.retain(|(entry, _, condition, _)| {
+            !condition.is_resting(now) && !pool.is_out_of_reach(entry, now)
+        });
+    } else {
+        let pool = traffic.pool.borrow();
+        let reached = |entry: &EngineEntry| !pool.is_out_of_reach(entry, now);
+        if able.iter().any(|(entry, ..)| reached(entry)) {
+            able.retain(|(entry, ..)| reached(entry));
+        }
     }
     if able.is_empty() {
         let cold = ready && need.key.is_some();
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -60,6 +60,9 @@
     /// What engines said that they do not hold.
     #[prost(message, repeated, tag = "6")]
     pub absent: Vec<AbsentLine>,
+    /// Engines to which no connection came about.
+    #[prost(string, repeated, tag = "7")]
+    pub unreached: Vec<String>,
 }
 
 /// What an engine has to do.
@@ -299,6 +302,7 @@
             engines: self.work.iter().map(Into::into).collect(),
             runs: self.runs.iter().map(Into::into).collect(),
             absent: self.absent.iter().map(Into::into).collect(),
+            unreached: self.unreached.iter().map(|engine| Arc::from(engine.as_str())).collect(),
         }
     }
 }
