fix(gateway): a placer's connection that falls silent is left after two seconds

A host waited for the placer's next word without an end, so that such a host went on with an old plan and no estimate until it was restarted; after a cut of some seconds the next word came only with TCP's next try, seconds later. A frame to a peer that takes nothing was also waited for without an end.

Ruled out: the feed of the store's records, which is left after 600 ms; calls to the store and to engines, which have their own patience and take a new connection.

Change: a placer that has nothing to tell says every half second that it is there; a host that hears nothing for two seconds connects again. A frame may take two seconds.

Test: a_silent_placer_is_connected_to_again failed with the time out of reach.

--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -36,6 +36,9 @@
 /// The longest time between two such words: a quarter of a second is what an adapter takes to load.
 const LONGEST_WORK_PAUSE: Duration = Duration::from_millis(250);
 
+/// How often a placer that has nothing to tell says that it is there.
+const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How long an estimate is kept after its time.
 const ESTIMATE_HOLDS: Duration = Duration::from_secs(2);
 
@@ -104,6 +107,8 @@
     told: ClockMillis,
     /// When the engines' work was last told.
     work_told: ClockMillis,
+    /// When all subscribers last heard something.
+    spoken: ClockMillis,
 }
 
 impl PlacementDomain {
@@ -129,10 +134,11 @@
             untold: BTreeSet::new(),
             told: ClockMillis::default(),
             work_told: ClockMillis::default(),
+            spoken: ClockMillis::default(),
         }
     }
 
-    /// Tells the subscribers what engines have to do; returns what changed.
+    /// Tells the subscribers what engines have to do, or that this machine is there; returns what changed.
     pub fn tell_work(&mut self, now: ClockMillis) -> Vec<(EngineName, EngineWork)> {
         let pause = (WORK_PAUSE_PER_HOST * self.listeners()).min(LONGEST_WORK_PAUSE);
         let Some(planner) = &mut self.planner else { return Vec::new() };
@@ -141,7 +147,8 @@
         }
         self.work_told = now;
         let changed = planner.take_changed_work();
-        if !changed.is_empty() {
+        if !changed.is_empty() || now.since(self.spoken) >= ALIVE_INTERVAL {
+            self.spoken = now;
             let frame = PlanFrame {
                 service: self.service.to_string(),
                 token: self.planned_token,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,9 +6,11 @@
 pub mod frame;
 pub mod server;
 
+use std::time::Duration;
+
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, time::timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use frame::PeerFrame;
@@ -16,6 +18,9 @@
 /// The longest frame. Unit: bytes.
 const LONGEST_FRAME: usize = 4 * 1024 * 1024;
 
+/// How long a peer may take a frame: what is buffered on the way is as much as it gets in several seconds.
+const SEND_PATIENCE: Duration = Duration::from_secs(2);
+
 /// A connection between two machines, cut into frames.
 pub struct PeerStream {
     framed: Framed<TcpStream, LengthDelimitedCodec>,
@@ -32,10 +37,10 @@
     /// Sends a frame.
     ///
     /// # Errors
-    /// Returns the socket's error.
+    /// Returns the socket's error, or that the peer does not take the frame in time.
     pub async fn send(&mut self, frame: &PeerFrame) -> std::io::Result<()> {
         let bytes = bytes::Bytes::from(frame.encode_to_vec());
-        self.framed.send(bytes).await
+        timeout(SEND_PATIENCE, self.framed.send(bytes)).await?
     }
 
     /// Receives the next frame; `None` when the peer has closed or sent what is none.
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use reelreel_core::fleet::ServiceName;
-use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle};
+use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle, time::Instant};
 
 use crate::{
     control::{SharedControl, domain::PEER_QUEUE},
@@ -13,6 +13,10 @@
     },
 };
 
+/// How long a placer may be silent: as long as its lease lives, and four times as long as it lets pass between two words.
+/// A connection may go silent for good without a reset, and after a cut the next word would come seconds late.
+const PLACER_SILENCE: Duration = Duration::from_secs(2);
+
 /// How often the placers are looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -67,16 +71,19 @@
     if !greet(&state, &service, &sender) {
         return;
     }
+    let mut heard = Instant::now();
     loop {
         let alive = tokio::select! {
             received = stream.receive() => match received.and_then(|frame| frame.body) {
                 Some(FrameBody::Plan(plan)) => {
                     state.borrow_mut().peer_plan(&plan);
+                    heard = Instant::now();
                     true
                 }
                 Some(_) => true,
                 None => false,
             },
+            () = tokio::time::sleep_until(heard + PLACER_SILENCE) => false,
             frame = frames.recv() => match frame {
                 Some(frame) => stream.send(&frame).await.is_ok(),
                 None => false,
--- a/crates/gateway/tests/machine/following.rs
+++ b/crates/gateway/tests/machine/following.rs
@@ -1,9 +1,22 @@
 //! A few machines read the store; the others follow them, and read it themselves when they must.
 
-use std::{thread, time::Duration};
+use std::{
+    io::Read,
+    net::{TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    thread,
+    time::Duration,
+};
 
+use prost::Message;
 use reelreel_core::{ClockMillis, placement::MachineCapacity};
-use reelreel_gateway::store::health::StoreHealth;
+use reelreel_gateway::{
+    peers::frame::{FrameBody, PeerFrame},
+    store::health::StoreHealth,
+};
 
 use crate::site::{TestMachine, TestSite, wait_until};
 
@@ -171,3 +184,47 @@
         assert_eq!(health.relisting_until(now), until, "{}", case.name);
     }
 }
+
+/// Returns whether the first frame of a connection tells demand.
+fn tells_demand(socket: &mut TcpStream) -> bool {
+    let mut length = [0; 4];
+    if socket.read_exact(&mut length).is_err() {
+        return false;
+    }
+    let mut bytes = vec![0; u32::from_be_bytes(length) as usize];
+    let frame = socket.read_exact(&mut bytes).map(|()| PeerFrame::decode(bytes.as_slice()));
+    matches!(frame, Ok(Ok(PeerFrame { body: Some(FrameBody::Demand(_)) })))
+}
+
+/// A member of the group that takes every connection and never says a word; counts who tells it demand.
+fn silent_member(site: &TestSite) -> Arc<AtomicU32> {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    site.store.enlist(&listener.local_addr().expect("an address").to_string());
+    let told: Arc<AtomicU32> = Arc::default();
+    let counted = Arc::clone(&told);
+    thread::spawn(move || {
+        for mut socket in listener.incoming().flatten() {
+            let counted = Arc::clone(&counted);
+            thread::spawn(move || {
+                if tells_demand(&mut socket) {
+                    counted.fetch_add(1, Ordering::Relaxed);
+                }
+                // Held open until the other side closes it.
+                let _ = socket.read(&mut [0; 1024]);
+            });
+        }
+    });
+    told
+}
+
+/// A connection to the placer that had gone silent for good was kept, and with it a plan of long ago.
+#[test]
+fn a_silent_placer_is_connected_to_again() {
+    let site = TestSite::start();
+    let told = [(); 3].map(|()| silent_member(&site));
+    let machine = site.machine_with("listener", Vec::new(), WEAK);
+    machine.wait_ready();
+    wait_until("the placer is connected to again", || {
+        told.iter().map(|told| told.load(Ordering::Relaxed)).sum::<u32>() >= 2
+    });
+}
--- a/crates/gateway/tests/machine/store.rs
+++ b/crates/gateway/tests/machine/store.rs
@@ -94,6 +94,14 @@
         self.state.1.notify_all();
     }
 
+    /// Makes a machine a member of the group for good.
+    pub(crate) fn enlist(&self, member: &str) {
+        let for_good = Instant::now() + Duration::from_hours(1);
+        let mut state = self.lock();
+        state.members.insert(member.to_owned(), for_good);
+        state.generation += 1;
+    }
+
     pub(crate) fn calls(&self) -> u64 {
         self.lock().calls
     }
