feat(gateway): a request whose best engine has too much to read before it is refused at once

Cause: where engines read prompts more slowly than on the sites known, requests lay seconds in an engine's queue, were sent to a second one, and ended late or at their deadline; nothing said no.

Change: what is expected to have its first event after its target, by what the engine has to read and the speed observed, is refused with the time in which that is read. Who came back joins a queue in which others are in time. A prompt that takes longer than the target by itself is refused only while others are before it.

--- a/crates/cli/src/logs/cause.rs
+++ b/crates/cli/src/logs/cause.rs
@@ -68,6 +68,8 @@
     LoadedLate,
     /// Its adapter was not loaded at all.
     NeverLoaded,
+    /// The best engine had too much to read before it, so that it was refused at once.
+    QueueTooLong,
     /// Engines promised not to have run it, being full or not ready.
     EnginesRefused,
     /// No engine took work, or none could be reached.
@@ -105,6 +107,7 @@
             Self::LoadOrderLost => "the order to load its adapter got no answer",
             Self::LoadedLate => "its adapter was loaded too late",
             Self::NeverLoaded => "its adapter was not loaded",
+            Self::QueueTooLong => "its engines had too much to read before it",
             Self::EnginesRefused => "its engines were full or not ready",
             Self::NoEngine => "no engine could be reached",
             Self::EngineGone => "its engine went away",
@@ -130,6 +133,7 @@
             "refused_early" if request.event.revision == 0 => Self::NoConfiguration,
             "refused_early" => Self::RefusedEarly,
             "adapter_absent" => Self::of_absence(request, logs),
+            "queue_too_long" => Self::QueueTooLong,
             "not_run" => Self::EnginesRefused,
             "no_engine" | "unreachable" => Self::NoEngine,
             "engine_failed" | "stream_broken" if engine_went(request, logs) => Self::EngineGone,
--- a/crates/cli/tests/logs/main.rs
+++ b/crates/cli/tests/logs/main.rs
@@ -99,6 +99,12 @@
         ],
         cause: "its adapter was not loaded",
     },
+    CauseCase {
+        name: "queue-too-long",
+        request: r#""outcome":"queue_too_long","status":503,"key":"m/a1","sends":0,"waited":0,"first":0,"total":1"#,
+        around: &[],
+        cause: "its engines had too much to read before it",
+    },
     CauseCase {
         name: "engine-gone",
         request: r#""outcome":"engine_failed","status":502,"engine":"e1","sends":1,"waited":0,"first":0,"total":5"#,
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -3,7 +3,7 @@
 //! The types here hold for engines that admit requests by themselves: they queue, refuse and fence
 //! on their own, so that a request needs no permit of an owner. [`routes`] says where a request may
 //! go, [`choice`] which engine it is sent to,
-//! [`cold`] whether it waits for its adapter, [`condition`] what the host's own requests tell about
+//! [`cold`] whether it waits for its adapter, [`queued`] whether it joins an engine's queue, [`condition`] what the host's own requests tell about
 //! an engine, [`reach`] what its connections tell about a data hall, and [`retry_share`] how often it
 //! may be sent again.
 
@@ -13,6 +13,7 @@
 pub mod cold;
 pub mod condition;
 pub mod prompt;
+pub mod queued;
 pub mod reach;
 pub mod reading;
 pub mod retry_share;
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -185,6 +185,13 @@
         }
     }
 
+    /// Returns what an engine has to read before a request that would be sent there now. Unit: tokens.
+    pub fn unread_at(&self, entry: &EngineEntry) -> u64 {
+        let told = self.traffic.shared.shared_work().at(&entry.name).unread;
+        let (_, own) = self.traffic.pool.borrow().view(&entry.name);
+        told.max(own.unread)
+    }
+
     /// Returns what an engine has to read before this request's prompt, which counts there already.
     fn unread_before(&self, entry: &EngineEntry) -> u64 {
         let told = self.traffic.shared.shared_work().at(&entry.name).unread;
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -12,6 +12,7 @@
     clock::duration_millis,
     fleet::{
         EngineEntry, EngineName, ServiceName, WeightVersion,
+        queued::QueuedRequest,
         routes::{ConfigRevision, RouteEntry},
     },
 };
@@ -26,7 +27,7 @@
         answer::{ENGINE_FAILED, OwnAnswer, TIME_OVER},
         pick::{EngineNeed, EnginePick, pick_engine},
         prepare::{PreparedRequest, prepare, refuse_early},
-        wait::WaitEnd,
+        wait::{RETURNED_PART, WaitEnd},
     },
 };
 
@@ -208,6 +209,9 @@
         loop {
             match self.pick() {
                 EnginePick::Engine(entry, version) => {
+                    if let Some(time) = self.queue_refusal(&entry) {
+                        return self.refuse_queued(time).await;
+                    }
                     if let Some(end) = self.try_engine(&entry, version).await {
                         return end;
                     }
@@ -311,6 +315,32 @@
         self.sends_are_left() && self.traffic.take_retry(&self.service)
     }
 
+    /// Returns after what time the client should come back where the best engine's queue is too long.
+    ///
+    /// What was sent before goes on: it may have run.
+    fn queue_refusal(&self, entry: &EngineEntry) -> Option<Duration> {
+        if self.sends > 0 || self.facts.model.is_none() {
+            return None;
+        }
+        let ahead = self.unread_at(entry);
+        let deadline = self.facts.deadline.unwrap_or(self.route.timeout);
+        let request = QueuedRequest {
+            elapsed: self.traffic.now().since(self.request.arrived),
+            target: self.route.target,
+            remaining: self.until.saturating_duration_since(Instant::now()),
+            ahead: self.traffic.reading_time(&self.service, ahead),
+            reading: self.traffic.reading_time(&self.service, self.facts.prompt.tokens()),
+            returned: deadline < self.route.timeout.mul_f64(RETURNED_PART),
+        };
+        request.refusal()
+    }
+
+    /// Refuses a request whose engines have too much to read before it.
+    async fn refuse_queued(&mut self, retry_after: Duration) -> (ExchangeEnd, &'static str) {
+        let text = "the engines have too much to do; come back after the time in Retry-After";
+        self.answer(OwnAnswer::refusal(text, retry_after), "queue_too_long").await
+    }
+
     /// Refuses a request whose adapter is not there.
     async fn refuse_cold(&mut self, retry_after: Duration) -> (ExchangeEnd, &'static str) {
         if self.may_have_run {
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -15,7 +15,7 @@
 };
 
 /// The part of the route's time below which a deadline shows that the client came back.
-const RETURNED_PART: f64 = 0.985;
+pub const RETURNED_PART: f64 = 0.985;
 
 /// How often a waiting request looks whether a holder can be reached again.
 const LOOK_INTERVAL: Duration = Duration::from_millis(150);
