fix(gateway): engines that refuse a connection at once do not use up a request's tries

A fifth of the engines crash at 4.15 s and stay listed for some seconds; they are the least loaded, so requests that any engine could run chose four of them in a row, each refused within a millisecond, and ended with 503 after two (64 requests without an adapter of their own between 4.3 and 8 s).

Ruled out: copies at crashed engines (these requests name the base model, which all 78 hold).

Change: only connections that were silent count against the four; 32 in all.

Test: a_request_finds_the_one_engine_among_many_that_are_gone failed with the old number.

--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -37,8 +37,15 @@
 /// The pause before an engine that refused is asked again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(60);
 
-/// How often engines are connected to for one request.
-const MOST_CONNECTS: u32 = 4;
+/// How many engines may be silent when they are connected to for one request: each of them costs it a part of its target.
+const MOST_SILENT: u32 = 4;
+
+/// How many engines are connected to for one request at all. One that is gone refuses at once and costs nothing, and many
+/// may go at the same moment.
+const MOST_CONNECTS: u32 = 32;
+
+/// How long a connection takes at least that was not refused at once.
+const SILENT_CONNECT: Duration = Duration::from_millis(20);
 
 /// How often one request is sent at all.
 const MOST_SENDS: u32 = 6;
@@ -128,6 +135,7 @@
     pub waited: Duration,
     unreached: Vec<EngineName>,
     connects: u32,
+    silent_connects: u32,
     /// The configuration that decided its route.
     pub revision: ConfigRevision,
 }
@@ -195,6 +203,7 @@
             unreached: Vec::new(),
             sends: 0,
             connects: 0,
+            silent_connects: 0,
             may_have_run: false,
             waited: Duration::ZERO,
             revision,
@@ -252,6 +261,7 @@
         entry: &Arc<EngineEntry>,
         version: Option<WeightVersion>,
     ) -> Option<(ExchangeEnd, &'static str)> {
+        let began = Instant::now();
         match self.send(entry, version).await {
             SendEnd::Over(end, outcome) => Some((end, outcome)),
             SendEnd::TimeOver if self.may_have_run => {
@@ -261,7 +271,8 @@
             SendEnd::NotSent => {
                 self.unreached.push(Arc::clone(&entry.name));
                 self.connects += 1;
-                if self.connects < MOST_CONNECTS {
+                self.silent_connects += u32::from(began.elapsed() >= SILENT_CONNECT);
+                if self.connects < MOST_CONNECTS && self.silent_connects < MOST_SILENT {
                     return None;
                 }
                 Some(self.give_up("unreachable").await)
--- a/crates/gateway/tests/machine/engines.rs
+++ b/crates/gateway/tests/machine/engines.rs
@@ -190,3 +190,25 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert_eq!(site.plain.arrivals().len(), before);
 }
+
+/// Sixteen engines of 78 crashed at once and stayed listed for some seconds: requests tried four of them within two
+/// milliseconds and were refused.
+#[test]
+fn a_request_finds_the_one_engine_among_many_that_are_gone() {
+    let site = TestSite::start();
+    let machine = site.machine("finder");
+    let address = site.plain.address.to_string();
+    for number in 0..12 {
+        // Nothing listens at the first port, so that a connection is refused at once.
+        let gone = site.plain.entry("plain", false).replace(&address, "127.0.0.1:1");
+        site.store.put("engines", &format!("gone-{number}"), &gone);
+    }
+    wait_until("the engines are listed", || {
+        let table = machine.shared.table.borrow().clone();
+        table.ready_engines("plain").count() == 13
+    });
+    for number in 0..6 {
+        let answer = machine.post("/single/a", &format!("X-Request: g{number}\r\n"), "body");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{number}: {answer}");
+    }
+}
