refactor(core): due times in a file of their own; a load that its engine denied is not expected before its next look

What says when loads are due and what happens when one is not there stood among what says where they go. One change of behaviour: a new projection of the store could put a load that an engine had just denied back to now, so that the next waiting request was sent in vain as well; it is not expected before the 40 ms that it was put off by. Whether a client came back is asked in one place.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -9,6 +9,7 @@
 mod candidates;
 pub mod demand;
 mod doubts;
+mod due;
 pub mod inventory;
 mod odd_engines;
 pub mod order;
--- a/crates/core/src/placement/inventory.rs
+++ b/crates/core/src/placement/inventory.rs
@@ -23,6 +23,9 @@
 /// How old the state in a report is as a rule. Source: the users' pages, some hundred milliseconds.
 const REPORT_AGE: Duration = Duration::from_millis(100);
 
+/// By how much that may be wrong either way.
+const REPORT_BLUR: Duration = Duration::from_millis(40);
+
 /// How long after a load is due a report is asked for: one that shows the engine just after the load has ended.
 const REPORT_DELAY: Duration = Duration::from_millis(130);
 
@@ -33,9 +36,6 @@
 /// How many hosts must say so: one may be cut off itself.
 const LEAST_UNREACHED: usize = 2;
 
-/// By how much that may be wrong either way.
-const REPORT_BLUR: Duration = Duration::from_millis(40);
-
 /// How many adapters an engine is expected to remember.
 const MOST_REMEMBERED: usize = 100;
 
@@ -98,6 +98,8 @@
     pub began: ClockMillis,
     /// When it is expected to end.
     pub due: ClockMillis,
+    /// Before when it is not expected, since its engine said that it was not there.
+    pub not_before: ClockMillis,
     /// The order that began it; of another placer's order nothing is known.
     pub order: Option<OrderId>,
     /// Whether it uses the weight store.
@@ -229,6 +231,7 @@
                     version: pending.version,
                     began: asked,
                     due: asked + REPORT_LAG,
+                    not_before: ClockMillis::default(),
                     order: None,
                     from_store: true,
                 });
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -205,6 +205,7 @@
                     version,
                     began: now,
                     due,
+                    not_before: ClockMillis::default(),
                     order: Some(order.id),
                     from_store,
                 });
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -1,31 +1,17 @@
 //! Where a load goes, and what makes room for it.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     clock::ClockMillis,
     fleet::{ADAPTER_SEPARATOR, ModelKey, adapter_name, base_model},
     placement::{
-        AbsentEntry, EngineInventory, LoadSight, OrderId, OrderKind, PlacementPlanner,
-        PlannedOrder,
+        EngineInventory, OrderKind, PlacementPlanner, PlannedOrder,
         candidates::{LoadCandidate, RATE_HORIZON},
         inventory::MOST_IN_TRANSIT,
     },
 };
 
-/// How long a load of something an engine held lately takes.
-const REMEMBERED_LOAD_TIME: Duration = Duration::from_millis(30);
-
-/// What is added to the expected time of a load, for the order's way to the engine.
-const ORDER_TIME: Duration = Duration::from_millis(8);
-
-/// By how much the time may be wrong at which an engine said that it does not hold something: its answer's way.
-const SEND_BLUR: Duration = Duration::from_millis(8);
-
-/// After what time a load that was not there when it was due is expected: few are later by more, and who waits for one
-/// loses little.
-const LATE_RETRY: Duration = Duration::from_millis(40);
-
 /// How far beyond full speed adapters are ordered at a time.
 const ADAPTER_OVERLOAD: f64 = 1.5;
 
@@ -146,53 +132,6 @@
         at_once.max(LEAST_AT_ONCE)
     }
 
-    /// Returns how long a load takes when the store serves it at full speed.
-    pub(super) fn load_time_of(&self, key: &str, from_store: bool) -> Duration {
-        if !from_store {
-            return REMEMBERED_LOAD_TIME + ORDER_TIME;
-        }
-        let model = self.hosting.model(key);
-        model.map_or(self.pace().load_time, |model| model.load_time) + ORDER_TIME
-    }
-
-    /// Projects anew when the adapters on their way from the store are due.
-    pub(super) fn project_store(&mut self, now: ClockMillis) {
-        let due_times: HashMap<OrderId, ClockMillis> =
-            self.store.due_times(now).into_iter().collect();
-        let loads = self.engines.values_mut().flat_map(|inventory| inventory.pending.iter_mut());
-        for load in loads {
-            let due = load.order.and_then(|order| due_times.get(&order));
-            if let Some(due) = due {
-                load.due = *due + ORDER_TIME;
-            }
-        }
-    }
-
-    /// Takes an engine's word that it does not hold something.
-    ///
-    /// What was expected by now is waited for; what was held is looked at again.
-    pub(super) fn absence_noted(&mut self, absent: &AbsentEntry, now: ClockMillis) {
-        let Some(inventory) = self.engines.get_mut(&absent.engine) else { return };
-        let at = now - absent.age;
-        let load = inventory.pending.iter_mut().find(|load| load.key == absent.key);
-        let Some(load) = load.filter(|load| load.began < at) else {
-            if inventory.held.contains_key(&absent.key) {
-                inventory.contradicted = Some(at);
-            }
-            return;
-        };
-        let early = now >= load.due;
-        load.due = load.due.max(now + LATE_RETRY);
-        if early && inventory.held.remove(&absent.key).is_some() {
-            inventory.touched = true;
-        }
-        if let Some(load) = load.order.filter(|_| load.is_store_adapter()) {
-            let sight = LoadSight { load, there: false, at, blur: SEND_BLUR };
-            self.store.load_seen(&sight, now);
-            self.project_store(now);
-        }
-    }
-
     fn has_place(&self, inventory: &EngineInventory, key: &str) -> bool {
         if adapter_name(key).is_none() || inventory.held.contains_key(key) {
             return true;
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -27,7 +27,7 @@
         answer::{ENGINE_FAILED, OwnAnswer, TIME_OVER},
         pick::{EngineNeed, EnginePick, pick_engine},
         prepare::{PreparedRequest, prepare, refuse_early},
-        wait::{RETURNED_PART, WaitEnd},
+        wait::WaitEnd,
     },
 };
 
@@ -50,6 +50,9 @@
 /// How often one request is sent at all.
 const MOST_SENDS: u32 = 6;
 
+/// The part of the route's time below which a deadline shows that the client came back.
+const RETURNED_PART: f64 = 0.985;
+
 /// When a client refused for want of an engine comes back.
 const NO_ENGINE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -334,18 +337,24 @@
             return None;
         }
         let ahead = self.unread_at(entry);
-        let deadline = self.facts.deadline.unwrap_or(self.route.timeout);
         let request = QueuedRequest {
             elapsed: self.traffic.now().since(self.request.arrived),
             target: self.route.target,
             remaining: self.until.saturating_duration_since(Instant::now()),
             ahead: self.traffic.reading_time(&self.service, ahead),
             reading: self.traffic.reading_time(&self.service, self.facts.prompt.tokens()),
-            returned: deadline < self.route.timeout.mul_f64(RETURNED_PART),
+            returned: self.is_returned(),
         };
         request.refusal()
     }
 
+    /// Returns whether the client seems to have been refused before and to have come back: it has less time than its route
+    /// gives.
+    pub fn is_returned(&self) -> bool {
+        let deadline = self.facts.deadline.unwrap_or(self.route.timeout);
+        deadline < self.route.timeout.mul_f64(RETURNED_PART)
+    }
+
     /// Refuses a request whose engines have too much to read before it.
     async fn refuse_queued(&mut self, retry_after: Duration) -> (ExchangeEnd, &'static str) {
         let text = "the engines have too much to do; come back after the time in Retry-After";
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -14,9 +14,6 @@
     pick::EnginePick,
 };
 
-/// The part of the route's time below which a deadline shows that the client came back.
-pub const RETURNED_PART: f64 = 0.985;
-
 /// How often a waiting request looks whether a holder can be reached again.
 const LOOK_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -134,7 +131,6 @@
     fn cold_request(&self, key: &ModelKey) -> ColdRequest {
         let now = self.traffic.now();
         let due = self.traffic.table().estimates.get(key).copied();
-        let deadline = self.facts.deadline.unwrap_or(self.route.timeout);
         ColdRequest {
             elapsed: now.since(self.request.arrived),
             target: self.route.target,
@@ -142,7 +138,7 @@
             estimate: due.filter(|due| now.since(*due) < ESTIMATE_GRACE).map(|due| due.since(now)),
             reading: self.traffic.reading_time(&self.service, self.facts.prompt.tokens()),
             longest_pause: self.route.longest_pause,
-            returned: deadline < self.route.timeout.mul_f64(RETURNED_PART),
+            returned: self.is_returned(),
         }
     }
 }
