--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -2,7 +2,8 @@
 //!
 //! Read [`connection`] for one client connection, [`prepare`] and [`exchange`] for one request,
 //! [`pick`] for where it goes, [`wait`] for what happens until its adapter is there, [`attempt`] for
-//! one send, [`pass`] for how an answer is passed on, and [`stream`] for answers in events.
+//! one send, [`refusal`] for how it ends without an engine's answer, [`pass`] for how an answer is
+//! passed on, and [`stream`] for answers in events.
 
 pub mod answer;
 pub mod attempt;
@@ -14,6 +15,7 @@
 pub mod prepare;
 pub mod probe;
 pub mod record;
+pub mod refusal;
 pub mod stream;
 pub mod wait;
 
--- /dev/null
+++ b/crates/gateway/src/entry/refusal.rs
@@ -0,0 +1,96 @@
+//! How a request ends without an engine's answer: what it is told, and when it may come back.
+
+use std::time::Duration;
+
+use reelreel_core::fleet::{EngineEntry, queued::QueuedRequest};
+use tokio::time::Instant;
+
+use crate::entry::{
+    answer::{ENGINE_FAILED, OwnAnswer},
+    exchange::{Exchange, ExchangeEnd},
+};
+
+/// The part of the route's time below which a deadline shows that the client came back.
+const RETURNED_PART: f64 = 0.985;
+
+/// When a client refused for want of an engine comes back.
+const NO_ENGINE_PAUSE: Duration = Duration::from_millis(500);
+
+/// When a client refused by full engines comes back.
+const FULL_PAUSE: Duration = Duration::from_millis(250);
+
+impl Exchange<'_> {
+    /// Returns after what time the client should come back where the best engine's queue is too long.
+    ///
+    /// What was sent before goes on: it may have run.
+    pub(super) fn queue_refusal(&self, entry: &EngineEntry) -> Option<Duration> {
+        if self.sends > 0 || self.facts.model.is_none() {
+            return None;
+        }
+        let ahead = self.unread_at(entry);
+        let request = QueuedRequest {
+            elapsed: self.traffic.now().since(self.request.arrived),
+            target: self.route.target,
+            remaining: self.until.saturating_duration_since(Instant::now()),
+            ahead: self.traffic.reading_time(&self.service, ahead),
+            reading: self.traffic.reading_time(&self.service, self.facts.prompt.tokens()),
+            returned: self.is_returned(),
+        };
+        request.refusal()
+    }
+
+    /// Returns whether the client seems to have been refused before and to have come back: it has less time than its route
+    /// gives.
+    pub(super) fn is_returned(&self) -> bool {
+        let deadline = self.facts.deadline.unwrap_or(self.route.timeout);
+        deadline < self.route.timeout.mul_f64(RETURNED_PART)
+    }
+
+    /// Refuses a request whose engines have too much to read before it.
+    pub(super) async fn refuse_queued(
+        &mut self,
+        retry_after: Duration,
+    ) -> (ExchangeEnd, &'static str) {
+        let text = "the engines have too much to do; come back after the time in Retry-After";
+        self.answer(OwnAnswer::refusal(text, retry_after), "queue_too_long").await
+    }
+
+    /// Refuses a request whose adapter is not there.
+    pub(super) async fn refuse_cold(
+        &mut self,
+        retry_after: Duration,
+    ) -> (ExchangeEnd, &'static str) {
+        if self.may_have_run {
+            return self.answer(ENGINE_FAILED, "adapter_absent").await;
+        }
+        let text = "the adapter is not loaded yet; come back after the time in Retry-After";
+        self.answer(OwnAnswer::refusal(text, retry_after), "adapter_absent").await
+    }
+
+    /// Ends a request that was not run with the time to come back, any other as unknown.
+    pub(super) async fn give_up(&mut self, cause: &'static str) -> (ExchangeEnd, &'static str) {
+        if self.may_have_run {
+            return self.answer(ENGINE_FAILED, cause).await;
+        }
+        let answer = match cause {
+            "not_run" => OwnAnswer::refusal("the engines are full; come back later", FULL_PAUSE),
+            _ => OwnAnswer::refusal("no engine takes work now; come back later", NO_ENGINE_PAUSE),
+        };
+        self.answer(answer, cause).await
+    }
+
+    /// Answers the client; returns what becomes of its connection.
+    pub(super) async fn answer(
+        &mut self,
+        answer: OwnAnswer,
+        outcome: &'static str,
+    ) -> (ExchangeEnd, &'static str) {
+        let keep = self.keeps_client();
+        let dialect = &*self.traffic.shared.dialects.exchange;
+        let bytes = answer.write(dialect, Some(&self.facts.id), !keep);
+        self.status = answer.status;
+        let sent = self.client.write(&bytes).await.is_ok();
+        let end = if keep && sent { ExchangeEnd::Keep } else { ExchangeEnd::Close };
+        (end, outcome)
+    }
+}
