fix(core): half of the retry burst comes back over time; at the very first start it is there at once

Change: half of a host's part of the burst comes back over a window, half may be saved up; at the very first start of the whole system, which the settings tell, nothing was spent before and all of it is there. The replay begins so too, has a case of refusals from the first moment, and looks at windows from the first on.

--- a/crates/core/src/fleet/retry_share.rs
+++ b/crates/core/src/fleet/retry_share.rs
@@ -4,21 +4,26 @@
 //! hosts. Hosts do not talk about it: each earns sends by its own requests and saves up some of them,
 //! so that the sum stays below the whole.
 //!
-//! A process begins with nothing saved up. It can not know what the processes before it on its host have spent in the same
-//! window; a full share for each of them let five hosts that were killed together spend the budget twice.
+//! A process begins with nothing saved up, but at the very first start of the whole system. It can not know what the
+//! processes before it on its host have spent in the same window; a full share for each of them let five hosts that were killed
+//! together spend the budget twice.
 
 use std::{collections::VecDeque, time::Duration};
 
 use crate::clock::ClockMillis;
 
 /// The part of the allowed ratio that each request earns; the other part may be saved up, for what needs many sends at
-/// once. Any window then holds at most what its own requests earn and what was saved up before. Halves of it and four fifths
-/// serve the same within noise; with less to save up, hosts of a large fleet with two requests a second could not repeat any.
+/// once. Any window then holds at most what its own requests and its own time earn and what was saved up before.
+/// Halves of it and four fifths serve the same within noise; with less to save up, hosts of a large fleet with two
+/// requests a second could not repeat any.
 const EARNED_PART: f64 = 0.7;
 
-/// The part of what may be saved up that is used: the operator's windows and those of the hosts do not begin at the
-/// same moments.
-const SAVED_USED: f64 = 0.8;
+/// The part of the burst that comes back over one window, for hosts with few requests; the other part may be saved up.
+const RETURNING_PART: f64 = 0.5;
+
+/// The part of the burst and of what may be saved up that is used: the operator's windows and those of the hosts do
+/// not begin at the same moments.
+const PART_USED: f64 = 0.8;
 
 /// What the operator allows over all hosts.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -32,15 +37,25 @@
 }
 
 impl RetryAllowance {
-    /// Returns how many sends each request earns.
-    fn earned_by_request(&self) -> f64 {
-        self.ratio * EARNED_PART
+    /// Returns how many sends a host earns by `requests` requests.
+    fn earned_by(&self, requests: u32) -> f64 {
+        self.ratio * EARNED_PART * f64::from(requests)
+    }
+
+    /// Returns how many sends come back to one of `hosts` hosts by itself within a time.
+    fn returned_in(&self, time: Duration, hosts: u32) -> f64 {
+        let windows = time.as_secs_f64() / self.window.as_secs_f64();
+        self.burst_of_one(hosts) * RETURNING_PART * windows
     }
 
     /// Returns how many sends one of `hosts` hosts saves up at most that had `requests` requests within the last window.
     fn most_saved(&self, requests: usize, hosts: u32) -> f64 {
-        let by_requests = self.ratio * (1.0 - EARNED_PART) * requests as f64;
-        (by_requests + self.burst / f64::from(hosts.max(1))) * SAVED_USED
+        let by_requests = self.ratio * (1.0 - EARNED_PART) * PART_USED * requests as f64;
+        by_requests + self.burst_of_one(hosts) * (1.0 - RETURNING_PART)
+    }
+
+    fn burst_of_one(&self, hosts: u32) -> f64 {
+        self.burst * PART_USED / f64::from(hosts.max(1))
     }
 }
 
@@ -53,13 +68,22 @@
     uncounted: u32,
     /// Sends that were earned and not spent.
     saved: f64,
+    /// Up to when sends came back by themselves.
+    returned: Option<ClockMillis>,
 }
 
 impl RetryShare {
+    /// Begins the share of a process at the very first start of the whole system, before which nothing was spent;
+    /// [`RetryShare::default`] begins that of any other.
+    pub fn unspent() -> Self {
+        Self { saved: f64::INFINITY, ..Self::default() }
+    }
+
     /// Counts a request's first send.
     pub fn note_request(&mut self, now: ClockMillis) {
         self.requests.push_back(now);
         self.uncounted += 1;
+        self.returned.get_or_insert(now);
     }
 
     /// Takes one further send when the share has it.
@@ -67,9 +91,11 @@
     /// `hosts` is how many hosts spend the budget together, at least one.
     pub fn take(&mut self, allowance: &RetryAllowance, hosts: u32, now: ClockMillis) -> bool {
         self.forget_old(allowance, now);
-        let earned = f64::from(std::mem::take(&mut self.uncounted)) * allowance.earned_by_request();
+        let earned = allowance.earned_by(std::mem::take(&mut self.uncounted));
+        let since = self.returned.replace(now).unwrap_or(now);
+        let returned = allowance.returned_in(now.since(since), hosts);
         let most_saved = allowance.most_saved(self.requests.len(), hosts);
-        self.saved = (self.saved + earned).min(most_saved);
+        self.saved = (self.saved + earned + returned).min(most_saved);
         if self.saved < 1.0 {
             return false;
         }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -298,7 +298,7 @@
         steps in proptest::collection::vec((0usize..8, 0u64..40, any::<bool>()), 1..600),
     ) {
         let allowance = RetryAllowance { ratio: 0.2, burst: 54.0, window: millis(10_000) };
-        let mut shares = vec![RetryShare::default(); hosts as usize];
+        let mut shares = vec![RetryShare::unspent(); hosts as usize];
         let (mut requests, mut repeats) = (Vec::new(), Vec::new());
         let mut now = 1000;
         for (host, pause, repeat) in steps {
--- a/crates/core/tests/retry_budget.rs
+++ b/crates/core/tests/retry_budget.rs
@@ -51,6 +51,7 @@
 
 const RESTART_CASES: &[RestartCase] = &[
     RestartCase { name: "none", restarts: &[], refused_from: 13_000 },
+    RestartCase { name: "none, refused from the first moment", restarts: &[], refused_from: 0 },
     RestartCase {
         name: "five killed at the same moment",
         restarts: &[(15_500, &[0, 1, 2, 3, 4])],
@@ -106,9 +107,9 @@
     /// The requests are those of the window, of the one before it, or of the one half a window before it,
     /// whichever holds the most.
     fn most_beyond(&self) -> f64 {
-        let windows = (WINDOW..LOAD_END).step_by(100);
-        let beyond = windows.map(|begin| {
-            let windows = [begin, begin - WINDOW / 2, begin - WINDOW];
+        let windows = (0..LOAD_END).step_by(100);
+        let beyond = windows.map(|begin: u64| {
+            let windows = [0, WINDOW / 2, WINDOW].map(|before| begin.saturating_sub(before));
             let requests = windows.map(|begin| within(&self.requests, begin)).into_iter().max();
             let allowed = ALLOWANCE.ratio * requests.unwrap_or_default() as f64 + ALLOWANCE.burst;
             within(&self.repeats, begin) as f64 - allowed
@@ -132,7 +133,7 @@
 /// the share says no.
 fn play(case: &RestartCase, seed: u64) -> BudgetLog {
     let mut random = Random(seed);
-    let mut shares = vec![RetryShare::default(); HOSTS];
+    let mut shares = vec![RetryShare::unspent(); HOSTS];
     let hosts = u32::try_from(HOSTS).expect("a few hosts");
     let mut lives = [0_u32; HOSTS];
     let mut log = BudgetLog::default();
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -21,7 +21,7 @@
 pub mod wait;
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, RefCell, RefMut},
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
@@ -71,7 +71,7 @@
     /// Connections to engines.
     pub pool: Rc<RefCell<EnginePool>>,
     /// The share of each service's retry budget.
-    pub retries: RefCell<HashMap<ServiceName, RetryShare>>,
+    retries: RefCell<HashMap<ServiceName, RetryShare>>,
     /// How much of what it is asked for this machine sends on to each plain service.
     pub admissions: RefCell<HashMap<ServiceName, ServiceAdmission>>,
     /// What engines said that they do not hold, and when.
@@ -171,15 +171,27 @@
     pub fn take_retry(&self, service: &ServiceName) -> bool {
         let allowance = &self.shared.profile.bounds.retries;
         let machines = self.table().machines;
-        let mut retries = self.retries.borrow_mut();
-        let share = retries.entry(Arc::clone(service)).or_default();
-        let taken = share.take(allowance, machines, self.now());
+        let taken = self.retry_share(service).take(allowance, machines, self.now());
         let metrics = &self.shared.metrics;
         let counter = if taken { &metrics.retries } else { &metrics.retries_refused };
         counter.inc();
         taken
     }
 
+    /// Returns this host's share of the retry budget of a service.
+    fn retry_share(&self, service: &ServiceName) -> RefMut<'_, RetryShare> {
+        let first_start = self.shared.profile.first_start;
+        let new = || if first_start { RetryShare::unspent() } else { RetryShare::default() };
+        RefMut::map(self.retries.borrow_mut(), |retries| {
+            retries.entry(Arc::clone(service)).or_insert_with(new)
+        })
+    }
+
+    /// Counts a request's first send, which earns a part of a further one.
+    pub fn note_request(&self, service: &ServiceName) {
+        self.retry_share(service).note_request(self.now());
+    }
+
     /// Counts what this host has at the engines that hold models, for their placers.
     fn count_work(&self) {
         let table = self.table();
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -182,9 +182,7 @@
             self.sent_to.push(Arc::clone(&entry.name));
         }
         if self.sends == 1 {
-            let now = self.traffic.now();
-            let mut retries = self.traffic.retries.borrow_mut();
-            retries.entry(Arc::clone(&self.service)).or_default().note_request(now);
+            self.traffic.note_request(&self.service);
         }
     }
 
--- a/crates/gateway/src/profile.rs
+++ b/crates/gateway/src/profile.rs
@@ -61,6 +61,8 @@
     pub shortest_membership: Duration,
     /// What the machine has to work with.
     pub capacity: MachineCapacity,
+    /// Whether this is the very first start of the whole system, before which nothing was spent of any budget.
+    pub first_start: bool,
     /// Times and amounts that the operator binds the machine to.
     pub bounds: OperatorBounds,
 }
--- a/crates/gateway/tests/machine/site.rs
+++ b/crates/gateway/tests/machine/site.rs
@@ -256,6 +256,7 @@
             partitions: 4,
             shortest_membership: Duration::from_millis(500),
             capacity,
+            first_start: true,
             bounds: OperatorBounds {
                 stop_grace: Duration::from_secs(6),
                 lease: Duration::from_millis(600),
