fix(gateway): hosts are counted by the most that any placer heard from within a window

The retry budget and the quotas are divided by it. Change: a fall counts once it has lasted for a window of the budgets; a count that changes is published at once, which it was not.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -4,7 +4,7 @@
 pub mod engine_list;
 pub mod feed;
 pub mod freshness;
-pub mod machine_count;
+pub mod host_count;
 pub mod membership;
 pub mod mirror;
 pub mod orders;
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -56,8 +56,8 @@
         let now = self.shared.clock.now();
         let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return };
         if domain.planner.is_none() && domain.adopt_plan(frame, now) {
-            self.machine_count.told(frame.machines);
             self.shared.shared_work().take(domain.told_work(frame));
+            self.hosts_counted(frame.machines);
             self.take_quota_words(frame, now);
             let holdings = !frame.engines.is_empty() || !frame.changes.is_empty();
             self.changed |= holdings || !frame.estimates.is_empty();
@@ -195,7 +195,7 @@
         }
         self.changed |= !changed.is_empty();
         domain.tell_plan(changed, now);
-        self.machine_count.told(domain.listeners());
+        let listeners = domain.listeners();
         let work = domain.tell_work(now);
         domain.tell_quotas(now);
         if let Some(ledger) = &mut domain.ledger {
@@ -204,6 +204,7 @@
         self.shared.shared_work().take(work);
         self.changed |= domain.answer_asked(now);
         start_actions(own, service, domain.planned_token, actions);
+        self.hosts_counted(listeners);
         due
     }
 
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -24,8 +24,8 @@
 use crate::{
     border::{BorderError, ConfigurationRecord, KeyedRecord},
     control::{
-        domain::PlacementDomain, feed::FeedSource, machine_count::MachineCount,
-        mirror::TopicMirror, orders::OrderClients,
+        domain::PlacementDomain, feed::FeedSource, host_count::HostCount, mirror::TopicMirror,
+        orders::OrderClients,
     },
     events::MachineEvent,
     machine::SharedState,
@@ -59,7 +59,7 @@
     pub(super) following: watch::Sender<bool>,
     /// Counts how often the store has answered again after a failure.
     store_returns: watch::Sender<u32>,
-    pub(super) machine_count: MachineCount,
+    host_count: HostCount,
     /// Engines whose entries have gone just after an outage, where in their topic, and until when they count.
     pub(super) lapsed: BTreeMap<EngineName, (u64, ClockMillis)>,
     pub(super) clients: OrderClients,
@@ -74,6 +74,7 @@
     pub fn new(shared: Arc<SharedState>) -> Self {
         let freshness = ConfigurationFreshness::new(shared.profile.bounds.revocation);
         shared.set_keys_until(freshness.keys_until());
+        let host_count = HostCount::new(shared.profile.bounds.retries.window);
         Self {
             told_freshness: freshness.state(),
             freshness,
@@ -91,7 +92,7 @@
             feed: FeedSource::default(),
             following: watch::Sender::new(false),
             store_returns: watch::Sender::new(0),
-            machine_count: MachineCount::default(),
+            host_count,
             lapsed: BTreeMap::new(),
             clients: OrderClients::default(),
             changed: false,
@@ -259,7 +260,14 @@
 
     /// Returns how many machines share what is counted over all of them, at least one.
     pub fn machines(&self) -> u32 {
-        self.machine_count.get(self.shared.profile.partitions)
+        self.host_count.get(self.shared.profile.partitions)
+    }
+
+    /// Takes how many hosts a placer hears from.
+    pub(super) fn hosts_counted(&mut self, count: u32) {
+        let before = self.machines();
+        self.host_count.told(count, self.shared.clock.now());
+        self.changed |= self.machines() != before;
     }
 
     /// Returns the members of the group other than this machine.
--- a/crates/gateway/tests/machine/placement.rs
+++ b/crates/gateway/tests/machine/placement.rs
@@ -1,10 +1,14 @@
 //! Adapters that are asked for come, through whichever machine holds the lease.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::BTreeSet,
+    thread,
+    time::{Duration, Instant},
+};
 
 use crate::{
     engine::EngineMood,
-    site::{MODEL_NAME, TestSite, wait_until},
+    site::{MODEL_NAME, TestMachine, TestSite, wait_until},
 };
 
 fn tokens(site: &TestSite) -> BTreeSet<(String, u64)> {
@@ -44,7 +48,7 @@
 fn a_stopped_placer_hands_over() {
     let site = TestSite::start();
     let (first, second) = (site.machine("first"), site.machine("second"));
-    let ask = |machine: &crate::site::TestMachine, adapter: &str| {
+    let ask = |machine: &TestMachine, adapter: &str| {
         let fields = format!("X-Request: {adapter}\r\nX-Model: {MODEL_NAME}/{adapter}\r\n");
         machine.post("/stream/a", &fields, "{}").starts_with("HTTP/1.1 200")
     };
@@ -53,3 +57,25 @@
     wait_until("an adapter is served after the stop", || ask(&second, "later"));
     second.stop();
 }
+
+/// A placer that has just begun hears from nobody yet. Its count went to all hosts, which took up to a whole budget each by it:
+/// "`hosts_counted` 1, 5, 4, 3, 6" within 0.3 s.
+#[test]
+fn the_hosts_that_share_a_budget_count_on_while_another_one_becomes_the_placer() {
+    let site = TestSite::start();
+    let mut hosts: Vec<_> = ["one", "two", "three", "four"].map(|name| site.machine(name)).into();
+    let counted = |host: &TestMachine| host.shared.table.borrow().machines;
+    wait_until("all are counted", || hosts.iter().all(|host| counted(host) == 4));
+    let placer = hosts.iter().position(|host| host.shared.metrics.leases.get() == 1);
+    let placer = hosts.swap_remove(placer.expect("a placer"));
+    placer.shared.stop();
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(3) {
+        for host in &hosts {
+            assert!(counted(host) >= 3, "{} hosts after {:?}", counted(host), began.elapsed());
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+    assert!(hosts.iter().any(|host| host.shared.metrics.leases.get() == 1), "nobody places");
+    placer.stop();
+}
