--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -140,20 +140,26 @@
     }
 }
 
+/// Reads the newest record of every key; returns them with the end of the topic from which to read on.
+///
+/// That is the end as the first page tells it: records that came while later pages were made may belong to keys of
+/// earlier ones, and would be missed for good from the last page's end on.
 async fn read_whole(
     client: &mut StoreClient,
     topic: KeyedTopic,
 ) -> Result<(Vec<KeyedRecord>, u64), StoreError> {
     let mut records: Vec<KeyedRecord> = Vec::new();
+    let mut first_end = None;
     loop {
         let after = records.last().map(|record| record.key.as_str());
         let call = client.dialect().newest(topic, after);
         let answer = client.call(&call, CALL_PATIENCE).await?;
         let page = client.dialect().newest_answer(&answer)?;
+        let end = *first_end.get_or_insert(page.end);
         let empty = page.records.is_empty();
         records.extend(page.records);
         if !page.more || empty {
-            return Ok((records, page.end));
+            return Ok((records, end));
         }
     }
 }
--- a/crates/gateway/tests/machine/configuration.rs
+++ b/crates/gateway/tests/machine/configuration.rs
@@ -82,3 +82,17 @@
     let answer = second.post("/single/a", "X-Request: p1\r\n", "body");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
+
+/// The pages of a whole reading are no snapshot: what changed between two of them was read neither there nor later, since
+/// reading went on at the end that the last page told.
+#[test]
+fn a_change_between_two_pages_of_the_first_reading_is_not_missed() {
+    let site = TestSite::without_configuration();
+    site.store.put("configuration", "a", "1");
+    site.store.put("configuration", "b", "1");
+    site.store.change_between_pages("a", "2");
+    let machine = site.machine("pages");
+    wait_until("the change is in force", || {
+        machine.get("/late/a", "X-Request: g1\r\n").starts_with("HTTP/1.1 200")
+    });
+}
--- a/crates/gateway/tests/machine/dialect.rs
+++ b/crates/gateway/tests/machine/dialect.rs
@@ -169,14 +169,16 @@
 }
 
 impl StoreDialect for PlainStore {
-    fn newest(&self, topic: KeyedTopic, _after: Option<&str>) -> CallRequest {
-        call("GET", format!("/newest/{}", topic_name(topic)), &Value::Null)
+    fn newest(&self, topic: KeyedTopic, after: Option<&str>) -> CallRequest {
+        let target = format!("/newest/{}/{}", topic_name(topic), after.unwrap_or_default());
+        call("GET", target, &Value::Null)
     }
 
     fn newest_answer(&self, answer: &CallAnswer) -> Result<NewestPage, BorderError> {
         let body = read(answer)?;
         let end = body["end"].as_u64().unwrap_or_default();
-        Ok(NewestPage { records: records(&body), more: false, end })
+        let more = body["more"].as_bool().unwrap_or_default();
+        Ok(NewestPage { records: records(&body), more, end })
     }
 
     fn read(&self, topic: KeyedTopic, from: u64, wait: Duration) -> CallRequest {
--- a/crates/gateway/tests/machine/store.rs
+++ b/crates/gateway/tests/machine/store.rs
@@ -52,6 +52,10 @@
     hangs: bool,
     calls: u64,
     joins: Vec<Instant>,
+    /// How many records one page of a topic's newest ones holds; all of them where that is not set.
+    page_records: Option<usize>,
+    /// A record that is put as soon as a page was made that is not the last one.
+    after_page: Option<(String, String)>,
     /// How many reads of each topic were held, from the moment they began to be.
     held_reads: BTreeMap<String, u64>,
     /// Counts how often all connections went silent; those of an earlier count say nothing any more.
@@ -138,6 +142,13 @@
         self.state.1.notify_all();
     }
 
+    /// Makes pages of a topic's newest records hold one record, and puts `record` after the first of them.
+    pub(crate) fn change_between_pages(&self, key: &str, value: &str) {
+        let mut state = self.lock();
+        state.page_records = Some(1);
+        state.after_page = Some((key.to_owned(), value.to_owned()));
+    }
+
     /// Makes all connections that are open now go silent for good; new ones are served.
     pub(crate) fn silence_connections(&self) {
         self.lock().silences += 1;
@@ -205,9 +216,19 @@
     }
     let parts: Vec<&str> = request.head.target.split('/').skip(1).collect();
     match parts.as_slice() {
-        ["newest", topic] => {
-            let topic = locked.topics.entry((*topic).to_owned()).or_default();
-            (200, json!({ "records": topic.newest(), "end": topic.records.len() }))
+        ["newest", name, after] => {
+            let most = locked.page_records.unwrap_or(usize::MAX);
+            let topic = locked.topics.entry((*name).to_owned()).or_default();
+            let mut records = topic.newest();
+            records.retain(|record| record["key"].as_str() > Some(*after));
+            let more = records.len() > most;
+            records.truncate(most);
+            let end = topic.records.len();
+            if more && let Some((key, value)) = locked.after_page.take() {
+                let topic = locked.topics.entry((*name).to_owned()).or_default();
+                topic.records.push((key, value));
+            }
+            (200, json!({ "records": records, "end": end, "more": more }))
         }
         ["read", topic, from, wait] => {
             let from: usize = from.parse().unwrap_or_default();
