--- /dev/null
+++ b/crates/core/tests/quotas/main.rs
@@ -0,0 +1,94 @@
+//! Quotas that hosts grant together: never beyond the operator's bound, and hardly anything refused below
+//! it, compared with two other ways on the same requests.
+
+mod play;
+#[path = "../random/mod.rs"]
+mod random;
+mod scenario;
+mod ways;
+
+use proptest::{prelude::*, test_runner::RngSeed};
+
+use play::{Outcome, play};
+use scenario::{SCENARIOS, Scenario, Spread, USUAL};
+use ways::{EqualParts, GrantWay, LentBudgets, ToldSums};
+
+const SEEDS: [u64; 3] = [0x5eed_0001, 0x5eed_0002, 0x5eed_0003];
+
+#[test]
+fn no_load_gets_more_than_the_bound_or_much_less_than_the_quota() {
+    for scenario in SCENARIOS {
+        for seed in SEEDS {
+            let outcome = play(scenario, &mut ToldSums::new(scenario.hosts), seed);
+            let name = scenario.name;
+            assert!(outcome.worst_window <= 1.0, "{name}, seed {seed:x}: {outcome:?}");
+            assert!(outcome.refused <= scenario.most_refused, "{name}, seed {seed:x}: {outcome:?}");
+        }
+    }
+}
+
+/// Plays a scenario with each seed; returns the mean part that was refused and the worst window of all.
+fn play_all(scenario: &Scenario, way: fn(usize) -> Box<dyn GrantWay>) -> Outcome {
+    let outcomes = SEEDS.map(|seed| play(scenario, &mut *way(scenario.hosts), seed));
+    Outcome {
+        refused: outcomes.iter().map(|outcome| outcome.refused).sum::<f64>() / SEEDS.len() as f64,
+        worst_window: outcomes.iter().map(|outcome| outcome.worst_window).fold(0.0, f64::max),
+    }
+}
+
+/// With equal parts most lie idle, and budgets that are lent come too late; `--nocapture` prints all figures.
+#[test]
+fn equal_parts_and_lent_budgets_refuse_more_of_what_is_allowed() {
+    println!("| load | equal parts | lent budgets | told sums |");
+    for scenario in SCENARIOS {
+        let equal = play_all(scenario, |hosts| Box::new(EqualParts { levels: vec![0.0; hosts] }));
+        let lent = play_all(scenario, |hosts| Box::new(LentBudgets::new(hosts)));
+        let told = play_all(scenario, |hosts| Box::new(ToldSums::new(hosts)));
+        let cell =
+            |outcome: &Outcome| format!("{:.3}, {:.2}", outcome.refused, outcome.worst_window);
+        println!("| {} | {} | {} | {} |", scenario.name, cell(&equal), cell(&lent), cell(&told));
+        if matches!(scenario.name, "uneven" | "moving" | "small and uneven" | "370 hosts") {
+            let least = told.refused + 0.1;
+            assert!(equal.refused > least, "{}: equal parts, {equal:?}", scenario.name);
+            assert!(lent.refused > least, "{}: lent budgets, {lent:?}", scenario.name);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        rng_seed: RngSeed::Fixed(0x0009_007a),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_mix_of_cuts_and_lost_ledgers_gets_more_than_the_bound(
+        seed in 1..u64::MAX,
+        hosts in 6..80_usize,
+        rate in 2000.0..400_000.0_f64,
+        hot in 0.5..4.2_f64,
+        cut in (2000..9000_u64, 500..9000_u64),
+        lost in (2000..9000_u64, 100..3000_u64),
+        kind in 0..3_u8,
+    ) {
+        let spread = [Spread::Even, Spread::Uneven, Spread::Moving][usize::from(kind)];
+        let demand: &'static [(u64, f64)] = match hot {
+            hot if hot < 1.5 => &[(0, 0.55), (4000, 1.2)],
+            hot if hot < 2.5 => &[(0, 0.55), (4000, 2.2)],
+            _ => &[(0, 0.55), (4000, 3.3)],
+        };
+        let scenario = Scenario {
+            hosts,
+            rate,
+            demand,
+            spread,
+            cut: kind.is_multiple_of(2).then_some((cut.0, cut.0 + cut.1)),
+            ledger_lost: (kind == 1).then_some((lost.0, lost.0 + lost.1)),
+            ..USUAL
+        };
+        let outcome = play(&scenario, &mut ToldSums::new(hosts), seed);
+        prop_assert!(outcome.worst_window <= 1.0, "{:?}", outcome);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/quotas/scenario.rs
@@ -0,0 +1,143 @@
+//! Loads on the quota of one organisation, and what the operator allows.
+
+use std::{sync::Arc, time::Duration};
+
+use reelreel_core::{
+    ClockMillis,
+    organisation::{OrganisationName, quota::QuotaTolerance},
+};
+
+pub(crate) const TOLERANCE: QuotaTolerance =
+    QuotaTolerance { window: Duration::from_secs(8), overage: 0.1, extra: 11_000.0 };
+
+/// What one request counts. Unit: tokens.
+pub(crate) const COST: u64 = 1500;
+
+/// How long a host that is cut off from all goes on serving: what the operator gives withdrawn keys.
+pub(crate) const CUT_SERVES: u64 = 5000;
+
+pub(crate) const fn at(millis: u64) -> ClockMillis {
+    ClockMillis::from_millis(millis + 1)
+}
+
+pub(crate) fn name() -> OrganisationName {
+    Arc::from("north")
+}
+
+/// How demand is spread over hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Spread {
+    Even,
+    /// A tenth of the hosts has nine tenths of the demand.
+    Uneven,
+    /// As uneven, and other hosts have it after each three seconds.
+    Moving,
+}
+
+/// One load on a quota.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Scenario {
+    pub(crate) name: &'static str,
+    pub(crate) hosts: usize,
+    /// The rate of the limit. Unit: tokens a second.
+    pub(crate) rate: f64,
+    /// Demand in parts of the rate, from each second on.
+    pub(crate) demand: &'static [(u64, f64)],
+    pub(crate) spread: Spread,
+    /// From when to when a third of the hosts is cut off from all others.
+    pub(crate) cut: Option<(u64, u64)>,
+    /// When the ledger's host is lost, for how long nobody keeps one.
+    pub(crate) ledger_lost: Option<(u64, u64)>,
+    /// Whether another host takes the ledger over every two seconds, knowing nothing.
+    pub(crate) ledger_moves: bool,
+    /// When the limit is halved.
+    pub(crate) halved: Option<u64>,
+    /// The most of what the quota allows that may be refused.
+    pub(crate) most_refused: f64,
+}
+
+pub(crate) const USUAL: Scenario = Scenario {
+    name: "even, half of the limit",
+    hosts: 72,
+    rate: 230_000.0,
+    demand: &[(0, 0.55)],
+    spread: Spread::Even,
+    cut: None,
+    ledger_lost: None,
+    ledger_moves: false,
+    halved: None,
+    most_refused: 0.005,
+};
+
+pub(crate) const SCENARIOS: &[Scenario] = &[
+    USUAL,
+    Scenario { name: "uneven", spread: Spread::Uneven, ..USUAL },
+    Scenario { name: "moving", spread: Spread::Moving, ..USUAL },
+    Scenario { name: "near the limit", demand: &[(0, 0.95)], most_refused: 0.03, ..USUAL },
+    Scenario {
+        name: "small and uneven",
+        rate: 2700.0,
+        spread: Spread::Uneven,
+        most_refused: 0.04,
+        ..USUAL
+    },
+    Scenario {
+        name: "six times the usual at once",
+        demand: &[(0, 0.55), (5000, 3.3), (13_000, 0.55)],
+        most_refused: 0.08,
+        ..USUAL
+    },
+    Scenario {
+        name: "six times the usual, uneven and moving",
+        demand: &[(0, 0.55), (5000, 3.3), (13_000, 0.55)],
+        spread: Spread::Moving,
+        most_refused: 0.12,
+        ..USUAL
+    },
+    Scenario {
+        name: "six times the usual of a small one",
+        rate: 2700.0,
+        demand: &[(0, 0.55), (5000, 3.3), (13_000, 0.55)],
+        most_refused: 0.12,
+        ..USUAL
+    },
+    Scenario { name: "a hall cut off", cut: Some((6000, 13_000)), most_refused: 0.05, ..USUAL },
+    Scenario {
+        name: "six times the usual, then a hall cut off",
+        demand: &[(0, 0.55), (5000, 3.3)],
+        cut: Some((7000, 14_000)),
+        most_refused: 0.15,
+        ..USUAL
+    },
+    Scenario {
+        name: "a hall cut off, then six times the usual",
+        demand: &[(0, 0.55), (7500, 3.3)],
+        cut: Some((7000, 14_000)),
+        most_refused: 0.15,
+        ..USUAL
+    },
+    Scenario {
+        name: "the ledger lost",
+        spread: Spread::Uneven,
+        ledger_lost: Some((6000, 9000)),
+        most_refused: 0.08,
+        ..USUAL
+    },
+    Scenario {
+        name: "the ledger lost under six times the usual",
+        demand: &[(0, 0.55), (5000, 3.3)],
+        ledger_lost: Some((7000, 10_000)),
+        most_refused: 0.2,
+        ..USUAL
+    },
+    Scenario { name: "the ledger moves", ledger_moves: true, most_refused: 0.05, ..USUAL },
+    Scenario {
+        name: "the ledger moves under six times the usual",
+        demand: &[(0, 3.3)],
+        ledger_moves: true,
+        most_refused: 0.25,
+        ..USUAL
+    },
+    Scenario { name: "370 hosts", hosts: 370, spread: Spread::Uneven, most_refused: 0.01, ..USUAL },
+    Scenario { name: "the limit halved", halved: Some(9000), most_refused: 0.08, ..USUAL },
+];
