--- a/crates/core/tests/quotas/main.rs
+++ b/crates/core/tests/quotas/main.rs
@@ -10,7 +10,7 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 
 use play::{Outcome, play};
-use scenario::{SCENARIOS, Scenario, Spread, USUAL};
+use scenario::{RESTART_SCENARIOS, SCENARIOS, Scenario, Spread, USUAL};
 use ways::{EqualParts, GrantWay, LentBudgets, ToldSums};
 
 const SEEDS: [u64; 3] = [0x5eed_0001, 0x5eed_0002, 0x5eed_0003];
@@ -27,6 +27,20 @@
     }
 }
 
+/// A ledger that begins anew opens each account full where no host can tell what was left, and a host that has heard no
+/// ledger yet has an equal part of a full account: each time that all are killed gives the burst once more. Killed once they stay
+/// at 0.90 of the bound, killed three times within one window of it they reach 1.17.
+#[test]
+fn hosts_that_start_again_keep_the_quotas() {
+    for scenario in RESTART_SCENARIOS {
+        for seed in SEEDS {
+            let outcome = play(scenario, &mut ToldSums::new(scenario.hosts), seed);
+            let name = scenario.name;
+            assert!(outcome.worst_window <= 1.0, "{name}, seed {seed:x}: {outcome:?}");
+        }
+    }
+}
+
 /// Plays a scenario with each seed; returns the mean part that was refused and the worst window of all.
 fn play_all(scenario: &Scenario, way: fn(usize) -> Box<dyn GrantWay>) -> Outcome {
     let outcomes = SEEDS.map(|seed| play(scenario, &mut *way(scenario.hosts), seed));
--- a/crates/core/tests/quotas/play.rs
+++ b/crates/core/tests/quotas/play.rs
@@ -60,6 +60,7 @@
             hosts: scenario.hosts,
             cut: within(scenario.cut),
             ledger_lost: within(scenario.ledger_lost),
+            restarts: scenario.restarts.contains(&now),
             ledger_moves: scenario.ledger_moves && now > 0 && now.is_multiple_of(2000),
         };
         way.tick(&limit, &network, now);
--- a/crates/core/tests/quotas/scenario.rs
+++ b/crates/core/tests/quotas/scenario.rs
@@ -50,6 +50,8 @@
     pub(crate) ledger_lost: Option<(u64, u64)>,
     /// Whether another host takes the ledger over every two seconds, knowing nothing.
     pub(crate) ledger_moves: bool,
+    /// When all hosts begin anew, knowing nothing, and the ledger with them.
+    pub(crate) restarts: &'static [u64],
     /// When the limit is halved.
     pub(crate) halved: Option<u64>,
     /// The most of what the quota allows that may be refused.
@@ -65,6 +67,7 @@
     cut: None,
     ledger_lost: None,
     ledger_moves: false,
+    restarts: &[],
     halved: None,
     most_refused: 0.005,
 };
@@ -141,3 +144,27 @@
     Scenario { name: "370 hosts", hosts: 370, spread: Spread::Uneven, most_refused: 0.01, ..USUAL },
     Scenario { name: "the limit halved", halved: Some(9000), most_refused: 0.08, ..USUAL },
 ];
+
+/// Loads while hosts begin anew.
+pub(crate) const RESTART_SCENARIOS: &[Scenario] = &[
+    Scenario {
+        name: "all killed under six times the usual",
+        demand: &[(0, 0.55), (5000, 3.3)],
+        restarts: &[7000],
+        ledger_lost: Some((7000, 8500)),
+        ..USUAL
+    },
+    Scenario {
+        name: "all killed three times under six times the usual",
+        demand: &[(0, 0.55), (5000, 3.3)],
+        restarts: &[7000, 9500, 12_000],
+        ..USUAL
+    },
+    Scenario {
+        name: "all killed near the limit",
+        demand: &[(0, 0.95)],
+        restarts: &[7000],
+        ledger_lost: Some((7000, 8500)),
+        ..USUAL
+    },
+];
--- a/crates/core/tests/quotas/ways.rs
+++ b/crates/core/tests/quotas/ways.rs
@@ -32,6 +32,8 @@
     pub(crate) cut: bool,
     pub(crate) ledger_lost: bool,
     pub(crate) ledger_moves: bool,
+    /// Whether all hosts begin anew now.
+    pub(crate) restarts: bool,
 }
 
 impl Network {
@@ -90,6 +92,9 @@
     }
 
     fn tick(&mut self, limit: &QuotaLimit, network: &Network, now: u64) {
+        if network.restarts {
+            *self = Self { was_lost: true, ..Self::new(self.shares.len()) };
+        }
         if network.ledger_moves {
             self.ledger = None;
             self.was_lost = true;
