--- a/crates/core/tests/quotas/ways.rs
+++ b/crates/core/tests/quotas/ways.rs
@@ -27,6 +27,10 @@
 }
 
 /// Who reaches whom.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "four things that happen to hosts, each by itself"
+)]
 pub(crate) struct Network {
     pub(crate) hosts: usize,
     pub(crate) cut: bool,
