fix(core): the ledger notices hosts that fall silent, and no process believes that nothing was granted before it

Ruled out: the count of hosts (72 throughout). Change: each host says something to the ledger four times a second and counts as silent after 600 ms; a host that decides alone needs half of a request's cost left; nothing saved up at a start but the very first, nor by a ledger whose host never heard one.

--- a/crates/core/src/organisation/ledger.rs
+++ b/crates/core/src/organisation/ledger.rs
@@ -24,6 +24,11 @@
 /// find a new ledger.
 const OPENING: Duration = Duration::from_secs(2);
 
+/// How long a host may say nothing before it counts as cut off: each says something four times a second, and a word may
+/// be late by as much again. A connection that is cut takes what is sent on it for seconds; by that alone a hall that
+/// was cut off was noticed so late that all hosts together granted 1.23 of the bound (simulated).
+const HOST_SILENCE: Duration = Duration::from_millis(600);
+
 /// What one host granted of one organisation's quota lately.
 #[derive(Debug, Clone, Copy, Default)]
 struct HostUse {
@@ -44,9 +49,9 @@
 }
 
 impl QuotaAccount {
-    fn new(limit: QuotaLimit, capacity: f64, now: ClockMillis) -> Self {
+    fn new(limit: QuotaLimit, capacity: f64, level: f64, now: ClockMillis) -> Self {
         let hosts = HashMap::new();
-        Self { limit, capacity, level: capacity, counted: now, opened: now, hosts }
+        Self { limit, capacity, level, counted: now, opened: now, hosts }
     }
 
     /// Adds what the rate has given since the last call, less what is set aside for silent hosts.
@@ -78,15 +83,22 @@
     tolerance: QuotaTolerance,
     /// For how long a host that can not be heard may go on granting.
     silent_serves: Duration,
+    /// When each host last said anything, while it counts as one that can be heard.
+    heard: HashMap<Arc<str>, ClockMillis>,
     accounts: BTreeMap<OrganisationName, QuotaAccount>,
+    /// Whether accounts open with all that may be saved up.
+    opens_full: bool,
 }
 
 impl QuotaLedger {
     /// Starts without accounts.
     ///
-    /// `silent_serves` is how long a host that is cut off from all others goes on serving keys.
-    pub const fn new(tolerance: QuotaTolerance, silent_serves: Duration) -> Self {
-        Self { tolerance, silent_serves, accounts: BTreeMap::new() }
+    /// `silent_serves` is how long a host that is cut off from all others goes on serving keys. A ledger whose host can not know
+    /// what was granted before opens its first accounts with nothing, unless it `opens_full`: all hosts that were killed
+    /// three times within a window granted 1.17 of the bound (simulated).
+    pub fn new(tolerance: QuotaTolerance, silent_serves: Duration, opens_full: bool) -> Self {
+        let (heard, accounts) = (HashMap::new(), BTreeMap::new());
+        Self { tolerance, silent_serves, heard, accounts, opens_full }
     }
 
     /// Takes the limits of a configuration; what is left under a lower limit is cut down to it.
@@ -96,17 +108,24 @@
             let Some(limit) = organisation.quota else { continue };
             let capacity = self.tolerance.capacity(&limit);
             let before = self.accounts.remove(&organisation.name);
-            let mut account = before.unwrap_or_else(|| QuotaAccount::new(limit, capacity, now));
+            let level = if self.opens_full { capacity } else { 0.0 };
+            let mut account =
+                before.unwrap_or_else(|| QuotaAccount::new(limit, capacity, level, now));
             account.refill(now);
             (account.limit, account.capacity) = (limit, capacity);
             account.level = account.level.min(capacity);
             known.insert(Arc::clone(&organisation.name), account);
         }
         self.accounts = known;
+        // An organisation that comes later has used nothing.
+        self.opens_full = true;
     }
 
-    /// Takes what a host granted.
+    /// Takes what a host granted, or that it granted nothing.
     pub fn host_used(&mut self, host: &Arc<str>, used: &[QuotaUse], now: ClockMillis) {
+        if self.heard.insert(Arc::clone(host), now).is_none() {
+            self.host_heard(host, now);
+        }
         for word in used {
             let Some(account) = self.accounts.get_mut(&word.organisation) else { continue };
             account.refill(now);
@@ -122,9 +141,25 @@
         }
     }
 
+    /// Takes that a host has closed its connection: it stops, or listens to another ledger, and is not cut off.
+    pub fn host_left(&mut self, host: &Arc<str>) {
+        self.heard.remove(host);
+    }
+
+    /// Sets something aside for each host that has said nothing for too long.
+    fn note_silences(&mut self, now: ClockMillis) {
+        let hosts = u32::try_from(self.heard.len()).unwrap_or(u32::MAX);
+        let silent = self.heard.iter().filter(|(_, heard)| now.since(**heard) >= HOST_SILENCE);
+        let silent: Vec<Arc<str>> = silent.map(|(host, _)| Arc::clone(host)).collect();
+        for host in silent {
+            self.host_silent(&host, hosts, now);
+        }
+    }
+
     /// Takes that a host can not be heard any more, though it may go on serving: what it granted lately is
     /// set aside, at least an equal part of each quota.
     pub fn host_silent(&mut self, host: &Arc<str>, hosts: u32, now: ClockMillis) {
+        self.heard.remove(host);
         let equal = 1.0 / f64::from(hosts.max(1));
         let until = now + self.silent_serves.min(self.tolerance.window);
         for account in self.accounts.values_mut() {
@@ -147,6 +182,7 @@
 
     /// Returns every organisation that has little left.
     pub fn named(&mut self, now: ClockMillis) -> Vec<QuotaWord> {
+        self.note_silences(now);
         let mut words = Vec::new();
         for (organisation, account) in &mut self.accounts {
             account.refill(now);
--- a/crates/core/src/organisation/share.rs
+++ b/crates/core/src/organisation/share.rs
@@ -36,6 +36,10 @@
 /// hosts, and the ledger is heard within two seconds of a start.
 const UNHEARD_PARTS: f64 = 2.0;
 
+/// The part of a request's cost that must be left at a host that does not hear the ledger. Its part of a small quota may
+/// be less than one request; two dozen hosts that each granted one beyond it reached 1.15 of the bound (simulated).
+const NEEDED_ALONE: f64 = 0.5;
+
 /// The shortest time that a refused client is told to stay away: a few times what a word takes.
 const SHORTEST_WAIT: Duration = Duration::from_millis(250);
 
@@ -105,9 +109,23 @@
     heard: Option<ClockMillis>,
     /// When this host first decided anything, while it has never heard the ledger.
     began: Option<ClockMillis>,
+    /// Whether nothing was granted before this process began.
+    unspent: bool,
 }
 
 impl QuotaShare {
+    /// Begins the share of a process at the very first start of the whole system, before which nothing was granted;
+    /// [`QuotaShare::default`] begins that of any other, which can not know what was.
+    pub fn unspent() -> Self {
+        Self { unspent: true, ..Self::default() }
+    }
+
+    /// Returns whether a ledger that this host begins to keep may take it that nothing was granted before it knows more: a host that has
+    /// heard a ledger hears from others what was left, or nothing was granted at all.
+    pub const fn opens_full(&self) -> bool {
+        self.unspent || self.heard.is_some()
+    }
+
     /// Takes what a request counts from what the organisation may use.
     ///
     /// # Errors
@@ -120,7 +138,8 @@
         now: ClockMillis,
     ) -> Result<(), Duration> {
         let allowance = self.allowance(organisation, terms, now);
-        if allowance.left <= 0.0 {
+        let needed = if allowance.alone { cost as f64 * NEEDED_ALONE } else { 0.0 };
+        if allowance.left <= needed {
             return Err(allowance.wait());
         }
         self.charge(organisation, cost as f64, now);
@@ -154,8 +173,12 @@
         let capacity = terms.tolerance.capacity(terms.limit);
         let equal = 1.0 / f64::from(terms.hosts.max(1));
         let share = self.organisations.entry(Arc::clone(organisation)).or_default();
+        let alone = self.heard.is_none_or(|heard| now.since(heard) >= LEDGER_SILENCE);
         let (part, saved, since) = match self.heard {
-            None => ((UNHEARD_PARTS * equal).min(1.0), capacity, began),
+            None => {
+                let saved = if self.unspent { capacity } else { 0.0 };
+                ((UNHEARD_PARTS * equal).min(1.0), saved, began)
+            }
             Some(heard) if now.since(heard) >= LEDGER_SILENCE => {
                 let rate = share.rate_alone(now);
                 let part = (rate / terms.limit.per_second).max(equal) * ALONE_PARTS;
@@ -166,13 +189,14 @@
             Some(heard) => match share.named {
                 None => {
                     let left = capacity * NAMED_BELOW - share.granted;
-                    return QuotaAllowance { left, rate: terms.limit.per_second };
+                    return QuotaAllowance { left, rate: terms.limit.per_second, alone: false };
                 }
                 Some(named) => (share.part(&named, equal, now), named.level, heard),
             },
         };
         let saved = (saved + terms.limit.refill(now.since(since))).min(capacity);
-        QuotaAllowance { left: part * saved - share.granted, rate: part * terms.limit.per_second }
+        let left = part * saved - share.granted;
+        QuotaAllowance { left, rate: part * terms.limit.per_second, alone }
     }
 
     /// Takes what the ledger says: every organisation that has little left, and no other.
@@ -245,6 +269,8 @@
     left: f64,
     /// What comes back a second.
     rate: f64,
+    /// Whether the host decides without the ledger.
+    alone: bool,
 }
 
 impl QuotaAllowance {
--- a/crates/core/tests/quotas/main.rs
+++ b/crates/core/tests/quotas/main.rs
@@ -10,7 +10,7 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 
 use play::{Outcome, play};
-use scenario::{RESTART_SCENARIOS, SCENARIOS, Scenario, Spread, USUAL};
+use scenario::{RESTART_SCENARIOS, SCENARIOS, SILENT_SCENARIOS, Scenario, Spread, USUAL};
 use ways::{EqualParts, GrantWay, LentBudgets, ToldSums};
 
 const SEEDS: [u64; 3] = [0x5eed_0001, 0x5eed_0002, 0x5eed_0003];
@@ -27,16 +27,18 @@
     }
 }
 
-/// A ledger that begins anew opens each account full where no host can tell what was left, and a host that has heard no
-/// ledger yet has an equal part of a full account: each time that all are killed gives the burst once more. Killed once they stay
-/// at 0.90 of the bound, killed three times within one window of it they reach 1.17.
+/// A ledger that began anew opened each account full, and a host that had heard no ledger yet had a part of a full account: killed three
+/// times within one window, all hosts together granted 1.17 of the bound. A hall that was cut off was noticed by its
+/// connections only, seconds late: 1.00 to 1.23.
 #[test]
-fn hosts_that_start_again_keep_the_quotas() {
-    for scenario in RESTART_SCENARIOS {
+fn hosts_that_start_again_or_fall_silent_keep_the_quotas() {
+    for scenario in RESTART_SCENARIOS.iter().chain(SILENT_SCENARIOS) {
         for seed in SEEDS {
             let outcome = play(scenario, &mut ToldSums::new(scenario.hosts), seed);
             let name = scenario.name;
+            println!("{name}, seed {seed:x}: {outcome:?}");
             assert!(outcome.worst_window <= 1.0, "{name}, seed {seed:x}: {outcome:?}");
+            assert!(outcome.refused <= scenario.most_refused, "{name}, seed {seed:x}: {outcome:?}");
         }
     }
 }
--- a/crates/core/tests/quotas/play.rs
+++ b/crates/core/tests/quotas/play.rs
@@ -59,6 +59,9 @@
         let network = Network {
             hosts: scenario.hosts,
             cut: within(scenario.cut),
+            cut_noticed: within(
+                scenario.cut.map(|(from, to)| (from + scenario.silence_noticed, to)),
+            ),
             ledger_lost: within(scenario.ledger_lost),
             restarts: scenario.restarts.contains(&now),
             ledger_moves: scenario.ledger_moves && now > 0 && now.is_multiple_of(2000),
--- a/crates/core/tests/quotas/scenario.rs
+++ b/crates/core/tests/quotas/scenario.rs
@@ -46,6 +46,8 @@
     pub(crate) spread: Spread,
     /// From when to when a third of the hosts is cut off from all others.
     pub(crate) cut: Option<(u64, u64)>,
+    /// How long after the cut the ledger's host notices that these hosts are silent. Unit: milliseconds.
+    pub(crate) silence_noticed: u64,
     /// When the ledger's host is lost, for how long nobody keeps one.
     pub(crate) ledger_lost: Option<(u64, u64)>,
     /// Whether another host takes the ledger over every two seconds, knowing nothing.
@@ -65,6 +67,7 @@
     demand: &[(0, 0.55)],
     spread: Spread::Even,
     cut: None,
+    silence_noticed: 0,
     ledger_lost: None,
     ledger_moves: false,
     restarts: &[],
@@ -152,12 +155,14 @@
         demand: &[(0, 0.55), (5000, 3.3)],
         restarts: &[7000],
         ledger_lost: Some((7000, 8500)),
+        most_refused: 0.15,
         ..USUAL
     },
     Scenario {
         name: "all killed three times under six times the usual",
         demand: &[(0, 0.55), (5000, 3.3)],
         restarts: &[7000, 9500, 12_000],
+        most_refused: 0.15,
         ..USUAL
     },
     Scenario {
@@ -165,6 +170,36 @@
         demand: &[(0, 0.95)],
         restarts: &[7000],
         ledger_lost: Some((7000, 8500)),
+        most_refused: 0.15,
+        ..USUAL
+    },
+];
+
+/// Loads while a hall is cut off, which the ledger's host notices by its connections only, seconds later.
+pub(crate) const SILENT_SCENARIOS: &[Scenario] = &[
+    Scenario {
+        name: "six times the usual, then a hall cut off, noticed after 3 s",
+        demand: &[(0, 0.55), (5000, 3.3)],
+        cut: Some((7000, 14_000)),
+        silence_noticed: 3000,
+        most_refused: 0.16,
+        ..USUAL
+    },
+    Scenario {
+        name: "six times the usual, then a hall cut off, not noticed",
+        demand: &[(0, 0.55), (5000, 3.3)],
+        cut: Some((9000, 14_000)),
+        silence_noticed: 5000,
+        most_refused: 0.15,
+        ..USUAL
+    },
+    Scenario {
+        name: "eight times the usual of a small one, then a hall cut off, not noticed",
+        rate: 2700.0,
+        demand: &[(0, 0.55), (5000, 4.4)],
+        cut: Some((9000, 14_000)),
+        silence_noticed: 5000,
+        most_refused: 0.35,
         ..USUAL
     },
 ];
--- a/crates/core/tests/quotas/ways.rs
+++ b/crates/core/tests/quotas/ways.rs
@@ -27,13 +27,12 @@
 }
 
 /// Who reaches whom.
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "four things that happen to hosts, each by itself"
-)]
+#[expect(clippy::struct_excessive_bools, reason = "things that happen to hosts, each by itself")]
 pub(crate) struct Network {
     pub(crate) hosts: usize,
     pub(crate) cut: bool,
+    /// Whether the ledger's host knows of the cut.
+    pub(crate) cut_noticed: bool,
     pub(crate) ledger_lost: bool,
     pub(crate) ledger_moves: bool,
     /// Whether all hosts begin anew now.
@@ -52,6 +51,7 @@
     ledger: Option<QuotaLedger>,
     reports: VecDeque<(u64, usize, Vec<QuotaUse>)>,
     words: VecDeque<(u64, Vec<QuotaWord>)>,
+    opens_full: bool,
     was_cut: bool,
     was_lost: bool,
 }
@@ -59,7 +59,8 @@
 impl ToldSums {
     pub(crate) fn new(hosts: usize) -> Self {
         Self {
-            shares: vec![QuotaShare::default(); hosts],
+            shares: vec![QuotaShare::unspent(); hosts],
+            opens_full: true,
             ledger: None,
             reports: VecDeque::new(),
             words: VecDeque::new(),
@@ -75,16 +76,16 @@
     fn links_changed(&mut self, network: &Network, now: u64) {
         let hosts = u32::try_from(self.shares.len()).expect("few hosts");
         let ledger = self.ledger.as_mut().expect("a ledger");
-        if network.cut != self.was_cut {
+        if network.cut_noticed != self.was_cut {
             for host in 0..network.hosts / 3 {
-                if network.cut {
+                if network.cut_noticed {
                     ledger.host_silent(&Self::host_name(host), hosts, at(now));
                 } else {
                     ledger.host_heard(&Self::host_name(host), at(now));
                 }
             }
         }
-        self.was_cut = network.cut;
+        self.was_cut = network.cut_noticed;
     }
 }
 
@@ -97,7 +98,9 @@
 
     fn tick(&mut self, limit: &QuotaLimit, network: &Network, now: u64) {
         if network.restarts {
-            *self = Self { was_lost: true, ..Self::new(self.shares.len()) };
+            let shares = vec![QuotaShare::default(); self.shares.len()];
+            *self = Self { was_lost: true, opens_full: false, ..Self::new(shares.len()) };
+            self.shares = shares;
         }
         if network.ledger_moves {
             self.ledger = None;
@@ -109,7 +112,9 @@
             return;
         }
         let silent_serves = Duration::from_millis(CUT_SERVES);
-        let ledger = self.ledger.get_or_insert_with(|| QuotaLedger::new(TOLERANCE, silent_serves));
+        let ledger = self
+            .ledger
+            .get_or_insert_with(|| QuotaLedger::new(TOLERANCE, silent_serves, self.opens_full));
         if now.is_multiple_of(1000) || std::mem::take(&mut self.was_lost) {
             ledger.limits_known(&directory(*limit), at(now));
         }
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -420,6 +420,13 @@
 
     /// Takes that a subscriber has closed its connection: it stops, or listens elsewhere.
     pub fn subscriber_left(&mut self, frames: &mpsc::Sender<EncodedFrame>) {
-        self.subscribers.retain(|subscriber| !subscriber.frames.same_channel(frames));
+        let (subscribers, ledger) = (&mut self.subscribers, &mut self.ledger);
+        subscribers.retain(|subscriber| {
+            let kept = !subscriber.frames.same_channel(frames);
+            if let Some(ledger) = ledger.as_mut().filter(|_| !kept) {
+                ledger.quotas.host_left(&subscriber.machine);
+            }
+            kept
+        });
     }
 }
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -22,6 +22,9 @@
     peers::frame::{DemandFrame, PlanFrame},
 };
 
+/// How often this host tells the ledger of the quotas anything, so that its silence shows when it is cut off.
+const LEDGER_WORD: Duration = Duration::from_millis(250);
+
 /// The shortest pause between two looks at the domains.
 const LEAST_PAUSE: Duration = Duration::from_millis(2);
 
@@ -109,8 +112,10 @@
         let machine = Arc::clone(&self.shared.profile.name);
         let mut used = self.shared.quotas().untold();
         let ledger_service = self.ledger_service();
-        if let Some(service) = ledger_service.as_ref().filter(|_| !used.is_empty()) {
+        let due = !used.is_empty() || now.since(self.ledger_told) >= LEDGER_WORD;
+        if let Some(service) = ledger_service.as_ref().filter(|_| due) {
             drained.entry(Arc::clone(service)).or_default();
+            self.ledger_told = now;
         }
         for (service, told) in drained {
             let Some(domain) = self.domains.get_mut(&service) else { continue };
@@ -175,7 +180,11 @@
         }
         if keeps_ledger {
             let bounds = &self.shared.profile.bounds;
-            keep_ledger(&mut domain.ledger, self.routes.as_deref(), bounds, begins, now);
+            if begins {
+                domain.ledger = None;
+            }
+            let opens_full = self.shared.quotas().opens_full();
+            keep_ledger(&mut domain.ledger, self.routes.as_deref(), bounds, opens_full, now);
         } else {
             domain.ledger = None;
         }
--- a/crates/gateway/src/control/quotas.rs
+++ b/crates/gateway/src/control/quotas.rs
@@ -31,9 +31,10 @@
 }
 
 impl KeptLedger {
-    fn new(bounds: &OperatorBounds) -> Self {
+    fn new(bounds: &OperatorBounds, opens_full: bool) -> Self {
         let silent_serves = bounds.revocation.unwrap_or(bounds.quota.window);
-        Self { quotas: QuotaLedger::new(bounds.quota, silent_serves), revision: None }
+        let quotas = QuotaLedger::new(bounds.quota, silent_serves, opens_full);
+        Self { quotas, revision: None }
     }
 
     /// Takes what a machine granted; `begins` says that it has just begun to listen.
@@ -52,18 +53,15 @@
     }
 }
 
-/// Begins a ledger with a tenure, and gives it the limits of the configuration in force.
+/// Begins a ledger with a tenure, which `opens_full` where its host may, and gives it the limits of the configuration in force.
 pub fn keep_ledger(
     kept: &mut Option<KeptLedger>,
     routes: Option<&RouteTable>,
     bounds: &OperatorBounds,
-    begins: bool,
+    opens_full: bool,
     now: ClockMillis,
 ) {
-    if begins {
-        *kept = None;
-    }
-    let ledger = kept.get_or_insert_with(|| KeptLedger::new(bounds));
+    let ledger = kept.get_or_insert_with(|| KeptLedger::new(bounds, opens_full));
     let revision = routes.map(RouteTable::revision);
     if ledger.revision == revision {
         return;
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -60,6 +60,8 @@
     /// Counts how often the store has answered again after a failure.
     store_returns: watch::Sender<u32>,
     host_count: HostCount,
+    /// When the ledger of the quotas was last told anything.
+    pub(super) ledger_told: ClockMillis,
     /// Engines whose entries have gone just after an outage, where in their topic, and until when they count.
     pub(super) lapsed: BTreeMap<EngineName, (u64, ClockMillis)>,
     pub(super) clients: OrderClients,
@@ -93,6 +95,7 @@
             following: watch::Sender::new(false),
             store_returns: watch::Sender::new(0),
             host_count,
+            ledger_told: ClockMillis::default(),
             lapsed: BTreeMap::new(),
             clients: OrderClients::default(),
             changed: false,
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -68,6 +68,8 @@
 impl SharedState {
     /// Starts with nothing known.
     pub fn new(profile: MachineProfile, dialects: BorderDialects, events: EventLog) -> Self {
+        let quotas =
+            if profile.first_start { QuotaShare::unspent() } else { QuotaShare::default() };
         Self {
             profile,
             dialects,
@@ -83,7 +85,7 @@
             demand: Mutex::default(),
             shared_work: Mutex::default(),
             reading: Mutex::default(),
-            quotas: Mutex::default(),
+            quotas: Mutex::new(quotas),
         }
     }
 
