test(gateway): pages of one topic only, and the change between two of them in that topic

Traced: the stand-in store put the change into whichever topic was read in pages first; where the engines' entries were read before the configuration, the change went there. Change: the stand-in is told the topic. The test's check is the same.

--- a/crates/gateway/tests/machine/configuration.rs
+++ b/crates/gateway/tests/machine/configuration.rs
@@ -90,7 +90,7 @@
     let site = TestSite::without_configuration();
     site.store.put("configuration", "a", "1");
     site.store.put("configuration", "b", "1");
-    site.store.change_between_pages("a", "2");
+    site.store.change_between_pages("configuration", "a", "2");
     let machine = site.machine("pages");
     wait_until("the change is in force", || {
         machine.get("/late/a", "X-Request: g1\r\n").starts_with("HTTP/1.1 200")
--- a/crates/gateway/tests/machine/store.rs
+++ b/crates/gateway/tests/machine/store.rs
@@ -43,6 +43,13 @@
     }
 }
 
+/// A topic whose newest records come in pages of one record.
+struct PagedTopic {
+    topic: &'static str,
+    /// A record that is put as soon as the first page was made.
+    after_page: Option<(String, String)>,
+}
+
 /// What the store tells of the partitions' holders: what they were a while ago.
 struct OwnersLag {
     lag: Duration,
@@ -58,12 +65,10 @@
     hangs: bool,
     calls: u64,
     joins: Vec<Instant>,
-    /// How many records one page of a topic's newest ones holds; all of them where that is not set.
-    page_records: Option<usize>,
+    /// Set where the newest records of a topic come in pages of one record.
+    paged: Option<PagedTopic>,
     /// Set where what the store tells of the partitions' holders lies behind.
     owners_lag: Option<OwnersLag>,
-    /// A record that is put as soon as a page was made that is not the last one.
-    after_page: Option<(String, String)>,
     /// How many reads of each topic were held, from the moment they began to be.
     held_reads: BTreeMap<String, u64>,
     /// Counts how often all connections went silent; those of an earlier count say nothing any more.
@@ -162,11 +167,10 @@
         self.state.1.notify_all();
     }
 
-    /// Makes pages of a topic's newest records hold one record, and puts `record` after the first of them.
-    pub(crate) fn change_between_pages(&self, key: &str, value: &str) {
-        let mut state = self.lock();
-        state.page_records = Some(1);
-        state.after_page = Some((key.to_owned(), value.to_owned()));
+    /// Makes pages of a topic's newest records hold one record, and puts a record after the first of them.
+    pub(crate) fn change_between_pages(&self, topic: &'static str, key: &str, value: &str) {
+        let after_page = Some((key.to_owned(), value.to_owned()));
+        self.lock().paged = Some(PagedTopic { topic, after_page });
     }
 
     /// Makes what the store tells of the partitions' holders lie behind: a partition passes on only when the member that had
@@ -243,17 +247,16 @@
     let parts: Vec<&str> = request.head.target.split('/').skip(1).collect();
     match parts.as_slice() {
         ["newest", name, after] => {
-            let most = locked.page_records.unwrap_or(usize::MAX);
+            let paged = locked.paged.as_mut().filter(|paged| paged.topic == *name);
+            let most = if paged.is_some() { 1 } else { usize::MAX };
+            let after_page = paged.and_then(|paged| paged.after_page.take());
             let topic = locked.topics.entry((*name).to_owned()).or_default();
             let mut records = topic.newest();
             records.retain(|record| record["key"].as_str() > Some(*after));
             let more = records.len() > most;
             records.truncate(most);
             let end = topic.records.len();
-            if more && let Some((key, value)) = locked.after_page.take() {
-                let topic = locked.topics.entry((*name).to_owned()).or_default();
-                topic.records.push((key, value));
-            }
+            topic.records.extend(after_page);
             (200, json!({ "records": records, "end": end, "more": more }))
         }
         ["read", topic, from, wait] => {
