feat(gateway): logs tell equal requests, and engines that ended from answers that broke off

Cause: of the incident's three hypotheses two could not be told apart: lines did not show whether two requests were the same, nor whether an engine ended or only one answer broke off. The connection of an engine that lives is kept for the next request. No decision changes. Ruled out: taking a broken connection for an end, which resets, cuts and spoilt answers cause as well.

--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -181,6 +181,33 @@
 }
 
 impl EnginePool {
+    /// Connects to an engine anew and keeps the connection for a request.
+    ///
+    /// # Errors
+    /// Returns that no connection came about.
+    pub async fn keep_anew(
+        pool: &Rc<RefCell<Self>>,
+        entry: &EngineEntry,
+        now: ClockMillis,
+    ) -> std::io::Result<()> {
+        let stream = Self::connect_anew(pool, entry, now).await?;
+        pool.borrow_mut().keep_idle(entry, stream, KEPT, now);
+        Ok(())
+    }
+
+    fn keep_idle(
+        &mut self,
+        entry: &EngineEntry,
+        stream: HttpStream,
+        time: Duration,
+        now: ClockMillis,
+    ) {
+        let state = self.engines.entry(Arc::clone(&entry.name)).or_default();
+        if !entry.leaving && state.idle.len() < MOST_IDLE {
+            state.idle.push(IdleConnection { stream, since: now, until: now + time });
+        }
+    }
+
     async fn connect_anew(
         pool: &Rc<RefCell<Self>>,
         entry: &EngineEntry,
@@ -280,11 +307,7 @@
         let Self { count, entry, mut stream, .. } = self;
         stream.release_buffer();
         let time = kept.map_or(KEPT, |kept| kept.mul_f64(KEPT_PART));
-        let mut pool = count.pool.borrow_mut();
-        let state = pool.engines.entry(Arc::clone(&entry.name)).or_default();
-        if !entry.leaving && state.idle.len() < MOST_IDLE {
-            state.idle.push(IdleConnection { stream, since: now, until: now + time });
-        }
+        count.pool.borrow_mut().keep_idle(&entry, stream, time, now);
     }
 
     /// Closes the connection, so that the engine drops what it still does for it.
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -37,7 +37,11 @@
 };
 use tokio::{net::TcpListener, runtime::Builder, sync::watch, task::LocalSet};
 
-use crate::{engines::EnginePool, machine::SharedState, table::ServingTable};
+use crate::{
+    engines::{EnginePool, ends::EndWatch},
+    machine::SharedState,
+    table::ServingTable,
+};
 
 /// How often connections that rested too long are closed.
 const CLEAN_INTERVAL: Duration = Duration::from_secs(1);
@@ -70,6 +74,8 @@
     pub shared: Arc<SharedState>,
     /// Connections to engines.
     pub pool: Rc<RefCell<EnginePool>>,
+    /// Runs that broke off, until it is known whether their engine ended.
+    pub ends: RefCell<EndWatch>,
     /// The share of each service's retry budget.
     retries: RefCell<HashMap<ServiceName, RetryShare>>,
     /// How much of what it is asked for this machine sends on to each plain service.
@@ -89,6 +95,7 @@
         Self {
             shared,
             pool: Rc::default(),
+            ends: RefCell::default(),
             retries: RefCell::default(),
             admissions: RefCell::default(),
             absences: RefCell::default(),
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     border::SendTerms,
-    engines::{ConnectTerms, EngineAnswer, EngineLease, EnginePool, send_request},
+    engines::{ConnectTerms, EngineAnswer, EngineLease, EnginePool, ends::BrokenRun, send_request},
     entry::{
         exchange::{Exchange, ExchangeEnd, SENT_AHEAD, SendEnd},
         forward::forwarded_request,
@@ -111,7 +111,7 @@
         let Ok(answer) = answer else {
             lease.close();
             self.may_have_run = true;
-            self.note(entry, EngineOutcome::Broken);
+            self.broke_off(entry);
             return SendEnd::Failed;
         };
         self.take_answer(lease, answer, began).await
@@ -150,7 +150,7 @@
             Err(end) => {
                 lease.close();
                 if matches!(end, SendEnd::Failed) {
-                    self.note(&entry, EngineOutcome::Broken);
+                    self.broke_off(&entry);
                 }
                 return end;
             }
@@ -177,6 +177,7 @@
         self.sends += 1;
         self.count_further_run();
         self.sent = self.elapsed();
+        self.run = Some(BrokenRun { mark: self.mark, began: self.traffic.now() });
         self.ahead = self.unread_before(entry);
         if !self.sent_to.contains(&entry.name) {
             self.sent_to.push(Arc::clone(&entry.name));
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -12,6 +12,8 @@
     clock::duration_millis,
     fleet::{
         EngineEntry, EngineName, ServiceName, WeightVersion,
+        condition::EngineOutcome,
+        quarantine::RequestMark,
         routes::{ConfigRevision, RouteEntry},
     },
     organisation::OrganisationEntry,
@@ -21,7 +23,10 @@
 
 use crate::{
     border::RequestFacts,
-    engines::EngineAnswer,
+    engines::{
+        EngineAnswer,
+        ends::{BrokenRun, run_broke},
+    },
     entry::{
         TrafficState,
         answer::{ENGINE_FAILED, TIME_OVER},
@@ -109,6 +114,8 @@
     pub service: ServiceName,
     /// Who asks; absent where its route asks for no key.
     pub organisation: Option<Arc<OrganisationEntry>>,
+    /// By what it is known again when it comes back.
+    pub mark: RequestMark,
     /// What was taken of the organisation's quota for it.
     pub quota_cost: u64,
     /// Until when an answer is worth anything.
@@ -121,6 +128,8 @@
     pub first: u64,
     /// When it was sent the last time. Unit: milliseconds after the arrival.
     pub sent: u64,
+    /// The run under way, as it is known if its engine ends.
+    pub run: Option<BrokenRun>,
     /// What its engine had to read before its prompt when it was sent the last time. Unit: tokens.
     pub ahead: u64,
     /// The longest pause between two events that were passed on.
@@ -183,7 +192,7 @@
         request: ClientRequest,
         prepared: PreparedRequest,
     ) -> Self {
-        let PreparedRequest { facts, route, service, organisation, quota_cost, revision } =
+        let PreparedRequest { facts, route, service, organisation, mark, quota_cost, revision } =
             prepared;
         let spent = traffic.now().since(request.arrived);
         let allowed = facts.deadline.unwrap_or(route.timeout).min(route.timeout);
@@ -196,11 +205,13 @@
             route,
             service,
             organisation,
+            mark,
             quota_cost,
             sent_to: Vec::new(),
             status: 0,
             first: 0,
             sent: 0,
+            run: None,
             ahead: 0,
             longest_pause: Duration::ZERO,
             unreached: Vec::new(),
@@ -320,6 +331,14 @@
         }
     }
 
+    /// Takes that the run under way broke off.
+    pub fn broke_off(&mut self, entry: &Arc<EngineEntry>) {
+        self.note(entry, EngineOutcome::Broken);
+        if let Some(run) = self.run.take() {
+            run_broke(self.traffic, entry, run);
+        }
+    }
+
     /// Returns whether the route allows another engine.
     pub fn has_other_engine(&self) -> bool {
         self.sent_to.len() < self.route.most_attempts as usize
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -173,7 +173,7 @@
                 }
                 PartEnd::Broken => {
                     lease.close();
-                    self.note(&entry, EngineOutcome::Broken);
+                    self.broke_off(&entry);
                 }
             }
             if progress.head.is_some() {
@@ -312,14 +312,19 @@
         let sending = send_request(&mut lease, &*dialect, &request, &method, &id);
         let answer = tokio::select! {
             biased;
-            answer = sending => answer.ok(),
+            answer = sending => Some(answer),
             () = self.client.closed(SENT_AHEAD) => None,
             () = tokio::time::sleep_until(self.until) => None,
         };
         match answer {
-            Some(answer) if answer.head.status == 200 && answer.facts.signed => {
+            Some(Ok(answer)) if answer.head.status == 200 && answer.facts.signed => {
                 Some((lease, answer, now))
             }
+            Some(Err(_)) => {
+                lease.close();
+                self.broke_off(&entry);
+                None
+            }
             _ => {
                 lease.close();
                 None
--- a/crates/gateway/src/entry/prepare.rs
+++ b/crates/gateway/src/entry/prepare.rs
@@ -5,6 +5,7 @@
 use reelreel_core::{
     fleet::{
         ServiceName,
+        quarantine::{MarkedRequest, RequestMark},
         routes::{ConfigRevision, RouteEntry},
     },
     organisation::{OrganisationEntry, OrganisationName, share::QuotaTerms},
@@ -37,6 +38,8 @@
     pub service: ServiceName,
     /// Who asks; absent where its route asks for no key.
     pub organisation: Option<Arc<OrganisationEntry>>,
+    /// By what it is known again when it comes back.
+    pub mark: RequestMark,
     /// What was taken of the organisation's quota for it; zero where it has none.
     pub quota_cost: u64,
     /// The configuration that decided its route.
@@ -103,7 +106,24 @@
     };
     let (route, service) = (Arc::clone(route), Arc::clone(service));
     let revision = routes.revision();
-    Ok(PreparedRequest { facts, route, service, organisation, quota_cost, revision })
+    let mark = marked(request, &facts, organisation.as_deref()).mark();
+    Ok(PreparedRequest { facts, route, service, organisation, mark, quota_cost, revision })
+}
+
+/// Returns what a request is known again by.
+fn marked<'request>(
+    request: &'request ClientRequest,
+    facts: &'request RequestFacts,
+    organisation: Option<&'request OrganisationEntry>,
+) -> MarkedRequest<'request> {
+    MarkedRequest {
+        organisation: organisation.map(|organisation| &*organisation.name),
+        method: &request.head.method,
+        host: request.head.fields.text("host").unwrap_or_default(),
+        target: &request.head.target,
+        model: facts.model.as_deref(),
+        body: &request.body,
+    }
 }
 
 /// Takes what a request counts from its organisation's quota; returns how much.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -115,6 +115,16 @@
         /// The engine.
         engine: String,
     },
+    /// An engine refuses connections after runs at it broke off: its process has ended.
+    EngineEnded {
+        /// The engine.
+        engine: String,
+        /// The runs of this host that broke off.
+        runs: usize,
+        /// By what the requests among them are known again, those that began last first; some of them where
+        /// there were many.
+        marks: Vec<String>,
+    },
     /// The lease of a placement domain moved to another state.
     Lease {
         /// The domain's service.
@@ -178,6 +188,9 @@
     /// What tells a refused key apart from others, without giving it away.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub fingerprint: Option<String>,
+    /// By what the request is known again when it comes back, unless it was answered.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub mark: Option<String>,
     /// The model or adapter.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub key: Option<String>,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -94,6 +94,8 @@
     pub leases: Gauge,
     /// Engines that are listed.
     pub engines: Gauge,
+    /// Engines that ended while this host had runs at them.
+    pub engines_ended: Counter,
 }
 
 fn latency_histogram() -> Histogram {
@@ -124,6 +126,7 @@
             revision: Gauge::default(),
             leases: Gauge::default(),
             engines: Gauge::default(),
+            engines_ended: Counter::default(),
         };
         metrics.register();
         metrics
@@ -144,6 +147,8 @@
         registry.register("retries", "Requests sent again", self.retries.clone());
         let help = "Further sends that the retry budget refused";
         registry.register("retries_refused", help, self.retries_refused.clone());
+        let help = "Engines that ended while this host had runs at them";
+        registry.register("engines_ended", help, self.engines_ended.clone());
         registry.register("resumes", "Streams taken up at another engine", self.resumes.clone());
         registry.register("engine_connects", "New connections to engines", self.connects.clone());
         let help = "Calls to the store without a useful answer";
--- a/crates/gateway/tests/machine/events.rs
+++ b/crates/gateway/tests/machine/events.rs
@@ -56,6 +56,11 @@
         MachineEvent::ReaderLost { reader: String::from("127.0.0.1:1") },
         MachineEvent::Reading { reads: true, age: Some(20) },
         MachineEvent::HostsCounted { hosts: 6 },
+        MachineEvent::EngineEnded {
+            engine: engine(),
+            runs: 3,
+            marks: vec![String::from("0f0f0f0f0f0f0f0f")],
+        },
         MachineEvent::EngineJoined { engine: engine(), service: String::from("s"), address },
         MachineEvent::Freshness { state: "expired".into(), age: Some(5000) },
         MachineEvent::EngineLeaving { engine: engine() },
@@ -80,6 +85,7 @@
             late: true,
             organisation: Some(String::from("north")),
             fingerprint: Some(String::from("0badc0de")),
+            mark: Some(String::from("0f0f0f0f0f0f0f0f")),
             status: 200,
             key: Some(String::from("m/a1")),
             engine: Some(engine()),
@@ -114,6 +120,7 @@
         | Event::EngineJoined { .. }
         | Event::EngineLeaving { .. }
         | Event::EngineGone { .. }
+        | Event::EngineEnded { .. }
         | Event::Lease { .. }
         | Event::StorePace { .. }
         | Event::Order { .. }
