--- a/crates/gateway/tests/machine/engine.rs
+++ b/crates/gateway/tests/machine/engine.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     dialect::{AFTER, DEADLINE, ENGINE, MODEL, NOT_RUN, REQUEST, RUN_BY},
-    server::{ServedConnection, ServedRequest, serve},
+    server::{EndableServer, ServedConnection, ServedRequest, serve},
 };
 
 /// How an engine treats the next requests.
@@ -55,8 +55,15 @@
     orders: Vec<Value>,
     sequence: u64,
     clients_gone: u32,
+    /// Bodies under which it ends.
+    deadly: Vec<Vec<u8>>,
+    /// What ends with it, where it can end.
+    server: EndableServer,
 }
 
+/// How long an engine runs a request under which it ends.
+const DEADLY_RUN: Duration = Duration::from_millis(20);
+
 /// A stand-in for an engine.
 #[derive(Clone)]
 pub(crate) struct StandInEngine {
@@ -77,6 +84,35 @@
         Self { state, name: name.to_owned(), address }
     }
 
+    /// Starts one life of an engine that ends, with all that it runs, under a request with one of the `deadly` bodies.
+    pub(crate) fn start_mortal(
+        name: &str,
+        held: &[&str],
+        address: SocketAddr,
+        deadly: &[&str],
+    ) -> Self {
+        let state: Arc<Mutex<EngineState>> = Arc::default();
+        let engine = Self { state: Arc::clone(&state), name: name.to_owned(), address };
+        let mut locked = engine.lock();
+        locked.held = held.iter().map(|key| (*key).to_owned()).collect();
+        locked.deadly = deadly.iter().map(|body| body.as_bytes().to_vec()).collect();
+        let server = locked.server.clone();
+        drop(locked);
+        let own = name.to_owned();
+        server.start(address, move |connection| serve_engine(&state, &own, connection));
+        engine
+    }
+
+    /// Ends the life of an engine that can end.
+    pub(crate) fn end(&self) {
+        let server = self.lock().server.clone();
+        server.end();
+    }
+
+    pub(crate) fn has_ended(&self) -> bool {
+        self.lock().server.has_ended()
+    }
+
     fn lock(&self) -> MutexGuard<'_, EngineState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -170,6 +206,14 @@
         drop(locked);
         return connection.answer(421, &format!("{REQUEST}: {id}\r\n"), "");
     }
+    if locked.deadly.contains(&request.body) {
+        locked.runs.push(request.clone());
+        let server = locked.server.clone();
+        drop(locked);
+        thread::sleep(DEADLY_RUN);
+        server.end();
+        return None;
+    }
     let mood = match locked.moods.len() {
         0 => EngineMood::Well,
         1 => locked.moods[0],
--- a/crates/gateway/tests/machine/server.rs
+++ b/crates/gateway/tests/machine/server.rs
@@ -2,8 +2,11 @@
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -99,3 +102,59 @@
     });
     address
 }
+
+/// How often a server that can end looks whether it should.
+const END_LOOK: Duration = Duration::from_millis(1);
+
+/// A server that can end as a process does: nothing listens at its address, and its connections break off.
+#[derive(Clone, Default)]
+pub(crate) struct EndableServer {
+    ending: Arc<AtomicBool>,
+    closed: Arc<AtomicBool>,
+    sockets: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl EndableServer {
+    /// Serves connections at an address until it ends.
+    pub(crate) fn start(
+        &self,
+        address: SocketAddr,
+        serve: impl Fn(&mut ServedConnection) + Send + Sync + 'static,
+    ) {
+        let listener = TcpListener::bind(address).expect("the address is free");
+        listener.set_nonblocking(true).expect("a listener that can be looked at");
+        let (server, serve) = (self.clone(), Arc::new(serve));
+        thread::spawn(move || {
+            while !server.ending.load(Ordering::Acquire) {
+                let Ok((socket, _)) = listener.accept() else {
+                    thread::sleep(END_LOOK);
+                    continue;
+                };
+                let _ = socket.set_nodelay(true);
+                let kept = socket.try_clone().expect("a handle of the socket");
+                server.sockets.lock().unwrap_or_else(PoisonError::into_inner).push(kept);
+                let serve = Arc::clone(&serve);
+                thread::spawn(move || {
+                    serve(&mut ServedConnection { socket, buffer: BytesMut::new() });
+                });
+            }
+            drop(listener);
+            server.closed.store(true, Ordering::Release);
+        });
+    }
+
+    /// Ends it; returns once nothing listens any more.
+    pub(crate) fn end(&self) {
+        self.ending.store(true, Ordering::Release);
+        while !self.closed.load(Ordering::Acquire) {
+            thread::sleep(END_LOOK);
+        }
+        for socket in self.sockets.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+    }
+
+    pub(crate) fn has_ended(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+}
--- a/crates/gateway/tests/machine/site.rs
+++ b/crates/gateway/tests/machine/site.rs
@@ -208,7 +208,7 @@
 /// tests open before the machine listens on it.
 const TEST_PORTS: std::ops::Range<u16> = 18_000..32_000;
 
-fn free_address() -> SocketAddr {
+pub(crate) fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
     let width = TEST_PORTS.end - TEST_PORTS.start;
     // Test programs that run at the same time begin at different places.
