feat(gateway): requests under which engines end are held back by all hosts

Cause: no host remembered what had been at work when an engine ended, so each arrival of such a request, at any host, was a new request and ended the next engine; requests that may be repeated were carried to a further engine by the host itself. Class: what ends whoever takes it up is handed on, and each hand knows only its own try. Ruled out: sends to engines that are gone (they ran it). Change: each host counts the engines that ended one after the other under a request since it last ran whole; the placer of the first service with models adds up what all hosts count; two ends in a row hold the request back on all hosts (503, Retry-After), at first for 5 s, then a minute and more, tried by one host at a time; a whole run clears it, a newer version is tried sooner. Engines that end together count once. Own repeats wait until it is known whether the engine ended.

--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -1,7 +1,26 @@
-//! Requests under which engines end.
+//! Requests under which engines end, and how they are kept from ending more of them.
 //!
-//! [`mark`] says when two requests are the same.
+//! An engine that ends takes all of its runs with it, and one of them may be why. Each host counts, for each request that it had
+//! there, the ends one after the other since the request last ran whole; hosts add up what they count
+//! ([`SuspectWord`]), so that a request which comes to another host each time is known all the same. After some ends it is held back on
+//! all hosts for a time, and then tried once. A whole run clears it.
+//!
+//! [`mark`] says when two requests are the same, [`book`] what one host knows.
 
+pub mod book;
+mod hold;
 pub mod mark;
+mod suspect;
+mod word;
 
+pub use book::{ENDS_UNTIL_HELD, EndedRun, QuarantineBook, QuarantineNews};
 pub use mark::{MarkedRequest, RequestMark, shown_mark};
+pub use word::{SuspectWord, ToldEnd};
+
+/// Names one life of an engine, on every host alike.
+pub type EngineLife = u64;
+
+/// Returns the life of an engine that began at `born` by the engine's own clock; zero where it does not say.
+pub fn engine_life(engine: &str, born: u64) -> EngineLife {
+    xxhash_rust::xxh3::xxh3_64_with_seed(engine.as_bytes(), born)
+}
--- /dev/null
+++ b/crates/core/src/fleet/quarantine/hold.rs
@@ -0,0 +1,64 @@
+//! For how long a request is held back.
+
+use std::time::Duration;
+
+use crate::{
+    clock::ClockMillis,
+    fleet::{WeightVersion, quarantine::suspect::Suspect},
+};
+
+/// How long a suspect is remembered that is not held back, and one that was held back beyond that: a request that comes
+/// once in ten minutes ends six engines in an hour at the most until it is known.
+pub(super) const KEPT: Duration = Duration::from_mins(10);
+
+/// For how long a request is held back once as many ends in a row have shown what it may be. Clients of requests of fifteen
+/// seconds come back after five at most, and an innocent request that all its engines ended under is tried again by then.
+const FIRST_HOLD: Duration = Duration::from_secs(5);
+
+/// For how long it is held back after one end more. Then one run is let through again, and ends one engine more if the request
+/// is as bad as before: one of twelve engines that is away for ten seconds in the first minute is 1.4% of them.
+const SECOND_HOLD: Duration = Duration::from_mins(1);
+
+/// The longest time for which a request is held back; it doubles with each further end until then.
+const LONGEST_HOLD: Duration = Duration::from_hours(1);
+
+/// How long a request is held back at least after the last end where a newer version of what it names was named since:
+/// the new one may bear it.
+const VERSION_HOLD: Duration = Duration::from_mins(1);
+
+/// After how many doublings the longest hold is surely reached.
+const MOST_DOUBLINGS: usize = 8;
+
+/// For how long a suspect is held back after its last end or try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Hold(Duration);
+
+impl Hold {
+    /// Returns the hold after so many ends, once they are as many as it takes.
+    pub(super) fn after(ends: usize, ends_until_held: usize) -> Option<Self> {
+        let further = ends.checked_sub(ends_until_held)?;
+        let hold = match further.checked_sub(1) {
+            None => FIRST_HOLD,
+            Some(doublings) => SECOND_HOLD * (1 << doublings.min(MOST_DOUBLINGS)),
+        };
+        Some(Self(hold.min(LONGEST_HOLD)))
+    }
+
+    /// Returns for how long it is remembered at all.
+    pub(super) fn remembered(self) -> Duration {
+        self.0 * 2 + KEPT
+    }
+
+    /// Returns how much of it is left; `version` is the one that is named now, and `turn` the host's turn to try the request
+    /// again, from zero to one: the last one holds it back for twice as long as the first.
+    pub(super) fn left(
+        self,
+        suspect: &Suspect,
+        version: WeightVersion,
+        turn: f64,
+        now: ClockMillis,
+    ) -> Duration {
+        let hold = if version > suspect.version { self.0.min(VERSION_HOLD) } else { self.0 };
+        hold.mul_f64(1.0 + turn).saturating_sub(now.since(suspect.newest()))
+    }
+}
--- /dev/null
+++ b/crates/core/tests/quarantine/book.rs
@@ -0,0 +1,278 @@
+//! What one host's book says after each kind of thing that can happen, and that words are merged in whichever order they come.
+
+use std::sync::Arc;
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use reelreel_core::{
+    ClockMillis,
+    fleet::quarantine::{
+        ENDS_UNTIL_HELD, EndedRun, QuarantineBook, QuarantineNews, RequestMark, SuspectWord,
+        engine_life,
+    },
+};
+
+const BAD: RequestMark = 7;
+
+fn at(millis: u64) -> ClockMillis {
+    ClockMillis::from_millis(10_000_000 + millis)
+}
+
+fn book(host: &str) -> QuarantineBook {
+    QuarantineBook::new(host, ENDS_UNTIL_HELD)
+}
+
+fn run(mark: RequestMark, began: u64) -> EndedRun {
+    EndedRun { mark, organisation: Some(Arc::from("north")), began: at(began), version: 1 }
+}
+
+/// One thing that happens to the bad request.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// Its engine ends: which, when the run began, and when the engine ended.
+    Ends(&'static str, u64, u64),
+    /// It runs whole at this time.
+    Whole(u64),
+    /// It is tried at this time.
+    Tried(u64),
+}
+
+struct BookCase {
+    name: &'static str,
+    steps: &'static [Step],
+    /// When it is looked at, and with which version named.
+    look: (u64, u64),
+    held: bool,
+}
+
+const CASES: &[BookCase] = &[
+    BookCase { name: "one end", steps: &[Step::Ends("a", 0, 50)], look: (60, 1), held: false },
+    BookCase {
+        name: "two ends, one after the other",
+        steps: &[Step::Ends("a", 0, 50), Step::Ends("b", 60, 90)],
+        look: (100, 1),
+        held: true,
+    },
+    BookCase {
+        name: "two engines end together",
+        steps: &[Step::Ends("a", 0, 50), Step::Ends("b", 10, 50)],
+        look: (60, 1),
+        held: false,
+    },
+    BookCase {
+        name: "a rack goes while the same request runs at four engines, twice",
+        steps: &[
+            Step::Ends("a", 0, 50),
+            Step::Ends("b", 10, 51),
+            Step::Ends("c", 20, 52),
+            Step::Ends("d", 30, 53),
+        ],
+        look: (60, 1),
+        held: false,
+    },
+    BookCase {
+        name: "the same life is heard of twice",
+        steps: &[Step::Ends("a", 0, 50), Step::Ends("a", 60, 90)],
+        look: (100, 1),
+        held: false,
+    },
+    BookCase {
+        name: "a whole run between the ends",
+        steps: &[Step::Ends("a", 0, 50), Step::Whole(55), Step::Ends("b", 60, 90)],
+        look: (100, 1),
+        held: false,
+    },
+    BookCase {
+        name: "a whole run after the ends",
+        steps: &[Step::Ends("a", 0, 50), Step::Ends("b", 60, 90), Step::Whole(95)],
+        look: (100, 1),
+        held: false,
+    },
+    BookCase {
+        name: "the hold is over",
+        steps: &[Step::Ends("a", 0, 50), Step::Ends("b", 60, 90)],
+        look: (10_100, 1),
+        held: false,
+    },
+    BookCase {
+        name: "it is being tried",
+        steps: &[Step::Ends("a", 0, 50), Step::Ends("b", 60, 90), Step::Tried(10_100)],
+        look: (10_150, 1),
+        held: true,
+    },
+    BookCase {
+        name: "the try ended an engine",
+        steps: &[
+            Step::Ends("a", 0, 50),
+            Step::Ends("b", 60, 90),
+            Step::Tried(10_100),
+            Step::Ends("c", 10_100, 10_150),
+        ],
+        look: (60_000, 1),
+        held: true,
+    },
+    BookCase {
+        name: "five ends hold for eight minutes",
+        steps: &[
+            Step::Ends("a", 0, 50),
+            Step::Ends("b", 60, 90),
+            Step::Ends("c", 100, 150),
+            Step::Ends("d", 160, 200),
+            Step::Ends("e", 210, 250),
+        ],
+        look: (240_000, 1),
+        held: true,
+    },
+    BookCase {
+        name: "a newer version is tried sooner",
+        steps: &[
+            Step::Ends("a", 0, 50),
+            Step::Ends("b", 60, 90),
+            Step::Ends("c", 100, 150),
+            Step::Ends("d", 160, 200),
+            Step::Ends("e", 210, 250),
+        ],
+        look: (120_300, 2),
+        held: false,
+    },
+    BookCase {
+        name: "but not at once",
+        steps: &[Step::Ends("a", 0, 50), Step::Ends("b", 60, 90), Step::Ends("c", 100, 150)],
+        look: (30_000, 2),
+        held: true,
+    },
+];
+
+#[test]
+fn a_request_is_held_back_after_ends_in_a_row() {
+    for case in CASES {
+        let mut book = book("one");
+        for step in case.steps {
+            match *step {
+                Step::Ends(engine, began, ended) => {
+                    book.engine_ended(engine_life(engine, 0), &[run(BAD, began)], at(ended));
+                }
+                Step::Whole(now) => book.ran_whole(BAD, at(now)),
+                Step::Tried(now) => {
+                    assert!(book.run_begins(BAD, at(now)), "{}: a try is told", case.name);
+                }
+            }
+        }
+        let (look, version) = case.look;
+        assert_eq!(book.held(BAD, version, at(look)).is_some(), case.held, "{}", case.name);
+        assert_eq!(book.held(BAD + 1, version, at(look)), None, "{}: another request", case.name);
+    }
+}
+
+/// Brings the ends of two engines under one request to a host, by the words of two others through the one that adds up.
+fn told_through(adding: &mut QuarantineBook, to: &mut QuarantineBook, now: ClockMillis) {
+    let words = adding.take_unspread(now);
+    to.heard(&words, false, now);
+}
+
+#[test]
+fn hosts_that_saw_one_end_each_know_it_together() {
+    let (mut one, mut two, mut three, mut late) =
+        (book("one"), book("two"), book("three"), book("late"));
+    one.engine_ended(engine_life("a", 0), &[run(BAD, 0)], at(50));
+    two.engine_ended(engine_life("b", 0), &[run(BAD, 60)], at(90));
+    for host in [&mut one, &mut two] {
+        assert_eq!(host.held(BAD, 1, at(95)), None, "no host knows it alone");
+    }
+    three.heard(&one.take_untold(at(100)), true, at(110));
+    assert!(three.take_unspread(at(110)).is_empty(), "one end concerns nobody else");
+    three.heard(&two.take_untold(at(100)), true, at(120));
+    assert!(three.held(BAD, 1, at(120)).is_some());
+    told_through(&mut three, &mut one, at(130));
+    assert!(one.held(BAD, 1, at(140)).is_some());
+    // Who begins to listen later hears it at once.
+    late.heard(&three.words_for_all(at(200)), false, at(210));
+    assert!(late.held(BAD, 1, at(210)).is_some());
+    let news = late.take_news();
+    let [QuarantineNews::Held { mark: BAD, organisation, ends: 2, .. }] = &news[..] else {
+        panic!("{news:?}");
+    };
+    assert_eq!(organisation.as_deref(), Some("north"));
+    // A whole run at any host clears it at all.
+    one.ran_whole(BAD, at(300));
+    three.heard(&one.take_untold(at(300)), true, at(310));
+    told_through(&mut three, &mut late, at(320));
+    assert_eq!(late.held(BAD, 1, at(330)), None);
+    assert_eq!(late.take_news(), [QuarantineNews::Cleared { mark: BAD }]);
+}
+
+#[test]
+fn a_host_that_has_nobody_to_tell_says_it_all_again_later() {
+    let mut host = book("one");
+    host.engine_ended(engine_life("a", 0), &[run(BAD, 0)], at(50));
+    let lost = host.take_untold(at(60));
+    host.tell_again(&lost);
+    assert_eq!(host.take_untold(at(60)), lost);
+    assert!(host.take_untold(at(60)).is_empty());
+    host.tell_all_again();
+    assert_eq!(host.take_untold(at(60)).len(), 1);
+}
+
+/// A flood of bad bodies drives out what is known least, never what is held back, and the bound holds.
+#[test]
+fn a_flood_of_bodies_is_bounded_and_frees_nothing_that_is_held_back() {
+    let mut host = book("one");
+    host.engine_ended(engine_life("a", 0), &[run(BAD, 0)], at(50));
+    host.engine_ended(engine_life("b", 0), &[run(BAD, 60)], at(90));
+    for number in 0..20_000_u64 {
+        let mark = 1000 + RequestMark::from(number);
+        let life = engine_life(&number.to_string(), 0);
+        host.engine_ended(life, &[run(mark, 100)], at(100 + number / 10));
+    }
+    let (suspects, held) = host.counts();
+    assert!(suspects <= 2048, "{suspects} suspects");
+    assert_eq!(held, 1);
+    assert!(host.held(BAD, 1, at(2200)).is_some());
+    assert!(host.is_suspect(1000 + 19_999), "the newest is known");
+    host.forget_old(at(2200 + 700_000));
+    assert_eq!(host.counts(), (0, 0), "nothing is known for ever");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(0x0009_0a4a),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Words that come in another order, or twice, say the same.
+    #[test]
+    fn words_in_any_order_say_the_same(
+        ends in proptest::collection::vec((0..6_u64, 0..2000_u64), 1..8),
+        cleared in proptest::option::of(0..2000_u64),
+        order in Just((0..16_usize).collect::<Vec<_>>()).prop_shuffle(),
+    ) {
+        let mut words: Vec<SuspectWord> = Vec::new();
+        let now = at(3000);
+        for (engine, began) in &ends {
+            let mut host = book("saw");
+            // One life ends once, whoever saw it.
+            let ended = 2400 + engine * 10;
+            host.engine_ended(engine_life("e", *engine), &[run(BAD, *began)], at(ended));
+            words.extend(host.take_untold(now));
+        }
+        if let Some(cleared) = cleared {
+            let mut host = book("whole");
+            host.heard(&words, false, now);
+            host.ran_whole(BAD, at(cleared));
+            words.extend(host.take_untold(now));
+        }
+        let (mut straight, mut shuffled) = (book("host"), book("host"));
+        straight.heard(&words, false, now);
+        for place in &order {
+            if let Some(word) = words.get(*place % words.len()) {
+                shuffled.heard(std::slice::from_ref(word), false, now);
+            }
+        }
+        for word in &words {
+            shuffled.heard(std::slice::from_ref(word), false, now);
+        }
+        prop_assert_eq!(straight.held(BAD, 1, now), shuffled.held(BAD, 1, now));
+        prop_assert_eq!(straight.is_suspect(BAD), shuffled.is_suspect(BAD));
+    }
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -12,6 +12,7 @@
 pub mod plan_lines;
 pub mod quotas;
 pub mod state;
+pub mod suspects;
 
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -24,6 +24,7 @@
 use crate::peers::frame::{
     ChangeLine, DemandFrame, EncodedFrame, EstimateLine, FrameBody, PlanFrame, QuotaFrame,
 };
+use crate::peers::suspect_lines::SuspectLine;
 
 /// How many frames wait for a slow peer before it is let go.
 pub const PEER_QUEUE: usize = 64;
@@ -262,10 +263,30 @@
             absent: told.work.absent.iter().map(Into::into).collect(),
             unreached: told.work.unreached.iter().map(ToString::to_string).collect(),
             usage: used.iter().map(Into::into).collect(),
+            suspects: Vec::new(),
         };
         placer.try_send(FrameBody::Demand(frame).encoded()).is_ok()
     }
 
+    /// Tells the placer of requests under which engines ended; returns whether it was told.
+    pub fn tell_suspects(&self, machine: &Arc<str>, suspects: Vec<SuspectLine>) -> bool {
+        if suspects.is_empty() {
+            return true;
+        }
+        let Some(placer) = &self.placer else { return false };
+        let (machine, service) = (machine.to_string(), self.service.to_string());
+        let frame = DemandFrame { machine, service, suspects, ..DemandFrame::default() };
+        placer.try_send(FrameBody::Demand(frame).encoded()).is_ok()
+    }
+
+    /// Tells the subscribers of requests under which engines ended.
+    pub fn spread_suspects(&mut self, suspects: Vec<SuspectLine>, now: ClockMillis) {
+        if !suspects.is_empty() {
+            let frame = PlanFrame { suspects, ..self.empty_frame() };
+            self.broadcast(&FrameBody::Plan(frame).encoded(), now);
+        }
+    }
+
     /// Takes the own planner's residency into the plan; returns the engines that changed.
     pub fn adopt_own_plan(&mut self) -> Vec<EngineName> {
         let Some(planner) = &mut self.planner else { return Vec::new() };
@@ -334,12 +355,13 @@
         true
     }
 
-    /// Writes the whole plan, for a machine that begins to listen.
-    pub fn whole_plan(&self) -> EncodedFrame {
+    /// Writes the whole plan, and `suspects` with it, for a machine that begins to listen.
+    pub fn whole_plan(&self, suspects: Vec<SuspectLine>) -> EncodedFrame {
         let lines = self.plan.iter().map(|(engine, held)| engine_line(engine, held));
         let frame = PlanFrame {
             engines: lines.collect(),
             numbers: self.numbers.lines(),
+            suspects,
             ..self.empty_frame()
         };
         FrameBody::Plan(frame).encoded()
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -32,6 +32,8 @@
     /// Takes a peer's demand; `subscriber` gets the plan from now on.
     pub fn peer_demand(&mut self, frame: &DemandFrame, subscriber: Option<PlanSubscriber>) -> bool {
         let now = self.shared.clock.now();
+        let begins = subscriber.is_some();
+        let suspects = if begins { self.suspects_for_all(&frame.service, now) } else { Vec::new() };
         let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return false };
         let Some(planner) = &mut domain.planner else { return false };
         let entries: Vec<_> = frame.entries.iter().map(Into::into).collect();
@@ -39,7 +41,7 @@
         planner.demand_noted(&machine, &entries, now);
         planner.work_noted(&machine, &frame.work(), now);
         if let Some(ledger) = &mut domain.ledger {
-            ledger.take_usage(&machine, frame, subscriber.is_some(), now);
+            ledger.take_usage(&machine, frame, begins, now);
         }
         self.shared.wake_control.notify_one();
         let waited: Vec<ModelKey> = waited_keys(&entries).collect();
@@ -47,10 +49,11 @@
             known.asked.extend(waited.iter().cloned());
         }
         if let Some(subscriber) = subscriber
-            && subscriber.frames.try_send(domain.whole_plan()).is_ok()
+            && subscriber.frames.try_send(domain.whole_plan(suspects)).is_ok()
         {
             domain.subscribers.push(subscriber);
         }
+        self.suspects_heard(&frame.suspects, now);
         true
     }
 
@@ -62,6 +65,7 @@
             self.shared.shared_work().take(domain.told_work(frame));
             self.hosts_counted(frame.machines);
             self.take_quota_words(frame, now);
+            self.suspects_heard(&frame.suspects, now);
             let holdings = !frame.engines.is_empty() || !frame.changes.is_empty();
             self.changed |= holdings || !frame.estimates.is_empty();
             self.publish();
@@ -94,6 +98,8 @@
     pub fn tick(&mut self, own: &Rc<RefCell<Self>>) -> Duration {
         let now = self.shared.clock.now();
         self.tell_demand(now);
+        self.tell_suspects(now);
+        self.log_suspects();
         self.drop_lapsed(now);
         self.tick_feed(now);
         self.tell_freshness();
@@ -170,6 +176,7 @@
             domain.planned_token = domain.tenure.token();
             planner.begin_tenure(now);
             self.shared.demand().tell_again(service);
+            self.shared.quarantine().tell_all_again();
         }
         planner.engines_listed(&engines);
         if begins {
--- a/crates/gateway/src/engines/ends.rs
+++ b/crates/gateway/src/engines/ends.rs
@@ -6,66 +6,70 @@
 
 use std::{collections::HashMap, io::ErrorKind, rc::Rc, sync::Arc};
 
-use reelreel_core::{
-    ClockMillis,
-    fleet::{
-        EngineEntry, EngineName,
-        quarantine::{RequestMark, shown_mark},
-    },
+use reelreel_core::fleet::{
+    EngineEntry, EngineName,
+    quarantine::{EndedRun, engine_life, shown_mark},
 };
+use tokio::sync::watch;
 
 use crate::{engines::EnginePool, entry::TrafficState, events::MachineEvent};
 
 /// How many marks a log line shows: an engine runs dozens of requests at a time.
 const MOST_SHOWN: usize = 8;
 
-/// A run whose answer broke off.
-#[derive(Debug, Clone, Copy)]
-pub struct BrokenRun {
-    /// By what its request is known again.
-    pub mark: RequestMark,
-    /// When it was sent.
-    pub began: ClockMillis,
+/// The runs that broke off at an engine which is being connected to.
+#[derive(Debug)]
+struct PendingEnd {
+    runs: Vec<EndedRun>,
+    /// Dropped once it is known whether the engine ended.
+    known: watch::Sender<()>,
 }
 
 /// The runs that broke off at engines which are being connected to.
 #[derive(Debug, Default)]
 pub struct EndWatch {
-    broken: HashMap<EngineName, Vec<BrokenRun>>,
+    pending: HashMap<EngineName, PendingEnd>,
 }
 
 impl EndWatch {
-    /// Adds a run; returns whether it is the first one at its engine.
-    fn add(&mut self, engine: &EngineName, run: BrokenRun) -> bool {
-        let runs = self.broken.entry(Arc::clone(engine)).or_default();
-        runs.push(run);
-        runs.len() == 1
-    }
-
-    /// Takes the runs at an engine, those that began last first.
-    fn take(&mut self, engine: &EngineName) -> Vec<BrokenRun> {
-        let mut runs = self.broken.remove(engine).unwrap_or_default();
-        runs.sort_by_key(|run| std::cmp::Reverse(run.began));
-        runs
+    /// Adds a run; returns whether it is the first one at its engine, and what closes once it is known whether that ended.
+    fn add(&mut self, engine: &EngineName, run: EndedRun) -> (bool, watch::Receiver<()>) {
+        let new = || PendingEnd { runs: Vec::new(), known: watch::Sender::new(()) };
+        let pending = self.pending.entry(Arc::clone(engine)).or_insert_with(new);
+        pending.runs.push(run);
+        (pending.runs.len() == 1, pending.known.subscribe())
     }
 }
 
-/// Takes that a run broke off, and finds out whether its engine ended.
-pub fn run_broke(traffic: &Rc<TrafficState>, entry: &Arc<EngineEntry>, run: BrokenRun) {
-    if traffic.ends.borrow_mut().add(&entry.name, run) {
+/// Takes that a run broke off, and finds out whether its engine ended; the future is ready once that is known.
+pub fn run_broke(
+    traffic: &Rc<TrafficState>,
+    entry: &Arc<EngineEntry>,
+    run: EndedRun,
+) -> impl Future<Output = ()> + use<> {
+    let (first, mut known) = traffic.ends.borrow_mut().add(&entry.name, run);
+    if first {
         tokio::task::spawn_local(look_at(Rc::clone(traffic), Arc::clone(entry)));
     }
+    async move { while known.changed().await.is_ok() {} }
 }
 
 async fn look_at(traffic: Rc<TrafficState>, entry: Arc<EngineEntry>) {
     let connected = EnginePool::keep_anew(&traffic.pool, &entry, traffic.now()).await;
-    let runs = traffic.ends.borrow_mut().take(&entry.name);
-    let ended = connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused);
-    if !ended {
-        return;
+    let Some(mut pending) = traffic.ends.borrow_mut().pending.remove(&entry.name) else { return };
+    if connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused) {
+        pending.runs.sort_by_key(|run| std::cmp::Reverse(run.began));
+        note_end(&traffic, &entry, &pending.runs);
     }
-    traffic.shared.metrics.engines_ended.inc();
-    traffic.shared.events.write(MachineEvent::EngineEnded {
+}
+
+fn note_end(traffic: &TrafficState, entry: &EngineEntry, runs: &[EndedRun]) {
+    let shared = &traffic.shared;
+    let life = engine_life(&entry.name, 0);
+    shared.quarantine().engine_ended(life, runs, traffic.now());
+    shared.wake_control.notify_one();
+    shared.metrics.engines_ended.inc();
+    shared.events.write(MachineEvent::EngineEnded {
         engine: entry.name.to_string(),
         runs: runs.len(),
         marks: runs.iter().take(MOST_SHOWN).map(|run| shown_mark(run.mark)).collect(),
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -2,7 +2,7 @@
 //!
 //! Read [`connection`] for one client connection, [`prepare`] and [`exchange`] for one request,
 //! [`pick`] for where it goes, [`wait`] for what happens until its adapter is there, [`attempt`] for
-//! one send, [`plain`] for services that carry less than they are asked for, [`refusal`] for how it ends without an engine's answer, [`pass`] for how an answer is
+//! one send, [`plain`] for services that carry less than they are asked for, [`refusal`] for how it ends without an engine's answer, [`quarantine`] for requests under which engines ended, [`pass`] for how an answer is
 //! passed on, and [`stream`] for answers in events.
 
 pub mod answer;
@@ -15,6 +15,7 @@
 pub mod plain;
 pub mod prepare;
 pub mod probe;
+pub mod quarantine;
 pub mod record;
 pub mod refusal;
 pub mod stream;
@@ -224,6 +225,7 @@
             |engine: &str| table.engines.values().flatten().any(|entry| &*entry.name == engine);
         self.pool.borrow_mut().clean(listed, now);
         self.absences.borrow_mut().retain(|_, said| now.since(*said) < ABSENCE_HOLDS);
+        self.shared.quarantine().forget_old(now);
         let allowance = &self.shared.profile.bounds.retries;
         for share in self.retries.borrow_mut().values_mut() {
             share.forget_old(allowance, now);
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     border::SendTerms,
-    engines::{ConnectTerms, EngineAnswer, EngineLease, EnginePool, ends::BrokenRun, send_request},
+    engines::{ConnectTerms, EngineAnswer, EngineLease, EnginePool, send_request},
     entry::{
         exchange::{Exchange, ExchangeEnd, SENT_AHEAD, SendEnd},
         forward::forwarded_request,
@@ -30,7 +30,8 @@
     /// run it; takes the further send from the budgets.
     fn overdue(&self, entry: &EngineEntry) -> impl Future<Output = ()> + use<> {
         let possible = self.route.kind.may_repeat() && self.has_other_engine();
-        let possible = possible && self.sends_are_left();
+        // What may have ended an engine does not run at two at a time.
+        let possible = possible && self.sends_are_left() && !self.is_suspect();
         let (traffic, service) = (Rc::clone(self.traffic), Arc::clone(&self.service));
         let (key, id) = (self.facts.model.clone(), self.facts.id.clone());
         let (patience, excluded) = (self.route.target * OVERDUE_TARGETS, [Arc::clone(&entry.name)]);
@@ -111,7 +112,7 @@
         let Ok(answer) = answer else {
             lease.close();
             self.may_have_run = true;
-            self.broke_off(entry);
+            self.broke_off(entry).await;
             return SendEnd::Failed;
         };
         self.take_answer(lease, answer, began).await
@@ -150,11 +151,12 @@
             Err(end) => {
                 lease.close();
                 if matches!(end, SendEnd::Failed) {
-                    self.broke_off(&entry);
+                    self.broke_off(&entry).await;
                 }
                 return end;
             }
         };
+        self.ran_whole();
         let delay = self.traffic.now().since(began);
         self.keep_or_close(lease, &answer);
         if answer.head.status >= 500 {
@@ -177,7 +179,7 @@
         self.sends += 1;
         self.count_further_run();
         self.sent = self.elapsed();
-        self.run = Some(BrokenRun { mark: self.mark, began: self.traffic.now() });
+        self.run_begins();
         self.ahead = self.unread_before(entry);
         if !self.sent_to.contains(&entry.name) {
             self.sent_to.push(Arc::clone(&entry.name));
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -12,8 +12,7 @@
     clock::duration_millis,
     fleet::{
         EngineEntry, EngineName, ServiceName, WeightVersion,
-        condition::EngineOutcome,
-        quarantine::RequestMark,
+        quarantine::{EndedRun, RequestMark},
         routes::{ConfigRevision, RouteEntry},
     },
     organisation::OrganisationEntry,
@@ -23,10 +22,7 @@
 
 use crate::{
     border::RequestFacts,
-    engines::{
-        EngineAnswer,
-        ends::{BrokenRun, run_broke},
-    },
+    engines::EngineAnswer,
     entry::{
         TrafficState,
         answer::{ENGINE_FAILED, TIME_OVER},
@@ -129,7 +125,7 @@
     /// When it was sent the last time. Unit: milliseconds after the arrival.
     pub sent: u64,
     /// The run under way, as it is known if its engine ends.
-    pub run: Option<BrokenRun>,
+    pub run: Option<EndedRun>,
     /// What its engine had to read before its prompt when it was sent the last time. Unit: tokens.
     pub ahead: u64,
     /// The longest pause between two events that were passed on.
@@ -229,6 +225,10 @@
             let tokens = self.facts.prompt.tokens();
             self.traffic.shared.demand().asked(&self.service, key, tokens);
         }
+        // What is held back ends engines with everything that they run, and its body is known already.
+        if let Some(time) = self.held_back() {
+            return self.refuse_held(time).await;
+        }
         if let Some(time) = self.plain_refusal() {
             return self.refuse_plain(time).await;
         }
@@ -331,14 +331,6 @@
         }
     }
 
-    /// Takes that the run under way broke off.
-    pub fn broke_off(&mut self, entry: &Arc<EngineEntry>) {
-        self.note(entry, EngineOutcome::Broken);
-        if let Some(run) = self.run.take() {
-            run_broke(self.traffic, entry, run);
-        }
-    }
-
     /// Returns whether the route allows another engine.
     pub fn has_other_engine(&self) -> bool {
         self.sent_to.len() < self.route.most_attempts as usize
@@ -351,7 +343,10 @@
 
     /// Takes one further send from the budgets that bound them.
     pub fn may_send_again(&self) -> bool {
-        self.sends_are_left() && self.traffic.take_retry(&self.service)
+        // A request under which two engines in a row ended is not sent to a third one.
+        self.sends_are_left()
+            && self.held_back().is_none()
+            && self.traffic.take_retry(&self.service)
     }
 
     /// Gives back what was taken of the organisation's quota for a request that did not run.
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -160,6 +160,7 @@
             let end = self.pass_part(&mut lease, &mut answer.decoder, &mut progress, began).await;
             match end {
                 PartEnd::Whole => {
+                    self.ran_whole();
                     self.keep_or_close(lease, &answer);
                     return SendEnd::Over(self.end_stream(&mut progress).await, "answered");
                 }
@@ -173,7 +174,7 @@
                 }
                 PartEnd::Broken => {
                     lease.close();
-                    self.broke_off(&entry);
+                    self.broke_off(&entry).await;
                 }
             }
             if progress.head.is_some() {
@@ -322,7 +323,7 @@
             }
             Some(Err(_)) => {
                 lease.close();
-                self.broke_off(&entry);
+                self.broke_off(&entry).await;
                 None
             }
             _ => {
--- /dev/null
+++ b/crates/gateway/src/entry/quarantine.rs
@@ -0,0 +1,78 @@
+//! What becomes of a request under which engines ended.
+
+use std::{sync::Arc, time::Duration};
+
+use reelreel_core::fleet::{
+    EngineEntry, WeightVersion, base_model, choice::NamedVersions, condition::EngineOutcome,
+    quarantine::EndedRun,
+};
+
+use crate::{
+    engines::ends::run_broke,
+    entry::{
+        answer::OwnAnswer,
+        exchange::{Exchange, ExchangeEnd},
+    },
+};
+
+impl Exchange<'_> {
+    /// Returns for how long the request is held back, if it is.
+    pub(super) fn held_back(&self) -> Option<Duration> {
+        let now = self.traffic.now();
+        let version = self.named_version();
+        self.traffic.shared.quarantine().held(self.mark, version, now)
+    }
+
+    /// Refuses a request under which engines ended; it has not run.
+    pub(super) async fn refuse_held(&mut self, time: Duration) -> (ExchangeEnd, &'static str) {
+        let text = "engines ended while they ran this request; change it, or come back after the time in Retry-After";
+        self.answer(OwnAnswer::refusal(text, time), "held_back").await
+    }
+
+    /// Returns whether engines ended under the request since it last ran whole.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.traffic.shared.quarantine().is_suspect(self.mark)
+    }
+
+    /// Takes that the request is being sent to an engine.
+    pub(super) fn run_begins(&mut self) {
+        let now = self.traffic.now();
+        let shared = &self.traffic.shared;
+        if shared.quarantine().run_begins(self.mark, now) {
+            shared.wake_control.notify_one();
+        }
+        self.run = Some(EndedRun {
+            mark: self.mark,
+            organisation: self.organisation.as_ref().map(|entry| Arc::clone(&entry.name)),
+            began: now,
+            version: self.named_version(),
+        });
+    }
+
+    /// Takes that an engine ran the request to its end, well or not, and lives.
+    pub(super) fn ran_whole(&mut self) {
+        self.run = None;
+        let now = self.traffic.now();
+        self.traffic.shared.quarantine().ran_whole(self.mark, now);
+    }
+
+    /// Takes that the run under way broke off, and finds out whether its engine ended.
+    ///
+    /// Whoever would send the request again waits for that: one engine more would end before anything is known.
+    pub(super) async fn broke_off(&mut self, entry: &Arc<EngineEntry>) {
+        self.note(entry, EngineOutcome::Broken);
+        let Some(run) = self.run.take() else { return };
+        let looked_at = run_broke(self.traffic, entry, run);
+        if self.route.kind.may_repeat() && self.has_other_engine() {
+            looked_at.await;
+        }
+    }
+
+    /// Returns the newest version that is named of what the request names.
+    fn named_version(&self) -> WeightVersion {
+        let Some(key) = &self.facts.model else { return 0 };
+        let table = self.traffic.table();
+        let named = |key: &str| table.versions.get(key).map_or(0, NamedVersions::newest);
+        named(key).max(named(base_model(key)))
+    }
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -125,6 +125,23 @@
         /// there were many.
         marks: Vec<String>,
     },
+    /// A request is held back since engines ended under it.
+    RequestHeld {
+        /// By what it is known again.
+        mark: String,
+        /// Who sends it, where keys tell.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        organisation: Option<String>,
+        /// How many engines ended under it one after the other.
+        ends: usize,
+        /// For how long this host holds it back. Unit: milliseconds.
+        millis: u64,
+    },
+    /// A request that was held back has run whole.
+    RequestCleared {
+        /// By what it is known again.
+        mark: String,
+    },
     /// The lease of a placement domain moved to another state.
     Lease {
         /// The domain's service.
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -11,7 +11,11 @@
 
 use reelreel_core::{
     ClockMillis, ClockSource, MonotonicClock,
-    fleet::{ServiceName, reading::ReadingSpeed},
+    fleet::{
+        ServiceName,
+        quarantine::{ENDS_UNTIL_HELD, QuarantineBook},
+        reading::ReadingSpeed,
+    },
     organisation::share::QuotaShare,
 };
 use tokio::sync::{Notify, watch};
@@ -63,6 +67,7 @@
     shared_work: Mutex<SharedWork>,
     reading: Mutex<HashMap<ServiceName, ReadingSpeed>>,
     quotas: Mutex<QuotaShare>,
+    quarantine: Mutex<QuarantineBook>,
 }
 
 impl SharedState {
@@ -70,6 +75,7 @@
     pub fn new(profile: MachineProfile, dialects: BorderDialects, events: EventLog) -> Self {
         let quotas =
             if profile.first_start { QuotaShare::unspent() } else { QuotaShare::default() };
+        let quarantine = QuarantineBook::new(&profile.name, ENDS_UNTIL_HELD);
         Self {
             profile,
             dialects,
@@ -86,6 +92,7 @@
             shared_work: Mutex::default(),
             reading: Mutex::default(),
             quotas: Mutex::new(quotas),
+            quarantine: Mutex::new(quarantine),
         }
     }
 
@@ -122,6 +129,11 @@
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what this machine knows of requests under which engines ended for a moment.
+    pub fn quarantine(&self) -> MutexGuard<'_, QuarantineBook> {
+        self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -96,6 +96,10 @@
     pub engines: Gauge,
     /// Engines that ended while this host had runs at them.
     pub engines_ended: Counter,
+    /// Requests under which engines ended since they last ran whole.
+    pub suspects: Gauge,
+    /// Those of them that are held back.
+    pub held_requests: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -127,6 +131,8 @@
             leases: Gauge::default(),
             engines: Gauge::default(),
             engines_ended: Counter::default(),
+            suspects: Gauge::default(),
+            held_requests: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -149,6 +155,10 @@
         registry.register("retries_refused", help, self.retries_refused.clone());
         let help = "Engines that ended while this host had runs at them";
         registry.register("engines_ended", help, self.engines_ended.clone());
+        let help = "Requests under which engines ended since they last ran whole";
+        registry.register("suspects", help, self.suspects.clone());
+        let help = "Requests that are held back since engines ended under them";
+        registry.register("held_requests", help, self.held_requests.clone());
         registry.register("resumes", "Streams taken up at another engine", self.resumes.clone());
         registry.register("engine_connects", "New connections to engines", self.connects.clone());
         let help = "Calls to the store without a useful answer";
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -109,6 +109,7 @@
     let mut state = state.borrow_mut();
     let machine = state.shared().profile.name.to_string();
     state.shared().demand().tell_again(service);
+    state.tell_suspects_again(service);
     let Some(domain) = state.domain(service) else { return false };
     let hello = DemandFrame { machine, service: service.to_string(), ..DemandFrame::default() };
     let sent = sender.try_send(FrameBody::Demand(hello).encoded()).is_ok();
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -13,7 +13,10 @@
 
 use prost::Message as _;
 
-use crate::{border::KeyedRecord, peers::engine_lines::EngineRecordLine};
+use crate::{
+    border::KeyedRecord,
+    peers::{engine_lines::EngineRecordLine, suspect_lines::SuspectLine},
+};
 
 /// One frame.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -81,6 +84,9 @@
     /// What the host granted of organisations' quotas since the last frame.
     #[prost(message, repeated, tag = "8")]
     pub usage: Vec<UsageLine>,
+    /// Requests under which engines ended.
+    #[prost(message, repeated, tag = "9")]
+    pub suspects: Vec<SuspectLine>,
 }
 
 /// What a host granted of an organisation's quota.
@@ -218,6 +224,9 @@
     /// there and the tokens that it has not read yet, again and again.
     #[prost(uint64, repeated, packed = "true", tag = "11")]
     pub work: Vec<u64>,
+    /// Requests under which engines ended, as all hosts count.
+    #[prost(message, repeated, tag = "12")]
+    pub suspects: Vec<SuspectLine>,
 }
 
 /// How an engine's holdings changed since the last frame that named it.
--- a/crates/gateway/tests/machine/deadly.rs
+++ b/crates/gateway/tests/machine/deadly.rs
@@ -161,3 +161,107 @@
     assert_eq!(served, innocents, "requests that came beside it");
     assert!(fleet.ends.iter().all(|end| end.elapsed() < PATIENCE));
 }
+
+/// A request that may be sent again took one engine after the other with it by our own doing: each try went on to the next
+/// engine as soon as the connection broke, before anybody knew that the first engine had ended.
+#[test]
+fn our_own_repeats_stop_at_the_second_engine() {
+    let site = TestSite::start();
+    site.store.put("engines", "plain-1", "");
+    let mut fleet = MortalFleet::start(&site, 4, "plain", &["deadly"]);
+    let host = site.machine("repeats");
+    wait_until("a request is served", || {
+        host.post("/safe/a", "X-Request: first\r\n", "first").starts_with("HTTP/1.1 200")
+    });
+    let first = host.post("/safe/a", "X-Request: r1\r\n", "deadly");
+    assert!(first.starts_with("HTTP/1.1 502"), "it ran: {first}");
+    for number in 0..5 {
+        let answer = host.post("/safe/a", &format!("X-Request: h{number}\r\n"), "deadly");
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("Retry-After: "), "{answer}");
+    }
+    fleet.look();
+    assert_eq!(fleet.ends.len(), 2);
+    assert_eq!(fleet.arrivals("deadly"), 2);
+    // The same body on another path, and another body on the same one, are other requests.
+    for (path, body) in [("/safe/b", "harmless"), ("/safe/a", "harmless")] {
+        let answer = host.post(path, &format!("X-Request: o{}\r\n", path.len()), body);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+}
+
+/// Answers break off for many reasons while engines live: nobody is to be held back for that.
+#[test]
+fn answers_that_break_off_hold_nobody_back() {
+    let site = TestSite::start();
+    let host = site.machine("breaks");
+    for mood in [EngineMood::Silent, EngineMood::CutBody, EngineMood::Garbage] {
+        site.plain.treat(&[mood]);
+        for number in 0..6 {
+            let answer = host.post("/single/a", &format!("X-Request: b{number}\r\n"), "usual");
+            assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+            // An engine that failed rests for a while, which is no hold.
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+    site.plain.treat(&[EngineMood::Well]);
+    wait_until("it is served", || {
+        host.post("/single/a", "X-Request: w\r\n", "usual").starts_with("HTTP/1.1 200")
+    });
+    assert_eq!(host.shared.quarantine().counts(), (0, 0));
+}
+
+/// Engines of a rack that lose power together take the same innocent request with them at each: that is one end.
+#[test]
+fn engines_that_end_together_hold_nobody_back() {
+    let site = TestSite::start();
+    let mut fleet = MortalFleet::start(&site, 4, "assist", &[]);
+    let hosts = hosts(&site, &["rack-1", "rack-2"]);
+    wait_until("a stream is served", || {
+        is_whole(&hosts[0].post("/stream/a", &fields("first"), "first"))
+    });
+    for engine in &fleet.engines {
+        engine.treat(&[EngineMood::Stream(40)]);
+    }
+    thread::scope(|scope| {
+        for number in 0..12 {
+            let host = &hosts[number % hosts.len()];
+            scope.spawn(move || host.post("/stream/a", &fields(&format!("c{number}")), "common"));
+        }
+        thread::sleep(Duration::from_millis(150));
+        for engine in &fleet.engines {
+            engine.end();
+        }
+    });
+    fleet.look();
+    assert_eq!(fleet.ends.len(), 4);
+    thread::sleep(AWAY);
+    fleet.look();
+    wait_until("the common request is served", || {
+        is_whole(&hosts[1].post("/stream/a", &fields("again"), "common"))
+    });
+}
+
+/// A host that starts after all this has happened knows it from its first second on.
+#[test]
+fn a_host_that_starts_later_knows_what_is_held_back() {
+    let site = TestSite::start();
+    let mut fleet = MortalFleet::start(&site, 6, "assist", &["deadly"]);
+    let hosts = hosts(&site, &["earlier-1", "earlier-2"]);
+    wait_until("a stream is served", || {
+        is_whole(&hosts[0].post("/stream/a", &fields("first"), "first"))
+    });
+    let began = Instant::now();
+    while !hosts[0].post("/stream/a", &fields("d"), "deadly").contains("engines ended") {
+        assert!(began.elapsed() < PATIENCE, "it is never held back");
+        fleet.look();
+        thread::sleep(Duration::from_millis(20));
+    }
+    let ended = fleet.ends.len();
+    let late = site.machine("later");
+    wait_until("the late host knows it", || late.shared.quarantine().counts().1 == 1);
+    let answer = late.post("/stream/a", &fields("l"), "deadly");
+    assert!(answer.contains("engines ended"), "{answer}");
+    fleet.look();
+    assert_eq!(fleet.ends.len(), ended);
+}
--- a/crates/gateway/tests/machine/events.rs
+++ b/crates/gateway/tests/machine/events.rs
@@ -61,6 +61,13 @@
             runs: 3,
             marks: vec![String::from("0f0f0f0f0f0f0f0f")],
         },
+        MachineEvent::RequestHeld {
+            mark: String::from("0f0f0f0f0f0f0f0f"),
+            organisation: Some(String::from("north")),
+            ends: 2,
+            millis: 5000,
+        },
+        MachineEvent::RequestCleared { mark: String::from("0f0f0f0f0f0f0f0f") },
         MachineEvent::EngineJoined { engine: engine(), service: String::from("s"), address },
         MachineEvent::Freshness { state: "expired".into(), age: Some(5000) },
         MachineEvent::EngineLeaving { engine: engine() },
@@ -121,6 +128,8 @@
         | Event::EngineLeaving { .. }
         | Event::EngineGone { .. }
         | Event::EngineEnded { .. }
+        | Event::RequestHeld { .. }
+        | Event::RequestCleared { .. }
         | Event::Lease { .. }
         | Event::StorePace { .. }
         | Event::Order { .. }
