--- a/crates/gateway/src/control/engine_list.rs
+++ b/crates/gateway/src/control/engine_list.rs
@@ -88,7 +88,8 @@
         }
     }
 
-    /// Takes records of the entries as the store has them.
+    /// Takes records of the entries as the store has them. One that no engine can have written names no engine to use, also
+    /// where one was listed before: what it says is not what that engine is.
     fn take_records(&mut self, records: &[KeyedRecord]) {
         for record in records {
             let (name, offset) = (EngineName::from(record.key.as_str()), record.offset);
@@ -98,7 +99,10 @@
             }
             match self.shared.dialects.store.engine(record) {
                 Ok(entry) => self.take_update(EngineUpdate { name, offset, entry: Some(entry) }),
-                Err(error) => log::warn!("engine {}: {error}", record.key),
+                Err(error) => {
+                    log::warn!("entry {}: {error}; it names no engine", record.key);
+                    self.take_update(EngineUpdate { name, offset, entry: None });
+                }
             }
         }
     }
--- a/crates/gateway/tests/machine/configuration.rs
+++ b/crates/gateway/tests/machine/configuration.rs
@@ -96,3 +96,27 @@
         machine.get("/late/a", "X-Request: g1\r\n").starts_with("HTTP/1.1 200")
     });
 }
+
+/// Entries that no engine has written name none to use, and every other engine serves on; its own next word brings it back.
+#[test]
+fn entries_of_another_writer_name_no_engine_and_leave_the_others() {
+    let site = TestSite::start();
+    let machine = site.machine("writers");
+    let ready = || machine.shared.table.borrow().ready_engines("assist").count();
+    assert_eq!(ready(), 2);
+    for (key, value) in [("nobody", "{}"), ("bytes", "\u{1}\u{2}"), ("engine-1", "[7]")] {
+        site.store.put("engines", key, value);
+    }
+    wait_until("one engine is named no more", || ready() == 1);
+    let answer = machine.post("/stream/a", "X-Request: w1\r\nX-Model: base\r\n", "{}");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let answer = machine.post("/single/a", "X-Request: w2\r\n", "body");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    site.store.put("engines", "engine-1", &site.engines[0].entry("assist", false));
+    wait_until("it is named again", || ready() == 2);
+    // A machine that starts finds the same.
+    site.store.put("engines", "engine-2", "null");
+    let late = site.machine("writers-late");
+    let late_ready = || late.shared.table.borrow().ready_engines("assist").count();
+    wait_until("a machine that starts has one engine", || late_ready() == 1 && ready() == 1);
+}
