feat: hosts time what they believe by the clock that goes on while they are suspended

Cause: the steady clock stands still while a host is suspended. What was timed by it was believed too long by as much: a key's freshness, a lease, a request's deadline, a placer's silence, a held request. Ruled out: timers on CLOCK_BOOTTIME by the kernel, which the platform does not allow. Other timers of the runtime wake later by as long as they had left, 2 s at most.

--- a/crates/cli/src/machine.rs
+++ b/crates/cli/src/machine.rs
@@ -3,6 +3,7 @@
 use std::{path::Path, process::ExitCode, sync::Arc};
 
 use eyre::WrapErr;
+use reelreel_core::MonotonicClock;
 use reelreel_gateway::{
     events::EventLog,
     machine::{SharedState, run_machine},
@@ -25,7 +26,8 @@
         return Ok(ExitCode::SUCCESS);
     }
     let events = EventLog::start(Arc::clone(&profile.name)).wrap_err("no thread for log lines")?;
-    let shared = Arc::new(SharedState::new(profile, reelreel_platform::dialects(), events));
+    let clock = Arc::new(MonotonicClock::new());
+    let shared = Arc::new(SharedState::new(profile, reelreel_platform::dialects(), events, clock));
     watch_signals(&shared)?;
     run_machine(&shared)?;
     Ok(ExitCode::SUCCESS)
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -3,9 +3,11 @@
 use std::{
     ops::{Add, Sub},
     sync::atomic::{AtomicU64, Ordering},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// A reading of a clock that never runs backwards, in milliseconds since an arbitrary start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct ClockMillis(u64);
@@ -54,19 +56,30 @@
     fn now(&self) -> ClockMillis;
 }
 
-/// Reads the operating system's monotonic clock.
+/// Reads the operating system's clock that never runs backwards and goes on while the host is suspended.
+///
+/// The usual steady clock stands still meanwhile: a lease, a key's freshness or a peer's silence that is timed by it would be
+/// believed for too long by as much.
 #[derive(Debug, Clone)]
 pub struct MonotonicClock {
-    start: Instant,
+    start: Duration,
 }
 
 impl MonotonicClock {
     /// Starts a clock at one millisecond, so that zero can stand for "never".
     pub fn new() -> Self {
-        Self { start: Instant::now() }
+        Self { start: time_since_boot() }
     }
 }
 
+/// Returns the time since the host was started, that of its suspensions included.
+fn time_since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::from_secs(seconds) + Duration::from_nanos(nanos)
+}
+
 impl Default for MonotonicClock {
     fn default() -> Self {
         Self::new()
@@ -75,7 +88,7 @@
 
 impl ClockSource for MonotonicClock {
     fn now(&self) -> ClockMillis {
-        ClockMillis(duration_millis(self.start.elapsed()) + 1)
+        ClockMillis(duration_millis(time_since_boot().saturating_sub(self.start)) + 1)
     }
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -135,7 +135,7 @@
         topic: KeyedTopic::Configuration,
         rest: CONFIGURATION_REST,
         wait: bound.map_or(wait, |bound| (bound / FRESHNESS_PARTS).min(wait)),
-        clock: shared.clock.clone(),
+        clock: Arc::clone(&shared.clock),
         longest_pause: reader_pause(&state, bound.is_some()),
     };
     let sink = |update| state.borrow_mut().configuration_updated(update);
@@ -169,7 +169,7 @@
         topic: KeyedTopic::Engines,
         rest: ENGINES_REST,
         wait: read_wait(shared.profile.bounds.leaving_apply),
-        clock: shared.clock.clone(),
+        clock: Arc::clone(&shared.clock),
         longest_pause: Box::new(|| LONGEST_PAUSE),
     };
     let returns = state.borrow().store_returns();
--- a/crates/gateway/src/control/engine_list.rs
+++ b/crates/gateway/src/control/engine_list.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use reelreel_core::{
-    ClockMillis, ClockSource,
+    ClockMillis,
     fleet::{EngineEntry, EngineName, adapter_name},
 };
 
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -7,9 +7,7 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use reelreel_core::{
-    ClockMillis, ClockSource, clock::duration_millis, placement::candidacy::reader_partitions,
-};
+use reelreel_core::{ClockMillis, clock::duration_millis, placement::candidacy::reader_partitions};
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/crates/gateway/src/control/freshness.rs
+++ b/crates/gateway/src/control/freshness.rs
@@ -1,6 +1,6 @@
 //! How new this machine's configuration is known to be, for its own traffic and for those that follow it.
 
-use reelreel_core::{ClockMillis, ClockSource, clock::duration_millis};
+use reelreel_core::{ClockMillis, clock::duration_millis};
 
 use crate::{
     control::state::ControlState,
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use reelreel_core::ClockSource;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -69,7 +68,7 @@
     loop {
         await_candidacy(&state, &mut client, &mut pause, &mut spread).await;
         let backoff = backoff(&shared, 0x3333).longest(LONGEST_JOIN_PAUSE);
-        let clock = shared.clock.clone();
+        let clock = Arc::clone(&shared.clock);
         stay_member(&mut client, member, time_to_live, clock, backoff, unneeded, sink).await;
         state.borrow_mut().leave_group();
         if let Err(error) = leave(&mut client, member).await {
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -3,7 +3,6 @@
 use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
 use reelreel_core::{
-    ClockSource,
     fleet::{EngineEntry, EngineName, ServiceName},
     id::FenceToken,
     placement::{OrderAnswer, OrderKind, PlacementAction, PlannedOrder},
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
 use reelreel_core::{
-    ClockMillis, ClockSource,
+    ClockMillis,
     clock::duration_millis,
     fleet::{EngineEntry, ModelKey, ServiceName, WeightVersion, routes::ModelHosting},
     id::FenceToken,
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use reelreel_core::{
-    ClockMillis, ClockSource,
+    ClockMillis,
     chart::{FreshnessState, TenureState},
     fleet::{
         EngineBirth, EngineEntry, EngineName, ModelKey, ServiceName,
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -8,6 +8,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod connection;
+pub mod deadline;
 pub mod exchange;
 pub mod forward;
 pub mod pass;
@@ -31,7 +32,7 @@
 };
 
 use reelreel_core::{
-    ClockMillis, ClockSource,
+    ClockMillis,
     fleet::{
         EngineName, ModelKey, ServiceName, admission::ServiceAdmission, retry_share::RetryShare,
     },
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -7,7 +7,6 @@
     ClockMillis,
     fleet::{EngineEntry, WeightVersion, admission::AdmissionSign, condition::EngineOutcome},
 };
-use tokio::time::Instant;
 
 use crate::{
     border::SendTerms,
@@ -77,7 +76,7 @@
         self.count_send(entry);
         let began = self.traffic.now();
         let dialect = Arc::clone(&self.traffic.shared.dialects.exchange);
-        let limit = self.until + DEADLINE_SLACK;
+        let time_over = self.deadline.clone().over(DEADLINE_SLACK);
         let overdue = self.overdue(entry);
         let sending = send_request(
             &mut lease,
@@ -103,7 +102,7 @@
                 self.note(entry, EngineOutcome::Overdue);
                 return SendEnd::Overdue;
             }
-            () = tokio::time::sleep_until(limit) => {
+            () = time_over => {
                 lease.close();
                 self.may_have_run = true;
                 return SendEnd::TimeOver;
@@ -226,7 +225,7 @@
     ) -> Bytes {
         let terms = SendTerms {
             engine: &entry.name,
-            remaining: self.until.saturating_duration_since(Instant::now()),
+            remaining: self.deadline.remaining(),
             priority: self.priority(),
             organisation: self.organisation.as_ref().map(|organisation| &*organisation.name),
             version,
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -26,6 +26,7 @@
     entry::{
         TrafficState,
         answer::{ENGINE_FAILED, TIME_OVER},
+        deadline::RequestDeadline,
         pick::{EngineNeed, EnginePick, pick_engine},
         prepare::{PreparedRequest, prepare, refuse_early},
         wait::WaitEnd,
@@ -115,7 +116,7 @@
     /// What was taken of the organisation's quota for it.
     pub quota_cost: u64,
     /// Until when an answer is worth anything.
-    pub until: Instant,
+    pub deadline: RequestDeadline,
     /// The engines that it was sent to.
     pub sent_to: Vec<EngineName>,
     /// The status that the client got.
@@ -190,12 +191,11 @@
     ) -> Self {
         let PreparedRequest { facts, route, service, organisation, mark, quota_cost, revision } =
             prepared;
-        let spent = traffic.now().since(request.arrived);
         let allowed = facts.deadline.unwrap_or(route.timeout).min(route.timeout);
         Self {
             traffic,
             client,
-            until: Instant::now() + allowed.saturating_sub(spent),
+            deadline: RequestDeadline::new(&traffic.shared.clock, request.arrived, allowed),
             request,
             facts,
             route,
@@ -338,7 +338,7 @@
 
     /// Returns whether the request may be sent once more as far as its own bounds go.
     pub fn sends_are_left(&self) -> bool {
-        self.sends < MOST_SENDS && Instant::now() + REPEAT_PAUSE < self.until
+        self.sends < MOST_SENDS && self.deadline.remaining() > REPEAT_PAUSE
     }
 
     /// Takes one further send from the budgets that bound them.
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -1,6 +1,6 @@
 //! Passing an engine's answer on to the client, whole or event by event.
 
-use std::{sync::Arc, time::Duration};
+use std::{io::ErrorKind, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use reelreel_core::{
@@ -76,7 +76,7 @@
             () = self.client.closed(SENT_AHEAD) => {
                 Err(SendEnd::Over(ExchangeEnd::Reset, "client_gone"))
             }
-            () = tokio::time::sleep_until(self.until + STREAM_SLACK) => Err(SendEnd::TimeOver),
+            () = self.deadline.clone().over(STREAM_SLACK) => Err(SendEnd::TimeOver),
         }
     }
 
@@ -122,8 +122,11 @@
 
     /// Writes to the client, for no longer than the request's time.
     async fn write_client(&mut self, bytes: &[u8]) -> std::io::Result<()> {
-        let limit = self.until + STREAM_SLACK;
-        tokio::time::timeout_at(limit, self.client.write(bytes)).await?
+        tokio::select! {
+            biased;
+            written = self.client.write(bytes) => written,
+            () = self.deadline.clone().over(STREAM_SLACK) => Err(ErrorKind::TimedOut.into()),
+        }
     }
 
     fn note_first(&mut self) {
@@ -202,14 +205,13 @@
         progress: &mut StreamProgress,
         began: ClockMillis,
     ) -> PartEnd {
-        let limit = self.until + STREAM_SLACK;
         let mut first = true;
         loop {
             let part = tokio::select! {
                 biased;
                 part = lease.stream.read_body(decoder) => part,
                 () = self.client.closed(SENT_AHEAD) => return PartEnd::ClientGone,
-                () = tokio::time::sleep_until(limit) => return PartEnd::TimeOver,
+                () = self.deadline.clone().over(STREAM_SLACK) => return PartEnd::TimeOver,
             };
             let data = match part {
                 Ok(Some(data)) => data,
@@ -315,7 +317,7 @@
             biased;
             answer = sending => Some(answer),
             () = self.client.closed(SENT_AHEAD) => None,
-            () = tokio::time::sleep_until(self.until) => None,
+            () = self.deadline.clone().over(Duration::ZERO) => None,
         };
         match answer {
             Some(Ok(answer)) if answer.head.status == 200 && answer.facts.signed => {
--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use reelreel_core::fleet::{EngineEntry, queued::QueuedRequest};
-use tokio::time::Instant;
 
 use crate::entry::{
     answer::{ENGINE_FAILED, OwnAnswer},
@@ -31,7 +30,7 @@
         let request = QueuedRequest {
             elapsed: self.traffic.now().since(self.request.arrived),
             target: self.route.target,
-            remaining: self.until.saturating_duration_since(Instant::now()),
+            remaining: self.deadline.remaining(),
             ahead: self.traffic.reading_time(&self.service, ahead),
             reading: self.traffic.reading_time(&self.service, self.facts.prompt.tokens()),
             returned: self.is_returned(),
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -6,7 +6,6 @@
     ModelKey, ServiceName,
     cold::{ColdChoice, ColdRequest, LATE_WORTH},
 };
-use tokio::time::Instant;
 
 use crate::entry::{
     TrafficState,
@@ -134,7 +133,7 @@
         ColdRequest {
             elapsed: now.since(self.request.arrived),
             target: self.route.target,
-            remaining: self.until.saturating_duration_since(Instant::now()),
+            remaining: self.deadline.remaining(),
             estimate: due.filter(|due| now.since(*due) < ESTIMATE_GRACE).map(|due| due.since(now)),
             reading: self.traffic.reading_time(&self.service, self.facts.prompt.tokens()),
             longest_pause: self.route.longest_pause,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod profile;
 pub mod store;
 pub mod table;
+pub mod timer;
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -10,7 +10,7 @@
 };
 
 use reelreel_core::{
-    ClockMillis, ClockSource, MonotonicClock,
+    ClockMillis, ClockSource,
     fleet::{
         ServiceName,
         quarantine::{ENDS_UNTIL_HELD, QuarantineBook},
@@ -47,7 +47,7 @@
     /// What is spoken at its borders.
     pub dialects: BorderDialects,
     /// The machine's clock.
-    pub clock: MonotonicClock,
+    pub clock: Arc<dyn ClockSource>,
     /// What the control thread believes.
     pub table: watch::Sender<Arc<ServingTable>>,
     /// Whether a planned stop has begun.
@@ -72,14 +72,19 @@
 
 impl SharedState {
     /// Starts with nothing known.
-    pub fn new(profile: MachineProfile, dialects: BorderDialects, events: EventLog) -> Self {
+    pub fn new(
+        profile: MachineProfile,
+        dialects: BorderDialects,
+        events: EventLog,
+        clock: Arc<dyn ClockSource>,
+    ) -> Self {
         let quotas =
             if profile.first_start { QuotaShare::unspent() } else { QuotaShare::default() };
         let quarantine = QuarantineBook::new(&profile.name, ENDS_UNTIL_HELD);
         Self {
             profile,
             dialects,
-            clock: MonotonicClock::new(),
+            clock,
             table: watch::Sender::new(Arc::default()),
             stopping: watch::Sender::new(false),
             events,
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -1,12 +1,9 @@
 //! Connects to the placers of other machines, and to any machine while the store can not be read.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use reelreel_core::{
-    ClockSource,
-    fleet::{ServiceName, freshness::PeerClock},
-};
-use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle, time::Instant};
+use reelreel_core::fleet::{ServiceName, freshness::PeerClock};
+use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle};
 
 use crate::{
     control::{SharedControl, domain::PEER_QUEUE},
@@ -14,6 +11,7 @@
         PeerStream,
         frame::{AskFrame, DemandFrame, EncodedFrame, FrameBody},
     },
+    timer::reached,
 };
 
 /// How long a placer may be silent: as long as its lease lives, and four times as long as it lets pass between two words.
@@ -75,19 +73,20 @@
     if !greet(&state, &service, &sender) {
         return;
     }
-    let mut heard = Instant::now();
+    let clock = Arc::clone(&state.borrow().shared().clock);
+    let mut heard = clock.now();
     loop {
         let alive = tokio::select! {
             received = stream.receive() => match received.and_then(|frame| frame.body) {
                 Some(FrameBody::Plan(plan)) => {
                     state.borrow_mut().peer_plan(&plan);
-                    heard = Instant::now();
+                    heard = clock.now();
                     true
                 }
                 Some(_) => true,
                 None => false,
             },
-            () = tokio::time::sleep_until(heard + PLACER_SILENCE) => false,
+            () = reached(&*clock, heard + PLACER_SILENCE) => false,
             frame = frames.recv() => match frame {
                 Some(frame) => stream.send(frame).await.is_ok(),
                 None => false,
--- a/crates/gateway/src/peers/feed.rs
+++ b/crates/gateway/src/peers/feed.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use reelreel_core::{ClockMillis, ClockSource, fleet::freshness::PeerClock};
+use reelreel_core::{ClockMillis, fleet::freshness::PeerClock};
 use tokio::time::timeout;
 
 use crate::{
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -1,8 +1,8 @@
 //! Keeps up with a keyed topic: read whole at the start, then followed record by record.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use reelreel_core::{ClockMillis, ClockSource, MonotonicClock};
+use reelreel_core::{ClockMillis, ClockSource};
 use tokio::sync::watch;
 
 use crate::{
@@ -56,7 +56,7 @@
     /// How long the store holds a call for which there is no record yet.
     pub wait: Duration,
     /// Tells when the store was asked.
-    pub clock: MonotonicClock,
+    pub clock: Arc<dyn ClockSource>,
     /// The longest pause between calls that fail, at the moment.
     pub longest_pause: Box<dyn Fn() -> Duration>,
 }
--- a/crates/gateway/src/store/membership.rs
+++ b/crates/gateway/src/store/membership.rs
@@ -1,8 +1,8 @@
 //! This machine's membership in the group to which the store deals the placement leases.
 
-use std::{collections::HashMap, fmt, net::SocketAddr, str::FromStr, time::Duration};
+use std::{collections::HashMap, fmt, net::SocketAddr, str::FromStr, sync::Arc, time::Duration};
 
-use reelreel_core::{ClockMillis, ClockSource, MonotonicClock, id::FenceToken};
+use reelreel_core::{ClockMillis, ClockSource, id::FenceToken};
 
 use crate::{
     border::GroupShare,
@@ -116,7 +116,7 @@
     client: &mut StoreClient,
     member: GroupMember,
     time_to_live: Duration,
-    clock: MonotonicClock,
+    clock: Arc<dyn ClockSource>,
     mut backoff: Backoff,
     unneeded: impl Fn() -> bool,
     sink: impl Fn(MembershipUpdate),
--- a/crates/gateway/tests/machine/main.rs
+++ b/crates/gateway/tests/machine/main.rs
@@ -17,4 +17,5 @@
 mod stopping;
 mod store;
 mod streams;
+mod suspended;
 mod system_fields;
--- a/crates/gateway/tests/machine/site.rs
+++ b/crates/gateway/tests/machine/site.rs
@@ -13,6 +13,7 @@
 };
 
 use reelreel_core::{
+    ClockSource, MonotonicClock,
     fleet::{
         retry_share::RetryAllowance,
         routes::{
@@ -52,6 +53,20 @@
     capacity: MachineCapacity,
     revocation: Option<Duration>,
     store: SocketAddr,
+    clock: Arc<dyn ClockSource>,
+}
+
+impl TestProfile {
+    /// A strong host with a clock of its own.
+    fn new(store: SocketAddr) -> Self {
+        Self {
+            seeds: Vec::new(),
+            capacity: MachineCapacity { processor: 0.25, bandwidth: 1000.0 },
+            revocation: None,
+            store,
+            clock: Arc::new(MonotonicClock::new()),
+        }
+    }
 }
 
 /// The stand-ins of one test.
@@ -186,16 +201,29 @@
         seeds: Vec<SocketAddr>,
         capacity: MachineCapacity,
     ) -> TestMachine {
-        let store = self.store.address;
-        TestMachine::start(name, TestProfile { seeds, capacity, revocation: None, store })
+        let profile = TestProfile { seeds, capacity, ..TestProfile::new(self.store.address) };
+        TestMachine::start(name, profile)
     }
 
     /// Starts a machine that must not serve a withdrawn key for longer than `bound`; waits until it is ready.
     pub(crate) fn strict_machine(&self, name: &str, bound: Duration, strong: bool) -> TestMachine {
         let processor = if strong { 0.25 } else { 0.1 };
         let capacity = MachineCapacity { processor, bandwidth: 1000.0 };
-        let (seeds, store) = (Vec::new(), self.store.address);
-        let profile = TestProfile { seeds, capacity, revocation: Some(bound), store };
+        let revocation = Some(bound);
+        let profile = TestProfile { capacity, revocation, ..TestProfile::new(self.store.address) };
+        let machine = TestMachine::start(name, profile);
+        machine.wait_ready();
+        machine
+    }
+
+    /// Starts a machine with a clock that a test moves on; waits until it is ready.
+    pub(crate) fn machine_by(
+        &self,
+        name: &str,
+        clock: Arc<dyn ClockSource>,
+        revocation: Option<Duration>,
+    ) -> TestMachine {
+        let profile = TestProfile { revocation, clock, ..TestProfile::new(self.store.address) };
         let machine = TestMachine::start(name, profile);
         machine.wait_ready();
         machine
@@ -226,16 +254,13 @@
 impl TestMachine {
     /// Starts a strong host that reaches the store at an address; waits until it is ready.
     pub(crate) fn start_at(name: &str, store: SocketAddr) -> Self {
-        let capacity = MachineCapacity { processor: 0.25, bandwidth: 1000.0 };
-        let seeds = Vec::new();
-        let profile = TestProfile { seeds, capacity, revocation: None, store };
-        let machine = Self::start(name, profile);
+        let machine = Self::start(name, TestProfile::new(store));
         machine.wait_ready();
         machine
     }
 
     fn start(name: &str, profile: TestProfile) -> Self {
-        let TestProfile { seeds, capacity, revocation, store } = profile;
+        let TestProfile { seeds, capacity, revocation, store, clock } = profile;
         let known = HashMap::from([
             (1, Arc::new(routes(1, false))),
             (2, Arc::new(routes(2, true))),
@@ -277,7 +302,7 @@
         };
         let (clients, readiness) = (profile.clients, profile.readiness);
         let events = EventLog::start(Arc::from(name)).expect("a thread for log lines");
-        let shared = Arc::new(SharedState::new(profile, dialects(Arc::new(known)), events));
+        let shared = Arc::new(SharedState::new(profile, dialects(Arc::new(known)), events, clock));
         let run = Arc::clone(&shared);
         let thread = thread::spawn(move || run_machine(&run).expect("the machine runs"));
         Self { shared, clients, readiness, thread: Some(thread) }
--- a/crates/gateway/tests/suspect_lines.rs
+++ b/crates/gateway/tests/suspect_lines.rs
@@ -62,8 +62,8 @@
 fn a_word_takes_less_than_a_hundred_bytes() {
     let end = ToldEnd {
         life: u64::MAX,
-        began_ago: Duration::from_secs(900),
-        ended_ago: Duration::from_secs(900),
+        began_ago: Duration::from_mins(15),
+        ended_ago: Duration::from_mins(15),
     };
     let word = SuspectWord {
         mark: RequestMark::MAX,
@@ -71,7 +71,7 @@
         version: 4,
         ends: vec![end; 3],
         cleared_ago: None,
-        tried_ago: Some(Duration::from_secs(900)),
+        tried_ago: Some(Duration::from_mins(15)),
     };
     let bytes = write_suspects(&[word])[0].encoded_len();
     assert!(bytes < 100, "{bytes} bytes");
