--- a/crates/cli/src/logs/cause.rs
+++ b/crates/cli/src/logs/cause.rs
@@ -1,6 +1,6 @@
 //! Why a request ended as it did, from its own line and from the lines around it.
 
-use std::fmt;
+use std::{collections::BTreeSet, fmt};
 
 use reelreel_gateway::events::{MachineEvent, RequestEvent};
 
@@ -12,6 +12,10 @@
 /// How long before a request something may have happened that explains it. Unit: milliseconds.
 const BEFORE: u64 = 5000;
 
+/// How long after a request another one may be held back under which its engine ended: that takes one engine more. Unit:
+/// milliseconds.
+const HELD_AFTER: u64 = 60_000;
+
 /// What a request's line says.
 #[derive(Debug, Clone)]
 pub(super) struct RequestLine {
@@ -74,6 +78,12 @@
     EnginesRefused,
     /// No engine took work, or none could be reached.
     NoEngine,
+    /// It is held back: engines ended while they ran it.
+    HeldBack,
+    /// Its engine ended while it ran this request, which is held back since.
+    EndedUnder,
+    /// Its engine ended while it ran another request, which is held back since.
+    EndedBeside,
     /// Its engine went away.
     EngineGone,
     /// Its engine fell silent or broke off, and stayed listed.
@@ -110,6 +120,9 @@
             Self::QueueTooLong => "its engines had too much to read before it",
             Self::EnginesRefused => "its engines were full or not ready",
             Self::NoEngine => "no engine could be reached",
+            Self::HeldBack => "held back: engines ended while they ran it",
+            Self::EndedUnder => "its engine ended under it, as others did",
+            Self::EndedBeside => "its engine ended under another request that is held back since",
             Self::EngineGone => "its engine went away",
             Self::EngineBrokeOff => "its engine broke off and stayed listed",
             Self::EngineError => "its engine answered with an error",
@@ -136,8 +149,8 @@
             "queue_too_long" => Self::QueueTooLong,
             "not_run" => Self::EnginesRefused,
             "no_engine" | "unreachable" => Self::NoEngine,
-            "engine_failed" | "stream_broken" if engine_went(request, logs) => Self::EngineGone,
-            "engine_failed" | "stream_broken" => Self::EngineBrokeOff,
+            "held_back" => Self::HeldBack,
+            "engine_failed" | "stream_broken" => Self::of_failure(request, logs),
             "engine_error" => Self::EngineError,
             "time_over" => Self::TimeOver,
             "client_gone" if request.event.first > 0 || request.event.status > 0 => {
@@ -149,6 +162,21 @@
         }
     }
 
+    fn of_failure(request: &RequestLine, logs: &MachineLogs) -> Self {
+        let marks = marks_at_the_end(request, logs);
+        let held = held_marks(request, logs);
+        if request.event.mark.as_ref().is_some_and(|own| held.contains(own)) {
+            return Self::EndedUnder;
+        }
+        if marks.iter().any(|mark| held.contains(mark)) {
+            return Self::EndedBeside;
+        }
+        if !marks.is_empty() || engine_went(request, logs) {
+            return Self::EngineGone;
+        }
+        Self::EngineBrokeOff
+    }
+
     fn of_lateness(event: &RequestEvent) -> Self {
         let at_engine = event.first.saturating_sub(event.sent);
         if event.pause > at_engine.max(event.waited) {
@@ -183,6 +211,30 @@
     }
 }
 
+/// Returns the marks of the requests that ran at the request's engine when it ended, as any host saw it.
+fn marks_at_the_end(request: &RequestLine, logs: &MachineLogs) -> BTreeSet<String> {
+    let (from, until) = request.span();
+    let ends = logs.between(from, until).iter().filter_map(|line| match &line.event {
+        MachineEvent::EngineEnded { engine, marks, .. }
+            if Some(engine) == request.event.engine.as_ref() =>
+        {
+            Some(marks)
+        }
+        _ => None,
+    });
+    ends.flatten().cloned().collect()
+}
+
+/// Returns the marks that were held back by some time after the request.
+fn held_marks(request: &RequestLine, logs: &MachineLogs) -> BTreeSet<String> {
+    let held = logs.between(0, request.at + HELD_AFTER).iter();
+    let held = held.filter_map(|line| match &line.event {
+        MachineEvent::RequestHeld { mark, .. } => Some(mark.clone()),
+        _ => None,
+    });
+    held.collect()
+}
+
 fn engine_went(request: &RequestLine, logs: &MachineLogs) -> bool {
     let (from, until) = request.span();
     logs.between(from, until).iter().any(|line| match &line.event {
--- a/crates/cli/src/logs/explain.rs
+++ b/crates/cli/src/logs/explain.rs
@@ -77,6 +77,8 @@
         MachineEvent::Order { key, .. } => Some(key) == request.event.key.as_ref(),
         MachineEvent::EngineJoined { engine, .. }
         | MachineEvent::EngineLeaving { engine }
+        | MachineEvent::EngineReborn { engine, .. }
+        | MachineEvent::EngineEnded { engine, .. }
         | MachineEvent::EngineGone { engine } => {
             own_machine && Some(engine) == request.event.engine.as_ref()
         }
--- a/crates/cli/tests/logs/main.rs
+++ b/crates/cli/tests/logs/main.rs
@@ -66,6 +66,38 @@
         around: &[],
         cause: "served late, sent more than once",
     },
+    CauseCase {
+        name: "held-back",
+        request: r#""outcome":"held_back","status":503,"mark":"aa11","sends":0,"waited":0,"first":0,"total":1"#,
+        around: &[],
+        cause: "held back: engines ended while they ran it",
+    },
+    CauseCase {
+        name: "ended-under",
+        request: r#""outcome":"engine_failed","status":502,"mark":"aa11","engine":"e1","sends":1,"waited":0,"first":0,"total":90"#,
+        around: &[
+            r#"{"at":10001,"machine":"one","event":"engine_ended","engine":"e1","runs":2,"marks":["aa11","bb22"]}"#,
+            r#"{"at":11500,"machine":"two","event":"request_held","mark":"aa11","ends":2,"millis":5000}"#,
+        ],
+        cause: "its engine ended under it, as others did",
+    },
+    CauseCase {
+        name: "ended-beside",
+        request: r#""outcome":"stream_broken","status":200,"mark":"bb22","engine":"e1","sends":1,"waited":0,"first":40,"total":900"#,
+        around: &[
+            r#"{"at":10001,"machine":"two","event":"engine_ended","engine":"e1","runs":1,"marks":["aa11"]}"#,
+            r#"{"at":11500,"machine":"two","event":"request_held","mark":"aa11","ends":2,"millis":5000}"#,
+        ],
+        cause: "its engine ended under another request that is held back since",
+    },
+    CauseCase {
+        name: "ended-for-nobody",
+        request: r#""outcome":"stream_broken","status":200,"mark":"bb22","engine":"e1","sends":1,"waited":0,"first":40,"total":900"#,
+        around: &[
+            r#"{"at":10001,"machine":"one","event":"engine_ended","engine":"e1","runs":1,"marks":["bb22"]}"#,
+        ],
+        cause: "its engine went away",
+    },
     CauseCase {
         name: "loaded-late",
         request: r#""outcome":"adapter_absent","status":503,"key":"m/a1","sends":0,"waited":6,"first":0,"total":7"#,
