--- a/crates/core/src/placement/inventory.rs
+++ b/crates/core/src/placement/inventory.rs
@@ -216,6 +216,7 @@
     }
 
     /// Starts with the next life of the same engine; `outstanding` are orders to the life before that have no answer yet.
+    #[must_use]
     pub fn next_life<'order>(
         &self,
         entry: Arc<EngineEntry>,
