--- a/crates/core/tests/placement/faults.rs
+++ b/crates/core/tests/placement/faults.rs
@@ -14,7 +14,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(0x0f41_7e5), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(0x00f4_17e5), ..ProptestConfig::default() })]
 
     /// Whatever becomes of orders and engines, no engine is ordered beyond its places, and once
     /// all is calm what is waited for is there.
