fix(core): a request that runs whole elsewhere is not held back for ends of engines

Found by reading: the whole runs of a request that many callers send, at hosts which saw no end, counted for nothing, so that two plain servers which end one after the other at two hosts would have held such a request back for some seconds; and a clearing was told to all only by the host that had told the ends. A request that may be sent again waits 50 ms at most to know whether its engine ended. Two tests, which say what happened before.

--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -11,6 +11,7 @@
 mod hold;
 pub mod mark;
 mod suspect;
+mod whole_runs;
 mod word;
 
 pub use book::{ENDS_UNTIL_HELD, EndedRun, QuarantineBook, QuarantineNews};
--- a/crates/core/src/fleet/quarantine/book.rs
+++ b/crates/core/src/fleet/quarantine/book.rs
@@ -15,6 +15,7 @@
             EngineLife, RequestMark,
             hold::{Hold, KEPT},
             suspect::{Suspect, SuspectEnd},
+            whole_runs::WholeRuns,
             word::SuspectWord,
         },
     },
@@ -76,6 +77,8 @@
     /// Tells this host from others.
     host: u64,
     suspects: HashMap<RequestMark, Suspect>,
+    /// What ran whole at this host lately.
+    whole_runs: WholeRuns,
     /// What the host that adds everything up was not told yet.
     untold: BTreeSet<RequestMark>,
     /// What all other hosts were not told yet, where this one adds everything up.
@@ -90,6 +93,7 @@
             ends_until_held,
             host: xxh3_64(host.as_bytes()),
             suspects: HashMap::new(),
+            whole_runs: WholeRuns::default(),
             untold: BTreeSet::new(),
             unspread: BTreeSet::new(),
             news: Vec::new(),
@@ -133,9 +137,9 @@
 
     /// Takes that an engine ran a request to its end and lives: whatever ended before did not end of this request.
     pub fn ran_whole(&mut self, mark: RequestMark, now: ClockMillis) {
+        self.whole_runs.note(mark, now);
         if self.is_suspect(mark) {
             self.clear(mark, now);
-            self.untold.insert(mark);
         }
     }
 
@@ -149,7 +153,7 @@
             suspect.organisation = suspect.organisation.take().or_else(|| run.organisation.clone());
             if suspect.add(end) {
                 self.untold.insert(run.mark);
-                self.note_held(run.mark, before, now);
+                self.count_ends(run.mark, before, now);
             }
         }
         self.forget_beyond_bound();
@@ -164,7 +168,8 @@
             if suspect.ends() == 0 && before >= self.ends_until_held {
                 self.news.push(QuarantineNews::Cleared { mark: word.mark });
             }
-            self.note_held(word.mark, before, now);
+            self.clear_by_own_run(word.mark);
+            self.count_ends(word.mark, before, now);
             if changed && adds_up {
                 self.unspread.insert(word.mark);
             }
@@ -197,12 +202,7 @@
     /// Takes what all other hosts are to be told now: what concerns them all, and what they were told before.
     pub fn take_unspread(&mut self, now: ClockMillis) -> Vec<SuspectWord> {
         let mut marks = take_some(&mut self.unspread);
-        marks.retain(|mark| self.concerns_all(*mark));
-        for mark in &marks {
-            if let Some(suspect) = self.suspects.get_mut(mark) {
-                suspect.spread = true;
-            }
-        }
+        marks.retain(|mark| self.suspects.get(mark).is_some_and(|suspect| suspect.spread));
         self.words(&marks, now)
     }
 
@@ -244,25 +244,33 @@
         Hold::after(suspect.ends(), self.ends_until_held)
     }
 
-    fn concerns_all(&self, mark: RequestMark) -> bool {
-        let suspect = self.suspects.get(&mark);
-        suspect.is_some_and(|suspect| suspect.spread || suspect.ends() >= ENDS_UNTIL_TOLD)
-    }
-
-    fn clear(&mut self, mark: RequestMark, now: ClockMillis) {
+    /// Takes that a request ran whole at a moment: the ends before are not its doing, and others hear of it.
+    fn clear(&mut self, mark: RequestMark, at: ClockMillis) {
         let before = self.ends(mark);
-        if let Some(suspect) = self.suspects.get_mut(&mark) {
-            suspect.clear(now);
-        }
-        if before >= self.ends_until_held {
+        let Some(suspect) = self.suspects.get_mut(&mark) else { return };
+        suspect.clear(at);
+        self.untold.insert(mark);
+        if before >= self.ends_until_held && suspect.ends() < self.ends_until_held {
             self.news.push(QuarantineNews::Cleared { mark });
         }
     }
 
-    /// Notes that a suspect is held back that was not, or for longer than before.
-    fn note_held(&mut self, mark: RequestMark, before: usize, now: ClockMillis) {
-        let Some(suspect) = self.suspects.get(&mark) else { return };
+    /// Clears a request that ran whole here before this host heard of its ends.
+    fn clear_by_own_run(&mut self, mark: RequestMark) {
+        let Some(at) = self.whole_runs.newest(mark) else { return };
+        let older = self.suspects.get(&mark).is_some_and(|suspect| suspect.ended_by(at));
+        if older {
+            self.clear(mark, at);
+        }
+    }
+
+    /// Takes that engines ended under a suspect that was known with `before` ends.
+    fn count_ends(&mut self, mark: RequestMark, before: usize, now: ClockMillis) {
+        let Some(suspect) = self.suspects.get_mut(&mark) else { return };
         let ends = suspect.ends();
+        // Whoever adds up next has to tell all that it is cleared, as they were told of the ends.
+        suspect.spread |= ends >= ENDS_UNTIL_TOLD;
+        let Some(suspect) = self.suspects.get(&mark) else { return };
         if ends > before
             && let Some(hold) = self.hold(suspect)
         {
--- a/crates/core/src/fleet/quarantine/suspect.rs
+++ b/crates/core/src/fleet/quarantine/suspect.rs
@@ -59,7 +59,7 @@
     pub(super) version: WeightVersion,
     /// Who sends it, where keys tell.
     pub(super) organisation: Option<OrganisationName>,
-    /// Whether all hosts were told of it.
+    /// Whether all hosts were told of it, by whichever host.
     pub(super) spread: bool,
 }
 
@@ -106,6 +106,11 @@
         true
     }
 
+    /// Returns whether any of the ends came before a moment.
+    pub(super) fn ended_by(&self, moment: ClockMillis) -> bool {
+        self.ends.first().is_some_and(|end| end.at <= moment)
+    }
+
     /// Takes that it ran whole.
     pub(super) fn clear(&mut self, at: ClockMillis) {
         let cleared = self.cleared.map_or(at, |cleared| cleared.max(at));
--- a/crates/core/tests/quarantine/book.rs
+++ b/crates/core/tests/quarantine/book.rs
@@ -206,6 +206,44 @@
     assert_eq!(late.take_news(), [QuarantineNews::Cleared { mark: BAD }]);
 }
 
+/// A request that many callers send breaks off at the hosts that had it at engines which ended, and runs whole at all others:
+/// these know of no end until they hear of two, and say at once that it is not the one.
+#[test]
+fn a_common_request_is_cleared_by_hosts_that_saw_no_end() {
+    let (mut one, mut two, mut adding, mut other) =
+        (book("one"), book("two"), book("adding"), book("other"));
+    one.engine_ended(engine_life("a", 0), &[run(BAD, 0)], at(50));
+    other.ran_whole(BAD, at(500));
+    two.engine_ended(engine_life("b", 0), &[run(BAD, 600)], at(900));
+    for host in [&mut one, &mut two] {
+        adding.heard(&host.take_untold(at(1000)), true, at(1000));
+    }
+    told_through(&mut adding, &mut other, at(1000));
+    assert_eq!(other.held(BAD, 1, at(1001)), None);
+    adding.heard(&other.take_untold(at(1010)), true, at(1010));
+    assert_eq!(adding.held(BAD, 1, at(1010)), None, "one end is left");
+    told_through(&mut adding, &mut one, at(1020));
+    assert_eq!(one.held(BAD, 1, at(1020)), None);
+}
+
+/// Another host adds up by the time the request is cleared: it tells those who were told of the ends by the one before.
+#[test]
+fn a_clearing_is_told_to_all_by_whoever_adds_up_then() {
+    let (mut first, mut next, mut other) = (book("first"), book("next"), book("other"));
+    for (engine, began) in [("a", 0), ("b", 100)] {
+        first.engine_ended(engine_life(engine, 0), &[run(BAD, began)], at(began + 50));
+    }
+    first.spread_own();
+    let words = first.take_unspread(at(200));
+    next.heard(&words, false, at(200));
+    other.heard(&words, false, at(200));
+    assert!(other.held(BAD, 1, at(210)).is_some());
+    next.ran_whole(BAD, at(300));
+    next.spread_own();
+    told_through(&mut next, &mut other, at(310));
+    assert_eq!(other.held(BAD, 1, at(310)), None);
+}
+
 #[test]
 fn a_host_that_has_nobody_to_tell_says_it_all_again_later() {
     let mut host = book("one");
--- a/crates/gateway/src/entry/quarantine.rs
+++ b/crates/gateway/src/entry/quarantine.rs
@@ -15,6 +15,10 @@
     },
 };
 
+/// How long a request that may be sent again waits to know whether its engine ended: a refused connection shows within a
+/// round trip, a few milliseconds between data halls of a region.
+const END_PATIENCE: Duration = Duration::from_millis(50);
+
 impl Exchange<'_> {
     /// Returns for how long the request is held back, if it is.
     pub(super) fn held_back(&self) -> Option<Duration> {
@@ -64,7 +68,8 @@
         let Some(run) = self.run.take() else { return };
         let looked_at = run_broke(self.traffic, entry, run);
         if self.route.kind.may_repeat() && self.has_other_engine() {
-            looked_at.await;
+            // Not known in time is as good as not ended: whoever comes next finds out.
+            let _ = tokio::time::timeout(END_PATIENCE, looked_at).await;
         }
     }
 
