--- a/crates/core/src/fleet/quarantine/book.rs
+++ b/crates/core/src/fleet/quarantine/book.rs
@@ -30,10 +30,11 @@
 /// host that adds them up needs these.
 const ENDS_UNTIL_TOLD: usize = 2;
 
-/// How many suspects a host remembers: some 150 bytes each, so half of a percent of the 64 MB that a host has for control.
+/// How many suspects a host remembers: 360 bytes each with two ends (counted by an allocator), so 1.2% of the 64 MB that a host has
+/// for control.
 const MOST_SUSPECTS: usize = 2048;
 
-/// How many words go into one frame: some 60 bytes each, a quarter of a second of what a host may send for control.
+/// How many words go into one frame: under 100 bytes each, less than half of what a host may send for control in a second.
 pub const MOST_WORDS: usize = 64;
 
 /// What happened to a suspect, for logs and metrics.
--- a/crates/core/src/fleet/quarantine/whole_runs.rs
+++ b/crates/core/src/fleet/quarantine/whole_runs.rs
@@ -10,7 +10,8 @@
 /// How long a whole run is remembered: as long as ends of engines some seconds apart take to be added up, and some.
 const REMEMBERED: Duration = Duration::from_secs(20);
 
-/// How many are remembered: what a host of a fleet of 370 answers in that time at the peak, 81 a second. Some 60 bytes each.
+/// How many are remembered: what a host of a fleet of 370 answers in that time at the peak, 81 a second. 100 bytes each
+/// (counted by an allocator).
 const MOST_REMEMBERED: usize = 2048;
 
 /// When requests ran whole lately.
