fix(gateway): suspects are counted once a second, not at every look of the control thread

Found by reading the diff: the gauges of suspects were set by a pass over all of them at every look, up to 250 a second; with 2,048 of them that is worked out (not measured) at one to two hundredths of a core. They are set where old ones are forgotten. No decision changes.

--- a/crates/gateway/src/control/suspects.rs
+++ b/crates/gateway/src/control/suspects.rs
@@ -22,20 +22,20 @@
 
 impl ControlState {
     /// Returns the service whose placer adds up under which requests engines ended.
-    pub(super) fn adding_service(&self) -> Option<ServiceName> {
+    pub(super) fn suspects_service(&self) -> Option<ServiceName> {
         let services = self.routes.as_ref()?.hosting_services();
         services.map(|service| &service.name).min().map(Arc::clone)
     }
 
     /// Returns whether this host adds up what all hosts say.
     fn adds_up(&self) -> bool {
-        let domain = self.adding_service().and_then(|service| self.domains.get(&service));
+        let domain = self.suspects_service().and_then(|service| self.domains.get(&service));
         domain.is_some_and(|domain| domain.planner.is_some())
     }
 
     /// Tells the host that adds up, or all others where this one does.
     pub(super) fn tell_suspects(&mut self, now: ClockMillis) {
-        let Some(service) = self.adding_service() else { return };
+        let Some(service) = self.suspects_service() else { return };
         let shared = Arc::clone(&self.shared);
         let Some(domain) = self.domains.get_mut(&service) else { return };
         let mut book = shared.quarantine();
@@ -62,7 +62,7 @@
 
     /// Returns what a host that begins to listen to a service's placer is told.
     pub(super) fn suspects_for_all(&self, service: &str, now: ClockMillis) -> Vec<SuspectLine> {
-        let adds_up = self.adding_service().is_some_and(|adding| &*adding == service);
+        let adds_up = self.suspects_service().is_some_and(|summing| &*summing == service);
         if !adds_up {
             return Vec::new();
         }
@@ -71,20 +71,14 @@
 
     /// Makes all suspects be told again where a service's placer is another one now.
     pub fn tell_suspects_again(&self, service: &str) {
-        if self.adding_service().is_some_and(|adding| &*adding == service) {
+        if self.suspects_service().is_some_and(|summing| &*summing == service) {
             self.shared.quarantine().tell_all_again();
         }
     }
 
-    /// Logs and counts what became of suspects.
+    /// Logs what became of suspects.
     pub(super) fn log_suspects(&self) {
-        let mut book = self.shared.quarantine();
-        let news = book.take_news();
-        let (suspects, held) = book.counts();
-        drop(book);
-        let metrics = &self.shared.metrics;
-        metrics.suspects.set(i64::try_from(suspects).unwrap_or(i64::MAX));
-        metrics.held_requests.set(i64::try_from(held).unwrap_or(i64::MAX));
+        let news = self.shared.quarantine().take_news();
         for news in news {
             self.shared.events.write(match news {
                 QuarantineNews::Held { mark, organisation, ends, time } => {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -220,13 +220,24 @@
         }
     }
 
+    /// Forgets suspects that are old, and counts the others.
+    fn count_suspects(&self, now: ClockMillis) {
+        let mut book = self.shared.quarantine();
+        book.forget_old(now);
+        let (suspects, held) = book.counts();
+        drop(book);
+        let metrics = &self.shared.metrics;
+        metrics.suspects.set(i64::try_from(suspects).unwrap_or(i64::MAX));
+        metrics.held_requests.set(i64::try_from(held).unwrap_or(i64::MAX));
+    }
+
     fn clean(&self) {
         let (table, now) = (self.table(), self.now());
         let listed =
             |engine: &str| table.engines.values().flatten().any(|entry| &*entry.name == engine);
         self.pool.borrow_mut().clean(listed, now);
         self.absences.borrow_mut().retain(|_, said| now.since(*said) < ABSENCE_HOLDS);
-        self.shared.quarantine().forget_old(now);
+        self.count_suspects(now);
         let allowance = &self.shared.profile.bounds.retries;
         for share in self.retries.borrow_mut().values_mut() {
             share.forget_old(allowance, now);
