feat(gateway): logs tell the era of the store, and how far a topic was known before it was read whole

Cause: whether a change was missed since its offset was taken for an old one, or since reading went on behind it, could not be told from logs; no line said from which offset a host reads, or that the store came back from a copy. Every answer of the store carries its era. Change: the era is decoded in one place, heard from every answer, logged (store_era: from, to, who told, age of the configuration) and shown as reelreel_store_era; topic_read says where a whole reading ends and how far the topic was known. No decision changes.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -40,6 +40,9 @@
 /// A position in a stream of the platform's log.
 pub type LogOffset = u64;
 
+/// Counts how often the platform's store has come back from an older copy of itself; zero where it does not say.
+pub type StoreEra = u64;
+
 /// Bits of a fence token that hold the host, so that two hosts never order with one token.
 const TOKEN_HOST_BITS: u32 = 24;
 
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use reelreel_core::{
     fleet::{EngineEntry, ModelKey, WeightVersion, prompt::PromptFacts, routes::RouteTable},
-    id::FenceToken,
+    id::{FenceToken, StoreEra},
     organisation::key::PresentedKey,
     placement::{EngineReport, OrderAnswer, PlannedOrder},
 };
@@ -214,6 +214,9 @@
 
 /// Translates between the machine and the platform's store.
 pub trait StoreDialect: Send + Sync {
+    /// Reads the era of the store that every answer of it carries, refusals too; zero where it carries none.
+    fn era(&self, answer: &CallAnswer) -> StoreEra;
+
     /// Writes a call for a page of the newest records of a topic.
     fn newest(&self, topic: KeyedTopic, after: Option<&str>) -> CallRequest;
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -2,6 +2,7 @@
 
 pub mod domain;
 pub mod engine_list;
+pub mod era;
 pub mod feed;
 pub mod freshness;
 pub mod host_count;
@@ -106,7 +107,7 @@
     tasks[2].abort();
     state.borrow_mut().leave_group();
     state.borrow_mut().stop_reading();
-    let mut client = store_client(shared);
+    let mut client = store_client(&state);
     if let Err(error) = leave(&mut client, own_member(shared)).await {
         log::debug!("leave: {error}");
     }
@@ -116,9 +117,12 @@
     }
 }
 
-fn store_client(shared: &SharedState) -> StoreClient {
+fn store_client(state: &SharedControl) -> StoreClient {
+    let state = state.borrow();
+    let shared = state.shared();
     let calls = shared.metrics.store_calls.clone();
-    StoreClient::new(Arc::clone(&shared.dialects.store), shared.profile.store, calls)
+    let dialect = Arc::clone(&shared.dialects.store);
+    StoreClient::new(dialect, shared.profile.store, calls, state.eras().clone())
 }
 
 fn backoff(shared: &SharedState, salt: u64) -> Backoff {
@@ -127,7 +131,7 @@
 
 async fn follow_configuration(state: SharedControl) {
     let shared = Arc::clone(state.borrow().shared());
-    let client = store_client(&shared);
+    let client = store_client(&state);
     let bounds = &shared.profile.bounds;
     let bound = bounds.revocation;
     let wait = read_wait(bounds.configuration_apply);
@@ -162,7 +166,7 @@
 
 async fn follow_engines(state: SharedControl) {
     let shared = Arc::clone(state.borrow().shared());
-    let client = store_client(&shared);
+    let client = store_client(&state);
     let sink = |update| state.borrow_mut().engines_updated(update);
     let gate = state.borrow().following();
     let terms = FollowTerms {
--- a/crates/gateway/src/control/engine_list.rs
+++ b/crates/gateway/src/control/engine_list.rs
@@ -15,7 +15,8 @@
 impl ControlState {
     /// Takes what was read of the engines' entries.
     pub fn engines_updated(&mut self, update: TopicUpdate) {
-        self.engine_records.note_reachability(&self.shared, "engines", &update);
+        self.note_era();
+        self.engine_records.note_reading(&self.shared, "engines", &update);
         self.note_health(update != TopicUpdate::Away);
         match update {
             TopicUpdate::Away => return,
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -57,7 +57,7 @@
 /// Is a member of the group whenever the group needs this machine, for ever.
 pub async fn keep_membership(state: SharedControl) {
     let shared = Arc::clone(state.borrow().shared());
-    let mut client = store_client(&shared);
+    let mut client = store_client(&state);
     let returns = state.borrow().store_returns();
     let mut pause = StorePause::woken(backoff(&shared, 0x4444), returns);
     let mut spread = backoff(&shared, 0x5555);
--- a/crates/gateway/src/control/mirror.rs
+++ b/crates/gateway/src/control/mirror.rs
@@ -60,13 +60,13 @@
 }
 
 impl<Value> TopicMirror<Value> {
-    /// Counts and logs when the store is lost or regained.
-    pub fn note_reachability(
-        &mut self,
-        shared: &SharedState,
-        what: &'static str,
-        update: &TopicUpdate,
-    ) {
+    /// Counts and logs when the store is lost or regained, and how far a whole reading went beside what was known.
+    pub fn note_reading(&mut self, shared: &SharedState, what: &'static str, update: &TopicUpdate) {
+        if let TopicUpdate::Whole { records, end, .. } = update {
+            let (records, known) = (records.len(), self.end);
+            let event = MachineEvent::TopicRead { what: what.into(), records, end: *end, known };
+            shared.events.write(event);
+        }
         let away = *update == TopicUpdate::Away;
         if away {
             shared.metrics.store_failures.inc();
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -16,6 +16,7 @@
         freshness::{ConfigurationFreshness, PeerClock},
         routes::RouteTable,
     },
+    id::StoreEra,
     placement::{LeaseRules, PlacementPlanner},
 };
 
@@ -33,6 +34,7 @@
     peers::frame::{OwnerLine, RecordLine, StateFrame},
     store::{
         StoreReturns,
+        eras::StoreEras,
         follow::TopicUpdate,
         health::StoreHealth,
         membership::{GroupMember, MembershipUpdate},
@@ -55,6 +57,9 @@
     /// Until when this machine reads the store for others, as far as the group goes.
     pub(super) reads_until: ClockMillis,
     pub(super) health: StoreHealth,
+    pub(super) eras: StoreEras,
+    /// The era of the store that was last taken into account.
+    pub(super) noted_era: StoreEra,
     pub(super) feed: FeedSource,
     pub(super) following: watch::Sender<bool>,
     /// Counts how often the store has answered again after a failure.
@@ -91,6 +96,8 @@
             owners: HashMap::new(),
             reads_until: ClockMillis::default(),
             health: StoreHealth::default(),
+            eras: StoreEras::default(),
+            noted_era: 0,
             feed: FeedSource::default(),
             following: watch::Sender::new(false),
             store_returns: watch::Sender::new(0),
@@ -130,7 +137,8 @@
 
     /// Takes what was read of the configuration.
     pub fn configuration_updated(&mut self, update: TopicUpdate) {
-        self.configuration.note_reachability(&self.shared, "configuration", &update);
+        self.note_era();
+        self.configuration.note_reading(&self.shared, "configuration", &update);
         self.note_health(update != TopicUpdate::Away);
         let (records, asked) = match update {
             TopicUpdate::Whole { records, asked, .. } => (records, Some(asked)),
@@ -229,6 +237,7 @@
 
     /// Takes what was learned of the group.
     pub fn membership_updated(&mut self, update: MembershipUpdate) {
+        self.note_era();
         let now = self.shared.clock.now();
         match update {
             MembershipUpdate::Joined { share, sent } => {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -73,6 +73,29 @@
         /// What was read.
         what: Cow<'static, str>,
     },
+    /// The store has come back from an older copy of itself: what it took since is gone, and its offsets are given out again.
+    StoreEra {
+        /// The era before.
+        from: u64,
+        /// The era that it tells now.
+        to: u64,
+        /// Who told this host: the store, or a peer's address.
+        teller: Cow<'static, str>,
+        /// How long ago the configuration was known to be the newest. Unit: milliseconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        age: Option<u64>,
+    },
+    /// A topic of the store was read whole.
+    TopicRead {
+        /// What was read.
+        what: Cow<'static, str>,
+        /// How many keys it has.
+        records: usize,
+        /// Where it ends.
+        end: u64,
+        /// How far it was known before; beyond its end where records are gone that this host has seen.
+        known: u64,
+    },
     /// The machine follows another one that reads the store for it.
     Following {
         /// That machine's address for peers.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -78,6 +78,8 @@
     pub store_failures: Counter,
     /// Calls to the store.
     pub store_calls: Counter,
+    /// The newest era of the store that was heard of.
+    pub store_era: Gauge,
     /// Bytes of frames sent to other machines, by kind.
     pub peer_bytes: Family<FrameLabels, Counter>,
     /// Whether another machine reads the store for this one.
@@ -122,6 +124,7 @@
             connects: Counter::default(),
             store_failures: Counter::default(),
             store_calls: Counter::default(),
+            store_era: Gauge::default(),
             peer_bytes: Family::default(),
             following: Gauge::default(),
             hosts: Gauge::default(),
@@ -164,6 +167,9 @@
         let help = "Calls to the store without a useful answer";
         registry.register("store_failures", help, self.store_failures.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        let help =
+            "How often the store has come back from an older copy, as far as this host has heard";
+        registry.register("store_era", help, self.store_era.clone());
         let help = "Bytes of frames sent to other machines by kind";
         registry.register("peer_sent_bytes", help, self.peer_bytes.clone());
         let help = "Whether another machine reads the store for this one";
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,5 +1,6 @@
 //! Following the platform's store: configuration, engines, and the lease of placement domains.
 
+pub mod eras;
 pub mod follow;
 pub mod health;
 pub mod membership;
@@ -12,6 +13,7 @@
 use crate::{
     border::{BorderError, CallAnswer, CallRequest, StoreDialect},
     call::{CallClient, CallError},
+    store::eras::StoreEras,
 };
 
 /// The first pause after a call that failed.
@@ -27,6 +29,9 @@
 /// The longest pause of a task that is woken.
 const LONGEST_WOKEN_PAUSE: Duration = Duration::from_secs(6);
 
+/// How logs name the store where it told of its era itself.
+const STORE_TELLS: &str = "store";
+
 /// Says how often the store has answered again after a failure.
 pub type StoreReturns = watch::Receiver<u32>;
 
@@ -46,12 +51,18 @@
     dialect: Arc<dyn StoreDialect>,
     client: CallClient,
     calls: Counter,
+    eras: StoreEras,
 }
 
 impl StoreClient {
-    /// Starts without a connection; `calls` counts the calls.
-    pub fn new(dialect: Arc<dyn StoreDialect>, address: SocketAddr, calls: Counter) -> Self {
-        Self { dialect, client: CallClient::new(address), calls }
+    /// Starts without a connection; `calls` counts the calls, and `eras` hears the era of each answer.
+    pub fn new(
+        dialect: Arc<dyn StoreDialect>,
+        address: SocketAddr,
+        calls: Counter,
+        eras: StoreEras,
+    ) -> Self {
+        Self { dialect, client: CallClient::new(address), calls, eras }
     }
 
     /// Returns what translates the calls.
@@ -65,7 +76,9 @@
         patience: Duration,
     ) -> Result<CallAnswer, CallError> {
         self.calls.inc();
-        self.client.call(request, patience).await
+        let answer = self.client.call(request, patience).await?;
+        self.eras.hear(self.dialect.era(&answer), STORE_TELLS);
+        Ok(answer)
     }
 }
 
--- a/crates/gateway/tests/machine/dialect.rs
+++ b/crates/gateway/tests/machine/dialect.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use reelreel_core::{
     fleet::{EngineEntry, HeldModel, ModelKey, prompt::PromptFacts, routes::RouteTable},
-    id::FenceToken,
+    id::{FenceToken, StoreEra},
     organisation::key::PresentedKey,
     placement::{EngineReport, OrderAnswer, OrderKind, PlannedOrder},
 };
@@ -29,6 +29,7 @@
 pub(crate) const KEY: &str = "X-Key";
 pub(crate) const ORGANISATION: &str = "X-Organisation";
 pub(crate) const RANK: &str = "X-Rank";
+pub(crate) const ERA: &str = "X-Era";
 pub(crate) const TOKENS: &str = "X-Tokens";
 
 /// The configurations that records name by their revision.
@@ -170,6 +171,11 @@
 }
 
 impl StoreDialect for PlainStore {
+    fn era(&self, answer: &CallAnswer) -> StoreEra {
+        let told = answer.head.fields.text(ERA);
+        told.and_then(|era| era.parse().ok()).unwrap_or_default()
+    }
+
     fn newest(&self, topic: KeyedTopic, after: Option<&str>) -> CallRequest {
         let target = format!("/newest/{}/{}", topic_name(topic), after.unwrap_or_default());
         call("GET", target, &Value::Null)
--- a/crates/gateway/tests/machine/events.rs
+++ b/crates/gateway/tests/machine/events.rs
@@ -52,6 +52,8 @@
         MachineEvent::ConfigurationInForce { revision: 1 },
         MachineEvent::StoreLost { what: "engines".into() },
         MachineEvent::StoreRegained { what: "engines".into() },
+        MachineEvent::StoreEra { from: 3, to: 4, teller: "store".into(), age: Some(2500) },
+        MachineEvent::TopicRead { what: "engines".into(), records: 16, end: 40, known: 61 },
         MachineEvent::Following { reader: String::from("127.0.0.1:1") },
         MachineEvent::ReaderLost { reader: String::from("127.0.0.1:1") },
         MachineEvent::Reading { reads: true, age: Some(20) },
@@ -121,6 +123,8 @@
         | Event::Freshness { .. }
         | Event::StoreLost { .. }
         | Event::StoreRegained { .. }
+        | Event::StoreEra { .. }
+        | Event::TopicRead { .. }
         | Event::Following { .. }
         | Event::ReaderLost { .. }
         | Event::Reading { .. }
