feat(gateway): records, tokens and confirmations are ordered by the store's era before their offsets

Cause: all that a host kept of the store was ordered by offset alone. A store that comes back from an older copy gives offsets out again, so that what was written afterwards counted as older than what had been read before, on every host, until the topic had grown past where it had been; and records below the offset from which a reader went on were never read. Ruled out: a reader that is stale alone (all hosts were behind alike). Change: StorePosition (era, offset), made where answers and frames are decoded, orders records, readings, batches and frames; a bare offset is no longer comparable with one. A new era heard in any answer, or from a peer, has each topic read whole again; an answer of an earlier era is dropped with its connection, and a peer that knows an earlier one confirms nothing. Placers' tokens begin with the era, and a lease held through a fall is a new tenure. A batch says where reading goes on, so that a last record without a key is not read again and again. BorderError::Trimmed(offset) is Gone: nobody used the offset, and a 410 also says that it lies beyond the end.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,7 +4,7 @@
 //! on their own, so that a request needs no permit of an owner. [`routes`] says where a request may
 //! go, [`choice`] which engine it is sent to,
 //! [`cold`] whether it waits for its adapter, [`queued`] whether it joins an engine's queue, [`condition`] what the host's own requests tell about
-//! an engine, [`freshness`] until when keys may be served, [`quarantine`] which requests are held back since engines ended under them, [`reach`] what its connections tell about a data hall, and [`retry_share`] how often it
+//! an engine, [`freshness`] until when keys may be served, [`quarantine`] which requests are held back since engines ended under them, [`reach`] what its connections tell about a data hall, [`relisting`] whether a listing of a store that came back older is believed, and [`retry_share`] how often it
 //! may be sent again.
 
 use std::{net::SocketAddr, sync::Arc};
@@ -19,6 +19,7 @@
 pub mod queued;
 pub mod reach;
 pub mod reading;
+pub mod relisting;
 pub mod retry_share;
 pub mod routes;
 pub mod work;
--- a/crates/core/src/fleet/choice.rs
+++ b/crates/core/src/fleet/choice.rs
@@ -50,10 +50,10 @@
 }
 
 impl NamedVersions {
-    /// Takes that the operator named a version; one that is not newer than the newest changes nothing.
-    pub fn name(&mut self, version: WeightVersion, now: ClockMillis) {
+    /// Takes that the operator named a version; one that is not newer than the newest changes nothing. Returns whether it is.
+    pub fn name(&mut self, version: WeightVersion, now: ClockMillis) -> bool {
         if version <= self.newest() {
-            return;
+            return false;
         }
         if self.named.len() == MOST_VERSIONS {
             // The oldest one's time is kept for the next: what is older than both stays as late as it was.
@@ -61,6 +61,7 @@
             self.named[0].1 = since;
         }
         self.named.push((version, now));
+        true
     }
 
     /// Returns the newest version that was named, zero before the first.
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -43,6 +43,9 @@
 /// Counts how often the platform's store has come back from an older copy of itself; zero where it does not say.
 pub type StoreEra = u64;
 
+/// Counts the changes of the group of hosts within one era of the store.
+pub type GroupGeneration = u64;
+
 /// Bits of a fence token that hold the host, so that two hosts never order with one token.
 const TOKEN_HOST_BITS: u32 = 24;
 
@@ -66,6 +69,26 @@
     if raises == (1 << TOKEN_RAISE_BITS) - 1 { None } else { Some(own + 1) }
 }
 
+/// Bits of a placer's fence token that hold the generation of the group.
+///
+/// 2^32 changes of a group are four hundred years of one every three seconds, and two million eras keep the token a number that
+/// every reader of JSON holds exactly.
+const TOKEN_GENERATION_BITS: u32 = 32;
+
+/// Returns the token of a tenure that the store deals in a generation of its group.
+///
+/// A store that comes back from an older copy counts generations again, so that its era goes before them: otherwise two hosts could
+/// order with one token, or an engine that has seen a higher one would refuse everybody until the count has caught up.
+pub fn generation_token(era: StoreEra, generation: GroupGeneration) -> FenceToken {
+    let most = (1 << TOKEN_GENERATION_BITS) - 1;
+    (era.min(most) << TOKEN_GENERATION_BITS) | generation.min(most)
+}
+
+/// Returns the era of the store that dealt a token.
+pub const fn token_era(token: FenceToken) -> StoreEra {
+    token >> TOKEN_GENERATION_BITS
+}
+
 /// Builds the id of the `counter`-th request of one life of `host`.
 pub const fn request_id(host: HostId, incarnation: Incarnation, counter: u32) -> RequestId {
     ((host as u128) << 96) | ((incarnation as u128) << 32) | counter as u128
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod owner;
 pub mod placement;
 pub mod popularity;
+pub mod position;
 pub mod request;
 pub mod routing;
 pub mod settings;
@@ -32,4 +33,5 @@
 
 pub use clock::{ClockMillis, ClockSource, ManualClock, MonotonicClock};
 pub use node::{NodeConfig, NodeCore, NodeEvent, NodeOrder};
+pub use position::StorePosition;
 pub use request::{CallerOutcome, RefusalKind, RequestRefusal};
--- a/crates/core/src/placement/tenure.rs
+++ b/crates/core/src/placement/tenure.rs
@@ -1,14 +1,15 @@
 //! Whether this host may give orders in a placement domain, and with which token.
 //!
 //! The platform deals each domain's lease to one member of a group. The generation at which a tenure
-//! began is its fencing token: generations only rise, and one generation deals a lease only once.
+//! began is its fencing token: within one era of the store generations only rise, and one generation deals a lease only once.
+//! The era goes before the generation in the token ([`crate::id::generation_token`]).
 
 use std::time::Duration;
 
 use crate::{
     chart::{TenureEvent, TenureState},
     clock::ClockMillis,
-    id::FenceToken,
+    id::{FenceToken, token_era},
 };
 
 /// How much later than its sender expects an order may reach an engine.
@@ -36,6 +37,8 @@
     began: ClockMillis,
     confirmed: ClockMillis,
     detached: bool,
+    /// Whether the present tenure began since the store came back from an older copy.
+    after_fall: bool,
     /// When orders were last given or under way, in any tenure.
     acted: Option<ClockMillis>,
 }
@@ -50,6 +53,7 @@
             began: ClockMillis::default(),
             confirmed: ClockMillis::default(),
             detached: false,
+            after_fall: false,
             acted: None,
         }
     }
@@ -57,29 +61,25 @@
     /// Takes the answer to a join that was sent at `sent`.
     ///
     /// A lease that was listed before and still is may have passed on and come back when the time
-    /// between two joins was longer than it lives, or when an engine has refused its token. Then a
-    /// new tenure begins with the present generation.
-    pub fn joined(
-        &mut self,
-        listed: bool,
-        generation: FenceToken,
-        sent: ClockMillis,
-        now: ClockMillis,
-    ) {
+    /// between two joins was longer than it lives, when an engine has refused its token, or when the store came back from an
+    /// older copy, which may have had another holder. Then a new tenure begins with the present generation's token.
+    pub fn joined(&mut self, listed: bool, token: FenceToken, sent: ClockMillis, now: ClockMillis) {
         let gap_too_long = sent.since(self.confirmed) >= self.rules.time_to_live;
         let held = self.state != TenureState::Absent;
+        let fell = token_era(token) > token_era(self.token);
         self.detached = false;
         let event = match (listed, held) {
             (false, _) => TenureEvent::Unlisted,
             (true, false) => TenureEvent::Listed,
-            (true, true) if generation > self.token && self.is_in_doubt(gap_too_long) => {
+            (true, true) if token > self.token && (fell || self.is_in_doubt(gap_too_long)) => {
                 TenureEvent::Renewed
             }
             (true, true) => TenureEvent::Confirmed,
         };
         if matches!(event, TenureEvent::Listed | TenureEvent::Renewed) {
-            self.token = generation;
+            self.token = token;
             self.began = now;
+            self.after_fall = held && fell;
         }
         if listed {
             self.confirmed = sent;
@@ -113,12 +113,14 @@
     /// Returns how long this tenure waits before its first order.
     ///
     /// Engines that check tokens refuse the holder before. Even so, a host that held the lease just
-    /// before somebody else did must not seem to take turns with them.
+    /// before somebody else did must not seem to take turns with them. One that held it through a fall of the store goes on at
+    /// once: its new token is above that of whoever the copy named meanwhile.
     fn wait(&self) -> Duration {
-        let returns = self.acted.is_some_and(|acted| {
-            let apart = self.rules.handover_wait + LATE_ARRIVAL;
-            self.began.since(acted) < apart
-        });
+        let returns = !self.after_fall
+            && self.acted.is_some_and(|acted| {
+                let apart = self.rules.handover_wait + LATE_ARRIVAL;
+                self.began.since(acted) < apart
+            });
         if self.rules.engines_check && !returns { Duration::ZERO } else { self.rules.handover_wait }
     }
 
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -7,8 +7,9 @@
 
 use bytes::Bytes;
 use reelreel_core::{
+    StorePosition,
     fleet::{EngineEntry, ModelKey, WeightVersion, prompt::PromptFacts, routes::RouteTable},
-    id::{FenceToken, StoreEra},
+    id::{FenceToken, GroupGeneration, StoreEra},
     organisation::key::PresentedKey,
     placement::{EngineReport, OrderAnswer, PlannedOrder},
 };
@@ -38,9 +39,10 @@
     /// The peer refused the call and did nothing.
     #[error("the call was refused with status {0}; it is repeated later")]
     Refused(u16),
-    /// The records from the asked offset on are gone; those from this offset on are kept.
+    /// There is no record at the asked offset: what was there is gone, or it lies beyond the end of a topic that has come back
+    /// shorter.
     #[error("the records asked for are gone; the newest values must be read anew")]
-    Trimmed(u64),
+    Gone,
     /// A configuration exists that can not be used.
     #[error("the configuration can not be used: {0}")]
     Configuration(String),
@@ -160,7 +162,7 @@
     /// Its value; empty where the key was dropped.
     pub value: Bytes,
     /// Its place in the topic.
-    pub offset: u64,
+    pub position: StorePosition,
 }
 
 /// A page of the newest record of each key.
@@ -171,7 +173,7 @@
     /// Whether more keys follow after the last one.
     pub more: bool,
     /// The end of the topic.
-    pub end: u64,
+    pub end: StorePosition,
 }
 
 /// Records of a topic in order.
@@ -179,15 +181,19 @@
 pub struct RecordBatch {
     /// The records.
     pub records: Vec<KeyedRecord>,
+    /// Where reading goes on: behind the last record, also one that could not be read.
+    pub next: StorePosition,
     /// The end of the topic.
-    pub end: u64,
+    pub end: StorePosition,
 }
 
 /// What the platform deals to a member of a group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GroupShare {
-    /// Rises with every change of the group.
-    pub generation: FenceToken,
+    /// The era of the store in which this holds.
+    pub era: StoreEra,
+    /// Rises with every change of the group within an era.
+    pub generation: GroupGeneration,
     /// The partitions that belong to the member.
     pub partitions: Vec<u32>,
 }
@@ -226,17 +232,26 @@
     /// Returns that the store refused, or that the answer is none.
     fn newest_answer(&self, answer: &CallAnswer) -> Result<NewestPage, BorderError>;
 
-    /// Writes a call for the records from an offset on, held until there are some.
-    fn read(&self, topic: KeyedTopic, from: u64, wait: Duration) -> CallRequest;
+    /// Writes a call for the records from a position on, held until there are some.
+    fn read(&self, topic: KeyedTopic, from: StorePosition, wait: Duration) -> CallRequest;
 
     /// Reads records.
     ///
     /// # Errors
     /// Returns that the store refused, that the records are gone, or that the answer is none.
-    fn read_answer(&self, from: u64, answer: &CallAnswer) -> Result<RecordBatch, BorderError>;
-
-    /// Writes a call that joins the group of machines, or stays in it.
-    fn join(&self, member: &str, time_to_live: Duration, generation: FenceToken) -> CallRequest;
+    fn read_answer(
+        &self,
+        from: StorePosition,
+        answer: &CallAnswer,
+    ) -> Result<RecordBatch, BorderError>;
+
+    /// Writes a call that joins the group of hosts, or stays in it; `generation` is the last one heard in this era.
+    fn join(
+        &self,
+        member: &str,
+        time_to_live: Duration,
+        generation: GroupGeneration,
+    ) -> CallRequest;
 
     /// Reads what was dealt to the member.
     ///
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -43,6 +43,11 @@
         Self { address, kept: None }
     }
 
+    /// Closes the kept connection: the next call opens a new one.
+    pub fn close(&mut self) {
+        self.kept = None;
+    }
+
     /// Makes one call.
     ///
     /// # Errors
--- a/crates/gateway/src/control/engine_list.rs
+++ b/crates/gateway/src/control/engine_list.rs
@@ -1,10 +1,17 @@
 //! The engines as their entries list them: who joined, who leaves, who is gone.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use reelreel_core::{
-    ClockMillis,
-    fleet::{EngineEntry, EngineName, adapter_name},
+    ClockMillis, StorePosition,
+    fleet::{
+        EngineEntry, EngineName, adapter_name,
+        relisting::{WRITING_AGAIN, is_believed},
+    },
 };
 
 use crate::{
@@ -31,7 +38,11 @@
     }
 
     /// Takes the entries that a peer passes on: all of them up to `end`, or those that changed.
-    pub(super) fn take_passed_on(&mut self, updates: Vec<EngineUpdate>, whole: Option<u64>) {
+    pub(super) fn take_passed_on(
+        &mut self,
+        updates: Vec<EngineUpdate>,
+        whole: Option<StorePosition>,
+    ) {
         if let Some(end) = whole {
             let kept = updates.iter().map(|update| &*update.name).collect();
             self.drop_unlisted(&kept, end);
@@ -42,10 +53,14 @@
     }
 
     /// Takes that a whole reading up to `end` lists just these engines: the others are gone.
-    fn drop_unlisted(&mut self, kept: &BTreeSet<&str>, end: u64) {
+    ///
+    /// Where they were listed in an earlier era, the store may have come back from a copy that never had them.
+    fn drop_unlisted(&mut self, kept: &BTreeSet<&str>, end: StorePosition) {
         for name in self.engine_records.dropped(kept, end) {
-            self.engine_records.records.remove(&name);
-            self.entry_gone(&EngineName::from(name), end);
+            let listed = self.engine_records.read_to(&name);
+            let crosses = listed.is_some_and(|listed| listed.era < end.era);
+            self.engine_records.remove(&name, end);
+            self.entry_gone(&EngineName::from(name), end, crosses.then_some(WRITING_AGAIN));
             self.feed.all_changed();
         }
         self.engine_records.known = true;
@@ -53,38 +68,51 @@
 
     /// Returns all engines that are listed, as they are passed on.
     pub(super) fn listed_engines(&self) -> Vec<EngineUpdate> {
-        let listed = self.engine_records.records.iter().filter_map(|(name, (offset, ()))| {
+        let listed = self.engine_records.records.iter().filter_map(|(name, (position, ()))| {
             let entry = self.engines.get(name.as_str())?;
             let name = Arc::clone(&entry.name);
-            Some(EngineUpdate { name, offset: *offset, entry: Some(EngineEntry::clone(entry)) })
+            let entry = Some(EngineEntry::clone(entry));
+            Some(EngineUpdate { name, position: *position, entry })
         });
         listed.collect()
     }
 
-    /// Takes that an engine's entry is gone; just after an outage the engine counts for a while.
-    fn entry_gone(&mut self, name: &EngineName, offset: u64) {
+    /// Takes that an engine's entry is gone; just after an outage the engine counts for a while, and where the store came back
+    /// older for as long as `writing_again`.
+    fn entry_gone(
+        &mut self,
+        name: &EngineName,
+        position: StorePosition,
+        writing_again: Option<Duration>,
+    ) {
         let now = self.shared.clock.now();
-        let until = self.health.relisting_until(now);
+        self.withheld.remove(name);
+        let until = self.health.relisting_until(now).max(writing_again.map(|time| now + time));
         match (self.engines.get(name), until) {
             (Some(entry), Some(until)) if !entry.leaving => {
-                self.lapsed.insert(Arc::clone(name), (offset, until));
-            }
-            _ => {
-                self.drop_engine(name);
-                let name = Arc::clone(name);
-                self.feed.engine_changed(EngineUpdate { name, offset, entry: None });
+                self.lapsed.insert(Arc::clone(name), (position, until));
             }
+            _ => self.delist(name, position),
         }
     }
 
-    /// Drops the engines whose entries have not come back in time after an outage.
-    pub(super) fn drop_lapsed(&mut self, now: ClockMillis) {
-        while let Some(name) =
-            self.lapsed.iter().find(|(_, (_, until))| now >= *until).map(|(name, _)| name.clone())
-        {
-            if let Some((offset, _)) = self.lapsed.remove(&name) {
-                self.drop_engine(&name);
-                self.feed.engine_changed(EngineUpdate { name, offset, entry: None });
+    fn delist(&mut self, name: &EngineName, position: StorePosition) {
+        self.drop_engine(name);
+        let name = Arc::clone(name);
+        self.feed.engine_changed(EngineUpdate { name, position, entry: None });
+    }
+
+    /// Drops the engines whose entries have not come back in time, and lists those by what the store says that have written nothing
+    /// else in time.
+    pub(super) fn settle_listings(&mut self, now: ClockMillis) {
+        while let Some(name) = first_due(&self.lapsed, now) {
+            if let Some((position, _)) = self.lapsed.remove(&name) {
+                self.delist(&name, position);
+            }
+        }
+        while let Some(name) = first_due(&self.withheld, now) {
+            if let Some((update, _)) = self.withheld.remove(&name) {
+                self.list_engine(update);
             }
         }
     }
@@ -93,31 +121,49 @@
     /// where one was listed before: what it says is not what that engine is.
     fn take_records(&mut self, records: &[KeyedRecord]) {
         for record in records {
-            let (name, offset) = (EngineName::from(record.key.as_str()), record.offset);
+            let (name, position) = (EngineName::from(record.key.as_str()), record.position);
             if record.value.is_empty() {
-                self.take_update(EngineUpdate { name, offset, entry: None });
+                self.take_update(EngineUpdate { name, position, entry: None });
                 continue;
             }
-            match self.shared.dialects.store.engine(record) {
-                Ok(entry) => self.take_update(EngineUpdate { name, offset, entry: Some(entry) }),
+            let entry = match self.shared.dialects.store.engine(record) {
+                Ok(entry) => Some(entry),
                 Err(error) => {
                     log::warn!("entry {}: {error}; it names no engine", record.key);
-                    self.take_update(EngineUpdate { name, offset, entry: None });
+                    None
                 }
-            }
+            };
+            self.take_update(EngineUpdate { name, position, entry });
         }
     }
 
     /// Takes one entry, or that it is gone, unless something newer is known.
+    ///
+    /// The first word of a later era may be of the copy from which the store came back; what it says is withheld where something
+    /// newer is known of the engine, until the engine had the time to write again.
     fn take_update(&mut self, update: EngineUpdate) {
+        let read_to = self.engine_records.read_to(&update.name);
         let present = update.entry.is_some().then_some(());
-        if !self.engine_records.take(&update.name, update.offset, present) {
+        if !self.engine_records.take(&update.name, update.position, present) {
             return;
         }
-        let Some(entry) = update.entry.clone() else {
-            self.entry_gone(&update.name, update.offset);
+        let Some(entry) = &update.entry else {
+            self.entry_gone(&update.name, update.position, None);
             return;
         };
+        let crosses = read_to.is_some_and(|read_to| read_to.era < update.position.era);
+        let known = self.engines.get(&update.name).map(|known| &**known);
+        if crosses && !is_believed(known, entry) {
+            let until = self.shared.clock.now() + WRITING_AGAIN;
+            self.withheld.insert(Arc::clone(&update.name), (update, until));
+            return;
+        }
+        self.withheld.remove(&update.name);
+        self.list_engine(update);
+    }
+
+    fn list_engine(&mut self, update: EngineUpdate) {
+        let Some(entry) = update.entry.clone() else { return };
         if self.take_engine(entry) {
             self.feed.engine_changed(update);
             self.shared.wake_control.notify_one();
@@ -180,6 +226,15 @@
     }
 }
 
+/// Returns the first engine whose time is over.
+fn first_due<Word>(
+    engines: &BTreeMap<EngineName, (Word, ClockMillis)>,
+    now: ClockMillis,
+) -> Option<EngineName> {
+    let due = engines.iter().find(|(_, (_, until))| now >= *until);
+    due.map(|(name, _)| Arc::clone(name))
+}
+
 /// Returns whether a machine that knows `old` needs no word of `new`: plans tell which adapters an
 /// engine holds.
 fn is_told_by(old: &EngineEntry, new: &EngineEntry) -> bool {
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -124,7 +124,7 @@
         if !self.is_reader() {
             return false;
         }
-        let clock = StateFrame { clock: Some(self.clock_line(asked)), ..StateFrame::default() };
+        let clock = self.clock_frame(asked);
         let whole = self.whole_frame();
         let sent = follower.try_send(FrameBody::State(clock).encoded()).is_ok()
             && follower.try_send(whole).is_ok();
@@ -178,7 +178,8 @@
             self.state_frame()
         } else {
             let (names, engines) = write_engines(&engines);
-            StateFrame { names, engines, confirmed: self.fresh_frame().confirmed, ..next }
+            let StateFrame { confirmed, era, .. } = self.fresh_frame();
+            StateFrame { confirmed, names, engines, era, ..next }
         };
         self.feed.send(&FrameBody::State(frame).encoded(), now);
     }
--- a/crates/gateway/src/control/freshness.rs
+++ b/crates/gateway/src/control/freshness.rs
@@ -38,7 +38,17 @@
     /// Returns how new the configuration is that this machine passes on.
     pub fn fresh_frame(&self) -> StateFrame {
         let confirmed = self.confirmed_at().map_or(0, ClockMillis::as_millis);
-        StateFrame { confirmed, ..StateFrame::default() }
+        StateFrame { confirmed, ..self.era_frame() }
+    }
+
+    /// Returns a frame that says nothing but which era of the store this host knows.
+    fn era_frame(&self) -> StateFrame {
+        StateFrame { era: self.eras.known(), ..StateFrame::default() }
+    }
+
+    /// Answers a peer's ask with what this host's clock shows, and nothing of the configuration.
+    pub fn clock_frame(&self, asked: u64) -> StateFrame {
+        StateFrame { clock: Some(self.clock_line(asked)), ..self.era_frame() }
     }
 
     /// Answers a peer's ask with what this machine's clock shows.
--- a/crates/gateway/src/control/mirror.rs
+++ b/crates/gateway/src/control/mirror.rs
@@ -2,16 +2,18 @@
 
 use std::collections::{BTreeSet, HashMap};
 
+use reelreel_core::StorePosition;
+
 use crate::{events::MachineEvent, machine::SharedState, store::follow::TopicUpdate};
 
 /// A topic's newest records and how far it was read; `Value` is what is kept of a record.
 #[derive(Debug)]
 pub struct TopicMirror<Value> {
-    /// The newest record of each key with its offset.
-    pub records: HashMap<String, (u64, Value)>,
-    /// The highest offset seen of each key, dropped keys included.
-    offsets: HashMap<String, u64>,
-    end: u64,
+    /// The newest record of each key with its position.
+    pub records: HashMap<String, (StorePosition, Value)>,
+    /// Up to where each key was read, dropped keys included: a record at this position or behind it is newer.
+    read_to: HashMap<String, StorePosition>,
+    end: StorePosition,
     away: bool,
     /// Whether it was ever read whole.
     pub known: bool,
@@ -19,29 +21,60 @@
 
 impl<Value> Default for TopicMirror<Value> {
     fn default() -> Self {
-        let (records, offsets) = (HashMap::new(), HashMap::new());
-        Self { records, offsets, end: 0, away: false, known: false }
+        let (records, read_to) = (HashMap::new(), HashMap::new());
+        Self { records, read_to, end: StorePosition::default(), away: false, known: false }
     }
 }
 
 impl<Value> TopicMirror<Value> {
     /// Takes a record, absent where its key was dropped, unless a newer one of the key was seen.
-    pub fn take(&mut self, key: &str, offset: u64, value: Option<Value>) -> bool {
-        let seen = self.offsets.get(key);
-        if seen.is_some_and(|seen| *seen >= offset) {
+    pub fn take(&mut self, key: &str, position: StorePosition, value: Option<Value>) -> bool {
+        if self.read_to(key).is_some_and(|read_to| position < read_to) {
             return false;
         }
-        self.offsets.insert(key.to_owned(), offset);
         match value {
-            Some(value) => self.records.insert(key.to_owned(), (offset, value)),
+            Some(value) => self.records.insert(key.to_owned(), (position, value)),
             None => self.records.remove(key),
         };
-        self.end = self.end.max(offset + 1);
+        self.pass(key, position);
         true
     }
 
+    /// Keeps a record that is newer by what it says, wherever it stands.
+    pub fn keep(&mut self, key: &str, position: StorePosition, value: Value) {
+        self.records.insert(key.to_owned(), (position, value));
+        self.pass(key, position);
+    }
+
+    /// Takes that a key was read up to behind `position`, where it says nothing newer than what is kept.
+    pub fn pass(&mut self, key: &str, position: StorePosition) {
+        self.read_key_to(key, position.next());
+    }
+
+    /// Takes that a whole reading up to `end` no longer has a key.
+    pub fn remove(&mut self, key: &str, end: StorePosition) {
+        self.records.remove(key);
+        self.read_key_to(key, end);
+    }
+
+    fn read_key_to(&mut self, key: &str, end: StorePosition) {
+        let read_to = self.read_to.entry(key.to_owned()).or_default();
+        *read_to = end.max(*read_to);
+        self.end = self.end.max(end);
+    }
+
+    /// Returns up to where a key was read, if it was ever seen.
+    pub fn read_to(&self, key: &str) -> Option<StorePosition> {
+        self.read_to.get(key).copied()
+    }
+
+    /// Returns whether the record at a position is the one that is kept of its key.
+    pub fn holds(&self, key: &str, position: StorePosition) -> bool {
+        self.records.get(key).is_some_and(|(held, _)| *held == position)
+    }
+
     /// Returns the keys that a whole reading up to `end`, which has `kept`, no longer has.
-    pub fn dropped(&self, kept: &BTreeSet<&str>, end: u64) -> Vec<String> {
+    pub fn dropped(&self, kept: &BTreeSet<&str>, end: StorePosition) -> Vec<String> {
         if end < self.end {
             return Vec::new();
         }
@@ -54,17 +87,21 @@
     }
 
     /// Returns how far the topic was read.
-    pub const fn end(&self) -> u64 {
+    pub const fn end(&self) -> StorePosition {
         self.end
     }
-}
 
-impl<Value> TopicMirror<Value> {
     /// Counts and logs when the store is lost or regained, and how far a whole reading went beside what was known.
     pub fn note_reading(&mut self, shared: &SharedState, what: &'static str, update: &TopicUpdate) {
         if let TopicUpdate::Whole { records, end, .. } = update {
-            let (records, known) = (records.len(), self.end);
-            let event = MachineEvent::TopicRead { what: what.into(), records, end: *end, known };
+            let event = MachineEvent::TopicRead {
+                what: what.into(),
+                records: records.len(),
+                era: end.era,
+                end: end.offset,
+                known_era: self.end.era,
+                known: self.end.offset,
+            };
             shared.events.write(event);
         }
         let away = *update == TopicUpdate::Away;
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -100,7 +100,8 @@
         self.tell_demand(now);
         self.tell_suspects(now);
         self.log_suspects();
-        self.drop_lapsed(now);
+        self.note_era();
+        self.settle_listings(now);
         self.tick_feed(now);
         self.tell_freshness();
         let services: Vec<ServiceName> = self.domains.keys().cloned().collect();
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use reelreel_core::{
-    ClockMillis,
+    ClockMillis, StorePosition,
     chart::{FreshnessState, TenureState},
     fleet::{
         EngineBirth, EngineEntry, EngineName, ModelKey, ServiceName,
@@ -16,7 +16,7 @@
         freshness::{ConfigurationFreshness, PeerClock},
         routes::RouteTable,
     },
-    id::StoreEra,
+    id::{StoreEra, generation_token},
     placement::{LeaseRules, PlacementPlanner},
 };
 
@@ -30,11 +30,11 @@
     },
     events::MachineEvent,
     machine::SharedState,
-    peers::engine_lines::{read_engines, write_engines},
+    peers::engine_lines::{EngineUpdate, read_engines, write_engines},
     peers::frame::{OwnerLine, RecordLine, StateFrame},
     store::{
         StoreReturns,
-        eras::StoreEras,
+        eras::{EraWord, StoreEras},
         follow::TopicUpdate,
         health::StoreHealth,
         membership::{GroupMember, MembershipUpdate},
@@ -68,7 +68,9 @@
     /// When the ledger of the quotas was last told anything.
     pub(super) ledger_told: ClockMillis,
     /// Engines whose entries have gone just after an outage, where in their topic, and until when they count.
-    pub(super) lapsed: BTreeMap<EngineName, (u64, ClockMillis)>,
+    pub(super) lapsed: BTreeMap<EngineName, (StorePosition, ClockMillis)>,
+    /// Listings of engines by a store that came back older, and from when on they count unless the engine writes again before.
+    pub(super) withheld: BTreeMap<EngineName, (EngineUpdate, ClockMillis)>,
     pub(super) clients: OrderClients,
     pub(super) changed: bool,
     pub(super) lease_states: HashMap<ServiceName, TenureState>,
@@ -104,6 +106,7 @@
             host_count,
             ledger_told: ClockMillis::default(),
             lapsed: BTreeMap::new(),
+            withheld: BTreeMap::new(),
             clients: OrderClients::default(),
             changed: false,
             lease_states: HashMap::new(),
@@ -153,33 +156,58 @@
 
     fn take_configuration(&mut self, records: &[KeyedRecord]) {
         for record in records {
-            let value = Some(record.value.clone()).filter(|value| !value.is_empty());
-            let present = value.is_some();
-            if !self.configuration.take(&record.key, record.offset, value) || !present {
-                continue;
-            }
-            self.feed.configuration_changed(RecordLine::from(record));
-            self.shared.wake_control.notify_one();
-            match self.shared.dialects.store.configuration(record) {
-                Ok(ConfigurationRecord::Routes(routes)) => self.take_routes(routes),
-                Ok(ConfigurationRecord::Version(key, version)) => self.take_version(key, version),
-                Ok(ConfigurationRecord::Other) => {}
-                Err(error) => {
-                    log::warn!("record {}: {error}; the last good one goes on", record.key);
-                    if matches!(error, BorderError::Configuration(_)) {
-                        self.freshness.unreadable();
-                    }
-                }
+            let known = self.configuration.holds(&record.key, record.position);
+            if !known && self.take_operator_record(record) {
+                self.feed.configuration_changed(RecordLine::from(record));
+                self.shared.wake_control.notify_one();
             }
         }
         self.publish();
     }
 
-    /// Takes a configuration; within one life of the process the revision never falls.
-    fn take_routes(&mut self, routes: Arc<RouteTable>) {
+    /// Takes what the operator wrote; returns whether it is newer than what is known.
+    ///
+    /// Configurations and versions are ordered by their own numbers: by its position the older one that a store has come back
+    /// with would be newer, and a key that was withdrawn since would be served again.
+    fn take_operator_record(&mut self, record: &KeyedRecord) -> bool {
+        let (key, position) = (&record.key, record.position);
+        if record.value.is_empty() {
+            self.configuration.take(key, position, None);
+            return false;
+        }
+        let newer = match self.shared.dialects.store.configuration(record) {
+            Ok(ConfigurationRecord::Routes(routes)) => self.take_routes(routes),
+            Ok(ConfigurationRecord::Version(key, version)) => self.take_version(key, version),
+            Ok(ConfigurationRecord::Other) => {
+                return self.configuration.take(key, position, Some(record.value.clone()));
+            }
+            Err(error) => return self.take_unreadable(record, &error),
+        };
+        if newer {
+            self.configuration.keep(key, position, record.value.clone());
+        } else {
+            self.configuration.pass(key, position);
+        }
+        newer
+    }
+
+    fn take_unreadable(&mut self, record: &KeyedRecord, error: &BorderError) -> bool {
+        let value = Some(record.value.clone());
+        let newer = self.configuration.take(&record.key, record.position, value);
+        if newer {
+            log::warn!("record {}: {error}; the last good one goes on", record.key);
+            if matches!(error, BorderError::Configuration(_)) {
+                self.freshness.unreadable();
+            }
+        }
+        newer
+    }
+
+    /// Takes a configuration, unless its revision is no higher: within one life of the process it never falls.
+    fn take_routes(&mut self, routes: Arc<RouteTable>) -> bool {
         let newer = self.routes.as_ref().is_none_or(|old| old.revision() < routes.revision());
         if !newer {
-            return;
+            return false;
         }
         let revision = routes.revision();
         warn_of_ambiguous_keys(&routes);
@@ -197,6 +225,7 @@
         self.routes = Some(routes);
         self.freshness.replaced();
         self.changed = true;
+        true
     }
 
     pub(super) fn lease_rules(&self) -> LeaseRules {
@@ -208,10 +237,11 @@
         }
     }
 
-    fn take_version(&mut self, key: ModelKey, version: u64) {
+    fn take_version(&mut self, key: ModelKey, version: u64) -> bool {
         let now = self.shared.clock.now();
-        self.versions.entry(key).or_default().name(version, now);
-        self.changed = true;
+        let newer = self.versions.entry(key).or_default().name(version, now);
+        self.changed |= newer;
+        newer
     }
 
     /// Counts a call to the store as answered or not.
@@ -243,9 +273,10 @@
             MembershipUpdate::Joined { share, sent } => {
                 self.store_answered(now);
                 self.dealt(&share.partitions, sent);
+                let token = generation_token(share.era, share.generation);
                 for domain in self.domains.values_mut() {
                     let listed = share.partitions.contains(&domain.partition);
-                    domain.tenure.joined(listed, share.generation, sent, now);
+                    domain.tenure.joined(listed, token, sent, now);
                 }
             }
             MembershipUpdate::Failed => {
@@ -319,8 +350,9 @@
     /// Returns what this machine has read from the store, for a peer that can not.
     pub fn state_frame(&self) -> StateFrame {
         let (names, engines) = write_engines(&self.listed_engines());
-        let configuration = self.configuration.records.iter().map(|(key, (offset, value))| {
-            RecordLine { key: key.clone(), value: value.clone(), offset: *offset }
+        let configuration = self.configuration.records.iter().map(|(key, (position, value))| {
+            let (key, value) = (key.clone(), value.clone());
+            RecordLine { key, value, offset: position.offset, era: position.era }
         });
         StateFrame {
             configuration: configuration.collect(),
@@ -328,21 +360,28 @@
             engines,
             owners: self.owner_lines(),
             whole: true,
-            engines_end: self.engine_records.end(),
+            engines_end: self.engine_records.end().offset,
+            engines_era: self.engine_records.end().era,
             ..self.fresh_frame()
         }
     }
 
-    /// Takes what a peer has read from the store; `clock` tells its clock's readings.
-    pub fn peer_state(&mut self, frame: &StateFrame, clock: Option<PeerClock>) {
+    /// Takes what `peer` has read from the store; `clock` tells its clock's readings.
+    ///
+    /// What a peer says of the present state counts only if it knows the store's newest era; its records have an order of their own.
+    pub fn peer_state(&mut self, frame: &StateFrame, peer: SocketAddr, clock: Option<PeerClock>) {
+        let current = self.eras.hear(frame.era, peer.to_string()) == EraWord::Newest;
+        self.note_era();
         let records: Vec<KeyedRecord> = frame.configuration.iter().map(Into::into).collect();
         self.take_configuration(&records);
         let updates = read_engines(&frame.names, &frame.engines);
-        let whole = (frame.whole && !updates.is_empty()).then_some(frame.engines_end);
+        let whole = (frame.whole && !updates.is_empty()).then(|| frame.engines_read_to());
         self.take_passed_on(updates, whole);
-        self.take_owners(&frame.owners);
+        if current {
+            self.take_owners(&frame.owners);
+        }
         self.publish();
-        if let Some(clock) = clock.filter(|_| frame.confirmed > 0) {
+        if let Some(clock) = clock.filter(|_| current && frame.confirmed > 0) {
             let moment = clock.own_moment(ClockMillis::from_millis(frame.confirmed));
             self.configuration_confirmed(moment);
         }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -91,9 +91,13 @@
         what: Cow<'static, str>,
         /// How many keys it has.
         records: usize,
+        /// The era of the store.
+        era: u64,
         /// Where it ends.
         end: u64,
-        /// How far it was known before; beyond its end where records are gone that this host has seen.
+        /// The era up to which it was known before.
+        known_era: u64,
+        /// How far it was known in that era; beyond the end where records are gone that this host has seen.
         known: u64,
     },
     /// The machine follows another one that reads the store for it.
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -132,6 +132,6 @@
     let answer = tokio::time::timeout(ANSWER_PATIENCE, asking).await.ok().flatten();
     if let Some(FrameBody::State(frame)) = answer {
         let clock = frame.clock.as_ref().map(PeerClock::from);
-        state.borrow_mut().peer_state(&frame, clock);
+        state.borrow_mut().peer_state(&frame, peers[place], clock);
     }
 }
--- a/crates/gateway/src/peers/engine_lines.rs
+++ b/crates/gateway/src/peers/engine_lines.rs
@@ -9,6 +9,7 @@
     sync::Arc,
 };
 
+use reelreel_core::StorePosition;
 use reelreel_core::fleet::{
     ADAPTER_SEPARATOR, EngineEntry, EngineName, HeldModel, ModelKey, adapter_name, base_model,
 };
@@ -19,7 +20,7 @@
     /// The engine.
     pub name: EngineName,
     /// The place of the entry in its topic.
-    pub offset: u64,
+    pub position: StorePosition,
     /// The entry; absent when it is gone.
     pub entry: Option<EngineEntry>,
 }
@@ -60,6 +61,15 @@
     /// When this life of the engine began, by its own clock; zero where it does not say. Unit: milliseconds since 1970.
     #[prost(uint64, tag = "11")]
     pub born: u64,
+    /// The era of the store in which the entry was read.
+    #[prost(uint64, tag = "12")]
+    pub era: u64,
+}
+
+impl EngineRecordLine {
+    const fn position(&self) -> StorePosition {
+        StorePosition { era: self.era, offset: self.offset }
+    }
 }
 
 /// Something that an engine held.
@@ -107,7 +117,8 @@
 fn write_engine(update: &EngineUpdate, names: &mut NameTable) -> Option<EngineRecordLine> {
     let gone = EngineRecordLine {
         engine: update.name.to_string(),
-        offset: update.offset,
+        offset: update.position.offset,
+        era: update.position.era,
         ..EngineRecordLine::default()
     };
     let Some(entry) = &update.entry else { return Some(gone) };
@@ -155,7 +166,7 @@
     let name = |place: u32| names.get(usize::try_from(place).ok()?).map(Arc::clone);
     let engine = EngineName::from(line.engine.as_str());
     let Some(bits) = line.address else {
-        return Some(EngineUpdate { name: engine, offset: line.offset, entry: None });
+        return Some(EngineUpdate { name: engine, position: line.position(), entry: None });
     };
     let port = u16::try_from(line.port).ok()?;
     let held: Option<Vec<HeldModel>> = line
@@ -178,7 +189,7 @@
         sequence: line.sequence,
         held: held?,
     };
-    Some(EngineUpdate { name: engine, offset: line.offset, entry: Some(entry) })
+    Some(EngineUpdate { name: engine, position: line.position(), entry: Some(entry) })
 }
 
 fn held_key(base: &ModelKey, adapter: &str) -> ModelKey {
--- a/crates/gateway/src/peers/feed.rs
+++ b/crates/gateway/src/peers/feed.rs
@@ -60,10 +60,15 @@
             break;
         }
         state.reader_heard();
-        state.peer_state(&frame, clock);
+        state.peer_state(&frame, reader, clock);
         if !state.is_complete() {
             continue;
         }
+        // A reader that still reads a store which is gone tells of no change.
+        if frame.era < state.eras().known() {
+            state.set_following(false);
+            continue;
+        }
         let reads_itself = state.reads_itself();
         state.set_following(!reads_itself);
         if !std::mem::replace(&mut told, true) {
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use reelreel_core::{
-    ClockMillis,
+    ClockMillis, StorePosition,
     fleet::{EngineName, HeldModel, ModelKey, freshness::PeerClock, work::EngineWork},
     organisation::share::{QuotaUse, QuotaWord},
     placement::{AbsentEntry, DemandEntry, HostWork, RunEntry, StorePace},
@@ -356,6 +356,19 @@
     /// The engines' entries.
     #[prost(message, repeated, tag = "10")]
     pub engines: Vec<EngineRecordLine>,
+    /// The newest era of the store that the sender has heard of.
+    #[prost(uint64, tag = "11")]
+    pub era: u64,
+    /// The era of the store to which `engines_end` belongs.
+    #[prost(uint64, tag = "12")]
+    pub engines_era: u64,
+}
+
+impl StateFrame {
+    /// Returns how far the engines' topic was read, where this is everything.
+    pub const fn engines_read_to(&self) -> StorePosition {
+        StorePosition { era: self.engines_era, offset: self.engines_end }
+    }
 }
 
 impl From<&ClockLine> for PeerClock {
@@ -389,6 +402,9 @@
     /// Its place in the topic.
     #[prost(uint64, tag = "3")]
     pub offset: u64,
+    /// The era of the store in which it was read.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 
 impl PeerFrame {
@@ -452,14 +468,16 @@
 impl From<&RecordLine> for KeyedRecord {
     fn from(line: &RecordLine) -> Self {
         let (key, value) = (line.key.clone(), line.value.clone());
-        Self { key, value, offset: line.offset }
+        let position = StorePosition { era: line.era, offset: line.offset };
+        Self { key, value, position }
     }
 }
 
 impl From<&KeyedRecord> for RecordLine {
     fn from(record: &KeyedRecord) -> Self {
         let (key, value) = (record.key.clone(), record.value.clone());
-        Self { key, value, offset: record.offset }
+        let StorePosition { era, offset } = record.position;
+        Self { key, value, offset, era }
     }
 }
 
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -14,7 +14,7 @@
     },
     peers::{
         PeerStream,
-        frame::{DemandFrame, EncodedFrame, FrameBody, StateFrame},
+        frame::{DemandFrame, EncodedFrame, FrameBody},
     },
 };
 
@@ -110,8 +110,7 @@
             received = stream.receive() => {
                 let Some(frame) = received else { return };
                 let Some(FrameBody::Follow(follow)) = frame.body else { continue };
-                let clock = Some(state.borrow().clock_line(follow.asked));
-                let answer = StateFrame { clock, ..StateFrame::default() };
+                let answer = state.borrow().clock_frame(follow.asked);
                 if stream.send(FrameBody::State(answer).encoded()).await.is_err() {
                     return;
                 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,12 +8,13 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use prometheus_client::metrics::counter::Counter;
+use reelreel_core::id::StoreEra;
 use tokio::sync::watch;
 
 use crate::{
     border::{BorderError, CallAnswer, CallRequest, StoreDialect},
     call::{CallClient, CallError},
-    store::eras::StoreEras,
+    store::eras::{EraWord, StoreEras},
 };
 
 /// The first pause after a call that failed.
@@ -44,6 +45,16 @@
     /// The answer was a refusal or none that can be read.
     #[error(transparent)]
     Answer(#[from] BorderError),
+    /// The answer is of a store that is gone: an older copy of it has taken its place since.
+    #[error(
+        "the answer is of the store's era {told}, and its era is {known}; the call is repeated on a new connection"
+    )]
+    EarlierEra {
+        /// The era of the answer.
+        told: StoreEra,
+        /// The newest era that is known.
+        known: StoreEra,
+    },
 }
 
 /// Calls the store over one kept connection.
@@ -74,11 +85,25 @@
         &mut self,
         request: &CallRequest,
         patience: Duration,
-    ) -> Result<CallAnswer, CallError> {
+    ) -> Result<CallAnswer, StoreError> {
         self.calls.inc();
         let answer = self.client.call(request, patience).await?;
-        self.eras.hear(self.dialect.era(&answer), STORE_TELLS);
-        Ok(answer)
+        let told = self.dialect.era(&answer);
+        match self.eras.hear(told, STORE_TELLS) {
+            EraWord::Newest => Ok(answer),
+            EraWord::Earlier(known) => {
+                self.client.close();
+                log::warn!(
+                    "an answer of the store's era {told} came in its era {known}; it is dropped"
+                );
+                Err(StoreError::EarlierEra { told, known })
+            }
+        }
+    }
+
+    /// Returns the newest era of the store that this host has heard of.
+    pub const fn eras(&self) -> &StoreEras {
+        &self.eras
     }
 }
 
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use reelreel_core::{ClockMillis, ClockSource};
+use reelreel_core::{ClockMillis, ClockSource, StorePosition};
 use tokio::sync::watch;
 
 use crate::{
@@ -32,7 +32,7 @@
         /// The records.
         records: Vec<KeyedRecord>,
         /// The end of the topic.
-        end: u64,
+        end: StorePosition,
         /// When the store was asked: whatever it had taken by then is among the records.
         asked: ClockMillis,
     },
@@ -90,20 +90,24 @@
                 continue;
             }
         };
+        let eras = client.eras().clone();
         let reading = follow_records(&mut client, &terms, &mut pause, from, &sink);
         tokio::select! {
             () = reading => {}
             follows = gate.wait_for(|follows| *follows) => drop(follows),
+            // What was read belongs to a store that is gone; a call that it holds may never be answered.
+            () = eras.later_than(from.era) => {}
         }
     }
 }
 
-/// Follows records from an offset on, until they are gone and must be read whole again.
+/// Follows records from a position on, until they are gone or the store tells of another era: then the topic must be read whole
+/// again.
 async fn follow_records(
     client: &mut StoreClient,
     terms: &FollowTerms,
     pause: &mut StorePause,
-    mut from: u64,
+    mut from: StorePosition,
     sink: &impl Fn(TopicUpdate),
 ) {
     let topic = terms.topic;
@@ -121,17 +125,19 @@
         match read {
             Ok(batch) => {
                 pause.succeeded();
-                away = false;
-                if let Some(last) = batch.records.last() {
-                    from = last.offset + 1;
+                // The records between the end of the copy and this position were never read.
+                if batch.next.era != from.era {
+                    return;
                 }
+                away = false;
+                from = batch.next;
                 // A batch may be cut at the most that one read returns.
                 let asked = (from >= batch.end).then_some(asked);
                 sink(TopicUpdate::Records { records: batch.records, asked });
             }
-            Err(StoreError::Answer(BorderError::Trimmed(_))) => return,
+            Err(StoreError::Answer(BorderError::Gone)) => return,
             Err(error) => {
-                log::debug!("{topic:?} from {from}: {error}");
+                log::debug!("{topic:?} from {from:?}: {error}");
                 away = true;
                 sink(TopicUpdate::Away);
                 pause.after_failure((terms.longest_pause)()).await;
@@ -143,19 +149,25 @@
 /// Reads the newest record of every key; returns them with the end of the topic from which to read on.
 ///
 /// That is the end as the first page tells it: records that came while later pages were made may belong to keys of
-/// earlier ones, and would be missed for good from the last page's end on.
+/// earlier ones, and would be missed for good from the last page's end on. Pages of two eras do not go together: the first
+/// pages are read again.
 async fn read_whole(
     client: &mut StoreClient,
     topic: KeyedTopic,
-) -> Result<(Vec<KeyedRecord>, u64), StoreError> {
+) -> Result<(Vec<KeyedRecord>, StorePosition), StoreError> {
     let mut records: Vec<KeyedRecord> = Vec::new();
-    let mut first_end = None;
+    let mut first_end: Option<StorePosition> = None;
     loop {
         let after = records.last().map(|record| record.key.as_str());
         let call = client.dialect().newest(topic, after);
         let answer = client.call(&call, CALL_PATIENCE).await?;
         let page = client.dialect().newest_answer(&answer)?;
         let end = *first_end.get_or_insert(page.end);
+        if end.era != page.end.era {
+            records.clear();
+            first_end = None;
+            continue;
+        }
         let empty = page.records.is_empty();
         records.extend(page.records);
         if !page.more || empty {
@@ -167,7 +179,7 @@
 async fn read_on(
     client: &mut StoreClient,
     topic: KeyedTopic,
-    from: u64,
+    from: StorePosition,
     wait: Duration,
     patience: Duration,
 ) -> Result<RecordBatch, StoreError> {
--- a/crates/gateway/src/store/membership.rs
+++ b/crates/gateway/src/store/membership.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashMap, fmt, net::SocketAddr, str::FromStr, sync::Arc, time::Duration};
 
-use reelreel_core::{ClockMillis, ClockSource, id::FenceToken};
+use reelreel_core::{
+    ClockMillis, ClockSource,
+    id::{GroupGeneration, StoreEra},
+};
 
 use crate::{
     border::GroupShare,
@@ -92,7 +95,7 @@
 
 impl OwnersWatch {
     fn new(time_to_live: Duration) -> Self {
-        let share = GroupShare { generation: 0, partitions: Vec::new() };
+        let share = GroupShare { era: 0, generation: 0, partitions: Vec::new() };
         Self { time_to_live, share, changed: ClockMillis::default(), told: None }
     }
 
@@ -122,7 +125,7 @@
     sink: impl Fn(MembershipUpdate),
 ) {
     let mut unneeded_looks = 0;
-    let mut generation: FenceToken = 0;
+    let mut heard: (StoreEra, GroupGeneration) = (0, 0);
     let mut watch = OwnersWatch::new(time_to_live);
     let mut change_joins = 0;
     let name = member.to_string();
@@ -132,12 +135,14 @@
         if unneeded_looks >= UNNEEDED_LOOKS {
             return;
         }
+        // A store that came back older counts again: a generation heard before would give up what was never taken from this host.
+        let generation = if heard.0 == client.eras().known() { heard.1 } else { 0 };
         match join(client, &name, time_to_live, generation).await {
             Ok(share) => {
                 backoff.succeeded();
-                let changed = share.generation != generation;
+                let changed = (share.era, share.generation) != heard;
                 change_joins = if changed { change_joins + 1 } else { 0 };
-                generation = share.generation;
+                heard = (share.era, share.generation);
                 let due = watch.is_due(&share, sent);
                 sink(MembershipUpdate::Joined { share, sent });
                 if due && let Ok(owners) = owners(client).await {
@@ -163,7 +168,7 @@
     client: &mut StoreClient,
     member: &str,
     time_to_live: Duration,
-    generation: FenceToken,
+    generation: GroupGeneration,
 ) -> Result<GroupShare, StoreError> {
     let call = client.dialect().join(member, time_to_live, generation);
     let answer = client.call(&call, JOIN_PATIENCE).await?;
--- a/crates/gateway/tests/engine_lines.rs
+++ b/crates/gateway/tests/engine_lines.rs
@@ -5,7 +5,10 @@
 
 use proptest::{prelude::*, test_runner::RngSeed};
 use prost::Message as _;
-use reelreel_core::fleet::{EngineEntry, HeldModel};
+use reelreel_core::{
+    StorePosition,
+    fleet::{EngineEntry, HeldModel},
+};
 use reelreel_gateway::peers::{
     engine_lines::{EngineRecordLine, EngineUpdate, HeldRecordLine, read_engines, write_engines},
     frame::StateFrame,
@@ -44,7 +47,7 @@
                     held,
                 }
             });
-            EngineUpdate { name, offset, entry }
+            EngineUpdate { name, position: StorePosition { era: offset % 5, offset }, entry }
         },
     )
 }
@@ -57,6 +60,7 @@
         |((offset, address, port), service, zone, held)| EngineRecordLine {
             engine: String::from("i-1"),
             offset,
+            era: offset % 5,
             born: offset,
             address,
             port,
@@ -100,7 +104,7 @@
 fn an_entry_takes_less_than_fifty_bytes() {
     let update = |number: u16| EngineUpdate {
         name: Arc::from(format!("i-{:010x}", u64::from(number) * 0x9e37_79b9)),
-        offset: 100_000 + u64::from(number),
+        position: StorePosition { era: 3, offset: 100_000 + u64::from(number) },
         entry: Some(EngineEntry {
             name: Arc::from("unused"),
             born: 1_788_253_401_202 + u64::from(number),
--- a/crates/gateway/tests/machine/dialect.rs
+++ b/crates/gateway/tests/machine/dialect.rs
@@ -4,8 +4,9 @@
 
 use bytes::Bytes;
 use reelreel_core::{
+    StorePosition,
     fleet::{EngineEntry, HeldModel, ModelKey, prompt::PromptFacts, routes::RouteTable},
-    id::{FenceToken, StoreEra},
+    id::{FenceToken, GroupGeneration, StoreEra},
     organisation::key::PresentedKey,
     placement::{EngineReport, OrderAnswer, OrderKind, PlannedOrder},
 };
@@ -102,7 +103,7 @@
     match answer.head.status {
         200 => serde_json::from_slice(&answer.body)
             .map_err(|error| BorderError::Malformed(error.to_string())),
-        410 => Err(BorderError::Trimmed(0)),
+        410 => Err(BorderError::Gone),
         status => Err(BorderError::Refused(status)),
     }
 }
@@ -161,11 +162,15 @@
     }
 }
 
-fn records(value: &Value) -> Vec<KeyedRecord> {
+fn position(era: StoreEra, value: &Value) -> StorePosition {
+    StorePosition { era, offset: value.as_u64().unwrap_or_default() }
+}
+
+fn records(era: StoreEra, value: &Value) -> Vec<KeyedRecord> {
     let record = |value: &Value| KeyedRecord {
         key: value["key"].as_str().unwrap_or_default().to_owned(),
         value: Bytes::from(value["value"].as_str().unwrap_or_default().to_owned()),
-        offset: value["offset"].as_u64().unwrap_or_default(),
+        position: position(era, &value["offset"]),
     };
     value["records"].as_array().into_iter().flatten().map(record).collect()
 }
@@ -183,23 +188,36 @@
 
     fn newest_answer(&self, answer: &CallAnswer) -> Result<NewestPage, BorderError> {
         let body = read(answer)?;
-        let end = body["end"].as_u64().unwrap_or_default();
+        let era = self.era(answer);
         let more = body["more"].as_bool().unwrap_or_default();
-        Ok(NewestPage { records: records(&body), more, end })
+        Ok(NewestPage { records: records(era, &body), more, end: position(era, &body["end"]) })
     }
 
-    fn read(&self, topic: KeyedTopic, from: u64, wait: Duration) -> CallRequest {
-        let target = format!("/read/{}/{from}/{}", topic_name(topic), wait.as_millis());
+    fn read(&self, topic: KeyedTopic, from: StorePosition, wait: Duration) -> CallRequest {
+        let (topic, wait) = (topic_name(topic), wait.as_millis());
+        let target = format!("/read/{topic}/{}/{wait}", from.offset);
         call("GET", target, &Value::Null)
     }
 
-    fn read_answer(&self, _from: u64, answer: &CallAnswer) -> Result<RecordBatch, BorderError> {
+    fn read_answer(
+        &self,
+        from: StorePosition,
+        answer: &CallAnswer,
+    ) -> Result<RecordBatch, BorderError> {
         let body = read(answer)?;
-        let end = body["end"].as_u64().unwrap_or_default();
-        Ok(RecordBatch { records: records(&body), end })
+        let era = self.era(answer);
+        let records = records(era, &body);
+        let last = records.last().map(|record| record.position.next());
+        let next = last.unwrap_or(StorePosition { era, ..from });
+        Ok(RecordBatch { records, next, end: position(era, &body["end"]) })
     }
 
-    fn join(&self, member: &str, time_to_live: Duration, generation: FenceToken) -> CallRequest {
+    fn join(
+        &self,
+        member: &str,
+        time_to_live: Duration,
+        generation: GroupGeneration,
+    ) -> CallRequest {
         let body = json!({
             "member": member, "millis": time_to_live.as_millis(), "generation": generation,
         });
@@ -210,6 +228,7 @@
         let body = read(answer)?;
         let parts = body["partitions"].as_array().into_iter().flatten().filter_map(Value::as_u64);
         Ok(GroupShare {
+            era: self.era(answer),
             generation: body["generation"].as_u64().unwrap_or_default(),
             partitions: parts.filter_map(|part| u32::try_from(part).ok()).collect(),
         })
