--- a/crates/gateway/tests/machine/rollback.rs
+++ b/crates/gateway/tests/machine/rollback.rs
@@ -39,7 +39,7 @@
         site.store.put(topic, key, value);
     }
     // Engines' entries are read in batches.
-    thread::sleep(Duration::from_millis(1000));
+    thread::sleep(Duration::from_secs(1));
     assert!(machine.is_ready());
     site.store.refuse(true);
     thread::sleep(Duration::from_millis(300));
