fix(gateway): followers and readers agree on engines after the store came back older

Cause: a property over the real control state (appends, falls, readings, words between hosts, starts) found what orders by era alone leave open: a reader's older word listed an engine that an own whole reading had lacked; an engine that lapsed or was withheld and wrote the same again was not passed on; a reader that lists no engine said nothing of those that are gone; the life after one that is gone was withheld; a lapsed engine was delisted at a place that followers had passed; a follower that had read the copy's word of a leaving engine at the same place as its reader never heard that it leaves. Change: a whole reading makes all keys known up to its end; a listing of a whole reading counts by that end; the last life of an engine that is gone is kept; a departure counts wherever it stands; what settles late is told whole. A host that starts asks up to eight peers until one has answered, also where the store answers. Gauges show how far each topic is known. Also tests over sockets: followers, two falls, starts after a fall, eight listings, a withdrawn key, tokens of placers, answers of an earlier era, pages of two eras.

--- a/crates/core/src/fleet/relisting.rs
+++ b/crates/core/src/fleet/relisting.rs
@@ -6,23 +6,27 @@
 
 use std::time::Duration;
 
-use super::EngineEntry;
+use super::{EngineBirth, EngineEntry};
 
 /// How long engines have to write their entries again after the store has come back from an older copy.
 ///
 /// They write every 1.2 s or so, and a store takes three times that without a word for a departure itself.
 pub const WRITING_AGAIN: Duration = Duration::from_secs(4);
 
-/// Returns whether a listing from a later era is believed at once; `known` is absent where the engine was listed before and is gone.
-pub fn is_believed(known: Option<&EngineEntry>, listed: &EngineEntry) -> bool {
-    known.is_some_and(|known| !is_older(listed, known))
+/// What is known of an engine that was listed in an earlier era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KnownWord<'entry> {
+    /// Its entry.
+    Listed(&'entry EngineEntry),
+    /// It is gone; this was its last life.
+    Gone(EngineBirth),
 }
 
-/// Returns whether an entry was written before another one of the same engine, as far as both say.
-fn is_older(listed: &EngineEntry, known: &EngineEntry) -> bool {
-    if listed.is_life(known.born) {
-        listed.sequence < known.sequence
-    } else {
-        listed.born < known.born
+/// Returns whether a listing from a later era is believed at once.
+pub fn is_believed(known: &KnownWord<'_>, listed: &EngineEntry) -> bool {
+    match known {
+        KnownWord::Listed(known) if listed.is_life(known.born) => listed.sequence >= known.sequence,
+        KnownWord::Listed(known) => listed.born > known.born,
+        KnownWord::Gone(born) => !listed.is_life(*born) && listed.born > *born,
     }
 }
--- a/crates/gateway/src/control/engine_list.rs
+++ b/crates/gateway/src/control/engine_list.rs
@@ -9,8 +9,8 @@
 use reelreel_core::{
     ClockMillis, StorePosition,
     fleet::{
-        EngineEntry, EngineName, adapter_name,
-        relisting::{WRITING_AGAIN, is_believed},
+        EngineEntry, EngineName, UNTOLD_BIRTH, adapter_name,
+        relisting::{KnownWord, WRITING_AGAIN, is_believed},
     },
 };
 
@@ -30,9 +30,10 @@
             TopicUpdate::Whole { records, end, .. } => {
                 let kept = records.iter().map(|record| record.key.as_str()).collect();
                 self.drop_unlisted(&kept, end);
-                self.take_records(&records);
+                self.take_records(&records, Some(end));
+                self.engine_records.whole_ends(end);
             }
-            TopicUpdate::Records { records, .. } => self.take_records(&records),
+            TopicUpdate::Records { records, .. } => self.take_records(&records, None),
         }
         self.publish();
     }
@@ -48,7 +49,10 @@
             self.drop_unlisted(&kept, end);
         }
         for update in updates {
-            self.take_update(update);
+            self.take_update(update, whole);
+        }
+        if let Some(end) = whole {
+            self.engine_records.whole_ends(end);
         }
     }
 
@@ -56,6 +60,10 @@
     ///
     /// Where they were listed in an earlier era, the store may have come back from a copy that never had them.
     fn drop_unlisted(&mut self, kept: &BTreeSet<&str>, end: StorePosition) {
+        if self.engine_records.end().era < end.era {
+            // Followers may have read a later state of an earlier era: what did not change is new to them.
+            self.feed.all_changed();
+        }
         for name in self.engine_records.dropped(kept, end) {
             let listed = self.engine_records.read_to(&name);
             let crosses = listed.is_some_and(|listed| listed.era < end.era);
@@ -90,13 +98,14 @@
         let until = self.health.relisting_until(now).max(writing_again.map(|time| now + time));
         match (self.engines.get(name), until) {
             (Some(entry), Some(until)) if !entry.leaving => {
-                self.lapsed.insert(Arc::clone(name), (position, until));
+                self.lapsed.insert(Arc::clone(name), until);
             }
             _ => self.delist(name, position),
         }
     }
 
     fn delist(&mut self, name: &EngineName, position: StorePosition) {
+        self.lapsed.remove(name);
         self.drop_engine(name);
         let name = Arc::clone(name);
         self.feed.engine_changed(EngineUpdate { name, position, entry: None });
@@ -104,26 +113,29 @@
 
     /// Drops the engines whose entries have not come back in time, and lists those by what the store says that have written nothing
     /// else in time.
+    ///
+    /// Followers are told everything anew: a later place than that of the entry was read meanwhile.
     pub(super) fn settle_listings(&mut self, now: ClockMillis) {
-        while let Some(name) = first_due(&self.lapsed, now) {
-            if let Some((position, _)) = self.lapsed.remove(&name) {
-                self.delist(&name, position);
-            }
+        while let Some(name) = first_due(&self.lapsed, |until| now >= *until) {
+            self.lapsed.remove(&name);
+            self.drop_engine(&name);
+            self.feed.all_changed();
         }
-        while let Some(name) = first_due(&self.withheld, now) {
+        while let Some(name) = first_due(&self.withheld, |(_, until)| now >= *until) {
             if let Some((update, _)) = self.withheld.remove(&name) {
                 self.list_engine(update);
+                self.feed.all_changed();
             }
         }
     }
 
     /// Takes records of the entries as the store has them. One that no engine can have written names no engine to use, also
     /// where one was listed before: what it says is not what that engine is.
-    fn take_records(&mut self, records: &[KeyedRecord]) {
+    fn take_records(&mut self, records: &[KeyedRecord], whole: Option<StorePosition>) {
         for record in records {
             let (name, position) = (EngineName::from(record.key.as_str()), record.position);
             if record.value.is_empty() {
-                self.take_update(EngineUpdate { name, position, entry: None });
+                self.take_update(EngineUpdate { name, position, entry: None }, whole);
                 continue;
             }
             let entry = match self.shared.dialects.store.engine(record) {
@@ -133,38 +145,75 @@
                     None
                 }
             };
-            self.take_update(EngineUpdate { name, position, entry });
+            self.take_update(EngineUpdate { name, position, entry }, whole);
         }
     }
 
-    /// Takes one entry, or that it is gone, unless something newer is known.
+    /// Takes one entry, or that it is gone, unless something newer is known; `whole` is the end of the whole reading that lists it.
     ///
     /// The first word of a later era may be of the copy from which the store came back; what it says is withheld where something
     /// newer is known of the engine, until the engine had the time to write again.
-    fn take_update(&mut self, update: EngineUpdate) {
-        let read_to = self.engine_records.read_to(&update.name);
-        let present = update.entry.is_some().then_some(());
-        if !self.engine_records.take(&update.name, update.position, present) {
-            return;
-        }
-        let Some(entry) = &update.entry else {
-            self.entry_gone(&update.name, update.position, None);
+    fn take_update(&mut self, update: EngineUpdate, whole: Option<StorePosition>) {
+        let EngineUpdate { name, position, entry } = &update;
+        let read_to = self.engine_records.read_to(name);
+        let Some(entry) = entry else {
+            if self.engine_records.take(name, *position, None) {
+                self.entry_gone(name, *position, None);
+            }
             return;
         };
-        let crosses = read_to.is_some_and(|read_to| read_to.era < update.position.era);
-        let known = self.engines.get(&update.name).map(|known| &**known);
-        if crosses && !is_believed(known, entry) {
+        let newer = match whole {
+            Some(end) => self.engine_records.take_listed(name, *position, end, ()),
+            None => self.engine_records.take(name, *position, Some(())),
+        };
+        if !newer {
+            self.note_departure(entry);
+            return;
+        }
+        let crosses = read_to.is_some_and(|read_to| read_to.era < position.era);
+        if crosses && !is_believed(&self.known_word(name), entry) {
             let until = self.shared.clock.now() + WRITING_AGAIN;
             self.withheld.insert(Arc::clone(&update.name), (update, until));
             return;
         }
-        self.withheld.remove(&update.name);
         self.list_engine(update);
     }
 
+    /// Takes that a life of an engine has said that it leaves, wherever that stands: a peer that knows it tells it at the place of
+    /// the older word in the store's copy.
+    fn note_departure(&mut self, entry: &EngineEntry) {
+        let Some(known) = self.engines.get(&entry.name) else { return };
+        let same_life = entry.born == known.born && entry.born != UNTOLD_BIRTH;
+        if !entry.leaving || known.leaving || !same_life {
+            return;
+        }
+        let leaving = EngineEntry { leaving: true, ..EngineEntry::clone(known) };
+        if self.lapsed.remove(&entry.name).is_some() {
+            // Its entry is gone besides, so that it is not waited for any longer.
+            self.drop_engine(&entry.name);
+            self.feed.all_changed();
+            return;
+        }
+        let listed = self.engine_records.records.get(&*entry.name);
+        let position = listed.map_or_else(|| self.engine_records.end(), |(position, ())| *position);
+        let (name, entry) = (Arc::clone(&entry.name), Some(leaving));
+        self.list_engine(EngineUpdate { name, position, entry });
+    }
+
+    /// Returns what is known of an engine that was listed before.
+    fn known_word(&self, name: &str) -> KnownWord<'_> {
+        match self.engines.get(name) {
+            Some(entry) => KnownWord::Listed(entry),
+            None => KnownWord::Gone(self.departed.get(name).copied().unwrap_or(UNTOLD_BIRTH)),
+        }
+    }
+
     fn list_engine(&mut self, update: EngineUpdate) {
         let Some(entry) = update.entry.clone() else { return };
-        if self.take_engine(entry) {
+        // Followers count the time of such an engine too, and an entry like the one before ends it.
+        let lapsed = self.lapsed.remove(&update.name).is_some();
+        let withheld = self.withheld.remove(&update.name).is_some();
+        if self.take_engine(entry) || lapsed || withheld {
             self.feed.engine_changed(update);
             self.shared.wake_control.notify_one();
         }
@@ -172,7 +221,6 @@
 
     /// Takes an engine's entry; returns whether something changed that all machines must know.
     fn take_engine(&mut self, mut entry: EngineEntry) -> bool {
-        self.lapsed.remove(&entry.name);
         let left = self.leaving.get(&entry.name).is_some_and(|born| entry.is_life(*born));
         if entry.leaving && !left {
             self.leaving.insert(Arc::clone(&entry.name), entry.born);
@@ -214,6 +262,7 @@
 
     fn drop_engine(&mut self, name: &str) {
         if let Some(entry) = self.engines.remove(name) {
+            self.departed.insert(Arc::clone(&entry.name), entry.born);
             let engine = name.to_owned();
             self.shared.events.write(MachineEvent::EngineGone { engine });
             if let Some(domain) = self.domains.get_mut(&entry.service) {
@@ -228,11 +277,10 @@
 
 /// Returns the first engine whose time is over.
 fn first_due<Word>(
-    engines: &BTreeMap<EngineName, (Word, ClockMillis)>,
-    now: ClockMillis,
+    engines: &BTreeMap<EngineName, Word>,
+    is_due: impl Fn(&Word) -> bool,
 ) -> Option<EngineName> {
-    let due = engines.iter().find(|(_, (_, until))| now >= *until);
-    due.map(|(name, _)| Arc::clone(name))
+    engines.iter().find(|(_, word)| is_due(word)).map(|(name, _)| Arc::clone(name))
 }
 
 /// Returns whether a machine that knows `old` needs no word of `new`: plans tell which adapters an
--- a/crates/gateway/src/control/era.rs
+++ b/crates/gateway/src/control/era.rs
@@ -1,6 +1,6 @@
 //! What this host does when the store comes back from an older copy of itself.
 
-use reelreel_core::clock::duration_millis;
+use reelreel_core::{StorePosition, clock::duration_millis};
 
 use crate::{control::state::ControlState, events::MachineEvent, store::eras::StoreEras};
 
@@ -10,6 +10,14 @@
         &self.eras
     }
 
+    /// Shows how far this host knows the store's topics.
+    pub(super) fn show_positions(&self) {
+        let metrics = &self.shared.metrics;
+        let offset = |end: StorePosition| i64::try_from(end.offset).unwrap_or(i64::MAX);
+        metrics.configuration_read_to.set(offset(self.configuration.end()));
+        metrics.engines_read_to.set(offset(self.engine_records.end()));
+    }
+
     /// Takes into account an era of the store that was heard of since the last call.
     pub(super) fn note_era(&mut self) {
         let heard = self.eras.newest();
--- a/crates/gateway/src/control/mirror.rs
+++ b/crates/gateway/src/control/mirror.rs
@@ -13,6 +13,8 @@
     pub records: HashMap<String, (StorePosition, Value)>,
     /// Up to where each key was read, dropped keys included: a record at this position or behind it is newer.
     read_to: HashMap<String, StorePosition>,
+    /// Up to where the last whole reading knew all keys, those too that it did not list.
+    whole_to: StorePosition,
     end: StorePosition,
     away: bool,
     /// Whether it was ever read whole.
@@ -22,14 +24,15 @@
 impl<Value> Default for TopicMirror<Value> {
     fn default() -> Self {
         let (records, read_to) = (HashMap::new(), HashMap::new());
-        Self { records, read_to, end: StorePosition::default(), away: false, known: false }
+        let (whole_to, end) = Default::default();
+        Self { records, read_to, whole_to, end, away: false, known: false }
     }
 }
 
 impl<Value> TopicMirror<Value> {
     /// Takes a record, absent where its key was dropped, unless a newer one of the key was seen.
     pub fn take(&mut self, key: &str, position: StorePosition, value: Option<Value>) -> bool {
-        if self.read_to(key).is_some_and(|read_to| position < read_to) {
+        if position < self.known_to(key) {
             return false;
         }
         match value {
@@ -40,6 +43,28 @@
         true
     }
 
+    /// Takes a record of a whole reading up to `end`, unless it is kept already or a later place of its key was read.
+    ///
+    /// Such a reading knows better than an earlier one that lacked the key, wherever the record stands.
+    pub fn take_listed(
+        &mut self,
+        key: &str,
+        position: StorePosition,
+        end: StorePosition,
+        value: Value,
+    ) -> bool {
+        if end < self.known_to(key) || self.holds(key, position) {
+            return false;
+        }
+        self.keep(key, position, value);
+        true
+    }
+
+    /// Returns up to where a key is known, by a record of it or by a whole reading.
+    fn known_to(&self, key: &str) -> StorePosition {
+        self.read_to(key).unwrap_or_default().max(self.whole_to)
+    }
+
     /// Keeps a record that is newer by what it says, wherever it stands.
     pub fn keep(&mut self, key: &str, position: StorePosition, value: Value) {
         self.records.insert(key.to_owned(), (position, value));
@@ -51,6 +76,13 @@
         self.read_key_to(key, position.next());
     }
 
+    /// Takes that all records of a whole reading up to `end` were taken: what a peer tells later of an earlier place is old, also
+    /// of a key that was never seen.
+    pub fn whole_ends(&mut self, end: StorePosition) {
+        self.whole_to = self.whole_to.max(end);
+        self.end = self.end.max(end);
+    }
+
     /// Takes that a whole reading up to `end` no longer has a key.
     pub fn remove(&mut self, key: &str, end: StorePosition) {
         self.records.remove(key);
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -102,6 +102,7 @@
         self.log_suspects();
         self.note_era();
         self.settle_listings(now);
+        self.show_positions();
         self.tick_feed(now);
         self.tell_freshness();
         let services: Vec<ServiceName> = self.domains.keys().cloned().collect();
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -51,6 +51,8 @@
     pub(super) engines: BTreeMap<EngineName, Arc<EngineEntry>>,
     /// Engines that were ever seen leaving, and in which life; a later record of the same life does not undo it.
     pub(super) leaving: HashMap<EngineName, EngineBirth>,
+    /// The last life of each engine that is gone.
+    pub(super) departed: HashMap<EngineName, EngineBirth>,
     pub(super) versions: HashMap<ModelKey, NamedVersions>,
     pub(super) domains: BTreeMap<ServiceName, PlacementDomain>,
     pub(super) owners: HashMap<u32, GroupMember>,
@@ -58,6 +60,7 @@
     pub(super) reads_until: ClockMillis,
     pub(super) health: StoreHealth,
     pub(super) eras: StoreEras,
+    heard_peer: bool,
     /// The era of the store that was last taken into account.
     pub(super) noted_era: StoreEra,
     pub(super) feed: FeedSource,
@@ -67,8 +70,8 @@
     host_count: HostCount,
     /// When the ledger of the quotas was last told anything.
     pub(super) ledger_told: ClockMillis,
-    /// Engines whose entries have gone just after an outage, where in their topic, and until when they count.
-    pub(super) lapsed: BTreeMap<EngineName, (StorePosition, ClockMillis)>,
+    /// Engines whose entries have gone just after an outage, and until when they count.
+    pub(super) lapsed: BTreeMap<EngineName, ClockMillis>,
     /// Listings of engines by a store that came back older, and from when on they count unless the engine writes again before.
     pub(super) withheld: BTreeMap<EngineName, (EngineUpdate, ClockMillis)>,
     pub(super) clients: OrderClients,
@@ -93,12 +96,14 @@
             routes: None,
             engines: BTreeMap::new(),
             leaving: HashMap::new(),
+            departed: HashMap::new(),
             versions: HashMap::new(),
             domains: BTreeMap::new(),
             owners: HashMap::new(),
             reads_until: ClockMillis::default(),
             health: StoreHealth::default(),
             eras: StoreEras::default(),
+            heard_peer: false,
             noted_era: 0,
             feed: FeedSource::default(),
             following: watch::Sender::new(false),
@@ -375,8 +380,11 @@
         let records: Vec<KeyedRecord> = frame.configuration.iter().map(Into::into).collect();
         self.take_configuration(&records);
         let updates = read_engines(&frame.names, &frame.engines);
-        let whole = (frame.whole && !updates.is_empty()).then(|| frame.engines_read_to());
+        let read_to = frame.engines_read_to();
+        // A peer that has read nothing yet does not know that there are no engines.
+        let whole = (frame.whole && read_to > StorePosition::default()).then_some(read_to);
         self.take_passed_on(updates, whole);
+        self.heard_peer |= whole.is_some();
         if current {
             self.take_owners(&frame.owners);
         }
@@ -396,6 +404,11 @@
         }
     }
 
+    /// Returns whether a peer has told everything that it read since this process started.
+    pub const fn has_heard_peer(&self) -> bool {
+        self.heard_peer
+    }
+
     /// Returns whether configuration and engines are known.
     pub fn is_complete(&self) -> bool {
         self.routes.is_some() && self.engine_records.known
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -80,6 +80,10 @@
     pub store_calls: Counter,
     /// The newest era of the store that was heard of.
     pub store_era: Gauge,
+    /// Up to which offset of the operator's topic this host knows it.
+    pub configuration_read_to: Gauge,
+    /// Up to which offset of the engines' topic this host knows it.
+    pub engines_read_to: Gauge,
     /// Bytes of frames sent to other machines, by kind.
     pub peer_bytes: Family<FrameLabels, Counter>,
     /// Whether another machine reads the store for this one.
@@ -125,6 +129,8 @@
             store_failures: Counter::default(),
             store_calls: Counter::default(),
             store_era: Gauge::default(),
+            configuration_read_to: Gauge::default(),
+            engines_read_to: Gauge::default(),
             peer_bytes: Family::default(),
             following: Gauge::default(),
             hosts: Gauge::default(),
@@ -170,6 +176,10 @@
         let help =
             "How often the store has come back from an older copy, as far as this host has heard";
         registry.register("store_era", help, self.store_era.clone());
+        let help = "Up to which offset of the operator's topic this host knows it";
+        registry.register("configuration_read_to", help, self.configuration_read_to.clone());
+        let help = "Up to which offset of the engines' topic this host knows it";
+        registry.register("engines_read_to", help, self.engines_read_to.clone());
         let help = "Bytes of frames sent to other machines by kind";
         registry.register("peer_sent_bytes", help, self.peer_bytes.clone());
         let help = "Whether another machine reads the store for this one";
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -6,7 +6,7 @@
 use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle};
 
 use crate::{
-    control::{SharedControl, domain::PEER_QUEUE},
+    control::{SharedControl, domain::PEER_QUEUE, state::ControlState},
     peers::{
         PeerStream,
         frame::{AskFrame, DemandFrame, EncodedFrame, FrameBody},
@@ -30,6 +30,20 @@
 /// How many looks pass between two asks of a peer for what the store does not tell.
 const LOOKS_PER_ASK: u32 = 4;
 
+/// How many peers a host that has started asks until one has answered: each takes 0.4 s, and within three seconds a host that starts
+/// is to know what is in force.
+const MOST_FIRST_ASKS: u32 = 8;
+
+impl ControlState {
+    /// Returns whether a peer is to be asked for what it has read from the store, after so many asks.
+    ///
+    /// A host that has just started asks also where the store answers it: a store that came back from an older copy says less than peers
+    /// knew before.
+    fn lacks_peers_word(&self, asks: u32) -> bool {
+        !self.is_complete() || (!self.has_heard_peer() && asks < MOST_FIRST_ASKS)
+    }
+}
+
 /// Keeps one connection to each foreign placer for ever.
 pub async fn run_peer_client(state: SharedControl) {
     let mut tasks: HashMap<ServiceName, (SocketAddr, JoinHandle<()>)> = HashMap::new();
@@ -50,8 +64,9 @@
                 (address, tokio::task::spawn_local(talk))
             });
         }
-        if !state.borrow().is_complete() && looks % LOOKS_PER_ASK == 0 {
-            ask_any_peer(&state, looks / LOOKS_PER_ASK).await;
+        let asks = looks / LOOKS_PER_ASK;
+        if looks % LOOKS_PER_ASK == 0 && state.borrow().lacks_peers_word(asks) {
+            ask_any_peer(&state, asks).await;
         }
         looks += 1;
         tokio::time::sleep(LOOK_INTERVAL).await;
--- a/crates/gateway/tests/machine/dialect.rs
+++ b/crates/gateway/tests/machine/dialect.rs
@@ -273,7 +273,7 @@
             zone: Arc::from("hall"),
             slots: 16,
             leaving: body["leaving"].as_bool().unwrap_or_default(),
-            sequence: 0,
+            sequence: body["sequence"].as_u64().unwrap_or_default(),
             held: held(&body["held"]),
         })
     }
--- a/crates/gateway/tests/machine/engine.rs
+++ b/crates/gateway/tests/machine/engine.rs
@@ -57,6 +57,8 @@
     clients_gone: u32,
     /// When the present life began; zero where it does not say.
     born: u64,
+    /// The highest token of an order that it has taken.
+    highest_token: u64,
     /// Bodies under which it ends.
     deadly: Vec<Vec<u8>>,
     /// What ends with it, where it can end.
@@ -170,6 +172,7 @@
         state.held = held.iter().map(|key| (*key).to_owned()).collect();
         state.born = born;
         state.sequence = 0;
+        state.highest_token = 0;
         state.orders.clear();
         state.heads.clear();
         state.runs.clear();
@@ -203,6 +206,11 @@
     if order["sequence"].as_u64() != Some(state.sequence) {
         return 409;
     }
+    let token = order["token"].as_u64().unwrap_or_default();
+    if token < state.highest_token {
+        return 412;
+    }
+    state.highest_token = token;
     let key = order["key"].as_str().unwrap_or_default().to_owned();
     state.sequence += 1;
     let load = order["load"].as_bool().unwrap_or_default();
--- a/crates/gateway/tests/machine/site.rs
+++ b/crates/gateway/tests/machine/site.rs
@@ -48,17 +48,17 @@
 }
 
 /// What tells the machines of tests apart.
-struct TestProfile {
+pub(crate) struct TestProfile {
     seeds: Vec<SocketAddr>,
     capacity: MachineCapacity,
     revocation: Option<Duration>,
     store: SocketAddr,
-    clock: Arc<dyn ClockSource>,
+    pub(crate) clock: Arc<dyn ClockSource>,
 }
 
 impl TestProfile {
     /// A strong host with a clock of its own.
-    fn new(store: SocketAddr) -> Self {
+    pub(crate) fn new(store: SocketAddr) -> Self {
         Self {
             seeds: Vec::new(),
             capacity: MachineCapacity { processor: 0.25, bandwidth: 1000.0 },
@@ -67,6 +67,44 @@
             clock: Arc::new(MonotonicClock::new()),
         }
     }
+
+    /// Returns the whole profile of a machine.
+    pub(crate) fn profile(self, name: &str) -> MachineProfile {
+        let Self { seeds, capacity, revocation, store, .. } = self;
+        MachineProfile {
+            name: Arc::from(name),
+            zone: Arc::from("hall"),
+            clients: free_address(),
+            readiness: free_address(),
+            peers: free_address(),
+            metrics: free_address(),
+            seeds,
+            most_connections: 2500,
+            most_body_bytes: 8 * 1024 * 1024,
+            store,
+            partitions: 4,
+            shortest_membership: Duration::from_millis(500),
+            capacity,
+            first_start: true,
+            bounds: OperatorBounds {
+                stop_grace: Duration::from_secs(6),
+                configuration_apply: Duration::from_secs(2),
+                leaving_apply: Duration::from_secs(2),
+                lease: Duration::from_millis(600),
+                engines_check_fences: true,
+                version_apply: Duration::from_secs(2),
+                retries: RetryAllowance {
+                    ratio: 0.2,
+                    burst: 50.0,
+                    window: Duration::from_secs(10),
+                },
+                load_window: Duration::from_secs(5),
+                load_overage: 1.1,
+                revocation,
+                quota: QuotaTolerance { window: Duration::from_secs(8), overage: 0.1, extra: 20.0 },
+            },
+        }
+    }
 }
 
 /// The stand-ins of one test.
@@ -260,46 +298,14 @@
     }
 
     fn start(name: &str, profile: TestProfile) -> Self {
-        let TestProfile { seeds, capacity, revocation, store, clock } = profile;
         let known = HashMap::from([
             (1, Arc::new(routes(1, false))),
             (2, Arc::new(routes(2, true))),
             (WITH_KEYS, Arc::new(with_keys(WITH_KEYS, &["key-n1", "key-n2"]))),
             (KEY_WITHDRAWN, Arc::new(with_keys(KEY_WITHDRAWN, &["key-n2"]))),
         ]);
-        let profile = MachineProfile {
-            name: Arc::from(name),
-            zone: Arc::from("hall"),
-            clients: free_address(),
-            readiness: free_address(),
-            peers: free_address(),
-            metrics: free_address(),
-            seeds,
-            most_connections: 2500,
-            most_body_bytes: 8 * 1024 * 1024,
-            store,
-            partitions: 4,
-            shortest_membership: Duration::from_millis(500),
-            capacity,
-            first_start: true,
-            bounds: OperatorBounds {
-                stop_grace: Duration::from_secs(6),
-                configuration_apply: Duration::from_secs(2),
-                leaving_apply: Duration::from_secs(2),
-                lease: Duration::from_millis(600),
-                engines_check_fences: true,
-                version_apply: Duration::from_secs(2),
-                retries: RetryAllowance {
-                    ratio: 0.2,
-                    burst: 50.0,
-                    window: Duration::from_secs(10),
-                },
-                load_window: Duration::from_secs(5),
-                load_overage: 1.1,
-                revocation,
-                quota: QuotaTolerance { window: Duration::from_secs(8), overage: 0.1, extra: 20.0 },
-            },
-        };
+        let clock = Arc::clone(&profile.clock);
+        let profile = profile.profile(name);
         let (clients, readiness) = (profile.clients, profile.readiness);
         let events = EventLog::start(Arc::from(name)).expect("a thread for log lines");
         let shared = Arc::new(SharedState::new(profile, dialects(Arc::new(known)), events, clock));
--- a/crates/gateway/tests/machine/store.rs
+++ b/crates/gateway/tests/machine/store.rs
@@ -18,7 +18,7 @@
 
 const PARTITIONS: u32 = 4;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Topic {
     records: Vec<(String, String)>,
 }
@@ -47,8 +47,24 @@
 /// A topic whose newest records come in pages of one record.
 struct PagedTopic {
     topic: &'static str,
-    /// A record that is put as soon as the first page was made.
-    after_page: Option<(String, String)>,
+    /// What happens as soon as the first page was made.
+    after_page: Option<AfterPage>,
+}
+
+/// What happens to a topic between two pages.
+enum AfterPage {
+    /// A record is put.
+    Put((String, String)),
+    /// The store comes back from an older copy, in which the topic lacks so many records, and this one is put.
+    FallBack(usize, (String, String)),
+}
+
+/// A copy of everything that the store keeps.
+#[derive(Clone)]
+pub(crate) struct StoreCopy {
+    topics: BTreeMap<String, Topic>,
+    members: BTreeMap<String, Instant>,
+    generation: u64,
 }
 
 /// What the store tells of the partitions' holders: what they were a while ago.
@@ -172,10 +188,40 @@
 
     /// Makes pages of a topic's newest records hold one record, and puts a record after the first of them.
     pub(crate) fn change_between_pages(&self, topic: &'static str, key: &str, value: &str) {
-        let after_page = Some((key.to_owned(), value.to_owned()));
+        let after_page = Some(AfterPage::Put((key.to_owned(), value.to_owned())));
+        self.lock().paged = Some(PagedTopic { topic, after_page });
+    }
+
+    /// Makes pages of a topic's newest records hold one record, and brings the store back from an older copy after the first of
+    /// them: the topic lacks its last `lost` records, and another one is put.
+    pub(crate) fn fall_between_pages(&self, topic: &'static str, lost: usize, put: (&str, &str)) {
+        let put = (put.0.to_owned(), put.1.to_owned());
+        let after_page = Some(AfterPage::FallBack(lost, put));
         self.lock().paged = Some(PagedTopic { topic, after_page });
     }
 
+    /// Copies everything that the store keeps.
+    pub(crate) fn copy(&self) -> StoreCopy {
+        let state = self.lock();
+        let (topics, members) = (state.topics.clone(), state.members.clone());
+        StoreCopy { topics, members, generation: state.generation }
+    }
+
+    /// Brings the store back from a copy: what was written since is gone, and its offsets and generations are given out again.
+    pub(crate) fn come_back(&self, copy: &StoreCopy) {
+        let mut state = self.lock();
+        let StoreCopy { topics, members, generation } = copy.clone();
+        (state.topics, state.members, state.generation) = (topics, members, generation);
+        state.era += 1;
+        drop(state);
+        self.state.1.notify_all();
+    }
+
+    /// Returns how many records a topic has.
+    pub(crate) fn end(&self, topic: &str) -> usize {
+        self.lock().topics.get(topic).map_or(0, |topic| topic.records.len())
+    }
+
     /// Makes what the store tells of the partitions' holders lie behind: a partition passes on only when the member that had
     /// it has joined again, which moves no generation.
     pub(crate) fn lag_owners(&self, lag: Duration) {
@@ -238,7 +284,7 @@
     let lock = || state.0.lock().unwrap_or_else(PoisonError::into_inner);
     let silences = lock().silences;
     while let Some(request) = connection.next_request() {
-        let (status, body) = store_answer(state, &request);
+        let (era, (status, body)) = store_answer(state, &request);
         let hangs = {
             let state = lock();
             state.hangs || state.silences > silences
@@ -247,16 +293,31 @@
             thread::sleep(NEVER);
             return;
         }
-        let era = format!("{ERA}: {}\r\n", lock().era);
+        let era = format!("{ERA}: {era}\r\n");
         if connection.answer(status, &era, &body.to_string()).is_none() {
             return;
         }
     }
 }
 
-fn store_answer(state: &(Mutex<StoreState>, Condvar), request: &ServedRequest) -> (u16, Value) {
+/// Makes an answer, and tells in which era.
+fn store_answer(
+    state: &(Mutex<StoreState>, Condvar),
+    request: &ServedRequest,
+) -> (u64, (u16, Value)) {
     let mut locked = state.0.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut era = locked.era;
     locked.calls += 1;
+    let answer = call_answer(locked, &state.1, request, &mut era);
+    (era, answer)
+}
+
+fn call_answer(
+    mut locked: MutexGuard<'_, StoreState>,
+    changes: &Condvar,
+    request: &ServedRequest,
+    era: &mut u64,
+) -> (u16, Value) {
     if locked.refuses {
         return (503, Value::Null);
     }
@@ -272,7 +333,15 @@
             let more = records.len() > most;
             records.truncate(most);
             let end = topic.records.len();
-            topic.records.extend(after_page);
+            match after_page {
+                Some(AfterPage::Put(record)) => topic.records.push(record),
+                Some(AfterPage::FallBack(lost, record)) => {
+                    topic.records.truncate(end.saturating_sub(lost));
+                    topic.records.push(record);
+                    locked.era += 1;
+                }
+                None => {}
+            }
             (200, json!({ "records": records, "end": end, "more": more }))
         }
         ["read", topic, from, wait] => {
@@ -282,13 +351,13 @@
             if known <= from && !wait.is_zero() {
                 *locked.held_reads.entry((*topic).to_owned()).or_default() += 1;
             }
-            let (locked, _) = state
-                .1
+            let (locked, _) = changes
                 .wait_timeout_while(locked, wait, |state| {
                     let end = state.topics.get(*topic).map_or(0, |topic| topic.records.len());
                     !state.refuses && end == from
                 })
                 .unwrap_or_else(PoisonError::into_inner);
+            *era = locked.era;
             if locked.refuses {
                 return (503, Value::Null);
             }
