test(gateway): what waits is sent by what was known when it arrived; two known red

A request that waits for its adapter while two engines end under it is sent when the adapter has come (200 where 503 is due), and one whose key is withdrawn meanwhile runs (200 where 401 is due). Both fail on this code.

--- a/crates/gateway/tests/machine/main.rs
+++ b/crates/gateway/tests/machine/main.rs
@@ -1,6 +1,7 @@
 //! A whole machine over real sockets, against stand-ins that speak the project's plain dialect.
 
 mod configuration;
+mod before_sending;
 mod deadly;
 mod dialect;
 mod engine;
