fix(gateway): one last look right before each send

Cause: whether a request is held back, whether its key holds and whether its engine takes work were asked when it arrived or when the engine was chosen. What waited (for its adapter, the pause before a further try, a connection) was sent by that. Change: every way to an engine, resumed streams too, goes through Exchange::begin_send, which asks all of it right before the first byte; what waits for an adapter is told at once when it would not be sent. A connection on which nothing was sent is closed.

--- a/crates/gateway/src/entry/answer.rs
+++ b/crates/gateway/src/entry/answer.rs
@@ -30,6 +30,12 @@
         Self { status: 503, text, retry_after: Some(retry_after) }
     }
 
+    /// A refusal of a request under which engines ended: it has not run now, and may come back after `time`.
+    pub const fn held_back(time: Duration) -> Self {
+        let text = "engines ended while they ran this request; change it, or come back after the time in Retry-After";
+        Self::refusal(text, time)
+    }
+
     /// A refusal of a request beyond its organisation's quota: it has not run, and may come back after `wait`.
     pub const fn over_quota(wait: Duration) -> Self {
         let text = "your organisation's quota is used up; come back after the time in Retry-After";
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -72,8 +72,13 @@
         if !lease.reused {
             self.traffic.shared.metrics.connects.inc();
         }
-        let request = self.engine_request(entry, version, None);
-        self.count_send(entry);
+        let request = match self.begin_send(entry, version, None) {
+            Ok(request) => request,
+            Err(bar) => {
+                lease.close();
+                return SendEnd::Barred(bar);
+            }
+        };
         let began = self.traffic.now();
         let dialect = Arc::clone(&self.traffic.shared.dialects.exchange);
         let time_over = self.deadline.clone().over(DEADLINE_SLACK);
@@ -174,7 +179,7 @@
     }
 
     /// Counts a send, and the engine among those that the request was sent to.
-    pub fn count_send(&mut self, entry: &EngineEntry) {
+    pub(super) fn count_send(&mut self, entry: &EngineEntry) {
         self.sends += 1;
         self.count_further_run();
         self.sent = self.elapsed();
@@ -217,7 +222,7 @@
     }
 
     /// Writes the request as the engine gets it.
-    pub fn engine_request(
+    pub(super) fn engine_request(
         &self,
         entry: &EngineEntry,
         version: Option<WeightVersion>,
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -26,6 +26,7 @@
     entry::{
         TrafficState,
         answer::{ENGINE_FAILED, TIME_OVER},
+        bar::SendBar,
         deadline::RequestDeadline,
         pick::{EngineNeed, EnginePick, pick_engine},
         prepare::{PreparedRequest, prepare, refuse_early},
@@ -78,6 +79,8 @@
 pub enum SendEnd {
     /// The client has its answer, or is gone.
     Over(ExchangeEnd, &'static str),
+    /// It was not sent, since what had been decided holds no longer.
+    Barred(SendBar),
     /// Nothing reached the engine.
     NotSent,
     /// The engine promises that it did not run the request; `absent` when it lacks the adapter.
@@ -226,8 +229,8 @@
             self.traffic.shared.demand().asked(&self.service, key, tokens);
         }
         // What is held back ends engines with everything that they run, and its body is known already.
-        if let Some(time) = self.held_back() {
-            return self.refuse_held(time).await;
+        if let Some(end) = self.refuse_barred().await {
+            return end;
         }
         if let Some(time) = self.plain_refusal() {
             return self.refuse_plain(time).await;
@@ -244,6 +247,11 @@
                 }
                 EnginePick::Cold => match self.wait_for_adapter().await {
                     WaitEnd::Changed => {}
+                    WaitEnd::Barred(bar) => {
+                        if let Some(end) = self.barred(bar).await {
+                            return end;
+                        }
+                    }
                     WaitEnd::ClientGone => return (ExchangeEnd::Reset, "client_gone"),
                     WaitEnd::Refused(time) => return self.refuse_cold(time).await,
                 },
@@ -281,6 +289,7 @@
         let began = Instant::now();
         match self.send(entry, version).await {
             SendEnd::Over(end, outcome) => Some((end, outcome)),
+            SendEnd::Barred(bar) => self.barred(bar).await,
             SendEnd::TimeOver if self.may_have_run => {
                 Some(self.answer(TIME_OVER, "time_over").await)
             }
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -307,8 +307,10 @@
         let terms = self.connect_terms(true);
         let connecting = EnginePool::connect(&self.traffic.pool, &entry, terms, now);
         let mut lease = connecting.await.ok()?;
-        let request = self.engine_request(&entry, version, progress.cutter.last_id());
-        self.count_send(&entry);
+        let Ok(request) = self.begin_send(&entry, version, progress.cutter.last_id()) else {
+            lease.close();
+            return None;
+        };
         self.traffic.shared.metrics.resumes.inc();
         let dialect = Arc::clone(&self.traffic.shared.dialects.exchange);
         let (method, id) = (self.request.head.method.clone(), self.facts.id.clone());
--- a/crates/gateway/src/entry/quarantine.rs
+++ b/crates/gateway/src/entry/quarantine.rs
@@ -7,13 +7,7 @@
     quarantine::EndedRun,
 };
 
-use crate::{
-    engines::ends::run_broke,
-    entry::{
-        answer::OwnAnswer,
-        exchange::{Exchange, ExchangeEnd},
-    },
-};
+use crate::{engines::ends::run_broke, entry::exchange::Exchange};
 
 /// How long a request that may be sent again waits to know whether its engine ended: a refused connection shows within a
 /// round trip, a few milliseconds between data halls of a region.
@@ -27,12 +21,6 @@
         self.traffic.shared.quarantine().held(self.mark, version, now)
     }
 
-    /// Refuses a request under which engines ended; it has not run.
-    pub(super) async fn refuse_held(&mut self, time: Duration) -> (ExchangeEnd, &'static str) {
-        let text = "engines ended while they ran this request; change it, or come back after the time in Retry-After";
-        self.answer(OwnAnswer::refusal(text, time), "held_back").await
-    }
-
     /// Returns whether engines ended under the request since it last ran whole.
     pub(super) fn is_suspect(&self) -> bool {
         self.traffic.shared.quarantine().is_suspect(self.mark)
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -9,6 +9,7 @@
 
 use crate::entry::{
     TrafficState,
+    bar::SendBar,
     exchange::{Exchange, SENT_AHEAD},
     pick::EnginePick,
 };
@@ -23,6 +24,8 @@
 pub enum WaitEnd {
     /// An engine may take the request now.
     Changed,
+    /// It would not be sent to any engine.
+    Barred(SendBar),
     /// The client is gone.
     ClientGone,
     /// The request is refused; the client comes back after so long.
@@ -98,6 +101,9 @@
         let worth = self.cold_request(&key).worth();
         let mut guard = WaitGuard::new(self.traffic, &self.service, &key, tokens, worth);
         let end = loop {
+            if let Some(bar) = self.request_bar() {
+                break WaitEnd::Barred(bar);
+            }
             guard.revalue(self.cold_request(&key).worth());
             let wait = match self.cold_request(&key).choose() {
                 ColdChoice::Wait(time) => time,
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -43,6 +43,12 @@
         self.engines.get(service).into_iter().flatten().filter(|entry| !entry.leaving)
     }
 
+    /// Returns whether an engine that was chosen from an earlier table still takes new work, in the same life.
+    pub fn takes_work(&self, chosen: &EngineEntry) -> bool {
+        let mut ready = self.ready_engines(&chosen.service);
+        ready.any(|entry| entry.name == chosen.name && entry.is_life(chosen.born))
+    }
+
     /// Returns whether an engine is listed for a service.
     pub fn serves(&self, service: &str, engine: &str) -> bool {
         self.engines.get(service).into_iter().flatten().any(|entry| &*entry.name == engine)
