feat(core): an adapter under whose loads engines end is held back

Cause: a placer orders a load again at the next engine when requests wait on, and an engine that ends under a load stays listed for seconds; nothing remembered what it was loading. Change: a load after which its engine gives no report, or is gone, counts as a sign against its adapter, unless hosts sent requests for it there; two in a row hold it back for as long as requests under which engines end are held (5 s, a minute, doubling), then one engine at a time tries it; an engine that holds it clears it. Waiting requests are told at once.

--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -14,6 +14,8 @@
 mod whole_runs;
 mod word;
 
+pub(crate) use hold::Hold;
+
 pub use book::{ENDS_UNTIL_HELD, EndedRun, QuarantineBook, QuarantineNews};
 pub use mark::{MarkedRequest, RequestMark, shown_mark};
 pub use word::{SuspectWord, ToldEnd};
--- a/crates/core/src/fleet/quarantine/hold.rs
+++ b/crates/core/src/fleet/quarantine/hold.rs
@@ -31,11 +31,11 @@
 
 /// For how long a suspect is held back after its last end or try.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Hold(Duration);
+pub(crate) struct Hold(Duration);
 
 impl Hold {
     /// Returns the hold after so many ends, once they are as many as it takes.
-    pub(super) fn after(ends: usize, ends_until_held: usize) -> Option<Self> {
+    pub(crate) fn after(ends: usize, ends_until_held: usize) -> Option<Self> {
         let further = ends.checked_sub(ends_until_held)?;
         let hold = match further.checked_sub(1) {
             None => FIRST_HOLD,
@@ -45,10 +45,15 @@
     }
 
     /// Returns for how long it is remembered at all.
-    pub(super) fn remembered(self) -> Duration {
+    pub(crate) fn remembered(self) -> Duration {
         self.0 * 2 + KEPT
     }
 
+    /// Returns how long it lasts; `renewed` where a newer version of what is held back was named since.
+    pub(crate) fn time(self, renewed: bool) -> Duration {
+        if renewed { self.0.min(VERSION_HOLD) } else { self.0 }
+    }
+
     /// Returns how much of it is left; `version` is the one that is named now, and `turn` the host's turn to try the request
     /// again, from zero to one: the last one holds it back for twice as long as the first.
     pub(super) fn left(
@@ -58,7 +63,8 @@
         turn: f64,
         now: ClockMillis,
     ) -> Duration {
-        let hold = if version > suspect.version { self.0.min(VERSION_HOLD) } else { self.0 };
-        hold.mul_f64(1.0 + turn).saturating_sub(now.since(suspect.newest()))
+        self.time(version > suspect.version)
+            .mul_f64(1.0 + turn)
+            .saturating_sub(now.since(suspect.newest()))
     }
 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -11,6 +11,7 @@
 mod doubts;
 mod due;
 pub mod inventory;
+pub mod load_suspects;
 mod odd_engines;
 pub mod order;
 pub mod pace_learner;
--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -24,6 +24,10 @@
 /// How long requests wait for an adapter that is there before it counts as out of their reach.
 const OUT_OF_REACH: Duration = Duration::from_millis(700);
 
+/// How long after a suspect's load is due it is not known whether its engine lives: a report is asked for after 130 ms and given up
+/// after 500.
+const UNPROVED: Duration = Duration::from_millis(700);
+
 /// How many seconds of future requests a load is credited with.
 pub(super) const RATE_HORIZON: f64 = 6.0;
 
@@ -64,9 +68,23 @@
             }
         }
         candidates.extend(self.outdated(now));
+        candidates.retain(|candidate| !self.is_barred(&candidate.key, now));
         candidates
     }
 
+    /// Returns whether an adapter is not to be loaded now, since engines ended under its loads: for a while, and then by one engine
+    /// at a time.
+    fn is_barred(&self, key: &ModelKey, now: ClockMillis) -> bool {
+        if !self.load_suspects.is_suspect(key) {
+            return false;
+        }
+        let ordered = self.outstanding.values().any(|order| order.key == *key);
+        let coming = || self.engines.values().flat_map(|inventory| &inventory.pending);
+        ordered
+            || coming().any(|load| load.key == *key && now < load.due + UNPROVED)
+            || self.load_suspects.held(key, self.newest(key), now).is_some()
+    }
+
     /// Returns a load of the most wanted base model for each engine that has none.
     fn empty_engines(&self, now: ClockMillis) -> Vec<LoadCandidate> {
         let empty = self.engines.values().filter(|inventory| {
--- a/crates/core/src/placement/inventory.rs
+++ b/crates/core/src/placement/inventory.rs
@@ -108,6 +108,8 @@
     pub order: Option<OrderId>,
     /// Whether it uses the weight store.
     pub from_store: bool,
+    /// Whether a host sent requests for it to the engine: whatever ends the engine then need not be the load.
+    pub used: bool,
 }
 
 impl PendingLoad {
@@ -315,6 +317,7 @@
                     not_before: ClockMillis::default(),
                     order: None,
                     from_store: true,
+                    used: false,
                 });
             }
         }
@@ -333,6 +336,20 @@
         lately.count() >= LEAST_UNREACHED
     }
 
+    /// Takes that a host has requests for `key` there.
+    pub fn note_use(&mut self, key: &str) {
+        for load in self.pending.iter_mut().filter(|load| &*load.key == key) {
+            load.used = true;
+        }
+    }
+
+    /// Returns the adapters on their way that began before `moment` and were not used: what may have ended the engine if it has ended.
+    pub fn unproved_loads(&self, moment: ClockMillis) -> impl Iterator<Item = &PendingLoad> {
+        self.pending.iter().filter(move |load| {
+            adapter_name(&load.key).is_some() && !load.used && load.began < moment
+        })
+    }
+
     /// Returns what a report that was asked for at `asked` shows of the adapters on their way from the store.
     pub fn load_sights(&self, report: &EngineReport, asked: ClockMillis) -> Vec<LoadSight> {
         let at = asked - REPORT_AGE;
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -23,6 +23,7 @@
         OrderId, OrderKind, PaceLearner, PlacementAction, PlannedOrder, StorePace, WorkBook,
         doubts::{counts_against_rate, settle_doubts},
         inventory::{EngineMemory, PendingLoad},
+        load_suspects::{HeldLoad, LoadSuspects},
         totals::RoundTotals,
     },
     popularity::DecayedRate,
@@ -69,6 +70,9 @@
     pub(super) totals: RoundTotals,
     next_order: OrderId,
     queue: Vec<ModelKey>,
+    pub(super) load_suspects: LoadSuspects,
+    /// Loads of engines that are listed no more, or in another life, which had given no sign that they lived through them.
+    ended_loads: Vec<(Arc<EngineEntry>, PendingLoad)>,
 }
 
 impl PlacementPlanner {
@@ -89,6 +93,8 @@
             totals: RoundTotals::default(),
             next_order: 0,
             queue: Vec::new(),
+            load_suspects: LoadSuspects::default(),
+            ended_loads: Vec::new(),
         }
     }
 
@@ -109,7 +115,8 @@
     /// Takes the domain's engines as they are listed now.
     pub fn engines_listed(&mut self, entries: &[Arc<EngineEntry>]) {
         let names: BTreeSet<&EngineName> = entries.iter().map(|entry| &entry.name).collect();
-        self.engines.retain(|name, _| names.contains(name));
+        let gone = self.engines.extract_if(.., |name, _| !names.contains(name));
+        self.ended_loads.extend(gone.flat_map(|(_, inventory)| loads_at_end(&inventory)));
         for entry in entries {
             let name = Arc::clone(&entry.name);
             let new = || EngineInventory::new(Arc::clone(entry));
@@ -118,6 +125,7 @@
                 // Another life under the same name holds nothing of before and has taken no order.
                 let outstanding = self.outstanding.values();
                 let outstanding = outstanding.filter(|order| order.engine.name == entry.name);
+                self.ended_loads.extend(loads_at_end(inventory));
                 *inventory = inventory.next_life(Arc::clone(entry), outstanding);
             }
             inventory.entry = Arc::clone(entry);
@@ -168,6 +176,11 @@
     /// Takes what a host has at engines.
     pub fn work_noted(&mut self, host: &Arc<str>, told: &HostWork, now: ClockMillis) {
         self.work.note(host, told, now);
+        for run in told.runs.iter().filter(|run| run.open > 0) {
+            if let Some(inventory) = self.engines.get_mut(&run.engine) {
+                inventory.note_use(&run.key);
+            }
+        }
         for absent in &told.absent {
             self.absence_noted(absent, now);
         }
@@ -191,6 +204,12 @@
             return;
         }
         let sights = inventory.load_sights(report, asked);
+        let landed = inventory.pending.iter().map(|load| &load.key);
+        let landed = landed.filter(|key| report.held.iter().any(|held| held.key == **key));
+        for key in landed {
+            self.load_suspects.loaded(key);
+        }
+        self.load_suspects.engine_lives(engine, inventory.entry.born);
         inventory.take_report(report, asked);
         for sight in sights {
             self.store.load_seen(&sight, asked);
@@ -199,11 +218,19 @@
 
     /// Takes that an engine gave no report.
     pub fn report_failed(&mut self, engine: &str) {
-        if let Some(inventory) = self.engines.get_mut(engine) {
-            inventory.asking = false;
+        let Some(inventory) = self.engines.get_mut(engine) else { return };
+        inventory.asking = false;
+        let (entry, asked) = (&inventory.entry, inventory.asked);
+        for load in inventory.unproved_loads(asked).filter(|load| load.due <= asked) {
+            self.load_suspects.silent(entry, load, false, asked);
         }
     }
 
+    /// Returns which adapters are held back since engines ended under their loads, once each.
+    pub fn take_held_loads(&mut self) -> Vec<HeldLoad> {
+        self.load_suspects.take_news()
+    }
+
     /// Takes an engine's word, or silence, on an order.
     pub fn order_answered(&mut self, id: OrderId, answer: OrderAnswer, now: ClockMillis) {
         let Some(order) = self.outstanding.remove(&id) else { return };
@@ -232,6 +259,7 @@
                     not_before: ClockMillis::default(),
                     order: Some(order.id),
                     from_store,
+                    used: false,
                 });
                 if from_store && adapter_name(&order.key).is_some() {
                     self.store.load_began(order.id, &order.engine.name, now);
@@ -266,6 +294,10 @@
         }
         self.demand.forget_old(now);
         self.work.forget_old(now);
+        for (entry, load) in std::mem::take(&mut self.ended_loads) {
+            self.load_suspects.silent(&entry, &load, true, now);
+        }
+        self.load_suspects.forget_old(now);
         let mut actions = self.wanted_reports(now);
         if acting {
             let orders = self.wanted_orders(now);
@@ -381,6 +413,9 @@
         if self.outstanding.values().any(|order| &*order.key == key) {
             return Some(self.pace().load_time);
         }
+        if let Some(held) = self.load_suspects.held(key, self.newest(key), now) {
+            return Some(held + self.pace().load_time);
+        }
         let place = self.queue.iter().position(|queued| &**queued == key)?;
         let rate = self.load_rate.per_second(now, LOAD_RATE_HALF_LIFE).max(LEAST_LOAD_RATE);
         let turn = Duration::from_secs_f64((place + 1) as f64 / rate);
@@ -399,3 +434,13 @@
         due.map(Reverse).max().map(|Reverse(due)| due)
     }
 }
+
+/// Returns the loads that may have ended an engine; one that said that it leaves was ended by none.
+fn loads_at_end(inventory: &EngineInventory) -> Vec<(Arc<EngineEntry>, PendingLoad)> {
+    if inventory.entry.leaving {
+        return Vec::new();
+    }
+    let end = ClockMillis::from_millis(u64::MAX);
+    let loads = inventory.unproved_loads(end);
+    loads.map(|load| (Arc::clone(&inventory.entry), load.clone())).collect()
+}
--- a/crates/core/tests/placement/main.rs
+++ b/crates/core/tests/placement/main.rs
@@ -2,6 +2,7 @@
 
 mod candidacy;
 mod choices;
+mod deadly_loads;
 mod faults;
 mod lateness;
 mod world;
--- a/crates/core/tests/placement/world.rs
+++ b/crates/core/tests/placement/world.rs
@@ -56,6 +56,10 @@
     pub(crate) late: Vec<(u64, PlannedOrder)>,
     pub(crate) fell: Option<String>,
     pub(crate) load_millis: u64,
+    /// The adapter under whose load it ends.
+    pub(crate) deadly: Option<ModelKey>,
+    /// When it ended; it answers nothing any more.
+    pub(crate) ended: Option<u64>,
 }
 
 impl TestEngine {
@@ -81,6 +85,8 @@
             late: Vec::new(),
             fell: None,
             load_millis: LOAD_MILLIS,
+            deadly: None,
+            ended: None,
         }
     }
 
@@ -91,6 +97,9 @@
         self.sequence += 1;
         match order.kind {
             OrderKind::Load { .. } => {
+                if self.deadly.as_ref() == Some(&order.key) {
+                    self.ended = Some(now);
+                }
                 if self.held.contains_key(&order.key) {
                     self.sequence -= 1;
                     return OrderAnswer::Done;
@@ -300,11 +309,11 @@
             PlacementAction::Report(entry) => {
                 let engine = self.engines.iter().find(|engine| engine.entry.name == entry.name);
                 match engine {
-                    Some(engine) => {
+                    Some(engine) if engine.ended.is_none() => {
                         let name = entry.name.to_string();
                         self.reports.push((now + 3, now, name, engine.report()));
                     }
-                    None => self.planner.report_failed(&entry.name),
+                    _ => self.planner.report_failed(&entry.name),
                 }
             }
             PlacementAction::Order(order) => {
@@ -314,6 +323,10 @@
                     self.answers.push((now + 3, order.id, OrderAnswer::OtherEngine));
                     return;
                 };
+                if engine.ended.is_some() {
+                    self.answers.push((now + 3, order.id, OrderAnswer::NotSent));
+                    return;
+                }
                 self.loads += usize::from(order.kind != OrderKind::Unload);
                 match fate {
                     OrderFate::Answered => {
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -203,6 +203,7 @@
         }
         let actions = planner.plan(token.is_some(), now);
         let due = planner.next_due(now);
+        let held = planner.take_held_loads();
         let changed = domain.adopt_own_plan();
         if let Some(pace) = domain.take_changed_pace() {
             self.shared.events.write(MachineEvent::StorePace {
@@ -211,6 +212,14 @@
                 load_millis: duration_millis(pace.load_time),
             });
         }
+        for load in held {
+            self.shared.events.write(MachineEvent::LoadHeld {
+                service: service.to_string(),
+                key: load.key.to_string(),
+                ends: load.ends,
+                millis: duration_millis(load.time),
+            });
+        }
         self.changed |= !changed.is_empty();
         domain.tell_plan(changed, now);
         let listeners = domain.listeners();
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -176,6 +176,17 @@
         /// By what it is known again.
         mark: String,
     },
+    /// An adapter is not loaded for a while, since engines ended under its loads.
+    LoadHeld {
+        /// The domain's service.
+        service: String,
+        /// The adapter.
+        key: String,
+        /// How many engines ended one after the other, or gave no sign of life since.
+        ends: usize,
+        /// For how long it is not loaded. Unit: milliseconds.
+        millis: u64,
+    },
     /// The lease of a placement domain moved to another state.
     Lease {
         /// The domain's service.
--- a/crates/gateway/tests/machine/events.rs
+++ b/crates/gateway/tests/machine/events.rs
@@ -82,6 +82,12 @@
         MachineEvent::EngineReborn { engine: engine(), born: 1_788_253_401_202 },
         MachineEvent::EngineLeaving { engine: engine() },
         MachineEvent::EngineGone { engine: engine() },
+        MachineEvent::LoadHeld {
+            service: String::from("s"),
+            key: String::from("m/a1"),
+            ends: 2,
+            millis: 5000,
+        },
         MachineEvent::Lease { service: String::from("s"), state: "acting".into(), token: 1 },
         MachineEvent::StorePace { service: String::from("s"), full_speed: 32.0, load_millis: 250 },
         MachineEvent::Order {
@@ -143,6 +149,7 @@
         | Event::EngineReborn { .. }
         | Event::RequestHeld { .. }
         | Event::RequestCleared { .. }
+        | Event::LoadHeld { .. }
         | Event::Lease { .. }
         | Event::StorePace { .. }
         | Event::Order { .. }
