--- a/crates/cli/src/bench.rs
+++ b/crates/cli/src/bench.rs
@@ -1,7 +1,7 @@
 //! `reelreel bench`: policies side by side on the same callers.
 //!
 //! The real decision core runs against the fakes in handed-in time, so the same seed gives the same
-//! table on every machine. It is no simulator of hosts or networks.
+//! table on every host. It is no simulator of hosts or networks.
 
 mod figures;
 mod scenario;
--- a/crates/cli/src/capacity.rs
+++ b/crates/cli/src/capacity.rs
@@ -1,6 +1,6 @@
 //! `reelreel capacity`: what state, messages and decisions cost, as slopes over sizes.
 //!
-//! Time is what this machine took, so only ratios between sizes travel; bytes and counts are exact.
+//! Time is what this host took, so only ratios between sizes travel; bytes and counts are exact.
 //! Every row says what it ran on: the core alone, several cores against fakes in handed-in time, or
 //! the process itself.
 
--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -1,6 +1,6 @@
 //! `reelreeld`: one entry host.
 
-mod machine;
+mod host;
 
 use std::{fs, path::PathBuf, process::ExitCode, time::Duration};
 
@@ -44,7 +44,7 @@
 
 fn run(options: &DaemonOptions) -> eyre::Result<ExitCode> {
     if options.platform {
-        return machine::run_on_platform(options.settings.as_deref(), options.check);
+        return host::run_on_platform(options.settings.as_deref(), options.check);
     }
     let Some(settings) = &options.settings else {
         eyre::bail!("name the host's settings file, or use --platform");
--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -1,4 +1,4 @@
-//! `reelreel dev`: everything on one machine, for a try.
+//! `reelreel dev`: everything on one host, for a try.
 
 mod all;
 mod single;
--- a/crates/cli/src/machine.rs
+++ b/crates/cli/src/host.rs
@@ -1,4 +1,4 @@
-//! `reelreeld --platform`: one machine on the users' platform.
+//! `reelreeld --platform`: one host on the users' platform.
 
 use std::{path::Path, process::ExitCode, sync::Arc};
 
@@ -6,7 +6,7 @@
 use reelreel_core::MonotonicClock;
 use reelreel_gateway::{
     events::EventLog,
-    machine::{SharedState, run_machine},
+    host::{SharedState, run_host},
 };
 use reelreel_platform::settings::{read_settings, settings_path};
 use signal_hook::{
@@ -17,7 +17,7 @@
 /// The stack of the thread that waits for signals. Unit: bytes.
 const SIGNAL_STACK: usize = 64 * 1024;
 
-/// Runs one machine until its planned stop has ended; with `check`, only reads its settings.
+/// Runs one host until its planned stop has ended; with `check`, only reads its settings.
 pub(crate) fn run_on_platform(path: Option<&Path>, check: bool) -> eyre::Result<ExitCode> {
     let path = path.map_or_else(settings_path, Path::to_owned);
     let profile = read_settings(&path)?;
@@ -29,7 +29,7 @@
     let clock = Arc::new(MonotonicClock::new());
     let shared = Arc::new(SharedState::new(profile, reelreel_platform::dialects(), events, clock));
     watch_signals(&shared)?;
-    run_machine(&shared)?;
+    run_host(&shared)?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -1,7 +1,7 @@
-//! What machines' structured log lines say: of one request, and of all that were not served.
+//! What hosts' structured log lines say: of one request, and of all that were not served.
 //!
 //! [`mod@line`] reads lines, [`cause`] names why a request ended as it did, [`explain`] puts together what
-//! all machines say of one request, and [`losses`] counts causes.
+//! all hosts say of one request, and [`losses`] counts causes.
 
 mod cause;
 pub(crate) mod explain;
--- a/crates/cli/src/logs/cause.rs
+++ b/crates/cli/src/logs/cause.rs
@@ -2,9 +2,9 @@
 
 use std::{collections::BTreeSet, fmt};
 
-use reelreel_gateway::events::{MachineEvent, RequestEvent};
+use reelreel_gateway::events::{HostEvent, RequestEvent};
 
-use super::line::{LogLine, MachineLogs};
+use super::line::{HostLogs, LogLine};
 
 /// How long after a request its load, or the end of its engine, may still explain it. Unit: milliseconds.
 const AFTER: u64 = 5000;
@@ -30,8 +30,8 @@
 impl RequestLine {
     /// Returns what a line says of a request, if it does.
     pub(super) fn of(line: &LogLine) -> Option<Self> {
-        let MachineEvent::Request(event) = &line.event else { return None };
-        Some(Self { at: line.at, host: line.machine.clone(), event: event.clone() })
+        let HostEvent::Request(event) = &line.event else { return None };
+        Some(Self { at: line.at, host: line.host.clone(), event: event.clone() })
     }
 
     /// Returns when it arrived, by the wall clock. Unit: milliseconds since 1970.
@@ -58,11 +58,11 @@
     LateWaiting,
     /// It was served late: its engine took most of the time until its first event.
     LateReading,
-    /// No configuration was known to the machine.
+    /// No configuration was known to the host.
     NoConfiguration,
     /// The configuration has no route for it.
     NoRoute,
-    /// The machine refused it for another reason before any engine was thought of.
+    /// The host refused it for another reason before any engine was thought of.
     RefusedEarly,
     /// Nobody held the placement lease that its adapter needs.
     NoPlacer,
@@ -110,7 +110,7 @@
             Self::LateResent => "served late, sent more than once",
             Self::LateWaiting => "served late, most of it spent on its adapter",
             Self::LateReading => "served late, most of it spent at its engine",
-            Self::NoConfiguration => "the machine knew no configuration",
+            Self::NoConfiguration => "the host knew no configuration",
             Self::NoRoute => "the configuration has no route for it",
             Self::RefusedEarly => "refused before any engine was thought of",
             Self::NoPlacer => "nobody held the placement lease",
@@ -138,7 +138,7 @@
 
 impl RequestCause {
     /// Names the cause from the request's line and the lines around it.
-    pub(super) fn of(request: &RequestLine, logs: &MachineLogs) -> Self {
+    pub(super) fn of(request: &RequestLine, logs: &HostLogs) -> Self {
         match &*request.event.outcome {
             "answered" if request.event.late => Self::of_lateness(&request.event),
             "answered" => Self::Served,
@@ -162,7 +162,7 @@
         }
     }
 
-    fn of_failure(request: &RequestLine, logs: &MachineLogs) -> Self {
+    fn of_failure(request: &RequestLine, logs: &HostLogs) -> Self {
         let marks = marks_at_the_end(request, logs);
         let held = held_marks(request, logs);
         if request.event.mark.as_ref().is_some_and(|own| held.contains(own)) {
@@ -190,10 +190,10 @@
         }
     }
 
-    fn of_absence(request: &RequestLine, logs: &MachineLogs) -> Self {
+    fn of_absence(request: &RequestLine, logs: &HostLogs) -> Self {
         let (from, until) = request.span();
         let loads = logs.between(from, until).iter().filter_map(|line| match &line.event {
-            MachineEvent::Order { kind, key, answer, .. }
+            HostEvent::Order { kind, key, answer, .. }
                 if kind != "unload" && Some(key) == request.event.key.as_ref() =>
             {
                 Some((line.at, answer.as_str()))
@@ -212,10 +212,10 @@
 }
 
 /// Returns the marks of the requests that ran at the request's engine when it ended, as any host saw it.
-fn marks_at_the_end(request: &RequestLine, logs: &MachineLogs) -> BTreeSet<String> {
+fn marks_at_the_end(request: &RequestLine, logs: &HostLogs) -> BTreeSet<String> {
     let (from, until) = request.span();
     let ends = logs.between(from, until).iter().filter_map(|line| match &line.event {
-        MachineEvent::EngineEnded { engine, marks, .. }
+        HostEvent::EngineEnded { engine, marks, .. }
             if Some(engine) == request.event.engine.as_ref() =>
         {
             Some(marks)
@@ -226,37 +226,37 @@
 }
 
 /// Returns the marks that were held back by some time after the request.
-fn held_marks(request: &RequestLine, logs: &MachineLogs) -> BTreeSet<String> {
+fn held_marks(request: &RequestLine, logs: &HostLogs) -> BTreeSet<String> {
     let held = logs.between(0, request.at + HELD_AFTER).iter();
     let held = held.filter_map(|line| match &line.event {
-        MachineEvent::RequestHeld { mark, .. } => Some(mark.clone()),
+        HostEvent::RequestHeld { mark, .. } => Some(mark.clone()),
         _ => None,
     });
     held.collect()
 }
 
-fn engine_went(request: &RequestLine, logs: &MachineLogs) -> bool {
+fn engine_went(request: &RequestLine, logs: &HostLogs) -> bool {
     let (from, until) = request.span();
     logs.between(from, until).iter().any(|line| match &line.event {
-        MachineEvent::EngineGone { engine } => Some(engine) == request.event.engine.as_ref(),
+        HostEvent::EngineGone { engine } => Some(engine) == request.event.engine.as_ref(),
         _ => false,
     })
 }
 
-/// Returns whether any machine held a placement lease and gave orders around the request.
-fn has_placer(request: &RequestLine, logs: &MachineLogs) -> bool {
+/// Returns whether any host held a placement lease and gave orders around the request.
+fn has_placer(request: &RequestLine, logs: &HostLogs) -> bool {
     let (from, until) = request.span();
     let mut around = logs.between(from, until).iter();
-    if around.any(|line| matches!(line.event, MachineEvent::Order { .. })) {
+    if around.any(|line| matches!(line.event, HostEvent::Order { .. })) {
         return true;
     }
     let mut acting = std::collections::HashSet::new();
     for line in logs.between(0, request.at) {
-        if let MachineEvent::Lease { state, .. } = &line.event {
+        if let HostEvent::Lease { state, .. } = &line.event {
             if state == "acting" {
-                acting.insert(&line.machine);
+                acting.insert(&line.host);
             } else {
-                acting.remove(&line.machine);
+                acting.remove(&line.host);
             }
         }
     }
--- a/crates/cli/src/logs/explain.rs
+++ b/crates/cli/src/logs/explain.rs
@@ -1,13 +1,13 @@
-//! `reelreel explain`: what all machines' logs say of one request, and the cause of its end.
+//! `reelreel explain`: what all hosts' logs say of one request, and the cause of its end.
 
 use std::{fmt::Write as _, path::PathBuf};
 
 use eyre::bail;
-use reelreel_gateway::events::MachineEvent;
+use reelreel_gateway::events::HostEvent;
 
 use super::{
     cause::{RequestCause, RequestLine},
-    line::{LogLine, MachineLogs},
+    line::{HostLogs, LogLine},
 };
 
 /// The most lines around a request that are shown.
@@ -18,12 +18,12 @@
 /// # Errors
 /// Returns that a file can not be read, or that no line tells of the request.
 pub(crate) fn explain(id: &str, files: &[PathBuf]) -> eyre::Result<String> {
-    let logs = MachineLogs::read(files)?;
+    let logs = HostLogs::read(files)?;
     let request =
         logs.lines.iter().filter_map(RequestLine::of).find(|request| request.event.id == id);
     let Some(request) = request else {
         bail!(
-            "no line tells of request {id}; name the logs of all machines, and mind that of requests \
+            "no line tells of request {id}; name the logs of all hosts, and mind that of requests \
              that were served in time one in sixteen is logged"
         );
     };
@@ -36,7 +36,7 @@
     for line in around.iter().take(MOST_LINES) {
         let after = i128::from(line.at) - i128::from(request.arrived());
         let event = serde_json::to_string(&line.event)?;
-        writeln!(text, "{after:>8}  {:<20} {event}", line.machine)?;
+        writeln!(text, "{after:>8}  {:<20} {event}", line.host)?;
     }
     if around.len() > MOST_LINES {
         writeln!(text, "          and {} lines more", around.len() - MOST_LINES)?;
@@ -71,18 +71,18 @@
 
 /// Returns whether a line tells of something that may explain the request.
 fn concerns(line: &LogLine, request: &RequestLine) -> bool {
-    let own_machine = line.machine == request.host;
+    let own_host = line.host == request.host;
     match &line.event {
-        MachineEvent::Request(event) => event.id == request.event.id,
-        MachineEvent::Order { key, .. } => Some(key) == request.event.key.as_ref(),
-        MachineEvent::EngineJoined { engine, .. }
-        | MachineEvent::EngineLeaving { engine }
-        | MachineEvent::EngineReborn { engine, .. }
-        | MachineEvent::EngineEnded { engine, .. }
-        | MachineEvent::EngineGone { engine } => {
-            own_machine && Some(engine) == request.event.engine.as_ref()
+        HostEvent::Request(event) => event.id == request.event.id,
+        HostEvent::Order { key, .. } => Some(key) == request.event.key.as_ref(),
+        HostEvent::EngineJoined { engine, .. }
+        | HostEvent::EngineLeaving { engine }
+        | HostEvent::EngineReborn { engine, .. }
+        | HostEvent::EngineEnded { engine, .. }
+        | HostEvent::EngineGone { engine } => {
+            own_host && Some(engine) == request.event.engine.as_ref()
         }
-        MachineEvent::Lease { state, .. } => own_machine || state == "acting",
-        _ => own_machine,
+        HostEvent::Lease { state, .. } => own_host || state == "acting",
+        _ => own_host,
     }
 }
--- a/crates/cli/src/logs/line.rs
+++ b/crates/cli/src/logs/line.rs
@@ -7,34 +7,35 @@
 };
 
 use eyre::WrapErr;
-use reelreel_gateway::events::MachineEvent;
+use reelreel_gateway::events::HostEvent;
 use serde::Deserialize;
 
-/// A line of a machine's log.
+/// A line of a host's log.
 #[derive(Debug, Clone, Deserialize)]
 pub(super) struct LogLine {
     /// The wall clock. Unit: milliseconds since 1970.
     pub(super) at: u64,
-    /// The machine.
-    pub(super) machine: String,
+    /// The host; lines of earlier versions call it by another name.
+    #[serde(alias = "machine")]
+    pub(super) host: String,
     /// What it says.
     #[serde(flatten)]
-    pub(super) event: MachineEvent,
+    pub(super) event: HostEvent,
     /// How many lines before it found no room.
     #[serde(default)]
     pub(super) left_out: u64,
 }
 
-/// The lines of several machines in the order of their times.
+/// The lines of several hosts in the order of their times.
 #[derive(Debug, Default)]
-pub(super) struct MachineLogs {
+pub(super) struct HostLogs {
     /// The lines.
     pub(super) lines: Vec<LogLine>,
-    /// Lines that are none of a machine's events.
+    /// Lines that are none of a host's events.
     pub(super) passed_over: usize,
 }
 
-impl MachineLogs {
+impl HostLogs {
     /// Reads files; `-` is the standard input. Whatever stands before a line's first brace is passed
     /// over, so that lines may carry a collector's own time and name.
     pub(super) fn read(files: &[impl AsRef<Path>]) -> eyre::Result<Self> {
--- a/crates/cli/src/logs/losses.rs
+++ b/crates/cli/src/logs/losses.rs
@@ -2,12 +2,12 @@
 
 use std::{collections::BTreeMap, fmt::Write as _, path::PathBuf};
 
-use reelreel_gateway::{entry::record::LOGGED_SHARE, events::MachineEvent};
+use reelreel_gateway::{entry::record::LOGGED_SHARE, events::HostEvent};
 use serde::Serialize;
 
 use super::{
     cause::{RequestCause, RequestLine},
-    line::{LogLine, MachineLogs},
+    line::{HostLogs, LogLine},
 };
 use crate::output::OutputFormat;
 
@@ -51,7 +51,7 @@
 /// # Errors
 /// Returns that a file can not be read.
 pub(crate) fn losses(files: &[PathBuf], output: OutputFormat) -> eyre::Result<String> {
-    let logs = MachineLogs::read(files)?;
+    let logs = HostLogs::read(files)?;
     let table =
         LossTable { causes: causes(&logs), spans: spans(&logs), passed_over: logs.passed_over };
     match output {
@@ -60,7 +60,7 @@
     }
 }
 
-fn causes(logs: &MachineLogs) -> Vec<CauseRow> {
+fn causes(logs: &HostLogs) -> Vec<CauseRow> {
     let mut sums: BTreeMap<(RequestCause, String), (u64, u64, u64)> = BTreeMap::new();
     for request in logs.lines.iter().filter_map(RequestLine::of) {
         let cause = RequestCause::of(&request, logs);
@@ -87,7 +87,7 @@
     if *cause == RequestCause::Served { LOGGED_SHARE } else { 1 }
 }
 
-fn spans(logs: &MachineLogs) -> Vec<SpanRow> {
+fn spans(logs: &HostLogs) -> Vec<SpanRow> {
     let Some(begin) = logs.lines.first().map(|line| line.at) else { return Vec::new() };
     let mut rows: BTreeMap<u64, SpanRow> = BTreeMap::new();
     for line in &logs.lines {
@@ -100,11 +100,11 @@
 
 fn count(row: &mut SpanRow, line: &LogLine) {
     match &line.event {
-        MachineEvent::Request(event) if event.outcome == "answered" => {
+        HostEvent::Request(event) if event.outcome == "answered" => {
             row.served += LOGGED_SHARE;
         }
-        MachineEvent::Request(_) => row.lost += 1,
-        MachineEvent::Order { kind, answer, .. } => match (kind.as_str(), answer.as_str()) {
+        HostEvent::Request(_) => row.lost += 1,
+        HostEvent::Order { kind, answer, .. } => match (kind.as_str(), answer.as_str()) {
             ("unload", "Accepted" | "Done") => row.unloads += 1,
             (_, "Accepted") => row.loads += 1,
             (_, "Done") => {}
@@ -142,7 +142,7 @@
         )?;
     }
     if table.passed_over > 0 {
-        writeln!(text, "\n{} lines are no events of a machine.", table.passed_over)?;
+        writeln!(text, "\n{} lines are no events of a host.", table.passed_over)?;
     }
     Ok(text)
 }
--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -103,7 +103,7 @@
         }
         let mut samples: Vec<Samples> =
             targets.iter().map(|_| Samples::new()).collect::<eyre::Result<_>>()?;
-        // The paths take turns within each round, so that noise of the machine meets all alike.
+        // The paths take turns within each round, so that noise of the host meets all alike.
         for round in 0..options.rounds.max(2) {
             for ((_, target), samples) in targets.iter().zip(&mut samples) {
                 let measured = round_of(target, streams, options.tokens)?;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -6,13 +6,13 @@
 
 use crate::output::OutputFormat;
 
-/// Publishes settings, shows what hosts do, and runs everything on one machine for a try.
+/// Publishes settings, shows what hosts do, and runs everything on one host for a try.
 ///
 /// Completions: `reelreel --bpaf-complete-style-bash` (or -zsh, -fish, -elvish) prints the script.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 pub(crate) enum Command {
-    /// Runs a platform, engines and entry hosts, or one of them, for a try on this machine
+    /// Runs a platform, engines and entry hosts, or one of them, for a try on this host
     #[bpaf(command)]
     Dev(#[bpaf(external(dev_command))] DevCommand),
     /// Checks, shows and publishes the settings tree
@@ -24,10 +24,10 @@
     /// Shows the events of hosts in one order, causes before effects
     #[bpaf(command)]
     Timeline(#[bpaf(external(watch_options))] WatchOptions),
-    /// Puts together what all machines' logs say of one request, and names the cause of its end
+    /// Puts together what all hosts' logs say of one request, and names the cause of its end
     #[bpaf(command)]
     Explain(#[bpaf(external(explain_options))] ExplainOptions),
-    /// Counts how the requests in machines' logs ended, by cause and over time
+    /// Counts how the requests in hosts' logs ended, by cause and over time
     #[bpaf(command)]
     Losses(#[bpaf(external(losses_options))] LossesOptions),
     /// Plays scenarios against several policies and prints what callers got
@@ -272,10 +272,10 @@
     /// The request's id
     #[bpaf(positional("REQUEST"))]
     pub(crate) id: String,
-    /// Log files of machines on a platform; - for the standard input
+    /// Log files of hosts on a platform; - for the standard input
     #[bpaf(
         positional("LOG"),
-        some("name the log files of all machines, or - for the standard input")
+        some("name the log files of all hosts, or - for the standard input")
     )]
     pub(crate) logs: Vec<PathBuf>,
 }
@@ -285,10 +285,10 @@
 pub(crate) struct LossesOptions {
     #[bpaf(external(output_format))]
     pub(crate) output: OutputFormat,
-    /// Log files of machines on a platform; - for the standard input
+    /// Log files of hosts on a platform; - for the standard input
     #[bpaf(
         positional("LOG"),
-        some("name the log files of all machines, or - for the standard input")
+        some("name the log files of all hosts, or - for the standard input")
     )]
     pub(crate) logs: Vec<PathBuf>,
 }
--- a/crates/cli/tests/logs/main.rs
+++ b/crates/cli/tests/logs/main.rs
@@ -1,4 +1,4 @@
-//! `reelreel explain` and `reelreel losses`, over lines as machines write them.
+//! `reelreel explain` and `reelreel losses`, over lines as hosts write them.
 
 use std::{fs, path::PathBuf, process::Command};
 
@@ -76,8 +76,8 @@
         name: "ended-under",
         request: r#""outcome":"engine_failed","status":502,"mark":"aa11","engine":"e1","sends":1,"waited":0,"first":0,"total":90"#,
         around: &[
-            r#"{"at":10001,"machine":"one","event":"engine_ended","engine":"e1","runs":2,"marks":["aa11","bb22"]}"#,
-            r#"{"at":11500,"machine":"two","event":"request_held","mark":"aa11","ends":2,"millis":5000}"#,
+            r#"{"at":10001,"host":"one","event":"engine_ended","engine":"e1","runs":2,"marks":["aa11","bb22"]}"#,
+            r#"{"at":11500,"host":"two","event":"request_held","mark":"aa11","ends":2,"millis":5000}"#,
         ],
         cause: "its engine ended under it, as others did",
     },
@@ -85,8 +85,8 @@
         name: "ended-beside",
         request: r#""outcome":"stream_broken","status":200,"mark":"bb22","engine":"e1","sends":1,"waited":0,"first":40,"total":900"#,
         around: &[
-            r#"{"at":10001,"machine":"two","event":"engine_ended","engine":"e1","runs":1,"marks":["aa11"]}"#,
-            r#"{"at":11500,"machine":"two","event":"request_held","mark":"aa11","ends":2,"millis":5000}"#,
+            r#"{"at":10001,"host":"two","event":"engine_ended","engine":"e1","runs":1,"marks":["aa11"]}"#,
+            r#"{"at":11500,"host":"two","event":"request_held","mark":"aa11","ends":2,"millis":5000}"#,
         ],
         cause: "its engine ended under another request that is held back since",
     },
@@ -94,7 +94,7 @@
         name: "ended-for-nobody",
         request: r#""outcome":"stream_broken","status":200,"mark":"bb22","engine":"e1","sends":1,"waited":0,"first":40,"total":900"#,
         around: &[
-            r#"{"at":10001,"machine":"one","event":"engine_ended","engine":"e1","runs":1,"marks":["bb22"]}"#,
+            r#"{"at":10001,"host":"one","event":"engine_ended","engine":"e1","runs":1,"marks":["bb22"]}"#,
         ],
         cause: "its engine went away",
     },
@@ -102,7 +102,7 @@
         name: "loaded-late",
         request: r#""outcome":"adapter_absent","status":503,"key":"m/a1","sends":0,"waited":6,"first":0,"total":7"#,
         around: &[
-            r#"{"at":11400,"machine":"two","event":"order","engine":"e1","kind":"load","key":"m/a1","sequence":4,"token":8,"worth":4.1,"waiting":2,"answer":"Accepted","millis":3}"#,
+            r#"{"at":11400,"host":"two","event":"order","engine":"e1","kind":"load","key":"m/a1","sequence":4,"token":8,"worth":4.1,"waiting":2,"answer":"Accepted","millis":3}"#,
         ],
         cause: "its adapter was loaded too late",
     },
@@ -110,7 +110,7 @@
         name: "order-lost",
         request: r#""outcome":"adapter_absent","status":503,"key":"m/a1","sends":0,"waited":130,"first":0,"total":130"#,
         around: &[
-            r#"{"at":9950,"machine":"two","event":"order","engine":"e1","kind":"load","key":"m/a1","sequence":4,"token":8,"worth":4.1,"waiting":2,"answer":"Unknown","millis":250}"#,
+            r#"{"at":9950,"host":"two","event":"order","engine":"e1","kind":"load","key":"m/a1","sequence":4,"token":8,"worth":4.1,"waiting":2,"answer":"Unknown","millis":250}"#,
         ],
         cause: "the order to load its adapter got no answer",
     },
@@ -118,8 +118,8 @@
         name: "no-placer",
         request: r#""outcome":"adapter_absent","status":503,"key":"m/a1","sends":0,"waited":130,"first":0,"total":130"#,
         around: &[
-            r#"{"at":1000,"machine":"two","event":"lease","service":"s","state":"acting","token":8}"#,
-            r#"{"at":4000,"machine":"two","event":"lease","service":"s","state":"absent","token":8}"#,
+            r#"{"at":1000,"host":"two","event":"lease","service":"s","state":"acting","token":8}"#,
+            r#"{"at":4000,"host":"two","event":"lease","service":"s","state":"absent","token":8}"#,
         ],
         cause: "nobody held the placement lease",
     },
@@ -127,7 +127,7 @@
         name: "never-loaded",
         request: r#""outcome":"adapter_absent","status":503,"key":"m/a1","sends":0,"waited":130,"first":0,"total":130"#,
         around: &[
-            r#"{"at":1000,"machine":"two","event":"lease","service":"s","state":"acting","token":8}"#,
+            r#"{"at":1000,"host":"two","event":"lease","service":"s","state":"acting","token":8}"#,
         ],
         cause: "its adapter was not loaded",
     },
@@ -140,20 +140,20 @@
     CauseCase {
         name: "engine-gone",
         request: r#""outcome":"engine_failed","status":502,"engine":"e1","sends":1,"waited":0,"first":0,"total":5"#,
-        around: &[r#"{"at":12000,"machine":"one","event":"engine_gone","engine":"e1"}"#],
+        around: &[r#"{"at":12000,"host":"one","event":"engine_gone","engine":"e1"}"#],
         cause: "its engine went away",
     },
     CauseCase {
         name: "engine-stays",
         request: r#""outcome":"engine_failed","status":502,"engine":"e1","sends":1,"waited":0,"first":0,"total":5"#,
-        around: &[r#"{"at":12000,"machine":"one","event":"engine_gone","engine":"e2"}"#],
+        around: &[r#"{"at":12000,"host":"one","event":"engine_gone","engine":"e2"}"#],
         cause: "its engine broke off and stayed listed",
     },
     CauseCase {
         name: "no-configuration",
         request: r#""outcome":"refused_early","status":503,"sends":0,"waited":0,"first":0,"total":0"#,
         around: &[],
-        cause: "the machine knew no configuration",
+        cause: "the host knew no configuration",
     },
     CauseCase {
         name: "left-queued",
@@ -168,7 +168,7 @@
     for case in CAUSE_CASES {
         let revision = if case.name == "no-configuration" { 0 } else { 3 };
         let request = format!(
-            r#"  7.1 one {{"at":10000,"machine":"one","event":"request","id":"r1","route":"r",{},"revision":{revision}}}"#,
+            r#"  7.1 one {{"at":10000,"host":"one","event":"request","id":"r1","route":"r",{},"revision":{revision}}}"#,
             case.request
         );
         let mut lines = vec![request.as_str(), "no event at all"];
@@ -188,16 +188,16 @@
     let log = LogFile::new(
         "around",
         &[
-            r#"{"at":10000,"machine":"one","event":"request","id":"r1","route":"r","outcome":"adapter_absent","status":503,"key":"m/a1","sends":0,"waited":6,"first":0,"total":7,"revision":3}"#,
-            r#"{"at":9000,"machine":"one","event":"store_lost","what":"engines"}"#,
-            r#"{"at":9100,"machine":"three","event":"store_lost","what":"engines"}"#,
-            r#"{"at":9200,"machine":"two","event":"order","engine":"e1","kind":"load","key":"m/a2","sequence":4,"token":8,"worth":4.1,"waiting":2,"answer":"Accepted","millis":3}"#,
-            r#"{"at":10500,"machine":"two","event":"order","engine":"e1","kind":"load","key":"m/a1","sequence":4,"token":8,"worth":4.1,"waiting":2,"answer":"Accepted","millis":3}"#,
+            r#"{"at":10000,"host":"one","event":"request","id":"r1","route":"r","outcome":"adapter_absent","status":503,"key":"m/a1","sends":0,"waited":6,"first":0,"total":7,"revision":3}"#,
+            r#"{"at":9000,"host":"one","event":"store_lost","what":"engines"}"#,
+            r#"{"at":9100,"host":"three","event":"store_lost","what":"engines"}"#,
+            r#"{"at":9200,"host":"two","event":"order","engine":"e1","kind":"load","key":"m/a2","sequence":4,"token":8,"worth":4.1,"waiting":2,"answer":"Accepted","millis":3}"#,
+            r#"{"at":10500,"host":"two","event":"order","engine":"e1","kind":"load","key":"m/a1","sequence":4,"token":8,"worth":4.1,"waiting":2,"answer":"Accepted","millis":3}"#,
         ],
     );
     let (done, text) = reelreel(&["explain", "r1"], &log);
     assert!(done, "{text}");
-    let lost = text.find("store_lost").expect("the machine's own line");
+    let lost = text.find("store_lost").expect("the host's own line");
     let order = text.find("m/a1\",\"sequence").expect("the order for its adapter");
     assert!(lost < order, "{text}");
     assert!(!text.contains("m/a2") && !text.contains("three"), "{text}");
@@ -205,7 +205,7 @@
 
 #[test]
 fn a_request_that_no_line_tells_of_is_an_error_that_says_so() {
-    let log = LogFile::new("none", &[r#"{"at":1,"machine":"one","event":"stopping","open":0}"#]);
+    let log = LogFile::new("none", &[r#"{"at":1,"host":"one","event":"stopping","open":0}"#]);
     let (done, text) = reelreel(&["explain", "r9"], &log);
     assert!(!done);
     assert!(text.contains("no line tells of request r9"), "{text}");
@@ -216,8 +216,8 @@
     let log = LogFile::new(
         "json",
         &[
-            r#"{"at":10000,"machine":"one","event":"request","id":"r1","route":"r","outcome":"answered","status":200,"engine":"e","sends":1,"waited":0,"first":9,"total":20,"revision":3}"#,
-            r#"{"at":10001,"machine":"one","event":"request","id":"r2","route":"r","outcome":"time_over","status":504,"engine":"e","sends":1,"waited":0,"first":0,"total":800,"revision":3}"#,
+            r#"{"at":10000,"host":"one","event":"request","id":"r1","route":"r","outcome":"answered","status":200,"engine":"e","sends":1,"waited":0,"first":9,"total":20,"revision":3}"#,
+            r#"{"at":10001,"host":"one","event":"request","id":"r2","route":"r","outcome":"time_over","status":504,"engine":"e","sends":1,"waited":0,"first":0,"total":800,"revision":3}"#,
         ],
     );
     let (done, text) = reelreel(&["losses", "--output", "json"], &log);
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -37,7 +37,7 @@
 pub type ServiceName = Arc<str>;
 
 /// Names a data hall.
-pub type ZoneName = Arc<str>;
+pub type HallName = Arc<str>;
 
 /// Names a base model, or an adapter of one as `MODEL/ADAPTER`.
 pub type ModelKey = Arc<str>;
@@ -79,7 +79,7 @@
     /// Where it takes requests and orders.
     pub address: SocketAddr,
     /// The data hall that it stands in.
-    pub zone: ZoneName,
+    pub hall: HallName,
     /// How many requests it runs at a time.
     pub slots: u32,
     /// Whether it is leaving and must get no new work.
--- a/crates/core/src/fleet/choice.rs
+++ b/crates/core/src/fleet/choice.rs
@@ -11,7 +11,7 @@
 const FAILURE_WEIGHT: f64 = 40.0;
 
 /// What leaving the own data hall costs, in open requests.
-const ZONE_WEIGHT: f64 = 2.0;
+const HALL_WEIGHT: f64 = 2.0;
 
 /// How much reading ahead costs as much as an open request: about what one prompt of some hundred tokens
 /// takes.
@@ -39,13 +39,13 @@
 /// nothing older than the first of two is used.
 const MOST_VERSIONS: usize = 8;
 
-/// The versions that the operator named of one model or adapter, and since when a machine knows each.
+/// The versions that the operator named of one model or adapter, and since when a host knows each.
 ///
 /// A newer one may be named before the last is everywhere. What is older than any of them is judged by that one's
 /// own time; a later one gives it no more.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct NamedVersions {
-    /// Rising versions with the time at which the machine heard of each.
+    /// Rising versions with the time at which the host heard of each.
     named: Vec<(WeightVersion, ClockMillis)>,
 }
 
@@ -100,7 +100,7 @@
 /// the same word of the engines' loads, so that many of them must not all choose the same engine.
 pub fn best_engine(
     candidates: &[EngineCandidate<'_>],
-    zone: &str,
+    hall: &str,
     tie: u64,
     hosts: u32,
     now: ClockMillis,
@@ -114,19 +114,19 @@
         .map(|(place, candidate)| {
             let turn = (place as u64 + count - tie % count.max(1)) % count.max(1);
             let spread = spread * turn as f64 / count as f64;
-            (cost(candidate, zone, median, now) + spread, turn, candidate)
+            (cost(candidate, hall, median, now) + spread, turn, candidate)
         })
         .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)))
         .map(|(_, _, candidate)| EngineName::clone(&candidate.entry.name))
 }
 
-fn cost(candidate: &EngineCandidate<'_>, zone: &str, median: Option<f64>, now: ClockMillis) -> f64 {
+fn cost(candidate: &EngineCandidate<'_>, hall: &str, median: Option<f64>, now: ClockMillis) -> f64 {
     let condition = candidate.condition;
     let mut cost = f64::from(candidate.open.max(candidate.told));
     cost += candidate.reading.div_duration_f64(READING_PER_OPEN);
     cost += FAILURE_WEIGHT * condition.failure_share().powi(2);
-    if &*candidate.entry.zone != zone {
-        cost += ZONE_WEIGHT;
+    if &*candidate.entry.hall != hall {
+        cost += HALL_WEIGHT;
     }
     if condition.is_resting(now) {
         cost += REST_WEIGHT;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -24,7 +24,7 @@
 pub mod window;
 pub mod work;
 
-pub use candidacy::MachineCapacity;
+pub use candidacy::HostCapacity;
 pub use demand::{DemandBook, DemandEntry};
 pub use inventory::{EngineInventory, EngineMemory, EngineReport};
 pub use order::{OrderAnswer, OrderId, OrderKind, PlacementAction, PlannedOrder};
--- a/crates/core/src/placement/candidacy.rs
+++ b/crates/core/src/placement/candidacy.rs
@@ -1,45 +1,45 @@
-//! Which machines stand for leases and read the store for the others.
+//! Which hosts stand for leases and read the store for the others.
 //!
-//! Every machine could do both, but each member of the group and each reader of the store costs
-//! calls, and a small machine that is dealt a large domain falls behind. So a few machines stand,
+//! Every host could do both, but each member of the group and each reader of the store costs
+//! calls, and a small host that is dealt a large domain falls behind. So a few hosts stand,
 //! strong ones first; the others follow them.
 
-/// The part of a processor from which on a machine counts as strong.
+/// The part of a processor from which on a host counts as strong.
 const STRONG_PROCESSOR: f64 = 0.2;
 
-/// The bandwidth from which on a machine counts as strong. Unit: megabits a second.
+/// The bandwidth from which on a host counts as strong. Unit: megabits a second.
 const STRONG_BANDWIDTH: f64 = 50.0;
 
-/// How many members a group has before strong machines stay out of it.
+/// How many members a group has before strong hosts stay out of it.
 const ENOUGH_MEMBERS: usize = 8;
 
-/// How many members a group has before all other machines stay out of it.
+/// How many members a group has before all other hosts stay out of it.
 const LEAST_MEMBERS: usize = 3;
 
-/// What a machine has to work with.
+/// What a host has to work with.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct MachineCapacity {
+pub struct HostCapacity {
     /// Its share of a processor.
     pub processor: f64,
     /// What its link carries. Unit: megabits a second.
     pub bandwidth: f64,
 }
 
-impl MachineCapacity {
-    /// Returns whether the machine can bear the work of a large domain.
+impl HostCapacity {
+    /// Returns whether the host can bear the work of a large domain.
     pub fn is_strong(&self) -> bool {
         self.processor >= STRONG_PROCESSOR && self.bandwidth >= STRONG_BANDWIDTH
     }
 
-    /// Returns whether the machine joins a group that has `members` already, `strong` ones among them.
+    /// Returns whether the host joins a group that has `members` already, `strong` ones among them.
     ///
-    /// Strong machines do not count weak members, who only stand in for them.
+    /// Strong hosts do not count weak members, who only stand in for them.
     pub fn should_join(&self, members: usize, strong: usize) -> bool {
         if self.is_strong() { strong < ENOUGH_MEMBERS } else { members < LEAST_MEMBERS }
     }
 }
 
-impl MachineCapacity {
+impl HostCapacity {
     /// Returns whether a member leaves its work to the `strong` members that the group has again.
     pub fn should_leave(&self, strong: usize) -> bool {
         !self.is_strong() && strong >= LEAST_MEMBERS
--- a/crates/core/tests/engine_choice.rs
+++ b/crates/core/tests/engine_choice.rs
@@ -19,13 +19,13 @@
     Duration::from_millis(millis)
 }
 
-fn entry(name: &str, zone: &str) -> EngineEntry {
+fn entry(name: &str, hall: &str) -> EngineEntry {
     EngineEntry {
         name: Arc::from(name),
         born: 0,
         service: Arc::from("assist"),
         address: "127.0.0.1:9000".parse().expect("an address"),
-        zone: Arc::from(zone),
+        hall: Arc::from(hall),
         slots: 16,
         leaving: false,
         sequence: 0,
@@ -39,7 +39,7 @@
     told: [u32; 2],
     /// What each has to read before a new prompt. Unit: milliseconds.
     reading: [u64; 2],
-    zones: [&'static str; 2],
+    halls: [&'static str; 2],
     outcomes: [&'static [EngineOutcome]; 2],
     best: &'static str,
 }
@@ -52,7 +52,7 @@
         open: [3, 1],
         told: [0, 0],
         reading: [0, 0],
-        zones: ["here", "here"],
+        halls: ["here", "here"],
         outcomes: [&[], &[]],
         best: "second",
     },
@@ -61,7 +61,7 @@
         open: [0, 1],
         told: [9, 2],
         reading: [0, 0],
-        zones: ["here", "here"],
+        halls: ["here", "here"],
         outcomes: [&[], &[]],
         best: "second",
     },
@@ -70,7 +70,7 @@
         open: [0, 4],
         told: [1, 4],
         reading: [600, 40],
-        zones: ["here", "here"],
+        halls: ["here", "here"],
         outcomes: [&[], &[]],
         best: "second",
     },
@@ -79,7 +79,7 @@
         open: [1, 1],
         told: [1, 1],
         reading: [300, 0],
-        zones: ["here", "there"],
+        halls: ["here", "there"],
         outcomes: [&[], &[]],
         best: "second",
     },
@@ -88,7 +88,7 @@
         open: [1, 1],
         told: [0, 0],
         reading: [0, 0],
-        zones: ["there", "here"],
+        halls: ["there", "here"],
         outcomes: [&[], &[]],
         best: "second",
     },
@@ -97,7 +97,7 @@
         open: [0, 5],
         told: [0, 0],
         reading: [0, 0],
-        zones: ["here", "here"],
+        halls: ["here", "here"],
         outcomes: [&[EngineOutcome::Broken], &[WELL]],
         best: "second",
     },
@@ -106,7 +106,7 @@
         open: [0, 2],
         told: [0, 0],
         reading: [0, 0],
-        zones: ["here", "here"],
+        halls: ["here", "here"],
         outcomes: [&[EngineOutcome::Erred; 6], &[WELL]],
         best: "second",
     },
@@ -115,7 +115,7 @@
         open: [0, 2],
         told: [0, 0],
         reading: [0, 0],
-        zones: ["here", "here"],
+        halls: ["here", "here"],
         outcomes: [&[EngineOutcome::Answered(Duration::from_millis(400)); 4], &[WELL]],
         best: "second",
     },
@@ -124,7 +124,7 @@
 #[test]
 fn the_best_engine_is_chosen() {
     for case in CHOICE_CASES {
-        let entries = [entry("first", case.zones[0]), entry("second", case.zones[1])];
+        let entries = [entry("first", case.halls[0]), entry("second", case.halls[1])];
         let mut conditions = [EngineCondition::default(), EngineCondition::default()];
         for (condition, outcomes) in conditions.iter_mut().zip(case.outcomes) {
             for outcome in outcomes {
--- a/crates/core/tests/placement/candidacy.rs
+++ b/crates/core/tests/placement/candidacy.rs
@@ -1,20 +1,20 @@
-//! Which machines stand for leases and read the store.
+//! Which hosts stand for leases and read the store.
 
 use std::collections::BTreeSet;
 
-use reelreel_core::placement::{MachineCapacity, candidacy::reader_partitions};
+use reelreel_core::placement::{HostCapacity, candidacy::reader_partitions};
 
 struct CandidacyCase {
     name: &'static str,
-    capacity: MachineCapacity,
+    capacity: HostCapacity,
     members: usize,
     strong: usize,
     joins: bool,
 }
 
-const STRONG: MachineCapacity = MachineCapacity { processor: 0.25, bandwidth: 1000.0 };
-const SLOW: MachineCapacity = MachineCapacity { processor: 0.12, ..STRONG };
-const NARROW: MachineCapacity = MachineCapacity { bandwidth: 10.0, ..STRONG };
+const STRONG: HostCapacity = HostCapacity { processor: 0.25, bandwidth: 1000.0 };
+const SLOW: HostCapacity = HostCapacity { processor: 0.12, ..STRONG };
+const NARROW: HostCapacity = HostCapacity { bandwidth: 10.0, ..STRONG };
 
 const CASES: &[CandidacyCase] = &[
     CandidacyCase { name: "the first", capacity: STRONG, members: 0, strong: 0, joins: true },
@@ -34,7 +34,7 @@
 ];
 
 #[test]
-fn strong_machines_join_first_and_weak_ones_only_while_the_group_is_small() {
+fn strong_hosts_join_first_and_weak_ones_only_while_the_group_is_small() {
     for case in CASES {
         assert_eq!(
             case.capacity.should_join(case.members, case.strong),
--- a/crates/core/tests/placement/choices.rs
+++ b/crates/core/tests/placement/choices.rs
@@ -183,7 +183,7 @@
         world.engines.iter().filter(|engine| engine.held.contains_key(&key(1))).count()
     };
     assert_eq!(holders(&world), 1);
-    // A machine that can not reach the holder goes on waiting.
+    // A host that can not reach the holder goes on waiting.
     world.ask(1, 1);
     for _ in 0..52 {
         world.step(20, OrderFate::Answered);
--- a/crates/core/tests/placement/world.rs
+++ b/crates/core/tests/placement/world.rs
@@ -69,7 +69,7 @@
             born: 1,
             service: Arc::from("assist"),
             address: format!("127.0.0.1:{}", 9000 + number).parse().expect("an address"),
-            zone: Arc::from("hall"),
+            hall: Arc::from("hall"),
             slots: 16,
             leaving: false,
             sequence: 0,
--- a/crates/core/tests/tenure.rs
+++ b/crates/core/tests/tenure.rs
@@ -163,7 +163,7 @@
     let at = ClockMillis::from_millis;
     match *step {
         Step::Joined(listed, generation, sent, now) => {
-            // The machine looks at its lease all the time.
+            // The host looks at its lease all the time.
             tenure.acting_token(at(sent));
             tenure.joined(listed, generation, at(sent), at(now));
             tenure.acting_token(at(now));
@@ -270,10 +270,10 @@
 }
 
 proptest! {
-    /// Whatever joins are lost and whoever freezes: no two machines ever act with one token, and
+    /// Whatever joins are lost and whoever freezes: no two hosts ever act with one token, and
     /// where engines don't check tokens no two act at the same time.
     #[test]
-    fn no_two_machines_act_with_one_token(
+    fn no_two_hosts_act_with_one_token(
         checked in any::<bool>(),
         steps in proptest::collection::vec((0usize..3, 0u8..10, 1u64..900), 1..200),
     ) {
@@ -301,7 +301,7 @@
                     store.joined[(member + 1) % 3] = now;
                     store.generation += 1;
                 }
-                // The machine is frozen meanwhile.
+                // The host is frozen meanwhile.
                 2 | 3 => {}
                 _ => {
                     let (listed, generation) = store.join(member, now);
@@ -309,11 +309,11 @@
                 }
             }
             let mut acting = Vec::new();
-            for (machine, tenure) in tenures.iter_mut().enumerate() {
+            for (host, tenure) in tenures.iter_mut().enumerate() {
                 if let Some(token) = tenure.acting_token(at) {
-                    let user = users.entry(token).or_insert(machine);
-                    prop_assert_eq!(*user, machine, "token {} has two users", token);
-                    acting.push(machine);
+                    let user = users.entry(token).or_insert(host);
+                    prop_assert_eq!(*user, host, "token {} has two users", token);
+                    acting.push(host);
                 }
             }
             if !checked {
--- a/crates/gateway/examples/path_cost.rs
+++ b/crates/gateway/examples/path_cost.rs
@@ -1,23 +1,20 @@
-//! Measures what the way through a machine adds to a request, against stand-ins on the loopback.
+//! Measures what the way through a host adds to a request, against stand-ins on the loopback.
 //!
 //! `cargo run --release -p reelreel-gateway --example path_cost` prints, for plain requests and for
 //! streams, the median and the 99th percentile of the time to the first byte of the answer, at the
-//! engine itself and through the machine, in one run.
+//! engine itself and through the host, in one run.
 
-#![expect(
-    dead_code,
-    reason = "the stand-ins are those of the machine tests, which use more of them"
-)]
+#![expect(dead_code, reason = "the stand-ins are those of the host tests, which use more of them")]
 
-#[path = "../tests/machine/dialect.rs"]
+#[path = "../tests/host/dialect.rs"]
 mod dialect;
-#[path = "../tests/machine/engine.rs"]
+#[path = "../tests/host/engine.rs"]
 mod engine;
-#[path = "../tests/machine/server.rs"]
+#[path = "../tests/host/server.rs"]
 mod server;
-#[path = "../tests/machine/site.rs"]
+#[path = "../tests/host/site.rs"]
 mod site;
-#[path = "../tests/machine/store.rs"]
+#[path = "../tests/host/store.rs"]
 mod store;
 
 use std::{
@@ -48,7 +45,7 @@
 
 fn main() {
     let site = TestSite::start();
-    let machine = site.machine("path-cost");
+    let host = site.host("path-cost");
     for engine in &site.engines {
         engine.treat(&[EngineMood::Stream(2)]);
     }
@@ -56,7 +53,7 @@
     for kind in KINDS {
         let target = if kind.model.is_some() { &site.engines[0] } else { &site.plain };
         report(kind, "engine", target.address, &target.name);
-        report(kind, "machine", machine.clients, &target.name);
+        report(kind, "host", host.clients, &target.name);
     }
 }
 
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -1,4 +1,4 @@
-//! What the machine needs from whatever it speaks with, as traits that only translate.
+//! What the host needs from whatever it speaks with, as traits that only translate.
 //!
 //! An implementation writes calls and reads answers. It holds names and formats and decides
 //! nothing: no timer, no retry, no state. Sockets, patience and repeats are this crate's own.
@@ -79,7 +79,7 @@
     Number,
 }
 
-/// What the machine adds to a request that it sends to an engine.
+/// What the host adds to a request that it sends to an engine.
 #[derive(Debug, Clone)]
 pub struct SendTerms<'send> {
     /// The life of the engine that must run it, no other.
@@ -109,7 +109,7 @@
     pub signed: bool,
 }
 
-/// Translates between the machine and its clients and engines.
+/// Translates between the host and its clients and engines.
 pub trait ExchangeDialect: Send + Sync {
     /// Reads what a client's request says.
     ///
@@ -129,14 +129,14 @@
     /// Reads what an engine's answer says.
     fn answer_facts(&self, head: &ResponseHead) -> AnswerFacts;
 
-    /// Marks an answer of the machine's own as belonging to a request.
+    /// Marks an answer of the host's own as belonging to a request.
     fn mark_own_answer(&self, fields: &mut HeaderFields, id: &str);
 
-    /// Returns the path that asks whether the machine takes requests.
+    /// Returns the path that asks whether the host takes requests.
     fn readiness_path(&self) -> &'static str;
 }
 
-/// Translates between the machine and an engine's control side.
+/// Translates between the host and an engine's control side.
 pub trait EngineDialect: Send + Sync {
     /// Writes an order.
     fn order(&self, order: &PlannedOrder, holder: &str, token: FenceToken) -> CallRequest;
@@ -218,7 +218,7 @@
     Other,
 }
 
-/// Translates between the machine and the platform's store.
+/// Translates between the host and the platform's store.
 pub trait StoreDialect: Send + Sync {
     /// Reads the era of the store that every answer of it carries, refusals too; zero where it carries none.
     fn era(&self, answer: &CallAnswer) -> StoreEra;
@@ -284,7 +284,7 @@
     fn engine(&self, record: &KeyedRecord) -> Result<EngineEntry, BorderError>;
 }
 
-/// Everything that is spoken at the machine's borders.
+/// Everything that is spoken at the host's borders.
 #[derive(Clone)]
 pub struct BorderDialects {
     /// With clients, and with engines about requests.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,4 +1,4 @@
-//! The control thread: everything that the machine believes, and its part in placement.
+//! The control thread: everything that the host believes, and its part in placement.
 
 pub mod domain;
 pub mod engine_list;
@@ -26,7 +26,7 @@
         membership::{keep_membership, own_member},
         state::ControlState,
     },
-    machine::SharedState,
+    host::SharedState,
     peers::{client::run_peer_client, feed::run_feed_client, server::run_peer_server},
     store::{
         Backoff, LONGEST_PAUSE, StoreClient, StorePause,
@@ -58,16 +58,16 @@
 /// force 1.6 s after that at most, where two seconds are given; with one part it took 2.8 s.
 const CHANGE_PARTS: u32 = 2;
 
-/// The longest pause between reads of the configuration that fail, for the few machines that read it for all.
+/// The longest pause between reads of the configuration that fail, for the few hosts that read it for all.
 const READER_PAUSE: Duration = Duration::from_millis(250);
 
-/// The time to live of this machine's membership, where the store allows one as short.
+/// The time to live of this host's membership, where the store allows one as short.
 const MEMBERSHIP: Duration = Duration::from_secs(2);
 
 /// Control state as its tasks share it.
 pub type SharedControl = Rc<RefCell<ControlState>>;
 
-/// Runs the control thread until the machine stops.
+/// Runs the control thread until the host stops.
 pub fn run_control(shared: &Arc<SharedState>) {
     let runtime = match Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
@@ -154,7 +154,7 @@
     (bound / CHANGE_PARTS).min(READ_WAIT)
 }
 
-/// Returns how long a machine pauses at most between reads of the configuration that fail: where keys are served by
+/// Returns how long a host pauses at most between reads of the configuration that fail: where keys are served by
 /// it, those that read for others find out soon that the store is back, and their followers with them.
 fn reader_pause(state: &SharedControl, serves_keys: bool) -> Box<dyn Fn() -> Duration> {
     let state = Rc::clone(state);
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -1,4 +1,4 @@
-//! One placement domain as this machine sees it: its lease, its plan, and who listens to it.
+//! One placement domain as this host sees it: its lease, its plan, and who listens to it.
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -65,7 +65,7 @@
 /// How long an estimate is kept after its time.
 const ESTIMATE_HOLDS: Duration = Duration::from_secs(2);
 
-/// Returns what a machine's demand says that it waits for.
+/// Returns what a host's demand says that it waits for.
 pub fn waited_keys(entries: &[DemandEntry]) -> impl Iterator<Item = ModelKey> {
     entries.iter().filter(|entry| entry.waiting > 0).map(|entry| Arc::clone(&entry.key))
 }
@@ -82,10 +82,10 @@
     }
 }
 
-/// A machine that listens to this machine's plan.
+/// A host that listens to this host's plan.
 pub struct PlanSubscriber {
     /// Its name.
-    pub machine: Arc<str>,
+    pub host: Arc<str>,
     /// Where its frames go.
     pub frames: mpsc::Sender<EncodedFrame>,
     /// What it waits for and has no estimate of yet.
@@ -98,9 +98,9 @@
     pub service: ServiceName,
     /// The partition whose holder is its placer.
     pub partition: u32,
-    /// This machine's hold on the lease.
+    /// This host's hold on the lease.
     pub tenure: PlacerTenure,
-    /// The planner, while this machine holds the lease.
+    /// The planner, while this host holds the lease.
     pub planner: Option<PlacementPlanner>,
     /// The token for which the planner was begun.
     pub planned_token: FenceToken,
@@ -118,13 +118,13 @@
     pub plan_live: bool,
     /// When queued adapters are expected.
     pub estimates: HashMap<ModelKey, ClockMillis>,
-    /// What this machine waits for and has no estimate of yet.
+    /// What this host waits for and has no estimate of yet.
     pub asked: Vec<ModelKey>,
-    /// Who listens to this machine's plan.
+    /// Who listens to this host's plan.
     pub subscribers: Vec<PlanSubscriber>,
     /// Where demand for the placer goes, while there is a connection.
     pub placer: Option<mpsc::Sender<EncodedFrame>>,
-    /// What hosts granted of the organisations' quotas, while this machine keeps their ledger.
+    /// What hosts granted of the organisations' quotas, while this host keeps their ledger.
     pub ledger: Option<KeptLedger>,
     /// When the quotas were last told.
     quotas_told: ClockMillis,
@@ -132,7 +132,7 @@
     logged_pace: Option<StorePace>,
     /// What subscribers were told that engines hold.
     told_plan: HashMap<EngineName, Vec<HeldModel>>,
-    /// The numbers by which this machine's frames name engines.
+    /// The numbers by which this host's frames name engines.
     numbers: EngineNumbers,
     /// The engines by the numbers in the placer's frames.
     numbered: HashMap<u32, EngineName>,
@@ -182,7 +182,7 @@
         }
     }
 
-    /// Tells the subscribers what engines have to do, or that this machine is there; returns what changed.
+    /// Tells the subscribers what engines have to do, or that this host is there; returns what changed.
     pub fn tell_work(&mut self, now: ClockMillis) -> Vec<(EngineName, EngineWork)> {
         let pause = (WORK_PAUSE_PER_HOST * self.listeners()).min(USUAL_WORK_PAUSE);
         let pause = pause.max(self.work_pause).min(LONGEST_WORK_PAUSE);
@@ -205,7 +205,7 @@
         changed
     }
 
-    /// Writes which organisations have little left, where this machine keeps the ledger.
+    /// Writes which organisations have little left, where this host keeps the ledger.
     fn quota_frame(&mut self, now: ClockMillis) -> Option<QuotaFrame> {
         self.quotas_told = now;
         let named = self.ledger.as_mut()?.quotas.named(now);
@@ -225,7 +225,7 @@
         self.broadcast(&FrameBody::Plan(frame).encoded(), now);
     }
 
-    /// Returns how many machines listen to the placer, itself included.
+    /// Returns how many hosts listen to the placer, itself included.
     pub fn listeners(&self) -> u32 {
         u32::try_from(self.subscribers.len() + 1).unwrap_or(u32::MAX)
     }
@@ -245,23 +245,23 @@
     /// Tells demand to the own planner or to the placer; returns whether anyone took it.
     pub fn tell_demand(
         &mut self,
-        machine: &Arc<str>,
+        host: &Arc<str>,
         told: &ToldDemand,
         used: &[QuotaUse],
         now: ClockMillis,
     ) -> bool {
         if let Some(planner) = &mut self.planner {
             if let Some(ledger) = &mut self.ledger {
-                ledger.quotas.host_used(machine, used, now);
+                ledger.quotas.host_used(host, used, now);
             }
-            planner.demand_noted(machine, &told.entries, now);
-            planner.work_noted(machine, &told.work, now);
+            planner.demand_noted(host, &told.entries, now);
+            planner.work_noted(host, &told.work, now);
             self.asked.extend(waited_keys(&told.entries));
             return true;
         }
         let Some(placer) = &self.placer else { return false };
         let frame = DemandFrame {
-            machine: machine.to_string(),
+            host: host.to_string(),
             service: self.service.to_string(),
             entries: told.entries.iter().map(Into::into).collect(),
             work: told.work.engines.iter().map(Into::into).collect(),
@@ -275,13 +275,13 @@
     }
 
     /// Tells the placer of requests under which engines ended; returns whether it was told.
-    pub fn tell_suspects(&self, machine: &Arc<str>, suspects: Vec<SuspectLine>) -> bool {
+    pub fn tell_suspects(&self, host: &Arc<str>, suspects: Vec<SuspectLine>) -> bool {
         if suspects.is_empty() {
             return true;
         }
         let Some(placer) = &self.placer else { return false };
-        let (machine, service) = (machine.to_string(), self.service.to_string());
-        let frame = DemandFrame { machine, service, suspects, ..DemandFrame::default() };
+        let (host, service) = (host.to_string(), self.service.to_string());
+        let frame = DemandFrame { host, service, suspects, ..DemandFrame::default() };
         placer.try_send(FrameBody::Demand(frame).encoded()).is_ok()
     }
 
@@ -310,7 +310,7 @@
         changed
     }
 
-    /// Takes how an engine's holdings changed; an engine that this machine was not told of lists what it holds itself.
+    /// Takes how an engine's holdings changed; an engine that this host was not told of lists what it holds itself.
     fn adopt_change(&mut self, line: &ChangeLine) {
         let Some(held) = self.plan.get_mut(line.engine.as_str()) else { return };
         let gained: Vec<HeldModel> = line.gained.iter().map(Into::into).collect();
@@ -391,7 +391,7 @@
         true
     }
 
-    /// Writes the whole plan, and `suspects` with it, for a machine that begins to listen.
+    /// Writes the whole plan, and `suspects` with it, for a host that begins to listen.
     pub fn whole_plan(&self, suspects: Vec<SuspectLine>) -> EncodedFrame {
         let lines = self.plan.iter();
         let lines = lines.map(|(engine, held)| engine_line(engine, self.born(engine), held));
@@ -423,7 +423,7 @@
         PlanFrame {
             service: self.service.to_string(),
             token: self.planned_token,
-            machines: self.listeners(),
+            hosts: self.listeners(),
             ..PlanFrame::default()
         }
     }
@@ -435,7 +435,7 @@
         self.numbered.clear();
     }
 
-    /// Tells everybody who waits when the adapter is expected; returns whether this machine does.
+    /// Tells everybody who waits when the adapter is expected; returns whether this host does.
     pub fn answer_asked(&mut self, now: ClockMillis) -> bool {
         self.estimates.retain(|_, due| now.since(*due) < ESTIMATE_HOLDS);
         let Some(planner) = &self.planner else { return false };
@@ -446,7 +446,7 @@
         let told = !known.is_empty();
         self.estimates.extend(known);
         let (service, token) = (self.service.to_string(), self.planned_token);
-        let machines = self.listeners();
+        let hosts = self.listeners();
         for subscriber in &mut self.subscribers {
             let lines = subscriber.asked.drain(..).filter_map(|key| estimate(&key));
             let lines = lines.take(MOST_ESTIMATES).map(|(key, time)| EstimateLine::new(&key, time));
@@ -455,7 +455,7 @@
                 continue;
             }
             let service = service.clone();
-            let frame = PlanFrame { service, token, estimates, machines, ..PlanFrame::default() };
+            let frame = PlanFrame { service, token, estimates, hosts, ..PlanFrame::default() };
             // A subscriber that does not keep up is let go with the next change of the plan.
             let _ = subscriber.frames.try_send(FrameBody::Plan(frame).encoded());
         }
@@ -471,7 +471,7 @@
         subscribers.retain(|subscriber| {
             let kept = subscriber.frames.try_send(frame.clone()).is_ok();
             if let Some(ledger) = ledger.as_mut().filter(|_| !kept) {
-                ledger.quotas.host_silent(&subscriber.machine, hosts, now);
+                ledger.quotas.host_silent(&subscriber.host, hosts, now);
             }
             kept
         });
@@ -483,7 +483,7 @@
         subscribers.retain(|subscriber| {
             let kept = !subscriber.frames.same_channel(frames);
             if let Some(ledger) = ledger.as_mut().filter(|_| !kept) {
-                ledger.quotas.host_left(&subscriber.machine);
+                ledger.quotas.host_left(&subscriber.host);
             }
             kept
         });
--- a/crates/gateway/src/control/engine_list.rs
+++ b/crates/gateway/src/control/engine_list.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    border::KeyedRecord, control::state::ControlState, events::MachineEvent,
+    border::KeyedRecord, control::state::ControlState, events::HostEvent,
     peers::engine_lines::EngineUpdate, store::follow::TopicUpdate,
 };
 
@@ -219,26 +219,26 @@
         }
     }
 
-    /// Takes an engine's entry; returns whether something changed that all machines must know.
+    /// Takes an engine's entry; returns whether something changed that all hosts must know.
     fn take_engine(&mut self, mut entry: EngineEntry) -> bool {
         let left = self.leaving.get(&entry.name).is_some_and(|born| entry.is_life(*born));
         if entry.leaving && !left {
             self.leaving.insert(Arc::clone(&entry.name), entry.born);
             let engine = entry.name.to_string();
-            self.shared.events.write(MachineEvent::EngineLeaving { engine });
+            self.shared.events.write(HostEvent::EngineLeaving { engine });
         }
         entry.leaving |= left;
         let old = self.engines.get(&entry.name);
         let reborn = old.is_some_and(|old| !old.is_life(entry.born));
         if reborn {
             let engine = entry.name.to_string();
-            self.shared.events.write(MachineEvent::EngineReborn { engine, born: entry.born });
+            self.shared.events.write(HostEvent::EngineReborn { engine, born: entry.born });
         }
         if let Some(domain) = self.domains.get_mut(&entry.service) {
             self.changed |= domain.engine_lives(&entry);
         }
         if old.is_none() {
-            self.shared.events.write(MachineEvent::EngineJoined {
+            self.shared.events.write(HostEvent::EngineJoined {
                 engine: entry.name.to_string(),
                 service: entry.service.to_string(),
                 address: entry.address,
@@ -264,7 +264,7 @@
         if let Some(entry) = self.engines.remove(name) {
             self.departed.insert(Arc::clone(&entry.name), entry.born);
             let engine = name.to_owned();
-            self.shared.events.write(MachineEvent::EngineGone { engine });
+            self.shared.events.write(HostEvent::EngineGone { engine });
             if let Some(domain) = self.domains.get_mut(&entry.service) {
                 domain.engine_gone(name);
             }
@@ -283,7 +283,7 @@
     engines.iter().find(|(_, word)| is_due(word)).map(|(name, _)| Arc::clone(name))
 }
 
-/// Returns whether a machine that knows `old` needs no word of `new`: plans tell which adapters an
+/// Returns whether a host that knows `old` needs no word of `new`: plans tell which adapters an
 /// engine holds.
 fn is_told_by(old: &EngineEntry, new: &EngineEntry) -> bool {
     let bases = |entry: &EngineEntry| {
--- a/crates/gateway/src/control/era.rs
+++ b/crates/gateway/src/control/era.rs
@@ -2,7 +2,7 @@
 
 use reelreel_core::{StorePosition, clock::duration_millis};
 
-use crate::{control::state::ControlState, events::MachineEvent, store::eras::StoreEras};
+use crate::{control::state::ControlState, events::HostEvent, store::eras::StoreEras};
 
 impl ControlState {
     /// Returns the newest era of the store that this host has heard of.
@@ -29,6 +29,6 @@
         let age = self.confirmed_at().map(|moment| duration_millis(now.since(moment)));
         self.shared.metrics.store_era.set(i64::try_from(heard.era).unwrap_or(i64::MAX));
         let (to, teller) = (heard.era, heard.teller);
-        self.shared.events.write(MachineEvent::StoreEra { from, to, teller, age });
+        self.shared.events.write(HostEvent::StoreEra { from, to, teller, age });
     }
 }
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -1,6 +1,6 @@
-//! Passing on what was read from the store, so that a few machines read it for all.
+//! Passing on what was read from the store, so that a few hosts read it for all.
 //!
-//! The holders of some partitions of the group read the store; every other machine follows one of
+//! The holders of some partitions of the group read the store; every other host follows one of
 //! them and reads the store itself only while it can not. A reader passes on each change at once and
 //! says often that it is up to date; when it can no longer say so it lets its followers go. Only its own reading of
 //! each topic makes it a reader: that the store answers some other call of it says nothing of what it has not read.
@@ -13,7 +13,7 @@
 
 use crate::{
     control::state::ControlState,
-    events::MachineEvent,
+    events::HostEvent,
     peers::engine_lines::{EngineUpdate, write_engines},
     peers::frame::{EncodedFrame, FrameBody, OwnerLine, RecordLine, StateFrame},
     store::membership::GroupMember,
@@ -22,7 +22,7 @@
 /// How often a reader says that it is up to date when nothing has changed.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// How long a machine goes on reading for others once it was dealt no such partition any more, so that
+/// How long a host goes on reading for others once it was dealt no such partition any more, so that
 /// they need not all move whenever the group changes.
 const READER_STAYS: Duration = Duration::from_secs(8);
 
@@ -33,7 +33,7 @@
     next: StateFrame,
     /// The engines' entries that go with it.
     engines: Vec<EngineUpdate>,
-    /// Everything that this machine has read, as it is sent to machines that begin to follow; kept until something
+    /// Everything that this host has read, as it is sent to hosts that begin to follow; kept until something
     /// changes, since many begin at once when a fleet starts or a reader is lost.
     whole: Option<EncodedFrame>,
     told: ClockMillis,
@@ -85,12 +85,12 @@
         self.reads_for_others() && self.health.is_fresh(self.shared.clock.now())
     }
 
-    /// Returns whether the group makes this machine read the store for others, whether it can or not.
+    /// Returns whether the group makes this host read the store for others, whether it can or not.
     pub fn reads_for_others(&self) -> bool {
         self.shared.clock.now() < self.reads_until
     }
 
-    /// Takes what a join that was sent at `sent` dealt to this machine.
+    /// Takes what a join that was sent at `sent` dealt to this host.
     pub(super) fn dealt(&mut self, partitions: &[u32], sent: ClockMillis) {
         let mut readers = reader_partitions(self.shared.profile.partitions);
         if readers.any(|partition| partitions.contains(&partition)) {
@@ -103,7 +103,7 @@
         self.reads_until = ClockMillis::from_millis(0);
     }
 
-    /// Returns the other machines that read the store, in this machine's order of preference.
+    /// Returns the other hosts that read the store, in this host's order of preference.
     pub fn other_readers(&self) -> Vec<SocketAddr> {
         let own = self.shared.profile.peers;
         let partitions = reader_partitions(self.shared.profile.partitions);
@@ -117,7 +117,7 @@
         readers
     }
 
-    /// Takes a machine that wants to follow; returns false when this one is no reader.
+    /// Takes a host that wants to follow; returns false when this one is no reader.
     ///
     /// `asked` is what the follower's clock showed.
     pub fn add_follower(&mut self, follower: mpsc::Sender<EncodedFrame>, asked: u64) -> bool {
@@ -134,7 +134,7 @@
         sent
     }
 
-    /// Returns everything that this machine has read, encoded once for all that begin to follow before it changes.
+    /// Returns everything that this host has read, encoded once for all that begin to follow before it changes.
     ///
     /// It says nothing of how new it is; the next word does, and comes within a fifth of a second.
     fn whole_frame(&mut self) -> EncodedFrame {
@@ -152,7 +152,7 @@
         let reads = self.is_reader();
         if std::mem::replace(&mut self.feed.logged_reading, reads) != reads {
             let age = self.confirmed_at().map(|moment| duration_millis(now.since(moment)));
-            self.shared.events.write(MachineEvent::Reading { reads, age });
+            self.shared.events.write(HostEvent::Reading { reads, age });
         }
     }
 
@@ -184,7 +184,7 @@
         self.feed.send(&FrameBody::State(frame).encoded(), now);
     }
 
-    /// Returns everything that this machine has read, for a peer that asked when its clock showed `asked`.
+    /// Returns everything that this host has read, for a peer that asked when its clock showed `asked`.
     pub fn answer_frame(&self, asked: u64) -> StateFrame {
         StateFrame { clock: Some(self.clock_line(asked)), ..self.state_frame() }
     }
@@ -199,26 +199,23 @@
     pub fn owner_lines(&self) -> Vec<OwnerLine> {
         let lines = self.owners.iter();
         lines
-            .map(|(partition, machine)| OwnerLine {
-                partition: *partition,
-                machine: machine.to_string(),
-            })
+            .map(|(partition, host)| OwnerLine { partition: *partition, host: host.to_string() })
             .collect()
     }
 
-    /// Sets whether this machine follows a reader, so that it need not read the store.
+    /// Sets whether this host follows a reader, so that it need not read the store.
     pub fn set_following(&self, follows: bool) {
         self.shared.metrics.following.set(i64::from(follows));
         self.following
             .send_if_modified(|following| std::mem::replace(following, follows) != follows);
     }
 
-    /// Returns whether this machine should join the group as it is known.
+    /// Returns whether this host should join the group as it is known.
     pub fn should_join(&self) -> bool {
         self.shared.profile.capacity.should_join(self.members().len(), self.strong_members())
     }
 
-    /// Returns how many members of the group are strong machines.
+    /// Returns how many members of the group are strong hosts.
     pub fn strong_members(&self) -> usize {
         self.members().iter().filter(|member| member.strong).count()
     }
--- a/crates/gateway/src/control/freshness.rs
+++ b/crates/gateway/src/control/freshness.rs
@@ -1,15 +1,15 @@
-//! How new this machine's configuration is known to be, for its own traffic and for those that follow it.
+//! How new this host's configuration is known to be, for its own traffic and for those that follow it.
 
 use reelreel_core::{ClockMillis, clock::duration_millis};
 
 use crate::{
     control::state::ControlState,
-    events::MachineEvent,
+    events::HostEvent,
     peers::frame::{ClockLine, StateFrame},
 };
 
 impl ControlState {
-    /// Takes that the configuration was the newest one at a moment of this machine's clock.
+    /// Takes that the configuration was the newest one at a moment of this host's clock.
     ///
     /// Called only after what was published holds everything up to that moment.
     pub(super) fn configuration_confirmed(&mut self, moment: ClockMillis) {
@@ -27,15 +27,15 @@
             return;
         }
         let age = self.freshness.confirmed_at().map(|moment| duration_millis(now.since(moment)));
-        self.shared.events.write(MachineEvent::Freshness { state: state.name().into(), age });
+        self.shared.events.write(HostEvent::Freshness { state: state.name().into(), age });
     }
 
-    /// Returns the moment up to which the configuration is known to have been the newest, by this machine's clock.
+    /// Returns the moment up to which the configuration is known to have been the newest, by this host's clock.
     pub fn confirmed_at(&self) -> Option<ClockMillis> {
         self.freshness.confirmed_at()
     }
 
-    /// Returns how new the configuration is that this machine passes on.
+    /// Returns how new the configuration is that this host passes on.
     pub fn fresh_frame(&self) -> StateFrame {
         let confirmed = self.confirmed_at().map_or(0, ClockMillis::as_millis);
         StateFrame { confirmed, ..self.era_frame() }
@@ -51,7 +51,7 @@
         StateFrame { clock: Some(self.clock_line(asked)), ..self.era_frame() }
     }
 
-    /// Answers a peer's ask with what this machine's clock shows.
+    /// Answers a peer's ask with what this host's clock shows.
     pub fn clock_line(&self, asked: u64) -> ClockLine {
         ClockLine { asked, now: self.shared.clock.now().as_millis() }
     }
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -1,4 +1,4 @@
-//! This machine's membership in the group, from the moment that the group needs it.
+//! This host's membership in the group, from the moment that the group needs it.
 
 use std::{sync::Arc, time::Duration};
 
@@ -6,17 +6,17 @@
 
 use crate::{
     control::{MEMBERSHIP, SharedControl, backoff, store_client},
-    machine::SharedState,
+    host::SharedState,
     store::{
         Backoff, LONGEST_PAUSE, StoreClient, StoreError, StorePause,
         membership::{GroupMember, MembershipUpdate, leave, owners, stay_member},
     },
 };
 
-/// How often a machine outside the group looks whether it should join.
+/// How often a host outside the group looks whether it should join.
 const CANDIDACY_INTERVAL: Duration = Duration::from_millis(600);
 
-/// How long a weak machine leaves the group to strong ones.
+/// How long a weak host leaves the group to strong ones.
 ///
 /// Strong ones join at once, but the store lists them as holders only after others joined again.
 const WEAK_DELAY: Duration = Duration::from_secs(3);
@@ -24,23 +24,23 @@
 /// The longest pause between joins that fail: a join costs the store little, and the leases wait for it.
 const LONGEST_JOIN_PAUSE: Duration = Duration::from_secs(1);
 
-/// How many looks in a row show a weak machine that the group lacks members.
+/// How many looks in a row show a weak host that the group lacks members.
 const WEAK_LOOKS: u64 = 3;
 
-/// Each such part of its spread makes a weak machine look once more. Unit: milliseconds.
+/// Each such part of its spread makes a weak host look once more. Unit: milliseconds.
 const WEAK_SPREAD_STEP: u64 = 200;
 
-/// Over which time weak machines spread, so that not all join at once. Unit: milliseconds.
+/// Over which time weak hosts spread, so that not all join at once. Unit: milliseconds.
 const WEAK_SPREAD_MILLIS: u64 = 2000;
 
-/// How many looks in a row must show that the group needs this machine, and from when on they count.
+/// How many looks in a row must show that the group needs this host, and from when on they count.
 struct JoinPatience {
     delay: Duration,
     looks: u64,
 }
 
 impl JoinPatience {
-    /// Strong machines join at once; not all weak ones that see that members are missing stand in at
+    /// Strong hosts join at once; not all weak ones that see that members are missing stand in at
     /// the same time.
     fn new(shared: &SharedState) -> Self {
         if shared.profile.capacity.is_strong() {
@@ -54,7 +54,7 @@
     }
 }
 
-/// Is a member of the group whenever the group needs this machine, for ever.
+/// Is a member of the group whenever the group needs this host, for ever.
 pub async fn keep_membership(state: SharedControl) {
     let shared = Arc::clone(state.borrow().shared());
     let mut client = store_client(&state);
@@ -77,14 +77,14 @@
     }
 }
 
-/// Returns this machine as a member of the group.
+/// Returns this host as a member of the group.
 pub fn own_member(shared: &SharedState) -> GroupMember {
     GroupMember { address: shared.profile.peers, strong: shared.profile.capacity.is_strong() }
 }
 
-/// Waits until this machine should be a member of the group.
+/// Waits until this host should be a member of the group.
 ///
-/// Machines that stay out of the group learn from the reader that they follow who is in it, and ask
+/// Hosts that stay out of the group learn from the reader that they follow who is in it, and ask
 /// the store only while they follow none.
 async fn await_candidacy(
     state: &SharedControl,
--- a/crates/gateway/src/control/mirror.rs
+++ b/crates/gateway/src/control/mirror.rs
@@ -1,10 +1,10 @@
-//! A topic of the store as this machine has read it.
+//! A topic of the store as this host has read it.
 
 use std::collections::{BTreeSet, HashMap};
 
 use reelreel_core::StorePosition;
 
-use crate::{events::MachineEvent, machine::SharedState, store::follow::TopicUpdate};
+use crate::{events::HostEvent, host::SharedState, store::follow::TopicUpdate};
 
 /// A topic's newest records and how far it was read; `Value` is what is kept of a record.
 #[derive(Debug)]
@@ -126,7 +126,7 @@
     /// Counts and logs when the store is lost or regained, and how far a whole reading went beside what was known.
     pub fn note_reading(&mut self, shared: &SharedState, what: &'static str, update: &TopicUpdate) {
         if let TopicUpdate::Whole { records, end, .. } = update {
-            let event = MachineEvent::TopicRead {
+            let event = HostEvent::TopicRead {
                 what: what.into(),
                 records: records.len(),
                 era: end.era,
@@ -143,9 +143,9 @@
         if away != self.away {
             self.away = away;
             let event = if away {
-                MachineEvent::StoreLost { what: what.into() }
+                HostEvent::StoreLost { what: what.into() }
             } else {
-                MachineEvent::StoreRegained { what: what.into() }
+                HostEvent::StoreRegained { what: what.into() }
             };
             shared.events.write(event);
         }
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -11,7 +11,7 @@
 use crate::{
     call::{CallClient, CallError},
     control::SharedControl,
-    events::MachineEvent,
+    events::HostEvent,
     metrics::OrderLabels,
 };
 
@@ -85,7 +85,7 @@
     let kind = kind_name(order.kind);
     let labels = OrderLabels { kind: kind.to_owned(), answer: format!("{answer:?}") };
     shared.metrics.orders.get_or_create(&labels).inc();
-    shared.events.write(MachineEvent::Order {
+    shared.events.write(HostEvent::Order {
         engine: order.engine.name.to_string(),
         kind: kind.to_owned(),
         key: order.key.to_string(),
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -1,4 +1,4 @@
-//! This machine's part in placement: its domains' leases, its own planners, and their peers.
+//! This host's part in placement: its domains' leases, its own planners, and their peers.
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
@@ -18,7 +18,7 @@
         quotas::keep_ledger,
         state::ControlState,
     },
-    events::MachineEvent,
+    events::HostEvent,
     peers::frame::{DemandFrame, PlanFrame},
 };
 
@@ -37,15 +37,15 @@
         let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return false };
         let Some(planner) = &mut domain.planner else { return false };
         let entries: Vec<_> = frame.entries.iter().map(Into::into).collect();
-        let machine = Arc::from(frame.machine.as_str());
-        planner.demand_noted(&machine, &entries, now);
-        planner.work_noted(&machine, &frame.work(), now);
+        let host = Arc::from(frame.host.as_str());
+        planner.demand_noted(&host, &entries, now);
+        planner.work_noted(&host, &frame.work(), now);
         if let Some(ledger) = &mut domain.ledger {
-            ledger.take_usage(&machine, frame, begins, now);
+            ledger.take_usage(&host, frame, begins, now);
         }
         self.shared.wake_control.notify_one();
         let waited: Vec<ModelKey> = waited_keys(&entries).collect();
-        for known in domain.subscribers.iter_mut().filter(|known| known.machine == machine) {
+        for known in domain.subscribers.iter_mut().filter(|known| known.host == host) {
             known.asked.extend(waited.iter().cloned());
         }
         if let Some(subscriber) = subscriber
@@ -63,7 +63,7 @@
         let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return };
         if domain.planner.is_none() && domain.adopt_plan(frame, now) {
             self.shared.shared_work().take(domain.told_work(frame));
-            self.hosts_counted(frame.machines);
+            self.hosts_counted(frame.hosts);
             self.take_quota_words(frame, now);
             self.suspects_heard(&frame.suspects, now);
             let holdings = !frame.engines.is_empty() || !frame.changes.is_empty();
@@ -117,7 +117,7 @@
 
     fn tell_demand(&mut self, now: ClockMillis) {
         let mut drained = self.shared.demand().drain(now);
-        let machine = Arc::clone(&self.shared.profile.name);
+        let host = Arc::clone(&self.shared.profile.name);
         let mut used = self.shared.quotas().untold();
         let ledger_service = self.ledger_service();
         let due = !used.is_empty() || now.since(self.ledger_told) >= LEDGER_WORD;
@@ -132,13 +132,13 @@
             } else {
                 Vec::new()
             };
-            if domain.tell_demand(&machine, &told, &granted, now) {
+            if domain.tell_demand(&host, &told, &granted, now) {
                 self.shared.quotas().was_told(&granted);
             }
         }
     }
 
-    /// Does what is due in one domain; returns when its next load ends, if this machine knows.
+    /// Does what is due in one domain; returns when its next load ends, if this host knows.
     fn tick_domain(
         &mut self,
         service: &ServiceName,
@@ -158,7 +158,7 @@
         if self.lease_states.insert(Arc::clone(service), state) != Some(state) {
             let (service, token) = (service.to_string(), domain.tenure.token());
             let state = state.name().into();
-            self.shared.events.write(MachineEvent::Lease { service, state, token });
+            self.shared.events.write(HostEvent::Lease { service, state, token });
         }
         if !domain.tenure.is_holder() {
             if domain.planner.take().is_some() {
@@ -206,14 +206,14 @@
         let held = planner.take_held_loads();
         let changed = domain.adopt_own_plan();
         if let Some(pace) = domain.take_changed_pace() {
-            self.shared.events.write(MachineEvent::StorePace {
+            self.shared.events.write(HostEvent::StorePace {
                 service: service.to_string(),
                 full_speed: pace.full_speed,
                 load_millis: duration_millis(pace.load_time),
             });
         }
         for load in held {
-            self.shared.events.write(MachineEvent::LoadHeld {
+            self.shared.events.write(HostEvent::LoadHeld {
                 service: service.to_string(),
                 key: load.key.to_string(),
                 ends: load.ends,
--- a/crates/gateway/src/control/plan_lines.rs
+++ b/crates/gateway/src/control/plan_lines.rs
@@ -33,7 +33,7 @@
         (new, written)
     }
 
-    /// Returns all numbers, for a machine that begins to listen.
+    /// Returns all numbers, for a host that begins to listen.
     pub(super) fn lines(&self) -> Vec<NumberLine> {
         let lines = self.numbers.iter();
         lines
--- a/crates/gateway/src/control/quotas.rs
+++ b/crates/gateway/src/control/quotas.rs
@@ -1,7 +1,7 @@
-//! The ledger of the organisations' quotas, on the machine that keeps it, and what the others hear of it.
+//! The ledger of the organisations' quotas, on the host that keeps it, and what the others hear of it.
 //!
-//! The placer of the first service with models keeps it: all machines tell that placer of their demand already. Where
-//! no service holds models nobody keeps a ledger, and each machine grants an equal part.
+//! The placer of the first service with models keeps it: all hosts tell that placer of their demand already. Where
+//! no service holds models nobody keeps a ledger, and each host grants an equal part.
 
 use std::sync::Arc;
 
@@ -25,7 +25,7 @@
 
 /// The ledger with the configuration whose limits it has.
 pub struct KeptLedger {
-    /// What all machines granted.
+    /// What all hosts granted.
     pub quotas: QuotaLedger,
     revision: Option<ConfigRevision>,
 }
@@ -37,18 +37,18 @@
         Self { quotas, revision: None }
     }
 
-    /// Takes what a machine granted; `begins` says that it has just begun to listen.
+    /// Takes what a host granted; `begins` says that it has just begun to listen.
     pub fn take_usage(
         &mut self,
-        machine: &Arc<str>,
+        host: &Arc<str>,
         frame: &DemandFrame,
         begins: bool,
         now: ClockMillis,
     ) {
         let used: Vec<QuotaUse> = frame.usage.iter().map(Into::into).collect();
-        self.quotas.host_used(machine, &used, now);
+        self.quotas.host_used(host, &used, now);
         if begins {
-            self.quotas.host_heard(machine, now);
+            self.quotas.host_heard(host, now);
         }
     }
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,4 +1,4 @@
-//! Everything that the machine believes, and how each message changes it.
+//! Everything that the host believes, and how each message changes it.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -28,8 +28,8 @@
         domain::PlacementDomain, feed::FeedSource, host_count::HostCount, mirror::TopicMirror,
         orders::OrderClients,
     },
-    events::MachineEvent,
-    machine::SharedState,
+    events::HostEvent,
+    host::SharedState,
     peers::engine_lines::{EngineUpdate, read_engines, write_engines},
     peers::frame::{OwnerLine, RecordLine, StateFrame},
     store::{
@@ -42,7 +42,7 @@
     table::{ServingTable, copies_by_key},
 };
 
-/// Everything that the machine believes.
+/// Everything that the host believes.
 pub struct ControlState {
     pub(super) shared: Arc<SharedState>,
     pub(super) configuration: TopicMirror<Bytes>,
@@ -56,7 +56,7 @@
     pub(super) versions: HashMap<ModelKey, NamedVersions>,
     pub(super) domains: BTreeMap<ServiceName, PlacementDomain>,
     pub(super) owners: HashMap<u32, GroupMember>,
-    /// Until when this machine reads the store for others, as far as the group goes.
+    /// Until when this host reads the store for others, as far as the group goes.
     pub(super) reads_until: ClockMillis,
     pub(super) health: StoreHealth,
     pub(super) eras: StoreEras,
@@ -118,12 +118,12 @@
         }
     }
 
-    /// Returns what the machine's threads share.
+    /// Returns what the host's threads share.
     pub const fn shared(&self) -> &Arc<SharedState> {
         &self.shared
     }
 
-    /// Returns a receiver that tells whether another machine reads the store for this one.
+    /// Returns a receiver that tells whether another host reads the store for this one.
     pub fn following(&self) -> watch::Receiver<bool> {
         self.following.subscribe()
     }
@@ -138,7 +138,7 @@
         &mut self.clients
     }
 
-    /// Returns the planner of a service, while this machine holds its lease.
+    /// Returns the planner of a service, while this host holds its lease.
     pub fn planner(&mut self, service: &str) -> Option<&mut PlacementPlanner> {
         self.domains.get_mut(service)?.planner.as_mut()
     }
@@ -216,7 +216,7 @@
         }
         let revision = routes.revision();
         warn_of_ambiguous_keys(&routes);
-        self.shared.events.write(MachineEvent::ConfigurationInForce { revision });
+        self.shared.events.write(HostEvent::ConfigurationInForce { revision });
         self.shared.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
         for service in routes.hosting_services() {
             if !self.domains.contains_key(&service.name) {
@@ -259,7 +259,7 @@
         }
     }
 
-    /// Takes that the reader that this machine follows has said something.
+    /// Takes that the reader that this host follows has said something.
     pub fn reader_heard(&mut self) {
         self.health.told_by_reader(self.shared.clock.now());
     }
@@ -299,26 +299,26 @@
         }
     }
 
-    /// Takes that this machine leaves the group for good.
+    /// Takes that this host leaves the group for good.
     pub fn leave_group(&mut self) {
         for domain in self.domains.values_mut() {
             domain.tenure.left();
         }
     }
 
-    /// Returns how many machines share what is counted over all of them, at least one.
-    pub fn machines(&self) -> u32 {
+    /// Returns how many hosts share what is counted over all of them, at least one.
+    pub fn hosts(&self) -> u32 {
         self.host_count.get(self.shared.profile.partitions)
     }
 
     /// Takes how many hosts a placer hears from.
     pub(super) fn hosts_counted(&mut self, count: u32) {
-        let before = self.machines();
+        let before = self.hosts();
         self.host_count.told(count, self.shared.clock.now());
-        self.changed |= self.machines() != before;
+        self.changed |= self.hosts() != before;
     }
 
-    /// Returns the members of the group other than this machine.
+    /// Returns the members of the group other than this host.
     pub fn other_members(&self) -> Vec<SocketAddr> {
         let own = self.shared.profile.peers;
         let members: BTreeSet<SocketAddr> =
@@ -326,7 +326,7 @@
         members.into_iter().filter(|member| *member != own).collect()
     }
 
-    /// Returns the services whose plan another machine makes, with that machine.
+    /// Returns the services whose plan another host makes, with that host.
     pub fn foreign_placers(&self) -> Vec<(ServiceName, SocketAddr)> {
         let own = self.shared.profile.peers;
         let placers = self.domains.values().filter_map(|domain| {
@@ -352,7 +352,7 @@
         }
     }
 
-    /// Returns what this machine has read from the store, for a peer that can not.
+    /// Returns what this host has read from the store, for a peer that can not.
     pub fn state_frame(&self) -> StateFrame {
         let (names, engines) = write_engines(&self.listed_engines());
         let configuration = self.configuration.records.iter().map(|(key, (position, value))| {
@@ -396,7 +396,7 @@
     }
 
     fn take_owners(&mut self, lines: &[OwnerLine]) {
-        let owner = |line: &OwnerLine| Some((line.partition, line.machine.parse().ok()?));
+        let owner = |line: &OwnerLine| Some((line.partition, line.host.parse().ok()?));
         let owners: HashMap<u32, GroupMember> = lines.iter().filter_map(owner).collect();
         if !owners.is_empty() && owners != self.owners {
             self.owners = owners;
@@ -436,13 +436,13 @@
             versions: self.versions.clone(),
             estimates: estimates.map(|(key, time)| (Arc::clone(key), *time)).collect(),
             engines_known: self.engine_records.known,
-            machines: self.machines(),
+            hosts: self.hosts(),
         };
         let metrics = &self.shared.metrics;
         metrics.engines.set(i64::try_from(self.engines.len()).unwrap_or(i64::MAX));
-        let hosts = table.machines;
+        let hosts = table.hosts;
         if metrics.hosts.set(i64::from(hosts)) != i64::from(hosts) {
-            self.shared.events.write(MachineEvent::HostsCounted { hosts });
+            self.shared.events.write(HostEvent::HostsCounted { hosts });
         }
         let leases = self.domains.values().filter(|domain| domain.tenure.is_holder()).count();
         metrics.leases.set(i64::try_from(leases).unwrap_or(i64::MAX));
--- a/crates/gateway/src/control/suspects.rs
+++ b/crates/gateway/src/control/suspects.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     control::state::ControlState,
-    events::MachineEvent,
+    events::HostEvent,
     peers::suspect_lines::{SuspectLine, read_suspects, write_suspects},
 };
 
@@ -81,16 +81,14 @@
         let news = self.shared.quarantine().take_news();
         for news in news {
             self.shared.events.write(match news {
-                QuarantineNews::Held { mark, organisation, ends, time } => {
-                    MachineEvent::RequestHeld {
-                        mark: shown_mark(mark),
-                        organisation: organisation.map(|name| name.to_string()),
-                        ends,
-                        millis: duration_millis(time),
-                    }
-                }
+                QuarantineNews::Held { mark, organisation, ends, time } => HostEvent::RequestHeld {
+                    mark: shown_mark(mark),
+                    organisation: organisation.map(|name| name.to_string()),
+                    ends,
+                    millis: duration_millis(time),
+                },
                 QuarantineNews::Cleared { mark } => {
-                    MachineEvent::RequestCleared { mark: shown_mark(mark) }
+                    HostEvent::RequestCleared { mark: shown_mark(mark) }
                 }
             });
         }
--- a/crates/gateway/src/engines/ends.rs
+++ b/crates/gateway/src/engines/ends.rs
@@ -12,7 +12,7 @@
 };
 use tokio::sync::watch;
 
-use crate::{engines::EnginePool, entry::TrafficState, events::MachineEvent};
+use crate::{engines::EnginePool, entry::TrafficState, events::HostEvent};
 
 /// How many marks a log line shows: an engine runs dozens of requests at a time.
 const MOST_SHOWN: usize = 8;
@@ -69,7 +69,7 @@
     shared.quarantine().engine_ended(life, runs, traffic.now());
     shared.wake_control.notify_one();
     shared.metrics.engines_ended.inc();
-    shared.events.write(MachineEvent::EngineEnded {
+    shared.events.write(HostEvent::EngineEnded {
         engine: entry.name.to_string(),
         runs: runs.len(),
         marks: runs.iter().take(MOST_SHOWN).map(|run| shown_mark(run.mark)).collect(),
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -1,4 +1,4 @@
-//! Kept connections to each engine, and what this machine knows from its own requests.
+//! Kept connections to each engine, and what this host knows from its own requests.
 
 use std::{
     cell::RefCell,
@@ -11,7 +11,7 @@
 use reelreel_core::{
     ClockMillis,
     fleet::{
-        EngineEntry, EngineName, ModelKey, ZoneName,
+        EngineEntry, EngineName, HallName, ModelKey,
         condition::{EngineCondition, EngineOutcome},
         reach::{ConnectTime, HallReach},
         work::EngineWork,
@@ -46,7 +46,7 @@
     idle: Vec<IdleConnection>,
     condition: EngineCondition,
     /// The engine's data hall, once a connection was tried.
-    hall: Option<ZoneName>,
+    hall: Option<HallName>,
     /// What this host has there.
     work: EngineWork,
     /// This host's requests there by model or adapter.
@@ -55,11 +55,11 @@
     touched: bool,
 }
 
-/// Kept connections to each engine, and what this machine knows from its own requests.
+/// Kept connections to each engine, and what this host knows from its own requests.
 #[derive(Default)]
 pub struct EnginePool {
     engines: HashMap<EngineName, EngineState>,
-    halls: HashMap<ZoneName, HallReach>,
+    halls: HashMap<HallName, HallReach>,
     connect_time: ConnectTime,
 }
 
@@ -113,7 +113,7 @@
 
     /// Returns whether an engine's data hall seems to be cut off from this host.
     pub fn is_out_of_reach(&self, entry: &EngineEntry, now: ClockMillis) -> bool {
-        self.halls.get(&entry.zone).is_some_and(|reach| reach.is_resting(now))
+        self.halls.get(&entry.hall).is_some_and(|reach| reach.is_resting(now))
     }
 
     /// Returns whether connections come about quickly, so that one that does not shows something of its engine.
@@ -123,13 +123,13 @@
 
     fn connected(&mut self, entry: &EngineEntry, time: Duration) {
         self.connect_time.note(time);
-        self.halls.entry(Arc::clone(&entry.zone)).or_default().answered();
+        self.halls.entry(Arc::clone(&entry.hall)).or_default().answered();
     }
 
     fn not_connected(&mut self, entry: &EngineEntry, error: &std::io::Error, now: ClockMillis) {
         if error.kind() == std::io::ErrorKind::TimedOut {
             self.connect_time.note_silence();
-            self.halls.entry(Arc::clone(&entry.zone)).or_default().silent(&entry.name, now);
+            self.halls.entry(Arc::clone(&entry.hall)).or_default().silent(&entry.name, now);
         }
     }
 
@@ -167,7 +167,7 @@
         now: ClockMillis,
     ) -> std::io::Result<EngineLease> {
         let kept = pool.borrow_mut().take_idle(&entry.name, terms.fresh, now);
-        let hall = Some(Arc::clone(&entry.zone));
+        let hall = Some(Arc::clone(&entry.hall));
         pool.borrow_mut().engines.entry(Arc::clone(&entry.name)).or_default().hall = hall;
         let reused = kept.is_some();
         let count = RunCount::new(pool, &entry.name, terms);
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -42,7 +42,7 @@
 
 use crate::{
     engines::{EnginePool, ends::EndWatch},
-    machine::SharedState,
+    host::SharedState,
     table::ServingTable,
 };
 
@@ -59,13 +59,13 @@
 /// How often listening is tried before the process gives up.
 const LISTEN_TRIES: u32 = 30;
 
-/// How long a stopping machine stays for clients that the balancer still sends.
+/// How long a stopping host stays for clients that the balancer still sends.
 const LEAST_STOP: Duration = Duration::from_millis(2600);
 
 /// What a planned stop leaves of the operator's grace.
 const STOP_RESERVE: Duration = Duration::from_millis(500);
 
-/// How often a stopping machine looks whether it may end.
+/// How often a stopping host looks whether it may end.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
 /// How long an engine's word that it does not hold something is believed against the table.
@@ -73,7 +73,7 @@
 
 /// What the traffic thread's tasks share.
 pub struct TrafficState {
-    /// What the machine's threads share.
+    /// What the host's threads share.
     pub shared: Arc<SharedState>,
     /// Connections to engines.
     pub pool: Rc<RefCell<EnginePool>>,
@@ -81,7 +81,7 @@
     pub ends: RefCell<EndWatch>,
     /// The share of each service's retry budget.
     retries: RefCell<HashMap<ServiceName, RetryShare>>,
-    /// How much of what it is asked for this machine sends on to each plain service.
+    /// How much of what it is asked for this host sends on to each plain service.
     pub admissions: RefCell<HashMap<ServiceName, ServiceAdmission>>,
     /// What engines said that they do not hold, and when.
     absences: RefCell<HashMap<(EngineName, ModelKey), ClockMillis>>,
@@ -113,12 +113,12 @@
         self.shared.clock.now()
     }
 
-    /// Returns what the machine believes now.
+    /// Returns what the host believes now.
     pub fn table(&self) -> Arc<ServingTable> {
         Arc::clone(&self.table.borrow())
     }
 
-    /// Returns whether the machine serves more than public routes; where it does not, the balancer has others.
+    /// Returns whether the host serves more than public routes; where it does not, the balancer has others.
     pub fn serves_most_routes(&self) -> bool {
         let serves_keys = self.shared.serves_keys(self.now());
         let table = self.table();
@@ -127,7 +127,7 @@
         table.is_complete() && (serves_keys || !asks_for_keys)
     }
 
-    /// Returns a receiver that tells when the machine believes something else.
+    /// Returns a receiver that tells when the host believes something else.
     pub fn table_changes(&self) -> watch::Receiver<Arc<ServingTable>> {
         let mut changes = self.table.clone();
         changes.mark_unchanged();
@@ -177,11 +177,11 @@
         entry.is_some_and(|entry| entry.hosting.is_none())
     }
 
-    /// Takes a further send to a service from this machine's share of the retry budget.
+    /// Takes a further send to a service from this host's share of the retry budget.
     pub fn take_retry(&self, service: &ServiceName) -> bool {
         let allowance = &self.shared.profile.bounds.retries;
-        let machines = self.table().machines;
-        let taken = self.retry_share(service).take(allowance, machines, self.now());
+        let hosts = self.table().hosts;
+        let taken = self.retry_share(service).take(allowance, hosts, self.now());
         let metrics = &self.shared.metrics;
         let counter = if taken { &metrics.retries } else { &metrics.retries_refused };
         counter.inc();
@@ -267,7 +267,7 @@
         // Requests matter more than what is counted of them.
         Err(error) => log::warn!("no metrics at {}: {error}", shared.profile.metrics),
     }
-    shared.events.write(crate::events::MachineEvent::Started {
+    shared.events.write(crate::events::HostEvent::Started {
         clients: clients.local_addr()?,
         peers: shared.profile.peers,
     });
--- a/crates/gateway/src/entry/answer.rs
+++ b/crates/gateway/src/entry/answer.rs
@@ -1,4 +1,4 @@
-//! Answers of the machine's own.
+//! Answers of the host's own.
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 
 use crate::border::ExchangeDialect;
 
-/// An answer that the machine makes itself.
+/// An answer that the host makes itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OwnAnswer {
     /// The status.
@@ -66,7 +66,7 @@
 
 /// No configuration or no list of engines was read yet.
 pub const NOT_READY: OwnAnswer = OwnAnswer::refusal(
-    "this machine has no configuration yet; come back shortly",
+    "this host has no configuration yet; come back shortly",
     Duration::from_millis(300),
 );
 
@@ -84,16 +84,16 @@
 pub const NO_ORGANISATION: OwnAnswer =
     OwnAnswer::new(401, "the key is missing or not known; send one valid key of your organisation");
 
-/// The machine does not know whether the request's key still holds. Half a second is what most cuts of one
-/// machine leave to the balancer, and a store that is back is heard by then.
+/// The host does not know whether the request's key still holds. Half a second is what most cuts of one
+/// host leave to the balancer, and a store that is back is heard by then.
 pub const KEYS_IN_DOUBT: OwnAnswer = OwnAnswer::refusal(
-    "this machine can not tell whether the key still holds; come back, another one answers",
+    "this host can not tell whether the key still holds; come back, another one answers",
     Duration::from_millis(500),
 );
 
-/// The machine stops, and the request might not end before it is gone.
+/// The host stops, and the request might not end before it is gone.
 pub const STOPPING: OwnAnswer = OwnAnswer::refusal(
-    "this machine stops; come back, another one answers",
+    "this host stops; come back, another one answers",
     Duration::from_millis(100),
 );
 
--- a/crates/gateway/src/entry/connection.rs
+++ b/crates/gateway/src/entry/connection.rs
@@ -221,7 +221,7 @@
 fn hold_body(traffic: &Rc<TrafficState>, bytes: usize) -> Result<BodyHold, RequestFailure> {
     let held = traffic.body_bytes.get() + bytes;
     if held > traffic.shared.profile.most_body_bytes {
-        let text = "this machine holds too many bodies; come back shortly";
+        let text = "this host holds too many bodies; come back shortly";
         let answer = OwnAnswer::refusal(text, Duration::from_millis(500));
         return Err(RequestFailure::Answered(answer));
     }
--- a/crates/gateway/src/entry/pick.rs
+++ b/crates/gateway/src/entry/pick.rs
@@ -91,19 +91,19 @@
         })
         .collect();
     drop(shared);
-    let zone = &traffic.shared.profile.zone;
-    let best = best_engine(&candidates, zone, xxh3_64(need.id.as_bytes()), table.machines, now);
+    let hall = &traffic.shared.profile.hall;
+    let best = best_engine(&candidates, hall, xxh3_64(need.id.as_bytes()), table.hosts, now);
     let chosen = best.and_then(|best| able.iter().find(|(entry, ..)| entry.name == best));
     chosen.map_or(EnginePick::Nowhere, |(entry, version, _, _)| {
         EnginePick::Engine(Arc::clone(entry), *version)
     })
 }
 
-/// Returns this machine's share of the connections that an engine takes.
+/// Returns this host's share of the connections that an engine takes.
 fn connection_share(table: &ServingTable, service: &str) -> u32 {
     let service = table.routes.as_ref().and_then(|routes| routes.service(service));
     let most = service.map_or(u32::MAX, |service| service.most_connections);
-    (most / table.machines.max(1)).max(1)
+    (most / table.hosts.max(1)).max(1)
 }
 
 /// Whether an engine can serve what a request names.
--- a/crates/gateway/src/entry/prepare.rs
+++ b/crates/gateway/src/entry/prepare.rs
@@ -23,7 +23,7 @@
         },
         exchange::{ClientRequest, ExchangeEnd},
     },
-    events::{MachineEvent, RequestEvent},
+    events::{HostEvent, RequestEvent},
     metrics::RequestLabels,
 };
 
@@ -101,7 +101,7 @@
         return Err(NO_ROUTE.into());
     };
     let quota_cost = match &organisation {
-        Some(organisation) => take_quota(traffic, organisation, facts.tokens, table.machines)?,
+        Some(organisation) => take_quota(traffic, organisation, facts.tokens, table.hosts)?,
         None => 0,
     };
     let (route, service) = (Arc::clone(route), Arc::clone(service));
@@ -155,7 +155,7 @@
     refusal: EarlyRefusal,
 ) -> ExchangeEnd {
     let EarlyRefusal { answer, outcome, organisation } = refusal;
-    // Who comes back is to reach a machine that can tell.
+    // Who comes back is to reach a host that can tell.
     let sent_elsewhere = answer == KEYS_IN_DOUBT;
     let keep = request.head.keeps_connection() && !traffic.shared.is_stopping() && !sent_elsewhere;
     let dialect = &traffic.shared.dialects.exchange;
@@ -169,7 +169,7 @@
     if let Some(organisation) = &organisation {
         traffic.shared.metrics.count_organisation(organisation, outcome);
     }
-    traffic.shared.events.write(MachineEvent::Request(RequestEvent {
+    traffic.shared.events.write(HostEvent::Request(RequestEvent {
         id: id.unwrap_or_default(),
         route: request.head.target.clone(),
         outcome: outcome.into(),
--- a/crates/gateway/src/entry/probe.rs
+++ b/crates/gateway/src/entry/probe.rs
@@ -20,7 +20,7 @@
 /// The path under which metrics are served.
 pub const METRICS_PATH: &str = "/metrics";
 
-/// Answers whether the machine takes new connections.
+/// Answers whether the host takes new connections.
 pub async fn serve_readiness(traffic: Rc<TrafficState>, listener: TcpListener) {
     let answer = |traffic: &TrafficState, head: &RequestHead| {
         let path = traffic.shared.dialects.exchange.readiness_path();
--- a/crates/gateway/src/entry/record.rs
+++ b/crates/gateway/src/entry/record.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     entry::exchange::Exchange,
-    events::{MachineEvent, RequestEvent},
+    events::{HostEvent, RequestEvent},
     metrics::RequestLabels,
 };
 
@@ -30,7 +30,7 @@
         if outcome == "answered" && !late && !number.is_multiple_of(LOGGED_SHARE) {
             return;
         }
-        shared.events.write(MachineEvent::Request(RequestEvent {
+        shared.events.write(HostEvent::Request(RequestEvent {
             id: self.facts.id.clone(),
             route: self.route.name.clone(),
             outcome: outcome.into(),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -26,12 +26,12 @@
 /// How a request's way ended, or what was decided on it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
-pub enum MachineEvent {
+pub enum HostEvent {
     /// The process serves its addresses.
     Started {
         /// Where clients connect.
         clients: SocketAddr,
-        /// Where other machines connect.
+        /// Where other hosts connect.
         peers: SocketAddr,
     },
     /// The settings were read anew.
@@ -100,14 +100,14 @@
         /// How far it was known in that era; beyond the end where records are gone that this host has seen.
         known: u64,
     },
-    /// The machine follows another one that reads the store for it.
+    /// The host follows another one that reads the store for it.
     Following {
-        /// That machine's address for peers.
+        /// That host's address for peers.
         reader: String,
     },
-    /// The machine that was followed fell silent or reads no longer.
+    /// The host that was followed fell silent or reads no longer.
     ReaderLost {
-        /// That machine's address for peers.
+        /// That host's address for peers.
         reader: String,
     },
     /// This host begins or ceases to pass on to others what it reads from the store.
@@ -288,9 +288,9 @@
 #[derive(Serialize)]
 struct EventLine<'event> {
     at: u64,
-    machine: &'event str,
+    host: &'event str,
     #[serde(flatten)]
-    event: &'event MachineEvent,
+    event: &'event HostEvent,
     #[serde(skip_serializing_if = "is_zero")]
     left_out: u64,
 }
@@ -303,7 +303,7 @@
 /// Writes events without ever waiting.
 #[derive(Debug, Clone)]
 pub struct EventLog {
-    sender: SyncSender<(u64, MachineEvent)>,
+    sender: SyncSender<(u64, HostEvent)>,
     left_out: Arc<AtomicU64>,
 }
 
@@ -312,30 +312,27 @@
     ///
     /// # Errors
     /// Returns that the thread could not be started.
-    pub fn start(machine: Arc<str>) -> std::io::Result<Self> {
-        Self::start_to(machine, std::io::stdout())
+    pub fn start(host: Arc<str>) -> std::io::Result<Self> {
+        Self::start_to(host, std::io::stdout())
     }
 
     /// Starts the writer thread, which writes to `output`.
     ///
     /// # Errors
     /// Returns that the thread could not be started.
-    pub fn start_to(
-        machine: Arc<str>,
-        output: impl Write + Send + 'static,
-    ) -> std::io::Result<Self> {
+    pub fn start_to(host: Arc<str>, output: impl Write + Send + 'static) -> std::io::Result<Self> {
         let (sender, receiver) = sync_channel(QUEUE_LENGTH);
         let left_out = Arc::new(AtomicU64::new(0));
         let count = Arc::clone(&left_out);
         std::thread::Builder::new()
             .name(String::from("events"))
             .stack_size(WRITER_STACK)
-            .spawn(move || write_events(&receiver, &machine, &count, output))?;
+            .spawn(move || write_events(&receiver, &host, &count, output))?;
         Ok(Self { sender, left_out })
     }
 
     /// Queues an event, or counts it as left out.
-    pub fn write(&self, event: MachineEvent) {
+    pub fn write(&self, event: HostEvent) {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let at = u64::try_from(wall.as_millis()).unwrap_or(u64::MAX);
         if self.sender.try_send((at, event)).is_err() {
@@ -345,19 +342,19 @@
 }
 
 fn write_events(
-    receiver: &Receiver<(u64, MachineEvent)>,
-    machine: &str,
+    receiver: &Receiver<(u64, HostEvent)>,
+    host: &str,
     left_out: &AtomicU64,
     mut output: impl Write,
 ) {
     let mut line = Vec::with_capacity(512);
     while let Ok((at, event)) = receiver.recv() {
         line.clear();
-        append_line(&mut line, machine, at, &event, left_out);
+        append_line(&mut line, host, at, &event, left_out);
         while line.len() < 16 * 1024
             && let Ok((at, event)) = receiver.try_recv()
         {
-            append_line(&mut line, machine, at, &event, left_out);
+            append_line(&mut line, host, at, &event, left_out);
         }
         if output.write_all(&line).is_err() {
             return;
@@ -365,15 +362,9 @@
     }
 }
 
-fn append_line(
-    line: &mut Vec<u8>,
-    machine: &str,
-    at: u64,
-    event: &MachineEvent,
-    left_out: &AtomicU64,
-) {
+fn append_line(line: &mut Vec<u8>, host: &str, at: u64, event: &HostEvent, left_out: &AtomicU64) {
     let left_out = left_out.swap(0, Ordering::Relaxed);
-    let event = EventLine { at, machine, event, left_out };
+    let event = EventLine { at, host, event, left_out };
     if serde_json::to_writer(&mut *line, &event).is_ok() {
         line.push(b'\n');
     }
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/host.rs
@@ -1,4 +1,4 @@
-//! One machine: its two threads and what they share.
+//! One host: its two threads and what they share.
 
 use std::{
     collections::HashMap,
@@ -25,28 +25,28 @@
     control::run_control,
     demand::{DemandCollector, SharedWork},
     entry::run_entry,
-    events::{EventLog, MachineEvent},
-    metrics::MachineMetrics,
-    profile::MachineProfile,
+    events::{EventLog, HostEvent},
+    metrics::HostMetrics,
+    profile::HostProfile,
     table::ServingTable,
 };
 
 /// The control thread's stack. Unit: bytes.
 const CONTROL_STACK: usize = 512 * 1024;
 
-/// For how long a stopping machine begins new requests, until the balancer sends none any more.
+/// For how long a stopping host begins new requests, until the balancer sends none any more.
 const STOP_SERVES: Duration = Duration::from_millis(2400);
 
-/// What a stopping machine leaves between the end of its last request and the operator's grace.
+/// What a stopping host leaves between the end of its last request and the operator's grace.
 const STOP_MARGIN: Duration = Duration::from_millis(1500);
 
 /// What the two threads share.
 pub struct SharedState {
-    /// What the machine is told about itself.
-    pub profile: MachineProfile,
+    /// What the host is told about itself.
+    pub profile: HostProfile,
     /// What is spoken at its borders.
     pub dialects: BorderDialects,
-    /// The machine's clock.
+    /// The host's clock.
     pub clock: Arc<dyn ClockSource>,
     /// What the control thread believes.
     pub table: watch::Sender<Arc<ServingTable>>,
@@ -55,11 +55,11 @@
     /// Structured log lines.
     pub events: EventLog,
     /// Counters and histograms.
-    pub metrics: MachineMetrics,
+    pub metrics: HostMetrics,
     /// Requests that are open.
     pub open_requests: AtomicUsize,
     stop_began: OnceLock<ClockMillis>,
-    /// Until when requests with keys may arrive. Unit: milliseconds of the machine's clock.
+    /// Until when requests with keys may arrive. Unit: milliseconds of the host's clock.
     keys_until: AtomicU64,
     /// Wakes the control thread when there is something to tell at once.
     pub wake_control: Notify,
@@ -73,7 +73,7 @@
 impl SharedState {
     /// Starts with nothing known.
     pub fn new(
-        profile: MachineProfile,
+        profile: HostProfile,
         dialects: BorderDialects,
         events: EventLog,
         clock: Arc<dyn ClockSource>,
@@ -88,7 +88,7 @@
             table: watch::Sender::new(Arc::default()),
             stopping: watch::Sender::new(false),
             events,
-            metrics: MachineMetrics::default(),
+            metrics: HostMetrics::default(),
             open_requests: AtomicUsize::new(0),
             stop_began: OnceLock::new(),
             keys_until: AtomicU64::new(0),
@@ -129,12 +129,12 @@
         arrived.as_millis() <= self.keys_until.load(Ordering::Acquire)
     }
 
-    /// Locks this machine's part in the organisations' quotas for a moment.
+    /// Locks this host's part in the organisations' quotas for a moment.
     pub fn quotas(&self) -> MutexGuard<'_, QuotaShare> {
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Locks what this machine knows of requests under which engines ended for a moment.
+    /// Locks what this host knows of requests under which engines ended for a moment.
     pub fn quarantine(&self) -> MutexGuard<'_, QuarantineBook> {
         self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -157,10 +157,10 @@
         stopping > until
     }
 
-    /// Notes that the settings were read anew; what a running machine uses of them does not change.
+    /// Notes that the settings were read anew; what a running host uses of them does not change.
     pub fn reloaded(&self, mistake: Option<impl std::fmt::Display>) {
         let mistake = mistake.map(|mistake| mistake.to_string());
-        self.events.write(MachineEvent::Reloaded { mistake });
+        self.events.write(HostEvent::Reloaded { mistake });
     }
 
     /// Begins a planned stop.
@@ -169,18 +169,18 @@
         self.stop_began.get_or_init(|| self.clock.now());
         let began = self.stopping.send_if_modified(|stopping| !std::mem::replace(stopping, true));
         if began {
-            self.events.write(MachineEvent::Stopping { open });
+            self.events.write(HostEvent::Stopping { open });
         }
     }
 }
 
-/// Runs a machine until its planned stop has ended.
+/// Runs a host until its planned stop has ended.
 ///
-/// The calling thread carries the traffic; one more thread keeps what the machine believes.
+/// The calling thread carries the traffic; one more thread keeps what the host believes.
 ///
 /// # Errors
 /// Returns that an address can not be listened on or a thread not be started.
-pub fn run_machine(shared: &Arc<SharedState>) -> std::io::Result<()> {
+pub fn run_host(shared: &Arc<SharedState>) -> std::io::Result<()> {
     let control = Arc::clone(shared);
     let thread = std::thread::Builder::new()
         .name(String::from("control"))
@@ -188,7 +188,7 @@
         .spawn(move || run_control(&control))?;
     run_entry(shared)?;
     let open = shared.open_requests.load(Ordering::Relaxed);
-    shared.events.write(MachineEvent::Stopped { open });
+    shared.events.write(HostEvent::Stopped { open });
     // The control thread leaves the group as soon as the stop begins; it is not waited for.
     drop(thread);
     Ok(())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,6 @@
-//! One machine of reelreel on a platform whose engines admit requests by themselves.
+//! One host of reelreel on a platform whose engines admit requests by themselves.
 //!
-//! One thread carries the traffic ([`entry`], [`engines`]), one keeps what the machine believes
+//! One thread carries the traffic ([`entry`], [`engines`]), one keeps what the host believes
 //! ([`control`], [`store`], [`peers`]). The second publishes a whole [`table::ServingTable`]
 //! whenever something changed; the first decides each request from the newest one. What is spoken
 //! with clients, engines and the store is behind the traits of [`border`].
@@ -12,7 +12,7 @@
 pub mod engines;
 pub mod entry;
 pub mod events;
-pub mod machine;
+pub mod host;
 pub mod metrics;
 pub mod peers;
 pub mod profile;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,7 +22,7 @@
     pub outcome: String,
 }
 
-/// What tells counters of frames between machines apart.
+/// What tells counters of frames between hosts apart.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct FrameLabels {
     /// The kind of frame.
@@ -30,7 +30,7 @@
 }
 
 /// How many organisations have counters of their own: those that are seen first. Others are counted together, so that
-/// what a machine serves as text stays short.
+/// what a host serves as text stays short.
 const MOST_ORGANISATIONS: usize = 64;
 
 /// What tells counters of organisations apart.
@@ -51,8 +51,8 @@
     pub answer: String,
 }
 
-/// Everything that a machine counts.
-pub struct MachineMetrics {
+/// Everything that a host counts.
+pub struct HostMetrics {
     registry: Mutex<Registry>,
     /// Requests by route and outcome.
     pub requests: Family<RequestLabels, Counter>,
@@ -84,9 +84,9 @@
     pub configuration_read_to: Gauge,
     /// Up to which offset of the engines' topic this host knows it.
     pub engines_read_to: Gauge,
-    /// Bytes of frames sent to other machines, by kind.
+    /// Bytes of frames sent to other hosts, by kind.
     pub peer_bytes: Family<FrameLabels, Counter>,
-    /// Whether another machine reads the store for this one.
+    /// Whether another host reads the store for this one.
     pub following: Gauge,
     /// The hosts that share what is counted over all of them.
     pub hosts: Gauge,
@@ -96,7 +96,7 @@
     pub open_requests: Gauge,
     /// The configuration in force.
     pub revision: Gauge,
-    /// Placement domains whose lease this machine holds.
+    /// Placement domains whose lease this host holds.
     pub leases: Gauge,
     /// Engines that are listed.
     pub engines: Gauge,
@@ -112,7 +112,7 @@
     Histogram::new(exponential_buckets(0.002, 2.0, 14))
 }
 
-impl Default for MachineMetrics {
+impl Default for HostMetrics {
     fn default() -> Self {
         let metrics = Self {
             registry: Mutex::default(),
@@ -148,7 +148,7 @@
     }
 }
 
-impl MachineMetrics {
+impl HostMetrics {
     fn register(&self) {
         let mut registry = Registry::with_prefix("reelreel");
         registry.register("requests", "Requests by route and outcome", self.requests.clone());
@@ -180,9 +180,9 @@
         registry.register("configuration_read_to", help, self.configuration_read_to.clone());
         let help = "Up to which offset of the engines' topic this host knows it";
         registry.register("engines_read_to", help, self.engines_read_to.clone());
-        let help = "Bytes of frames sent to other machines by kind";
+        let help = "Bytes of frames sent to other hosts by kind";
         registry.register("peer_sent_bytes", help, self.peer_bytes.clone());
-        let help = "Whether another machine reads the store for this one";
+        let help = "Whether another host reads the store for this one";
         registry.register("following", help, self.following.clone());
         let help = "Hosts that share what is counted over all of them";
         registry.register("hosts", help, self.hosts.clone());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,5 +1,5 @@
-//! What machines of the system tell each other: demand to the placer, its plan back, and what a
-//! machine that the store turns away can not read itself.
+//! What hosts of the system tell each other: demand to the placer, its plan back, and what a
+//! host that the store turns away can not read itself.
 
 pub mod client;
 pub mod engine_lines;
@@ -26,7 +26,7 @@
 /// How long a peer may take a frame: what is buffered on the way is as much as it gets in several seconds.
 const SEND_PATIENCE: Duration = Duration::from_secs(2);
 
-/// A connection between two machines, cut into frames.
+/// A connection between two hosts, cut into frames.
 pub struct PeerStream {
     framed: Framed<TcpStream, LengthDelimitedCodec>,
     closed: bool,
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -1,4 +1,4 @@
-//! Connects to the placers of other machines, and to any machine while the store can not be read.
+//! Connects to the placers of other hosts, and to any host while the store can not be read.
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
@@ -73,7 +73,7 @@
     }
 }
 
-/// Connects to another machine, unless that takes too long.
+/// Connects to another host, unless that takes too long.
 pub(super) async fn connect(state: &SharedControl, address: SocketAddr) -> Option<PeerStream> {
     let connecting = TcpStream::connect(address);
     let socket = tokio::time::timeout(CONNECT_PATIENCE, connecting).await.ok()?.ok()?;
@@ -121,17 +121,17 @@
     sender: &mpsc::Sender<EncodedFrame>,
 ) -> bool {
     let mut state = state.borrow_mut();
-    let machine = state.shared().profile.name.to_string();
+    let host = state.shared().profile.name.to_string();
     state.shared().demand().tell_again(service);
     state.tell_suspects_again(service);
     let Some(domain) = state.domain(service) else { return false };
-    let hello = DemandFrame { machine, service: service.to_string(), ..DemandFrame::default() };
+    let hello = DemandFrame { host, service: service.to_string(), ..DemandFrame::default() };
     let sent = sender.try_send(FrameBody::Demand(hello).encoded()).is_ok();
     domain.placer = Some(sender.clone());
     sent
 }
 
-/// Asks one of the known machines for what it has read from the store.
+/// Asks one of the known hosts for what it has read from the store.
 async fn ask_any_peer(state: &SharedControl, turn: u32) {
     let mut peers = state.borrow().other_members();
     peers.extend_from_slice(&state.borrow().shared().profile.seeds);
--- a/crates/gateway/src/peers/engine_lines.rs
+++ b/crates/gateway/src/peers/engine_lines.rs
@@ -1,4 +1,4 @@
-//! Engines' entries as machines pass them on: a seventh of the bytes that an engine writes of itself.
+//! Engines' entries as hosts pass them on: a seventh of the bytes that an engine writes of itself.
 //!
 //! Services, data halls and base models are the same for hundreds of engines, so a frame names each once
 //! and its lines refer to them by place.
@@ -45,7 +45,7 @@
     pub service: u32,
     /// The data hall, by its place among the frame's names.
     #[prost(uint32, tag = "6")]
-    pub zone: u32,
+    pub hall: u32,
     /// How many requests it runs at a time.
     #[prost(uint32, tag = "7")]
     pub slots: u32,
@@ -136,7 +136,7 @@
         address: Some(address.ip().to_bits()),
         port: u32::from(address.port()),
         service: names.place(&entry.service),
-        zone: names.place(&entry.zone),
+        hall: names.place(&entry.hall),
         slots: entry.slots,
         leaving: entry.leaving,
         sequence: entry.sequence,
@@ -183,7 +183,7 @@
         born: line.born,
         service: name(line.service)?,
         address: SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::from_bits(bits), port)),
-        zone: name(line.zone)?,
+        hall: name(line.hall)?,
         slots: line.slots,
         leaving: line.leaving,
         sequence: line.sequence,
--- a/crates/gateway/src/peers/feed.rs
+++ b/crates/gateway/src/peers/feed.rs
@@ -1,4 +1,4 @@
-//! Follows a machine that reads the store, instead of reading it.
+//! Follows a host that reads the store, instead of reading it.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -7,7 +7,7 @@
 
 use crate::{
     control::SharedControl,
-    events::MachineEvent,
+    events::HostEvent,
     peers::{
         PeerStream,
         client::connect,
@@ -25,7 +25,7 @@
 /// The pause before readers are looked for again.
 const LOOK_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Follows one reader after the other for ever, while this machine is none itself.
+/// Follows one reader after the other for ever, while this host is none itself.
 pub async fn run_feed_client(state: SharedControl) {
     loop {
         let readers =
@@ -40,7 +40,7 @@
     }
 }
 
-/// Follows one reader until it falls silent or lets this machine go; returns whether it ever told
+/// Follows one reader until it falls silent or lets this host go; returns whether it ever told
 /// anything.
 async fn follow(state: &SharedControl, reader: SocketAddr) -> bool {
     let Some(mut stream) = connect(state, reader).await else { return false };
@@ -73,12 +73,12 @@
         state.set_following(!reads_itself);
         if !std::mem::replace(&mut told, true) {
             let reader = reader.to_string();
-            state.shared().events.write(MachineEvent::Following { reader });
+            state.shared().events.write(HostEvent::Following { reader });
         }
     }
     if told {
         let reader = reader.to_string();
-        state.borrow().shared().events.write(MachineEvent::ReaderLost { reader });
+        state.borrow().shared().events.write(HostEvent::ReaderLost { reader });
     }
     told
 }
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -1,6 +1,6 @@
-//! The frames between machines of the system.
+//! The frames between hosts of the system.
 //!
-//! Field numbers are never used again; a frame kind that a machine does not know is passed over.
+//! Field numbers are never used again; a frame kind that a host does not know is passed over.
 
 use std::{sync::Arc, time::Duration};
 
@@ -26,7 +26,7 @@
     pub body: Option<FrameBody>,
 }
 
-/// A frame as it goes over a connection: encoded once, however many machines get it.
+/// A frame as it goes over a connection: encoded once, however many hosts get it.
 ///
 /// A queue for each of hundreds of listeners holds references to the same bytes.
 #[derive(Debug, Clone)]
@@ -40,7 +40,7 @@
 /// What a frame says.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum FrameBody {
-    /// What a machine is asked for.
+    /// What a host is asked for.
     #[prost(message, tag = "1")]
     Demand(DemandFrame),
     /// What the placer has decided.
@@ -49,7 +49,7 @@
     /// Asks for what the peer has read from the store.
     #[prost(message, tag = "3")]
     Ask(AskFrame),
-    /// What a machine has read from the store.
+    /// What a host has read from the store.
     #[prost(message, tag = "4")]
     State(StateFrame),
     /// Asks for what the peer reads from the store from now on.
@@ -57,12 +57,12 @@
     Follow(FollowFrame),
 }
 
-/// What a machine is asked for in one placement domain.
+/// What a host is asked for in one placement domain.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct DemandFrame {
-    /// The machine.
+    /// The host.
     #[prost(string, tag = "1")]
-    pub machine: String,
+    pub host: String,
     /// The domain's service.
     #[prost(string, tag = "2")]
     pub service: String,
@@ -205,9 +205,9 @@
     /// In what time queued adapters are expected.
     #[prost(message, repeated, tag = "4")]
     pub estimates: Vec<EstimateLine>,
-    /// How many machines listen to the placer, itself included.
+    /// How many hosts listen to the placer, itself included.
     #[prost(uint32, tag = "5")]
-    pub machines: u32,
+    pub hosts: u32,
     /// The weight store's pace as the placer has learnt it, for who comes after it.
     #[prost(message, optional, tag = "7")]
     pub pace: Option<PaceLine>,
@@ -220,7 +220,7 @@
     /// The numbers of engines in `work`, each told before it is first used.
     #[prost(message, repeated, tag = "10")]
     pub numbers: Vec<NumberLine>,
-    /// The work of all machines at engines where it changed: an engine's number, the requests that are open
+    /// The work of all hosts at engines where it changed: an engine's number, the requests that are open
     /// there and the tokens that it has not read yet, again and again.
     #[prost(uint64, repeated, packed = "true", tag = "11")]
     pub work: Vec<u64>,
@@ -304,7 +304,7 @@
 /// Asks for what the peer has read from the store.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct AskFrame {
-    /// What the asking machine's clock shows. Unit: milliseconds.
+    /// What the asking host's clock shows. Unit: milliseconds.
     #[prost(uint64, tag = "1")]
     pub asked: u64,
 }
@@ -312,23 +312,23 @@
 /// Asks for what the peer reads from the store from now on, or, later on, for its clock alone.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct FollowFrame {
-    /// What the asking machine's clock shows. Unit: milliseconds.
+    /// What the asking host's clock shows. Unit: milliseconds.
     #[prost(uint64, tag = "1")]
     pub asked: u64,
 }
 
-/// What a machine's clock shows, as an answer.
+/// What a host's clock shows, as an answer.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ClockLine {
-    /// What the asking machine's clock showed when it asked. Unit: milliseconds.
+    /// What the asking host's clock showed when it asked. Unit: milliseconds.
     #[prost(uint64, tag = "1")]
     pub asked: u64,
-    /// What the answering machine's clock shows. Unit: milliseconds.
+    /// What the answering host's clock shows. Unit: milliseconds.
     #[prost(uint64, tag = "2")]
     pub now: u64,
 }
 
-/// What a machine has read from the store: everything, or what has changed since the last frame.
+/// What a host has read from the store: everything, or what has changed since the last frame.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct StateFrame {
     /// Newest records of the configuration topic.
@@ -387,7 +387,7 @@
     pub partition: u32,
     /// The name of the member that holds it.
     #[prost(string, tag = "2")]
-    pub machine: String,
+    pub host: String,
 }
 
 /// A record of a keyed topic.
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -1,4 +1,4 @@
-//! Takes connections from other machines.
+//! Takes connections from other hosts.
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
@@ -46,7 +46,7 @@
     }
 }
 
-/// Serves one peer until it closes, or until it asks for a plan that another machine makes.
+/// Serves one peer until it closes, or until it asks for a plan that another host makes.
 async fn serve_peer(state: SharedControl, socket: TcpStream) {
     let sent = state.borrow().shared().metrics.peer_bytes.clone();
     let mut stream = PeerStream::new(socket, sent);
@@ -97,7 +97,7 @@
     }
 }
 
-/// Passes the feed on until this machine lets the follower go or the follower closes.
+/// Passes the feed on until this host lets the follower go or the follower closes.
 async fn feed_follower(
     state: &SharedControl,
     mut stream: PeerStream,
@@ -125,7 +125,7 @@
     }
 }
 
-/// Takes demand; returns false when this machine makes no plan for the service.
+/// Takes demand; returns false when this host makes no plan for the service.
 fn take_demand(
     state: &SharedControl,
     demand: &DemandFrame,
@@ -134,7 +134,7 @@
 ) -> bool {
     let new = !subscribed.contains(&demand.service);
     let listener = new.then(|| PlanSubscriber {
-        machine: Arc::from(demand.machine.as_str()),
+        host: Arc::from(demand.host.as_str()),
         frames: sender.clone(),
         asked: Vec::new(),
     });
@@ -159,7 +159,7 @@
     }
 }
 
-/// Returns whether the machine still makes the plans that the peer listens to.
+/// Returns whether the host still makes the plans that the peer listens to.
 fn is_subscribed(
     state: &SharedControl,
     sender: &mpsc::Sender<EncodedFrame>,
--- a/crates/gateway/src/profile.rs
+++ b/crates/gateway/src/profile.rs
@@ -1,17 +1,17 @@
-//! What a machine is told about itself when it starts.
+//! What a host is told about itself when it starts.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use reelreel_core::{
-    fleet::{ZoneName, retry_share::RetryAllowance},
+    fleet::{HallName, retry_share::RetryAllowance},
     organisation::quota::QuotaTolerance,
-    placement::MachineCapacity,
+    placement::HostCapacity,
 };
 
-/// Times and amounts that the operator binds the machine to.
+/// Times and amounts that the operator binds the host to.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct OperatorBounds {
-    /// How long a stopped machine has before it is killed.
+    /// How long a stopped host has before it is killed.
     pub stop_grace: Duration,
     /// Within which time a configuration that the store has taken is in force.
     pub configuration_apply: Duration,
@@ -23,7 +23,7 @@
     pub engines_check_fences: bool,
     /// Within which time nothing may begin on an older version of an adapter.
     pub version_apply: Duration,
-    /// Further sends over all machines.
+    /// Further sends over all hosts.
     pub retries: RetryAllowance,
     /// The window over which loads from the weight store are counted.
     pub load_window: Duration,
@@ -36,22 +36,22 @@
     pub quota: QuotaTolerance,
 }
 
-/// What a machine is told about itself when it starts.
+/// What a host is told about itself when it starts.
 #[derive(Debug, Clone)]
-pub struct MachineProfile {
-    /// The machine's name.
+pub struct HostProfile {
+    /// The host's name.
     pub name: Arc<str>,
     /// The data hall that it stands in.
-    pub zone: ZoneName,
+    pub hall: HallName,
     /// Where clients connect.
     pub clients: SocketAddr,
-    /// Where the balancer asks whether the machine takes requests.
+    /// Where the balancer asks whether the host takes requests.
     pub readiness: SocketAddr,
-    /// Where other machines of the system connect.
+    /// Where other hosts of the system connect.
     pub peers: SocketAddr,
     /// Where metrics are served.
     pub metrics: SocketAddr,
-    /// Addresses at which other machines of the system may be found.
+    /// Addresses at which other hosts of the system may be found.
     pub seeds: Vec<SocketAddr>,
     /// The most client connections at a time.
     pub most_connections: usize,
@@ -63,10 +63,10 @@
     pub partitions: u32,
     /// The shortest time to live that the store takes for a member of a group.
     pub shortest_membership: Duration,
-    /// What the machine has to work with.
-    pub capacity: MachineCapacity,
+    /// What the host has to work with.
+    pub capacity: HostCapacity,
     /// Whether this is the very first start of the whole system, before which nothing was spent of any budget.
     pub first_start: bool,
-    /// Times and amounts that the operator binds the machine to.
+    /// Times and amounts that the operator binds the host to.
     pub bounds: OperatorBounds,
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -20,7 +20,7 @@
 /// The first pause after a call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
-/// The longest pause between calls that fail: a machine must have heard from a store that is back within the least
+/// The longest pause between calls that fail: a host must have heard from a store that is back within the least
 /// time that its users give, three seconds.
 pub(crate) const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
@@ -107,7 +107,7 @@
     }
 }
 
-/// Pauses that double with each failure in a row, spread so that machines do not call together.
+/// Pauses that double with each failure in a row, spread so that hosts do not call together.
 #[derive(Debug, Clone)]
 pub struct Backoff {
     failures: u32,
@@ -116,7 +116,7 @@
 }
 
 impl Backoff {
-    /// Starts with a number that differs between machines.
+    /// Starts with a number that differs between hosts.
     pub const fn new(seed: u64) -> Self {
         Self { failures: 0, random: seed | 1, longest: LONGEST_PAUSE }
     }
@@ -152,7 +152,7 @@
 /// The pauses of one task among several that call the store.
 ///
 /// Each is woken by the first answer to any of them. One of them finds out that the store is back; the others call
-/// seldom by themselves, so that many machines do not press on a store in trouble.
+/// seldom by themselves, so that many hosts do not press on a store in trouble.
 #[derive(Debug, Clone)]
 pub struct StorePause {
     backoff: Backoff,
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -63,7 +63,7 @@
 
 /// Follows a topic for ever and hands every update to `sink`.
 ///
-/// While `gate` holds true another machine reads the topic for this one.
+/// While `gate` holds true another host reads the topic for this one.
 pub async fn follow_topic(
     mut client: StoreClient,
     terms: FollowTerms,
--- a/crates/gateway/src/store/health.rs
+++ b/crates/gateway/src/store/health.rs
@@ -17,7 +17,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StoreHealth {
     heard: Option<ClockMillis>,
-    /// When another machine that reads the store last said how it is.
+    /// When another host that reads the store last said how it is.
     told: Option<ClockMillis>,
     failing_since: Option<ClockMillis>,
     returned: Option<ClockMillis>,
@@ -30,9 +30,9 @@
         self.ended(now)
     }
 
-    /// Takes that a machine that reads the store said how it is: whatever failed here before is over.
+    /// Takes that a host that reads the store said how it is: whatever failed here before is over.
     ///
-    /// Without this a machine that follows for ten seconds and then calls the store itself would take the ten seconds
+    /// Without this a host that follows for ten seconds and then calls the store itself would take the ten seconds
     /// for an outage, and go on counting engines that left meanwhile.
     pub fn told_by_reader(&mut self, now: ClockMillis) {
         self.told = Some(now);
--- a/crates/gateway/src/store/membership.rs
+++ b/crates/gateway/src/store/membership.rs
@@ -1,4 +1,4 @@
-//! This machine's membership in the group to which the store deals the placement leases.
+//! This host's membership in the group to which the store deals the placement leases.
 
 use std::{collections::HashMap, fmt, net::SocketAddr, str::FromStr, sync::Arc, time::Duration};
 
@@ -41,7 +41,7 @@
 pub struct GroupMember {
     /// Its address for peers.
     pub address: SocketAddr,
-    /// Whether it is a strong machine.
+    /// Whether it is a strong host.
     pub strong: bool,
 }
 
@@ -65,7 +65,7 @@
 /// What was learned of the group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MembershipUpdate {
-    /// The store dealt the machine its share.
+    /// The store dealt the host its share.
     Joined {
         /// What was dealt.
         share: GroupShare,
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -28,12 +28,12 @@
     pub estimates: HashMap<ModelKey, ClockMillis>,
     /// Whether the list of engines has been read.
     pub engines_known: bool,
-    /// How many machines the system has, at least one.
-    pub machines: u32,
+    /// How many hosts the system has, at least one.
+    pub hosts: u32,
 }
 
 impl ServingTable {
-    /// Returns whether the machine can serve at all.
+    /// Returns whether the host can serve at all.
     pub fn is_complete(&self) -> bool {
         self.routes.is_some() && self.engines_known
     }
--- a/crates/gateway/tests/engine_lines.rs
+++ b/crates/gateway/tests/engine_lines.rs
@@ -1,4 +1,4 @@
-//! Engines' entries as machines pass them on: nothing is lost, nothing that is malformed gets through, and they
+//! Engines' entries as hosts pass them on: nothing is lost, nothing that is malformed gets through, and they
 //! are short.
 
 use std::{net::SocketAddr, sync::Arc};
@@ -34,13 +34,13 @@
     ("i-[0-9a-f]{4}", any::<u64>(), proptest::option::of(entry)).prop_map(
         |(name, offset, entry)| {
             let name: Arc<str> = Arc::from(name);
-            let entry = entry.map(|(service, ip, port, zone, slots, leaving, sequence, held)| {
+            let entry = entry.map(|(service, ip, port, hall, slots, leaving, sequence, held)| {
                 EngineEntry {
                     name: Arc::clone(&name),
                     born: offset,
                     service: Arc::from(service),
                     address: SocketAddr::from((ip, port)),
-                    zone: Arc::from(zone),
+                    hall: Arc::from(hall),
                     slots,
                     leaving,
                     sequence,
@@ -57,7 +57,7 @@
         .prop_map(|(base, adapter, version)| HeldRecordLine { base, adapter, version });
     let numbers = (any::<u64>(), proptest::option::of(any::<u32>()), any::<u32>());
     (numbers, 0..6_u32, 0..6_u32, proptest::collection::vec(held, 0..4)).prop_map(
-        |((offset, address, port), service, zone, held)| EngineRecordLine {
+        |((offset, address, port), service, hall, held)| EngineRecordLine {
             engine: String::from("i-1"),
             offset,
             era: offset % 5,
@@ -65,7 +65,7 @@
             address,
             port,
             service,
-            zone,
+            hall,
             held,
             ..EngineRecordLine::default()
         },
@@ -94,12 +94,12 @@
         for update in read_engines(&names, &lines) {
             let Some(entry) = update.entry else { continue };
             prop_assert!(names.iter().any(|name| **name == *entry.service));
-            prop_assert!(names.iter().any(|name| **name == *entry.zone));
+            prop_assert!(names.iter().any(|name| **name == *entry.hall));
         }
     }
 }
 
-/// An engine's own words of itself have some 300 bytes; 3,000 of them go to each of 300 machines when a fleet starts.
+/// An engine's own words of itself have some 300 bytes; 3,000 of them go to each of 300 hosts when a fleet starts.
 #[test]
 fn an_entry_takes_less_than_fifty_bytes() {
     let update = |number: u16| EngineUpdate {
@@ -110,7 +110,7 @@
             born: 1_788_253_401_202 + u64::from(number),
             service: Arc::from("huvo11a"),
             address: SocketAddr::from(([10, 128, 0, 9], 8080)),
-            zone: Arc::from("nyabugogo"),
+            hall: Arc::from("nyabugogo"),
             slots: 12,
             leaving: false,
             sequence: 4,
--- a/crates/gateway/tests/machine/before_sending.rs
+++ b/crates/gateway/tests/host/before_sending.rs
@@ -14,25 +14,25 @@
 use crate::{
     engine::{EngineMood, StandInEngine},
     organisations::site_with_keys,
-    site::{KEY_WITHDRAWN, MODEL_NAME, TestMachine, TestSite, wait_until},
+    site::{KEY_WITHDRAWN, MODEL_NAME, TestHost, TestSite, wait_until},
 };
 
 /// Within which time a request is told that it will not be sent.
 const AT_ONCE: Duration = Duration::from_millis(400);
 
 /// Starts a host that places adapters.
-fn placing_host(site: &TestSite, name: &str, key: &str) -> TestMachine {
+fn placing_host(site: &TestSite, name: &str, key: &str) -> TestHost {
     for engine in &site.engines {
         engine.treat(&[EngineMood::Stream(3)]);
     }
-    let host = site.machine(name);
+    let host = site.host(name);
     wait_until("an adapter is served", || {
         ask(&host, "early", key, "first").starts_with("HTTP/1.1 200")
     });
     host
 }
 
-fn ask(host: &TestMachine, adapter: &str, key: &str, body: &str) -> String {
+fn ask(host: &TestHost, adapter: &str, key: &str, body: &str) -> String {
     let fields = format!("X-Request: {adapter}\r\nX-Model: {MODEL_NAME}/{adapter}\r\n{key}");
     host.post("/stream/a", &fields, body)
 }
@@ -41,7 +41,7 @@
 /// after the change it came.
 fn ask_while(
     site: &TestSite,
-    host: &TestMachine,
+    host: &TestHost,
     key: &str,
     body: &str,
     change: impl FnOnce(),
@@ -81,7 +81,7 @@
 }
 
 /// Lets two engines end under a request, as this host hears of it.
-fn hold_back(host: &TestMachine, mark: RequestMark) {
+fn hold_back(host: &TestHost, mark: RequestMark) {
     let now = host.shared.clock.now();
     for life in 1..=2 {
         let run = EndedRun { mark, organisation: None, began: now, version: 0 };
--- a/crates/gateway/tests/machine/configuration.rs
+++ b/crates/gateway/tests/host/configuration.rs
@@ -5,59 +5,59 @@
 use crate::site::{TestSite, wait_until};
 
 #[test]
-fn without_configuration_the_machine_is_not_ready_and_refuses() {
+fn without_configuration_the_host_is_not_ready_and_refuses() {
     let site = TestSite::without_configuration();
-    let machine = site.cold_machine("cold", Vec::new());
-    wait_until("the machine listens", || {
-        machine.get("/single/a", "X-Request: a1\r\n").starts_with("HTTP/1.1")
+    let host = site.cold_host("cold", Vec::new());
+    wait_until("the host listens", || {
+        host.get("/single/a", "X-Request: a1\r\n").starts_with("HTTP/1.1")
     });
-    assert!(!machine.is_ready());
-    let answer = machine.get("/single/a", "X-Request: a2\r\n");
+    assert!(!host.is_ready());
+    let answer = host.get("/single/a", "X-Request: a2\r\n");
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert!(answer.contains("Retry-After"), "{answer}");
     site.store.put("configuration", "routes", "1");
-    machine.wait_ready();
-    let answer = machine.get("/single/a", "X-Request: a3\r\n");
+    host.wait_ready();
+    let answer = host.get("/single/a", "X-Request: a3\r\n");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
 #[test]
 fn a_new_configuration_is_in_force_within_a_second_and_never_falls_back() {
     let site = TestSite::start();
-    let machine = site.machine("newer");
-    let answer = machine.get("/late/a", "X-Request: n1\r\n");
+    let host = site.host("newer");
+    let answer = host.get("/late/a", "X-Request: n1\r\n");
     assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
     site.store.put("configuration", "routes", "2");
     thread::sleep(Duration::from_millis(700));
-    let answer = machine.get("/late/a", "X-Request: n2\r\n");
+    let answer = host.get("/late/a", "X-Request: n2\r\n");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     site.store.put("configuration", "routes", "1");
     thread::sleep(Duration::from_millis(700));
-    let answer = machine.get("/late/a", "X-Request: n3\r\n");
+    let answer = host.get("/late/a", "X-Request: n3\r\n");
     assert!(answer.starts_with("HTTP/1.1 200"), "an older configuration came back: {answer}");
 }
 
 #[test]
-fn a_machine_goes_on_with_what_it_knows_while_the_store_refuses() {
+fn a_host_goes_on_with_what_it_knows_while_the_store_refuses() {
     let site = TestSite::start();
-    let machine = site.machine("outage");
+    let host = site.host("outage");
     site.store.refuse(true);
     let before = site.store.calls();
     for number in 0..20 {
-        let answer = machine.post("/single/a", &format!("X-Request: o{number}\r\n"), "body");
+        let answer = host.post("/single/a", &format!("X-Request: o{number}\r\n"), "body");
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
         thread::sleep(Duration::from_millis(100));
     }
-    assert!(machine.is_ready());
+    assert!(host.is_ready());
     let calls = site.store.calls() - before;
     assert!(calls < 40, "{calls} calls in two seconds to a store that refuses");
 }
 
-/// In an outage every machine called the store three times a second: a tenth of a day's worth in calls.
+/// In an outage every host called the store three times a second: a tenth of a day's worth in calls.
 #[test]
 fn a_store_in_trouble_is_called_seldom_and_heard_soon_when_it_is_back() {
     let site = TestSite::start();
-    let machine = site.machine("patient");
+    let host = site.host("patient");
     site.store.refuse(true);
     thread::sleep(Duration::from_millis(2500));
     let before = site.store.calls();
@@ -67,17 +67,17 @@
     site.store.put("configuration", "routes", "2");
     site.store.refuse(false);
     thread::sleep(Duration::from_millis(2700));
-    let answer = machine.get("/late/a", "X-Request: s1\r\n");
+    let answer = host.get("/late/a", "X-Request: s1\r\n");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
 #[test]
-fn a_machine_that_the_store_refuses_learns_from_a_peer() {
+fn a_host_that_the_store_refuses_learns_from_a_peer() {
     let site = TestSite::start();
-    let first = site.machine("first");
+    let first = site.host("first");
     let seed = first.shared.profile.peers;
     site.store.refuse(true);
-    let second = site.cold_machine("second", vec![seed]);
+    let second = site.cold_host("second", vec![seed]);
     second.wait_ready();
     let answer = second.post("/single/a", "X-Request: p1\r\n", "body");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
@@ -91,9 +91,9 @@
     site.store.put("configuration", "a", "1");
     site.store.put("configuration", "b", "1");
     site.store.change_between_pages("configuration", "a", "2");
-    let machine = site.machine("pages");
+    let host = site.host("pages");
     wait_until("the change is in force", || {
-        machine.get("/late/a", "X-Request: g1\r\n").starts_with("HTTP/1.1 200")
+        host.get("/late/a", "X-Request: g1\r\n").starts_with("HTTP/1.1 200")
     });
 }
 
@@ -101,22 +101,22 @@
 #[test]
 fn entries_of_another_writer_name_no_engine_and_leave_the_others() {
     let site = TestSite::start();
-    let machine = site.machine("writers");
-    let ready = || machine.shared.table.borrow().ready_engines("assist").count();
+    let host = site.host("writers");
+    let ready = || host.shared.table.borrow().ready_engines("assist").count();
     assert_eq!(ready(), 2);
     for (key, value) in [("nobody", "{}"), ("bytes", "\u{1}\u{2}"), ("engine-1", "[7]")] {
         site.store.put("engines", key, value);
     }
     wait_until("one engine is named no more", || ready() == 1);
-    let answer = machine.post("/stream/a", "X-Request: w1\r\nX-Model: base\r\n", "{}");
+    let answer = host.post("/stream/a", "X-Request: w1\r\nX-Model: base\r\n", "{}");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
-    let answer = machine.post("/single/a", "X-Request: w2\r\n", "body");
+    let answer = host.post("/single/a", "X-Request: w2\r\n", "body");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     site.store.put("engines", "engine-1", &site.engines[0].entry("assist", false));
     wait_until("it is named again", || ready() == 2);
-    // A machine that starts finds the same.
+    // A host that starts finds the same.
     site.store.put("engines", "engine-2", "null");
-    let late = site.machine("writers-late");
+    let late = site.host("writers-late");
     let late_ready = || late.shared.table.borrow().ready_engines("assist").count();
-    wait_until("a machine that starts has one engine", || late_ready() == 1 && ready() == 1);
+    wait_until("a host that starts has one engine", || late_ready() == 1 && ready() == 1);
 }
--- a/crates/gateway/tests/machine/deadly.rs
+++ b/crates/gateway/tests/host/deadly.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     engine::{EngineMood, StandInEngine},
-    site::{MODEL_NAME, PATIENCE, TestMachine, TestSite, free_address, wait_until},
+    site::{MODEL_NAME, PATIENCE, TestHost, TestSite, free_address, wait_until},
     store::StandInStore,
 };
 
@@ -118,11 +118,11 @@
 }
 
 /// Starts hosts whose engines are all mortal.
-fn hosts(site: &TestSite, names: &[&str]) -> Vec<TestMachine> {
+fn hosts(site: &TestSite, names: &[&str]) -> Vec<TestHost> {
     for engine in &site.engines {
         site.store.put("engines", &engine.name, "");
     }
-    names.iter().map(|name| site.machine(name)).collect()
+    names.iter().map(|name| site.host(name)).collect()
 }
 
 /// One request was sent again and again, to whichever host, and each engine that began to run it ended: 14 and 18 of twelve engines
@@ -176,7 +176,7 @@
     let mut fleet = MortalFleet::start(&site, 1, "plain", &["deadly"]);
     fleet.keeps_names = true;
     site.store.put("engines", "plain-1", "");
-    let host = site.machine("one-name");
+    let host = site.host("one-name");
     let send =
         |id: String, body: &str| host.post("/single/a", &format!("X-Request: {id}\r\n"), body);
     for life in 0..2 {
@@ -202,7 +202,7 @@
     let site = TestSite::start();
     site.store.put("engines", "plain-1", "");
     let mut fleet = MortalFleet::start(&site, 4, "plain", &["deadly"]);
-    let host = site.machine("repeats");
+    let host = site.host("repeats");
     wait_until("a request is served", || {
         host.post("/safe/a", "X-Request: first\r\n", "first").starts_with("HTTP/1.1 200")
     });
@@ -227,7 +227,7 @@
 #[test]
 fn answers_that_break_off_hold_nobody_back() {
     let site = TestSite::start();
-    let host = site.machine("breaks");
+    let host = site.host("breaks");
     for mood in [EngineMood::Silent, EngineMood::CutBody, EngineMood::Garbage] {
         site.plain.treat(&[mood]);
         for number in 0..6 {
@@ -291,7 +291,7 @@
         thread::sleep(Duration::from_millis(20));
     }
     let ended = fleet.ends.len();
-    let late = site.machine("later");
+    let late = site.host("later");
     wait_until("the late host knows it", || late.shared.quarantine().counts().1 == 1);
     let answer = late.post("/stream/a", &fields("l"), "deadly");
     assert!(answer.contains("engines ended"), "{answer}");
--- a/crates/gateway/tests/machine/dialect.rs
+++ b/crates/gateway/tests/host/dialect.rs
@@ -270,7 +270,7 @@
             address: text("address")
                 .parse()
                 .map_err(|_| BorderError::Malformed(record.key.clone()))?,
-            zone: Arc::from("hall"),
+            hall: Arc::from("hall"),
             slots: 16,
             leaving: body["leaving"].as_bool().unwrap_or_default(),
             sequence: body["sequence"].as_u64().unwrap_or_default(),
--- a/crates/gateway/tests/machine/engines.rs
+++ b/crates/gateway/tests/host/engines.rs
@@ -106,10 +106,10 @@
     let site = TestSite::start();
     let mut runs = 0;
     for (number, case) in CASES.iter().enumerate() {
-        // What a machine learns of its engine in one case must not decide the next one.
-        let machine = site.machine(&format!("moods-{number}"));
+        // What a host learns of its engine in one case must not decide the next one.
+        let host = site.host(&format!("moods-{number}"));
         site.plain.treat(case.moods);
-        let answer = machine.post(case.path, &format!("X-Request: m{number}\r\n"), "hello");
+        let answer = host.post(case.path, &format!("X-Request: m{number}\r\n"), "hello");
         assert!(answer.starts_with(case.answer), "{}: {answer}", case.name);
         let body = answer.split_once("\r\n\r\n").map(|(_, body)| body).unwrap_or_default();
         if let Some(expected) = case.body {
@@ -125,11 +125,11 @@
 #[test]
 fn a_second_answer_never_reaches_the_next_request() {
     let site = TestSite::start();
-    let machine = site.machine("twice");
+    let host = site.host("twice");
     site.plain.treat(&[EngineMood::Twice, EngineMood::Well]);
     for number in 0..4 {
         let body = format!("body {number}");
-        let answer = machine.post("/single/a", &format!("X-Request: t{number}\r\n"), &body);
+        let answer = host.post("/single/a", &format!("X-Request: t{number}\r\n"), &body);
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
         assert!(answer.ends_with(&body), "{answer}");
     }
@@ -139,13 +139,13 @@
 #[test]
 fn the_request_arrives_unaltered_with_what_is_left_of_its_time() {
     let site = TestSite::start();
-    let machine = site.machine("unaltered");
+    let host = site.host("unaltered");
     let fields =
         "X-Request: u1\r\nX-Deadline: 900\r\nX-Own: kept\r\nX-Hop: gone\r\nConnection: X-Hop\r\n";
     let request = format!(
         "POST /single/a/b?c=d&e HTTP/1.1\r\nHost: site.example\r\n{fields}Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
     );
-    let answer = crate::site::raw_exchange(machine.clients, request.as_bytes());
+    let answer = crate::site::raw_exchange(host.clients, request.as_bytes());
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     let runs = site.plain.runs();
     let run = &runs[0];
@@ -162,30 +162,30 @@
 #[test]
 fn the_longest_prefix_decides() {
     let site = TestSite::start();
-    let machine = site.machine("prefix");
+    let host = site.host("prefix");
     // `/safe/` may be repeated, `/safe/deeper/` may not.
     site.plain.treat(&[EngineMood::Silent, EngineMood::Well]);
-    let answer = machine.get("/safe/deeper/a", "X-Request: x1\r\n");
+    let answer = host.get("/safe/deeper/a", "X-Request: x1\r\n");
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
-    let answer = machine.get("/elsewhere/", "X-Request: x2\r\n");
+    let answer = host.get("/elsewhere/", "X-Request: x2\r\n");
     assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
 }
 
 #[test]
 fn a_leaving_engine_gets_no_new_request() {
     let site = TestSite::start();
-    let machine = site.machine("leaving");
-    let answer = machine.post("/single/a", "X-Request: v1\r\n", "one");
+    let host = site.host("leaving");
+    let answer = host.post("/single/a", "X-Request: v1\r\n", "one");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     site.store.put("engines", "plain-1", &site.plain.entry("plain", true));
     wait_until("the engine is left", || {
-        machine.post("/single/a", "X-Request: v2\r\n", "two").starts_with("HTTP/1.1 503")
+        host.post("/single/a", "X-Request: v2\r\n", "two").starts_with("HTTP/1.1 503")
     });
     let before = site.plain.arrivals().len();
     // A later entry of the same life does not undo it.
     site.store.put("engines", "plain-1", &site.plain.entry("plain", false));
     thread::sleep(Duration::from_millis(900));
-    let answer = machine.post("/single/a", "X-Request: v3\r\n", "three");
+    let answer = host.post("/single/a", "X-Request: v3\r\n", "three");
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert_eq!(site.plain.arrivals().len(), before);
 }
@@ -195,7 +195,7 @@
 #[test]
 fn a_request_finds_the_one_engine_among_many_that_are_gone() {
     let site = TestSite::start();
-    let machine = site.machine("finder");
+    let host = site.host("finder");
     let address = site.plain.address.to_string();
     for number in 0..12 {
         // Nothing listens at the first port, so that a connection is refused at once.
@@ -203,11 +203,11 @@
         site.store.put("engines", &format!("gone-{number}"), &gone);
     }
     wait_until("the engines are listed", || {
-        let table = machine.shared.table.borrow().clone();
+        let table = host.shared.table.borrow().clone();
         table.ready_engines("plain").count() == 13
     });
     for number in 0..6 {
-        let answer = machine.post("/single/a", &format!("X-Request: g{number}\r\n"), "body");
+        let answer = host.post("/single/a", &format!("X-Request: g{number}\r\n"), "body");
         assert!(answer.starts_with("HTTP/1.1 200"), "{number}: {answer}");
     }
 }
@@ -216,10 +216,10 @@
 #[test]
 fn a_plain_server_that_stays_full_is_asked_by_few_requests_and_twice_by_each() {
     let site = TestSite::start();
-    let machine = site.machine("full");
+    let host = site.host("full");
     site.plain.treat(&[EngineMood::NotRun]);
     for number in 0..100 {
-        let answer = machine.get("/single/a", &format!("X-Request: f{number}\r\n"));
+        let answer = host.get("/single/a", &format!("X-Request: f{number}\r\n"));
         assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
         assert!(answer.contains("Retry-After: "), "{answer}");
     }
@@ -227,6 +227,6 @@
     assert!(knocks <= 30, "{knocks} knocks for 100 requests");
     site.plain.treat(&[EngineMood::Well]);
     thread::sleep(Duration::from_millis(3100));
-    let answer = machine.get("/single/a", "X-Request: later\r\n");
+    let answer = host.get("/single/a", "X-Request: later\r\n");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
--- a/crates/gateway/tests/machine/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use reelreel_gateway::events::{EventLog, MachineEvent, RequestEvent};
+use reelreel_gateway::events::{EventLog, HostEvent, RequestEvent};
 use serde_json::Value;
 
 /// Lines that are written: many times what a pipe and the queue hold.
@@ -20,7 +20,7 @@
     let mut longest = Duration::ZERO;
     for number in 0..LINES {
         let began = Instant::now();
-        log.write(MachineEvent::ConfigurationInForce { revision: number });
+        log.write(HostEvent::ConfigurationInForce { revision: number });
         longest = longest.max(began.elapsed());
     }
     // A write that waited for the reader would never return; the bound leaves room for a busy box.
@@ -32,7 +32,7 @@
         lines.collect::<Vec<Value>>()
     });
     std::thread::sleep(Duration::from_millis(300));
-    log.write(MachineEvent::ConfigurationInForce { revision: LINES });
+    log.write(HostEvent::ConfigurationInForce { revision: LINES });
     drop(log);
     let lines = reading.join().expect("the reader ends");
     let left_out: u64 = lines.iter().filter_map(|line| line["left_out"].as_u64()).sum();
@@ -41,19 +41,19 @@
 }
 
 /// One event of each kind.
-fn one_of_each() -> Vec<MachineEvent> {
+fn one_of_each() -> Vec<HostEvent> {
     let address = "127.0.0.1:1".parse().expect("an address");
     let engine = || String::from("e1");
     vec![
-        MachineEvent::Started { clients: address, peers: address },
-        MachineEvent::Reloaded { mistake: Some(String::from("none")) },
-        MachineEvent::Stopping { open: 1 },
-        MachineEvent::Stopped { open: 1 },
-        MachineEvent::ConfigurationInForce { revision: 1 },
-        MachineEvent::StoreLost { what: "engines".into() },
-        MachineEvent::StoreRegained { what: "engines".into() },
-        MachineEvent::StoreEra { from: 3, to: 4, teller: "store".into(), age: Some(2500) },
-        MachineEvent::TopicRead {
+        HostEvent::Started { clients: address, peers: address },
+        HostEvent::Reloaded { mistake: Some(String::from("none")) },
+        HostEvent::Stopping { open: 1 },
+        HostEvent::Stopped { open: 1 },
+        HostEvent::ConfigurationInForce { revision: 1 },
+        HostEvent::StoreLost { what: "engines".into() },
+        HostEvent::StoreRegained { what: "engines".into() },
+        HostEvent::StoreEra { from: 3, to: 4, teller: "store".into(), age: Some(2500) },
+        HostEvent::TopicRead {
             what: "engines".into(),
             records: 16,
             era: 4,
@@ -61,36 +61,36 @@
             known_era: 3,
             known: 61,
         },
-        MachineEvent::Following { reader: String::from("127.0.0.1:1") },
-        MachineEvent::ReaderLost { reader: String::from("127.0.0.1:1") },
-        MachineEvent::Reading { reads: true, age: Some(20) },
-        MachineEvent::HostsCounted { hosts: 6 },
-        MachineEvent::EngineEnded {
+        HostEvent::Following { reader: String::from("127.0.0.1:1") },
+        HostEvent::ReaderLost { reader: String::from("127.0.0.1:1") },
+        HostEvent::Reading { reads: true, age: Some(20) },
+        HostEvent::HostsCounted { hosts: 6 },
+        HostEvent::EngineEnded {
             engine: engine(),
             runs: 3,
             marks: vec![String::from("0f0f0f0f0f0f0f0f")],
         },
-        MachineEvent::RequestHeld {
+        HostEvent::RequestHeld {
             mark: String::from("0f0f0f0f0f0f0f0f"),
             organisation: Some(String::from("north")),
             ends: 2,
             millis: 5000,
         },
-        MachineEvent::RequestCleared { mark: String::from("0f0f0f0f0f0f0f0f") },
-        MachineEvent::EngineJoined { engine: engine(), service: String::from("s"), address },
-        MachineEvent::Freshness { state: "expired".into(), age: Some(5000) },
-        MachineEvent::EngineReborn { engine: engine(), born: 1_788_253_401_202 },
-        MachineEvent::EngineLeaving { engine: engine() },
-        MachineEvent::EngineGone { engine: engine() },
-        MachineEvent::LoadHeld {
+        HostEvent::RequestCleared { mark: String::from("0f0f0f0f0f0f0f0f") },
+        HostEvent::EngineJoined { engine: engine(), service: String::from("s"), address },
+        HostEvent::Freshness { state: "expired".into(), age: Some(5000) },
+        HostEvent::EngineReborn { engine: engine(), born: 1_788_253_401_202 },
+        HostEvent::EngineLeaving { engine: engine() },
+        HostEvent::EngineGone { engine: engine() },
+        HostEvent::LoadHeld {
             service: String::from("s"),
             key: String::from("m/a1"),
             ends: 2,
             millis: 5000,
         },
-        MachineEvent::Lease { service: String::from("s"), state: "acting".into(), token: 1 },
-        MachineEvent::StorePace { service: String::from("s"), full_speed: 32.0, load_millis: 250 },
-        MachineEvent::Order {
+        HostEvent::Lease { service: String::from("s"), state: "acting".into(), token: 1 },
+        HostEvent::StorePace { service: String::from("s"), full_speed: 32.0, load_millis: 250 },
+        HostEvent::Order {
             engine: engine(),
             kind: String::from("load"),
             key: String::from("m/a1"),
@@ -101,7 +101,7 @@
             answer: String::from("Accepted"),
             millis: 1,
         },
-        MachineEvent::Request(RequestEvent {
+        HostEvent::Request(RequestEvent {
             id: String::from("r1"),
             route: String::from("r"),
             outcome: "answered".into(),
@@ -125,8 +125,8 @@
 }
 
 /// Fails to compile when a kind of event is added and [`one_of_each`] is not extended.
-fn is_listed(event: &MachineEvent) -> bool {
-    use MachineEvent as Event;
+fn is_listed(event: &HostEvent) -> bool {
+    use HostEvent as Event;
     match event {
         Event::Started { .. }
         | Event::Reloaded { .. }
--- a/crates/gateway/tests/machine/following.rs
+++ b/crates/gateway/tests/host/following.rs
@@ -1,4 +1,4 @@
-//! A few machines read the store; the others follow them, and read it themselves when they must.
+//! A few hosts read the store; the others follow them, and read it themselves when they must.
 
 use std::{
     io::Read,
@@ -12,51 +12,51 @@
 };
 
 use prost::Message;
-use reelreel_core::{ClockMillis, placement::MachineCapacity};
+use reelreel_core::{ClockMillis, placement::HostCapacity};
 use reelreel_gateway::{
     peers::frame::{FrameBody, PeerFrame},
     store::health::StoreHealth,
 };
 
-use crate::site::{TestMachine, TestSite, wait_until};
+use crate::site::{TestHost, TestSite, wait_until};
 
-const WEAK: MachineCapacity = MachineCapacity { processor: 0.1, bandwidth: 10.0 };
+const WEAK: HostCapacity = HostCapacity { processor: 0.1, bandwidth: 10.0 };
 
-fn follower(site: &TestSite, name: &str) -> TestMachine {
-    let machine = site.machine_with(name, Vec::new(), WEAK);
-    machine.wait_ready();
-    wait_until("the machine follows", || machine.shared.metrics.following.get() == 1);
-    machine
+fn follower(site: &TestSite, name: &str) -> TestHost {
+    let host = site.host_with(name, Vec::new(), WEAK);
+    host.wait_ready();
+    wait_until("the host follows", || host.shared.metrics.following.get() == 1);
+    host
 }
 
-fn serves_the_late_route(machine: &TestMachine, id: &str) -> bool {
-    machine.get("/late/a", &format!("X-Request: {id}\r\n")).starts_with("HTTP/1.1 200")
+fn serves_the_late_route(host: &TestHost, id: &str) -> bool {
+    host.get("/late/a", &format!("X-Request: {id}\r\n")).starts_with("HTTP/1.1 200")
 }
 
 #[test]
 fn a_follower_learns_a_configuration_without_a_call_of_its_own() {
     let site = TestSite::start();
     // A group of three needs no weak member.
-    let _readers = ["one", "two", "three"].map(|name| site.machine(name));
-    let machine = follower(&site, "follower");
+    let _readers = ["one", "two", "three"].map(|name| site.host(name));
+    let host = follower(&site, "follower");
     // A last look at the group may still be under way when it begins to follow.
     thread::sleep(Duration::from_millis(1200));
-    let calls = machine.shared.metrics.store_calls.get();
+    let calls = host.shared.metrics.store_calls.get();
     site.store.put("configuration", "routes", "2");
     thread::sleep(Duration::from_millis(300));
-    let answer = machine.get("/late/a", "X-Request: f1\r\n");
+    let answer = host.get("/late/a", "X-Request: f1\r\n");
     assert!(answer.starts_with("HTTP/1.1 200"), "not passed on in 0.3 s: {answer}");
-    assert_eq!(machine.shared.metrics.store_calls.get(), calls);
+    assert_eq!(host.shared.metrics.store_calls.get(), calls);
 }
 
 #[test]
 fn a_follower_learns_that_an_engine_leaves() {
     let site = TestSite::start();
-    let _reader = site.machine("reader");
-    let machine = follower(&site, "follower");
+    let _reader = site.host("reader");
+    let host = follower(&site, "follower");
     site.store.put("engines", "plain-1", &site.plain.entry("plain", true));
     wait_until("the engine is left", || {
-        let table = machine.shared.table.borrow().clone();
+        let table = host.shared.table.borrow().clone();
         table.ready_engines("plain").next().is_none()
     });
 }
@@ -64,39 +64,39 @@
 #[test]
 fn a_follower_whose_reader_stops_reads_the_store_itself() {
     let site = TestSite::start();
-    let reader = site.machine("reader");
-    let machine = follower(&site, "follower");
+    let reader = site.host("reader");
+    let host = follower(&site, "follower");
     reader.stop();
     site.store.put("configuration", "routes", "2");
-    wait_until("the change is in force", || serves_the_late_route(&machine, "s1"));
-    assert_eq!(machine.shared.metrics.following.get(), 0);
+    wait_until("the change is in force", || serves_the_late_route(&host, "s1"));
+    assert_eq!(host.shared.metrics.following.get(), 0);
 }
 
 #[test]
 fn a_reader_that_the_store_refuses_lets_its_followers_go() {
     let site = TestSite::start();
-    let _reader = site.machine("reader");
-    let machine = follower(&site, "follower");
+    let _reader = site.host("reader");
+    let host = follower(&site, "follower");
     site.store.refuse(true);
-    wait_until("the follower is on its own", || machine.shared.metrics.following.get() == 0);
-    assert!(machine.is_ready());
+    wait_until("the follower is on its own", || host.shared.metrics.following.get() == 0);
+    assert!(host.is_ready());
     site.store.refuse(false);
     site.store.put("configuration", "routes", "2");
-    wait_until("the change is in force", || serves_the_late_route(&machine, "r1"));
+    wait_until("the change is in force", || serves_the_late_route(&host, "r1"));
 }
 
 #[test]
 fn engines_that_lapse_in_an_outage_count_until_they_can_have_listed_themselves_again() {
     let site = TestSite::start();
-    let machine = site.machine("lapse");
-    let listed = || machine.shared.table.borrow().ready_engines("plain").count();
+    let host = site.host("lapse");
+    let listed = || host.shared.table.borrow().ready_engines("plain").count();
     site.store.refuse(true);
     thread::sleep(Duration::from_millis(2200));
     site.store.put("engines", "plain-1", "");
     site.store.refuse(false);
     // The pause between two tries while the store refuses is a second and a quarter at most.
     for number in 0..15 {
-        let answer = machine.get("/safe/a", &format!("X-Request: l{number}\r\n"));
+        let answer = host.get("/safe/a", &format!("X-Request: l{number}\r\n"));
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
         thread::sleep(Duration::from_millis(100));
     }
@@ -106,14 +106,14 @@
 }
 
 #[test]
-fn a_weak_machine_stands_in_and_leaves_when_strong_ones_are_back() {
+fn a_weak_host_stands_in_and_leaves_when_strong_ones_are_back() {
     let site = TestSite::start();
-    let weak = site.machine_with("weak", Vec::new(), WEAK);
+    let weak = site.host_with("weak", Vec::new(), WEAK);
     weak.wait_ready();
     wait_until("it stands in", || weak.shared.metrics.leases.get() == 1);
-    let strong = ["one", "two", "three"].map(|name| site.machine(name));
+    let strong = ["one", "two", "three"].map(|name| site.host(name));
     wait_until("it has left", || {
-        let leases = strong.iter().map(|machine| machine.shared.metrics.leases.get());
+        let leases = strong.iter().map(|host| host.shared.metrics.leases.get());
         weak.shared.metrics.leases.get() == 0 && leases.sum::<i64>() == 1
     });
 }
@@ -222,8 +222,8 @@
 fn a_silent_placer_is_connected_to_again() {
     let site = TestSite::start();
     let told = [(); 3].map(|()| silent_member(&site));
-    let machine = site.machine_with("listener", Vec::new(), WEAK);
-    machine.wait_ready();
+    let host = site.host_with("listener", Vec::new(), WEAK);
+    host.wait_ready();
     wait_until("the placer is connected to again", || {
         told.iter().map(|told| told.load(Ordering::Relaxed)).sum::<u32>() >= 2
     });
@@ -234,7 +234,7 @@
 #[test]
 fn a_member_joins_again_at_once_while_the_group_changes() {
     let site = TestSite::start();
-    let _machine = site.machine("member");
+    let _host = site.host("member");
     thread::sleep(Duration::from_millis(1500));
     let changed = Instant::now();
     site.store.enlist("127.0.0.1:1");
@@ -247,7 +247,7 @@
     assert!(joins.len() <= 7, "{} joins of a group that changes no more", joins.len());
 }
 
-/// What a machine's calls and its reader tell, and whether engines that are gone count for a while.
+/// What a host's calls and its reader tell, and whether engines that are gone count for a while.
 struct StoryCase {
     name: &'static str,
     /// Rising times with what happened. Unit: milliseconds.
@@ -301,7 +301,7 @@
     },
 ];
 
-/// A machine that followed a reader for thirteen seconds took them for an outage when it called the store again, and went on
+/// A host that followed a reader for thirteen seconds took them for an outage when it called the store again, and went on
 /// sending to an engine that had left.
 #[test]
 fn following_a_reader_is_no_outage() {
--- a/crates/gateway/tests/machine/hostile.rs
+++ b/crates/gateway/tests/host/hostile.rs
@@ -128,10 +128,10 @@
 #[test]
 fn hostile_requests_never_reach_an_engine() {
     let site = TestSite::start();
-    let machine = site.machine("hostile");
+    let host = site.host("hostile");
     thread::scope(|scope| {
         for case in CASES {
-            let clients = machine.clients;
+            let clients = host.clients;
             scope.spawn(move || {
                 let answer = raw_exchange(clients, case.request.as_bytes());
                 let expected = format!("HTTP/1.1 {} ", case.status);
@@ -147,12 +147,12 @@
 #[test]
 fn a_head_over_the_limit_is_refused() {
     let site = TestSite::start();
-    let machine = site.machine("long-head");
+    let host = site.host("long-head");
     let long = "a".repeat(5000);
     let request = format!(
         "GET /safe/a HTTP/1.1\r\nHost: site.example\r\nX-Request: l1\r\nX-Long: {long}\r\n\r\n"
     );
-    let answer = raw_exchange(machine.clients, request.as_bytes());
+    let answer = raw_exchange(host.clients, request.as_bytes());
     assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
     assert_eq!(site.plain.arrivals().len(), 0);
 }
@@ -160,9 +160,9 @@
 #[test]
 fn a_slow_sender_is_cut_off_within_the_heads_time() {
     let site = TestSite::start();
-    let machine = site.machine("slow");
+    let host = site.host("slow");
     let began = Instant::now();
-    let mut socket = TcpStream::connect(machine.clients).expect("a connection");
+    let mut socket = TcpStream::connect(host.clients).expect("a connection");
     let mut writer = socket.try_clone().expect("a second handle");
     let trickle = thread::spawn(move || {
         for byte in b"GET /safe/a HTTP/1.1\r\nHost: site.example\r\nX-Request: s1\r\n" {
@@ -183,10 +183,10 @@
 #[test]
 fn a_smuggled_request_is_a_request_of_its_own() {
     let site = TestSite::start();
-    let machine = site.machine("pipelined");
+    let host = site.host("pipelined");
     // Two whole requests in one write: both are answered, in their order, each with its own body.
     let request = "POST /single/a HTTP/1.1\r\nHost: site.example\r\nX-Request: p1\r\nContent-Length: 3\r\n\r\noneGET /nowhere/ HTTP/1.1\r\nHost: site.example\r\nX-Request: p2\r\nConnection: close\r\n\r\n";
-    let answer = raw_exchange(machine.clients, request.as_bytes());
+    let answer = raw_exchange(host.clients, request.as_bytes());
     let second = answer.find("HTTP/1.1 404").expect("the second answer");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert!(answer[..second].ends_with("one"), "{answer}");
@@ -198,11 +198,11 @@
 #[test]
 fn two_thousand_resting_connections_are_borne() {
     let site = TestSite::start();
-    let machine = site.machine("crowd");
+    let host = site.host("crowd");
     let crowd: Vec<TcpStream> =
-        (0..2000).filter_map(|_| TcpStream::connect(machine.clients).ok()).collect();
+        (0..2000).filter_map(|_| TcpStream::connect(host.clients).ok()).collect();
     assert!(crowd.len() >= 1990, "{} connections", crowd.len());
-    let answer = machine.get("/safe/a", "X-Request: c1\r\n");
+    let answer = host.get("/safe/a", "X-Request: c1\r\n");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     drop(crowd);
 }
--- a/crates/gateway/tests/machine/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -1,4 +1,4 @@
-//! A whole machine over real sockets, against stand-ins that speak the project's plain dialect.
+//! A whole host over real sockets, against stand-ins that speak the project's plain dialect.
 
 mod configuration;
 mod before_sending;
--- a/crates/gateway/tests/machine/older_copy.rs
+++ b/crates/gateway/tests/host/older_copy.rs
@@ -9,7 +9,7 @@
 };
 
 use prometheus_client::metrics::counter::Counter;
-use reelreel_core::{MonotonicClock, StorePosition, placement::MachineCapacity};
+use reelreel_core::{MonotonicClock, StorePosition, placement::HostCapacity};
 use reelreel_gateway::{
     border::KeyedTopic,
     store::{
@@ -24,24 +24,24 @@
     dialect::PlainStore,
     engine::{EngineMood, FIRST_BIRTH},
     organisations::site_with_keys,
-    site::{KEY_WITHDRAWN, MODEL_NAME, TestMachine, TestSite, wait_until},
+    site::{KEY_WITHDRAWN, MODEL_NAME, TestHost, TestSite, wait_until},
 };
 
-const WEAK: MachineCapacity = MachineCapacity { processor: 0.1, bandwidth: 10.0 };
+const WEAK: HostCapacity = HostCapacity { processor: 0.1, bandwidth: 10.0 };
 
 /// Within which time what the store has acknowledged is in force on hosts that reach it; operators give two to three seconds.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
-fn serves_the_late_route(machine: &TestMachine) -> bool {
-    machine.get("/late/a", "X-Request: late\r\n").starts_with("HTTP/1.1 200")
+fn serves_the_late_route(host: &TestHost) -> bool {
+    host.get("/late/a", "X-Request: late\r\n").starts_with("HTTP/1.1 200")
 }
 
-fn ready_plain(machine: &TestMachine) -> usize {
-    machine.shared.table.borrow().ready_engines("plain").count()
+fn ready_plain(host: &TestHost) -> usize {
+    host.shared.table.borrow().ready_engines("plain").count()
 }
 
-fn knows_era(machine: &TestMachine, era: i64) -> bool {
-    machine.shared.metrics.store_era.get() == era
+fn knows_era(host: &TestHost, era: i64) -> bool {
+    host.shared.metrics.store_era.get() == era
 }
 
 /// Waits until something holds; returns after how long.
@@ -64,8 +64,8 @@
 #[test]
 fn followers_cross_into_the_new_era_with_their_reader_and_go_back_on_nothing() {
     let site = TestSite::start();
-    let readers = ["one", "two", "three"].map(|name| site.machine(name));
-    let follower = site.machine_with("follower", Vec::new(), WEAK);
+    let readers = ["one", "two", "three"].map(|name| site.host(name));
+    let follower = site.host_with("follower", Vec::new(), WEAK);
     follower.wait_ready();
     wait_until("the host follows", || follower.shared.metrics.following.get() == 1);
     let copy = site.store.copy();
@@ -86,7 +86,7 @@
 #[test]
 fn a_second_fall_soon_after_the_first_is_followed_too() {
     let site = TestSite::start();
-    let machine = site.machine("twice");
+    let host = site.host("twice");
     for _ in 0..6 {
         site.store.put("configuration", "other", "1");
     }
@@ -99,23 +99,23 @@
     site.store.put("configuration", "other", "1");
     site.store.come_back(&copy);
     site.store.put("configuration", "routes", "2");
-    let time = time_until("the change is in force", || serves_the_late_route(&machine));
+    let time = time_until("the change is in force", || serves_the_late_route(&host));
     assert!(time <= IN_FORCE, "in force only after {time:?}");
-    assert!(knows_era(&machine, 2));
+    assert!(knows_era(&host, 2));
 }
 
 /// A host that starts knows only what the copy says, and the operator has not written again yet; its peers know better.
 #[test]
 fn a_host_that_starts_after_the_fall_learns_what_its_peers_knew() {
     let site = TestSite::start();
-    let first = site.machine("first");
+    let first = site.host("first");
     let copy = site.store.copy();
     site.store.put("configuration", "routes", "2");
     wait_until("the change is in force", || serves_the_late_route(&first));
     site.store.come_back(&copy);
     wait_until("the first hears of it", || knows_era(&first, 1));
-    for capacity in [WEAK, MachineCapacity { processor: 0.25, bandwidth: 1000.0 }] {
-        let late = site.machine_with("late", vec![first.shared.profile.peers], capacity);
+    for capacity in [WEAK, HostCapacity { processor: 0.25, bandwidth: 1000.0 }] {
+        let late = site.host_with("late", vec![first.shared.profile.peers], capacity);
         late.wait_ready();
         let time = time_until("the late host knows it", || serves_the_late_route(&late));
         assert!(time <= IN_FORCE, "known only after {time:?}");
@@ -229,8 +229,8 @@
 
 fn play_listing(case: &ListingCase) {
     let site = TestSite::start();
-    let machine = site.machine("listing");
-    let known_to = |end: i64| machine.shared.metrics.engines_read_to.get() >= end;
+    let host = site.host("listing");
+    let known_to = |end: i64| host.shared.metrics.engines_read_to.get() >= end;
     put_entry(&site, case.copied);
     let copy = site.store.copy();
     for entry in case.known {
@@ -240,29 +240,29 @@
         wait_until(case.name, || known_to(end));
     }
     let used = usize::from(case.used);
-    wait_until(case.name, || ready_plain(&machine) == used);
+    wait_until(case.name, || ready_plain(&host) == used);
     site.store.come_back(&copy);
-    wait_until(case.name, || knows_era(&machine, 1));
-    holds_for(Duration::from_millis(1500), case.name, || ready_plain(&machine) == used);
+    wait_until(case.name, || knows_era(&host, 1));
+    holds_for(Duration::from_millis(1500), case.name, || ready_plain(&host) == used);
     put_entry(&site, case.again);
     let used_then = usize::from(case.used_then);
-    let time = time_until(case.name, || ready_plain(&machine) == used_then);
+    let time = time_until(case.name, || ready_plain(&host) == used_then);
     assert!(time <= IN_FORCE, "{}: only after {time:?}", case.name);
-    holds_for(Duration::from_millis(500), case.name, || ready_plain(&machine) == used_then);
+    holds_for(Duration::from_millis(500), case.name, || ready_plain(&host) == used_then);
 }
 
 /// The copy still lists the key; the operator writes the withdrawal again seconds later.
 #[test]
 fn a_withdrawn_key_stays_withdrawn() {
     let site = site_with_keys();
-    let machine = site.machine("withdrawn-key");
+    let host = site.host("withdrawn-key");
     let copy = site.store.copy();
-    let ask = || machine.get("/single/a", "X-Request: k\r\nX-Key: key-n1\r\n");
+    let ask = || host.get("/single/a", "X-Request: k\r\nX-Key: key-n1\r\n");
     assert!(ask().starts_with("HTTP/1.1 200"));
     site.store.put("configuration", "routes", &KEY_WITHDRAWN.to_string());
     wait_until("the key is refused", || ask().starts_with("HTTP/1.1 401"));
     site.store.come_back(&copy);
-    wait_until("the host hears of it", || knows_era(&machine, 1));
+    wait_until("the host hears of it", || knows_era(&host, 1));
     holds_for(IN_FORCE, "the withdrawal", || ask().starts_with("HTTP/1.1 401"));
     site.store.put("configuration", "routes", &KEY_WITHDRAWN.to_string());
     holds_for(Duration::from_millis(300), "the withdrawal", || ask().starts_with("HTTP/1.1 401"));
@@ -286,8 +286,8 @@
         engine.treat(&[EngineMood::Stream(3)]);
     }
     let copy = site.store.copy();
-    let hosts = ["one", "two", "three"].map(|name| site.machine(name));
-    let served = |host: &TestMachine, adapter: &str| {
+    let hosts = ["one", "two", "three"].map(|name| site.host(name));
+    let served = |host: &TestHost, adapter: &str| {
         let fields = format!("X-Request: {adapter}\r\nX-Model: {MODEL_NAME}/{adapter}\r\n");
         host.post("/stream/a", &fields, "{}").starts_with("HTTP/1.1 200")
     };
