--- a/crates/gateway/tests/machine/organisations.rs
+++ b/crates/gateway/tests/host/organisations.rs
@@ -8,7 +8,7 @@
 use crate::{
     dialect::{KEY, ORGANISATION, RANK, REQUEST},
     engine::{EngineMood, StandInEngine},
-    site::{KEY_WITHDRAWN, MODEL_NAME, TestMachine, TestSite, WITH_KEYS, raw_exchange, wait_until},
+    site::{KEY_WITHDRAWN, MODEL_NAME, TestHost, TestSite, WITH_KEYS, raw_exchange, wait_until},
 };
 
 pub(crate) fn site_with_keys() -> TestSite {
@@ -157,10 +157,10 @@
 #[test]
 fn a_request_runs_for_the_organisation_that_holds_its_key_or_not_at_all() {
     let site = site_with_keys();
-    let machine = site.machine("keys");
+    let host = site.host("keys");
     for (number, case) in KEY_CASES.iter().enumerate() {
         let id = format!("k{number}");
-        let answer = machine.get(case.path, &format!("X-Request: {id}\r\n{}", case.fields));
+        let answer = host.get(case.path, &format!("X-Request: {id}\r\n{}", case.fields));
         assert_eq!(status(&answer), case.status, "{}: {answer}", case.name);
         let arrivals = site.plain.arrivals();
         let arrived =
@@ -178,9 +178,9 @@
 #[test]
 fn an_oversized_key_is_refused() {
     let site = site_with_keys();
-    let machine = site.machine("long-key");
+    let host = site.host("long-key");
     let key = "k".repeat(300);
-    let answer = machine.get("/single/a", &format!("X-Request: l1\r\nX-Key: {key}\r\n"));
+    let answer = host.get("/single/a", &format!("X-Request: l1\r\nX-Key: {key}\r\n"));
     assert_eq!(status(&answer), "401", "{answer}");
 }
 
@@ -196,25 +196,25 @@
     RepeatCase { path: "/resumable/a", moods: &[EngineMood::StreamCut(2), EngineMood::Stream(4)] },
 ];
 
-fn send_with_forged_organisation(machine: &TestMachine, path: &str, id: &str) -> String {
+fn send_with_forged_organisation(host: &TestHost, path: &str, id: &str) -> String {
     let model =
         if path == "/safe/a" { String::new() } else { format!("X-Model: {MODEL_NAME}\r\n") };
     let request = format!(
         "POST {path} HTTP/1.1\r\nHost: site.example\r\nX-Request: {id}\r\n{model}\
          X-Key: key-n1\r\nX-Organisation: west\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{{}}"
     );
-    raw_exchange(machine.clients, request.as_bytes())
+    raw_exchange(host.clients, request.as_bytes())
 }
 
 #[test]
 fn repeats_and_resumed_streams_run_for_the_same_organisation_and_without_the_key() {
     for case in REPEATS {
         let site = site_with_keys();
-        let machine = site.machine("repeats");
+        let host = site.host("repeats");
         for engine in site.engines.iter().chain([&site.plain]) {
             engine.treat(case.moods);
         }
-        send_with_forged_organisation(&machine, case.path, "r1");
+        send_with_forged_organisation(&host, case.path, "r1");
         let engines = site.engines.iter().chain([&site.plain]);
         let arrivals: Vec<_> = engines.flat_map(StandInEngine::arrivals).collect();
         assert!(arrivals.len() >= 2, "{}: sent {} times", case.path, arrivals.len());
@@ -230,14 +230,14 @@
 #[test]
 fn a_withdrawn_key_runs_nothing_once_the_configuration_is_in_force() {
     let site = site_with_keys();
-    let machine = site.machine("withdrawn");
+    let host = site.host("withdrawn");
     let ask = |id: &str, key: &str| {
-        machine.get("/single/a", &format!("X-Request: {id}\r\nX-Key: {key}\r\n"))
+        host.get("/single/a", &format!("X-Request: {id}\r\nX-Key: {key}\r\n"))
     };
     assert_eq!(status(&ask("w1", "key-n1")), "200");
     site.store.put("configuration", "routes", &KEY_WITHDRAWN.to_string());
     wait_until("the new configuration is in force", || {
-        let table = machine.shared.table.borrow().clone();
+        let table = host.shared.table.borrow().clone();
         table.routes.as_ref().is_some_and(|routes| routes.revision() == KEY_WITHDRAWN)
     });
     assert_eq!(status(&ask("w2", "key-n1")), "401");
@@ -247,79 +247,79 @@
 /// How long a withdrawn key may be served in these tests.
 const BOUND: Duration = Duration::from_millis(1500);
 
-fn ask(machine: &TestMachine, id: &str, path: &str, key: &str) -> String {
-    let answer = machine.get(path, &format!("X-Request: {id}\r\nX-Key: {key}\r\n"));
+fn ask(host: &TestHost, id: &str, path: &str, key: &str) -> String {
+    let answer = host.get(path, &format!("X-Request: {id}\r\nX-Key: {key}\r\n"));
     status(&answer).to_owned()
 }
 
 #[test]
-fn a_machine_that_can_not_hear_of_withdrawn_keys_serves_none_after_the_bound() {
+fn a_host_that_can_not_hear_of_withdrawn_keys_serves_none_after_the_bound() {
     let site = site_with_keys();
-    let machine = site.strict_machine("deaf", BOUND, true);
-    assert_eq!(ask(&machine, "d1", "/single/a", "key-n1"), "200");
+    let host = site.strict_host("deaf", BOUND, true);
+    assert_eq!(ask(&host, "d1", "/single/a", "key-n1"), "200");
     site.store.refuse(true);
     let lost = Instant::now();
     site.store.put("configuration", "routes", &KEY_WITHDRAWN.to_string());
     thread::sleep(BOUND / 4);
-    assert_eq!(ask(&machine, "d2", "/single/a", "key-n2"), "200", "most outages withdraw nothing");
+    assert_eq!(ask(&host, "d2", "/single/a", "key-n2"), "200", "most outages withdraw nothing");
     thread::sleep(BOUND.saturating_sub(lost.elapsed()));
-    assert_eq!(ask(&machine, "d3", "/single/a", "key-n1"), "503");
-    assert_eq!(ask(&machine, "d4", "/single/a", "key-n2"), "503", "no key is known to hold");
-    assert_eq!(ask(&machine, "d5", "/open/a", "key-n2"), "200", "a public route needs none");
-    assert!(!machine.is_ready(), "the balancer sends clients to others");
+    assert_eq!(ask(&host, "d3", "/single/a", "key-n1"), "503");
+    assert_eq!(ask(&host, "d4", "/single/a", "key-n2"), "503", "no key is known to hold");
+    assert_eq!(ask(&host, "d5", "/open/a", "key-n2"), "200", "a public route needs none");
+    assert!(!host.is_ready(), "the balancer sends clients to others");
     let ran = |id: &str| {
         site.plain.arrivals().iter().any(|arrival| arrival.head.fields.text(REQUEST) == Some(id))
     };
     assert!(!ran("d3") && !ran("d4"), "a refused request has run");
     site.store.refuse(false);
-    machine.wait_ready();
-    assert_eq!(ask(&machine, "d6", "/single/a", "key-n1"), "401");
-    assert_eq!(ask(&machine, "d7", "/single/a", "key-n2"), "200");
+    host.wait_ready();
+    assert_eq!(ask(&host, "d6", "/single/a", "key-n1"), "401");
+    assert_eq!(ask(&host, "d7", "/single/a", "key-n2"), "200");
 }
 
 #[test]
 fn followers_of_a_reader_serve_keys_as_long_as_it_hears_and_stop_when_it_does_not() {
     let site = site_with_keys();
-    let reader = site.strict_machine("reader", BOUND, true);
-    let machine = site.strict_machine("follower", BOUND, false);
-    wait_until("the machine follows", || machine.shared.metrics.following.get() == 1);
+    let reader = site.strict_host("reader", BOUND, true);
+    let host = site.strict_host("follower", BOUND, false);
+    wait_until("the host follows", || host.shared.metrics.following.get() == 1);
     // Longer than the bound: without the reader's word the key would not be served any more.
     thread::sleep(BOUND * 2);
-    assert_eq!(machine.shared.metrics.following.get(), 1);
-    assert_eq!(ask(&machine, "f1", "/single/a", "key-n1"), "200");
+    assert_eq!(host.shared.metrics.following.get(), 1);
+    assert_eq!(ask(&host, "f1", "/single/a", "key-n1"), "200");
     site.store.refuse(true);
     thread::sleep(BOUND);
-    for machine in [&reader, &machine] {
-        assert_eq!(ask(machine, "f2", "/single/a", "key-n1"), "503");
+    for host in [&reader, &host] {
+        assert_eq!(ask(host, "f2", "/single/a", "key-n1"), "503");
     }
     site.store.put("configuration", "routes", &KEY_WITHDRAWN.to_string());
     site.store.refuse(false);
-    for machine in [&reader, &machine] {
-        machine.wait_ready();
-        assert_eq!(ask(machine, "f3", "/single/a", "key-n1"), "401");
-        assert_eq!(ask(machine, "f4", "/single/a", "key-n2"), "200");
+    for host in [&reader, &host] {
+        host.wait_ready();
+        assert_eq!(ask(host, "f3", "/single/a", "key-n1"), "401");
+        assert_eq!(ask(host, "f4", "/single/a", "key-n2"), "200");
     }
 }
 
 #[test]
 fn a_configuration_that_can_not_be_read_ends_what_the_last_good_one_confirms() {
     let site = site_with_keys();
-    let machine = site.strict_machine("unreadable", BOUND, true);
+    let host = site.strict_host("unreadable", BOUND, true);
     site.store.put("configuration", "routes", "no number");
     thread::sleep(BOUND / 3);
-    assert_eq!(ask(&machine, "u1", "/single/a", "key-n1"), "200", "the last good one goes on");
+    assert_eq!(ask(&host, "u1", "/single/a", "key-n1"), "200", "the last good one goes on");
     thread::sleep(BOUND);
-    assert_eq!(ask(&machine, "u2", "/single/a", "key-n1"), "503");
+    assert_eq!(ask(&host, "u2", "/single/a", "key-n1"), "503");
     site.store.put("configuration", "routes", &KEY_WITHDRAWN.to_string());
-    machine.wait_ready();
-    assert_eq!(ask(&machine, "u3", "/single/a", "key-n1"), "401");
+    host.wait_ready();
+    assert_eq!(ask(&host, "u3", "/single/a", "key-n1"), "401");
 }
 
-/// Asks `machines` in turn with the bounded organisation's key; returns how many requests were granted.
-fn granted_of(machines: &[&TestMachine], asks: usize) -> usize {
+/// Asks `hosts` in turn with the bounded organisation's key; returns how many requests were granted.
+fn granted_of(hosts: &[&TestHost], asks: usize) -> usize {
     let granted = (0..asks).filter(|number| {
-        let machine = machines[number % machines.len()];
-        let answer = machine.get("/single/a", &format!("X-Request: q{number}\r\nX-Key: key-q\r\n"));
+        let host = hosts[number % hosts.len()];
+        let answer = host.get("/single/a", &format!("X-Request: q{number}\r\nX-Key: key-q\r\n"));
         match status(&answer) {
             "200" => true,
             "429" => {
@@ -333,13 +333,13 @@
 }
 
 #[test]
-fn machines_grant_one_quota_together_and_other_organisations_feel_nothing() {
+fn hosts_grant_one_quota_together_and_other_organisations_feel_nothing() {
     let site = site_with_keys();
-    let machines = ["one", "two", "three"].map(|name| site.machine(name));
-    let hear = || machines.iter().all(|machine| machine.shared.quotas().hears_ledger());
+    let hosts = ["one", "two", "three"].map(|name| site.host(name));
+    let hear = || hosts.iter().all(|host| host.shared.quotas().hears_ledger());
     wait_until("all hear the ledger", hear);
     let began = Instant::now();
-    let all: Vec<&TestMachine> = machines.iter().collect();
+    let all: Vec<&TestHost> = hosts.iter().collect();
     let mut granted = 0;
     while began.elapsed() < Duration::from_secs(4) {
         granted += granted_of(&all, 6);
@@ -351,39 +351,39 @@
     let most = (4.0f64.mul_add(8.0, 10.0)).mul_add(0.1, limit) + 20.0;
     assert!(granted as f64 <= most, "{granted} granted within {seconds:.1} s, {most:.0} allowed");
     assert!(granted as f64 >= limit * 0.9, "{granted} granted within {seconds:.1} s of {limit:.0}");
-    assert_eq!(ask(&machines[0], "other", "/single/a", "key-s"), "200");
+    assert_eq!(ask(&hosts[0], "other", "/single/a", "key-s"), "200");
 }
 
 #[test]
 fn what_did_not_run_is_given_back() {
     let site = site_with_keys();
-    let machine = site.machine("given-back");
-    wait_until("it hears the ledger", || machine.shared.quotas().hears_ledger());
+    let host = site.host("given-back");
+    wait_until("it hears the ledger", || host.shared.quotas().hears_ledger());
     site.plain.treat(&[EngineMood::NotRun]);
     for number in 0..300 {
-        let answer = ask(&machine, &format!("g{number}"), "/single/a", "key-q");
+        let answer = ask(&host, &format!("g{number}"), "/single/a", "key-q");
         assert_eq!(answer, "503", "request {number}");
     }
     // More than the burst and the tolerance: refused by the engine, none of them counts.
     assert!(site.plain.arrivals().len() > 20, "{} arrivals", site.plain.arrivals().len());
     site.plain.treat(&[EngineMood::Well]);
-    // The machine sends on only a part to a server that was full just before.
+    // The host sends on only a part to a server that was full just before.
     thread::sleep(Duration::from_millis(3100));
-    assert_eq!(granted_of(&[&machine], 8), 8);
+    assert_eq!(granted_of(&[&host], 8), 8);
 }
 
 /// A store that answered nothing for a while hid for two seconds more that it was back.
 #[test]
 fn keys_are_served_again_soon_after_a_silent_outage() {
     let site = site_with_keys();
-    let machine = site.strict_machine("silent", BOUND, true);
+    let host = site.strict_host("silent", BOUND, true);
     site.store.hang(true);
     // Long enough for pauses to grow to their longest.
     thread::sleep(Duration::from_millis(6500));
-    assert_eq!(ask(&machine, "s1", "/single/a", "key-n1"), "503");
+    assert_eq!(ask(&host, "s1", "/single/a", "key-n1"), "503");
     site.store.hang(false);
     let back = Instant::now();
-    wait_until("keys are served", || ask(&machine, "s2", "/single/a", "key-n1") == "200");
+    wait_until("keys are served", || ask(&host, "s2", "/single/a", "key-n1") == "200");
     let took = back.elapsed();
     assert!(took < Duration::from_millis(800), "it took {} ms", took.as_millis());
 }
@@ -391,19 +391,16 @@
 #[test]
 fn organisations_are_counted_by_name_and_no_key_is_in_logs_or_metrics() {
     let site = site_with_keys();
-    let machine = site.machine("counted");
-    assert_eq!(ask(&machine, "c1", "/single/a", "key-n1"), "200");
-    assert_eq!(ask(&machine, "c2", "/single/a", "key-secret-x"), "401");
+    let host = site.host("counted");
+    assert_eq!(ask(&host, "c1", "/single/a", "key-n1"), "200");
+    assert_eq!(ask(&host, "c2", "/single/a", "key-secret-x"), "401");
     for number in 0..100 {
-        machine.shared.metrics.count_organisation(&format!("o{number}"), "answered");
+        host.shared.metrics.count_organisation(&format!("o{number}"), "answered");
     }
-    let text = machine.shared.metrics.encode();
+    let text = host.shared.metrics.encode();
     assert!(text.contains(r#"organisation="north",outcome="answered""#), "{text}");
     assert!(text.contains(r#"organisation="others",outcome="answered"} 37"#), "{text}");
     assert!(!text.contains("key-"), "a key in the metrics: {text}");
-    let routes = machine.shared.table.borrow().routes.clone();
-    assert!(
-        !format!("{routes:?}").contains("key-"),
-        "a key in what the machine shows of its routes"
-    );
+    let routes = host.shared.table.borrow().routes.clone();
+    assert!(!format!("{routes:?}").contains("key-"), "a key in what the host shows of its routes");
 }
--- a/crates/gateway/tests/machine/placement.rs
+++ b/crates/gateway/tests/host/placement.rs
@@ -1,4 +1,4 @@
-//! Adapters that are asked for come, through whichever machine holds the lease.
+//! Adapters that are asked for come, through whichever host holds the lease.
 
 use std::{
     collections::BTreeSet,
@@ -8,7 +8,7 @@
 
 use crate::{
     engine::EngineMood,
-    site::{MODEL_NAME, TestMachine, TestSite, wait_until},
+    site::{MODEL_NAME, TestHost, TestSite, wait_until},
 };
 
 fn tokens(site: &TestSite) -> BTreeSet<(String, u64)> {
@@ -24,16 +24,16 @@
 #[test]
 fn an_adapter_that_is_asked_for_is_loaded_and_served() {
     let site = TestSite::start();
-    let machines = [site.machine("one"), site.machine("two")];
+    let hosts = [site.host("one"), site.host("two")];
     for engine in &site.engines {
         engine.treat(&[EngineMood::Stream(3)]);
     }
-    for (number, machine) in machines.iter().enumerate() {
+    for (number, host) in hosts.iter().enumerate() {
         // The first request may be refused while the lease is dealt; its client comes back.
         wait_until("the adapter is served", || {
             let fields =
                 format!("X-Request: a{number}\r\nX-Model: {MODEL_NAME}/adapter-{number}\r\n");
-            machine.post("/stream/a", &fields, "{}").starts_with("HTTP/1.1 200")
+            host.post("/stream/a", &fields, "{}").starts_with("HTTP/1.1 200")
         });
     }
     let tokens = tokens(&site);
@@ -47,10 +47,10 @@
 #[test]
 fn a_stopped_placer_hands_over() {
     let site = TestSite::start();
-    let (first, second) = (site.machine("first"), site.machine("second"));
-    let ask = |machine: &TestMachine, adapter: &str| {
+    let (first, second) = (site.host("first"), site.host("second"));
+    let ask = |host: &TestHost, adapter: &str| {
         let fields = format!("X-Request: {adapter}\r\nX-Model: {MODEL_NAME}/{adapter}\r\n");
-        machine.post("/stream/a", &fields, "{}").starts_with("HTTP/1.1 200")
+        host.post("/stream/a", &fields, "{}").starts_with("HTTP/1.1 200")
     };
     wait_until("the first adapter is served", || ask(&second, "early"));
     first.stop();
@@ -63,8 +63,8 @@
 #[test]
 fn the_hosts_that_share_a_budget_count_on_while_another_one_becomes_the_placer() {
     let site = TestSite::start();
-    let mut hosts: Vec<_> = ["one", "two", "three", "four"].map(|name| site.machine(name)).into();
-    let counted = |host: &TestMachine| host.shared.table.borrow().machines;
+    let mut hosts: Vec<_> = ["one", "two", "three", "four"].map(|name| site.host(name)).into();
+    let counted = |host: &TestHost| host.shared.table.borrow().hosts;
     wait_until("all are counted", || hosts.iter().all(|host| counted(host) == 4));
     let placer = hosts.iter().position(|host| host.shared.metrics.leases.get() == 1);
     let placer = hosts.swap_remove(placer.expect("a placer"));
@@ -87,7 +87,7 @@
 fn every_host_finds_the_placer_though_partitions_pass_on_after_the_group_has_changed() {
     let site = TestSite::start();
     site.store.lag_owners(Duration::from_millis(300));
-    let hosts = ["one", "two", "three"].map(|name| site.cold_machine(name, Vec::new()));
+    let hosts = ["one", "two", "three"].map(|name| site.cold_host(name, Vec::new()));
     for engine in &site.engines {
         engine.treat(&[EngineMood::Stream(3)]);
     }
--- a/crates/gateway/tests/machine/reborn.rs
+++ b/crates/gateway/tests/host/reborn.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     engine::{EngineMood, FIRST_BIRTH},
-    site::{MODEL_NAME, TestMachine, TestSite, wait_until},
+    site::{MODEL_NAME, TestHost, TestSite, wait_until},
 };
 
-fn ask(host: &TestMachine, adapter: &str) -> String {
+fn ask(host: &TestHost, adapter: &str) -> String {
     let fields = format!("X-Request: {adapter}\r\nX-Model: {MODEL_NAME}/{adapter}\r\n");
     host.post("/stream/a", &fields, "{}")
 }
@@ -15,7 +15,7 @@
 #[test]
 fn a_server_that_left_and_starts_again_is_used_again() {
     let site = TestSite::start();
-    let host = site.machine("left-again");
+    let host = site.host("left-again");
     site.store.put("engines", "plain-1", &site.plain.entry("plain", true));
     let single = || host.post("/single/a", "X-Request: l\r\n", "body");
     wait_until("it is left", || single().starts_with("HTTP/1.1 503"));
@@ -29,7 +29,7 @@
 #[test]
 fn nothing_of_the_life_before_counts_as_held() {
     let site = TestSite::start();
-    let hosts = [site.machine("held-1"), site.machine("held-2")];
+    let hosts = [site.host("held-1"), site.host("held-2")];
     site.store.put("engines", "engine-2", "");
     for engine in &site.engines {
         engine.treat(&[EngineMood::Stream(3)]);
@@ -42,7 +42,7 @@
     engine.restart(&[MODEL_NAME], FIRST_BIRTH + 1);
     site.store.put("engines", "engine-1", &engine.entry("assist", false));
     wait_until("hosts know that it holds nothing", || {
-        let knows = |host: &TestMachine| {
+        let knows = |host: &TestHost| {
             !host.shared.table.borrow().copies.contains_key(&*format!("{MODEL_NAME}/early"))
         };
         hosts.iter().all(knows)
--- a/crates/gateway/tests/machine/rollback.rs
+++ b/crates/gateway/tests/host/rollback.rs
@@ -12,13 +12,13 @@
     time::{Duration, Instant},
 };
 
-use crate::site::{TestMachine, TestSite, wait_until};
+use crate::site::{TestHost, TestSite, wait_until};
 
 /// Within which time what the store has acknowledged is in force on hosts that reach it; operators give two to three seconds.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
-fn serves_the_late_route(machine: &TestMachine) -> bool {
-    machine.get("/late/a", "X-Request: late\r\n").starts_with("HTTP/1.1 200")
+fn serves_the_late_route(host: &TestHost) -> bool {
+    host.get("/late/a", "X-Request: late\r\n").starts_with("HTTP/1.1 200")
 }
 
 /// Returns whether something comes about within [`IN_FORCE`].
@@ -33,14 +33,14 @@
     false
 }
 
-/// Lets `machine` read some more records, then takes the store away and back without them.
-fn lose_records(site: &TestSite, machine: &TestMachine, topic: &str, key: &str, value: &str) {
+/// Lets `host` read some more records, then takes the store away and back without them.
+fn lose_records(site: &TestSite, host: &TestHost, topic: &str, key: &str, value: &str) {
     for _ in 0..4 {
         site.store.put(topic, key, value);
     }
     // Engines' entries are read in batches.
     thread::sleep(Duration::from_secs(1));
-    assert!(machine.is_ready());
+    assert!(host.is_ready());
     site.store.refuse(true);
     thread::sleep(Duration::from_millis(300));
     site.store.fall_back(topic, 4);
@@ -49,23 +49,23 @@
 #[test]
 fn a_change_after_the_store_came_back_older_is_in_force() {
     let site = TestSite::start();
-    let machine = site.machine("older-change");
-    lose_records(&site, &machine, "configuration", "routes", "1");
+    let host = site.host("older-change");
+    lose_records(&site, &host, "configuration", "routes", "1");
     site.store.refuse(false);
-    wait_until("the store is read again", || machine.shared.metrics.store_era.get() == 1);
+    wait_until("the store is read again", || host.shared.metrics.store_era.get() == 1);
     site.store.put("configuration", "routes", "2");
-    assert!(comes_about(|| serves_the_late_route(&machine)), "not in force in {IN_FORCE:?}");
+    assert!(comes_about(|| serves_the_late_route(&host)), "not in force in {IN_FORCE:?}");
 }
 
 #[test]
 fn an_engine_that_leaves_after_the_store_came_back_older_is_left() {
     let site = TestSite::start();
-    let machine = site.machine("older-leaving");
-    lose_records(&site, &machine, "engines", "plain-1", &site.plain.entry("plain", false));
+    let host = site.host("older-leaving");
+    lose_records(&site, &host, "engines", "plain-1", &site.plain.entry("plain", false));
     site.store.refuse(false);
-    wait_until("the store is read again", || machine.shared.metrics.store_era.get() == 1);
+    wait_until("the store is read again", || host.shared.metrics.store_era.get() == 1);
     site.store.put("engines", "plain-1", &site.plain.entry("plain", true));
-    let left = || machine.shared.table.borrow().ready_engines("plain").next().is_none();
+    let left = || host.shared.table.borrow().ready_engines("plain").next().is_none();
     assert!(comes_about(left), "not left in {IN_FORCE:?}");
 }
 
@@ -73,12 +73,12 @@
 #[test]
 fn a_change_below_where_reading_goes_on_is_in_force() {
     let site = TestSite::start();
-    let machine = site.machine("older-below");
-    lose_records(&site, &machine, "configuration", "other", "1");
+    let host = site.host("older-below");
+    lose_records(&site, &host, "configuration", "other", "1");
     site.store.put("configuration", "routes", "2");
     for _ in 0..4 {
         site.store.put("configuration", "other", "1");
     }
     site.store.refuse(false);
-    assert!(comes_about(|| serves_the_late_route(&machine)), "not in force in {IN_FORCE:?}");
+    assert!(comes_about(|| serves_the_late_route(&host)), "not in force in {IN_FORCE:?}");
 }
--- a/crates/gateway/tests/machine/site.rs
+++ b/crates/gateway/tests/host/site.rs
@@ -1,4 +1,4 @@
-//! Machines with their stand-ins, started for one test, and a client that sees raw bytes.
+//! Hosts with their stand-ins, started for one test, and a client that sees raw bytes.
 
 use std::{
     collections::HashMap,
@@ -26,12 +26,12 @@
         key::KeyDigest,
         quota::{QuotaLimit, QuotaTolerance, QuotaUnit},
     },
-    placement::MachineCapacity,
+    placement::HostCapacity,
 };
 use reelreel_gateway::{
     events::EventLog,
-    machine::{SharedState, run_machine},
-    profile::{MachineProfile, OperatorBounds},
+    host::{SharedState, run_host},
+    profile::{HostProfile, OperatorBounds},
 };
 
 use crate::{dialect::dialects, engine::StandInEngine, store::StandInStore};
@@ -39,18 +39,18 @@
 /// How long a test waits for something to come about.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(10);
 
-/// One machine that a test started.
-pub(crate) struct TestMachine {
+/// One host that a test started.
+pub(crate) struct TestHost {
     pub(crate) shared: Arc<SharedState>,
     pub(crate) clients: SocketAddr,
     pub(crate) readiness: SocketAddr,
     thread: Option<JoinHandle<()>>,
 }
 
-/// What tells the machines of tests apart.
+/// What tells the hosts of tests apart.
 pub(crate) struct TestProfile {
     seeds: Vec<SocketAddr>,
-    capacity: MachineCapacity,
+    capacity: HostCapacity,
     revocation: Option<Duration>,
     store: SocketAddr,
     pub(crate) clock: Arc<dyn ClockSource>,
@@ -61,19 +61,19 @@
     pub(crate) fn new(store: SocketAddr) -> Self {
         Self {
             seeds: Vec::new(),
-            capacity: MachineCapacity { processor: 0.25, bandwidth: 1000.0 },
+            capacity: HostCapacity { processor: 0.25, bandwidth: 1000.0 },
             revocation: None,
             store,
             clock: Arc::new(MonotonicClock::new()),
         }
     }
 
-    /// Returns the whole profile of a machine.
-    pub(crate) fn profile(self, name: &str) -> MachineProfile {
+    /// Returns the whole profile of a host.
+    pub(crate) fn profile(self, name: &str) -> HostProfile {
         let Self { seeds, capacity, revocation, store, .. } = self;
-        MachineProfile {
+        HostProfile {
             name: Arc::from(name),
-            zone: Arc::from("hall"),
+            hall: Arc::from("hall"),
             clients: free_address(),
             readiness: free_address(),
             peers: free_address(),
@@ -220,58 +220,58 @@
         site
     }
 
-    /// Starts a machine and waits until it is ready.
-    pub(crate) fn machine(&self, name: &str) -> TestMachine {
-        let machine = self.cold_machine(name, Vec::new());
-        machine.wait_ready();
-        machine
+    /// Starts a host and waits until it is ready.
+    pub(crate) fn host(&self, name: &str) -> TestHost {
+        let host = self.cold_host(name, Vec::new());
+        host.wait_ready();
+        host
     }
 
-    /// Starts a machine without waiting for anything.
-    pub(crate) fn cold_machine(&self, name: &str, seeds: Vec<SocketAddr>) -> TestMachine {
-        self.machine_with(name, seeds, MachineCapacity { processor: 0.25, bandwidth: 1000.0 })
+    /// Starts a host without waiting for anything.
+    pub(crate) fn cold_host(&self, name: &str, seeds: Vec<SocketAddr>) -> TestHost {
+        self.host_with(name, seeds, HostCapacity { processor: 0.25, bandwidth: 1000.0 })
     }
 
-    /// Starts a machine of some strength without waiting for anything.
-    pub(crate) fn machine_with(
+    /// Starts a host of some strength without waiting for anything.
+    pub(crate) fn host_with(
         &self,
         name: &str,
         seeds: Vec<SocketAddr>,
-        capacity: MachineCapacity,
-    ) -> TestMachine {
+        capacity: HostCapacity,
+    ) -> TestHost {
         let profile = TestProfile { seeds, capacity, ..TestProfile::new(self.store.address) };
-        TestMachine::start(name, profile)
+        TestHost::start(name, profile)
     }
 
-    /// Starts a machine that must not serve a withdrawn key for longer than `bound`; waits until it is ready.
-    pub(crate) fn strict_machine(&self, name: &str, bound: Duration, strong: bool) -> TestMachine {
+    /// Starts a host that must not serve a withdrawn key for longer than `bound`; waits until it is ready.
+    pub(crate) fn strict_host(&self, name: &str, bound: Duration, strong: bool) -> TestHost {
         let processor = if strong { 0.25 } else { 0.1 };
-        let capacity = MachineCapacity { processor, bandwidth: 1000.0 };
+        let capacity = HostCapacity { processor, bandwidth: 1000.0 };
         let revocation = Some(bound);
         let profile = TestProfile { capacity, revocation, ..TestProfile::new(self.store.address) };
-        let machine = TestMachine::start(name, profile);
-        machine.wait_ready();
-        machine
+        let host = TestHost::start(name, profile);
+        host.wait_ready();
+        host
     }
 
-    /// Starts a machine with a clock that a test moves on; waits until it is ready.
-    pub(crate) fn machine_by(
+    /// Starts a host with a clock that a test moves on; waits until it is ready.
+    pub(crate) fn host_by(
         &self,
         name: &str,
         clock: Arc<dyn ClockSource>,
         revocation: Option<Duration>,
-    ) -> TestMachine {
+    ) -> TestHost {
         let profile = TestProfile { revocation, clock, ..TestProfile::new(self.store.address) };
-        let machine = TestMachine::start(name, profile);
-        machine.wait_ready();
-        machine
+        let host = TestHost::start(name, profile);
+        host.wait_ready();
+        host
     }
 }
 
 /// The ports that tests take addresses from: below those that the system gives to outgoing connections.
 ///
 /// A port of the system's own choice could be taken by one of the thousands of connections that other
-/// tests open before the machine listens on it.
+/// tests open before the host listens on it.
 const TEST_PORTS: std::ops::Range<u16> = 18_000..32_000;
 
 pub(crate) fn free_address() -> SocketAddr {
@@ -289,12 +289,12 @@
     panic!("no port between {} and {} is free", TEST_PORTS.start, TEST_PORTS.end);
 }
 
-impl TestMachine {
+impl TestHost {
     /// Starts a strong host that reaches the store at an address; waits until it is ready.
     pub(crate) fn start_at(name: &str, store: SocketAddr) -> Self {
-        let machine = Self::start(name, TestProfile::new(store));
-        machine.wait_ready();
-        machine
+        let host = Self::start(name, TestProfile::new(store));
+        host.wait_ready();
+        host
     }
 
     fn start(name: &str, profile: TestProfile) -> Self {
@@ -310,7 +310,7 @@
         let events = EventLog::start(Arc::from(name)).expect("a thread for log lines");
         let shared = Arc::new(SharedState::new(profile, dialects(Arc::new(known)), events, clock));
         let run = Arc::clone(&shared);
-        let thread = thread::spawn(move || run_machine(&run).expect("the machine runs"));
+        let thread = thread::spawn(move || run_host(&run).expect("the host runs"));
         Self { shared, clients, readiness, thread: Some(thread) }
     }
 
@@ -320,15 +320,15 @@
     }
 
     pub(crate) fn wait_ready(&self) {
-        wait_until("the machine is ready", || self.is_ready());
+        wait_until("the host is ready", || self.is_ready());
     }
 
-    /// Stops the machine in a planned way and waits until it has ended.
+    /// Stops the host in a planned way and waits until it has ended.
     pub(crate) fn stop(mut self) -> Duration {
         let began = Instant::now();
         self.shared.stop();
         if let Some(thread) = self.thread.take() {
-            thread.join().expect("the machine ends");
+            thread.join().expect("the host ends");
         }
         began.elapsed()
     }
--- a/crates/gateway/tests/machine/stale_reader.rs
+++ b/crates/gateway/tests/host/stale_reader.rs
@@ -12,26 +12,26 @@
     time::{Duration, Instant},
 };
 
-use reelreel_core::placement::MachineCapacity;
+use reelreel_core::placement::HostCapacity;
 
-use crate::site::{TestMachine, TestSite, wait_until};
+use crate::site::{TestHost, TestSite, wait_until};
 
-const WEAK: MachineCapacity = MachineCapacity { processor: 0.1, bandwidth: 10.0 };
+const WEAK: HostCapacity = HostCapacity { processor: 0.1, bandwidth: 10.0 };
 
 /// Within which time a configuration that the store has taken is in force on hosts that reach it; operators give two
 /// to three seconds.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
-fn serves_the_late_route(machine: &TestMachine, id: &str) -> bool {
-    machine.get("/late/a", &format!("X-Request: {id}\r\n")).starts_with("HTTP/1.1 200")
+fn serves_the_late_route(host: &TestHost, id: &str) -> bool {
+    host.get("/late/a", &format!("X-Request: {id}\r\n")).starts_with("HTTP/1.1 200")
 }
 
 /// Returns how long it takes until a configuration that is published now is in force; `None` where that is too long.
-fn time_in_force(site: &TestSite, machine: &TestMachine) -> Option<Duration> {
+fn time_in_force(site: &TestSite, host: &TestHost) -> Option<Duration> {
     let began = Instant::now();
     site.store.put("configuration", "routes", "2");
     while began.elapsed() < IN_FORCE {
-        if serves_the_late_route(machine, "late") {
+        if serves_the_late_route(host, "late") {
             return Some(began.elapsed());
         }
         thread::sleep(Duration::from_millis(10));
@@ -44,14 +44,14 @@
     let site = TestSite::start();
     let door = site.store.open_door("configuration");
     // A group of three needs no weak member.
-    let readers = ["one", "two", "three"].map(|name| TestMachine::start_at(name, door.address));
-    let follower = site.machine_with("follower", Vec::new(), WEAK);
+    let readers = ["one", "two", "three"].map(|name| TestHost::start_at(name, door.address));
+    let follower = site.host_with("follower", Vec::new(), WEAK);
     follower.wait_ready();
     wait_until("the host follows", || follower.shared.metrics.following.get() == 1);
     door.hang();
     // They go on joining the group and reading the engines; the calls that hang are given up by then.
     thread::sleep(Duration::from_secs(4));
-    assert!(readers.iter().all(TestMachine::is_ready));
+    assert!(readers.iter().all(TestHost::is_ready));
     assert!(time_in_force(&site, &follower).is_some(), "not in force in {IN_FORCE:?}");
 }
 
@@ -60,10 +60,10 @@
 #[test]
 fn a_change_reaches_a_host_whose_connection_to_the_store_went_silent() {
     let site = TestSite::start();
-    let machine = site.machine("silent");
+    let host = site.host("silent");
     site.store.await_held_read("configuration");
     site.store.silence_connections();
-    assert!(time_in_force(&site, &machine).is_some(), "not in force in {IN_FORCE:?}");
+    assert!(time_in_force(&site, &host).is_some(), "not in force in {IN_FORCE:?}");
 }
 
 /// The same for the engines' entries, of which the next read came a second later still: requests went to an engine for 3.8 s after
@@ -71,13 +71,13 @@
 #[test]
 fn an_engine_that_leaves_is_left_though_the_connection_to_the_store_went_silent() {
     let site = TestSite::start();
-    let machine = site.machine("silent");
+    let host = site.host("silent");
     site.store.await_held_read("engines");
     site.store.silence_connections();
     let began = Instant::now();
     site.store.put("engines", "plain-1", &site.plain.entry("plain", true));
     wait_until("the engine is left", || {
-        machine.shared.table.borrow().ready_engines("plain").next().is_none()
+        host.shared.table.borrow().ready_engines("plain").next().is_none()
     });
     assert!(began.elapsed() <= IN_FORCE, "left only after {:?}", began.elapsed());
 }
--- a/crates/gateway/tests/machine/stopping.rs
+++ b/crates/gateway/tests/host/stopping.rs
@@ -10,11 +10,11 @@
 #[test]
 fn a_stop_cuts_no_stream_and_ends_in_time() {
     let site = TestSite::start();
-    let machine = site.machine("stop");
+    let host = site.host("stop");
     for engine in &site.engines {
         engine.treat(&[EngineMood::Stream(60)]);
     }
-    let clients = machine.clients;
+    let clients = host.clients;
     let stream = thread::spawn(move || {
         let request = format!(
             "POST /stream/a HTTP/1.1\r\nHost: site.example\r\nX-Request: t1\r\nX-Model: {MODEL_NAME}\r\nContent-Length: 2\r\n\r\n{{}}"
@@ -22,9 +22,9 @@
         raw_exchange(clients, request.as_bytes())
     });
     thread::sleep(Duration::from_millis(150));
-    let readiness = machine.readiness;
-    let shared = std::sync::Arc::clone(&machine.shared);
-    let stopping = thread::spawn(move || machine.stop());
+    let readiness = host.readiness;
+    let shared = std::sync::Arc::clone(&host.shared);
+    let stopping = thread::spawn(move || host.stop());
     while !shared.is_stopping() {
         thread::sleep(Duration::from_millis(1));
     }
@@ -33,6 +33,6 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     let answer = stream.join().expect("the client ends");
     assert!(answer.ends_with("0\r\n\r\n"), "the stream was cut: {answer}");
-    let took = stopping.join().expect("the machine ends");
+    let took = stopping.join().expect("the host ends");
     assert!(took < Duration::from_secs(6), "{took:?}");
 }
--- a/crates/gateway/tests/machine/store.rs
+++ b/crates/gateway/tests/host/store.rs
@@ -257,7 +257,7 @@
         }
     }
 
-    /// Makes a machine a member of the group for good.
+    /// Makes a host a member of the group for good.
     pub(crate) fn enlist(&self, member: &str) {
         let for_good = Instant::now() + Duration::from_hours(1);
         let mut state = self.lock();
--- a/crates/gateway/tests/machine/store_falls.rs
+++ b/crates/gateway/tests/host/store_falls.rs
@@ -21,7 +21,7 @@
     border::{GroupShare, KeyedRecord},
     control::state::ControlState,
     events::EventLog,
-    machine::SharedState,
+    host::SharedState,
     peers::frame::{EncodedFrame, FrameBody, PeerFrame},
     store::{follow::TopicUpdate, membership::MembershipUpdate},
 };
--- a/crates/gateway/tests/machine/streams.rs
+++ b/crates/gateway/tests/host/streams.rs
@@ -23,11 +23,11 @@
 #[test]
 fn a_stream_comes_whole() {
     let site = TestSite::start();
-    let machine = site.machine("whole");
+    let host = site.host("whole");
     for engine in &site.engines {
         engine.treat(&[EngineMood::Stream(6)]);
     }
-    let answer = machine.post("/stream/a", &fields("s1"), "{}");
+    let answer = host.post("/stream/a", &fields("s1"), "{}");
     assert_eq!(events(&answer), [0, 1, 2, 3, 4, 5], "{answer}");
     assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
 }
@@ -35,11 +35,11 @@
 #[test]
 fn a_broken_stream_never_looks_whole() {
     let site = TestSite::start();
-    let machine = site.machine("broken");
+    let host = site.host("broken");
     for engine in &site.engines {
         engine.treat(&[EngineMood::StreamCut(3)]);
     }
-    let answer = machine.post("/stream/a", &fields("b1"), "{}");
+    let answer = host.post("/stream/a", &fields("b1"), "{}");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
     let runs: usize = site.engines.iter().map(|engine| engine.runs().len()).sum();
@@ -49,12 +49,12 @@
 #[test]
 fn a_resumable_stream_goes_on_without_gap_or_doubling() {
     let site = TestSite::start();
-    let machine = site.machine("resumed");
+    let host = site.host("resumed");
     site.engines[0].treat(&[EngineMood::StreamCut(3)]);
     site.engines[1].treat(&[EngineMood::Stream(7)]);
     for number in 0..20 {
         let broken = site.engines[0].arrivals().len();
-        let answer = machine.post("/resumable/a", &fields(&format!("r{number}")), "{}");
+        let answer = host.post("/resumable/a", &fields(&format!("r{number}")), "{}");
         assert_eq!(events(&answer), [0, 1, 2, 3, 4, 5, 6], "{answer}");
         assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
         if site.engines[0].arrivals().len() > broken {
@@ -69,11 +69,11 @@
 #[test]
 fn a_client_that_leaves_ends_its_run_at_once() {
     let site = TestSite::start();
-    let machine = site.machine("left");
+    let host = site.host("left");
     for engine in &site.engines {
         engine.treat(&[EngineMood::Stream(200)]);
     }
-    let mut socket = TcpStream::connect(machine.clients).expect("a connection");
+    let mut socket = TcpStream::connect(host.clients).expect("a connection");
     let request = format!(
         "POST /stream/a HTTP/1.1\r\nHost: site.example\r\n{}Content-Length: 2\r\n\r\n{{}}",
         fields("g1")
@@ -91,12 +91,12 @@
 #[test]
 fn a_resumable_stream_leaves_an_engine_that_hangs() {
     let site = TestSite::start();
-    let machine = site.machine("hangs");
+    let host = site.host("hangs");
     site.engines[0].treat(&[EngineMood::Hangs]);
     site.engines[1].treat(&[EngineMood::Stream(3)]);
     for number in 0..20 {
         let hung = site.engines[0].arrivals().len();
-        let answer = machine.post("/resumable/a", &fields(&format!("h{number}")), "{}");
+        let answer = host.post("/resumable/a", &fields(&format!("h{number}")), "{}");
         assert_eq!(events(&answer), [0, 1, 2], "{answer}");
         if site.engines[0].arrivals().len() > hung {
             return;
--- a/crates/gateway/tests/machine/suspended.rs
+++ b/crates/gateway/tests/host/suspended.rs
@@ -48,7 +48,7 @@
     let site = site_with_keys();
     let clock = SuspendableClock::new();
     let own: Arc<dyn ClockSource> = clock.clone();
-    let host = site.machine_by("suspended-keys", own, Some(Duration::from_secs(4)));
+    let host = site.host_by("suspended-keys", own, Some(Duration::from_secs(4)));
     let ask = || host.get("/single/a", "X-Request: k\r\nX-Key: key-n1\r\n");
     assert!(ask().starts_with("HTTP/1.1 200"));
     site.store.refuse(true);
@@ -65,7 +65,7 @@
     let site = TestSite::start();
     let clock = SuspendableClock::new();
     let own: Arc<dyn ClockSource> = clock.clone();
-    let host = site.machine_by("suspended-request", own, None);
+    let host = site.host_by("suspended-request", own, None);
     site.plain.treat(&[EngineMood::Hangs]);
     thread::scope(|scope| {
         let sent = Instant::now();
@@ -83,15 +83,15 @@
 #[test]
 fn a_peers_word_from_before_is_old() {
     let site = TestSite::start();
-    let (clock, other) = (SuspendableClock::new(), site.machine("stays-awake"));
+    let (clock, other) = (SuspendableClock::new(), site.host("stays-awake"));
     let own: Arc<dyn ClockSource> = clock.clone();
     wait_until("the first host holds the lease", || other.shared.metrics.leases.get() == 1);
-    let host = site.machine_by("suspended-peer", own, None);
-    wait_until("both are counted", || host.shared.table.borrow().machines == 2);
+    let host = site.host_by("suspended-peer", own, None);
+    wait_until("both are counted", || host.shared.table.borrow().hosts == 2);
     clock.suspend();
     // It goes on with the placer's next word, and nothing is broken.
     wait_until("requests are served", || {
         host.post("/single/a", "X-Request: p\r\n", "body").starts_with("HTTP/1.1 200")
     });
-    wait_until("the placer is heard again", || host.shared.table.borrow().machines == 2);
+    wait_until("the placer is heard again", || host.shared.table.borrow().hosts == 2);
 }
--- a/crates/gateway/tests/machine/system_fields.rs
+++ b/crates/gateway/tests/host/system_fields.rs
@@ -4,7 +4,7 @@
     dialect::{HOLD, PIN, REQUEST},
     engine::{EngineMood, StandInEngine},
     server::ServedRequest,
-    site::{MODEL_NAME, TestMachine, TestSite, raw_exchange},
+    site::{MODEL_NAME, TestHost, TestSite, raw_exchange},
 };
 
 /// How a client writes the fields that are not its own.
@@ -82,7 +82,7 @@
     },
 ];
 
-fn send(machine: &TestMachine, path: &ForwardPath, case: &ForgedCase, id: &str) {
+fn send(host: &TestHost, path: &ForwardPath, case: &ForgedCase, id: &str) {
     let body = match path.body {
         ForwardBody::Length => "Content-Length: 2\r\n\r\n{}",
         ForwardBody::Chunked => {
@@ -93,7 +93,7 @@
     let head = format!("POST {} HTTP/1.1\r\nHost: site.example\r\nX-Request: {id}\r\n", path.path);
     let fields = format!("{model}X-Kept: yes\r\nConnection: close\r\n{}", case.fields);
     let request = format!("{head}{fields}{body}");
-    raw_exchange(machine.clients, request.as_bytes());
+    raw_exchange(host.clients, request.as_bytes());
 }
 
 fn arrivals(site: &TestSite) -> Vec<ServedRequest> {
@@ -105,12 +105,12 @@
 fn fields_that_only_the_system_sets_never_come_from_a_client() {
     for path in PATHS {
         let site = TestSite::start();
-        let machine = site.machine(&path.name.replace(' ', "-"));
+        let host = site.host(&path.name.replace(' ', "-"));
         for (number, case) in CASES.iter().enumerate() {
             for engine in site.engines.iter().chain([&site.plain]) {
                 engine.treat(path.moods);
             }
-            send(&machine, path, case, &format!("f{number}"));
+            send(&host, path, case, &format!("f{number}"));
         }
         let arrivals = arrivals(&site);
         assert!(arrivals.len() >= CASES.len(), "{}: {} arrivals", path.name, arrivals.len());
@@ -133,9 +133,9 @@
 #[test]
 fn a_folded_field_that_only_the_system_sets_is_refused() {
     let site = TestSite::start();
-    let machine = site.machine("folded-forged");
+    let host = site.host("folded-forged");
     let request = "GET /safe/a HTTP/1.1\r\nHost: site.example\r\nX-Request: o1\r\nX-Kept: a\r\n X-Hold: h-1\r\n\r\n";
-    let answer = raw_exchange(machine.clients, request.as_bytes());
+    let answer = raw_exchange(host.clients, request.as_bytes());
     assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
     assert_eq!(site.plain.arrivals().len(), 0);
 }
--- a/crates/gateway/tests/serving_table.rs
+++ b/crates/gateway/tests/serving_table.rs
@@ -11,7 +11,7 @@
         born,
         service: Arc::from(service),
         address: "10.0.0.1:80".parse().expect("an address"),
-        zone: Arc::from("hall"),
+        hall: Arc::from("hall"),
         slots: 4,
         leaving,
         sequence: 0,
