feat(core): a log that comes back from an older copy, on the product's own interface

Where the log lost its last records, a host that had folded them read on beyond its end (an error for ever) or folded other records at the same offsets, so that hosts disagreed; the fold begun anew would have brought old settings back, and a key whose claim was lost could be claimed again. In a later era everything is folded from the start, so that hosts agree; the tree before goes on until the log has come as far. Claims that are known stay, each host writes its own again (those of hosts that are gone, one that all pick), and no key is claimed for 4 s meanwhile. A read beyond the end tells the end. The tool that publishes starts over in a later era.

--- a/crates/cli/src/capacity/decisions.rs
+++ b/crates/cli/src/capacity/decisions.rs
@@ -45,7 +45,7 @@
     let mut core = NodeCore::new(NodeConfig::new(1_000, 9, 1));
     core.start(reading(1));
     let records = vec![log_record(0, &adapters_record(adapters))?];
-    let read = |stream, records, end| NodeEvent::LogRead { stream, first: 0, records, end };
+    let read = |stream, records, end| NodeEvent::LogRead { stream, era: 0, first: 0, records, end };
     core.handle(reading(2), read(LogStream::Settings, records, 1));
     core.handle(reading(2), read(LogStream::Claims, Vec::new(), 0));
     let host = |host: u32| HostEntry {
--- a/crates/cli/src/platform_log.rs
+++ b/crates/cli/src/platform_log.rs
@@ -49,6 +49,7 @@
         let end = self.border.read(LogStream::Snapshots, u64::MAX, Duration::ZERO)?.end;
         let last = end.saturating_sub(1);
         let batch = self.border.read(LogStream::Snapshots, last, Duration::ZERO)?;
+        fold.enter(batch.era);
         let newest = batch.records.last().map(|record| record.payload.clone());
         if let Some(payload) = newest {
             let snapshot = SettingsSnapshot::from_json(&payload);
@@ -67,6 +68,17 @@
             let from = fold.next_offset();
             let batch = self.border.read(LogStream::Settings, from, wait)?;
             wait = Duration::ZERO;
+            if fold.enter(batch.era) {
+                // The log came back from an older copy: what it has now is folded from the start.
+                self.adopt_snapshot(fold)?;
+                continue;
+            }
+            if batch.end < from {
+                bail!(
+                    "the log ends at {}, before the {from} records that the host knows; it has come back from an older copy, try again in a moment",
+                    batch.end
+                );
+            }
             let Some(first) = batch.records.first() else { return Ok(()) };
             if first.offset > from {
                 bail!(
--- a/crates/cli/tests/processes/configuration.rs
+++ b/crates/cli/tests/processes/configuration.rs
@@ -105,6 +105,26 @@
     wait_until("the fresh host has it too", || revision(&fresh) == 10);
 }
 
+/// The log comes back without the last two publications: what is in force goes on, and what is published since comes into force once it
+/// has come as far.
+#[test]
+fn what_is_in_force_goes_on_when_the_log_comes_back_older() {
+    let site = Site::start();
+    publish_changes(&site, 3);
+    let in_force = || site.hosts.iter().map(revision).collect::<Vec<_>>();
+    wait_until("revision 4 is in force", || in_force().iter().all(|revision| *revision == 4));
+    site.log_falls_back(2);
+    let publish = |worth: &str| site.publish(&TREE.replace("worth = 2.0", worth), &[]);
+    for (worth, revision) in [("worth = 6.5", 4), ("worth = 7.5", 4), ("worth = 8.5", 5)] {
+        let (accepted, text) = publish(worth);
+        assert!(accepted, "{text}");
+        wait_until("it is in force", || in_force().iter().all(|known| *known == revision));
+    }
+    let fresh = site.start_host(9, 2, &HostOptions::default());
+    site.wait_ready(&fresh);
+    wait_until("a host that starts has it too", || revision(&fresh) == 5);
+}
+
 #[test]
 fn the_command_line_checks_shows_and_explains() {
     let site = Site::start();
--- a/crates/cli/tests/processes/site.rs
+++ b/crates/cli/tests/processes/site.rs
@@ -185,6 +185,11 @@
         (output.status.success(), text)
     }
 
+    /// Brings the platform's log back from a copy that lacks the last `lost` records of each stream.
+    pub(crate) fn log_falls_back(&self, lost: usize) {
+        put(self.platform.address("address"), &format!("/fall-back/{lost}"), &Value::Null);
+    }
+
     /// Switches one of the platform's faults.
     pub(crate) fn platform_fault(&self, name: &str, kind: &Value) {
         put(self.platform.address("address"), &format!("/faults/{name}"), kind);
--- a/crates/core/src/claim/book.rs
+++ b/crates/core/src/claim/book.rs
@@ -40,6 +40,8 @@
 #[derive(Debug)]
 pub struct ClaimBook {
     claims: BTreeMap<RequestId, OwnClaim>,
+    /// Claims that the log has lost and is told again.
+    renewals: Vec<ClaimItem>,
     releases: Vec<ClaimItem>,
     sent_releases: Vec<ClaimItem>,
     last_ticket: u64,
@@ -53,6 +55,7 @@
     pub fn new(interval: Duration) -> Self {
         Self {
             claims: BTreeMap::new(),
+            renewals: Vec::new(),
             releases: Vec::new(),
             sent_releases: Vec::new(),
             last_ticket: 0,
@@ -92,6 +95,8 @@
             claim.ticket = ticket;
             items.push(ClaimItem::new(claim.key, *request));
         }
+        let room = CLAIMS_PER_APPEND.saturating_sub(items.len()).min(self.renewals.len());
+        items.extend(self.renewals.drain(..room));
         if items.is_empty() && self.releases.is_empty() {
             return None;
         }
@@ -102,6 +107,11 @@
         Some((ticket, ClaimRecord::new(items, self.sent_releases.clone())))
     }
 
+    /// Takes that the log came back from an older copy and may have lost these claims.
+    pub fn renew(&mut self, holders: impl Iterator<Item = (KeyHash, RequestId)>) {
+        self.renewals = holders.map(|(key, request)| ClaimItem::new(key, request)).collect();
+    }
+
     /// Takes the platform's answer; `refused` says that it truly wrote nothing.
     ///
     /// A lost answer leaves the claims as sent: the log itself will show what became of them.
--- a/crates/core/src/claim/fold.rs
+++ b/crates/core/src/claim/fold.rs
@@ -98,6 +98,16 @@
         self.next_offset
     }
 
+    /// Takes that the log came back from an older copy: it is read from the start again, and what it has lost stays remembered.
+    pub const fn begin_again(&mut self) {
+        self.next_offset = 0;
+    }
+
+    /// Returns the requests that hold keys, with these.
+    pub fn holders(&self) -> impl Iterator<Item = (KeyHash, RequestId)> {
+        self.first.iter().map(|(key, first)| (*key, first.request))
+    }
+
     /// Counts the keys remembered.
     pub fn len(&self) -> usize {
         self.first.len()
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     gossip::{DigestVersion, EngineDigest},
-    id::{AdapterKey, EngineId, FenceToken, HostId, LogOffset, RequestId, Revision},
+    id::{AdapterKey, EngineId, FenceToken, HostId, LogOffset, RequestId, Revision, StoreEra},
     member::MemberUpdate,
     node::HostEntry,
     request::{PermitRequest, RefusalKind},
@@ -48,9 +48,9 @@
     /// Asks for settings records from an offset on.
     SettingsPull(SettingsPull),
     /// Passes records of the settings stream on.
-    SettingsRecords(Vec<LogRecord>),
-    /// Passes a snapshot on, as JSON.
-    SettingsState(Vec<u8>),
+    SettingsRecords(SettingsRecords),
+    /// Passes a snapshot on.
+    SettingsState(SettingsState),
 }
 
 /// A sign of life, with changes of the tables that every host of the site keeps.
@@ -62,6 +62,8 @@
     pub sender: MemberUpdate,
     /// The sender's settings revision.
     pub revision: Revision,
+    /// The era of the log that the sender folds.
+    pub era: StoreEra,
     /// The sender's next offset of the settings stream.
     pub next_offset: LogOffset,
     /// Hash over the sender's tables; unequal hashes call for a [`SyncAsk`].
@@ -227,10 +229,30 @@
 /// Asks for settings records.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SettingsPull {
+    /// The era of the log that the asker folds.
+    pub era: StoreEra,
     /// The first offset the asker lacks.
     pub next_offset: LogOffset,
 }
 
+/// Records of the settings stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsRecords {
+    /// The era of the log that they are of.
+    pub era: StoreEra,
+    /// The records, in order.
+    pub records: Vec<LogRecord>,
+}
+
+/// The state after a prefix of the settings stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsState {
+    /// The era of the log that it is of.
+    pub era: StoreEra,
+    /// The snapshot, as JSON.
+    pub snapshot: Vec<u8>,
+}
+
 /// A message and whom it goes to.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Envelope {
--- a/crates/core/src/node/arrivals.rs
+++ b/crates/core/src/node/arrivals.rs
@@ -78,7 +78,7 @@
     }
 
     fn check_key(&self, request: &ArrivedRequest) -> Result<(), RequestRefusal> {
-        if !self.progress.claims_open() {
+        if !self.progress.claims_open(self.now()) {
             let message = "the platform's log is away, so the idempotency key can not be claimed";
             return Err(
                 RequestRefusal::not_run(RefusalKind::LogAway, message).retry_after(LOG_BACK_SOON)
--- a/crates/core/src/node/event.rs
+++ b/crates/core/src/node/event.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::{ClockMillis, HybridStamp},
     engine::{EngineFacts, EngineOrder, EngineReport, OrderResult},
-    id::{EngineId, FenceToken, HallId, HostId, Incarnation, LogOffset, RequestId},
+    id::{EngineId, FenceToken, HallId, HostId, Incarnation, LogOffset, RequestId, StoreEra},
     message::PeerMessage,
     node::ServerId,
     request::{ArrivedRequest, RequestRefusal},
@@ -192,6 +192,8 @@
     LogRead {
         /// The stream.
         stream: LogStream,
+        /// The era of the log in which it was read.
+        era: StoreEra,
         /// The first offset that the stream still has.
         first: LogOffset,
         /// The records, in order.
--- a/crates/core/src/node/inbox.rs
+++ b/crates/core/src/node/inbox.rs
@@ -33,7 +33,7 @@
             PeerMessage::LoadEnd(turn) => self.take_load_end(turn),
             PeerMessage::SettingsPull(pull) => self.take_pull(from, pull),
             PeerMessage::SettingsRecords(records) => self.take_records(records),
-            PeerMessage::SettingsState(snapshot) => self.take_snapshot(&snapshot),
+            PeerMessage::SettingsState(state) => self.take_state(&state),
         }
     }
 
--- a/crates/core/src/node/log.rs
+++ b/crates/core/src/node/log.rs
@@ -1,8 +1,12 @@
 //! What the platform's log says, and what this host writes there.
 
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::{
-    id::{HostId, LogOffset},
-    message::{PeerMessage, SettingsPull},
+    id::{HostId, KeyHash, LogOffset, RequestId, StoreEra, request_host},
+    message::{PeerMessage, SettingsPull, SettingsRecords, SettingsState},
     node::{AppendResult, LogStream, NodeCore, NodeOrder},
     owner::{OwnedRole, rendezvous, role_key},
     settings::{SettingKey, SettingsSnapshot, fold::LogRecord},
@@ -11,7 +15,47 @@
 /// Tickets of appends that carry no claims start here.
 const OTHER_TICKETS: u64 = 1 << 62;
 
+/// For how long no key can be claimed after the log came back from an older copy: a host hears of it within two and a half seconds (a
+/// read that the log holds, and the pause after one that failed), and writes the claims that it knows within one more.
+const CLAIM_SETTLE: Duration = Duration::from_secs(4);
+
 impl NodeCore {
+    /// Takes in which era of the log something was read; returns whether that is the present one.
+    pub(super) fn in_era(&mut self, era: StoreEra) -> bool {
+        if self.fold.enter(era) {
+            self.era_began(era);
+        }
+        era == self.fold.era()
+    }
+
+    /// Reads everything again, and writes again the claims that the log may have lost.
+    fn era_began(&mut self, era: StoreEra) {
+        self.note("log", format!("came back from an older copy, era {era}; it is read again"));
+        self.progress.settings_confirmed = false;
+        self.progress.snapshot_offset = 0;
+        self.progress.claims_read = false;
+        self.progress.claims_settle = self.now() + CLAIM_SETTLE;
+        self.claims.begin_again();
+        self.refuse_claiming();
+        let own = self.config.host;
+        let members: Vec<HostId> = self.members.owners(None).collect();
+        // Claims of a host that is gone are written again by one that every host picks.
+        let teller = |key: KeyHash, request: RequestId| {
+            let host = request_host(request);
+            if members.contains(&host) {
+                return Some(host);
+            }
+            let role = role_key(OwnedRole::Snapshots, xxh3_64(&key.to_le_bytes()));
+            rendezvous(role, members.iter().copied())
+        };
+        let told =
+            self.claims.holders().filter(|(key, request)| teller(*key, *request) == Some(own));
+        self.book.renew(told.collect::<Vec<_>>().into_iter());
+        for stream in LogStream::ALL {
+            self.orders.push(NodeOrder::Follow { stream, from: 0 });
+        }
+    }
+
     pub(super) fn log_read(
         &mut self,
         stream: LogStream,
@@ -78,7 +122,7 @@
         let peers: Vec<HostId> = self.members.owners(None).collect();
         let Some(peer) = peers.choose(&mut self.rng).copied() else { return };
         if peer != self.config.host {
-            let pull = SettingsPull { next_offset: self.fold.next_offset() };
+            let pull = SettingsPull { era: self.fold.era(), next_offset: self.fold.next_offset() };
             self.send(peer, PeerMessage::SettingsPull(pull));
         }
     }
@@ -120,19 +164,36 @@
         }
     }
 
-    /// Passes on to a peer what it lacks.
+    /// Passes on to a peer what it lacks; one that knows an earlier era of the log lacks everything.
     pub(super) fn take_pull(&mut self, from: HostId, pull: SettingsPull) {
-        let message = match self.fold.records_from(pull.next_offset) {
+        let era = self.fold.era();
+        if pull.era > era {
+            return;
+        }
+        let next_offset = if pull.era == era { pull.next_offset } else { 0 };
+        let message = match self.fold.records_from(next_offset) {
             Some(records) if records.is_empty() => return,
-            Some(records) => PeerMessage::SettingsRecords(records),
-            None => PeerMessage::SettingsState(self.fold.snapshot().to_json()),
+            Some(records) => PeerMessage::SettingsRecords(SettingsRecords { era, records }),
+            None => {
+                let snapshot = self.fold.snapshot().to_json();
+                PeerMessage::SettingsState(SettingsState { era, snapshot })
+            }
         };
         self.send(from, message);
     }
 
     /// Takes settings records from a peer; the fold passes over those that it knows.
-    pub(super) fn take_records(&mut self, records: Vec<LogRecord>) {
-        self.fold_records(records);
+    pub(super) fn take_records(&mut self, passed: SettingsRecords) {
+        if self.in_era(passed.era) {
+            self.fold_records(passed.records);
+        }
+    }
+
+    /// Takes a snapshot from a peer.
+    pub(super) fn take_state(&mut self, passed: &SettingsState) {
+        if self.in_era(passed.era) {
+            self.take_snapshot(&passed.snapshot);
+        }
     }
 
     fn read_claims(&mut self, records: &[LogRecord], end: LogOffset) {
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -6,6 +6,7 @@
 use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::{
+    StorePosition,
     chart::{DrainState, MemberState},
     gossip::EngineDigest,
     id::{EngineId, HostId},
@@ -95,6 +96,7 @@
             sequence,
             sender: self.members.own().clone(),
             revision: self.fold.revision(),
+            era: self.fold.era(),
             next_offset: self.fold.next_offset(),
             table_hash: self.table_hash(),
             members,
@@ -145,7 +147,9 @@
         for digest in &heartbeat.digests {
             self.hear_digest(digest);
         }
-        if heartbeat.next_offset > self.fold.next_offset() {
+        let told = StorePosition { era: heartbeat.era, offset: heartbeat.next_offset };
+        let own = StorePosition { era: self.fold.era(), offset: self.fold.next_offset() };
+        if told > own {
             self.pull_settings(from);
         } else if self.fold.revision() > 0 {
             self.confirm_settings();
@@ -266,7 +270,7 @@
             return;
         }
         self.progress.pulled_at = now;
-        let pull = SettingsPull { next_offset: self.fold.next_offset() };
+        let pull = SettingsPull { era: self.fold.era(), next_offset: self.fold.next_offset() };
         self.send(from, PeerMessage::SettingsPull(pull));
     }
 
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -36,6 +36,8 @@
     pub(super) claims_read: bool,
     /// The claims stream can not be read or appended to at present.
     pub(super) claims_away: bool,
+    /// Until when no key can be claimed, since the log may have lost claims that hosts tell it again.
+    pub(super) claims_settle: ClockMillis,
     /// The offset that the newest snapshot in the log covers.
     pub(super) snapshot_offset: u64,
     /// When this host last wrote a snapshot, or began.
@@ -50,8 +52,8 @@
 
 impl LogProgress {
     /// Says whether idempotency keys can be claimed now.
-    pub(super) const fn claims_open(&self) -> bool {
-        self.claims_read && !self.claims_away
+    pub(super) fn claims_open(&self, now: ClockMillis) -> bool {
+        self.claims_read && !self.claims_away && now >= self.claims_settle
     }
 }
 
@@ -175,8 +177,10 @@
             NodeEvent::Report { engine, report } => self.take_report(engine, &report),
             NodeEvent::OrderEnded { order, result } => self.order_ended(&order, result),
             NodeEvent::Hosts(change) => self.take_hosts(change),
-            NodeEvent::LogRead { stream, first, records, end } => {
-                self.log_read(stream, first, records, end);
+            NodeEvent::LogRead { stream, era, first, records, end } => {
+                if self.in_era(era) {
+                    self.log_read(stream, first, records, end);
+                }
             }
             NodeEvent::LogAway(stream) => self.log_away(stream),
             NodeEvent::AppendEnded { ticket, result } => self.append_ended(ticket, result),
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -93,7 +93,7 @@
             keys: self.claims.len(),
             known_engines: self.backends.engines.len(),
             known_servers: self.backends.servers.len(),
-            claims_open: self.progress.claims_open(),
+            claims_open: self.progress.claims_open(self.now()),
             members: self.members.others().map(member).collect(),
             engines: self.controls.values().map(|control| self.engine_status(control)).collect(),
         }
--- a/crates/core/src/settings/fold.rs
+++ b/crates/core/src/settings/fold.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    id::{LogOffset, Revision},
+    id::{LogOffset, Revision, StoreEra},
     settings::{
         ChangeRecord, ChangeRefusal, SettingsSnapshot, SettingsTree, SnapshotError,
         change::RECORD_FORMAT,
@@ -64,9 +64,23 @@
     pub payload: Vec<u8>,
 }
 
+/// A tree that is in force although the log that it came from is gone.
+#[derive(Debug, Clone)]
+struct ServedTree {
+    tree: SettingsTree,
+    revision: Revision,
+}
+
 /// The state after a prefix of the settings stream.
+///
+/// A log that comes back from an older copy has lost its last records, and its offsets are given out again. All hosts then fold it from
+/// the start, so that they agree again. What they had in force goes on until the log has come as far: an accepted change
+/// does not go back while its operator writes it again.
 #[derive(Debug, Clone, Default)]
 pub struct SettingsFold {
+    era: StoreEra,
+    /// What was in force in an earlier era of the log, until this one has come as far.
+    served: Option<ServedTree>,
     tree: SettingsTree,
     revision: Revision,
     next_offset: LogOffset,
@@ -78,13 +92,35 @@
 
 impl SettingsFold {
     /// Returns the tree in force.
-    pub const fn tree(&self) -> &SettingsTree {
-        &self.tree
+    pub fn tree(&self) -> &SettingsTree {
+        self.served.as_ref().map_or(&self.tree, |served| &served.tree)
     }
 
     /// Returns the revision in force; zero before the first accepted publication.
-    pub const fn revision(&self) -> Revision {
-        self.revision
+    pub fn revision(&self) -> Revision {
+        self.served.as_ref().map_or(self.revision, |served| served.revision)
+    }
+
+    /// Returns the era of the log that is folded.
+    pub const fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// Takes that the log is in an era; returns whether that is a later one, from whose start everything is to be folded again.
+    pub fn enter(&mut self, era: StoreEra) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        let (tree, revision) = (self.tree().clone(), self.revision());
+        let served = (revision > 0).then_some(ServedTree { tree, revision });
+        *self =
+            Self { era, served, verdicts: std::mem::take(&mut self.verdicts), ..Self::default() };
+        true
+    }
+
+    /// Ends an earlier era's tree once this one has come as far.
+    fn catch_up(&mut self) {
+        self.served.take_if(|served| served.revision <= self.revision);
     }
 
     /// Returns the offset of the first record not yet folded.
@@ -120,6 +156,7 @@
         push_bounded(&mut self.verdicts, verdict, KEPT_VERDICTS);
         self.keep(record);
         self.next_offset += 1;
+        self.catch_up();
         true
     }
 
@@ -184,6 +221,7 @@
         self.next_offset = next_offset;
         self.records.clear();
         self.kept_bytes = 0;
+        self.catch_up();
         Ok(true)
     }
 }
--- a/crates/core/tests/one_host.rs
+++ b/crates/core/tests/one_host.rs
@@ -38,7 +38,8 @@
     };
     let payload = serde_json::to_vec(&record).expect("JSON");
     let records = vec![LogRecord { offset: 0, written_millis: 0, payload }];
-    let read = NodeEvent::LogRead { stream: LogStream::Settings, first: 0, records, end: 1 };
+    let read =
+        NodeEvent::LogRead { stream: LogStream::Settings, era: 0, first: 0, records, end: 1 };
     core.handle(reading(2), read);
     let address = String::from("10.0.0.2:7000");
     let engine = EngineFacts {
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -100,6 +100,8 @@
     LogAway,
     /// The log takes seconds.
     LogSlow,
+    /// The log is away, and comes back from a copy some seconds old; operators write again what it lost.
+    LogFallsBack,
     /// Appends take effect, their answers are lost.
     AppendAnswerLost,
     /// The host list does not change.
@@ -128,7 +130,7 @@
 
 impl FaultKind {
     /// All faults.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::HostKilled,
         Self::HostFrozen,
         Self::EngineRestarted,
@@ -140,6 +142,7 @@
         Self::StoreSlow,
         Self::LogAway,
         Self::LogSlow,
+        Self::LogFallsBack,
         Self::AppendAnswerLost,
         Self::HostListStale,
         Self::PeersCutOneWay,
--- a/crates/fakes/src/log.rs
+++ b/crates/fakes/src/log.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use reelreel_core::{node::LogStream, settings::fold::LogRecord};
+use reelreel_core::{id::StoreEra, node::LogStream, settings::fold::LogRecord};
 
 /// Streams of records with offsets.
 #[derive(Debug, Default)]
@@ -10,6 +10,8 @@
     streams: BTreeMap<LogStream, Vec<LogRecord>>,
     /// Records below these offsets have expired.
     first: BTreeMap<LogStream, u64>,
+    /// How often it came back from an older copy of itself.
+    pub era: StoreEra,
 }
 
 impl FakeLog {
@@ -35,6 +37,23 @@
         (records.iter().skip(from).cloned().collect(), end)
     }
 
+    /// Comes back from a copy made at `copied_millis`; returns the payloads of the settings stream that are gone.
+    pub fn fall_back(&mut self, copied_millis: u64) -> Vec<Vec<u8>> {
+        self.era += 1;
+        let mut lost = Vec::new();
+        for (stream, records) in &mut self.streams {
+            let kept = records.partition_point(|record| record.written_millis <= copied_millis);
+            let gone = records.split_off(kept);
+            if *stream == LogStream::Settings {
+                lost = gone.into_iter().map(|record| record.payload).collect();
+            }
+        }
+        for (stream, first) in &mut self.first {
+            *first = (*first).min(self.streams.get(stream).map_or(0, Vec::len) as u64);
+        }
+        lost
+    }
+
     /// Lets all records expire but the last `keep`.
     pub fn expire(&mut self, stream: LogStream, keep: u64) {
         let end = self.streams.get(&stream).map_or(0, Vec::len) as u64;
--- a/crates/fakes/src/site/lives.rs
+++ b/crates/fakes/src/site/lives.rs
@@ -122,8 +122,8 @@
                 LogStream::Snapshots => {}
             }
         }
-        let first = self.log.first(stream);
-        let event = NodeEvent::LogRead { stream, first, records, end };
+        let (era, first) = (self.log.era, self.log.first(stream));
+        let event = NodeEvent::LogRead { stream, era, first, records, end };
         self.push(slow, Arrival::Input(id, life, HostInput::Event(event)));
     }
 
--- a/crates/fakes/src/strike.rs
+++ b/crates/fakes/src/strike.rs
@@ -1,17 +1,25 @@
 //! Faults as they strike and as they end.
 
+use rand::RngExt;
 use reelreel_core::{
     NodeEvent,
-    node::DispatchEnding,
+    node::{DispatchEnding, LogStream},
     settings::{ChangeRecord, EditAction, SettingKey, SettingValue, SettingsEdit, SettingsPath},
 };
 
 use crate::{
     fault::{FaultKind, PlannedFault},
     host::HostInput,
-    site::{Arrival, FakeSite, FaultTarget, NEAR, SiteAction},
+    site::{Arrival, FakeSite, FaultTarget, NEAR, SiteAction, WALL_START},
 };
 
+/// How old the copy is from which a log comes back. Unit: milliseconds.
+const COPY_AGE: u64 = 3_000;
+
+/// How long after its return operators write again what it lost, and how long each takes at most. Unit: milliseconds.
+const AGAIN_AFTER: u64 = 500;
+const AGAIN_WITHIN: u64 = 2_000;
+
 impl FakeSite {
     /// Lets a fault strike.
     pub(crate) fn begin_fault(&mut self, planned: PlannedFault, mut target: FaultTarget) {
@@ -30,6 +38,30 @@
 
     pub(crate) fn end_fault(&mut self, planned: PlannedFault, target: FaultTarget) {
         self.switch_fault(planned.fault, target, false);
+        if planned.fault == FaultKind::LogFallsBack {
+            let began = self.now.saturating_sub(planned.lasts);
+            self.fall_back_log(began.saturating_sub(COPY_AGE));
+        }
+    }
+
+    /// Brings the log back from a copy; operators write again what they had published since.
+    fn fall_back_log(&mut self, copied_at: u64) {
+        let lost = self.log.fall_back(WALL_START + copied_at);
+        self.reference.enter(self.log.era);
+        let (records, _) = self.log.read(LogStream::Settings, 0);
+        for record in records {
+            self.reference.fold(record);
+        }
+        let mut pause = AGAIN_AFTER;
+        for payload in lost {
+            // The fakes' operators publish nothing else.
+            let Ok(record) = serde_json::from_slice(&payload) else { continue };
+            pause += self.rng.random_range(1..AGAIN_WITHIN);
+            self.push(pause, Arrival::Act(SiteAction::Publish(record)));
+        }
+        for stream in LogStream::ALL {
+            self.wake_readers(stream);
+        }
     }
 
     pub(crate) fn switch_fault(&mut self, fault: FaultKind, target: FaultTarget, on: bool) {
@@ -56,7 +88,7 @@
                 count(&mut self.active.store_slow);
                 self.change_store();
             }
-            FaultKind::LogAway => count(&mut self.active.log_away),
+            FaultKind::LogAway | FaultKind::LogFallsBack => count(&mut self.active.log_away),
             FaultKind::LogSlow => count(&mut self.active.log_slow),
             FaultKind::AppendAnswerLost => count(&mut self.active.append_lost),
             FaultKind::HostListStale => count(&mut self.active.hosts_stale),
--- a/crates/node/src/border.rs
+++ b/crates/node/src/border.rs
@@ -6,7 +6,7 @@
 
 use reelreel_core::{
     engine::OrderResult,
-    id::{FenceToken, Incarnation, LogOffset},
+    id::{FenceToken, Incarnation, LogOffset, StoreEra},
     node::{AppendResult, HostChange, LogStream},
     settings::fold::LogRecord,
 };
@@ -32,11 +32,13 @@
 /// Records of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReadBatch {
+    /// How often the log has come back from an older copy of itself.
+    pub era: StoreEra,
     /// The first offset that the stream still has.
     pub first: LogOffset,
     /// The records, in order; the first may lie beyond the offset asked for, where that expired.
     pub records: Vec<LogRecord>,
-    /// The offset after the stream's last record.
+    /// The offset after the stream's last record; below the one asked for where the log came back shorter.
     pub end: LogOffset,
 }
 
--- a/crates/node/src/border/platform_http.rs
+++ b/crates/node/src/border/platform_http.rs
@@ -4,7 +4,7 @@
 
 use reelreel_core::{
     engine::EngineFacts,
-    id::LogOffset,
+    id::{LogOffset, StoreEra},
     node::{AppendResult, HostChange, HostEntry, HostKind, LogStream, ServerFacts},
     settings::fold::LogRecord,
 };
@@ -21,6 +21,9 @@
 /// The largest answer that is read: a snapshot record with all adapters.
 const MOST_ANSWER: u64 = 256 << 20;
 
+/// The status of a read from beyond a stream's end; the answer tells the end.
+const BEYOND_END: u16 = 410;
+
 /// The status with which the platform says that it truly wrote nothing.
 const NOT_WRITTEN: u16 = 429;
 
@@ -33,6 +36,8 @@
 
 #[derive(Deserialize)]
 struct ReadAnswer {
+    #[serde(default)]
+    era: StoreEra,
     first: LogOffset,
     end: LogOffset,
     records: Vec<RecordAnswer>,
@@ -86,7 +91,8 @@
         let url = format!("http://{}{path}", self.address);
         let call = self.agent.get(url).config().timeout_global(Some(whole)).build().call();
         let mut answer = call.map_err(|error| self.error(&error))?;
-        if answer.status().as_u16() != 200 {
+        let status = answer.status().as_u16();
+        if status != 200 && status != BEYOND_END {
             return Err(self.error(&format!("status {}", answer.status())));
         }
         let body = answer.body_mut().with_config().limit(MOST_ANSWER).read_to_vec();
@@ -104,14 +110,15 @@
     ) -> Result<ReadBatch, BorderError> {
         let name = stream.name();
         let path = format!("/streams/{name}/records?from={from}&wait_ms={}", wait.as_millis());
-        let answer: ReadAnswer = self.fetch(&path, wait + ANSWER)?;
+        let mut answer: ReadAnswer = self.fetch(&path, wait + ANSWER)?;
         let record = |record: RecordAnswer| LogRecord {
             offset: record.offset,
             written_millis: record.written_millis,
             payload: record.payload.into_bytes(),
         };
-        let records = answer.records.into_iter().map(record).collect();
-        Ok(ReadBatch { first: answer.first, records, end: answer.end })
+        let records = std::mem::take(&mut answer.records).into_iter().map(record).collect();
+        let ReadAnswer { era, first, end, .. } = answer;
+        Ok(ReadBatch { era, first, records, end })
     }
 
     fn append(&self, stream: LogStream, payload: &[u8]) -> AppendResult {
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -155,8 +155,8 @@
             Ok(batch) => {
                 from = batch.records.last().map_or(from, |record| record.offset + 1);
                 wait = if from >= batch.end { READ_WAIT } else { Duration::ZERO };
-                let ReadBatch { first, records, end } = batch;
-                control.event(NodeEvent::LogRead { stream, first, records, end });
+                let ReadBatch { era, first, records, end } = batch;
+                control.event(NodeEvent::LogRead { stream, era, first, records, end });
             }
             Err(error) => {
                 log::debug!("{} stream: {error}", stream.name());
--- a/crates/stand-ins/src/platform.rs
+++ b/crates/stand-ins/src/platform.rs
@@ -158,10 +158,17 @@
             let from = number("from").unwrap_or(0);
             let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
             match state.faults.read.apply(|| state.log.read(stream, from, wait)) {
-                Some(read) => respond_json(request, 200, &read),
+                Some(read) => {
+                    let status = if read.end < from { 410 } else { 200 };
+                    respond_json(request, status, &read);
+                }
                 None => respond_json(request, 503, &away),
             }
         }
+        (Method::Put, ["fall-back", lost]) => {
+            state.log.fall_back(lost.parse().unwrap_or_default());
+            respond_json(request, 200, &Problem { error: "" });
+        }
         (Method::Get, ["hosts"]) => {
             let since = number("since").unwrap_or(0);
             match state.faults.hosts.apply(|| state.hosts.since(since)) {
--- a/crates/stand-ins/src/platform/log.rs
+++ b/crates/stand-ins/src/platform/log.rs
@@ -25,6 +25,9 @@
 /// The answer to a read.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ReadResult {
+    /// How often the log has come back from an older copy of itself.
+    #[serde(default)]
+    pub era: u64,
     /// The first offset that is still kept.
     pub first: u64,
     /// The offset after the last record.
@@ -41,6 +44,7 @@
 
 #[derive(Debug)]
 struct Streams {
+    era: u64,
     by_name: BTreeMap<String, Stream>,
     allowance: f64,
     refilled: Instant,
@@ -59,8 +63,12 @@
     /// Starts an empty log.
     pub fn new(retained: usize, appends_per_second: u32) -> Self {
         let per_second = f64::from(appends_per_second);
-        let state =
-            Streams { by_name: BTreeMap::new(), allowance: per_second, refilled: Instant::now() };
+        let state = Streams {
+            era: 0,
+            by_name: BTreeMap::new(),
+            allowance: per_second,
+            refilled: Instant::now(),
+        };
         Self { state: Mutex::new(state), appended: Condvar::new(), retained, per_second }
     }
 
@@ -99,7 +107,7 @@
         loop {
             let result = Self::read_now(&state, stream, from);
             let left = until.saturating_duration_since(Instant::now());
-            if !result.records.is_empty() || left.is_zero() {
+            if !result.records.is_empty() || result.end < from || left.is_zero() {
                 return result;
             }
             state =
@@ -108,11 +116,25 @@
     }
 
     fn read_now(state: &Streams, stream: &str, from: u64) -> ReadResult {
-        let Some(stream) = state.by_name.get(stream) else { return ReadResult::default() };
+        let era = state.era;
+        let Some(stream) = state.by_name.get(stream) else {
+            return ReadResult { era, ..ReadResult::default() };
+        };
         let skip = usize::try_from(from.saturating_sub(stream.first)).unwrap_or(usize::MAX);
         let records = stream.records.iter().skip(skip).take(READ_MOST).cloned().collect();
         let end = stream.first + stream.records.len() as u64;
-        ReadResult { first: stream.first, end, records }
+        ReadResult { era, first: stream.first, end, records }
+    }
+
+    /// Comes back from a copy of itself that lacks the last `lost` records of each stream; their offsets are given out again.
+    pub fn fall_back(&self, lost: usize) {
+        let mut state = self.lock();
+        state.era += 1;
+        for stream in state.by_name.values_mut() {
+            let kept = stream.records.len().saturating_sub(lost);
+            stream.records.truncate(kept);
+        }
+        self.appended.notify_all();
     }
 
     /// Lets the oldest records expire, but for the last `keep`.
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -6,7 +6,9 @@
 use reelreel_core::{
     clock::HybridStamp,
     id::{AdapterKey, RequestId},
-    message::{LoadAsk, LoadPlace, LoadTurn, PeerMessage, SettingsPull},
+    message::{
+        LoadAsk, LoadPlace, LoadTurn, PeerMessage, SettingsPull, SettingsRecords, SettingsState,
+    },
     settings::fold::LogRecord,
 };
 
@@ -67,14 +69,15 @@
         PeerMessage::LoadGrant(turn) => Body::LoadGrant(turn.into()),
         PeerMessage::LoadEnd(turn) => Body::LoadEnd(turn.into()),
         PeerMessage::SettingsPull(pull) => {
-            Body::SettingsPull(peer::SettingsPull { next_offset: pull.next_offset })
+            let SettingsPull { era, next_offset } = pull;
+            Body::SettingsPull(peer::SettingsPull { next_offset, era })
         }
-        PeerMessage::SettingsRecords(records) => {
+        PeerMessage::SettingsRecords(SettingsRecords { era, records }) => {
             let records = records.into_iter().map(Into::into).collect();
-            Body::SettingsRecords(peer::SettingsRecords { records })
+            Body::SettingsRecords(peer::SettingsRecords { records, era })
         }
-        PeerMessage::SettingsState(snapshot) => {
-            Body::SettingsState(peer::SettingsState { snapshot })
+        PeerMessage::SettingsState(SettingsState { era, snapshot }) => {
+            Body::SettingsState(peer::SettingsState { snapshot, era })
         }
     }
 }
@@ -96,12 +99,16 @@
         Body::LoadGrant(turn) => PeerMessage::LoadGrant(turn.try_into()?),
         Body::LoadEnd(turn) => PeerMessage::LoadEnd(turn.try_into()?),
         Body::SettingsPull(pull) => {
-            PeerMessage::SettingsPull(SettingsPull { next_offset: pull.next_offset })
+            let peer::SettingsPull { next_offset, era } = pull;
+            PeerMessage::SettingsPull(SettingsPull { era, next_offset })
         }
-        Body::SettingsRecords(records) => {
-            PeerMessage::SettingsRecords(records.records.into_iter().map(Into::into).collect())
+        Body::SettingsRecords(peer::SettingsRecords { records, era }) => {
+            let records = records.into_iter().map(Into::into).collect();
+            PeerMessage::SettingsRecords(SettingsRecords { era, records })
+        }
+        Body::SettingsState(peer::SettingsState { snapshot, era }) => {
+            PeerMessage::SettingsState(SettingsState { era, snapshot })
         }
-        Body::SettingsState(state) => PeerMessage::SettingsState(state.snapshot),
     })
 }
 
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -14,8 +14,8 @@
     member::MemberUpdate,
     message::{
         Heartbeat, LoadAsk, LoadPlace, LoadTurn, PeerMessage, PermitAsk, PermitCheck, PermitDone,
-        PermitGranted, PermitQueued, PermitRefusal, PermitRefused, SettingsPull, SyncAsk,
-        SyncReply,
+        PermitGranted, PermitQueued, PermitRefusal, PermitRefused, SettingsPull, SettingsRecords,
+        SettingsState, SyncAsk, SyncReply,
     },
     node::{HostEntry, HostKind, ServerFacts},
     request::{PermitRequest, RefusalKind},
@@ -49,6 +49,7 @@
         sequence: 5,
         sender: member(MemberState::Leaving),
         revision: 3_600,
+        era: 2,
         next_offset: 3_700,
         table_hash: u64::MAX,
         members: vec![member(MemberState::Suspect), member(MemberState::Dead)],
@@ -146,9 +147,9 @@
         }),
         PeerMessage::LoadGrant(LoadTurn { engine, adapter: ADAPTER }),
         PeerMessage::LoadEnd(LoadTurn { engine, adapter: ADAPTER }),
-        PeerMessage::SettingsPull(SettingsPull { next_offset: 44 }),
-        PeerMessage::SettingsRecords(vec![record]),
-        PeerMessage::SettingsState(vec![1, 2, 3]),
+        PeerMessage::SettingsPull(SettingsPull { era: 2, next_offset: 44 }),
+        PeerMessage::SettingsRecords(SettingsRecords { era: 2, records: vec![record] }),
+        PeerMessage::SettingsState(SettingsState { era: 2, snapshot: vec![1, 2, 3] }),
     ];
     all.extend([
         refused(PermitRefusal::NotOwner, None),
