--- a/crates/cli/src/logs/explain.rs
+++ b/crates/cli/src/logs/explain.rs
@@ -29,6 +29,7 @@
     };
     let mut text = String::new();
     describe(&mut text, &request)?;
+    writeln!(text, "  read      {}", configuration_source(&logs, &request))?;
     let (from, until) = request.span();
     let around: Vec<&LogLine> =
         logs.between(from, until).iter().filter(|line| concerns(line, &request)).collect();
@@ -49,6 +50,28 @@
     Ok(text)
 }
 
+/// Says where in the store the configuration that decided a request was read, and how long before.
+fn configuration_source(logs: &HostLogs, request: &RequestLine) -> String {
+    let mut before = logs.between(0, request.at).iter().rev();
+    let read = before.find_map(|line| match line.event {
+        HostEvent::ConfigurationInForce { revision, era, offset }
+            if line.host == request.host && revision == request.event.revision =>
+        {
+            Some((line.at, era, offset))
+        }
+        _ => None,
+    });
+    read.map_or_else(
+        || String::from("no line says where its configuration was read"),
+        |(at, era, offset)| {
+            let ago = request.arrived().saturating_sub(at);
+            format!(
+                "its configuration at offset {offset} of the store's era {era}, {ago} ms before"
+            )
+        },
+    )
+}
+
 fn describe(text: &mut String, request: &RequestLine) -> eyre::Result<()> {
     writeln!(text, "Request {} at {}", request.event.id, request.host)?;
     writeln!(
--- a/crates/cli/tests/logs/main.rs
+++ b/crates/cli/tests/logs/main.rs
@@ -203,6 +203,24 @@
     assert!(!text.contains("m/a2") && !text.contains("three"), "{text}");
 }
 
+/// Lines of an earlier version name their host otherwise, and say nothing of the store's era.
+#[test]
+fn it_is_said_where_the_configuration_was_read_that_decided_a_request() {
+    let log = LogFile::new(
+        "read",
+        &[
+            r#"{"at":2000,"machine":"one","event":"configuration_in_force","revision":2}"#,
+            r#"{"at":9000,"host":"two","event":"configuration_in_force","revision":3,"era":4,"offset":7}"#,
+            r#"{"at":9600,"host":"one","event":"configuration_in_force","revision":3,"era":5,"offset":6}"#,
+            r#"{"at":10000,"host":"one","event":"request","id":"r1","route":"r","outcome":"adapter_absent","status":503,"sends":0,"waited":6,"first":0,"total":100,"revision":3}"#,
+        ],
+    );
+    let (done, text) = reelreel(&["explain", "r1"], &log);
+    assert!(done, "{text}");
+    let read = "its configuration at offset 6 of the store's era 5, 300 ms before";
+    assert!(text.contains(read), "{text}");
+}
+
 #[test]
 fn a_request_that_no_line_tells_of_is_an_error_that_says_so() {
     let log = LogFile::new("none", &[r#"{"at":1,"host":"one","event":"stopping","open":0}"#]);
--- a/crates/core/src/placement/inventory.rs
+++ b/crates/core/src/placement/inventory.rs
@@ -6,7 +6,7 @@
 //! order.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
@@ -16,7 +16,7 @@
     fleet::{
         EngineBirth, EngineEntry, HeldModel, ModelKey, WeightVersion, adapter_name, base_model,
     },
-    placement::{LoadSight, OrderId, OrderKind, PlannedOrder},
+    placement::{EngineMemory, LoadSight, OrderId, OrderKind, PlannedOrder},
 };
 
 /// How old the state in a report may be when it arrives.
@@ -38,41 +38,6 @@
 /// How many hosts must say so: one may be cut off itself.
 const LEAST_UNREACHED: usize = 2;
 
-/// How many adapters an engine is expected to remember.
-const MOST_REMEMBERED: usize = 100;
-
-/// What an engine held lately and may bring back without the weight store, the latest last.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct EngineMemory {
-    keys: VecDeque<ModelKey>,
-    known: HashSet<ModelKey>,
-}
-
-impl EngineMemory {
-    /// Takes that the engine holds, or has just dropped, a model or adapter.
-    pub fn note(&mut self, key: &ModelKey) {
-        if self.keys.back() == Some(key) {
-            return;
-        }
-        if !self.known.insert(Arc::clone(key))
-            && let Some(place) = self.keys.iter().position(|known| known == key)
-        {
-            self.keys.remove(place);
-        }
-        self.keys.push_back(Arc::clone(key));
-        if self.keys.len() > MOST_REMEMBERED
-            && let Some(oldest) = self.keys.pop_front()
-        {
-            self.known.remove(&oldest);
-        }
-    }
-
-    /// Returns whether the engine held something lately.
-    pub fn contains(&self, key: &str) -> bool {
-        self.known.contains(key)
-    }
-}
-
 /// How many loads may be in transit to one engine.
 pub const MOST_IN_TRANSIT: usize = 4;
 
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -19,11 +19,12 @@
         reading::ReadingSpeed, routes::ModelHosting, work::EngineWork,
     },
     placement::{
-        DemandBook, DemandEntry, EngineInventory, EngineReport, HostWork, LoadWindow, OrderAnswer,
+        DemandBook, DemandEntry, EngineInventory, EngineMemory, HostWork, LoadWindow, OrderAnswer,
         OrderId, OrderKind, PaceLearner, PlacementAction, PlannedOrder, StorePace, WorkBook,
         doubts::{counts_against_rate, settle_doubts},
-        inventory::{EngineMemory, PendingLoad},
-        load_suspects::{HeldLoad, LoadSuspects},
+        inventory::PendingLoad,
+        load_suspects::LoadSuspects,
+        signs::loads_at_end,
         totals::RoundTotals,
     },
     popularity::DecayedRate,
@@ -72,7 +73,7 @@
     queue: Vec<ModelKey>,
     pub(super) load_suspects: LoadSuspects,
     /// Loads of engines that are listed no more, or in another life, which had given no sign that they lived through them.
-    ended_loads: Vec<(Arc<EngineEntry>, PendingLoad)>,
+    pub(super) ended_loads: Vec<(Arc<EngineEntry>, PendingLoad)>,
 }
 
 impl PlacementPlanner {
@@ -196,41 +197,6 @@
         self.work.take_changed(self.reading.tokens_in(UNREAD_STEP))
     }
 
-    /// Takes an engine's report that was asked for at `asked`.
-    pub fn report_arrived(&mut self, engine: &str, report: &EngineReport, asked: ClockMillis) {
-        let Some(inventory) = self.engines.get_mut(engine) else { return };
-        if !inventory.entry.is_life(report.born) {
-            inventory.take_report(report, asked);
-            return;
-        }
-        let sights = inventory.load_sights(report, asked);
-        let landed = inventory.pending.iter().map(|load| &load.key);
-        let landed = landed.filter(|key| report.held.iter().any(|held| held.key == **key));
-        for key in landed {
-            self.load_suspects.loaded(key);
-        }
-        self.load_suspects.engine_lives(engine, inventory.entry.born);
-        inventory.take_report(report, asked);
-        for sight in sights {
-            self.store.load_seen(&sight, asked);
-        }
-    }
-
-    /// Takes that an engine gave no report.
-    pub fn report_failed(&mut self, engine: &str) {
-        let Some(inventory) = self.engines.get_mut(engine) else { return };
-        inventory.asking = false;
-        let (entry, asked) = (&inventory.entry, inventory.asked);
-        for load in inventory.unproved_loads(asked).filter(|load| load.due <= asked) {
-            self.load_suspects.silent(entry, load, false, asked);
-        }
-    }
-
-    /// Returns which adapters are held back since engines ended under their loads, once each.
-    pub fn take_held_loads(&mut self) -> Vec<HeldLoad> {
-        self.load_suspects.take_news()
-    }
-
     /// Takes an engine's word, or silence, on an order.
     pub fn order_answered(&mut self, id: OrderId, answer: OrderAnswer, now: ClockMillis) {
         let Some(order) = self.outstanding.remove(&id) else { return };
@@ -294,10 +260,7 @@
         }
         self.demand.forget_old(now);
         self.work.forget_old(now);
-        for (entry, load) in std::mem::take(&mut self.ended_loads) {
-            self.load_suspects.silent(&entry, &load, true, now);
-        }
-        self.load_suspects.forget_old(now);
+        self.count_ended_loads(now);
         let mut actions = self.wanted_reports(now);
         if acting {
             let orders = self.wanted_orders(now);
@@ -434,13 +397,3 @@
         due.map(Reverse).max().map(|Reverse(due)| due)
     }
 }
-
-/// Returns the loads that may have ended an engine; one that said that it leaves was ended by none.
-fn loads_at_end(inventory: &EngineInventory) -> Vec<(Arc<EngineEntry>, PendingLoad)> {
-    if inventory.entry.leaving {
-        return Vec::new();
-    }
-    let end = ClockMillis::from_millis(u64::MAX);
-    let loads = inventory.unproved_loads(end);
-    loads.map(|load| (Arc::clone(&inventory.entry), load.clone())).collect()
-}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -8,6 +8,7 @@
 pub mod host_count;
 pub mod membership;
 pub mod mirror;
+pub mod operator;
 pub mod orders;
 pub mod placing;
 pub mod plan_lines;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -54,6 +54,12 @@
     ConfigurationInForce {
         /// Its number.
         revision: u64,
+        /// The era of the store in which it was read.
+        #[serde(default)]
+        era: u64,
+        /// Where in its topic it stands.
+        #[serde(default)]
+        offset: u64,
     },
     /// Keys begin or cease to be served, by how new the configuration is known to be.
     Freshness {
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -20,7 +20,7 @@
     let mut longest = Duration::ZERO;
     for number in 0..LINES {
         let began = Instant::now();
-        log.write(HostEvent::ConfigurationInForce { revision: number });
+        log.write(HostEvent::ConfigurationInForce { revision: number, era: 0, offset: 0 });
         longest = longest.max(began.elapsed());
     }
     // A write that waited for the reader would never return; the bound leaves room for a busy box.
@@ -32,7 +32,7 @@
         lines.collect::<Vec<Value>>()
     });
     std::thread::sleep(Duration::from_millis(300));
-    log.write(HostEvent::ConfigurationInForce { revision: LINES });
+    log.write(HostEvent::ConfigurationInForce { revision: LINES, era: 0, offset: 0 });
     drop(log);
     let lines = reading.join().expect("the reader ends");
     let left_out: u64 = lines.iter().filter_map(|line| line["left_out"].as_u64()).sum();
@@ -49,7 +49,7 @@
         HostEvent::Reloaded { mistake: Some(String::from("none")) },
         HostEvent::Stopping { open: 1 },
         HostEvent::Stopped { open: 1 },
-        HostEvent::ConfigurationInForce { revision: 1 },
+        HostEvent::ConfigurationInForce { revision: 1, era: 4, offset: 12 },
         HostEvent::StoreLost { what: "engines".into() },
         HostEvent::StoreRegained { what: "engines".into() },
         HostEvent::StoreEra { from: 3, to: 4, teller: "store".into(), age: Some(2500) },
