fix(core): only an engine that refuses connections is a sign against what it loads; readers alone ask peers when they start

A placer with much to do misses reports of engines that live, and two such engines in a row held an adapter back. Change: a report that failed counts only where the engine refuses the connection, as a process that has ended does. Besides, only hosts that read the store for others ask peers when they start; the others hear it from whom they follow.

--- a/crates/core/src/placement/signs.rs
+++ b/crates/core/src/placement/signs.rs
@@ -32,10 +32,15 @@
         }
     }
 
-    /// Takes that an engine gave no report.
-    pub fn report_failed(&mut self, engine: &str) {
+    /// Takes that an engine gave no report; `refused` where it refuses connections, as a process that has ended does.
+    ///
+    /// Only that is a sign against what it loads: a placer with too much to do, or a slow link, misses reports of many engines that live.
+    pub fn report_failed(&mut self, engine: &str, refused: bool) {
         let Some(inventory) = self.engines.get_mut(engine) else { return };
         inventory.asking = false;
+        if !refused {
+            return;
+        }
         let (entry, asked) = (&inventory.entry, inventory.asked);
         for load in inventory.unproved_loads(asked).filter(|load| load.due <= asked) {
             self.load_suspects.silent(entry, load, false, asked);
--- a/crates/core/tests/placement/world.rs
+++ b/crates/core/tests/placement/world.rs
@@ -313,7 +313,8 @@
                         let name = entry.name.to_string();
                         self.reports.push((now + 3, now, name, engine.report()));
                     }
-                    _ => self.planner.report_failed(&entry.name),
+                    Some(_) => self.planner.report_failed(&entry.name, true),
+                    None => self.planner.report_failed(&entry.name, false),
                 }
             }
             PlacementAction::Order(order) => {
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -1,6 +1,6 @@
 //! Carrying out what the planner wants: orders and reports, each as a task of its own.
 
-use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+use std::{collections::HashMap, io::ErrorKind, rc::Rc, sync::Arc, time::Duration};
 
 use reelreel_core::{
     fleet::{EngineEntry, EngineName, ServiceName},
@@ -113,12 +113,14 @@
     let asked = shared.clock.now();
     let call = dialect.report(&engine.name);
     let answer = client.call(&call, REPORT_PATIENCE).await;
+    // A process that has ended refuses; whatever else fails may be this host's own doing, or its link's.
+    let refused = matches!(&answer, Err(CallError::NotSent(error)) if error.kind() == ErrorKind::ConnectionRefused);
     let report = answer.ok().and_then(|answer| dialect.report_answer(&answer).ok());
     let mut state = state.borrow_mut();
     state.order_clients().keep(&engine.name, client);
     let Some(planner) = state.planner(&service) else { return };
     match report {
         Some(report) => planner.report_arrived(&engine.name, &report, asked),
-        None => planner.report_failed(&engine.name),
+        None => planner.report_failed(&engine.name, refused),
     }
 }
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -37,10 +37,11 @@
 impl ControlState {
     /// Returns whether a peer is to be asked for what it has read from the store, after so many asks.
     ///
-    /// A host that has just started asks also where the store answers it: a store that came back from an older copy says less than peers
-    /// knew before.
+    /// A host that reads the store for others asks when it has started, also where the store answers it: a store that came back from an
+    /// older copy says less than peers knew before. All others hear it from whom they follow.
     fn lacks_peers_word(&self, asks: u32) -> bool {
-        !self.is_complete() || (!self.has_heard_peer() && asks < MOST_FIRST_ASKS)
+        let reads = self.reads_for_others() && !self.has_heard_peer();
+        !self.is_complete() || (reads && asks < MOST_FIRST_ASKS)
     }
 }
 
