fix(gateway): followers are told of one engine that lapsed, and not of everything anew

Change: such an engine is told by one line that says that everything up to a place was read and lacks it, so that nothing behind that place counts as read. The play of falls is as strict as before.

--- a/crates/gateway/src/control/engine_list.rs
+++ b/crates/gateway/src/control/engine_list.rs
@@ -80,7 +80,7 @@
             let entry = self.engines.get(name.as_str())?;
             let name = Arc::clone(&entry.name);
             let entry = Some(EngineEntry::clone(entry));
-            Some(EngineUpdate { name, position: *position, entry })
+            Some(EngineUpdate { name, position: *position, entry, unlisted: false })
         });
         listed.collect()
     }
@@ -108,22 +108,29 @@
         self.lapsed.remove(name);
         self.drop_engine(name);
         let name = Arc::clone(name);
-        self.feed.engine_changed(EngineUpdate { name, position, entry: None });
+        let update = EngineUpdate { name, position, entry: None, unlisted: false };
+        self.feed.engine_changed(update);
+    }
+
+    /// Drops an engine that is listed nowhere up to the end of what was read, and tells the followers so.
+    fn delist_lapsed(&mut self, name: &EngineName) {
+        self.lapsed.remove(name);
+        self.drop_engine(name);
+        let (name, position) = (Arc::clone(name), self.engine_records.end());
+        let update = EngineUpdate { name, position, entry: None, unlisted: true };
+        self.feed.engine_changed(update);
     }
 
     /// Drops the engines whose entries have not come back in time, and lists those by what the store says that have written nothing
     /// else in time.
-    ///
-    /// Followers are told everything anew: a later place than that of the entry was read meanwhile.
     pub(super) fn settle_listings(&mut self, now: ClockMillis) {
         while let Some(name) = first_due(&self.lapsed, |until| now >= *until) {
-            self.lapsed.remove(&name);
-            self.drop_engine(&name);
-            self.feed.all_changed();
+            self.delist_lapsed(&name);
         }
         while let Some(name) = first_due(&self.withheld, |(_, until)| now >= *until) {
             if let Some((update, _)) = self.withheld.remove(&name) {
                 self.list_engine(update);
+                // Followers were told everything up to a later place without it.
                 self.feed.all_changed();
             }
         }
@@ -135,7 +142,8 @@
         for record in records {
             let (name, position) = (EngineName::from(record.key.as_str()), record.position);
             if record.value.is_empty() {
-                self.take_update(EngineUpdate { name, position, entry: None }, whole);
+                let gone = EngineUpdate { name, position, entry: None, unlisted: false };
+                self.take_update(gone, whole);
                 continue;
             }
             let entry = match self.shared.dialects.store.engine(record) {
@@ -145,7 +153,7 @@
                     None
                 }
             };
-            self.take_update(EngineUpdate { name, position, entry }, whole);
+            self.take_update(EngineUpdate { name, position, entry, unlisted: false }, whole);
         }
     }
 
@@ -154,10 +162,15 @@
     /// The first word of a later era may be of the copy from which the store came back; what it says is withheld where something
     /// newer is known of the engine, until the engine had the time to write again.
     fn take_update(&mut self, update: EngineUpdate, whole: Option<StorePosition>) {
-        let EngineUpdate { name, position, entry } = &update;
+        let EngineUpdate { name, position, entry, unlisted } = &update;
         let read_to = self.engine_records.read_to(name);
         let Some(entry) = entry else {
-            if self.engine_records.take(name, *position, None) {
+            let newer = if *unlisted {
+                self.engine_records.take_unlisted(name, *position)
+            } else {
+                self.engine_records.take(name, *position, None)
+            };
+            if newer {
                 self.entry_gone(name, *position, None);
             }
             return;
@@ -188,16 +201,15 @@
             return;
         }
         let leaving = EngineEntry { leaving: true, ..EngineEntry::clone(known) };
-        if self.lapsed.remove(&entry.name).is_some() {
+        if self.lapsed.contains_key(&entry.name) {
             // Its entry is gone besides, so that it is not waited for any longer.
-            self.drop_engine(&entry.name);
-            self.feed.all_changed();
+            self.delist_lapsed(&entry.name);
             return;
         }
         let listed = self.engine_records.records.get(&*entry.name);
         let position = listed.map_or_else(|| self.engine_records.end(), |(position, ())| *position);
         let (name, entry) = (Arc::clone(&entry.name), Some(leaving));
-        self.list_engine(EngineUpdate { name, position, entry });
+        self.list_engine(EngineUpdate { name, position, entry, unlisted: false });
     }
 
     /// Returns what is known of an engine that was listed before.
--- a/crates/gateway/src/control/mirror.rs
+++ b/crates/gateway/src/control/mirror.rs
@@ -83,6 +83,15 @@
         self.end = self.end.max(end);
     }
 
+    /// Takes a peer's word that everything up to `end` lacks a key, unless a later place of it was read.
+    pub fn take_unlisted(&mut self, key: &str, end: StorePosition) -> bool {
+        let newer = end >= self.known_to(key);
+        if newer {
+            self.remove(key, end);
+        }
+        newer
+    }
+
     /// Takes that a whole reading up to `end` no longer has a key.
     pub fn remove(&mut self, key: &str, end: StorePosition) {
         self.records.remove(key);
--- a/crates/gateway/src/peers/engine_lines.rs
+++ b/crates/gateway/src/peers/engine_lines.rs
@@ -23,6 +23,8 @@
     pub position: StorePosition,
     /// The entry; absent when it is gone.
     pub entry: Option<EngineEntry>,
+    /// Whether it is gone since everything up to `position` was read and lacks it; otherwise its key was dropped there.
+    pub unlisted: bool,
 }
 
 /// An engine's entry; without an address it is gone.
@@ -64,6 +66,9 @@
     /// The era of the store in which the entry was read.
     #[prost(uint64, tag = "12")]
     pub era: u64,
+    /// Whether the entry is gone since everything up to its place was read and lacks it.
+    #[prost(bool, tag = "13")]
+    pub unlisted: bool,
 }
 
 impl EngineRecordLine {
@@ -119,6 +124,7 @@
         engine: update.name.to_string(),
         offset: update.position.offset,
         era: update.position.era,
+        unlisted: update.unlisted,
         ..EngineRecordLine::default()
     };
     let Some(entry) = &update.entry else { return Some(gone) };
@@ -166,7 +172,8 @@
     let name = |place: u32| names.get(usize::try_from(place).ok()?).map(Arc::clone);
     let engine = EngineName::from(line.engine.as_str());
     let Some(bits) = line.address else {
-        return Some(EngineUpdate { name: engine, position: line.position(), entry: None });
+        let (position, unlisted) = (line.position(), line.unlisted);
+        return Some(EngineUpdate { name: engine, position, entry: None, unlisted });
     };
     let port = u16::try_from(line.port).ok()?;
     let held: Option<Vec<HeldModel>> = line
@@ -189,7 +196,8 @@
         sequence: line.sequence,
         held: held?,
     };
-    Some(EngineUpdate { name: engine, position: line.position(), entry: Some(entry) })
+    let (position, entry) = (line.position(), Some(entry));
+    Some(EngineUpdate { name: engine, position, entry, unlisted: false })
 }
 
 fn held_key(base: &ModelKey, adapter: &str) -> ModelKey {
--- a/crates/gateway/tests/engine_lines.rs
+++ b/crates/gateway/tests/engine_lines.rs
@@ -47,7 +47,9 @@
                     held,
                 }
             });
-            EngineUpdate { name, position: StorePosition { era: offset % 5, offset }, entry }
+            let unlisted = entry.is_none() && offset % 2 == 0;
+            let position = StorePosition { era: offset % 5, offset };
+            EngineUpdate { name, position, entry, unlisted }
         },
     )
 }
@@ -103,6 +105,7 @@
 #[test]
 fn an_entry_takes_less_than_fifty_bytes() {
     let update = |number: u16| EngineUpdate {
+        unlisted: false,
         name: Arc::from(format!("i-{:010x}", u64::from(number) * 0x9e37_79b9)),
         position: StorePosition { era: 3, offset: 100_000 + u64::from(number) },
         entry: Some(EngineEntry {
