feat: what engines say of the requests that they take is read, logged and counted

An engine in need names in its answers how many requests a second it takes from all hosts together. No host read that, and neither lines nor metrics told whether a host had heard it, nor what it calls an engine for: reports were counted nowhere.

One type for a limit, made only where an engine's answer is decoded: answers to requests, refusals, strays, orders, reports. What is no decimal number, or two of them, is counted and changes nothing. Lines engine_limited, limit_ended, limit_unreadable, at most one a second for each engine; reelreel_limited_engines, and reelreel_engine_calls_total by kind and by whether the engine had named a limit. Nothing is decided by it yet.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,7 +4,7 @@
 //! on their own, so that a request needs no permit of an owner. [`routes`] says where a request may
 //! go, [`choice`] which engine it is sent to,
 //! [`cold`] whether it waits for its adapter, [`queued`] whether it joins an engine's queue, [`condition`] what the host's own requests tell about
-//! an engine, [`freshness`] until when keys may be served, [`quarantine`] which requests are held back since engines ended under them, [`reach`] what its connections tell about a data hall, [`relisting`] whether a listing of a store that came back older is believed, and [`retry_share`] how often it
+//! an engine, [`freshness`] until when keys may be served, [`limits`] how many requests a second engines say that they take, [`quarantine`] which requests are held back since engines ended under them, [`reach`] what its connections tell about a data hall, [`relisting`] whether a listing of a store that came back older is believed, and [`retry_share`] how often it
 //! may be sent again.
 
 use std::{net::SocketAddr, sync::Arc};
@@ -14,6 +14,7 @@
 pub mod cold;
 pub mod condition;
 pub mod freshness;
+pub mod limits;
 pub mod prompt;
 pub mod quarantine;
 pub mod queued;
--- /dev/null
+++ b/crates/core/src/fleet/limits/limit.rs
@@ -0,0 +1,58 @@
+//! What one answer of an engine says of its limit.
+
+use std::fmt;
+
+use crate::clock::ClockMillis;
+
+/// How many requests an engine takes from all hosts together. Unit: requests a second; zero for none at all.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct RequestLimit(f64);
+
+impl RequestLimit {
+    /// Wraps a rate; `None` where it is below zero, infinite or no number.
+    pub fn new(per_second: f64) -> Option<Self> {
+        (per_second.is_finite() && per_second >= 0.0).then(|| Self(per_second.abs()))
+    }
+
+    /// Returns the rate. Unit: requests a second.
+    pub const fn per_second(self) -> f64 {
+        self.0
+    }
+
+    /// Returns whether this differs from `other` by so much that hosts and their operators should know: by a quarter.
+    pub fn differs(self, other: Self) -> bool {
+        const STEP: f64 = 0.25;
+        let larger = self.0.max(other.0);
+        (self.0 - other.0).abs() > larger * STEP
+    }
+}
+
+impl fmt::Display for RequestLimit {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+/// What an answer says of its engine's limit.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum SaidLimit {
+    /// Nothing.
+    #[default]
+    Nothing,
+    /// The engine names it.
+    Named(RequestLimit),
+    /// Something that is no limit; it changes nothing.
+    Unreadable,
+}
+
+/// An answer of an engine, as its word on its limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AnswerWord {
+    /// What it says.
+    pub said: SaidLimit,
+    /// When what it answers was sent: an answer that names no limit ends only one that was named before that.
+    pub asked: ClockMillis,
+    /// Whether the engine would name a limit in such an answer if it had one. One to a request that it ran is such an answer; of
+    /// refusals, orders and reports only what they do say counts.
+    pub would_say: bool,
+}
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use reelreel_core::{
     StorePosition,
-    fleet::{EngineEntry, ModelKey, WeightVersion, prompt::PromptFacts, routes::RouteTable},
+    fleet::{
+        EngineEntry, ModelKey, WeightVersion, limits::limit::SaidLimit, prompt::PromptFacts,
+        routes::RouteTable,
+    },
     id::{FenceToken, GroupGeneration, StoreEra},
     organisation::key::PresentedKey,
     placement::{EngineReport, OrderAnswer, PlannedOrder},
@@ -97,7 +100,7 @@
 }
 
 /// What an engine's answer says beside its body.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct AnswerFacts {
     /// The id of the request that it answers.
     pub id: Option<String>,
@@ -107,6 +110,8 @@
     pub misdirected: bool,
     /// Whether the engine itself made the answer.
     pub signed: bool,
+    /// What it says of the requests that the engine takes from all hosts together.
+    pub limit: SaidLimit,
 }
 
 /// Translates between the host and its clients and engines.
@@ -129,6 +134,9 @@
     /// Reads what an engine's answer says.
     fn answer_facts(&self, head: &ResponseHead) -> AnswerFacts;
 
+    /// Reads what any answer of an engine, also to an order or for a report, says of the requests that it takes.
+    fn said_limit(&self, head: &ResponseHead) -> SaidLimit;
+
     /// Marks an answer of the host's own as belonging to a request.
     fn mark_own_answer(&self, fields: &mut HeaderFields, id: &str);
 
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -3,16 +3,19 @@
 use std::{collections::HashMap, io::ErrorKind, rc::Rc, sync::Arc, time::Duration};
 
 use reelreel_core::{
-    fleet::{EngineEntry, EngineName, ServiceName},
+    ClockMillis,
+    fleet::{EngineEntry, EngineName, ServiceName, limits::limit::AnswerWord},
     id::FenceToken,
     placement::{OrderAnswer, OrderKind, PlacementAction, PlannedOrder},
 };
 
 use crate::{
+    border::CallAnswer,
     call::{CallClient, CallError},
     control::SharedControl,
     events::HostEvent,
-    metrics::OrderLabels,
+    host::SharedState,
+    metrics::{EngineCallKind, OrderLabels},
 };
 
 /// How long an order may take: a lost answer must not hold up the next load.
@@ -73,8 +76,12 @@
     let mut client = state.borrow_mut().order_clients().take(&order.engine);
     let call = dialect.order(&order, &shared.profile.name, token);
     let began = shared.clock.now();
+    shared.count_engine_call(&order.engine.name, EngineCallKind::Order);
     let answer = match client.call(&call, ORDER_PATIENCE).await {
-        Ok(answer) => dialect.order_answer(&answer),
+        Ok(answer) => {
+            hear_limit(&shared, &order.engine, &answer, began);
+            dialect.order_answer(&answer)
+        }
         Err(CallError::NotSent(_)) => OrderAnswer::NotSent,
         Err(CallError::NoAnswer(_) | CallError::TimedOut) => OrderAnswer::Unknown,
     };
@@ -106,13 +113,23 @@
     }
 }
 
+/// Takes what the answer to an order or for a report says of its engine's limit; that it says nothing ends none.
+fn hear_limit(shared: &SharedState, engine: &EngineEntry, answer: &CallAnswer, asked: ClockMillis) {
+    let said = shared.dialects.exchange.said_limit(&answer.head);
+    shared.limit_heard(engine, AnswerWord { said, asked, would_say: false });
+}
+
 async fn ask_report(state: SharedControl, service: ServiceName, engine: Arc<EngineEntry>) {
     let shared = Arc::clone(state.borrow().shared());
     let dialect = &shared.dialects.engine;
     let mut client = state.borrow_mut().order_clients().take(&engine);
     let asked = shared.clock.now();
     let call = dialect.report(&engine.name);
+    shared.count_engine_call(&engine.name, EngineCallKind::Report);
     let answer = client.call(&call, REPORT_PATIENCE).await;
+    if let Ok(answer) = &answer {
+        hear_limit(&shared, &engine, answer, asked);
+    }
     // A process that has ended refuses; whatever else fails may be this host's own doing, or its link's.
     let refused = matches!(&answer, Err(CallError::NotSent(error)) if error.kind() == ErrorKind::ConnectionRefused);
     let report = answer.ok().and_then(|answer| dialect.report_answer(&answer).ok());
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -100,6 +100,7 @@
         self.tell_demand(now);
         self.tell_suspects(now);
         self.log_suspects();
+        self.log_limits(now);
         self.note_era();
         self.settle_listings(now);
         self.show_positions();
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use reelreel_core::{
     ClockMillis,
-    fleet::{EngineEntry, WeightVersion, admission::AdmissionSign, condition::EngineOutcome},
+    fleet::{
+        EngineEntry, WeightVersion, admission::AdmissionSign, condition::EngineOutcome,
+        limits::limit::AnswerWord,
+    },
 };
 
 use crate::{
@@ -119,6 +122,7 @@
             self.broke_off(entry).await;
             return SendEnd::Failed;
         };
+        self.hear_limit(entry, &answer, began);
         self.take_answer(lease, answer, began).await
     }
 
@@ -216,6 +220,22 @@
         told.max(own.unread.saturating_sub(self.facts.prompt.tokens()))
     }
 
+    /// Takes what an answer that has just begun says of its engine's limit; the request was sent at `asked`.
+    pub(super) fn hear_limit(
+        &self,
+        entry: &EngineEntry,
+        answer: &EngineAnswer,
+        asked: ClockMillis,
+    ) {
+        let shared = &self.traffic.shared;
+        // An answer to another request tells a limit as well, but nobody knows what its silence would be about.
+        let stray = AnswerWord { said: answer.stray_limit, asked, would_say: false };
+        shared.limit_heard(entry, stray);
+        let facts = &answer.facts;
+        let would_say = facts.signed && !facts.not_run && !facts.misdirected;
+        shared.limit_heard(entry, AnswerWord { said: facts.limit, asked, would_say });
+    }
+
     /// Counts how a send to an engine ended.
     pub fn note(&self, entry: &EngineEntry, outcome: EngineOutcome) {
         self.traffic.pool.borrow_mut().note(&entry.name, outcome, self.traffic.now());
--- a/crates/gateway/src/entry/bar.rs
+++ b/crates/gateway/src/entry/bar.rs
@@ -5,9 +5,12 @@
 use bytes::Bytes;
 use reelreel_core::fleet::{EngineEntry, WeightVersion};
 
-use crate::entry::{
-    answer::{ENGINE_FAILED, KEYS_IN_DOUBT, NO_ORGANISATION, OwnAnswer, TIME_OVER},
-    exchange::{Exchange, ExchangeEnd},
+use crate::{
+    entry::{
+        answer::{ENGINE_FAILED, KEYS_IN_DOUBT, NO_ORGANISATION, OwnAnswer, TIME_OVER},
+        exchange::{Exchange, ExchangeEnd},
+    },
+    metrics::EngineCallKind,
 };
 
 /// Why a request is not sent to the engine that was chosen for it.
@@ -46,6 +49,12 @@
             return Err(SendBar::EngineChanged);
         }
         let request = self.engine_request(entry, version, resume_after);
+        let kind = match (resume_after, self.sends) {
+            (Some(_), _) => EngineCallKind::Resume,
+            (None, 0) => EngineCallKind::Request,
+            (None, _) => EngineCallKind::Repeat,
+        };
+        self.traffic.shared.count_engine_call(&entry.name, kind);
         self.count_send(entry);
         Ok(request)
     }
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -321,6 +321,9 @@
             () = self.client.closed(SENT_AHEAD) => None,
             () = self.deadline.clone().over(Duration::ZERO) => None,
         };
+        if let Some(Ok(answer)) = &answer {
+            self.hear_limit(&entry, answer, now);
+        }
         match answer {
             Some(Ok(answer)) if answer.head.status == 200 && answer.facts.signed => {
                 Some((lease, answer, now))
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -165,6 +165,32 @@
         /// there were many.
         marks: Vec<String>,
     },
+    /// An engine says how many requests a second it takes from all hosts together, or another number than before.
+    EngineLimited {
+        /// The engine.
+        engine: String,
+        /// When the life that says so began, by its own clock. Unit: milliseconds since 1970.
+        born: u64,
+        /// What it takes. Unit: requests a second.
+        limit: f64,
+        /// What it had said before, if that still held.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        before: Option<f64>,
+    },
+    /// An engine says no more that it takes only so many requests.
+    LimitEnded {
+        /// The engine.
+        engine: String,
+        /// What it had said that it takes. Unit: requests a second.
+        limit: f64,
+    },
+    /// An engine says something of the requests that it takes which can not be read; it changes nothing.
+    LimitUnreadable {
+        /// The engine.
+        engine: String,
+        /// How many answers said such a thing since the last line.
+        answers: u64,
+    },
     /// A request is held back since engines ended under it.
     RequestHeld {
         /// By what it is known again.
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -12,7 +12,8 @@
 use reelreel_core::{
     ClockMillis, ClockSource,
     fleet::{
-        ServiceName,
+        EngineEntry, ServiceName,
+        limits::{limit::AnswerWord, share::LimitShare},
         quarantine::{ENDS_UNTIL_HELD, QuarantineBook},
         reading::ReadingSpeed,
     },
@@ -26,7 +27,7 @@
     demand::{DemandCollector, SharedWork},
     entry::run_entry,
     events::{EventLog, HostEvent},
-    metrics::HostMetrics,
+    metrics::{EngineCallKind, HostMetrics},
     profile::HostProfile,
     table::ServingTable,
 };
@@ -68,6 +69,7 @@
     reading: Mutex<HashMap<ServiceName, ReadingSpeed>>,
     quotas: Mutex<QuotaShare>,
     quarantine: Mutex<QuarantineBook>,
+    limits: Mutex<LimitShare>,
 }
 
 impl SharedState {
@@ -98,6 +100,7 @@
             reading: Mutex::default(),
             quotas: Mutex::new(quotas),
             quarantine: Mutex::new(quarantine),
+            limits: Mutex::default(),
         }
     }
 
@@ -139,6 +142,22 @@
         self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what this host knows of the limits that engines name for a moment.
+    pub fn limits(&self) -> MutexGuard<'_, LimitShare> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes what an answer that has just begun says of its engine's limit.
+    pub fn limit_heard(&self, entry: &EngineEntry, word: AnswerWord) {
+        self.limits().answered(&entry.name, entry.born, word, self.clock.now());
+    }
+
+    /// Counts a call to an engine.
+    pub fn count_engine_call(&self, engine: &str, kind: EngineCallKind) {
+        let limited = self.limits().is_limited(engine);
+        self.metrics.count_engine_call(kind, limited);
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Mutex};
 
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text::encode},
+    encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
     metrics::{
         counter::Counter,
         family::Family,
@@ -51,6 +51,30 @@
     pub answer: String,
 }
 
+/// What a host calls an engine for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum EngineCallKind {
+    /// A client's request, sent for the first time.
+    Request,
+    /// One that was sent before.
+    Repeat,
+    /// The rest of a stream that broke off.
+    Resume,
+    /// An order to load or unload something.
+    Order,
+    /// A question for what it holds.
+    Report,
+}
+
+/// What tells counters of calls to engines apart.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EngineCallLabels {
+    /// What the call was for.
+    pub kind: EngineCallKind,
+    /// Whether the engine had named a limit.
+    pub limited: bool,
+}
+
 /// Everything that a host counts.
 pub struct HostMetrics {
     registry: Mutex<Registry>,
@@ -106,6 +130,10 @@
     pub suspects: Gauge,
     /// Those of them that are held back.
     pub held_requests: Gauge,
+    /// Engines that have named a limit.
+    pub limited_engines: Gauge,
+    /// Calls to engines by what they were for.
+    engine_calls: Family<EngineCallLabels, Counter>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -142,6 +170,8 @@
             engines_ended: Counter::default(),
             suspects: Gauge::default(),
             held_requests: Gauge::default(),
+            limited_engines: Gauge::default(),
+            engine_calls: Family::default(),
         };
         metrics.register();
         metrics
@@ -168,6 +198,11 @@
         registry.register("suspects", help, self.suspects.clone());
         let help = "Requests that are held back since engines ended under them";
         registry.register("held_requests", help, self.held_requests.clone());
+        let help = "Engines that have said how many requests a second they take";
+        registry.register("limited_engines", help, self.limited_engines.clone());
+        let help =
+            "Calls to engines by what they were for, and whether the engine had named a limit";
+        registry.register("engine_calls", help, self.engine_calls.clone());
         registry.register("resumes", "Streams taken up at another engine", self.resumes.clone());
         registry.register("engine_connects", "New connections to engines", self.connects.clone());
         let help = "Calls to the store without a useful answer";
@@ -207,6 +242,11 @@
         self.organisations.get_or_create(&OrganisationLabels { organisation, outcome }).inc();
     }
 
+    /// Counts a call to an engine.
+    pub fn count_engine_call(&self, kind: EngineCallKind, limited: bool) {
+        self.engine_calls.get_or_create(&EngineCallLabels { kind, limited }).inc();
+    }
+
     /// Writes all metrics as text.
     pub fn encode(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
--- a/crates/gateway/tests/host/dialect.rs
+++ b/crates/gateway/tests/host/dialect.rs
@@ -5,7 +5,12 @@
 use bytes::Bytes;
 use reelreel_core::{
     StorePosition,
-    fleet::{EngineEntry, HeldModel, ModelKey, prompt::PromptFacts, routes::RouteTable},
+    fleet::{
+        EngineEntry, HeldModel, ModelKey,
+        limits::limit::{RequestLimit, SaidLimit},
+        prompt::PromptFacts,
+        routes::RouteTable,
+    },
     id::{FenceToken, GroupGeneration, StoreEra},
     organisation::key::PresentedKey,
     placement::{EngineReport, OrderAnswer, OrderKind, PlannedOrder},
@@ -31,6 +36,7 @@
 pub(crate) const ORGANISATION: &str = "X-Organisation";
 pub(crate) const RANK: &str = "X-Rank";
 pub(crate) const ERA: &str = "X-Era";
+pub(crate) const LIMIT: &str = "X-Limit";
 pub(crate) const TOKENS: &str = "X-Tokens";
 
 /// The configurations that records name by their revision.
@@ -76,9 +82,16 @@
             not_run: head.fields.text(NOT_RUN).is_some(),
             misdirected: head.status == 421,
             signed: head.fields.text(RUN_BY).is_some(),
+            limit: self.said_limit(head),
         }
     }
 
+    fn said_limit(&self, head: &ResponseHead) -> SaidLimit {
+        let Some(text) = head.fields.text(LIMIT) else { return SaidLimit::Nothing };
+        let limit = text.parse().ok().and_then(RequestLimit::new);
+        limit.map_or(SaidLimit::Unreadable, SaidLimit::Named)
+    }
+
     fn mark_own_answer(&self, fields: &mut HeaderFields, id: &str) {
         fields.push(REQUEST, id);
     }
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -82,6 +82,9 @@
         HostEvent::EngineReborn { engine: engine(), born: 1_788_253_401_202 },
         HostEvent::EngineLeaving { engine: engine() },
         HostEvent::EngineGone { engine: engine() },
+        HostEvent::EngineLimited { engine: engine(), born: 1, limit: 1.7, before: Some(2.4) },
+        HostEvent::LimitEnded { engine: engine(), limit: 1.7 },
+        HostEvent::LimitUnreadable { engine: engine(), answers: 3 },
         HostEvent::LoadHeld {
             service: String::from("s"),
             key: String::from("m/a1"),
@@ -149,6 +152,9 @@
         | Event::EngineReborn { .. }
         | Event::RequestHeld { .. }
         | Event::RequestCleared { .. }
+        | Event::EngineLimited { .. }
+        | Event::LimitEnded { .. }
+        | Event::LimitUnreadable { .. }
         | Event::LoadHeld { .. }
         | Event::Lease { .. }
         | Event::StorePace { .. }
