--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -5,13 +5,13 @@
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use serde_json::{Value, json};
 
 use crate::{
-    dialect::{AFTER, DEADLINE, ENGINE, MODEL, NOT_RUN, REQUEST, RUN_BY},
+    dialect::{AFTER, DEADLINE, ENGINE, LIMIT, MODEL, NOT_RUN, REQUEST, RUN_BY},
     server::{EndableServer, ServedConnection, ServedRequest, serve},
 };
 
@@ -61,6 +61,10 @@
     highest_token: u64,
     /// Bodies under which it ends.
     deadly: Vec<Vec<u8>>,
+    /// What it says of the requests that it takes, and in every how many answers.
+    limit: Option<(String, usize)>,
+    /// When anything reached it: requests, orders, questions for its state.
+    calls: Vec<Instant>,
     /// What ends with it, where it can end.
     server: EndableServer,
 }
@@ -145,6 +149,30 @@
         self.lock().orders.clone()
     }
 
+    /// Names a limit in each answer from now on, or none.
+    pub(crate) fn name_limit(&self, limit: Option<&str>) {
+        self.name_limit_in_every(limit, 1);
+    }
+
+    /// Names a limit in one of so many answers from now on, or none.
+    pub(crate) fn name_limit_in_every(&self, limit: Option<&str>, every: usize) {
+        self.lock().limit = limit.map(|limit| (limit.to_owned(), every));
+    }
+
+    /// Returns the most calls of any kind that reached it within a time, of those after `from`.
+    pub(crate) fn most_calls_within(&self, time: Duration, from: Instant) -> usize {
+        let calls = self.lock().calls.clone();
+        let calls: Vec<Instant> = calls.into_iter().filter(|call| *call >= from).collect();
+        let until = |first: &Instant| calls.partition_point(|call| *call < *first + time);
+        let counts = calls.iter().enumerate().map(|(place, first)| until(first) - place);
+        counts.max().unwrap_or_default()
+    }
+
+    /// Returns how many calls of any kind reached it after `from`.
+    pub(crate) fn calls_since(&self, from: Instant) -> usize {
+        self.lock().calls.iter().filter(|call| **call >= from).count()
+    }
+
     /// Returns how many clients left while it worked for them.
     pub(crate) fn clients_gone(&self) -> u32 {
         self.lock().clients_gone
@@ -182,16 +210,18 @@
 fn serve_engine(state: &Mutex<EngineState>, name: &str, connection: &mut ServedConnection) {
     while let Some(request) = connection.next_request() {
         let locked = || state.lock().unwrap_or_else(PoisonError::into_inner);
+        locked().calls.push(Instant::now());
+        let limit = locked().limit_field();
         let served = match request.head.target.as_str() {
             "/orders" => {
                 let answer = take_order(&mut locked(), &request);
-                connection.answer(answer, "", "null")
+                connection.answer(answer, &limit, "null")
             }
             "/state" => {
                 let state = locked();
                 let report = json!({ "sequence": state.sequence, "held": state.held, "pending": [], "born": state.born });
                 drop(state);
-                connection.answer(200, "", &report.to_string())
+                connection.answer(200, &limit, &report.to_string())
             }
             _ => run(state, name, &request, connection),
         };
@@ -201,6 +231,15 @@
     }
 }
 
+impl EngineState {
+    /// Returns the field by which the next answer names a limit, if it does.
+    fn limit_field(&self) -> String {
+        let named =
+            self.limit.as_ref().filter(|(_, every)| self.calls.len().is_multiple_of(*every));
+        named.map_or_else(String::new, |(limit, _)| format!("{LIMIT}: {limit}\r\n"))
+    }
+}
+
 fn take_order(state: &mut EngineState, request: &ServedRequest) -> u16 {
     let order: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     if order["sequence"].as_u64() != Some(state.sequence) {
@@ -233,12 +272,13 @@
     let id = request.head.fields.text(REQUEST).unwrap_or_default().to_owned();
     let mut locked = state.lock().unwrap_or_else(PoisonError::into_inner);
     locked.heads.push(request.clone());
+    let limit = locked.limit_field();
     let expected = request.head.fields.text(ENGINE);
     let key = request.head.fields.text(MODEL);
     let absent = key.is_some_and(|key| !locked.held.contains(key));
     if expected != Some(name) || absent {
         drop(locked);
-        return connection.answer(421, &format!("{REQUEST}: {id}\r\n"), "");
+        return connection.answer(421, &format!("{REQUEST}: {id}\r\n{limit}"), "");
     }
     if locked.deadly.contains(&request.body) {
         locked.runs.push(request.clone());
@@ -257,14 +297,14 @@
         locked.runs.push(request.clone());
     }
     drop(locked);
-    let head = format!("{REQUEST}: {id}\r\n{RUN_BY}: {name}\r\n");
+    let head = format!("{REQUEST}: {id}\r\n{RUN_BY}: {name}\r\n{limit}");
     let body = String::from_utf8_lossy(&request.body).into_owned();
     match mood {
         EngineMood::Well => connection.answer(200, &head, &body),
         EngineMood::Error => connection.answer(500, &head, "an error of the engine"),
         EngineMood::FalsePromise => connection.answer(503, &head, "busy"),
         EngineMood::NotRun => {
-            connection.answer(503, &format!("{REQUEST}: {id}\r\n{NOT_RUN}: 1\r\n"), "")
+            connection.answer(503, &format!("{REQUEST}: {id}\r\n{NOT_RUN}: 1\r\n{limit}"), "")
         }
         EngineMood::Silent => None,
         EngineMood::Hangs => {
@@ -285,7 +325,7 @@
             connection.answer(200, &head, "a second answer")
         }
         EngineMood::StrayFirst => {
-            let stray = format!("{REQUEST}: another\r\n{RUN_BY}: {name}\r\n");
+            let stray = format!("{REQUEST}: another\r\n{RUN_BY}: {name}\r\n{limit}");
             connection.answer(200, &stray, "somebody else's")?;
             connection.answer(200, &head, &body)
         }
--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -9,6 +9,7 @@
 mod events;
 mod following;
 mod hostile;
+mod limits;
 mod older_copy;
 mod organisations;
 mod placement;
