feat(core): permits for engines that name a limit, dealt by one host

All hosts together must stay at what an engine names, 0.3 to 20 requests a second, however many hosts there are.

One host's ledger grants single permits to who has a request; resumed streams first, then what waits, then hosts that would have preferred the engine. A host that stands in while no ledger is heard permits itself half.

Nothing calls this yet.

--- a/crates/core/src/fleet/limits/share.rs
+++ b/crates/core/src/fleet/limits/share.rs
@@ -1,46 +1,80 @@
-//! What one host knows of the limits that engines name.
+//! What one host knows of the limits that engines name, and the permits that it has.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use crate::{
     clock::ClockMillis,
     fleet::{
         EngineBirth, EngineName, UNTOLD_BIRTH,
-        limits::limit::{AnswerWord, RequestLimit, SaidLimit},
+        limits::{
+            bucket::TokenBucket,
+            ledger::PROBE_RATE,
+            limit::{AnswerWord, RequestLimit, SaidLimit},
+            news::{LimitNews, NewsLog},
+            word::{LimitWord, PermitAsk, PermitGrant},
+        },
     },
 };
 
-/// The least time between two lines on one engine's limit: an engine may name another one, or none, in each answer.
-const NEWS_PAUSE: Duration = Duration::from_secs(1);
-
-/// What became of an engine's limit, for log lines.
-#[derive(Debug, Clone, PartialEq)]
-pub enum LimitNews {
-    /// The engine names one, or another one than before.
-    Named {
-        /// The engine.
-        engine: EngineName,
-        /// When the life that names it began.
-        born: EngineBirth,
-        /// The limit.
-        limit: RequestLimit,
-        /// The limit that was logged before, if it still held.
-        before: Option<RequestLimit>,
-    },
-    /// The engine names none any more.
-    Ended {
-        /// The engine.
-        engine: EngineName,
-        /// The limit that it had named.
-        limit: RequestLimit,
-    },
-    /// The engine says something that is no limit.
-    Unreadable {
-        /// The engine.
-        engine: EngineName,
-        /// How many such answers there were since the last line on them.
-        answers: u64,
-    },
+/// How long a permit may be used: what is saved up at hosts adds to what reaches an engine in a window, and a host that was stopped
+/// must not use later what others have got since. A request that waits uses it at once.
+const PERMIT_HOLDS: Duration = Duration::from_millis(400);
+
+/// How long the ledger may be silent and still count as heard: it says something twice a second.
+const LEDGER_SILENCE: Duration = Duration::from_millis(1200);
+
+/// The part of a limit that the one host may use that stands in for a ledger which is not heard. Another host may hear the
+/// ledger, or stand in as well by an older word on who should: all together stay within one and a half times the limit.
+const ALONE_PART: f64 = 0.5;
+
+/// How long an engine must have named no limit to a host that hears no ledger.
+const RETURNS_ALONE: Duration = Duration::from_secs(3);
+
+/// How often an ask is said again that still holds: the ledger forgets it after three times as long.
+const ASK_RENEWAL: Duration = Duration::from_millis(500);
+
+/// How long a wish holds: an engine that was preferred once may not be the next time.
+const WISH_HOLDS: Duration = Duration::from_millis(250);
+
+/// The least time between two asks for an engine that only wish: nobody waits for them.
+const WISH_PAUSE: Duration = Duration::from_millis(250);
+
+/// How many asks that only wish a host tells at a time: a host of a large fleet may prefer hundreds of engines in turn.
+const MOST_WISHES: usize = 8;
+
+/// Whether a request may go to an engine as far as its limit goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitStanding {
+    /// It has named none.
+    Free,
+    /// This host has a permit.
+    Permitted,
+    /// This host has none.
+    Used,
+}
+
+/// Who asks for a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PermitUse {
+    /// A request that has not waited: it leaves permits to those that wait.
+    New,
+    /// A request that waits.
+    Waiting,
+    /// A stream that broke off and waits: its client has a part of the answer.
+    Resumed,
+}
+
+/// What a host tells the ledger.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct LimitTold {
+    /// What engines said.
+    pub words: Vec<LimitWord>,
+    /// What the host wants of them.
+    pub asks: Vec<(EngineName, PermitAsk)>,
 }
 
 /// What this host knows of one engine's limit.
@@ -53,17 +87,122 @@
     ended: bool,
     /// When the answer began that said so.
     said: ClockMillis,
-    /// What was last logged, none where that was its end.
-    logged: Option<RequestLimit>,
-    logged_at: ClockMillis,
+    /// When what that answered was sent.
+    asked: ClockMillis,
+    /// Whether the ledger is to hear of it.
+    untold: bool,
+    /// Until when each permit may be used.
+    permits: VecDeque<ClockMillis>,
+    resumed: u32,
+    waiting: u32,
+    wished: Option<ClockMillis>,
+    got: u64,
+    unused: u64,
+    unasked: u64,
+    told: PermitAsk,
+    told_at: ClockMillis,
+    /// When the ledger expects a permit for the last one that waits.
+    due: Option<ClockMillis>,
+    /// What this host may use where it stands in for the ledger.
+    alone: Option<TokenBucket>,
+}
+
+impl EngineShare {
+    fn new(born: EngineBirth, limit: RequestLimit, said: ClockMillis) -> Self {
+        Self {
+            born,
+            limit,
+            ended: false,
+            said,
+            asked: said,
+            untold: true,
+            permits: VecDeque::new(),
+            resumed: 0,
+            waiting: 0,
+            wished: None,
+            got: 0,
+            unused: 0,
+            unasked: 0,
+            told: PermitAsk::default(),
+            told_at: ClockMillis::default(),
+            due: None,
+            alone: None,
+        }
+    }
+
+    const fn is_life(&self, born: EngineBirth) -> bool {
+        born == self.born || born == UNTOLD_BIRTH || self.born == UNTOLD_BIRTH
+    }
+
+    /// Takes the place of what was known of an earlier life; requests that wait go on waiting.
+    fn begin_life(&mut self, born: EngineBirth, limit: RequestLimit, said: ClockMillis) {
+        let Self { resumed, waiting, got, unused, unasked, .. } = *self;
+        *self = Self { resumed, waiting, got, unused, unasked, ..Self::new(born, limit, said) };
+    }
+
+    fn drop_old_permits(&mut self, now: ClockMillis) {
+        while self.permits.front().is_some_and(|until| *until <= now) {
+            self.permits.pop_front();
+            self.unused += 1;
+        }
+    }
+
+    /// Returns how many permits there are for a use.
+    fn permits_for(&self, wanted: PermitUse) -> u32 {
+        let permits = u32::try_from(self.permits.len()).unwrap_or(u32::MAX);
+        match wanted {
+            PermitUse::Resumed => permits,
+            PermitUse::Waiting => permits.saturating_sub(self.resumed),
+            PermitUse::New => permits.saturating_sub(self.resumed.saturating_add(self.waiting)),
+        }
+    }
+
+    fn ask(&self, now: ClockMillis) -> PermitAsk {
+        let mut permits = u32::try_from(self.permits.len()).unwrap_or(u32::MAX);
+        let [resumed, waiting] = [self.resumed, self.waiting].map(|wanted| {
+            let covered = wanted.min(permits);
+            permits -= covered;
+            wanted - covered
+        });
+        let wished = self.wished.is_some_and(|wished| now.since(wished) < WISH_HOLDS);
+        let Self { got, unused, unasked, .. } = *self;
+        PermitAsk { resumed, waiting, wished: wished && permits == 0, got, unused, unasked }
+    }
+
+    /// Returns the ask if it is due to be told.
+    fn due_ask(&self, now: ClockMillis) -> Option<PermitAsk> {
+        let ask = self.ask(now);
+        let waits = ask.resumed > 0 || ask.waiting > 0;
+        let waited = self.told.resumed > 0 || self.told.waiting > 0;
+        let since = now.since(self.told_at);
+        let due = if waits || waited {
+            ask != self.told || since >= ASK_RENEWAL
+        } else {
+            // That a permit came is told with the next ask; that it was not used, and what was used without one, soon.
+            let owed = ask.unused != self.told.unused || ask.unasked > 0;
+            (ask.wished || owed) && since >= WISH_PAUSE
+        };
+        due.then_some(ask)
+    }
+
+    fn word(&self, engine: &EngineName, now: ClockMillis) -> LimitWord {
+        LimitWord {
+            engine: Arc::clone(engine),
+            born: self.born,
+            limit: (!self.ended).then_some(self.limit),
+            said_ago: now.since(self.said),
+            asked_ago: now.since(self.asked),
+        }
+    }
 }
 
 /// What one host knows of the limits that engines name.
 #[derive(Debug, Clone, Default)]
 pub struct LimitShare {
     engines: HashMap<EngineName, EngineShare>,
-    /// Answers with something that is no limit since the last line on them, by engine, and when that was.
-    unreadable: HashMap<EngineName, (u64, ClockMillis)>,
+    /// When the ledger was last heard.
+    heard: ClockMillis,
+    news: NewsLog,
 }
 
 impl LimitShare {
@@ -76,97 +215,270 @@
         now: ClockMillis,
     ) {
         match word.said {
-            SaidLimit::Named(limit) => self.named(engine, born, limit, now),
+            SaidLimit::Named(limit) => {
+                let new = || EngineShare::new(born, limit, now);
+                let known = self.engines.entry(Arc::clone(engine)).or_insert_with(new);
+                if !known.is_life(born) {
+                    known.begin_life(born, limit, now);
+                }
+                known.untold |= known.ended || known.limit != limit;
+                (known.limit, known.ended, known.said, known.asked) =
+                    (limit, false, now, word.asked);
+            }
             SaidLimit::Nothing if word.would_say => {
                 if let Some(known) = self.engines.get_mut(engine)
                     && known.is_life(born)
                     && word.asked > known.said
                 {
-                    known.ended = true;
-                    known.said = now;
+                    known.untold |= !known.ended;
+                    (known.ended, known.said, known.asked) = (true, now, word.asked);
                 }
             }
             SaidLimit::Nothing => {}
-            SaidLimit::Unreadable => {
-                self.unreadable.entry(Arc::clone(engine)).or_default().0 += 1;
-            }
+            SaidLimit::Unreadable => self.news.unreadable(engine),
         }
     }
 
-    fn named(
-        &mut self,
-        engine: &EngineName,
-        born: EngineBirth,
-        limit: RequestLimit,
-        now: ClockMillis,
-    ) {
-        let new = || EngineShare {
-            born,
-            limit,
-            ended: false,
-            said: now,
-            logged: None,
-            logged_at: ClockMillis::default(),
-        };
-        let known = self.engines.entry(Arc::clone(engine)).or_insert_with(new);
-        if !known.is_life(born) {
-            *known = new();
-        }
-        (known.limit, known.ended, known.said) = (limit, false, now);
-    }
-
     /// Returns how many engines have a limit.
     pub fn limited(&self) -> usize {
-        self.engines.values().filter(|known| !known.ended).count()
+        self.engines.len()
     }
 
-    /// Returns whether an engine has a limit.
+    /// Returns whether an engine has a limit, or returns slowly from one.
     pub fn is_limited(&self, engine: &str) -> bool {
+        self.engines.contains_key(engine)
+    }
+
+    /// Returns whether an engine has named a limit to this host, and not since answered without one.
+    pub fn names_limit(&self, engine: &str) -> bool {
         self.engines.get(engine).is_some_and(|known| !known.ended)
     }
 
-    /// Forgets engines that are listed no more.
-    pub fn retain(&mut self, listed: impl Fn(&str) -> bool) {
-        self.engines.retain(|engine, _| listed(engine));
-        self.unreadable.retain(|engine, _| listed(engine));
+    /// Returns the engines that have a limit, or return slowly from one.
+    pub fn engines(&self) -> impl Iterator<Item = &EngineName> {
+        self.engines.keys()
+    }
+
+    /// Forgets engines that are listed no more, or in another life; `life` returns the one that is listed.
+    pub fn retain(&mut self, life: impl Fn(&str) -> Option<EngineBirth>) {
+        self.engines.retain(|engine, known| life(engine).is_some_and(|born| known.is_life(born)));
+        self.news.retain(|engine| life(engine).is_some());
     }
 
-    /// Returns what is to be logged now, at most a line a second for each engine and kind.
+    /// Returns what is to be logged now.
     pub fn take_news(&mut self, now: ClockMillis) -> Vec<LimitNews> {
-        let mut news = Vec::new();
-        for (engine, known) in &mut self.engines {
-            if now.since(known.logged_at) >= NEWS_PAUSE {
-                news.extend(known.take_news(engine, now));
+        let known = self.engines.iter();
+        let known = known.map(|(engine, known)| (engine, known.born, known.limit));
+        self.news.take(known, now)
+    }
+}
+
+impl LimitShare {
+    /// Returns whether a request may go to an engine now.
+    pub fn standing(&mut self, engine: &str, wanted: PermitUse, now: ClockMillis) -> LimitStanding {
+        let Some(known) = self.engines.get_mut(engine) else { return LimitStanding::Free };
+        known.drop_old_permits(now);
+        if known.permits_for(wanted) > 0 { LimitStanding::Permitted } else { LimitStanding::Used }
+    }
+
+    /// Takes a permit for a call to an engine; returns false where it has a limit and there is none.
+    pub fn take(&mut self, engine: &str, wanted: PermitUse, now: ClockMillis) -> bool {
+        match self.standing(engine, wanted, now) {
+            LimitStanding::Free => true,
+            LimitStanding::Used => false,
+            LimitStanding::Permitted => {
+                let known = self.engines.get_mut(engine);
+                known.is_some_and(|known| known.permits.pop_front().is_some())
             }
         }
-        for (engine, (answers, logged_at)) in &mut self.unreadable {
-            if *answers > 0 && now.since(*logged_at) >= NEWS_PAUSE {
-                *logged_at = now;
-                let (engine, answers) = (Arc::clone(engine), std::mem::take(answers));
-                news.push(LimitNews::Unreadable { engine, answers });
+    }
+
+    /// Puts back a permit for a call that was not made.
+    pub fn give_back(&mut self, engine: &str, now: ClockMillis) {
+        if let Some(known) = self.engines.get_mut(engine) {
+            known.permits.push_back(now + PERMIT_HOLDS);
+        }
+    }
+
+    /// Counts a call that has to be made without a permit: the ledger makes up for it.
+    pub fn call_unasked(&mut self, engine: &str) {
+        if let Some(known) = self.engines.get_mut(engine) {
+            known.unasked += 1;
+        }
+    }
+
+    /// Takes that a request begins to wait for a permit.
+    pub fn wait_began(&mut self, engine: &str, wanted: PermitUse) {
+        if let Some(known) = self.engines.get_mut(engine) {
+            match wanted {
+                PermitUse::Resumed => known.resumed += 1,
+                PermitUse::Waiting | PermitUse::New => known.waiting += 1,
             }
         }
-        news
+    }
+
+    /// Takes that a request waits no longer for a permit.
+    pub fn wait_ended(&mut self, engine: &str, wanted: PermitUse) {
+        if let Some(known) = self.engines.get_mut(engine) {
+            let count = match wanted {
+                PermitUse::Resumed => &mut known.resumed,
+                PermitUse::Waiting | PermitUse::New => &mut known.waiting,
+            };
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Takes that a request would have gone to an engine, had there been a permit.
+    pub fn wish(&mut self, engine: &str, now: ClockMillis) {
+        if let Some(known) = self.engines.get_mut(engine) {
+            known.wished = Some(now);
+        }
+    }
+
+    /// Returns in what time one more request may expect a permit for an engine; `None` where nobody can say yet.
+    pub fn expected(&self, engine: &str, now: ClockMillis) -> Option<Duration> {
+        let known = self.engines.get(engine)?;
+        known.due.map(|due| due.since(now))
+    }
+
+    /// Returns how many requests of this host wait for an engine, against its limit. Unit: seconds.
+    pub fn queue(&self, engine: &str) -> f64 {
+        let Some(known) = self.engines.get(engine) else { return 0.0 };
+        f64::from(known.resumed + known.waiting) / known.limit.per_second().max(PROBE_RATE)
     }
 }
 
-impl EngineShare {
-    const fn is_life(&self, born: EngineBirth) -> bool {
-        born == self.born || born == UNTOLD_BIRTH || self.born == UNTOLD_BIRTH
+impl LimitShare {
+    /// Takes that the ledger was heard.
+    pub fn ledger_heard(&mut self, now: ClockMillis) {
+        self.heard = now;
+        for known in self.engines.values_mut() {
+            known.alone = None;
+        }
+    }
+
+    /// Returns whether the ledger is heard.
+    pub fn hears_ledger(&self, now: ClockMillis) -> bool {
+        self.heard != ClockMillis::default() && now.since(self.heard) < LEDGER_SILENCE
     }
 
-    fn take_news(&mut self, engine: &EngineName, now: ClockMillis) -> Option<LimitNews> {
-        let present = (!self.ended).then_some(self.limit);
-        let (engine, before) = (Arc::clone(engine), self.logged);
-        let news = match (present, before) {
-            (Some(limit), before) if before.is_none_or(|before| limit.differs(before)) => {
-                LimitNews::Named { engine, born: self.born, limit, before }
+    /// Takes what the ledger says of an engine's limit; what this host has heard itself since counts more.
+    pub fn word_heard(&mut self, word: &LimitWord, now: ClockMillis) {
+        let said = now - word.said_ago;
+        match (word.limit, self.engines.get_mut(&word.engine)) {
+            (Some(limit), Some(known)) => {
+                if !known.is_life(word.born) && said >= known.said {
+                    known.begin_life(word.born, limit, said);
+                    known.untold = false;
+                } else if said > known.said {
+                    (known.limit, known.ended, known.said) = (limit, false, said);
+                    known.untold = false;
+                }
             }
-            (None, Some(limit)) => LimitNews::Ended { engine, limit },
-            _ => return None,
-        };
-        self.logged = present;
-        self.logged_at = now;
-        Some(news)
+            (Some(limit), None) => {
+                let known =
+                    EngineShare { untold: false, ..EngineShare::new(word.born, limit, said) };
+                self.engines.insert(Arc::clone(&word.engine), known);
+            }
+            (None, Some(known)) => {
+                if known.is_life(word.born) && (known.ended || said >= known.said) {
+                    self.engines.remove(&word.engine);
+                }
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// Takes what the ledger grants; returns whether there are permits now.
+    pub fn granted(&mut self, grants: &[PermitGrant], now: ClockMillis) -> bool {
+        let mut any = false;
+        for grant in grants {
+            let Some(known) = self.engines.get_mut(&grant.engine) else { continue };
+            known.got += u64::from(grant.permits);
+            for _ in 0..grant.permits {
+                known.permits.push_back(now + PERMIT_HOLDS);
+                any = true;
+            }
+            if let Some(wait) = grant.wait {
+                known.due = Some(now + wait);
+                any = true;
+            }
+        }
+        any
+    }
+
+    /// Returns what the ledger is to hear now.
+    pub fn take_told(&mut self, now: ClockMillis) -> LimitTold {
+        let mut told = LimitTold::default();
+        let mut wishes = 0;
+        for (engine, known) in &mut self.engines {
+            known.drop_old_permits(now);
+            if std::mem::take(&mut known.untold) {
+                told.words.push(known.word(engine, now));
+            }
+            let Some(ask) = known.due_ask(now) else { continue };
+            let only_wishes = ask.resumed + ask.waiting == 0;
+            wishes += usize::from(only_wishes);
+            if only_wishes && wishes > MOST_WISHES {
+                continue;
+            }
+            known.told.clone_from(&ask);
+            (known.told_at, known.unasked) = (now, 0);
+            told.asks.push((Arc::clone(engine), ask));
+        }
+        told
+    }
+
+    /// Makes what could not be told be told again.
+    pub fn tell_again(&mut self, told: &LimitTold) {
+        for word in &told.words {
+            if let Some(known) = self.engines.get_mut(&word.engine) {
+                known.untold = true;
+            }
+        }
+        for (engine, ask) in &told.asks {
+            if let Some(known) = self.engines.get_mut(engine) {
+                known.told = PermitAsk::default();
+                known.unasked += ask.unasked;
+            }
+        }
+    }
+
+    /// Makes everything be told to another ledger, which counts this host's permits anew.
+    pub fn begin_telling(&mut self) {
+        for known in self.engines.values_mut() {
+            known.untold = true;
+            (known.got, known.unused) = (0, 0);
+            (known.told, known.due) = (PermitAsk::default(), None);
+        }
+    }
+
+    /// Lets the one host that stands in for a ledger which is not heard permit itself a part of each limit; returns whether there
+    /// are permits now. `stands_in` says whether this host is the one for an engine.
+    pub fn stand_alone(&mut self, stands_in: impl Fn(&str) -> bool, now: ClockMillis) -> bool {
+        if self.hears_ledger(now) {
+            return false;
+        }
+        let mut any = false;
+        self.engines.retain(|engine, known| {
+            if known.ended && now.since(known.said) >= RETURNS_ALONE {
+                any = true;
+                return false;
+            }
+            if stands_in(engine) {
+                known.drop_old_permits(now);
+                let bucket = known.alone.get_or_insert_with(|| TokenBucket::empty(now));
+                let rate = known.limit.per_second().max(PROBE_RATE) * ALONE_PART;
+                bucket.refill(rate, now);
+                if known.permits.is_empty() && bucket.take() {
+                    known.permits.push_back(now + PERMIT_HOLDS);
+                    any = true;
+                }
+            } else {
+                known.alone = None;
+            }
+            true
+        });
+        any
     }
 }
--- /dev/null
+++ b/crates/core/src/fleet/limits/word.rs
@@ -0,0 +1,48 @@
+//! What hosts and the ledger tell each other of the limits that engines name.
+
+use std::time::Duration;
+
+use crate::fleet::{EngineBirth, EngineName, limits::limit::RequestLimit};
+
+/// The last word on one engine's limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LimitWord {
+    /// The engine.
+    pub engine: EngineName,
+    /// The life that said it.
+    pub born: EngineBirth,
+    /// The limit; none where the engine names none any more.
+    pub limit: Option<RequestLimit>,
+    /// How long ago the answer began that said so.
+    pub said_ago: Duration,
+    /// How long ago what it answered had been sent.
+    pub asked_ago: Duration,
+}
+
+/// What a host wants of one engine that has named a limit. A later word on the same engine takes the place of this one.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PermitAsk {
+    /// Streams that broke off and wait for a permit.
+    pub resumed: u32,
+    /// Other requests that wait for a permit.
+    pub waiting: u32,
+    /// Whether a request would have gone there, had there been a permit; it went elsewhere.
+    pub wished: bool,
+    /// How many permits the host has got since it listens to this ledger.
+    pub got: u64,
+    /// How many of them it has let go unused.
+    pub unused: u64,
+    /// How many calls it has made without one since it last told.
+    pub unasked: u64,
+}
+
+/// What the ledger answers to one host on one engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PermitGrant {
+    /// The engine.
+    pub engine: EngineName,
+    /// Calls that the host may make.
+    pub permits: u32,
+    /// In what time a permit is expected for the last one that waits there, where some wait on.
+    pub wait: Option<Duration>,
+}
--- a/crates/core/tests/engine_limits.rs
+++ b/crates/core/tests/engine_limits/hearing.rs
@@ -8,7 +8,8 @@
         EngineName,
         limits::{
             limit::{AnswerWord, RequestLimit, SaidLimit},
-            share::{LimitNews, LimitShare},
+            news::LimitNews,
+            share::LimitShare,
         },
     },
 };
@@ -76,7 +77,7 @@
             let said = said.map_or(SaidLimit::Nothing, named);
             let word = AnswerWord { said, asked: at(*asked), would_say: *would_say };
             share.answered(&engine, *born, word, at(*began));
-            assert_eq!(share.is_limited(&engine), *limited, "{}, at {began}", case.name);
+            assert_eq!(share.names_limit(&engine), *limited, "{}, at {began}", case.name);
         }
     }
 }
--- a/crates/gateway/src/control/limits.rs
+++ b/crates/gateway/src/control/limits.rs
@@ -2,7 +2,7 @@
 
 use reelreel_core::{
     ClockMillis,
-    fleet::limits::{limit::RequestLimit, share::LimitNews},
+    fleet::limits::{limit::RequestLimit, news::LimitNews},
 };
 
 use crate::{control::state::ControlState, events::HostEvent};
@@ -11,7 +11,7 @@
     /// Logs what became of engines' limits, and forgets those of engines that are gone.
     pub(super) fn log_limits(&self, now: ClockMillis) {
         let mut limits = self.shared.limits();
-        limits.retain(|engine| self.engines.contains_key(engine));
+        limits.retain(|engine| self.engines.get(engine).map(|entry| entry.born));
         let limited = i64::try_from(limits.limited()).unwrap_or(i64::MAX);
         self.shared.metrics.limited_engines.set(limited);
         let news = limits.take_news(now);
