refactor(gateway): one lane for what all hosts count and one adds up

Now a sum is a trait, its words go in frames of their own over the placer's connections, and PlacementDomain knows of listeners only. A fleet whose services hold no models has a leading service as well, so that its hosts add up too. Behaviour of the two is as before; quotas of whom nothing is named are told twice a second rather than with each word on engines' work.

--- a/crates/core/src/fleet/routes.rs
+++ b/crates/core/src/fleet/routes.rs
@@ -252,6 +252,13 @@
         self.services.get(name)
     }
 
+    /// Returns the service whose placer also does what is done once for all services: the first one with models by name, and the
+    /// first of all where none has any.
+    pub fn leading_service(&self) -> Option<&ServiceName> {
+        let hosting = self.hosting_services().map(|service| &service.name).min();
+        hosting.or_else(|| self.services.keys().min())
+    }
+
     /// Iterates over the services whose engines hold models.
     pub fn hosting_services(&self) -> impl Iterator<Item = &Arc<ServiceEntry>> {
         self.services.values().filter(|service| service.hosting.is_some())
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -13,9 +13,8 @@
 pub mod orders;
 pub mod placing;
 pub mod plan_lines;
-pub mod quotas;
 pub mod state;
-pub mod suspects;
+pub mod sums;
 
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -13,21 +13,16 @@
         adapter_name, work::EngineWork,
     },
     id::FenceToken,
-    organisation::share::QuotaUse,
     placement::{DemandEntry, EngineMemory, LeaseRules, PlacementPlanner, PlacerTenure, StorePace},
 };
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::control::{
-    plan_lines::{EngineNumbers, change_line, engine_line, read_work},
-    quotas::KeptLedger,
-};
+use crate::control::plan_lines::{EngineNumbers, change_line, engine_line, read_work};
 use crate::demand::ToldDemand;
 use crate::peers::frame::{
-    ChangeLine, DemandFrame, EncodedFrame, EstimateLine, FrameBody, PlanFrame, QuotaFrame,
+    ChangeLine, DemandFrame, EncodedFrame, EstimateLine, FrameBody, PlanFrame,
 };
-use crate::peers::suspect_lines::SuspectLine;
 
 /// How many frames wait for a slow peer before it is let go.
 pub const PEER_QUEUE: usize = 64;
@@ -58,10 +53,6 @@
 /// How often a placer that has nothing to tell says that it is there.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The least time between two words on quotas while an organisation has little left: with the 50 ms after which
-/// hosts tell what they granted, a word is 110 ms old at most when the next one comes.
-const QUOTA_PAUSE: Duration = Duration::from_millis(60);
-
 /// How long an estimate is kept after its time.
 const ESTIMATE_HOLDS: Duration = Duration::from_secs(2);
 
@@ -92,7 +83,16 @@
     pub asked: Vec<ModelKey>,
 }
 
-/// One placement domain.
+/// A host that has ceased to listen.
+#[derive(Debug, Clone)]
+pub struct GoneListener {
+    /// Its name.
+    pub host: Arc<str>,
+    /// Of how many hosts it was one, where it fell silent and may go on serving; none where it has closed its connection.
+    pub silent_among: Option<u32>,
+}
+
+/// One placement domain, or one that only leads where no service holds models.
 pub struct PlacementDomain {
     /// The service whose engines it holds.
     pub service: ServiceName,
@@ -100,9 +100,11 @@
     pub partition: u32,
     /// This host's hold on the lease.
     pub tenure: PlacerTenure,
-    /// The planner, while this host holds the lease.
+    /// Whether this host holds the lease.
+    pub leads: bool,
+    /// The planner, while this host holds the lease of a service whose engines hold models.
     pub planner: Option<PlacementPlanner>,
-    /// The token for which the planner was begun.
+    /// The token of the lease that this host holds.
     pub planned_token: FenceToken,
     /// What engines hold, as the placer says.
     pub plan: HashMap<EngineName, Vec<HeldModel>>,
@@ -124,10 +126,8 @@
     pub subscribers: Vec<PlanSubscriber>,
     /// Where demand for the placer goes, while there is a connection.
     pub placer: Option<mpsc::Sender<EncodedFrame>>,
-    /// What hosts granted of the organisations' quotas, while this host keeps their ledger.
-    pub ledger: Option<KeptLedger>,
-    /// When the quotas were last told.
-    quotas_told: ClockMillis,
+    /// Hosts that have ceased to listen since this was last asked.
+    gone: Vec<GoneListener>,
     /// The pace that was logged last.
     logged_pace: Option<StorePace>,
     /// What subscribers were told that engines hold.
@@ -156,6 +156,7 @@
             service,
             partition: u32::try_from(place).unwrap_or_default(),
             tenure: PlacerTenure::new(rules),
+            leads: false,
             planner: None,
             planned_token: 0,
             plan: HashMap::new(),
@@ -168,8 +169,7 @@
             asked: Vec::new(),
             subscribers: Vec::new(),
             placer: None,
-            ledger: None,
-            quotas_told: ClockMillis::default(),
+            gone: Vec::new(),
             logged_pace: None,
             told_plan: HashMap::new(),
             numbers: EngineNumbers::default(),
@@ -196,35 +196,14 @@
             self.spoken = now;
             let (numbers, work) = self.numbers.write(&changed);
             let pace = self.pace.map(Into::into);
-            let quotas = self.quota_frame(now);
-            let frame = PlanFrame { pace, quotas, numbers, work, ..self.empty_frame() };
+            let frame = PlanFrame { pace, numbers, work, ..self.empty_frame() };
             let frame = FrameBody::Plan(frame).encoded();
             self.work_pause = WORK_SECOND.mul_f64(frame.bytes.len() as f64 / WORK_BYTES);
-            self.broadcast(&frame, now);
+            self.broadcast(&frame);
         }
         changed
     }
 
-    /// Writes which organisations have little left, where this host keeps the ledger.
-    fn quota_frame(&mut self, now: ClockMillis) -> Option<QuotaFrame> {
-        self.quotas_told = now;
-        let named = self.ledger.as_mut()?.quotas.named(now);
-        Some(QuotaFrame { named: named.iter().map(Into::into).collect() })
-    }
-
-    /// Tells the subscribers at short intervals which organisations have little left, while there are any.
-    pub fn tell_quotas(&mut self, now: ClockMillis) {
-        if now.since(self.quotas_told) < QUOTA_PAUSE {
-            return;
-        }
-        let quotas = self.quota_frame(now).filter(|quotas| !quotas.named.is_empty());
-        if quotas.is_none() {
-            return;
-        }
-        let frame = PlanFrame { quotas, ..self.empty_frame() };
-        self.broadcast(&FrameBody::Plan(frame).encoded(), now);
-    }
-
     /// Returns how many hosts listen to the placer, itself included.
     pub fn listeners(&self) -> u32 {
         u32::try_from(self.subscribers.len() + 1).unwrap_or(u32::MAX)
@@ -239,21 +218,12 @@
         self.told = now;
         let untold = std::mem::take(&mut self.untold);
         let frame = self.plan_changes(&untold);
-        self.broadcast(&frame, now);
+        self.broadcast(&frame);
     }
 
     /// Tells demand to the own planner or to the placer; returns whether anyone took it.
-    pub fn tell_demand(
-        &mut self,
-        host: &Arc<str>,
-        told: &ToldDemand,
-        used: &[QuotaUse],
-        now: ClockMillis,
-    ) -> bool {
+    pub fn tell_demand(&mut self, host: &Arc<str>, told: &ToldDemand, now: ClockMillis) -> bool {
         if let Some(planner) = &mut self.planner {
-            if let Some(ledger) = &mut self.ledger {
-                ledger.quotas.host_used(host, used, now);
-            }
             planner.demand_noted(host, &told.entries, now);
             planner.work_noted(host, &told.work, now);
             self.asked.extend(waited_keys(&told.entries));
@@ -268,31 +238,10 @@
             runs: told.work.runs.iter().map(Into::into).collect(),
             absent: told.work.absent.iter().map(Into::into).collect(),
             unreached: told.work.unreached.iter().map(ToString::to_string).collect(),
-            usage: used.iter().map(Into::into).collect(),
-            suspects: Vec::new(),
         };
         placer.try_send(FrameBody::Demand(frame).encoded()).is_ok()
     }
 
-    /// Tells the placer of requests under which engines ended; returns whether it was told.
-    pub fn tell_suspects(&self, host: &Arc<str>, suspects: Vec<SuspectLine>) -> bool {
-        if suspects.is_empty() {
-            return true;
-        }
-        let Some(placer) = &self.placer else { return false };
-        let (host, service) = (host.to_string(), self.service.to_string());
-        let frame = DemandFrame { host, service, suspects, ..DemandFrame::default() };
-        placer.try_send(FrameBody::Demand(frame).encoded()).is_ok()
-    }
-
-    /// Tells the subscribers of requests under which engines ended.
-    pub fn spread_suspects(&mut self, suspects: Vec<SuspectLine>, now: ClockMillis) {
-        if !suspects.is_empty() {
-            let frame = PlanFrame { suspects, ..self.empty_frame() };
-            self.broadcast(&FrameBody::Plan(frame).encoded(), now);
-        }
-    }
-
     /// Takes the own planner's residency into the plan; returns the engines that changed.
     pub fn adopt_own_plan(&mut self) -> Vec<EngineName> {
         let Some(planner) = &mut self.planner else { return Vec::new() };
@@ -391,14 +340,13 @@
         true
     }
 
-    /// Writes the whole plan, and `suspects` with it, for a host that begins to listen.
-    pub fn whole_plan(&self, suspects: Vec<SuspectLine>) -> EncodedFrame {
+    /// Writes the whole plan, for a host that begins to listen.
+    pub fn whole_plan(&self) -> EncodedFrame {
         let lines = self.plan.iter();
         let lines = lines.map(|(engine, held)| engine_line(engine, self.born(engine), held));
         let frame = PlanFrame {
             engines: lines.collect(),
             numbers: self.numbers.lines(),
-            suspects,
             ..self.empty_frame()
         };
         FrameBody::Plan(frame).encoded()
@@ -463,15 +411,13 @@
     }
 
     /// Sends a frame to all subscribers and lets go of those that do not keep up or can not be reached.
-    ///
-    /// These may go on serving; what they grant of quotas is set aside.
-    fn broadcast(&mut self, frame: &EncodedFrame, now: ClockMillis) {
-        let hosts = self.listeners();
-        let (subscribers, ledger) = (&mut self.subscribers, &mut self.ledger);
+    pub fn broadcast(&mut self, frame: &EncodedFrame) {
+        let silent_among = Some(self.listeners());
+        let (subscribers, gone) = (&mut self.subscribers, &mut self.gone);
         subscribers.retain(|subscriber| {
             let kept = subscriber.frames.try_send(frame.clone()).is_ok();
-            if let Some(ledger) = ledger.as_mut().filter(|_| !kept) {
-                ledger.quotas.host_silent(&subscriber.host, hosts, now);
+            if !kept {
+                gone.push(GoneListener { host: Arc::clone(&subscriber.host), silent_among });
             }
             kept
         });
@@ -479,13 +425,18 @@
 
     /// Takes that a subscriber has closed its connection: it stops, or listens elsewhere.
     pub fn subscriber_left(&mut self, frames: &mpsc::Sender<EncodedFrame>) {
-        let (subscribers, ledger) = (&mut self.subscribers, &mut self.ledger);
+        let (subscribers, gone) = (&mut self.subscribers, &mut self.gone);
         subscribers.retain(|subscriber| {
             let kept = !subscriber.frames.same_channel(frames);
-            if let Some(ledger) = ledger.as_mut().filter(|_| !kept) {
-                ledger.quotas.host_left(&subscriber.host);
+            if !kept {
+                gone.push(GoneListener { host: Arc::clone(&subscriber.host), silent_among: None });
             }
             kept
         });
     }
+
+    /// Takes the hosts that have ceased to listen since the last call.
+    pub fn take_gone(&mut self) -> Vec<GoneListener> {
+        std::mem::take(&mut self.gone)
+    }
 }
--- a/crates/gateway/src/control/operator.rs
+++ b/crates/gateway/src/control/operator.rs
@@ -92,13 +92,13 @@
         let StorePosition { era, offset } = position;
         self.shared.events.write(HostEvent::ConfigurationInForce { revision, era, offset });
         self.shared.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
-        for service in routes.hosting_services() {
-            if !self.domains.contains_key(&service.name) {
-                let name = Arc::clone(&service.name);
+        let hosting = routes.hosting_services().map(|service| &service.name);
+        for service in hosting.chain(routes.leading_service()) {
+            if !self.domains.contains_key(service) {
                 let partitions = self.shared.profile.partitions;
                 let domain =
-                    PlacementDomain::new(Arc::clone(&name), partitions, self.lease_rules());
-                self.domains.insert(name, domain);
+                    PlacementDomain::new(Arc::clone(service), partitions, self.lease_rules());
+                self.domains.insert(Arc::clone(service), domain);
             }
         }
         self.routes = Some(routes);
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -15,16 +15,12 @@
         TICK,
         domain::{PlanSubscriber, waited_keys},
         orders::start_actions,
-        quotas::keep_ledger,
         state::ControlState,
     },
     events::HostEvent,
     peers::frame::{DemandFrame, PlanFrame},
 };
 
-/// How often this host tells the ledger of the quotas anything, so that its silence shows when it is cut off.
-const LEDGER_WORD: Duration = Duration::from_millis(250);
-
 /// The shortest pause between two looks at the domains.
 const LEAST_PAUSE: Duration = Duration::from_millis(2);
 
@@ -32,40 +28,44 @@
     /// Takes a peer's demand; `subscriber` gets the plan from now on.
     pub fn peer_demand(&mut self, frame: &DemandFrame, subscriber: Option<PlanSubscriber>) -> bool {
         let now = self.shared.clock.now();
-        let begins = subscriber.is_some();
-        let suspects = if begins { self.suspects_for_all(&frame.service, now) } else { Vec::new() };
         let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return false };
-        let Some(planner) = &mut domain.planner else { return false };
+        if !domain.leads {
+            return false;
+        }
         let entries: Vec<_> = frame.entries.iter().map(Into::into).collect();
         let host = Arc::from(frame.host.as_str());
-        planner.demand_noted(&host, &entries, now);
-        planner.work_noted(&host, &frame.work(), now);
-        if let Some(ledger) = &mut domain.ledger {
-            ledger.take_usage(&host, frame, begins, now);
+        if let Some(planner) = &mut domain.planner {
+            planner.demand_noted(&host, &entries, now);
+            planner.work_noted(&host, &frame.work(), now);
         }
         self.shared.wake_control.notify_one();
         let waited: Vec<ModelKey> = waited_keys(&entries).collect();
         for known in domain.subscribers.iter_mut().filter(|known| known.host == host) {
             known.asked.extend(waited.iter().cloned());
         }
-        if let Some(subscriber) = subscriber
-            && subscriber.frames.try_send(domain.whole_plan(suspects)).is_ok()
-        {
-            domain.subscribers.push(subscriber);
+        if let Some(subscriber) = subscriber {
+            self.begin_listening(&frame.service, subscriber);
         }
-        self.suspects_heard(&frame.suspects, now);
         true
     }
 
+    /// Takes a host that begins to listen to a service's placer, and tells it everything.
+    fn begin_listening(&mut self, service: &str, subscriber: PlanSubscriber) {
+        let sums = self.greet_listener(&subscriber.host, service);
+        let Some(domain) = self.domains.get_mut(service) else { return };
+        let mut frames = std::iter::once(domain.whole_plan()).chain(sums);
+        if frames.all(|frame| subscriber.frames.try_send(frame).is_ok()) {
+            domain.subscribers.push(subscriber);
+        }
+    }
+
     /// Takes a placer's plan.
     pub fn peer_plan(&mut self, frame: &PlanFrame) {
         let now = self.shared.clock.now();
         let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return };
-        if domain.planner.is_none() && domain.adopt_plan(frame, now) {
+        if !domain.leads && domain.adopt_plan(frame, now) {
             self.shared.shared_work().take(domain.told_work(frame));
             self.hosts_counted(frame.hosts);
-            self.take_quota_words(frame, now);
-            self.suspects_heard(&frame.suspects, now);
             let holdings = !frame.engines.is_empty() || !frame.changes.is_empty();
             self.changed |= holdings || !frame.estimates.is_empty();
             self.publish();
@@ -98,8 +98,6 @@
     pub fn tick(&mut self, own: &Rc<RefCell<Self>>) -> Duration {
         let now = self.shared.clock.now();
         self.tell_demand(now);
-        self.tell_suspects(now);
-        self.log_suspects();
         self.log_limits(now);
         self.note_era();
         self.settle_listings(now);
@@ -112,49 +110,24 @@
             let due = self.tick_domain(&service, own, now);
             pause = due.map_or(pause, |due| pause.min(due.since(now).max(LEAST_PAUSE)));
         }
+        self.tick_sums(now);
         self.publish();
         pause
     }
 
     fn tell_demand(&mut self, now: ClockMillis) {
-        let mut drained = self.shared.demand().drain(now);
+        let drained = self.shared.demand().drain(now);
         let host = Arc::clone(&self.shared.profile.name);
-        let mut used = self.shared.quotas().untold();
-        let ledger_service = self.ledger_service();
-        let due = !used.is_empty() || now.since(self.ledger_told) >= LEDGER_WORD;
-        if let Some(service) = ledger_service.as_ref().filter(|_| due) {
-            drained.entry(Arc::clone(service)).or_default();
-            self.ledger_told = now;
-        }
         for (service, told) in drained {
-            let Some(domain) = self.domains.get_mut(&service) else { continue };
-            let granted = if ledger_service.as_ref() == Some(&service) {
-                std::mem::take(&mut used)
-            } else {
-                Vec::new()
-            };
-            if domain.tell_demand(&host, &told, &granted, now) {
-                self.shared.quotas().was_told(&granted);
+            if let Some(domain) = self.domains.get_mut(&service) {
+                domain.tell_demand(&host, &told, now);
             }
         }
     }
 
-    /// Does what is due in one domain; returns when its next load ends, if this host knows.
-    fn tick_domain(
-        &mut self,
-        service: &ServiceName,
-        own: &Rc<RefCell<Self>>,
-        now: ClockMillis,
-    ) -> Option<ClockMillis> {
-        let hosting = self.hosting(service)?;
-        let window = self.load_window(&hosting);
-        let listed = self.engines.values().filter(|entry| entry.service == *service);
-        let engines: Vec<Arc<EngineEntry>> = listed.cloned().collect();
-        let versions = self.versions.iter().map(|(key, named)| (Arc::clone(key), named.newest()));
-        let versions: HashMap<ModelKey, WeightVersion> = versions.collect();
-        let keeps_ledger = self.ledger_service().as_ref() == Some(service);
+    /// Begins or ends what belongs to the lease of a domain; returns whether a new one has begun, none while this host has none.
+    fn follow_lease(&mut self, service: &ServiceName) -> Option<bool> {
         let domain = self.domains.get_mut(service)?;
-        let token = domain.tenure.acting_token(now);
         let state = domain.tenure.state();
         if self.lease_states.insert(Arc::clone(service), state) != Some(state) {
             let (service, token) = (service.to_string(), domain.tenure.token());
@@ -162,8 +135,8 @@
             self.shared.events.write(HostEvent::Lease { service, state, token });
         }
         if !domain.tenure.is_holder() {
-            if domain.planner.take().is_some() {
-                domain.ledger = None;
+            if std::mem::take(&mut domain.leads) {
+                domain.planner = None;
                 domain.begin_telling();
                 domain.subscribers.clear();
                 domain.plan_live = false;
@@ -171,15 +144,38 @@
             }
             return None;
         }
-        let begins = domain.planner.is_none() || domain.planned_token != domain.tenure.token();
+        let begins = !domain.leads || domain.planned_token != domain.tenure.token();
+        domain.leads = true;
+        if begins {
+            domain.planned_token = domain.tenure.token();
+            self.shared.demand().tell_again(service);
+        }
+        self.hosts_counted(self.domains[service].listeners());
+        Some(begins)
+    }
+
+    /// Does what is due in one domain; returns when its next load ends, if this host knows.
+    fn tick_domain(
+        &mut self,
+        service: &ServiceName,
+        own: &Rc<RefCell<Self>>,
+        now: ClockMillis,
+    ) -> Option<ClockMillis> {
+        let begins = self.follow_lease(service)?;
+        let hosting = self.hosting(service)?;
+        let window = self.load_window(&hosting);
+        let listed = self.engines.values().filter(|entry| entry.service == *service);
+        let engines: Vec<Arc<EngineEntry>> = listed.cloned().collect();
+        let versions = self.versions.iter().map(|(key, named)| (Arc::clone(key), named.newest()));
+        let versions: HashMap<ModelKey, WeightVersion> = versions.collect();
+        let domain = self.domains.get_mut(service)?;
+        let token = domain.tenure.acting_token(now);
+        let begins = begins || domain.planner.is_none();
         let new = || PlacementPlanner::new(hosting.clone(), window);
         let planner = domain.planner.get_or_insert_with(new);
         planner.hosting_changed(&hosting);
         if begins {
-            domain.planned_token = domain.tenure.token();
             planner.begin_tenure(now);
-            self.shared.demand().tell_again(service);
-            self.shared.quarantine().tell_all_again();
         }
         planner.engines_listed(&engines);
         if begins {
@@ -188,16 +184,6 @@
                 planner.pace_known(pace);
             }
         }
-        if keeps_ledger {
-            let bounds = &self.shared.profile.bounds;
-            if begins {
-                domain.ledger = None;
-            }
-            let opens_full = self.shared.quotas().opens_full();
-            keep_ledger(&mut domain.ledger, self.routes.as_deref(), bounds, opens_full, now);
-        } else {
-            domain.ledger = None;
-        }
         planner.versions_named(&versions);
         if let Some(speed) = self.shared.reading().get(service) {
             planner.reading_learnt(speed);
@@ -223,16 +209,10 @@
         }
         self.changed |= !changed.is_empty();
         domain.tell_plan(changed, now);
-        let listeners = domain.listeners();
         let work = domain.tell_work(now);
-        domain.tell_quotas(now);
-        if let Some(ledger) = &mut domain.ledger {
-            self.shared.quotas().ledger_heard(&ledger.quotas.named(now), now);
-        }
         self.shared.shared_work().take(work);
         self.changed |= domain.answer_asked(now);
         start_actions(own, service, domain.planned_token, actions);
-        self.hosts_counted(listeners);
         due
     }
 
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -26,7 +26,7 @@
     border::KeyedRecord,
     control::{
         domain::PlacementDomain, feed::FeedSource, host_count::HostCount, mirror::TopicMirror,
-        orders::OrderClients,
+        orders::OrderClients, sums::SumLane,
     },
     events::HostEvent,
     host::SharedState,
@@ -67,8 +67,7 @@
     /// Counts how often the store has answered again after a failure.
     store_returns: watch::Sender<u32>,
     host_count: HostCount,
-    /// When the ledger of the quotas was last told anything.
-    pub(super) ledger_told: ClockMillis,
+    pub(super) lane: SumLane,
     /// Engines whose entries have gone just after an outage, and until when they count.
     pub(super) lapsed: BTreeMap<EngineName, ClockMillis>,
     /// Listings of engines by a store that came back older, and from when on they count unless the engine writes again before.
@@ -85,6 +84,7 @@
     pub fn new(shared: Arc<SharedState>) -> Self {
         let freshness = ConfigurationFreshness::new(shared.profile.bounds.revocation);
         shared.set_keys_until(freshness.keys_until());
+        let lane = SumLane::new(&shared);
         let host_count = HostCount::new(shared.profile.bounds.retries.window);
         Self {
             told_freshness: freshness.state(),
@@ -108,7 +108,7 @@
             following: watch::Sender::new(false),
             store_returns: watch::Sender::new(0),
             host_count,
-            ledger_told: ClockMillis::default(),
+            lane,
             lapsed: BTreeMap::new(),
             withheld: BTreeMap::new(),
             clients: OrderClients::default(),
@@ -233,7 +233,7 @@
         let own = self.shared.profile.peers;
         let placers = self.domains.values().filter_map(|domain| {
             let placer = self.owners.get(&domain.partition)?.address;
-            let foreign = placer != own && domain.planner.is_none();
+            let foreign = placer != own && !domain.leads;
             foreign.then(|| (Arc::clone(&domain.service), placer))
         });
         placers.collect()
--- /dev/null
+++ b/crates/gateway/src/control/sums.rs
@@ -0,0 +1,243 @@
+//! How hosts hold a sum together: what each of them counts, one of them adds up and all hear.
+//!
+//! The placer of one service adds up, over the connections on which hosts tell it their demand and it tells them its plan: no
+//! further service and no further connection. What is added up is a [`FleetSum`]; the lane only carries its words. Nothing is
+//! agreed on: when another host takes over it is told everything anew, and until then each host decides by what it knows.
+
+pub mod quotas;
+pub mod suspects;
+
+use std::{sync::Arc, time::Duration};
+
+use reelreel_core::{
+    ClockMillis,
+    fleet::{ServiceName, routes::RouteTable},
+    id::FenceToken,
+};
+
+use crate::{
+    control::{
+        domain::{GoneListener, PlacementDomain},
+        state::ControlState,
+        sums::{quotas::QuotaSum, suspects::SuspectSum},
+    },
+    host::SharedState,
+    peers::{
+        frame::{EncodedFrame, FrameBody},
+        sum_frames::{CountFrame, SumFrame},
+    },
+};
+
+/// How often the host that adds up says something at least, so that its silence shows.
+const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What a sum must know to act.
+#[derive(Clone, Copy)]
+pub struct SumContext<'state> {
+    /// The time.
+    pub now: ClockMillis,
+    /// The configuration in force.
+    pub routes: Option<&'state RouteTable>,
+    /// This host's name.
+    pub host: &'state Arc<str>,
+}
+
+/// Something that all hosts count and one of them adds up.
+pub trait FleetSum {
+    /// Takes that this host begins to add up, under a new lease.
+    fn begin(&mut self, context: &SumContext<'_>);
+
+    /// Takes that this host adds up no longer.
+    fn end(&mut self);
+
+    /// Makes this host's words be told again, to another host that adds up.
+    fn tell_again(&mut self);
+
+    /// Writes this host's words for who adds up; returns whether they are to go now.
+    fn tell(&mut self, frame: &mut CountFrame, context: &SumContext<'_>) -> bool;
+
+    /// Takes whether the words of a frame went.
+    fn was_told(&mut self, frame: &CountFrame, sent: bool);
+
+    /// Adds a host's words up.
+    fn count(&mut self, host: &Arc<str>, frame: &CountFrame, context: &SumContext<'_>);
+
+    /// Takes that a host begins to listen, and writes everything that it is to hear.
+    fn greet(&mut self, host: &Arc<str>, frame: &mut SumFrame, context: &SumContext<'_>);
+
+    /// Takes that a host listens no longer.
+    fn left(&mut self, listener: &GoneListener, context: &SumContext<'_>);
+
+    /// Writes what all other hosts are to hear now, and has this one hear it; `due` says that they are to hear something.
+    fn spread(&mut self, frame: &mut SumFrame, due: bool, context: &SumContext<'_>);
+
+    /// Takes what the host that adds up says.
+    fn hear(&mut self, frame: &SumFrame, context: &SumContext<'_>);
+
+    /// Logs what has happened.
+    fn log(&mut self, _context: &SumContext<'_>) {}
+}
+
+/// The sums of all hosts, and whether this one adds up.
+pub struct SumLane {
+    sums: Vec<Box<dyn FleetSum>>,
+    /// The service whose placer adds up, and the lease under which this host does.
+    keeps: Option<(ServiceName, FenceToken)>,
+    /// When all listeners last heard something.
+    spoken: ClockMillis,
+}
+
+impl SumLane {
+    /// Starts without any lease.
+    pub fn new(shared: &Arc<SharedState>) -> Self {
+        let sums: Vec<Box<dyn FleetSum>> = vec![
+            Box::new(QuotaSum::new(Arc::clone(shared))),
+            Box::new(SuspectSum::new(Arc::clone(shared))),
+        ];
+        Self { sums, keeps: None, spoken: ClockMillis::default() }
+    }
+
+    /// Takes under which lease this host adds up, if under any.
+    fn keep(&mut self, lease: Option<(ServiceName, FenceToken)>, context: &SumContext<'_>) {
+        if self.keeps == lease {
+            return;
+        }
+        self.keeps = lease;
+        for sum in &mut self.sums {
+            if self.keeps.is_some() { sum.begin(context) } else { sum.end() }
+        }
+    }
+
+    /// Adds up what all hosts say, this one included, and tells it.
+    fn add_up(&mut self, domain: &mut PlacementDomain, context: &SumContext<'_>) {
+        let mut own = CountFrame::default();
+        for sum in &mut self.sums {
+            sum.tell(&mut own, context);
+            sum.was_told(&own, true);
+            sum.count(context.host, &own, context);
+        }
+        for listener in domain.take_gone() {
+            for sum in &mut self.sums {
+                sum.left(&listener, context);
+            }
+        }
+        let due = context.now.since(self.spoken) >= ALIVE_INTERVAL;
+        let mut frame = SumFrame::default();
+        for sum in &mut self.sums {
+            sum.spread(&mut frame, due, context);
+        }
+        if due || frame != SumFrame::default() {
+            self.spoken = context.now;
+            domain.broadcast(&encoded_sums(domain, frame));
+        }
+    }
+
+    /// Tells who adds up what this host counts.
+    fn tell(&mut self, domain: &PlacementDomain, context: &SumContext<'_>) {
+        let Some(placer) = &domain.placer else { return };
+        let (host, service) = (context.host.to_string(), domain.service.to_string());
+        let mut frame = CountFrame { host, service, ..CountFrame::default() };
+        let mut due = false;
+        for sum in &mut self.sums {
+            due |= sum.tell(&mut frame, context);
+        }
+        if due {
+            let sent = placer.try_send(FrameBody::Count(frame.clone()).encoded()).is_ok();
+            for sum in &mut self.sums {
+                sum.was_told(&frame, sent);
+            }
+        }
+    }
+}
+
+/// Encodes what listeners of a domain's placer hear of sums.
+fn encoded_sums(domain: &PlacementDomain, frame: SumFrame) -> EncodedFrame {
+    let (service, token) = (domain.service.to_string(), domain.planned_token);
+    let hosts = domain.listeners();
+    FrameBody::Sums(SumFrame { service, token, hosts, ..frame }).encoded()
+}
+
+impl ControlState {
+    /// Returns the service whose placer adds up: the first one with models, and the first one where none has any.
+    pub(super) fn sums_service(&self) -> Option<ServiceName> {
+        self.routes.as_ref()?.leading_service().map(Arc::clone)
+    }
+
+    /// Tells what this host counts, or adds up what all say.
+    pub(super) fn tick_sums(&mut self, now: ClockMillis) {
+        let Some(service) = self.sums_service() else { return };
+        let Self { lane, domains, routes, shared, .. } = self;
+        let Some(domain) = domains.get_mut(&service) else { return };
+        let context = SumContext { now, routes: routes.as_deref(), host: &shared.profile.name };
+        lane.keep(domain.leads.then_some((service, domain.planned_token)), &context);
+        if domain.leads {
+            lane.add_up(domain, &context);
+        } else {
+            lane.tell(domain, &context);
+        }
+        for sum in &mut lane.sums {
+            sum.log(&context);
+        }
+    }
+
+    /// Takes what a host counts, where this one adds up.
+    pub fn peer_count(&mut self, frame: &CountFrame) {
+        let now = self.shared.clock.now();
+        let Self { lane, routes, shared, .. } = self;
+        if lane.keeps.as_ref().is_none_or(|(service, _)| **service != *frame.service) {
+            return;
+        }
+        let context = SumContext { now, routes: routes.as_deref(), host: &shared.profile.name };
+        let host = Arc::from(frame.host.as_str());
+        for sum in &mut lane.sums {
+            sum.count(&host, frame, &context);
+        }
+        shared.wake_control.notify_one();
+    }
+
+    /// Returns everything that a host is to hear which begins to listen to a service's placer, where that adds up.
+    pub(super) fn greet_listener(
+        &mut self,
+        host: &Arc<str>,
+        service: &str,
+    ) -> Option<EncodedFrame> {
+        let now = self.shared.clock.now();
+        let Self { lane, domains, routes, shared, .. } = self;
+        if lane.keeps.as_ref().is_none_or(|(keeps, _)| **keeps != *service) {
+            return None;
+        }
+        let context = SumContext { now, routes: routes.as_deref(), host: &shared.profile.name };
+        let mut frame = SumFrame::default();
+        for sum in &mut lane.sums {
+            sum.greet(host, &mut frame, &context);
+        }
+        Some(encoded_sums(domains.get(service)?, frame))
+    }
+
+    /// Takes what the host that adds up says.
+    pub fn sums_heard(&mut self, frame: &SumFrame) {
+        let now = self.shared.clock.now();
+        let adds_up = self.sums_service().is_some_and(|service| *service == *frame.service);
+        let domain = self.domains.get(frame.service.as_str());
+        let newest = domain.is_some_and(|domain| !domain.leads && frame.token >= domain.plan_token);
+        if !adds_up || !newest {
+            return;
+        }
+        let Self { lane, routes, shared, .. } = self;
+        let context = SumContext { now, routes: routes.as_deref(), host: &shared.profile.name };
+        for sum in &mut lane.sums {
+            sum.hear(frame, &context);
+        }
+        self.hosts_counted(frame.hosts);
+        self.publish();
+    }
+
+    /// Makes this host's words be told again where a service's placer, which adds up, is another one now.
+    pub fn tell_sums_again(&mut self, service: &str) {
+        if self.sums_service().is_some_and(|summing| &*summing == service) {
+            for sum in &mut self.lane.sums {
+                sum.tell_again();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/sums/quotas.rs
@@ -0,0 +1,152 @@
+//! What all hosts grant of the organisations' quotas.
+
+use std::{sync::Arc, time::Duration};
+
+use reelreel_core::{
+    ClockMillis,
+    fleet::routes::{ConfigRevision, RouteTable},
+    organisation::{
+        ledger::QuotaLedger,
+        share::{QuotaUse, QuotaWord},
+    },
+};
+
+use crate::{
+    control::{
+        domain::GoneListener,
+        sums::{FleetSum, SumContext},
+    },
+    host::SharedState,
+    peers::sum_frames::{CountFrame, QuotaFrame, SumFrame},
+    profile::OperatorBounds,
+};
+
+/// How often a host tells the ledger anything, so that its silence shows when it is cut off.
+const LEDGER_WORD: Duration = Duration::from_millis(250);
+
+/// The least time between two words on quotas while an organisation has little left: with the 50 ms after which
+/// hosts tell what they granted, a word is 110 ms old at most when the next one comes.
+const QUOTA_PAUSE: Duration = Duration::from_millis(60);
+
+/// The ledger with the configuration whose limits it has.
+struct KeptLedger {
+    quotas: QuotaLedger,
+    revision: Option<ConfigRevision>,
+}
+
+impl KeptLedger {
+    /// Begins a ledger, whose accounts open full where its host may.
+    fn new(bounds: &OperatorBounds, opens_full: bool) -> Self {
+        let silent_serves = bounds.revocation.unwrap_or(bounds.quota.window);
+        let quotas = QuotaLedger::new(bounds.quota, silent_serves, opens_full);
+        Self { quotas, revision: None }
+    }
+
+    /// Takes the limits of the configuration in force.
+    fn follow(&mut self, routes: Option<&RouteTable>, now: ClockMillis) {
+        let revision = routes.map(RouteTable::revision);
+        if self.revision == revision {
+            return;
+        }
+        self.revision = revision;
+        if let Some(organisations) = routes.and_then(RouteTable::organisations) {
+            self.quotas.limits_known(organisations, now);
+        }
+    }
+}
+
+/// What all hosts grant of the organisations' quotas: the ledger, on the host that adds up, and this host's part.
+pub struct QuotaSum {
+    shared: Arc<SharedState>,
+    ledger: Option<KeptLedger>,
+    /// When the ledger was last told anything.
+    told: ClockMillis,
+    /// When all hosts were last told which organisations have little left.
+    spread: ClockMillis,
+}
+
+impl QuotaSum {
+    /// Starts without a ledger.
+    pub fn new(shared: Arc<SharedState>) -> Self {
+        let never = ClockMillis::default();
+        Self { shared, ledger: None, told: never, spread: never }
+    }
+}
+
+/// Returns whether anybody has a quota.
+fn has_quotas(context: &SumContext<'_>) -> bool {
+    context.routes.is_some_and(|routes| routes.organisations().is_some())
+}
+
+impl FleetSum for QuotaSum {
+    fn begin(&mut self, _: &SumContext<'_>) {
+        let opens_full = self.shared.quotas().opens_full();
+        self.ledger = Some(KeptLedger::new(&self.shared.profile.bounds, opens_full));
+    }
+
+    fn end(&mut self) {
+        self.ledger = None;
+    }
+
+    fn tell_again(&mut self) {}
+
+    fn tell(&mut self, frame: &mut CountFrame, context: &SumContext<'_>) -> bool {
+        if !has_quotas(context) {
+            return false;
+        }
+        frame.usage = self.shared.quotas().untold().iter().map(Into::into).collect();
+        let due = !frame.usage.is_empty() || context.now.since(self.told) >= LEDGER_WORD;
+        if due {
+            self.told = context.now;
+        }
+        due
+    }
+
+    fn was_told(&mut self, frame: &CountFrame, sent: bool) {
+        if sent {
+            let told: Vec<QuotaUse> = frame.usage.iter().map(Into::into).collect();
+            self.shared.quotas().was_told(&told);
+        }
+    }
+
+    fn count(&mut self, host: &Arc<str>, frame: &CountFrame, context: &SumContext<'_>) {
+        if let Some(ledger) = &mut self.ledger {
+            let used: Vec<QuotaUse> = frame.usage.iter().map(Into::into).collect();
+            ledger.quotas.host_used(host, &used, context.now);
+        }
+    }
+
+    fn greet(&mut self, host: &Arc<str>, _: &mut SumFrame, context: &SumContext<'_>) {
+        if let Some(ledger) = &mut self.ledger {
+            ledger.quotas.host_heard(host, context.now);
+        }
+    }
+
+    fn left(&mut self, listener: &GoneListener, context: &SumContext<'_>) {
+        let Some(ledger) = &mut self.ledger else { return };
+        match listener.silent_among {
+            // It may go on serving: what it grants is set aside.
+            Some(hosts) => ledger.quotas.host_silent(&listener.host, hosts, context.now),
+            None => ledger.quotas.host_left(&listener.host),
+        }
+    }
+
+    fn spread(&mut self, frame: &mut SumFrame, due: bool, context: &SumContext<'_>) {
+        let Some(ledger) = self.ledger.as_mut().filter(|_| has_quotas(context)) else { return };
+        ledger.follow(context.routes, context.now);
+        let named = ledger.quotas.named(context.now);
+        self.shared.quotas().ledger_heard(&named, context.now);
+        let soon = !named.is_empty() && context.now.since(self.spread) >= QUOTA_PAUSE;
+        if due || soon {
+            self.spread = context.now;
+            frame.quotas = Some(QuotaFrame { named: named.iter().map(Into::into).collect() });
+        }
+    }
+
+    fn hear(&mut self, frame: &SumFrame, context: &SumContext<'_>) {
+        if let Some(quotas) = &frame.quotas {
+            let words: Vec<QuotaWord> = quotas.named.iter().map(Into::into).collect();
+            self.shared.quotas().ledger_heard(&words, context.now);
+        }
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,6 +6,7 @@
 pub mod feed;
 pub mod frame;
 pub mod server;
+pub mod sum_frames;
 pub mod suspect_lines;
 
 use std::time::Duration;
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -99,6 +99,11 @@
                     heard = clock.now();
                     true
                 }
+                Some(FrameBody::Sums(sums)) => {
+                    state.borrow_mut().sums_heard(&sums);
+                    heard = clock.now();
+                    true
+                }
                 Some(_) => true,
                 None => false,
             },
@@ -124,7 +129,7 @@
     let mut state = state.borrow_mut();
     let host = state.shared().profile.name.to_string();
     state.shared().demand().tell_again(service);
-    state.tell_suspects_again(service);
+    state.tell_sums_again(service);
     let Some(domain) = state.domain(service) else { return false };
     let hello = DemandFrame { host, service: service.to_string(), ..DemandFrame::default() };
     let sent = sender.try_send(FrameBody::Demand(hello).encoded()).is_ok();
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -7,7 +7,6 @@
 use reelreel_core::{
     ClockMillis, StorePosition,
     fleet::{EngineName, HeldModel, ModelKey, freshness::PeerClock, work::EngineWork},
-    organisation::share::{QuotaUse, QuotaWord},
     placement::{AbsentEntry, DemandEntry, HostWork, RunEntry, StorePace},
 };
 
@@ -15,14 +14,17 @@
 
 use crate::{
     border::KeyedRecord,
-    peers::{engine_lines::EngineRecordLine, suspect_lines::SuspectLine},
+    peers::{
+        engine_lines::EngineRecordLine,
+        sum_frames::{CountFrame, SumFrame},
+    },
 };
 
 /// One frame.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerFrame {
     /// What it says.
-    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<FrameBody>,
 }
 
@@ -55,9 +57,15 @@
     /// Asks for what the peer reads from the store from now on.
     #[prost(message, tag = "5")]
     Follow(FollowFrame),
+    /// What a host counts, for the host that adds up.
+    #[prost(message, tag = "6")]
+    Count(CountFrame),
+    /// What all hosts counted together.
+    #[prost(message, tag = "7")]
+    Sums(SumFrame),
 }
 
-/// What a host is asked for in one placement domain.
+/// What a host is asked for in one placement domain. Tags 8 and 9 are used up.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct DemandFrame {
     /// The host.
@@ -81,48 +89,6 @@
     /// Engines to which no connection came about.
     #[prost(string, repeated, tag = "7")]
     pub unreached: Vec<String>,
-    /// What the host granted of organisations' quotas since the last frame.
-    #[prost(message, repeated, tag = "8")]
-    pub usage: Vec<UsageLine>,
-    /// Requests under which engines ended.
-    #[prost(message, repeated, tag = "9")]
-    pub suspects: Vec<SuspectLine>,
-}
-
-/// What a host granted of an organisation's quota.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct UsageLine {
-    /// The organisation.
-    #[prost(string, tag = "1")]
-    pub organisation: String,
-    /// What was granted less what was given back. Unit: as the organisation's limit counts.
-    #[prost(sint64, tag = "2")]
-    pub amount: i64,
-    /// What the organisation has left, as the host heard last.
-    #[prost(sint64, optional, tag = "3")]
-    pub level: Option<i64>,
-}
-
-/// Every organisation that has little left of its quota.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct QuotaFrame {
-    /// The organisations; all others have most of their burst left.
-    #[prost(message, repeated, tag = "1")]
-    pub named: Vec<QuotaLine>,
-}
-
-/// What an organisation has left of its quota.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct QuotaLine {
-    /// The organisation.
-    #[prost(string, tag = "1")]
-    pub organisation: String,
-    /// What it has left; below zero when hosts granted too much. Unit: as the organisation's limit counts.
-    #[prost(sint64, tag = "2")]
-    pub level: i64,
-    /// What all hosts granted lately. Unit: as the organisation's limit counts.
-    #[prost(uint64, tag = "3")]
-    pub used: u64,
 }
 
 /// What an engine has to do.
@@ -190,7 +156,7 @@
     pub waiting_tokens: u64,
 }
 
-/// What the placer of one domain has decided.
+/// What the placer of one domain has decided. Tags 6, 8 and 12 are used up.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PlanFrame {
     /// The domain's service.
@@ -211,9 +177,6 @@
     /// The weight store's pace as the placer has learnt it, for who comes after it.
     #[prost(message, optional, tag = "7")]
     pub pace: Option<PaceLine>,
-    /// The organisations' quotas, where the placer keeps their ledger.
-    #[prost(message, optional, tag = "8")]
-    pub quotas: Option<QuotaFrame>,
     /// What engines hold that they did not before, and the other way round.
     #[prost(message, repeated, tag = "9")]
     pub changes: Vec<ChangeLine>,
@@ -224,9 +187,6 @@
     /// there and the tokens that it has not read yet, again and again.
     #[prost(uint64, repeated, packed = "true", tag = "11")]
     pub work: Vec<u64>,
-    /// Requests under which engines ended, as all hosts count.
-    #[prost(message, repeated, tag = "12")]
-    pub suspects: Vec<SuspectLine>,
 }
 
 /// How an engine's holdings changed since the last frame that named it.
@@ -425,6 +385,8 @@
             Some(FrameBody::Ask(_)) => "ask",
             Some(FrameBody::State(_)) => "state",
             Some(FrameBody::Follow(_)) => "follow",
+            Some(FrameBody::Count(_)) => "count",
+            Some(FrameBody::Sums(_)) => "sums",
             None => "none",
         }
     }
@@ -567,51 +529,3 @@
         Self { key: key.to_string(), millis: u32::try_from(time.as_millis()).unwrap_or(u32::MAX) }
     }
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    reason = "a level in whole tokens or requests is enough"
-)]
-const fn whole(amount: f64) -> i64 {
-    amount.round() as i64
-}
-
-impl From<&QuotaUse> for UsageLine {
-    fn from(used: &QuotaUse) -> Self {
-        Self {
-            organisation: used.organisation.to_string(),
-            amount: whole(used.amount),
-            level: used.level.map(whole),
-        }
-    }
-}
-
-impl From<&UsageLine> for QuotaUse {
-    fn from(line: &UsageLine) -> Self {
-        Self {
-            organisation: Arc::from(line.organisation.as_str()),
-            amount: line.amount as f64,
-            level: line.level.map(|level| level as f64),
-        }
-    }
-}
-
-impl From<&QuotaWord> for QuotaLine {
-    fn from(word: &QuotaWord) -> Self {
-        Self {
-            organisation: word.organisation.to_string(),
-            level: whole(word.level),
-            used: whole(word.used).unsigned_abs(),
-        }
-    }
-}
-
-impl From<&QuotaLine> for QuotaWord {
-    fn from(line: &QuotaLine) -> Self {
-        Self {
-            organisation: Arc::from(line.organisation.as_str()),
-            level: line.level as f64,
-            used: line.used as f64,
-        }
-    }
-}
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -68,6 +68,7 @@
                             return;
                         }
                     }
+                    Some(FrameBody::Count(count)) => state.borrow_mut().peer_count(&count),
                     Some(FrameBody::Ask(ask)) => {
                         let answer = state.borrow().answer_frame(ask.asked);
                         if stream.send(FrameBody::State(answer).encoded()).await.is_err() {
@@ -169,7 +170,7 @@
     subscribed.iter().all(|service| {
         state.domain(service).is_some_and(|domain| {
             let mut listeners = domain.subscribers.iter();
-            domain.planner.is_some() && listeners.any(|known| known.frames.same_channel(sender))
+            domain.leads && listeners.any(|known| known.frames.same_channel(sender))
         })
     })
 }
--- a/crates/gateway/tests/suspect_lines.rs
+++ b/crates/gateway/tests/suspect_lines.rs
@@ -6,7 +6,8 @@
 use prost::Message as _;
 use reelreel_core::fleet::quarantine::{RequestMark, SuspectWord, ToldEnd};
 use reelreel_gateway::peers::{
-    frame::{DemandFrame, PeerFrame},
+    frame::PeerFrame,
+    sum_frames::CountFrame,
     suspect_lines::{SuspectLine, read_suspects, write_suspects},
 };
 
@@ -42,8 +43,8 @@
 
     #[test]
     fn words_are_read_as_they_were_written(words in proptest::collection::vec(any_word(), 0..6)) {
-        let frame = DemandFrame { suspects: write_suspects(&words), ..DemandFrame::default() };
-        let frame = DemandFrame::decode(&frame.encode_to_vec()[..]).expect("a frame");
+        let frame = CountFrame { suspects: write_suspects(&words), ..CountFrame::default() };
+        let frame = CountFrame::decode(&frame.encode_to_vec()[..]).expect("a frame");
         prop_assert_eq!(read_suspects(&frame.suspects), words);
     }
 
