--- a/crates/core/tests/placement/main.rs
+++ b/crates/core/tests/placement/main.rs
@@ -5,4 +5,5 @@
 mod deadly_loads;
 mod faults;
 mod lateness;
+mod limits;
 mod world;
