test(gateway): a host that starts alone just after a fall serves by the copy; known red

The store has come back from an older copy that still lists a withdrawn key; a host starts, reaches no peer, and serves that key from its first request on.

--- a/crates/gateway/tests/host/older_copy.rs
+++ b/crates/gateway/tests/host/older_copy.rs
@@ -123,6 +123,25 @@
     }
 }
 
+/// A host that starts just after a fall and reaches no peer has nothing but the copy, which lists a key that was withdrawn since: it
+/// served that key until the operator wrote again, and whatever routes the copy has.
+#[test]
+fn a_host_that_starts_alone_after_a_fall_serves_nothing_by_the_copy() {
+    let site = site_with_keys();
+    let copy = site.store.copy();
+    site.store.put("configuration", "routes", &KEY_WITHDRAWN.to_string());
+    site.store.come_back(&copy);
+    let host = site.cold_host("alone-after-a-fall", Vec::new());
+    let ask = |key: &str| host.get("/single/a", &format!("X-Request: k\r\nX-Key: {key}\r\n"));
+    wait_until("the host hears of it", || knows_era(&host, 1));
+    let withdrawn = "the withdrawn key";
+    // The operator writes again within some seconds.
+    holds_for(Duration::from_secs(2), withdrawn, || !ask("key-n1").starts_with("HTTP/1.1 200"));
+    site.store.put("configuration", "routes", &KEY_WITHDRAWN.to_string());
+    wait_until("it serves", || ask("key-n2").starts_with("HTTP/1.1 200"));
+    holds_for(IN_FORCE, withdrawn, || ask("key-n1").starts_with("HTTP/1.1 401"));
+}
+
 /// An entry of the plain server, absent where its key is dropped.
 type Entry = Option<(u64, bool)>;
 
