--- a/crates/core/src/fleet/limits/share.rs
+++ b/crates/core/src/fleet/limits/share.rs
@@ -33,7 +33,7 @@
 /// How often an ask is said again that still holds: the ledger forgets it after three times as long.
 const ASK_RENEWAL: Duration = Duration::from_millis(500);
 
-/// How long a wish holds: an engine that was preferred once may not be the next time.
+/// How long a wish holds, until its permit comes: an engine that was preferred once may not be the next time.
 const WISH_HOLDS: Duration = Duration::from_millis(250);
 
 /// The least time between two asks for an engine that only wish: nobody waits for them.
@@ -156,6 +156,12 @@
         }
     }
 
+    /// Returns whether anybody here would use one more permit.
+    fn wants_permit(&self, now: ClockMillis) -> bool {
+        let ask = self.ask(now);
+        ask.resumed > 0 || ask.waiting > 0 || ask.wished
+    }
+
     fn ask(&self, now: ClockMillis) -> PermitAsk {
         let mut permits = u32::try_from(self.permits.len()).unwrap_or(u32::MAX);
         let [resumed, waiting] = [self.resumed, self.waiting].map(|wanted| {
@@ -177,9 +183,9 @@
         let due = if waits || waited {
             ask != self.told || since >= ASK_RENEWAL
         } else {
-            // That a permit came is told with the next ask; that it was not used, and what was used without one, soon.
-            let owed = ask.unused != self.told.unused || ask.unasked > 0;
-            (ask.wished || owed) && since >= WISH_PAUSE
+            // That a permit came is told with the next ask; that nobody used it, at once; what was used without one, soon.
+            let unused = ask.unused != self.told.unused;
+            unused || (ask.wished || ask.unasked > 0) && since >= WISH_PAUSE
         };
         due.then_some(ask)
     }
@@ -413,6 +419,11 @@
             let Some(known) = self.engines.get_mut(&grant.engine) else { continue };
             known.got += u64::from(grant.permits);
             for _ in 0..grant.permits {
+                // Whoever waited has left: others wait elsewhere.
+                if !known.wants_permit(now) {
+                    known.unused += 1;
+                    continue;
+                }
                 known.permits.push_back(now + PERMIT_HOLDS);
                 any = true;
             }
--- a/crates/core/tests/engine_limits/faults.rs
+++ b/crates/core/tests/engine_limits/faults.rs
@@ -335,6 +335,18 @@
         at_one: true,
         seed: 1_624_332_032_915_806_871,
     },
+    KeptHistory {
+        cause: "permits that came for requests which had just given up lay unused for 0.4 s at their hosts while others waited elsewhere: \
+                15 of 19 that could be used",
+        events: &[
+            (6366, LimitEvent::Cut { keeper: false, host: 5, millis: 100 }),
+            (11_846, LimitEvent::Cut { keeper: true, host: 0, millis: 906 }),
+            (18_361, LimitEvent::Names(Some(39))),
+        ],
+        demand: 7.0,
+        at_one: false,
+        seed: 2_389_485_265_816_039_151,
+    },
     KeptHistory {
         cause: "a limit ended under one ledger; the next one was told that it had, knew nothing of it, and never let hosts know that the \
                 engine was back: it got nothing any more",
