fix(gateway): a host that starts alone after the store fell back serves nothing by the copy

What callers saw: a store that has just come back from an older copy lists a key that was withdrawn since, and routes of before. A host that started then and reached no peer served by that from its first request on, until the operator wrote again. Cause: what a store says of now was believed by whoever knows nothing else. Now such a host serves nothing until any peer has answered, or for the four seconds in which operator and engines write again; hosts that were there before go on by what they know, and where the store never fell nothing is waited for.

--- a/crates/gateway/src/control/era.rs
+++ b/crates/gateway/src/control/era.rs
@@ -1,6 +1,8 @@
 //! What this host does when the store comes back from an older copy of itself.
 
-use reelreel_core::{StorePosition, clock::duration_millis};
+use reelreel_core::{
+    ClockMillis, StorePosition, clock::duration_millis, fleet::relisting::WRITING_AGAIN,
+};
 
 use crate::{control::state::ControlState, events::HostEvent, store::eras::StoreEras};
 
@@ -18,6 +20,20 @@
         metrics.engines_read_to.set(offset(self.engine_records.end()));
     }
 
+    /// Takes note whether this host may serve by what it has read from the store; once it may it always may.
+    ///
+    /// A store that ever came back from an older copy may have done so just now, and then lists keys and routes that were withdrawn
+    /// since. A host that has just started can not know; any peer can, or the operator, who writes again within some seconds. Where the
+    /// store never fell, and where a peer answers, nothing is waited for.
+    pub(super) fn note_trust(&mut self, now: ClockMillis) {
+        let fell = self.eras.known() > 0;
+        let waited = now.since(self.started) >= WRITING_AGAIN;
+        if !self.trusted && self.is_complete() && (!fell || self.has_heard_peer() || waited) {
+            self.trusted = true;
+            self.changed = true;
+        }
+    }
+
     /// Takes into account an era of the store that was heard of since the last call.
     pub(super) fn note_era(&mut self) {
         let heard = self.eras.newest();
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -60,6 +60,10 @@
     pub(super) health: StoreHealth,
     pub(super) eras: StoreEras,
     heard_peer: bool,
+    /// When this host began to read.
+    pub(super) started: ClockMillis,
+    /// Whether this host may serve by what it has read from the store.
+    pub(super) trusted: bool,
     /// The era of the store that was last taken into account.
     pub(super) noted_era: StoreEra,
     pub(super) feed: FeedSource,
@@ -85,6 +89,7 @@
         let freshness = ConfigurationFreshness::new(shared.profile.bounds.revocation);
         shared.set_keys_until(freshness.keys_until());
         let lane = SumLane::new(&shared);
+        let started = shared.clock.now();
         let host_count = HostCount::new(shared.profile.bounds.retries.window);
         Self {
             told_freshness: freshness.state(),
@@ -103,6 +108,8 @@
             health: StoreHealth::default(),
             eras: StoreEras::default(),
             heard_peer: false,
+            started,
+            trusted: false,
             noted_era: 0,
             feed: FeedSource::default(),
             following: watch::Sender::new(false),
@@ -318,6 +325,7 @@
 
     /// Publishes what is believed, if it changed.
     pub(super) fn publish(&mut self) {
+        self.note_trust(self.shared.clock.now());
         if !std::mem::take(&mut self.changed) {
             return;
         }
@@ -332,7 +340,7 @@
         }
         let estimates = self.domains.values().flat_map(|domain| &domain.estimates);
         let table = ServingTable {
-            routes: self.routes.clone(),
+            routes: self.routes.clone().filter(|_| self.trusted),
             engines,
             copies: copies_by_key(&held),
             versions: self.versions.clone(),
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -37,11 +37,12 @@
 impl ControlState {
     /// Returns whether a peer is to be asked for what it has read from the store, after so many asks.
     ///
-    /// A host that reads the store for others asks when it has started, also where the store answers it: a store that came back from an
-    /// older copy says less than peers knew before. All others hear it from whom they follow.
+    /// A host that has started asks also where the store answers it, if it reads for others or the store ever came back from an older
+    /// copy: such a store says less than peers knew before. All others hear it from whom they follow.
     fn lacks_peers_word(&self, asks: u32) -> bool {
-        let reads = self.reads_for_others() && !self.has_heard_peer();
-        !self.is_complete() || (reads && asks < MOST_FIRST_ASKS)
+        let unheard = !self.has_heard_peer() && asks < MOST_FIRST_ASKS;
+        let fell = self.eras().known() > 0;
+        !self.is_complete() || (unheard && (self.reads_for_others() || fell))
     }
 }
 
