feat: a soak of real hosts under drawn faults

Stand-ins with raw connections have one server now (stand-ins/src/connection.rs), which was the gateway tests' own.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod output;
 mod platform_log;
 mod settings;
+mod soak;
 mod watch;
 
 use std::process::ExitCode;
@@ -25,6 +26,7 @@
         Command::Losses(options) => print_text(logs::losses::losses(&options.logs, options.output)),
         Command::Bench(options) => bench::run(&options),
         Command::Capacity(options) => capacity::run(&options),
+        Command::Soak(options) => soak::run(&options),
         Command::Measure(options) => measure::run(&options),
     };
     match result {
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -36,6 +36,9 @@
     /// Measures what state, messages and decisions cost, for docs/CAPACITY.md
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity_options))] CapacityOptions),
+    /// Plays drawn faults against real hosts and checks the promises from outside
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak_options))] SoakCommand),
     /// Measures what the path through entry hosts adds to calling an engine directly
     #[bpaf(command)]
     Measure(#[bpaf(external(measure_options))] MeasureOptions),
@@ -293,6 +296,32 @@
     pub(crate) logs: Vec<PathBuf>,
 }
 
+/// Which soaks are played.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(soak_options))]
+pub(crate) struct SoakCommand {
+    /// The first seed; a seed is the whole plan
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    pub(crate) seed: u64,
+    /// How many seeds, one after the other
+    #[bpaf(argument("COUNT"), fallback(1), display_fallback)]
+    pub(crate) seeds: u64,
+    /// Hosts, a process each
+    #[bpaf(argument("COUNT"), fallback(4), display_fallback)]
+    pub(crate) hosts: usize,
+    /// For how many seconds things happen in each
+    #[bpaf(argument("SECONDS"), fallback(30), display_fallback)]
+    pub(crate) seconds: u64,
+    /// Only print the plans
+    pub(crate) plan: bool,
+    /// The program of a host; the one beside this program where none is named
+    #[bpaf(argument("FILE"))]
+    pub(crate) program: Option<PathBuf>,
+    /// Where plans and logs of soaks go in which a promise was broken
+    #[bpaf(argument("FOLDER"))]
+    pub(crate) folder: Option<PathBuf>,
+}
+
 /// What is measured.
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct MeasureOptions {
--- a/crates/gateway/examples/path_cost.rs
+++ b/crates/gateway/examples/path_cost.rs
@@ -10,8 +10,6 @@
 mod dialect;
 #[path = "../tests/host/engine.rs"]
 mod engine;
-#[path = "../tests/host/server.rs"]
-mod server;
 #[path = "../tests/host/site.rs"]
 mod site;
 #[path = "../tests/host/store.rs"]
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -8,12 +8,10 @@
     time::{Duration, Instant},
 };
 
+use reelreel_stand_ins::connection::{EndableServer, ServedConnection, ServedRequest, serve};
 use serde_json::{Value, json};
 
-use crate::{
-    dialect::{AFTER, DEADLINE, ENGINE, LIMIT, MODEL, NOT_RUN, REQUEST, RUN_BY},
-    server::{EndableServer, ServedConnection, ServedRequest, serve},
-};
+use crate::dialect::{AFTER, DEADLINE, ENGINE, LIMIT, MODEL, NOT_RUN, REQUEST, RUN_BY};
 
 /// How an engine treats the next requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -15,7 +15,6 @@
 mod placement;
 mod reborn;
 mod rollback;
-mod server;
 mod site;
 mod stale_reader;
 mod stopping;
--- a/crates/gateway/tests/host/store.rs
+++ b/crates/gateway/tests/host/store.rs
@@ -11,10 +11,10 @@
     time::{Duration, Instant},
 };
 
+use reelreel_stand_ins::connection::{ServedConnection, ServedRequest, serve};
 use serde_json::{Value, json};
 
 use crate::dialect::ERA;
-use crate::server::{ServedConnection, ServedRequest, serve};
 
 const PARTITIONS: u32 = 4;
 
--- a/crates/gateway/tests/host/system_fields.rs
+++ b/crates/gateway/tests/host/system_fields.rs
@@ -1,9 +1,10 @@
 //! Header fields that only the system sets: what a client writes there never reaches an engine.
 
+use reelreel_stand_ins::connection::ServedRequest;
+
 use crate::{
     dialect::{HOLD, PIN, REQUEST},
     engine::{EngineMood, StandInEngine},
-    server::ServedRequest,
     site::{MODEL_NAME, TestHost, TestSite, raw_exchange},
 };
 
--- a/crates/gateway/tests/host/server.rs
+++ b/crates/stand-ins/src/connection.rs
@@ -1,4 +1,4 @@
-//! A small HTTP server for stand-ins: one thread for each connection, on the loopback.
+//! A small HTTP server that does wrong when told to: one thread for each connection, which the stand-in reads and writes by itself.
 
 use std::{
     io::{Read, Write},
@@ -16,14 +16,17 @@
 
 /// A request as a stand-in gets it.
 #[derive(Debug, Clone)]
-pub(crate) struct ServedRequest {
-    pub(crate) head: RequestHead,
-    pub(crate) body: Vec<u8>,
+pub struct ServedRequest {
+    /// The head.
+    pub head: RequestHead,
+    /// The whole body.
+    pub body: Vec<u8>,
 }
 
 /// One connection of a stand-in.
-pub(crate) struct ServedConnection {
-    pub(crate) socket: TcpStream,
+pub struct ServedConnection {
+    /// The socket.
+    pub socket: TcpStream,
     buffer: BytesMut,
 }
 
@@ -35,7 +38,8 @@
         Some(())
     }
 
-    pub(crate) fn next_head(&mut self) -> Option<RequestHead> {
+    /// Reads a head; `None` when the peer has closed or sent none.
+    pub fn next_head(&mut self) -> Option<RequestHead> {
         loop {
             if let Some(head) = RequestHead::take(&mut self.buffer, 65_536).ok()? {
                 return Some(head);
@@ -44,7 +48,8 @@
         }
     }
 
-    pub(crate) fn body(&mut self, head: &RequestHead) -> Option<Vec<u8>> {
+    /// Reads the body that belongs to a head.
+    pub fn body(&mut self, head: &RequestHead) -> Option<Vec<u8>> {
         let mut decoder = BodyDecoder::new(BodyFraming::of_request(head).ok()?);
         let mut body = Vec::new();
         loop {
@@ -56,17 +61,20 @@
         }
     }
 
-    pub(crate) fn next_request(&mut self) -> Option<ServedRequest> {
+    /// Reads a request whole.
+    pub fn next_request(&mut self) -> Option<ServedRequest> {
         let head = self.next_head()?;
         let body = self.body(&head)?;
         Some(ServedRequest { head, body })
     }
 
-    pub(crate) fn write(&mut self, text: &str) -> Option<()> {
+    /// Writes bytes; `None` when the peer takes none.
+    pub fn write(&mut self, text: &str) -> Option<()> {
         self.socket.write_all(text.as_bytes()).ok()
     }
 
-    pub(crate) fn answer(&mut self, status: u16, fields: &str, body: &str) -> Option<()> {
+    /// Writes a whole answer; `fields` are lines of the head, each with its end.
+    pub fn answer(&mut self, status: u16, fields: &str, body: &str) -> Option<()> {
         let length = body.len();
         self.write(&format!(
             "HTTP/1.1 {status} Status\r\n{fields}Content-Length: {length}\r\n\r\n{body}"
@@ -74,7 +82,7 @@
     }
 
     /// Returns whether the peer closes its side within `patience`.
-    pub(crate) fn closes_within(&mut self, patience: Duration) -> bool {
+    pub fn closes_within(&mut self, patience: Duration) -> bool {
         let _ = self.socket.set_read_timeout(Some(patience));
         let mut byte = [0; 1];
         let closed = match self.socket.read(&mut byte) {
@@ -87,7 +95,10 @@
 }
 
 /// Serves connections with `serve` on a free port until the process ends.
-pub(crate) fn serve(serve: impl Fn(&mut ServedConnection) + Send + Sync + 'static) -> SocketAddr {
+///
+/// # Panics
+/// When no port is free.
+pub fn serve(serve: impl Fn(&mut ServedConnection) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
     let serve = Arc::new(serve);
@@ -108,7 +119,7 @@
 
 /// A server that can end as a process does: nothing listens at its address, and its connections break off.
 #[derive(Clone, Default)]
-pub(crate) struct EndableServer {
+pub struct EndableServer {
     ending: Arc<AtomicBool>,
     closed: Arc<AtomicBool>,
     sockets: Arc<Mutex<Vec<TcpStream>>>,
@@ -116,7 +127,10 @@
 
 impl EndableServer {
     /// Serves connections at an address until it ends.
-    pub(crate) fn start(
+    ///
+    /// # Panics
+    /// When the address is taken.
+    pub fn start(
         &self,
         address: SocketAddr,
         serve: impl Fn(&mut ServedConnection) + Send + Sync + 'static,
@@ -144,7 +158,7 @@
     }
 
     /// Ends it; returns once nothing listens any more.
-    pub(crate) fn end(&self) {
+    pub fn end(&self) {
         self.ending.store(true, Ordering::Release);
         while !self.closed.load(Ordering::Acquire) {
             thread::sleep(END_LOOK);
@@ -154,7 +168,8 @@
         }
     }
 
-    pub(crate) fn has_ended(&self) -> bool {
+    /// Returns whether it has ended.
+    pub fn has_ended(&self) -> bool {
         self.closed.load(Ordering::Acquire)
     }
 }
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -4,6 +4,7 @@
 //! stand is a switch on them, and each keeps evidence of what really happened, so that tests need
 //! not believe the system under test.
 
+pub mod connection;
 pub mod engine;
 pub mod fault;
 pub mod http;
