fix(core): a host believes that an engine is back, whatever its links add to the age of words

What callers saw: after an engine that had named a limit was back, hosts whose connection began while it returned could go on counting it as limited. They asked the host that deals permits, which knew of no limit any more and said nothing; no request of theirs reached the engine again, and each one that wanted it waited half a second first.

Cause: words between hosts say how long ago something was said, and the time that they are under way is not counted. A host that heard of the limit by one word and of its end by a faster one took the end for the older of the two and passed over it. Found by the property of limits after 51,254 histories; the history is kept, and fails without this change.

Ruled out: that the word of the end was lost (it arrived, 20 ms younger by its age than the one before); the engine's next life, which the history has too, plays no part.

Mend: the end is weighed only against what this host has heard from the engine itself, on its own clock. What it knows from the dealing host alone, the dealing host may end.

--- a/crates/core/src/fleet/limits/share.rs
+++ b/crates/core/src/fleet/limits/share.rs
@@ -85,6 +85,9 @@
     said: ClockMillis,
     /// When what that answered was sent.
     asked: ClockMillis,
+    /// When this host itself last had an answer that named it. How long ago the ledger's words were said is known less well: time
+    /// that they spend on their way is not counted.
+    named_here: Option<ClockMillis>,
     /// Whether the ledger is to hear of it.
     untold: bool,
     /// Until when each permit may be used.
@@ -113,6 +116,7 @@
             ended: false,
             said,
             asked: said,
+            named_here: None,
             untold: true,
             permits: VecDeque::new(),
             resumed: 0,
@@ -139,6 +143,11 @@
         *self = Self { resumed, waiting, got, unused, unasked, ..Self::new(born, limit, said) };
     }
 
+    /// Returns whether this host itself has heard no limit since a word of the ledger was said.
+    fn is_older_than(&self, said: ClockMillis) -> bool {
+        self.named_here.is_none_or(|named| said >= named)
+    }
+
     fn drop_old_permits(&mut self, now: ClockMillis) {
         while self.permits.front().is_some_and(|until| *until <= now) {
             self.permits.pop_front();
@@ -231,6 +240,7 @@
                 known.untold |= known.ended || known.limit != limit;
                 (known.limit, known.ended, known.said, known.asked) =
                     (limit, false, now, word.asked);
+                known.named_here = Some(now);
                 known.untold
             }
             SaidLimit::Nothing if word.would_say => {
@@ -393,7 +403,7 @@
         let known = self.engines.get_mut(&word.engine);
         if word.ended {
             let known = known.filter(|known| known.is_life(word.born));
-            if known.is_some_and(|known| known.ended || said >= known.said) {
+            if known.is_some_and(|known| known.ended || known.is_older_than(said)) {
                 self.engines.remove(&word.engine);
             }
             return;
--- a/crates/core/tests/engine_limits/faults.rs
+++ b/crates/core/tests/engine_limits/faults.rs
@@ -383,6 +383,21 @@
         at_one: true,
         seed: 11_627_355_943_420_055_328,
     },
+    KeptHistory {
+        cause: "a host that began to listen while an engine returned took the ledger's word for newer than it was, and so did not believe \
+                the later one that the engine was back: it asked a ledger that knew of no limit for permits, and sent nothing any more",
+        events: &[
+            (2396, LimitEvent::Cut { keeper: true, host: 0, millis: 4636 }),
+            (3671, LimitEvent::Names(None)),
+            (4751, LimitEvent::Life),
+            (5066, LimitEvent::Stop { keeper: false, host: 3, millis: 2616 }),
+            (7666, LimitEvent::PassOn),
+            (9821, LimitEvent::Names(Some(10))),
+        ],
+        demand: 35.0,
+        at_one: true,
+        seed: 8_077_396_891_588_669_452,
+    },
 ];
 
 #[test]
