fix(core): a host whose word on a limit was forgotten is asked for it again

What callers saw: requests that wanted an engine which had just begun and named a limit at once could wait half a second for permits that never came, at every host that had heard the limit before the dealing host listed the engine, until that host or the engine began anew.

Cause: the host that deals permits forgets limits of engines that it does not list, so that none stays for ever. Where it lists the engine some tenths of a second later than others, the word of those that were faster was lost; they said it once, asked for permits from then on, and an ask for an engine without a limit was passed over in silence.

Ruled out: keeping words of engines that are not listed: they would stay after the engine's end, and an old life's would outlive it.

Mend: an ask for an engine of which the dealing host knows no limit is answered so, and the host says its word and its ask again. The answer wakes nobody, so that it costs no more messages than asks do. It also covers whatever else may make the two differ.

Found by looking for what else leaves a host asking in vain; the test fails without this change.

--- a/crates/core/src/fleet/limits/ledger.rs
+++ b/crates/core/src/fleet/limits/ledger.rs
@@ -5,7 +5,7 @@
 //! have preferred the engine but had another one. A new ledger begins with nothing saved up.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -183,6 +183,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct LimitLedger {
     accounts: BTreeMap<EngineName, LimitAccount>,
+    /// Engines for which hosts have asked and that have no account. One that is listed here later than at the host that named its limit
+    /// has lost its account, and that host would ask for ever.
+    unknown: BTreeMap<Arc<str>, BTreeSet<EngineName>>,
     /// Whether another host may deal permits for the same engines.
     doubted: bool,
 }
@@ -227,7 +230,10 @@
     /// Takes what a host wants of an engine.
     pub fn asked(&mut self, host: &Arc<str>, engine: &str, ask: &PermitAsk, now: ClockMillis) {
         let part = self.part();
-        let Some(account) = self.accounts.get_mut(engine) else { return };
+        let Some(account) = self.accounts.get_mut(engine) else {
+            self.unknown.entry(Arc::clone(host)).or_default().insert(Arc::from(engine));
+            return;
+        };
         account.refill(part, now);
         let rate = account.rate();
         // An ask that is not known any more had settled what was unused before.
@@ -251,6 +257,7 @@
 
     /// Takes that a host begins to listen: it counts its permits anew.
     pub fn host_begins(&mut self, host: &str) {
+        self.unknown.remove(host);
         for account in self.accounts.values_mut() {
             account.asks.remove(host);
             account.turns.retain(|asking| &**asking != host);
@@ -271,11 +278,20 @@
                 let permits = dealt.remove(host).unwrap_or_default();
                 if permits > 0 || waits {
                     let (engine, wait) = (Arc::clone(engine), waits.then_some(wait));
-                    let grant = PermitGrant { engine, permits, wait };
+                    let grant = PermitGrant { engine, permits, wait, unknown: false };
                     grants.entry(Arc::clone(host)).or_default().push(grant);
                 }
             }
         }
+        for (host, engines) in std::mem::take(&mut self.unknown) {
+            let unknown = engines.into_iter().map(|engine| PermitGrant {
+                engine,
+                permits: 0,
+                wait: None,
+                unknown: true,
+            });
+            grants.entry(host).or_default().extend(unknown);
+        }
         grants
     }
 
--- a/crates/core/src/fleet/limits/share.rs
+++ b/crates/core/src/fleet/limits/share.rs
@@ -143,6 +143,12 @@
         *self = Self { resumed, waiting, got, unused, unasked, ..Self::new(born, limit, said) };
     }
 
+    /// Makes word and ask be told once more, as to a ledger that knows nothing of the engine.
+    fn tell_anew(&mut self) {
+        self.untold = true;
+        self.told = PermitAsk::default();
+    }
+
     /// Returns whether this host itself has heard no limit since a word of the ledger was said.
     fn is_older_than(&self, said: ClockMillis) -> bool {
         self.named_here.is_none_or(|named| said >= named)
@@ -427,6 +433,9 @@
         let mut any = false;
         for grant in grants {
             let Some(known) = self.engines.get_mut(&grant.engine) else { continue };
+            if grant.unknown {
+                known.tell_anew();
+            }
             known.got += u64::from(grant.permits);
             for _ in 0..grant.permits {
                 // Whoever waited has left: others wait elsewhere.
--- a/crates/core/src/fleet/limits/word.rs
+++ b/crates/core/src/fleet/limits/word.rs
@@ -47,4 +47,6 @@
     pub permits: u32,
     /// In what time a permit is expected for the last one that waits there, where some wait on.
     pub wait: Option<Duration>,
+    /// Whether the ledger knows of no limit there: the host, which has asked for permits, tells its word again.
+    pub unknown: bool,
 }
--- a/crates/core/tests/engine_limits/fleet.rs
+++ b/crates/core/tests/engine_limits/fleet.rs
@@ -251,7 +251,12 @@
 
     fn take_told(&mut self, keeper: usize, host: usize, message: &LimitMessage, now: ClockMillis) {
         let name: Arc<str> = Arc::from(host.to_string());
-        let full = [PermitGrant { engine: Arc::clone(&self.engine), permits: 3, wait: None }];
+        let full = [PermitGrant {
+            engine: Arc::clone(&self.engine),
+            permits: 3,
+            wait: None,
+            unknown: false,
+        }];
         let ledger = &mut self.ledgers[keeper].ledger;
         match message {
             LimitMessage::Greet => {
--- a/crates/core/tests/engine_limits/main.rs
+++ b/crates/core/tests/engine_limits/main.rs
@@ -4,4 +4,5 @@
 mod fleet;
 mod hearing;
 mod play;
+mod telling;
 mod ways;
--- /dev/null
+++ b/crates/core/tests/engine_limits/telling.rs
@@ -0,0 +1,56 @@
+//! What a host and the ledger tell each other, where the ledger has forgotten an engine that the host still counts as limited.
+
+use std::{sync::Arc, time::Duration};
+
+use reelreel_core::{
+    ClockMillis,
+    fleet::{
+        EngineName,
+        limits::{
+            ledger::LimitLedger,
+            limit::{AnswerWord, RequestLimit, SaidLimit},
+            share::{LimitShare, PermitUse},
+        },
+    },
+};
+
+/// How often a host tells and the ledger deals.
+const TICK: Duration = Duration::from_millis(50);
+
+/// From when on the ledger's host lists the engine. Unit: milliseconds.
+const LISTED: u64 = 2000;
+
+#[test]
+fn a_ledger_whose_host_lists_the_engine_late_deals_permits_from_then_on() {
+    let (engine, host): (EngineName, Arc<str>) = (Arc::from("e1"), Arc::from("h1"));
+    let (mut share, mut ledger) = (LimitShare::default(), LimitLedger::default());
+    let start = ClockMillis::from_millis(1000);
+    let said = SaidLimit::Named(RequestLimit::new(4.0).expect("a limit"));
+    share.answered(&engine, 7, AnswerWord { said, asked: start, would_say: true }, start);
+    share.wait_began(&engine, PermitUse::Waiting);
+    let mut first = None;
+    for tick in 0..100u32 {
+        let now = start + TICK * tick;
+        share.ledger_heard(now);
+        let told = share.take_told(now);
+        for word in &told.words {
+            ledger.word_heard(word, now);
+        }
+        for (engine, ask) in &told.asks {
+            ledger.asked(&host, engine, ask, now);
+        }
+        let listed = now >= start + Duration::from_millis(LISTED);
+        ledger.retain(|_| listed.then_some(7));
+        for word in ledger.take_changes(now) {
+            share.word_heard(&word, now);
+        }
+        let grants = ledger.deal(now).remove(&host).unwrap_or_default();
+        share.granted(&grants, now);
+        if share.take(&engine, PermitUse::Waiting, now) {
+            first.get_or_insert(now.since(start));
+        }
+    }
+    let first = first.expect("a permit");
+    // A permit of four a second takes a quarter of a second; the host's next ask and the ledger's answer come before.
+    assert!(first <= Duration::from_millis(LISTED + 1000), "the first permit after {first:?}");
+}
--- a/crates/gateway/src/peers/limit_lines.rs
+++ b/crates/gateway/src/peers/limit_lines.rs
@@ -74,6 +74,9 @@
     /// In what time a permit is expected for the last one that waits there, where some wait on. Unit: milliseconds.
     #[prost(uint64, optional, tag = "3")]
     pub wait: Option<u64>,
+    /// Whether no limit of the engine is known there: the host tells its word again.
+    #[prost(bool, tag = "4")]
+    pub unknown: bool,
 }
 
 impl From<&LimitWord> for LimitLine {
@@ -127,13 +130,15 @@
 impl From<&PermitGrant> for GrantLine {
     fn from(grant: &PermitGrant) -> Self {
         let wait = grant.wait.map(duration_millis);
-        Self { engine: grant.engine.to_string(), permits: grant.permits, wait }
+        let (engine, permits) = (grant.engine.to_string(), grant.permits);
+        Self { engine, permits, wait, unknown: grant.unknown }
     }
 }
 
 impl From<&GrantLine> for PermitGrant {
     fn from(line: &GrantLine) -> Self {
         let wait = line.wait.map(Duration::from_millis);
-        Self { engine: Arc::from(line.engine.as_str()), permits: line.permits, wait }
+        let (engine, permits) = (Arc::from(line.engine.as_str()), line.permits);
+        Self { engine, permits, wait, unknown: line.unknown }
     }
 }
