fix(core): a host that has just started takes a peer's word for as old as it is

What callers saw: keys that had been withdrawn for seven seconds, where five are allowed, were served by a host that had just started while the store did not answer. Its own log said that its configuration was three milliseconds old.

Cause: the process's clock began at one millisecond. A peer whose configuration had last been confirmed 7.6 s before said so, and the moment, before the process's start, came out as its start: subtraction ends at zero. So an old word passed for a new one, for up to the whole bound.

Ruled out: the copy of the peer (it was right, and the peer itself had ceased to serve keys 2.6 s before); the store's eras (the same without a fall).

Mend: the clock begins at an hour, so that moments before a process's start are told apart. That holds for every word that says how old it is, not only for this one: what engines named, what is suspected, what is followed. Nothing that a host may believe is near an hour old. Where "never" is a reading of zero, a host that starts now looks like one that has run for long, which most of that code was written for; the lease, budgets and the learner of the store's pace were read with that in mind.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -65,8 +65,13 @@
     start: Duration,
 }
 
+/// What a clock shows when it starts. A peer tells of moments before the process began; where they could not be told apart from its
+/// start, a host that has just started would take an old word for a new one, and serve withdrawn keys by it. No bound on how old a word
+/// may be is near an hour, and zero still stands for "never".
+const FIRST_READING: Duration = Duration::from_hours(1);
+
 impl MonotonicClock {
-    /// Starts a clock at one millisecond, so that zero can stand for "never".
+    /// Starts a clock at [`FIRST_READING`].
     pub fn new() -> Self {
         Self { start: time_since_boot() }
     }
@@ -88,7 +93,7 @@
 
 impl ClockSource for MonotonicClock {
     fn now(&self) -> ClockMillis {
-        ClockMillis(duration_millis(time_since_boot().saturating_sub(self.start)) + 1)
+        ClockMillis(duration_millis(FIRST_READING + time_since_boot().saturating_sub(self.start)))
     }
 }
 
--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -5,7 +5,7 @@
 
 use proptest::{prelude::*, test_runner::RngSeed};
 use reelreel_core::{
-    ClockMillis,
+    ClockMillis, ClockSource, MonotonicClock,
     chart::FreshnessState,
     fleet::freshness::{ConfigurationFreshness, PeerClock},
 };
@@ -260,3 +260,23 @@
     let freshness = ConfigurationFreshness::new(None);
     assert!(at(u64::MAX - 1) <= freshness.keys_until());
 }
+
+#[test]
+fn a_process_that_has_just_started_knows_that_a_peers_word_is_older_than_itself() {
+    let clock = MonotonicClock::new();
+    let now = clock.now();
+    let peer = PeerClock { own: now, peer: at(10_000_000) };
+    for age in [1, 200, 4_900, 5_100, 7_600, 600_000] {
+        let age = Duration::from_millis(age);
+        let confirmed = peer.own_moment(peer.peer - age);
+        assert_eq!(now.since(confirmed), age);
+        let mut freshness = ConfigurationFreshness::new(Some(Duration::from_secs(5)));
+        freshness.confirmed(confirmed, now);
+        let serves = now <= freshness.keys_until();
+        assert_eq!(
+            serves,
+            age < Duration::from_secs(5),
+            "keys are served by a configuration of {age:?} ago"
+        );
+    }
+}
