--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -71,7 +71,7 @@
 const FIRST_READING: Duration = Duration::from_hours(1);
 
 impl MonotonicClock {
-    /// Starts a clock at [`FIRST_READING`].
+    /// Starts a clock at an hour.
     pub fn new() -> Self {
         Self { start: time_since_boot() }
     }
