fix(core): who begins to listen while an engine returns from its limit is told that it does

Cause: words from the dealing host knew two states, "names a limit" and "is back". An engine that had named none since, and got more and more by permits, was told as naming one, with the time at which it ceased to. A host that had heard the end itself took that for later news of a limit; told to another dealing host, it put the engine back to its limit, and the return began anew.

Ruled out: ordering by times alone. They are ages that grow by the time words are under way, so that words of one moment change places.

Mend: a word says which of three states holds, named, ended or back, and when what it rests on was asked and answered. In frames it is a field of its own; a host that does not know it takes "back" as before.

--- a/crates/core/src/fleet/limits/ledger.rs
+++ b/crates/core/src/fleet/limits/ledger.rs
@@ -17,7 +17,7 @@
         limits::{
             bucket::TokenBucket,
             limit::RequestLimit,
-            word::{LimitWord, PermitAsk, PermitGrant},
+            word::{LimitState, LimitWord, PermitAsk, PermitGrant},
         },
     },
 };
@@ -82,6 +82,8 @@
     limit: RequestLimit,
     /// When the answer began that said so last.
     said: ClockMillis,
+    /// When what that answered was sent.
+    asked: ClockMillis,
     /// The rate at which it returns, where it names none any more. Unit: requests a second.
     returning: Option<f64>,
     /// When that rate was last raised.
@@ -100,6 +102,7 @@
             born: word.born,
             limit: word.limit,
             said,
+            asked: now - word.asked_ago,
             returning: None,
             raised: now,
             bucket: TokenBucket::empty(now),
@@ -203,27 +206,30 @@
 
     /// Takes a host's word on an engine's limit; the one that was said last counts.
     pub fn word_heard(&mut self, word: &LimitWord, now: ClockMillis) {
-        let (said, part) = (now - word.said_ago, self.part());
+        let (said, asked) = (now - word.said_ago, now - word.asked_ago);
+        let (part, ended) = (self.part(), word.state != LimitState::Named);
         let known = self.accounts.get_mut(&word.engine);
         let Some(known) = known.filter(|known| known.is_life(word.born) || said < known.said)
         else {
             // A limit that ended under the ledger before is not forgotten with it: hosts wait to hear that the engine is back.
             let mut account = LimitAccount::new(word, said, now);
-            account.returning = word.ended.then_some(account.first_return_rate());
+            account.returning = ended.then_some(account.first_return_rate());
             self.accounts.insert(Arc::clone(&word.engine), account);
             return;
         };
         if !known.is_life(word.born) {
             return;
         }
-        if !word.ended {
+        if !ended {
             if said >= known.said {
                 known.refill(part, now);
-                (known.limit, known.said, known.returning) = (word.limit, said, None);
+                (known.limit, known.returning) = (word.limit, None);
+                (known.said, known.asked) = (said, asked);
             }
-        } else if now - word.asked_ago > known.said && known.returning.is_none() {
+        } else if asked > known.said && known.returning.is_none() {
             known.refill(part, now);
-            (known.returning, known.said) = (Some(known.first_return_rate()), said);
+            known.returning = Some(known.first_return_rate());
+            (known.said, known.asked) = (said, asked);
         }
     }
 
@@ -310,12 +316,12 @@
         let mut changes = Vec::new();
         self.accounts.retain(|engine, account| {
             if account.has_returned() {
-                changes.push(account.word(engine, true, now));
+                changes.push(LimitWord { state: LimitState::Back, ..account.word(engine, now) });
                 return false;
             }
             if account.told.is_none_or(|told| account.limit.differs(told)) {
                 account.told = Some(account.limit);
-                changes.push(account.word(engine, false, now));
+                changes.push(account.word(engine, now));
             }
             true
         });
@@ -325,7 +331,7 @@
     /// Returns what a host that begins to listen is to hear.
     pub fn words_for_all(&self, now: ClockMillis) -> Vec<LimitWord> {
         let words = self.accounts.iter();
-        words.map(|(engine, account)| account.word(engine, false, now)).collect()
+        words.map(|(engine, account)| account.word(engine, now)).collect()
     }
 
     /// Forgets engines that are listed no more, or in another life; `life` returns the one that is listed.
@@ -336,15 +342,15 @@
 }
 
 impl LimitAccount {
-    fn word(&self, engine: &EngineName, ended: bool, now: ClockMillis) -> LimitWord {
-        let (engine, said_ago) = (Arc::clone(engine), now.since(self.said));
+    fn word(&self, engine: &EngineName, now: ClockMillis) -> LimitWord {
+        let returns = self.returning.is_some();
         LimitWord {
-            engine,
+            engine: Arc::clone(engine),
             born: self.born,
             limit: self.limit,
-            ended,
-            said_ago,
-            asked_ago: said_ago,
+            state: if returns { LimitState::Ended } else { LimitState::Named },
+            said_ago: now.since(self.said),
+            asked_ago: now.since(self.asked),
         }
     }
 }
--- a/crates/core/src/fleet/limits/share.rs
+++ b/crates/core/src/fleet/limits/share.rs
@@ -15,7 +15,7 @@
             ledger::{ALONE_PART, PROBE_RATE},
             limit::{AnswerWord, RequestLimit, SaidLimit},
             news::{LimitNews, NewsLog},
-            word::{LimitWord, PermitAsk, PermitGrant},
+            word::{LimitState, LimitWord, PermitAsk, PermitGrant},
         },
     },
 };
@@ -143,6 +143,13 @@
         *self = Self { resumed, waiting, got, unused, unasked, ..Self::new(born, limit, said) };
     }
 
+    /// Takes for true what the ledger says, which need not hear it again.
+    fn take_word(&mut self, word: &LimitWord, now: ClockMillis) {
+        (self.limit, self.ended) = (word.limit, word.state != LimitState::Named);
+        (self.said, self.asked) = (now - word.said_ago, now - word.asked_ago);
+        self.untold = false;
+    }
+
     /// Makes word and ask be told once more, as to a ledger that knows nothing of the engine.
     fn tell_anew(&mut self) {
         self.untold = true;
@@ -210,7 +217,7 @@
             engine: Arc::clone(engine),
             born: self.born,
             limit: self.limit,
-            ended: self.ended,
+            state: if self.ended { LimitState::Ended } else { LimitState::Named },
             said_ago: now.since(self.said),
             asked_ago: now.since(self.asked),
         }
@@ -407,7 +414,7 @@
     pub fn word_heard(&mut self, word: &LimitWord, now: ClockMillis) {
         let said = now - word.said_ago;
         let known = self.engines.get_mut(&word.engine);
-        if word.ended {
+        if word.is_back() {
             let known = known.filter(|known| known.is_life(word.born));
             if known.is_some_and(|known| known.ended || known.is_older_than(said)) {
                 self.engines.remove(&word.engine);
@@ -415,16 +422,16 @@
             return;
         }
         let Some(known) = known else {
-            let new = EngineShare::new(word.born, word.limit, said);
-            self.engines.insert(Arc::clone(&word.engine), EngineShare { untold: false, ..new });
+            let mut new = EngineShare::new(word.born, word.limit, said);
+            new.take_word(word, now);
+            self.engines.insert(Arc::clone(&word.engine), new);
             return;
         };
         if !known.is_life(word.born) && said >= known.said {
             known.begin_life(word.born, word.limit, said);
-            known.untold = false;
+            known.take_word(word, now);
         } else if known.is_life(word.born) && said > known.said {
-            (known.limit, known.ended, known.said) = (word.limit, false, said);
-            known.untold = false;
+            known.take_word(word, now);
         }
     }
 
--- a/crates/core/src/fleet/limits/word.rs
+++ b/crates/core/src/fleet/limits/word.rs
@@ -4,6 +4,17 @@
 
 use crate::fleet::{EngineBirth, EngineName, limits::limit::RequestLimit};
 
+/// What holds of an engine that has named a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitState {
+    /// It names one.
+    Named,
+    /// It has named none since. It gets more and more, still by permits.
+    Ended,
+    /// It counts as any other engine again; only the ledger says so.
+    Back,
+}
+
 /// The last word on one engine's limit.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LimitWord {
@@ -13,14 +24,21 @@
     pub born: EngineBirth,
     /// What it named last.
     pub limit: RequestLimit,
-    /// Whether it has named none since. From the ledger: it counts as any other engine again.
-    pub ended: bool,
+    /// Whether that holds.
+    pub state: LimitState,
     /// How long ago the answer began that said so.
     pub said_ago: Duration,
     /// How long ago what it answered had been sent.
     pub asked_ago: Duration,
 }
 
+impl LimitWord {
+    /// Returns whether the engine counts as any other again.
+    pub const fn is_back(&self) -> bool {
+        matches!(self.state, LimitState::Back)
+    }
+}
+
 /// What a host wants of one engine that has named a limit. A later word on the same engine takes the place of this one.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PermitAsk {
--- a/crates/core/tests/engine_limits/telling.rs
+++ b/crates/core/tests/engine_limits/telling.rs
@@ -54,3 +54,51 @@
     // A permit of four a second takes a quarter of a second; the host's next ask and the ledger's answer come before.
     assert!(first <= Duration::from_millis(LISTED + 1000), "the first permit after {first:?}");
 }
+
+#[test]
+fn who_begins_to_listen_while_an_engine_returns_knows_that_it_does() {
+    let engine: EngineName = Arc::from("e1");
+    let (mut share, mut ledger) = (LimitShare::default(), LimitLedger::default());
+    let at = ClockMillis::from_millis;
+    let named = SaidLimit::Named(RequestLimit::new(4.0).expect("a limit"));
+    share.answered(
+        &engine,
+        7,
+        AnswerWord { said: named, asked: at(900), would_say: true },
+        at(1000),
+    );
+    let none = AnswerWord { said: SaidLimit::Nothing, asked: at(1200), would_say: true };
+    share.answered(&engine, 7, none, at(1210));
+    assert!(!share.names_limit(&engine));
+    // Words are under way for a while, which nobody counts.
+    for word in share.take_told(at(1210)).words {
+        ledger.word_heard(&word, at(1240));
+    }
+    let mut begins = LimitShare::default();
+    for word in ledger.words_for_all(at(1300)) {
+        share.word_heard(&word, at(1330));
+        begins.word_heard(&word, at(1330));
+    }
+    for (name, share) in [("a host that heard the end", &share), ("one that knew nothing", &begins)]
+    {
+        assert!(share.is_limited(&engine), "{name} sends by permits until the engine is back");
+        assert!(
+            !share.names_limit(&engine),
+            "{name} is told that the engine names no limit any more"
+        );
+    }
+    // Another ledger hears from them that the engine returns, and need not begin at the limit.
+    let mut next = LimitLedger::default();
+    begins.begin_telling();
+    for word in begins.take_told(at(1400)).words {
+        next.word_heard(&word, at(1430));
+    }
+    let mut seconds = 0u64;
+    while next.take_changes(at(1430 + seconds * 1000)).iter().all(|word| !word.is_back()) {
+        for tick in 0..20 {
+            next.deal(at(1430 + seconds * 1000 + tick * 50));
+        }
+        seconds += 1;
+        assert!(seconds < 10, "the next ledger lets the engine come back");
+    }
+}
--- a/crates/gateway/src/peers/limit_lines.rs
+++ b/crates/gateway/src/peers/limit_lines.rs
@@ -8,7 +8,7 @@
         EngineName,
         limits::{
             limit::RequestLimit,
-            word::{LimitWord, PermitAsk, PermitGrant},
+            word::{LimitState, LimitWord, PermitAsk, PermitGrant},
         },
     },
 };
@@ -34,6 +34,9 @@
     /// Whether it has named none since.
     #[prost(bool, tag = "6")]
     pub ended: bool,
+    /// Whether it counts as any other engine again.
+    #[prost(bool, tag = "7")]
+    pub back: bool,
 }
 
 /// What a host wants of one engine that has named a limit.
@@ -85,7 +88,8 @@
             engine: word.engine.to_string(),
             born: word.born,
             limit: word.limit.per_second(),
-            ended: word.ended,
+            ended: word.state != LimitState::Named,
+            back: word.is_back(),
             said_ago: duration_millis(word.said_ago),
             asked_ago: duration_millis(word.asked_ago),
         }
@@ -103,7 +107,11 @@
             engine: Arc::from(line.engine.as_str()),
             born: line.born,
             limit,
-            ended: line.ended,
+            state: match (line.back, line.ended) {
+                (true, _) => LimitState::Back,
+                (false, true) => LimitState::Ended,
+                (false, false) => LimitState::Named,
+            },
             said_ago: Duration::from_millis(line.said_ago),
             asked_ago: Duration::from_millis(line.asked_ago),
         })
