fix(core): a host that deals half of a limit tells those that wait so

What callers saw: while the dealing host's lease was not confirmed lately, it dealt half of each limit, but told waiting requests, and through them clients that are refused, half the time that it then took. The dealing host itself woke at times at which it had nothing to deal, each time after half of what was left.

Cause: the waits were counted at the whole rate, the bucket was filled with the part of it that this host deals.

Mend: both by the part that is dealt. The test fails without this change: 500 ms told where 1,000 ms passed.

--- a/crates/core/src/fleet/limits/ledger.rs
+++ b/crates/core/src/fleet/limits/ledger.rs
@@ -174,10 +174,10 @@
         dealt
     }
 
-    /// Returns in what time everybody who waits has had a permit.
-    fn wait(&self) -> Duration {
+    /// Returns in what time everybody who waits has had a permit of this ledger, which deals a part of the rate.
+    fn wait(&self, part: f64) -> Duration {
         let waiting: u32 = self.asks.values().map(HostAsk::waiting).sum();
-        let seconds = self.bucket.seconds_until(f64::from(waiting.max(1)), self.rate());
+        let seconds = self.bucket.seconds_until(f64::from(waiting.max(1)), self.rate() * part);
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
 }
@@ -278,7 +278,7 @@
             account.refill(part, now);
             account.forget_old(now);
             let mut dealt = account.deal();
-            let wait = account.wait();
+            let wait = account.wait(part);
             for (host, ask) in &mut account.asks {
                 let waits = std::mem::take(&mut ask.wants_wait) && ask.waiting() > 0;
                 let permits = dealt.remove(host).unwrap_or_default();
@@ -306,7 +306,8 @@
         let waited = self.accounts.values().filter(|account| {
             account.asks.values().any(|ask| ask.wants().iter().any(|wanted| *wanted > 0))
         });
-        let next = waited.map(|account| account.bucket.seconds_until(1.0, account.rate()));
+        let part = self.part();
+        let next = waited.map(|account| account.bucket.seconds_until(1.0, account.rate() * part));
         let next = next.min_by(f64::total_cmp)?;
         Some(now + Duration::try_from_secs_f64(next).unwrap_or(ASK_HOLDS))
     }
--- a/crates/core/tests/engine_limits/telling.rs
+++ b/crates/core/tests/engine_limits/telling.rs
@@ -102,3 +102,22 @@
         assert!(seconds < 10, "the next ledger lets the engine come back");
     }
 }
+
+#[test]
+fn who_deals_half_says_so_to_those_that_wait() {
+    let (engine, host): (EngineName, Arc<str>) = (Arc::from("e1"), Arc::from("h1"));
+    let start = ClockMillis::from_millis(1000);
+    let said = SaidLimit::Named(RequestLimit::new(2.0).expect("a limit"));
+    for (confirmed, expected) in [(true, 500), (false, 1000)] {
+        let (mut share, mut ledger) = (LimitShare::default(), LimitLedger::default());
+        ledger.confirmed(confirmed);
+        share.answered(&engine, 7, AnswerWord { said, asked: start, would_say: true }, start);
+        share.wait_began(&engine, PermitUse::Waiting);
+        let told = share.take_told(start);
+        ledger.word_heard(&told.words[0], start);
+        ledger.asked(&host, &engine, &told.asks[0].1, start);
+        assert_eq!(ledger.next_due(start), Some(start + Duration::from_millis(expected)));
+        let grants = ledger.deal(start).remove(&host).expect("a word on the wait");
+        assert_eq!(grants[0].wait, Some(Duration::from_millis(expected)), "confirmed: {confirmed}");
+    }
+}
