--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -34,6 +34,11 @@
 /// The birth of an engine that does not say when it began.
 pub const UNTOLD_BIRTH: EngineBirth = 0;
 
+/// Returns whether two births are of one life, as far as both are told.
+pub const fn is_same_life(one: EngineBirth, other: EngineBirth) -> bool {
+    one == other || one == UNTOLD_BIRTH || other == UNTOLD_BIRTH
+}
+
 /// Names a service.
 pub type ServiceName = Arc<str>;
 
@@ -94,6 +99,6 @@
 impl EngineEntry {
     /// Returns whether a life that began at `born` is this one, as far as both say when they began.
     pub const fn is_life(&self, born: EngineBirth) -> bool {
-        born == self.born || born == UNTOLD_BIRTH || self.born == UNTOLD_BIRTH
+        is_same_life(self.born, born)
     }
 }
--- a/crates/core/src/fleet/limits.rs
+++ b/crates/core/src/fleet/limits.rs
@@ -10,6 +10,7 @@
 //! requests that are permitted, at least one in five seconds as soon as somebody wants to send one.
 
 pub mod bucket;
+mod engine_share;
 pub mod ledger;
 pub mod limit;
 pub mod news;
--- a/crates/core/src/fleet/limits/ledger.rs
+++ b/crates/core/src/fleet/limits/ledger.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock::ClockMillis,
     fleet::{
-        EngineBirth, EngineName, UNTOLD_BIRTH,
+        EngineBirth, EngineName, is_same_life,
         limits::{
             bucket::TokenBucket,
             limit::RequestLimit,
@@ -113,7 +113,7 @@
     }
 
     const fn is_life(&self, born: EngineBirth) -> bool {
-        born == self.born || born == UNTOLD_BIRTH || self.born == UNTOLD_BIRTH
+        is_same_life(self.born, born)
     }
 
     /// Returns the rate at which requests go there now. Unit: requests a second.
--- a/crates/core/tests/engine_limits/ways.rs
+++ b/crates/core/tests/engine_limits/ways.rs
@@ -32,19 +32,40 @@
     }
 }
 
+/// A limit that all hosts know a tenth of a second after one has heard it.
+#[derive(Default)]
+struct HeardLimit(Option<(RequestLimit, ClockMillis)>);
+
+impl HeardLimit {
+    fn hear(&mut self, limit: Option<RequestLimit>, now: ClockMillis) {
+        if let Some(limit) = limit {
+            self.0.get_or_insert((limit, now + Duration::from_millis(100)));
+        }
+    }
+
+    fn known(&self, now: ClockMillis) -> Option<RequestLimit> {
+        self.0.filter(|(_, known)| now >= *known).map(|(limit, _)| limit)
+    }
+}
+
 /// Some hosts have a part of the limit each, in a bucket that begins full; each learns the word by its own answers or, at the
 /// latest, a tenth of a second after the first one.
 struct Parts {
     /// How many hosts share the limit.
     sharing: usize,
-    limit: Option<(RequestLimit, ClockMillis)>,
+    heard: HeardLimit,
     buckets: Vec<Option<TokenBucket>>,
     arrived: Vec<usize>,
 }
 
 impl Parts {
     fn new(hosts: usize, sharing: usize) -> Self {
-        Self { sharing, limit: None, buckets: vec![None; hosts], arrived: Vec::new() }
+        Self {
+            sharing,
+            heard: HeardLimit::default(),
+            buckets: vec![None; hosts],
+            arrived: Vec::new(),
+        }
     }
 }
 
@@ -60,14 +81,12 @@
         _: ClockMillis,
         now: ClockMillis,
     ) {
-        if let Some(limit) = limit {
-            self.limit.get_or_insert((limit, now + Duration::from_millis(100)));
-        }
+        self.heard.hear(limit, now);
     }
 
     fn sends(&mut self, now: ClockMillis) -> Vec<usize> {
         let mut sends = std::mem::take(&mut self.arrived);
-        let Some((limit, _)) = self.limit.filter(|(_, known)| now >= *known) else { return sends };
+        let Some(limit) = self.heard.known(now) else { return sends };
         let rate = limit.per_second() / self.sharing as f64;
         sends.retain(|host| {
             let bucket = self.buckets[*host].get_or_insert_with(|| {
@@ -84,7 +103,7 @@
 
 /// Each request is sent by chance, with the limit's part of what all hosts have asked for lately.
 struct Chance {
-    limit: Option<(RequestLimit, ClockMillis)>,
+    heard: HeardLimit,
     arrived: Vec<usize>,
     rate: f64,
     random: Pcg64Mcg,
@@ -102,16 +121,14 @@
         _: ClockMillis,
         now: ClockMillis,
     ) {
-        if let Some(limit) = limit {
-            self.limit.get_or_insert((limit, now + Duration::from_millis(100)));
-        }
+        self.heard.hear(limit, now);
     }
 
     fn sends(&mut self, now: ClockMillis) -> Vec<usize> {
         let mut sends = std::mem::take(&mut self.arrived);
         let part = STEP.as_secs_f64();
         self.rate += part * (sends.len() as f64 / part - self.rate);
-        let Some((limit, _)) = self.limit.filter(|(_, known)| now >= *known) else { return sends };
+        let Some(limit) = self.heard.known(now) else { return sends };
         let chance = limit.per_second() / self.rate.max(limit.per_second());
         sends.retain(|_| self.random.random::<f64>() < chance);
         sends
@@ -169,7 +186,7 @@
             Box::new(Parts::new(load.hosts, load.hosts)),
             Box::new(Parts::new(load.hosts, 1)),
             Box::new(Chance {
-                limit: None,
+                heard: HeardLimit::default(),
                 arrived: Vec::new(),
                 rate: load.demand,
                 random: Pcg64Mcg::seed_from_u64(3),
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -15,7 +15,8 @@
     control::state::ControlState,
     events::HostEvent,
     peers::engine_lines::{EngineUpdate, write_engines},
-    peers::frame::{EncodedFrame, FrameBody, OwnerLine, RecordLine, StateFrame},
+    peers::frame::{EncodedFrame, FrameBody},
+    peers::state_frames::{OwnerLine, RecordLine, StateFrame},
     store::membership::GroupMember,
 };
 
--- a/crates/gateway/src/control/freshness.rs
+++ b/crates/gateway/src/control/freshness.rs
@@ -5,7 +5,7 @@
 use crate::{
     control::state::ControlState,
     events::HostEvent,
-    peers::frame::{ClockLine, StateFrame},
+    peers::state_frames::{ClockLine, StateFrame},
 };
 
 impl ControlState {
--- a/crates/gateway/src/control/operator.rs
+++ b/crates/gateway/src/control/operator.rs
@@ -11,7 +11,7 @@
     border::{BorderError, ConfigurationRecord, KeyedRecord},
     control::{domain::PlacementDomain, state::ControlState},
     events::HostEvent,
-    peers::frame::RecordLine,
+    peers::state_frames::RecordLine,
     store::follow::TopicUpdate,
 };
 
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -31,7 +31,7 @@
     events::HostEvent,
     host::SharedState,
     peers::engine_lines::{EngineUpdate, read_engines, write_engines},
-    peers::frame::{OwnerLine, RecordLine, StateFrame},
+    peers::state_frames::{OwnerLine, RecordLine, StateFrame},
     store::{
         StoreReturns,
         eras::{EraWord, StoreEras},
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 pub mod frame;
 pub mod limit_lines;
 pub mod server;
+pub mod state_frames;
 pub mod sum_frames;
 pub mod suspect_lines;
 
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -9,7 +9,8 @@
     control::{SharedControl, domain::PEER_QUEUE, state::ControlState},
     peers::{
         PeerStream,
-        frame::{AskFrame, DemandFrame, EncodedFrame, FrameBody},
+        frame::{DemandFrame, EncodedFrame, FrameBody},
+        state_frames::AskFrame,
     },
     timer::reached,
 };
--- a/crates/gateway/src/peers/feed.rs
+++ b/crates/gateway/src/peers/feed.rs
@@ -8,11 +8,7 @@
 use crate::{
     control::SharedControl,
     events::HostEvent,
-    peers::{
-        PeerStream,
-        client::connect,
-        frame::{FollowFrame, FrameBody},
-    },
+    peers::{PeerStream, client::connect, frame::FrameBody, state_frames::FollowFrame},
 };
 
 /// How long a reader may be silent before it is left.
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -5,19 +5,15 @@
 use std::{sync::Arc, time::Duration};
 
 use reelreel_core::{
-    ClockMillis, StorePosition,
-    fleet::{EngineName, HeldModel, ModelKey, freshness::PeerClock, work::EngineWork},
+    fleet::{EngineName, HeldModel, ModelKey, work::EngineWork},
     placement::{AbsentEntry, DemandEntry, HostWork, RunEntry, StorePace},
 };
 
 use prost::Message as _;
 
-use crate::{
-    border::KeyedRecord,
-    peers::{
-        engine_lines::EngineRecordLine,
-        sum_frames::{CountFrame, SumFrame},
-    },
+use crate::peers::{
+    state_frames::{AskFrame, FollowFrame, StateFrame},
+    sum_frames::{CountFrame, SumFrame},
 };
 
 /// One frame.
@@ -261,112 +257,6 @@
     pub millis: u32,
 }
 
-/// Asks for what the peer has read from the store.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct AskFrame {
-    /// What the asking host's clock shows. Unit: milliseconds.
-    #[prost(uint64, tag = "1")]
-    pub asked: u64,
-}
-
-/// Asks for what the peer reads from the store from now on, or, later on, for its clock alone.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct FollowFrame {
-    /// What the asking host's clock shows. Unit: milliseconds.
-    #[prost(uint64, tag = "1")]
-    pub asked: u64,
-}
-
-/// What a host's clock shows, as an answer.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct ClockLine {
-    /// What the asking host's clock showed when it asked. Unit: milliseconds.
-    #[prost(uint64, tag = "1")]
-    pub asked: u64,
-    /// What the answering host's clock shows. Unit: milliseconds.
-    #[prost(uint64, tag = "2")]
-    pub now: u64,
-}
-
-/// What a host has read from the store: everything, or what has changed since the last frame.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct StateFrame {
-    /// Newest records of the configuration topic.
-    #[prost(message, repeated, tag = "1")]
-    pub configuration: Vec<RecordLine>,
-    /// Who holds which partition of the group; empty when that did not change.
-    #[prost(message, repeated, tag = "4")]
-    pub owners: Vec<OwnerLine>,
-    /// Whether this is everything.
-    #[prost(bool, tag = "5")]
-    pub whole: bool,
-    /// How far the engines' topic was read, where this is everything.
-    #[prost(uint64, tag = "6")]
-    pub engines_end: u64,
-    /// At which moment of the sender's clock all that it has passed on was the newest configuration; zero
-    /// where it does not know. Unit: milliseconds.
-    #[prost(uint64, tag = "7")]
-    pub confirmed: u64,
-    /// The sender's clock, in an answer.
-    #[prost(message, optional, tag = "8")]
-    pub clock: Option<ClockLine>,
-    /// The names that the lines of `engines` refer to.
-    #[prost(string, repeated, tag = "9")]
-    pub names: Vec<String>,
-    /// The engines' entries.
-    #[prost(message, repeated, tag = "10")]
-    pub engines: Vec<EngineRecordLine>,
-    /// The newest era of the store that the sender has heard of.
-    #[prost(uint64, tag = "11")]
-    pub era: u64,
-    /// The era of the store to which `engines_end` belongs.
-    #[prost(uint64, tag = "12")]
-    pub engines_era: u64,
-}
-
-impl StateFrame {
-    /// Returns how far the engines' topic was read, where this is everything.
-    pub const fn engines_read_to(&self) -> StorePosition {
-        StorePosition { era: self.engines_era, offset: self.engines_end }
-    }
-}
-
-impl From<&ClockLine> for PeerClock {
-    fn from(line: &ClockLine) -> Self {
-        let (own, peer) =
-            (ClockMillis::from_millis(line.asked), ClockMillis::from_millis(line.now));
-        Self { own, peer }
-    }
-}
-
-/// Who holds a partition of the group.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct OwnerLine {
-    /// The partition.
-    #[prost(uint32, tag = "1")]
-    pub partition: u32,
-    /// The name of the member that holds it.
-    #[prost(string, tag = "2")]
-    pub host: String,
-}
-
-/// A record of a keyed topic.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct RecordLine {
-    /// Its key.
-    #[prost(string, tag = "1")]
-    pub key: String,
-    /// Its value as the store gave it.
-    #[prost(bytes = "bytes", tag = "2")]
-    pub value: bytes::Bytes,
-    /// Its place in the topic.
-    #[prost(uint64, tag = "3")]
-    pub offset: u64,
-    /// The era of the store in which it was read.
-    #[prost(uint64, tag = "4")]
-    pub era: u64,
-}
-
 impl PeerFrame {
     /// Wraps what a frame says.
     pub const fn new(body: FrameBody) -> Self {
@@ -427,22 +317,6 @@
     }
 }
 
-impl From<&RecordLine> for KeyedRecord {
-    fn from(line: &RecordLine) -> Self {
-        let (key, value) = (line.key.clone(), line.value.clone());
-        let position = StorePosition { era: line.era, offset: line.offset };
-        Self { key, value, position }
-    }
-}
-
-impl From<&KeyedRecord> for RecordLine {
-    fn from(record: &KeyedRecord) -> Self {
-        let (key, value) = (record.key.clone(), record.value.clone());
-        let StorePosition { era, offset } = record.position;
-        Self { key, value, offset, era }
-    }
-}
-
 impl DemandFrame {
     /// Returns what the host has at engines.
     pub fn work(&self) -> HostWork {
--- a/crates/gateway/tests/engine_lines.rs
+++ b/crates/gateway/tests/engine_lines.rs
@@ -11,7 +11,7 @@
 };
 use reelreel_gateway::peers::{
     engine_lines::{EngineRecordLine, EngineUpdate, HeldRecordLine, read_engines, write_engines},
-    frame::StateFrame,
+    state_frames::StateFrame,
 };
 
 fn any_update() -> impl Strategy<Value = EngineUpdate> {
