--- a/crates/cli/src/logs/explain.rs
+++ b/crates/cli/src/logs/explain.rs
@@ -131,6 +131,9 @@
         | HostEvent::EngineLimited { engine, .. }
         | HostEvent::LimitEnded { engine, .. }
         | HostEvent::LimitUnreadable { engine, .. }
+        | HostEvent::DepartureLearned { engine, .. }
+        | HostEvent::CooldownBegan { engine, .. }
+        | HostEvent::CooldownEnded { engine, .. }
         | HostEvent::EngineGone { engine } => {
             let event = &request.event;
             own_host && [&event.engine, &event.limited_by].contains(&&Some(engine.clone()))
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,15 +4,19 @@
 //! on their own, so that a request needs no permit of an owner. [`routes`] says where a request may
 //! go, [`choice`] which engine it is sent to,
 //! [`cold`] whether it waits for its adapter, [`queued`] whether it joins an engine's queue, [`condition`] what the host's own requests tell about
-//! an engine, [`freshness`] until when keys may be served, [`limits`] how many requests a second engines say that they take, [`quarantine`] which requests are held back since engines ended under them, [`reach`] what its connections tell about a data hall, [`relisting`] whether a listing of a store that came back older is believed, and [`retry_share`] how often it
+//! an engine, [`announcement`] what engines announce in their responses, [`departures`] which of them are leaving,
+//! [`cooldown`] which of them want no requests from this host for a while, [`freshness`] until when keys may be served, [`limits`] how many requests a second engines say that they take, [`quarantine`] which requests are held back since engines ended under them, [`reach`] what its connections tell about a data hall, [`relisting`] whether a listing of a store that came back older is believed, and [`retry_share`] how often it
 //! may be sent again.
 
 use std::{net::SocketAddr, sync::Arc};
 
 pub mod admission;
+pub mod announcement;
 pub mod choice;
 pub mod cold;
 pub mod condition;
+pub mod cooldown;
+pub mod departures;
 pub mod freshness;
 pub mod limits;
 pub mod prompt;
--- /dev/null
+++ b/crates/core/src/fleet/cooldown.rs
@@ -0,0 +1,211 @@
+//! Engines that have asked this host for a cooldown, and how their requests resume afterwards.
+//!
+//! A cooldown is between one host and one incarnation of an engine. Afterwards one request probes the engine, and each
+//! request that it accepts doubles those that the host may send before the engine responds.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::{
+    clock::ClockMillis,
+    fleet::{EngineBirth, EngineName, announcement::Cooldown, is_same_life},
+};
+
+/// From how many probes at a time on an engine is no longer restricted.
+const RECOVERED_PROBES: usize = 32;
+
+/// How long an engine is restricted after a cooldown that this host sends nothing.
+const RECOVERY_RETENTION: Duration = Duration::from_secs(10);
+
+/// How long a probe without a response keeps others back.
+const PROBE_PATIENCE: Duration = Duration::from_secs(1);
+
+/// How long a probe is expected to take until its response begins.
+pub const PROBE_TIME: Duration = Duration::from_millis(300);
+
+/// The pause between the times at which clients are told to come back after one cooldown, and over how many of them.
+const RETURN_STEP: Duration = Duration::from_millis(25);
+const RETURN_STEPS: u32 = 40;
+
+/// Whether a request may go to an engine as far as its cooldowns go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CooldownStanding {
+    /// It may.
+    Open,
+    /// It may not; the engine is expected to take requests again after this time.
+    Closed(Duration),
+}
+
+/// A change worth a log line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CooldownEvent {
+    /// An engine asked for a cooldown while it had none.
+    Began {
+        /// The engine.
+        engine: EngineName,
+        /// Its incarnation.
+        born: EngineBirth,
+        /// The length.
+        time: Duration,
+    },
+    /// The engine takes requests without restriction again, or has ended.
+    Ended {
+        /// The engine.
+        engine: EngineName,
+        /// How often it asked for a cooldown since the first.
+        requests: u32,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct EngineCooldown {
+    born: EngineBirth,
+    until: ClockMillis,
+    /// Requests that may be sent before the engine responds, once the cooldown is over.
+    allowance: usize,
+    /// When the requests were sent that it has not responded to.
+    probes: VecDeque<ClockMillis>,
+    /// How often it was asked for since the engine last took requests without restriction.
+    requests: u32,
+    /// How many clients were told to come back after it.
+    returns: u32,
+}
+
+impl EngineCooldown {
+    const fn new(born: EngineBirth, now: ClockMillis) -> Self {
+        let probes = VecDeque::new();
+        Self { born, until: now, allowance: 1, probes, requests: 0, returns: 0 }
+    }
+}
+
+/// The cooldowns that engines have asked one host for.
+#[derive(Debug, Clone, Default)]
+pub struct CooldownTable {
+    engines: HashMap<EngineName, EngineCooldown>,
+    events: Vec<CooldownEvent>,
+}
+
+impl CooldownTable {
+    /// Takes that an incarnation of an engine asked this host for a cooldown; the later end counts.
+    pub fn requested(
+        &mut self,
+        engine: &EngineName,
+        born: EngineBirth,
+        cooldown: Cooldown,
+        now: ClockMillis,
+    ) {
+        let new = || EngineCooldown::new(born, now);
+        let known = self.engines.entry(Arc::clone(engine)).or_insert_with(new);
+        if !is_same_life(known.born, born) {
+            *known = new();
+        }
+        if known.requests == 0 {
+            let (engine, time) = (Arc::clone(engine), cooldown.time());
+            self.events.push(CooldownEvent::Began { engine, born, time });
+        }
+        if now >= known.until {
+            known.returns = 0;
+        }
+        known.until = known.until.max(now + cooldown.time());
+        known.allowance = 1;
+        known.probes.clear();
+        known.requests += 1;
+    }
+
+    /// Returns whether a request may go to an engine.
+    pub fn standing(&self, engine: &str, born: EngineBirth, now: ClockMillis) -> CooldownStanding {
+        let known = self.engines.get(engine).filter(|known| is_same_life(known.born, born));
+        let Some(known) = known else { return CooldownStanding::Open };
+        if now < known.until {
+            return CooldownStanding::Closed(known.until.since(now));
+        }
+        let pending = known.probes.iter().filter(|sent| now.since(**sent) < PROBE_PATIENCE);
+        if pending.count() < known.allowance {
+            CooldownStanding::Open
+        } else {
+            CooldownStanding::Closed(PROBE_TIME)
+        }
+    }
+
+    /// Takes that a request is sent to an engine.
+    pub fn sent(&mut self, engine: &str, born: EngineBirth, now: ClockMillis) {
+        if let Some(known) = self.engines.get_mut(engine)
+            && is_same_life(known.born, born)
+        {
+            known.probes.retain(|sent| now.since(*sent) < PROBE_PATIENCE);
+            known.probes.push_back(now);
+        }
+    }
+
+    /// Takes that an engine has responded to a request that was sent at `sent`, and whether it accepted it; one that was
+    /// sent before the end of the cooldown changes nothing. Returns whether more requests may go there.
+    pub fn responded(
+        &mut self,
+        engine: &str,
+        born: EngineBirth,
+        sent: ClockMillis,
+        accepted: bool,
+    ) -> bool {
+        let Some(known) = self.engines.get_mut(engine) else { return false };
+        if !is_same_life(known.born, born) || sent < known.until {
+            return false;
+        }
+        known.probes.pop_front();
+        if accepted {
+            known.allowance *= 2;
+        }
+        if known.allowance >= RECOVERED_PROBES {
+            self.end(engine);
+        }
+        true
+    }
+
+    /// Returns whether an engine is within a cooldown.
+    pub fn is_cooling(&self, engine: &str, born: EngineBirth, now: ClockMillis) -> bool {
+        let known = self.engines.get(engine);
+        known.is_some_and(|known| is_same_life(known.born, born) && now < known.until)
+    }
+
+    /// Returns the engines within a cooldown.
+    pub fn cooling(&self, now: ClockMillis) -> impl Iterator<Item = &EngineName> {
+        let cooling = self.engines.iter().filter(move |(_, known)| now < known.until);
+        cooling.map(|(engine, _)| engine)
+    }
+
+    /// Returns when the next client that is told so should come back for an engine: after its cooldown, each a step
+    /// later than the one before.
+    pub fn return_time(&mut self, engine: &str, now: ClockMillis) -> Option<Duration> {
+        let known = self.engines.get_mut(engine)?;
+        let step = RETURN_STEP * (known.returns % RETURN_STEPS);
+        known.returns += 1;
+        Some(known.until.since(now) + step)
+    }
+
+    /// Forgets engines that are no longer listed, are listed in another incarnation, or were sent nothing for long after
+    /// their cooldown; `listed` returns the incarnation that is listed.
+    pub fn retain(&mut self, listed: impl Fn(&str) -> Option<EngineBirth>, now: ClockMillis) {
+        let over = |engine: &str, known: &EngineCooldown| {
+            now.since(known.until) >= RECOVERY_RETENTION
+                || listed(engine).is_none_or(|born| !is_same_life(known.born, born))
+        };
+        let known = self.engines.iter().filter(|(engine, known)| over(engine, known));
+        let ended: Vec<EngineName> = known.map(|(engine, _)| Arc::clone(engine)).collect();
+        for engine in ended {
+            self.end(&engine);
+        }
+    }
+
+    /// Returns what is to be logged since the last call.
+    pub fn take_events(&mut self) -> Vec<CooldownEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    fn end(&mut self, engine: &str) {
+        if let Some((engine, known)) = self.engines.remove_entry(engine) {
+            self.events.push(CooldownEvent::Ended { engine, requests: known.requests });
+        }
+    }
+}
--- a/crates/core/src/fleet/limits/limit.rs
+++ b/crates/core/src/fleet/limits/limit.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::clock::ClockMillis;
+use crate::{clock::ClockMillis, fleet::announcement::Declared};
 
 /// How many requests an engine takes from all hosts together. Unit: requests a second; zero for none at all.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
@@ -33,23 +33,11 @@
     }
 }
 
-/// What an answer says of its engine's limit.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub enum SaidLimit {
-    /// Nothing.
-    #[default]
-    Nothing,
-    /// The engine names it.
-    Named(RequestLimit),
-    /// Something that is no limit; it changes nothing.
-    Unreadable,
-}
-
 /// An answer of an engine, as its word on its limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AnswerWord {
     /// What it says.
-    pub said: SaidLimit,
+    pub said: Declared<RequestLimit>,
     /// When what it answers was sent: an answer that names no limit ends only one that was named before that.
     pub asked: ClockMillis,
     /// Whether the engine would name a limit in such an answer if it had one. One to a request that it ran is such an answer; of
--- a/crates/core/src/fleet/limits/share.rs
+++ b/crates/core/src/fleet/limits/share.rs
@@ -6,11 +6,12 @@
     clock::ClockMillis,
     fleet::{
         EngineBirth, EngineName,
+        announcement::Declared,
         limits::{
             bucket::TokenBucket,
             engine_share::EngineShare,
             ledger::{ALONE_PART, PROBE_RATE},
-            limit::{AnswerWord, RequestLimit, SaidLimit},
+            limit::{AnswerWord, RequestLimit},
             news::{LimitNews, NewsLog},
             word::{LimitWord, PermitAsk, PermitGrant},
         },
@@ -81,7 +82,7 @@
         now: ClockMillis,
     ) -> bool {
         match word.said {
-            SaidLimit::Named(limit) => {
+            Declared::Present(limit) => {
                 let new = || EngineShare::new(born, limit, now);
                 let known = self.engines.entry(Arc::clone(engine)).or_insert_with(new);
                 if !known.is_life(born) {
@@ -93,7 +94,7 @@
                 known.named_here = Some(now);
                 known.untold
             }
-            SaidLimit::Nothing if word.would_say => {
+            Declared::Absent if word.would_say => {
                 let known = self.engines.get_mut(engine);
                 let known = known.filter(|known| known.is_life(born) && word.asked > known.said);
                 known.is_some_and(|known| {
@@ -102,8 +103,8 @@
                     known.untold
                 })
             }
-            SaidLimit::Nothing => false,
-            SaidLimit::Unreadable => {
+            Declared::Absent => false,
+            Declared::Unreadable => {
                 self.news.unreadable(engine);
                 false
             }
--- a/crates/core/tests/engine_limits/fleet.rs
+++ b/crates/core/tests/engine_limits/fleet.rs
@@ -8,9 +8,10 @@
     ClockMillis,
     fleet::{
         EngineName,
+        announcement::Declared,
         limits::{
             ledger::LimitLedger,
-            limit::{AnswerWord, RequestLimit, SaidLimit},
+            limit::{AnswerWord, RequestLimit},
             share::{LimitShare, LimitTold, PermitUse},
             word::{LimitWord, PermitGrant},
         },
@@ -188,7 +189,7 @@
         if !host.runs(now) {
             return;
         }
-        let said = limit.map_or(SaidLimit::Nothing, SaidLimit::Named);
+        let said = limit.map_or(Declared::Absent, Declared::Present);
         let was_limited = host.share.is_limited(&engine);
         host.share.answered(&engine, born, AnswerWord { said, asked, would_say: true }, now);
         if !was_limited && host.share.is_limited(&engine) {
--- a/crates/core/tests/engine_limits/hearing.rs
+++ b/crates/core/tests/engine_limits/hearing.rs
@@ -6,8 +6,9 @@
     ClockMillis,
     fleet::{
         EngineName,
+        announcement::Declared,
         limits::{
-            limit::{AnswerWord, RequestLimit, SaidLimit},
+            limit::{AnswerWord, RequestLimit},
             news::LimitNews,
             share::LimitShare,
         },
@@ -18,8 +19,8 @@
     ClockMillis::from_millis(millis)
 }
 
-fn named(per_second: f64) -> SaidLimit {
-    SaidLimit::Named(RequestLimit::new(per_second).expect("a limit"))
+fn named(per_second: f64) -> Declared<RequestLimit> {
+    Declared::Present(RequestLimit::new(per_second).expect("a limit"))
 }
 
 /// Answers that one host hears of one engine, and whether the engine counts as limited after each.
@@ -74,7 +75,7 @@
         for ((began, asked, born, said, would_say), limited) in
             case.answers.iter().zip(case.limited)
         {
-            let said = said.map_or(SaidLimit::Nothing, named);
+            let said = said.map_or(Declared::Absent, named);
             let word = AnswerWord { said, asked: at(*asked), would_say: *would_say };
             share.answered(&engine, *born, word, at(*began));
             assert_eq!(share.names_limit(&engine), *limited, "{}, at {began}", case.name);
@@ -91,8 +92,8 @@
         let now = at(1000 + number * 10);
         let said = match number % 3 {
             0 => named(1.0 + number as f64),
-            1 => SaidLimit::Nothing,
-            _ => SaidLimit::Unreadable,
+            1 => Declared::Absent,
+            _ => Declared::Unreadable,
         };
         let asked = now - Duration::from_millis(5);
         share.answered(&engine, 1, AnswerWord { said, asked, would_say: true }, now);
--- a/crates/core/tests/engine_limits/telling.rs
+++ b/crates/core/tests/engine_limits/telling.rs
@@ -6,9 +6,10 @@
     ClockMillis,
     fleet::{
         EngineName,
+        announcement::Declared,
         limits::{
             ledger::LimitLedger,
-            limit::{AnswerWord, RequestLimit, SaidLimit},
+            limit::{AnswerWord, RequestLimit},
             share::{LimitShare, PermitUse},
         },
     },
@@ -25,7 +26,7 @@
     let (engine, host): (EngineName, Arc<str>) = (Arc::from("e1"), Arc::from("h1"));
     let (mut share, mut ledger) = (LimitShare::default(), LimitLedger::default());
     let start = ClockMillis::from_millis(1000);
-    let said = SaidLimit::Named(RequestLimit::new(4.0).expect("a limit"));
+    let said = Declared::Present(RequestLimit::new(4.0).expect("a limit"));
     share.answered(&engine, 7, AnswerWord { said, asked: start, would_say: true }, start);
     share.wait_began(&engine, PermitUse::Waiting);
     let mut first = None;
@@ -60,14 +61,14 @@
     let engine: EngineName = Arc::from("e1");
     let (mut share, mut ledger) = (LimitShare::default(), LimitLedger::default());
     let at = ClockMillis::from_millis;
-    let named = SaidLimit::Named(RequestLimit::new(4.0).expect("a limit"));
+    let named = Declared::Present(RequestLimit::new(4.0).expect("a limit"));
     share.answered(
         &engine,
         7,
         AnswerWord { said: named, asked: at(900), would_say: true },
         at(1000),
     );
-    let none = AnswerWord { said: SaidLimit::Nothing, asked: at(1200), would_say: true };
+    let none = AnswerWord { said: Declared::Absent, asked: at(1200), would_say: true };
     share.answered(&engine, 7, none, at(1210));
     assert!(!share.names_limit(&engine));
     // Words are under way for a while, which nobody counts.
@@ -107,7 +108,7 @@
 fn who_deals_half_says_so_to_those_that_wait() {
     let (engine, host): (EngineName, Arc<str>) = (Arc::from("e1"), Arc::from("h1"));
     let start = ClockMillis::from_millis(1000);
-    let said = SaidLimit::Named(RequestLimit::new(2.0).expect("a limit"));
+    let said = Declared::Present(RequestLimit::new(2.0).expect("a limit"));
     for (confirmed, expected) in [(true, 500), (false, 1000)] {
         let (mut share, mut ledger) = (LimitShare::default(), LimitLedger::default());
         ledger.confirmed(confirmed);
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -9,8 +9,8 @@
 use reelreel_core::{
     StorePosition,
     fleet::{
-        EngineEntry, ModelKey, WeightVersion, limits::limit::SaidLimit, prompt::PromptFacts,
-        routes::RouteTable,
+        EngineEntry, ModelKey, WeightVersion, announcement::EngineAnnouncements,
+        prompt::PromptFacts, routes::RouteTable,
     },
     id::{FenceToken, GroupGeneration, StoreEra},
     organisation::key::PresentedKey,
@@ -110,8 +110,8 @@
     pub misdirected: bool,
     /// Whether the engine itself made the answer.
     pub signed: bool,
-    /// What it says of the requests that the engine takes from all hosts together.
-    pub limit: SaidLimit,
+    /// What the engine announces about itself.
+    pub announcements: EngineAnnouncements,
 }
 
 /// Translates between the host and its clients and engines.
@@ -134,8 +134,8 @@
     /// Reads what an engine's answer says.
     fn answer_facts(&self, head: &ResponseHead) -> AnswerFacts;
 
-    /// Reads what any answer of an engine, also to an order or for a report, says of the requests that it takes.
-    fn said_limit(&self, head: &ResponseHead) -> SaidLimit;
+    /// Reads what any response of an engine, also to an order or for a report, announces about it.
+    fn announcements(&self, head: &ResponseHead) -> EngineAnnouncements;
 
     /// Marks an answer of the host's own as belonging to a request.
     fn mark_own_answer(&self, fields: &mut HeaderFields, id: &str);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: everything that the host believes, and its part in placement.
 
+pub mod announcements;
 pub mod domain;
 pub mod engine_list;
 pub mod era;
--- a/crates/gateway/src/control/engine_list.rs
+++ b/crates/gateway/src/control/engine_list.rs
@@ -236,6 +236,8 @@
         let left = self.leaving.get(&entry.name).is_some_and(|born| entry.is_life(*born));
         if entry.leaving && !left {
             self.leaving.insert(Arc::clone(&entry.name), entry.born);
+            let now = self.shared.clock.now();
+            self.shared.departures().listed(&entry.name, entry.born, now);
             let engine = entry.name.to_string();
             self.shared.events.write(HostEvent::EngineLeaving { engine });
         }
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -4,7 +4,7 @@
 
 use reelreel_core::{
     ClockMillis,
-    fleet::{EngineEntry, EngineName, ServiceName, limits::limit::AnswerWord},
+    fleet::{EngineEntry, EngineName, ServiceName},
     id::FenceToken,
     placement::{OrderAnswer, OrderKind, PlacementAction, PlannedOrder},
 };
@@ -79,7 +79,7 @@
     shared.count_engine_call(&order.engine.name, EngineCallKind::Order);
     let answer = match client.call(&call, ORDER_PATIENCE).await {
         Ok(answer) => {
-            hear_limit(&shared, &order.engine, &answer, began);
+            note_announcements(&shared, &order.engine, &answer, began);
             dialect.order_answer(&answer)
         }
         Err(CallError::NotSent(_)) => OrderAnswer::NotSent,
@@ -113,10 +113,15 @@
     }
 }
 
-/// Takes what the answer to an order or for a report says of its engine's limit; that it says nothing ends none.
-fn hear_limit(shared: &SharedState, engine: &EngineEntry, answer: &CallAnswer, asked: ClockMillis) {
-    let said = shared.dialects.exchange.said_limit(&answer.head);
-    shared.limit_heard(engine, AnswerWord { said, asked, would_say: false });
+/// Takes what the answer to an order or for a report announces of its engine.
+fn note_announcements(
+    shared: &SharedState,
+    engine: &EngineEntry,
+    answer: &CallAnswer,
+    sent: ClockMillis,
+) {
+    let announcements = shared.dialects.exchange.announcements(&answer.head);
+    shared.note_announcements(engine, &announcements, sent, false);
 }
 
 async fn ask_report(state: SharedControl, service: ServiceName, engine: Arc<EngineEntry>) {
@@ -128,7 +133,7 @@
     shared.count_engine_call(&engine.name, EngineCallKind::Report);
     let answer = client.call(&call, REPORT_PATIENCE).await;
     if let Ok(answer) = &answer {
-        hear_limit(&shared, &engine, answer, asked);
+        note_announcements(&shared, &engine, answer, asked);
     }
     // A process that has ended refuses; whatever else fails may be this host's own doing, or its link's.
     let refused = matches!(&answer, Err(CallError::NotSent(error)) if error.kind() == ErrorKind::ConnectionRefused);
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -102,6 +102,7 @@
         self.settle_listings(now);
         self.show_positions();
         self.tick_feed(now);
+        self.tick_announcements(now);
         self.tell_freshness();
         let services: Vec<ServiceName> = self.domains.keys().cloned().collect();
         let mut pause = TICK;
--- a/crates/gateway/src/engines/send.rs
+++ b/crates/gateway/src/engines/send.rs
@@ -3,7 +3,7 @@
 use std::{pin::pin, time::Duration};
 
 use bytes::Bytes;
-use reelreel_core::fleet::limits::limit::SaidLimit;
+use reelreel_core::fleet::announcement::EngineAnnouncements;
 use reelreel_http::{BodyDecoder, BodyFraming, HttpStream, ReadError, ResponseHead};
 use tokio::io::AsyncWriteExt;
 
@@ -32,8 +32,8 @@
     pub decoder: BodyDecoder,
     /// Whether the connection may serve another request once the body is whole.
     pub reusable: bool,
-    /// The limit that an answer to another request named, which came before this one.
-    pub stray_limit: SaidLimit,
+    /// What responses to other requests announced that came before this one.
+    pub stray: EngineAnnouncements,
 }
 
 impl EngineAnswer {
@@ -73,7 +73,7 @@
 ) -> Result<EngineAnswer, SendFailure> {
     let (mut head, written) = write_and_read(&mut lease.stream, request).await?;
     let mut reusable = written;
-    let mut stray_limit = SaidLimit::Nothing;
+    let mut stray = EngineAnnouncements::default();
     for _ in 0..MOST_STRAYS {
         if matches!(head.status, 100..=199) {
             head = lease.stream.read_response_head(HEAD_LIMIT).await?;
@@ -86,17 +86,15 @@
         let own = facts.id.as_deref().map_or(refusal, |answered| answered == id);
         if own {
             reusable &= head.keeps_connection() && framing != BodyFraming::UntilClose;
-            return Ok(EngineAnswer { head, facts, decoder, reusable, stray_limit });
-        }
-        if matches!(facts.limit, SaidLimit::Named(_)) {
-            stray_limit = facts.limit;
+            return Ok(EngineAnswer { head, facts, decoder, reusable, stray });
         }
+        stray = facts.announcements.merged(stray);
         if framing == BodyFraming::UntilClose || !head.keeps_connection() {
             break;
         }
         reusable = false;
-        let stray = lease.stream.read_whole_body(&mut decoder, STRAY_LIMIT).await?;
-        if stray.is_none() {
+        let body = lease.stream.read_whole_body(&mut decoder, STRAY_LIMIT).await?;
+        if body.is_none() {
             break;
         }
         head = lease.stream.read_response_head(HEAD_LIMIT).await?;
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -8,8 +8,9 @@
     fleet::{
         EngineEntry, WeightVersion,
         admission::AdmissionSign,
+        announcement::{Declared, EngineAnnouncements},
         condition::EngineOutcome,
-        limits::{limit::AnswerWord, share::PermitUse},
+        limits::share::PermitUse,
     },
 };
 
@@ -132,7 +133,7 @@
             self.broke_off(entry).await;
             return SendEnd::Failed;
         };
-        self.hear_limit(entry, &answer, began);
+        self.note_announcements(entry, &answer, began);
         self.take_answer(lease, answer, began).await
     }
 
@@ -179,7 +180,7 @@
         self.keep_or_close(lease, &answer);
         if answer.head.status >= 500 {
             self.note(&entry, EngineOutcome::Erred);
-            return SendEnd::Erred(answer, body);
+            return SendEnd::Erred(Box::new(answer), body);
         }
         self.note(&entry, EngineOutcome::Answered(delay));
         self.note_admission(AdmissionSign::Answered(delay));
@@ -230,20 +231,25 @@
         told.max(own.unread.saturating_sub(self.facts.prompt.tokens()))
     }
 
-    /// Takes what an answer that has just begun says of its engine's limit; the request was sent at `asked`.
-    pub(super) fn hear_limit(
+    /// Takes what a response that has just begun announces of its engine; the request was sent at `sent`.
+    pub(super) fn note_announcements(
         &self,
         entry: &EngineEntry,
         answer: &EngineAnswer,
-        asked: ClockMillis,
+        sent: ClockMillis,
     ) {
         let shared = &self.traffic.shared;
-        // An answer to another request tells a limit as well, but nobody knows what its silence would be about.
-        let stray = AnswerWord { said: answer.stray_limit, asked, would_say: false };
-        shared.limit_heard(entry, stray);
+        if answer.stray != EngineAnnouncements::default() {
+            // When the request that it belongs to was sent is not known, so that its silence on a matter means nothing.
+            shared.note_announcements(entry, &answer.stray, sent, false);
+        }
         let facts = &answer.facts;
-        let would_say = facts.signed && !facts.not_run && !facts.misdirected;
-        shared.limit_heard(entry, AnswerWord { said: facts.limit, asked, would_say });
+        let ran = facts.signed && !facts.not_run && !facts.misdirected;
+        shared.note_announcements(entry, &facts.announcements, sent, ran);
+        if facts.not_run {
+            let cooldown = matches!(facts.announcements.cooldown, Declared::Present(_));
+            shared.metrics.count_rejection(self.sends > 1, cooldown);
+        }
     }
 
     /// Counts how a send to an engine ended.
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -94,7 +94,7 @@
     /// It may have run, and the client has got nothing.
     Failed,
     /// The engine answered with an error of its own, which is whole.
-    Erred(EngineAnswer, Bytes),
+    Erred(Box<EngineAnswer>, Bytes),
     /// The time is over.
     TimeOver,
 }
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -317,7 +317,7 @@
             () = self.deadline.clone().over(Duration::ZERO) => None,
         };
         if let Some(Ok(answer)) = &answer {
-            self.hear_limit(&entry, answer, now);
+            self.note_announcements(&entry, answer, now);
         }
         match answer {
             Some(Ok(answer)) if answer.head.status == 200 && answer.facts.signed => {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -150,6 +150,33 @@
         /// The engine.
         engine: String,
     },
+    /// This host has learned that an engine is leaving.
+    DepartureLearned {
+        /// The engine.
+        engine: String,
+        /// When the incarnation that leaves began, by its own clock. Unit: milliseconds since 1970.
+        born: u64,
+        /// Where the host learned of it: a response of the engine, another host, or the engine's entry.
+        source: Cow<'static, str>,
+        /// How long ago it was announced. Unit: milliseconds.
+        age: u64,
+    },
+    /// An engine has asked this host for a cooldown.
+    CooldownBegan {
+        /// The engine.
+        engine: String,
+        /// When the incarnation that asks for it began, by its own clock. Unit: milliseconds since 1970.
+        born: u64,
+        /// Its length. Unit: milliseconds.
+        millis: u64,
+    },
+    /// An engine takes requests of this host without restriction again, or has ended.
+    CooldownEnded {
+        /// The engine.
+        engine: String,
+        /// How often it asked for a cooldown meanwhile.
+        requests: u32,
+    },
     /// An engine is listed no more.
     EngineGone {
         /// The engine.
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -13,6 +13,9 @@
     ClockMillis, ClockSource,
     fleet::{
         EngineEntry, ServiceName,
+        announcement::{Declared, EngineAnnouncements},
+        cooldown::CooldownTable,
+        departures::DepartureRegistry,
         limits::{limit::AnswerWord, share::LimitShare},
         quarantine::{ENDS_UNTIL_HELD, QuarantineBook},
         reading::ReadingSpeed,
@@ -70,6 +73,8 @@
     quotas: Mutex<QuotaShare>,
     quarantine: Mutex<QuarantineBook>,
     limits: Mutex<LimitShare>,
+    departures: Mutex<DepartureRegistry>,
+    cooldowns: Mutex<CooldownTable>,
     /// Tells when permits for engines that have named a limit may have come.
     pub permits: watch::Sender<()>,
 }
@@ -103,6 +108,8 @@
             quotas: Mutex::new(quotas),
             quarantine: Mutex::new(quarantine),
             limits: Mutex::default(),
+            departures: Mutex::default(),
+            cooldowns: Mutex::default(),
             permits: watch::Sender::new(()),
         }
     }
@@ -150,16 +157,47 @@
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the departures that engines have announced for a moment.
+    pub fn departures(&self) -> MutexGuard<'_, DepartureRegistry> {
+        self.departures.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the cooldowns that engines have asked this host for for a moment.
+    pub fn cooldowns(&self) -> MutexGuard<'_, CooldownTable> {
+        self.cooldowns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Tells requests that wait for a permit that some may have come, or that a limit has changed.
     pub fn permits_changed(&self) {
         self.permits.send_replace(());
     }
 
-    /// Takes what an answer that has just begun says of its engine's limit.
-    pub fn limit_heard(&self, entry: &EngineEntry, word: AnswerWord) {
+    /// Takes what a response that has just begun announces of its engine. The request was sent at `sent`; `ran` tells whether
+    /// the engine accepted it, in which case the response would declare a limit.
+    pub fn note_announcements(
+        &self,
+        entry: &EngineEntry,
+        announcements: &EngineAnnouncements,
+        sent: ClockMillis,
+        ran: bool,
+    ) {
         let now = self.clock.now();
-        let news = self.limits().answered(&entry.name, entry.born, word, now);
-        if news {
+        let (engine, born) = (&entry.name, entry.born);
+        let word = AnswerWord { said: announcements.limit, asked: sent, would_say: ran };
+        let mut wake = self.limits().answered(engine, born, word, now);
+        if let Declared::Present(_) = announcements.departure {
+            wake |= self.departures().announced(engine, born, now);
+        }
+        let mut cooldowns = self.cooldowns();
+        match announcements.cooldown {
+            Declared::Present(cooldown) => cooldowns.requested(engine, born, cooldown, now),
+            Declared::Absent | Declared::Unreadable => {
+                cooldowns.responded(engine, born, sent, ran);
+            }
+        }
+        drop(cooldowns);
+        self.metrics.count_announcements(announcements);
+        if wake {
             self.wake_control.notify_one();
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
     },
     registry::Registry,
 };
+use reelreel_core::fleet::announcement::{Declared, EngineAnnouncements};
 
 /// What tells request counters apart.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -75,6 +76,35 @@
     pub limited: bool,
 }
 
+/// What engines announce in their responses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum AnnouncementKind {
+    /// How many requests they take from all hosts together.
+    Limit,
+    /// That they are leaving.
+    Departure,
+    /// That they want no requests from this host for a while.
+    Cooldown,
+    /// Something that can't be read, and has no effect.
+    Unreadable,
+}
+
+/// What tells counters of announcements apart.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnnouncementLabels {
+    /// What was announced.
+    pub kind: AnnouncementKind,
+}
+
+/// What tells counters of rejections by engines apart.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RejectionLabels {
+    /// Whether the request had been sent before.
+    pub repeat: bool,
+    /// Whether the engine asked for a cooldown.
+    pub cooldown: bool,
+}
+
 /// Everything that a host counts.
 pub struct HostMetrics {
     registry: Mutex<Registry>,
@@ -140,6 +170,26 @@
     pub limit_refused: Counter,
     /// Calls to engines by what they were for.
     engine_calls: Family<EngineCallLabels, Counter>,
+    /// Responses of engines with announcements, by what they announce.
+    announcements: Family<AnnouncementLabels, Counter>,
+    /// Requests that engines rejected.
+    rejections: Family<RejectionLabels, Counter>,
+    /// Listed engines that are leaving.
+    pub departing_engines: Gauge,
+    /// Engines within a cooldown that they have asked this host for.
+    pub cooling_engines: Gauge,
+}
+
+/// Returns the kind under which a declaration is counted, if it says anything.
+const fn declared_kind<Value>(
+    declared: &Declared<Value>,
+    kind: AnnouncementKind,
+) -> Option<AnnouncementKind> {
+    match declared {
+        Declared::Absent => None,
+        Declared::Present(_) => Some(kind),
+        Declared::Unreadable => Some(AnnouncementKind::Unreadable),
+    }
 }
 
 fn latency_histogram() -> Histogram {
@@ -181,6 +231,10 @@
             limit_waited: Counter::default(),
             limit_refused: Counter::default(),
             engine_calls: Family::default(),
+            announcements: Family::default(),
+            rejections: Family::default(),
+            departing_engines: Gauge::default(),
+            cooling_engines: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -219,6 +273,14 @@
         let help =
             "Calls to engines by what they were for, and whether the engine had named a limit";
         registry.register("engine_calls", help, self.engine_calls.clone());
+        let help = "Responses of engines that announce something, by what they announce";
+        registry.register("engine_announcements", help, self.announcements.clone());
+        let help = "Requests that engines rejected, and whether they asked for a cooldown";
+        registry.register("engine_rejections", help, self.rejections.clone());
+        let help = "Listed engines that are leaving";
+        registry.register("departing_engines", help, self.departing_engines.clone());
+        let help = "Engines within a cooldown that they have asked this host for";
+        registry.register("cooling_engines", help, self.cooling_engines.clone());
         registry.register("resumes", "Streams taken up at another engine", self.resumes.clone());
         registry.register("engine_connects", "New connections to engines", self.connects.clone());
         let help = "Calls to the store without a useful answer";
@@ -263,6 +325,24 @@
         self.engine_calls.get_or_create(&EngineCallLabels { kind, limited }).inc();
     }
 
+    /// Counts what a response of an engine announces.
+    pub fn count_announcements(&self, announcements: &EngineAnnouncements) {
+        let EngineAnnouncements { limit, departure, cooldown } = announcements;
+        let kinds = [
+            declared_kind(limit, AnnouncementKind::Limit),
+            declared_kind(departure, AnnouncementKind::Departure),
+            declared_kind(cooldown, AnnouncementKind::Cooldown),
+        ];
+        for kind in kinds.into_iter().flatten() {
+            self.announcements.get_or_create(&AnnouncementLabels { kind }).inc();
+        }
+    }
+
+    /// Counts a request that an engine rejected.
+    pub fn count_rejection(&self, repeat: bool, cooldown: bool) {
+        self.rejections.get_or_create(&RejectionLabels { repeat, cooldown }).inc();
+    }
+
     /// Writes all metrics as text.
     pub fn encode(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
--- a/crates/gateway/tests/host/dialect.rs
+++ b/crates/gateway/tests/host/dialect.rs
@@ -7,7 +7,8 @@
     StorePosition,
     fleet::{
         EngineEntry, HeldModel, ModelKey,
-        limits::limit::{RequestLimit, SaidLimit},
+        announcement::{Cooldown, Declared, Departure, EngineAnnouncements},
+        limits::limit::RequestLimit,
         prompt::PromptFacts,
         routes::RouteTable,
     },
@@ -37,6 +38,8 @@
 pub(crate) const RANK: &str = "X-Rank";
 pub(crate) const ERA: &str = "X-Era";
 pub(crate) const LIMIT: &str = "X-Limit";
+pub(crate) const LEAVING: &str = "X-Leaving";
+pub(crate) const COOLDOWN: &str = "X-Cooldown";
 pub(crate) const TOKENS: &str = "X-Tokens";
 
 /// The configurations that records name by their revision.
@@ -82,14 +85,19 @@
             not_run: head.fields.text(NOT_RUN).is_some(),
             misdirected: head.status == 421,
             signed: head.fields.text(RUN_BY).is_some(),
-            limit: self.said_limit(head),
+            announcements: self.announcements(head),
         }
     }
 
-    fn said_limit(&self, head: &ResponseHead) -> SaidLimit {
-        let Some(text) = head.fields.text(LIMIT) else { return SaidLimit::Nothing };
-        let limit = text.parse().ok().and_then(RequestLimit::new);
-        limit.map_or(SaidLimit::Unreadable, SaidLimit::Named)
+    fn announcements(&self, head: &ResponseHead) -> EngineAnnouncements {
+        if head.status == 421 {
+            return EngineAnnouncements::default();
+        }
+        EngineAnnouncements {
+            limit: declared(head, LIMIT, |text| RequestLimit::new(text.parse().ok()?)),
+            departure: declared(head, LEAVING, |text| (text == "yes").then_some(Departure)),
+            cooldown: declared(head, COOLDOWN, |text| Cooldown::from_seconds(text.parse().ok()?)),
+        }
     }
 
     fn mark_own_answer(&self, fields: &mut HeaderFields, id: &str) {
@@ -101,6 +109,15 @@
     }
 }
 
+fn declared<Value>(
+    head: &ResponseHead,
+    name: &str,
+    read: impl Fn(&str) -> Option<Value>,
+) -> Declared<Value> {
+    let text = head.fields.text(name);
+    text.map_or(Declared::Absent, |text| read(text).map_or(Declared::Unreadable, Declared::Present))
+}
+
 pub(crate) fn call(method: &str, target: String, body: &Value) -> CallRequest {
     let head = RequestHead {
         method: method.to_owned(),
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -81,6 +81,14 @@
         HostEvent::Freshness { state: "expired".into(), age: Some(5000) },
         HostEvent::EngineReborn { engine: engine(), born: 1_788_253_401_202 },
         HostEvent::EngineLeaving { engine: engine() },
+        HostEvent::DepartureLearned {
+            engine: engine(),
+            born: 1,
+            source: "response".into(),
+            age: 3,
+        },
+        HostEvent::CooldownBegan { engine: engine(), born: 1, millis: 3000 },
+        HostEvent::CooldownEnded { engine: engine(), requests: 2 },
         HostEvent::EngineGone { engine: engine() },
         HostEvent::EngineLimited { engine: engine(), born: 1, limit: 1.7, before: Some(2.4) },
         HostEvent::LimitEnded { engine: engine(), limit: 1.7 },
@@ -149,6 +157,9 @@
         | Event::EngineJoined { .. }
         | Event::EngineLeaving { .. }
         | Event::EngineGone { .. }
+        | Event::DepartureLearned { .. }
+        | Event::CooldownBegan { .. }
+        | Event::CooldownEnded { .. }
         | Event::EngineEnded { .. }
         | Event::EngineReborn { .. }
         | Event::RequestHeld { .. }
