--- /dev/null
+++ b/crates/gateway/tests/host/fleet.rs
@@ -0,0 +1,97 @@
+//! Several hosts before engines of one service, and a steady load.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    dialect::ENTERED,
+    engine::{EngineMood, StandInEngine},
+    site::{MODEL_NAME, TestHost, TestSite, wait_until},
+};
+
+/// Several hosts before engines of one service.
+pub(crate) struct TestFleet {
+    pub(crate) site: TestSite,
+    pub(crate) engines: Vec<StandInEngine>,
+    pub(crate) hosts: Vec<TestHost>,
+    pub(crate) path: &'static str,
+    pub(crate) fields: String,
+}
+
+impl TestFleet {
+    pub(crate) fn start(service: &'static str, engines: usize, hosts: usize) -> Self {
+        let site = TestSite::start();
+        for engine in ["engine-1", "engine-2", "plain-1"] {
+            site.store.put("engines", engine, "");
+        }
+        let plain = service == "plain";
+        let held: &[&str] = if plain { &[] } else { &[MODEL_NAME] };
+        let start = |number| {
+            let engine = StandInEngine::start(&format!("{service}-{number}"), held);
+            let mood = if plain { EngineMood::Well } else { EngineMood::Stream(2) };
+            engine.treat(&[mood]);
+            site.store.put("engines", &engine.name, &engine.entry(service, false));
+            engine
+        };
+        let engines: Vec<StandInEngine> = (0..engines).map(start).collect();
+        let path = if plain { "/safe/a" } else { "/stream/a" };
+        let model = if plain { "" } else { MODEL_NAME };
+        let fields = if plain { String::new() } else { format!("X-Model: {model}\r\n") };
+        let hosts =
+            (0..hosts).map(|number| site.host(&format!("{service}-host-{number}"))).collect();
+        let fleet = Self { site, engines, hosts, path, fields };
+        for host in &fleet.hosts {
+            wait_until("a request is served", || fleet.ask(host, "first"));
+        }
+        fleet
+    }
+
+    /// Has an adapter loaded that requests name from now on; returns the place of the one engine that holds it.
+    pub(crate) fn load_rare_adapter(&mut self) -> usize {
+        self.fields = format!("X-Model: {MODEL_NAME}/rare\r\n");
+        wait_until("the adapter is served", || self.ask(&self.hosts[0], "rare"));
+        let holds = |engine: &StandInEngine| !engine.orders().is_empty();
+        self.engines.iter().position(holds).expect("one engine holds it")
+    }
+
+    /// Sends a request to a host; returns whether it was served.
+    pub(crate) fn ask(&self, host: &TestHost, id: &str) -> bool {
+        self.post(host, id).starts_with("HTTP/1.1 200")
+    }
+
+    /// Sends a request to a host; returns the whole response.
+    pub(crate) fn post(&self, host: &TestHost, id: &str) -> String {
+        let name = &host.shared.profile.name;
+        let fields = format!("X-Request: {id}\r\n{ENTERED}: {name}\r\n{}", self.fields);
+        host.post(self.path, &fields, "{}")
+    }
+
+    /// Sends so many requests a second to each host for a while; returns how many were served, and of how many.
+    pub(crate) fn load(&self, per_second: u32, time: Duration) -> (usize, usize) {
+        let pause = Duration::from_secs(1) / per_second;
+        let began = Instant::now();
+        let clients = |place: usize, host: &TestHost| {
+            let mut served = Vec::new();
+            thread::scope(|requests| {
+                let mut sent = Vec::new();
+                for number in 0..per_second * u32::try_from(time.as_secs()).unwrap_or(u32::MAX) {
+                    let due = began + pause * number;
+                    thread::sleep(due.saturating_duration_since(Instant::now()));
+                    let id = format!("l{place}-{number}");
+                    sent.push(requests.spawn(move || self.ask(host, &id)));
+                }
+                served.extend(sent.into_iter().map(|sent| sent.join().expect("an answer")));
+            });
+            served
+        };
+        let served: Vec<bool> = thread::scope(|scope| {
+            let hosts = self.hosts.iter().enumerate();
+            let loads: Vec<_> =
+                hosts.map(|(place, host)| scope.spawn(move || clients(place, host))).collect();
+            loads.into_iter().flat_map(|load| load.join().expect("the load ends")).collect()
+        });
+        (served.iter().filter(|served| **served).count(), served.len())
+    }
+}
