--- a/crates/gateway/tests/host/dialect.rs
+++ b/crates/gateway/tests/host/dialect.rs
@@ -40,6 +40,8 @@
 pub(crate) const LIMIT: &str = "X-Limit";
 pub(crate) const LEAVING: &str = "X-Leaving";
 pub(crate) const COOLDOWN: &str = "X-Cooldown";
+/// The host that a test sent a request to; it is passed on to engines as any field of a client.
+pub(crate) const ENTERED: &str = "X-Entered";
 pub(crate) const TOKENS: &str = "X-Tokens";
 
 /// The configurations that records name by their revision.
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -1,7 +1,7 @@
 //! A stand-in for an engine that admits requests by itself, and does wrong when told to.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
@@ -11,7 +11,9 @@
 use reelreel_stand_ins::connection::{EndableServer, ServedConnection, ServedRequest, serve};
 use serde_json::{Value, json};
 
-use crate::dialect::{AFTER, DEADLINE, ENGINE, LIMIT, MODEL, NOT_RUN, REQUEST, RUN_BY};
+use crate::dialect::{
+    AFTER, COOLDOWN, DEADLINE, ENGINE, ENTERED, LEAVING, LIMIT, MODEL, NOT_RUN, REQUEST, RUN_BY,
+};
 
 /// How an engine treats the next requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,6 +63,16 @@
     deadly: Vec<Vec<u8>>,
     /// What it says of the requests that it takes, and in every how many answers.
     limit: Option<(String, usize)>,
+    /// What it says of its departure.
+    leaving: Option<String>,
+    /// For how long it wants no requests from a host that sends one, and rejects them.
+    cooldown: Option<Duration>,
+    /// When each host was first told that it leaves.
+    told_leaving: BTreeMap<String, Instant>,
+    /// The cooldowns that each host was asked for: from when on, and until when.
+    cooldowns: Vec<(String, Instant, Instant)>,
+    /// When requests reached it, and by which host.
+    requests: Vec<(String, Instant)>,
     /// When anything reached it: requests, orders, questions for its state.
     calls: Vec<Instant>,
     /// What ends with it, where it can end.
@@ -171,6 +183,48 @@
         self.lock().calls.iter().filter(|call| **call >= from).count()
     }
 
+    /// Says in each response from now on that it leaves, or what else stands there.
+    pub(crate) fn announce_departure(&self, value: &str) {
+        self.lock().leaving = Some(value.to_owned());
+    }
+
+    /// Rejects requests from now on and asks for a cooldown each time, or accepts them again.
+    pub(crate) fn reject_for(&self, cooldown: Option<Duration>) {
+        self.lock().cooldown = cooldown;
+    }
+
+    /// Returns how many requests of a host reached it later than `bound` after that host was told that it leaves.
+    pub(crate) fn requests_after_departure(&self, bound: Duration) -> usize {
+        let state = self.lock();
+        let late = state.requests.iter().filter(|(host, arrived)| {
+            state.told_leaving.get(host).is_some_and(|told| *arrived > *told + bound)
+        });
+        late.count()
+    }
+
+    /// Returns when the first host was told that it leaves.
+    pub(crate) fn departure_told(&self) -> Option<Instant> {
+        self.lock().told_leaving.values().min().copied()
+    }
+
+    /// Returns the most requests of one host that reached it within a cooldown, from `grace` after its beginning.
+    pub(crate) fn most_requests_in_a_cooldown(&self, grace: Duration) -> usize {
+        let state = self.lock();
+        let within = |(host, from, until): &(String, Instant, Instant)| {
+            let requests = state
+                .requests
+                .iter()
+                .filter(|(by, arrived)| by == host && *arrived > *from + grace && arrived < until);
+            requests.count()
+        };
+        state.cooldowns.iter().map(within).max().unwrap_or_default()
+    }
+
+    /// Returns how many requests reached it from `from` on.
+    pub(crate) fn requests_since(&self, from: Instant) -> usize {
+        self.lock().requests.iter().filter(|(_, arrived)| *arrived >= from).count()
+    }
+
     /// Returns how many clients left while it worked for them.
     pub(crate) fn clients_gone(&self) -> u32 {
         self.lock().clients_gone
@@ -209,7 +263,7 @@
     while let Some(request) = connection.next_request() {
         let locked = || state.lock().unwrap_or_else(PoisonError::into_inner);
         locked().calls.push(Instant::now());
-        let limit = locked().limit_field();
+        let limit = locked().announced_fields();
         let served = match request.head.target.as_str() {
             "/orders" => {
                 let answer = take_order(&mut locked(), &request);
@@ -230,11 +284,25 @@
 }
 
 impl EngineState {
-    /// Returns the field by which the next answer names a limit, if it does.
-    fn limit_field(&self) -> String {
+    /// Returns the fields by which the next answer names a limit and says that it leaves, if it does.
+    fn announced_fields(&self) -> String {
         let named =
             self.limit.as_ref().filter(|(_, every)| self.calls.len().is_multiple_of(*every));
-        named.map_or_else(String::new, |(limit, _)| format!("{LIMIT}: {limit}\r\n"))
+        let limit = named.map_or_else(String::new, |(limit, _)| format!("{LIMIT}: {limit}\r\n"));
+        let leaving = self.leaving.as_ref();
+        limit + &leaving.map_or_else(String::new, |value| format!("{LEAVING}: {value}\r\n"))
+    }
+
+    /// Counts a request, and what its host is told with the answer.
+    fn count_request(&mut self, request: &ServedRequest) {
+        let (host, now) = (request.head.fields.text(ENTERED).unwrap_or_default(), Instant::now());
+        self.requests.push((host.to_owned(), now));
+        if self.leaving.is_some() {
+            self.told_leaving.entry(host.to_owned()).or_insert(now);
+        }
+        if let Some(cooldown) = self.cooldown {
+            self.cooldowns.push((host.to_owned(), now, now + cooldown));
+        }
     }
 }
 
@@ -270,7 +338,8 @@
     let id = request.head.fields.text(REQUEST).unwrap_or_default().to_owned();
     let mut locked = state.lock().unwrap_or_else(PoisonError::into_inner);
     locked.heads.push(request.clone());
-    let limit = locked.limit_field();
+    locked.count_request(request);
+    let limit = locked.announced_fields();
     let expected = request.head.fields.text(ENGINE);
     let key = request.head.fields.text(MODEL);
     let absent = key.is_some_and(|key| !locked.held.contains(key));
@@ -278,6 +347,12 @@
         drop(locked);
         return connection.answer(421, &format!("{REQUEST}: {id}\r\n{limit}"), "");
     }
+    if let Some(cooldown) = locked.cooldown {
+        drop(locked);
+        let seconds = cooldown.as_secs_f64();
+        let head = format!("{REQUEST}: {id}\r\n{NOT_RUN}: 1\r\n{COOLDOWN}: {seconds}\r\n{limit}");
+        return connection.answer(503, &head, "");
+    }
     if locked.deadly.contains(&request.body) {
         locked.runs.push(request.clone());
         let server = locked.server.clone();
--- a/crates/gateway/tests/host/limits.rs
+++ b/crates/gateway/tests/host/limits.rs
@@ -12,10 +12,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{
-    engine::{EngineMood, StandInEngine},
-    site::{MODEL_NAME, TestHost, TestSite, wait_until},
-};
+use crate::fleet::TestFleet;
 
 /// Over which time calls to an engine are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -28,81 +25,11 @@
     limit * WINDOW.as_secs_f64() + 2.0
 }
 
-/// Engines of one service, some of which name a limit.
-struct LimitedFleet {
-    site: TestSite,
-    engines: Vec<StandInEngine>,
-    hosts: Vec<TestHost>,
-    path: &'static str,
-    fields: String,
-}
-
-impl LimitedFleet {
-    fn start(service: &'static str, engines: usize, hosts: usize) -> Self {
-        let site = TestSite::start();
-        for engine in ["engine-1", "engine-2", "plain-1"] {
-            site.store.put("engines", engine, "");
-        }
-        let plain = service == "plain";
-        let held: &[&str] = if plain { &[] } else { &[MODEL_NAME] };
-        let start = |number| {
-            let engine = StandInEngine::start(&format!("{service}-{number}"), held);
-            let mood = if plain { EngineMood::Well } else { EngineMood::Stream(2) };
-            engine.treat(&[mood]);
-            site.store.put("engines", &engine.name, &engine.entry(service, false));
-            engine
-        };
-        let engines: Vec<StandInEngine> = (0..engines).map(start).collect();
-        let path = if plain { "/safe/a" } else { "/stream/a" };
-        let model = if plain { "" } else { MODEL_NAME };
-        let fields = if plain { String::new() } else { format!("X-Model: {model}\r\n") };
-        let hosts = (0..hosts).map(|number| site.host(&format!("limits-{number}"))).collect();
-        let fleet = Self { site, engines, hosts, path, fields };
-        for host in &fleet.hosts {
-            wait_until("a request is served", || fleet.ask(host, "first"));
-        }
-        fleet
-    }
-
-    /// Sends a request to a host; returns whether it was served.
-    fn ask(&self, host: &TestHost, id: &str) -> bool {
-        let fields = format!("X-Request: {id}\r\n{}", self.fields);
-        host.post(self.path, &fields, "{}").starts_with("HTTP/1.1 200")
-    }
-
-    /// Sends so many requests a second to each host for a while; returns how many were served, and of how many.
-    fn load(&self, per_second: u32, time: Duration) -> (usize, usize) {
-        let pause = Duration::from_secs(1) / per_second;
-        let began = Instant::now();
-        let clients = |place: usize, host: &TestHost| {
-            let mut served = Vec::new();
-            thread::scope(|requests| {
-                let mut sent = Vec::new();
-                for number in 0..per_second * u32::try_from(time.as_secs()).unwrap_or(u32::MAX) {
-                    let due = began + pause * number;
-                    thread::sleep(due.saturating_duration_since(Instant::now()));
-                    let id = format!("l{place}-{number}");
-                    sent.push(requests.spawn(move || self.ask(host, &id)));
-                }
-                served.extend(sent.into_iter().map(|sent| sent.join().expect("an answer")));
-            });
-            served
-        };
-        let served: Vec<bool> = thread::scope(|scope| {
-            let hosts = self.hosts.iter().enumerate();
-            let loads: Vec<_> =
-                hosts.map(|(place, host)| scope.spawn(move || clients(place, host))).collect();
-            loads.into_iter().flat_map(|load| load.join().expect("the load ends")).collect()
-        });
-        (served.iter().filter(|served| **served).count(), served.len())
-    }
-}
-
 /// An engine that said in each of its answers that it takes 1.7 requests a second from all hosts together got 18 and 24 in four
 /// seconds, and went on getting its usual five a second: no host read the word.
 #[test]
 fn all_hosts_together_keep_the_limit_that_an_engine_names() {
-    let fleet = LimitedFleet::start("assist", 6, 3);
+    let fleet = TestFleet::start("assist", 6, 3);
     let limited = &fleet.engines[0];
     limited.name_limit(Some("1.7"));
     let named = Instant::now();
@@ -118,12 +45,9 @@
 /// second is none for twenty.
 #[test]
 fn what_only_a_limited_engine_holds_is_loaded_elsewhere() {
-    let mut fleet = LimitedFleet::start("assist", 3, 3);
-    fleet.fields = format!("X-Model: {MODEL_NAME}/rare\r\n");
+    let mut fleet = TestFleet::start("assist", 3, 3);
+    let holder = fleet.load_rare_adapter();
     let hosts = &fleet.hosts;
-    wait_until("the adapter is served", || fleet.ask(&hosts[0], "rare"));
-    let holds = |engine: &StandInEngine| !engine.orders().is_empty();
-    let holder = fleet.engines.iter().position(holds).expect("one engine holds it");
     fleet.engines[holder].name_limit(Some("1.5"));
     // The first answer names it.
     fleet.ask(&hosts[0], "names");
@@ -131,7 +55,7 @@
     let (served, asked) = fleet.load(6, Duration::from_secs(5));
     let most = fleet.engines[holder].most_calls_within(WINDOW, named + KNOWN_WITHIN);
     assert!(most as f64 <= allowed(1.5), "{most} calls within four seconds");
-    let others = fleet.engines.iter().filter(|engine| holds(engine)).count();
+    let others = fleet.engines.iter().filter(|engine| !engine.orders().is_empty()).count();
     assert!(others >= 2, "another copy is loaded");
     // What comes while the other copy is loaded may be told to come back.
     assert!(served * 20 >= asked * 19, "{served} of {asked} are served");
@@ -140,7 +64,7 @@
 /// Where every engine has named a limit there is no elsewhere: what they take is used, the rest is told at once to come back.
 #[test]
 fn where_all_engines_have_a_limit_it_is_used_and_the_rest_is_refused_at_once() {
-    let fleet = LimitedFleet::start("assist", 2, 3);
+    let fleet = TestFleet::start("assist", 2, 3);
     for engine in &fleet.engines {
         engine.name_limit(Some("3"));
     }
@@ -175,7 +99,7 @@
 /// The host that deals permits is stopped: the next one begins with nothing saved up, and the limit holds and is used on.
 #[test]
 fn the_limit_holds_while_another_host_begins_to_deal() {
-    let mut fleet = LimitedFleet::start("assist", 6, 4);
+    let mut fleet = TestFleet::start("assist", 6, 4);
     let limited = fleet.engines[0].clone();
     limited.name_limit(Some("2"));
     let named = Instant::now();
@@ -195,7 +119,7 @@
 /// When it answers without a limit again it is used as any other, and not by a rush.
 #[test]
 fn an_engine_whose_need_is_over_returns_by_steps() {
-    let fleet = LimitedFleet::start("assist", 2, 2);
+    let fleet = TestFleet::start("assist", 2, 2);
     let limited = &fleet.engines[0];
     limited.name_limit(Some("1"));
     fleet.load(20, Duration::from_secs(3));
@@ -215,7 +139,7 @@
 /// A word that can not be read changes nothing.
 #[test]
 fn a_limit_that_can_not_be_read_changes_nothing() {
-    let fleet = LimitedFleet::start("assist", 2, 1);
+    let fleet = TestFleet::start("assist", 2, 1);
     fleet.engines[0].name_limit(Some("few"));
     let (served, asked) = fleet.load(20, Duration::from_secs(2));
     assert_eq!(served, asked);
@@ -225,7 +149,7 @@
 /// The same at a service whose engines hold no models: nobody places anything there, and the word holds as well.
 #[test]
 fn all_hosts_together_keep_the_limit_of_a_plain_server() {
-    let fleet = LimitedFleet::start("plain", 3, 3);
+    let fleet = TestFleet::start("plain", 3, 3);
     let limited = &fleet.engines[0];
     limited.name_limit(Some("2"));
     let named = Instant::now();
--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -1,12 +1,14 @@
 //! A whole host over real sockets, against stand-ins that speak the project's plain dialect.
 
-mod configuration;
+mod announcements;
 mod before_sending;
+mod configuration;
 mod deadly;
 mod dialect;
 mod engine;
 mod engines;
 mod events;
+mod fleet;
 mod following;
 mod hostile;
 mod limits;
