--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -7,7 +7,7 @@
 
 pub mod answer;
 pub mod attempt;
-pub mod bar;
+pub mod preflight;
 pub mod connection;
 pub mod deadline;
 pub mod exchange;
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -18,10 +18,10 @@
     border::SendTerms,
     engines::{ConnectTerms, EngineAnswer, EngineLease, EnginePool, send_request},
     entry::{
-        bar::SendBar,
         exchange::{Exchange, ExchangeEnd, SENT_AHEAD, SendEnd},
         forward::forwarded_request,
         pick::{EngineNeed, EnginePick, pick_engine},
+        preflight::SendRejection,
     },
 };
 
@@ -66,7 +66,7 @@
         let now = self.traffic.now();
         let wanted = self.permit_use();
         let Some(mut permit) = self.hold_permit(entry, wanted) else {
-            return SendEnd::Barred(SendBar::LimitUsed);
+            return SendEnd::Rejected(SendRejection::LimitUsed);
         };
         self.permit_wait = None;
         let terms = self.connect_terms(!self.route.kind.may_repeat());
@@ -88,9 +88,9 @@
         }
         let request = match self.begin_send(entry, version, None, &mut permit) {
             Ok(request) => request,
-            Err(bar) => {
+            Err(rejection) => {
                 lease.close();
-                return SendEnd::Barred(bar);
+                return SendEnd::Rejected(rejection);
             }
         };
         let began = self.traffic.now();
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -26,10 +26,10 @@
     entry::{
         TrafficState,
         answer::{ENGINE_FAILED, TIME_OVER},
-        bar::SendBar,
         deadline::RequestDeadline,
         permit::PermitWait,
         pick::{EngineNeed, EnginePick, pick_engine},
+        preflight::SendRejection,
         prepare::{PreparedRequest, prepare, refuse_early},
         wait::WaitEnd,
     },
@@ -81,7 +81,7 @@
     /// The client has its answer, or is gone.
     Over(ExchangeEnd, &'static str),
     /// It was not sent, since what had been decided holds no longer.
-    Barred(SendBar),
+    Rejected(SendRejection),
     /// Nothing reached the engine.
     NotSent,
     /// The engine promises that it did not run the request; `absent` when it lacks the adapter.
@@ -236,7 +236,7 @@
             self.traffic.shared.demand().asked(&self.service, key, tokens);
         }
         // What is held back ends engines with everything that they run, and its body is known already.
-        if let Some(end) = self.refuse_barred().await {
+        if let Some(end) = self.refuse_rejected().await {
             return end;
         }
         if let Some(time) = self.plain_refusal() {
@@ -254,8 +254,8 @@
                 }
                 EnginePick::Cold | EnginePick::Limited(_) => match self.wait_for_engine().await {
                     WaitEnd::Changed => {}
-                    WaitEnd::Barred(bar) => {
-                        if let Some(end) = self.barred(bar).await {
+                    WaitEnd::Rejected(rejection) => {
+                        if let Some(end) = self.rejected(rejection).await {
                             return end;
                         }
                     }
@@ -297,7 +297,7 @@
         let began = Instant::now();
         match self.send(entry, version).await {
             SendEnd::Over(end, outcome) => Some((end, outcome)),
-            SendEnd::Barred(bar) => self.barred(bar).await,
+            SendEnd::Rejected(rejection) => self.rejected(rejection).await,
             SendEnd::TimeOver if self.may_have_run => {
                 Some(self.answer(TIME_OVER, "time_over").await)
             }
--- a/crates/gateway/src/entry/bar.rs
+++ b/crates/gateway/src/entry/preflight.rs
@@ -1,4 +1,4 @@
-//! The last look before a request goes to an engine: what was decided when it arrived may hold no longer.
+//! The preflight check of a request: what was decided when it arrived may no longer hold when it is sent.
 
 use std::time::Duration;
 
@@ -16,14 +16,14 @@
 
 /// Why a request is not sent to the engine that was chosen for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SendBar {
+pub enum SendRejection {
     /// Engines ended under it; it is held back for so long.
     HeldBack(Duration),
     /// No organisation holds its key any more.
     KeyRefused,
     /// This host can not tell whether its key still holds.
     KeysInDoubt,
-    /// The engine leaves, is gone, or lives another life.
+    /// The engine is leaving, has ended, or is another incarnation.
     EngineChanged,
     /// The engine has named a limit, and this host has no permit.
     LimitUsed,
@@ -32,10 +32,10 @@
 }
 
 impl Exchange<'_> {
-    /// Begins a send to an engine: every way to one goes through here, right before the first byte. Returns what the engine gets.
+    /// Begins a send to an engine, right before its first byte. Returns what the engine gets.
     ///
-    /// Without it a request that waited for its adapter, a place or a connection ended one engine more after it had been held back, ran
-    /// with a withdrawn key, or went to an engine that had said that it leaves.
+    /// Every send goes through here: a request may have waited for its adapter, a slot or a connection since its engine was
+    /// chosen.
     ///
     /// # Errors
     /// Returns why the request is not sent.
@@ -45,15 +45,15 @@
         version: Option<WeightVersion>,
         resume_after: Option<&str>,
         permit: &mut HeldPermit,
-    ) -> Result<Bytes, SendBar> {
-        if let Some(bar) = self.request_bar() {
-            return Err(bar);
+    ) -> Result<Bytes, SendRejection> {
+        if let Some(rejection) = self.request_rejection() {
+            return Err(rejection);
         }
         if !self.traffic.table().takes_work(entry) {
-            return Err(SendBar::EngineChanged);
+            return Err(SendRejection::EngineChanged);
         }
         if !permit.use_up(self.permit_use()) {
-            return Err(SendBar::LimitUsed);
+            return Err(SendRejection::LimitUsed);
         }
         let request = self.engine_request(entry, version, resume_after);
         let kind = match (resume_after, self.sends) {
@@ -66,17 +66,17 @@
         Ok(request)
     }
 
-    /// Returns why the request is not sent to any engine now.
-    pub(super) fn request_bar(&self) -> Option<SendBar> {
+    /// Returns why no engine may be sent the request now.
+    pub(super) fn request_rejection(&self) -> Option<SendRejection> {
         if self.deadline.remaining().is_zero() {
-            return Some(SendBar::TimeOver);
+            return Some(SendRejection::TimeOver);
         }
         if let Some(time) = self.held_back() {
-            return Some(SendBar::HeldBack(time));
+            return Some(SendRejection::HeldBack(time));
         }
         let organisation = self.organisation.as_ref()?;
         if !self.traffic.shared.serves_keys(self.traffic.now()) {
-            return Some(SendBar::KeysInDoubt);
+            return Some(SendRejection::KeysInDoubt);
         }
         let table = self.traffic.table();
         let routes = table.routes.as_ref().filter(|routes| routes.revision() != self.revision)?;
@@ -84,26 +84,29 @@
             Ok(holder) => holder.is_none_or(|holder| holder.name == organisation.name),
             Err(_) => false,
         };
-        (!holds).then_some(SendBar::KeyRefused)
+        (!holds).then_some(SendRejection::KeyRefused)
     }
 
-    /// Refuses the request at once where it would not be sent.
-    pub(super) async fn refuse_barred(&mut self) -> Option<(ExchangeEnd, &'static str)> {
-        let bar = self.request_bar()?;
-        self.barred(bar).await
+    /// Refuses a request that no engine may be sent.
+    pub(super) async fn refuse_rejected(&mut self) -> Option<(ExchangeEnd, &'static str)> {
+        let rejection = self.request_rejection()?;
+        self.rejected(rejection).await
     }
 
-    /// Ends a request that is not sent; `None` when another engine may take it.
-    pub(super) async fn barred(&mut self, bar: SendBar) -> Option<(ExchangeEnd, &'static str)> {
-        let (answer, outcome) = match bar {
-            SendBar::EngineChanged | SendBar::LimitUsed => return None,
-            SendBar::HeldBack(time) => (OwnAnswer::held_back(time), "held_back"),
-            SendBar::KeyRefused => (NO_ORGANISATION, "key_refused"),
-            SendBar::KeysInDoubt => (KEYS_IN_DOUBT, "keys_in_doubt"),
-            SendBar::TimeOver if self.may_have_run => (TIME_OVER, "time_over"),
-            SendBar::TimeOver => return Some(self.give_up("time_over").await),
+    /// Ends a request that failed the preflight check; `None` when another engine may take it.
+    pub(super) async fn rejected(
+        &mut self,
+        rejection: SendRejection,
+    ) -> Option<(ExchangeEnd, &'static str)> {
+        let (answer, outcome) = match rejection {
+            SendRejection::EngineChanged | SendRejection::LimitUsed => return None,
+            SendRejection::HeldBack(time) => (OwnAnswer::held_back(time), "held_back"),
+            SendRejection::KeyRefused => (NO_ORGANISATION, "key_refused"),
+            SendRejection::KeysInDoubt => (KEYS_IN_DOUBT, "keys_in_doubt"),
+            SendRejection::TimeOver if self.may_have_run => (TIME_OVER, "time_over"),
+            SendRejection::TimeOver => return Some(self.give_up("time_over").await),
         };
-        let unknown = self.may_have_run && bar != SendBar::TimeOver;
+        let unknown = self.may_have_run && rejection != SendRejection::TimeOver;
         let answer = if unknown { ENGINE_FAILED } else { answer };
         Some(self.answer(answer, outcome).await)
     }
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -9,9 +9,9 @@
 
 use crate::entry::{
     TrafficState,
-    bar::SendBar,
     exchange::{Exchange, SENT_AHEAD},
     pick::EnginePick,
+    preflight::SendRejection,
 };
 
 /// How often a waiting request looks whether a holder can be reached again.
@@ -25,7 +25,7 @@
     /// An engine may take the request now.
     Changed,
     /// It would not be sent to any engine.
-    Barred(SendBar),
+    Rejected(SendRejection),
     /// The client is gone.
     ClientGone,
     /// The request is refused; the client comes back after so long.
@@ -106,8 +106,8 @@
             WaitGuard::new(self.traffic, &self.service, &key, tokens, worth)
         });
         let end = loop {
-            if let Some(bar) = self.request_bar() {
-                break WaitEnd::Barred(bar);
+            if let Some(rejection) = self.request_rejection() {
+                break WaitEnd::Rejected(rejection);
             }
             let request = self.waiting_request();
             if let Some(guard) = &mut guard {
