--- a/crates/core/src/fleet/departures.rs
+++ b/crates/core/src/fleet/departures.rs
@@ -67,6 +67,7 @@
 struct KnownDeparture {
     born: EngineBirth,
     announced: ClockMillis,
+    source: DepartureSource,
     /// Whether the coordinator has to be told.
     pending: bool,
     /// Whether this host, as the coordinator, has to publish it.
@@ -113,7 +114,7 @@
         }
         let pending = source == DepartureSource::Response;
         let unpublished = source != DepartureSource::Listing;
-        known.push(KnownDeparture { born, announced, pending, unpublished });
+        known.push(KnownDeparture { born, announced, source, pending, unpublished });
         let (engine, age) = (Arc::clone(engine), now.since(announced));
         self.learned.push(LearnedDeparture { engine, born, source, age });
         true
@@ -171,9 +172,10 @@
         known.flat_map(|(_, known)| known).for_each(|known| known.pending = true);
     }
 
-    /// Marks all departures as pending, since another host has become the coordinator.
+    /// Marks as pending what no entry shows, since another host has become the coordinator.
     pub fn resend_all(&mut self) {
-        for known in self.departures.values_mut().flatten() {
+        let known = self.departures.values_mut().flatten();
+        for known in known.filter(|known| known.source != DepartureSource::Listing) {
             (known.pending, known.unpublished) = (true, true);
         }
     }
@@ -190,7 +192,10 @@
     ) -> Vec<DepartureReport> {
         let mut reports = Vec::new();
         for (engine, known) in &mut self.departures {
-            for known in known.iter_mut().filter_map(|known| selects(known).then_some(known)) {
+            for known in known.iter_mut() {
+                if !selects(known) {
+                    continue;
+                }
                 let (engine, age) = (Arc::clone(engine), now.since(known.announced));
                 reports.push(DepartureReport { engine, born: known.born, age });
             }
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -275,7 +275,8 @@
     fn wanted_reports(&mut self, now: ClockMillis) -> Vec<PlacementAction> {
         let mut actions = Vec::new();
         for inventory in self.engines.values_mut() {
-            if inventory.needs_report(now) && self.limited.may_call(inventory, now) {
+            let called = !inventory.entry.leaving && self.limited.may_call(inventory, now);
+            if called && inventory.needs_report(now) {
                 inventory.asking = true;
                 inventory.asked = now;
                 actions.push(PlacementAction::Report(Arc::clone(&inventory.entry)));
--- a/crates/gateway/src/control/announcements.rs
+++ b/crates/gateway/src/control/announcements.rs
@@ -9,7 +9,8 @@
 use crate::{control::state::ControlState, events::HostEvent};
 
 impl ControlState {
-    /// Logs and counts departures and cooldowns, and forgets those of engines that have ended.
+    /// Applies departures that this host has learned of, logs and counts them and cooldowns, and forgets those of engines that
+    /// have ended.
     pub(super) fn tick_announcements(&mut self, now: ClockMillis) {
         let listed = |engine: &str| self.engines.get(engine).map(|entry| entry.born);
         let mut departures = self.shared.departures();
@@ -26,6 +27,7 @@
         metrics.departing_engines.set(i64::try_from(departing).unwrap_or(i64::MAX));
         metrics.cooling_engines.set(i64::try_from(cooling).unwrap_or(i64::MAX));
         for learned in learned {
+            self.engine_departs(&learned.engine, learned.born);
             self.shared.events.write(learned.into());
         }
         for event in events {
--- a/crates/gateway/src/control/engine_list.rs
+++ b/crates/gateway/src/control/engine_list.rs
@@ -9,7 +9,7 @@
 use reelreel_core::{
     ClockMillis, StorePosition,
     fleet::{
-        EngineEntry, EngineName, UNTOLD_BIRTH, adapter_name,
+        EngineBirth, EngineEntry, EngineName, UNTOLD_BIRTH, adapter_name,
         relisting::{KnownWord, WRITING_AGAIN, is_believed},
     },
 };
@@ -197,10 +197,24 @@
     fn note_departure(&mut self, entry: &EngineEntry) {
         let Some(known) = self.engines.get(&entry.name) else { return };
         let same_life = entry.born == known.born && entry.born != UNTOLD_BIRTH;
-        if !entry.leaving || known.leaving || !same_life {
+        if entry.leaving && same_life {
+            self.mark_leaving(&Arc::clone(known));
+        }
+    }
+
+    /// Takes that an incarnation of an engine has announced that it is leaving.
+    pub(super) fn engine_departs(&mut self, name: &str, born: EngineBirth) {
+        let known = self.engines.get(name).filter(|known| known.is_life(born));
+        if let Some(known) = known.cloned() {
+            self.mark_leaving(&known);
+        }
+    }
+
+    /// Lists an engine as leaving, whatever the store says, and tells the followers so.
+    fn mark_leaving(&mut self, entry: &EngineEntry) {
+        if entry.leaving {
             return;
         }
-        let leaving = EngineEntry { leaving: true, ..EngineEntry::clone(known) };
         if self.lapsed.contains_key(&entry.name) {
             // Its entry is gone besides, so that it is not waited for any longer.
             self.delist_lapsed(&entry.name);
@@ -208,6 +222,8 @@
         }
         let listed = self.engine_records.records.get(&*entry.name);
         let position = listed.map_or_else(|| self.engine_records.end(), |(position, ())| *position);
+        self.clients.close(&entry.name);
+        let leaving = EngineEntry { leaving: true, ..EngineEntry::clone(entry) };
         let (name, entry) = (Arc::clone(&entry.name), Some(leaving));
         self.list_engine(EngineUpdate { name, position, entry, unlisted: false });
     }
@@ -233,7 +249,9 @@
 
     /// Takes an engine's entry; returns whether something changed that all hosts must know.
     fn take_engine(&mut self, mut entry: EngineEntry) -> bool {
+        let announced = self.shared.departures().is_departing(&entry.name, entry.born);
         let left = self.leaving.get(&entry.name).is_some_and(|born| entry.is_life(*born));
+        entry.leaving |= announced;
         if entry.leaving && !left {
             self.leaving.insert(Arc::clone(&entry.name), entry.born);
             let now = self.shared.clock.now();
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -14,6 +14,7 @@
     call::{CallClient, CallError},
     control::SharedControl,
     events::HostEvent,
+    gate::GateVerdict,
     host::SharedState,
     metrics::{EngineCallKind, OrderLabels},
 };
@@ -39,6 +40,11 @@
         self.clients.insert(Arc::clone(engine), client);
     }
 
+    /// Closes the connection to an engine.
+    pub fn close(&mut self, engine: &EngineName) {
+        self.clients.remove(engine);
+    }
+
     /// Closes connections to engines that are listed no more.
     pub fn retain(&mut self, listed: impl Fn(&EngineName) -> bool) {
         self.clients.retain(|engine, _| listed(engine));
@@ -73,6 +79,11 @@
 ) {
     let shared = Arc::clone(state.borrow().shared());
     let dialect = &shared.dialects.engine;
+    if shared.gate().own_verdict(&order.engine) != GateVerdict::Open {
+        let now = shared.clock.now();
+        state.borrow_mut().order_answered(&service, token, &order, OrderAnswer::NotSent, now);
+        return;
+    }
     let mut client = state.borrow_mut().order_clients().take(&order.engine);
     let call = dialect.order(&order, &shared.profile.name, token);
     let began = shared.clock.now();
@@ -127,6 +138,12 @@
 async fn ask_report(state: SharedControl, service: ServiceName, engine: Arc<EngineEntry>) {
     let shared = Arc::clone(state.borrow().shared());
     let dialect = &shared.dialects.engine;
+    if shared.gate().own_verdict(&engine) != GateVerdict::Open {
+        if let Some(planner) = state.borrow_mut().planner(&service) {
+            planner.report_failed(&engine.name, false);
+        }
+        return;
+    }
     let mut client = state.borrow_mut().order_clients().take(&engine);
     let asked = shared.clock.now();
     let call = dialect.report(&engine.name);
--- a/crates/gateway/src/control/sums.rs
+++ b/crates/gateway/src/control/sums.rs
@@ -4,6 +4,7 @@
 //! further service and no further connection. What is added up is a [`FleetSum`]; the lane only carries its words. Nothing is
 //! agreed on: when another host takes over it is told everything anew, and until then each host decides by what it knows.
 
+pub mod departures;
 pub mod limits;
 pub mod quotas;
 pub mod suspects;
@@ -25,7 +26,9 @@
     control::{
         domain::{GoneListener, PlacementDomain},
         state::ControlState,
-        sums::{limits::LimitSum, quotas::QuotaSum, suspects::SuspectSum},
+        sums::{
+            departures::DepartureSum, limits::LimitSum, quotas::QuotaSum, suspects::SuspectSum,
+        },
     },
     host::SharedState,
     peers::{
@@ -132,6 +135,7 @@
             Box::new(QuotaSum::new(Arc::clone(shared))),
             Box::new(SuspectSum::new(Arc::clone(shared))),
             Box::new(LimitSum::new(Arc::clone(shared))),
+            Box::new(DepartureSum::new(Arc::clone(shared))),
         ];
         Self { sums, keeps: None, spoken: ClockMillis::default() }
     }
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -133,10 +133,17 @@
         }
     }
 
-    /// Closes connections that have rested too long, and forgets engines that are not listed.
-    pub fn clean(&mut self, listed: impl Fn(&str) -> bool, now: ClockMillis) {
+    /// Closes connections that have been idle for too long and those to engines that take no more requests, and forgets
+    /// engines that are not listed.
+    pub fn clean(
+        &mut self,
+        listed: impl Fn(&str) -> bool,
+        takes_requests: impl Fn(&str) -> bool,
+        now: ClockMillis,
+    ) {
         self.engines.retain(|engine, state| {
-            state.idle.retain(|idle| now < idle.until && idle.stream.is_quiet());
+            let kept = takes_requests(engine);
+            state.idle.retain(|idle| kept && now < idle.until && idle.stream.is_quiet());
             listed(engine) || state.work.open > 0 || state.touched
         });
     }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -36,7 +36,8 @@
 use reelreel_core::{
     ClockMillis,
     fleet::{
-        EngineName, ModelKey, ServiceName, admission::ServiceAdmission, retry_share::RetryShare,
+        EngineEntry, EngineName, ModelKey, ServiceName, admission::ServiceAdmission,
+        retry_share::RetryShare,
     },
 };
 use tokio::{net::TcpListener, runtime::Builder, sync::watch, task::LocalSet};
@@ -235,9 +236,12 @@
 
     fn clean(&self) {
         let (table, now) = (self.table(), self.now());
-        let listed =
-            |engine: &str| table.engines.values().flatten().any(|entry| &*entry.name == engine);
-        self.pool.borrow_mut().clean(listed, now);
+        let entries = table.engines.values().flatten();
+        let entries: HashMap<&str, &EngineEntry> =
+            entries.map(|entry| (&*entry.name, &**entry)).collect();
+        let listed = |engine: &str| entries.contains_key(engine);
+        let takes_requests = |engine: &str| entries.get(engine).is_some_and(|entry| !entry.leaving);
+        self.pool.borrow_mut().clean(listed, takes_requests, now);
         self.absences.borrow_mut().retain(|_, said| now.since(*said) < ABSENCE_HOLDS);
         self.count_suspects(now);
         let allowance = &self.shared.profile.bounds.retries;
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -19,6 +19,7 @@
         pick::EnginePick,
         stream::EventCutter,
     },
+    gate::GateVerdict,
 };
 
 /// The longest answer that is read whole before it is passed on.
@@ -83,7 +84,8 @@
     /// Keeps the engine's connection if it may serve another request.
     pub fn keep_or_close(&self, lease: EngineLease, answer: &EngineAnswer) {
         let clean = !lease.stream.has_unused_bytes() && answer.decoder.is_done();
-        if answer.reusable && clean {
+        let departing = self.traffic.shared.gate().own_verdict(&lease.entry);
+        if answer.reusable && clean && departing != GateVerdict::Departing {
             lease.keep(answer.kept(), self.traffic.now());
         } else {
             lease.close();
--- a/crates/gateway/src/entry/pick.rs
+++ b/crates/gateway/src/entry/pick.rs
@@ -8,13 +8,13 @@
         EngineEntry, EngineName, ModelKey, WeightVersion,
         choice::{EngineCandidate, best_engine},
         condition::EngineCondition,
-        limits::share::{LimitStanding, PermitUse},
+        limits::share::PermitUse,
         work::EngineWork,
     },
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{entry::TrafficState, table::ServingTable};
+use crate::{entry::TrafficState, gate::GateVerdict, table::ServingTable};
 
 /// Where a request may go.
 #[derive(Debug, Clone)]
@@ -97,7 +97,7 @@
     now: ClockMillis,
 ) -> Vec<AbleEngine> {
     let most = connection_share(table, need.service);
-    let mut limits = traffic.shared.limits();
+    let mut gate = traffic.shared.gate();
     let mut able = Vec::new();
     for entry in table.ready_engines(need.service) {
         if need.excluded.contains(&entry.name) {
@@ -107,8 +107,11 @@
         let CopyUse::Usable(version) = copy else { continue };
         let (condition, own) = traffic.pool.borrow().view(&entry.name);
         if own.open < most {
-            let standing = limits.standing(&entry.name, need.wanted, now);
-            let permitted = standing != LimitStanding::Used;
+            let permitted = match gate.verdict(entry, need.wanted) {
+                GateVerdict::Open => true,
+                GateVerdict::Limited => false,
+                GateVerdict::Departing => continue,
+            };
             able.push(AbleEngine { entry: Arc::clone(entry), version, condition, own, permitted });
         }
     }
--- a/crates/gateway/src/entry/preflight.rs
+++ b/crates/gateway/src/entry/preflight.rs
@@ -11,6 +11,7 @@
         exchange::{Exchange, ExchangeEnd},
         permit::HeldPermit,
     },
+    gate::GateVerdict,
     metrics::EngineCallKind,
 };
 
@@ -49,7 +50,8 @@
         if let Some(rejection) = self.request_rejection() {
             return Err(rejection);
         }
-        if !self.traffic.table().takes_work(entry) {
+        let verdict = self.traffic.shared.gate().own_verdict(entry);
+        if verdict == GateVerdict::Departing || !self.traffic.table().takes_work(entry) {
             return Err(SendRejection::EngineChanged);
         }
         if !permit.use_up(self.permit_use()) {
--- /dev/null
+++ b/crates/gateway/src/gate.rs
@@ -0,0 +1,65 @@
+//! Whether an engine takes a request of this host now, by what the engine has announced.
+//!
+//! The choice of an engine and the preflight check of a send ask the same question, as do orders and reports. What engines
+//! may announce next becomes one more verdict.
+
+use std::sync::MutexGuard;
+
+use reelreel_core::{
+    ClockMillis,
+    fleet::{
+        EngineEntry,
+        departures::DepartureRegistry,
+        limits::share::{LimitShare, LimitStanding, PermitUse},
+    },
+};
+
+use crate::host::SharedState;
+
+/// Whether an engine takes a request now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GateVerdict {
+    /// It does.
+    Open,
+    /// It takes only so many requests from all hosts together, and this host has no permit.
+    Limited,
+    /// It is leaving.
+    Departing,
+}
+
+/// What engines have announced, locked for some verdicts.
+pub struct EngineGate<'host> {
+    limits: MutexGuard<'host, LimitShare>,
+    departures: MutexGuard<'host, DepartureRegistry>,
+    now: ClockMillis,
+}
+
+impl SharedState {
+    /// Locks what engines have announced for a moment.
+    pub fn gate(&self) -> EngineGate<'_> {
+        let (limits, departures) = (self.limits(), self.departures());
+        EngineGate { limits, departures, now: self.clock.now() }
+    }
+}
+
+impl EngineGate<'_> {
+    /// Returns whether an engine takes a request that wants a permit for some use.
+    pub fn verdict(&mut self, entry: &EngineEntry, wanted: PermitUse) -> GateVerdict {
+        let verdict = self.own_verdict(entry);
+        if verdict != GateVerdict::Open {
+            return verdict;
+        }
+        match self.limits.standing(&entry.name, wanted, self.now) {
+            LimitStanding::Used => GateVerdict::Limited,
+            LimitStanding::Free | LimitStanding::Permitted => GateVerdict::Open,
+        }
+    }
+
+    /// Returns whether an engine takes a call that needs no permit: an order or a question for a report.
+    pub fn own_verdict(&self, entry: &EngineEntry) -> GateVerdict {
+        if self.departures.is_departing(&entry.name, entry.born) {
+            return GateVerdict::Departing;
+        }
+        GateVerdict::Open
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engines;
 pub mod entry;
 pub mod events;
+pub mod gate;
 pub mod host;
 pub mod metrics;
 pub mod peers;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,6 +2,7 @@
 //! host that the store turns away can not read itself.
 
 pub mod client;
+pub mod departure_lines;
 pub mod engine_lines;
 pub mod feed;
 pub mod frame;
--- a/crates/gateway/src/peers/sum_frames.rs
+++ b/crates/gateway/src/peers/sum_frames.rs
@@ -5,6 +5,7 @@
 use reelreel_core::organisation::share::{QuotaUse, QuotaWord};
 
 use crate::peers::{
+    departure_lines::DepartureLine,
     limit_lines::{AskLine, GrantLine, LimitLine},
     suspect_lines::SuspectLine,
 };
@@ -30,6 +31,9 @@
     /// What the host wants of engines that have named a limit.
     #[prost(message, repeated, tag = "6")]
     pub asks: Vec<AskLine>,
+    /// Engines that have announced that they are leaving.
+    #[prost(message, repeated, tag = "7")]
+    pub departures: Vec<DepartureLine>,
 }
 
 /// What all hosts counted together, as far as it changed.
@@ -56,6 +60,9 @@
     /// What the one host that hears this is granted.
     #[prost(message, repeated, tag = "7")]
     pub grants: Vec<GrantLine>,
+    /// Engines that have announced that they are leaving.
+    #[prost(message, repeated, tag = "8")]
+    pub departures: Vec<DepartureLine>,
 }
 
 /// What a host granted of an organisation's quota.
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -188,6 +188,11 @@
         self.lock().leaving = Some(value.to_owned());
     }
 
+    /// Says nothing of its departure any more.
+    pub(crate) fn withdraw_announcements(&self) {
+        self.lock().leaving = None;
+    }
+
     /// Rejects requests from now on and asks for a cooldown each time, or accepts them again.
     pub(crate) fn reject_for(&self, cooldown: Option<Duration>) {
         self.lock().cooldown = cooldown;
