--- a/crates/cli/src/logs/cause.rs
+++ b/crates/cli/src/logs/cause.rs
@@ -80,6 +80,8 @@
     NoEngine,
     /// The engines that could run it have named limits, and its turn would have come too late.
     LimitUsed,
+    /// The engines that could run it wanted no requests from its host for a while.
+    EnginesCooling,
     /// It is held back: engines ended while they ran it.
     HeldBack,
     /// Its engine ended while it ran this request, which is held back since.
@@ -123,6 +125,7 @@
             Self::EnginesRefused => "its engines were full or not ready",
             Self::NoEngine => "no engine could be reached",
             Self::LimitUsed => "its engines take only so many requests, and had named that limit",
+            Self::EnginesCooling => "its engines had asked its host to send nothing for a while",
             Self::HeldBack => "held back: engines ended while they ran it",
             Self::EndedUnder => "its engine ended under it, as others did",
             Self::EndedBeside => "its engine ended under another request that is held back since",
@@ -153,6 +156,7 @@
             "not_run" => Self::EnginesRefused,
             "no_engine" | "unreachable" => Self::NoEngine,
             "limit_used" => Self::LimitUsed,
+            "engines_cooling" => Self::EnginesCooling,
             "held_back" => Self::HeldBack,
             "engine_failed" | "stream_broken" => Self::of_failure(request, logs),
             "engine_error" => Self::EngineError,
--- a/crates/cli/src/logs/explain.rs
+++ b/crates/cli/src/logs/explain.rs
@@ -33,6 +33,9 @@
     if let Some(engine) = &request.event.limited_by {
         writeln!(text, "  limit     {}", limit_source(&logs, &request, engine))?;
     }
+    if let Some(engine) = &request.event.cooling_by {
+        writeln!(text, "  cooldown  {}", cooldown_source(&logs, &request, engine))?;
+    }
     let (from, until) = request.span();
     let around: Vec<&LogLine> =
         logs.between(from, until).iter().filter(|line| concerns(line, &request)).collect();
@@ -98,6 +101,27 @@
     )
 }
 
+/// Says which cooldown an engine had asked a request's host for, and how long before.
+fn cooldown_source(logs: &HostLogs, request: &RequestLine, engine: &str) -> String {
+    let began = logs.between(0, request.at).iter().rev().find_map(|line| match &line.event {
+        HostEvent::CooldownBegan { engine: cooling, millis, .. }
+            if cooling == engine && line.host == request.host =>
+        {
+            Some((line.at, *millis))
+        }
+        _ => None,
+    });
+    began.map_or_else(
+        || format!("no line says what {engine} had asked for"),
+        |(at, millis)| {
+            let ago = request.at.saturating_sub(at);
+            format!(
+                "{engine} had first asked for {millis} ms without requests {ago} ms before its end"
+            )
+        },
+    )
+}
+
 fn describe(text: &mut String, request: &RequestLine) -> eyre::Result<()> {
     writeln!(text, "Request {} at {}", request.event.id, request.host)?;
     writeln!(
@@ -136,7 +160,8 @@
         | HostEvent::CooldownEnded { engine, .. }
         | HostEvent::EngineGone { engine } => {
             let event = &request.event;
-            own_host && [&event.engine, &event.limited_by].contains(&&Some(engine.clone()))
+            let engines = [&event.engine, &event.limited_by, &event.cooling_by];
+            own_host && engines.contains(&&Some(engine.clone()))
         }
         HostEvent::Lease { state, .. } => own_host || state == "acting",
         _ => own_host,
--- a/crates/core/src/fleet/cold.rs
+++ b/crates/core/src/fleet/cold.rs
@@ -46,6 +46,9 @@
 /// the users' sheets, a tenth to a third.
 pub const LATE_WORTH: f64 = 0.2;
 
+/// The least time after which a request looks again for an engine.
+const SHORTEST_LOOK: Duration = Duration::from_millis(10);
+
 /// What is known of a request whose adapter is not there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ColdRequest {
@@ -57,6 +60,8 @@
     pub remaining: Duration,
     /// In what time the adapter is expected, if a placer has said so.
     pub estimate: Option<Duration>,
+    /// An engine that holds the adapter, or needs none, where all of them want no requests for a while.
+    pub cooling: Option<CoolingHolder>,
     /// How long an engine takes to read its prompt, as far as that is known.
     pub reading: Duration,
     /// The longest pause with which its stream is in time, where one is named.
@@ -65,6 +70,15 @@
     pub returned: bool,
 }
 
+/// An engine that could run a request, but wants none for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CoolingHolder {
+    /// After what time it is expected to take requests again.
+    pub time: Duration,
+    /// Whether another engine could load what the request names.
+    pub loadable: bool,
+}
+
 /// What becomes of the request now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ColdChoice {
@@ -95,6 +109,9 @@
         if left.is_zero() {
             return ColdChoice::Refuse(self.return_time());
         }
+        if let Some(holder) = self.cooling {
+            return self.choose_beside(holder, left);
+        }
         if self.elapsed > decide {
             return ColdChoice::Wait(left);
         }
@@ -106,14 +123,38 @@
                 ColdChoice::Wait(until_decision)
             };
         };
-        let useful = if self.returned { self.patience() } else { self.target };
-        if self.elapsed + estimate + self.reading + FIRST_STEP <= useful {
+        if self.is_useful_after(estimate) {
             ColdChoice::Wait(left)
         } else {
             ColdChoice::Refuse(self.return_time())
         }
     }
 
+    /// Returns whether an answer would still be useful if an engine took the request after `time`.
+    fn is_useful_after(&self, time: Duration) -> bool {
+        let useful = if self.returned { self.patience() } else { self.target };
+        self.elapsed + time + self.reading + FIRST_STEP <= useful
+    }
+
+    /// Returns what becomes of the request where its holders want no requests for a while: it waits for the first of them or
+    /// for another copy, as long as either is expected in time.
+    fn choose_beside(&self, holder: CoolingHolder, left: Duration) -> ColdChoice {
+        let load = self.estimate.filter(|_| holder.loadable);
+        if self.is_useful_after(holder.time) {
+            return ColdChoice::Wait(left.min(holder.time.max(SHORTEST_LOOK)));
+        }
+        let decide = self.target.mul_f64(ESTIMATE_PART);
+        match load {
+            Some(load) if self.elapsed > decide || self.is_useful_after(load) => {
+                ColdChoice::Wait(left)
+            }
+            None if holder.loadable && self.elapsed < decide => {
+                ColdChoice::Wait(decide.saturating_sub(self.elapsed))
+            }
+            _ => ColdChoice::Refuse(load.map_or(holder.time, |load| load.min(holder.time))),
+        }
+    }
+
     /// Returns when the client should come back.
     fn return_time(&self) -> Duration {
         let time = self.estimate.map_or(UNKNOWN_RETURN, |estimate| estimate + RETURN_MARGIN);
--- a/crates/core/src/fleet/cooldown.rs
+++ b/crates/core/src/fleet/cooldown.rs
@@ -24,7 +24,7 @@
 const PROBE_PATIENCE: Duration = Duration::from_secs(1);
 
 /// How long a probe is expected to take until its response begins.
-pub const PROBE_TIME: Duration = Duration::from_millis(300);
+const PROBE_TIME: Duration = Duration::from_millis(300);
 
 /// The pause between the times at which clients are told to come back after one cooldown, and over how many of them.
 const RETURN_STEP: Duration = Duration::from_millis(25);
@@ -79,6 +79,15 @@
         let probes = VecDeque::new();
         Self { born, until: now, allowance: 1, probes, requests: 0, returns: 0 }
     }
+
+    /// Returns after what time the engine is expected to take requests, if it takes none now.
+    fn closed_for(&self, now: ClockMillis) -> Option<Duration> {
+        if now < self.until {
+            return Some(self.until.since(now));
+        }
+        let pending = self.probes.iter().filter(|sent| now.since(**sent) < PROBE_PATIENCE);
+        (pending.count() >= self.allowance).then_some(PROBE_TIME)
+    }
 }
 
 /// The cooldowns that engines have asked one host for.
@@ -118,16 +127,8 @@
     /// Returns whether a request may go to an engine.
     pub fn standing(&self, engine: &str, born: EngineBirth, now: ClockMillis) -> CooldownStanding {
         let known = self.engines.get(engine).filter(|known| is_same_life(known.born, born));
-        let Some(known) = known else { return CooldownStanding::Open };
-        if now < known.until {
-            return CooldownStanding::Closed(known.until.since(now));
-        }
-        let pending = known.probes.iter().filter(|sent| now.since(**sent) < PROBE_PATIENCE);
-        if pending.count() < known.allowance {
-            CooldownStanding::Open
-        } else {
-            CooldownStanding::Closed(PROBE_TIME)
-        }
+        let closed = known.and_then(|known| known.closed_for(now));
+        closed.map_or(CooldownStanding::Open, CooldownStanding::Closed)
     }
 
     /// Takes that a request is sent to an engine.
@@ -163,16 +164,10 @@
         true
     }
 
-    /// Returns whether an engine is within a cooldown.
-    pub fn is_cooling(&self, engine: &str, born: EngineBirth, now: ClockMillis) -> bool {
-        let known = self.engines.get(engine);
-        known.is_some_and(|known| is_same_life(known.born, born) && now < known.until)
-    }
-
-    /// Returns the engines within a cooldown.
-    pub fn cooling(&self, now: ClockMillis) -> impl Iterator<Item = &EngineName> {
-        let cooling = self.engines.iter().filter(move |(_, known)| now < known.until);
-        cooling.map(|(engine, _)| engine)
+    /// Returns the engines that take no requests now.
+    pub fn closed(&self, now: ClockMillis) -> impl Iterator<Item = &EngineName> {
+        let closed = self.engines.iter().filter(move |(_, known)| known.closed_for(now).is_some());
+        closed.map(|(engine, _)| engine)
     }
 
     /// Returns when the next client that is told so should come back for an engine: after its cooldown, each a step
--- a/crates/core/src/placement/limited.rs
+++ b/crates/core/src/placement/limited.rs
@@ -4,7 +4,10 @@
 //! worth a load elsewhere, and nothing more is brought there. When the limit ends its copies count again. Where every engine of a
 //! domain has named one there is no elsewhere: then they are ordered and asked as far as their limits bear it.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use crate::{
     clock::ClockMillis,
@@ -24,6 +27,8 @@
     limits: HashMap<EngineName, RequestLimit>,
     /// Whether no engine of the domain is without a limit.
     everywhere: bool,
+    /// Engines that want nothing from this host for a while.
+    cooling: HashSet<EngineName>,
 }
 
 impl PlacementPlanner {
@@ -32,18 +37,29 @@
         let mut ready = self.engines.values().filter(|inventory| !inventory.entry.leaving);
         let everywhere =
             !limits.is_empty() && ready.all(|inventory| limits.contains_key(&inventory.entry.name));
-        self.limited = LimitedEngines { limits, everywhere };
+        (self.limited.limits, self.limited.everywhere) = (limits, everywhere);
+    }
+
+    /// Takes which engines want nothing from this host for a while: neither orders nor reports, and their copies count as none
+    /// for requests that wait.
+    pub fn cooldowns_known(&mut self, cooling: HashSet<EngineName>) {
+        self.limited.cooling = cooling;
     }
 
     /// Returns whether what an engine holds counts as there for requests.
     pub(super) fn bears_requests(&self, inventory: &EngineInventory) -> bool {
-        self.limited.everywhere || !self.limited.limits.contains_key(&inventory.entry.name)
+        let engine = &inventory.entry.name;
+        let limited = !self.limited.everywhere && self.limited.limits.contains_key(engine);
+        !limited && !self.limited.cooling.contains(engine)
     }
 }
 
 impl LimitedEngines {
     /// Returns whether an engine may get an order, or be asked for a report.
     pub(super) fn may_call(&self, inventory: &EngineInventory, now: ClockMillis) -> bool {
+        if self.cooling.contains(&inventory.entry.name) {
+            return false;
+        }
         let Some(limit) = self.limits.get(&inventory.entry.name) else { return true };
         let rate = limit.per_second() * CONTROL_PART;
         let pause = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(LONGEST_PAUSE);
--- /dev/null
+++ b/crates/core/tests/cooldown.rs
@@ -0,0 +1,344 @@
+//! Cooldowns that engines ask one host for, and what becomes of its requests meanwhile.
+
+use std::{sync::Arc, time::Duration};
+
+use proptest::prelude::*;
+use reelreel_core::{
+    ClockMillis,
+    fleet::{
+        EngineBirth, EngineName,
+        announcement::Cooldown,
+        cold::{ColdChoice, ColdRequest, CoolingHolder},
+        cooldown::{CooldownEvent, CooldownStanding, CooldownTable},
+    },
+};
+
+fn at(millis: u64) -> ClockMillis {
+    ClockMillis::from_millis(3_600_000 + millis)
+}
+
+const fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn engine() -> EngineName {
+    Arc::from("engine-1")
+}
+
+fn cooldown(time: u64) -> Cooldown {
+    Cooldown::from_seconds(millis(time).as_secs_f64()).expect("a cooldown")
+}
+
+/// What happens at one engine. Unit of times: milliseconds.
+enum Happening {
+    /// It rejects a request and asks for a cooldown, in an incarnation.
+    Rejects(EngineBirth, u64),
+    /// The host sends it a request.
+    Send,
+    /// It responds to a request that was sent at a time, and accepts it or not.
+    Responds(u64, bool),
+}
+
+use Happening::{Rejects, Responds, Send};
+
+struct StandingCase {
+    name: &'static str,
+    happenings: &'static [(u64, Happening)],
+    /// At what time, for which incarnation, and after what time the engine is expected to take requests; zero: at once.
+    expected: &'static [(u64, EngineBirth, u64)],
+}
+
+const STANDING_CASES: &[StandingCase] = &[
+    StandingCase {
+        name: "it holds until its end, for its incarnation",
+        happenings: &[(0, Rejects(1, 3000))],
+        expected: &[(0, 1, 3000), (2999, 1, 1), (3000, 1, 0), (100, 2, 0)],
+    },
+    StandingCase {
+        name: "the later end counts",
+        happenings: &[(0, Rejects(1, 3000)), (100, Rejects(1, 500))],
+        expected: &[(600, 1, 2400)],
+    },
+    StandingCase {
+        name: "a response to what was sent before its end does not shorten it",
+        happenings: &[(0, Rejects(1, 3000)), (50, Responds(0, true))],
+        expected: &[(60, 1, 2940)],
+    },
+    StandingCase {
+        name: "nor does one that comes after its end",
+        happenings: &[(0, Rejects(1, 3000)), (3000, Send), (3010, Responds(0, true))],
+        expected: &[(3020, 1, 300)],
+    },
+    StandingCase {
+        name: "afterwards one request probes the engine",
+        happenings: &[(0, Rejects(1, 3000)), (3000, Send)],
+        expected: &[(3001, 1, 300), (4001, 1, 0)],
+    },
+    StandingCase {
+        name: "more go there as it accepts them",
+        happenings: &[
+            (0, Rejects(1, 3000)),
+            (3000, Send),
+            (3010, Responds(3000, true)),
+            (3010, Send),
+        ],
+        expected: &[(3011, 1, 0)],
+    },
+    StandingCase {
+        name: "no more than it accepted go there at a time",
+        happenings: &[
+            (0, Rejects(1, 3000)),
+            (3000, Send),
+            (3010, Responds(3000, true)),
+            (3010, Send),
+            (3010, Send),
+        ],
+        expected: &[(3011, 1, 300)],
+    },
+    StandingCase {
+        name: "a rejection without a cooldown lets the next request probe it",
+        happenings: &[
+            (0, Rejects(1, 3000)),
+            (3000, Send),
+            (3010, Responds(3000, false)),
+            (3010, Send),
+        ],
+        expected: &[(3011, 1, 300)],
+    },
+    StandingCase {
+        name: "a probe that is rejected begins the next cooldown",
+        happenings: &[(0, Rejects(1, 3000)), (3000, Send), (3010, Rejects(1, 2000))],
+        expected: &[(3020, 1, 1990), (5010, 1, 0)],
+    },
+    StandingCase {
+        name: "another incarnation begins anew",
+        happenings: &[(0, Rejects(1, 3000)), (100, Rejects(2, 200))],
+        expected: &[(150, 2, 150), (300, 2, 0)],
+    },
+];
+
+#[test]
+fn an_engine_takes_requests_again_after_its_cooldown_by_steps() {
+    for case in STANDING_CASES {
+        let mut table = CooldownTable::default();
+        for (time, happening) in case.happenings {
+            match happening {
+                Rejects(born, length) => {
+                    table.requested(&engine(), *born, cooldown(*length), at(*time));
+                }
+                Send => table.sent("engine-1", 1, at(*time)),
+                Responds(sent, accepted) => {
+                    table.responded("engine-1", 1, at(*sent), *accepted);
+                }
+            }
+        }
+        for (time, born, closed) in case.expected {
+            let expected = match closed {
+                0 => CooldownStanding::Open,
+                closed => CooldownStanding::Closed(millis(*closed)),
+            };
+            let standing = table.standing("engine-1", *born, at(*time));
+            assert_eq!(standing, expected, "{}: at {time}", case.name);
+        }
+    }
+}
+
+/// Ten requests accepted one after the other lift the restriction; so does a silence.
+#[test]
+fn a_restriction_ends_with_accepted_requests_or_silence() {
+    let mut table = CooldownTable::default();
+    table.requested(&engine(), 1, cooldown(1000), at(0));
+    for probe in 0..5 {
+        let sent = at(1000 + probe * 10);
+        table.sent("engine-1", 1, sent);
+        table.responded("engine-1", 1, sent, true);
+    }
+    let events = table.take_events();
+    assert!(matches!(events.first(), Some(CooldownEvent::Began { born: 1, .. })));
+    assert_eq!(events.last(), Some(&CooldownEvent::Ended { engine: engine(), requests: 1 }));
+    table.requested(&engine(), 1, cooldown(1000), at(5000));
+    table.retain(|_| Some(1), at(15_900));
+    assert_eq!(table.take_events().len(), 1, "it is remembered");
+    table.retain(|_| Some(1), at(16_000));
+    assert_eq!(table.take_events().len(), 1, "it is forgotten");
+}
+
+/// Clients that are told to come back after one cooldown do not all return at the same moment.
+#[test]
+fn clients_come_back_one_after_the_other() {
+    let mut table = CooldownTable::default();
+    table.requested(&engine(), 1, cooldown(1000), at(0));
+    let times: Vec<Duration> =
+        (0..30).filter_map(|_| table.return_time("engine-1", at(400))).collect();
+    assert_eq!(times.first(), Some(&millis(600)));
+    assert!(times.windows(2).all(|pair| pair[0] < pair[1]), "{times:?}");
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// A request goes there if the table allows it; the engine rejects it for some time, or accepts it.
+    Request { rejects: Option<u64>, delay: u64 },
+    /// The engine starts again.
+    Restart,
+    /// Time passes.
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (proptest::option::of(1u64..4000), 0u64..600)
+            .prop_map(|(rejects, delay)| Step::Request { rejects, delay }),
+        1 => Just(Step::Restart),
+        3 => (1u64..1500).prop_map(Step::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    /// Whatever an engine rejects, accepts, and when, no request goes there within a cooldown that this incarnation has asked
+    /// for, and requests go there again after the last one.
+    #[test]
+    fn no_history_sends_requests_within_a_cooldown(
+        steps in proptest::collection::vec(step(), 1..80),
+    ) {
+        let mut table = CooldownTable::default();
+        let (mut now, mut born) = (0, 1);
+        let mut until = 0;
+        // When responses come, what was sent when in which incarnation, and whether it was rejected.
+        let mut responses: Vec<(u64, u64, EngineBirth, Option<u64>)> = Vec::new();
+        for step in steps {
+            responses.retain(|(due, sent, life, rejects)| {
+                if *due > now {
+                    return true;
+                }
+                match rejects {
+                    Some(time) => {
+                        table.requested(&engine(), *life, cooldown(*time), at(now));
+                        if *life == born {
+                            until = until.max(now + time);
+                        }
+                    }
+                    None => {
+                        table.responded("engine-1", *life, at(*sent), true);
+                    }
+                }
+                false
+            });
+            match step {
+                Step::Request { rejects, delay } => {
+                    if table.standing("engine-1", born, at(now)) == CooldownStanding::Open {
+                        prop_assert!(now >= until, "sent at {now} within a cooldown until {until}");
+                        table.sent("engine-1", born, at(now));
+                        responses.push((now + delay, now, born, rejects));
+                    }
+                }
+                Step::Restart => {
+                    born += 1;
+                    until = 0;
+                    responses.clear();
+                }
+                Step::Pass(time) => now += time,
+            }
+            table.retain(|_| Some(born), at(now));
+        }
+        let later = at(now.max(until) + 1000);
+        prop_assert_eq!(table.standing("engine-1", born, later), CooldownStanding::Open);
+    }
+}
+
+struct ChoiceCase {
+    name: &'static str,
+    elapsed: u64,
+    /// When the holder takes requests again.
+    holder: u64,
+    loadable: bool,
+    /// When another copy is expected.
+    load: Option<u64>,
+    choice: ColdChoice,
+}
+
+const CHOICE_CASES: &[ChoiceCase] = &[
+    ChoiceCase {
+        name: "it waits for a cooldown that ends in time",
+        elapsed: 0,
+        holder: 300,
+        loadable: false,
+        load: None,
+        choice: ColdChoice::Wait(millis(300)),
+    },
+    ChoiceCase {
+        name: "nothing can be loaded: it is refused at once",
+        elapsed: 0,
+        holder: 3000,
+        loadable: false,
+        load: None,
+        choice: ColdChoice::Refuse(millis(3000)),
+    },
+    ChoiceCase {
+        name: "a load that no engine takes does not count",
+        elapsed: 0,
+        holder: 3000,
+        loadable: false,
+        load: Some(250),
+        choice: ColdChoice::Refuse(millis(3000)),
+    },
+    ChoiceCase {
+        name: "it waits for an estimate of another copy",
+        elapsed: 2,
+        holder: 3000,
+        loadable: true,
+        load: None,
+        choice: ColdChoice::Wait(millis(100)),
+    },
+    ChoiceCase {
+        name: "it waits for another copy",
+        elapsed: 20,
+        holder: 3000,
+        loadable: true,
+        load: Some(250),
+        choice: ColdChoice::Wait(millis(2230)),
+    },
+    ChoiceCase {
+        name: "no estimate has come: it is refused",
+        elapsed: 110,
+        holder: 3000,
+        loadable: true,
+        load: None,
+        choice: ColdChoice::Refuse(millis(3000)),
+    },
+    ChoiceCase {
+        name: "the other copy comes too late, but before the holder returns",
+        elapsed: 20,
+        holder: 3000,
+        loadable: true,
+        load: Some(900),
+        choice: ColdChoice::Refuse(millis(900)),
+    },
+    ChoiceCase {
+        name: "a probe keeps it back for too long",
+        elapsed: 400,
+        holder: 300,
+        loadable: false,
+        load: None,
+        choice: ColdChoice::Refuse(millis(300)),
+    },
+];
+
+#[test]
+fn a_request_waits_beside_a_cooldown_only_while_an_answer_is_useful() {
+    for case in CHOICE_CASES {
+        let (time, loadable) = (millis(case.holder), case.loadable);
+        let request = ColdRequest {
+            elapsed: millis(case.elapsed),
+            target: millis(600),
+            remaining: millis(9000),
+            estimate: case.load.map(millis),
+            cooling: Some(CoolingHolder { time, loadable }),
+            reading: millis(40),
+            longest_pause: Some(millis(250)),
+            returned: false,
+        };
+        assert_eq!(request.choose(), case.choice, "{}", case.name);
+    }
+}
--- a/crates/gateway/src/control/announcements.rs
+++ b/crates/gateway/src/control/announcements.rs
@@ -20,7 +20,7 @@
         drop(departures);
         let mut cooldowns = self.shared.cooldowns();
         cooldowns.retain(listed, now);
-        let cooling = cooldowns.cooling(now).count();
+        let cooling = cooldowns.closed(now).count();
         let events = cooldowns.take_events();
         drop(cooldowns);
         let metrics = &self.shared.metrics;
--- a/crates/gateway/src/control/sums.rs
+++ b/crates/gateway/src/control/sums.rs
@@ -59,9 +59,10 @@
 }
 
 impl SumContext<'_> {
-    /// Returns the life in which an engine is listed.
-    pub fn life(&self, engine: &str) -> Option<EngineBirth> {
-        self.engines.get(engine).map(|entry| entry.born)
+    /// Returns the incarnation in which an engine is listed, unless it is leaving.
+    pub fn active_life(&self, engine: &str) -> Option<EngineBirth> {
+        let entry = self.engines.get(engine).filter(|entry| !entry.leaving);
+        entry.map(|entry| entry.born)
     }
 
     /// Returns whether this host is the one that the group names for an engine while nobody is heard to add up: the holder of
--- a/crates/gateway/src/control/sums/limits.rs
+++ b/crates/gateway/src/control/sums/limits.rs
@@ -102,7 +102,7 @@
     fn spread(&mut self, frame: &mut SumFrame, _: bool, context: &SumContext<'_>) {
         let Some(ledger) = &mut self.ledger else { return };
         let now = context.now;
-        ledger.retain(|engine| context.life(engine));
+        ledger.retain(|engine| context.active_life(engine));
         ledger.confirmed(context.confirmed);
         let changes = ledger.take_changes(now);
         frame.limits = changes.iter().map(Into::into).collect();
@@ -146,7 +146,7 @@
 
     fn tick(&mut self, context: &SumContext<'_>) {
         let mut share = self.shared.limits();
-        share.retain(|engine| context.life(engine));
+        share.retain(|engine| context.active_life(engine));
         let changed = share.stand_alone(|engine| context.stands_in(engine), context.now);
         let limited = i64::try_from(share.limited()).unwrap_or(i64::MAX);
         let news = share.take_news(context.now);
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -28,7 +28,7 @@
         answer::{ENGINE_FAILED, TIME_OVER},
         deadline::RequestDeadline,
         permit::PermitWait,
-        pick::{EngineNeed, EnginePick, pick_engine},
+        pick::{CoolingHolders, EngineNeed, EnginePick, pick_engine},
         preflight::SendRejection,
         prepare::{PreparedRequest, prepare, refuse_early},
         wait::WaitEnd,
@@ -149,6 +149,10 @@
     pub(super) permit_wait: Option<PermitWait>,
     /// The engine whose permit it last waited for.
     pub limited_by: Option<EngineName>,
+    /// The engines that could run it and whose cooldowns it waits for.
+    pub(super) cooling: Option<CoolingHolders>,
+    /// The engine whose cooldown it last waited for.
+    pub cooling_by: Option<EngineName>,
     /// The configuration that decided its route.
     pub revision: ConfigRevision,
 }
@@ -224,6 +228,8 @@
             silent_connects: 0,
             permit_wait: None,
             limited_by: None,
+            cooling: None,
+            cooling_by: None,
             may_have_run: false,
             waited: Duration::ZERO,
             revision,
@@ -252,16 +258,18 @@
                         return end;
                     }
                 }
-                EnginePick::Cold | EnginePick::Limited(_) => match self.wait_for_engine().await {
-                    WaitEnd::Changed => {}
-                    WaitEnd::Rejected(rejection) => {
-                        if let Some(end) = self.rejected(rejection).await {
-                            return end;
+                EnginePick::Cold | EnginePick::Limited(_) | EnginePick::Cooling(_) => {
+                    match self.wait_for_engine().await {
+                        WaitEnd::Changed => self.cooling = None,
+                        WaitEnd::Rejected(rejection) => {
+                            if let Some(end) = self.rejected(rejection).await {
+                                return end;
+                            }
                         }
+                        WaitEnd::ClientGone => return (ExchangeEnd::Reset, "client_gone"),
+                        WaitEnd::Refused(time) => return self.refuse_waiting(time).await,
                     }
-                    WaitEnd::ClientGone => return (ExchangeEnd::Reset, "client_gone"),
-                    WaitEnd::Refused(time) => return self.refuse_waiting(time).await,
-                },
+                }
                 EnginePick::Nowhere => return self.give_up("no_engine").await,
             }
         }
@@ -321,7 +329,10 @@
                 if !self.may_send_again() {
                     return Some(self.give_up("not_run").await);
                 }
-                tokio::time::sleep(REPEAT_PAUSE).await;
+                // Another engine is asked at once.
+                if matches!(self.pick(), EnginePick::Engine(next, _) if next.name == entry.name) {
+                    tokio::time::sleep(REPEAT_PAUSE).await;
+                }
                 None
             }
             SendEnd::Overdue => {
--- a/crates/gateway/src/entry/permit.rs
+++ b/crates/gateway/src/entry/permit.rs
@@ -13,6 +13,9 @@
 /// How long a stream that broke off waits for a permit to go on elsewhere: about as long as the pauses that streams may have.
 const RESUME_PATIENCE: Duration = Duration::from_millis(400);
 
+/// How often a stream that broke off looks for an engine.
+const RESUME_LOOK: Duration = Duration::from_millis(50);
+
 /// Counts a request that waits for a permit for as long as it lives.
 pub struct PermitWait {
     traffic: Rc<TrafficState>,
@@ -109,8 +112,8 @@
         self.traffic.shared.limits().return_time(&wait.engine, hosts, self.traffic.now())
     }
 
-    /// Returns where a stream that broke off goes on; it waits for a permit for a moment where only engines with a limit can take
-    /// it.
+    /// Returns where a stream that broke off goes on; it waits for a moment where only engines with a limit or within a cooldown
+    /// can take it.
     ///
     /// It goes before requests that have got nothing yet: its client would lose what it has.
     pub(super) async fn pick_to_resume(&self, excluded: &[EngineName]) -> EnginePick {
@@ -124,16 +127,19 @@
         let mut permits = self.traffic.shared.permits.subscribe();
         let engines = match pick_engine(self.traffic, &need) {
             EnginePick::Limited(engines) => engines,
+            EnginePick::Cooling(_) => Vec::new(),
             pick => return pick,
         };
-        let Some(first) = engines.first() else { return EnginePick::Nowhere };
-        let _wait = PermitWait::new(self.traffic, &first.name, PermitUse::Resumed);
+        let wait = |first: &Arc<EngineEntry>| {
+            PermitWait::new(self.traffic, &first.name, PermitUse::Resumed)
+        };
+        let _wait = engines.first().map(wait);
         let permitted = async {
             loop {
-                // The sender lives as long as the shared state.
-                let _ = permits.changed().await;
+                // The sender lives as long as the shared state; the end of a cooldown is not signalled.
+                let _ = tokio::time::timeout(RESUME_LOOK, permits.changed()).await;
                 let pick = pick_engine(self.traffic, &need);
-                if !matches!(pick, EnginePick::Limited(_)) {
+                if !matches!(pick, EnginePick::Limited(_) | EnginePick::Cooling(_)) {
                     return pick;
                 }
             }
--- a/crates/gateway/src/entry/pick.rs
+++ b/crates/gateway/src/entry/pick.rs
@@ -1,11 +1,11 @@
 //! Where a request goes: the engines that may run it now, and the best of them.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use reelreel_core::{
     ClockMillis,
     fleet::{
-        EngineEntry, EngineName, ModelKey, WeightVersion,
+        EngineEntry, EngineName, ModelKey, WeightVersion, adapter_name,
         choice::{EngineCandidate, best_engine},
         condition::EngineCondition,
         limits::share::PermitUse,
@@ -24,12 +24,25 @@
     /// To one of these once there is a permit, the one first whose turn comes soonest: they have named a limit, and no other
     /// engine can take it.
     Limited(Vec<Arc<EngineEntry>>),
+    /// To none yet: those that could run it want no requests from this host for a while.
+    Cooling(CoolingHolders),
     /// To none yet: no engine holds what it names.
     Cold,
     /// To none: the service has no engine that takes new work.
     Nowhere,
 }
 
+/// Engines that could run a request, but want none from this host for a while.
+#[derive(Debug, Clone)]
+pub struct CoolingHolders {
+    /// The engines, the one first that is expected to take requests soonest.
+    pub engines: Vec<EngineName>,
+    /// When the first of them is expected to take requests again.
+    pub until: ClockMillis,
+    /// Whether another engine could load what the request names.
+    pub loadable: bool,
+}
+
 /// What a request needs of an engine.
 #[derive(Debug, Clone, Copy)]
 pub struct EngineNeed<'request> {
@@ -59,9 +72,15 @@
 pub fn pick_engine(traffic: &TrafficState, need: &EngineNeed<'_>) -> EnginePick {
     let (table, now) = (traffic.table(), traffic.now());
     let ready = table.ready_engines(need.service).next().is_some();
-    let mut able = able_engines(traffic, &table, need, now);
+    let (mut able, cooling) = able_engines(traffic, &table, need, now);
     keep_reached(traffic, need.key.is_some(), &mut able, now);
+    if !able.is_empty() && !cooling.is_empty() {
+        traffic.shared.metrics.cooldown_diverted.inc();
+    }
     if able.is_empty() {
+        if let Some(holders) = cooling_holders(traffic, &table, need, cooling, now) {
+            return EnginePick::Cooling(holders);
+        }
         let cold = ready && need.key.is_some();
         return if cold { EnginePick::Cold } else { EnginePick::Nowhere };
     }
@@ -89,16 +108,17 @@
     EnginePick::Engine(Arc::clone(&able.entry), able.version)
 }
 
-/// Returns the engines that take new work and hold what is needed.
+/// Returns the engines that take new work and hold what is needed, and those that do but for a cooldown, with the time until
+/// they are expected to take requests again.
 fn able_engines(
     traffic: &TrafficState,
     table: &ServingTable,
     need: &EngineNeed<'_>,
     now: ClockMillis,
-) -> Vec<AbleEngine> {
+) -> (Vec<AbleEngine>, Vec<(Duration, EngineName)>) {
     let most = connection_share(table, need.service);
     let mut gate = traffic.shared.gate();
-    let mut able = Vec::new();
+    let (mut able, mut cooling) = (Vec::new(), Vec::new());
     for entry in table.ready_engines(need.service) {
         if need.excluded.contains(&entry.name) {
             continue;
@@ -111,11 +131,37 @@
                 GateVerdict::Open => true,
                 GateVerdict::Limited => false,
                 GateVerdict::Departing => continue,
+                GateVerdict::Cooling(time) => {
+                    cooling.push((time, Arc::clone(&entry.name)));
+                    continue;
+                }
             };
             able.push(AbleEngine { entry: Arc::clone(entry), version, condition, own, permitted });
         }
     }
-    able
+    (able, cooling)
+}
+
+/// Returns the engines that could run a request but for a cooldown, if there are any.
+fn cooling_holders(
+    traffic: &TrafficState,
+    table: &ServingTable,
+    need: &EngineNeed<'_>,
+    mut cooling: Vec<(Duration, EngineName)>,
+    now: ClockMillis,
+) -> Option<CoolingHolders> {
+    cooling.sort();
+    let (soonest, _) = cooling.first()?;
+    let until = now + *soonest;
+    let gate = traffic.shared.gate();
+    let is_adapter = need.key.is_some_and(|key| adapter_name(key).is_some());
+    let mut others = table.ready_engines(need.service);
+    let loadable = is_adapter
+        && others.any(|entry| {
+            !need.excluded.contains(&entry.name) && gate.own_verdict(entry) == GateVerdict::Open
+        });
+    let engines = cooling.into_iter().map(|(_, engine)| engine).collect();
+    Some(CoolingHolders { engines, until, loadable })
 }
 
 /// Keeps the engines that can be reached.
--- a/crates/gateway/src/entry/plain.rs
+++ b/crates/gateway/src/entry/plain.rs
@@ -9,6 +9,7 @@
     exchange::{Exchange, ExchangeEnd, REPEAT_PAUSE},
     pick::EnginePick,
 };
+use crate::gate::GateVerdict;
 
 /// The shortest and the longest time after which a client of a service without room is told to come back.
 const RETURN_TIMES: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(5));
@@ -62,13 +63,18 @@
         if has_other && self.may_send_again() {
             return None;
         }
-        let first = self.sends == 1;
+        let rests = matches!(
+            self.traffic.shared.gate().own_verdict(entry),
+            GateVerdict::Cooling(_) | GateVerdict::Departing
+        );
+        let first = self.sends == 1 && !rests;
         if first && self.may_send_again() {
             self.unreached.pop();
             tokio::time::sleep(REPEAT_PAUSE).await;
             return None;
         }
         self.note_admission(AdmissionSign::Full);
+        self.unreached.pop();
         Some(self.give_up("not_run").await)
     }
 }
--- a/crates/gateway/src/entry/preflight.rs
+++ b/crates/gateway/src/entry/preflight.rs
@@ -26,6 +26,8 @@
     KeysInDoubt,
     /// The engine is leaving, has ended, or is another incarnation.
     EngineChanged,
+    /// The engine wants no requests from this host for a while.
+    EngineCooling,
     /// The engine has named a limit, and this host has no permit.
     LimitUsed,
     /// Its time is over.
@@ -50,10 +52,15 @@
         if let Some(rejection) = self.request_rejection() {
             return Err(rejection);
         }
-        let verdict = self.traffic.shared.gate().own_verdict(entry);
-        if verdict == GateVerdict::Departing || !self.traffic.table().takes_work(entry) {
+        if !self.traffic.table().takes_work(entry) {
             return Err(SendRejection::EngineChanged);
         }
+        let shared = &self.traffic.shared;
+        match shared.gate().own_verdict(entry) {
+            GateVerdict::Open | GateVerdict::Limited => {}
+            GateVerdict::Cooling(_) => return Err(SendRejection::EngineCooling),
+            GateVerdict::Departing => return Err(SendRejection::EngineChanged),
+        }
         if !permit.use_up(self.permit_use()) {
             return Err(SendRejection::LimitUsed);
         }
@@ -64,6 +71,7 @@
             (None, _) => EngineCallKind::Repeat,
         };
         self.traffic.shared.count_engine_call(&entry.name, kind);
+        self.traffic.shared.cooldowns().sent(&entry.name, entry.born, self.traffic.now());
         self.count_send(entry);
         Ok(request)
     }
@@ -101,7 +109,9 @@
         rejection: SendRejection,
     ) -> Option<(ExchangeEnd, &'static str)> {
         let (answer, outcome) = match rejection {
-            SendRejection::EngineChanged | SendRejection::LimitUsed => return None,
+            SendRejection::EngineChanged
+            | SendRejection::EngineCooling
+            | SendRejection::LimitUsed => return None,
             SendRejection::HeldBack(time) => (OwnAnswer::held_back(time), "held_back"),
             SendRejection::KeyRefused => (NO_ORGANISATION, "key_refused"),
             SendRejection::KeysInDoubt => (KEYS_IN_DOUBT, "keys_in_doubt"),
--- a/crates/gateway/src/entry/record.rs
+++ b/crates/gateway/src/entry/record.rs
@@ -42,6 +42,7 @@
             key: self.facts.model.as_ref().map(ToString::to_string),
             engine: self.sent_to.last().map(ToString::to_string),
             limited_by: self.limited_by.as_ref().map(ToString::to_string),
+            cooling_by: self.cooling_by.as_ref().map(ToString::to_string),
             sends: self.sends,
             prompt: self.facts.prompt.tokens(),
             waited: duration_millis(self.waited),
--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use reelreel_core::fleet::{EngineEntry, queued::QueuedRequest};
+use reelreel_core::fleet::{EngineEntry, EngineName, queued::QueuedRequest};
 
 use crate::entry::{
     answer::{ENGINE_FAILED, OwnAnswer},
     exchange::{Exchange, ExchangeEnd},
+    pick::{CoolingHolders, EnginePick},
 };
 
 /// The part of the route's time below which a deadline shows that the client came back.
@@ -73,6 +74,10 @@
             let answer = OwnAnswer::refusal(text, time.clamp(FULL_PAUSE, longest));
             return self.answer(answer, "limit_used").await;
         }
+        if let Some(holders) = self.cooling.take().filter(|_| !self.may_have_run) {
+            let load = self.expects_load().then_some(retry_after);
+            return self.refuse_cooling(&holders, load).await;
+        }
         if self.may_have_run {
             return self.answer(ENGINE_FAILED, "adapter_absent").await;
         }
@@ -80,11 +85,36 @@
         self.answer(OwnAnswer::refusal(text, retry_after), "adapter_absent").await
     }
 
+    /// Refuses a request whose engines want none for a while, with the time at which the first of them is expected to take one,
+    /// or another copy to be there.
+    async fn refuse_cooling(
+        &mut self,
+        holders: &CoolingHolders,
+        load: Option<Duration>,
+    ) -> (ExchangeEnd, &'static str) {
+        let shared = &self.traffic.shared;
+        shared.metrics.cooldown_refused.inc();
+        self.cooling_by = holders.engines.first().cloned();
+        let now = self.traffic.now();
+        let turn = |engine: &EngineName| shared.cooldowns().return_time(engine, now);
+        let turn = holders.engines.first().and_then(turn);
+        let turn = turn.unwrap_or_else(|| holders.until.since(now));
+        let time = load.map_or(turn, |load| load.min(turn)).max(FULL_PAUSE);
+        let text =
+            "the engines want no requests for a while; come back after the time in Retry-After";
+        self.answer(OwnAnswer::refusal(text, time), "engines_cooling").await
+    }
+
     /// Ends a request that was not run with the time to come back, any other as unknown.
     pub(super) async fn give_up(&mut self, cause: &'static str) -> (ExchangeEnd, &'static str) {
         if self.may_have_run {
             return self.answer(ENGINE_FAILED, cause).await;
         }
+        if cause == "not_run"
+            && let EnginePick::Cooling(holders) = self.pick()
+        {
+            return self.refuse_cooling(&holders, None).await;
+        }
         let answer = match cause {
             "not_run" => OwnAnswer::refusal("the engines are full; come back later", FULL_PAUSE),
             _ => OwnAnswer::refusal("no engine takes work now; come back later", NO_ENGINE_PAUSE),
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -1,16 +1,17 @@
-//! Waiting for an engine: for an adapter that none holds yet, or for a permit of one that has named a limit.
+//! Waiting for an engine: for an adapter that none holds yet, for a permit of one that has named a limit, or for the end of a
+//! cooldown.
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use reelreel_core::fleet::{
     ModelKey, ServiceName,
-    cold::{ColdChoice, ColdRequest, LATE_WORTH},
+    cold::{ColdChoice, ColdRequest, CoolingHolder, LATE_WORTH},
 };
 
 use crate::entry::{
     TrafficState,
     exchange::{Exchange, SENT_AHEAD},
-    pick::EnginePick,
+    pick::{CoolingHolders, EnginePick},
     preflight::SendRejection,
 };
 
@@ -89,8 +90,8 @@
 }
 
 impl Exchange<'_> {
-    /// Waits until an engine may take the request, as long as that is worth it: one that holds its adapter, or one that has named a
-    /// limit and for which this host gets a permit.
+    /// Waits until an engine may take the request, as long as that is worth it: one that holds its adapter, one that has named a
+    /// limit and for which this host gets a permit, or one whose cooldown ends.
     ///
     /// A copy at an engine without a permit is none: the placer is told that the request waits, and loads another one elsewhere.
     pub async fn wait_for_engine(&mut self) -> WaitEnd {
@@ -147,13 +148,38 @@
     /// Returns whether no engine may take the request yet, and takes note of those for which it needs a permit.
     fn still_waits(&mut self) -> bool {
         match self.pick() {
-            EnginePick::Limited(engines) => self.want_permit(&engines),
-            EnginePick::Cold => self.want_permit(&[]),
+            EnginePick::Limited(engines) => {
+                self.cooling = None;
+                self.want_permit(&engines);
+            }
+            EnginePick::Cooling(holders) => {
+                self.want_permit(&[]);
+                self.wait_for_holders(holders);
+            }
+            EnginePick::Cold => {
+                self.cooling = None;
+                self.want_permit(&[]);
+            }
             EnginePick::Engine(..) | EnginePick::Nowhere => return false,
         }
         true
     }
 
+    /// Takes that the request waits for engines that want none for a while; the placer is told, so that another copy counts.
+    fn wait_for_holders(&mut self, holders: CoolingHolders) {
+        if self.cooling.is_none() {
+            self.traffic.shared.metrics.cooldown_waited.inc();
+        }
+        if holders.loadable {
+            let mut demand = self.traffic.shared.demand();
+            for engine in &holders.engines {
+                demand.not_reached(&self.service, engine);
+            }
+        }
+        self.cooling_by = holders.engines.first().cloned();
+        self.cooling = Some(holders);
+    }
+
     /// Returns whether a placer has said when the request's adapter comes.
     pub(super) fn expects_load(&self) -> bool {
         let table = self.traffic.table();
@@ -171,6 +197,10 @@
             target: self.route.target,
             remaining: self.deadline.remaining(),
             estimate,
+            cooling: self.cooling.as_ref().map(|holders| CoolingHolder {
+                time: holders.until.since(now),
+                loadable: holders.loadable,
+            }),
             reading: self.traffic.reading_time(&self.service, self.facts.prompt.tokens()),
             longest_pause: self.route.longest_pause,
             returned: self.is_returned(),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -321,6 +321,9 @@
     /// The engine that it last waited for since that has named a limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limited_by: Option<String>,
+    /// The engine whose cooldown it last waited for, or for which it was refused.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cooling_by: Option<String>,
     /// To how many engines it was sent.
     pub sends: u32,
     /// The length of its prompt. Unit: tokens.
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -3,12 +3,13 @@
 //! The choice of an engine and the preflight check of a send ask the same question, as do orders and reports. What engines
 //! may announce next becomes one more verdict.
 
-use std::sync::MutexGuard;
+use std::{sync::MutexGuard, time::Duration};
 
 use reelreel_core::{
     ClockMillis,
     fleet::{
         EngineEntry,
+        cooldown::{CooldownStanding, CooldownTable},
         departures::DepartureRegistry,
         limits::share::{LimitShare, LimitStanding, PermitUse},
     },
@@ -23,6 +24,8 @@
     Open,
     /// It takes only so many requests from all hosts together, and this host has no permit.
     Limited,
+    /// It wants no requests from this host, and is expected to take some again after this time.
+    Cooling(Duration),
     /// It is leaving.
     Departing,
 }
@@ -31,14 +34,15 @@
 pub struct EngineGate<'host> {
     limits: MutexGuard<'host, LimitShare>,
     departures: MutexGuard<'host, DepartureRegistry>,
+    cooldowns: MutexGuard<'host, CooldownTable>,
     now: ClockMillis,
 }
 
 impl SharedState {
     /// Locks what engines have announced for a moment.
     pub fn gate(&self) -> EngineGate<'_> {
-        let (limits, departures) = (self.limits(), self.departures());
-        EngineGate { limits, departures, now: self.clock.now() }
+        let (limits, departures, cooldowns) = (self.limits(), self.departures(), self.cooldowns());
+        EngineGate { limits, departures, cooldowns, now: self.clock.now() }
     }
 }
 
@@ -60,6 +64,9 @@
         if self.departures.is_departing(&entry.name, entry.born) {
             return GateVerdict::Departing;
         }
-        GateVerdict::Open
+        match self.cooldowns.standing(&entry.name, entry.born, self.now) {
+            CooldownStanding::Open => GateVerdict::Open,
+            CooldownStanding::Closed(time) => GateVerdict::Cooling(time),
+        }
     }
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -183,16 +183,21 @@
     ) {
         let now = self.clock.now();
         let (engine, born) = (&entry.name, entry.born);
-        let word = AnswerWord { said: announcements.limit, asked: sent, would_say: ran };
-        let mut wake = self.limits().answered(engine, born, word, now);
+        let mut wake = false;
         if let Declared::Present(_) = announcements.departure {
             wake |= self.departures().announced(engine, born, now);
         }
+        if !self.departures().is_departing(engine, born) {
+            let word = AnswerWord { said: announcements.limit, asked: sent, would_say: ran };
+            wake |= self.limits().answered(engine, born, word, now);
+        }
         let mut cooldowns = self.cooldowns();
         match announcements.cooldown {
             Declared::Present(cooldown) => cooldowns.requested(engine, born, cooldown, now),
             Declared::Absent | Declared::Unreadable => {
-                cooldowns.responded(engine, born, sent, ran);
+                if cooldowns.responded(engine, born, sent, ran) {
+                    self.permits_changed();
+                }
             }
         }
         drop(cooldowns);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -168,6 +168,12 @@
     pub limit_waited: Counter,
     /// Requests that were refused since there was no permit in time.
     pub limit_refused: Counter,
+    /// Requests that went to another engine while one that could run them was within a cooldown.
+    pub cooldown_diverted: Counter,
+    /// Requests that waited for the end of a cooldown, or for another copy.
+    pub cooldown_waited: Counter,
+    /// Requests that were refused since all engines that could run them were within a cooldown.
+    pub cooldown_refused: Counter,
     /// Calls to engines by what they were for.
     engine_calls: Family<EngineCallLabels, Counter>,
     /// Responses of engines with announcements, by what they announce.
@@ -230,6 +236,9 @@
             limit_diverted: Counter::default(),
             limit_waited: Counter::default(),
             limit_refused: Counter::default(),
+            cooldown_diverted: Counter::default(),
+            cooldown_waited: Counter::default(),
+            cooldown_refused: Counter::default(),
             engine_calls: Family::default(),
             announcements: Family::default(),
             rejections: Family::default(),
@@ -277,6 +286,12 @@
         registry.register("engine_announcements", help, self.announcements.clone());
         let help = "Requests that engines rejected, and whether they asked for a cooldown";
         registry.register("engine_rejections", help, self.rejections.clone());
+        let help = "Requests that went elsewhere while an engine was within a cooldown";
+        registry.register("cooldown_diverted", help, self.cooldown_diverted.clone());
+        let help = "Requests that waited for the end of a cooldown, or for another copy";
+        registry.register("cooldown_waited", help, self.cooldown_waited.clone());
+        let help = "Requests that were refused since engines were within a cooldown";
+        registry.register("cooldown_refused", help, self.cooldown_refused.clone());
         let help = "Listed engines that are leaving";
         registry.register("departing_engines", help, self.departing_engines.clone());
         let help = "Engines within a cooldown that they have asked this host for";
--- a/crates/gateway/tests/host/announcements.rs
+++ b/crates/gateway/tests/host/announcements.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    engine::FIRST_BIRTH,
+    engine::{FIRST_BIRTH, StandInEngine},
     fleet::TestFleet,
     site::{MODEL_NAME, wait_until},
 };
@@ -20,6 +20,9 @@
 /// How many requests of a host may reach an engine within a cooldown after that.
 const MOST_IN_COOLDOWN: usize = 2;
 
+/// Within which time a request is refused that no engine takes.
+const AT_ONCE: Duration = Duration::from_millis(150);
+
 /// While the store was away, hosts passed on responses of an engine which said that it leaves, and went on sending it two
 /// requests a second until its end.
 #[test]
@@ -120,3 +123,75 @@
     // What comes while the adapter is loaded elsewhere may be told to come back.
     assert!(served * 20 >= asked * 19, "{served} of {asked} are served");
 }
+
+/// A server of a plain service asks for a cooldown: requests go to the others at once.
+#[test]
+fn a_plain_server_gets_no_requests_within_a_cooldown_that_it_asked_for() {
+    let fleet = TestFleet::start("plain", 3, 3);
+    let cooling = &fleet.engines[0];
+    cooling.reject_for(Some(Duration::from_secs(2)));
+    let began = Instant::now();
+    let (served, asked) = fleet.load(20, Duration::from_secs(5));
+    assert!(cooling.requests_since(began) >= 1, "it rejected a request");
+    let most = cooling.most_requests_in_a_cooldown(COOLDOWN_GRACE);
+    assert!(most <= MOST_IN_COOLDOWN, "{most} requests of one host within a cooldown");
+    assert_eq!(served, asked, "the others have room for everything");
+}
+
+/// Requests were held for 1.3 s and sent to each engine in turn again and again while all of them rejected everything.
+#[test]
+fn where_all_engines_are_within_a_cooldown_requests_are_refused_at_once() {
+    for service in ["assist", "plain"] {
+        let fleet = TestFleet::start(service, 3, 2);
+        for engine in &fleet.engines {
+            engine.reject_for(Some(Duration::from_secs(3)));
+        }
+        let (served, _) = fleet.load(20, Duration::from_secs(2));
+        assert_eq!(served, 0);
+        for engine in &fleet.engines {
+            let most = engine.most_requests_in_a_cooldown(COOLDOWN_GRACE);
+            assert!(most <= MOST_IN_COOLDOWN, "{service}: {most} requests within a cooldown");
+        }
+        let began = Instant::now();
+        let response = fleet.post(&fleet.hosts[0], "late");
+        assert!(began.elapsed() < AT_ONCE, "{service}: refused after {:?}", began.elapsed());
+        let told = retry_after(&response).expect("a time to come back");
+        let ends = fleet.engines.iter().filter_map(StandInEngine::cooldowns_end).min();
+        let left = ends.expect("a cooldown").saturating_duration_since(began);
+        assert!(told + COOLDOWN_GRACE >= left, "{service}: told {told:?}, {left:?} are left");
+    }
+}
+
+/// An engine whose cooldown ends is probed with one request of each host, and used as any other once it accepts them.
+#[test]
+fn an_engine_returns_from_a_cooldown_without_a_rush() {
+    let fleet = TestFleet::start("plain", 2, 4);
+    let cooling = &fleet.engines[0];
+    let cooldown = Duration::from_secs(1);
+    cooling.reject_for(Some(cooldown));
+    fleet.load(20, Duration::from_secs(1));
+    let most = cooling.most_requests_within(Duration::from_millis(900));
+    assert!(most <= 2 * fleet.hosts.len(), "{most} requests of four hosts within one cooldown");
+    cooling.reject_for(None);
+    let (served, asked) = fleet.load(20, Duration::from_secs(4));
+    assert_eq!(served, asked);
+    let last = cooling.cooldowns_end().expect("a cooldown") + Duration::from_secs(2);
+    assert!(cooling.requests_since(last) >= 20, "it is used as the other one");
+}
+
+/// A cooldown that can't be read has no effect beyond the rejection.
+#[test]
+fn an_unreadable_cooldown_has_no_effect() {
+    let fleet = TestFleet::start("plain", 1, 1);
+    fleet.engines[0].reject_with("soon");
+    let began = Instant::now();
+    fleet.load(20, Duration::from_secs(1));
+    assert!(fleet.engines[0].requests_since(began) >= 3, "it is asked again");
+    assert_eq!(fleet.hosts[0].shared.metrics.cooling_engines.get(), 0);
+}
+
+/// Returns the time after which a client is told to come back.
+fn retry_after(response: &str) -> Option<Duration> {
+    let line = response.lines().find_map(|line| line.strip_prefix("Retry-After: "))?;
+    line.trim().parse().ok().map(Duration::from_secs_f64)
+}
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -65,8 +65,8 @@
     limit: Option<(String, usize)>,
     /// What it says of its departure.
     leaving: Option<String>,
-    /// For how long it wants no requests from a host that sends one, and rejects them.
-    cooldown: Option<Duration>,
+    /// What it says of a cooldown while it rejects requests. Unit: seconds.
+    cooldown: Option<String>,
     /// When each host was first told that it leaves.
     told_leaving: BTreeMap<String, Instant>,
     /// The cooldowns that each host was asked for: from when on, and until when.
@@ -195,7 +195,13 @@
 
     /// Rejects requests from now on and asks for a cooldown each time, or accepts them again.
     pub(crate) fn reject_for(&self, cooldown: Option<Duration>) {
-        self.lock().cooldown = cooldown;
+        let text = cooldown.map(|cooldown| cooldown.as_secs_f64().to_string());
+        self.lock().cooldown = text;
+    }
+
+    /// Rejects requests from now on and says this of a cooldown.
+    pub(crate) fn reject_with(&self, cooldown: &str) {
+        self.lock().cooldown = Some(cooldown.to_owned());
     }
 
     /// Returns how many requests of a host reached it later than `bound` after that host was told that it leaves.
@@ -225,6 +231,20 @@
         state.cooldowns.iter().map(within).max().unwrap_or_default()
     }
 
+    /// Returns when its last cooldown ends.
+    pub(crate) fn cooldowns_end(&self) -> Option<Instant> {
+        self.lock().cooldowns.iter().map(|(_, _, until)| *until).max()
+    }
+
+    /// Returns the most requests that reached it within a time.
+    pub(crate) fn most_requests_within(&self, time: Duration) -> usize {
+        let requests = self.lock().requests.clone();
+        let within = |(_, first): &(String, Instant)| {
+            requests.iter().filter(|(_, at)| at >= first && *at < *first + time).count()
+        };
+        requests.iter().map(within).max().unwrap_or_default()
+    }
+
     /// Returns how many requests reached it from `from` on.
     pub(crate) fn requests_since(&self, from: Instant) -> usize {
         self.lock().requests.iter().filter(|(_, arrived)| *arrived >= from).count()
@@ -305,7 +325,8 @@
         if self.leaving.is_some() {
             self.told_leaving.entry(host.to_owned()).or_insert(now);
         }
-        if let Some(cooldown) = self.cooldown {
+        let cooldown = self.cooldown.as_ref().and_then(|seconds| seconds.parse().ok());
+        if let Some(cooldown) = cooldown.map(Duration::from_secs_f64) {
             self.cooldowns.push((host.to_owned(), now, now + cooldown));
         }
     }
@@ -352,9 +373,8 @@
         drop(locked);
         return connection.answer(421, &format!("{REQUEST}: {id}\r\n{limit}"), "");
     }
-    if let Some(cooldown) = locked.cooldown {
+    if let Some(seconds) = locked.cooldown.clone() {
         drop(locked);
-        let seconds = cooldown.as_secs_f64();
         let head = format!("{REQUEST}: {id}\r\n{NOT_RUN}: 1\r\n{COOLDOWN}: {seconds}\r\n{limit}");
         return connection.answer(503, &head, "");
     }
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -124,6 +124,7 @@
             key: Some(String::from("m/a1")),
             engine: Some(engine()),
             limited_by: Some(engine()),
+            cooling_by: Some(engine()),
             sends: 1,
             prompt: 1,
             waited: 1,
