--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -9,8 +9,10 @@
 use reelreel_core::{
     StorePosition,
     fleet::{
-        EngineEntry, ModelKey, WeightVersion, announcement::EngineAnnouncements,
-        prompt::PromptFacts, routes::RouteTable,
+        EngineEntry, ModelKey, WeightVersion,
+        announcement::{Cooldown, Declared, EngineAnnouncements},
+        prompt::PromptFacts,
+        routes::RouteTable,
     },
     id::{FenceToken, GroupGeneration, StoreEra},
     organisation::key::PresentedKey,
@@ -110,6 +112,8 @@
     pub misdirected: bool,
     /// Whether the engine itself made the answer.
     pub signed: bool,
+    /// The version of the weights that the engine ran the request on.
+    pub version: Declared<WeightVersion>,
     /// What the engine announces about itself.
     pub announcements: EngineAnnouncements,
 }
@@ -228,6 +232,9 @@
 
 /// Translates between the host and the platform's store.
 pub trait StoreDialect: Send + Sync {
+    /// Reads how long the store wants no calls from this host, where a refusal says so.
+    fn cooldown(&self, answer: &CallAnswer) -> Option<Cooldown>;
+
     /// Reads the era of the store that every answer of it carries, refusals too; zero where it carries none.
     fn era(&self, answer: &CallAnswer) -> StoreEra;
 
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -134,7 +134,7 @@
             return SendEnd::Failed;
         };
         self.note_announcements(entry, &answer, began);
-        self.take_answer(lease, answer, began).await
+        self.take_answer(lease, answer, began, version).await
     }
 
     async fn take_answer(
@@ -142,6 +142,7 @@
         mut lease: EngineLease,
         mut answer: EngineAnswer,
         began: ClockMillis,
+        version: Option<WeightVersion>,
     ) -> SendEnd {
         let entry = Arc::clone(&lease.entry);
         if answer.facts.not_run || answer.facts.misdirected {
@@ -155,8 +156,9 @@
         self.may_have_run = true;
         let promises = matches!(answer.head.status, 408 | 421 | 429 | 503);
         let success = (200..300).contains(&answer.head.status);
-        if promises || (success && !answer.facts.signed) {
-            // The status would promise, or claim, what the engine did not.
+        let other = self.ran_on_other(&entry, &answer, version);
+        if promises || (success && (!answer.facts.signed || other)) {
+            // The status would promise, or claim, what the engine did not, or the answer is of other weights.
             lease.close();
             self.note(&entry, EngineOutcome::Broken);
             return SendEnd::Failed;
@@ -188,6 +190,21 @@
         SendEnd::Over(end, "answered")
     }
 
+    /// Returns whether an engine ran the request on another version of the weights than it was asked to.
+    pub(super) fn ran_on_other(
+        &self,
+        entry: &EngineEntry,
+        answer: &EngineAnswer,
+        asked: Option<WeightVersion>,
+    ) -> bool {
+        let (Some(asked), Some(ran)) = (asked, answer.facts.version.value()) else { return false };
+        if asked != ran {
+            self.traffic.shared.metrics.other_versions.inc();
+            log::warn!("{} ran version {ran} where {asked} was asked for; dropped", entry.name);
+        }
+        asked != ran
+    }
+
     /// Returns what the request asks of a connection; `fresh` for one that was used just now or is new.
     pub fn connect_terms(&self, fresh: bool) -> ConnectTerms {
         ConnectTerms { fresh, key: self.facts.model.clone(), unread: self.facts.prompt.tokens() }
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -322,7 +322,11 @@
             self.note_announcements(&entry, answer, now);
         }
         match answer {
-            Some(Ok(answer)) if answer.head.status == 200 && answer.facts.signed => {
+            Some(Ok(answer))
+                if answer.head.status == 200
+                    && answer.facts.signed
+                    && !self.ran_on_other(&entry, &answer, version) =>
+            {
                 Some((lease, answer, now))
             }
             Some(Err(_)) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -174,6 +174,8 @@
     pub cooldown_waited: Counter,
     /// Requests that were refused since all engines that could run them were within a cooldown.
     pub cooldown_refused: Counter,
+    /// Answers on another version of weights than was asked for, which no caller got.
+    pub other_versions: Counter,
     /// Calls to engines by what they were for.
     engine_calls: Family<EngineCallLabels, Counter>,
     /// Responses of engines with announcements, by what they announce.
@@ -239,6 +241,7 @@
             cooldown_diverted: Counter::default(),
             cooldown_waited: Counter::default(),
             cooldown_refused: Counter::default(),
+            other_versions: Counter::default(),
             engine_calls: Family::default(),
             announcements: Family::default(),
             rejections: Family::default(),
@@ -292,6 +295,8 @@
         registry.register("cooldown_waited", help, self.cooldown_waited.clone());
         let help = "Requests that were refused since engines were within a cooldown";
         registry.register("cooldown_refused", help, self.cooldown_refused.clone());
+        let help = "Answers on another version of weights than was asked for, which were dropped";
+        registry.register("other_versions", help, self.other_versions.clone());
         let help = "Listed engines that are leaving";
         registry.register("departing_engines", help, self.departing_engines.clone());
         let help = "Engines within a cooldown that they have asked this host for";
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -9,7 +9,7 @@
 
 use prometheus_client::metrics::counter::Counter;
 use reelreel_core::id::StoreEra;
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 
 use crate::{
     border::{BorderError, CallAnswer, CallRequest, StoreDialect},
@@ -30,6 +30,9 @@
 /// The longest pause of a task that is woken.
 const LONGEST_WOKEN_PAUSE: Duration = Duration::from_secs(6);
 
+/// The longest cooldown of the store that is honoured at a time: a lease that is not renewed for longer passes on.
+const LONGEST_COOLDOWN: Duration = Duration::from_secs(1);
+
 /// How logs name the store where it told of its era itself.
 const STORE_TELLS: &str = "store";
 
@@ -63,6 +66,8 @@
     client: CallClient,
     calls: Counter,
     eras: StoreEras,
+    /// Before which moment the store wants no call.
+    not_before: Option<Instant>,
 }
 
 impl StoreClient {
@@ -73,7 +78,7 @@
         calls: Counter,
         eras: StoreEras,
     ) -> Self {
-        Self { dialect, client: CallClient::new(address), calls, eras }
+        Self { dialect, client: CallClient::new(address), calls, eras, not_before: None }
     }
 
     /// Returns what translates the calls.
@@ -86,8 +91,14 @@
         request: &CallRequest,
         patience: Duration,
     ) -> Result<CallAnswer, StoreError> {
+        if let Some(moment) = self.not_before.take() {
+            tokio::time::sleep_until(moment).await;
+        }
         self.calls.inc();
         let answer = self.client.call(request, patience).await?;
+        let cooldown = self.dialect.cooldown(&answer);
+        self.not_before =
+            cooldown.map(|cooldown| Instant::now() + cooldown.time().min(LONGEST_COOLDOWN));
         let told = self.dialect.era(&answer);
         match self.eras.hear(told, STORE_TELLS) {
             EraWord::Newest => Ok(answer),
--- a/crates/gateway/tests/host/announcements.rs
+++ b/crates/gateway/tests/host/announcements.rs
@@ -1,11 +1,14 @@
 //! Engines that announce in their responses that they leave, or that they want no requests for a while.
 
-use std::time::{Duration, Instant};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use crate::{
     engine::{FIRST_BIRTH, StandInEngine},
     fleet::TestFleet,
-    site::{MODEL_NAME, wait_until},
+    site::{MODEL_NAME, TestSite, wait_until},
 };
 
 /// Within which time after a host was told of a departure it must send the engine nothing more.
@@ -190,6 +193,47 @@
     assert_eq!(fleet.hosts[0].shared.metrics.cooling_engines.get(), 0);
 }
 
+/// An answer of other weights than were asked for reaches no caller, whatever the engine takes the version to be.
+#[test]
+fn an_answer_on_another_version_than_was_asked_for_reaches_no_caller() {
+    let fleet = TestFleet::start("assist", 2, 1);
+    fleet.site.store.put("configuration", &format!("version:{MODEL_NAME}"), "1");
+    fleet.engines[0].run_on_version(2);
+    fleet.engines[1].run_on_version(1);
+    let host = &fleet.hosts[0];
+    let dropped = || host.shared.metrics.other_versions.get() > 0;
+    wait_until("an answer is dropped", || {
+        fleet.post(host, "drops");
+        dropped()
+    });
+    for number in 0..20 {
+        let response = fleet.post(host, &format!("version-{number}"));
+        let status = response.lines().next().unwrap_or_default();
+        let served = status.starts_with("HTTP/1.1 200");
+        assert!(served || status.starts_with("HTTP/1.1 502"), "{status}");
+        assert!(!response.contains("X-Version: 2"), "{response}");
+    }
+}
+
+/// A store in need says how long it wants no calls.
+#[test]
+fn the_store_gets_no_calls_within_a_cooldown_that_it_asked_for() {
+    let site = TestSite::start();
+    let host = site.host("store-cooldown");
+    site.store.refuse_with("0.9");
+    // Calls that are held end now.
+    thread::sleep(Duration::from_millis(200));
+    let before = site.store.calls();
+    thread::sleep(Duration::from_millis(600));
+    let calls = site.store.calls() - before;
+    site.store.refuse(false);
+    assert!(calls <= 1, "{calls} calls within one cooldown");
+    wait_until("the store is read again", || {
+        site.store.put("configuration", "routes", "2");
+        host.get("/late/a", "X-Request: late\r\n").starts_with("HTTP/1.1 200")
+    });
+}
+
 /// Returns the time after which a client is told to come back.
 fn retry_after(response: &str) -> Option<Duration> {
     let line = response.lines().find_map(|line| line.strip_prefix("Retry-After: "))?;
--- a/crates/gateway/tests/host/dialect.rs
+++ b/crates/gateway/tests/host/dialect.rs
@@ -38,6 +38,7 @@
 pub(crate) const RANK: &str = "X-Rank";
 pub(crate) const ERA: &str = "X-Era";
 pub(crate) const LIMIT: &str = "X-Limit";
+pub(crate) const VERSION: &str = "X-Version";
 pub(crate) const LEAVING: &str = "X-Leaving";
 pub(crate) const COOLDOWN: &str = "X-Cooldown";
 /// The host that a test sent a request to; it is passed on to engines as any field of a client.
@@ -87,6 +88,7 @@
             not_run: head.fields.text(NOT_RUN).is_some(),
             misdirected: head.status == 421,
             signed: head.fields.text(RUN_BY).is_some(),
+            version: declared(head, VERSION, |text| text.parse().ok()),
             announcements: self.announcements(head),
         }
     }
@@ -213,6 +215,10 @@
         told.and_then(|era| era.parse().ok()).unwrap_or_default()
     }
 
+    fn cooldown(&self, answer: &CallAnswer) -> Option<Cooldown> {
+        declared(&answer.head, COOLDOWN, |text| Cooldown::from_seconds(text.parse().ok()?)).value()
+    }
+
     fn newest(&self, topic: KeyedTopic, after: Option<&str>) -> CallRequest {
         let target = format!("/newest/{}/{}", topic_name(topic), after.unwrap_or_default());
         call("GET", target, &Value::Null)
@@ -287,6 +293,9 @@
         let malformed = || BorderError::Configuration(record.key.clone());
         let text = std::str::from_utf8(&record.value).map_err(|_| malformed())?;
         let revision: u64 = text.parse().map_err(|_| malformed())?;
+        if let Some(key) = record.key.strip_prefix("version:") {
+            return Ok(ConfigurationRecord::Version(Arc::from(key), revision));
+        }
         let routes = self.routes.get(&revision).ok_or_else(malformed)?;
         Ok(ConfigurationRecord::Routes(Arc::clone(routes)))
     }
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -13,6 +13,7 @@
 
 use crate::dialect::{
     AFTER, COOLDOWN, DEADLINE, ENGINE, ENTERED, LEAVING, LIMIT, MODEL, NOT_RUN, REQUEST, RUN_BY,
+    VERSION,
 };
 
 /// How an engine treats the next requests.
@@ -63,6 +64,8 @@
     deadly: Vec<Vec<u8>>,
     /// What it says of the requests that it takes, and in every how many answers.
     limit: Option<(String, usize)>,
+    /// The version of the weights that it says it ran requests on.
+    version: Option<u64>,
     /// What it says of its departure.
     leaving: Option<String>,
     /// What it says of a cooldown while it rejects requests. Unit: seconds.
@@ -188,6 +191,11 @@
         self.lock().leaving = Some(value.to_owned());
     }
 
+    /// Says in each response from now on that it ran the request on this version of the weights.
+    pub(crate) fn run_on_version(&self, version: u64) {
+        self.lock().version = Some(version);
+    }
+
     /// Says nothing of its departure any more.
     pub(crate) fn withdraw_announcements(&self) {
         self.lock().leaving = None;
@@ -314,8 +322,9 @@
         let named =
             self.limit.as_ref().filter(|(_, every)| self.calls.len().is_multiple_of(*every));
         let limit = named.map_or_else(String::new, |(limit, _)| format!("{LIMIT}: {limit}\r\n"));
-        let leaving = self.leaving.as_ref();
-        limit + &leaving.map_or_else(String::new, |value| format!("{LEAVING}: {value}\r\n"))
+        let leaving = self.leaving.as_ref().map(|value| format!("{LEAVING}: {value}\r\n"));
+        let version = self.version.map(|version| format!("{VERSION}: {version}\r\n"));
+        limit + &leaving.unwrap_or_default() + &version.unwrap_or_default()
     }
 
     /// Counts a request, and what its host is told with the answer.
--- a/crates/gateway/tests/host/store.rs
+++ b/crates/gateway/tests/host/store.rs
@@ -14,7 +14,7 @@
 use reelreel_stand_ins::connection::{ServedConnection, ServedRequest, serve};
 use serde_json::{Value, json};
 
-use crate::dialect::ERA;
+use crate::dialect::{COOLDOWN, ERA};
 
 const PARTITIONS: u32 = 4;
 
@@ -79,6 +79,8 @@
     members: BTreeMap<String, Instant>,
     generation: u64,
     refuses: bool,
+    /// What it says of a cooldown when it refuses a call. Unit: seconds.
+    cooldown: Option<&'static str>,
     hangs: bool,
     calls: u64,
     joins: Vec<Instant>,
@@ -180,6 +182,12 @@
         self.state.1.notify_all();
     }
 
+    /// Makes the store refuse every call, and say this of a cooldown.
+    pub(crate) fn refuse_with(&self, cooldown: &'static str) {
+        self.lock().cooldown = Some(cooldown);
+        self.refuse(true);
+    }
+
     /// Makes the store take calls and answer none, or answer again; calls that hung are never answered.
     pub(crate) fn hang(&self, hangs: bool) {
         self.lock().hangs = hangs;
@@ -293,8 +301,11 @@
             thread::sleep(NEVER);
             return;
         }
-        let era = format!("{ERA}: {era}\r\n");
-        if connection.answer(status, &era, &body.to_string()).is_none() {
+        let cooldown = state.0.lock().unwrap_or_else(PoisonError::into_inner).cooldown;
+        let cooldown = cooldown.filter(|_| status == 503);
+        let cooldown = cooldown.map(|seconds| format!("{COOLDOWN}: {seconds}\r\n"));
+        let fields = format!("{ERA}: {era}\r\n{}", cooldown.unwrap_or_default());
+        if connection.answer(status, &fields, &body.to_string()).is_none() {
             return;
         }
     }
