--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -112,7 +112,7 @@
     pub misdirected: bool,
     /// Whether the engine itself made the answer.
     pub signed: bool,
-    /// The version of the weights that the engine ran the request on.
+    /// The version of the base model that the engine ran the request on; it says nothing of an adapter's.
     pub version: Declared<WeightVersion>,
     /// What the engine announces about itself.
     pub announcements: EngineAnnouncements,
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -6,7 +6,7 @@
 use reelreel_core::{
     ClockMillis,
     fleet::{
-        EngineEntry, WeightVersion,
+        EngineEntry, WeightVersion, adapter_name,
         admission::AdmissionSign,
         announcement::{Declared, EngineAnnouncements},
         condition::EngineOutcome,
@@ -190,14 +190,17 @@
         SendEnd::Over(end, "answered")
     }
 
-    /// Returns whether an engine ran the request on another version of the weights than it was asked to.
+    /// Returns whether an engine ran a request for a base model on another version than it was asked to.
     pub(super) fn ran_on_other(
         &self,
         entry: &EngineEntry,
         answer: &EngineAnswer,
         asked: Option<WeightVersion>,
     ) -> bool {
-        let (Some(asked), Some(ran)) = (asked, answer.facts.version.value()) else { return false };
+        let names_adapter =
+            self.facts.model.as_ref().is_some_and(|key| adapter_name(key).is_some());
+        let ran = answer.facts.version.value().filter(|_| !names_adapter);
+        let (Some(asked), Some(ran)) = (asked, ran) else { return false };
         if asked != ran {
             self.traffic.shared.metrics.other_versions.inc();
             log::warn!("{} ran version {ran} where {asked} was asked for; dropped", entry.name);
--- a/crates/gateway/tests/host/announcements.rs
+++ b/crates/gateway/tests/host/announcements.rs
@@ -215,6 +215,21 @@
     }
 }
 
+/// What an engine says of its base model's version is no version of an adapter: answers were dropped for it.
+#[test]
+fn the_version_of_the_base_model_says_nothing_of_an_adapter() {
+    let mut fleet = TestFleet::start("assist", 2, 1);
+    fleet.load_rare_adapter();
+    fleet.site.store.put("configuration", &format!("version:{MODEL_NAME}/rare"), "1");
+    for engine in &fleet.engines {
+        engine.run_on_version(7);
+    }
+    thread::sleep(Duration::from_millis(200));
+    let (served, asked) = fleet.load(20, Duration::from_secs(1));
+    assert_eq!(served, asked);
+    assert_eq!(fleet.hosts[0].shared.metrics.other_versions.get(), 0);
+}
+
 /// A store in need says how long it wants no calls.
 #[test]
 fn the_store_gets_no_calls_within_a_cooldown_that_it_asked_for() {
