--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -36,11 +36,11 @@
 pub type EngineBirth = u64;
 
 /// The birth of an engine that does not say when it began.
-pub const UNTOLD_BIRTH: EngineBirth = 0;
+pub const UNKNOWN_BIRTH: EngineBirth = 0;
 
 /// Returns whether two births are of one life, as far as both are told.
-pub const fn is_same_life(one: EngineBirth, other: EngineBirth) -> bool {
-    one == other || one == UNTOLD_BIRTH || other == UNTOLD_BIRTH
+pub const fn is_same_incarnation(one: EngineBirth, other: EngineBirth) -> bool {
+    one == other || one == UNKNOWN_BIRTH || other == UNKNOWN_BIRTH
 }
 
 /// Names a service.
@@ -103,6 +103,6 @@
 impl EngineEntry {
     /// Returns whether a life that began at `born` is this one, as far as both say when they began.
     pub const fn is_life(&self, born: EngineBirth) -> bool {
-        is_same_life(self.born, born)
+        is_same_incarnation(self.born, born)
     }
 }
--- a/crates/core/src/fleet/cooldown.rs
+++ b/crates/core/src/fleet/cooldown.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock::ClockMillis,
-    fleet::{EngineBirth, EngineName, announcement::Cooldown, is_same_life},
+    fleet::{EngineBirth, EngineName, announcement::Cooldown, is_same_incarnation},
 };
 
 /// From how many probes at a time on an engine is no longer restricted.
@@ -108,7 +108,7 @@
     ) {
         let new = || EngineCooldown::new(born, now);
         let known = self.engines.entry(Arc::clone(engine)).or_insert_with(new);
-        if !is_same_life(known.born, born) {
+        if !is_same_incarnation(known.born, born) {
             *known = new();
         }
         if known.requests == 0 {
@@ -126,7 +126,7 @@
 
     /// Returns whether a request may go to an engine.
     pub fn standing(&self, engine: &str, born: EngineBirth, now: ClockMillis) -> CooldownStanding {
-        let known = self.engines.get(engine).filter(|known| is_same_life(known.born, born));
+        let known = self.engines.get(engine).filter(|known| is_same_incarnation(known.born, born));
         let closed = known.and_then(|known| known.closed_for(now));
         closed.map_or(CooldownStanding::Open, CooldownStanding::Closed)
     }
@@ -134,7 +134,7 @@
     /// Takes that a request is sent to an engine.
     pub fn sent(&mut self, engine: &str, born: EngineBirth, now: ClockMillis) {
         if let Some(known) = self.engines.get_mut(engine)
-            && is_same_life(known.born, born)
+            && is_same_incarnation(known.born, born)
         {
             known.probes.retain(|sent| now.since(*sent) < PROBE_PATIENCE);
             known.probes.push_back(now);
@@ -151,7 +151,7 @@
         accepted: bool,
     ) -> bool {
         let Some(known) = self.engines.get_mut(engine) else { return false };
-        if !is_same_life(known.born, born) || sent < known.until {
+        if !is_same_incarnation(known.born, born) || sent < known.until {
             return false;
         }
         known.probes.pop_front();
@@ -184,7 +184,7 @@
     pub fn retain(&mut self, listed: impl Fn(&str) -> Option<EngineBirth>, now: ClockMillis) {
         let over = |engine: &str, known: &EngineCooldown| {
             now.since(known.until) >= RECOVERY_RETENTION
-                || listed(engine).is_none_or(|born| !is_same_life(known.born, born))
+                || listed(engine).is_none_or(|born| !is_same_incarnation(known.born, born))
         };
         let known = self.engines.iter().filter(|(engine, known)| over(engine, known));
         let ended: Vec<EngineName> = known.map(|(engine, _)| Arc::clone(engine)).collect();
--- a/crates/core/src/fleet/departures.rs
+++ b/crates/core/src/fleet/departures.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock::ClockMillis,
-    fleet::{EngineBirth, EngineName, is_same_life},
+    fleet::{EngineBirth, EngineName, is_same_incarnation},
 };
 
 /// How long the departure of an engine that is not listed is remembered.
@@ -109,7 +109,7 @@
         now: ClockMillis,
     ) -> bool {
         let known = self.departures.entry(Arc::clone(engine)).or_default();
-        if known.iter().any(|known| is_same_life(known.born, born)) {
+        if known.iter().any(|known| is_same_incarnation(known.born, born)) {
             return false;
         }
         let pending = source == DepartureSource::Response;
@@ -123,7 +123,7 @@
     /// Returns whether an incarnation of an engine is leaving.
     pub fn is_departing(&self, engine: &str, born: EngineBirth) -> bool {
         let known = self.departures.get(engine);
-        known.is_some_and(|known| known.iter().any(|known| is_same_life(known.born, born)))
+        known.is_some_and(|known| known.iter().any(|known| is_same_incarnation(known.born, born)))
     }
 
     /// Returns how many of the listed incarnations are leaving; `listed` returns the one that is listed.
@@ -140,7 +140,7 @@
         self.departures.retain(|engine, known| {
             let present = listed(engine);
             known.retain(|known| {
-                present.is_some_and(|born| is_same_life(known.born, born))
+                present.is_some_and(|born| is_same_incarnation(known.born, born))
                     || now.since(known.announced) < UNLISTED_RETENTION
             });
             !known.is_empty()
--- a/crates/core/src/fleet/limits/engine_share.rs
+++ b/crates/core/src/fleet/limits/engine_share.rs
@@ -5,42 +5,42 @@
 use crate::{
     clock::ClockMillis,
     fleet::{
-        EngineBirth, EngineName, is_same_life,
+        EngineBirth, EngineName, is_same_incarnation,
         limits::{
             bucket::TokenBucket,
             limit::RequestLimit,
+            report::{LimitReport, LimitState, PermitDemand},
             share::PermitUse,
-            word::{LimitState, LimitWord, PermitAsk},
         },
     },
 };
 
-/// How often an ask is said again that still holds: the ledger forgets it after three times as long.
-const ASK_RENEWAL: Duration = Duration::from_millis(500);
+/// How often an unchanged demand is resent: the ledger drops it after three times as long.
+const DEMAND_RENEWAL: Duration = Duration::from_millis(500);
 
 /// How long a wish holds, until its permit comes: an engine that was preferred once may not be the next time.
 const WISH_HOLDS: Duration = Duration::from_millis(250);
 
-/// The least time between two asks for an engine that only wish: nobody waits for them.
+/// The least time between two demands for an engine for which no request waits.
 const WISH_PAUSE: Duration = Duration::from_millis(250);
 
 /// What this host knows of one engine's limit.
 #[derive(Debug, Clone)]
 pub(super) struct EngineShare {
     pub(super) born: EngineBirth,
-    /// What the engine named last.
+    /// The limit that the engine declared last.
     pub(super) limit: RequestLimit,
-    /// Whether it has named none since.
+    /// Whether it has declared none since.
     pub(super) ended: bool,
-    /// When the answer began that said so.
+    /// When the response began that declared it.
     pub(super) said: ClockMillis,
-    /// When what that answered was sent.
+    /// When the request of that response was sent.
     pub(super) asked: ClockMillis,
-    /// When this host itself last had an answer that named it. How long ago the ledger's words were said is known less well: time
-    /// that they spend on their way is not counted.
+    /// When this host itself last received a response that declared it. The age of the ledger's reports is known less well: their
+    /// time in transit is not counted.
     pub(super) named_here: Option<ClockMillis>,
-    /// Whether the ledger is to hear of it.
-    pub(super) untold: bool,
+    /// Whether the ledger has to receive it.
+    pub(super) pending: bool,
     /// Until when each permit may be used.
     pub(super) permits: VecDeque<ClockMillis>,
     pub(super) resumed: u32,
@@ -48,12 +48,13 @@
     pub(super) wished: Option<ClockMillis>,
     pub(super) got: u64,
     pub(super) unused: u64,
-    pub(super) unasked: u64,
-    pub(super) told: PermitAsk,
-    pub(super) told_at: ClockMillis,
-    /// When the ledger expects a permit for the last one that waits.
+    pub(super) unpermitted: u64,
+    /// The demand that was sent last.
+    pub(super) sent: PermitDemand,
+    pub(super) sent_at: ClockMillis,
+    /// When the ledger expects a permit for the last request that waits.
     pub(super) due: Option<ClockMillis>,
-    /// For when the last client was told to come back that found no permit.
+    /// The time of return that the last rejected client was given.
     pub(super) returns: Option<ClockMillis>,
     /// What this host may use where it stands in for the ledger.
     pub(super) alone: Option<TokenBucket>,
@@ -68,46 +69,51 @@
             said,
             asked: said,
             named_here: None,
-            untold: true,
+            pending: true,
             permits: VecDeque::new(),
             resumed: 0,
             waiting: 0,
             wished: None,
             got: 0,
             unused: 0,
-            unasked: 0,
-            told: PermitAsk::default(),
-            told_at: ClockMillis::default(),
+            unpermitted: 0,
+            sent: PermitDemand::default(),
+            sent_at: ClockMillis::default(),
             due: None,
             returns: None,
             alone: None,
         }
     }
 
-    pub(super) const fn is_life(&self, born: EngineBirth) -> bool {
-        is_same_life(self.born, born)
+    pub(super) const fn is_incarnation(&self, born: EngineBirth) -> bool {
+        is_same_incarnation(self.born, born)
     }
 
-    /// Takes the place of what was known of an earlier life; requests that wait go on waiting.
-    pub(super) fn begin_life(&mut self, born: EngineBirth, limit: RequestLimit, said: ClockMillis) {
-        let Self { resumed, waiting, got, unused, unasked, .. } = *self;
-        *self = Self { resumed, waiting, got, unused, unasked, ..Self::new(born, limit, said) };
+    /// Replaces the state of an earlier incarnation; requests that wait go on waiting.
+    pub(super) fn begin_incarnation(
+        &mut self,
+        born: EngineBirth,
+        limit: RequestLimit,
+        said: ClockMillis,
+    ) {
+        let Self { resumed, waiting, got, unused, unpermitted, .. } = *self;
+        *self = Self { resumed, waiting, got, unused, unpermitted, ..Self::new(born, limit, said) };
     }
 
-    /// Takes for true what the ledger says, which need not hear it again.
-    pub(super) fn take_word(&mut self, word: &LimitWord, now: ClockMillis) {
-        (self.limit, self.ended) = (word.limit, word.state != LimitState::Named);
-        (self.said, self.asked) = (now - word.said_ago, now - word.asked_ago);
-        self.untold = false;
+    /// Applies a report of the ledger, which need not receive it back.
+    pub(super) fn apply(&mut self, report: &LimitReport, now: ClockMillis) {
+        (self.limit, self.ended) = (report.limit, report.state != LimitState::Named);
+        (self.said, self.asked) = (now - report.said_ago, now - report.asked_ago);
+        self.pending = false;
     }
 
-    /// Makes word and ask be told once more, as to a ledger that knows nothing of the engine.
-    pub(super) fn tell_anew(&mut self) {
-        self.untold = true;
-        self.told = PermitAsk::default();
+    /// Marks the limit and its pending demand as unsent, so that the next report includes both.
+    pub(super) fn resend(&mut self) {
+        self.pending = true;
+        self.sent = PermitDemand::default();
     }
 
-    /// Returns whether this host itself has heard no limit since a word of the ledger was said.
+    /// Returns whether this host itself has received no limit since a report of the ledger.
     pub(super) fn is_older_than(&self, said: ClockMillis) -> bool {
         self.named_here.is_none_or(|named| said >= named)
     }
@@ -129,13 +135,13 @@
         }
     }
 
-    /// Returns whether anybody here would use one more permit.
+    /// Returns whether a request of this host would use one more permit.
     pub(super) fn wants_permit(&self, now: ClockMillis) -> bool {
-        let ask = self.ask(now);
-        ask.resumed > 0 || ask.waiting > 0 || ask.wished
+        let demand = self.demand(now);
+        demand.resumed > 0 || demand.waiting > 0 || demand.wished
     }
 
-    pub(super) fn ask(&self, now: ClockMillis) -> PermitAsk {
+    pub(super) fn demand(&self, now: ClockMillis) -> PermitDemand {
         let mut permits = u32::try_from(self.permits.len()).unwrap_or(u32::MAX);
         let [resumed, waiting] = [self.resumed, self.waiting].map(|wanted| {
             let covered = wanted.min(permits);
@@ -143,28 +149,28 @@
             wanted - covered
         });
         let wished = self.wished.is_some_and(|wished| now.since(wished) < WISH_HOLDS);
-        let Self { got, unused, unasked, .. } = *self;
-        PermitAsk { resumed, waiting, wished: wished && permits == 0, got, unused, unasked }
+        let Self { got, unused, unpermitted, .. } = *self;
+        PermitDemand { resumed, waiting, wished: wished && permits == 0, got, unused, unpermitted }
     }
 
-    /// Returns the ask if it is due to be told.
-    pub(super) fn due_ask(&self, now: ClockMillis) -> Option<PermitAsk> {
-        let ask = self.ask(now);
-        let waits = ask.resumed > 0 || ask.waiting > 0;
-        let waited = self.told.resumed > 0 || self.told.waiting > 0;
-        let since = now.since(self.told_at);
+    /// Returns the demand if it is due to be sent.
+    pub(super) fn due_demand(&self, now: ClockMillis) -> Option<PermitDemand> {
+        let demand = self.demand(now);
+        let waits = demand.resumed > 0 || demand.waiting > 0;
+        let waited = self.sent.resumed > 0 || self.sent.waiting > 0;
+        let since = now.since(self.sent_at);
         let due = if waits || waited {
-            ask != self.told || since >= ASK_RENEWAL
+            demand != self.sent || since >= DEMAND_RENEWAL
         } else {
-            // That a permit came is told with the next ask; that nobody used it, at once; what was used without one, soon.
-            let unused = ask.unused != self.told.unused;
-            unused || (ask.wished || ask.unasked > 0) && since >= WISH_PAUSE
+            // Received permits are reported with the next demand, unused ones at once, unpermitted calls soon.
+            let unused = demand.unused != self.sent.unused;
+            unused || (demand.wished || demand.unpermitted > 0) && since >= WISH_PAUSE
         };
-        due.then_some(ask)
+        due.then_some(demand)
     }
 
-    pub(super) fn word(&self, engine: &EngineName, now: ClockMillis) -> LimitWord {
-        LimitWord {
+    pub(super) fn report(&self, engine: &EngineName, now: ClockMillis) -> LimitReport {
+        LimitReport {
             engine: Arc::clone(engine),
             born: self.born,
             limit: self.limit,
--- a/crates/core/src/fleet/limits/news.rs
+++ b/crates/core/src/fleet/limits/events.rs
@@ -12,7 +12,7 @@
 
 /// What became of an engine's limit, for log lines.
 #[derive(Debug, Clone, PartialEq)]
-pub enum LimitNews {
+pub enum LimitEvent {
     /// The engine names one, or another one than before.
     Named {
         /// The engine.
@@ -42,14 +42,14 @@
 
 /// What was logged, and what is to be.
 #[derive(Debug, Clone, Default)]
-pub struct NewsLog {
+pub struct EventThrottle {
     /// What was last logged of each engine that has a limit, and when.
     logged: HashMap<EngineName, (RequestLimit, ClockMillis)>,
     /// Answers with something that is no limit since the last line on them, by engine, and when that was.
     unreadable: HashMap<EngineName, (u64, ClockMillis)>,
 }
 
-impl NewsLog {
+impl EventThrottle {
     /// Counts an answer with something that is no limit.
     pub fn unreadable(&mut self, engine: &EngineName) {
         self.unreadable.entry(Arc::clone(engine)).or_default().0 += 1;
@@ -65,7 +65,7 @@
         &mut self,
         known: impl Iterator<Item = (&'known EngineName, EngineBirth, RequestLimit)>,
         now: ClockMillis,
-    ) -> Vec<LimitNews> {
+    ) -> Vec<LimitEvent> {
         let mut news = Vec::new();
         let mut present = HashMap::new();
         for (engine, born, limit) in known {
@@ -75,14 +75,14 @@
             });
             if due {
                 let (engine, before) = (Arc::clone(engine), before.map(|(limit, _)| limit));
-                news.push(LimitNews::Named { engine, born, limit, before });
+                news.push(LimitEvent::Named { engine, born, limit, before });
             }
             let logged = before.filter(|_| !due).unwrap_or((limit, now));
             present.insert(Arc::clone(engine), logged);
         }
         for (engine, (limit, logged_at)) in std::mem::take(&mut self.logged) {
             if now.since(logged_at) >= NEWS_PAUSE {
-                news.push(LimitNews::Ended { engine, limit });
+                news.push(LimitEvent::Ended { engine, limit });
             } else {
                 present.insert(engine, (limit, logged_at));
             }
@@ -92,7 +92,7 @@
             if *answers > 0 && now.since(*logged_at) >= NEWS_PAUSE {
                 *logged_at = now;
                 let (engine, answers) = (Arc::clone(engine), std::mem::take(answers));
-                news.push(LimitNews::Unreadable { engine, answers });
+                news.push(LimitEvent::Unreadable { engine, answers });
             }
         }
         news
--- a/crates/core/src/fleet/limits/ledger.rs
+++ b/crates/core/src/fleet/limits/ledger.rs
@@ -1,6 +1,6 @@
-//! The permits for engines that name a limit, on the host that deals them.
+//! The ledger of permits for engines that declare a limit, on the coordinator.
 //!
-//! One host hears from all others which engines name a limit and who wants to send something there, and deals single permits:
+//! It receives the limits that hosts have been told and their demand for permits, and grants single permits:
 //! streams that broke off go first, since their clients have a part of their answer already; then what waits; then hosts that would
 //! have preferred the engine but had another one. A new ledger begins with nothing saved up.
 
@@ -13,24 +13,24 @@
 use crate::{
     clock::ClockMillis,
     fleet::{
-        EngineBirth, EngineName, is_same_life,
+        EngineBirth, EngineName, is_same_incarnation,
         limits::{
             bucket::TokenBucket,
             limit::RequestLimit,
-            word::{LimitState, LimitWord, PermitAsk, PermitGrant},
+            report::{LimitReport, LimitState, PermitDemand, PermitGrant},
         },
     },
 };
 
-/// The least rate at which requests go to an engine, whatever it names. Unit: requests a second. An engine that gets nothing says
-/// nothing, so that nobody would learn that its need is over: one request in five seconds finds out.
+/// The least rate at which requests go to an engine, whatever it names. Unit: requests a second. One request in five seconds
+/// finds out whether the engine still declares its limit.
 pub const PROBE_RATE: f64 = 0.2;
 
 /// The part of a limit that a host may use or deal which may not be the only one that does. Another host may deal as well, or stand
 /// in by an older word on who should: all together stay within one and a half times the limit.
 pub const ALONE_PART: f64 = 0.5;
 
-/// The rate with which an engine begins to return that names no limit any more. Unit: requests a second.
+/// The first rate of an engine that no longer declares a limit. Unit: requests a second.
 const FIRST_RETURN_RATE: f64 = 1.0;
 
 /// In what time that rate doubles: what an engine answers within comes before the next step, mostly.
@@ -43,26 +43,26 @@
 /// second.
 const RETURNED_RATE: f64 = 32.0;
 
-/// How long a host's ask holds that it does not renew.
-const ASK_HOLDS: Duration = Duration::from_millis(1500);
+/// How long a host's demand holds without renewal.
+const DEMAND_HOLDS: Duration = Duration::from_millis(1500);
 
-/// What one host wants of one engine.
+/// One host's demand for one engine.
 #[derive(Debug, Clone, Default)]
-struct HostAsk {
-    ask: PermitAsk,
+struct HostDemand {
+    demand: PermitDemand,
     /// How many permits it was granted by this ledger.
     granted: u64,
     asked: ClockMillis,
-    /// Whether it is to hear when its turn comes.
-    wants_wait: bool,
+    /// Whether its turn has to be reported.
+    reports_wait: bool,
 }
 
-impl HostAsk {
+impl HostDemand {
     /// Returns what it wants beyond the permits that are under way to it: resumed streams, other waiting requests, wishes.
     fn wants(&self) -> [u32; 3] {
         let mut under_way =
-            u32::try_from(self.granted.saturating_sub(self.ask.got)).unwrap_or(u32::MAX);
-        [self.ask.resumed, self.ask.waiting, u32::from(self.ask.wished)].map(|wanted| {
+            u32::try_from(self.granted.saturating_sub(self.demand.got)).unwrap_or(u32::MAX);
+        [self.demand.resumed, self.demand.waiting, u32::from(self.demand.wished)].map(|wanted| {
             let covered = wanted.min(under_way);
             under_way -= covered;
             wanted - covered
@@ -75,45 +75,45 @@
     }
 }
 
-/// One engine that names a limit.
+/// The account of one engine that declares a limit.
 #[derive(Debug, Clone)]
 struct LimitAccount {
     born: EngineBirth,
     limit: RequestLimit,
-    /// When the answer began that said so last.
+    /// When the response began that declared it last.
     said: ClockMillis,
-    /// When what that answered was sent.
+    /// When the request of that response was sent.
     asked: ClockMillis,
-    /// The rate at which it returns, where it names none any more. Unit: requests a second.
+    /// The rate at which it returns, where it no longer declares a limit. Unit: requests a second.
     returning: Option<f64>,
     /// When that rate was last raised.
     raised: ClockMillis,
     bucket: TokenBucket,
-    asks: HashMap<Arc<str>, HostAsk>,
-    /// The hosts that ask, those first whose turn comes first.
+    demands: HashMap<Arc<str>, HostDemand>,
+    /// The hosts that demand, those first whose turn comes first.
     turns: VecDeque<Arc<str>>,
-    /// What all hosts were told last.
-    told: Option<RequestLimit>,
+    /// The limit that was published last.
+    published: Option<RequestLimit>,
 }
 
 impl LimitAccount {
-    fn new(word: &LimitWord, said: ClockMillis, now: ClockMillis) -> Self {
+    fn new(report: &LimitReport, said: ClockMillis, now: ClockMillis) -> Self {
         Self {
-            born: word.born,
-            limit: word.limit,
+            born: report.born,
+            limit: report.limit,
             said,
-            asked: now - word.asked_ago,
+            asked: now - report.asked_ago,
             returning: None,
             raised: now,
             bucket: TokenBucket::empty(now),
-            asks: HashMap::new(),
+            demands: HashMap::new(),
             turns: VecDeque::new(),
-            told: None,
+            published: None,
         }
     }
 
-    const fn is_life(&self, born: EngineBirth) -> bool {
-        is_same_life(self.born, born)
+    const fn is_incarnation(&self, born: EngineBirth) -> bool {
+        is_same_incarnation(self.born, born)
     }
 
     /// Returns the rate at which requests go there now. Unit: requests a second.
@@ -143,16 +143,16 @@
     }
 
     fn forget_old(&mut self, now: ClockMillis) {
-        self.asks.retain(|_, ask| now.since(ask.asked) < ASK_HOLDS);
-        let asks = &self.asks;
-        self.turns.retain(|host| asks.contains_key(host));
+        self.demands.retain(|_, demand| now.since(demand.asked) < DEMAND_HOLDS);
+        let demands = &self.demands;
+        self.turns.retain(|host| demands.contains_key(host));
     }
 
-    /// Returns whose turn is next in one rank of [`HostAsk::wants`].
+    /// Returns whose turn is next in one rank of [`HostDemand::wants`].
     fn next_turn(&self, rank: usize) -> Option<usize> {
         self.turns
             .iter()
-            .position(|host| self.asks.get(host).is_some_and(|ask| ask.wants()[rank] > 0))
+            .position(|host| self.demands.get(host).is_some_and(|demand| demand.wants()[rank] > 0))
     }
 
     /// Deals what there is; returns how many permits each host gets.
@@ -164,8 +164,8 @@
                     return dealt;
                 }
                 let Some(host) = self.turns.remove(place) else { return dealt };
-                if let Some(ask) = self.asks.get_mut(&host) {
-                    ask.granted += 1;
+                if let Some(demand) = self.demands.get_mut(&host) {
+                    demand.granted += 1;
                 }
                 *dealt.entry(Arc::clone(&host)).or_default() += 1;
                 self.turns.push_back(host);
@@ -176,7 +176,7 @@
 
     /// Returns in what time everybody who waits has had a permit of this ledger, which deals a part of the rate.
     fn wait(&self, part: f64) -> Duration {
-        let waiting: u32 = self.asks.values().map(HostAsk::waiting).sum();
+        let waiting: u32 = self.demands.values().map(HostDemand::waiting).sum();
         let seconds = self.bucket.seconds_until(f64::from(waiting.max(1)), self.rate() * part);
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
@@ -187,7 +187,7 @@
 pub struct LimitLedger {
     accounts: BTreeMap<EngineName, LimitAccount>,
     /// Engines for which hosts have asked and that have no account. One that is listed here later than at the host that named its limit
-    /// has lost its account, and that host would ask for ever.
+    /// has lost its account, and that host would demand for ever.
     unknown: BTreeMap<Arc<str>, BTreeSet<EngineName>>,
     /// Whether another host may deal permits for the same engines.
     doubted: bool,
@@ -204,26 +204,27 @@
         if self.doubted { ALONE_PART } else { 1.0 }
     }
 
-    /// Takes a host's word on an engine's limit; the one that was said last counts.
-    pub fn word_heard(&mut self, word: &LimitWord, now: ClockMillis) {
-        let (said, asked) = (now - word.said_ago, now - word.asked_ago);
-        let (part, ended) = (self.part(), word.state != LimitState::Named);
-        let known = self.accounts.get_mut(&word.engine);
-        let Some(known) = known.filter(|known| known.is_life(word.born) || said < known.said)
+    /// Receives a host's report on an engine's limit; the latest declaration counts.
+    pub fn receive(&mut self, report: &LimitReport, now: ClockMillis) {
+        let (said, asked) = (now - report.said_ago, now - report.asked_ago);
+        let (part, ended) = (self.part(), report.state != LimitState::Named);
+        let known = self.accounts.get_mut(&report.engine);
+        let Some(known) =
+            known.filter(|known| known.is_incarnation(report.born) || said < known.said)
         else {
             // A limit that ended under the ledger before is not forgotten with it: hosts wait to hear that the engine is back.
-            let mut account = LimitAccount::new(word, said, now);
+            let mut account = LimitAccount::new(report, said, now);
             account.returning = ended.then_some(account.first_return_rate());
-            self.accounts.insert(Arc::clone(&word.engine), account);
+            self.accounts.insert(Arc::clone(&report.engine), account);
             return;
         };
-        if !known.is_life(word.born) {
+        if !known.is_incarnation(report.born) {
             return;
         }
         if !ended {
             if said >= known.said {
                 known.refill(part, now);
-                (known.limit, known.returning) = (word.limit, None);
+                (known.limit, known.returning) = (report.limit, None);
                 (known.said, known.asked) = (said, asked);
             }
         } else if asked > known.said && known.returning.is_none() {
@@ -233,8 +234,14 @@
         }
     }
 
-    /// Takes what a host wants of an engine.
-    pub fn asked(&mut self, host: &Arc<str>, engine: &str, ask: &PermitAsk, now: ClockMillis) {
+    /// Receives a host's demand for an engine.
+    pub fn demand_received(
+        &mut self,
+        host: &Arc<str>,
+        engine: &str,
+        demand: &PermitDemand,
+        now: ClockMillis,
+    ) {
         let part = self.part();
         let Some(account) = self.accounts.get_mut(engine) else {
             self.unknown.entry(Arc::clone(host)).or_default().insert(Arc::from(engine));
@@ -242,35 +249,35 @@
         };
         account.refill(part, now);
         let rate = account.rate();
-        // An ask that is not known any more had settled what was unused before.
-        let settled = || HostAsk {
-            ask: PermitAsk { unused: ask.unused, ..PermitAsk::default() },
-            ..HostAsk::default()
+        // An demand that is not known any more had settled what was unused before.
+        let settled = || HostDemand {
+            demand: PermitDemand { unused: demand.unused, ..PermitDemand::default() },
+            ..HostDemand::default()
         };
-        let known = account.asks.entry(Arc::clone(host)).or_insert_with(settled);
+        let known = account.demands.entry(Arc::clone(host)).or_insert_with(settled);
         let before = known.waiting();
-        let unused = ask.unused.saturating_sub(known.ask.unused);
-        (known.ask, known.asked) = (ask.clone(), now);
-        // What was granted to an ask that is not known any more has come.
-        known.granted = known.granted.max(ask.got);
-        known.wants_wait |= known.waiting() > before;
+        let unused = demand.unused.saturating_sub(known.demand.unused);
+        (known.demand, known.asked) = (demand.clone(), now);
+        // What was granted to an demand that is not known any more has come.
+        known.granted = known.granted.max(demand.got);
+        known.reports_wait |= known.waiting() > before;
         account.bucket.give_back(unused as f64);
-        account.bucket.charge(ask.unasked as f64, rate);
+        account.bucket.charge(demand.unpermitted as f64, rate);
         if !account.turns.contains(host) {
             account.turns.push_back(Arc::clone(host));
         }
     }
 
-    /// Takes that a host begins to listen: it counts its permits anew.
-    pub fn host_begins(&mut self, host: &str) {
+    /// Takes that a host has subscribed: it counts its permits anew.
+    pub fn subscribed(&mut self, host: &str) {
         self.unknown.remove(host);
         for account in self.accounts.values_mut() {
-            account.asks.remove(host);
+            account.demands.remove(host);
             account.turns.retain(|asking| &**asking != host);
         }
     }
 
-    /// Deals what there is; returns what each host hears of it.
+    /// Grants the permits that there are; returns the grants by host.
     pub fn deal(&mut self, now: ClockMillis) -> BTreeMap<Arc<str>, Vec<PermitGrant>> {
         let mut grants: BTreeMap<Arc<str>, Vec<PermitGrant>> = BTreeMap::new();
         let part = self.part();
@@ -279,8 +286,8 @@
             account.forget_old(now);
             let mut dealt = account.deal();
             let wait = account.wait(part);
-            for (host, ask) in &mut account.asks {
-                let waits = std::mem::take(&mut ask.wants_wait) && ask.waiting() > 0;
+            for (host, demand) in &mut account.demands {
+                let waits = std::mem::take(&mut demand.reports_wait) && demand.waiting() > 0;
                 let permits = dealt.remove(host).unwrap_or_default();
                 if permits > 0 || waits {
                     let (engine, wait) = (Arc::clone(engine), waits.then_some(wait));
@@ -301,51 +308,53 @@
         grants
     }
 
-    /// Returns when the next permit is there for somebody who waits for one.
+    /// Returns when the next permit for a pending demand is there.
     pub fn next_due(&self, now: ClockMillis) -> Option<ClockMillis> {
         let waited = self.accounts.values().filter(|account| {
-            account.asks.values().any(|ask| ask.wants().iter().any(|wanted| *wanted > 0))
+            account.demands.values().any(|demand| demand.wants().iter().any(|wanted| *wanted > 0))
         });
         let part = self.part();
         let next = waited.map(|account| account.bucket.seconds_until(1.0, account.rate() * part));
         let next = next.min_by(f64::total_cmp)?;
-        Some(now + Duration::try_from_secs_f64(next).unwrap_or(ASK_HOLDS))
+        Some(now + Duration::try_from_secs_f64(next).unwrap_or(DEMAND_HOLDS))
     }
 
-    /// Returns what all hosts are to hear: engines that have a limit, another one by a quarter, or none any more.
-    pub fn take_changes(&mut self, now: ClockMillis) -> Vec<LimitWord> {
+    /// Returns what has to be published: engines that have a limit, another one by a quarter, or none any more.
+    pub fn take_changes(&mut self, now: ClockMillis) -> Vec<LimitReport> {
         let mut changes = Vec::new();
         self.accounts.retain(|engine, account| {
             if account.has_returned() {
-                changes.push(LimitWord { state: LimitState::Back, ..account.word(engine, now) });
+                changes
+                    .push(LimitReport { state: LimitState::Back, ..account.report(engine, now) });
                 return false;
             }
-            if account.told.is_none_or(|told| account.limit.differs(told)) {
-                account.told = Some(account.limit);
-                changes.push(account.word(engine, now));
+            if account.published.is_none_or(|published| account.limit.differs(published)) {
+                account.published = Some(account.limit);
+                changes.push(account.report(engine, now));
             }
             true
         });
         changes
     }
 
-    /// Returns what a host that begins to listen is to hear.
-    pub fn words_for_all(&self, now: ClockMillis) -> Vec<LimitWord> {
+    /// Returns the reports for a new subscriber.
+    pub fn snapshot(&self, now: ClockMillis) -> Vec<LimitReport> {
         let words = self.accounts.iter();
-        words.map(|(engine, account)| account.word(engine, now)).collect()
+        words.map(|(engine, account)| account.report(engine, now)).collect()
     }
 
     /// Forgets engines that are listed no more, or in another life; `life` returns the one that is listed.
     pub fn retain(&mut self, life: impl Fn(&str) -> Option<EngineBirth>) {
-        self.accounts
-            .retain(|engine, account| life(engine).is_some_and(|born| account.is_life(born)));
+        self.accounts.retain(|engine, account| {
+            life(engine).is_some_and(|born| account.is_incarnation(born))
+        });
     }
 }
 
 impl LimitAccount {
-    fn word(&self, engine: &EngineName, now: ClockMillis) -> LimitWord {
+    fn report(&self, engine: &EngineName, now: ClockMillis) -> LimitReport {
         let returns = self.returning.is_some();
-        LimitWord {
+        LimitReport {
             engine: Arc::clone(engine),
             born: self.born,
             limit: self.limit,
--- a/crates/core/src/fleet/limits/limit.rs
+++ b/crates/core/src/fleet/limits/limit.rs
@@ -35,7 +35,7 @@
 
 /// An answer of an engine, as its word on its limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct AnswerWord {
+pub struct AnswerReport {
     /// What it says.
     pub said: Declared<RequestLimit>,
     /// When what it answers was sent: an answer that names no limit ends only one that was named before that.
--- a/crates/core/src/fleet/limits/share.rs
+++ b/crates/core/src/fleet/limits/share.rs
@@ -1,4 +1,4 @@
-//! What one host knows of the limits that engines name, and the permits that it has.
+//! The limits and permits that one host knows.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -10,10 +10,10 @@
         limits::{
             bucket::TokenBucket,
             engine_share::EngineShare,
+            events::{EventThrottle, LimitEvent},
             ledger::{ALONE_PART, PROBE_RATE},
-            limit::{AnswerWord, RequestLimit},
-            news::{LimitNews, NewsLog},
-            word::{LimitWord, PermitAsk, PermitGrant},
+            limit::{AnswerReport, RequestLimit},
+            report::{LimitReport, PermitDemand, PermitGrant},
         },
     },
 };
@@ -22,13 +22,13 @@
 /// must not use later what others have got since. A request that waits uses it at once.
 const PERMIT_HOLDS: Duration = Duration::from_millis(400);
 
-/// How long the ledger may be silent and still count as heard: it says something twice a second.
+/// How long the ledger may be silent: it publishes twice a second.
 const LEDGER_SILENCE: Duration = Duration::from_millis(1200);
 
-/// How long an engine must have named no limit to a host that hears no ledger.
+/// How long an engine must have declared no limit to a host that receives no ledger.
 const RETURNS_ALONE: Duration = Duration::from_secs(3);
 
-/// How many asks that only wish a host tells at a time: a host of a large fleet may prefer hundreds of engines in turn.
+/// How many demands without a waiting request a host sends at a time: one of a large fleet may prefer hundreds of engines in turn.
 const MOST_WISHES: usize = 8;
 
 /// Whether a request may go to an engine as far as its limit goes.
@@ -42,7 +42,7 @@
     Used,
 }
 
-/// Who asks for a permit.
+/// The requester of a permit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PermitUse {
     /// A request that has not waited: it leaves permits to those that wait.
@@ -53,54 +53,54 @@
     Resumed,
 }
 
-/// What a host tells the ledger.
+/// What a host reports to the ledger.
 #[derive(Debug, Clone, Default, PartialEq)]
-pub struct LimitTold {
-    /// What engines said.
-    pub words: Vec<LimitWord>,
-    /// What the host wants of them.
-    pub asks: Vec<(EngineName, PermitAsk)>,
+pub struct LimitUpdate {
+    /// The limits that engines declared.
+    pub reports: Vec<LimitReport>,
+    /// The host's demand for permits.
+    pub demands: Vec<(EngineName, PermitDemand)>,
 }
 
 /// What one host knows of the limits that engines name.
 #[derive(Debug, Clone, Default)]
 pub struct LimitShare {
     engines: HashMap<EngineName, EngineShare>,
-    /// When the ledger was last heard.
-    heard: ClockMillis,
-    news: NewsLog,
+    /// When a frame of the ledger last arrived.
+    received: ClockMillis,
+    news: EventThrottle,
 }
 
 impl LimitShare {
-    /// Takes what an answer of an engine in one of its lives says; `now` is when the answer began. Returns whether the ledger is to
-    /// hear of it.
+    /// Takes what a response of an engine declares; `now` is when the response began. Returns whether the ledger has to receive it.
     pub fn answered(
         &mut self,
         engine: &EngineName,
         born: EngineBirth,
-        word: AnswerWord,
+        report: AnswerReport,
         now: ClockMillis,
     ) -> bool {
-        match word.said {
+        match report.said {
             Declared::Present(limit) => {
                 let new = || EngineShare::new(born, limit, now);
                 let known = self.engines.entry(Arc::clone(engine)).or_insert_with(new);
-                if !known.is_life(born) {
-                    known.begin_life(born, limit, now);
+                if !known.is_incarnation(born) {
+                    known.begin_incarnation(born, limit, now);
                 }
-                known.untold |= known.ended || known.limit != limit;
+                known.pending |= known.ended || known.limit != limit;
                 (known.limit, known.ended, known.said, known.asked) =
-                    (limit, false, now, word.asked);
+                    (limit, false, now, report.asked);
                 known.named_here = Some(now);
-                known.untold
+                known.pending
             }
-            Declared::Absent if word.would_say => {
+            Declared::Absent if report.would_say => {
                 let known = self.engines.get_mut(engine);
-                let known = known.filter(|known| known.is_life(born) && word.asked > known.said);
+                let known =
+                    known.filter(|known| known.is_incarnation(born) && report.asked > known.said);
                 known.is_some_and(|known| {
-                    known.untold |= !known.ended;
-                    (known.ended, known.said, known.asked) = (true, now, word.asked);
-                    known.untold
+                    known.pending |= !known.ended;
+                    (known.ended, known.said, known.asked) = (true, now, report.asked);
+                    known.pending
                 })
             }
             Declared::Absent => false,
@@ -121,7 +121,7 @@
         self.engines.contains_key(engine)
     }
 
-    /// Returns whether an engine has named a limit to this host, and not since answered without one.
+    /// Returns whether an engine declares a limit, as far as this host knows.
     pub fn names_limit(&self, engine: &str) -> bool {
         self.engines.get(engine).is_some_and(|known| !known.ended)
     }
@@ -132,14 +132,15 @@
         known.map(|(engine, known)| (Arc::clone(engine), known.limit)).collect()
     }
 
-    /// Forgets engines that are listed no more, or in another life; `life` returns the one that is listed.
+    /// Forgets engines that are no longer listed in that incarnation; `life` returns the one that is listed.
     pub fn retain(&mut self, life: impl Fn(&str) -> Option<EngineBirth>) {
-        self.engines.retain(|engine, known| life(engine).is_some_and(|born| known.is_life(born)));
+        self.engines
+            .retain(|engine, known| life(engine).is_some_and(|born| known.is_incarnation(born)));
         self.news.retain(|engine| life(engine).is_some());
     }
 
     /// Returns what is to be logged now.
-    pub fn take_news(&mut self, now: ClockMillis) -> Vec<LimitNews> {
+    pub fn take_events(&mut self, now: ClockMillis) -> Vec<LimitEvent> {
         let known = self.engines.iter();
         let known = known.map(|(engine, known)| (engine, known.born, known.limit));
         self.news.take(known, now)
@@ -174,9 +175,9 @@
     }
 
     /// Counts a call that has to be made without a permit: the ledger makes up for it.
-    pub fn call_unasked(&mut self, engine: &str) {
+    pub fn count_unpermitted(&mut self, engine: &str) {
         if let Some(known) = self.engines.get_mut(engine) {
-            known.unasked += 1;
+            known.unpermitted += 1;
         }
     }
 
@@ -235,41 +236,41 @@
 }
 
 impl LimitShare {
-    /// Takes that the ledger was heard.
-    pub fn ledger_heard(&mut self, now: ClockMillis) {
-        self.heard = now;
+    /// Takes that a frame of the ledger has arrived.
+    pub fn ledger_received(&mut self, now: ClockMillis) {
+        self.received = now;
         for known in self.engines.values_mut() {
             known.alone = None;
         }
     }
 
-    /// Returns whether the ledger is heard.
-    pub fn hears_ledger(&self, now: ClockMillis) -> bool {
-        self.heard != ClockMillis::default() && now.since(self.heard) < LEDGER_SILENCE
+    /// Returns whether frames of the ledger arrive.
+    pub fn receives_ledger(&self, now: ClockMillis) -> bool {
+        self.received != ClockMillis::default() && now.since(self.received) < LEDGER_SILENCE
     }
 
-    /// Takes what the ledger says of an engine's limit; what this host has heard itself since counts more.
-    pub fn word_heard(&mut self, word: &LimitWord, now: ClockMillis) {
-        let said = now - word.said_ago;
-        let known = self.engines.get_mut(&word.engine);
-        if word.is_back() {
-            let known = known.filter(|known| known.is_life(word.born));
+    /// Applies a report of the ledger; what this host has received itself since takes precedence.
+    pub fn receive(&mut self, report: &LimitReport, now: ClockMillis) {
+        let said = now - report.said_ago;
+        let known = self.engines.get_mut(&report.engine);
+        if report.is_back() {
+            let known = known.filter(|known| known.is_incarnation(report.born));
             if known.is_some_and(|known| known.ended || known.is_older_than(said)) {
-                self.engines.remove(&word.engine);
+                self.engines.remove(&report.engine);
             }
             return;
         }
         let Some(known) = known else {
-            let mut new = EngineShare::new(word.born, word.limit, said);
-            new.take_word(word, now);
-            self.engines.insert(Arc::clone(&word.engine), new);
+            let mut new = EngineShare::new(report.born, report.limit, said);
+            new.apply(report, now);
+            self.engines.insert(Arc::clone(&report.engine), new);
             return;
         };
-        if !known.is_life(word.born) && said >= known.said {
-            known.begin_life(word.born, word.limit, said);
-            known.take_word(word, now);
-        } else if known.is_life(word.born) && said > known.said {
-            known.take_word(word, now);
+        if !known.is_incarnation(report.born) && said >= known.said {
+            known.begin_incarnation(report.born, report.limit, said);
+            known.apply(report, now);
+        } else if known.is_incarnation(report.born) && said > known.said {
+            known.apply(report, now);
         }
     }
 
@@ -279,7 +280,7 @@
         for grant in grants {
             let Some(known) = self.engines.get_mut(&grant.engine) else { continue };
             if grant.unknown {
-                known.tell_anew();
+                known.resend();
             }
             known.got += u64::from(grant.permits);
             for _ in 0..grant.permits {
@@ -299,56 +300,56 @@
         any
     }
 
-    /// Returns what the ledger is to hear now.
-    pub fn take_told(&mut self, now: ClockMillis) -> LimitTold {
-        let mut told = LimitTold::default();
+    /// Returns the pending reports.
+    pub fn take_pending(&mut self, now: ClockMillis) -> LimitUpdate {
+        let mut update = LimitUpdate::default();
         let mut wishes = 0;
         for (engine, known) in &mut self.engines {
             known.drop_old_permits(now);
-            if std::mem::take(&mut known.untold) {
-                told.words.push(known.word(engine, now));
+            if std::mem::take(&mut known.pending) {
+                update.reports.push(known.report(engine, now));
             }
-            let Some(ask) = known.due_ask(now) else { continue };
-            let only_wishes = ask.resumed + ask.waiting == 0;
+            let Some(demand) = known.due_demand(now) else { continue };
+            let only_wishes = demand.resumed + demand.waiting == 0;
             wishes += usize::from(only_wishes);
             if only_wishes && wishes > MOST_WISHES {
                 continue;
             }
-            known.told.clone_from(&ask);
-            (known.told_at, known.unasked) = (now, 0);
-            told.asks.push((Arc::clone(engine), ask));
+            known.sent.clone_from(&demand);
+            (known.sent_at, known.unpermitted) = (now, 0);
+            update.demands.push((Arc::clone(engine), demand));
         }
-        told
+        update
     }
 
-    /// Makes what could not be told be told again.
-    pub fn tell_again(&mut self, told: &LimitTold) {
-        for word in &told.words {
-            if let Some(known) = self.engines.get_mut(&word.engine) {
-                known.untold = true;
+    /// Marks reports that could not be sent as pending again.
+    pub fn resend(&mut self, update: &LimitUpdate) {
+        for report in &update.reports {
+            if let Some(known) = self.engines.get_mut(&report.engine) {
+                known.pending = true;
             }
         }
-        for (engine, ask) in &told.asks {
+        for (engine, demand) in &update.demands {
             if let Some(known) = self.engines.get_mut(engine) {
-                known.told = PermitAsk::default();
-                known.unasked += ask.unasked;
+                known.sent = PermitDemand::default();
+                known.unpermitted += demand.unpermitted;
             }
         }
     }
 
-    /// Makes everything be told to another ledger, which counts this host's permits anew.
-    pub fn begin_telling(&mut self) {
+    /// Marks everything as pending for another ledger, which counts this host's permits anew.
+    pub fn resend_all(&mut self) {
         for known in self.engines.values_mut() {
-            known.untold = true;
+            known.pending = true;
             (known.got, known.unused) = (0, 0);
-            (known.told, known.due) = (PermitAsk::default(), None);
+            (known.sent, known.due) = (PermitDemand::default(), None);
         }
     }
 
-    /// Lets the one host that stands in for a ledger which is not heard permit itself a part of each limit; returns whether there
-    /// are permits now. `stands_in` says whether this host is the one for an engine.
+    /// Grants this host a part of each limit where it stands in for a ledger that is silent; returns whether there are permits now.
+    /// `stands_in` tells whether this host does so for an engine.
     pub fn stand_alone(&mut self, stands_in: impl Fn(&str) -> bool, now: ClockMillis) -> bool {
-        if self.hears_ledger(now) {
+        if self.receives_ledger(now) {
             return false;
         }
         let mut any = false;
--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -2,7 +2,7 @@
 //!
 //! An engine that ends takes all of its runs with it, and one of them may be why. Each host counts, for each request that it had
 //! there, the ends one after the other since the request last ran whole; hosts add up what they count
-//! ([`SuspectWord`]), so that a request which comes to another host each time is known all the same. After some ends it is held back on
+//! ([`SuspectReport`]), so that a request which comes to another host each time is known all the same. After some ends it is held back on
 //! all hosts for a time, and then tried once. A whole run clears it.
 //!
 //! [`mark`] says when two requests are the same, [`book`] what one host knows.
@@ -12,13 +12,13 @@
 pub mod mark;
 mod suspect;
 mod whole_runs;
-mod word;
+mod report;
 
 pub(crate) use hold::Hold;
 
-pub use book::{ENDS_UNTIL_HELD, EndedRun, QuarantineBook, QuarantineNews};
+pub use book::{ENDS_UNTIL_HELD, EndedRun, QuarantineBook, QuarantineEvent};
 pub use mark::{MarkedRequest, RequestMark, shown_mark};
-pub use word::{SuspectWord, ToldEnd};
+pub use report::{ReportedEnd, SuspectReport};
 
 /// Names one life of an engine, on every host alike.
 pub type EngineLife = u64;
--- a/crates/core/src/fleet/quarantine/book.rs
+++ b/crates/core/src/fleet/quarantine/book.rs
@@ -14,9 +14,9 @@
         quarantine::{
             EngineLife, RequestMark,
             hold::{Hold, KEPT},
+            report::SuspectReport,
             suspect::{Suspect, SuspectEnd},
             whole_runs::WholeRuns,
-            word::SuspectWord,
         },
     },
     organisation::OrganisationName,
@@ -28,18 +28,18 @@
 
 /// From how many ends on all hosts are told. The first ones concern every request that ran at an engine that ended; only the
 /// host that adds them up needs these.
-const ENDS_UNTIL_TOLD: usize = 2;
+const ENDS_UNTIL_PUBLISHED: usize = 2;
 
 /// How many suspects a host remembers: 360 bytes each with two ends (counted by an allocator), so 1.2% of the 64 MB that a host has
 /// for control.
 const MOST_SUSPECTS: usize = 2048;
 
 /// How many words go into one frame: under 100 bytes each, less than half of what a host may send for control in a second.
-pub const MOST_WORDS: usize = 64;
+pub const MOST_REPORTS: usize = 64;
 
 /// What happened to a suspect, for logs and metrics.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum QuarantineNews {
+pub enum QuarantineEvent {
     /// It is held back from now on.
     Held {
         /// The request.
@@ -81,10 +81,10 @@
     /// What ran whole at this host lately.
     whole_runs: WholeRuns,
     /// What the host that adds everything up was not told yet.
-    untold: BTreeSet<RequestMark>,
+    pending: BTreeSet<RequestMark>,
     /// What all other hosts were not told yet, where this one adds everything up.
-    unspread: BTreeSet<RequestMark>,
-    news: Vec<QuarantineNews>,
+    unpublished: BTreeSet<RequestMark>,
+    events: Vec<QuarantineEvent>,
 }
 
 impl QuarantineBook {
@@ -95,9 +95,9 @@
             host: xxh3_64(host.as_bytes()),
             suspects: HashMap::new(),
             whole_runs: WholeRuns::default(),
-            untold: BTreeSet::new(),
-            unspread: BTreeSet::new(),
-            news: Vec::new(),
+            pending: BTreeSet::new(),
+            unpublished: BTreeSet::new(),
+            events: Vec::new(),
         }
     }
 
@@ -132,7 +132,7 @@
         let suspect = self.suspects.get_mut(&mark).filter(|suspect| suspect.ends() >= held);
         let Some(suspect) = suspect else { return false };
         suspect.tried = Some(now);
-        self.untold.insert(mark);
+        self.pending.insert(mark);
         true
     }
 
@@ -153,67 +153,67 @@
             suspect.version = suspect.version.max(run.version);
             suspect.organisation = suspect.organisation.take().or_else(|| run.organisation.clone());
             if suspect.add(end) {
-                self.untold.insert(run.mark);
+                self.pending.insert(run.mark);
                 self.count_ends(run.mark, before, now);
             }
         }
         self.forget_beyond_bound();
     }
 
-    /// Takes what another host says; `adds_up` where this host adds up what all say and tells them.
-    pub fn heard(&mut self, words: &[SuspectWord], adds_up: bool, now: ClockMillis) {
-        for word in words {
-            let before = self.ends(word.mark);
-            let suspect = self.suspects.entry(word.mark).or_insert_with(|| Suspect::new(now));
-            let changed = suspect.hear(word, now);
+    /// Applies another host's reports; `coordinates` tells whether this host publishes them to all.
+    pub fn receive(&mut self, reports: &[SuspectReport], coordinates: bool, now: ClockMillis) {
+        for report in reports {
+            let before = self.ends(report.mark);
+            let suspect = self.suspects.entry(report.mark).or_insert_with(|| Suspect::new(now));
+            let changed = suspect.merge(report, now);
             if suspect.ends() == 0 && before >= self.ends_until_held {
-                self.news.push(QuarantineNews::Cleared { mark: word.mark });
+                self.events.push(QuarantineEvent::Cleared { mark: report.mark });
             }
-            self.clear_by_own_run(word.mark);
-            self.count_ends(word.mark, before, now);
-            if changed && adds_up {
-                self.unspread.insert(word.mark);
+            self.clear_by_own_run(report.mark);
+            self.count_ends(report.mark, before, now);
+            if changed && coordinates {
+                self.unpublished.insert(report.mark);
             }
         }
         self.forget_beyond_bound();
     }
 
-    /// Takes what the host that adds everything up is to be told now.
-    pub fn take_untold(&mut self, now: ClockMillis) -> Vec<SuspectWord> {
-        let marks = take_some(&mut self.untold);
-        self.words(&marks, now)
+    /// Returns the reports that the coordinator has to receive.
+    pub fn take_pending(&mut self, now: ClockMillis) -> Vec<SuspectReport> {
+        let marks = take_some(&mut self.pending);
+        self.reports(&marks, now)
     }
 
-    /// Makes words that were lost on their way be told again.
-    pub fn tell_again(&mut self, words: &[SuspectWord]) {
-        self.untold.extend(words.iter().map(|word| word.mark));
+    /// Marks reports that could not be sent as pending again.
+    pub fn resend(&mut self, reports: &[SuspectReport]) {
+        self.pending.extend(reports.iter().map(|report| report.mark));
     }
 
-    /// Makes all that is known be told to a host that begins to add everything up.
-    pub fn tell_all_again(&mut self) {
+    /// Marks everything as pending for another coordinator.
+    pub fn resend_all(&mut self) {
         let known = self.suspects.iter().filter(|(_, suspect)| suspect.ends() > 0);
-        self.untold.extend(known.map(|(mark, _)| *mark));
+        self.pending.extend(known.map(|(mark, _)| *mark));
     }
 
-    /// Takes this host's own news for the others, where it adds everything up itself.
-    pub fn spread_own(&mut self) {
-        self.unspread.append(&mut self.untold);
+    /// Publishes this host's own pending reports, where it is the coordinator.
+    pub fn publish_own(&mut self) {
+        self.unpublished.append(&mut self.pending);
     }
 
-    /// Takes what all other hosts are to be told now: what concerns them all, and what they were told before.
-    pub fn take_unspread(&mut self, now: ClockMillis) -> Vec<SuspectWord> {
-        let mut marks = take_some(&mut self.unspread);
+    /// Returns what has to be published to all: what concerns them, and what was published before.
+    pub fn take_unpublished(&mut self, now: ClockMillis) -> Vec<SuspectReport> {
+        let mut marks = take_some(&mut self.unpublished);
         marks.retain(|mark| self.suspects.get(mark).is_some_and(|suspect| suspect.spread));
-        self.words(&marks, now)
+        self.reports(&marks, now)
     }
 
-    /// Returns what a host is to be told that begins to listen.
-    pub fn words_for_all(&self, now: ClockMillis) -> Vec<SuspectWord> {
+    /// Returns the reports for a new subscriber.
+    pub fn snapshot(&self, now: ClockMillis) -> Vec<SuspectReport> {
         let mut marks: Vec<RequestMark> = self.suspects.keys().copied().collect();
-        marks.retain(|mark| self.ends(*mark) >= ENDS_UNTIL_TOLD);
+        marks.retain(|mark| self.ends(*mark) >= ENDS_UNTIL_PUBLISHED);
         marks.sort_by_key(|mark| std::cmp::Reverse(self.ends(*mark)));
-        marks.truncate(MOST_WORDS);
-        self.words(&marks, now)
+        marks.truncate(MOST_REPORTS);
+        self.reports(&marks, now)
     }
 
     /// Forgets suspects that have not been seen for long.
@@ -226,8 +226,8 @@
     }
 
     /// Takes what happened since the last call.
-    pub fn take_news(&mut self) -> Vec<QuarantineNews> {
-        std::mem::take(&mut self.news)
+    pub fn take_events(&mut self) -> Vec<QuarantineEvent> {
+        std::mem::take(&mut self.events)
     }
 
     /// Returns how many requests are suspects, and how many of them are held back.
@@ -250,9 +250,9 @@
         let before = self.ends(mark);
         let Some(suspect) = self.suspects.get_mut(&mark) else { return };
         suspect.clear(at);
-        self.untold.insert(mark);
+        self.pending.insert(mark);
         if before >= self.ends_until_held && suspect.ends() < self.ends_until_held {
-            self.news.push(QuarantineNews::Cleared { mark });
+            self.events.push(QuarantineEvent::Cleared { mark });
         }
     }
 
@@ -270,20 +270,20 @@
         let Some(suspect) = self.suspects.get_mut(&mark) else { return };
         let ends = suspect.ends();
         // Whoever adds up next has to tell all that it is cleared, as they were told of the ends.
-        suspect.spread |= ends >= ENDS_UNTIL_TOLD;
+        suspect.spread |= ends >= ENDS_UNTIL_PUBLISHED;
         let Some(suspect) = self.suspects.get(&mark) else { return };
         if ends > before
             && let Some(hold) = self.hold(suspect)
         {
             let organisation = suspect.organisation.clone();
             let time = hold.left(suspect, suspect.version, self.turn(mark), now);
-            self.news.push(QuarantineNews::Held { mark, organisation, ends, time });
+            self.events.push(QuarantineEvent::Held { mark, organisation, ends, time });
         }
     }
 
-    fn words(&self, marks: &[RequestMark], now: ClockMillis) -> Vec<SuspectWord> {
+    fn reports(&self, marks: &[RequestMark], now: ClockMillis) -> Vec<SuspectReport> {
         let known = marks.iter().filter_map(|mark| Some((*mark, self.suspects.get(mark)?)));
-        known.map(|(mark, suspect)| suspect.word(mark, now)).collect()
+        known.map(|(mark, suspect)| suspect.report(mark, now)).collect()
     }
 
     /// Keeps the bound on suspects: those under which the fewest engines ended go first, the oldest of them before others,
@@ -299,15 +299,15 @@
         ranks.sort_unstable();
         for (_, _, mark) in ranks.iter().take(surplus) {
             self.suspects.remove(mark);
-            self.untold.remove(mark);
-            self.unspread.remove(mark);
+            self.pending.remove(mark);
+            self.unpublished.remove(mark);
         }
     }
 }
 
 /// Takes as many marks as go into one frame.
 fn take_some(marks: &mut BTreeSet<RequestMark>) -> Vec<RequestMark> {
-    let some: Vec<RequestMark> = marks.iter().copied().take(MOST_WORDS).collect();
+    let some: Vec<RequestMark> = marks.iter().copied().take(MOST_REPORTS).collect();
     for mark in &some {
         marks.remove(mark);
     }
--- a/crates/core/src/fleet/quarantine/word.rs
+++ b/crates/core/src/fleet/quarantine/report.rs
@@ -12,7 +12,7 @@
 
 /// An engine's end while it ran a request, by how long ago that was: hosts' clocks do not agree.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ToldEnd {
+pub struct ReportedEnd {
     /// The life that ended.
     pub life: EngineLife,
     /// How long ago the request was sent there.
@@ -23,7 +23,7 @@
 
 /// What a host knows of one request. Words are merged: in whichever order they come, and however often, the same is known.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SuspectWord {
+pub struct SuspectReport {
     /// The request.
     pub mark: RequestMark,
     /// Who sends it, where keys tell.
@@ -31,7 +31,7 @@
     /// The newest version of what it names at any of the ends.
     pub version: WeightVersion,
     /// The ends since it last ran whole.
-    pub ends: Vec<ToldEnd>,
+    pub ends: Vec<ReportedEnd>,
     /// How long ago it last ran whole, if it did.
     pub cleared_ago: Option<Duration>,
     /// How long ago it was last tried after it had been held back.
--- a/crates/core/src/fleet/quarantine/suspect.rs
+++ b/crates/core/src/fleet/quarantine/suspect.rs
@@ -9,7 +9,7 @@
         WeightVersion,
         quarantine::{
             EngineLife,
-            word::{SuspectWord, ToldEnd},
+            report::{ReportedEnd, SuspectReport},
         },
     },
     organisation::OrganisationName,
@@ -119,18 +119,18 @@
     }
 
     /// Takes what another host says; returns whether anything was new.
-    pub(super) fn hear(&mut self, word: &SuspectWord, now: ClockMillis) -> bool {
+    pub(super) fn merge(&mut self, report: &SuspectReport, now: ClockMillis) -> bool {
         let before = (self.ends.len(), self.cleared, self.tried);
-        self.version = self.version.max(word.version);
-        self.organisation = self.organisation.take().or_else(|| word.organisation.clone());
-        if let Some(ago) = word.cleared_ago {
+        self.version = self.version.max(report.version);
+        self.organisation = self.organisation.take().or_else(|| report.organisation.clone());
+        if let Some(ago) = report.cleared_ago {
             self.clear(now - ago);
         }
-        if let Some(ago) = word.tried_ago {
+        if let Some(ago) = report.tried_ago {
             self.tried = self.tried.max(Some(now - ago));
         }
         let mut added = false;
-        for told in &word.ends {
+        for told in &report.ends {
             let (began, at) = (now - told.began_ago, now - told.ended_ago);
             added |= self.add(SuspectEnd { life: told.life, began, at });
         }
@@ -144,14 +144,14 @@
     }
 
     /// Says what is known.
-    pub(super) fn word(&self, mark: RequestMark, now: ClockMillis) -> SuspectWord {
+    pub(super) fn report(&self, mark: RequestMark, now: ClockMillis) -> SuspectReport {
         let ago = |moment: ClockMillis| -> Duration { now.since(moment) };
-        let told = |end: &SuspectEnd| ToldEnd {
+        let told = |end: &SuspectEnd| ReportedEnd {
             life: end.life,
             began_ago: ago(end.began),
             ended_ago: ago(end.at),
         };
-        SuspectWord {
+        SuspectReport {
             mark,
             organisation: self.organisation.clone(),
             version: self.version,
--- a/crates/core/src/organisation/share.rs
+++ b/crates/core/src/organisation/share.rs
@@ -200,7 +200,7 @@
     }
 
     /// Takes what the ledger says: every organisation that has little left, and no other.
-    pub fn ledger_heard(&mut self, words: &[QuotaWord], now: ClockMillis) {
+    pub fn ledger_received(&mut self, words: &[QuotaWord], now: ClockMillis) {
         self.heard = Some(now);
         for share in self.organisations.values_mut() {
             share.named = None;
@@ -216,7 +216,7 @@
     }
 
     /// Returns whether the ledger was ever heard.
-    pub const fn hears_ledger(&self) -> bool {
+    pub const fn receives_ledger(&self) -> bool {
         self.heard.is_some()
     }
 
@@ -233,7 +233,7 @@
     }
 
     /// Takes that the ledger was told this.
-    pub fn was_told(&mut self, told: &[QuotaUse]) {
+    pub fn acknowledge(&mut self, told: &[QuotaUse]) {
         for word in told {
             if let Some(share) = self.organisations.get_mut(&word.organisation) {
                 share.untold -= word.amount;
--- a/crates/core/src/placement/inventory.rs
+++ b/crates/core/src/placement/inventory.rs
@@ -31,8 +31,8 @@
 /// How long after a load is due a report is asked for: one that shows the engine just after the load has ended.
 const REPORT_DELAY: Duration = Duration::from_millis(130);
 
-/// How long a host's word holds that it could not connect to an engine: hosts leave such an engine for 400 ms at first
-/// and say it again when they have tried again.
+/// How long a host's report holds that it can't use an engine: hosts leave one that they can't connect to for 400 ms at first,
+/// and report it again when they have tried again.
 const UNREACHED_HOLDS: Duration = Duration::from_millis(1500);
 
 /// How many hosts must say so: one may be cut off itself.
@@ -295,7 +295,7 @@
         self.unreached.insert(Arc::clone(host), now);
     }
 
-    /// Returns whether hosts can not reach it, so that another copy of what it holds is worth a load.
+    /// Returns whether hosts can't use it, so that another copy of what it holds is worth a load.
     pub fn is_unreached(&self, now: ClockMillis) -> bool {
         let lately = self.unreached.values().filter(|said| now.since(**said) < UNREACHED_HOLDS);
         lately.count() >= LEAST_UNREACHED
--- a/crates/core/src/placement/load_suspects.rs
+++ b/crates/core/src/placement/load_suspects.rs
@@ -114,7 +114,7 @@
     }
 
     /// Takes which adapters were held back since the last call.
-    pub fn take_news(&mut self) -> Vec<HeldLoad> {
+    pub fn take_events(&mut self) -> Vec<HeldLoad> {
         std::mem::take(&mut self.news)
     }
 }
--- a/crates/core/src/placement/signs.rs
+++ b/crates/core/src/placement/signs.rs
@@ -49,7 +49,7 @@
 
     /// Returns which adapters are held back since engines ended under their loads, once each.
     pub fn take_held_loads(&mut self) -> Vec<HeldLoad> {
-        self.load_suspects.take_news()
+        self.load_suspects.take_events()
     }
 
     /// Takes which loads were under way at engines that are gone, or have started again.
--- a/crates/core/tests/cooldown.rs
+++ b/crates/core/tests/cooldown.rs
@@ -30,7 +30,7 @@
 }
 
 /// What happens at one engine. Unit of times: milliseconds.
-enum Happening {
+enum Occurrence {
     /// It rejects a request and asks for a cooldown, in an incarnation.
     Rejects(EngineBirth, u64),
     /// The host sends it a request.
@@ -39,11 +39,11 @@
     Responds(u64, bool),
 }
 
-use Happening::{Rejects, Responds, Send};
+use Occurrence::{Rejects, Responds, Send};
 
 struct StandingCase {
     name: &'static str,
-    happenings: &'static [(u64, Happening)],
+    happenings: &'static [(u64, Occurrence)],
     /// At what time, for which incarnation, and after what time the engine is expected to take requests; zero: at once.
     expected: &'static [(u64, EngineBirth, u64)],
 }
--- a/crates/core/tests/engine_limits/fleet.rs
+++ b/crates/core/tests/engine_limits/fleet.rs
@@ -11,9 +11,9 @@
         announcement::Declared,
         limits::{
             ledger::LimitLedger,
-            limit::{AnswerWord, RequestLimit},
-            share::{LimitShare, LimitTold, PermitUse},
-            word::{LimitWord, PermitGrant},
+            limit::{AnswerReport, RequestLimit},
+            report::{LimitReport, PermitGrant},
+            share::{LimitShare, LimitUpdate, PermitUse},
         },
     },
 };
@@ -38,9 +38,9 @@
     /// A host listens to a ledger from now on.
     Greet,
     /// To the ledger.
-    Told(LimitTold),
+    Told(LimitUpdate),
     /// To a host: words for all, and what it is granted.
-    Sums(Vec<LimitWord>, Vec<PermitGrant>),
+    Sums(Vec<LimitReport>, Vec<PermitGrant>),
 }
 
 struct SentMessage {
@@ -191,7 +191,7 @@
         }
         let said = limit.map_or(Declared::Absent, Declared::Present);
         let was_limited = host.share.is_limited(&engine);
-        host.share.answered(&engine, born, AnswerWord { said, asked, would_say: true }, now);
+        host.share.answered(&engine, born, AnswerReport { said, asked, would_say: true }, now);
         if !was_limited && host.share.is_limited(&engine) {
             for _ in 0..host.waiting.len() {
                 host.share.wait_began(&engine, PermitUse::Waiting);
@@ -240,9 +240,9 @@
                 if host.listens != sent.ledger {
                     continue;
                 }
-                host.share.ledger_heard(now);
+                host.share.ledger_received(now);
                 for word in words {
-                    host.share.word_heard(word, now);
+                    host.share.receive(word, now);
                 }
                 host.share.granted(grants, now);
                 host.woken = true;
@@ -261,20 +261,20 @@
         let ledger = &mut self.ledgers[keeper].ledger;
         match message {
             LimitMessage::Greet => {
-                ledger.host_begins(&name);
+                ledger.subscribed(&name);
                 if self.mutation == Some(FleetMutation::StartsFull) {
                     self.hosts[host].share.granted(&full, now);
                 }
-                let words = ledger.words_for_all(now);
+                let words = ledger.snapshot(now);
                 let number = self.ledgers[keeper].number;
                 self.send(host, number, false, LimitMessage::Sums(words, Vec::new()), now);
             }
             LimitMessage::Told(told) => {
-                for word in &told.words {
-                    ledger.word_heard(word, now);
+                for word in &told.reports {
+                    ledger.receive(word, now);
                 }
-                for (engine, ask) in &told.asks {
-                    ledger.asked(&name, engine, ask, now);
+                for (engine, ask) in &told.demands {
+                    ledger.demand_received(&name, engine, ask, now);
                 }
             }
             LimitMessage::Sums(..) => {}
@@ -305,13 +305,13 @@
             if ledger != self.hosts[host].listens {
                 self.hosts[host].listens = ledger;
                 if ledger > 0 {
-                    self.hosts[host].share.begin_telling();
+                    self.hosts[host].share.resend_all();
                     self.send(host, ledger, true, LimitMessage::Greet, now);
                 }
             }
             if ledger > 0 {
-                let told = self.hosts[host].share.take_told(now);
-                if told != LimitTold::default() {
+                let told = self.hosts[host].share.take_pending(now);
+                if told != LimitUpdate::default() {
                     self.send(host, ledger, true, LimitMessage::Told(told), now);
                 }
             }
--- a/crates/core/tests/engine_limits/hearing.rs
+++ b/crates/core/tests/engine_limits/hearing.rs
@@ -8,8 +8,8 @@
         EngineName,
         announcement::Declared,
         limits::{
-            limit::{AnswerWord, RequestLimit},
-            news::LimitNews,
+            events::LimitEvent,
+            limit::{AnswerReport, RequestLimit},
             share::LimitShare,
         },
     },
@@ -76,7 +76,7 @@
             case.answers.iter().zip(case.limited)
         {
             let said = said.map_or(Declared::Absent, named);
-            let word = AnswerWord { said, asked: at(*asked), would_say: *would_say };
+            let word = AnswerReport { said, asked: at(*asked), would_say: *would_say };
             share.answered(&engine, *born, word, at(*began));
             assert_eq!(share.names_limit(&engine), *limited, "{}, at {began}", case.name);
         }
@@ -96,13 +96,13 @@
             _ => Declared::Unreadable,
         };
         let asked = now - Duration::from_millis(5);
-        share.answered(&engine, 1, AnswerWord { said, asked, would_say: true }, now);
-        news.extend(share.take_news(now));
+        share.answered(&engine, 1, AnswerReport { said, asked, would_say: true }, now);
+        news.extend(share.take_events(now));
     }
     // Ten seconds: a line a second on the limit, and one on what can not be read.
     assert!((2..=22).contains(&news.len()), "{} lines", news.len());
     let unreadable = news.iter().filter_map(|news| match news {
-        LimitNews::Unreadable { answers, .. } => Some(*answers),
+        LimitEvent::Unreadable { answers, .. } => Some(*answers),
         _ => None,
     });
     assert!(unreadable.sum::<u64>() > 300, "what was left out is counted");
--- a/crates/core/tests/engine_limits/telling.rs
+++ b/crates/core/tests/engine_limits/telling.rs
@@ -9,7 +9,7 @@
         announcement::Declared,
         limits::{
             ledger::LimitLedger,
-            limit::{AnswerWord, RequestLimit},
+            limit::{AnswerReport, RequestLimit},
             share::{LimitShare, PermitUse},
         },
     },
@@ -27,23 +27,23 @@
     let (mut share, mut ledger) = (LimitShare::default(), LimitLedger::default());
     let start = ClockMillis::from_millis(1000);
     let said = Declared::Present(RequestLimit::new(4.0).expect("a limit"));
-    share.answered(&engine, 7, AnswerWord { said, asked: start, would_say: true }, start);
+    share.answered(&engine, 7, AnswerReport { said, asked: start, would_say: true }, start);
     share.wait_began(&engine, PermitUse::Waiting);
     let mut first = None;
     for tick in 0..100u32 {
         let now = start + TICK * tick;
-        share.ledger_heard(now);
-        let told = share.take_told(now);
-        for word in &told.words {
-            ledger.word_heard(word, now);
+        share.ledger_received(now);
+        let told = share.take_pending(now);
+        for word in &told.reports {
+            ledger.receive(word, now);
         }
-        for (engine, ask) in &told.asks {
-            ledger.asked(&host, engine, ask, now);
+        for (engine, ask) in &told.demands {
+            ledger.demand_received(&host, engine, ask, now);
         }
         let listed = now >= start + Duration::from_millis(LISTED);
         ledger.retain(|_| listed.then_some(7));
         for word in ledger.take_changes(now) {
-            share.word_heard(&word, now);
+            share.receive(&word, now);
         }
         let grants = ledger.deal(now).remove(&host).unwrap_or_default();
         share.granted(&grants, now);
@@ -65,20 +65,20 @@
     share.answered(
         &engine,
         7,
-        AnswerWord { said: named, asked: at(900), would_say: true },
+        AnswerReport { said: named, asked: at(900), would_say: true },
         at(1000),
     );
-    let none = AnswerWord { said: Declared::Absent, asked: at(1200), would_say: true };
+    let none = AnswerReport { said: Declared::Absent, asked: at(1200), would_say: true };
     share.answered(&engine, 7, none, at(1210));
     assert!(!share.names_limit(&engine));
     // Words are under way for a while, which nobody counts.
-    for word in share.take_told(at(1210)).words {
-        ledger.word_heard(&word, at(1240));
+    for word in share.take_pending(at(1210)).reports {
+        ledger.receive(&word, at(1240));
     }
     let mut begins = LimitShare::default();
-    for word in ledger.words_for_all(at(1300)) {
-        share.word_heard(&word, at(1330));
-        begins.word_heard(&word, at(1330));
+    for word in ledger.snapshot(at(1300)) {
+        share.receive(&word, at(1330));
+        begins.receive(&word, at(1330));
     }
     for (name, share) in [("a host that heard the end", &share), ("one that knew nothing", &begins)]
     {
@@ -90,9 +90,9 @@
     }
     // Another ledger hears from them that the engine returns, and need not begin at the limit.
     let mut next = LimitLedger::default();
-    begins.begin_telling();
-    for word in begins.take_told(at(1400)).words {
-        next.word_heard(&word, at(1430));
+    begins.resend_all();
+    for word in begins.take_pending(at(1400)).reports {
+        next.receive(&word, at(1430));
     }
     let mut seconds = 0u64;
     while next.take_changes(at(1430 + seconds * 1000)).iter().all(|word| !word.is_back()) {
@@ -112,11 +112,11 @@
     for (confirmed, expected) in [(true, 500), (false, 1000)] {
         let (mut share, mut ledger) = (LimitShare::default(), LimitLedger::default());
         ledger.confirmed(confirmed);
-        share.answered(&engine, 7, AnswerWord { said, asked: start, would_say: true }, start);
+        share.answered(&engine, 7, AnswerReport { said, asked: start, would_say: true }, start);
         share.wait_began(&engine, PermitUse::Waiting);
-        let told = share.take_told(start);
-        ledger.word_heard(&told.words[0], start);
-        ledger.asked(&host, &engine, &told.asks[0].1, start);
+        let told = share.take_pending(start);
+        ledger.receive(&told.reports[0], start);
+        ledger.demand_received(&host, &engine, &told.demands[0].1, start);
         assert_eq!(ledger.next_due(start), Some(start + Duration::from_millis(expected)));
         let grants = ledger.deal(start).remove(&host).expect("a word on the wait");
         assert_eq!(grants[0].wait, Some(Duration::from_millis(expected)), "confirmed: {confirmed}");
--- a/crates/core/tests/quarantine/book.rs
+++ b/crates/core/tests/quarantine/book.rs
@@ -6,7 +6,7 @@
 use reelreel_core::{
     ClockMillis,
     fleet::quarantine::{
-        ENDS_UNTIL_HELD, EndedRun, QuarantineBook, QuarantineNews, RequestMark, SuspectWord,
+        ENDS_UNTIL_HELD, EndedRun, QuarantineBook, QuarantineEvent, RequestMark, SuspectReport,
         engine_life,
     },
 };
@@ -171,8 +171,8 @@
 
 /// Brings the ends of two engines under one request to a host, by the words of two others through the one that adds up.
 fn told_through(adding: &mut QuarantineBook, to: &mut QuarantineBook, now: ClockMillis) {
-    let words = adding.take_unspread(now);
-    to.heard(&words, false, now);
+    let words = adding.take_unpublished(now);
+    to.receive(&words, false, now);
 }
 
 #[test]
@@ -184,26 +184,26 @@
     for host in [&mut one, &mut two] {
         assert_eq!(host.held(BAD, 1, at(95)), None, "no host knows it alone");
     }
-    three.heard(&one.take_untold(at(100)), true, at(110));
-    assert!(three.take_unspread(at(110)).is_empty(), "one end concerns nobody else");
-    three.heard(&two.take_untold(at(100)), true, at(120));
+    three.receive(&one.take_pending(at(100)), true, at(110));
+    assert!(three.take_unpublished(at(110)).is_empty(), "one end concerns nobody else");
+    three.receive(&two.take_pending(at(100)), true, at(120));
     assert!(three.held(BAD, 1, at(120)).is_some());
     told_through(&mut three, &mut one, at(130));
     assert!(one.held(BAD, 1, at(140)).is_some());
     // Who begins to listen later hears it at once.
-    late.heard(&three.words_for_all(at(200)), false, at(210));
+    late.receive(&three.snapshot(at(200)), false, at(210));
     assert!(late.held(BAD, 1, at(210)).is_some());
-    let news = late.take_news();
-    let [QuarantineNews::Held { mark: BAD, organisation, ends: 2, .. }] = &news[..] else {
+    let news = late.take_events();
+    let [QuarantineEvent::Held { mark: BAD, organisation, ends: 2, .. }] = &news[..] else {
         panic!("{news:?}");
     };
     assert_eq!(organisation.as_deref(), Some("north"));
     // A whole run at any host clears it at all.
     one.ran_whole(BAD, at(300));
-    three.heard(&one.take_untold(at(300)), true, at(310));
+    three.receive(&one.take_pending(at(300)), true, at(310));
     told_through(&mut three, &mut late, at(320));
     assert_eq!(late.held(BAD, 1, at(330)), None);
-    assert_eq!(late.take_news(), [QuarantineNews::Cleared { mark: BAD }]);
+    assert_eq!(late.take_events(), [QuarantineEvent::Cleared { mark: BAD }]);
 }
 
 /// A request that many callers send breaks off at the hosts that had it at engines which ended, and runs whole at all others:
@@ -216,11 +216,11 @@
     other.ran_whole(BAD, at(500));
     two.engine_ended(engine_life("b", 0), &[run(BAD, 600)], at(900));
     for host in [&mut one, &mut two] {
-        adding.heard(&host.take_untold(at(1000)), true, at(1000));
+        adding.receive(&host.take_pending(at(1000)), true, at(1000));
     }
     told_through(&mut adding, &mut other, at(1000));
     assert_eq!(other.held(BAD, 1, at(1001)), None);
-    adding.heard(&other.take_untold(at(1010)), true, at(1010));
+    adding.receive(&other.take_pending(at(1010)), true, at(1010));
     assert_eq!(adding.held(BAD, 1, at(1010)), None, "one end is left");
     told_through(&mut adding, &mut one, at(1020));
     assert_eq!(one.held(BAD, 1, at(1020)), None);
@@ -233,13 +233,13 @@
     for (engine, began) in [("a", 0), ("b", 100)] {
         first.engine_ended(engine_life(engine, 0), &[run(BAD, began)], at(began + 50));
     }
-    first.spread_own();
-    let words = first.take_unspread(at(200));
-    next.heard(&words, false, at(200));
-    other.heard(&words, false, at(200));
+    first.publish_own();
+    let words = first.take_unpublished(at(200));
+    next.receive(&words, false, at(200));
+    other.receive(&words, false, at(200));
     assert!(other.held(BAD, 1, at(210)).is_some());
     next.ran_whole(BAD, at(300));
-    next.spread_own();
+    next.publish_own();
     told_through(&mut next, &mut other, at(310));
     assert_eq!(other.held(BAD, 1, at(310)), None);
 }
@@ -248,12 +248,12 @@
 fn a_host_that_has_nobody_to_tell_says_it_all_again_later() {
     let mut host = book("one");
     host.engine_ended(engine_life("a", 0), &[run(BAD, 0)], at(50));
-    let lost = host.take_untold(at(60));
-    host.tell_again(&lost);
-    assert_eq!(host.take_untold(at(60)), lost);
-    assert!(host.take_untold(at(60)).is_empty());
-    host.tell_all_again();
-    assert_eq!(host.take_untold(at(60)).len(), 1);
+    let lost = host.take_pending(at(60));
+    host.resend(&lost);
+    assert_eq!(host.take_pending(at(60)), lost);
+    assert!(host.take_pending(at(60)).is_empty());
+    host.resend_all();
+    assert_eq!(host.take_pending(at(60)).len(), 1);
 }
 
 /// A flood of bad bodies drives out what is known least, never what is held back, and the bound holds.
@@ -291,30 +291,30 @@
         cleared in proptest::option::of(0..2000_u64),
         order in Just((0..16_usize).collect::<Vec<_>>()).prop_shuffle(),
     ) {
-        let mut words: Vec<SuspectWord> = Vec::new();
+        let mut words: Vec<SuspectReport> = Vec::new();
         let now = at(3000);
         for (engine, began) in &ends {
             let mut host = book("saw");
             // One life ends once, whoever saw it.
             let ended = 2400 + engine * 10;
             host.engine_ended(engine_life("e", *engine), &[run(BAD, *began)], at(ended));
-            words.extend(host.take_untold(now));
+            words.extend(host.take_pending(now));
         }
         if let Some(cleared) = cleared {
             let mut host = book("whole");
-            host.heard(&words, false, now);
+            host.receive(&words, false, now);
             host.ran_whole(BAD, at(cleared));
-            words.extend(host.take_untold(now));
+            words.extend(host.take_pending(now));
         }
         let (mut straight, mut shuffled) = (book("host"), book("host"));
-        straight.heard(&words, false, now);
+        straight.receive(&words, false, now);
         for place in &order {
             if let Some(word) = words.get(*place % words.len()) {
-                shuffled.heard(std::slice::from_ref(word), false, now);
+                shuffled.receive(std::slice::from_ref(word), false, now);
             }
         }
         for word in &words {
-            shuffled.heard(std::slice::from_ref(word), false, now);
+            shuffled.receive(std::slice::from_ref(word), false, now);
         }
         prop_assert_eq!(straight.held(BAD, 1, now), shuffled.held(BAD, 1, now));
         prop_assert_eq!(straight.is_suspect(BAD), shuffled.is_suspect(BAD));
--- a/crates/core/tests/quarantine/play.rs
+++ b/crates/core/tests/quarantine/play.rs
@@ -5,7 +5,7 @@
 use reelreel_core::{
     ClockMillis,
     fleet::quarantine::{
-        EndedRun, EngineLife, QuarantineBook, RequestMark, SuspectWord, engine_life,
+        EndedRun, EngineLife, QuarantineBook, RequestMark, SuspectReport, engine_life,
     },
 };
 
@@ -128,7 +128,7 @@
     runs: Vec<Run>,
     arrivals: Vec<Arrival>,
     /// Words on their way: when they arrive, to whom, and whether that host adds up.
-    words: Vec<(u64, usize, Vec<SuspectWord>)>,
+    words: Vec<(u64, usize, Vec<SuspectReport>)>,
     /// When engines ended under each bad request.
     ends: Vec<Vec<u64>>,
     late_runs: Vec<u32>,
@@ -336,17 +336,17 @@
             return;
         }
         for host in 1..self.books.len() {
-            let words = self.books[host].take_untold(at(now));
+            let words = self.books[host].take_pending(at(now));
             self.send(0, words, now);
         }
-        self.books[0].spread_own();
-        let words = self.books[0].take_unspread(at(now));
+        self.books[0].publish_own();
+        let words = self.books[0].take_unpublished(at(now));
         for host in 1..self.books.len() {
             self.send(host, words.clone(), now);
         }
     }
 
-    fn send(&mut self, to: usize, words: Vec<SuspectWord>, now: u64) {
+    fn send(&mut self, to: usize, words: Vec<SuspectReport>, now: u64) {
         if !words.is_empty() {
             self.outcome.words += words.len();
             self.words.push((now + WORD_TIME, to, words));
@@ -356,7 +356,7 @@
     fn deliver(&mut self, now: u64) {
         let due: Vec<_> = self.words.extract_if(.., |(arrives, ..)| *arrives <= now).collect();
         for (_, host, words) in due {
-            self.books[host].heard(&words, host == 0, at(now));
+            self.books[host].receive(&words, host == 0, at(now));
         }
     }
 
--- a/crates/core/tests/quotas/ways.rs
+++ b/crates/core/tests/quotas/ways.rs
@@ -123,7 +123,7 @@
             for (host, share) in self.shares.iter_mut().enumerate() {
                 if network.reaches_ledger(host) {
                     let told = share.untold();
-                    share.was_told(&told);
+                    share.acknowledge(&told);
                     self.reports.push_back((now + 10, host, told));
                 }
             }
@@ -142,7 +142,7 @@
             let Some((_, words)) = self.words.pop_front() else { break };
             for (host, share) in self.shares.iter_mut().enumerate() {
                 if network.reaches_ledger(host) {
-                    share.ledger_heard(&words, at(now));
+                    share.ledger_received(&words, at(now));
                 }
             }
         }
--- a/crates/core/tests/suspended.rs
+++ b/crates/core/tests/suspended.rs
@@ -67,7 +67,7 @@
     let (north, hosts) = (Arc::from("north"), 10);
     let terms = QuotaTerms { limit: &limit, tolerance: &tolerance, hosts };
     let mut share = QuotaShare::unspent();
-    share.ledger_heard(&[], BEFORE);
+    share.ledger_received(&[], BEFORE);
     let granted = (0..200).filter(|_| share.take(&north, 1, &terms, BACK).is_ok()).count();
     // Of a quota of 90 in a window and 10 hosts.
     assert!(granted <= 20, "{granted} granted at once");
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -9,7 +9,7 @@
 use reelreel_core::{
     ClockMillis,
     fleet::{
-        EngineBirth, EngineEntry, EngineName, HeldModel, ModelKey, ServiceName, UNTOLD_BIRTH,
+        EngineBirth, EngineEntry, EngineName, HeldModel, ModelKey, ServiceName, UNKNOWN_BIRTH,
         adapter_name, work::EngineWork,
     },
     id::FenceToken,
@@ -85,7 +85,7 @@
 
 /// A host that has ceased to listen.
 #[derive(Debug, Clone)]
-pub struct GoneListener {
+pub struct RemovedSubscriber {
     /// Its name.
     pub host: Arc<str>,
     /// Of how many hosts it was one, where it fell silent and may go on serving; none where it has closed its connection.
@@ -127,7 +127,7 @@
     /// Where demand for the placer goes, while there is a connection.
     pub placer: Option<mpsc::Sender<EncodedFrame>>,
     /// Hosts that have ceased to listen since this was last asked.
-    gone: Vec<GoneListener>,
+    gone: Vec<RemovedSubscriber>,
     /// The pace that was logged last.
     logged_pace: Option<StorePace>,
     /// What subscribers were told that engines hold.
@@ -297,7 +297,7 @@
     }
 
     fn born(&self, engine: &str) -> EngineBirth {
-        self.lives.get(engine).copied().unwrap_or(UNTOLD_BIRTH)
+        self.lives.get(engine).copied().unwrap_or(UNKNOWN_BIRTH)
     }
 
     /// Reads the work that a frame of the placer tells, passing over engines whose number was not told.
@@ -417,7 +417,7 @@
         subscribers.retain(|subscriber| {
             let kept = subscriber.frames.try_send(frame.clone()).is_ok();
             if !kept {
-                gone.push(GoneListener { host: Arc::clone(&subscriber.host), silent_among });
+                gone.push(RemovedSubscriber { host: Arc::clone(&subscriber.host), silent_among });
             }
             kept
         });
@@ -438,14 +438,17 @@
         subscribers.retain(|subscriber| {
             let kept = !subscriber.frames.same_channel(frames);
             if !kept {
-                gone.push(GoneListener { host: Arc::clone(&subscriber.host), silent_among: None });
+                gone.push(RemovedSubscriber {
+                    host: Arc::clone(&subscriber.host),
+                    silent_among: None,
+                });
             }
             kept
         });
     }
 
     /// Takes the hosts that have ceased to listen since the last call.
-    pub fn take_gone(&mut self) -> Vec<GoneListener> {
+    pub fn take_removed(&mut self) -> Vec<RemovedSubscriber> {
         std::mem::take(&mut self.gone)
     }
 }
--- a/crates/gateway/src/control/engine_list.rs
+++ b/crates/gateway/src/control/engine_list.rs
@@ -9,7 +9,7 @@
 use reelreel_core::{
     ClockMillis, StorePosition,
     fleet::{
-        EngineBirth, EngineEntry, EngineName, UNTOLD_BIRTH, adapter_name,
+        EngineBirth, EngineEntry, EngineName, UNKNOWN_BIRTH, adapter_name,
         relisting::{KnownWord, WRITING_AGAIN, is_believed},
     },
 };
@@ -196,7 +196,7 @@
     /// the older word in the store's copy.
     fn note_departure(&mut self, entry: &EngineEntry) {
         let Some(known) = self.engines.get(&entry.name) else { return };
-        let same_life = entry.born == known.born && entry.born != UNTOLD_BIRTH;
+        let same_life = entry.born == known.born && entry.born != UNKNOWN_BIRTH;
         if entry.leaving && same_life {
             self.mark_leaving(&Arc::clone(known));
         }
@@ -232,7 +232,7 @@
     fn known_word(&self, name: &str) -> KnownWord<'_> {
         match self.engines.get(name) {
             Some(entry) => KnownWord::Listed(entry),
-            None => KnownWord::Gone(self.departed.get(name).copied().unwrap_or(UNTOLD_BIRTH)),
+            None => KnownWord::Gone(self.departed.get(name).copied().unwrap_or(UNKNOWN_BIRTH)),
         }
     }
 
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -51,7 +51,7 @@
 
     /// Takes a host that begins to listen to a service's placer, and tells it everything.
     fn begin_listening(&mut self, service: &str, subscriber: PlanSubscriber) {
-        let sums = self.greet_listener(&subscriber.host, service);
+        let sums = self.snapshot_for(&subscriber.host, service);
         let Some(domain) = self.domains.get_mut(service) else { return };
         let mut frames = std::iter::once(domain.whole_plan()).chain(sums);
         if frames.all(|frame| subscriber.frames.try_send(frame).is_ok()) {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -169,7 +169,7 @@
     }
 
     /// Takes that the reader that this host follows has said something.
-    pub fn reader_heard(&mut self) {
+    pub fn reader_responded(&mut self) {
         self.health.told_by_reader(self.shared.clock.now());
     }
 
--- a/crates/gateway/src/control/sums.rs
+++ b/crates/gateway/src/control/sums.rs
@@ -1,8 +1,8 @@
-//! How hosts hold a sum together: what each of them counts, one of them adds up and all hear.
+//! State that all hosts hold together: each host reports its part, a coordinator aggregates it and publishes the result.
 //!
-//! The placer of one service adds up, over the connections on which hosts tell it their demand and it tells them its plan: no
-//! further service and no further connection. What is added up is a [`FleetSum`]; the lane only carries its words. Nothing is
-//! agreed on: when another host takes over it is told everything anew, and until then each host decides by what it knows.
+//! The coordinator is the placer of one service. Reports and results travel over the connections that carry demand and plans.
+//! Each kind of state is a [`FleetSum`]. Nothing is agreed on: a new coordinator receives all reports again, and until then each
+//! host decides by what it knows.
 
 pub mod departures;
 pub mod limits;
@@ -24,7 +24,7 @@
 
 use crate::{
     control::{
-        domain::{GoneListener, PlacementDomain},
+        domain::{PlacementDomain, RemovedSubscriber},
         state::ControlState,
         sums::{
             departures::DepartureSum, limits::LimitSum, quotas::QuotaSum, suspects::SuspectSum,
@@ -39,10 +39,10 @@
     store::membership::GroupMember,
 };
 
-/// How often the host that adds up says something at least, so that its silence shows.
+/// The longest time between two frames of the coordinator, so that its silence shows.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// What a sum must know to act.
+/// What a sum needs to act.
 #[derive(Clone, Copy)]
 pub struct SumContext<'state> {
     /// The time.
@@ -51,7 +51,7 @@
     pub routes: Option<&'state RouteTable>,
     /// This host's name.
     pub host: &'state Arc<str>,
-    /// Whether the store has confirmed this host's lease lately, where it adds up: another one may do so too otherwise.
+    /// Whether the store has confirmed this host's lease lately, where it is the coordinator; otherwise another one may act too.
     pub confirmed: bool,
     engines: &'state BTreeMap<EngineName, Arc<EngineEntry>>,
     owners: &'state HashMap<u32, GroupMember>,
@@ -65,8 +65,8 @@
         entry.map(|entry| entry.born)
     }
 
-    /// Returns whether this host is the one that the group names for an engine while nobody is heard to add up: the holder of
-    /// the partition that the engine's name falls to.
+    /// Returns whether this host stands in for the coordinator for an engine: it holds the partition that the engine's name falls
+    /// to.
     pub fn stands_in(&self, engine: &str) -> bool {
         let partitions = u64::from(self.profile.partitions.max(1));
         let partition = u32::try_from(xxh3_64(engine.as_bytes()) % partitions).unwrap_or_default();
@@ -74,58 +74,58 @@
     }
 }
 
-/// Something that all hosts count and one of them adds up.
+/// State that all hosts report and the coordinator aggregates.
 pub trait FleetSum {
-    /// Takes that this host begins to add up, under a new lease.
+    /// Starts coordinating under a new lease.
     fn begin(&mut self, context: &SumContext<'_>);
 
-    /// Takes that this host adds up no longer.
+    /// Stops coordinating.
     fn end(&mut self);
 
-    /// Makes this host's words be told again, to another host that adds up.
-    fn tell_again(&mut self);
+    /// Marks this host's reports as pending, since another host has become the coordinator.
+    fn resend_all(&mut self);
 
-    /// Writes this host's words for who adds up; returns whether they are to go now.
-    fn tell(&mut self, frame: &mut CountFrame, context: &SumContext<'_>) -> bool;
+    /// Writes this host's pending reports; returns whether they are due.
+    fn report(&mut self, frame: &mut CountFrame, context: &SumContext<'_>) -> bool;
 
-    /// Takes whether the words of a frame went.
-    fn was_told(&mut self, frame: &CountFrame, sent: bool);
+    /// Takes whether the reports of a frame were sent.
+    fn acknowledge(&mut self, frame: &CountFrame, sent: bool);
 
-    /// Adds a host's words up.
+    /// Aggregates a host's reports.
     fn count(&mut self, host: &Arc<str>, frame: &CountFrame, context: &SumContext<'_>);
 
-    /// Takes that a host begins to listen, and writes everything that it is to hear.
-    fn greet(&mut self, host: &Arc<str>, frame: &mut SumFrame, context: &SumContext<'_>);
+    /// Writes the whole state for a new subscriber.
+    fn snapshot(&mut self, host: &Arc<str>, frame: &mut SumFrame, context: &SumContext<'_>);
 
-    /// Takes that a host listens no longer.
-    fn left(&mut self, listener: &GoneListener, context: &SumContext<'_>);
+    /// Takes that a subscriber has disconnected.
+    fn unsubscribed(&mut self, listener: &RemovedSubscriber, context: &SumContext<'_>);
 
-    /// Writes what all other hosts are to hear now, and has this one hear it; `due` says that they are to hear something.
-    fn spread(&mut self, frame: &mut SumFrame, due: bool, context: &SumContext<'_>);
+    /// Writes what has changed for all subscribers and applies it to this host; `due` asks for what is published regularly.
+    fn publish(&mut self, frame: &mut SumFrame, due: bool, context: &SumContext<'_>);
 
-    /// Takes what the host that adds up says.
-    fn hear(&mut self, frame: &SumFrame, context: &SumContext<'_>);
+    /// Applies what the coordinator has published.
+    fn receive(&mut self, frame: &SumFrame, context: &SumContext<'_>);
 
-    /// Takes what single hosts are to hear now.
-    fn answers(&mut self) -> Vec<(Arc<str>, SumFrame)> {
+    /// Returns frames for single hosts.
+    fn replies(&mut self) -> Vec<(Arc<str>, SumFrame)> {
         Vec::new()
     }
 
     /// Does what is due on every host, and logs what has happened.
     fn tick(&mut self, _context: &SumContext<'_>) {}
 
-    /// Returns when this host, which adds up, has something to tell.
+    /// Returns when the coordinator has something to publish next.
     fn next_due(&self, _now: ClockMillis) -> Option<ClockMillis> {
         None
     }
 }
 
-/// The sums of all hosts, and whether this one adds up.
+/// All sums, and whether this host coordinates them.
 pub struct SumLane {
     sums: Vec<Box<dyn FleetSum>>,
-    /// The service whose placer adds up, and the lease under which this host does.
+    /// The service whose placer coordinates, and the lease under which this host does.
     keeps: Option<(ServiceName, FenceToken)>,
-    /// When all listeners last heard something.
+    /// When a frame was last published.
     spoken: ClockMillis,
 }
 
@@ -141,7 +141,7 @@
         Self { sums, keeps: None, spoken: ClockMillis::default() }
     }
 
-    /// Takes under which lease this host adds up, if under any.
+    /// Takes the lease under which this host coordinates, if any.
     fn keep(&mut self, lease: Option<(ServiceName, FenceToken)>, context: &SumContext<'_>) {
         if self.keeps == lease {
             return;
@@ -152,52 +152,52 @@
         }
     }
 
-    /// Adds up what all hosts say, this one included, and tells it.
+    /// Aggregates the reports of all hosts, this one included, and publishes the result.
     fn add_up(&mut self, domain: &mut PlacementDomain, context: &SumContext<'_>) {
         let mut own = CountFrame::default();
         for sum in &mut self.sums {
-            sum.tell(&mut own, context);
-            sum.was_told(&own, true);
+            sum.report(&mut own, context);
+            sum.acknowledge(&own, true);
             sum.count(context.host, &own, context);
         }
-        for listener in domain.take_gone() {
+        for listener in domain.take_removed() {
             for sum in &mut self.sums {
-                sum.left(&listener, context);
+                sum.unsubscribed(&listener, context);
             }
         }
         let due = context.now.since(self.spoken) >= ALIVE_INTERVAL;
         let mut frame = SumFrame::default();
         for sum in &mut self.sums {
-            sum.spread(&mut frame, due, context);
+            sum.publish(&mut frame, due, context);
         }
         if due || frame != SumFrame::default() {
             self.spoken = context.now;
             domain.broadcast(&encoded_sums(domain, frame));
         }
-        for (host, frame) in self.sums.iter_mut().flat_map(|sum| sum.answers()) {
+        for (host, frame) in self.sums.iter_mut().flat_map(|sum| sum.replies()) {
             domain.tell_one(&host, &encoded_sums(domain, frame));
         }
     }
 
-    /// Tells who adds up what this host counts.
-    fn tell(&mut self, domain: &PlacementDomain, context: &SumContext<'_>) {
+    /// Sends this host's reports to the coordinator.
+    fn report(&mut self, domain: &PlacementDomain, context: &SumContext<'_>) {
         let Some(placer) = &domain.placer else { return };
         let (host, service) = (context.host.to_string(), domain.service.to_string());
         let mut frame = CountFrame { host, service, ..CountFrame::default() };
         let mut due = false;
         for sum in &mut self.sums {
-            due |= sum.tell(&mut frame, context);
+            due |= sum.report(&mut frame, context);
         }
         if due {
             let sent = placer.try_send(FrameBody::Count(frame.clone()).encoded()).is_ok();
             for sum in &mut self.sums {
-                sum.was_told(&frame, sent);
+                sum.acknowledge(&frame, sent);
             }
         }
     }
 }
 
-/// Encodes what listeners of a domain's placer hear of sums.
+/// Encodes a frame for the subscribers of a domain's placer.
 fn encoded_sums(domain: &PlacementDomain, frame: SumFrame) -> EncodedFrame {
     let (service, token) = (domain.service.to_string(), domain.planned_token);
     let hosts = domain.listeners();
@@ -205,12 +205,12 @@
 }
 
 impl ControlState {
-    /// Returns the service whose placer adds up: the first one with models, and the first one where none has any.
+    /// Returns the service whose placer coordinates: the first one with models, or the first one where none has any.
     pub(super) fn sums_service(&self) -> Option<ServiceName> {
         self.routes.as_ref()?.leading_service().map(Arc::clone)
     }
 
-    /// Tells what this host counts, or adds up what all say; returns when it is to be called again, if that is known.
+    /// Sends this host's reports, or aggregates those of all; returns when it is to be called again, if that is known.
     pub(super) fn tick_sums(&mut self, now: ClockMillis) -> Option<ClockMillis> {
         let service = self.sums_service()?;
         let confirmed = self.domains.get(&service)?.tenure.is_confirmed(now);
@@ -221,7 +221,7 @@
         if domain.leads {
             lane.add_up(domain, &context);
         } else {
-            lane.tell(domain, &context);
+            lane.report(domain, &context);
         }
         for sum in &mut lane.sums {
             sum.tick(&context);
@@ -229,7 +229,7 @@
         lane.sums.iter().filter_map(|sum| sum.next_due(now)).min()
     }
 
-    /// Returns the lane, the domains, and what sums must know, apart from one another.
+    /// Returns the lane, the domains, and the context of sums, borrowed apart.
     fn sum_parts(
         &mut self,
         now: ClockMillis,
@@ -248,7 +248,7 @@
         (lane, domains, context)
     }
 
-    /// Takes what a host counts, where this one adds up.
+    /// Aggregates a host's reports, where this one coordinates.
     pub fn peer_count(&mut self, frame: &CountFrame) {
         let now = self.shared.clock.now();
         let (lane, _, context) = self.sum_parts(now);
@@ -262,12 +262,8 @@
         self.shared.wake_control.notify_one();
     }
 
-    /// Returns everything that a host is to hear which begins to listen to a service's placer, where that adds up.
-    pub(super) fn greet_listener(
-        &mut self,
-        host: &Arc<str>,
-        service: &str,
-    ) -> Option<EncodedFrame> {
+    /// Returns the whole state for a new subscriber of a service's placer, where this host coordinates.
+    pub(super) fn snapshot_for(&mut self, host: &Arc<str>, service: &str) -> Option<EncodedFrame> {
         let now = self.shared.clock.now();
         let (lane, domains, context) = self.sum_parts(now);
         if lane.keeps.as_ref().is_none_or(|(keeps, _)| **keeps != *service) {
@@ -275,13 +271,13 @@
         }
         let mut frame = SumFrame::default();
         for sum in &mut lane.sums {
-            sum.greet(host, &mut frame, &context);
+            sum.snapshot(host, &mut frame, &context);
         }
         Some(encoded_sums(domains.get(service)?, frame))
     }
 
-    /// Takes what the host that adds up says.
-    pub fn sums_heard(&mut self, frame: &SumFrame) {
+    /// Applies what the coordinator has published.
+    pub fn sums_received(&mut self, frame: &SumFrame) {
         let now = self.shared.clock.now();
         let adds_up = self.sums_service().is_some_and(|service| *service == *frame.service);
         let domain = self.domains.get(frame.service.as_str());
@@ -291,17 +287,17 @@
         }
         let (lane, _, context) = self.sum_parts(now);
         for sum in &mut lane.sums {
-            sum.hear(frame, &context);
+            sum.receive(frame, &context);
         }
         self.hosts_counted(frame.hosts);
         self.publish();
     }
 
-    /// Makes this host's words be told again where a service's placer, which adds up, is another one now.
-    pub fn tell_sums_again(&mut self, service: &str) {
+    /// Marks this host's reports as pending where the coordinating service has another placer.
+    pub fn resend_sums(&mut self, service: &str) {
         if self.sums_service().is_some_and(|summing| &*summing == service) {
             for sum in &mut self.lane.sums {
-                sum.tell_again();
+                sum.resend_all();
             }
         }
     }
--- a/crates/gateway/src/control/sums/departures.rs
+++ b/crates/gateway/src/control/sums/departures.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     control::{
-        domain::GoneListener,
+        domain::RemovedSubscriber,
         sums::{FleetSum, SumContext},
     },
     host::SharedState,
@@ -27,7 +27,7 @@
         Self { shared }
     }
 
-    fn receive(&self, lines: &[DepartureLine], context: &SumContext<'_>) {
+    fn take_lines(&self, lines: &[DepartureLine], context: &SumContext<'_>) {
         if !lines.is_empty() {
             self.shared.departures().receive(&reports(lines), context.now);
             self.shared.wake_control.notify_one();
@@ -45,41 +45,41 @@
 
 impl FleetSum for DepartureSum {
     fn begin(&mut self, _: &SumContext<'_>) {
-        self.tell_again();
+        self.resend_all();
     }
 
     fn end(&mut self) {}
 
-    fn tell_again(&mut self) {
+    fn resend_all(&mut self) {
         self.shared.departures().resend_all();
     }
 
-    fn tell(&mut self, frame: &mut CountFrame, context: &SumContext<'_>) -> bool {
+    fn report(&mut self, frame: &mut CountFrame, context: &SumContext<'_>) -> bool {
         frame.departures = lines(&self.shared.departures().take_pending(context.now));
         !frame.departures.is_empty()
     }
 
-    fn was_told(&mut self, frame: &CountFrame, sent: bool) {
+    fn acknowledge(&mut self, frame: &CountFrame, sent: bool) {
         if !sent {
             self.shared.departures().resend(&reports(&frame.departures));
         }
     }
 
     fn count(&mut self, _: &Arc<str>, frame: &CountFrame, context: &SumContext<'_>) {
-        self.receive(&frame.departures, context);
+        self.take_lines(&frame.departures, context);
     }
 
-    fn greet(&mut self, _: &Arc<str>, frame: &mut SumFrame, context: &SumContext<'_>) {
+    fn snapshot(&mut self, _: &Arc<str>, frame: &mut SumFrame, context: &SumContext<'_>) {
         frame.departures = lines(&self.shared.departures().snapshot(context.now));
     }
 
-    fn left(&mut self, _: &GoneListener, _: &SumContext<'_>) {}
+    fn unsubscribed(&mut self, _: &RemovedSubscriber, _: &SumContext<'_>) {}
 
-    fn spread(&mut self, frame: &mut SumFrame, _: bool, context: &SumContext<'_>) {
+    fn publish(&mut self, frame: &mut SumFrame, _: bool, context: &SumContext<'_>) {
         frame.departures = lines(&self.shared.departures().take_unpublished(context.now));
     }
 
-    fn hear(&mut self, frame: &SumFrame, context: &SumContext<'_>) {
-        self.receive(&frame.departures, context);
+    fn receive(&mut self, frame: &SumFrame, context: &SumContext<'_>) {
+        self.take_lines(&frame.departures, context);
     }
 }
--- a/crates/gateway/src/control/sums/limits.rs
+++ b/crates/gateway/src/control/sums/limits.rs
@@ -5,14 +5,14 @@
 use reelreel_core::{
     ClockMillis,
     fleet::limits::{
-        ledger::LimitLedger, limit::RequestLimit, news::LimitNews, share::LimitTold,
-        word::PermitGrant,
+        events::LimitEvent, ledger::LimitLedger, limit::RequestLimit, report::PermitGrant,
+        share::LimitUpdate,
     },
 };
 
 use crate::{
     control::{
-        domain::GoneListener,
+        domain::RemovedSubscriber,
         sums::{FleetSum, SumContext},
     },
     events::HostEvent,
@@ -27,7 +27,7 @@
 pub struct LimitSum {
     shared: Arc<SharedState>,
     ledger: Option<LimitLedger>,
-    /// What other hosts were granted and have not heard yet.
+    /// Grants that were not sent yet, by host.
     granted: BTreeMap<Arc<str>, Vec<PermitGrant>>,
 }
 
@@ -38,18 +38,18 @@
     }
 }
 
-/// Reads what a host tells the ledger.
-fn told(frame: &CountFrame) -> LimitTold {
-    LimitTold {
-        words: read_limits(&frame.limits),
-        asks: frame.asks.iter().map(Into::into).collect(),
+/// Reads what a host reports to the ledger.
+fn update(frame: &CountFrame) -> LimitUpdate {
+    LimitUpdate {
+        reports: read_limits(&frame.limits),
+        demands: frame.asks.iter().map(Into::into).collect(),
     }
 }
 
 impl FleetSum for LimitSum {
     fn begin(&mut self, _: &SumContext<'_>) {
         self.ledger = Some(LimitLedger::default());
-        self.tell_again();
+        self.resend_all();
     }
 
     fn end(&mut self) {
@@ -57,49 +57,49 @@
         self.granted.clear();
     }
 
-    fn tell_again(&mut self) {
-        self.shared.limits().begin_telling();
+    fn resend_all(&mut self) {
+        self.shared.limits().resend_all();
     }
 
-    fn tell(&mut self, frame: &mut CountFrame, context: &SumContext<'_>) -> bool {
-        let told = self.shared.limits().take_told(context.now);
-        frame.limits = told.words.iter().map(Into::into).collect();
-        frame.asks = told.asks.iter().map(Into::into).collect();
-        told != LimitTold::default()
+    fn report(&mut self, frame: &mut CountFrame, context: &SumContext<'_>) -> bool {
+        let update = self.shared.limits().take_pending(context.now);
+        frame.limits = update.reports.iter().map(Into::into).collect();
+        frame.asks = update.demands.iter().map(Into::into).collect();
+        update != LimitUpdate::default()
     }
 
-    fn was_told(&mut self, frame: &CountFrame, sent: bool) {
+    fn acknowledge(&mut self, frame: &CountFrame, sent: bool) {
         if !sent {
-            self.shared.limits().tell_again(&told(frame));
+            self.shared.limits().resend(&update(frame));
         }
     }
 
     fn count(&mut self, host: &Arc<str>, frame: &CountFrame, context: &SumContext<'_>) {
         let Some(ledger) = &mut self.ledger else { return };
-        let LimitTold { words, asks } = told(frame);
-        for word in &words {
-            ledger.word_heard(word, context.now);
+        let LimitUpdate { reports, demands } = update(frame);
+        for report in &reports {
+            ledger.receive(report, context.now);
         }
-        for (engine, ask) in &asks {
-            ledger.asked(host, engine, ask, context.now);
+        for (engine, demand) in &demands {
+            ledger.demand_received(host, engine, demand, context.now);
         }
     }
 
-    fn greet(&mut self, host: &Arc<str>, frame: &mut SumFrame, context: &SumContext<'_>) {
+    fn snapshot(&mut self, host: &Arc<str>, frame: &mut SumFrame, context: &SumContext<'_>) {
         if let Some(ledger) = &mut self.ledger {
-            ledger.host_begins(host);
-            frame.limits = ledger.words_for_all(context.now).iter().map(Into::into).collect();
+            ledger.subscribed(host);
+            frame.limits = ledger.snapshot(context.now).iter().map(Into::into).collect();
         }
     }
 
-    fn left(&mut self, listener: &GoneListener, _: &SumContext<'_>) {
+    fn unsubscribed(&mut self, listener: &RemovedSubscriber, _: &SumContext<'_>) {
         if let Some(ledger) = &mut self.ledger {
-            ledger.host_begins(&listener.host);
+            ledger.subscribed(&listener.host);
         }
         self.granted.remove(&listener.host);
     }
 
-    fn spread(&mut self, frame: &mut SumFrame, _: bool, context: &SumContext<'_>) {
+    fn publish(&mut self, frame: &mut SumFrame, _: bool, context: &SumContext<'_>) {
         let Some(ledger) = &mut self.ledger else { return };
         let now = context.now;
         ledger.retain(|engine| context.active_life(engine));
@@ -110,18 +110,18 @@
         let own = granted.remove(context.host).unwrap_or_default();
         self.granted.append(&mut granted);
         let mut share = self.shared.limits();
-        share.ledger_heard(now);
-        for word in &changes {
-            share.word_heard(word, now);
+        share.ledger_received(now);
+        for report in &changes {
+            share.receive(report, now);
         }
-        let news = share.granted(&own, now) || !changes.is_empty();
+        let events = share.granted(&own, now) || !changes.is_empty();
         drop(share);
-        if news {
+        if events {
             self.shared.permits_changed();
         }
     }
 
-    fn answers(&mut self) -> Vec<(Arc<str>, SumFrame)> {
+    fn replies(&mut self) -> Vec<(Arc<str>, SumFrame)> {
         let granted = std::mem::take(&mut self.granted).into_iter();
         let frame = |grants: Vec<PermitGrant>| SumFrame {
             grants: grants.iter().map(Into::into).collect(),
@@ -130,12 +130,12 @@
         granted.map(|(host, grants)| (host, frame(grants))).collect()
     }
 
-    fn hear(&mut self, frame: &SumFrame, context: &SumContext<'_>) {
+    fn receive(&mut self, frame: &SumFrame, context: &SumContext<'_>) {
         let grants: Vec<PermitGrant> = frame.grants.iter().map(Into::into).collect();
         let mut share = self.shared.limits();
-        share.ledger_heard(context.now);
-        for word in read_limits(&frame.limits) {
-            share.word_heard(&word, context.now);
+        share.ledger_received(context.now);
+        for report in read_limits(&frame.limits) {
+            share.receive(&report, context.now);
         }
         let changed = share.granted(&grants, context.now) || !frame.limits.is_empty();
         drop(share);
@@ -149,11 +149,11 @@
         share.retain(|engine| context.active_life(engine));
         let changed = share.stand_alone(|engine| context.stands_in(engine), context.now);
         let limited = i64::try_from(share.limited()).unwrap_or(i64::MAX);
-        let news = share.take_news(context.now);
+        let events = share.take_events(context.now);
         drop(share);
         self.shared.metrics.limited_engines.set(limited);
-        for news in news {
-            self.shared.events.write(news.into());
+        for event in events {
+            self.shared.events.write(event.into());
         }
         if changed {
             self.shared.permits_changed();
@@ -165,19 +165,19 @@
     }
 }
 
-impl From<LimitNews> for HostEvent {
-    fn from(news: LimitNews) -> Self {
-        match news {
-            LimitNews::Named { engine, born, limit, before } => Self::EngineLimited {
+impl From<LimitEvent> for HostEvent {
+    fn from(event: LimitEvent) -> Self {
+        match event {
+            LimitEvent::Named { engine, born, limit, before } => Self::EngineLimited {
                 engine: engine.to_string(),
                 born,
                 limit: limit.per_second(),
                 before: before.map(RequestLimit::per_second),
             },
-            LimitNews::Ended { engine, limit } => {
+            LimitEvent::Ended { engine, limit } => {
                 Self::LimitEnded { engine: engine.to_string(), limit: limit.per_second() }
             }
-            LimitNews::Unreadable { engine, answers } => {
+            LimitEvent::Unreadable { engine, answers } => {
                 Self::LimitUnreadable { engine: engine.to_string(), answers }
             }
         }
--- a/crates/gateway/src/control/sums/quotas.rs
+++ b/crates/gateway/src/control/sums/quotas.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     control::{
-        domain::GoneListener,
+        domain::RemovedSubscriber,
         sums::{FleetSum, SumContext},
     },
     host::SharedState,
@@ -88,9 +88,9 @@
         self.ledger = None;
     }
 
-    fn tell_again(&mut self) {}
+    fn resend_all(&mut self) {}
 
-    fn tell(&mut self, frame: &mut CountFrame, context: &SumContext<'_>) -> bool {
+    fn report(&mut self, frame: &mut CountFrame, context: &SumContext<'_>) -> bool {
         if !has_quotas(context) {
             return false;
         }
@@ -102,10 +102,10 @@
         due
     }
 
-    fn was_told(&mut self, frame: &CountFrame, sent: bool) {
+    fn acknowledge(&mut self, frame: &CountFrame, sent: bool) {
         if sent {
             let told: Vec<QuotaUse> = frame.usage.iter().map(Into::into).collect();
-            self.shared.quotas().was_told(&told);
+            self.shared.quotas().acknowledge(&told);
         }
     }
 
@@ -116,13 +116,13 @@
         }
     }
 
-    fn greet(&mut self, host: &Arc<str>, _: &mut SumFrame, context: &SumContext<'_>) {
+    fn snapshot(&mut self, host: &Arc<str>, _: &mut SumFrame, context: &SumContext<'_>) {
         if let Some(ledger) = &mut self.ledger {
             ledger.quotas.host_heard(host, context.now);
         }
     }
 
-    fn left(&mut self, listener: &GoneListener, context: &SumContext<'_>) {
+    fn unsubscribed(&mut self, listener: &RemovedSubscriber, context: &SumContext<'_>) {
         let Some(ledger) = &mut self.ledger else { return };
         match listener.silent_among {
             // It may go on serving: what it grants is set aside.
@@ -131,11 +131,11 @@
         }
     }
 
-    fn spread(&mut self, frame: &mut SumFrame, due: bool, context: &SumContext<'_>) {
+    fn publish(&mut self, frame: &mut SumFrame, due: bool, context: &SumContext<'_>) {
         let Some(ledger) = self.ledger.as_mut().filter(|_| has_quotas(context)) else { return };
         ledger.follow(context.routes, context.now);
         let named = ledger.quotas.named(context.now);
-        self.shared.quotas().ledger_heard(&named, context.now);
+        self.shared.quotas().ledger_received(&named, context.now);
         let soon = !named.is_empty() && context.now.since(self.spread) >= QUOTA_PAUSE;
         if due || soon {
             self.spread = context.now;
@@ -143,10 +143,10 @@
         }
     }
 
-    fn hear(&mut self, frame: &SumFrame, context: &SumContext<'_>) {
+    fn receive(&mut self, frame: &SumFrame, context: &SumContext<'_>) {
         if let Some(quotas) = &frame.quotas {
             let words: Vec<QuotaWord> = quotas.named.iter().map(Into::into).collect();
-            self.shared.quotas().ledger_heard(&words, context.now);
+            self.shared.quotas().ledger_received(&words, context.now);
         }
     }
 }
--- a/crates/gateway/src/control/sums/suspects.rs
+++ b/crates/gateway/src/control/sums/suspects.rs
@@ -4,12 +4,12 @@
 
 use reelreel_core::{
     clock::duration_millis,
-    fleet::quarantine::{QuarantineNews, shown_mark},
+    fleet::quarantine::{QuarantineEvent, shown_mark},
 };
 
 use crate::{
     control::{
-        domain::GoneListener,
+        domain::RemovedSubscriber,
         sums::{FleetSum, SumContext},
     },
     events::HostEvent,
@@ -34,65 +34,67 @@
 
 impl FleetSum for SuspectSum {
     fn begin(&mut self, _: &SumContext<'_>) {
-        self.tell_again();
+        self.resend_all();
     }
 
     fn end(&mut self) {}
 
-    fn tell_again(&mut self) {
-        self.shared.quarantine().tell_all_again();
+    fn resend_all(&mut self) {
+        self.shared.quarantine().resend_all();
     }
 
-    fn tell(&mut self, frame: &mut CountFrame, context: &SumContext<'_>) -> bool {
-        frame.suspects = write_suspects(&self.shared.quarantine().take_untold(context.now));
+    fn report(&mut self, frame: &mut CountFrame, context: &SumContext<'_>) -> bool {
+        frame.suspects = write_suspects(&self.shared.quarantine().take_pending(context.now));
         !frame.suspects.is_empty()
     }
 
-    fn was_told(&mut self, frame: &CountFrame, sent: bool) {
+    fn acknowledge(&mut self, frame: &CountFrame, sent: bool) {
         if !sent {
-            self.shared.quarantine().tell_again(&read_suspects(&frame.suspects));
+            self.shared.quarantine().resend(&read_suspects(&frame.suspects));
         }
     }
 
     fn count(&mut self, host: &Arc<str>, frame: &CountFrame, context: &SumContext<'_>) {
         let mut book = self.shared.quarantine();
         if host == context.host {
-            book.tell_again(&read_suspects(&frame.suspects));
+            book.resend(&read_suspects(&frame.suspects));
         } else if !frame.suspects.is_empty() {
-            book.heard(&read_suspects(&frame.suspects), true, context.now);
+            book.receive(&read_suspects(&frame.suspects), true, context.now);
         }
     }
 
-    fn greet(&mut self, _: &Arc<str>, frame: &mut SumFrame, context: &SumContext<'_>) {
-        frame.suspects = write_suspects(&self.shared.quarantine().words_for_all(context.now));
+    fn snapshot(&mut self, _: &Arc<str>, frame: &mut SumFrame, context: &SumContext<'_>) {
+        frame.suspects = write_suspects(&self.shared.quarantine().snapshot(context.now));
     }
 
-    fn left(&mut self, _: &GoneListener, _: &SumContext<'_>) {}
+    fn unsubscribed(&mut self, _: &RemovedSubscriber, _: &SumContext<'_>) {}
 
-    fn spread(&mut self, frame: &mut SumFrame, _: bool, context: &SumContext<'_>) {
+    fn publish(&mut self, frame: &mut SumFrame, _: bool, context: &SumContext<'_>) {
         let mut book = self.shared.quarantine();
-        book.spread_own();
-        frame.suspects = write_suspects(&book.take_unspread(context.now));
+        book.publish_own();
+        frame.suspects = write_suspects(&book.take_unpublished(context.now));
     }
 
-    fn hear(&mut self, frame: &SumFrame, context: &SumContext<'_>) {
+    fn receive(&mut self, frame: &SumFrame, context: &SumContext<'_>) {
         if !frame.suspects.is_empty() {
-            let words = read_suspects(&frame.suspects);
-            self.shared.quarantine().heard(&words, false, context.now);
+            let reports = read_suspects(&frame.suspects);
+            self.shared.quarantine().receive(&reports, false, context.now);
         }
     }
 
     fn tick(&mut self, _: &SumContext<'_>) {
-        let news = self.shared.quarantine().take_news();
+        let news = self.shared.quarantine().take_events();
         for news in news {
             self.shared.events.write(match news {
-                QuarantineNews::Held { mark, organisation, ends, time } => HostEvent::RequestHeld {
-                    mark: shown_mark(mark),
-                    organisation: organisation.map(|name| name.to_string()),
-                    ends,
-                    millis: duration_millis(time),
-                },
-                QuarantineNews::Cleared { mark } => {
+                QuarantineEvent::Held { mark, organisation, ends, time } => {
+                    HostEvent::RequestHeld {
+                        mark: shown_mark(mark),
+                        organisation: organisation.map(|name| name.to_string()),
+                        ends,
+                        millis: duration_millis(time),
+                    }
+                }
+                QuarantineEvent::Cleared { mark } => {
                     HostEvent::RequestCleared { mark: shown_mark(mark) }
                 }
             });
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -155,7 +155,7 @@
         words.push(AbsentWord { engine, key, said: now });
     }
 
-    /// Takes that no connection to an engine came about.
+    /// Takes that this host can not use an engine now: no connection came about, or it wants no requests from this host.
     pub fn not_reached(&mut self, service: &ServiceName, engine: &EngineName) {
         let engines = self.unreached.entry(Arc::clone(service)).or_default();
         engines.insert(Arc::clone(engine));
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -16,7 +16,7 @@
         announcement::{Declared, EngineAnnouncements},
         cooldown::CooldownTable,
         departures::DepartureRegistry,
-        limits::{limit::AnswerWord, share::LimitShare},
+        limits::{limit::AnswerReport, share::LimitShare},
         quarantine::{ENDS_UNTIL_HELD, QuarantineBook},
         reading::ReadingSpeed,
     },
@@ -188,7 +188,7 @@
             wake |= self.departures().announced(engine, born, now);
         }
         if !self.departures().is_departing(engine, born) {
-            let word = AnswerWord { said: announcements.limit, asked: sent, would_say: ran };
+            let word = AnswerReport { said: announcements.limit, asked: sent, would_say: ran };
             wake |= self.limits().answered(engine, born, word, now);
         }
         let mut cooldowns = self.cooldowns();
@@ -212,7 +212,7 @@
         let mut limits = self.limits();
         let limited = limits.is_limited(engine);
         if matches!(kind, EngineCallKind::Order | EngineCallKind::Report) {
-            limits.call_unasked(engine);
+            limits.count_unpermitted(engine);
         }
         drop(limits);
         self.metrics.count_engine_call(kind, limited);
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -102,7 +102,7 @@
                     true
                 }
                 Some(FrameBody::Sums(sums)) => {
-                    state.borrow_mut().sums_heard(&sums);
+                    state.borrow_mut().sums_received(&sums);
                     heard = clock.now();
                     true
                 }
@@ -131,7 +131,7 @@
     let mut state = state.borrow_mut();
     let host = state.shared().profile.name.to_string();
     state.shared().demand().tell_again(service);
-    state.tell_sums_again(service);
+    state.resend_sums(service);
     let Some(domain) = state.domain(service) else { return false };
     let hello = DemandFrame { host, service: service.to_string(), ..DemandFrame::default() };
     let sent = sender.try_send(FrameBody::Demand(hello).encoded()).is_ok();
--- a/crates/gateway/src/peers/feed.rs
+++ b/crates/gateway/src/peers/feed.rs
@@ -55,7 +55,7 @@
         if state.is_reader() {
             break;
         }
-        state.reader_heard();
+        state.reader_responded();
         state.peer_state(&frame, reader, clock);
         if !state.is_complete() {
             continue;
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -82,7 +82,7 @@
     /// What engines said that they do not hold.
     #[prost(message, repeated, tag = "6")]
     pub absent: Vec<AbsentLine>,
-    /// Engines to which no connection came about.
+    /// Engines that the host can't use now: no connection came about, or they want no requests from it.
     #[prost(string, repeated, tag = "7")]
     pub unreached: Vec<String>,
 }
--- a/crates/gateway/src/peers/limit_lines.rs
+++ b/crates/gateway/src/peers/limit_lines.rs
@@ -8,7 +8,7 @@
         EngineName,
         limits::{
             limit::RequestLimit,
-            word::{LimitState, LimitWord, PermitAsk, PermitGrant},
+            report::{LimitReport, LimitState, PermitDemand, PermitGrant},
         },
     },
 };
@@ -82,8 +82,8 @@
     pub unknown: bool,
 }
 
-impl From<&LimitWord> for LimitLine {
-    fn from(word: &LimitWord) -> Self {
+impl From<&LimitReport> for LimitLine {
+    fn from(word: &LimitReport) -> Self {
         Self {
             engine: word.engine.to_string(),
             born: word.born,
@@ -97,13 +97,13 @@
 }
 
 /// Reads words; one whose limit is none is passed over.
-pub fn read_limits(lines: &[LimitLine]) -> Vec<LimitWord> {
+pub fn read_limits(lines: &[LimitLine]) -> Vec<LimitReport> {
     let read = lines.iter().filter_map(|line| {
         let Some(limit) = RequestLimit::new(line.limit) else {
             log::warn!("a peer's limit of engine {} is none; it is passed over", line.engine);
             return None;
         };
-        Some(LimitWord {
+        Some(LimitReport {
             engine: Arc::from(line.engine.as_str()),
             born: line.born,
             limit,
@@ -119,19 +119,19 @@
     read.collect()
 }
 
-impl From<&(EngineName, PermitAsk)> for AskLine {
-    fn from((engine, ask): &(EngineName, PermitAsk)) -> Self {
-        let PermitAsk { resumed, waiting, wished, got, unused, unasked } = *ask;
+impl From<&(EngineName, PermitDemand)> for AskLine {
+    fn from((engine, demand): &(EngineName, PermitDemand)) -> Self {
+        let PermitDemand { resumed, waiting, wished, got, unused, unpermitted } = *demand;
         let engine = engine.to_string();
-        Self { engine, resumed, waiting, wished, got, unused, unasked }
+        Self { engine, resumed, waiting, wished, got, unused, unasked: unpermitted }
     }
 }
 
-impl From<&AskLine> for (EngineName, PermitAsk) {
+impl From<&AskLine> for (EngineName, PermitDemand) {
     fn from(line: &AskLine) -> Self {
-        let AskLine { resumed, waiting, wished, got, unused, unasked, .. } = *line;
-        let ask = PermitAsk { resumed, waiting, wished, got, unused, unasked };
-        (Arc::from(line.engine.as_str()), ask)
+        let AskLine { resumed, waiting, wished, got, unused, unasked: unpermitted, .. } = *line;
+        let demand = PermitDemand { resumed, waiting, wished, got, unused, unpermitted };
+        (Arc::from(line.engine.as_str()), demand)
     }
 }
 
--- a/crates/gateway/src/peers/suspect_lines.rs
+++ b/crates/gateway/src/peers/suspect_lines.rs
@@ -4,7 +4,7 @@
 
 use reelreel_core::{
     clock::duration_millis,
-    fleet::quarantine::{RequestMark, SuspectWord, ToldEnd},
+    fleet::quarantine::{ReportedEnd, RequestMark, SuspectReport},
 };
 
 /// What a host knows of one request under which engines ended.
@@ -45,12 +45,12 @@
 }
 
 /// Writes what is known of requests.
-pub fn write_suspects(words: &[SuspectWord]) -> Vec<SuspectLine> {
+pub fn write_suspects(words: &[SuspectReport]) -> Vec<SuspectLine> {
     words.iter().map(write_suspect).collect()
 }
 
-fn write_suspect(word: &SuspectWord) -> SuspectLine {
-    let end = |end: &ToldEnd| EndLine {
+fn write_suspect(word: &SuspectReport) -> SuspectLine {
+    let end = |end: &ReportedEnd| EndLine {
         life: end.life,
         began_ago: duration_millis(end.began_ago),
         ended_ago: duration_millis(end.ended_ago),
@@ -66,7 +66,7 @@
 }
 
 /// Reads what a peer knows; a line whose mark is none is passed over.
-pub fn read_suspects(lines: &[SuspectLine]) -> Vec<SuspectWord> {
+pub fn read_suspects(lines: &[SuspectLine]) -> Vec<SuspectReport> {
     let read = lines.iter().filter_map(|line| {
         let word = read_suspect(line);
         if word.is_none() {
@@ -77,13 +77,13 @@
     read.collect()
 }
 
-fn read_suspect(line: &SuspectLine) -> Option<SuspectWord> {
-    let end = |end: &EndLine| ToldEnd {
+fn read_suspect(line: &SuspectLine) -> Option<SuspectReport> {
+    let end = |end: &EndLine| ReportedEnd {
         life: end.life,
         began_ago: Duration::from_millis(end.began_ago),
         ended_ago: Duration::from_millis(end.ended_ago),
     };
-    Some(SuspectWord {
+    Some(SuspectReport {
         mark: RequestMark::from_le_bytes((*line.mark).try_into().ok()?),
         organisation: line.organisation.as_deref().map(Arc::from),
         version: line.version,
--- a/crates/gateway/tests/suspect_lines.rs
+++ b/crates/gateway/tests/suspect_lines.rs
@@ -4,25 +4,22 @@
 
 use proptest::{prelude::*, test_runner::RngSeed};
 use prost::Message as _;
-use reelreel_core::fleet::quarantine::{RequestMark, SuspectWord, ToldEnd};
+use reelreel_core::fleet::quarantine::{ReportedEnd, RequestMark, SuspectReport};
 use reelreel_gateway::peers::{
     frame::PeerFrame,
     sum_frames::CountFrame,
     suspect_lines::{SuspectLine, read_suspects, write_suspects},
 };
 
-fn any_word() -> impl Strategy<Value = SuspectWord> {
+fn any_word() -> impl Strategy<Value = SuspectReport> {
     let millis = || (0..u64::from(u32::MAX)).prop_map(Duration::from_millis);
-    let end = (any::<u64>(), millis(), millis()).prop_map(|(life, began_ago, ended_ago)| ToldEnd {
-        life,
-        began_ago,
-        ended_ago,
-    });
+    let end = (any::<u64>(), millis(), millis())
+        .prop_map(|(life, began_ago, ended_ago)| ReportedEnd { life, began_ago, ended_ago });
     let times = (proptest::option::of(millis()), proptest::option::of(millis()));
     let ends = proptest::collection::vec(end, 0..8);
     let organisation = proptest::option::of("[a-z]{1,8}");
     (any::<RequestMark>(), organisation, any::<u64>(), ends, times).prop_map(
-        |(mark, organisation, version, ends, (cleared_ago, tried_ago))| SuspectWord {
+        |(mark, organisation, version, ends, (cleared_ago, tried_ago))| SuspectReport {
             mark,
             organisation: organisation.map(Arc::from),
             version,
@@ -61,12 +58,12 @@
 /// What a host is told of one request is less than a hundredth of what it may hear for control in a second.
 #[test]
 fn a_word_takes_less_than_a_hundred_bytes() {
-    let end = ToldEnd {
+    let end = ReportedEnd {
         life: u64::MAX,
         began_ago: Duration::from_mins(15),
         ended_ago: Duration::from_mins(15),
     };
-    let word = SuspectWord {
+    let word = SuspectReport {
         mark: RequestMark::MAX,
         organisation: Some(Arc::from("hule930")),
         version: 4,
