--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -15,7 +15,7 @@
     control::SharedControl,
     events::HostEvent,
     gate::GateVerdict,
-    host::SharedState,
+    host::{ResponseKind, SharedState},
     metrics::{EngineCallKind, OrderLabels},
 };
 
@@ -132,7 +132,7 @@
     sent: ClockMillis,
 ) {
     let announcements = shared.dialects.exchange.announcements(&answer.head);
-    shared.note_announcements(engine, &announcements, sent, false);
+    shared.note_announcements(engine, &announcements, sent, ResponseKind::Other);
 }
 
 async fn ask_report(state: SharedControl, service: ServiceName, engine: Arc<EngineEntry>) {
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -23,6 +23,7 @@
         pick::{EngineNeed, EnginePick, pick_engine},
         preflight::SendRejection,
     },
+    host::ResponseKind,
 };
 
 /// What an engine gets beyond the deadline to say itself that the time is over.
@@ -261,11 +262,12 @@
         let shared = &self.traffic.shared;
         if answer.stray != EngineAnnouncements::default() {
             // When the request that it belongs to was sent is not known, so that its silence on a matter means nothing.
-            shared.note_announcements(entry, &answer.stray, sent, false);
+            shared.note_announcements(entry, &answer.stray, sent, ResponseKind::Other);
         }
         let facts = &answer.facts;
         let ran = facts.signed && !facts.not_run && !facts.misdirected;
-        shared.note_announcements(entry, &facts.announcements, sent, ran);
+        let kind = if ran { ResponseKind::Accepted } else { ResponseKind::Rejected };
+        shared.note_announcements(entry, &facts.announcements, sent, kind);
         if facts.not_run {
             let cooldown = matches!(facts.announcements.cooldown, Declared::Present(_));
             shared.metrics.count_rejection(self.sends > 1, cooldown);
--- a/crates/gateway/src/entry/exchange.rs
+++ b/crates/gateway/src/entry/exchange.rs
@@ -286,10 +286,19 @@
             let others = others.filter(|entry| !self.sent_to.contains(&entry.name));
             excluded.extend(others.map(|entry| Arc::clone(&entry.name)));
         }
+        self.pick_but(&excluded)
+    }
+
+    /// Returns where another attempt of the client might go now.
+    pub(super) fn fresh_pick(&self) -> EnginePick {
+        self.pick_but(&[])
+    }
+
+    fn pick_but(&self, excluded: &[EngineName]) -> EnginePick {
         let need = EngineNeed {
             service: &self.service,
             key: self.facts.model.as_ref(),
-            excluded: &excluded,
+            excluded,
             id: &self.facts.id,
             wanted: self.permit_use(),
         };
--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -19,6 +19,9 @@
 /// When a client refused for want of an engine comes back.
 const NO_ENGINE_PAUSE: Duration = Duration::from_millis(500);
 
+/// When a client comes back whose adapter is about to be loaded.
+const LOAD_PAUSE: Duration = Duration::from_millis(500);
+
 /// When a client refused by full engines comes back.
 const FULL_PAUSE: Duration = Duration::from_millis(250);
 
@@ -75,8 +78,7 @@
             return self.answer(answer, "limit_used").await;
         }
         if let Some(holders) = self.cooling.take().filter(|_| !self.may_have_run) {
-            let load = self.expects_load().then_some(retry_after);
-            return self.refuse_cooling(&holders, load).await;
+            return self.refuse_cooling(&holders).await;
         }
         if self.may_have_run {
             return self.answer(ENGINE_FAILED, "adapter_absent").await;
@@ -85,26 +87,33 @@
         self.answer(OwnAnswer::refusal(text, retry_after), "adapter_absent").await
     }
 
-    /// Refuses a request whose engines want none for a while, with the time at which the first of them is expected to take one,
-    /// or another copy to be there.
-    async fn refuse_cooling(
-        &mut self,
-        holders: &CoolingHolders,
-        load: Option<Duration>,
-    ) -> (ExchangeEnd, &'static str) {
-        let shared = &self.traffic.shared;
-        shared.metrics.cooldown_refused.inc();
+    /// Refuses a request whose engines want none for a while.
+    async fn refuse_cooling(&mut self, holders: &CoolingHolders) -> (ExchangeEnd, &'static str) {
+        self.traffic.shared.metrics.cooldown_refused.inc();
         self.cooling_by = holders.engines.first().cloned();
-        let now = self.traffic.now();
-        let turn = |engine: &EngineName| shared.cooldowns().return_time(engine, now);
-        let turn = holders.engines.first().and_then(turn);
-        let turn = turn.unwrap_or_else(|| holders.until.since(now));
-        let time = load.map_or(turn, |load| load.min(turn)).max(FULL_PAUSE);
+        let time = self.next_attempt_time().max(FULL_PAUSE);
         let text =
             "the engines want no requests for a while; come back after the time in Retry-After";
         self.answer(OwnAnswer::refusal(text, time), "engines_cooling").await
     }
 
+    /// Returns after what time another attempt of the client is expected to find an engine. It may go to engines that this one
+    /// may not, having used up those of its route.
+    fn next_attempt_time(&self) -> Duration {
+        let now = self.traffic.now();
+        let holders = match self.fresh_pick() {
+            EnginePick::Cooling(holders) => holders,
+            EnginePick::Engine(..) | EnginePick::Limited(_) => return FULL_PAUSE,
+            EnginePick::Cold => return LOAD_PAUSE,
+            EnginePick::Nowhere => return NO_ENGINE_PAUSE,
+        };
+        let turn = |engine: &EngineName| self.traffic.shared.cooldowns().return_time(engine, now);
+        let turn = holders.engines.first().and_then(turn);
+        let turn = turn.unwrap_or_else(|| holders.until.since(now));
+        let load = holders.loadable.then(|| self.expected_load().unwrap_or(LOAD_PAUSE));
+        load.map_or(turn, |load| load.min(turn))
+    }
+
     /// Ends a request that was not run with the time to come back, any other as unknown.
     pub(super) async fn give_up(&mut self, cause: &'static str) -> (ExchangeEnd, &'static str) {
         if self.may_have_run {
@@ -113,7 +122,7 @@
         if cause == "not_run"
             && let EnginePick::Cooling(holders) = self.pick()
         {
-            return self.refuse_cooling(&holders, None).await;
+            return self.refuse_cooling(&holders).await;
         }
         let answer = match cause {
             "not_run" => OwnAnswer::refusal("the engines are full; come back later", FULL_PAUSE),
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -186,12 +186,17 @@
         self.facts.model.as_ref().is_some_and(|key| table.estimates.contains_key(key))
     }
 
-    fn waiting_request(&self) -> ColdRequest {
+    /// Returns in what time a placer expects the request's adapter to be loaded.
+    pub(super) fn expected_load(&self) -> Option<Duration> {
         let now = self.traffic.now();
         let table = self.traffic.table();
         let due = self.facts.model.as_ref().and_then(|key| table.estimates.get(key)).copied();
-        let load = due.filter(|due| now.since(*due) < ESTIMATE_GRACE).map(|due| due.since(now));
-        let estimate = load.into_iter().chain(self.expected_permit()).min();
+        due.filter(|due| now.since(*due) < ESTIMATE_GRACE).map(|due| due.since(now))
+    }
+
+    fn waiting_request(&self) -> ColdRequest {
+        let now = self.traffic.now();
+        let estimate = self.expected_load().into_iter().chain(self.expected_permit()).min();
         ColdRequest {
             elapsed: now.since(self.request.arrived),
             target: self.route.target,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -44,6 +44,17 @@
 /// What a stopping host leaves between the end of its last request and the operator's grace.
 const STOP_MARGIN: Duration = Duration::from_millis(1500);
 
+/// What an engine's response tells beside its announcements.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseKind {
+    /// The engine ran a request, and would have declared a limit.
+    Accepted,
+    /// The engine did not run a request.
+    Rejected,
+    /// It belongs to an order or a report, or to a request that is not known.
+    Other,
+}
+
 /// What the two threads share.
 pub struct SharedState {
     /// What the host is told about itself.
@@ -75,7 +86,7 @@
     limits: Mutex<LimitShare>,
     departures: Mutex<DepartureRegistry>,
     cooldowns: Mutex<CooldownTable>,
-    /// Tells when permits for engines that have named a limit may have come.
+    /// Tells when waiting requests should look again: permits may have come, or an engine has accepted a probe.
     pub permits: watch::Sender<()>,
 }
 
@@ -172,14 +183,13 @@
         self.permits.send_replace(());
     }
 
-    /// Takes what a response that has just begun announces of its engine. The request was sent at `sent`; `ran` tells whether
-    /// the engine accepted it, in which case the response would declare a limit.
+    /// Takes what a response that has just begun announces of its engine; what it responds to was sent at `sent`.
     pub fn note_announcements(
         &self,
         entry: &EngineEntry,
         announcements: &EngineAnnouncements,
         sent: ClockMillis,
-        ran: bool,
+        kind: ResponseKind,
     ) {
         let now = self.clock.now();
         let (engine, born) = (&entry.name, entry.born);
@@ -188,14 +198,17 @@
             wake |= self.departures().announced(engine, born, now);
         }
         if !self.departures().is_departing(engine, born) {
-            let word = AnswerReport { said: announcements.limit, asked: sent, would_say: ran };
+            let would_say = kind == ResponseKind::Accepted;
+            let word = AnswerReport { said: announcements.limit, asked: sent, would_say };
             wake |= self.limits().answered(engine, born, word, now);
         }
         let mut cooldowns = self.cooldowns();
         match announcements.cooldown {
             Declared::Present(cooldown) => cooldowns.requested(engine, born, cooldown, now),
             Declared::Absent | Declared::Unreadable => {
-                if cooldowns.responded(engine, born, sent, ran) {
+                let accepted = kind == ResponseKind::Accepted;
+                if kind != ResponseKind::Other && cooldowns.responded(engine, born, sent, accepted)
+                {
                     self.permits_changed();
                 }
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -168,7 +168,7 @@
     pub limit_waited: Counter,
     /// Requests that were refused since there was no permit in time.
     pub limit_refused: Counter,
-    /// Requests that went to another engine while one that could run them was within a cooldown.
+    /// Choices that passed over an engine within a cooldown.
     pub cooldown_diverted: Counter,
     /// Requests that waited for the end of a cooldown, or for another copy.
     pub cooldown_waited: Counter,
@@ -289,7 +289,7 @@
         registry.register("engine_announcements", help, self.announcements.clone());
         let help = "Requests that engines rejected, and whether they asked for a cooldown";
         registry.register("engine_rejections", help, self.rejections.clone());
-        let help = "Requests that went elsewhere while an engine was within a cooldown";
+        let help = "Choices that passed over an engine within a cooldown";
         registry.register("cooldown_diverted", help, self.cooldown_diverted.clone());
         let help = "Requests that waited for the end of a cooldown, or for another copy";
         registry.register("cooldown_waited", help, self.cooldown_waited.clone());
--- a/crates/gateway/tests/host/announcements.rs
+++ b/crates/gateway/tests/host/announcements.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     engine::{EngineMood, FIRST_BIRTH, StandInEngine},
-    fleet::TestFleet,
-    site::{MODEL_NAME, TestSite, wait_until},
+    fleet::{LoadFigures, TestFleet},
+    site::{MODEL_NAME, PATIENCE, TestSite, wait_until},
 };
 
 /// Within which time after a host was told of a departure it must send the engine nothing more.
@@ -188,6 +188,51 @@
     }
 }
 
+/// What callers get while some engines leave, or reject everything and ask for a cooldown.
+struct CallerCase {
+    service: &'static str,
+    cooling: usize,
+    leaving: usize,
+}
+
+/// Callers are served by the engines that are left, or refused soon.
+#[test]
+fn callers_are_served_by_the_engines_that_take_requests() {
+    let case = |service, cooling, leaving| CallerCase { service, cooling, leaving };
+    let cases = [
+        case("assist", 1, 0),
+        case("assist", 3, 0),
+        case("assist", 6, 0),
+        case("assist", 0, 1),
+        case("assist", 0, 3),
+        case("plain", 1, 0),
+        case("plain", 3, 0),
+        case("plain", 6, 0),
+    ];
+    for case in cases {
+        let fleet = TestFleet::start(case.service, 6, 3);
+        for engine in fleet.engines.iter().take(case.cooling) {
+            engine.reject_for(Some(Duration::from_secs(2)));
+        }
+        for engine in fleet.engines.iter().take(case.leaving) {
+            engine.announce_departure("yes");
+        }
+        let LoadFigures { sent, served, refusal } = fleet.measure(15, Duration::from_secs(4));
+        let calls: usize = fleet.engines.iter().map(StandInEngine::rejections).sum();
+        let CallerCase { service, cooling, leaving, .. } = case;
+        println!(
+            "{service}: {cooling} of 6 cooling, {leaving} leaving: {served} of {sent} served, refused after {refusal:?}, {calls} rejections"
+        );
+        // A route may allow one engine only, so that each rejection costs one request at most.
+        let all_cool = cooling == fleet.engines.len();
+        assert!(
+            all_cool || sent - served <= calls,
+            "{service} {cooling} {leaving}: {served} of {sent}"
+        );
+        assert!(served == sent || refusal < AT_ONCE, "{service} {cooling} {leaving}: {refusal:?}");
+    }
+}
+
 /// An engine whose cooldown ends is probed with one request of each host, and used as any other once it accepts them.
 #[test]
 fn an_engine_returns_from_a_cooldown_without_a_rush() {
@@ -272,6 +317,27 @@
     });
 }
 
+/// A client whose request was rejected by the one engine that its route allows comes back to another engine at once: it was told to
+/// wait for the end of that engine's cooldown.
+#[test]
+fn a_client_is_not_told_to_wait_for_a_cooldown_while_another_engine_takes_requests() {
+    let fleet = TestFleet::start("assist", 2, 1);
+    fleet.engines[0].reject_for(Some(Duration::from_secs(5)));
+    let told = || {
+        let response = fleet.post(&fleet.hosts[0], &format!("told-{:?}", Instant::now()));
+        retry_after(&response)
+    };
+    let began = Instant::now();
+    let told = loop {
+        if let Some(told) = told() {
+            break told;
+        }
+        assert!(began.elapsed() < PATIENCE, "no request was rejected");
+    };
+    assert!(told <= Duration::from_millis(250), "told {told:?}");
+    assert!(fleet.ask(&fleet.hosts[0], "comes back"));
+}
+
 /// Returns the time after which a client is told to come back.
 fn retry_after(response: &str) -> Option<Duration> {
     let line = response.lines().find_map(|line| line.strip_prefix("Retry-After: "))?;
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -239,6 +239,11 @@
         state.cooldowns.iter().map(within).max().unwrap_or_default()
     }
 
+    /// Returns how many requests it has rejected with a cooldown.
+    pub(crate) fn rejections(&self) -> usize {
+        self.lock().cooldowns.len()
+    }
+
     /// Returns when its last cooldown ends.
     pub(crate) fn cooldowns_end(&self) -> Option<Instant> {
         self.lock().cooldowns.iter().map(|(_, _, until)| *until).max()
--- a/crates/gateway/tests/host/fleet.rs
+++ b/crates/gateway/tests/host/fleet.rs
@@ -11,6 +11,15 @@
     site::{MODEL_NAME, TestHost, TestSite, wait_until},
 };
 
+/// What became of a load.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LoadFigures {
+    pub(crate) sent: usize,
+    pub(crate) served: usize,
+    /// The mean time until a request was refused.
+    pub(crate) refusal: Duration,
+}
+
 /// Several hosts before engines of one service.
 pub(crate) struct TestFleet {
     pub(crate) site: TestSite,
@@ -70,6 +79,12 @@
 
     /// Sends so many requests a second to each host for a while; returns how many were served, and of how many.
     pub(crate) fn load(&self, per_second: u32, time: Duration) -> (usize, usize) {
+        let figures = self.measure(per_second, time);
+        (figures.served, figures.sent)
+    }
+
+    /// Sends so many requests a second to each host for a while, and measures what becomes of them.
+    pub(crate) fn measure(&self, per_second: u32, time: Duration) -> LoadFigures {
         let pause = Duration::from_secs(1) / per_second;
         let began = Instant::now();
         let clients = |place: usize, host: &TestHost| {
@@ -80,18 +95,28 @@
                     let due = began + pause * number;
                     thread::sleep(due.saturating_duration_since(Instant::now()));
                     let id = format!("l{place}-{number}");
-                    sent.push(requests.spawn(move || self.ask(host, &id)));
+                    sent.push(requests.spawn(move || {
+                        let began = Instant::now();
+                        (self.ask(host, &id), began.elapsed())
+                    }));
                 }
                 served.extend(sent.into_iter().map(|sent| sent.join().expect("an answer")));
             });
             served
         };
-        let served: Vec<bool> = thread::scope(|scope| {
+        let ends: Vec<(bool, Duration)> = thread::scope(|scope| {
             let hosts = self.hosts.iter().enumerate();
             let loads: Vec<_> =
                 hosts.map(|(place, host)| scope.spawn(move || clients(place, host))).collect();
             loads.into_iter().flat_map(|load| load.join().expect("the load ends")).collect()
         });
-        (served.iter().filter(|served| **served).count(), served.len())
+        let refused = ends.iter().filter(|(served, _)| !served).map(|(_, time)| *time);
+        let refused: Vec<Duration> = refused.collect();
+        let total: Duration = refused.iter().sum();
+        LoadFigures {
+            sent: ends.len(),
+            served: ends.len() - refused.len(),
+            refusal: total / u32::try_from(refused.len().max(1)).unwrap_or(u32::MAX),
+        }
     }
 }
