--- a/crates/cli/tests/logs/main.rs
+++ b/crates/cli/tests/logs/main.rs
@@ -72,6 +72,12 @@
         around: &[],
         cause: "its engines take only so many requests, and had named that limit",
     },
+    CauseCase {
+        name: "engines-cooling",
+        request: r#""outcome":"engines_cooling","status":503,"engine":"e1","cooling_by":"e1","sends":1,"waited":0,"first":0,"total":2"#,
+        around: &[],
+        cause: "its engines had asked its host to send nothing for a while",
+    },
     CauseCase {
         name: "held-back",
         request: r#""outcome":"held_back","status":503,"mark":"aa11","sends":0,"waited":0,"first":0,"total":1"#,
@@ -246,6 +252,24 @@
     assert!(!text.contains("\"e2\""), "{text}");
 }
 
+#[test]
+fn the_cooldown_that_decided_a_request_is_named_with_its_length_and_age() {
+    let log = LogFile::new(
+        "cooldown",
+        &[
+            r#"{"at":8400,"host":"two","event":"cooldown_began","engine":"e1","born":1,"millis":900}"#,
+            r#"{"at":8500,"host":"one","event":"cooldown_began","engine":"e1","born":1,"millis":3000}"#,
+            r#"{"at":9000,"host":"one","event":"departure_learned","engine":"e2","born":1,"source":"peer","age":2}"#,
+            r#"{"at":10000,"host":"one","event":"request","id":"r1","route":"r","outcome":"engines_cooling","status":503,"cooling_by":"e1","sends":0,"waited":0,"first":0,"total":1,"revision":3}"#,
+        ],
+    );
+    let (done, text) = reelreel(&["explain", "r1"], &log);
+    assert!(done, "{text}");
+    let cooldown = "e1 had first asked for 3000 ms without requests 1500 ms before its end";
+    assert!(text.contains(cooldown), "{text}");
+    assert!(!text.contains("\"e2\""), "{text}");
+}
+
 #[test]
 fn a_request_that_no_line_tells_of_is_an_error_that_says_so() {
     let log = LogFile::new("none", &[r#"{"at":1,"host":"one","event":"stopping","open":0}"#]);
