--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -1,7 +1,6 @@
 //! Whether an engine takes a request of this host now, by what the engine has announced.
 //!
-//! The choice of an engine and the preflight check of a send ask the same question, as do orders and reports. What engines
-//! may announce next becomes one more verdict.
+//! The choice of an engine, the preflight check of a send, orders and reports all ask here.
 
 use std::{sync::MutexGuard, time::Duration};
 
@@ -59,7 +58,8 @@
         }
     }
 
-    /// Returns whether an engine takes a call that needs no permit: an order or a question for a report.
+    /// Returns whether an engine takes a call, its limit aside: an order, a question for a report, or a request that holds a
+    /// permit.
     pub fn own_verdict(&self, entry: &EngineEntry) -> GateVerdict {
         if self.departures.is_departing(&entry.name, entry.born) {
             return GateVerdict::Departing;
