--- a/crates/core/tests/engine_choice.rs
+++ b/crates/core/tests/engine_choice.rs
@@ -186,3 +186,23 @@
     condition.note(WELL, at(90_000));
     assert!(!condition.is_resting(at(90_000)));
 }
+
+/// One slow response keeps an engine from all further requests as long as another one is idle: its delay never ages.
+#[test]
+fn an_engine_whose_slow_response_is_long_ago_gets_requests_again() {
+    let (slow, quick) = (entry("slow", "hall"), entry("quick", "hall"));
+    let mut conditions = [EngineCondition::default(), EngineCondition::default()];
+    conditions[0].note(EngineOutcome::Answered(millis(60)), at(0));
+    conditions[1].note(EngineOutcome::Answered(millis(5)), at(0));
+    let candidate = |entry, condition| EngineCandidate {
+        entry,
+        condition,
+        open: 0,
+        told: 0,
+        reading: Duration::ZERO,
+    };
+    let candidates = [candidate(&slow, &conditions[0]), candidate(&quick, &conditions[1])];
+    let chosen = (0..100).filter_map(|tie| best_engine(&candidates, "hall", tie, 2, at(60_000)));
+    let times = chosen.filter(|name| &**name == "slow").count();
+    assert!(times > 0, "{times} of 100 requests go there after a minute");
+}
