--- a/crates/gateway/tests/host/placement.rs
+++ b/crates/gateway/tests/host/placement.rs
@@ -66,8 +66,11 @@
     let mut hosts: Vec<_> = ["one", "two", "three", "four"].map(|name| site.host(name)).into();
     let counted = |host: &TestHost| host.shared.table.borrow().hosts;
     wait_until("all are counted", || hosts.iter().all(|host| counted(host) == 4));
-    let placer = hosts.iter().position(|host| host.shared.metrics.leases.get() == 1);
-    let placer = hosts.swap_remove(placer.expect("a placer"));
+    // The group may deal the lease to another member while the last host is being counted.
+    let place = || hosts.iter().position(|host| host.shared.metrics.leases.get() == 1);
+    wait_until("one of them places", || place().is_some());
+    let placer = place().expect("a placer");
+    let placer = hosts.swap_remove(placer);
     placer.shared.stop();
     let began = Instant::now();
     while began.elapsed() < Duration::from_secs(3) {
