--- a/crates/core/src/fleet/cooldown.rs
+++ b/crates/core/src/fleet/cooldown.rs
@@ -26,7 +26,7 @@
 /// How long a probe is expected to take until its response begins.
 const PROBE_TIME: Duration = Duration::from_millis(300);
 
-/// The pause between the times at which clients are told to come back after one cooldown, and over how many of them.
+/// The step between the retry times given to clients after one cooldown, and the number of steps before they begin again.
 const RETURN_STEP: Duration = Duration::from_millis(25);
 const RETURN_STEPS: u32 = 40;
 
@@ -70,7 +70,7 @@
     probes: VecDeque<ClockMillis>,
     /// How often it was asked for since the engine last took requests without restriction.
     requests: u32,
-    /// How many clients were told to come back after it.
+    /// How many clients were given a retry time after it.
     returns: u32,
 }
 
@@ -170,8 +170,8 @@
         closed.map(|(engine, _)| engine)
     }
 
-    /// Returns when the next client that is told so should come back for an engine: after its cooldown, each a step
-    /// later than the one before.
+    /// Returns the retry time for the next rejected client: after the cooldown of its engine, each a step later than the one
+    /// before.
     pub fn return_time(&mut self, engine: &str, now: ClockMillis) -> Option<Duration> {
         let known = self.engines.get_mut(engine)?;
         let step = RETURN_STEP * (known.returns % RETURN_STEPS);
@@ -179,12 +179,12 @@
         Some(known.until.since(now) + step)
     }
 
-    /// Forgets engines that are no longer listed, are listed in another incarnation, or were sent nothing for long after
-    /// their cooldown; `listed` returns the incarnation that is listed.
+    /// Forgets engines whose cooldown is over and that are no longer listed in that incarnation, or were sent nothing for long
+    /// since; `listed` returns the incarnation that is listed.
     pub fn retain(&mut self, listed: impl Fn(&str) -> Option<EngineBirth>, now: ClockMillis) {
         let over = |engine: &str, known: &EngineCooldown| {
-            now.since(known.until) >= RECOVERY_RETENTION
-                || listed(engine).is_none_or(|born| !is_same_incarnation(known.born, born))
+            let ended = || listed(engine).is_none_or(|born| !is_same_incarnation(known.born, born));
+            now >= known.until && (ended() || now.since(known.until) >= RECOVERY_RETENTION)
         };
         let known = self.engines.iter().filter(|(engine, known)| over(engine, known));
         let ended: Vec<EngineName> = known.map(|(engine, _)| Arc::clone(engine)).collect();
--- a/crates/core/src/fleet/departures.rs
+++ b/crates/core/src/fleet/departures.rs
@@ -68,7 +68,7 @@
     born: EngineBirth,
     announced: ClockMillis,
     source: DepartureSource,
-    /// Whether the coordinator has to be told.
+    /// Whether the coordinator has to receive it.
     pending: bool,
     /// Whether this host, as the coordinator, has to publish it.
     unpublished: bool,
--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -24,6 +24,9 @@
 /// How long requests wait for an adapter that is there before it counts as out of their reach.
 const OUT_OF_REACH: Duration = Duration::from_millis(700);
 
+/// Within which time an adapter that is ordered has come and all hosts know of it.
+const LOAD_SPREADS: Duration = Duration::from_millis(600);
+
 /// How long after a suspect's load is due it is not known whether its engine lives: a report is asked for after 130 ms and given up
 /// after 500.
 const UNPROVED: Duration = Duration::from_millis(700);
@@ -148,7 +151,7 @@
     /// copies there are asked for more than they can bear.
     fn worth(&self, key: &str, now: ClockMillis) -> f64 {
         let copies = self.copies(key);
-        if copies > 0.0 && self.is_out_of_reach(key, now) {
+        if copies > 0.0 && (self.is_out_of_reach(key, now) || self.is_closed(key, now)) {
             return self.interest(key, now);
         }
         if copies > 0.0 {
@@ -185,6 +188,13 @@
         now.since(there) >= OUT_OF_REACH && !self.totals.is_ordered(key)
     }
 
+    /// Returns whether requests wait for an adapter at a host that can use none of its copies, and no other copy is on its way
+    /// or has just come.
+    fn is_closed(&self, key: &str, now: ClockMillis) -> bool {
+        let loaded = now.since(self.demand.last_loaded(key)) >= LOAD_SPREADS;
+        loaded && self.demand.copies_closed(key) && !self.totals.is_ordered(key)
+    }
+
     /// Returns how many engines hold the newest version of an adapter, or are getting it.
     pub(super) fn copies(&self, key: &str) -> f64 {
         f64::from(self.totals.copies(key))
--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -34,6 +34,8 @@
     pub waiting_tokens: u64,
     /// The worth of the waiting requests; the mean request is worth one.
     pub waiting_worth: f64,
+    /// Whether every copy is at an engine that takes no requests from the host now.
+    pub copies_closed: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -41,6 +43,7 @@
     requests: u32,
     tokens: u64,
     worth: f64,
+    copies_closed: bool,
     at: ClockMillis,
 }
 
@@ -53,6 +56,8 @@
     burst_reading: DecayedRate,
     /// Requests since a load was last ordered.
     unserved: u32,
+    /// When that was.
+    loaded: ClockMillis,
     asked: ClockMillis,
     /// When requests last began or ended to wait, as far as hosts have told.
     waited: ClockMillis,
@@ -101,6 +106,7 @@
                     requests: entry.waiting,
                     tokens: entry.waiting_tokens,
                     worth: entry.waiting_worth,
+                    copies_closed: entry.copies_closed,
                     at: now,
                 };
                 demand.waiting.insert(Arc::clone(host), waiting);
@@ -165,12 +171,23 @@
     }
 
     /// Takes that a load of `key` was ordered.
-    pub fn served(&mut self, key: &str) {
+    pub fn served(&mut self, key: &str, now: ClockMillis) {
         if let Some(demand) = self.keys.get_mut(key) {
-            demand.unserved = 0;
+            (demand.unserved, demand.loaded) = (0, now);
         }
     }
 
+    /// Returns when a load of `key` was last ordered, the epoch if that is not known.
+    pub fn last_loaded(&self, key: &str) -> ClockMillis {
+        self.keys.get(key).map(|demand| demand.loaded).unwrap_or_default()
+    }
+
+    /// Returns whether requests wait for `key` at a host that can use none of its copies.
+    pub fn copies_closed(&self, key: &str) -> bool {
+        let Some(demand) = self.keys.get(key) else { return false };
+        demand.waiting.values().any(|waiting| waiting.copies_closed)
+    }
+
     /// Returns when a request for `key` last came, or last began or ended to wait.
     pub fn last_wanted(&self, key: &str) -> ClockMillis {
         self.keys.get(key).map(|demand| demand.asked.max(demand.waited)).unwrap_or_default()
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -234,7 +234,7 @@
                     self.store.load_began(order.id, &order.engine.name, now);
                     self.project_store(now);
                 }
-                self.demand.served(&order.key);
+                self.demand.served(&order.key, now);
             }
             // The adapter keeps its place until its runs have ended, which a report tells.
             (OrderAnswer::Accepted, OrderKind::Unload) => {
--- a/crates/core/tests/cooldown.rs
+++ b/crates/core/tests/cooldown.rs
@@ -163,6 +163,17 @@
     assert_eq!(table.take_events().len(), 1, "it is forgotten");
 }
 
+/// An engine's entry may go and come back while the engine lives: that does not end its cooldown.
+#[test]
+fn a_cooldown_outlasts_the_entry_of_its_engine() {
+    let mut table = CooldownTable::default();
+    table.requested(&engine(), 1, cooldown(3000), at(0));
+    table.retain(|_| None, at(1000));
+    assert_eq!(table.standing("engine-1", 1, at(1500)), CooldownStanding::Closed(millis(1500)));
+    table.retain(|_| None, at(3000));
+    assert_eq!(table.standing("engine-1", 1, at(3000)), CooldownStanding::Open);
+}
+
 /// Clients that are told to come back after one cooldown do not all return at the same moment.
 #[test]
 fn clients_come_back_one_after_the_other() {
--- a/crates/core/tests/placement/world.rs
+++ b/crates/core/tests/placement/world.rs
@@ -226,6 +226,7 @@
             waiting,
             waiting_tokens: u64::from(waiting) * PROMPT,
             waiting_worth: f64::from(waiting),
+            copies_closed: false,
         };
         self.planner.demand_noted(&Arc::from("host"), &[entry], self.at());
     }
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -25,6 +25,8 @@
     waiting: u32,
     waiting_tokens: u64,
     waiting_worth: f64,
+    /// Until when every copy is at an engine that takes no requests from this host.
+    copies_closed_until: ClockMillis,
     changed: bool,
     told: ClockMillis,
 }
@@ -129,6 +131,11 @@
         count.waiting_worth = (count.waiting_worth - worth).max(0.0);
     }
 
+    /// Takes that every copy of what requests wait for is at an engine that takes no requests from this host until a time.
+    pub fn copies_closed(&mut self, service: &ServiceName, key: &ModelKey, until: ClockMillis) {
+        self.count(service, key).copies_closed_until = until;
+    }
+
     /// Takes what this host has at an engine.
     pub fn engine_work(
         &mut self,
@@ -185,6 +192,7 @@
                     waiting_tokens: count.waiting_tokens,
                     waiting: count.waiting,
                     waiting_worth: count.waiting_worth,
+                    copies_closed: count.waiting > 0 && now < count.copies_closed_until,
                 });
                 count.changed = false;
                 count.told = now;
--- a/crates/gateway/src/entry/pass.rs
+++ b/crates/gateway/src/entry/pass.rs
@@ -19,7 +19,6 @@
         pick::EnginePick,
         stream::EventCutter,
     },
-    gate::GateVerdict,
 };
 
 /// The longest answer that is read whole before it is passed on.
@@ -84,8 +83,9 @@
     /// Keeps the engine's connection if it may serve another request.
     pub fn keep_or_close(&self, lease: EngineLease, answer: &EngineAnswer) {
         let clean = !lease.stream.has_unused_bytes() && answer.decoder.is_done();
-        let departing = self.traffic.shared.gate().own_verdict(&lease.entry);
-        if answer.reusable && clean && departing != GateVerdict::Departing {
+        let (engine, born) = (&lease.entry.name, lease.entry.born);
+        let departing = self.traffic.shared.departures().is_departing(engine, born);
+        if answer.reusable && clean && !departing {
             lease.keep(answer.kept(), self.traffic.now());
         } else {
             lease.close();
--- a/crates/gateway/src/entry/plain.rs
+++ b/crates/gateway/src/entry/plain.rs
@@ -4,12 +4,14 @@
 
 use reelreel_core::fleet::{EngineEntry, admission::AdmissionSign};
 
-use crate::entry::{
-    answer::OwnAnswer,
-    exchange::{Exchange, ExchangeEnd, REPEAT_PAUSE},
-    pick::EnginePick,
+use crate::{
+    entry::{
+        answer::OwnAnswer,
+        exchange::{Exchange, ExchangeEnd, REPEAT_PAUSE},
+        pick::EnginePick,
+    },
+    gate::GateVerdict,
 };
-use crate::gate::GateVerdict;
 
 /// The shortest and the longest time after which a client of a service without room is told to come back.
 const RETURN_TIMES: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(5));
@@ -63,12 +65,8 @@
         if has_other && self.may_send_again() {
             return None;
         }
-        let rests = matches!(
-            self.traffic.shared.gate().own_verdict(entry),
-            GateVerdict::Cooling(_) | GateVerdict::Departing
-        );
-        let first = self.sends == 1 && !rests;
-        if first && self.may_send_again() {
+        let open = self.traffic.shared.gate().own_verdict(entry) == GateVerdict::Open;
+        if self.sends == 1 && open && self.may_send_again() {
             self.unreached.pop();
             tokio::time::sleep(REPEAT_PAUSE).await;
             return None;
--- a/crates/gateway/src/entry/wait.rs
+++ b/crates/gateway/src/entry/wait.rs
@@ -8,11 +8,14 @@
     cold::{ColdChoice, ColdRequest, CoolingHolder, LATE_WORTH},
 };
 
-use crate::entry::{
-    TrafficState,
-    exchange::{Exchange, SENT_AHEAD},
-    pick::{CoolingHolders, EnginePick},
-    preflight::SendRejection,
+use crate::{
+    entry::{
+        TrafficState,
+        exchange::{Exchange, SENT_AHEAD},
+        pick::{CoolingHolders, EnginePick},
+        preflight::SendRejection,
+    },
+    gate::GateVerdict,
 };
 
 /// How often a waiting request looks whether a holder can be reached again.
@@ -65,12 +68,12 @@
         }
     }
 
-    /// Goes on counting the request until its adapter is there or its client has come back.
+    /// Goes on counting the request until its adapter is at an engine that takes requests, or its client has come back.
     fn hold_for(self, time: Duration) {
         tokio::task::spawn_local(async move {
             let mut changes = self.traffic.table_changes();
             let loaded = async {
-                while !self.traffic.table().copies.contains_key(&self.key) {
+                while !has_open_copy(&self.traffic, &self.service, &self.key) {
                     if changes.changed().await.is_err() {
                         return;
                     }
@@ -82,6 +85,19 @@
     }
 }
 
+/// Returns whether an engine holds a key that takes requests from this host.
+fn has_open_copy(traffic: &TrafficState, service: &str, key: &str) -> bool {
+    let table = traffic.table();
+    if !table.copies.contains_key(key) {
+        return false;
+    }
+    let gate = traffic.shared.gate();
+    table.ready_engines(service).any(|entry| {
+        table.held_version(key, &entry.name).is_some()
+            && gate.own_verdict(entry) == GateVerdict::Open
+    })
+}
+
 impl Drop for WaitGuard {
     fn drop(&mut self) {
         let mut demand = self.traffic.shared.demand();
@@ -106,6 +122,7 @@
             let worth = self.waiting_request().worth();
             WaitGuard::new(self.traffic, &self.service, &key, tokens, worth)
         });
+        let mut counted = false;
         let end = loop {
             if let Some(rejection) = self.request_rejection() {
                 break WaitEnd::Rejected(rejection);
@@ -118,6 +135,9 @@
                 ColdChoice::Wait(time) => time,
                 ColdChoice::Refuse(time) => break WaitEnd::Refused(time),
             };
+            if self.cooling.is_some() && !std::mem::replace(&mut counted, true) {
+                self.traffic.shared.metrics.cooldown_waited.inc();
+            }
             tokio::select! {
                 biased;
                 change = changes.changed() => {
@@ -165,13 +185,12 @@
         true
     }
 
-    /// Takes that the request waits for engines that want none for a while; the placer is told, so that another copy counts.
+    /// Takes that all engines which could run the request are within cooldowns, and has the placer load another copy: at once for
+    /// this host's requests, and not at these engines where other hosts can't use them either.
     fn wait_for_holders(&mut self, holders: CoolingHolders) {
-        if self.cooling.is_none() {
-            self.traffic.shared.metrics.cooldown_waited.inc();
-        }
-        if holders.loadable {
+        if let Some(key) = &self.facts.model {
             let mut demand = self.traffic.shared.demand();
+            demand.copies_closed(&self.service, key, holders.until);
             for engine in &holders.engines {
                 demand.not_reached(&self.service, engine);
             }
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -150,6 +150,9 @@
     /// The prompts of the requests that wait. Unit: tokens.
     #[prost(uint64, tag = "6")]
     pub waiting_tokens: u64,
+    /// Whether every copy is at an engine that takes no requests from the host now.
+    #[prost(bool, tag = "7")]
+    pub copies_closed: bool,
 }
 
 /// What the placer of one domain has decided. Tags 6, 8 and 12 are used up.
@@ -300,6 +303,7 @@
             waiting_worth,
             asked_tokens: entry.asked_tokens,
             waiting_tokens: entry.waiting_tokens,
+            copies_closed: entry.copies_closed,
         }
     }
 }
@@ -313,6 +317,7 @@
             waiting: line.waiting,
             waiting_tokens: line.waiting_tokens,
             waiting_worth: f64::from(line.waiting_worth),
+            copies_closed: line.copies_closed,
         }
     }
 }
--- a/crates/gateway/tests/host/announcements.rs
+++ b/crates/gateway/tests/host/announcements.rs
@@ -338,6 +338,25 @@
     assert!(fleet.ask(&fleet.hosts[0], "comes back"));
 }
 
+/// A route that allows one engine refuses a request which the only holder of its adapter rejected. Nothing was loaded elsewhere until
+/// the client came back.
+#[test]
+fn a_refused_request_has_its_adapter_loaded_elsewhere_before_its_client_returns() {
+    let mut fleet = TestFleet::start("assist", 3, 3);
+    let holder = fleet.load_rare_adapter();
+    fleet.engines[holder].reject_for(Some(Duration::from_secs(5)));
+    let response = fleet.post(&fleet.hosts[1], "rejected");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    let told = retry_after(&response).expect("a time to come back");
+    let began = Instant::now();
+    let others = || {
+        let others = fleet.engines.iter().enumerate().filter(|(place, _)| *place != holder);
+        others.map(|(_, engine)| engine.orders().len()).sum::<usize>()
+    };
+    wait_until("another engine gets an order", || others() > 0);
+    assert!(began.elapsed() < told, "ordered after {:?}, told {told:?}", began.elapsed());
+}
+
 /// Returns the time after which a client is told to come back.
 fn retry_after(response: &str) -> Option<Duration> {
     let line = response.lines().find_map(|line| line.strip_prefix("Retry-After: "))?;
