feat(gateway): count engine choices that an engine's health diverts

Change: reelreel_health_diverted_total{signal} counts choices that skipped the least loaded engine, by the signal that weighed most: failures, delay, backoff. The choice itself is as before.

--- a/crates/core/src/fleet/engine_choice.rs
+++ b/crates/core/src/fleet/engine_choice.rs
@@ -106,6 +106,43 @@
     now: ClockMillis,
 ) -> Option<EngineName> {
     let median = median_delay(candidates);
+    let total_cost = |candidate: &EngineCandidate<'_>| {
+        load_cost(candidate, hall) + HealthCost::of(candidate, median, now).total()
+    };
+    let index = cheapest_index(candidates, tie_breaker, hosts, total_cost)?;
+    Some(EngineName::clone(&candidates[index].entry.name))
+}
+
+/// Returns which health signal made [`choose_engine`] choose another engine than the one with the
+/// lowest load, if any did.
+pub fn diverting_signal(
+    candidates: &[EngineCandidate<'_>],
+    hall: &str,
+    tie_breaker: u64,
+    hosts: u32,
+    now: ClockMillis,
+) -> Option<HealthSignal> {
+    let median = median_delay(candidates);
+    let health_cost = |candidate: &EngineCandidate<'_>| HealthCost::of(candidate, median, now);
+    if candidates.iter().all(|candidate| health_cost(candidate).total() <= 0.0) {
+        return None;
+    }
+    let load_only = |candidate: &EngineCandidate<'_>| load_cost(candidate, hall);
+    let total = |candidate: &EngineCandidate<'_>| {
+        load_cost(candidate, hall) + health_cost(candidate).total()
+    };
+    let least_loaded = cheapest_index(candidates, tie_breaker, hosts, load_only)?;
+    let chosen = cheapest_index(candidates, tie_breaker, hosts, total)?;
+    (chosen != least_loaded).then(|| health_cost(&candidates[least_loaded]).dominant_signal())
+}
+
+/// Returns the index of the candidate with the lowest cost after spreading.
+fn cheapest_index(
+    candidates: &[EngineCandidate<'_>],
+    tie_breaker: u64,
+    hosts: u32,
+    cost: impl Fn(&EngineCandidate<'_>) -> f64,
+) -> Option<usize> {
     let spread = (f64::from(hosts) * SPREAD_PER_HOST).min(MAX_SPREAD);
     let count = candidates.len() as u64;
     candidates
@@ -114,27 +151,67 @@
         .map(|(index, candidate)| {
             let rank = (index as u64 + count - tie_breaker % count.max(1)) % count.max(1);
             let spread = spread * rank as f64 / count as f64;
-            (cost(candidate, hall, median, now) + spread, rank, candidate)
+            (cost(candidate) + spread, rank, index)
         })
         .min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)))
-        .map(|(_, _, candidate)| EngineName::clone(&candidate.entry.name))
+        .map(|(_, _, index)| index)
 }
 
-fn cost(candidate: &EngineCandidate<'_>, hall: &str, median: Option<f64>, now: ClockMillis) -> f64 {
-    let health = candidate.health;
+fn load_cost(candidate: &EngineCandidate<'_>, hall: &str) -> f64 {
     let mut cost = f64::from(candidate.own_open.max(candidate.reported_open));
     cost += candidate.pending_prefill_time.div_duration_f64(PREFILL_TIME_PER_OPEN_REQUEST);
-    cost += FAILURE_WEIGHT * health.failure_rate().powi(2);
     if &*candidate.entry.hall != hall {
         cost += OTHER_HALL_COST;
     }
-    if health.is_in_backoff(now) {
-        cost += BACKOFF_COST;
+    cost
+}
+
+/// A signal of an engine's health that affects the choice of engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HealthSignal {
+    /// Failed requests.
+    Failures,
+    /// The delay of its answers.
+    Delay,
+    /// The backoff after a failure.
+    Backoff,
+}
+
+/// The cost of an engine's health by signal, in open requests.
+#[derive(Debug, Clone, Copy)]
+struct HealthCost {
+    failures: f64,
+    delay: f64,
+    backoff: f64,
+}
+
+impl HealthCost {
+    fn of(candidate: &EngineCandidate<'_>, median: Option<f64>, now: ClockMillis) -> Self {
+        let health = candidate.health;
+        let delay = health
+            .delay_millis()
+            .zip(median)
+            .map_or(0.0, |(delay, median)| DELAY_WEIGHT * (delay / median.max(1.0) - 1.5).max(0.0));
+        Self {
+            failures: FAILURE_WEIGHT * health.failure_rate().powi(2),
+            delay,
+            backoff: if health.is_in_backoff(now) { BACKOFF_COST } else { 0.0 },
+        }
     }
-    if let (Some(delay), Some(median)) = (health.delay_millis(), median) {
-        cost += DELAY_WEIGHT * (delay / median.max(1.0) - 1.5).max(0.0);
+
+    fn total(self) -> f64 {
+        self.failures + self.delay + self.backoff
+    }
+
+    fn dominant_signal(self) -> HealthSignal {
+        if self.backoff > 0.0 {
+            HealthSignal::Backoff
+        } else if self.delay > self.failures {
+            HealthSignal::Delay
+        } else {
+            HealthSignal::Failures
+        }
     }
-    cost
 }
 
 fn median_delay(candidates: &[EngineCandidate<'_>]) -> Option<f64> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,7 +12,10 @@
     },
     registry::Registry,
 };
-use reelreel_core::fleet::announcement::{Declared, EngineAnnouncements};
+use reelreel_core::fleet::{
+    announcement::{Declared, EngineAnnouncements},
+    engine_choice::HealthSignal,
+};
 
 /// Labels of request counters.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -105,6 +108,13 @@
     pub cooldown: bool,
 }
 
+/// Labels of the counter of choices diverted by an engine's health.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct HealthDiversionLabels {
+    /// The health signal: failures, delay or backoff.
+    pub signal: &'static str,
+}
+
 /// The metrics of a host.
 pub struct HostMetrics {
     registry: Mutex<Registry>,
@@ -182,6 +192,8 @@
     announcements: Family<AnnouncementLabels, Counter>,
     /// Requests rejected by engines.
     rejections: Family<RejectionLabels, Counter>,
+    /// Engine choices that skipped the least loaded engine because of its health, by signal.
+    health_diversions: Family<HealthDiversionLabels, Counter>,
     /// Listed engines that are leaving.
     pub departing_engines: Gauge,
     /// Engines in a cooldown that they requested from this host.
@@ -245,6 +257,7 @@
             engine_calls: Family::default(),
             announcements: Family::default(),
             rejections: Family::default(),
+            health_diversions: Family::default(),
             departing_engines: Gauge::default(),
             cooling_engines: Gauge::default(),
         };
@@ -297,6 +310,8 @@
         registry.register("cooldown_refused", help, self.cooldown_refused.clone());
         let help = "Answers on another version of weights than was asked for, which were dropped";
         registry.register("other_versions", help, self.other_versions.clone());
+        let help = "Choices that skipped the least loaded engine because of its health";
+        registry.register("health_diverted", help, self.health_diversions.clone());
         let help = "Listed engines that are leaving";
         registry.register("departing_engines", help, self.departing_engines.clone());
         let help = "Engines within a cooldown that they have asked this host for";
@@ -371,6 +386,16 @@
         self.rejections.get_or_create(&RejectionLabels { repeat, cooldown }).inc();
     }
 
+    /// Counts an engine choice that was diverted by a health signal.
+    pub fn count_health_diversion(&self, signal: HealthSignal) {
+        let signal = match signal {
+            HealthSignal::Failures => "failures",
+            HealthSignal::Delay => "delay",
+            HealthSignal::Backoff => "backoff",
+        };
+        self.health_diversions.get_or_create(&HealthDiversionLabels { signal }).inc();
+    }
+
     /// Encodes all metrics as text.
     pub fn encode(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
--- a/crates/gateway/src/traffic/pick.rs
+++ b/crates/gateway/src/traffic/pick.rs
@@ -6,7 +6,7 @@
     ClockMillis,
     fleet::{
         EngineEntry, EngineName, ModelKey, WeightVersion, adapter_name,
-        engine_choice::{EngineCandidate, choose_engine},
+        engine_choice::{EngineCandidate, choose_engine, diverting_signal},
         health::EngineHealth,
         limits::share::PermitUse,
         work::EngineWork,
@@ -218,8 +218,11 @@
         .collect();
     drop(shared);
     let hall = &traffic.shared.profile.hall;
-    let best =
-        choose_engine(&candidates, hall, xxh3_64(requirements.id.as_bytes()), table.hosts, now)?;
+    let tie_breaker = xxh3_64(requirements.id.as_bytes());
+    let best = choose_engine(&candidates, hall, tie_breaker, table.hosts, now)?;
+    if let Some(signal) = diverting_signal(&candidates, hall, tie_breaker, table.hosts, now) {
+        traffic.shared.metrics.count_health_diversion(signal);
+    }
     eligible.iter().position(|eligible| eligible.entry.name == best)
 }
 
