fix(core): probe engines that are avoided for old delays

Callers saw: an engine that once answered slowly got no more requests, for as long as another one was less loaded; all callers shared the rest. With two engines one took everything.

Cause: the smoothed delay of an engine costs it up to tens of open requests and is corrected only by its own answers, which an engine without requests does not give. The first sample counts whole, so one answer of 60 ms beside 5 ms is enough.

Change: a delay without newer samples for 0.5 s keeps nobody away while this host has no request open there, so that one request at a time probes the engine. A probe that confirms the delay doubles that time, up to 30 s; one that contradicts it starts anew, and a faster one counts half. So an engine that stays slow gets 10 requests a minute at most at 50 a second.

--- a/crates/core/src/fleet/engine_choice.rs
+++ b/crates/core/src/fleet/engine_choice.rs
@@ -166,6 +166,11 @@
     cost
 }
 
+/// Returns the cost of a delay, given the median delay of the candidates.
+fn delay_cost((delay, median): (f64, f64)) -> f64 {
+    DELAY_WEIGHT * (delay / median.max(1.0) - 1.5).max(0.0)
+}
+
 /// A signal of an engine's health that affects the choice of engines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HealthSignal {
@@ -188,10 +193,13 @@
 impl HealthCost {
     fn of(candidate: &EngineCandidate<'_>, median: Option<f64>, now: ClockMillis) -> Self {
         let health = candidate.health;
-        let delay = health
-            .delay_millis()
-            .zip(median)
-            .map_or(0.0, |(delay, median)| DELAY_WEIGHT * (delay / median.max(1.0) - 1.5).max(0.0));
+        // One request at a time probes an engine whose last samples are old.
+        let may_probe = candidate.own_open == 0;
+        let delay = if may_probe && health.is_delay_probe_due(now) {
+            0.0
+        } else {
+            health.delay_millis().zip(median).map_or(0.0, delay_cost)
+        };
         Self {
             failures: FAILURE_WEIGHT * health.failure_rate().powi(2),
             delay,
--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -2,6 +2,10 @@
 //!
 //! An engine may pass its health check while its requests fail, and vice versa. After a failure the
 //! engine is put in a backoff that doubles with each consecutive failure.
+//!
+//! An engine that is avoided gets no requests that could show its recovery. Evidence against it
+//! therefore ages: after a time without new samples one request may probe the engine, and that time
+//! doubles with each probe that confirms the evidence.
 
 use std::time::Duration;
 
@@ -22,6 +26,18 @@
 /// Weight of the newest sample in the smoothed delay.
 const DELAY_SMOOTHING: f64 = 0.25;
 
+/// Weight of a probe that is faster than the smoothed delay, which may stem from one slow answer.
+const PROBE_SMOOTHING: f64 = 0.5;
+
+/// Ratio of a sample to the smoothed delay, or the inverse, from which on they contradict each other.
+const CONTRADICTING_DELAY_RATIO: f64 = 2.0;
+
+/// Time without a sample after which an engine is probed.
+const INITIAL_PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Maximum time between two probes.
+const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(30);
+
 /// Outcome of a request that was sent to an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EngineOutcome {
@@ -41,11 +57,61 @@
     Failed,
 }
 
+/// Decides when an engine that is avoided gets a request that probes it.
+#[derive(Debug, Clone, Copy)]
+struct ProbeTimer {
+    sampled_at: ClockMillis,
+    interval: Duration,
+}
+
+impl ProbeTimer {
+    const fn new(now: ClockMillis) -> Self {
+        Self { sampled_at: now, interval: INITIAL_PROBE_INTERVAL }
+    }
+
+    /// Returns whether the last sample is so old that a request may probe the engine.
+    fn is_due(&self, now: ClockMillis) -> bool {
+        now.since(self.sampled_at) >= self.interval
+    }
+
+    /// Records a sample, and whether it confirms the earlier ones.
+    fn record(&mut self, confirmed: bool, now: ClockMillis) {
+        if !confirmed {
+            self.interval = INITIAL_PROBE_INTERVAL;
+        } else if self.is_due(now) {
+            self.interval = (self.interval * 2).min(MAX_PROBE_INTERVAL);
+        }
+        self.sampled_at = now;
+    }
+}
+
+/// The smoothed delay of an engine's answers.
+#[derive(Debug, Clone, Copy)]
+struct DelayEstimate {
+    millis: f64,
+    probe_timer: ProbeTimer,
+}
+
+impl DelayEstimate {
+    const fn new(sample_millis: f64, now: ClockMillis) -> Self {
+        Self { millis: sample_millis, probe_timer: ProbeTimer::new(now) }
+    }
+
+    fn record(&mut self, sample_millis: f64, now: ClockMillis) {
+        let is_faster_probe = sample_millis < self.millis && self.probe_timer.is_due(now);
+        let smoothing = if is_faster_probe { PROBE_SMOOTHING } else { DELAY_SMOOTHING };
+        let confirmed = sample_millis < self.millis * CONTRADICTING_DELAY_RATIO
+            && sample_millis * CONTRADICTING_DELAY_RATIO > self.millis;
+        self.probe_timer.record(confirmed, now);
+        self.millis += smoothing * (sample_millis - self.millis);
+    }
+}
+
 /// One host's view of an engine's health.
 #[derive(Debug, Clone, Default)]
 pub struct EngineHealth {
     failure_rate: f64,
-    delay_millis: Option<f64>,
+    delay: Option<DelayEstimate>,
     consecutive_failures: u32,
     backoff_until: ClockMillis,
 }
@@ -57,7 +123,7 @@
             EngineOutcome::Answered(delay) => {
                 self.consecutive_failures = 0;
                 self.update_failure_rate(0.0);
-                self.update_delay(delay);
+                self.update_delay(delay, now);
             }
             // Error statuses are common, so they count only towards the failure rate and cause no
             // backoff.
@@ -78,10 +144,12 @@
         self.failure_rate += FAILURE_SMOOTHING * (sample - self.failure_rate);
     }
 
-    fn update_delay(&mut self, delay: Duration) {
-        let sample = delay.as_secs_f64() * 1000.0;
-        let delay = self.delay_millis.get_or_insert(sample);
-        *delay += DELAY_SMOOTHING * (sample - *delay);
+    fn update_delay(&mut self, delay: Duration, now: ClockMillis) {
+        let sample_millis = delay.as_secs_f64() * 1000.0;
+        match &mut self.delay {
+            Some(estimate) => estimate.record(sample_millis, now),
+            None => self.delay = Some(DelayEstimate::new(sample_millis, now)),
+        }
     }
 
     fn back_off(&mut self, now: ClockMillis, initial: Duration) {
@@ -102,7 +170,12 @@
     }
 
     /// Returns the smoothed delay of answers, if there were any. Unit: milliseconds.
-    pub const fn delay_millis(&self) -> Option<f64> {
-        self.delay_millis
+    pub fn delay_millis(&self) -> Option<f64> {
+        self.delay.map(|estimate| estimate.millis)
+    }
+
+    /// Returns whether the last delay is so old that one request may find out the present one.
+    pub fn is_delay_probe_due(&self, now: ClockMillis) -> bool {
+        self.delay.is_some_and(|estimate| estimate.probe_timer.is_due(now))
     }
 }
--- a/crates/core/tests/engine_choice.rs
+++ b/crates/core/tests/engine_choice.rs
@@ -211,3 +211,111 @@
         "{slow_count} of 100 requests are sent to the slow engine after a minute"
     );
 }
+
+/// One of two engines, as requests at a steady rate see it.
+struct SimulatedEngine {
+    entry: EngineEntry,
+    health: EngineHealth,
+    /// Outcome of requests that are sent from a time on, with the time until it is known.
+    phases: &'static [(u64, EngineOutcome, u64)],
+    open: Vec<(u64, EngineOutcome)>,
+    sent_at: Vec<u64>,
+}
+
+impl SimulatedEngine {
+    fn new(name: &str, phases: &'static [(u64, EngineOutcome, u64)]) -> Self {
+        let (entry, health) = (entry(name, "hall"), EngineHealth::default());
+        Self { entry, health, phases, open: Vec::new(), sent_at: Vec::new() }
+    }
+
+    fn record_ended(&mut self, now: u64) {
+        for (_, outcome) in self.open.extract_if(.., |(end, _)| *end <= now) {
+            self.health.record(outcome, at(now));
+        }
+    }
+
+    fn send(&mut self, now: u64) {
+        let phase = self.phases.iter().rev().find(|(start, _, _)| *start <= now);
+        let (_, outcome, time) = phase.expect("a phase from the start on");
+        self.open.push((now + time, *outcome));
+        self.sent_at.push(now);
+    }
+
+    fn requests_in(&self, period: std::ops::Range<u64>) -> usize {
+        self.sent_at.iter().filter(|sent_at| period.contains(sent_at)).count()
+    }
+}
+
+/// Sends a request every 20 ms to one of two engines, from a start at 1 s on.
+fn simulate_requests(engines: &mut [SimulatedEngine; 2], end: u64) {
+    for (tie_breaker, now) in (1000..end).step_by(20).enumerate() {
+        engines.iter_mut().for_each(|engine| engine.record_ended(now));
+        let candidates = engines.each_ref().map(|engine| EngineCandidate {
+            entry: &engine.entry,
+            health: &engine.health,
+            own_open: u32::try_from(engine.open.len()).expect("few requests"),
+            reported_open: 0,
+            pending_prefill_time: Duration::ZERO,
+        });
+        let name = choose_engine(&candidates, "hall", tie_breaker as u64, 2, at(now));
+        let name = name.expect("an engine");
+        let chosen = engines.iter_mut().find(|engine| engine.entry.name == name);
+        chosen.expect("one of both").send(now);
+    }
+}
+
+const QUICK_PHASES: &[(u64, EngineOutcome, u64)] = &[(0, EngineOutcome::Answered(millis(5)), 5)];
+
+/// An engine that is avoided for some time, and what it may get of 50 requests per second.
+struct AvoidedCase {
+    name: &'static str,
+    phases: &'static [(u64, EngineOutcome, u64)],
+    /// Maximum number of requests from 2 s to 60 s.
+    max_avoided: usize,
+    /// Minimum number of requests from 100 s to 120 s.
+    min_recovered: usize,
+}
+
+const AVOIDED_CASES: &[AvoidedCase] = &[
+    AvoidedCase {
+        name: "slow for one request",
+        phases: &[
+            (0, EngineOutcome::Answered(millis(60)), 60),
+            (1010, EngineOutcome::Answered(millis(5)), 5),
+        ],
+        max_avoided: usize::MAX,
+        min_recovered: 300,
+    },
+    AvoidedCase {
+        name: "slow all the time",
+        phases: &[(0, EngineOutcome::Answered(millis(400)), 400)],
+        max_avoided: 10,
+        min_recovered: 0,
+    },
+    AvoidedCase {
+        name: "slow for a minute",
+        phases: &[
+            (0, EngineOutcome::Answered(millis(400)), 400),
+            (60_000, EngineOutcome::Answered(millis(5)), 5),
+        ],
+        max_avoided: 10,
+        min_recovered: 300,
+    },
+];
+
+/// Guards against engines that get no request which could show their recovery, and against many
+/// requests to an engine that has not recovered.
+#[test]
+fn an_avoided_engine_is_probed_rarely_and_used_again_after_its_recovery() {
+    for case in AVOIDED_CASES {
+        let mut engines = [
+            SimulatedEngine::new("avoided", case.phases),
+            SimulatedEngine::new("quick", QUICK_PHASES),
+        ];
+        simulate_requests(&mut engines, 120_000);
+        let avoided = engines[0].requests_in(2000..60_000);
+        assert!(avoided <= case.max_avoided, "{}: {avoided} requests", case.name);
+        let recovered = engines[0].requests_in(100_000..120_000);
+        assert!(recovered >= case.min_recovered, "{}: {recovered} requests", case.name);
+    }
+}
