fix(gateway): an incomplete host count does not lower the estimate

Callers saw: after a start, hosts that had heard no placer before took a new one's count of 1 for the number of all hosts. Each then held the whole retry burst, a whole share of a quota it had no ledger for, and all connections of an engine, until the others had subscribed (some 0.1 s with four hosts).

Cause: a placer publishes the number of its subscribers from the first moment of its tenure, before its peers can have found it, and a host without earlier reports believed the first one at once.

Change: a placer's count is complete once no host has subscribed for two seconds; until then it says so and reports what it knew from its predecessor if that is more. A host keeps the assumed number until a complete count, unless an incomplete one is higher; incomplete counts for a whole window of the budget count as complete, as do those of a placer of an older version. Two frames have a new field for it, which older hosts ignore.

Ruled out: holding every decrease from the default for a window, which would leave seven hosts with the shares of 24 for 10 to 20 s after each start.

--- a/crates/gateway/src/control/aggregates.rs
+++ b/crates/gateway/src/control/aggregates.rs
@@ -30,6 +30,7 @@
             suspects::SuspectAggregate,
         },
         domain::{PlacementDomain, RemovedSubscriber},
+        host_count::HostReport,
         state::ControlState,
     },
     host::SharedState,
@@ -226,8 +227,9 @@
 /// Encodes a frame for the subscribers of a domain's placer.
 fn encode_frame(domain: &PlacementDomain, frame: AggregateFrame) -> EncodedFrame {
     let (service, token) = (domain.service.to_string(), domain.lease_token);
-    let hosts = domain.subscribed_hosts();
-    FrameBody::Aggregate(AggregateFrame { service, token, hosts, ..frame }).encoded()
+    let HostReport { hosts, complete: hosts_complete } = domain.host_report();
+    FrameBody::Aggregate(AggregateFrame { service, token, hosts, hosts_complete, ..frame })
+        .encoded()
 }
 
 impl ControlState {
@@ -329,7 +331,7 @@
         for aggregate in &mut aggregates.members {
             aggregate.receive(frame, &context);
         }
-        self.record_host_count(frame.hosts);
+        self.record_host_report(frame.host_report());
         self.publish();
     }
 
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -20,6 +20,7 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::control::host_count::{HostReport, SubscriberCount};
 use crate::control::plan_encoding::{EngineNumbers, change_message, decode_work, engine_message};
 use crate::demand::DemandReport;
 use crate::peers::frame::{
@@ -132,6 +133,8 @@
     pub subscribers: Vec<PlanSubscriber>,
     /// Queue of frames to the placer, while connected.
     pub placer_sender: Option<mpsc::Sender<EncodedFrame>>,
+    /// Whether all hosts have had time to subscribe.
+    subscriber_count: SubscriberCount,
     /// Subscribers removed since the last [`Self::take_removed`].
     removed: Vec<RemovedSubscriber>,
     /// Throughput that was logged last.
@@ -175,6 +178,7 @@
             awaiting_estimates: Vec::new(),
             subscribers: Vec::new(),
             placer_sender: None,
+            subscriber_count: SubscriberCount::default(),
             removed: Vec::new(),
             logged_throughput: None,
             sent_plan: HashMap::new(),
@@ -218,6 +222,29 @@
         u32::try_from(self.subscribers.len() + 1).unwrap_or(u32::MAX)
     }
 
+    /// Begins a tenure of this host; `known_hosts` is the number of hosts reported before, or zero.
+    pub const fn begin_tenure(&mut self, known_hosts: u32, now: ClockMillis) {
+        self.lease_token = self.tenure.token();
+        self.subscriber_count.begin_tenure(known_hosts, now);
+    }
+
+    /// Adds a host to which the complete state was sent.
+    pub fn add_subscriber(&mut self, subscriber: PlanSubscriber, now: ClockMillis) {
+        self.subscribers.push(subscriber);
+        self.subscriber_count.record_subscription(now);
+    }
+
+    /// Updates and returns this placer's report of the number of hosts.
+    pub fn update_host_report(&mut self, now: ClockMillis) -> HostReport {
+        self.subscriber_count.update(self.subscribed_hosts(), now);
+        self.host_report()
+    }
+
+    /// Returns this placer's report of the number of hosts.
+    pub fn host_report(&self) -> HostReport {
+        self.subscriber_count.report(self.subscribed_hosts())
+    }
+
     /// Sends the subscribers the changes of the plan, in batches.
     pub fn send_plan_changes(&mut self, changed: Vec<EngineName>, now: ClockMillis) {
         self.unsent.extend(changed);
@@ -396,10 +423,12 @@
 
     /// Returns a plan frame of this placer with no content.
     fn empty_frame(&self) -> PlanFrame {
+        let report = self.host_report();
         PlanFrame {
             service: self.service.to_string(),
             token: self.lease_token,
-            hosts: self.subscribed_hosts(),
+            hosts: report.hosts,
+            hosts_complete: report.complete,
             ..PlanFrame::default()
         }
     }
@@ -424,8 +453,7 @@
         let due_times = own_delays.map(|(key, delay)| (key, now + delay)).collect::<Vec<_>>();
         let has_new = !due_times.is_empty();
         self.estimates.extend(due_times);
-        let (service, token) = (self.service.to_string(), self.lease_token);
-        let hosts = self.subscribed_hosts();
+        let empty_frame = self.empty_frame();
         for subscriber in &mut self.subscribers {
             let messages = subscriber.awaiting_estimates.drain(..).filter_map(|key| estimate(&key));
             let messages = messages
@@ -435,8 +463,7 @@
             if estimates.is_empty() {
                 continue;
             }
-            let service = service.clone();
-            let frame = PlanFrame { service, token, estimates, hosts, ..PlanFrame::default() };
+            let frame = PlanFrame { estimates, ..empty_frame.clone() };
             // A subscriber whose queue is full is removed by the next broadcast.
             let _ = subscriber.frames.try_send(FrameBody::Plan(frame).encoded());
         }
--- a/crates/gateway/src/control/placement.rs
+++ b/crates/gateway/src/control/placement.rs
@@ -56,11 +56,12 @@
 
     /// Adds a subscriber to a service's plan and sends it the complete state.
     fn add_subscriber(&mut self, service: &str, subscriber: PlanSubscriber) {
+        let now = self.shared.clock.now();
         let aggregates = self.aggregate_snapshot(&subscriber.host, service);
         let Some(domain) = self.domains.get_mut(service) else { return };
         let mut frames = std::iter::once(domain.full_plan()).chain(aggregates);
         if frames.all(|frame| subscriber.frames.try_send(frame).is_ok()) {
-            domain.subscribers.push(subscriber);
+            domain.add_subscriber(subscriber, now);
         }
     }
 
@@ -70,7 +71,7 @@
         let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return };
         if !domain.holds_lease && domain.apply_plan(frame, now) {
             self.shared.shared_work().update(domain.decode_work(frame));
-            self.record_host_count(frame.hosts);
+            self.record_host_report(frame.host_report());
             let has_residency = !frame.engines.is_empty() || !frame.changes.is_empty();
             self.table_changed |= has_residency || !frame.estimates.is_empty();
             self.publish();
@@ -133,7 +134,7 @@
 
     /// Follows the state of a domain's lease. Returns whether a new tenure has started, or nothing
     /// if this host does not hold the lease.
-    fn update_lease(&mut self, service: &ServiceName) -> Option<bool> {
+    fn update_lease(&mut self, service: &ServiceName, now: ClockMillis) -> Option<bool> {
         let domain = self.domains.get_mut(service)?;
         let state = domain.tenure.state();
         if self.lease_states.insert(Arc::clone(service), state) != Some(state) {
@@ -154,10 +155,11 @@
         let is_new = !domain.holds_lease || domain.lease_token != domain.tenure.token();
         domain.holds_lease = true;
         if is_new {
-            domain.lease_token = domain.tenure.token();
+            domain.begin_tenure(self.host_count.reported(), now);
             self.shared.demand().resend_all(service);
         }
-        self.record_host_count(self.domains[service].subscribed_hosts());
+        let report = domain.update_host_report(now);
+        self.record_host_report(report);
         Some(is_new)
     }
 
@@ -168,7 +170,7 @@
         state: &Rc<RefCell<Self>>,
         now: ClockMillis,
     ) -> Option<ClockMillis> {
-        let is_new = self.update_lease(service)?;
+        let is_new = self.update_lease(service, now)?;
         let hosting = self.hosting(service)?;
         let rate_limiter = self.load_rate_limiter(&hosting);
         let listed = self.engines.values().filter(|entry| entry.service == *service);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -25,8 +25,12 @@
 use crate::{
     codec::KeyedRecord,
     control::{
-        aggregates::AggregateSet, domain::PlacementDomain, feed::FollowerFeed,
-        host_count::HostCount, orders::OrderClients, topic_mirror::TopicMirror,
+        aggregates::AggregateSet,
+        domain::PlacementDomain,
+        feed::FollowerFeed,
+        host_count::{HostCount, HostReport},
+        orders::OrderClients,
+        topic_mirror::TopicMirror,
     },
     events::HostEvent,
     host::SharedState,
@@ -71,7 +75,7 @@
     pub(super) following: watch::Sender<bool>,
     /// Counts how often the store has become available again.
     store_returns: watch::Sender<u32>,
-    host_count: HostCount,
+    pub(super) host_count: HostCount,
     pub(super) aggregates: AggregateSet,
     /// Engines whose entries were removed, and until when they stay listed.
     pub(super) unlisted_until: BTreeMap<EngineName, ClockMillis>,
@@ -222,10 +226,10 @@
         self.host_count.get(self.shared.profile.partitions)
     }
 
-    /// Records the number of hosts that follow a placer.
-    pub(super) fn record_host_count(&mut self, count: u32) {
+    /// Records a placer's report of the number of hosts.
+    pub(super) fn record_host_report(&mut self, report: HostReport) {
         let previous = (self.hosts(), self.host_count.is_assumed());
-        self.host_count.record(count, self.shared.clock.now());
+        self.host_count.record_report(report, self.shared.clock.now());
         self.table_changed |= (self.hosts(), self.host_count.is_assumed()) != previous;
     }
 
--- a/crates/gateway/src/peers/aggregate_frames.rs
+++ b/crates/gateway/src/peers/aggregate_frames.rs
@@ -4,6 +4,7 @@
 
 use reelreel_core::organisation::share::{QuotaLevel, QuotaUsage};
 
+use crate::control::host_count::HostReport;
 use crate::peers::{
     departure_messages::DepartureMessage,
     limit_messages::{LimitMessage, PermitDemandMessage, PermitGrantMessage},
@@ -45,9 +46,12 @@
     /// The placer's fencing token; receivers ignore frames with an earlier one.
     #[prost(uint64, tag = "2")]
     pub token: u64,
-    /// Number of hosts subscribed to the placer, itself included.
+    /// Number of hosts, as counted by the placer.
     #[prost(uint32, tag = "3")]
     pub hosts: u32,
+    /// Whether that count is complete.
+    #[prost(bool, tag = "9")]
+    pub hosts_complete: bool,
     /// Levels of the organisations' quotas, if the frame updates them.
     #[prost(message, optional, tag = "4")]
     pub quotas: Option<QuotaLevelsMessage>,
@@ -65,6 +69,13 @@
     pub departures: Vec<DepartureMessage>,
 }
 
+impl AggregateFrame {
+    /// Returns the placer's report of the number of hosts.
+    pub const fn host_report(&self) -> HostReport {
+        HostReport { hosts: self.hosts, complete: self.hosts_complete }
+    }
+}
+
 /// A host's usage of an organisation's quota.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct QuotaUsageMessage {
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -11,6 +11,7 @@
 
 use prost::Message as _;
 
+use crate::control::host_count::HostReport;
 use crate::peers::{
     aggregate_frames::{AggregateFrame, HostReportFrame},
     state_frames::{FollowFrame, StateFrame, StateRequestFrame},
@@ -170,9 +171,12 @@
     /// Estimated load times of queued adapters.
     #[prost(message, repeated, tag = "4")]
     pub estimates: Vec<LoadEstimateMessage>,
-    /// Number of hosts subscribed to the placer, itself included.
+    /// Number of hosts, as counted by the placer.
     #[prost(uint32, tag = "5")]
     pub hosts: u32,
+    /// Whether that count is complete.
+    #[prost(bool, tag = "13")]
+    pub hosts_complete: bool,
     /// The weight store's throughput as estimated by the placer, for the next placer.
     #[prost(message, optional, tag = "7")]
     pub store_throughput: Option<StoreThroughputMessage>,
@@ -188,6 +192,13 @@
     pub work: Vec<u64>,
 }
 
+impl PlanFrame {
+    /// Returns the placer's report of the number of hosts.
+    pub const fn host_report(&self) -> HostReport {
+        HostReport { hosts: self.hosts, complete: self.hosts_complete }
+    }
+}
+
 /// The change of an engine's loaded models since the last frame with this engine.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct EngineChangeMessage {
