fix(core): probe engines that are avoided for old failures

Callers saw: an engine that had failed some requests got none while others were less loaded, however long ago that was; the rest carried its load.

Cause: the same class as the delay, found beside it. The smoothed failure rate costs up to 40 open requests, and only answers of that engine lower it. One error status costs 1.6, which an idle fleet never outweighs.

Change: a failure rate without newer outcomes for 2 s keeps nobody away while this host has no request open at the engine and it is in no backoff. A probe that fails multiplies that time by four, up to 30 s, since its caller pays for it; one that is answered halves it and the rate. Requests that can not be sent again wait four times as long, so that others probe if there are any. Each is one row or test of engine_choice.rs.

Failed before: an_avoided_engine_is_probed_rarely_and_used_again_after_its_recovery with a row for error responses: 0 requests in the last 20 s of two minutes.

--- a/crates/core/src/fleet/engine_choice.rs
+++ b/crates/core/src/fleet/engine_choice.rs
@@ -200,11 +200,13 @@
         } else {
             health.delay_millis().zip(median).map_or(0.0, delay_cost)
         };
-        Self {
-            failures: FAILURE_WEIGHT * health.failure_rate().powi(2),
-            delay,
-            backoff: if health.is_in_backoff(now) { BACKOFF_COST } else { 0.0 },
-        }
+        let failures = if may_probe && health.is_failure_probe_due(now) {
+            0.0
+        } else {
+            FAILURE_WEIGHT * health.failure_rate().powi(2)
+        };
+        let backoff = if health.is_in_backoff(now) { BACKOFF_COST } else { 0.0 };
+        Self { failures, delay, backoff }
     }
 
     fn total(self) -> f64 {
--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -5,7 +5,7 @@
 //!
 //! An engine that is avoided gets no requests that could show its recovery. Evidence against it
 //! therefore ages: after a time without new samples one request may probe the engine, and that time
-//! doubles with each probe that confirms the evidence.
+//! grows with each probe that confirms the evidence.
 
 use std::time::Duration;
 
@@ -26,14 +26,31 @@
 /// Weight of the newest sample in the smoothed delay.
 const DELAY_SMOOTHING: f64 = 0.25;
 
-/// Weight of a probe that is faster than the smoothed delay, which may stem from one slow answer.
+/// Weight of a probe that is better than the earlier samples, of which there may be only one.
 const PROBE_SMOOTHING: f64 = 0.5;
 
 /// Ratio of a sample to the smoothed delay, or the inverse, from which on they contradict each other.
 const CONTRADICTING_DELAY_RATIO: f64 = 2.0;
 
-/// Time without a sample after which an engine is probed.
-const INITIAL_PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Failure rate below which an engine counts as working, since its cost is negligible.
+const LOW_FAILURE_RATE: f64 = 0.03;
+
+/// Time without a sample after which a slow engine is probed.
+const INITIAL_DELAY_PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time without a sample after which a failing engine is probed; longer, since callers may see the
+/// failure of a probe.
+const INITIAL_FAILURE_PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Growth of the interval with each probe that is slow.
+const DELAY_BACKOFF_FACTOR: u32 = 2;
+
+/// Growth of the interval with each probe that fails. An engine that fails two requests in five is
+/// probed ever less often, though the others halve the interval.
+const FAILURE_BACKOFF_FACTOR: u32 = 4;
+
+/// Factor on the interval for probes that can not be sent again if they fail.
+const UNREPEATABLE_PROBE_FACTOR: u32 = 4;
 
 /// Maximum time between two probes.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(30);
@@ -61,12 +78,13 @@
 #[derive(Debug, Clone, Copy)]
 struct ProbeTimer {
     sampled_at: ClockMillis,
+    initial_interval: Duration,
     interval: Duration,
 }
 
 impl ProbeTimer {
-    const fn new(now: ClockMillis) -> Self {
-        Self { sampled_at: now, interval: INITIAL_PROBE_INTERVAL }
+    const fn new(initial_interval: Duration, now: ClockMillis) -> Self {
+        Self { sampled_at: now, initial_interval, interval: initial_interval }
     }
 
     /// Returns whether the last sample is so old that a request may probe the engine.
@@ -74,15 +92,59 @@
         now.since(self.sampled_at) >= self.interval
     }
 
-    /// Records a sample, and whether it confirms the earlier ones.
-    fn record(&mut self, confirmed: bool, now: ClockMillis) {
-        if !confirmed {
-            self.interval = INITIAL_PROBE_INTERVAL;
-        } else if self.is_due(now) {
-            self.interval = (self.interval * 2).min(MAX_PROBE_INTERVAL);
+    /// Records a sample that contradicts the earlier ones.
+    const fn restart(&mut self, now: ClockMillis) {
+        self.interval = self.initial_interval;
+        self.sampled_at = now;
+    }
+
+    /// Records a sample that confirms the earlier ones; after a probe, the interval grows by
+    /// `factor`.
+    fn back_off(&mut self, factor: u32, now: ClockMillis) {
+        if self.is_due(now) {
+            self.interval = (self.interval * factor).min(MAX_PROBE_INTERVAL);
         }
         self.sampled_at = now;
     }
+
+    /// Records a better sample that does not outweigh the earlier ones; after a probe, the interval
+    /// halves.
+    fn advance(&mut self, now: ClockMillis) {
+        if self.is_due(now) {
+            self.interval = (self.interval / 2).max(self.initial_interval);
+        }
+        self.sampled_at = now;
+    }
+}
+
+/// The smoothed rate of failed requests.
+#[derive(Debug, Clone, Copy)]
+struct FailureEstimate {
+    rate: f64,
+    probe_timer: ProbeTimer,
+}
+
+impl Default for FailureEstimate {
+    fn default() -> Self {
+        let never = ClockMillis::default();
+        Self { rate: 0.0, probe_timer: ProbeTimer::new(INITIAL_FAILURE_PROBE_INTERVAL, never) }
+    }
+}
+
+impl FailureEstimate {
+    fn record(&mut self, sample: f64, now: ClockMillis) {
+        let is_better_probe = sample < self.rate && self.probe_timer.is_due(now);
+        let smoothing = if is_better_probe { PROBE_SMOOTHING } else { FAILURE_SMOOTHING };
+        let previous_rate = self.rate;
+        self.rate += smoothing * (sample - self.rate);
+        if previous_rate < LOW_FAILURE_RATE || self.rate < LOW_FAILURE_RATE {
+            self.probe_timer.restart(now);
+        } else if sample > 0.0 {
+            self.probe_timer.back_off(FAILURE_BACKOFF_FACTOR, now);
+        } else {
+            self.probe_timer.advance(now);
+        }
+    }
 }
 
 /// The smoothed delay of an engine's answers.
@@ -94,7 +156,8 @@
 
 impl DelayEstimate {
     const fn new(sample_millis: f64, now: ClockMillis) -> Self {
-        Self { millis: sample_millis, probe_timer: ProbeTimer::new(now) }
+        let probe_timer = ProbeTimer::new(INITIAL_DELAY_PROBE_INTERVAL, now);
+        Self { millis: sample_millis, probe_timer }
     }
 
     fn record(&mut self, sample_millis: f64, now: ClockMillis) {
@@ -102,7 +165,11 @@
         let smoothing = if is_faster_probe { PROBE_SMOOTHING } else { DELAY_SMOOTHING };
         let confirmed = sample_millis < self.millis * CONTRADICTING_DELAY_RATIO
             && sample_millis * CONTRADICTING_DELAY_RATIO > self.millis;
-        self.probe_timer.record(confirmed, now);
+        if confirmed {
+            self.probe_timer.back_off(DELAY_BACKOFF_FACTOR, now);
+        } else {
+            self.probe_timer.restart(now);
+        }
         self.millis += smoothing * (sample_millis - self.millis);
     }
 }
@@ -110,7 +177,7 @@
 /// One host's view of an engine's health.
 #[derive(Debug, Clone, Default)]
 pub struct EngineHealth {
-    failure_rate: f64,
+    failures: FailureEstimate,
     delay: Option<DelayEstimate>,
     consecutive_failures: u32,
     backoff_until: ClockMillis,
@@ -122,28 +189,24 @@
         match outcome {
             EngineOutcome::Answered(delay) => {
                 self.consecutive_failures = 0;
-                self.update_failure_rate(0.0);
+                self.failures.record(0.0, now);
                 self.update_delay(delay, now);
             }
             // Error statuses are common, so they count only towards the failure rate and cause no
             // backoff.
-            EngineOutcome::ErrorResponse => self.update_failure_rate(1.0),
+            EngineOutcome::ErrorResponse => self.failures.record(1.0, now),
             // The engine may be full or lack one adapter: prefers other engines without causing a
             // backoff.
-            EngineOutcome::Refused => self.update_failure_rate(REFUSAL_FAILURE_VALUE),
+            EngineOutcome::Refused => self.failures.record(REFUSAL_FAILURE_VALUE, now),
             EngineOutcome::Unreachable
             | EngineOutcome::Failed
             | EngineOutcome::FirstByteTimeout => {
-                self.update_failure_rate(1.0);
+                self.failures.record(1.0, now);
                 self.back_off(now, INITIAL_BACKOFF);
             }
         }
     }
 
-    fn update_failure_rate(&mut self, sample: f64) {
-        self.failure_rate += FAILURE_SMOOTHING * (sample - self.failure_rate);
-    }
-
     fn update_delay(&mut self, delay: Duration, now: ClockMillis) {
         let sample_millis = delay.as_secs_f64() * 1000.0;
         match &mut self.delay {
@@ -166,7 +229,19 @@
 
     /// Returns the smoothed failure rate, from zero to one.
     pub const fn failure_rate(&self) -> f64 {
-        self.failure_rate
+        self.failures.rate
+    }
+
+    /// Returns whether the last outcome is so old that one request may find out whether the engine
+    /// still fails.
+    pub fn is_failure_probe_due(&self, now: ClockMillis) -> bool {
+        !self.is_in_backoff(now) && self.failures.probe_timer.is_due(now)
+    }
+
+    /// Defers the next probe of a failing engine, for a request that would be lost if it failed:
+    /// others should probe the engine if there are any.
+    pub fn defer_failure_probe(&mut self) {
+        self.failures.probe_timer.interval *= UNREPEATABLE_PROBE_FACTOR;
     }
 
     /// Returns the smoothed delay of answers, if there were any. Unit: milliseconds.
--- a/crates/core/tests/engine_choice.rs
+++ b/crates/core/tests/engine_choice.rs
@@ -218,6 +218,8 @@
     health: EngineHealth,
     /// Outcome of requests that are sent from a time on, with the time until it is known.
     phases: &'static [(u64, EngineOutcome, u64)],
+    /// Whether two of five requests get an error response instead.
+    fails_two_of_five: bool,
     open: Vec<(u64, EngineOutcome)>,
     sent_at: Vec<u64>,
 }
@@ -225,7 +227,8 @@
 impl SimulatedEngine {
     fn new(name: &str, phases: &'static [(u64, EngineOutcome, u64)]) -> Self {
         let (entry, health) = (entry(name, "hall"), EngineHealth::default());
-        Self { entry, health, phases, open: Vec::new(), sent_at: Vec::new() }
+        let (open, sent_at) = (Vec::new(), Vec::new());
+        Self { entry, health, phases, fails_two_of_five: false, open, sent_at }
     }
 
     fn record_ended(&mut self, now: u64) {
@@ -237,7 +240,9 @@
     fn send(&mut self, now: u64) {
         let phase = self.phases.iter().rev().find(|(start, _, _)| *start <= now);
         let (_, outcome, time) = phase.expect("a phase from the start on");
-        self.open.push((now + time, *outcome));
+        let fails = self.fails_two_of_five && self.sent_at.len() * 2 % 5 < 2;
+        let outcome = if fails { EngineOutcome::ErrorResponse } else { *outcome };
+        self.open.push((now + time, outcome));
         self.sent_at.push(now);
     }
 
@@ -266,6 +271,17 @@
     }
 }
 
+/// Guards against callers that pay for probes of an engine which fails only a part of its requests.
+#[test]
+fn an_engine_that_fails_some_requests_is_probed_rarely_while_another_is_idle() {
+    let mut failing = SimulatedEngine::new("failing", QUICK_PHASES);
+    failing.fails_two_of_five = true;
+    let mut engines = [failing, SimulatedEngine::new("quick", QUICK_PHASES)];
+    simulate_requests(&mut engines, 121_000);
+    let probes = engines[0].requests_in(61_000..121_000);
+    assert!(probes <= 10, "{probes} requests in a minute");
+}
+
 const QUICK_PHASES: &[(u64, EngineOutcome, u64)] = &[(0, EngineOutcome::Answered(millis(5)), 5)];
 
 /// An engine that is avoided for some time, and what it may get of 50 requests per second.
@@ -303,6 +319,33 @@
         max_avoided: 10,
         min_recovered: 300,
     },
+    AvoidedCase {
+        name: "failing for some requests",
+        phases: &[
+            (0, EngineOutcome::ErrorResponse, 5),
+            (2500, EngineOutcome::Answered(millis(5)), 5),
+        ],
+        max_avoided: usize::MAX,
+        min_recovered: 300,
+    },
+    AvoidedCase {
+        name: "failing all the time",
+        phases: &[(0, EngineOutcome::ErrorResponse, 5)],
+        max_avoided: 6,
+        min_recovered: 0,
+    },
+    AvoidedCase {
+        name: "full for a minute",
+        phases: &[(0, EngineOutcome::Refused, 5), (60_000, EngineOutcome::Answered(millis(5)), 5)],
+        max_avoided: 10,
+        min_recovered: 300,
+    },
+    AvoidedCase {
+        name: "interrupting requests for a minute",
+        phases: &[(0, EngineOutcome::Failed, 5), (60_000, EngineOutcome::Answered(millis(5)), 5)],
+        max_avoided: 6,
+        min_recovered: 300,
+    },
 ];
 
 /// Guards against engines that get no request which could show their recovery, and against many
@@ -321,3 +364,17 @@
         assert!(recovered >= case.min_recovered, "{}: {recovered} requests", case.name);
     }
 }
+
+/// A request that can not be repeated should not find out whether a failing engine works again.
+#[test]
+fn requests_that_can_not_be_sent_again_leave_probes_of_failing_engines_to_others() {
+    let mut health = EngineHealth::default();
+    for _ in 0..6 {
+        health.record(EngineOutcome::ErrorResponse, at(1000));
+    }
+    let mut unrepeatable = health.clone();
+    unrepeatable.defer_failure_probe();
+    assert!(health.is_failure_probe_due(at(3000)));
+    assert!(!unrepeatable.is_failure_probe_due(at(3000)));
+    assert!(unrepeatable.is_failure_probe_due(at(9000)), "it is the only kind of request");
+}
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -54,6 +54,7 @@
                     excluded: &excluded,
                     id: &id,
                     permit_use,
+                    retryable: true,
                 };
                 let other = pick_engine(&traffic, &requirements);
                 if matches!(other, EnginePick::Engine(..)) && traffic.try_spend_retry(&service) {
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -304,6 +304,7 @@
             excluded,
             id: &self.metadata.id,
             permit_use: self.permit_use(),
+            retryable: self.route.kind.is_retryable() && self.sends == 0,
         };
         pick_engine(self.traffic, &requirements)
     }
--- a/crates/gateway/src/traffic/permit.rs
+++ b/crates/gateway/src/traffic/permit.rs
@@ -134,6 +134,7 @@
             excluded,
             id: &self.metadata.id,
             permit_use: PermitUse::Resumed,
+            retryable: false,
         };
         let mut permits = self.traffic.shared.permits.subscribe();
         let engines = match pick_engine(self.traffic, &requirements) {
--- a/crates/gateway/src/traffic/pick.rs
+++ b/crates/gateway/src/traffic/pick.rs
@@ -56,6 +56,8 @@
     pub id: &'request str,
     /// The use of a permit: by a new, waiting or resumed request.
     pub permit_use: PermitUse,
+    /// Whether the request can be sent again if the engine fails.
+    pub retryable: bool,
 }
 
 /// An engine that can take a request.
@@ -126,7 +128,10 @@
         }
         let copy = usable_copy(traffic, table, requirements.key, &entry.name, now);
         let CopyUsability::Usable(version) = copy else { continue };
-        let (health, local_work) = traffic.pool.borrow().health_and_work(&entry.name);
+        let (mut health, local_work) = traffic.pool.borrow().health_and_work(&entry.name);
+        if !requirements.retryable {
+            health.defer_failure_probe();
+        }
         if local_work.open < limit {
             let permitted = match availability.for_request(entry, requirements.permit_use) {
                 EngineAvailability::Available => true,
