fix(gateway): a new coordinator's ledger starts at the levels that hosts know

Callers saw: after each change of the coordinator an organisation that had used up its quota got most of a burst again; in a series of them (hosts stopped in turn) all hosts together granted more than quota and tolerance allow, and the others were crowded out. Found while looking for values that a new leader publishes before it has heard its peers.

Cause, three parts of one fault. The new ledger took its own host's report before it had opened any account, so the report was acknowledged and lost. Hosts reported the level they knew only together with new grants, and an organisation that is used up has none. The first frame of the new ledger then listed nobody as low, which erased what the hosts knew.

Change: the ledger opens its accounts when the tenure begins; every host reports its low levels to a new coordinator, brought forward to now by the rate and less its own later grants, with or without new grants; accounts that nobody reports open at the level from which on organisations are listed, not full.

Ruled out: a level without the refill since the last frame, which would take up to the gap's rate from the organisation at each change.

--- a/crates/core/src/organisation/ledger.rs
+++ b/crates/core/src/organisation/ledger.rs
@@ -15,7 +15,7 @@
     organisation::{
         OrganisationDirectory, OrganisationName,
         quota::{QuotaLimit, QuotaTolerance, RecentUsage},
-        share::{LOW_LEVEL_FRACTION, QuotaLevel, QuotaUsage},
+        share::{LOW_LEVEL_FRACTION, OpeningLevel, QuotaLevel, QuotaUsage},
     },
 };
 
@@ -89,8 +89,8 @@
     /// When each reachable host last reported.
     last_reported: HashMap<Arc<str>, ClockMillis>,
     accounts: BTreeMap<OrganisationName, QuotaAccount>,
-    /// Whether accounts open at their capacity.
-    opens_full: bool,
+    /// The level at which accounts open.
+    opening_level: OpeningLevel,
 }
 
 impl QuotaLedger {
@@ -100,8 +100,18 @@
     /// ledger `opens_full`, its first accounts open at zero: what was granted before is unknown, and hosts that
     /// restart repeatedly within a window would exceed the quota.
     pub fn new(tolerance: QuotaTolerance, partition_grace: Duration, opens_full: bool) -> Self {
+        let opening_level = if opens_full { OpeningLevel::Full } else { OpeningLevel::Empty };
+        Self::opening_at(opening_level, tolerance, partition_grace)
+    }
+
+    /// Creates a ledger without accounts; the first ones open at this level.
+    pub fn opening_at(
+        opening_level: OpeningLevel,
+        tolerance: QuotaTolerance,
+        partition_grace: Duration,
+    ) -> Self {
         let (last_reported, accounts) = (HashMap::new(), BTreeMap::new());
-        Self { tolerance, partition_grace, last_reported, accounts, opens_full }
+        Self { tolerance, partition_grace, last_reported, accounts, opening_level }
     }
 
     /// Applies the limits of a configuration; levels are capped at the new capacity.
@@ -111,7 +121,11 @@
             let Some(limit) = organisation.quota else { continue };
             let capacity = self.tolerance.capacity(&limit);
             let existing = self.accounts.remove(&organisation.name);
-            let level = if self.opens_full { capacity } else { 0.0 };
+            let level = match self.opening_level {
+                OpeningLevel::Full => capacity,
+                OpeningLevel::Unlisted => capacity * LOW_LEVEL_FRACTION,
+                OpeningLevel::Empty => 0.0,
+            };
             let mut account =
                 existing.unwrap_or_else(|| QuotaAccount::new(limit, capacity, level, now));
             account.refill(now);
@@ -121,7 +135,7 @@
         }
         self.accounts = accounts;
         // Organisations that are added later have used nothing.
-        self.opens_full = true;
+        self.opening_level = OpeningLevel::Full;
     }
 
     /// Records what a host granted; an empty report shows that it is reachable.
--- a/crates/core/src/organisation/share.rs
+++ b/crates/core/src/organisation/share.rs
@@ -67,6 +67,17 @@
     pub level: Option<f64>,
 }
 
+/// The level at which a new ledger opens an account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OpeningLevel {
+    /// The capacity, because nothing was granted before.
+    Full,
+    /// The least that an organisation has left which the previous ledger did not list.
+    Unlisted,
+    /// Nothing, because what was granted before is unknown.
+    Empty,
+}
+
 /// The ledger's last level of an organisation that it listed.
 #[derive(Debug, Clone, Copy)]
 struct LowLevel {
@@ -85,6 +96,10 @@
     /// What it granted that the last frame of the ledger cannot include.
     granted: f64,
     low: Option<LowLevel>,
+    /// The level to be reported to a new ledger.
+    pending_level: Option<f64>,
+    /// The rate of the limit at the last decision. Unit: per second.
+    limit_rate: f64,
     /// The recent rate when the host lost the ledger; set when that begins.
     uncoordinated_rate: Option<f64>,
 }
@@ -119,10 +134,16 @@
         Self { unspent: true, ..Self::default() }
     }
 
-    /// Returns whether a ledger that starts on this host may open its accounts full: either nothing was granted
-    /// before, or hosts report the levels that they received from the previous ledger.
-    pub const fn opens_full(&self) -> bool {
-        self.unspent || self.ledger_received_at.is_some()
+    /// Returns the level at which a ledger that starts on this host opens its accounts, unless hosts report lower
+    /// ones.
+    pub const fn opening_level(&self) -> OpeningLevel {
+        if self.ledger_received_at.is_some() {
+            OpeningLevel::Unlisted
+        } else if self.unspent {
+            OpeningLevel::Full
+        } else {
+            OpeningLevel::Empty
+        }
     }
 
     /// Charges a request to the organisation's quota.
@@ -173,6 +194,7 @@
         let capacity = context.tolerance.capacity(context.limit);
         let equal_fraction = 1.0 / f64::from(context.hosts.max(1));
         let share = self.organisations.entry(Arc::clone(organisation)).or_default();
+        share.limit_rate = context.limit.per_second;
         let uncoordinated = self
             .ledger_received_at
             .is_none_or(|ledger_received_at| now.since(ledger_received_at) >= LEDGER_TIMEOUT);
@@ -229,14 +251,23 @@
         self.ledger_received_at.is_some()
     }
 
-    /// Returns what was granted and has not been reported.
+    /// Prepares a report of all low levels to a new ledger.
+    pub fn resend_levels(&mut self, now: ClockMillis) {
+        let Some(ledger_received_at) = self.ledger_received_at else { return };
+        let age = now.since(ledger_received_at);
+        for share in self.organisations.values_mut() {
+            share.pending_level = share.low.map(|low| share.estimated_level(&low, age));
+        }
+    }
+
+    /// Returns what was granted and has not been reported, and the levels for a new ledger.
     pub fn unreported(&self) -> Vec<QuotaUsage> {
-        let unreported = self.organisations.iter().filter(|(_, share)| share.unreported != 0.0);
+        let unreported = self.organisations.iter().filter(|(_, share)| share.has_report());
         unreported
             .map(|(organisation, share)| QuotaUsage {
                 organisation: Arc::clone(organisation),
                 amount: share.unreported,
-                level: share.low.map(|low| low.level),
+                level: share.pending_level.or(share.low.map(|low| low.level)),
             })
             .collect()
     }
@@ -246,6 +277,7 @@
         for usage in usages {
             if let Some(share) = self.organisations.get_mut(&usage.organisation) {
                 share.unreported -= usage.amount;
+                share.pending_level = None;
             }
         }
     }
@@ -264,10 +296,21 @@
         *self.uncoordinated_rate.get_or_insert(self.recent.rate_at(now))
     }
 
+    /// Returns the level as of now, `age` after the ledger published it, without the grants that
+    /// are yet to be reported.
+    fn estimated_level(&self, low: &LowLevel, age: Duration) -> f64 {
+        let granted_since = self.granted - self.unreported;
+        low.level + self.limit_rate * age.as_secs_f64() - granted_since
+    }
+
+    fn has_report(&self) -> bool {
+        self.unreported != 0.0 || self.pending_level.is_some()
+    }
+
     fn is_needed(&self, now: ClockMillis) -> bool {
         /// Use too small to matter, in tokens as in requests.
         const NEGLIGIBLE: f64 = 0.01;
-        self.low.is_some() || self.unreported != 0.0 || self.recent.sum_at(now) > NEGLIGIBLE
+        self.low.is_some() || self.has_report() || self.recent.sum_at(now) > NEGLIGIBLE
     }
 }
 
--- a/crates/gateway/src/control/aggregates/quotas.rs
+++ b/crates/gateway/src/control/aggregates/quotas.rs
@@ -7,7 +7,7 @@
     fleet::routes::{ConfigRevision, RouteTable},
     organisation::{
         ledger::QuotaLedger,
-        share::{QuotaLevel, QuotaUsage},
+        share::{OpeningLevel, QuotaLevel, QuotaUsage},
     },
 };
 
@@ -37,11 +37,12 @@
 }
 
 impl ConfiguredLedger {
-    /// Creates a ledger; `opens_full` says whether its accounts start with their full quota.
-    fn new(bounds: &OperatorBounds, opens_full: bool) -> Self {
+    /// Creates a ledger whose accounts open at this level.
+    fn new(bounds: &OperatorBounds, opening_level: OpeningLevel) -> Self {
         let unreachable_serving_time =
             bounds.max_revocation_delay.unwrap_or(bounds.quota_tolerance.window);
-        let quotas = QuotaLedger::new(bounds.quota_tolerance, unreachable_serving_time, opens_full);
+        let tolerance = bounds.quota_tolerance;
+        let quotas = QuotaLedger::opening_at(opening_level, tolerance, unreachable_serving_time);
         Self { quotas, revision: None }
     }
 
@@ -82,16 +83,22 @@
 }
 
 impl FleetAggregate for QuotaAggregate {
-    fn start_coordinating(&mut self, _: &AggregateContext<'_>) {
-        let opens_full = self.shared.quotas().opens_full();
-        self.ledger = Some(ConfiguredLedger::new(&self.shared.profile.bounds, opens_full));
+    fn start_coordinating(&mut self, context: &AggregateContext<'_>) {
+        let opening_level = self.shared.quotas().opening_level();
+        let mut ledger = ConfiguredLedger::new(&self.shared.profile.bounds, opening_level);
+        // The accounts must exist before this host reports its levels to them.
+        ledger.update_limits(context.routes, context.now);
+        self.ledger = Some(ledger);
+        self.resend_all();
     }
 
     fn stop_coordinating(&mut self) {
         self.ledger = None;
     }
 
-    fn resend_all(&mut self) {}
+    fn resend_all(&mut self) {
+        self.shared.quotas().resend_levels(self.shared.clock.now());
+    }
 
     fn report(&mut self, frame: &mut HostReportFrame, context: &AggregateContext<'_>) -> bool {
         if !has_quotas(context) {
--- a/crates/gateway/tests/host/organisations.rs
+++ b/crates/gateway/tests/host/organisations.rs
@@ -386,6 +386,48 @@
     assert_eq!(request_status(&hosts[0], "other", "/single/a", "key-s"), "200");
 }
 
+/// Guards against a new coordinator that opens an account full although the hosts know that it is
+/// used up.
+#[test]
+fn hosts_keep_one_quota_while_the_coordinator_changes() {
+    let site = site_with_organisations();
+    let names = ["one", "two", "three", "four", "five", "six"];
+    let mut hosts: Vec<TestHost> = names.map(|name| site.host(name)).into();
+    let all_receive_ledger = || hosts.iter().all(|host| host.shared.quotas().has_received_ledger());
+    wait_until("all hosts receive the quota ledger", all_receive_ledger);
+    let window = Duration::from_secs(8);
+    let began = Instant::now();
+    let mut granted_at = Vec::new();
+    let mut stopping = Vec::new();
+    for phase in 0..5 {
+        while began.elapsed() < Duration::from_millis(1200) * (phase + 1) {
+            for host in &hosts {
+                let fields = format!("X-Request: h{}\r\nX-Key: key-q\r\n", granted_at.len());
+                if status(&host.get("/single/a", &fields)) == "200" {
+                    granted_at.push(began.elapsed());
+                }
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        let coordinator = hosts.iter().position(|host| host.shared.metrics.leases.get() > 0);
+        let stopped = hosts.swap_remove(coordinator.expect("one host holds the lease"));
+        stopped.shared.stop();
+        stopping.push(stopped);
+        let has_successor = || hosts.iter().any(|host| host.shared.metrics.leases.get() > 0);
+        wait_until("another host holds the lease", has_successor);
+    }
+    let max_granted = 4.0f64.mul_add(window.as_secs_f64(), 10.0).mul_add(1.1, 20.0);
+    let within_window = |start: Duration| {
+        granted_at.iter().filter(|at| (start..start + window).contains(*at)).count()
+    };
+    let granted = granted_at.iter().map(|start| within_window(*start)).max();
+    let granted = granted.expect("some requests are granted");
+    assert!(
+        granted as f64 <= max_granted,
+        "{granted} granted within {window:?}, {max_granted:.0} allowed"
+    );
+}
+
 #[test]
 fn quota_of_requests_that_did_not_run_is_refunded() {
     let site = site_with_organisations();
