--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -7,9 +7,15 @@
 //! therefore ages: after a time without new samples one request may probe the engine, and that time
 //! grows with each probe that confirms the evidence.
 
+mod estimates;
+mod probe_timer;
+
 use std::time::Duration;
 
-use crate::clock::ClockMillis;
+use crate::{
+    clock::ClockMillis,
+    fleet::health::estimates::{DelayEstimate, FailureEstimate},
+};
 
 /// Backoff after the first failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(400);
@@ -17,44 +23,12 @@
 /// Maximum backoff.
 const MAX_BACKOFF: Duration = Duration::from_secs(3);
 
-/// Weight of the newest sample in the failure rate.
-const FAILURE_SMOOTHING: f64 = 0.2;
-
 /// Failure rate sample of a refusal; that of a failure is one.
 const REFUSAL_FAILURE_VALUE: f64 = 0.2;
 
-/// Weight of the newest sample in the smoothed delay.
-const DELAY_SMOOTHING: f64 = 0.25;
-
-/// Weight of a probe that is better than the earlier samples, of which there may be only one.
-const PROBE_SMOOTHING: f64 = 0.5;
-
-/// Ratio of a sample to the smoothed delay, or the inverse, from which on they contradict each other.
-const CONTRADICTING_DELAY_RATIO: f64 = 2.0;
-
-/// Failure rate below which an engine counts as working, since its cost is negligible.
-const LOW_FAILURE_RATE: f64 = 0.03;
-
-/// Time without a sample after which a slow engine is probed.
-const INITIAL_DELAY_PROBE_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Time without a sample after which a failing engine is probed; longer, since callers may see the
-/// failure of a probe.
-const INITIAL_FAILURE_PROBE_INTERVAL: Duration = Duration::from_secs(2);
-
-/// Growth of the interval with each probe that is slow.
-const DELAY_BACKOFF_FACTOR: u32 = 2;
-
-/// Growth of the interval with each probe that fails. An engine that fails two requests in five is
-/// probed ever less often, though the others halve the interval.
-const FAILURE_BACKOFF_FACTOR: u32 = 4;
-
 /// Factor on the interval for probes that can not be sent again if they fail.
 const UNREPEATABLE_PROBE_FACTOR: u32 = 4;
 
-/// Maximum time between two probes.
-const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(30);
-
 /// Outcome of a request that was sent to an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EngineOutcome {
@@ -74,106 +48,6 @@
     Failed,
 }
 
-/// Decides when an engine that is avoided gets a request that probes it.
-#[derive(Debug, Clone, Copy)]
-struct ProbeTimer {
-    sampled_at: ClockMillis,
-    initial_interval: Duration,
-    interval: Duration,
-}
-
-impl ProbeTimer {
-    const fn new(initial_interval: Duration, now: ClockMillis) -> Self {
-        Self { sampled_at: now, initial_interval, interval: initial_interval }
-    }
-
-    /// Returns whether the last sample is so old that a request may probe the engine.
-    fn is_due(&self, now: ClockMillis) -> bool {
-        now.since(self.sampled_at) >= self.interval
-    }
-
-    /// Records a sample that contradicts the earlier ones.
-    const fn restart(&mut self, now: ClockMillis) {
-        self.interval = self.initial_interval;
-        self.sampled_at = now;
-    }
-
-    /// Records a sample that confirms the earlier ones; after a probe, the interval grows by
-    /// `factor`.
-    fn back_off(&mut self, factor: u32, now: ClockMillis) {
-        if self.is_due(now) {
-            self.interval = (self.interval * factor).min(MAX_PROBE_INTERVAL);
-        }
-        self.sampled_at = now;
-    }
-
-    /// Records a better sample that does not outweigh the earlier ones; after a probe, the interval
-    /// halves.
-    fn advance(&mut self, now: ClockMillis) {
-        if self.is_due(now) {
-            self.interval = (self.interval / 2).max(self.initial_interval);
-        }
-        self.sampled_at = now;
-    }
-}
-
-/// The smoothed rate of failed requests.
-#[derive(Debug, Clone, Copy)]
-struct FailureEstimate {
-    rate: f64,
-    probe_timer: ProbeTimer,
-}
-
-impl Default for FailureEstimate {
-    fn default() -> Self {
-        let never = ClockMillis::default();
-        Self { rate: 0.0, probe_timer: ProbeTimer::new(INITIAL_FAILURE_PROBE_INTERVAL, never) }
-    }
-}
-
-impl FailureEstimate {
-    fn record(&mut self, sample: f64, now: ClockMillis) {
-        let is_better_probe = sample < self.rate && self.probe_timer.is_due(now);
-        let smoothing = if is_better_probe { PROBE_SMOOTHING } else { FAILURE_SMOOTHING };
-        let previous_rate = self.rate;
-        self.rate += smoothing * (sample - self.rate);
-        if previous_rate < LOW_FAILURE_RATE || self.rate < LOW_FAILURE_RATE {
-            self.probe_timer.restart(now);
-        } else if sample > 0.0 {
-            self.probe_timer.back_off(FAILURE_BACKOFF_FACTOR, now);
-        } else {
-            self.probe_timer.advance(now);
-        }
-    }
-}
-
-/// The smoothed delay of an engine's answers.
-#[derive(Debug, Clone, Copy)]
-struct DelayEstimate {
-    millis: f64,
-    probe_timer: ProbeTimer,
-}
-
-impl DelayEstimate {
-    const fn new(sample_millis: f64, now: ClockMillis) -> Self {
-        let probe_timer = ProbeTimer::new(INITIAL_DELAY_PROBE_INTERVAL, now);
-        Self { millis: sample_millis, probe_timer }
-    }
-
-    fn record(&mut self, sample_millis: f64, now: ClockMillis) {
-        let is_faster_probe = sample_millis < self.millis && self.probe_timer.is_due(now);
-        let smoothing = if is_faster_probe { PROBE_SMOOTHING } else { DELAY_SMOOTHING };
-        let confirmed = sample_millis < self.millis * CONTRADICTING_DELAY_RATIO
-            && sample_millis * CONTRADICTING_DELAY_RATIO > self.millis;
-        if confirmed {
-            self.probe_timer.back_off(DELAY_BACKOFF_FACTOR, now);
-        } else {
-            self.probe_timer.restart(now);
-        }
-        self.millis += smoothing * (sample_millis - self.millis);
-    }
-}
-
 /// One host's view of an engine's health.
 #[derive(Debug, Clone, Default)]
 pub struct EngineHealth {
@@ -241,7 +115,7 @@
     /// Defers the next probe of a failing engine, for a request that would be lost if it failed:
     /// others should probe the engine if there are any.
     pub fn defer_failure_probe(&mut self) {
-        self.failures.probe_timer.interval *= UNREPEATABLE_PROBE_FACTOR;
+        self.failures.probe_timer.defer(UNREPEATABLE_PROBE_FACTOR);
     }
 
     /// Returns the smoothed delay of answers, if there were any. Unit: milliseconds.
