fix(gateway): a new placer takes the weight store's throughput from its peers

Callers saw: when a host became the placer before it had heard the one before it, as hosts do that start again in turn, it published the throughput it assumes; all hosts took that for the measured one, and each later placer began with it. Loads then wait behind an estimate of a few at a time until it is learned again.

Cause: the planner's assumed throughput was published like a measured one, and nobody told a new placer what hosts knew.

Change: an assumed throughput is published only once the planner has changed it; a host names the throughput it knows when it subscribes, and a placer that only assumes one takes it. The frame has a new optional field, which older hosts ignore.

Failed before: placer_start::a_new_placer_takes_the_throughput_of_the_weight_store_from_its_peers (new): the assumed throughput is published.

--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -104,6 +104,8 @@
     pub weight_caches: HashMap<EngineName, EngineWeightCache>,
     /// Throughput of the weight store as measured by placers. A new placer starts with it.
     pub store_throughput: Option<StoreThroughput>,
+    /// Throughput that this host's planner assumes, until it is measured or a host reports one.
+    assumed_throughput: Option<StoreThroughput>,
     /// Token of the placer that made the plan.
     pub plan_token: FenceToken,
     /// Whether this host makes the plan or receives its changes from the placer.
@@ -155,6 +157,7 @@
             incarnations: HashMap::new(),
             weight_caches: HashMap::new(),
             store_throughput: None,
+            assumed_throughput: None,
             plan_token: 0,
             plan_up_to_date: false,
             estimates: HashMap::new(),
@@ -234,10 +237,28 @@
             open_requests: report.work.open_requests.iter().map(Into::into).collect(),
             absent: report.work.absent.iter().map(Into::into).collect(),
             unreachable: report.work.unreachable.iter().map(ToString::to_string).collect(),
+            store_throughput: None,
         };
         placer.try_send(FrameBody::Demand(frame).encoded()).is_ok()
     }
 
+    /// Passes the throughput of the weight store as known so far to this host's new planner.
+    pub fn restore_throughput(&mut self) {
+        let Some(planner) = &mut self.planner else { return };
+        match self.store_throughput {
+            Some(throughput) => planner.restore_throughput(throughput),
+            None => self.assumed_throughput = Some(planner.store_throughput()),
+        }
+    }
+
+    /// Applies a host's report of the throughput, unless this host knows one.
+    pub fn receive_throughput(&mut self, throughput: StoreThroughput) {
+        if self.assumed_throughput.take().is_some() {
+            self.store_throughput = Some(throughput);
+            self.restore_throughput();
+        }
+    }
+
     /// Applies the residency of this host's planner to the plan; returns the engines that changed.
     pub fn apply_own_plan(&mut self) -> Vec<EngineName> {
         let Some(planner) = &mut self.planner else { return Vec::new() };
@@ -249,7 +270,11 @@
                 changed.push(engine);
             }
         }
-        self.store_throughput = Some(planner.store_throughput());
+        let throughput = Some(planner.store_throughput());
+        if throughput != self.assumed_throughput {
+            self.assumed_throughput = None;
+            self.store_throughput = throughput;
+        }
         self.plan_token = self.lease_token;
         self.plan_up_to_date = true;
         changed
--- a/crates/gateway/src/control/placement.rs
+++ b/crates/gateway/src/control/placement.rs
@@ -43,6 +43,9 @@
             planner.record_demand(&host, &entries, now);
             planner.record_work(&host, &frame.work(), now);
         }
+        if let Some(throughput) = &frame.store_throughput {
+            domain.receive_throughput(throughput.into());
+        }
         self.shared.wake_control.notify_one();
         let waiting: Vec<ModelKey> = waiting_keys(&entries).collect();
         for existing in domain.subscribers.iter_mut().filter(|existing| existing.host == host) {
@@ -190,10 +193,9 @@
         planner.set_engines(&engines);
         if is_new {
             planner.restore_weight_caches(&domain.weight_caches);
-            if let Some(throughput) = domain.store_throughput {
-                planner.restore_throughput(throughput);
-            }
+            domain.restore_throughput();
         }
+        let planner = domain.planner.as_mut()?;
         planner.set_versions(&versions);
         planner.set_limits(self.shared.limits().limits());
         planner.set_cooldowns(self.shared.cooldowns().unavailable_engines(now).cloned().collect());
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -135,7 +135,12 @@
     state.shared().demand().resend_all(service);
     state.resend_reports(service);
     let Some(domain) = state.domain(service) else { return false };
-    let hello = DemandFrame { host, service: service.to_string(), ..DemandFrame::default() };
+    let hello = DemandFrame {
+        host,
+        service: service.to_string(),
+        store_throughput: domain.store_throughput.map(Into::into),
+        ..DemandFrame::default()
+    };
     let sent = sender.try_send(FrameBody::Demand(hello).encoded()).is_ok();
     domain.placer_sender = Some(sender.clone());
     sent
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -86,6 +86,9 @@
     /// Engines that the host can't use now: connecting failed, or they are in a cooldown for this host.
     #[prost(string, repeated, tag = "7")]
     pub unreachable: Vec<String>,
+    /// The weight store's throughput as measured by earlier placers, for a new placer.
+    #[prost(message, optional, tag = "10")]
+    pub store_throughput: Option<StoreThroughputMessage>,
 }
 
 /// A host's work at an engine.
--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -15,6 +15,7 @@
 mod store_restore;
 mod organisations;
 mod placement;
+mod placer_start;
 mod engine_restart;
 mod store_rollback;
 mod site;
--- a/crates/gateway/tests/host/site.rs
+++ b/crates/gateway/tests/host/site.rs
@@ -145,7 +145,7 @@
     }
 }
 
-fn routes(revision: u64, with_late_route: bool) -> RouteTable {
+pub(crate) fn routes(revision: u64, with_late_route: bool) -> RouteTable {
     let mut routes = vec![
         route("/safe/", RouteKind::Idempotent, "plain", 2),
         route("/single/", RouteKind::AtMostOnce, "plain", 1),
