--- a/crates/core/src/fleet/routes.rs
+++ b/crates/core/src/fleet/routes.rs
@@ -169,8 +169,13 @@
     services: HashMap<ServiceName, Arc<ServiceEntry>>,
     /// Absent if requests carry no keys.
     organisations: Option<OrganisationDirectory>,
+    tight_timeouts: bool,
 }
 
+/// Maximum ratio of timeout to latency target of a route with a tight timeout. A client may wait
+/// for a third of its remaining time before a retry, so it has time for at most two of them.
+const TIGHT_TIMEOUT_RATIO: u32 = 9;
+
 impl RouteTable {
     /// Creates the table of one configuration.
     pub fn new(
@@ -179,7 +184,8 @@
         routes: Vec<RouteEntry>,
         services: Vec<ServiceEntry>,
     ) -> Self {
-        let mut table = Self { revision, limits, ..Self::default() };
+        let tight_timeouts = most_timeouts_are_tight(&routes);
+        let mut table = Self { revision, limits, tight_timeouts, ..Self::default() };
         for route in routes {
             let host = route.host.to_ascii_lowercase();
             table.routes.entry(host).or_default().push(Arc::new(route));
@@ -193,6 +199,12 @@
         table
     }
 
+    /// Returns whether most streaming routes have a tight timeout: refused clients have little time
+    /// to retry, so decisions about their requests must be early and must be kept.
+    pub const fn has_tight_timeouts(&self) -> bool {
+        self.tight_timeouts
+    }
+
     /// Sets the organisations; every route that is not public then requires a key.
     #[must_use]
     pub fn with_organisations(self, organisations: OrganisationDirectory) -> Self {
@@ -264,3 +276,12 @@
         self.services.values().filter(|service| service.hosting.is_some())
     }
 }
+
+/// Returns whether more than half of the streaming routes have a tight timeout.
+fn most_timeouts_are_tight(routes: &[RouteEntry]) -> bool {
+    let streaming = || routes.iter().filter(|route| route.kind.is_stream());
+    let tight = streaming()
+        .filter(|route| route.timeout <= route.latency_target * TIGHT_TIMEOUT_RATIO)
+        .count();
+    2 * tight > streaming().count()
+}
