feat(placement): a residency policy for engines with few places

Cause: a round compared each waiting adapter with each adapter of each engine, which used up the placer's share of a core, and a caller's adapter could not displace one that was asked for once. Ruled out: the weight store's limit.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -28,6 +28,7 @@
 mod round_totals;
 pub mod load_rate_limiter;
 pub mod engine_work;
+pub mod residency;
 
 pub use candidacy::HostCapacity;
 pub use demand::{DemandEntry, DemandTracker};
--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -136,6 +136,12 @@
         self.keys.keys()
     }
 
+    /// Iterates over the keys that requests wait for.
+    pub fn waiting_keys(&self) -> impl Iterator<Item = &ModelKey> {
+        let waiting = self.keys.iter().filter(|(_, demand)| !demand.waiting_by_host.is_empty());
+        waiting.map(|(key, _)| key)
+    }
+
     /// Returns the request rate of `key`. Unit: requests per second.
     pub fn request_rate(&self, key: &str, now: ClockMillis) -> f64 {
         self.keys.get(key).map_or(0.0, |demand| demand.request_rate.per_second(now, RATE_HALF_LIFE))
--- a/crates/core/src/placement/load_candidates.rs
+++ b/crates/core/src/placement/load_candidates.rs
@@ -77,7 +77,7 @@
 
     /// Returns whether loads of `key` are blocked because engines crashed during them. They are
     /// blocked for a quarantine and then allowed on one engine at a time.
-    fn is_load_blocked(&self, key: &ModelKey, now: ClockMillis) -> bool {
+    pub(super) fn is_load_blocked(&self, key: &ModelKey, now: ClockMillis) -> bool {
         if !self.load_suspects.is_suspect(key) {
             return false;
         }
@@ -89,7 +89,7 @@
     }
 
     /// Returns a load of the base model in highest demand for each engine without a base model.
-    fn base_model_candidates(&self, now: ClockMillis) -> Vec<LoadCandidate> {
+    pub(super) fn base_model_candidates(&self, now: ClockMillis) -> Vec<LoadCandidate> {
         let empty_engines = self.engines.values().filter(|inventory| {
             let has_model = |size: &ModelSize| inventory.has_model(&size.name);
             let idle = !inventory.entry.leaving && !inventory.model_change_in_progress;
@@ -128,7 +128,7 @@
     ///
     /// The new version goes to any engine, preferably one without open requests on the old version.
     /// Old copies are evicted when their space is needed.
-    fn outdated_adapter_candidates(&self, now: ClockMillis) -> Vec<LoadCandidate> {
+    pub(super) fn outdated_adapter_candidates(&self, now: ClockMillis) -> Vec<LoadCandidate> {
         let outdated = self.versions.keys().filter(|key| {
             let held = self.engines.values().any(|inventory| inventory.held.contains_key(*key));
             held && self.copies(key) == 0.0
@@ -192,7 +192,7 @@
 
     /// Returns whether requests have waited for so long despite existing copies that these are
     /// probably unreachable.
-    fn copies_seem_unreachable(&self, key: &str, now: ClockMillis) -> bool {
+    pub(super) fn copies_seem_unreachable(&self, key: &str, now: ClockMillis) -> bool {
         let Some(since) = self.demand.waiting_since(key) else { return false };
         let available_since = self.totals.latest_due(key).max(since);
         now.since(available_since) >= UNREACHABLE_COPY_WAIT && !self.totals.is_load_ordered(key)
@@ -200,7 +200,7 @@
 
     /// Returns whether requests wait at a host that cannot use any copy, and no further copy is
     /// being loaded or was loaded recently.
-    fn needs_copy_elsewhere(&self, key: &str, now: ClockMillis) -> bool {
+    pub(super) fn needs_copy_elsewhere(&self, key: &str, now: ClockMillis) -> bool {
         let propagated = now.since(self.demand.last_load_ordered_at(key)) >= LOAD_PROPAGATION_TIME;
         propagated && self.demand.copies_unavailable(key) && !self.totals.is_load_ordered(key)
     }
--- a/crates/core/src/placement/load_target.rs
+++ b/crates/core/src/placement/load_target.rs
@@ -102,7 +102,7 @@
     }
 
     /// Returns whether the engine can reload the wanted version from its weight cache.
-    fn is_cached(&self, inventory: &EngineInventory, key: &str) -> bool {
+    pub(super) fn is_cached(&self, inventory: &EngineInventory, key: &str) -> bool {
         inventory.has_cached(key) && !self.versions.contains_key(key)
     }
 
@@ -124,8 +124,24 @@
         ready && idle && has_pending_capacity && absent && (!is_adapter || model_held)
     }
 
+    /// Returns whether an engine has the base model of an adapter, lacks the adapter's latest
+    /// version, and has memory for it.
+    pub(super) fn may_hold(&self, inventory: &EngineInventory, key: &ModelKey) -> bool {
+        inventory.held.contains_key(base_model(key))
+            && !inventory.has(key, self.latest_version(key))
+            && self.has_weight_memory_for(inventory, key)
+    }
+
+    /// Returns whether an engine left a load order for `key` unanswered and may still execute it.
+    pub(super) fn has_unresolved_load(&self, engine: &str, key: &str) -> bool {
+        let inventory = self.engines.get(engine);
+        inventory.is_some_and(|inventory| {
+            inventory.unresolved_loads.iter().any(|load| *load.key == *key)
+        })
+    }
+
     /// Returns whether a load from the weight store may be ordered now.
-    fn store_has_capacity(&mut self, key: &str, now: ClockMillis) -> bool {
+    pub(super) fn store_has_capacity(&mut self, key: &str, now: ClockMillis) -> bool {
         if adapter_name(key).is_some() {
             return self.totals.pending_store_loads() < self.max_parallel_adapter_loads();
         }
@@ -240,7 +256,7 @@
 
     /// Returns whether an adapter has open requests on an engine, or may have some that its host
     /// has not reported yet.
-    fn may_have_open_requests(
+    pub(super) fn may_have_open_requests(
         &self,
         inventory: &EngineInventory,
         key: &ModelKey,
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -26,6 +26,7 @@
         inventory::PendingLoad,
         limited_engines::LimitedEngines,
         load_suspects::LoadSuspects,
+        residency::{ResidencyPolicy, StandingResidency},
         round_totals::RoundTotals,
         unanswered_orders::{counts_toward_rate_limit, resolve_unanswered_loads},
     },
@@ -45,9 +46,6 @@
 /// Maximum number of unanswered load orders at one sequence number before a report is requested.
 const MAX_UNRESOLVED_LOADS: usize = 2;
 
-/// Maximum number of orders issued per planning round.
-const MAX_ORDERS_PER_ROUND: usize = 16;
-
 /// Number of loads that the previous placer is assumed to have started just before a tenure.
 const ASSUMED_PRIOR_LOADS: usize = 6;
 
@@ -70,7 +68,9 @@
     pub(super) outstanding_orders: HashMap<OrderId, PlannedOrder>,
     pub(super) totals: RoundTotals,
     last_order_id: OrderId,
-    load_queue: Vec<ModelKey>,
+    /// Requested keys that the last round ordered no load for, the next one first.
+    pub(super) load_queue: Vec<ModelKey>,
+    residency: &'static dyn ResidencyPolicy,
     pub(super) load_suspects: LoadSuspects,
     pub(super) limited_engines: LimitedEngines,
     /// Loads that were pending when their engine was delisted or restarted, and that may have
@@ -97,6 +97,7 @@
             totals: RoundTotals::default(),
             last_order_id: 0,
             load_queue: Vec::new(),
+            residency: &StandingResidency,
             load_suspects: LoadSuspects::default(),
             limited_engines: LimitedEngines::default(),
             interrupted_loads: Vec::new(),
@@ -163,6 +164,11 @@
         }
     }
 
+    /// Sets the policy that chooses the orders.
+    pub fn set_residency_policy(&mut self, policy: &'static dyn ResidencyPolicy) {
+        self.residency = policy;
+    }
+
     /// Sets the versions named by the operator.
     pub fn set_versions(&mut self, versions: &HashMap<ModelKey, WeightVersion>) {
         self.versions.clone_from(versions);
@@ -269,7 +275,7 @@
         self.record_interrupted_loads(now);
         let mut actions = self.due_report_requests(now);
         if may_order {
-            let orders = self.plan_orders(now);
+            let orders = self.residency.plan_orders(self, now);
             actions.extend(orders.into_iter().map(PlacementAction::SendOrder));
         }
         actions
@@ -289,31 +295,6 @@
         actions
     }
 
-    fn plan_orders(&mut self, now: ClockMillis) -> Vec<PlannedOrder> {
-        self.totals = RoundTotals::compute(self, now);
-        let mut candidates = self.load_candidates(now);
-        candidates.sort_by(|left, right| {
-            right.value.total_cmp(&left.value).then_with(|| left.key.cmp(&right.key))
-        });
-        let mut orders = Vec::new();
-        self.load_queue.clear();
-        for candidate in candidates {
-            if orders.len() >= MAX_ORDERS_PER_ROUND {
-                break;
-            }
-            let already_ordered =
-                orders.iter().any(|order: &PlannedOrder| order.key == candidate.key);
-            if already_ordered && candidate.engine.is_none() {
-                continue;
-            }
-            match self.order_for(&candidate, now) {
-                Some(order) => orders.push(order),
-                None => self.load_queue.push(candidate.key),
-            }
-        }
-        orders
-    }
-
     /// Returns the version of `key` that the operator named last, or the default version.
     pub(super) fn latest_version(&self, key: &str) -> WeightVersion {
         self.versions.get(key).copied().unwrap_or(DEFAULT_VERSION)
--- /dev/null
+++ b/crates/core/src/placement/residency.rs
@@ -0,0 +1,21 @@
+//! Residency policies: which adapters are loaded, on which engines, and which give way.
+
+mod affinity;
+mod engine_places;
+mod standing;
+
+use std::fmt::Debug;
+
+use crate::{
+    clock::ClockMillis,
+    placement::{PlacementPlanner, PlannedOrder},
+};
+
+pub use affinity::AffinityResidency;
+pub use standing::StandingResidency;
+
+/// Chooses the orders of a planning round.
+pub trait ResidencyPolicy: Debug + Sync {
+    /// Issues the orders of one round and records which requested keys got none.
+    fn plan_orders(&self, planner: &mut PlacementPlanner, now: ClockMillis) -> Vec<PlannedOrder>;
+}
--- /dev/null
+++ b/crates/core/src/placement/residency/affinity.rs
@@ -0,0 +1,255 @@
+//! The policy for engines with far fewer places than adapters in demand.
+//!
+//! An engine reloads an adapter that it held lately within some 30 ms from its own memory; the
+//! weight store takes ten times as long and is shared by all engines. So an adapter returns to an
+//! engine that remembers it, whichever idle adapter has to make room there, and each adapter has
+//! as many copies as its requests need slots. Requests that wait come before everything else.
+
+use std::{
+    collections::HashSet,
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::{
+    clock::ClockMillis,
+    fleet::{ModelKey, adapter_name},
+    placement::{
+        EngineInventory, OrderKind, PlacementPlanner, PlannedOrder,
+        load_candidates::LoadCandidate,
+        residency::{ResidencyPolicy, engine_places::EnginePlaces},
+        round_totals::RoundTotals,
+    },
+};
+
+/// Maximum number of orders issued per planning round.
+const MAX_ORDERS_PER_ROUND: usize = 48;
+
+/// Share of an engine's slots that one adapter's requests may take before another copy is loaded.
+/// The rest serves the engine's other adapters.
+const MAX_SLOT_SHARE: f64 = 0.5;
+
+/// Number of missed requests after which an adapter's demand counts as gone: one that was asked for
+/// twenty times a second is dropped 100 ms after the last request, one asked for every second after
+/// two.
+const MISSED_REQUESTS: f64 = 2.0;
+
+/// How long an order in progress at an engine that remembers the adapter is waited for, instead of
+/// loading from the weight store elsewhere. An answer takes a few milliseconds.
+const ORDER_WAIT: Duration = Duration::from_millis(60);
+
+/// Expected requests per second up to which an idle adapter gives way to a copy that no request
+/// waits for, relative to the requests that the copy would take over.
+const COPY_DISPLACEMENT_SHARE: f64 = 0.5;
+
+/// Loads adapters where they are remembered, and copies by the slots that their requests take.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct AffinityResidency;
+
+impl ResidencyPolicy for AffinityResidency {
+    fn plan_orders(&self, planner: &mut PlacementPlanner, now: ClockMillis) -> Vec<PlannedOrder> {
+        planner.totals = RoundTotals::for_held(planner, now);
+        let mut round = ResidencyRound::new(planner, now);
+        let mut orders = round.order_models(planner);
+        planner.load_queue.clear();
+        for wanted in wanted_adapters(planner, now) {
+            if orders.len() >= MAX_ORDERS_PER_ROUND {
+                planner.load_queue.push(wanted.key);
+                continue;
+            }
+            match round.order_adapter(planner, &wanted) {
+                Some(order) => orders.push(order),
+                None if wanted.waiting > 0 => planner.load_queue.push(wanted.key),
+                None => {}
+            }
+        }
+        orders
+    }
+}
+
+/// An adapter that another copy is wanted of.
+#[derive(Debug, Clone)]
+struct WantedAdapter {
+    key: ModelKey,
+    /// Number of requests that a copy would serve, by their value.
+    value: f64,
+    waiting: u32,
+    since: ClockMillis,
+}
+
+/// Returns the adapters to load, the most valuable first and among equals the longest awaited.
+fn wanted_adapters(planner: &PlacementPlanner, now: ClockMillis) -> Vec<WantedAdapter> {
+    let mut wanted = planner.awaited_adapters(now);
+    wanted.extend(planner.crowded_adapters(now));
+    wanted.retain(|wanted| !planner.is_load_blocked(&wanted.key, now));
+    wanted.sort_by(|left, right| {
+        let by_value = right.value.total_cmp(&left.value);
+        by_value.then(left.since.cmp(&right.since)).then_with(|| left.key.cmp(&right.key))
+    });
+    wanted
+}
+
+impl PlacementPlanner {
+    /// Returns the adapters that requests wait for and no usable engine holds or is loading.
+    fn awaited_adapters(&self, now: ClockMillis) -> Vec<WantedAdapter> {
+        let awaited = self.demand.waiting_keys().filter(|key| adapter_name(key).is_some());
+        let awaited = awaited.filter(|key| {
+            self.copies(key) == 0.0
+                || self.copies_seem_unreachable(key, now)
+                || self.needs_copy_elsewhere(key, now)
+        });
+        let wanted = awaited.map(|key| WantedAdapter {
+            key: Arc::clone(key),
+            value: self.demand.waiting_value(key) + self.demand.request_rate(key, now),
+            waiting: self.demand.waiting_requests(key),
+            since: self.demand.waiting_since(key).unwrap_or(now),
+        });
+        wanted.collect()
+    }
+
+    /// Returns the adapters whose copies have more requests than [`MAX_SLOT_SHARE`] allows.
+    fn crowded_adapters(&self, now: ClockMillis) -> Vec<WantedAdapter> {
+        let crowded = self.totals.open_requests().filter_map(|(key, open)| {
+            let copies = self.copies(key);
+            let excess = f64::from(open) - copies * MAX_SLOT_SHARE * self.mean_slots();
+            let crowded = copies > 0.0 && excess > 0.0 && !self.totals.is_load_ordered(key);
+            crowded.then(|| WantedAdapter {
+                key: Arc::clone(key),
+                value: excess,
+                waiting: 0,
+                since: now,
+            })
+        });
+        crowded.collect()
+    }
+
+    fn mean_slots(&self) -> f64 {
+        let slots: u32 = self.engines.values().map(|inventory| inventory.entry.slots).sum();
+        f64::from(slots) / self.engines.len().max(1) as f64
+    }
+
+    /// Returns the requests per second that an engine's copy of an adapter is expected to serve:
+    /// its share of the adapter's rate, unless so many requests are missing that the demand has
+    /// moved. Zero once a later version was named.
+    pub(super) fn expected_copy_rate(
+        &self,
+        inventory: &EngineInventory,
+        key: &ModelKey,
+        now: ClockMillis,
+    ) -> f64 {
+        if inventory.held.get(key).is_some_and(|held| *held < self.latest_version(key)) {
+            return 0.0;
+        }
+        let silence = now.since(self.demand.last_wanted_at(key)).as_secs_f64();
+        let rate = self.demand.request_rate(key, now).min(MISSED_REQUESTS / silence.max(0.001));
+        rate / self.copies(key).max(1.0)
+    }
+}
+
+/// The engines' places during a planning round.
+#[derive(Debug)]
+struct ResidencyRound {
+    places: Vec<EnginePlaces>,
+    now: ClockMillis,
+}
+
+impl ResidencyRound {
+    fn new(planner: &PlacementPlanner, now: ClockMillis) -> Self {
+        let engines = planner.engines.values();
+        let places = engines.filter_map(|inventory| EnginePlaces::of(planner, inventory, now));
+        Self { places: places.collect(), now }
+    }
+
+    /// Orders base models for empty engines, and new versions of adapters in use.
+    fn order_models(&mut self, planner: &mut PlacementPlanner) -> Vec<PlannedOrder> {
+        let mut candidates = planner.base_model_candidates(self.now);
+        candidates.extend(planner.outdated_adapter_candidates(self.now));
+        let mut orders: Vec<PlannedOrder> = Vec::new();
+        let mut ordered: HashSet<ModelKey> = HashSet::new();
+        for LoadCandidate { key, value, engine } in candidates {
+            if planner.is_load_blocked(&key, self.now)
+                || (engine.is_none() && !ordered.insert(Arc::clone(&key)))
+            {
+                continue;
+            }
+            let candidate = LoadCandidate { key, value, engine };
+            if let Some(order) = planner.order_for(&candidate, self.now) {
+                self.mark_ordered(&order);
+                orders.push(order);
+            }
+        }
+        orders
+    }
+
+    fn mark_ordered(&mut self, order: &PlannedOrder) {
+        let engine = &order.engine.name;
+        if let Some(places) = self.places.iter_mut().find(|places| places.engine == *engine) {
+            places.accepts = false;
+            places.accepts_soon = true;
+        }
+    }
+
+    /// Orders a load of an adapter, or the eviction that makes room for it.
+    fn order_adapter(
+        &mut self,
+        planner: &mut PlacementPlanner,
+        wanted: &WantedAdapter,
+    ) -> Option<PlannedOrder> {
+        let index = self.choose_engine(planner, wanted)?;
+        let now = self.now;
+        let places = &mut self.places[index];
+        places.accepts = false;
+        places.accepts_soon = true;
+        let engine = Arc::clone(&places.engine);
+        if places.free == 0 {
+            let victim = places.idle.pop()?;
+            return planner.issue_order(&engine, OrderKind::Unload, victim.key, wanted.value, now);
+        }
+        places.free -= 1;
+        let inventory = planner.engines.get(&engine)?;
+        let from_store = !planner.is_cached(inventory, &wanted.key);
+        let kind = OrderKind::Load { from_store };
+        planner.issue_order(&engine, kind, Arc::clone(&wanted.key), wanted.value, now)
+    }
+
+    /// Returns the engine to load an adapter on: one that remembers it if possible.
+    ///
+    /// Returns `None` if there is none now, or if one that remembers it will be ready at once.
+    fn choose_engine(&self, planner: &mut PlacementPlanner, wanted: &WantedAdapter) -> Option<usize> {
+        let max_rate = if wanted.waiting > 0 {
+            f64::INFINITY
+        } else {
+            COPY_DISPLACEMENT_SHARE * wanted.value
+        };
+        let (mut remembering, mut others) = (Vec::new(), Vec::new());
+        let mut remembering_soon = false;
+        for (index, places) in self.places.iter().enumerate() {
+            if !places.has_room(max_rate) {
+                continue;
+            }
+            let Some(inventory) = planner.engines.get(&places.engine) else { continue };
+            if !planner.may_hold(inventory, &wanted.key) {
+                continue;
+            }
+            let remembers = planner.is_cached(inventory, &wanted.key);
+            if places.accepts {
+                if remembers { remembering.push(index) } else { others.push(index) }
+            } else if remembers && places.accepts_soon {
+                remembering_soon |= self.now.since(inventory.last_order_sent_at) < ORDER_WAIT;
+            }
+        }
+        let cost = |index: &usize| {
+            let places = &self.places[*index];
+            let unresolved = planner.has_unresolved_load(&places.engine, &wanted.key);
+            (!unresolved, places.free == 0, places.load, Arc::clone(&places.engine))
+        };
+        if let Some(best) = remembering.into_iter().min_by_key(cost) {
+            return Some(best);
+        }
+        let best = others.into_iter().min_by_key(cost);
+        if remembering_soon || !planner.store_has_capacity(&wanted.key, self.now) {
+            return None;
+        }
+        best
+    }
+}
--- a/crates/core/src/placement/round_totals.rs
+++ b/crates/core/src/placement/round_totals.rs
@@ -38,6 +38,8 @@
     mean_prompt_tokens: f64,
     /// Number of pending adapter loads from the weight store.
     pending_store_loads: usize,
+    /// Open requests at engines by adapter.
+    open_requests: HashMap<ModelKey, u32>,
 }
 
 impl RoundTotals {
@@ -55,13 +57,7 @@
             mean_prompt_tokens,
             ..Self::default()
         };
-        for inventory in planner.engines.values() {
-            totals.add_copies(planner, inventory, now);
-            totals.add_loads(inventory, now);
-        }
-        for order in planner.outstanding_orders.values() {
-            totals.add_order(order);
-        }
+        totals.add_engines(planner, now);
         for inventory in planner.engines.values() {
             let prefill = held_or_pending_keys(inventory)
                 .map(|key| totals.expected_prompt_tokens_per_copy(key))
@@ -71,6 +67,32 @@
         totals
     }
 
+    /// Computes the totals of what engines hold and load, without those of prompts, and the open
+    /// requests of each key.
+    pub(super) fn for_held(planner: &PlacementPlanner, now: ClockMillis) -> Self {
+        let mut totals = Self::default();
+        totals.add_engines(planner, now);
+        for inventory in planner.engines.values() {
+            for key in inventory.held.keys().filter(|key| adapter_name(key).is_some()) {
+                let open = planner.work.open_requests(&inventory.entry.name, key);
+                if open > 0 {
+                    *totals.open_requests.entry(Arc::clone(key)).or_default() += open;
+                }
+            }
+        }
+        totals
+    }
+
+    fn add_engines(&mut self, planner: &PlacementPlanner, now: ClockMillis) {
+        for inventory in planner.engines.values() {
+            self.add_copies(planner, inventory, now);
+            self.add_loads(inventory, now);
+        }
+        for order in planner.outstanding_orders.values() {
+            self.add_order(order);
+        }
+    }
+
     fn add_copies(
         &mut self,
         planner: &PlacementPlanner,
@@ -132,6 +154,11 @@
         self.copies.get(key).copied().unwrap_or_default()
     }
 
+    /// Iterates over the adapters with open requests and their number.
+    pub(super) fn open_requests(&self) -> impl Iterator<Item = (&ModelKey, u32)> {
+        self.open_requests.iter().map(|(key, open)| (key, *open))
+    }
+
     /// Returns the lowest slot utilization among the engines with `key`, or zero while a load of
     /// `key` is ordered.
     pub(super) fn lowest_utilization(&self, key: &str) -> f64 {
--- a/crates/gateway/src/control/placement.rs
+++ b/crates/gateway/src/control/placement.rs
@@ -8,7 +8,10 @@
     clock::duration_millis,
     fleet::{EngineEntry, ModelKey, ServiceName, WeightVersion, routes::ModelHosting},
     id::FenceToken,
-    placement::{LoadRateLimiter, OrderAnswer, PlacementPlanner, PlannedOrder},
+    placement::{
+        LoadRateLimiter, OrderAnswer, PlacementPlanner, PlannedOrder,
+        residency::{AffinityResidency, ResidencyPolicy, StandingResidency},
+    },
 };
 
 use crate::{
@@ -176,6 +179,7 @@
         let is_new = self.update_lease(service, now)?;
         let hosting = self.hosting(service)?;
         let rate_limiter = self.load_rate_limiter(&hosting);
+        let residency = self.residency_policy();
         let listed = self.engines.values().filter(|entry| entry.service == *service);
         let engines: Vec<Arc<EngineEntry>> = listed.cloned().collect();
         let versions =
@@ -187,6 +191,7 @@
         let new = || PlacementPlanner::new(hosting.clone(), rate_limiter);
         let planner = domain.planner.get_or_insert_with(new);
         planner.set_hosting(&hosting);
+        planner.set_residency_policy(residency);
         if is_new {
             planner.begin_tenure(now);
         }
@@ -234,6 +239,14 @@
         self.routes.as_ref()?.service(service)?.hosting.clone()
     }
 
+    /// Returns the policy that the configuration calls for.
+    fn residency_policy(&self) -> &'static dyn ResidencyPolicy {
+        match &self.routes {
+            Some(routes) if routes.has_tight_timeouts() => &AffinityResidency,
+            _ => &StandingResidency,
+        }
+    }
+
     fn load_rate_limiter(&self, hosting: &ModelHosting) -> LoadRateLimiter {
         let bounds = &self.shared.profile.bounds;
         LoadRateLimiter::new(hosting.loads_per_second, bounds.load_window, bounds.load_overage)
