--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -80,6 +80,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct DemandTracker {
     keys: HashMap<ModelKey, KeyDemand>,
+    /// Rate of all requests over the last seconds.
+    total_rate: DecayedRate,
 }
 
 impl DemandTracker {
@@ -88,6 +90,7 @@
         for entry in entries {
             let demand = self.keys.entry(Arc::clone(&entry.key)).or_default();
             if entry.new_requests > 0 {
+                self.total_rate.add(f64::from(entry.new_requests), now, BURST_HALF_LIFE);
                 demand.request_rate.add(f64::from(entry.new_requests), now, RATE_HALF_LIFE);
                 demand.burst_request_rate.add(f64::from(entry.new_requests), now, BURST_HALF_LIFE);
                 let tokens = entry.new_prompt_tokens as f64;
@@ -142,6 +145,16 @@
         waiting.map(|(key, _)| key)
     }
 
+    /// Returns the number of requests that wait for any key.
+    pub fn all_waiting_requests(&self) -> u32 {
+        self.waiting_keys().map(|key| self.waiting_requests(key)).sum()
+    }
+
+    /// Returns the rate of all requests over the last seconds. Unit: requests per second.
+    pub fn total_request_rate(&self, now: ClockMillis) -> f64 {
+        self.total_rate.per_second(now, BURST_HALF_LIFE)
+    }
+
     /// Returns the request rate of `key`. Unit: requests per second.
     pub fn request_rate(&self, key: &str, now: ClockMillis) -> f64 {
         self.keys.get(key).map_or(0.0, |demand| demand.request_rate.per_second(now, RATE_HALF_LIFE))
--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -26,7 +26,7 @@
         inventory::PendingLoad,
         limited_engines::LimitedEngines,
         load_suspects::LoadSuspects,
-        residency::{ResidencyPolicy, StandingResidency},
+        residency::{ResidencyPolicy, RunTimeEstimator, StandingResidency},
         round_totals::RoundTotals,
         unanswered_orders::{counts_toward_rate_limit, resolve_unanswered_loads},
     },
@@ -71,6 +71,7 @@
     /// Requested keys that the last round ordered no load for, the next one first.
     pub(super) load_queue: Vec<ModelKey>,
     residency: &'static dyn ResidencyPolicy,
+    pub(super) run_time: RunTimeEstimator,
     pub(super) load_suspects: LoadSuspects,
     pub(super) limited_engines: LimitedEngines,
     /// Loads that were pending when their engine was delisted or restarted, and that may have
@@ -98,6 +99,7 @@
             last_order_id: 0,
             load_queue: Vec::new(),
             residency: &StandingResidency,
+            run_time: RunTimeEstimator::default(),
             load_suspects: LoadSuspects::default(),
             limited_engines: LimitedEngines::default(),
             interrupted_loads: Vec::new(),
--- a/crates/core/src/placement/residency.rs
+++ b/crates/core/src/placement/residency.rs
@@ -2,6 +2,7 @@
 
 mod affinity;
 mod engine_places;
+mod run_time;
 mod standing;
 
 use std::fmt::Debug;
@@ -12,6 +13,7 @@
 };
 
 pub use affinity::AffinityResidency;
+pub use run_time::RunTimeEstimator;
 pub use standing::StandingResidency;
 
 /// Chooses the orders of a planning round.
--- a/crates/core/src/placement/residency/affinity.rs
+++ b/crates/core/src/placement/residency/affinity.rs
@@ -38,6 +38,12 @@
 /// loading from the weight store elsewhere. An answer takes a few milliseconds.
 const ORDER_WAIT: Duration = Duration::from_millis(60);
 
+/// Time until an engine has answered an order.
+const ORDER_TIME: Duration = Duration::from_millis(10);
+
+/// Additional cost of a load from the weight store, which other engines' loads wait for.
+const STORE_LOAD_COST: Duration = Duration::from_millis(100);
+
 /// Expected requests per second up to which an idle adapter gives way to a copy that no request
 /// waits for, relative to the requests that the copy would take over.
 const COPY_DISPLACEMENT_SHARE: f64 = 0.5;
@@ -49,6 +55,7 @@
 impl ResidencyPolicy for AffinityResidency {
     fn plan_orders(&self, planner: &mut PlacementPlanner, now: ClockMillis) -> Vec<PlannedOrder> {
         planner.totals = RoundTotals::for_held(planner, now);
+        planner.update_run_time(now);
         let mut round = ResidencyRound::new(planner, now);
         let mut orders = round.order_models(planner);
         planner.load_queue.clear();
@@ -109,9 +116,13 @@
 
     /// Returns the adapters whose copies have more requests than [`MAX_SLOT_SHARE`] allows.
     fn crowded_adapters(&self, now: ClockMillis) -> Vec<WantedAdapter> {
+        let max_requests = MAX_SLOT_SHARE * self.mean_slots();
+        let run_time = self.run_time.get().as_secs_f64();
         let crowded = self.totals.open_requests().filter_map(|(key, open)| {
             let copies = self.copies(key);
-            let excess = f64::from(open) - copies * MAX_SLOT_SHARE * self.mean_slots();
+            let demanded = self.demand.burst_request_rate(key, now) * run_time;
+            let concurrency = demanded.max(f64::from(open));
+            let excess = concurrency - copies * max_requests;
             let crowded = copies > 0.0 && excess > 0.0 && !self.totals.is_load_ordered(key);
             crowded.then(|| WantedAdapter {
                 key: Arc::clone(key),
@@ -198,8 +209,7 @@
         let index = self.choose_engine(planner, wanted)?;
         let now = self.now;
         let places = &mut self.places[index];
-        places.accepts = false;
-        places.accepts_soon = true;
+        (places.accepts, places.accepts_soon) = (false, true);
         let engine = Arc::clone(&places.engine);
         if places.free == 0 {
             let victim = places.idle.pop()?;
@@ -212,44 +222,40 @@
         planner.issue_order(&engine, kind, Arc::clone(&wanted.key), wanted.value, now)
     }
 
-    /// Returns the engine to load an adapter on: one that remembers it if possible.
+    /// Returns the engine where the adapter's first request would be answered soonest.
     ///
-    /// Returns `None` if there is none now, or if one that remembers it will be ready at once.
-    fn choose_engine(&self, planner: &mut PlacementPlanner, wanted: &WantedAdapter) -> Option<usize> {
+    /// Returns `None` if there is none now, or if that engine has an order in progress.
+    fn choose_engine(
+        &self,
+        planner: &mut PlacementPlanner,
+        wanted: &WantedAdapter,
+    ) -> Option<usize> {
+        let store_available = planner.store_has_capacity(&wanted.key, self.now);
         let max_rate = if wanted.waiting > 0 {
             f64::INFINITY
         } else {
             COPY_DISPLACEMENT_SHARE * wanted.value
         };
-        let (mut remembering, mut others) = (Vec::new(), Vec::new());
-        let mut remembering_soon = false;
-        for (index, places) in self.places.iter().enumerate() {
-            if !places.has_room(max_rate) {
-                continue;
-            }
-            let Some(inventory) = planner.engines.get(&places.engine) else { continue };
-            if !planner.may_hold(inventory, &wanted.key) {
-                continue;
-            }
+        let options = self.places.iter().enumerate().filter_map(|(index, places)| {
+            let inventory = planner.engines.get(&places.engine)?;
+            let may_load = places.has_room(max_rate) && planner.may_hold(inventory, &wanted.key);
             let remembers = planner.is_cached(inventory, &wanted.key);
-            if places.accepts {
-                if remembers { remembering.push(index) } else { others.push(index) }
-            } else if remembers && places.accepts_soon {
-                remembering_soon |= self.now.since(inventory.last_order_sent_at) < ORDER_WAIT;
+            let waits = !places.accepts;
+            let ready_soon = places.accepts_soon
+                && remembers
+                && self.now.since(inventory.last_order_sent_at) < ORDER_WAIT;
+            if !may_load || !(remembers || store_available) || (waits && !ready_soon) {
+                return None;
             }
-        }
-        let cost = |index: &usize| {
-            let places = &self.places[*index];
+            let load_time = planner.expected_load_time(&wanted.key, !remembers);
+            let store_cost = if remembers { Duration::ZERO } else { STORE_LOAD_COST };
+            let order_time = if places.free == 0 { 2 * ORDER_TIME } else { ORDER_TIME };
+            let wait = if waits { ORDER_TIME } else { Duration::ZERO };
+            let cost = load_time + store_cost + order_time + wait + places.backlog;
             let unresolved = planner.has_unresolved_load(&places.engine, &wanted.key);
-            (!unresolved, places.free == 0, places.load, Arc::clone(&places.engine))
-        };
-        if let Some(best) = remembering.into_iter().min_by_key(cost) {
-            return Some(best);
-        }
-        let best = others.into_iter().min_by_key(cost);
-        if remembering_soon || !planner.store_has_capacity(&wanted.key, self.now) {
-            return None;
-        }
-        best
+            Some((!unresolved, cost, places.open, Arc::clone(&places.engine), index, waits))
+        });
+        let (.., index, waits) = options.min()?;
+        (!waits).then_some(index)
     }
 }
--- a/crates/core/src/placement/residency/engine_places.rs
+++ b/crates/core/src/placement/residency/engine_places.rs
@@ -1,10 +1,10 @@
 //! One engine's adapter places at the start of a planning round.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     clock::ClockMillis,
-    fleet::{EngineName, ModelKey, adapter_name},
+    fleet::{EngineName, ModelKey, adapter_name, work::EngineWork},
     placement::{EngineInventory, PlacementPlanner, inventory::MAX_PENDING_LOADS},
 };
 
@@ -28,9 +28,11 @@
     pub(super) free: usize,
     /// Adapters that can be evicted, the least valuable last.
     pub(super) idle: Vec<IdleAdapter>,
-    /// Open requests of all hosts and loads in progress.
-    pub(super) load: u32,
-    pub(super) hall: Arc<str>,
+    /// Open requests of all hosts.
+    pub(super) open: u32,
+    /// Time until the engine has processed the prompts that it has and those that wait for its
+    /// pending loads.
+    pub(super) backlog: Duration,
 }
 
 impl EnginePlaces {
@@ -49,15 +51,15 @@
         let ordered = inventory.outstanding_order.is_some();
         let known = inventory.sequence.is_some();
         let limit = usize::try_from(planner.hosting.adapter_limit).unwrap_or(usize::MAX);
-        let pending = u32::try_from(inventory.pending.len()).unwrap_or(u32::MAX);
+        let work = planner.work.total(&inventory.entry.name);
         Some(Self {
             engine: Arc::clone(&inventory.entry.name),
             accepts: known && !ordered,
             accepts_soon: known && ordered,
             free: limit.saturating_sub(inventory.reserved_adapter_count()),
             idle: idle_adapters(planner, inventory, now),
-            load: planner.work.total(&inventory.entry.name).open + pending,
-            hall: Arc::clone(&inventory.entry.hall),
+            open: work.open,
+            backlog: backlog(planner, inventory, &work),
         })
     }
 
@@ -68,6 +70,22 @@
     }
 }
 
+/// Returns the time until an engine has processed the prompts that it has, and those that wait for
+/// its pending loads. Requests beyond its slots wait for one of them to end.
+fn backlog(
+    planner: &PlacementPlanner,
+    inventory: &EngineInventory,
+    work: &EngineWork,
+) -> Duration {
+    let pending = inventory.pending.iter();
+    let awaited: u64 =
+        pending.map(|load| planner.demand.waiting_prompt_tokens(&load.key)).sum();
+    let prefill = planner.prefill_speed.time_for(work.pending_prefill_tokens + awaited);
+    let slots = inventory.entry.slots.max(1);
+    let queued = work.open.saturating_sub(slots - 1);
+    prefill + planner.run_time.get().mul_f64(f64::from(queued) / f64::from(slots))
+}
+
 /// Returns an engine's adapters without open requests, the least valuable last.
 fn idle_adapters(
     planner: &PlacementPlanner,
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -22,6 +22,10 @@
 /// Timeout of an order; a lost response must not delay the next load.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The same where refused clients have little time to retry: several round trips, and a third of
+/// the time that a load from the weight store takes.
+const TIGHT_ORDER_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Timeout of a report request.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -88,7 +92,12 @@
     let call = codec.encode_order(&order, &shared.profile.name, token);
     let sent_at = shared.clock.now();
     shared.count_engine_call(&order.engine.name, EngineCallKind::Order);
-    let answer = match client.call(&call, ORDER_TIMEOUT).await {
+    let timeout = if state.borrow().has_tight_timeouts() {
+        TIGHT_ORDER_TIMEOUT
+    } else {
+        ORDER_TIMEOUT
+    };
+    let answer = match client.call(&call, timeout).await {
         Ok(response) => {
             record_announcements(&shared, &order.engine, &response, sent_at);
             codec.decode_order_response(&response)
--- a/crates/gateway/src/control/placement.rs
+++ b/crates/gateway/src/control/placement.rs
@@ -241,10 +241,12 @@
 
     /// Returns the policy that the configuration calls for.
     fn residency_policy(&self) -> &'static dyn ResidencyPolicy {
-        match &self.routes {
-            Some(routes) if routes.has_tight_timeouts() => &AffinityResidency,
-            _ => &StandingResidency,
-        }
+        if self.has_tight_timeouts() { &AffinityResidency } else { &StandingResidency }
+    }
+
+    /// Returns whether the configuration in force has tight timeouts.
+    pub(super) fn has_tight_timeouts(&self) -> bool {
+        self.routes.as_ref().is_some_and(|routes| routes.has_tight_timeouts())
     }
 
     fn load_rate_limiter(&self, hosting: &ModelHosting) -> LoadRateLimiter {
