--- a/crates/core/src/placement/residency/affinity.rs
+++ b/crates/core/src/placement/residency/affinity.rs
@@ -5,11 +5,7 @@
 //! engine that remembers it, whichever idle adapter has to make room there, and each adapter has
 //! as many copies as its requests need slots. Requests that wait come before everything else.
 
-use std::{
-    collections::HashSet,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use crate::{
     clock::ClockMillis,
@@ -44,6 +40,13 @@
 /// Additional cost of a load from the weight store, which other engines' loads wait for.
 const STORE_LOAD_COST: Duration = Duration::from_millis(100);
 
+/// Number of loads in progress from which an engine gets none from the weight store. The rest of
+/// what it can load at once is left to adapters that it remembers.
+const MAX_PENDING_STORE_LOADS: u32 = 3;
+
+/// Cost of a load for each one in progress at the engine.
+const PENDING_LOAD_COST: Duration = Duration::from_millis(40);
+
 /// Expected requests per second up to which an idle adapter gives way to a copy that no request
 /// waits for, relative to the requests that the copy would take over.
 const COPY_DISPLACEMENT_SHARE: f64 = 0.5;
@@ -231,11 +234,8 @@
         wanted: &WantedAdapter,
     ) -> Option<usize> {
         let store_available = planner.store_has_capacity(&wanted.key, self.now);
-        let max_rate = if wanted.waiting > 0 {
-            f64::INFINITY
-        } else {
-            COPY_DISPLACEMENT_SHARE * wanted.value
-        };
+        let max_rate =
+            if wanted.waiting > 0 { f64::INFINITY } else { COPY_DISPLACEMENT_SHARE * wanted.value };
         let options = self.places.iter().enumerate().filter_map(|(index, places)| {
             let inventory = planner.engines.get(&places.engine)?;
             let may_load = places.has_room(max_rate) && planner.may_hold(inventory, &wanted.key);
@@ -244,14 +244,16 @@
             let ready_soon = places.accepts_soon
                 && remembers
                 && self.now.since(inventory.last_order_sent_at) < ORDER_WAIT;
-            if !may_load || !(remembers || store_available) || (waits && !ready_soon) {
+            let may_fetch = store_available && places.pending < MAX_PENDING_STORE_LOADS;
+            if !may_load || !(remembers || may_fetch) || (waits && !ready_soon) {
                 return None;
             }
             let load_time = planner.expected_load_time(&wanted.key, !remembers);
             let store_cost = if remembers { Duration::ZERO } else { STORE_LOAD_COST };
             let order_time = if places.free == 0 { 2 * ORDER_TIME } else { ORDER_TIME };
             let wait = if waits { ORDER_TIME } else { Duration::ZERO };
-            let cost = load_time + store_cost + order_time + wait + places.backlog;
+            let pending = PENDING_LOAD_COST * places.pending;
+            let cost = load_time + store_cost + order_time + wait + pending + places.backlog;
             let unresolved = planner.has_unresolved_load(&places.engine, &wanted.key);
             Some((!unresolved, cost, places.open, Arc::clone(&places.engine), index, waits))
         });
--- a/crates/core/src/placement/residency/engine_places.rs
+++ b/crates/core/src/placement/residency/engine_places.rs
@@ -28,6 +28,8 @@
     pub(super) free: usize,
     /// Adapters that can be evicted, the least valuable last.
     pub(super) idle: Vec<IdleAdapter>,
+    /// Number of loads in progress.
+    pub(super) pending: u32,
     /// Open requests of all hosts.
     pub(super) open: u32,
     /// Time until the engine has processed the prompts that it has and those that wait for its
@@ -58,6 +60,7 @@
             accepts_soon: known && ordered,
             free: limit.saturating_sub(inventory.reserved_adapter_count()),
             idle: idle_adapters(planner, inventory, now),
+            pending: u32::try_from(inventory.pending.len()).unwrap_or(u32::MAX),
             open: work.open,
             backlog: backlog(planner, inventory, &work),
         })
@@ -72,14 +75,9 @@
 
 /// Returns the time until an engine has processed the prompts that it has, and those that wait for
 /// its pending loads. Requests beyond its slots wait for one of them to end.
-fn backlog(
-    planner: &PlacementPlanner,
-    inventory: &EngineInventory,
-    work: &EngineWork,
-) -> Duration {
+fn backlog(planner: &PlacementPlanner, inventory: &EngineInventory, work: &EngineWork) -> Duration {
     let pending = inventory.pending.iter();
-    let awaited: u64 =
-        pending.map(|load| planner.demand.waiting_prompt_tokens(&load.key)).sum();
+    let awaited: u64 = pending.map(|load| planner.demand.waiting_prompt_tokens(&load.key)).sum();
     let prefill = planner.prefill_speed.time_for(work.pending_prefill_tokens + awaited);
     let slots = inventory.entry.slots.max(1);
     let queued = work.open.saturating_sub(slots - 1);
--- a/crates/core/src/placement/residency/standing.rs
+++ b/crates/core/src/placement/residency/standing.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     clock::ClockMillis,
-    placement::{PlacementPlanner, PlannedOrder, residency::ResidencyPolicy, round_totals::RoundTotals},
+    placement::{
+        PlacementPlanner, PlannedOrder, residency::ResidencyPolicy, round_totals::RoundTotals,
+    },
 };
 
 /// Maximum number of orders issued per planning round.
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -92,11 +92,8 @@
     let call = codec.encode_order(&order, &shared.profile.name, token);
     let sent_at = shared.clock.now();
     shared.count_engine_call(&order.engine.name, EngineCallKind::Order);
-    let timeout = if state.borrow().has_tight_timeouts() {
-        TIGHT_ORDER_TIMEOUT
-    } else {
-        ORDER_TIMEOUT
-    };
+    let timeout =
+        if state.borrow().has_tight_timeouts() { TIGHT_ORDER_TIMEOUT } else { ORDER_TIMEOUT };
     let answer = match client.call(&call, timeout).await {
         Ok(response) => {
             record_announcements(&shared, &order.engine, &response, sent_at);
