--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -16,6 +16,10 @@
 /// How long requests without a load order are counted.
 const UNSERVED_TTL: Duration = Duration::from_mins(1);
 
+/// Interval at which expired keys are dropped; with thousands of keys, doing so in every planning
+/// round takes a large part of it.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Rate weight below which a key is forgotten.
 const MIN_RATE_WEIGHT: f64 = 0.02;
 
@@ -82,6 +86,8 @@
     keys: HashMap<ModelKey, KeyDemand>,
     /// Rate of all requests over the last seconds.
     total_rate: DecayedRate,
+    /// When expired keys were last dropped.
+    expired_at: ClockMillis,
 }
 
 impl DemandTracker {
@@ -121,6 +127,10 @@
 
     /// Drops keys without recent demand.
     pub fn drop_expired(&mut self, now: ClockMillis) {
+        if now.since(self.expired_at) < EXPIRY_INTERVAL {
+            return;
+        }
+        self.expired_at = now;
         self.keys.retain(|_, demand| {
             demand
                 .waiting_by_host
--- a/crates/core/src/placement/residency/affinity.rs
+++ b/crates/core/src/placement/residency/affinity.rs
@@ -5,7 +5,11 @@
 //! engine that remembers it, whichever idle adapter has to make room there, and each adapter has
 //! as many copies as its requests need slots. Requests that wait come before everything else.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use crate::{
     clock::ClockMillis,
@@ -13,7 +17,10 @@
     placement::{
         EngineInventory, OrderKind, PlacementPlanner, PlannedOrder,
         load_candidates::LoadCandidate,
-        residency::{ResidencyPolicy, engine_places::EnginePlaces},
+        residency::{
+            ResidencyPolicy,
+            engine_places::{EnginePlaces, ORDER_TIME},
+        },
         round_totals::RoundTotals,
     },
 };
@@ -34,9 +41,6 @@
 /// loading from the weight store elsewhere. An answer takes a few milliseconds.
 const ORDER_WAIT: Duration = Duration::from_millis(60);
 
-/// Time until an engine has answered an order.
-const ORDER_TIME: Duration = Duration::from_millis(10);
-
 /// Additional cost of a load from the weight store, which other engines' loads wait for.
 const STORE_LOAD_COST: Duration = Duration::from_millis(100);
 
@@ -44,9 +48,6 @@
 /// what it can load at once is left to adapters that it remembers.
 const MAX_PENDING_STORE_LOADS: u32 = 3;
 
-/// Cost of a load for each one in progress at the engine.
-const PENDING_LOAD_COST: Duration = Duration::from_millis(40);
-
 /// Expected requests per second up to which an idle adapter gives way to a copy that no request
 /// waits for, relative to the requests that the copy would take over.
 const COPY_DISPLACEMENT_SHARE: f64 = 0.5;
@@ -164,6 +165,12 @@
 #[derive(Debug)]
 struct ResidencyRound {
     places: Vec<EnginePlaces>,
+    /// Indices of the engines by the cost of a load there.
+    by_cost: Vec<usize>,
+    /// Indices of engines with an unanswered load order, by its adapter.
+    unresolved: HashMap<ModelKey, usize>,
+    /// Number of engines that can take an order now.
+    accepting: usize,
     now: ClockMillis,
 }
 
@@ -171,7 +178,17 @@
     fn new(planner: &PlacementPlanner, now: ClockMillis) -> Self {
         let engines = planner.engines.values();
         let places = engines.filter_map(|inventory| EnginePlaces::of(planner, inventory, now));
-        Self { places: places.collect(), now }
+        let places: Vec<EnginePlaces> = places.collect();
+        let mut by_cost: Vec<usize> = (0..places.len()).collect();
+        by_cost.sort_by_key(|index| (places[*index].load_cost(), places[*index].open));
+        let mut unresolved = HashMap::new();
+        for (index, places) in places.iter().enumerate() {
+            let inventory = planner.engines.get(&places.engine);
+            let loads = inventory.into_iter().flat_map(|inventory| &inventory.unresolved_loads);
+            unresolved.extend(loads.map(|load| (Arc::clone(&load.key), index)));
+        }
+        let accepting = places.iter().filter(|places| places.accepts).count();
+        Self { places, by_cost, unresolved, accepting, now }
     }
 
     /// Orders base models for empty engines, and new versions of adapters in use.
@@ -197,12 +214,17 @@
 
     fn mark_ordered(&mut self, order: &PlannedOrder) {
         let engine = &order.engine.name;
-        if let Some(places) = self.places.iter_mut().find(|places| places.engine == *engine) {
-            places.accepts = false;
-            places.accepts_soon = true;
+        if let Some(index) = self.places.iter().position(|places| places.engine == *engine) {
+            self.start_order(index);
         }
     }
 
+    fn start_order(&mut self, index: usize) {
+        let places = &mut self.places[index];
+        self.accepting -= usize::from(places.accepts);
+        (places.accepts, places.accepts_soon) = (false, true);
+    }
+
     /// Orders a load of an adapter, or the eviction that makes room for it.
     fn order_adapter(
         &mut self,
@@ -211,8 +233,8 @@
     ) -> Option<PlannedOrder> {
         let index = self.choose_engine(planner, wanted)?;
         let now = self.now;
+        self.start_order(index);
         let places = &mut self.places[index];
-        (places.accepts, places.accepts_soon) = (false, true);
         let engine = Arc::clone(&places.engine);
         if places.free == 0 {
             let victim = places.idle.pop()?;
@@ -233,31 +255,70 @@
         planner: &mut PlacementPlanner,
         wanted: &WantedAdapter,
     ) -> Option<usize> {
-        let store_available = planner.store_has_capacity(&wanted.key, self.now);
+        if self.accepting == 0 {
+            return None;
+        }
         let max_rate =
             if wanted.waiting > 0 { f64::INFINITY } else { COPY_DISPLACEMENT_SHARE * wanted.value };
+        let remembering = self.best_remembering(planner, wanted, max_rate);
+        let fetch_time = planner.expected_load_time(&wanted.key, true) + STORE_LOAD_COST;
+        let limit = remembering.map(|(cost, _)| cost);
+        let fetching = || self.best_fetching(planner, wanted, max_rate);
+        let fetching = fetching().map(|(cost, index)| (cost + fetch_time, index));
+        let fetching = fetching.filter(|(cost, _)| limit.is_none_or(|limit| *cost < limit));
+        match fetching {
+            Some((_, index)) => planner.store_has_capacity(&wanted.key, self.now).then_some(index),
+            None => remembering.map(|(_, index)| index).filter(|index| self.places[*index].accepts),
+        }
+    }
+
+    /// Returns the engine that remembers the adapter with the lowest cost.
+    fn best_remembering(
+        &self,
+        planner: &PlacementPlanner,
+        wanted: &WantedAdapter,
+        max_rate: f64,
+    ) -> Option<(Duration, usize)> {
+        if planner.versions.contains_key(&wanted.key) {
+            return None;
+        }
+        let load_time = planner.expected_load_time(&wanted.key, false);
         let options = self.places.iter().enumerate().filter_map(|(index, places)| {
             let inventory = planner.engines.get(&places.engine)?;
-            let may_load = places.has_room(max_rate) && planner.may_hold(inventory, &wanted.key);
-            let remembers = planner.is_cached(inventory, &wanted.key);
-            let waits = !places.accepts;
-            let ready_soon = places.accepts_soon
-                && remembers
-                && self.now.since(inventory.last_order_sent_at) < ORDER_WAIT;
-            let may_fetch = store_available && places.pending < MAX_PENDING_STORE_LOADS;
-            if !may_load || !(remembers || may_fetch) || (waits && !ready_soon) {
+            let usable = inventory.has_cached(&wanted.key)
+                && places.has_room(max_rate)
+                && planner.may_hold(inventory, &wanted.key);
+            let soon =
+                places.accepts_soon && self.now.since(inventory.last_order_sent_at) < ORDER_WAIT;
+            if !usable || !(places.accepts || soon) {
                 return None;
             }
-            let load_time = planner.expected_load_time(&wanted.key, !remembers);
-            let store_cost = if remembers { Duration::ZERO } else { STORE_LOAD_COST };
-            let order_time = if places.free == 0 { 2 * ORDER_TIME } else { ORDER_TIME };
-            let wait = if waits { ORDER_TIME } else { Duration::ZERO };
-            let pending = PENDING_LOAD_COST * places.pending;
-            let cost = load_time + store_cost + order_time + wait + pending + places.backlog;
-            let unresolved = planner.has_unresolved_load(&places.engine, &wanted.key);
-            Some((!unresolved, cost, places.open, Arc::clone(&places.engine), index, waits))
+            let wait = if places.accepts { Duration::ZERO } else { ORDER_TIME };
+            Some((load_time + wait + places.load_cost(), index))
         });
-        let (.., index, waits) = options.min()?;
-        (!waits).then_some(index)
+        options.min()
+    }
+
+    /// Returns the engine to fetch an adapter to from the weight store, with its cost beyond that
+    /// of the fetch. An engine that may still execute an unanswered order for it comes first.
+    fn best_fetching(
+        &self,
+        planner: &PlacementPlanner,
+        wanted: &WantedAdapter,
+        max_rate: f64,
+    ) -> Option<(Duration, usize)> {
+        let fetches = |index: &usize| {
+            let places = &self.places[*index];
+            places.accepts
+                && places.pending < MAX_PENDING_STORE_LOADS
+                && places.has_room(max_rate)
+                && planner
+                    .engines
+                    .get(&places.engine)
+                    .is_some_and(|inventory| planner.may_hold(inventory, &wanted.key))
+        };
+        let unresolved = self.unresolved.get(&wanted.key).copied().filter(fetches);
+        let index = unresolved.or_else(|| self.by_cost.iter().copied().find(fetches))?;
+        Some((self.places[index].load_cost(), index))
     }
 }
--- a/crates/core/src/placement/residency/engine_places.rs
+++ b/crates/core/src/placement/residency/engine_places.rs
@@ -8,6 +8,12 @@
     placement::{EngineInventory, PlacementPlanner, inventory::MAX_PENDING_LOADS},
 };
 
+/// Time until an engine has answered an order.
+pub(super) const ORDER_TIME: Duration = Duration::from_millis(10);
+
+/// Cost of a load for each one in progress at the engine.
+const PENDING_LOAD_COST: Duration = Duration::from_millis(40);
+
 /// An adapter without open requests, and what keeping it is worth.
 #[derive(Debug, Clone)]
 pub(super) struct IdleAdapter {
@@ -66,6 +72,13 @@
         })
     }
 
+    /// Returns the expected time until a request that needs a load could start here, without the
+    /// time of the load.
+    pub(super) fn load_cost(&self) -> Duration {
+        let orders = if self.free == 0 { 2 * ORDER_TIME } else { ORDER_TIME };
+        orders + PENDING_LOAD_COST * self.pending + self.backlog
+    }
+
     /// Returns whether the engine has a free place or can evict an adapter that is expected to
     /// serve fewer than `max_rate` requests per second.
     pub(super) fn has_room(&self, max_rate: f64) -> bool {
