--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -154,6 +154,14 @@
         self.throughput_estimator = ThroughputEstimator::new(throughput);
     }
 
+    /// Assumes a throughput of the weight store that no placer has measured yet.
+    pub fn assume_throughput(&mut self) {
+        let loads_per_second = self.hosting.loads_per_second;
+        let parallel_loads =
+            self.residency.assumed_parallel_loads(loads_per_second, self.engines.len());
+        self.restore_throughput(StoreThroughput::assumed(parallel_loads));
+    }
+
     /// Returns the estimated throughput of the weight store.
     pub fn store_throughput(&self) -> StoreThroughput {
         self.throughput_estimator.throughput()
--- a/crates/core/src/placement/residency/affinity.rs
+++ b/crates/core/src/placement/residency/affinity.rs
@@ -57,6 +57,12 @@
 pub struct AffinityResidency;
 
 impl ResidencyPolicy for AffinityResidency {
+    /// A fleet that starts empty loads hundreds of adapters at once; one for each engine is assumed
+    /// to be within what the weight store carries.
+    fn assumed_parallel_loads(&self, loads_per_second: f64, engines: usize) -> f64 {
+        loads_per_second.max(engines as f64)
+    }
+
     fn plan_orders(&self, planner: &mut PlacementPlanner, now: ClockMillis) -> Vec<PlannedOrder> {
         planner.totals = RoundTotals::for_held(planner, now);
         planner.update_run_time(now);
@@ -125,7 +131,8 @@
         let crowded = self.totals.open_requests().filter_map(|(key, open)| {
             let copies = self.copies(key);
             let demanded = self.demand.burst_request_rate(key, now) * run_time;
-            let concurrency = demanded.max(f64::from(open));
+            let waiting = f64::from(self.demand.waiting_requests(key));
+            let concurrency = demanded.max(f64::from(open) + waiting);
             let excess = concurrency - copies * max_requests;
             let crowded = copies > 0.0 && excess > 0.0 && !self.totals.is_load_ordered(key);
             crowded.then(|| WantedAdapter {
--- a/crates/core/src/placement/residency/standing.rs
+++ b/crates/core/src/placement/residency/standing.rs
@@ -15,6 +15,10 @@
 pub struct StandingResidency;
 
 impl ResidencyPolicy for StandingResidency {
+    fn assumed_parallel_loads(&self, loads_per_second: f64, _engines: usize) -> f64 {
+        loads_per_second
+    }
+
     fn plan_orders(&self, planner: &mut PlacementPlanner, now: ClockMillis) -> Vec<PlannedOrder> {
         planner.totals = RoundTotals::compute(planner, now);
         let mut candidates = planner.load_candidates(now);
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -247,7 +247,10 @@
         let Some(planner) = &mut self.planner else { return };
         match self.store_throughput {
             Some(throughput) => planner.restore_throughput(throughput),
-            None => self.assumed_throughput = Some(planner.store_throughput()),
+            None => {
+                planner.assume_throughput();
+                self.assumed_throughput = Some(planner.store_throughput());
+            }
         }
     }
 
