--- a/crates/core/src/placement/load_target.rs
+++ b/crates/core/src/placement/load_target.rs
@@ -132,14 +132,6 @@
             && self.has_weight_memory_for(inventory, key)
     }
 
-    /// Returns whether an engine left a load order for `key` unanswered and may still execute it.
-    pub(super) fn has_unresolved_load(&self, engine: &str, key: &str) -> bool {
-        let inventory = self.engines.get(engine);
-        inventory.is_some_and(|inventory| {
-            inventory.unresolved_loads.iter().any(|load| *load.key == *key)
-        })
-    }
-
     /// Returns whether a load from the weight store may be ordered now.
     pub(super) fn store_has_capacity(&mut self, key: &str, now: ClockMillis) -> bool {
         if adapter_name(key).is_some() {
