feat(placement): the largest hosts hold the group where timeouts are tight

Cause: a host of 0.2 cores and 50 Mbit/s counted as high capacity, and such hosts never left the group, so the lease of a domain with 60 to 90 engines landed on hosts of 0.31 or 0.12 cores while hosts of 0.5 cores existed. Members knew only whether another one is strong.

Change: where most timeouts are tight, the name of a group member contains its CPU share and bandwidth. A host joins while it is among the largest known members, or while fewer than three larger ones (or of its own size) are members. A member leaves when three larger ones are members, or eight of its size precede it, after the four consecutive checks that exist. Hosts below 0.5 cores leave the start of the group to larger ones for up to 4 s (1.5 s at 0.31 cores) and stand in at the first check when no member is left. A host that joined before it knew the configuration joins again by its new name. Nobody makes further calls: the members are those of the owner queries. Where timeouts are not tight, names, joins and departures are as before.

Ruled out: higher fixed thresholds (a fleet without such hosts would have no candidates); capacity in peer frames (members outside the reader would not know it before the first lease).

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -8,6 +8,7 @@
 //! [`planner`] chooses the next orders.
 
 pub mod candidacy;
+pub mod graded_group;
 mod load_candidates;
 pub mod demand;
 mod unanswered_orders;
--- a/crates/core/tests/placement/main.rs
+++ b/crates/core/tests/placement/main.rs
@@ -4,6 +4,7 @@
 mod planning;
 mod crashing_loads;
 mod faults;
+mod graded_group;
 mod late_loads;
 mod limited_engines;
 mod simulation;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -109,7 +109,8 @@
     state.borrow_mut().leave_group();
     state.borrow_mut().stop_reading();
     let mut client = store_client(&state);
-    if let Err(error) = leave(&mut client, own_member(shared)).await {
+    let member = own_member(&state.borrow());
+    if let Err(error) = leave(&mut client, member).await {
         log::debug!("failed to leave the group: {error}");
     }
     loop {
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -8,7 +8,14 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use reelreel_core::{ClockMillis, clock::duration_millis, placement::candidacy::reader_partitions};
+use reelreel_core::{
+    ClockMillis,
+    clock::duration_millis,
+    placement::{
+        candidacy::reader_partitions,
+        graded_group::{CapacityGrade, GradedGroup},
+    },
+};
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -227,11 +234,39 @@
 
     /// Returns whether this host should join the group with its present members.
     pub fn should_join(&self) -> bool {
+        if self.selects_by_grade() {
+            return self.graded_group().should_join();
+        }
         self.shared.profile.capacity.should_join(self.members().len(), self.high_capacity_members())
     }
 
+    /// Returns whether the group does not need this host as a member.
+    pub fn should_leave(&self) -> bool {
+        if self.selects_by_grade() {
+            return self.graded_group().should_leave();
+        }
+        self.shared.profile.capacity.should_leave(self.high_capacity_members())
+    }
+
+    /// Returns whether members of the group are selected by their capacity.
+    pub fn selects_by_grade(&self) -> bool {
+        self.routes.as_ref().is_some_and(|routes| routes.has_tight_timeouts())
+    }
+
+    /// Returns whether any member of the group is known.
+    pub fn has_members(&self) -> bool {
+        !self.owners.is_empty()
+    }
+
+    fn graded_group(&self) -> GradedGroup {
+        let profile = &self.shared.profile;
+        let members = self.owners.values().map(|owner| (owner.address, owner.known_grade()));
+        let own_grade = CapacityGrade::new(profile.capacity);
+        GradedGroup::new(profile.peer_address, own_grade, members, profile.partitions)
+    }
+
     /// Returns the number of group members with high capacity.
-    pub fn high_capacity_members(&self) -> usize {
+    fn high_capacity_members(&self) -> usize {
         self.members().iter().filter(|member| member.strong).count()
     }
 
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -2,14 +2,17 @@
 
 use std::{sync::Arc, time::Duration};
 
+use reelreel_core::placement::graded_group::{CapacityGrade, start_delay};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    control::{MEMBERSHIP_TTL, SharedControl, backoff, store_client},
+    control::{MEMBERSHIP_TTL, SharedControl, backoff, state::ControlState, store_client},
     host::SharedState,
     store::{
         Backoff, MAX_BACKOFF, StoreBackoff, StoreClient, StoreError,
-        membership::{GroupMember, MembershipUpdate, leave, owners, run_membership},
+        membership::{
+            GroupMember, MembershipNeed, MembershipUpdate, leave, owners, run_membership,
+        },
     },
 };
 
@@ -34,8 +37,13 @@
 /// Time over which hosts with low capacity spread their joins. Unit: milliseconds.
 const LOW_CAPACITY_JITTER_MILLIS: u64 = 2000;
 
+/// A host that is selected by its capacity makes one more check per this much of its jitter, so that
+/// hosts of the same capacity do not all stand in for the same missing member. Unit: milliseconds.
+const GRADED_JITTER_MILLIS_PER_CHECK: u64 = 500;
+
 /// How many consecutive checks must show that the group needs this host, and the delay before they
 /// count.
+#[derive(Clone, Copy)]
 struct JoinPolicy {
     delay: Duration,
     checks: u64,
@@ -48,12 +56,32 @@
         if shared.profile.capacity.has_high_capacity() {
             return Self { delay: Duration::ZERO, checks: 1 };
         }
-        let jitter_millis = xxh3_64(shared.profile.name.as_bytes()) % LOW_CAPACITY_JITTER_MILLIS;
+        let jitter_millis = jitter_millis(shared);
         Self {
             delay: LOW_CAPACITY_JOIN_DELAY + Duration::from_millis(jitter_millis),
             checks: LOW_CAPACITY_CHECKS + jitter_millis / JITTER_MILLIS_PER_CHECK,
         }
     }
+
+    /// Where members are selected by their capacity, small hosts first leave the group to larger
+    /// ones, and stand in at once if no member is left.
+    ///
+    /// The delay counts from the start of the host, so that a stand-in is delayed only by checks.
+    fn graded(state: &ControlState) -> Self {
+        let shared = state.shared();
+        let capacity = shared.profile.capacity;
+        if !capacity.has_high_capacity() {
+            return Self::new(shared);
+        }
+        let delay = start_delay(capacity);
+        let extra_checks = jitter_millis(shared) / GRADED_JITTER_MILLIS_PER_CHECK;
+        let is_urgent = start_delay(capacity).is_zero() || !state.has_members();
+        Self { delay, checks: if is_urgent { 1 } else { 1 + extra_checks } }
+    }
+}
+
+fn jitter_millis(shared: &SharedState) -> u64 {
+    xxh3_64(shared.profile.name.as_bytes()) % LOW_CAPACITY_JITTER_MILLIS
 }
 
 /// Keeps this host a member of the group whenever the group needs it; never returns.
@@ -64,15 +92,14 @@
     let mut store_backoff = StoreBackoff::passive(backoff(&shared, 0x4444), returns);
     let mut jitter = backoff(&shared, 0x5555);
     let time_to_live = MEMBERSHIP_TTL.max(shared.profile.min_membership_ttl);
-    let member = own_member(&shared);
-    let should_leave =
-        || shared.profile.capacity.should_leave(state.borrow().high_capacity_members());
     let sink = |update| state.borrow_mut().apply_membership_update(update);
     loop {
         wait_until_needed(&state, &mut client, &mut store_backoff, &mut jitter).await;
+        let member = own_member(&state.borrow());
+        let need = || membership_need(&state.borrow(), member);
         let backoff = backoff(&shared, 0x3333).with_max_delay(MAX_JOIN_BACKOFF);
         let clock = Arc::clone(&shared.clock);
-        run_membership(&mut client, member, time_to_live, clock, backoff, should_leave, sink).await;
+        run_membership(&mut client, member, time_to_live, clock, backoff, need, sink).await;
         state.borrow_mut().leave_group();
         if let Err(error) = leave(&mut client, member).await {
             log::debug!("failed to leave the group: {error}");
@@ -81,10 +108,25 @@
 }
 
 /// Returns this host as a member of the group.
-pub fn own_member(shared: &SharedState) -> GroupMember {
+///
+/// Its name contains its capacity only where members are selected by it.
+pub fn own_member(state: &ControlState) -> GroupMember {
+    let profile = &state.shared().profile;
     GroupMember {
-        address: shared.profile.peer_address,
-        strong: shared.profile.capacity.has_high_capacity(),
+        address: profile.peer_address,
+        strong: profile.capacity.has_high_capacity(),
+        grade: state.selects_by_grade().then(|| CapacityGrade::new(profile.capacity)),
+    }
+}
+
+/// Returns whether this host stays in the group as `member`.
+fn membership_need(state: &ControlState, member: GroupMember) -> MembershipNeed {
+    if own_member(state) != member {
+        MembershipNeed::Renamed
+    } else if state.should_leave() {
+        MembershipNeed::Unneeded
+    } else {
+        MembershipNeed::Needed
     }
 }
 
@@ -111,7 +153,11 @@
                 continue;
             }
             backoff.reset();
-            let too_early = shared.clock.now().since(started_at) < policy.delay;
+            let graded =
+                state.borrow().selects_by_grade().then(|| JoinPolicy::graded(&state.borrow()));
+            let since = graded.map_or(started_at, |_| state.borrow().started_at);
+            let policy = graded.unwrap_or(policy);
+            let too_early = shared.clock.now().since(since) < policy.delay;
             let is_needed = !too_early && state.borrow().should_join();
             needed_checks = if is_needed { needed_checks + 1 } else { 0 };
             if needed_checks >= policy.checks {
--- a/crates/gateway/src/store/membership.rs
+++ b/crates/gateway/src/store/membership.rs
@@ -5,6 +5,7 @@
 use reelreel_core::{
     ClockMillis, ClockSource,
     id::{GroupGeneration, StoreEra},
+    placement::graded_group::CapacityGrade,
 };
 
 use crate::{
@@ -36,6 +37,9 @@
 /// Suffix of the address in the name of a member without high capacity.
 const WEAK_SUFFIX: &str = "/weak";
 
+/// Precedes the CPU share and the bandwidth in the name of a member.
+const GRADE_SEPARATOR: char = '/';
+
 /// A member of the group, as encoded in its name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct GroupMember {
@@ -43,12 +47,29 @@
     pub address: SocketAddr,
     /// Whether the host has high capacity.
     pub strong: bool,
+    /// The host's capacity; absent where members are not selected by it.
+    pub grade: Option<CapacityGrade>,
+}
+
+impl GroupMember {
+    /// Returns the member's capacity, or the minimum that it is known to have.
+    pub fn known_grade(&self) -> CapacityGrade {
+        self.grade.unwrap_or(CapacityGrade {
+            sufficient: self.strong,
+            millicores: 0,
+            bandwidth_mbps: 0,
+        })
+    }
 }
 
 impl fmt::Display for GroupMember {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let suffix = if self.strong { "" } else { WEAK_SUFFIX };
-        write!(formatter, "{}{suffix}", self.address)
+        write!(formatter, "{}", self.address)?;
+        if let Some(grade) = self.grade {
+            let (millicores, mbps) = (grade.millicores, grade.bandwidth_mbps);
+            write!(formatter, "{GRADE_SEPARATOR}{millicores}{GRADE_SEPARATOR}{mbps}")?;
+        }
+        formatter.write_str(if self.strong { "" } else { WEAK_SUFFIX })
     }
 }
 
@@ -56,12 +77,25 @@
     type Err = std::net::AddrParseError;
 
     fn from_str(name: &str) -> Result<Self, Self::Err> {
-        let address = name.strip_suffix(WEAK_SUFFIX);
-        let strong = address.is_none();
-        Ok(Self { address: address.unwrap_or(name).parse()?, strong })
+        let rest = name.strip_suffix(WEAK_SUFFIX);
+        let strong = rest.is_none();
+        let mut parts = rest.unwrap_or(name).split(GRADE_SEPARATOR);
+        let address = parts.next().unwrap_or_default().parse()?;
+        let grade = parse_grade(parts, strong);
+        Ok(Self { address, strong, grade })
     }
 }
 
+/// Parses the parts of a member's name that follow the address.
+fn parse_grade<'name>(
+    mut parts: impl Iterator<Item = &'name str>,
+    sufficient: bool,
+) -> Option<CapacityGrade> {
+    let millicores = parts.next()?.parse().ok()?;
+    let bandwidth_mbps = parts.next()?.parse().ok()?;
+    Some(CapacityGrade { sufficient, millicores, bandwidth_mbps })
+}
+
 /// An update of the group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MembershipUpdate {
@@ -115,14 +149,25 @@
     }
 }
 
-/// Stays in the group until `is_unneeded` was true in several consecutive checks; passes every update to `sink`.
+/// Whether a member stays in the group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MembershipNeed {
+    /// The group needs the member.
+    Needed,
+    /// The group does not need the member.
+    Unneeded,
+    /// The host is to be a member by another name.
+    Renamed,
+}
+
+/// Stays in the group until `need` was unneeded in several consecutive checks or is renamed; passes every update to `sink`.
 pub async fn run_membership(
     client: &mut StoreClient,
     member: GroupMember,
     time_to_live: Duration,
     clock: Arc<dyn ClockSource>,
     mut backoff: Backoff,
-    is_unneeded: impl Fn() -> bool,
+    need: impl Fn() -> MembershipNeed,
     sink: impl Fn(MembershipUpdate),
 ) {
     let mut unneeded_checks = 0;
@@ -132,7 +177,11 @@
     let name = member.to_string();
     loop {
         let sent = clock.now();
-        unneeded_checks = if is_unneeded() { unneeded_checks + 1 } else { 0 };
+        unneeded_checks = match need() {
+            MembershipNeed::Needed => 0,
+            MembershipNeed::Unneeded => unneeded_checks + 1,
+            MembershipNeed::Renamed => return,
+        };
         if unneeded_checks >= UNNEEDED_CHECKS {
             return;
         }
