--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -245,12 +245,11 @@
     /// Passes the throughput of the weight store as known so far to this host's new planner.
     pub fn restore_throughput(&mut self) {
         let Some(planner) = &mut self.planner else { return };
-        match self.store_throughput {
-            Some(throughput) => planner.restore_throughput(throughput),
-            None => {
-                planner.assume_throughput();
-                self.assumed_throughput = Some(planner.store_throughput());
-            }
+        if let Some(throughput) = self.store_throughput {
+            planner.restore_throughput(throughput);
+        } else {
+            planner.assume_throughput();
+            self.assumed_throughput = Some(planner.store_throughput());
         }
     }
 
