feat: one early, kept decision for requests whose adapter no engine holds

Cause: a request without an estimate that woke just after 17% of its latency target was neither refused nor decided again, but waited until its client gave up; hosts could not tell an ordered load from a queued one, and were not told when a queued load was ordered. Ruled out: refusing every cold request at once, which gives up loads that are due in time. Change: PlacementPlanner::load_schedule tells loads in progress from queued ones, placers follow awaited loads and send changes, and LoadWait decides by the schedule where the configuration has tight timeouts. Elsewhere the existing rule and messages are unchanged.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -6,6 +6,7 @@
 //! - [`admission`]: adaptive load shedding for plain services
 //! - [`announcement`]: what engines announce in response headers
 //! - [`cold_start`]: whether a request waits for its adapter to load
+//! - [`cold_decision`]: the same where clients have little time to retry
 //! - [`cooldown`]: engines that accept no requests from this host for a while
 //! - [`departures`]: engines that announced that they are leaving
 //! - [`engine_choice`]: the engine that a request is sent to
@@ -26,6 +27,7 @@
 
 pub mod admission;
 pub mod announcement;
+pub mod cold_decision;
 pub mod cold_start;
 pub mod cooldown;
 pub mod departures;
--- a/crates/core/src/fleet/cold_start.rs
+++ b/crates/core/src/fleet/cold_start.rs
@@ -14,22 +14,22 @@
 
 /// Time to the first event after the adapter is loaded, without the prefill: publication of the
 /// plan to the host, transfer to the engine, and one engine step.
-const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(60);
+pub(super) const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(60);
 
 /// How long a client waits for the first event, in maximum event gaps.
 const CLIENT_WAIT_EVENT_GAPS: u32 = 8;
 
 /// Added to an estimate to get a retry time.
-const RETRY_AFTER_MARGIN: Duration = Duration::from_millis(120);
+pub(super) const RETRY_AFTER_MARGIN: Duration = Duration::from_millis(120);
 
 /// Minimum retry time given to a client.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// Retry time without an estimate.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(3);
 
 /// Divides the remaining time of a request to get its maximum retry time.
-const RETRY_AFTER_DIVISOR: u32 = 3;
+pub(super) const RETRY_AFTER_DIVISOR: u32 = 3;
 
 /// How long a client waits for the first event, in latency targets.
 const CLIENT_WAIT_LATENCY_TARGETS: u32 = 4;
@@ -45,7 +45,7 @@
 pub const LATE_WORTH: f64 = 0.2;
 
 /// Minimum time until a waiting request is checked again.
-const MIN_RECHECK_INTERVAL: Duration = Duration::from_millis(10);
+pub(super) const MIN_RECHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// State of a request whose adapter is not available.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,7 +90,7 @@
 impl ColdRequest {
     /// Returns the time since arrival after which a waiting request is refused, shortly before its
     /// client gives up.
-    fn client_wait_limit(&self) -> Duration {
+    pub(super) fn client_wait_limit(&self) -> Duration {
         let event_gaps = self.max_event_gap.unwrap_or_default() * CLIENT_WAIT_EVENT_GAPS;
         let client_wait_limit = (self.latency_target * CLIENT_WAIT_LATENCY_TARGETS)
             .max(MIN_CLIENT_WAIT)
--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -101,6 +101,11 @@
         now < self.backoff_until
     }
 
+    /// Returns the time until the end of the engine's backoff, or zero if it is in none.
+    pub const fn backoff_remaining(&self, now: ClockMillis) -> Duration {
+        self.backoff_until.since(now)
+    }
+
     /// Returns the smoothed failure rate, from zero to one.
     pub const fn failure_rate(&self) -> f64 {
         self.failures.rate
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -1,5 +1,6 @@
 //! One placement domain on this host: its lease, its plan and its subscribers.
 
+mod awaited_loads;
 mod subscribers;
 
 use std::{
@@ -16,13 +17,17 @@
     },
     id::FenceToken,
     placement::{
-        DemandEntry, EngineWeightCache, LeaseRules, PlacementPlanner, PlacerTenure, StoreThroughput,
+        EngineWeightCache, LeaseRules, LoadSchedule, PlacementPlanner, PlacerTenure,
+        StoreThroughput,
     },
 };
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
-pub use crate::control::domain::subscribers::{PlanSubscriber, RemovedSubscriber};
+pub use crate::control::domain::{
+    awaited_loads::AwaitedLoads,
+    subscribers::{PlanSubscriber, RemovedSubscriber},
+};
 use crate::control::host_count::SubscriberCount;
 use crate::control::plan_encoding::{EngineNumbers, change_message, decode_work, engine_message};
 use crate::demand::DemandReport;
@@ -33,7 +38,7 @@
 /// Maximum number of frames queued for a peer; a peer whose queue is full is removed.
 pub const PEER_QUEUE_LENGTH: usize = 64;
 
-/// Maximum number of estimates in one frame.
+/// Maximum number of estimates of newly reported demand in one frame.
 const MAX_ESTIMATES_PER_FRAME: usize = 64;
 
 /// Minimum time between two plan frames, because each one makes the subscribers publish a new
@@ -64,11 +69,6 @@
 /// How long an estimate is kept after its due time.
 const ESTIMATE_TTL: Duration = Duration::from_secs(2);
 
-/// Returns the keys that requests wait for.
-pub fn waiting_keys(entries: &[DemandEntry]) -> impl Iterator<Item = ModelKey> {
-    entries.iter().filter(|entry| entry.waiting > 0).map(|entry| Arc::clone(&entry.key))
-}
-
 /// Adds the adapters that an engine has loaded to its weight cache.
 fn record_loaded_models(
     weight_caches: &mut HashMap<EngineName, EngineWeightCache>,
@@ -110,10 +110,10 @@
     pub plan_token: FenceToken,
     /// Whether this host makes the plan or receives its changes from the placer.
     pub plan_up_to_date: bool,
-    /// When queued adapters are expected to be loaded.
-    pub estimates: HashMap<ModelKey, ClockMillis>,
-    /// Keys that this host waits for and has no estimate of yet.
-    pub awaiting_estimates: Vec<ModelKey>,
+    /// When requested adapters are expected to be loaded.
+    pub estimates: HashMap<ModelKey, LoadSchedule>,
+    /// Keys that requests at this host wait for.
+    pub awaiting_estimates: AwaitedLoads,
     /// Hosts that receive this host's plan.
     pub subscribers: Vec<PlanSubscriber>,
     /// Queue of frames to the placer, while connected.
@@ -161,7 +161,7 @@
             plan_token: 0,
             plan_up_to_date: false,
             estimates: HashMap::new(),
-            awaiting_estimates: Vec::new(),
+            awaiting_estimates: AwaitedLoads::default(),
             subscribers: Vec::new(),
             placer_sender: None,
             subscriber_count: SubscriberCount::default(),
@@ -225,7 +225,7 @@
         if let Some(planner) = &mut self.planner {
             planner.record_demand(host, &report.entries, now);
             planner.record_work(host, &report.work, now);
-            self.awaiting_estimates.extend(waiting_keys(&report.entries));
+            self.awaiting_estimates.record(&report.entries);
             return true;
         }
         let Some(placer) = &self.placer_sender else { return false };
@@ -364,8 +364,7 @@
                 .insert(message.number, EngineName::from(message.engine.as_str()));
         }
         for message in &frame.estimates {
-            let due = now + Duration::from_millis(u64::from(message.expected_in_ms));
-            self.estimates.insert(Arc::from(message.key.as_str()), due);
+            self.estimates.insert(Arc::from(message.key.as_str()), message.schedule(now));
         }
         self.plan_up_to_date = true;
         true
@@ -423,22 +422,29 @@
 
     /// Sends the expected load times to the hosts that wait for them; returns whether those of this
     /// host changed.
-    pub fn send_estimates(&mut self, now: ClockMillis) -> bool {
-        self.estimates.retain(|_, due| now.since(*due) < ESTIMATE_TTL);
+    ///
+    /// If `follows_changes` is set, hosts are also told when an awaited load is ordered or its due
+    /// time changes.
+    pub fn send_estimates(&mut self, follows_changes: bool, now: ClockMillis) -> bool {
+        self.estimates
+            .retain(|_, schedule| schedule.due().is_some_and(|due| now.since(due) < ESTIMATE_TTL));
         let Some(planner) = &self.planner else { return false };
-        let estimate =
-            |key: &ModelKey| Some((Arc::clone(key), planner.estimated_load_delay(key, now)?));
-        let own_delays = self.awaiting_estimates.drain(..).filter_map(|key| estimate(&key));
-        let previous_count = self.estimates.len();
-        let due_times = own_delays.map(|(key, delay)| (key, now + delay)).collect::<Vec<_>>();
-        let has_new = !due_times.is_empty();
-        self.estimates.extend(due_times);
+        let check_due = follows_changes && self.awaiting_estimates.begin_check(now);
+        let active = check_due.then(|| planner.active_loads(now));
+        let own = &mut self.awaiting_estimates;
+        let updates = own.take_updates(planner, follows_changes, active.as_ref(), usize::MAX, now);
+        let has_new = !updates.is_empty();
+        self.estimates.extend(updates);
         let empty_frame = self.empty_frame();
+        let Some(planner) = &self.planner else { return false };
         for subscriber in &mut self.subscribers {
-            let messages = subscriber.awaiting_estimates.drain(..).filter_map(|key| estimate(&key));
-            let messages = messages
-                .take(MAX_ESTIMATES_PER_FRAME)
-                .map(|(key, delay)| LoadEstimateMessage::new(&key, delay));
+            let awaited = &mut subscriber.awaiting_estimates;
+            let limit = MAX_ESTIMATES_PER_FRAME;
+            let updates =
+                awaited.take_updates(planner, follows_changes, active.as_ref(), limit, now);
+            let messages = updates
+                .iter()
+                .filter_map(|(key, schedule)| LoadEstimateMessage::new(key, *schedule, now));
             let estimates: Vec<LoadEstimateMessage> = messages.collect();
             if estimates.is_empty() {
                 continue;
@@ -447,6 +453,6 @@
             // A subscriber whose queue is full is removed by the next broadcast.
             let _ = subscriber.frames.try_send(FrameBody::Plan(frame).encoded());
         }
-        has_new || self.estimates.len() != previous_count
+        has_new
     }
 }
--- a/crates/gateway/src/control/domain/subscribers.rs
+++ b/crates/gateway/src/control/domain/subscribers.rs
@@ -2,11 +2,14 @@
 
 use std::sync::Arc;
 
-use reelreel_core::{ClockMillis, fleet::ModelKey};
+use reelreel_core::ClockMillis;
 use tokio::sync::mpsc;
 
 use crate::{
-    control::{domain::PlacementDomain, host_count::HostReport},
+    control::{
+        domain::{AwaitedLoads, PlacementDomain},
+        host_count::HostReport,
+    },
     peers::frame::EncodedFrame,
 };
 
@@ -16,8 +19,8 @@
     pub host: Arc<str>,
     /// Queue of frames to the host.
     pub frames: mpsc::Sender<EncodedFrame>,
-    /// Keys that it waits for and has no estimate of yet.
-    pub awaiting_estimates: Vec<ModelKey>,
+    /// Keys that its requests wait for.
+    pub awaiting_estimates: AwaitedLoads,
 }
 
 /// A host that no longer receives this host's plan.
--- a/crates/gateway/src/control/placement.rs
+++ b/crates/gateway/src/control/placement.rs
@@ -12,12 +12,7 @@
 };
 
 use crate::{
-    control::{
-        TICK_INTERVAL,
-        domain::{PlanSubscriber, waiting_keys},
-        orders::spawn_actions,
-        state::ControlState,
-    },
+    control::{TICK_INTERVAL, domain::PlanSubscriber, orders::spawn_actions, state::ControlState},
     events::HostEvent,
     peers::frame::{DemandFrame, PlanFrame},
 };
@@ -47,9 +42,8 @@
             domain.receive_throughput(throughput.into());
         }
         self.shared.wake_control.notify_one();
-        let waiting: Vec<ModelKey> = waiting_keys(&entries).collect();
         for existing in domain.subscribers.iter_mut().filter(|existing| existing.host == host) {
-            existing.awaiting_estimates.extend(waiting.iter().cloned());
+            existing.awaiting_estimates.record(&entries);
         }
         if let Some(subscriber) = subscriber {
             self.add_subscriber(&frame.service, subscriber);
@@ -182,6 +176,8 @@
             self.versions.iter().map(|(key, published)| (Arc::clone(key), published.newest()));
         let versions: HashMap<ModelKey, WeightVersion> = versions.collect();
         let domain = self.domains.get_mut(service)?;
+        let follows_changes =
+            self.routes.as_ref().is_some_and(|routes| routes.has_tight_timeouts());
         let token = domain.tenure.acting_token(now);
         let is_new = is_new || domain.planner.is_none();
         let new = || PlacementPlanner::new(hosting.clone(), rate_limiter);
@@ -225,7 +221,7 @@
         domain.send_plan_changes(changed, now);
         let work = domain.send_work(now);
         self.shared.shared_work().update(work);
-        self.table_changed |= domain.send_estimates(now);
+        self.table_changed |= domain.send_estimates(follows_changes, now);
         spawn_actions(state, service, domain.lease_token, actions);
         due
     }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -359,7 +359,7 @@
             engines,
             copies: copies_by_key(&loaded),
             versions: self.versions.clone(),
-            estimates: estimates.map(|(key, due)| (Arc::clone(key), *due)).collect(),
+            estimates: estimates.map(|(key, schedule)| (Arc::clone(key), *schedule)).collect(),
             engines_known: self.engine_records.fully_read,
             hosts: self.hosts(),
         };
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -338,6 +338,9 @@
     pub prompt: u64,
     /// Time spent waiting for an adapter. Unit: milliseconds.
     pub waited: u64,
+    /// The cause of the last decision on its wait for a load, or on its refusal.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<Cow<'static, str>>,
     /// When it was last sent. Unit: milliseconds after its arrival.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub sent: u64,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of a host, in the Prometheus text format.
 
+mod cold;
+
 use std::{collections::BTreeSet, sync::Mutex};
 
 use prometheus_client::{
@@ -17,6 +19,8 @@
     engine_choice::HealthSignal,
 };
 
+pub use crate::metrics::cold::ColdMetrics;
+
 /// Labels of request counters.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -200,6 +204,8 @@
     pub departing_engines: Gauge,
     /// Engines in a cooldown that they requested from this host.
     pub cooling_engines: Gauge,
+    /// Requests whose adapter no engine holds.
+    pub cold: ColdMetrics,
 }
 
 /// Returns the kind under which a declaration is counted, unless it is absent.
@@ -263,6 +269,7 @@
             health_diversions: Family::default(),
             departing_engines: Gauge::default(),
             cooling_engines: Gauge::default(),
+            cold: ColdMetrics::default(),
         };
         metrics.register();
         metrics
@@ -348,6 +355,7 @@
         registry.register("configuration", "Configuration in force", self.revision.clone());
         registry.register("leases", "Placement leases that are held", self.leases.clone());
         registry.register("engines", "Engines that are listed", self.engines.clone());
+        self.cold.register(&mut registry);
         *self.registry.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = registry;
     }
 
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -5,8 +5,11 @@
 use std::{sync::Arc, time::Duration};
 
 use reelreel_core::{
+    ClockMillis,
     fleet::{EngineName, LoadedModel, ModelKey, work::EngineWork},
-    placement::{AbsentEntry, DemandEntry, HostWork, OpenRequestsEntry, StoreThroughput},
+    placement::{
+        AbsentEntry, DemandEntry, HostWork, LoadSchedule, OpenRequestsEntry, StoreThroughput,
+    },
 };
 
 use prost::Message as _;
@@ -272,6 +275,9 @@
     /// Time until the adapter is expected to be loaded. Unit: milliseconds.
     #[prost(uint32, tag = "2")]
     pub expected_in_ms: u32,
+    /// Whether the load is not ordered yet.
+    #[prost(bool, tag = "3")]
+    pub queued: bool,
 }
 
 impl PeerFrame {
@@ -427,11 +433,19 @@
 }
 
 impl LoadEstimateMessage {
-    /// Creates a message from an estimate.
-    pub fn new(key: &ModelKey, time: Duration) -> Self {
-        Self {
+    /// Creates a message from a schedule, unless no load is known.
+    pub fn new(key: &ModelKey, schedule: LoadSchedule, now: ClockMillis) -> Option<Self> {
+        let expected_in = schedule.due()?.since(now);
+        Some(Self {
             key: key.to_string(),
-            expected_in_ms: u32::try_from(time.as_millis()).unwrap_or(u32::MAX),
-        }
+            expected_in_ms: u32::try_from(expected_in.as_millis()).unwrap_or(u32::MAX),
+            queued: matches!(schedule, LoadSchedule::Queued { .. }),
+        })
+    }
+
+    /// Returns the schedule, for a message received at `now`.
+    pub fn schedule(&self, now: ClockMillis) -> LoadSchedule {
+        let due = now + Duration::from_millis(u64::from(self.expected_in_ms));
+        if self.queued { LoadSchedule::Queued { due } } else { LoadSchedule::Loading { due } }
     }
 }
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -10,7 +10,7 @@
 use crate::{
     control::{
         SharedControl,
-        domain::{PEER_QUEUE_LENGTH, PlanSubscriber},
+        domain::{AwaitedLoads, PEER_QUEUE_LENGTH, PlanSubscriber},
     },
     peers::{
         PeerStream,
@@ -137,7 +137,7 @@
     let new_subscriber = new.then(|| PlanSubscriber {
         host: Arc::from(demand.host.as_str()),
         frames: sender.clone(),
-        awaiting_estimates: Vec::new(),
+        awaiting_estimates: AwaitedLoads::default(),
     });
     let accepted = state.borrow_mut().handle_peer_demand(demand, new_subscriber);
     if new && accepted {
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -6,11 +6,11 @@
 };
 
 use reelreel_core::{
-    ClockMillis,
     fleet::{
         EngineEntry, EngineName, LoadedModel, ModelKey, ServiceName, WeightVersion,
         engine_choice::PublishedVersions, routes::RouteTable,
     },
+    placement::LoadSchedule,
 };
 
 /// Everything by which requests are routed.
@@ -24,8 +24,8 @@
     pub copies: HashMap<ModelKey, Vec<(EngineName, WeightVersion)>>,
     /// The versions that the operator published.
     pub versions: HashMap<ModelKey, PublishedVersions>,
-    /// When queued adapters are expected to be loaded, according to their placer.
-    pub estimates: HashMap<ModelKey, ClockMillis>,
+    /// When requested adapters are expected to be loaded, according to their placer.
+    pub estimates: HashMap<ModelKey, LoadSchedule>,
     /// Whether the list of engines has been read.
     pub engines_known: bool,
     /// Estimated number of hosts, at least one.
@@ -38,6 +38,11 @@
         self.routes.is_some() && self.engines_known
     }
 
+    /// Returns whether the configuration leaves refused clients little time to retry.
+    pub fn has_tight_timeouts(&self) -> bool {
+        self.routes.as_ref().is_some_and(|routes| routes.has_tight_timeouts())
+    }
+
     /// Returns the engines of a service that accept new requests.
     pub fn ready_engines(&self, service: &str) -> impl Iterator<Item = &Arc<EngineEntry>> {
         self.engines.get(service).into_iter().flatten().filter(|entry| !entry.leaving)
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -27,6 +27,7 @@
 pub mod request_log;
 pub mod refusal;
 pub mod stream;
+pub mod load_wait;
 pub mod wait;
 
 use std::{
@@ -185,9 +186,17 @@
 
     /// Returns whether an engine recently reported not to have loaded a model or adapter.
     pub fn is_absent(&self, engine: &EngineName, key: &ModelKey) -> bool {
+        !self.absence_remaining(engine, key).is_zero()
+    }
+
+    /// Returns for how long an engine's report that it lacks a model or adapter still holds; zero
+    /// if there is none.
+    pub fn absence_remaining(&self, engine: &EngineName, key: &ModelKey) -> Duration {
         let copy = (Arc::clone(engine), Arc::clone(key));
         let reported_at = self.absent_copies.borrow().get(&copy).copied();
-        reported_at.is_some_and(|reported_at| self.now().since(reported_at) < ABSENCE_TTL)
+        reported_at.map_or(Duration::ZERO, |reported_at| {
+            ABSENCE_TTL.saturating_sub(self.now().since(reported_at))
+        })
     }
 
     /// Returns whether the engines of a service are backend servers without models.
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -12,6 +12,7 @@
     clock::duration_millis,
     fleet::{
         EngineEntry, EngineName, ServiceName, WeightVersion,
+        cold_decision::DecisionCause,
         quarantine::{InterruptedRun, RequestMark},
         routes::{ConfigRevision, RouteEntry},
     },
@@ -142,6 +143,8 @@
     pub may_have_run: bool,
     /// Total time spent waiting for an engine.
     pub waited: Duration,
+    /// The cause of the last decision on a wait for a load, by the load's schedule.
+    pub(super) cold_cause: Option<DecisionCause>,
     /// Engines that are not tried again: unreachable, full, or failed.
     pub(super) excluded_engines: Vec<EngineName>,
     failed_connects: u32,
@@ -233,6 +236,7 @@
             cooling_by: None,
             may_have_run: false,
             waited: Duration::ZERO,
+            cold_cause: None,
             revision,
         }
     }
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -25,6 +25,7 @@
         if let Some(organisation) = &self.organisation {
             shared.metrics.count_organisation(&organisation.name, outcome);
         }
+        self.record_return();
         let late = outcome == "answered" && self.is_late();
         let id_hash = xxh3_64(self.metadata.id.as_bytes());
         if outcome == "answered" && !late && !id_hash.is_multiple_of(LOG_SAMPLE_INTERVAL) {
@@ -46,6 +47,7 @@
             sends: self.sends,
             prompt: self.metadata.prompt.tokens(),
             waited: duration_millis(self.waited),
+            cold: self.cold_cause.map(|cause| cause.name().into()),
             sent: self.last_sent_ms,
             first: self.first_byte_ms,
             pause: duration_millis(self.longest_event_gap),
--- a/crates/gateway/src/traffic/wait.rs
+++ b/crates/gateway/src/traffic/wait.rs
@@ -2,9 +2,12 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use reelreel_core::fleet::{
-    ModelKey, ServiceName,
-    cold_start::{ColdDecision, ColdRequest, CoolingEngine, LATE_WORTH},
+use reelreel_core::{
+    ClockMillis,
+    fleet::{
+        ModelKey, ServiceName,
+        cold_start::{ColdDecision, ColdRequest, CoolingEngine, LATE_WORTH},
+    },
 };
 
 use crate::{
@@ -36,10 +39,10 @@
 }
 
 /// Counts a request as waiting in the demand for its adapter while it exists.
-struct WaitGuard {
-    traffic: Rc<TrafficState>,
-    service: ServiceName,
-    key: ModelKey,
+pub(super) struct WaitGuard {
+    pub(super) traffic: Rc<TrafficState>,
+    pub(super) service: ServiceName,
+    pub(super) key: ModelKey,
     tokens: u64,
     worth: f64,
 }
@@ -59,7 +62,7 @@
     }
 
     /// Updates the worth with which the request is counted.
-    fn update_worth(&mut self, worth: f64) {
+    pub(super) fn update_worth(&mut self, worth: f64) {
         if worth.total_cmp(&self.worth).is_ne() {
             let mut demand = self.traffic.shared.demand();
             demand.adjust_waiting_value(&self.service, &self.key, worth - self.worth);
@@ -71,22 +74,24 @@
     /// `time`, when its client has retried.
     fn keep_counted_for(self, time: Duration) {
         tokio::task::spawn_local(async move {
-            let mut changes = self.traffic.table_changes();
-            let loaded = async {
-                while !has_available_copy(&self.traffic, &self.service, &self.key) {
-                    if changes.changed().await.is_err() {
-                        return;
-                    }
-                }
-            };
             // On a timeout too, dropping the guard ends the count.
-            let _ = tokio::time::timeout(time, loaded).await;
+            let _ = tokio::time::timeout(time, self.wait_loaded()).await;
         });
     }
+
+    /// Waits until an available engine has loaded the adapter, or the host stops.
+    pub(super) async fn wait_loaded(&self) {
+        let mut changes = self.traffic.table_changes();
+        while !has_available_copy(&self.traffic, &self.service, &self.key) {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
 }
 
 /// Returns whether any engine that accepts requests from this host has loaded a model or adapter.
-fn has_available_copy(traffic: &TrafficState, service: &str, key: &str) -> bool {
+pub(super) fn has_available_copy(traffic: &TrafficState, service: &str, key: &str) -> bool {
     let table = traffic.table();
     if !table.copies.contains_key(key) {
         return false;
@@ -119,7 +124,7 @@
         let started_at = self.traffic.now();
         let mut guard = self.metadata.model.clone().map(|key| {
             let tokens = self.metadata.prompt.tokens();
-            let worth = self.cold_request().worth();
+            let worth = self.waiting_worth(started_at);
             WaitGuard::new(self.traffic, &self.service, &key, tokens, worth)
         });
         let mut cooldown_counted = false;
@@ -127,11 +132,10 @@
             if let Some(rejection) = self.request_rejection() {
                 break WaitOutcome::Rejected(rejection);
             }
-            let request = self.cold_request();
             if let Some(guard) = &mut guard {
-                guard.update_worth(request.worth());
+                guard.update_worth(self.waiting_worth(started_at));
             }
-            let wait = match request.decide() {
+            let wait = match self.decide_wait(started_at) {
                 ColdDecision::Wait(time) => time,
                 ColdDecision::Refuse(time) => break WaitOutcome::Refused(time),
             };
@@ -157,14 +161,42 @@
         self.waited += waited;
         self.traffic.shared.metrics.load_wait.observe(waited.as_secs_f64());
         if let WaitOutcome::Refused(time) = outcome
-            && let Some(mut guard) = guard
+            && let Some(guard) = guard
         {
-            guard.update_worth(LATE_WORTH);
-            guard.keep_counted_for(time + self.route.latency_target);
+            self.keep_counted(guard, time);
         }
         outcome
     }
 
+    /// Keeps counting a refused request for its client's return.
+    fn keep_counted(&self, mut guard: WaitGuard, retry_after: Duration) {
+        if self.waits_by_schedule() {
+            self.record_schedule_refusal();
+            guard.keep_for_return(retry_after);
+        } else {
+            guard.update_worth(LATE_WORTH);
+            guard.keep_counted_for(retry_after + self.route.latency_target);
+        }
+    }
+
+    /// Returns the worth of the request if a load of its adapter begins now.
+    fn waiting_worth(&self, started_at: ClockMillis) -> f64 {
+        if self.waits_by_schedule() {
+            self.load_wait(started_at).worth()
+        } else {
+            self.cold_request().worth()
+        }
+    }
+
+    /// Decides whether the request keeps waiting.
+    fn decide_wait(&mut self, started_at: ClockMillis) -> ColdDecision {
+        if self.waits_by_schedule() {
+            self.decide_by_schedule(started_at)
+        } else {
+            self.cold_request().decide()
+        }
+    }
+
     /// Returns whether the request has to wait, and updates what it waits for.
     fn must_keep_waiting(&mut self) -> bool {
         match self.pick() {
@@ -211,11 +243,12 @@
     pub(super) fn load_estimate(&self) -> Option<Duration> {
         let now = self.traffic.now();
         let table = self.traffic.table();
-        let due = self.metadata.model.as_ref().and_then(|key| table.estimates.get(key)).copied();
+        let schedule = self.metadata.model.as_ref().and_then(|key| table.estimates.get(key));
+        let due = schedule.and_then(|schedule| schedule.due());
         due.filter(|due| now.since(*due) < ESTIMATE_GRACE).map(|due| due.since(now))
     }
 
-    fn cold_request(&self) -> ColdRequest {
+    pub(super) fn cold_request(&self) -> ColdRequest {
         let now = self.traffic.now();
         let estimate = self.load_estimate().into_iter().chain(self.permit_estimate()).min();
         ColdRequest {
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -134,6 +134,7 @@
             sends: 1,
             prompt: 1,
             waited: 1,
+            cold: Some("load_due".into()),
             sent: 1,
             first: 1,
             pause: 1,
--- a/crates/gateway/tests/host/placer_start.rs
+++ b/crates/gateway/tests/host/placer_start.rs
@@ -6,7 +6,10 @@
 use reelreel_core::{ClockSource, ManualClock, StorePosition, placement::StoreThroughput};
 use reelreel_gateway::{
     codec::{GroupAssignment, KeyedRecord},
-    control::{domain::PlanSubscriber, state::ControlState},
+    control::{
+        domain::{AwaitedLoads, PlanSubscriber},
+        state::ControlState,
+    },
     events::EventLog,
     host::SharedState,
     peers::frame::DemandFrame,
@@ -64,8 +67,8 @@
         ..DemandFrame::default()
     };
     let (frames, _receiver) = mpsc::channel(64);
-    let subscriber =
-        PlanSubscriber { host: Arc::from("other"), frames, awaiting_estimates: Vec::new() };
+    let awaiting_estimates = AwaitedLoads::default();
+    let subscriber = PlanSubscriber { host: Arc::from("other"), frames, awaiting_estimates };
     assert_eq!(throughput(&state), None, "an assumed throughput is published");
     assert!(state.borrow_mut().handle_peer_demand(&hello, Some(subscriber)));
     clock.advance(Duration::from_millis(50));
