--- a/crates/core/tests/placement/main.rs
+++ b/crates/core/tests/placement/main.rs
@@ -6,4 +6,5 @@
 mod faults;
 mod late_loads;
 mod limited_engines;
+mod load_schedule;
 mod simulation;
