--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod recheck_before_send;
+mod cold_requests;
 mod configuration;
 mod quarantine;
 mod codec;
--- a/crates/gateway/tests/host/site.rs
+++ b/crates/gateway/tests/host/site.rs
@@ -53,6 +53,7 @@
     capacity: HostCapacity,
     revocation: Option<Duration>,
     store: SocketAddr,
+    engines_enforce_fencing: bool,
     pub(crate) clock: Arc<dyn ClockSource>,
 }
 
@@ -64,13 +65,14 @@
             capacity: HostCapacity { cpu_share: 0.25, bandwidth_mbps: 1000.0 },
             revocation: None,
             store,
+            engines_enforce_fencing: true,
             clock: Arc::new(MonotonicClock::new()),
         }
     }
 
     /// Returns the complete profile of a host.
     pub(crate) fn profile(self, name: &str) -> HostProfile {
-        let Self { seeds, capacity, revocation, store, .. } = self;
+        let Self { seeds, capacity, revocation, store, engines_enforce_fencing, .. } = self;
         HostProfile {
             name: Arc::from(name),
             hall: Arc::from("hall"),
@@ -91,7 +93,7 @@
                 max_configuration_delay: Duration::from_secs(2),
                 max_leaving_delay: Duration::from_secs(2),
                 handover_wait: Duration::from_millis(600),
-                engines_enforce_fencing: true,
+                engines_enforce_fencing,
                 max_version_delay: Duration::from_secs(2),
                 retry_policy: RetryPolicy {
                     ratio: 0.2,
@@ -267,6 +269,17 @@
         host
     }
 
+    /// Starts a host that takes engines to accept orders with an old token, and waits until it is
+    /// ready.
+    pub(crate) fn host_without_fencing(&self, name: &str) -> TestHost {
+        let engines_enforce_fencing = false;
+        let profile =
+            TestProfile { engines_enforce_fencing, ..TestProfile::new(self.store.address) };
+        let host = TestHost::start(name, profile);
+        host.wait_ready();
+        host
+    }
+
     /// Starts a host with this clock and waits until it is ready.
     pub(crate) fn host_with_clock(
         &self,
