--- a/crates/core/src/placement/load_schedule.rs
+++ b/crates/core/src/placement/load_schedule.rs
@@ -4,7 +4,6 @@
 
 use crate::{
     clock::ClockMillis,
-    fleet::ModelKey,
     placement::{OrderKind, PlacementPlanner},
 };
 
@@ -46,7 +45,7 @@
 }
 
 /// The loads that are ordered or in progress, by key, with the next due time of each.
-pub type ActiveLoads<'planner> = HashMap<&'planner ModelKey, ClockMillis>;
+pub type ActiveLoads<'planner> = HashMap<&'planner str, ClockMillis>;
 
 /// Returns the earlier one of two due times, but not one that has passed if the other has not: a
 /// load stays pending after it is complete, and its copy may be unusable.
@@ -57,20 +56,24 @@
 impl PlacementPlanner {
     /// Returns when the next load of `key` is expected to complete, and whether it is ordered.
     pub fn load_schedule(&self, key: &str, now: ClockMillis) -> LoadSchedule {
-        let active = self.due_times_of_active_loads(now);
-        let due_times = active.filter(|(active, _)| &***active == key).map(|(_, due)| due);
-        let due = due_times.reduce(|left, right| next_due(left, right, now));
-        if let Some(due) = due {
-            return LoadSchedule::Loading { due };
+        self.load_schedule_among(&self.active_loads(now), key, now)
+    }
+
+    /// Returns the same by the result of [`Self::active_loads`], for many keys.
+    pub fn load_schedule_among(
+        &self,
+        active: &ActiveLoads<'_>,
+        key: &str,
+        now: ClockMillis,
+    ) -> LoadSchedule {
+        if let Some(due) = active.get(key) {
+            return LoadSchedule::Loading { due: *due };
         }
         self.estimated_load_delay(key, now)
             .map_or(LoadSchedule::Unknown, |delay| LoadSchedule::Queued { due: now + delay })
     }
 
     /// Returns the loads that are ordered or in progress.
-    ///
-    /// Many keys are looked up faster here than by [`Self::load_schedule`], which examines every
-    /// load.
     pub fn active_loads(&self, now: ClockMillis) -> ActiveLoads<'_> {
         let mut loads = ActiveLoads::new();
         for (key, due) in self.due_times_of_active_loads(now) {
@@ -83,12 +86,12 @@
     fn due_times_of_active_loads(
         &self,
         now: ClockMillis,
-    ) -> impl Iterator<Item = (&ModelKey, ClockMillis)> {
+    ) -> impl Iterator<Item = (&str, ClockMillis)> {
         let pending = self.engines.values().flat_map(|inventory| &inventory.pending);
-        let pending = pending.map(|load| (&load.key, load.due));
+        let pending = pending.map(|load| (&*load.key, load.due));
         let ordered = self.outstanding_orders.values().filter_map(move |order| match order.kind {
             OrderKind::Load { from_store } => {
-                Some((&order.key, now + self.expected_load_time(&order.key, from_store)))
+                Some((&*order.key, now + self.expected_load_time(&order.key, from_store)))
             }
             OrderKind::Unload => None,
         });
--- a/crates/core/tests/placement/load_schedule.rs
+++ b/crates/core/tests/placement/load_schedule.rs
@@ -35,7 +35,7 @@
     assert!([1, 2, 3].into_iter().all(|number| is_loading(&simulation, number)));
     for number in [1, 2, 3] {
         let active = simulation.planner.active_loads(simulation.time());
-        assert_eq!(active.get(&key(number)).copied(), schedule(&simulation, number).due());
+        assert_eq!(active.get(&*key(number)).copied(), schedule(&simulation, number).due());
     }
     assert_eq!(schedule(&simulation, 4), LoadSchedule::Unknown, "never requested");
 }
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -25,7 +25,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 pub use crate::control::domain::{
-    awaited_loads::AwaitedLoads,
+    awaited_loads::{AwaitedLoads, PlannedLoads},
     subscribers::{PlanSubscriber, RemovedSubscriber},
 };
 use crate::control::host_count::SubscriberCount;
@@ -428,20 +428,24 @@
     pub fn send_estimates(&mut self, follows_changes: bool, now: ClockMillis) -> bool {
         self.estimates
             .retain(|_, schedule| schedule.due().is_some_and(|due| now.since(due) < ESTIMATE_TTL));
+        let empty_frame = self.empty_frame();
         let Some(planner) = &self.planner else { return false };
         let check_due = follows_changes && self.awaiting_estimates.begin_check(now);
-        let active = check_due.then(|| planner.active_loads(now));
-        let own = &mut self.awaiting_estimates;
-        let updates = own.take_updates(planner, follows_changes, active.as_ref(), usize::MAX, now);
+        let reported = self.awaiting_estimates.has_reported()
+            || self.subscribers.iter().any(|host| host.awaiting_estimates.has_reported());
+        if !reported && !check_due {
+            return false;
+        }
+        let loads = follows_changes.then(|| PlannedLoads::collect(planner, now));
+        let take_updates = |awaited: &mut AwaitedLoads, limit| match &loads {
+            Some(loads) => awaited.take_schedules(loads, check_due, limit, now),
+            None => awaited.take_estimates(planner, limit, now),
+        };
+        let updates = take_updates(&mut self.awaiting_estimates, usize::MAX);
         let has_new = !updates.is_empty();
         self.estimates.extend(updates);
-        let empty_frame = self.empty_frame();
-        let Some(planner) = &self.planner else { return false };
         for subscriber in &mut self.subscribers {
-            let awaited = &mut subscriber.awaiting_estimates;
-            let limit = MAX_ESTIMATES_PER_FRAME;
-            let updates =
-                awaited.take_updates(planner, follows_changes, active.as_ref(), limit, now);
+            let updates = take_updates(&mut subscriber.awaiting_estimates, MAX_ESTIMATES_PER_FRAME);
             let messages = updates
                 .iter()
                 .filter_map(|(key, schedule)| LoadEstimateMessage::new(key, *schedule, now));
--- a/crates/gateway/src/control/domain/awaited_loads.rs
+++ b/crates/gateway/src/control/domain/awaited_loads.rs
@@ -63,43 +63,46 @@
         due
     }
 
-    /// Returns the schedules to send, at most `limit` of those that were just reported.
-    ///
-    /// Without `follows_changes`, the others are dropped, and no load is marked as queued.
-    /// With `follows_changes` they are followed; `active` is set if the ones followed so far are
-    /// checked now.
-    pub fn take_updates(
+    /// Returns whether demand was reported since the last update.
+    pub const fn has_reported(&self) -> bool {
+        !self.reported.is_empty()
+    }
+
+    /// Returns the expected load times of the keys for which demand was reported, at most `limit`;
+    /// the others are dropped. No load is marked as queued.
+    pub fn take_estimates(
         &mut self,
         planner: &PlacementPlanner,
-        follows_changes: bool,
-        active: Option<&ActiveLoads<'_>>,
         limit: usize,
         now: ClockMillis,
     ) -> Vec<(ModelKey, LoadSchedule)> {
-        let mut updates = Vec::new();
-        if let Some(active) = active {
-            updates = self.take_changes(planner, active, now);
-        }
+        let estimates = self.reported.drain(..).filter_map(|key| {
+            let due = now + planner.estimated_load_delay(&key, now)?;
+            Some((key, LoadSchedule::Loading { due }))
+        });
+        estimates.take(limit).collect()
+    }
+
+    /// Returns the schedules of keys for which demand was reported, at most `limit` of them, and
+    /// follows these loads. With `check_due`, also returns the schedules that have changed.
+    pub fn take_schedules(
+        &mut self,
+        loads: &PlannedLoads<'_>,
+        check_due: bool,
+        limit: usize,
+        now: ClockMillis,
+    ) -> Vec<(ModelKey, LoadSchedule)> {
+        let mut updates = if check_due { self.take_changes(loads, now) } else { Vec::new() };
         let mut reported = std::mem::take(&mut self.reported);
-        if follows_changes {
-            reported.sort();
-            reported.dedup();
-            self.reported = reported.split_off(limit.min(reported.len()));
-        }
+        reported.sort();
+        reported.dedup();
+        self.reported = reported.split_off(limit.min(reported.len()));
         for key in reported {
-            let schedule = if follows_changes {
-                planner.load_schedule(&key, now)
-            } else {
-                let delay = planner.estimated_load_delay(&key, now);
-                delay.map(|delay| LoadSchedule::Loading { due: now + delay }).unwrap_or_default()
-            };
+            let schedule = loads.schedule(&key, now);
             if schedule != LoadSchedule::Unknown {
                 updates.push((Arc::clone(&key), schedule));
-                if !follows_changes && updates.len() == limit {
-                    break;
-                }
             }
-            if follows_changes && self.followed.len() < MAX_FOLLOWED_LOADS {
+            if self.followed.len() < MAX_FOLLOWED_LOADS {
                 self.followed.insert(key, FollowedLoad { sent: schedule, wanted_at: now });
             }
         }
@@ -112,16 +115,15 @@
     /// the positions of all queued loads change with every order.
     fn take_changes(
         &mut self,
-        planner: &PlacementPlanner,
-        active: &ActiveLoads<'_>,
+        loads: &PlannedLoads<'_>,
         now: ClockMillis,
     ) -> Vec<(ModelKey, LoadSchedule)> {
         let mut changes = Vec::new();
         self.followed.retain(|_, load| now.since(load.wanted_at) < FOLLOW_TIME);
         for (key, load) in &mut self.followed {
-            let schedule = match (active.get(key), load.sent) {
+            let schedule = match (loads.active.get(&**key), load.sent) {
                 (Some(due), _) => LoadSchedule::Loading { due: *due },
-                (None, LoadSchedule::Loading { .. }) => planner.load_schedule(key, now),
+                (None, LoadSchedule::Loading { .. }) => loads.schedule(key, now),
                 (None, sent) => sent,
             };
             if schedule.differs_from(load.sent, DUE_TOLERANCE) {
@@ -134,3 +136,20 @@
         changes
     }
 }
+
+/// A planner with the loads that it has ordered.
+pub struct PlannedLoads<'planner> {
+    planner: &'planner PlacementPlanner,
+    active: ActiveLoads<'planner>,
+}
+
+impl<'planner> PlannedLoads<'planner> {
+    /// Collects the loads of a planner.
+    pub fn collect(planner: &'planner PlacementPlanner, now: ClockMillis) -> Self {
+        Self { planner, active: planner.active_loads(now) }
+    }
+
+    fn schedule(&self, key: &str, now: ClockMillis) -> LoadSchedule {
+        self.planner.load_schedule_among(&self.active, key, now)
+    }
+}
