--- a/crates/core/tests/cold_decision.rs
+++ b/crates/core/tests/cold_decision.rs
@@ -6,12 +6,14 @@
 use reelreel_core::{
     ClockMillis,
     fleet::{
-        cold_decision::{DecisionCause, LoadWait},
+        cold_decision::{DecisionCause, DecisionCause::*, LoadWait},
         cold_start::{ColdDecision, ColdRequest},
     },
     placement::LoadSchedule,
 };
 
+use Load::{Loading, Queued, Unknown};
+
 const NOW: u64 = 100_000;
 
 /// A schedule relative to now; a negative time has passed.
@@ -46,6 +48,17 @@
     decision: ColdDecision,
 }
 
+const fn case(
+    pattern: &'static str,
+    waited: u64,
+    load: Load,
+    cause: DecisionCause,
+    decision: ColdDecision,
+) -> DecisionCase {
+    let (copy_available_in, client_retried) = (None, false);
+    DecisionCase { pattern, waited, load, copy_available_in, client_retried, cause, decision }
+}
+
 const fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -58,152 +71,33 @@
     ColdDecision::Refuse(millis(time))
 }
 
-const NEW: DecisionCase = DecisionCase {
-    pattern: "",
-    waited: 0,
-    load: Load::Unknown,
-    copy_available_in: None,
-    client_retried: false,
-    cause: DecisionCause::ScheduleAwaited,
-    decision: wait(100),
-};
-
+#[rustfmt::skip]
 const CASES: &[DecisionCase] = &[
-    DecisionCase { pattern: "first request for an adapter: the placer is asked", ..NEW },
+    case("first request for an adapter: the placer is asked", 0, Unknown, ScheduleAwaited, wait(100)),
+    // A third of 3,870 ms.
+    case("the placer does not answer", 100, Unknown, NoSchedule, refuse(1290)),
+    case("ordinary load from the weight store", 20, Loading(290), LoadDue, wait(440)),
+    case("last moment at which an answer is in time", 20, Loading(480), LoadDue, wait(630)),
+    case("the weight store is overloaded", 20, Loading(481), DueLate, refuse(600)),
     DecisionCase {
-        pattern: "the placer does not answer",
-        waited: 100,
-        cause: DecisionCause::NoSchedule,
-        // A third of 3,870 ms.
-        decision: refuse(1290),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "ordinary load from the weight store",
-        waited: 20,
-        load: Load::Loading(290),
-        cause: DecisionCause::LoadDue,
-        decision: wait(440),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "last moment at which an answer is in time",
-        waited: 20,
-        load: Load::Loading(480),
-        cause: DecisionCause::LoadDue,
-        decision: wait(630),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "the weight store is overloaded: the load is due too late",
-        waited: 20,
-        load: Load::Loading(481),
-        cause: DecisionCause::DueLate,
-        decision: refuse(600),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "a returned client waits longer for the same load",
-        waited: 20,
-        load: Load::Loading(481),
         client_retried: true,
-        cause: DecisionCause::LoadDue,
-        decision: wait(631),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "more requests than orders: briefly for a queued load",
-        waited: 20,
-        load: Load::Queued(400),
-        cause: DecisionCause::LoadQueued,
-        decision: wait(100),
-        ..NEW
-    },
+        ..case("a returned client waits for the same load", 20, Loading(481), LoadDue, wait(631))
+    },
+    case("more requests than orders: briefly for a queued load", 20, Queued(400), LoadQueued, wait(100)),
+    case("the queue does not advance", 120, Queued(300), NotOrdered, refuse(420)),
+    case("long queue: the client is told when the load is due", 10, Queued(900), NotOrdered, refuse(1020)),
+    case("very long queue: a third of the remaining time", 10, Queued(30_000), NotOrdered, refuse(1320)),
+    case("the due time moves beyond the target after a long wait", 300, Loading(700), Held, wait(850)),
+    case("an engine refuses the order after a long wait", 300, Queued(350), Held, wait(500)),
+    case("the load is due after the client has given up", 300, Loading(3800), DueLate, refuse(1220)),
+    case("a load that was just due still counts", 350, Loading(-149), Held, wait(10)),
+    case("the placer died after its estimate", 350, Loading(-150), Overdue, refuse(1200)),
+    case("an old estimate of an adapter evicted since", 0, Loading(-1500), ScheduleAwaited, wait(100)),
     DecisionCase {
-        pattern: "the queue does not advance",
-        waited: 120,
-        load: Load::Queued(300),
-        cause: DecisionCause::NotOrdered,
-        decision: refuse(420),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "long queue: refused at once, and told when the load is due",
-        waited: 10,
-        load: Load::Queued(900),
-        cause: DecisionCause::NotOrdered,
-        decision: refuse(1020),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "very long queue: a third of the remaining time",
-        waited: 10,
-        load: Load::Queued(30_000),
-        cause: DecisionCause::NotOrdered,
-        decision: refuse(1320),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "the due time moves beyond the target after a long wait",
-        waited: 300,
-        load: Load::Loading(700),
-        cause: DecisionCause::Held,
-        decision: wait(850),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "an engine refuses the order after a long wait",
-        waited: 300,
-        load: Load::Queued(350),
-        cause: DecisionCause::Held,
-        decision: wait(500),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "an answer would come after the client has given up",
-        waited: 300,
-        load: Load::Loading(3800),
-        cause: DecisionCause::DueLate,
-        decision: refuse(1220),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "a load that was just due still counts",
-        waited: 350,
-        load: Load::Loading(-149),
-        cause: DecisionCause::Held,
-        decision: wait(10),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "the placer died after it had sent its estimate",
-        waited: 350,
-        load: Load::Loading(-150),
-        cause: DecisionCause::Overdue,
-        decision: refuse(1200),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "an older estimate of an adapter that was evicted since: the placer is asked",
-        load: Load::Loading(-1500),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "the only copy is at an engine that failed",
-        waited: 5,
         copy_available_in: Some(400),
-        cause: DecisionCause::CopyAvoided,
-        decision: wait(400),
-        ..NEW
-    },
-    DecisionCase {
-        pattern: "the client is about to give up",
-        waited: 3850,
-        load: Load::Loading(10),
-        cause: DecisionCause::ClientLimit,
-        decision: refuse(40),
-        ..NEW
+        ..case("the only copy is at an engine that failed", 5, Unknown, CopyAvoided, wait(400))
     },
+    case("the client is about to give up", 3850, Loading(10), ClientLimit, refuse(40)),
 ];
 
 fn load_wait(waited: u64, schedule: LoadSchedule, client_retried: bool, hash: u64) -> LoadWait {
