fix: count refused requests only for clients that can still be answered

Ruled out: not counting refused requests at all (their clients find their adapter absent again). Change: the count ends when the adapter is loaded, and begins only if the client can be answered after its return. A queued load whose due time has passed is estimated again for its hosts.

--- a/crates/core/src/fleet/cold_decision.rs
+++ b/crates/core/src/fleet/cold_decision.rs
@@ -40,7 +40,7 @@
 
 /// Maximum time over which retries for the same load are spread. The placer may evict an adapter
 /// that has been idle for longer.
-const MAX_SPREAD: Duration = Duration::from_millis(400);
+const MAX_SPREAD: Duration = Duration::from_millis(250);
 
 /// Fraction by which retry times at the upper limit are shortened to spread them.
 const LIMIT_SPREAD_FRACTION: f64 = 0.25;
@@ -187,6 +187,20 @@
         latency_target.mul_f64(HELD_FRACTION)
     }
 
+    /// Returns whether the client could still be answered if it returned after a refusal. Demand of
+    /// others must not be counted: their loads would take the places of loads that are used.
+    pub fn is_return_useful(&self) -> bool {
+        let load = self.fresh_due().map_or(MIN_LOAD_TIME, |due| due.since(self.now));
+        let first_event =
+            load + RETRY_AFTER_MARGIN + self.request.prefill_time + FIRST_EVENT_OVERHEAD;
+        first_event <= self.request.remaining
+    }
+
+    /// Returns when the load is due, unless it is overdue or unknown.
+    fn fresh_due(&self) -> Option<ClockMillis> {
+        self.schedule.due().filter(|due| self.now.since(*due) < OVERDUE_GRACE)
+    }
+
     fn decide_loading(&self, due: ClockMillis) -> LoadDecision {
         if !self.is_useful_at(due) {
             return self.refuse(DecisionCause::DueLate);
@@ -243,8 +257,7 @@
         let limit = remaining / RETRY_AFTER_DIVISOR;
         // The upper 53 bits are those that a float can represent.
         let fraction = (self.request_hash >> 11) as f64 / (1_u64 << 53) as f64;
-        let due = self.schedule.due().filter(|due| self.now.since(*due) < OVERDUE_GRACE);
-        let load = due.map(|due| due.since(self.now));
+        let load = self.fresh_due().map(|due| due.since(self.now));
         let spread_time = load.into_iter().chain(self.copy_available_in).min().map(|until_due| {
             let spread = (until_due / SPREAD_DIVISOR).clamp(MIN_SPREAD, MAX_SPREAD);
             until_due + RETRY_AFTER_MARGIN + spread.mul_f64(fraction)
--- a/crates/core/tests/cold_decision.rs
+++ b/crates/core/tests/cold_decision.rs
@@ -144,6 +144,15 @@
     assert!(worth(500, false) < worth(0, false), "an answer after the target is worth less");
 }
 
+/// Guards against loads for clients that give up before: they take the places of loads in use.
+#[test]
+fn only_a_request_that_can_still_be_answered_stays_counted() {
+    let returns =
+        |waited, load: Load| load_wait(waited, load.schedule(), true, 0).is_return_useful();
+    assert!(returns(0, Queued(3000)) && returns(3000, Unknown) && returns(3500, Loading(50)));
+    assert!(!returns(0, Queued(4000)) && !returns(3700, Unknown) && !returns(3500, Loading(400)));
+}
+
 /// Guards against clients that all return at the same moment and exceed the engine's slots.
 #[test]
 fn retry_times_for_one_load_are_spread() {
--- a/crates/gateway/src/control/domain/awaited_loads.rs
+++ b/crates/gateway/src/control/domain/awaited_loads.rs
@@ -111,8 +111,8 @@
 
     /// Returns the changed schedules of loads that are followed.
     ///
-    /// The due time of a queued load is not updated until the host reports demand for it again:
-    /// the positions of all queued loads change with every order.
+    /// The due time of a queued load is not updated until it has passed or the host reports demand
+    /// for it again: the positions of all queued loads change with every order.
     fn take_changes(
         &mut self,
         loads: &PlannedLoads<'_>,
@@ -124,6 +124,7 @@
             let schedule = match (loads.active.get(&**key), load.sent) {
                 (Some(due), _) => LoadSchedule::Loading { due: *due },
                 (None, LoadSchedule::Loading { .. }) => loads.schedule(key, now),
+                (None, LoadSchedule::Queued { due }) if now >= due => loads.schedule(key, now),
                 (None, sent) => sent,
             };
             if schedule.differs_from(load.sent, DUE_TOLERANCE) {
--- a/crates/gateway/src/traffic/load_wait.rs
+++ b/crates/gateway/src/traffic/load_wait.rs
@@ -23,10 +23,6 @@
 /// delivery, and a late timer of the client.
 const RETURN_MARGIN: Duration = Duration::from_millis(250);
 
-/// Maximum time for which refused requests are counted after their adapter was loaded. Below the
-/// wait after which the placer takes the copy for unreachable and loads another one.
-const MAX_COUNT_AFTER_LOAD: Duration = Duration::from_millis(500);
-
 /// Worth of a refused request whose client is expected back: as much as a new one.
 const RETURNING_WORTH: f64 = 1.0;
 
@@ -94,12 +90,30 @@
         decided.decision
     }
 
-    /// Counts a refusal by the schedule if the request was held for long.
-    pub(super) fn record_schedule_refusal(&self) {
-        let held = self.waited > LoadWait::held_after(self.route.latency_target);
-        if let Some(cause) = self.cold_cause.filter(|_| held) {
+    /// Records a refusal by the schedule, and whether the adapter is loaded when its client should
+    /// return; keeps counting the request for a client that can still be answered.
+    pub(super) fn finish_refusal(
+        &self,
+        guard: WaitGuard,
+        started_at: ClockMillis,
+        retry_after: Duration,
+    ) {
+        if self.waited > LoadWait::held_after(self.route.latency_target)
+            && let Some(cause) = self.cold_cause
+        {
             self.traffic.shared.metrics.cold.count_held_refusal(cause);
         }
+        if !self.load_wait(started_at).is_return_useful() {
+            return;
+        }
+        let traffic = Rc::clone(self.traffic);
+        let (service, key) = (Arc::clone(&self.service), Arc::clone(&guard.key));
+        guard.keep_for_return(retry_after);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(retry_after).await;
+            let kept = has_available_copy(&traffic, &service, &key);
+            traffic.shared.metrics.cold.observe_announced(retry_after, kept);
+        });
     }
 
     /// Counts a request of a client that was refused before by whether its adapter was loaded.
@@ -112,24 +126,9 @@
 }
 
 impl WaitGuard {
-    /// Keeps counting a refused request until its client is expected back, and records whether the
-    /// adapter is loaded at the announced retry time.
+    /// Keeps counting a refused request until its adapter is loaded or its client is expected back.
     pub(super) fn keep_for_return(mut self, retry_after: Duration) {
         self.update_worth(RETURNING_WORTH);
-        let traffic = Rc::clone(&self.traffic);
-        let (service, key) = (Arc::clone(&self.service), Arc::clone(&self.key));
-        tokio::task::spawn_local(async move {
-            let count = async move {
-                self.wait_loaded().await;
-                tokio::time::sleep(MAX_COUNT_AFTER_LOAD).await;
-            };
-            let check = async {
-                tokio::time::sleep(retry_after).await;
-                let kept = has_available_copy(&traffic, &service, &key);
-                traffic.shared.metrics.cold.observe_announced(retry_after, kept);
-            };
-            // On a timeout too, dropping the guard ends the count.
-            let _ = tokio::join!(tokio::time::timeout(retry_after + RETURN_MARGIN, count), check);
-        });
+        self.keep_counted_for(retry_after + RETURN_MARGIN);
     }
 }
--- a/crates/gateway/src/traffic/wait.rs
+++ b/crates/gateway/src/traffic/wait.rs
@@ -40,8 +40,8 @@
 
 /// Counts a request as waiting in the demand for its adapter while it exists.
 pub(super) struct WaitGuard {
-    pub(super) traffic: Rc<TrafficState>,
-    pub(super) service: ServiceName,
+    traffic: Rc<TrafficState>,
+    service: ServiceName,
     pub(super) key: ModelKey,
     tokens: u64,
     worth: f64,
@@ -72,22 +72,20 @@
 
     /// Keeps counting the request until an available engine has loaded its adapter, or for at most
     /// `time`, when its client has retried.
-    fn keep_counted_for(self, time: Duration) {
+    pub(super) fn keep_counted_for(self, time: Duration) {
         tokio::task::spawn_local(async move {
+            let mut changes = self.traffic.table_changes();
+            let loaded = async {
+                while !has_available_copy(&self.traffic, &self.service, &self.key) {
+                    if changes.changed().await.is_err() {
+                        return;
+                    }
+                }
+            };
             // On a timeout too, dropping the guard ends the count.
-            let _ = tokio::time::timeout(time, self.wait_loaded()).await;
+            let _ = tokio::time::timeout(time, loaded).await;
         });
     }
-
-    /// Waits until an available engine has loaded the adapter, or the host stops.
-    pub(super) async fn wait_loaded(&self) {
-        let mut changes = self.traffic.table_changes();
-        while !has_available_copy(&self.traffic, &self.service, &self.key) {
-            if changes.changed().await.is_err() {
-                return;
-            }
-        }
-    }
 }
 
 /// Returns whether any engine that accepts requests from this host has loaded a model or adapter.
@@ -163,16 +161,15 @@
         if let WaitOutcome::Refused(time) = outcome
             && let Some(guard) = guard
         {
-            self.keep_counted(guard, time);
+            self.keep_counted(guard, started_at, time);
         }
         outcome
     }
 
     /// Keeps counting a refused request for its client's return.
-    fn keep_counted(&self, mut guard: WaitGuard, retry_after: Duration) {
+    fn keep_counted(&self, mut guard: WaitGuard, started_at: ClockMillis, retry_after: Duration) {
         if self.waits_by_schedule() {
-            self.record_schedule_refusal();
-            guard.keep_for_return(retry_after);
+            self.finish_refusal(guard, started_at, retry_after);
         } else {
             guard.update_worth(LATE_WORTH);
             guard.keep_counted_for(retry_after + self.route.latency_target);
