--- a/crates/core/src/fleet/cold_decision.rs
+++ b/crates/core/src/fleet/cold_decision.rs
@@ -20,8 +20,9 @@
 /// comes back within this time unless one of the hosts is down or cut off.
 const SCHEDULE_WAIT: Duration = Duration::from_millis(100);
 
-/// Fraction of the latency target for which a request waits until a queued load is ordered. Below
-/// [`HELD_FRACTION`], so that a request that is refused then has not been held for long.
+/// Fraction of the latency target for which a request waits until a queued load is ordered, unless
+/// its order is due. Below [`HELD_FRACTION`], so that a request that is refused then has not been
+/// held for long.
 const QUEUED_WAIT_FRACTION: f64 = 0.2;
 
 /// Fraction of the latency target after which a wait is so long that a refusal is the worst
@@ -218,7 +219,9 @@
         }
         let bound = self.request.latency_target.mul_f64(QUEUED_WAIT_FRACTION);
         let remaining = bound.saturating_sub(self.waited);
-        if remaining.is_zero() {
+        // A load that is due within one load time should be ordered at this moment.
+        let is_next = due.since(self.now) <= MIN_LOAD_TIME;
+        if remaining.is_zero() && !is_next {
             return self.refuse(DecisionCause::NotOrdered);
         }
         wait(remaining, DecisionCause::LoadQueued)
--- a/crates/core/tests/cold_decision.rs
+++ b/crates/core/tests/cold_decision.rs
@@ -85,6 +85,7 @@
     },
     case("more requests than orders: briefly for a queued load", 20, Queued(400), LoadQueued, wait(100)),
     case("the queue does not advance", 120, Queued(300), NotOrdered, refuse(420)),
+    case("the order is expected at this moment", 130, Queued(250), LoadQueued, wait(10)),
     case("long queue: the client is told when the load is due", 10, Queued(900), NotOrdered, refuse(1020)),
     case("very long queue: a third of the remaining time", 10, Queued(30_000), NotOrdered, refuse(1320)),
     case("the due time moves beyond the target after a long wait", 300, Loading(700), Held, wait(850)),
