--- a/crates/core/tests/placement/main.rs
+++ b/crates/core/tests/placement/main.rs
@@ -7,4 +7,5 @@
 mod graded_group;
 mod late_loads;
 mod limited_engines;
+mod load_schedule;
 mod simulation;
