feat(core): limits of plain services learned by all hosts together

Cause: each of 27 to 68 hosts sees a few requests per second of a plain service and learns too late that servers are lost or slow. Change: ServiceLimit steers the open requests of all hosts to what the servers answer within half of the latency target; ServiceShares counts, reports and admits on one host.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -40,6 +40,8 @@
 pub mod reachability;
 pub mod retry_share;
 pub mod routes;
+pub mod service_limit;
+pub mod service_share;
 pub mod stale_listing;
 pub mod work;
 
--- /dev/null
+++ b/crates/core/tests/service_limit/main.rs
@@ -0,0 +1,213 @@
+//! Limits of plain services that all hosts learn together, without a network.
+
+#[path = "../random/mod.rs"]
+mod random;
+mod simulation;
+
+use simulation::{Coordination, SERVER_CAPACITY, Scenario, Tally, simulate};
+
+/// Hosts in the fleets of the design page, and in a small one.
+const FLEETS: [usize; 3] = [6, 27, 68];
+
+const SEEDS: [u64; 3] = [0x5eed_ad31, 0x5eed_0002, 0x5eed_0003];
+
+/// From the design page: arrivals at full servers are under 1 in 20.
+const MAX_FULL_FRACTION: f64 = 0.05;
+
+/// From the design page: the minimum part of the peak that is answered in time beyond capacity.
+const MIN_PART_OF_PEAK: f64 = 0.9;
+
+/// Load on a service, with times in seconds.
+struct LoadCase {
+    name: &'static str,
+    servers: usize,
+    requests_per_second: f64,
+    one_server: (f64, f64),
+    no_coordinator: (f64, f64),
+    counted: (f64, f64),
+    slow_periods: bool,
+    /// Minimum part of the requests that are answered in time.
+    min_in_time: f64,
+    /// Maximum refusals for each request.
+    max_refused: f64,
+    max_full: f64,
+}
+
+const NEVER: (f64, f64) = (0.0, 0.0);
+
+const CASES: &[LoadCase] = &[
+    LoadCase {
+        name: "enough servers",
+        servers: 3,
+        requests_per_second: 400.0,
+        one_server: NEVER,
+        no_coordinator: NEVER,
+        counted: (5.0, 35.0),
+        slow_periods: false,
+        min_in_time: 0.999,
+        max_refused: 0.0,
+        max_full: 0.0,
+    },
+    LoadCase {
+        name: "enough servers with slow periods",
+        servers: 3,
+        requests_per_second: 273.0,
+        one_server: NEVER,
+        no_coordinator: NEVER,
+        counted: (5.0, 35.0),
+        slow_periods: true,
+        min_in_time: 0.99,
+        max_refused: 0.01,
+        max_full: 0.0,
+    },
+    LoadCase {
+        name: "two of three servers lost, 273 requests per second",
+        servers: 3,
+        requests_per_second: 273.0,
+        one_server: (10.0, 20.0),
+        no_coordinator: NEVER,
+        counted: (10.0, 20.0),
+        slow_periods: true,
+        min_in_time: 0.75,
+        max_refused: 0.6,
+        max_full: MAX_FULL_FRACTION,
+    },
+    LoadCase {
+        name: "two of three servers lost, 403 requests per second",
+        servers: 3,
+        requests_per_second: 403.0,
+        one_server: (10.0, 20.0),
+        no_coordinator: NEVER,
+        counted: (10.0, 20.0),
+        slow_periods: true,
+        min_in_time: 0.6,
+        max_refused: 1.0,
+        max_full: MAX_FULL_FRACTION,
+    },
+    LoadCase {
+        name: "half a second after two lost servers are back",
+        servers: 3,
+        requests_per_second: 403.0,
+        one_server: (10.0, 20.0),
+        no_coordinator: NEVER,
+        counted: (20.5, 30.0),
+        slow_periods: false,
+        min_in_time: 0.99,
+        max_refused: 0.01,
+        max_full: 0.0,
+    },
+    LoadCase {
+        name: "no coordinator while two servers are lost",
+        servers: 3,
+        requests_per_second: 403.0,
+        one_server: (10.0, 25.0),
+        no_coordinator: (12.0, 20.0),
+        counted: (13.0, 20.0),
+        slow_periods: true,
+        min_in_time: 0.5,
+        max_refused: 1.5,
+        max_full: 0.15,
+    },
+    LoadCase {
+        name: "a new coordinator while two servers are lost",
+        servers: 3,
+        requests_per_second: 403.0,
+        one_server: (10.0, 30.0),
+        no_coordinator: (12.0, 20.0),
+        counted: (20.0, 30.0),
+        slow_periods: true,
+        min_in_time: 0.6,
+        max_refused: 1.0,
+        max_full: MAX_FULL_FRACTION,
+    },
+    LoadCase {
+        name: "no coordinator and enough servers",
+        servers: 3,
+        requests_per_second: 403.0,
+        one_server: NEVER,
+        no_coordinator: (12.0, 30.0),
+        counted: (12.0, 30.0),
+        slow_periods: false,
+        min_in_time: 0.999,
+        max_refused: 0.0,
+        max_full: 0.0,
+    },
+];
+
+fn scenario(case: &LoadCase, hosts: usize, seed: u64) -> Scenario {
+    Scenario {
+        hosts,
+        requests_per_second: case.requests_per_second,
+        servers: case.servers,
+        one_server: case.one_server.0..case.one_server.1,
+        no_coordinator: case.no_coordinator.0..case.no_coordinator.1,
+        slow_periods: case.slow_periods,
+        coordination: Coordination::Fleet,
+        counted: case.counted.0..case.counted.1,
+        seed,
+    }
+}
+
+fn part(count: u64, of: u64) -> f64 {
+    count as f64 / of.max(1) as f64
+}
+
+fn print_row(name: &str, hosts: usize, tally: &Tally) {
+    println!(
+        "| {name} | {hosts} | {:.3} | {:.3} | {:.3} | {:.2} | {:.3} |",
+        part(tally.in_time, tally.requests),
+        part(tally.at_once, tally.requests),
+        part(tally.late, tally.requests),
+        part(tally.refused, tally.requests),
+        part(tally.full, tally.sends),
+    );
+}
+
+/// Guards against limits that lag behind the servers, and against refusals without need.
+#[test]
+fn a_fleet_admits_what_the_ready_servers_answer_in_time() {
+    println!("| load | hosts | in time | at once | late | refused | at full servers |");
+    for case in CASES {
+        for (hosts, seed) in FLEETS.into_iter().flat_map(|hosts| SEEDS.map(|seed| (hosts, seed))) {
+            let tally = simulate(&scenario(case, hosts, seed));
+            print_row(case.name, hosts, &tally);
+            let context = format!("{}, {hosts} hosts, seed {seed:x}: {tally:?}", case.name);
+            assert!(part(tally.in_time, tally.requests) >= case.min_in_time, "{context}");
+            assert!(part(tally.refused, tally.requests) <= case.max_refused, "{context}");
+            assert!(part(tally.full, tally.sends) <= case.max_full, "{context}");
+        }
+    }
+}
+
+/// Guards against a service that answers less in time the more requests arrive.
+#[test]
+fn overload_lowers_the_requests_served_in_time_by_at_most_a_tenth() {
+    for coordination in [Coordination::Alone, Coordination::Fleet] {
+        for (hosts, seed) in FLEETS.into_iter().flat_map(|hosts| SEEDS.map(|seed| (hosts, seed))) {
+            let tallies = [0.7, 1.0, 1.5, 2.0, 3.0].map(|multiple| {
+                let load = LoadCase {
+                    servers: 1,
+                    requests_per_second: SERVER_CAPACITY * multiple,
+                    one_server: NEVER,
+                    counted: (5.0, 35.0),
+                    ..CASES[3]
+                };
+                let scenario = Scenario { coordination, ..scenario(&load, hosts, seed) };
+                let tally = simulate(&scenario);
+                print_row(&format!("{coordination:?}, {multiple} of the capacity"), hosts, &tally);
+                tally
+            });
+            if coordination == Coordination::Alone {
+                continue;
+            }
+            let peak = tallies.iter().map(|tally| tally.in_time).max().expect("tallies");
+            for tally in &tallies {
+                assert!(part(tally.full, tally.sends) <= MAX_FULL_FRACTION, "{hosts}: {tally:?}");
+            }
+            for tally in &tallies[3..] {
+                let of_peak = part(tally.in_time, peak);
+                assert!(of_peak >= MIN_PART_OF_PEAK, "{hosts} hosts, {of_peak:.2}: {tallies:?}");
+            }
+        }
+    }
+}
