--- a/crates/core/src/fleet/service_limit.rs
+++ b/crates/core/src/fleet/service_limit.rs
@@ -40,8 +40,9 @@
 /// Weight of the last interval in the smoothed rate of arrivals.
 const ARRIVALS_WEIGHT: f64 = 0.3;
 
-/// Minimum goal for open requests, in slots of the ready servers: up to one, none of them waits.
-const MIN_OPEN_PER_SLOT: f64 = 1.5;
+/// Minimum goal for open requests, in slots of the ready servers. Below that, requests were refused in slow
+/// periods of one server although the others had room.
+const MIN_OPEN_PER_SLOT: f64 = 2.5;
 
 /// Minimum goal for open requests at each server whose slots are not listed.
 const MIN_OPEN_PER_SERVER: f64 = 2.0;
--- a/crates/core/tests/service_limit/main.rs
+++ b/crates/core/tests/service_limit/main.rs
@@ -24,6 +24,8 @@
     requests_per_second: f64,
     one_server: (f64, f64),
     no_coordinator: (f64, f64),
+    /// Part of the hosts that are then cut off from it.
+    cut_part: f64,
     counted: (f64, f64),
     slow_periods: bool,
     /// Minimum part of the requests that are answered in time.
@@ -42,6 +44,7 @@
         requests_per_second: 400.0,
         one_server: NEVER,
         no_coordinator: NEVER,
+        cut_part: 1.0,
         counted: (5.0, 35.0),
         slow_periods: false,
         min_in_time: 0.999,
@@ -51,13 +54,14 @@
     LoadCase {
         name: "enough servers with slow periods",
         servers: 3,
-        requests_per_second: 273.0,
+        requests_per_second: 403.0,
         one_server: NEVER,
         no_coordinator: NEVER,
+        cut_part: 1.0,
         counted: (5.0, 35.0),
         slow_periods: true,
         min_in_time: 0.99,
-        max_refused: 0.01,
+        max_refused: 0.001,
         max_full: 0.0,
     },
     LoadCase {
@@ -66,6 +70,7 @@
         requests_per_second: 273.0,
         one_server: (10.0, 20.0),
         no_coordinator: NEVER,
+        cut_part: 1.0,
         counted: (10.0, 20.0),
         slow_periods: true,
         min_in_time: 0.75,
@@ -78,6 +83,7 @@
         requests_per_second: 403.0,
         one_server: (10.0, 20.0),
         no_coordinator: NEVER,
+        cut_part: 1.0,
         counted: (10.0, 20.0),
         slow_periods: true,
         min_in_time: 0.6,
@@ -90,6 +96,7 @@
         requests_per_second: 403.0,
         one_server: (10.0, 20.0),
         no_coordinator: NEVER,
+        cut_part: 1.0,
         counted: (20.5, 30.0),
         slow_periods: false,
         min_in_time: 0.99,
@@ -102,11 +109,25 @@
         requests_per_second: 403.0,
         one_server: (10.0, 25.0),
         no_coordinator: (12.0, 20.0),
+        cut_part: 1.0,
         counted: (13.0, 20.0),
         slow_periods: true,
         min_in_time: 0.5,
         max_refused: 1.5,
-        max_full: 0.15,
+        max_full: 0.1,
+    },
+    LoadCase {
+        name: "a third of the hosts cut off while two servers are lost",
+        servers: 3,
+        requests_per_second: 403.0,
+        one_server: (10.0, 25.0),
+        no_coordinator: (8.0, 25.0),
+        cut_part: 0.34,
+        counted: (10.0, 25.0),
+        slow_periods: true,
+        min_in_time: 0.6,
+        max_refused: 1.0,
+        max_full: MAX_FULL_FRACTION,
     },
     LoadCase {
         name: "a new coordinator while two servers are lost",
@@ -114,6 +135,7 @@
         requests_per_second: 403.0,
         one_server: (10.0, 30.0),
         no_coordinator: (12.0, 20.0),
+        cut_part: 1.0,
         counted: (20.0, 30.0),
         slow_periods: true,
         min_in_time: 0.6,
@@ -126,6 +148,7 @@
         requests_per_second: 403.0,
         one_server: NEVER,
         no_coordinator: (12.0, 30.0),
+        cut_part: 1.0,
         counted: (12.0, 30.0),
         slow_periods: false,
         min_in_time: 0.999,
@@ -134,6 +157,11 @@
     },
 ];
 
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "few hosts")]
+const fn hosts_of(hosts: usize, part: f64) -> usize {
+    (hosts as f64 * part) as usize
+}
+
 fn scenario(case: &LoadCase, hosts: usize, seed: u64) -> Scenario {
     Scenario {
         hosts,
@@ -141,6 +169,7 @@
         servers: case.servers,
         one_server: case.one_server.0..case.one_server.1,
         no_coordinator: case.no_coordinator.0..case.no_coordinator.1,
+        cut_hosts: hosts_of(hosts, case.cut_part),
         slow_periods: case.slow_periods,
         coordination: Coordination::Fleet,
         counted: case.counted.0..case.counted.1,
--- a/crates/core/tests/service_limit/simulation.rs
+++ b/crates/core/tests/service_limit/simulation.rs
@@ -63,8 +63,10 @@
     pub(crate) servers: usize,
     /// When only the first server is left. Unit: seconds.
     pub(crate) one_server: Range<f64>,
-    /// When no host hears from the coordinator. Unit: seconds.
+    /// When hosts are cut off from the coordinator. Unit: seconds.
     pub(crate) no_coordinator: Range<f64>,
+    /// The hosts that are cut off; if they are all, the coordinator is lost.
+    pub(crate) cut_hosts: usize,
     pub(crate) slow_periods: bool,
     pub(crate) coordination: Coordination,
     /// When the requests that are counted first arrive. Unit: seconds.
@@ -288,9 +290,13 @@
         u64::from((micros(counted.start)..micros(counted.end)).contains(&request.first_arrival))
     }
 
-    fn coordinator_reachable(&self, now: u64) -> bool {
+    fn is_cut_off(&self, host: usize, now: u64) -> bool {
         let lost = &self.scenario.no_coordinator;
-        !(micros(lost.start)..micros(lost.end)).contains(&now)
+        host < self.scenario.cut_hosts && (micros(lost.start)..micros(lost.end)).contains(&now)
+    }
+
+    fn is_coordinator_lost(&self, now: u64) -> bool {
+        self.is_cut_off(self.scenario.hosts - 1, now)
     }
 
     fn handle(&mut self, now: u64, event: Event) {
@@ -420,7 +426,6 @@
     }
 
     fn signal(&mut self, now: u64, host: usize, signal: AdmissionSignal) {
-        self.controllers[host].record(signal, LATENCY_TARGET, at(now));
         let service = Arc::clone(&self.service);
         self.shares[host].record_signal(&service, signal, LATENCY_TARGET, at(now));
     }
@@ -428,7 +433,9 @@
     fn answer(&mut self, now: u64, request: Request, server: usize) {
         let delay = Duration::from_micros(now - request.sent);
         self.health[request.host][server].record(EngineOutcome::Answered(delay), at(now));
-        self.signal(now, request.host, AdmissionSignal::Answered(delay));
+        let answered = AdmissionSignal::Answered(delay);
+        self.controllers[request.host].record(answered, LATENCY_TARGET, at(now));
+        self.signal(now, request.host, answered);
         self.shares[request.host].record_end("plain");
         let target = u64::try_from(LATENCY_TARGET.as_micros()).expect("a target");
         let counted = self.counts(&request);
@@ -438,14 +445,21 @@
         self.tally.at_once += counted * u64::from(now - request.first_arrival <= target);
     }
 
-    /// Another server is tried once, or the same one after a delay if there is no limit, as hosts do.
+    /// Another server is tried once, or the same one after a delay if nothing is short, as hosts do.
     fn handle_full(&mut self, now: u64, request: Request, server: usize, repeated: bool) {
         self.own_open[request.host][server] -= 1;
-        self.signal(now, request.host, AdmissionSignal::ServerFull);
+        let full = AdmissionSignal::ServerFull;
+        self.signal(now, request.host, full);
         self.health[request.host][server].record(EngineOutcome::Refused, at(now));
+        let own_fraction = self.controllers[request.host].admitted_fraction(at(now));
         let limited = self.scenario.coordination == Coordination::Fleet
-            && self.shares[request.host].is_limited("plain", at(now));
-        if !repeated && (self.up > 1 || !limited) {
+            && (own_fraction < 1.0 || self.shares[request.host].is_limited("plain", at(now)));
+        let retries = !repeated && (self.up > 1 || !limited);
+        let alone = self.scenario.coordination == Coordination::Alone;
+        if !retries || (!alone && self.up == 1) {
+            self.controllers[request.host].record(full, LATENCY_TARGET, at(now));
+        }
+        if retries {
             let (other, delay) = if self.up > 1 {
                 (self.choose_server(now, request.host, Some(server)), 0)
             } else {
@@ -456,8 +470,7 @@
             return;
         }
         self.shares[request.host].record_end("plain");
-        let controller = &self.controllers[request.host];
-        let fraction = controller.admitted_fraction(at(now));
+        let fraction = self.controllers[request.host].admitted_fraction(at(now));
         self.refuse(now, request, fraction);
     }
 
@@ -472,7 +485,7 @@
     }
 
     fn receive(&mut self, now: u64, host: usize, report: usize) {
-        if !self.coordinator_reachable(now) {
+        if self.is_cut_off(host, now) {
             return;
         }
         let report = &self.reports[report];
@@ -488,7 +501,7 @@
     fn tick_coordinator(&mut self, now: u64) {
         let hosts = u32::try_from(self.scenario.hosts).expect("hosts");
         self.push(now + 10_000, Event::CoordinatorTick);
-        if !self.coordinator_reachable(now) {
+        if self.is_coordinator_lost(now) {
             self.limit = None;
             self.sums = LoadSums::default();
             return;
@@ -523,8 +536,11 @@
             arrivals: f64::from_bits(arrivals),
             measured,
         });
-        for share in &mut self.shares {
-            share.apply_limit(&self.service, limit, at(now));
+        for host in 0..self.shares.len() {
+            if self.is_cut_off(host, now) {
+                continue;
+            }
+            self.shares[host].apply_limit(&self.service, limit, at(now));
         }
     }
 
--- a/crates/gateway/src/traffic/admission.rs
+++ b/crates/gateway/src/traffic/admission.rs
@@ -151,9 +151,9 @@
     /// Handles the refusal of a full backend server; returns `None` if another send may follow.
     ///
     /// Another server is tried at once. If there is none, the same server is tried once more after
-    /// a delay; further tries would only use up the retry budget. While a limit is published, the same
-    /// server is not tried again: it is still full more often than not, and the delay would use up half
-    /// of a short latency target.
+    /// a delay; further tries would only use up the retry budget. Where all hosts share the limit and
+    /// the service is short of capacity, the same server is not tried again: it is often still full,
+    /// and the delay uses up much of a short latency target.
     pub(super) async fn handle_full_server(
         &mut self,
         entry: &EngineEntry,
@@ -164,16 +164,21 @@
         if other_available && self.try_spend_resend() {
             return None;
         }
-        let (shared, now) = (&self.traffic.shared, self.traffic.now());
         let shares_limit = self.traffic.shares_limit(&self.service);
-        let limited = shares_limit && shared.service_shares().is_limited(&self.service, now);
-        let available = shared.availability().without_limit(entry) == EngineAvailability::Available;
+        let limited = shares_limit && self.is_limited();
+        if shares_limit {
+            self.record_admission(AdmissionSignal::ServerFull);
+        }
+        let available = self.traffic.shared.availability().without_limit(entry)
+            == EngineAvailability::Available;
         if !limited && self.sends == 1 && available && self.try_spend_resend() {
             self.excluded_engines.pop();
             tokio::time::sleep(RETRY_DELAY).await;
             return None;
         }
-        self.record_admission(AdmissionSignal::ServerFull);
+        if !shares_limit {
+            self.record_admission(AdmissionSignal::ServerFull);
+        }
         self.excluded_engines.pop();
         if shares_limit && available && !self.may_have_run {
             return Some(self.refuse_after_full_server().await);
@@ -181,6 +186,12 @@
         Some(self.give_up("not_run").await)
     }
 
+    /// Returns whether the service is short of capacity, by the shared limit or this host's answers.
+    fn is_limited(&self) -> bool {
+        let (shares, now) = (self.traffic.shared.service_shares(), self.traffic.now());
+        shares.is_limited(&self.service, now) || self.own_admitted_fraction() < 1.0
+    }
+
     /// Refuses a request that full servers have refused, with a retry time within its remaining time.
     async fn refuse_after_full_server(&mut self) -> (ConnectionAction, &'static str) {
         let time = self.spread_retry_after(self.own_admitted_fraction());
