fix(core): one refusing server takes no capacity from the others

Cause: full answers of one server lowered the open requests of all; with one of three servers refusing everything and the others enough, 34 of 12,213 requests were refused.

--- a/crates/core/src/fleet/service_limit.rs
+++ b/crates/core/src/fleet/service_limit.rs
@@ -54,6 +54,13 @@
 /// requests is lowered; below that, uneven arrivals at the servers explain them.
 const TOLERATED_FULL_FRACTION: f64 = 0.02;
 
+/// Fraction of the admitted requests refused by full servers beyond which they use few of their slots.
+const MOSTLY_FULL_FRACTION: f64 = 0.5;
+
+/// Minimum of the maximum number of open requests, in slots, while servers use most of their slots: one
+/// server that refuses requests for another reason takes no capacity from the others.
+const MIN_MAX_OPEN_PER_SLOT: f64 = 2.0;
+
 /// Factor applied to the maximum number of open requests when servers were full.
 const FULL_DECREASE_FACTOR: f64 = 0.85;
 
@@ -251,14 +258,18 @@
     }
 
     fn learn_max_open(&mut self, load: &IntervalLoad) {
-        let tolerated = f64::from(load.sums.admitted) * TOLERATED_FULL_FRACTION;
-        self.max_open_per_server = if f64::from(load.sums.full) > tolerated {
-            let open = f64::from(load.open) / f64::from(self.ready_servers.max(1));
-            let max_open = self.max_open_per_server.min(open) * FULL_DECREASE_FACTOR;
-            max_open.max(MIN_OPEN_PER_SERVER)
-        } else {
-            self.max_open_per_server * FULL_RECOVERY_FACTOR
-        };
+        let (full, admitted) = (f64::from(load.sums.full), f64::from(load.sums.admitted));
+        if full <= admitted * TOLERATED_FULL_FRACTION {
+            self.max_open_per_server *= FULL_RECOVERY_FACTOR;
+            return;
+        }
+        let servers = f64::from(self.ready_servers.max(1));
+        let mostly_full = full > admitted * MOSTLY_FULL_FRACTION;
+        let slots =
+            if mostly_full { 0.0 } else { f64::from(load.slots) * MIN_MAX_OPEN_PER_SLOT / servers };
+        let open = f64::from(load.open) / servers;
+        let max_open = self.max_open_per_server.min(open) * FULL_DECREASE_FACTOR;
+        self.max_open_per_server = max_open.max(slots).max(MIN_OPEN_PER_SERVER);
     }
 }
 
--- a/crates/core/tests/service_limit/main.rs
+++ b/crates/core/tests/service_limit/main.rs
@@ -28,6 +28,7 @@
     cut_part: f64,
     counted: (f64, f64),
     slow_periods: bool,
+    refusing_server: bool,
     /// Minimum part of the requests that are answered in time.
     min_in_time: f64,
     /// Maximum refusals for each request.
@@ -47,6 +48,7 @@
         cut_part: 1.0,
         counted: (5.0, 35.0),
         slow_periods: false,
+        refusing_server: false,
         min_in_time: 0.999,
         max_refused: 0.0,
         max_full: 0.0,
@@ -60,10 +62,25 @@
         cut_part: 1.0,
         counted: (5.0, 35.0),
         slow_periods: true,
+        refusing_server: false,
         min_in_time: 0.99,
         max_refused: 0.001,
         max_full: 0.0,
     },
+    LoadCase {
+        name: "one of three servers refuses all requests, the others are enough",
+        servers: 3,
+        requests_per_second: 403.0,
+        one_server: NEVER,
+        no_coordinator: NEVER,
+        cut_part: 1.0,
+        counted: (5.0, 35.0),
+        slow_periods: false,
+        refusing_server: true,
+        min_in_time: 0.999,
+        max_refused: 0.001,
+        max_full: 0.5,
+    },
     LoadCase {
         name: "two of three servers lost, 273 requests per second",
         servers: 3,
@@ -73,6 +90,7 @@
         cut_part: 1.0,
         counted: (10.0, 20.0),
         slow_periods: true,
+        refusing_server: false,
         min_in_time: 0.75,
         max_refused: 0.6,
         max_full: MAX_FULL_FRACTION,
@@ -86,6 +104,7 @@
         cut_part: 1.0,
         counted: (10.0, 20.0),
         slow_periods: true,
+        refusing_server: false,
         min_in_time: 0.6,
         max_refused: 1.0,
         max_full: MAX_FULL_FRACTION,
@@ -99,6 +118,7 @@
         cut_part: 1.0,
         counted: (20.5, 30.0),
         slow_periods: false,
+        refusing_server: false,
         min_in_time: 0.99,
         max_refused: 0.01,
         max_full: 0.0,
@@ -112,6 +132,7 @@
         cut_part: 1.0,
         counted: (13.0, 20.0),
         slow_periods: true,
+        refusing_server: false,
         min_in_time: 0.5,
         max_refused: 1.5,
         max_full: 0.1,
@@ -125,6 +146,7 @@
         cut_part: 0.34,
         counted: (10.0, 25.0),
         slow_periods: true,
+        refusing_server: false,
         min_in_time: 0.6,
         max_refused: 1.0,
         max_full: MAX_FULL_FRACTION,
@@ -138,6 +160,7 @@
         cut_part: 1.0,
         counted: (20.0, 30.0),
         slow_periods: true,
+        refusing_server: false,
         min_in_time: 0.6,
         max_refused: 1.0,
         max_full: MAX_FULL_FRACTION,
@@ -151,6 +174,7 @@
         cut_part: 1.0,
         counted: (12.0, 30.0),
         slow_periods: false,
+        refusing_server: false,
         min_in_time: 0.999,
         max_refused: 0.0,
         max_full: 0.0,
@@ -171,6 +195,7 @@
         no_coordinator: case.no_coordinator.0..case.no_coordinator.1,
         cut_hosts: hosts_of(hosts, case.cut_part),
         slow_periods: case.slow_periods,
+        refusing_server: case.refusing_server,
         coordination: Coordination::Fleet,
         counted: case.counted.0..case.counted.1,
         seed,
@@ -204,7 +229,8 @@
             assert!(part(tally.in_time, tally.requests) >= case.min_in_time, "{context}");
             assert!(part(tally.refused, tally.requests) <= case.max_refused, "{context}");
             assert!(part(tally.full, tally.sends) <= case.max_full, "{context}");
-            assert!(case.slow_periods || !tally.limited, "a limit without need: {context}");
+            let shortage = case.slow_periods || case.refusing_server;
+            assert!(shortage || !tally.limited, "a limit without need: {context}");
         }
     }
 }
--- a/crates/core/tests/service_limit/simulation.rs
+++ b/crates/core/tests/service_limit/simulation.rs
@@ -68,6 +68,8 @@
     /// The hosts that are cut off; if they are all, the coordinator is lost.
     pub(crate) cut_hosts: usize,
     pub(crate) slow_periods: bool,
+    /// Whether the last server refuses all requests.
+    pub(crate) refusing_server: bool,
     pub(crate) coordination: Coordination,
     /// When the requests that are counted first arrive. Unit: seconds.
     pub(crate) counted: Range<f64>,
@@ -393,10 +395,11 @@
         }
         self.tally.sends += self.counts(&request);
         let target = &mut self.servers[server];
-        if target.running < SLOTS {
+        let refuses = self.scenario.refusing_server && server + 1 == self.scenario.servers;
+        if target.running < SLOTS && !refuses {
             target.running += 1;
             self.start_service(now, request, server);
-        } else if target.queue.len() < QUEUE_CAPACITY {
+        } else if target.queue.len() < QUEUE_CAPACITY && !refuses {
             target.queue.push_back(request);
         } else {
             self.tally.full += self.counts(&request);
