--- a/crates/core/tests/service_limit/main.rs
+++ b/crates/core/tests/service_limit/main.rs
@@ -20,7 +20,6 @@
 /// Load on a service, with times in seconds.
 struct LoadCase {
     name: &'static str,
-    servers: usize,
     requests_per_second: f64,
     one_server: (f64, f64),
     no_coordinator: (f64, f64),
@@ -38,146 +37,95 @@
 
 const NEVER: (f64, f64) = (0.0, 0.0);
 
+/// Enough servers, to change for each case.
+const ENOUGH: LoadCase = LoadCase {
+    name: "enough servers",
+    requests_per_second: 403.0,
+    one_server: NEVER,
+    no_coordinator: NEVER,
+    cut_part: 1.0,
+    counted: (5.0, 35.0),
+    slow_periods: false,
+    refusing_server: false,
+    min_in_time: 0.999,
+    max_refused: 0.0,
+    max_full: 0.0,
+};
+
+/// Two of three servers lost.
+const LOST: LoadCase = LoadCase {
+    name: "two of three servers lost, 403 requests per second",
+    one_server: (10.0, 20.0),
+    counted: (10.0, 20.0),
+    slow_periods: true,
+    min_in_time: 0.6,
+    max_refused: 1.0,
+    max_full: MAX_FULL_FRACTION,
+    ..ENOUGH
+};
+
 const CASES: &[LoadCase] = &[
-    LoadCase {
-        name: "enough servers",
-        servers: 3,
-        requests_per_second: 400.0,
-        one_server: NEVER,
-        no_coordinator: NEVER,
-        cut_part: 1.0,
-        counted: (5.0, 35.0),
-        slow_periods: false,
-        refusing_server: false,
-        min_in_time: 0.999,
-        max_refused: 0.0,
-        max_full: 0.0,
-    },
+    ENOUGH,
     LoadCase {
         name: "enough servers with slow periods",
-        servers: 3,
-        requests_per_second: 403.0,
-        one_server: NEVER,
-        no_coordinator: NEVER,
-        cut_part: 1.0,
-        counted: (5.0, 35.0),
         slow_periods: true,
-        refusing_server: false,
         min_in_time: 0.99,
         max_refused: 0.001,
-        max_full: 0.0,
+        ..ENOUGH
     },
     LoadCase {
         name: "one of three servers refuses all requests, the others are enough",
-        servers: 3,
-        requests_per_second: 403.0,
-        one_server: NEVER,
-        no_coordinator: NEVER,
-        cut_part: 1.0,
-        counted: (5.0, 35.0),
-        slow_periods: false,
         refusing_server: true,
-        min_in_time: 0.999,
         max_refused: 0.001,
         max_full: 0.5,
+        ..ENOUGH
     },
     LoadCase {
         name: "two of three servers lost, 273 requests per second",
-        servers: 3,
         requests_per_second: 273.0,
-        one_server: (10.0, 20.0),
-        no_coordinator: NEVER,
-        cut_part: 1.0,
-        counted: (10.0, 20.0),
-        slow_periods: true,
-        refusing_server: false,
         min_in_time: 0.75,
         max_refused: 0.6,
-        max_full: MAX_FULL_FRACTION,
-    },
-    LoadCase {
-        name: "two of three servers lost, 403 requests per second",
-        servers: 3,
-        requests_per_second: 403.0,
-        one_server: (10.0, 20.0),
-        no_coordinator: NEVER,
-        cut_part: 1.0,
-        counted: (10.0, 20.0),
-        slow_periods: true,
-        refusing_server: false,
-        min_in_time: 0.6,
-        max_refused: 1.0,
-        max_full: MAX_FULL_FRACTION,
+        ..LOST
     },
+    LOST,
     LoadCase {
         name: "half a second after two lost servers are back",
-        servers: 3,
-        requests_per_second: 403.0,
         one_server: (10.0, 20.0),
-        no_coordinator: NEVER,
-        cut_part: 1.0,
         counted: (20.5, 30.0),
-        slow_periods: false,
-        refusing_server: false,
         min_in_time: 0.99,
         max_refused: 0.01,
-        max_full: 0.0,
+        ..ENOUGH
     },
     LoadCase {
         name: "no coordinator while two servers are lost",
-        servers: 3,
-        requests_per_second: 403.0,
         one_server: (10.0, 25.0),
         no_coordinator: (12.0, 20.0),
-        cut_part: 1.0,
         counted: (13.0, 20.0),
-        slow_periods: true,
-        refusing_server: false,
         min_in_time: 0.5,
         max_refused: 1.5,
         max_full: 0.1,
+        ..LOST
     },
     LoadCase {
         name: "a third of the hosts cut off while two servers are lost",
-        servers: 3,
-        requests_per_second: 403.0,
         one_server: (10.0, 25.0),
         no_coordinator: (8.0, 25.0),
         cut_part: 0.34,
         counted: (10.0, 25.0),
-        slow_periods: true,
-        refusing_server: false,
-        min_in_time: 0.6,
-        max_refused: 1.0,
-        max_full: MAX_FULL_FRACTION,
+        ..LOST
     },
     LoadCase {
         name: "a new coordinator while two servers are lost",
-        servers: 3,
-        requests_per_second: 403.0,
         one_server: (10.0, 30.0),
         no_coordinator: (12.0, 20.0),
-        cut_part: 1.0,
         counted: (20.0, 30.0),
-        slow_periods: true,
-        refusing_server: false,
-        min_in_time: 0.6,
-        max_refused: 1.0,
-        max_full: MAX_FULL_FRACTION,
+        ..LOST
     },
     LoadCase {
         name: "no coordinator and enough servers",
-        servers: 3,
-        requests_per_second: 403.0,
-        one_server: NEVER,
         no_coordinator: (12.0, 30.0),
-        cut_part: 1.0,
         counted: (12.0, 30.0),
-        slow_periods: false,
-        refusing_server: false,
-        min_in_time: 0.999,
-        max_refused: 0.0,
-        max_full: 0.0,
+        ..ENOUGH
     },
 ];
 
@@ -190,7 +138,7 @@
     Scenario {
         hosts,
         requests_per_second: case.requests_per_second,
-        servers: case.servers,
+        servers: 3,
         one_server: case.one_server.0..case.one_server.1,
         no_coordinator: case.no_coordinator.0..case.no_coordinator.1,
         cut_hosts: hosts_of(hosts, case.cut_part),
@@ -241,14 +189,10 @@
     for coordination in [Coordination::Alone, Coordination::Fleet] {
         for (hosts, seed) in FLEETS.into_iter().flat_map(|hosts| SEEDS.map(|seed| (hosts, seed))) {
             let tallies = [0.7, 1.0, 1.5, 2.0, 3.0].map(|multiple| {
-                let load = LoadCase {
-                    servers: 1,
-                    requests_per_second: SERVER_CAPACITY * multiple,
-                    one_server: NEVER,
-                    counted: (5.0, 35.0),
-                    ..CASES[3]
-                };
-                let scenario = Scenario { coordination, ..scenario(&load, hosts, seed) };
+                let requests_per_second = SERVER_CAPACITY * multiple;
+                let load = LoadCase { requests_per_second, slow_periods: true, ..ENOUGH };
+                let scenario = scenario(&load, hosts, seed);
+                let scenario = Scenario { coordination, servers: 1, ..scenario };
                 let tally = simulate(&scenario);
                 print_row(&format!("{coordination:?}, {multiple} of the capacity"), hosts, &tally);
                 tally
--- a/crates/core/tests/service_limit/simulation.rs
+++ b/crates/core/tests/service_limit/simulation.rs
@@ -1,8 +1,7 @@
 //! Hosts, a coordinator, clients that come back and plain servers in simulated time.
 
 use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, VecDeque},
+    collections::{BTreeMap, VecDeque},
     ops::Range,
     sync::Arc,
     time::Duration,
@@ -92,7 +91,7 @@
     pub(crate) limited: bool,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy)]
 struct Request {
     host: usize,
     first_arrival: u64,
@@ -100,72 +99,61 @@
     sent: u64,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+/// A request at a server; `repeated` tells that another send was refused by a full server.
+#[derive(Debug, Clone, Copy)]
+struct Send {
+    request: Request,
+    server: usize,
+    repeated: bool,
+}
+
+#[derive(Debug)]
 enum Event {
     Arrived(Request),
-    /// Arrives at a server after another one was full.
-    Sent {
-        request: Request,
-        server: usize,
-        repeated: bool,
-    },
-    Finished {
-        request: Request,
-        server: usize,
-        epoch: u32,
-    },
-    Answered {
-        request: Request,
-        server: usize,
-    },
-    ServerFull {
-        request: Request,
-        server: usize,
-        repeated: bool,
-    },
+    Sent(Send),
+    Finished(Send, u32),
+    Answered(Send),
+    ServerFull(Send),
     HostTick(usize),
-    /// The report with this index in `reports` reaches the coordinator.
-    Reported {
-        host: usize,
-        report: usize,
-    },
+    Reported(usize, LoadReport),
     CoordinatorTick,
-    Published {
-        limit: Option<(u64, u64, bool)>,
-    },
-    ServersChanged {
-        up: usize,
-    },
-    ServersListed {
-        up: usize,
-    },
+    Published(Option<PublishedLimit>),
+    ServersChanged(usize),
+    ServersListed(u32),
 }
 
 #[derive(Default)]
 struct Server {
     running: usize,
-    queue: VecDeque<Request>,
+    queue: VecDeque<Send>,
     slow: Vec<Range<u64>>,
     epoch: u32,
 }
 
+#[derive(Default, Clone)]
+struct Host {
+    shares: ServiceShares,
+    controller: AdmissionController,
+    /// Its open requests at each server.
+    own_open: Vec<u32>,
+    health: Vec<EngineHealth>,
+    /// Its open requests as last reported.
+    reported_open: u32,
+}
+
 struct Simulation<'scenario> {
     scenario: &'scenario Scenario,
     random: Random,
-    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    /// By time and sequence.
+    events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
     service: ServiceName,
-    shares: Vec<ServiceShares>,
-    controllers: Vec<AdmissionController>,
-    own_open: Vec<Vec<u32>>,
-    health: Vec<Vec<EngineHealth>>,
+    hosts: Vec<Host>,
     entries: Vec<EngineEntry>,
     servers: Vec<Server>,
     up: usize,
     limit: Option<ServiceLimit>,
     sums: LoadSums,
-    open: Vec<u32>,
-    reports: Vec<LoadReport>,
     updated_at: u64,
     tally: Tally,
 }
@@ -179,6 +167,10 @@
     value as u64
 }
 
+fn to_u32(count: usize) -> u32 {
+    u32::try_from(count).expect("a small count")
+}
+
 fn micros(seconds: f64) -> u64 {
     whole(seconds * 1e6)
 }
@@ -205,50 +197,44 @@
 
 impl<'scenario> Simulation<'scenario> {
     fn new(scenario: &'scenario Scenario) -> Self {
-        let mut random = Random(scenario.seed);
-        let end = micros(scenario.counted.end);
-        let servers = (0..scenario.servers).map(|_| {
-            let mut server = Server::default();
-            let mut from = 0;
-            while scenario.slow_periods && from < end {
-                from += whole(-SLOW_GAP_MICROS * (1.0 - random.next()).ln());
-                server.slow.push(from..from + SLOW_MICROS);
-                from += SLOW_MICROS;
-            }
-            server
-        });
-        let servers: Vec<Server> = servers.collect();
-        let hosts = scenario.hosts;
         let mut simulation = Self {
             scenario,
-            random,
-            events: BinaryHeap::new(),
+            random: Random(scenario.seed),
+            events: BTreeMap::new(),
             sequence: 0,
             service: Arc::from("plain"),
-            shares: vec![ServiceShares::default(); hosts],
-            controllers: vec![AdmissionController::default(); hosts],
-            own_open: vec![vec![0; scenario.servers]; hosts],
-            health: vec![vec![EngineHealth::default(); scenario.servers]; hosts],
+            hosts: Vec::new(),
             entries: (0..scenario.servers).map(entry).collect(),
-            servers,
+            servers: Vec::new(),
             up: scenario.servers,
             limit: None,
             sums: LoadSums::default(),
-            open: vec![0; hosts],
-            reports: Vec::new(),
             updated_at: 0,
             tally: Tally::default(),
         };
-        for host in 0..hosts {
+        for _ in 0..scenario.servers {
+            let mut server = Server::default();
+            let mut from = 0;
+            while scenario.slow_periods && from < micros(scenario.counted.end) {
+                from += whole(-SLOW_GAP_MICROS * (1.0 - simulation.random.next()).ln());
+                server.slow.push(from..from + SLOW_MICROS);
+                from += SLOW_MICROS;
+            }
+            simulation.servers.push(server);
+        }
+        for host in 0..scenario.hosts {
             let phase = whole(simulation.random.next() * TICK_MICROS as f64);
             simulation.push(phase, Event::HostTick(host));
+            let own_open = vec![0; scenario.servers];
+            let health = vec![EngineHealth::default(); scenario.servers];
+            simulation.hosts.push(Host { own_open, health, ..Host::default() });
         }
         simulation.push(0, Event::CoordinatorTick);
         if !scenario.one_server.is_empty() {
             let (from, to) = (micros(scenario.one_server.start), micros(scenario.one_server.end));
             for (time, up) in [(from, 1), (to, scenario.servers)] {
-                simulation.push(time, Event::ServersChanged { up });
-                simulation.push(time + LISTING_MICROS, Event::ServersListed { up });
+                simulation.push(time, Event::ServersChanged(up));
+                simulation.push(time + LISTING_MICROS, Event::ServersListed(to_u32(up)));
             }
         }
         simulation
@@ -256,7 +242,7 @@
 
     fn push(&mut self, time: u64, event: Event) {
         self.sequence += 1;
-        self.events.push(Reverse((time, self.sequence, event)));
+        self.events.insert((time, self.sequence), event);
     }
 
     fn run(&mut self) {
@@ -265,7 +251,7 @@
         let mut next_arrival = 0.0_f64;
         loop {
             let arrival = whole(next_arrival);
-            let due = self.events.peek().map_or(u64::MAX, |Reverse((due, ..))| *due);
+            let due = self.events.first_key_value().map_or(u64::MAX, |((due, _), _)| *due);
             if arrival.min(due) >= end {
                 self.tally.limited = self.limit.is_some();
                 return;
@@ -273,20 +259,17 @@
             if arrival < due {
                 next_arrival -=
                     (1.0 - self.random.next()).ln() / self.scenario.requests_per_second * 1e6;
-                let host = self.random_index(self.scenario.hosts);
+                let host = whole(self.random.next() * self.scenario.hosts as f64);
+                let host = usize::try_from(host).expect("an index");
                 let request = Request { host, first_arrival: arrival, arrival, sent: arrival };
                 self.tally.requests += self.counts(&request);
-                self.handle(arrival, Event::Arrived(request));
-            } else if let Some(Reverse((now, _, event))) = self.events.pop() {
+                self.arrive(arrival, request);
+            } else if let Some(((now, _), event)) = self.events.pop_first() {
                 self.handle(now, event);
             }
         }
     }
 
-    fn random_index(&mut self, length: usize) -> usize {
-        usize::try_from(whole(self.random.next() * length as f64)).expect("an index")
-    }
-
     fn counts(&self, request: &Request) -> u64 {
         let counted = &self.scenario.counted;
         u64::from((micros(counted.start)..micros(counted.end)).contains(&request.first_arrival))
@@ -297,64 +280,53 @@
         host < self.scenario.cut_hosts && (micros(lost.start)..micros(lost.end)).contains(&now)
     }
 
-    fn is_coordinator_lost(&self, now: u64) -> bool {
-        self.is_cut_off(self.scenario.hosts - 1, now)
-    }
-
     fn handle(&mut self, now: u64, event: Event) {
         match event {
             Event::Arrived(request) => self.arrive(now, request),
-            Event::Sent { request, server, repeated } => {
-                self.send(now, request, server, repeated);
-            }
-            Event::Finished { request, server, epoch } => self.finish(now, request, server, epoch),
-            Event::Answered { request, server } => self.answer(now, request, server),
-            Event::ServerFull { request, server, repeated } => {
-                self.handle_full(now, request, server, repeated);
-            }
+            Event::Sent(send) => self.receive_request(now, send),
+            Event::Finished(send, epoch) => self.finish(now, send, epoch),
+            Event::Answered(send) => self.answer(now, &send),
+            Event::ServerFull(send) => self.handle_full(now, send),
             Event::HostTick(host) => self.tick_host(now, host),
-            Event::Reported { host, report } => self.receive(now, host, report),
+            Event::Reported(host, report) => self.receive_report(now, host, &report),
             Event::CoordinatorTick => self.tick_coordinator(now),
-            Event::Published { limit } => self.publish(now, limit),
-            Event::ServersChanged { up } => self.change_servers(up),
-            Event::ServersListed { up } => {
+            Event::Published(limit) => self.publish(now, limit),
+            Event::ServersChanged(up) => self.change_servers(up),
+            Event::ServersListed(up) => {
                 if let Some(limit) = &mut self.limit {
-                    limit.set_ready_servers(u32::try_from(up).expect("servers"), at(now));
+                    limit.set_ready_servers(up, at(now));
                 }
             }
         }
     }
 
     fn arrive(&mut self, now: u64, request: Request) {
-        let (host, service) = (request.host, Arc::clone(&self.service));
         let returning = request.arrival > request.first_arrival;
+        let host = &mut self.hosts[request.host];
         let decision = match self.scenario.coordination {
             Coordination::Alone => ShareDecision::NoLimit,
-            Coordination::Fleet => self.shares[host].try_admit(&service, returning, at(now)),
+            Coordination::Fleet => host.shares.try_admit(&self.service, returning, at(now)),
         };
-        let fraction = match decision {
-            ShareDecision::Admitted => None,
-            ShareDecision::Refused(fraction) => Some(fraction),
-            ShareDecision::NoLimit => {
-                let controller = &mut self.controllers[host];
-                (!controller.try_admit(at(now))).then(|| controller.admitted_fraction(at(now)))
-            }
+        let admitted = match decision {
+            ShareDecision::Admitted => Ok(()),
+            ShareDecision::Refused(fraction) => Err(fraction),
+            ShareDecision::NoLimit if host.controller.try_admit(at(now)) => Ok(()),
+            ShareDecision::NoLimit => Err(host.controller.admitted_fraction(at(now))),
         };
-        if let Some(fraction) = fraction {
+        if let Err(fraction) = admitted {
             self.refuse(now, request, fraction);
             return;
         }
-        self.shares[host].record_admitted(&service);
-        let server = self.choose_server(now, host, None);
-        self.begin_send(now, Request { sent: now, ..request }, server, false);
+        host.shares.record_admitted(&self.service);
+        let server = self.choose_server(now, request.host, None);
+        self.send(now, Send { request: Request { sent: now, ..request }, server, repeated: false });
     }
 
     fn refuse(&mut self, now: u64, request: Request, fraction: f64) {
         let remaining = (request.first_arrival + TIMEOUT_MICROS).saturating_sub(now);
         let remaining = Duration::from_micros(remaining);
-        let spread = self.random.next();
-        let interval = report_interval(u32::try_from(self.scenario.hosts).expect("hosts"));
-        let wait = spread_retry_after(fraction, interval, remaining, spread);
+        let interval = report_interval(to_u32(self.scenario.hosts));
+        let wait = spread_retry_after(fraction, interval, remaining, self.random.next());
         assert!(wait <= remaining / 3, "told to wait {wait:?} of {remaining:?}");
         let back = now + u64::try_from(wait.as_micros()).expect("a short wait");
         self.tally.refused += self.counts(&request);
@@ -367,159 +339,149 @@
     /// Returns the server that the host prefers.
     fn choose_server(&mut self, now: u64, host: usize, excluded: Option<usize>) -> usize {
         let tie_breaker = whole(self.random.next() * 1e9);
+        let host = &self.hosts[host];
         let candidates = (0..self.up).filter(|server| Some(*server) != excluded);
         let candidates = candidates.map(|server| EngineCandidate {
             entry: &self.entries[server],
-            health: &self.health[host][server],
-            own_open: self.own_open[host][server],
+            health: &host.health[server],
+            own_open: host.own_open[server],
             reported_open: 0,
             pending_prefill_time: Duration::ZERO,
         });
         let candidates: Vec<EngineCandidate<'_>> = candidates.collect();
-        let hosts = u32::try_from(self.scenario.hosts).expect("hosts");
+        let hosts = to_u32(self.scenario.hosts);
         let chosen = choose_engine(&candidates, "hall", tie_breaker, hosts, at(now));
-        let chosen = chosen.expect("a server is up");
-        self.entries.iter().position(|entry| entry.name == chosen).expect("a server")
+        self.entries.iter().position(|entry| Some(&entry.name) == chosen.as_ref()).expect("one")
     }
 
-    fn begin_send(&mut self, now: u64, request: Request, server: usize, repeated: bool) {
-        self.own_open[request.host][server] += 1;
-        self.push(now + LINK_MICROS, Event::Sent { request, server, repeated });
+    fn send(&mut self, now: u64, send: Send) {
+        self.hosts[send.request.host].own_open[send.server] += 1;
+        self.push(now + LINK_MICROS, Event::Sent(send));
     }
 
-    fn send(&mut self, now: u64, request: Request, server: usize, repeated: bool) {
-        if server >= self.up {
-            let server = self.choose_server(now, request.host, None);
-            self.begin_send(now, request, server, repeated);
+    fn receive_request(&mut self, now: u64, send: Send) {
+        if send.server >= self.up {
+            let server = self.choose_server(now, send.request.host, None);
+            self.send(now, Send { server, ..send });
             return;
         }
-        self.tally.sends += self.counts(&request);
-        let target = &mut self.servers[server];
-        let refuses = self.scenario.refusing_server && server + 1 == self.scenario.servers;
-        if target.running < SLOTS && !refuses {
-            target.running += 1;
-            self.start_service(now, request, server);
-        } else if target.queue.len() < QUEUE_CAPACITY && !refuses {
-            target.queue.push_back(request);
+        let counted = self.counts(&send.request);
+        self.tally.sends += counted;
+        let server = &mut self.servers[send.server];
+        let refuses = self.scenario.refusing_server && send.server + 1 == self.scenario.servers;
+        if server.running < SLOTS && !refuses {
+            server.running += 1;
+            self.start_service(now, send);
+        } else if server.queue.len() < QUEUE_CAPACITY && !refuses {
+            server.queue.push_back(send);
         } else {
-            self.tally.full += self.counts(&request);
-            self.push(now + LINK_MICROS, Event::ServerFull { request, server, repeated });
+            self.tally.full += counted;
+            self.push(now + LINK_MICROS, Event::ServerFull(send));
         }
     }
 
-    fn start_service(&mut self, now: u64, request: Request, server: usize) {
-        let slow = self.servers[server].slow.iter().any(|period| period.contains(&now));
+    fn start_service(&mut self, now: u64, send: Send) {
+        let server = &self.servers[send.server];
+        let slow = server.slow.iter().any(|period| period.contains(&now));
         let factor = if slow { SLOW_FACTOR } else { 1.0 };
         // From half to one and a half times the mean.
         let time = whole(SERVICE_MICROS * factor * (0.5 + self.random.next()));
-        let epoch = self.servers[server].epoch;
-        self.push(now + time, Event::Finished { request, server, epoch });
+        let epoch = server.epoch;
+        self.push(now + time, Event::Finished(send, epoch));
     }
 
-    fn finish(&mut self, now: u64, request: Request, server: usize, epoch: u32) {
-        if self.servers[server].epoch != epoch {
+    fn finish(&mut self, now: u64, send: Send, epoch: u32) {
+        let server = &mut self.servers[send.server];
+        if server.epoch != epoch {
             return;
         }
-        self.own_open[request.host][server] -= 1;
-        self.push(now + LINK_MICROS, Event::Answered { request, server });
-        match self.servers[server].queue.pop_front() {
-            Some(next) => self.start_service(now, next, server),
-            None => self.servers[server].running -= 1,
+        self.hosts[send.request.host].own_open[send.server] -= 1;
+        let next = server.queue.pop_front();
+        server.running -= usize::from(next.is_none());
+        self.push(now + LINK_MICROS, Event::Answered(send));
+        if let Some(next) = next {
+            self.start_service(now, next);
         }
     }
 
-    fn signal(&mut self, now: u64, host: usize, signal: AdmissionSignal) {
-        let service = Arc::clone(&self.service);
-        self.shares[host].record_signal(&service, signal, LATENCY_TARGET, at(now));
-    }
-
-    fn answer(&mut self, now: u64, request: Request, server: usize) {
+    fn answer(&mut self, now: u64, Send { request, server, .. }: &Send) {
         let delay = Duration::from_micros(now - request.sent);
-        self.health[request.host][server].record(EngineOutcome::Answered(delay), at(now));
-        let answered = AdmissionSignal::Answered(delay);
-        self.controllers[request.host].record(answered, LATENCY_TARGET, at(now));
-        self.signal(now, request.host, answered);
-        self.shares[request.host].record_end("plain");
-        let target = u64::try_from(LATENCY_TARGET.as_micros()).expect("a target");
-        let counted = self.counts(&request);
-        let in_time = now - request.arrival <= target;
-        self.tally.in_time += counted * u64::from(in_time);
-        self.tally.late += counted * u64::from(!in_time);
-        self.tally.at_once += counted * u64::from(now - request.first_arrival <= target);
+        let signal = AdmissionSignal::Answered(delay);
+        let host = &mut self.hosts[request.host];
+        host.health[*server].record(EngineOutcome::Answered(delay), at(now));
+        host.controller.record(signal, LATENCY_TARGET, at(now));
+        host.shares.record_signal(&self.service, signal, LATENCY_TARGET, at(now));
+        host.shares.record_end("plain");
+        let in_time = |since: u64| Duration::from_micros(now - since) <= LATENCY_TARGET;
+        let counted = self.counts(request);
+        self.tally.in_time += counted * u64::from(in_time(request.arrival));
+        self.tally.late += counted * u64::from(!in_time(request.arrival));
+        self.tally.at_once += counted * u64::from(in_time(request.first_arrival));
     }
 
     /// Another server is tried once, or the same one after a delay if nothing is short, as hosts do.
-    fn handle_full(&mut self, now: u64, request: Request, server: usize, repeated: bool) {
-        self.own_open[request.host][server] -= 1;
+    fn handle_full(&mut self, now: u64, Send { request, server, repeated }: Send) {
+        let fleet = self.scenario.coordination == Coordination::Fleet;
         let full = AdmissionSignal::ServerFull;
-        self.signal(now, request.host, full);
-        self.health[request.host][server].record(EngineOutcome::Refused, at(now));
-        let own_fraction = self.controllers[request.host].admitted_fraction(at(now));
-        let limited = self.scenario.coordination == Coordination::Fleet
-            && (own_fraction < 1.0 || self.shares[request.host].is_limited("plain", at(now)));
-        let retries = !repeated && (self.up > 1 || !limited);
-        let alone = self.scenario.coordination == Coordination::Alone;
-        if !retries || (!alone && self.up == 1) {
-            self.controllers[request.host].record(full, LATENCY_TARGET, at(now));
+        let host = &mut self.hosts[request.host];
+        host.own_open[server] -= 1;
+        host.shares.record_signal(&self.service, full, LATENCY_TARGET, at(now));
+        host.health[server].record(EngineOutcome::Refused, at(now));
+        let own_fraction = host.controller.admitted_fraction(at(now));
+        let limited = own_fraction < 1.0 || host.shares.is_limited("plain", at(now));
+        let repeats = !repeated && (self.up > 1 || !(fleet && limited));
+        if !repeats || (fleet && self.up == 1) {
+            host.controller.record(full, LATENCY_TARGET, at(now));
         }
-        if retries {
-            let (other, delay) = if self.up > 1 {
-                (self.choose_server(now, request.host, Some(server)), 0)
-            } else {
-                (0, RETRY_DELAY_MICROS)
-            };
-            let sent = now + delay;
-            self.begin_send(sent, Request { sent, ..request }, other, true);
+        if !repeats {
+            host.shares.record_end("plain");
+            let fraction = host.controller.admitted_fraction(at(now));
+            self.refuse(now, request, fraction);
             return;
         }
-        self.shares[request.host].record_end("plain");
-        let fraction = self.controllers[request.host].admitted_fraction(at(now));
-        self.refuse(now, request, fraction);
+        let (server, sent) = if self.up > 1 {
+            (self.choose_server(now, request.host, Some(server)), now)
+        } else {
+            (0, now + RETRY_DELAY_MICROS)
+        };
+        self.send(sent, Send { request: Request { sent, ..request }, server, repeated: true });
     }
 
     fn tick_host(&mut self, now: u64, host: usize) {
         self.push(now + TICK_MICROS, Event::HostTick(host));
-        let hosts = u32::try_from(self.scenario.hosts).expect("hosts");
-        for report in self.shares[host].take_reports(hosts, at(now)) {
-            self.reports.push(report);
-            let report = self.reports.len() - 1;
-            self.push(now + LINK_MICROS, Event::Reported { host, report });
+        let hosts = to_u32(self.scenario.hosts);
+        for report in self.hosts[host].shares.take_reports(hosts, at(now)) {
+            self.push(now + LINK_MICROS, Event::Reported(host, report));
         }
     }
 
-    fn receive(&mut self, now: u64, host: usize, report: usize) {
+    fn receive_report(&mut self, now: u64, host: usize, report: &LoadReport) {
         if self.is_cut_off(host, now) {
             return;
         }
-        let report = &self.reports[report];
         self.sums += report.sums;
-        self.open[host] = report.open;
+        self.hosts[host].reported_open = report.open;
         if self.limit.is_none() && report.short {
             self.updated_at = now;
-            let up = u32::try_from(self.up).expect("servers");
-            self.limit = Some(ServiceLimit::new(up, at(now)));
+            self.limit = Some(ServiceLimit::new(to_u32(self.up), at(now)));
         }
     }
 
     fn tick_coordinator(&mut self, now: u64) {
-        let hosts = u32::try_from(self.scenario.hosts).expect("hosts");
         self.push(now + 10_000, Event::CoordinatorTick);
-        if self.is_coordinator_lost(now) {
+        if self.is_cut_off(self.scenario.hosts - 1, now) {
             self.limit = None;
             self.sums = LoadSums::default();
-            return;
         }
-        let Some(limit) = &mut self.limit else { return };
         let elapsed = Duration::from_micros(now - self.updated_at);
-        if elapsed < report_interval(hosts) {
-            return;
-        }
+        let due = elapsed >= report_interval(to_u32(self.scenario.hosts));
+        let Some(limit) = self.limit.as_mut().filter(|_| due) else { return };
         let load = IntervalLoad {
             sums: std::mem::take(&mut self.sums),
-            open: self.open.iter().sum(),
+            open: self.hosts.iter().map(|host| host.reported_open).sum(),
             elapsed,
             ready_servers: limit.ready_servers(),
-            slots: limit.ready_servers() * u32::try_from(SLOTS).expect("slots"),
+            slots: limit.ready_servers() * to_u32(SLOTS),
             latency_target: LATENCY_TARGET,
         };
         limit.update(&load, at(now));
@@ -528,34 +490,25 @@
         if published.is_none() {
             self.limit = None;
         }
-        let limit =
-            published.map(|limit| (limit.rate.to_bits(), limit.arrivals.to_bits(), limit.measured));
-        self.push(now + LINK_MICROS, Event::Published { limit });
+        self.push(now + LINK_MICROS, Event::Published(published));
     }
 
-    fn publish(&mut self, now: u64, limit: Option<(u64, u64, bool)>) {
-        let limit = limit.map(|(rate, arrivals, measured)| PublishedLimit {
-            rate: f64::from_bits(rate),
-            arrivals: f64::from_bits(arrivals),
-            measured,
-        });
-        for host in 0..self.shares.len() {
-            if self.is_cut_off(host, now) {
-                continue;
+    fn publish(&mut self, now: u64, limit: Option<PublishedLimit>) {
+        for host in 0..self.hosts.len() {
+            if !self.is_cut_off(host, now) {
+                self.hosts[host].shares.apply_limit(&self.service, limit, at(now));
             }
-            self.shares[host].apply_limit(&self.service, limit, at(now));
         }
     }
 
+    /// Changes the number of servers; what lost ones run is lost.
     fn change_servers(&mut self, up: usize) {
         for server in up..self.up {
             let lost = &mut self.servers[server];
-            lost.epoch += 1;
-            lost.running = 0;
-            lost.queue.clear();
-            for host in 0..self.scenario.hosts {
-                for _ in 0..std::mem::take(&mut self.own_open[host][server]) {
-                    self.shares[host].record_end("plain");
+            *lost = Server { slow: std::mem::take(&mut lost.slow), epoch: 1, ..Server::default() };
+            for host in &mut self.hosts {
+                for _ in 0..std::mem::take(&mut host.own_open[server]) {
+                    host.shares.record_end("plain");
                 }
             }
         }
