--- a/crates/gateway/src/peers/service_load_messages.rs
+++ b/crates/gateway/src/peers/service_load_messages.rs
@@ -72,10 +72,11 @@
         Self { service, limited: true, rate, arrivals, measured }
     }
 
-    /// Returns the limit, unless it has ended.
+    /// Returns the limit, unless it has ended or is not a number.
     pub fn limit(&self) -> Option<PublishedLimit> {
         let (rate, arrivals) = (f64::from(self.rate), f64::from(self.arrivals));
-        self.limited.then_some(PublishedLimit { rate, arrivals, measured: self.measured })
+        let valid = self.limited && rate.is_finite() && arrivals.is_finite();
+        valid.then_some(PublishedLimit { rate, arrivals, measured: self.measured })
     }
 }
 
--- a/crates/gateway/tests/service_load_messages.rs
+++ b/crates/gateway/tests/service_load_messages.rs
@@ -32,6 +32,8 @@
         assert_eq!(message.limit(), Some(limit));
     }
     assert_eq!(ServiceLimitMessage::new(&sent.service, None).limit(), None);
+    let limit = PublishedLimit { rate: f64::NAN, arrivals: 1209.0, measured: true };
+    assert_eq!(ServiceLimitMessage::new(&sent.service, Some(limit)).limit(), None);
 }
 
 /// Guards against reports and publications that use more than a thirtieth of the bound of a host's
