--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -26,6 +26,7 @@
     engines::EngineResponse,
     traffic::{
         TrafficState,
+        admission::ServiceOpenGuard,
         deadline::RequestDeadline,
         local_response::{DEADLINE_EXCEEDED, ENGINE_FAILED},
         permit::PermitWait,
@@ -157,6 +158,8 @@
     pub(super) cooling_engines: Option<CoolingEngines>,
     /// The engine whose cooldown the request last waited for.
     pub cooling_by: Option<EngineName>,
+    /// Counts the request as open at a plain service, once it is admitted.
+    pub(super) open_at_service: Option<ServiceOpenGuard>,
     /// The configuration revision that determined the route.
     pub revision: ConfigRevision,
 }
@@ -237,6 +240,7 @@
             may_have_run: false,
             waited: Duration::ZERO,
             cold_cause: None,
+            open_at_service: None,
             revision,
         }
     }
