--- a/crates/gateway/src/control/aggregates.rs
+++ b/crates/gateway/src/control/aggregates.rs
@@ -154,7 +154,8 @@
     members: Vec<Box<dyn FleetAggregate>>,
     /// The coordinating service and the token of its lease, while this host coordinates.
     coordinating: Option<(ServiceName, FenceToken)>,
-    /// When a frame was last published.
+    /// When all aggregates last had to publish. Frames in between do not postpone it: an aggregate
+    /// that publishes often must not keep the others from showing that nothing has changed.
     published_at: ClockMillis,
 }
 
@@ -208,8 +209,10 @@
         for aggregate in &mut self.members {
             aggregate.publish(&mut frame, due, context);
         }
-        if due || frame != AggregateFrame::default() {
+        if due {
             self.published_at = context.now;
+        }
+        if due || frame != AggregateFrame::default() {
             domain.broadcast(&encode_frame(domain, frame));
         }
         for (host, frame) in self.members.iter_mut().flat_map(|aggregate| aggregate.replies()) {
