--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -429,8 +429,9 @@
         self.estimates
             .retain(|_, schedule| schedule.due().is_some_and(|due| now.since(due) < ESTIMATE_TTL));
         let empty_frame = self.empty_frame();
+        let hosts = self.subscribed_hosts();
         let Some(planner) = &self.planner else { return false };
-        let check_due = follows_changes && self.awaiting_estimates.begin_check(now);
+        let check_due = follows_changes && self.awaiting_estimates.begin_check(hosts, now);
         let reported = self.awaiting_estimates.has_reported()
             || self.subscribers.iter().any(|host| host.awaiting_estimates.has_reported());
         if !reported && !check_due {
--- a/crates/gateway/src/control/domain/awaited_loads.rs
+++ b/crates/gateway/src/control/domain/awaited_loads.rs
@@ -8,9 +8,13 @@
     placement::{ActiveLoads, DemandEntry, LoadSchedule, PlacementPlanner},
 };
 
-/// Interval at which the schedules of awaited loads are checked for changes. A fraction of the time
-/// for which a request waits for a schedule.
-const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Minimum interval at which the schedules of awaited loads are checked for changes. A fraction of
+/// the time for which a request waits for a schedule.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Interval of these checks, multiplied by the number of hosts that are told, so that the placer's
+/// work does not grow with the square of the fleet. 74 ms at 370 hosts.
+const CHECK_INTERVAL_PER_HOST: Duration = Duration::from_micros(200);
 
 /// Change of a due time from which a host is told. Smaller ones change no decision: a load counts
 /// as on its way for longer than this after it was due.
@@ -54,9 +58,11 @@
         }
     }
 
-    /// Returns whether the loads that are followed are due for a check, which then begins.
-    pub fn begin_check(&mut self, now: ClockMillis) -> bool {
-        let due = now.since(self.checked_at) >= CHECK_INTERVAL;
+    /// Returns whether the loads that are followed for all of `hosts` hosts are due for a check,
+    /// which then begins.
+    pub fn begin_check(&mut self, hosts: u32, now: ClockMillis) -> bool {
+        let interval = MIN_CHECK_INTERVAL.max(CHECK_INTERVAL_PER_HOST * hosts);
+        let due = now.since(self.checked_at) >= interval;
         if due {
             self.checked_at = now;
         }
@@ -102,7 +108,7 @@
             if schedule != LoadSchedule::Unknown {
                 updates.push((Arc::clone(&key), schedule));
             }
-            if self.followed.len() < MAX_FOLLOWED_LOADS {
+            if self.followed.len() < MAX_FOLLOWED_LOADS || self.followed.contains_key(&key) {
                 self.followed.insert(key, FollowedLoad { sent: schedule, wanted_at: now });
             }
         }
--- a/crates/gateway/tests/awaited_loads.rs
+++ b/crates/gateway/tests/awaited_loads.rs
@@ -89,7 +89,7 @@
     planner: &PlacementPlanner,
     now: ClockMillis,
 ) -> BTreeMap<ModelKey, bool> {
-    let check_due = awaited.begin_check(now);
+    let check_due = awaited.begin_check(1, now);
     let loads = PlannedLoads::collect(planner, now);
     let schedules = awaited.take_schedules(&loads, check_due, 64, now);
     let is_loading = |schedule| matches!(schedule, LoadSchedule::Loading { .. });
