--- a/crates/core/tests/cold_decision.rs
+++ b/crates/core/tests/cold_decision.rs
@@ -12,27 +12,16 @@
     placement::LoadSchedule,
 };
 
-use Load::{Loading, Queued, Unknown};
+use LoadSchedule::Unknown;
 
 const NOW: u64 = 100_000;
 
-/// A schedule relative to now; a negative time has passed.
-#[derive(Debug, Clone, Copy)]
-enum Load {
-    Loading(i64),
-    Queued(i64),
-    Unknown,
+const fn loading(due_in: i64) -> LoadSchedule {
+    LoadSchedule::Loading { due: ClockMillis::from_millis(NOW.saturating_add_signed(due_in)) }
 }
 
-impl Load {
-    fn schedule(self) -> LoadSchedule {
-        let due = |time: i64| ClockMillis::from_millis(NOW.saturating_add_signed(time));
-        match self {
-            Self::Loading(time) => LoadSchedule::Loading { due: due(time) },
-            Self::Queued(time) => LoadSchedule::Queued { due: due(time) },
-            Self::Unknown => LoadSchedule::Unknown,
-        }
-    }
+const fn queued(due_in: i64) -> LoadSchedule {
+    LoadSchedule::Queued { due: ClockMillis::from_millis(NOW.saturating_add_signed(due_in)) }
 }
 
 /// A request with a latency target of 600 ms and a timeout of 4 s that has waited since its
@@ -41,7 +30,7 @@
     /// The load pattern that the case answers.
     pattern: &'static str,
     waited: u64,
-    load: Load,
+    load: LoadSchedule,
     copy_available_in: Option<u64>,
     client_retried: bool,
     cause: DecisionCause,
@@ -51,7 +40,7 @@
 const fn case(
     pattern: &'static str,
     waited: u64,
-    load: Load,
+    load: LoadSchedule,
     cause: DecisionCause,
     decision: ColdDecision,
 ) -> DecisionCase {
@@ -76,29 +65,29 @@
     case("first request for an adapter: the placer is asked", 0, Unknown, ScheduleAwaited, wait(100)),
     // A third of 3,870 ms.
     case("the placer does not answer", 100, Unknown, NoSchedule, refuse(1290)),
-    case("ordinary load from the weight store", 20, Loading(290), LoadDue, wait(440)),
-    case("last moment at which an answer is in time", 20, Loading(480), LoadDue, wait(630)),
-    case("the weight store is overloaded", 20, Loading(481), DueLate, refuse(600)),
+    case("ordinary load from the weight store", 20, loading(290), LoadDue, wait(440)),
+    case("last moment at which an answer is in time", 20, loading(480), LoadDue, wait(630)),
+    case("the weight store is overloaded", 20, loading(481), DueLate, refuse(600)),
     DecisionCase {
         client_retried: true,
-        ..case("a returned client waits for the same load", 20, Loading(481), LoadDue, wait(631))
+        ..case("a returned client waits for the same load", 20, loading(481), LoadDue, wait(631))
     },
-    case("more requests than orders: briefly for a queued load", 20, Queued(400), LoadQueued, wait(100)),
-    case("the queue does not advance", 120, Queued(300), NotOrdered, refuse(420)),
-    case("the order is expected at this moment", 130, Queued(250), LoadQueued, wait(10)),
-    case("long queue: the client is told when the load is due", 10, Queued(900), NotOrdered, refuse(1020)),
-    case("very long queue: a third of the remaining time", 10, Queued(30_000), NotOrdered, refuse(1320)),
-    case("the due time moves beyond the target after a long wait", 300, Loading(700), Held, wait(850)),
-    case("an engine refuses the order after a long wait", 300, Queued(350), Held, wait(500)),
-    case("the load is due after the client has given up", 300, Loading(3800), DueLate, refuse(1220)),
-    case("a load that was just due still counts", 350, Loading(-149), Held, wait(10)),
-    case("the placer died after its estimate", 350, Loading(-150), Overdue, refuse(1200)),
-    case("an old estimate of an adapter evicted since", 0, Loading(-1500), ScheduleAwaited, wait(100)),
+    case("more requests than orders: briefly for a queued load", 20, queued(400), LoadQueued, wait(100)),
+    case("the queue does not advance", 120, queued(300), NotOrdered, refuse(420)),
+    case("the order is expected at this moment", 130, queued(250), LoadQueued, wait(10)),
+    case("long queue: the client is told when the load is due", 10, queued(900), NotOrdered, refuse(1020)),
+    case("very long queue: a third of the remaining time", 10, queued(30_000), NotOrdered, refuse(1320)),
+    case("the due time moves beyond the target after a long wait", 300, loading(700), Held, wait(850)),
+    case("an engine refuses the order after a long wait", 300, queued(350), Held, wait(500)),
+    case("the load is due after the client has given up", 300, loading(3800), DueLate, refuse(1220)),
+    case("a load that was just due still counts", 350, loading(-149), Held, wait(10)),
+    case("the placer died after its estimate", 350, loading(-150), Overdue, refuse(1200)),
+    case("an old estimate of an adapter evicted since", 0, loading(-1500), ScheduleAwaited, wait(100)),
     DecisionCase {
         copy_available_in: Some(400),
         ..case("the only copy is at an engine that failed", 5, Unknown, CopyAvoided, wait(400))
     },
-    case("the client is about to give up", 3850, Loading(10), ClientLimit, refuse(40)),
+    case("the client is about to give up", 3850, loading(10), ClientLimit, refuse(40)),
 ];
 
 fn load_wait(waited: u64, schedule: LoadSchedule, client_retried: bool, hash: u64) -> LoadWait {
@@ -129,7 +118,7 @@
     for case in CASES {
         let wait = LoadWait {
             copy_available_in: case.copy_available_in.map(millis),
-            ..load_wait(case.waited, case.load.schedule(), case.client_retried, 0)
+            ..load_wait(case.waited, case.load, case.client_retried, 0)
         };
         let decided = wait.decide();
         assert_eq!(decided.cause, case.cause, "{}", case.pattern);
@@ -148,17 +137,16 @@
 /// Guards against loads for clients that give up before: they take the places of loads in use.
 #[test]
 fn only_a_request_that_can_still_be_answered_stays_counted() {
-    let returns =
-        |waited, load: Load| load_wait(waited, load.schedule(), true, 0).is_return_useful();
-    assert!(returns(0, Queued(3000)) && returns(3000, Unknown) && returns(3500, Loading(50)));
-    assert!(!returns(0, Queued(4000)) && !returns(3700, Unknown) && !returns(3500, Loading(400)));
+    let returns = |waited, load: LoadSchedule| load_wait(waited, load, true, 0).is_return_useful();
+    assert!(returns(0, queued(3000)) && returns(3000, Unknown) && returns(3500, loading(50)));
+    assert!(!returns(0, queued(4000)) && !returns(3700, Unknown) && !returns(3500, loading(400)));
 }
 
 /// Guards against clients that all return at the same moment and exceed the engine's slots.
 #[test]
 fn retry_times_for_one_load_are_spread() {
     let retry_time = |step: u64| {
-        let schedule = Load::Queued(800).schedule();
+        let schedule = queued(800);
         match load_wait(0, schedule, false, step << 60).decide().decision {
             ColdDecision::Refuse(time) => time,
             ColdDecision::Wait(_) => panic!("the load is due too late"),
@@ -177,12 +165,12 @@
     fn refusals_are_early_or_justified(
         waited in 0u64..4000,
         due in -500i64..5000,
-        queued in any::<bool>(),
+        is_queued in any::<bool>(),
         client_retried in any::<bool>(),
         hash in any::<u64>(),
     ) {
-        let load = if queued { Load::Queued(due) } else { Load::Loading(due) };
-        let decided = load_wait(waited, load.schedule(), client_retried, hash).decide();
+        let load = if is_queued { queued(due) } else { loading(due) };
+        let decided = load_wait(waited, load, client_retried, hash).decide();
         if let ColdDecision::Refuse(time) = decided.decision {
             prop_assert!(time * 3 <= millis(4000 - waited));
             let is_late = waited.saturating_add_signed(due) + 100 > 3850;
--- a/crates/core/tests/placement/load_schedule.rs
+++ b/crates/core/tests/placement/load_schedule.rs
@@ -1,6 +1,6 @@
 //! Schedules of loads: ordered, queued or unknown.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
 
 use reelreel_core::placement::{LoadSchedule, OrderKind, PlacementAction};
 
@@ -46,7 +46,7 @@
 fn an_order_to_unload_is_no_load_and_a_cached_load_is_due_early() {
     let mut simulation = Simulation::new(1);
     settle(&mut simulation);
-    let mut unloaded = BTreeSet::new();
+    let mut unloaded = None;
     for number in 1..8 {
         simulation.request(number, 1);
         for _ in 0..60 {
@@ -57,23 +57,23 @@
                 {
                     let schedule = simulation.planner.load_schedule(&order.key, simulation.time());
                     assert!(!matches!(schedule, LoadSchedule::Loading { .. }), "{}", order.key);
-                    unloaded.insert(order.key.clone());
+                    unloaded = (1..8).find(|number| key(*number) == order.key);
                 }
                 simulation.execute(action, OrderOutcome::Answered);
             }
             simulation.step(3, OrderOutcome::Answered);
         }
         simulation.request(number, 0);
-        settle(&mut simulation);
     }
-    let cached = (1..8).find(|number| unloaded.contains(&key(*number))).expect("an unload");
+    let cached = unloaded.expect("an unload");
     simulation.request(cached, 1);
     for _ in 0..40 {
         simulation.step(3, OrderOutcome::Answered);
         if is_loading(&simulation, cached) {
-            break;
+            let due = schedule(&simulation, cached).due().expect("a due time");
+            assert!(due.since(simulation.time()) < Duration::from_millis(60), "{due:?}");
+            return;
         }
     }
-    let due = schedule(&simulation, cached).due().expect("a schedule");
-    assert!(due.since(simulation.time()) < Duration::from_millis(60), "{due:?}");
+    panic!("no load of {cached}");
 }
--- a/crates/gateway/tests/awaited_loads.rs
+++ b/crates/gateway/tests/awaited_loads.rs
@@ -4,10 +4,7 @@
 
 use reelreel_core::{
     ClockMillis,
-    fleet::{
-        EngineEntry, LoadedModel, ModelKey,
-        routes::{ModelHosting, ModelSize},
-    },
+    fleet::{EngineEntry, LoadedModel, ModelKey, routes::ModelHosting},
     placement::{
         DemandEntry, EngineReport, LoadRateLimiter, LoadSchedule, OrderAnswer, OrderId,
         PlacementAction, PlacementPlanner,
@@ -37,12 +34,7 @@
 /// A planner with one engine, at which it can order loads from 1,010 ms on.
 fn planner() -> PlacementPlanner {
     let hosting = ModelHosting {
-        models: vec![ModelSize {
-            name: String::from("base"),
-            weight_megabytes: 1000.0,
-            adapter_megabytes: 10.0,
-            load_time: Duration::from_millis(600),
-        }],
+        models: Vec::new(),
         memory_megabytes: 1100.0,
         adapter_limit: 4,
         loads_per_second: 3.3,
--- a/crates/gateway/tests/host/cold_requests.rs
+++ b/crates/gateway/tests/host/cold_requests.rs
@@ -14,9 +14,7 @@
 };
 
 use prost::Message;
-use reelreel_gateway::peers::frame::{
-    DemandFrame, FrameBody, LoadEstimateMessage, PeerFrame, PlanFrame,
-};
+use reelreel_gateway::peers::frame::{FrameBody, LoadEstimateMessage, PeerFrame, PlanFrame};
 
 use crate::{
     engine::EngineBehaviour,
@@ -40,48 +38,27 @@
 /// is 1,350 ms. Leaves room for a busy machine.
 const EARLY: Duration = Duration::from_millis(900);
 
-/// What the placers do with demand.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum PlacerBehaviour {
-    /// Never answer.
-    Silent,
-    /// Answer that the load is ordered, and end.
-    EstimateThenDie,
-}
-
-/// Hosts that own all partitions of the group and order no load.
-struct FailingPlacers {
-    subscriptions: Arc<AtomicU32>,
-}
-
-impl FailingPlacers {
-    fn start(site: &TestSite, behaviour: PlacerBehaviour) -> Self {
-        let subscriptions: Arc<AtomicU32> = Arc::default();
-        let ended: Arc<AtomicBool> = Arc::default();
-        let offset = u16::try_from(std::process::id() * 31 % 3000).unwrap_or_default();
-        let listeners = PLACER_PORTS.skip(usize::from(offset));
-        let listeners = listeners.filter_map(|port| TcpListener::bind(("127.0.0.1", port)).ok());
-        for listener in listeners.take(PLACERS) {
-            let address = listener.local_addr().expect("an address");
-            let (subscriptions, ended) = (Arc::clone(&subscriptions), Arc::clone(&ended));
-            thread::spawn(move || {
-                for socket in listener.incoming().flatten() {
-                    let (subscriptions, ended) = (Arc::clone(&subscriptions), Arc::clone(&ended));
-                    thread::spawn(move || place(socket, behaviour, &subscriptions, &ended));
-                }
-            });
-            site.store.add_member(&address.to_string());
-        }
-        Self { subscriptions }
-    }
-
-    /// Waits until a host reports its demand to the placer.
-    fn wait_subscribed(&self, host: &TestHost) {
-        wait_until("the host follows the placer", || {
-            let follows = self.subscriptions.load(Ordering::Relaxed) > 0;
-            follows && host.shared.metrics.leases.get() == 0
+/// Starts hosts that own all partitions of the group and order no load, and waits until `host`
+/// follows one of them: it answers demand with `estimate` once and then ends, or never answers.
+fn start_failing_placers(site: &TestSite, host: &TestHost, estimate: Option<Duration>) {
+    let subscriptions: Arc<AtomicU32> = Arc::default();
+    let ended: Arc<AtomicBool> = Arc::default();
+    let offset = u16::try_from(std::process::id() * 31 % 3000).unwrap_or_default();
+    let ports = PLACER_PORTS.skip(usize::from(offset));
+    let listeners = ports.filter_map(|port| TcpListener::bind(("127.0.0.1", port)).ok());
+    for listener in listeners.take(PLACERS) {
+        site.store.add_member(&listener.local_addr().expect("an address").to_string());
+        let (subscriptions, ended) = (Arc::clone(&subscriptions), Arc::clone(&ended));
+        thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                let (subscriptions, ended) = (Arc::clone(&subscriptions), Arc::clone(&ended));
+                thread::spawn(move || place(socket, estimate, &subscriptions, &ended));
+            }
         });
     }
+    wait_until("the host follows a placer", || {
+        subscriptions.load(Ordering::Relaxed) > 0 && host.shared.metrics.leases.get() == 0
+    });
 }
 
 fn receive(socket: &mut TcpStream) -> Option<PeerFrame> {
@@ -94,45 +71,28 @@
 
 fn place(
     mut socket: TcpStream,
-    behaviour: PlacerBehaviour,
+    estimate: Option<Duration>,
     subscriptions: &AtomicU32,
     ended: &AtomicBool,
 ) {
-    while let Some(frame) = receive(&mut socket) {
-        if ended.load(Ordering::Relaxed) {
-            return;
-        }
+    while let Some(frame) = receive(&mut socket).filter(|_| !ended.load(Ordering::Relaxed)) {
         let Some(FrameBody::Demand(demand)) = frame.body else { continue };
-        if demand.service == "assist" {
-            subscriptions.fetch_add(1, Ordering::Relaxed);
-        }
-        let estimates = estimates(&demand);
-        if behaviour == PlacerBehaviour::EstimateThenDie && !estimates.is_empty() {
-            let plan = PlanFrame {
-                service: demand.service.clone(),
-                token: u64::MAX,
-                estimates,
-                ..PlanFrame::default()
-            };
+        subscriptions.fetch_add(u32::from(demand.service == "assist"), Ordering::Relaxed);
+        let Some(entry) = demand.entries.iter().find(|entry| entry.waiting > 0) else { continue };
+        if let Some(time) = estimate {
+            let expected_in_ms = u32::try_from(time.as_millis()).expect("a short time");
+            let estimate =
+                LoadEstimateMessage { key: entry.key.clone(), expected_in_ms, queued: false };
+            let (service, estimates) = (demand.service, vec![estimate]);
+            let plan = PlanFrame { service, token: u64::MAX, estimates, ..PlanFrame::default() };
             let bytes = FrameBody::Plan(plan).encoded().bytes;
             let length = u32::try_from(bytes.len()).expect("a short frame");
-            let _ = socket.write_all(&length.to_be_bytes());
-            let _ = socket.write_all(&bytes);
+            let _ = socket.write_all(&[&length.to_be_bytes()[..], &bytes].concat());
             ended.store(true, Ordering::Relaxed);
         }
     }
 }
 
-fn estimates(demand: &DemandFrame) -> Vec<LoadEstimateMessage> {
-    let waiting = demand.entries.iter().filter(|entry| entry.waiting > 0);
-    let message = |key: &str| LoadEstimateMessage {
-        key: key.to_owned(),
-        expected_in_ms: u32::try_from(ESTIMATE.as_millis()).expect("a short time"),
-        queued: false,
-    };
-    waiting.map(|entry| message(&entry.key)).collect()
-}
-
 /// Sends a request for an adapter that no engine holds; returns the response and how long it took.
 fn request(host: &TestHost, adapter: &str) -> (String, Duration) {
     let began = Instant::now();
@@ -158,8 +118,7 @@
 fn a_request_is_refused_soon_after_its_load_was_due_if_the_placer_dies_before_it() {
     let site = TestSite::start();
     let host = site.host("one");
-    let placers = FailingPlacers::start(&site, PlacerBehaviour::EstimateThenDie);
-    placers.wait_subscribed(&host);
+    start_failing_placers(&site, &host, Some(ESTIMATE));
     let (response, time) = request(&host, "estimated");
     assert_refused(&response);
     assert!(time >= ESTIMATE, "refused after {time:?} while its load was on its way");
@@ -172,8 +131,7 @@
 fn a_request_is_refused_at_once_if_the_placer_does_not_answer() {
     let site = TestSite::start();
     let host = site.host("one");
-    let placers = FailingPlacers::start(&site, PlacerBehaviour::Silent);
-    placers.wait_subscribed(&host);
+    start_failing_placers(&site, &host, None);
     for adapter in ["first", "second", "third"] {
         let (response, time) = request(&host, adapter);
         assert_refused(&response);
