feat(fleet): engines are chosen by the expected time to the first event

Cause: where timeouts are tight, engines were chosen by open requests. A request in a full batch waits for a slot, an engine in a slow spell of 600 ms runs 2.5 times slower, and a host sends one engine less than one request per second, so smoothed delays of answers show a spell only after its end. All hosts chose by the same reports, and a request left its data hall for two open requests.

Change, where most timeouts are tight and for services with models: - The expected time is the wait for a slot (open requests against slots, by the observed mean run) or the prefill ahead, whichever is longer, and the own prefill, times the recent slowness of the engine. - Slowness comes from the pauses between the data of the host's open streams, with a half-life of 150 ms. Pauses caused by slow clients are not counted. - Costs of failures, delays and backoff, and the probes of avoided engines, are the existing ones, in milliseconds. A failure weighs four times as much for a request that cannot be repeated. - Another data hall costs 0.3 of the time to the latency target, and the time beyond half of that counts three times. - Reports older than 350 ms are ignored, and the better of two random engines (of the own hall, if it answers in time) is chosen.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -9,6 +9,8 @@
 //! - [`cooldown`]: engines that accept no requests from this host for a while
 //! - [`departures`]: engines that announced that they are leaving
 //! - [`engine_choice`]: the engine that a request is sent to
+//! - [`engine_pace`]: recent speed of engines
+//! - [`first_event`]: choice of an engine by the expected time to the first event
 //! - [`freshness`]: until when keys are accepted without a confirmed configuration
 //! - [`health`]: engine health from the outcomes of this host's requests
 //! - [`limits`]: request rate limits declared by engines
@@ -30,6 +32,8 @@
 pub mod cooldown;
 pub mod departures;
 pub mod engine_choice;
+pub mod engine_pace;
+pub mod first_event;
 pub mod freshness;
 pub mod health;
 pub mod limits;
--- a/crates/core/src/fleet/engine_choice.rs
+++ b/crates/core/src/fleet/engine_choice.rs
@@ -105,7 +105,7 @@
     hosts: u32,
     now: ClockMillis,
 ) -> Option<EngineName> {
-    let median = median_delay(candidates);
+    let median = median_delay(candidates.iter().map(|candidate| candidate.health));
     let total_cost = |candidate: &EngineCandidate<'_>| {
         load_cost(candidate, hall) + HealthCost::of(candidate, median, now).total()
     };
@@ -122,7 +122,7 @@
     hosts: u32,
     now: ClockMillis,
 ) -> Option<HealthSignal> {
-    let median = median_delay(candidates);
+    let median = median_delay(candidates.iter().map(|candidate| candidate.health));
     let health_cost = |candidate: &EngineCandidate<'_>| HealthCost::of(candidate, median, now);
     if candidates.iter().all(|candidate| health_cost(candidate).total() <= 0.0) {
         return None;
@@ -184,14 +184,18 @@
 
 /// The cost of an engine's health by signal, in open requests.
 #[derive(Debug, Clone, Copy)]
-struct HealthCost {
+pub(super) struct HealthCost {
     failures: f64,
     delay: f64,
     backoff: f64,
 }
 
 impl HealthCost {
-    fn of(candidate: &EngineCandidate<'_>, median: Option<f64>, now: ClockMillis) -> Self {
+    pub(super) fn of(
+        candidate: &EngineCandidate<'_>,
+        median: Option<f64>,
+        now: ClockMillis,
+    ) -> Self {
         let health = candidate.health;
         // One request at a time probes an engine whose last samples are old.
         let may_probe = candidate.own_open == 0;
@@ -213,6 +217,11 @@
         self.failures + self.delay + self.backoff
     }
 
+    /// Returns the total with `factor` times the cost of failures.
+    pub(super) fn total_with_failure_factor(self, factor: f64) -> f64 {
+        Self { failures: self.failures * factor, ..self }.total()
+    }
+
     fn dominant_signal(self) -> HealthSignal {
         if self.backoff > 0.0 {
             HealthSignal::Backoff
@@ -224,9 +233,11 @@
     }
 }
 
-fn median_delay(candidates: &[EngineCandidate<'_>]) -> Option<f64> {
-    let delays = candidates.iter().filter_map(|candidate| candidate.health.delay_millis());
-    let mut delays: Vec<f64> = delays.collect();
+/// Returns the median of the smoothed delays that are known. Unit: milliseconds.
+pub(super) fn median_delay<'health>(
+    candidates: impl Iterator<Item = &'health EngineHealth>,
+) -> Option<f64> {
+    let mut delays: Vec<f64> = candidates.filter_map(EngineHealth::delay_millis).collect();
     delays.sort_by(f64::total_cmp);
     delays.get(delays.len().saturating_sub(1) / 2).copied()
 }
--- a/crates/gateway/src/control/placement.rs
+++ b/crates/gateway/src/control/placement.rs
@@ -73,9 +73,13 @@
         let now = self.shared.clock.now();
         let Some(domain) = self.domains.get_mut(frame.service.as_str()) else { return };
         if !domain.holds_lease && domain.apply_plan(frame, now) {
+            let service = Arc::clone(&domain.service);
             self.shared.shared_work().update(domain.decode_work(frame));
             self.record_host_report(frame.host_report());
             let has_residency = !frame.engines.is_empty() || !frame.changes.is_empty();
+            if !frame.work.is_empty() || !(has_residency || !frame.estimates.is_empty()) {
+                self.shared.shared_work().confirm(&service, now);
+            }
             self.table_changed |= has_residency || !frame.estimates.is_empty();
             self.publish();
         }
@@ -224,7 +228,10 @@
         self.table_changed |= !changed.is_empty();
         domain.send_plan_changes(changed, now);
         let work = domain.send_work(now);
-        self.shared.shared_work().update(work);
+        let mut shared_work = self.shared.shared_work();
+        shared_work.update(work);
+        shared_work.confirm(service, now);
+        drop(shared_work);
         self.table_changed |= domain.send_estimates(now);
         spawn_actions(state, service, domain.lease_token, actions);
         due
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -17,6 +17,11 @@
 /// renewed for three times as long.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Age from which the reported work of the engines is stale: the usual interval of the placers'
+/// reports, 250 ms, and time for their transfer. Of simulated reports every 500 ms, those older than
+/// this made more requests late than no reports.
+const MAX_WORK_AGE: Duration = Duration::from_millis(350);
+
 /// Demand for one model or adapter since it was last sent.
 #[derive(Debug, Clone, Default)]
 struct PendingDemand {
@@ -267,6 +272,8 @@
 #[derive(Debug, Default)]
 pub struct SharedWork {
     engines: HashMap<EngineName, EngineWork>,
+    /// When each placer last reported.
+    confirmed_at: HashMap<ServiceName, ClockMillis>,
 }
 
 impl SharedWork {
@@ -281,8 +288,19 @@
         }
     }
 
+    /// Records that a service's placer has reported everything that has changed.
+    pub fn confirm(&mut self, service: &ServiceName, now: ClockMillis) {
+        self.confirmed_at.insert(Arc::clone(service), now);
+    }
+
+    /// Returns whether a service's placer has not reported for longer than its interval.
+    pub fn is_stale(&self, service: &str, now: ClockMillis) -> bool {
+        self.confirmed_at.get(service).is_none_or(|at| now.since(*at) > MAX_WORK_AGE)
+    }
+
     /// Drops everything, because it is no longer updated.
     pub fn clear(&mut self) {
+        self.confirmed_at.clear();
         self.engines.clear();
     }
 
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -11,7 +11,8 @@
 use reelreel_core::{
     ClockMillis,
     fleet::{
-        EngineEntry, EngineName, HallName, ModelKey,
+        EngineEntry, EngineName, HallName, ModelKey, ServiceName,
+        engine_pace::{EnginePace, ServicePace},
         health::{EngineHealth, EngineOutcome},
         reachability::{ConnectTimeEstimator, HallReachability},
         work::EngineWork,
@@ -45,6 +46,7 @@
 struct EngineState {
     idle: Vec<IdleConnection>,
     health: EngineHealth,
+    pace: EnginePace,
     /// The engine's data hall, known after the first connect.
     hall: Option<HallName>,
     /// This host's work at the engine.
@@ -60,6 +62,8 @@
 pub struct EnginePool {
     engines: HashMap<EngineName, EngineState>,
     halls: HashMap<HallName, HallReachability>,
+    /// What is usual for the streams of each service.
+    paces: HashMap<ServiceName, ServicePace>,
     connect_time: ConnectTimeEstimator,
 }
 
@@ -80,6 +84,36 @@
         self.engines.get(engine).map(|state| (state.health.clone(), state.work)).unwrap_or_default()
     }
 
+    /// Returns by how much an engine presently takes longer than usual.
+    pub fn slowness(&self, engine: &str, now: ClockMillis) -> f64 {
+        self.engines.get(engine).map_or(1.0, |state| state.pace.slowness(now))
+    }
+
+    /// Returns the mean time of a service's streams from the first event to the end, or zero if it
+    /// is unknown.
+    pub fn mean_run(&self, service: &str) -> Duration {
+        self.paces.get(service).map_or(Duration::ZERO, ServicePace::mean_run)
+    }
+
+    /// Records a pause in a stream, in which this host waited for the engine for `waited`.
+    pub fn record_pause(
+        &mut self,
+        entry: &EngineEntry,
+        pause: Duration,
+        waited: Duration,
+        now: ClockMillis,
+    ) {
+        let service = self.paces.entry(Arc::clone(&entry.service)).or_default();
+        if let Some(state) = self.engines.get_mut(&entry.name) {
+            state.pace.record_pause(pause, waited, service, now);
+        }
+    }
+
+    /// Records the time of a complete stream from the first event to the end.
+    pub fn record_run(&mut self, service: &ServiceName, time: Duration) {
+        self.paces.entry(Arc::clone(service)).or_default().record_run(time);
+    }
+
     /// Returns this host's work, with its open requests by model or adapter, at the engines where
     /// it has changed since the last call.
     pub fn take_changed_work(&mut self) -> Vec<(EngineName, EngineWork, BTreeMap<ModelKey, u32>)> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -115,6 +115,15 @@
     pub signal: &'static str,
 }
 
+/// Labels of the counter of engines chosen by their expected time to the first event.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct FirstEventChoiceLabels {
+    /// The age of the engines' reported work: current or stale.
+    pub view: &'static str,
+    /// The engine's data hall: own or other.
+    pub hall: &'static str,
+}
+
 /// The metrics of a host.
 pub struct HostMetrics {
     registry: Mutex<Registry>,
@@ -196,6 +205,8 @@
     rejections: Family<RejectionLabels, Counter>,
     /// Engine choices that skipped the least loaded engine because of its health, by signal.
     health_diversions: Family<HealthDiversionLabels, Counter>,
+    /// Engines chosen by their expected time to the first event.
+    first_event_choices: Family<FirstEventChoiceLabels, Counter>,
     /// Listed engines that are leaving.
     pub departing_engines: Gauge,
     /// Engines in a cooldown that they requested from this host.
@@ -261,6 +272,7 @@
             announcements: Family::default(),
             rejections: Family::default(),
             health_diversions: Family::default(),
+            first_event_choices: Family::default(),
             departing_engines: Gauge::default(),
             cooling_engines: Gauge::default(),
         };
@@ -315,6 +327,8 @@
         registry.register("other_versions", help, self.other_versions.clone());
         let help = "Choices that skipped the least loaded engine because of its health";
         registry.register("health_diverted", help, self.health_diversions.clone());
+        let help = "Engines chosen by their expected time to the first event";
+        registry.register("first_event_choices", help, self.first_event_choices.clone());
         let help = "Listed engines that are leaving";
         registry.register("departing_engines", help, self.departing_engines.clone());
         let help = "Engines within a cooldown that they have asked this host for";
@@ -401,6 +415,13 @@
         self.health_diversions.get_or_create(&HealthDiversionLabels { signal }).inc();
     }
 
+    /// Counts an engine that was chosen by its expected time to the first event.
+    pub fn count_first_event_choice(&self, view_is_stale: bool, in_own_hall: bool) {
+        let view = if view_is_stale { "stale" } else { "current" };
+        let hall = if in_own_hall { "own" } else { "other" };
+        self.first_event_choices.get_or_create(&FirstEventChoiceLabels { view, hall }).inc();
+    }
+
     /// Encodes all metrics as text.
     pub fn encode(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`connection`]: one client connection.
 //! - [`prepare`], [`exchange`]: one request.
-//! - [`pick`]: selection of an engine.
+//! - [`pick`]: selection of an engine; [`first_event`]: by its expected time to the first event.
 //! - [`wait`]: waiting for an adapter, a permit or the end of a cooldown.
 //! - [`attempt`]: one send to an engine, after the checks of [`preflight`].
 //! - [`admission`]: load shedding for services without models.
@@ -16,6 +16,7 @@
 pub mod connection;
 pub mod deadline;
 pub mod exchange;
+pub mod first_event;
 pub mod forward;
 pub mod relay;
 pub mod permit;
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -41,6 +41,7 @@
         let may_retry = may_retry && self.within_send_limits() && !self.is_suspect();
         let (traffic, service) = (Rc::clone(self.traffic), Arc::clone(&self.service));
         let (key, id) = (self.metadata.model.clone(), self.metadata.id.clone());
+        let need = self.first_event_need();
         let (timeout, excluded) =
             (self.route.latency_target * FIRST_BYTE_TIMEOUT_TARGETS, [Arc::clone(&entry.name)]);
         async move {
@@ -55,6 +56,7 @@
                     id: &id,
                     permit_use,
                     retryable: true,
+                    need,
                 };
                 let other = pick_engine(&traffic, &requirements);
                 if matches!(other, EnginePick::Engine(..)) && traffic.try_spend_retry(&service) {
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -305,6 +305,7 @@
             id: &self.metadata.id,
             permit_use: self.permit_use(),
             retryable: self.route.kind.is_retryable() && self.sends == 0,
+            need: self.first_event_need(),
         };
         pick_engine(self.traffic, &requirements)
     }
--- a/crates/gateway/src/traffic/permit.rs
+++ b/crates/gateway/src/traffic/permit.rs
@@ -135,6 +135,7 @@
             id: &self.metadata.id,
             permit_use: PermitUse::Resumed,
             retryable: false,
+            need: self.next_event_need(),
         };
         let mut permits = self.traffic.shared.permits.subscribe();
         let engines = match pick_engine(self.traffic, &requirements) {
--- a/crates/gateway/src/traffic/pick.rs
+++ b/crates/gateway/src/traffic/pick.rs
@@ -14,7 +14,14 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{availability::EngineAvailability, table::ServingTable, traffic::TrafficState};
+use crate::{
+    availability::EngineAvailability,
+    table::ServingTable,
+    traffic::{
+        TrafficState,
+        first_event::{FirstEventNeed, choose_first_event, uses_first_event},
+    },
+};
 
 /// Result of selecting an engine.
 #[derive(Debug, Clone)]
@@ -58,6 +65,8 @@
     pub permit_use: PermitUse,
     /// Whether the request can be sent again if the engine fails.
     pub retryable: bool,
+    /// What the expected time to the first event depends on.
+    pub need: FirstEventNeed,
 }
 
 /// An engine that can take a request.
@@ -204,11 +213,17 @@
     eligible: &[EligibleEngine],
     now: ClockMillis,
 ) -> Option<usize> {
+    let by_first_event = uses_first_event(table, requirements.service);
     let shared = traffic.shared.shared_work();
+    let ignores_reports = by_first_event && shared.is_stale(requirements.service, now);
     let candidates: Vec<EngineCandidate<'_>> = eligible
         .iter()
         .map(|eligible| {
-            let reported = shared.get(&eligible.entry.name);
+            let reported = if ignores_reports {
+                EngineWork::default()
+            } else {
+                shared.get(&eligible.entry.name)
+            };
             let pending_tokens =
                 reported.pending_prefill_tokens.max(eligible.local_work.pending_prefill_tokens);
             EngineCandidate {
@@ -222,6 +237,9 @@
         })
         .collect();
     drop(shared);
+    if by_first_event {
+        return choose_first_event(traffic, table, requirements, &candidates, now);
+    }
     let hall = &traffic.shared.profile.hall;
     let tie_breaker = xxh3_64(requirements.id.as_bytes());
     let best = choose_engine(&candidates, hall, tie_breaker, table.hosts, now)?;
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -16,6 +16,7 @@
     engines::{EngineConnection, EnginePool, EngineResponse, send_request},
     traffic::{
         exchange::{ConnectionAction, Exchange, READ_AHEAD_LIMIT, SendOutcome},
+        first_event::PaceObserver,
         pick::EnginePick,
         stream::EventSplitter,
     },
@@ -221,7 +222,9 @@
         sent_at: ClockMillis,
     ) -> SegmentOutcome {
         let mut awaiting_first_byte = true;
+        let mut pace = PaceObserver::new(self.traffic, &self.service, &connection.entry);
         loop {
+            pace.record_wait();
             let chunk = tokio::select! {
                 biased;
                 chunk = connection.stream.read_body(decoder) => chunk,
@@ -231,9 +234,13 @@
             };
             let data = match chunk {
                 Ok(Some(data)) => data,
-                Ok(None) => return SegmentOutcome::Complete,
+                Ok(None) => {
+                    pace.record_end();
+                    return SegmentOutcome::Complete;
+                }
                 Err(_) => return SegmentOutcome::Interrupted,
             };
+            pace.record_data();
             if std::mem::take(&mut awaiting_first_byte) {
                 connection.record_prefill_done();
                 let (time, prompt_tokens) =
