fix(placement): members selected by capacity join at once

Change: no such delay. All hosts of high capacity join at the start, as elsewhere, and smaller ones leave once three larger ones are members. A member that joined by its old name before it knew the configuration joins again at once by the new one. Only stand-ins for larger members are spread out.

--- a/crates/core/src/placement/graded_group.rs
+++ b/crates/core/src/placement/graded_group.rs
@@ -4,7 +4,7 @@
 //! largest hosts take the group over, and smaller ones are members only while larger ones are
 //! missing. Each host decides by the members that it knows.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use crate::placement::HostCapacity;
 
@@ -19,14 +19,6 @@
 /// to the others.
 const MIN_PARTITIONS_PER_MEMBER: usize = 2;
 
-/// CPU share from which a host joins without delay. Hosts of 0.31 cores could not place for 60
-/// engines.
-const LARGE_CPU_SHARE: f64 = 0.5;
-
-/// How long a host with a negligible CPU share leaves the group to larger hosts after its start. A
-/// host reads the store and joins within a second, so the largest are members after half of this.
-const MAX_START_DELAY: Duration = Duration::from_secs(4);
-
 /// Capacity of a host in comparison to others. A host without high capacity is below all others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CapacityGrade {
@@ -50,12 +42,6 @@
     }
 }
 
-/// Returns how long after its start a host of high capacity leaves the group to larger hosts.
-pub fn start_delay(capacity: HostCapacity) -> Duration {
-    let shortfall = 1.0 - capacity.cpu_share / LARGE_CPU_SHARE;
-    MAX_START_DELAY.mul_f64(shortfall.clamp(0.0, 1.0))
-}
-
 /// The group as one host knows it.
 #[derive(Debug, Clone)]
 pub struct GradedGroup {
@@ -83,8 +69,11 @@
     /// Returns whether the host joins the group: it is among the largest, or stands in for larger
     /// hosts that are missing.
     pub fn should_join(&self) -> bool {
-        let largest = self.own_grade.sufficient && self.larger_members() == 0;
-        let limit = if largest { self.max_members } else { SUFFICIENT_LARGER_MEMBERS };
+        let limit = if self.own_grade.sufficient && self.is_largest() {
+            self.max_members
+        } else {
+            SUFFICIENT_LARGER_MEMBERS
+        };
         self.others.values().filter(|grade| **grade >= self.own_grade).count() < limit
     }
 
@@ -101,6 +90,11 @@
         self.larger_members() >= SUFFICIENT_LARGER_MEMBERS || preceding.count() >= self.max_members
     }
 
+    /// Returns whether no member is larger than the host.
+    pub fn is_largest(&self) -> bool {
+        self.larger_members() == 0
+    }
+
     fn larger_members(&self) -> usize {
         self.others.values().filter(|grade| **grade > self.own_grade).count()
     }
--- a/crates/core/tests/placement/graded_group.rs
+++ b/crates/core/tests/placement/graded_group.rs
@@ -1,11 +1,11 @@
 //! Selection of group members by their capacity, over many hosts that decide by the members that
 //! they know.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use reelreel_core::placement::{
     HostCapacity,
-    graded_group::{CapacityGrade, GradedGroup, start_delay},
+    graded_group::{CapacityGrade, GradedGroup},
 };
 
 const PARTITIONS: u32 = 24;
@@ -76,7 +76,6 @@
     }
 
     fn run_host(&mut self, address: SocketAddr, owners: &BTreeMap<SocketAddr, HostCapacity>) {
-        let now = Duration::from_millis(self.step * STEP_MILLIS);
         let host = self.hosts.get_mut(&address).expect("a host");
         let members = owners.iter().map(|(at, size)| (*at, CapacityGrade::new(*size)));
         let group =
@@ -89,10 +88,9 @@
             host.is_member = host.unneeded < UNNEEDED_CHECKS;
             return;
         }
-        let is_needed = now >= start_delay(host.capacity) && group.should_join();
-        host.needed = if is_needed { host.needed + 1 } else { 0 };
+        host.needed = if group.should_join() { host.needed + 1 } else { 0 };
         // Spreads stand-ins, as the gateway does by their names.
-        let jitter = if host.capacity == LARGE { 0 } else { u32::from(address.port()) % 4 };
+        let jitter = if group.is_largest() { 0 } else { u32::from(address.port()) % 4 };
         host.is_member = host.needed > jitter;
         host.unneeded = 0;
     }
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -253,12 +253,8 @@
         self.routes.as_ref().is_some_and(|routes| routes.has_tight_timeouts())
     }
 
-    /// Returns whether any member of the group is known.
-    pub fn has_members(&self) -> bool {
-        !self.owners.is_empty()
-    }
-
-    fn graded_group(&self) -> GradedGroup {
+    /// Returns this host's view of the group by capacity.
+    pub fn graded_group(&self) -> GradedGroup {
         let profile = &self.shared.profile;
         let members = self.owners.values().map(|owner| (owner.address, owner.known_grade()));
         let own_grade = CapacityGrade::new(profile.capacity);
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use reelreel_core::placement::graded_group::{CapacityGrade, start_delay};
+use reelreel_core::placement::graded_group::CapacityGrade;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -37,8 +37,8 @@
 /// Time over which hosts with low capacity spread their joins. Unit: milliseconds.
 const LOW_CAPACITY_JITTER_MILLIS: u64 = 2000;
 
-/// A host that is selected by its capacity makes one more check per this much of its jitter, so that
-/// hosts of the same capacity do not all stand in for the same missing member. Unit: milliseconds.
+/// A host that stands in for larger ones makes one more check per this much of its jitter. Unit:
+/// milliseconds.
 const GRADED_JITTER_MILLIS_PER_CHECK: u64 = 500;
 
 /// How many consecutive checks must show that the group needs this host, and the delay before they
@@ -63,20 +63,16 @@
         }
     }
 
-    /// Where members are selected by their capacity, small hosts first leave the group to larger
-    /// ones, and stand in at once if no member is left.
-    ///
-    /// The delay counts from the start of the host, so that a stand-in is delayed only by checks.
+    /// Where members are selected by their capacity, the largest hosts join at once. Others are
+    /// spread out, so that they do not all stand in for the same missing member.
     fn graded(state: &ControlState) -> Self {
         let shared = state.shared();
-        let capacity = shared.profile.capacity;
-        if !capacity.has_high_capacity() {
+        if !shared.profile.capacity.has_high_capacity() {
             return Self::new(shared);
         }
-        let delay = start_delay(capacity);
         let extra_checks = jitter_millis(shared) / GRADED_JITTER_MILLIS_PER_CHECK;
-        let is_urgent = start_delay(capacity).is_zero() || !state.has_members();
-        Self { delay, checks: if is_urgent { 1 } else { 1 + extra_checks } }
+        let checks = if state.graded_group().is_largest() { 1 } else { 1 + extra_checks };
+        Self { delay: Duration::ZERO, checks }
     }
 }
 
@@ -93,13 +89,19 @@
     let mut jitter = backoff(&shared, 0x5555);
     let time_to_live = MEMBERSHIP_TTL.max(shared.profile.min_membership_ttl);
     let sink = |update| state.borrow_mut().apply_membership_update(update);
+    let mut is_needed = false;
     loop {
-        wait_until_needed(&state, &mut client, &mut store_backoff, &mut jitter).await;
+        if !is_needed {
+            wait_until_needed(&state, &mut client, &mut store_backoff, &mut jitter).await;
+        }
         let member = own_member(&state.borrow());
         let need = || membership_need(&state.borrow(), member);
         let backoff = backoff(&shared, 0x3333).with_max_delay(MAX_JOIN_BACKOFF);
         let clock = Arc::clone(&shared.clock);
-        run_membership(&mut client, member, time_to_live, clock, backoff, need, sink).await;
+        let ended =
+            run_membership(&mut client, member, time_to_live, clock, backoff, need, sink).await;
+        // A renamed member joins again at once, so that a group of one is not without a member.
+        is_needed = ended == MembershipNeed::Renamed;
         state.borrow_mut().leave_group();
         if let Err(error) = leave(&mut client, member).await {
             log::debug!("failed to leave the group: {error}");
@@ -155,9 +157,8 @@
             backoff.reset();
             let graded =
                 state.borrow().selects_by_grade().then(|| JoinPolicy::graded(&state.borrow()));
-            let since = graded.map_or(started_at, |_| state.borrow().started_at);
             let policy = graded.unwrap_or(policy);
-            let too_early = shared.clock.now().since(since) < policy.delay;
+            let too_early = shared.clock.now().since(started_at) < policy.delay;
             let is_needed = !too_early && state.borrow().should_join();
             needed_checks = if is_needed { needed_checks + 1 } else { 0 };
             if needed_checks >= policy.checks {
--- a/crates/gateway/src/store/membership.rs
+++ b/crates/gateway/src/store/membership.rs
@@ -160,7 +160,8 @@
     Renamed,
 }
 
-/// Stays in the group until `need` was unneeded in several consecutive checks or is renamed; passes every update to `sink`.
+/// Stays in the group until `need` was unneeded in several consecutive checks or is renamed; passes every update to
+/// `sink`. Returns why the member leaves.
 pub async fn run_membership(
     client: &mut StoreClient,
     member: GroupMember,
@@ -169,7 +170,7 @@
     mut backoff: Backoff,
     need: impl Fn() -> MembershipNeed,
     sink: impl Fn(MembershipUpdate),
-) {
+) -> MembershipNeed {
     let mut unneeded_checks = 0;
     let mut last_seen: (StoreEra, GroupGeneration) = (0, 0);
     let mut owner_queries = OwnerQuerySchedule::new(time_to_live);
@@ -180,10 +181,10 @@
         unneeded_checks = match need() {
             MembershipNeed::Needed => 0,
             MembershipNeed::Unneeded => unneeded_checks + 1,
-            MembershipNeed::Renamed => return,
+            MembershipNeed::Renamed => return MembershipNeed::Renamed,
         };
         if unneeded_checks >= UNNEEDED_CHECKS {
-            return;
+            return MembershipNeed::Unneeded;
         }
         // A restored store counts generations anew: sending one of an earlier era would give up partitions that this host still owns.
         let generation = if last_seen.0 == client.eras().current() { last_seen.1 } else { 0 };
--- a/crates/gateway/tests/host/following.rs
+++ b/crates/gateway/tests/host/following.rs
@@ -12,13 +12,16 @@
 };
 
 use prost::Message;
-use reelreel_core::{ClockMillis, placement::HostCapacity};
+use reelreel_core::{
+    ClockMillis,
+    placement::{HostCapacity, graded_group::CapacityGrade},
+};
 use reelreel_gateway::{
     peers::frame::{FrameBody, PeerFrame},
-    store::health::StoreHealth,
+    store::{health::StoreHealth, membership::GroupMember},
 };
 
-use crate::site::{TestHost, TestSite, wait_until};
+use crate::site::{LOOSE_TIMEOUTS_REVISION, TestHost, TestSite, wait_until};
 
 const WEAK_CAPACITY: HostCapacity = HostCapacity { cpu_share: 0.1, bandwidth_mbps: 10.0 };
 
@@ -107,15 +110,89 @@
 
 #[test]
 fn a_weak_host_joins_the_group_until_strong_hosts_return() {
+    for revision in [1, LOOSE_TIMEOUTS_REVISION] {
+        let site = TestSite::without_configuration();
+        site.store.put("configuration", "routes", &revision.to_string());
+        let weak = site.start_host_with_capacity("weak", Vec::new(), WEAK_CAPACITY);
+        weak.wait_ready();
+        wait_until("the weak host holds the lease", || weak.shared.metrics.leases.get() == 1);
+        let strong = ["one", "two", "three"].map(|name| site.host(name));
+        wait_until("a strong host holds the lease", || {
+            let leases = strong.iter().map(|host| host.shared.metrics.leases.get());
+            weak.shared.metrics.leases.get() == 0 && leases.sum::<i64>() == 1
+        });
+    }
+}
+
+const MEDIUM_CAPACITY: HostCapacity = HostCapacity { cpu_share: 0.31, bandwidth_mbps: 60.0 };
+const LARGE_CAPACITY: HostCapacity = HostCapacity { cpu_share: 0.5, bandwidth_mbps: 200.0 };
+
+/// Guards against leases that stay on medium hosts although large ones exist, and against a group
+/// without members when the large ones stop.
+#[test]
+fn large_hosts_take_leases_over_where_timeouts_are_tight() {
     let site = TestSite::start();
-    let weak = site.start_host_with_capacity("weak", Vec::new(), WEAK_CAPACITY);
-    weak.wait_ready();
-    wait_until("the weak host holds the lease", || weak.shared.metrics.leases.get() == 1);
-    let strong = ["one", "two", "three"].map(|name| site.host(name));
-    wait_until("a strong host holds the lease", || {
-        let leases = strong.iter().map(|host| host.shared.metrics.leases.get());
-        weak.shared.metrics.leases.get() == 0 && leases.sum::<i64>() == 1
+    let start = |name: String, capacity| {
+        let host = site.start_host_with_capacity(&name, Vec::new(), capacity);
+        host.wait_ready();
+        host
+    };
+    let medium: Vec<TestHost> =
+        (0..4).map(|number| start(format!("medium-{number}"), MEDIUM_CAPACITY)).collect();
+    let leases = |hosts: &[TestHost]| -> i64 {
+        hosts.iter().map(|host| host.shared.metrics.leases.get()).sum()
+    };
+    wait_until("a medium host holds the lease", || leases(&medium) == 1);
+    let mut large: Vec<TestHost> =
+        (0..3).map(|number| start(format!("large-{number}"), LARGE_CAPACITY)).collect();
+    wait_until("a large host holds the lease", || leases(&medium) == 0 && leases(&large) == 1);
+    // The lease stays with large hosts while any medium host could still be a member.
+    let until = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < until {
+        assert_eq!(leases(&medium), 0);
+        thread::sleep(Duration::from_millis(50));
+    }
+    while let Some(host) = large.pop() {
+        host.stop();
+    }
+    wait_until("a medium host holds the lease again", || leases(&medium) == 1);
+}
+
+/// Guards against an effect of capacities on leases where timeouts are not tight.
+#[test]
+fn medium_hosts_keep_their_leases_where_timeouts_are_loose() {
+    let site = TestSite::without_configuration();
+    site.store.put("configuration", "routes", &LOOSE_TIMEOUTS_REVISION.to_string());
+    let medium = site.start_host_with_capacity("medium", Vec::new(), MEDIUM_CAPACITY);
+    medium.wait_ready();
+    wait_until("the medium host holds the lease", || medium.shared.metrics.leases.get() == 1);
+    let _large = ["one", "two", "three"].map(|name| {
+        let host = site.start_host_with_capacity(name, Vec::new(), LARGE_CAPACITY);
+        host.wait_ready();
+        host
     });
+    thread::sleep(Duration::from_secs(5));
+    let members = site.store.members();
+    assert_eq!(members.len(), 4, "{members:?}");
+    assert!(members.iter().all(|member| !member.contains('/')), "{members:?}");
+}
+
+#[test]
+fn names_of_members_contain_what_is_known_of_their_capacity() {
+    let grade = CapacityGrade { sufficient: true, millicores: 310, bandwidth_mbps: 60 };
+    let weak_grade = CapacityGrade { sufficient: false, ..grade };
+    let cases = [
+        ("127.0.0.1:9000", true, None),
+        ("127.0.0.1:9000/weak", false, None),
+        ("127.0.0.1:9000/310/60", true, Some(grade)),
+        ("127.0.0.1:9000/310/60/weak", false, Some(weak_grade)),
+    ];
+    for (name, strong, grade) in cases {
+        let address = "127.0.0.1:9000".parse().expect("an address");
+        let member = GroupMember { address, strong, grade };
+        assert_eq!(member.to_string(), name);
+        assert_eq!(name.parse(), Ok(member), "{name}");
+    }
 }
 
 struct HealthCase {
--- a/crates/gateway/tests/host/site.rs
+++ b/crates/gateway/tests/host/site.rs
@@ -177,6 +177,22 @@
     RouteTable::new(revision, client_limits(), routes, services)
 }
 
+/// The revision of a configuration in which no route has a tight timeout; those of the others do.
+pub(crate) const LOOSE_TIMEOUTS_REVISION: u64 = 5;
+
+/// Returns a configuration in which every timeout is at least twelve latency targets.
+fn routes_with_loose_timeouts() -> RouteTable {
+    let routes = ["/stream/", "/resumable/"].map(|prefix| {
+        let kind = RouteKind::Stream { resumable: prefix == "/resumable/" };
+        let timeout = Duration::from_secs(6);
+        RouteEntry { timeout, ..route(prefix, kind, "assist", 2) }
+    });
+    let table = self::routes(LOOSE_TIMEOUTS_REVISION, false);
+    let services = ["plain", "assist"]
+        .map(|name| ServiceEntry::clone(table.service(name).expect("a service")));
+    RouteTable::new(LOOSE_TIMEOUTS_REVISION, client_limits(), routes.to_vec(), services.to_vec())
+}
+
 /// The revision of the configuration with organisations.
 pub(crate) const ORGANISATIONS_REVISION: u64 = 3;
 
@@ -313,6 +329,7 @@
         let routes_by_revision = HashMap::from([
             (1, Arc::new(routes(1, false))),
             (2, Arc::new(routes(2, true))),
+            (LOOSE_TIMEOUTS_REVISION, Arc::new(routes_with_loose_timeouts())),
             (
                 ORGANISATIONS_REVISION,
                 Arc::new(routes_with_organisations(ORGANISATIONS_REVISION, &["key-n1", "key-n2"])),
--- a/crates/gateway/tests/host/store.rs
+++ b/crates/gateway/tests/host/store.rs
@@ -238,6 +238,11 @@
         self.lock().topics.get(topic).map_or(0, |topic| topic.records.len())
     }
 
+    /// Returns the names of the members of the group.
+    pub(crate) fn members(&self) -> Vec<String> {
+        self.lock().members.keys().cloned().collect()
+    }
+
     /// Reports the owners of partitions with a lag: a partition moves only when its previous owner
     /// has rejoined, which does not change the generation.
     pub(crate) fn delay_owners(&self, lag: Duration) {
