--- a/crates/core/tests/first_event/simulation.rs
+++ b/crates/core/tests/first_event/simulation.rs
@@ -6,6 +6,7 @@
 use rand_pcg::Pcg64;
 use reelreel_core::{
     ClockMillis,
+    clock::duration_millis,
     fleet::{
         EngineEntry,
         engine_choice::{EngineCandidate, choose_engine},
@@ -88,7 +89,7 @@
     arrived: u64,
     sent_at: u64,
     prefill_left: f64,
-    run_left: f64,
+    decode_left: f64,
     started_at: Option<u64>,
     event_left: f64,
     last_event: u64,
@@ -201,7 +202,7 @@
             hall * self.case.hosts_per_hall + self.rng.random_range(0..self.case.hosts_per_hall);
         let adapter = self.rng.random_range(0..ADAPTERS);
         let tie_breaker = self.rng.random();
-        let run_left = -MEAN_RUN_MILLIS * (1.0 - self.rng.random::<f64>()).ln();
+        let decode_left = -MEAN_RUN_MILLIS * (1.0 - self.rng.random::<f64>()).ln();
         let failure: f64 = self.rng.random();
         self.result.requests += 1;
         let candidates = self.copies[adapter].clone();
@@ -211,7 +212,7 @@
             arrived: now,
             sent_at: now,
             prefill_left: PREFILL_MILLIS,
-            run_left,
+            decode_left,
             started_at: None,
             event_left: EVENT_MILLIS,
             last_event: now,
@@ -244,9 +245,9 @@
         let prefill = |count: u64| Duration::from_secs_f64(count as f64 * PREFILL_MILLIS / 1000.0);
         let candidate = |index: &usize| {
             let own = self.engines[*index].work_of(Some(host));
-            let stale =
+            let is_old =
                 self.choice == Choice::FirstEvent && now - self.viewed_at > MAX_VIEW_AGE_MILLIS;
-            let reported = if stale { EngineWork::default() } else { self.view[*index] };
+            let reported = if is_old { EngineWork::default() } else { self.view[*index] };
             let pending = own.pending_prefill_tokens.max(reported.pending_prefill_tokens);
             let engine = EngineCandidate {
                 entry: &self.engines[*index].entry,
@@ -308,7 +309,7 @@
                 }
                 continue;
             }
-            run.run_left -= progress;
+            run.decode_left -= progress;
             run.event_left -= progress;
             if run.event_left <= 0.0 {
                 run.event_left += EVENT_MILLIS;
@@ -317,7 +318,7 @@
                 host.pace[index].record_pause(pause, pause, &mut host.service, at(now));
             }
         }
-        for run in engine.running.extract_if(.., |run| run.run_left <= 0.0) {
+        for run in engine.running.extract_if(.., |run| run.decode_left <= 0.0) {
             let time = now - run.started_at.unwrap_or(now);
             self.hosts[run.host].service.record_run(Duration::from_millis(time));
         }
@@ -329,7 +330,8 @@
     let mut now = 0;
     while case.slow_fraction > 0.0 && now < end {
         let mean_pause = SPELL_MILLIS as f64 * (1.0 / case.slow_fraction - 1.0);
-        now += (mean_pause * 2.0 * rng.random::<f64>()) as u64;
+        let pause = Duration::from_secs_f64(mean_pause * 2.0 * rng.random::<f64>() / 1000.0);
+        now += duration_millis(pause);
         spells.push(now);
         now += SPELL_MILLIS;
     }
--- a/crates/gateway/src/control/placement.rs
+++ b/crates/gateway/src/control/placement.rs
@@ -77,7 +77,9 @@
             self.shared.shared_work().update(domain.decode_work(frame));
             self.record_host_report(frame.host_report());
             let has_residency = !frame.engines.is_empty() || !frame.changes.is_empty();
-            if !frame.work.is_empty() || !(has_residency || !frame.estimates.is_empty()) {
+            // A frame without content is the heartbeat of a placer with no changed work.
+            let is_heartbeat = !has_residency && frame.estimates.is_empty();
+            if is_heartbeat || !frame.work.is_empty() {
                 self.shared.shared_work().confirm(&service, now);
             }
             self.table_changed |= has_residency || !frame.estimates.is_empty();
