--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -2,10 +2,11 @@
 //!
 //! - [`connection`]: one client connection.
 //! - [`prepare`], [`exchange`]: one request.
-//! - [`pick`]: selection of an engine.
+//! - [`pick`]: selection of an engine; [`first_event`]: by its expected time to the first event.
 //! - [`wait`]: waiting for an adapter, a permit or the end of a cooldown.
 //! - [`attempt`]: one send to an engine, after the checks of [`preflight`].
 //! - [`admission`]: load shedding for services without models.
+//! - [`resend`]: after an engine's error response.
 //! - [`refusal`]: responses without an engine.
 //! - [`quarantine`]: requests whose engines terminated.
 //! - [`relay`], [`stream`]: passing responses and event streams to the client.
@@ -16,6 +17,7 @@
 pub mod connection;
 pub mod deadline;
 pub mod exchange;
+pub mod first_event;
 pub mod forward;
 pub mod relay;
 pub mod permit;
@@ -26,6 +28,7 @@
 pub mod quarantine;
 pub mod request_log;
 pub mod refusal;
+pub mod resend;
 pub mod stream;
 pub mod load_wait;
 pub mod wait;
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -313,6 +313,7 @@
             id: &self.metadata.id,
             permit_use: self.permit_use(),
             retryable: self.route.kind.is_retryable() && self.sends == 0,
+            need: self.first_event_need(),
         };
         pick_engine(self.traffic, &requirements)
     }
@@ -373,7 +374,7 @@
             SendOutcome::ErrorResponse(response, body) => {
                 let may_retry = self.route.kind.is_retryable() && self.may_try_other_engine();
                 if may_retry && self.try_spend_resend() {
-                    self.excluded_engines.push(Arc::clone(&entry.name));
+                    self.exclude_after_error(entry);
                     return None;
                 }
                 let action = self.relay_buffered(&response, &body).await;
