feat(core): admission by priority and fair shares when engines are short

Cause: when engines have too little capacity, requests are refused in the order of their arrival. Less urgent requests and a flooding organisation take capacity from all others.

Ruled out: a bound on the time since a kind was last admitted.

Change: fleet/priority_admission.rs learns a level from expected waits and fills it with the most urgent arrivals; organisation/fair_share.rs cuts organisations above their max-min fair share first.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -13,6 +13,7 @@
 //! - [`health`]: engine health from the outcomes of this host's requests
 //! - [`limits`]: request rate limits declared by engines
 //! - [`prefill_speed`]: prefill throughput of a service's engines
+//! - [`priority_admission`]: which requests are admitted when capacity is short
 //! - [`prompt`]: prompt metadata of a request
 //! - [`quarantine`]: requests held back because engines ended while running them
 //! - [`queue_admission`]: whether a request joins an engine's queue
@@ -34,6 +35,7 @@
 pub mod health;
 pub mod limits;
 pub mod prefill_speed;
+pub mod priority_admission;
 pub mod prompt;
 pub mod quarantine;
 pub mod queue_admission;
--- a/crates/core/src/organisation.rs
+++ b/crates/core/src/organisation.rs
@@ -8,6 +8,7 @@
     sync::Arc,
 };
 
+pub mod fair_share;
 pub mod key;
 pub mod ledger;
 pub mod quota;
--- /dev/null
+++ b/crates/core/tests/priority_admission/simulation.rs
@@ -0,0 +1,220 @@
+//! Hosts that send streams to engines with too few slots, in simulated time.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use reelreel_core::{
+    ClockMillis,
+    clock::duration_millis,
+    fleet::priority_admission::{EngineWait, PriorityAdmission, PriorityArrival, PriorityDecision},
+    organisation::OrganisationName,
+};
+
+const STEP_MS: usize = 10;
+const SLOTS: u32 = 12;
+const MEAN_RUN_MS: u64 = 1000;
+/// Engines that hold one adapter, among which a host chooses.
+const HOLDERS: usize = 3;
+
+/// Streams of one priority. Unit of times: milliseconds.
+#[derive(Clone, Copy)]
+pub(crate) struct StreamKind {
+    pub(crate) priority: u8,
+    pub(crate) latency_target: u64,
+    pub(crate) timeout: u64,
+    /// Fraction of the base demand.
+    pub(crate) part: f64,
+}
+
+/// A deployment with its demand.
+#[derive(Clone, Copy)]
+pub(crate) struct Scenario {
+    pub(crate) hosts: usize,
+    pub(crate) engines: usize,
+    pub(crate) organisations: usize,
+    pub(crate) kinds: &'static [StreamKind],
+    /// Base demand relative to the capacity.
+    pub(crate) load: f64,
+    /// Factor on the base demand by time in milliseconds, organisation and priority.
+    pub(crate) factor: fn(u64, usize, u8) -> f64,
+    pub(crate) duration: u64,
+    pub(crate) seed: u64,
+}
+
+/// Numbers of requests that first arrived in one second.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Outcomes {
+    pub(crate) offered: f64,
+    pub(crate) served: f64,
+}
+
+/// Outcomes by second of the first arrival, organisation and priority.
+#[derive(Default)]
+pub(crate) struct Record {
+    outcomes: BTreeMap<(u64, usize, u8), Outcomes>,
+    /// Refusals by second.
+    pub(crate) refusals: BTreeMap<u64, u64>,
+}
+
+impl Record {
+    /// Returns the served fraction of the selected requests.
+    pub(crate) fn served(&self, selects: impl Fn(u64, usize, u8) -> bool) -> f64 {
+        let selected =
+            self.outcomes.iter().filter(|((at, who, kind), _)| selects(*at, *who, *kind));
+        let sum = selected.fold(Outcomes::default(), |sum, (_, outcomes)| Outcomes {
+            offered: sum.offered + outcomes.offered,
+            served: sum.served + outcomes.served,
+        });
+        assert!(sum.offered > 0.0, "no request selected");
+        sum.served / sum.offered
+    }
+}
+
+#[derive(Clone)]
+struct Request {
+    id: u64,
+    kind: StreamKind,
+    organisation: usize,
+    first_arrival: u64,
+    arrival: u64,
+    host: usize,
+}
+
+#[derive(Default)]
+struct Engine {
+    /// End, run time and host of each running request.
+    running: Vec<(u64, u64, usize)>,
+    queue: VecDeque<Request>,
+}
+
+/// A generator with a fixed sequence for each seed.
+struct Draws(u64);
+
+impl Draws {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        mixed ^ (mixed >> 31)
+    }
+
+    fn unit(&mut self) -> f64 {
+        (self.next() >> 11) as f64 / 2f64.powi(53)
+    }
+
+    fn below(&mut self, limit: usize) -> usize {
+        usize::try_from(self.next() % limit as u64).unwrap_or_default()
+    }
+}
+
+/// Runs a scenario and adds its outcomes to the record.
+pub(crate) fn run(scenario: &Scenario, record: &mut Record) {
+    let mut draws = Draws(scenario.seed);
+    let mut hosts = vec![PriorityAdmission::default(); scenario.hosts];
+    let mut engines: Vec<Engine> = (0..scenario.engines).map(|_| Engine::default()).collect();
+    let names: Vec<OrganisationName> =
+        (0..scenario.organisations).map(|index| Arc::from(format!("o{index}"))).collect();
+    let mut returning: BTreeMap<(u64, u64), Request> = BTreeMap::new();
+    let capacity = scenario.engines as f64 * f64::from(SLOTS) / MEAN_RUN_MS as f64;
+    let per_step = capacity * scenario.load * STEP_MS as f64 / scenario.organisations as f64;
+    let mut ids = 0;
+    for now in (0..scenario.duration).step_by(STEP_MS) {
+        for engine in &mut engines {
+            advance_engine(engine, &mut hosts, record, &mut draws, now);
+        }
+        let mut arriving: Vec<Request> = Vec::new();
+        while returning.first_key_value().is_some_and(|((due, _), _)| *due <= now) {
+            arriving.extend(returning.pop_first().map(|(_, request)| request));
+        }
+        for organisation in 0..scenario.organisations {
+            for kind in scenario.kinds {
+                let mut expected =
+                    per_step * kind.part * (scenario.factor)(now, organisation, kind.priority);
+                while expected > 0.0 {
+                    if draws.unit() < expected.min(0.2) {
+                        ids += 1;
+                        arriving.push(Request {
+                            id: ids,
+                            kind: *kind,
+                            organisation,
+                            first_arrival: now,
+                            arrival: now,
+                            host: 0,
+                        });
+                        let key = (now / 1000, organisation, kind.priority);
+                        record.outcomes.entry(key).or_default().offered += 1.0;
+                    }
+                    expected -= 0.2;
+                }
+            }
+        }
+        for mut request in arriving {
+            request.arrival = now;
+            request.host = draws.below(scenario.hosts);
+            let engine = (0..HOLDERS)
+                .map(|_| draws.below(scenario.engines))
+                .min_by_key(|index| engines[*index].running.len() + engines[*index].queue.len())
+                .unwrap_or_default();
+            let open = engines[engine].running.len() + engines[engine].queue.len();
+            let remaining = request.kind.timeout.saturating_sub(now - request.first_arrival);
+            let arrival = PriorityArrival {
+                priority: request.kind.priority,
+                organisation: names.get(request.organisation),
+                tokens: 200 + draws.next() % 400,
+                latency_target: Duration::from_millis(request.kind.latency_target),
+                remaining: Duration::from_millis(remaining),
+                engine_wait: Some(EngineWait {
+                    pending_prefill_time: Duration::ZERO,
+                    open: u32::try_from(open).unwrap_or(u32::MAX),
+                    slots: SLOTS,
+                }),
+                returning: request.first_arrival < now,
+                hash: draws.next(),
+            };
+            let decision = hosts[request.host].decide(&arrival, ClockMillis::from_millis(now));
+            match decision {
+                PriorityDecision::Refuse { retry_after, .. } => {
+                    *record.refusals.entry(now / 1000).or_default() += 1;
+                    let time = duration_millis(retry_after);
+                    assert!(3 * time <= remaining, "a client waits at most a third of its time");
+                    if time > 0 && remaining > time {
+                        returning.insert((now + time, request.id), request);
+                    }
+                }
+                PriorityDecision::Admit => engines[engine].queue.push_back(request),
+            }
+        }
+    }
+}
+
+/// Ends runs and starts queued requests; one that starts within its latency target is served.
+fn advance_engine(
+    engine: &mut Engine,
+    hosts: &mut [PriorityAdmission],
+    record: &mut Record,
+    draws: &mut Draws,
+    now: u64,
+) {
+    engine.running.retain(|(end, time, host)| {
+        if *end <= now {
+            hosts[*host].record_run(Duration::from_millis(*time));
+        }
+        *end > now
+    });
+    while engine.running.len() < SLOTS as usize
+        && let Some(request) = engine.queue.pop_front()
+    {
+        if now - request.first_arrival > request.kind.timeout {
+            continue;
+        }
+        let time = MEAN_RUN_MS / 2 + draws.next() % MEAN_RUN_MS;
+        engine.running.push((now + time, time, request.host));
+        if now - request.arrival <= request.kind.latency_target {
+            let key = (request.first_arrival / 1000, request.organisation, request.kind.priority);
+            record.outcomes.entry(key).or_default().served += 1.0;
+        }
+    }
+}
