feat(gateway): refuse by priority and fair share while engines are short

Cause: hosts sent requests to engines in the order of arrival, whatever their priority and organisation.

Ruled out: deciding again after a wait. A request that has waited for its adapter would be refused late.

Change: traffic/priority.rs consults PriorityAdmission once, at the first pick of an engine, where most timeouts are tight. Waiting requests count with a weight by priority.

--- a/crates/cli/src/logs/cause.rs
+++ b/crates/cli/src/logs/cause.rs
@@ -75,6 +75,10 @@
     AdapterNotLoaded,
     /// The best engine had too many prompt tokens queued, so the request was refused on arrival.
     QueueTooLong,
+    /// Capacity was short, and more urgent requests went first.
+    LessUrgent,
+    /// Capacity was short, and the organisation took more than its fair share.
+    AboveFairShare,
     /// Engines rejected the request without running it because they were full or not ready.
     EnginesRefused,
     /// No engine accepted requests, or none was reachable.
@@ -123,6 +127,8 @@
             Self::AdapterLoadedLate => "its adapter was loaded too late",
             Self::AdapterNotLoaded => "its adapter was not loaded",
             Self::QueueTooLong => "its engines had too much to read before it",
+            Self::LessUrgent => "its host admitted more urgent requests only",
+            Self::AboveFairShare => "its organisation took more than its share of the engines",
             Self::EnginesRefused => "its engines were full or not ready",
             Self::NoEngine => "no engine could be reached",
             Self::RateLimited => "its engines take only so many requests, and had named that limit",
@@ -156,6 +162,8 @@
             "refused_early" => Self::RejectedOnArrival,
             "adapter_absent" => Self::classify_adapter_absent(request, logs),
             "queue_too_long" => Self::QueueTooLong,
+            "priority_level" => Self::LessUrgent,
+            "fair_share" => Self::AboveFairShare,
             "not_run" => Self::EnginesRefused,
             "no_engine" | "unreachable" => Self::NoEngine,
             "limit_used" => Self::RateLimited,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -331,6 +331,9 @@
     /// The engine whose cooldown it last waited for or was refused for.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cooling_by: Option<String>,
+    /// Fraction of requests that its host admitted when it refused this one by priority or share.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub level: Option<f64>,
     /// Number of engines that it was sent to.
     pub sends: u32,
     /// Length of its prompt. Unit: tokens.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Metrics of a host, in the Prometheus text format.
 
-use std::{collections::BTreeSet, sync::Mutex};
+use std::{
+    collections::BTreeSet,
+    sync::{Mutex, atomic::AtomicU64},
+};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
@@ -115,6 +118,13 @@
     pub signal: &'static str,
 }
 
+/// Labels of gauges of services.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// The service.
+    pub service: String,
+}
+
 /// The metrics of a host.
 pub struct HostMetrics {
     registry: Mutex<Registry>,
@@ -200,6 +210,8 @@
     pub departing_engines: Gauge,
     /// Engines in a cooldown that they requested from this host.
     pub cooling_engines: Gauge,
+    /// Fraction of a service's requests that are admitted by priority.
+    pub admission_level: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
 }
 
 /// Returns the kind under which a declaration is counted, unless it is absent.
@@ -263,6 +275,7 @@
             health_diversions: Family::default(),
             departing_engines: Gauge::default(),
             cooling_engines: Gauge::default(),
+            admission_level: Family::default(),
         };
         metrics.register();
         metrics
@@ -319,6 +332,8 @@
         registry.register("departing_engines", help, self.departing_engines.clone());
         let help = "Engines within a cooldown that they have asked this host for";
         registry.register("cooling_engines", help, self.cooling_engines.clone());
+        let help = "Fraction of a service's requests that this host admits, by priority and share";
+        registry.register("admission_level", help, self.admission_level.clone());
         registry.register("resumes", "Streams taken up at another engine", self.resumes.clone());
         registry.register(
             "engine_connects",
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -6,6 +6,7 @@
 //! - [`wait`]: waiting for an adapter, a permit or the end of a cooldown.
 //! - [`attempt`]: one send to an engine, after the checks of [`preflight`].
 //! - [`admission`]: load shedding for services without models.
+//! - [`priority`]: admission by priority and by fair share.
 //! - [`refusal`]: responses without an engine.
 //! - [`quarantine`]: requests whose engines terminated.
 //! - [`relay`], [`stream`]: passing responses and event streams to the client.
@@ -22,6 +23,7 @@
 pub mod pick;
 pub mod admission;
 pub mod prepare;
+pub mod priority;
 pub mod probe;
 pub mod quarantine;
 pub mod request_log;
@@ -42,7 +44,7 @@
     ClockMillis,
     fleet::{
         EngineEntry, EngineName, ModelKey, ServiceName, admission::AdmissionController,
-        retry_share::RetryShare,
+        priority_admission::PriorityAdmission, retry_share::RetryShare,
     },
 };
 use tokio::{net::TcpListener, runtime::Builder, sync::watch, task::LocalSet};
@@ -91,6 +93,8 @@
     retry_shares: RefCell<HashMap<ServiceName, RetryShare>>,
     /// Admission control of each service without models.
     pub admissions: RefCell<HashMap<ServiceName, AdmissionController>>,
+    /// Admission by priority of each service with models.
+    pub priorities: RefCell<HashMap<ServiceName, PriorityAdmission>>,
     /// Models and adapters that engines reported as not loaded, with the time of the report.
     absent_copies: RefCell<HashMap<(EngineName, ModelKey), ClockMillis>>,
     /// Total size of the buffered request bodies, in bytes.
@@ -109,6 +113,7 @@
             end_detector: RefCell::default(),
             retry_shares: RefCell::default(),
             admissions: RefCell::default(),
+            priorities: RefCell::default(),
             absent_copies: RefCell::default(),
             body_bytes: Cell::new(0),
             connections: Cell::new(0),
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -154,6 +154,10 @@
     pub(super) cooling_engines: Option<CoolingEngines>,
     /// The engine whose cooldown the request last waited for.
     pub cooling_by: Option<EngineName>,
+    /// Whether admission by priority has been decided.
+    pub(super) priority_decided: bool,
+    /// The admission level at which the request was refused.
+    pub refused_at_level: Option<f64>,
     /// The configuration revision that determined the route.
     pub revision: ConfigRevision,
 }
@@ -231,6 +235,8 @@
             limited_by: None,
             cooling_engines: None,
             cooling_by: None,
+            priority_decided: false,
+            refused_at_level: None,
             may_have_run: false,
             waited: Duration::ZERO,
             revision,
@@ -251,7 +257,11 @@
             return self.refuse_unadmitted(time).await;
         }
         loop {
-            match self.pick() {
+            let picked = self.pick();
+            if let Some(refusal) = self.priority_refusal(&picked) {
+                return self.refuse_by_priority(refusal).await;
+            }
+            match picked {
                 EnginePick::Engine(entry, version) => {
                     if let Some(time) = self.queue_retry_after(&entry) {
                         return self.refuse_long_queue(time).await;
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -25,6 +25,7 @@
         if let Some(organisation) = &self.organisation {
             shared.metrics.count_organisation(&organisation.name, outcome);
         }
+        self.record_slot_time(outcome);
         let late = outcome == "answered" && self.is_late();
         let id_hash = xxh3_64(self.metadata.id.as_bytes());
         if outcome == "answered" && !late && !id_hash.is_multiple_of(LOG_SAMPLE_INTERVAL) {
@@ -43,6 +44,7 @@
             engine: self.sent_to.last().map(ToString::to_string),
             limited_by: self.limited_by.as_ref().map(ToString::to_string),
             cooling_by: self.cooling_by.as_ref().map(ToString::to_string),
+            level: self.refused_at_level,
             sends: self.sends,
             prompt: self.metadata.prompt.tokens(),
             waited: duration_millis(self.waited),
--- a/crates/gateway/src/traffic/wait.rs
+++ b/crates/gateway/src/traffic/wait.rs
@@ -119,7 +119,7 @@
         let started_at = self.traffic.now();
         let mut guard = self.metadata.model.clone().map(|key| {
             let tokens = self.metadata.prompt.tokens();
-            let worth = self.cold_request().worth();
+            let worth = self.weighted_worth(self.cold_request().worth());
             WaitGuard::new(self.traffic, &self.service, &key, tokens, worth)
         });
         let mut cooldown_counted = false;
@@ -129,7 +129,7 @@
             }
             let request = self.cold_request();
             if let Some(guard) = &mut guard {
-                guard.update_worth(request.worth());
+                guard.update_worth(self.weighted_worth(request.worth()));
             }
             let wait = match request.decide() {
                 ColdDecision::Wait(time) => time,
@@ -159,7 +159,7 @@
         if let WaitOutcome::Refused(time) = outcome
             && let Some(mut guard) = guard
         {
-            guard.update_worth(LATE_WORTH);
+            guard.update_worth(self.weighted_worth(LATE_WORTH));
             guard.keep_counted_for(time + self.route.latency_target);
         }
         outcome
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -131,6 +131,7 @@
             engine: Some(engine()),
             limited_by: Some(engine()),
             cooling_by: Some(engine()),
+            level: Some(0.5),
             sends: 1,
             prompt: 1,
             waited: 1,
--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -16,6 +16,7 @@
 mod organisations;
 mod placement;
 mod placer_start;
+mod priorities;
 mod engine_restart;
 mod store_rollback;
 mod site;
--- a/crates/gateway/tests/host/site.rs
+++ b/crates/gateway/tests/host/site.rs
@@ -157,6 +157,10 @@
     if with_late_route {
         routes.push(route("/late/", RouteKind::AtMostOnce, "plain", 1));
     }
+    RouteTable::new(revision, client_limits(), routes, services())
+}
+
+fn services() -> Vec<ServiceEntry> {
     let hosting = ModelHosting {
         models: vec![ModelSize {
             name: MODEL_NAME.to_owned(),
@@ -173,8 +177,18 @@
         connection_limit: 200,
         hosting,
     };
-    let services = vec![service("plain", None), service("assist", Some(hosting))];
-    RouteTable::new(revision, client_limits(), routes, services)
+    vec![service("plain", None), service("assist", Some(hosting))]
+}
+
+/// The revision with streams whose timeouts are long compared with their latency targets.
+pub(crate) const LONG_TIMEOUTS_REVISION: u64 = 5;
+
+fn routes_with_long_timeouts() -> RouteTable {
+    let stream = RouteEntry {
+        timeout: Duration::from_secs(6),
+        ..route("/stream/", RouteKind::Stream { resumable: false }, "assist", 1)
+    };
+    RouteTable::new(LONG_TIMEOUTS_REVISION, client_limits(), vec![stream], services())
 }
 
 /// The revision of the configuration with organisations.
@@ -313,6 +327,7 @@
         let routes_by_revision = HashMap::from([
             (1, Arc::new(routes(1, false))),
             (2, Arc::new(routes(2, true))),
+            (LONG_TIMEOUTS_REVISION, Arc::new(routes_with_long_timeouts())),
             (
                 ORGANISATIONS_REVISION,
                 Arc::new(routes_with_organisations(ORGANISATIONS_REVISION, &["key-n1", "key-n2"])),
