feat(core): a cold request goes on while any engine has room

Cause: the level is learned at the engines that hold requested adapters. When a few adapters are overloaded, requests whose adapters are not loaded were refused although other engines could load them.

Ruled out: letting all such requests pass. When all engines are busy, loads for the least urgent take slots from others.

Change: for them the least busy engine of the service counts as the engine, and does not change the level.

--- a/crates/core/src/fleet/priority_admission.rs
+++ b/crates/core/src/fleet/priority_admission.rs
@@ -100,8 +100,12 @@
     pub latency_target: Duration,
     /// Time until the request's deadline.
     pub remaining: Duration,
-    /// Expected wait at the chosen engine; `None` if no engine has loaded the adapter.
+    /// Expected wait at the chosen engine, or at the least busy engine of the service if none has
+    /// loaded the adapter; `None` if unknown.
     pub engine_wait: Option<EngineWait>,
+    /// Whether an engine has loaded the adapter. Otherwise the wait says nothing about the engines
+    /// that requests are sent to, and does not change the level.
+    pub loaded: bool,
     /// Whether the client returns after a refusal. Its first attempt has been counted: otherwise the
     /// kinds that are refused most would seem to arrive most.
     pub returning: bool,
@@ -177,7 +181,7 @@
         let wait_ratio = arrival
             .engine_wait
             .map(|wait| wait.expected(self.run_time).div_duration_f64(self.tightest_target()));
-        if let Some(ratio) = wait_ratio {
+        if let Some(ratio) = wait_ratio.filter(|_| arrival.loaded) {
             self.level.observe(ratio, now);
         }
         if self.level.advance(now) {
--- a/crates/core/tests/priority_admission/simulation.rs
+++ b/crates/core/tests/priority_admission/simulation.rs
@@ -171,6 +171,7 @@
                     open: u32::try_from(open).unwrap_or(u32::MAX),
                     slots: SLOTS,
                 }),
+                loaded: true,
                 returning: request.first_arrival < now,
                 hash: draws.next(),
             };
--- a/crates/gateway/src/traffic/priority.rs
+++ b/crates/gateway/src/traffic/priority.rs
@@ -51,8 +51,8 @@
     /// Decides once for a request, when its engine is first picked: a request that has been sent
     /// may have run, and one that has waited for its adapter is not refused afterwards.
     pub(super) fn priority_refusal(&mut self, picked: &EnginePick) -> Option<PriorityRefusal> {
-        let engine_wait = match picked {
-            EnginePick::Engine(entry, _) => Some(self.wait_at(entry)),
+        let engine = match picked {
+            EnginePick::Engine(entry, _) => Some(entry),
             EnginePick::ColdStart => None,
             EnginePick::Limited(_) | EnginePick::Cooling(_) | EnginePick::Unavailable => {
                 return None;
@@ -69,7 +69,9 @@
             tokens: self.metadata.tokens.unwrap_or(prompt_tokens),
             latency_target: self.route.latency_target,
             remaining: self.deadline.remaining(),
-            engine_wait,
+            engine_wait: engine
+                .map_or_else(|| self.shortest_wait(), |entry| Some(self.wait_at(entry))),
+            loaded: engine.is_some(),
             returning: self.client_retried(),
             hash: xxh3_64(self.metadata.id.as_bytes()),
         };
@@ -122,6 +124,17 @@
             && !self.traffic.has_no_models(&self.service)
     }
 
+    /// Returns the expected wait at the least busy engine of the service while the level is below
+    /// one; otherwise nothing depends on it.
+    fn shortest_wait(&self) -> Option<EngineWait> {
+        let priorities = self.traffic.priorities.borrow();
+        let admission = priorities.get(&self.service);
+        admission.filter(|admission| admission.level() < 1.0)?;
+        let table = self.traffic.table();
+        let waits = table.ready_engines(&self.service).map(|entry| self.wait_at(entry));
+        waits.min_by_key(|wait| (wait.open, wait.pending_prefill_time))
+    }
+
     fn wait_at(&self, entry: &EngineEntry) -> EngineWait {
         let reported = self.traffic.shared.shared_work().get(&entry.name);
         let (_, local) = self.traffic.pool.borrow().health_and_work(&entry.name);
