fix(core): judge waits by the shortest target of all routes of a priority

An organisation's priority can put routes with different latency targets into one kind; the last arrival's target then decided. The shortest recent one does now.

--- a/crates/core/src/fleet/priority_admission.rs
+++ b/crates/core/src/fleet/priority_admission.rs
@@ -140,9 +140,14 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct KindArrivals {
     count: DecayingSum,
+    /// The shortest recent latency target: routes of one priority may have different ones.
     latency_target: Duration,
 }
 
+/// Factor by which the shortest latency target of a kind grows with each arrival that has a longer
+/// one, so that a route that is no longer used or configured is forgotten within some seconds.
+const TARGET_INCREASE: f64 = 1.02;
+
 /// Number of recent arrivals below which a kind is forgotten.
 const NEGLIGIBLE_ARRIVALS: f64 = 0.01;
 
@@ -200,7 +205,11 @@
 
     fn count_arrival(&mut self, arrival: &PriorityArrival<'_>, now: ClockMillis) {
         let kind = self.kinds.entry(arrival.priority).or_default();
-        kind.latency_target = arrival.latency_target;
+        kind.latency_target = if kind.latency_target.is_zero() {
+            arrival.latency_target
+        } else {
+            kind.latency_target.mul_f64(TARGET_INCREASE).min(arrival.latency_target)
+        };
         if arrival.returning {
             return;
         }
--- a/crates/gateway/tests/host/priorities.rs
+++ b/crates/gateway/tests/host/priorities.rs
@@ -78,6 +78,6 @@
         let longest = refused.iter().map(|response| retry_after(response)).fold(0.0, f64::max);
         assert!(longest <= 0.51, "{}: {longest} s of 1.5 s", case.name);
         let served = responses.iter().filter(|response| response.ends_with("0\r\n\r\n")).count();
-        assert!(served > 100, "{}: {served} served", case.name);
+        assert!(served >= CLIENTS as usize, "{}: {served} served", case.name);
     }
 }
