--- a/crates/core/src/fleet/priority_admission.rs
+++ b/crates/core/src/fleet/priority_admission.rs
@@ -6,7 +6,7 @@
 //! would choose are long, and raises it steadily while they are short. The level is filled with the
 //! most urgent arrivals first. Every kind keeps a part of it, so that none starves, and an
 //! organisation above its fair share gets a smaller level than the others
-//! ([`FairShares`](crate::organisation::fair_share::FairShares)).
+//! ([`FairShares`]).
 //!
 //! Hosts do not coordinate: they see the same engines, so their levels move in the same direction.
 
--- a/crates/core/tests/priority_admission/main.rs
+++ b/crates/core/tests/priority_admission/main.rs
@@ -6,13 +6,14 @@
 
 use reelreel_core::{
     ClockMillis,
+    clock::duration_millis,
     fleet::priority_admission::{
         EngineWait, PriorityAdmission, PriorityArrival, PriorityCause, PriorityDecision,
         priority_weight,
     },
     organisation::{OrganisationName, fair_share::FairShares},
 };
-use simulation::{Record, Scenario, StreamKind, run};
+use simulation::{DemandFactor, Record, Scenario, StreamKind, run};
 
 const OFICINA: &[StreamKind] = &[
     StreamKind { priority: 0, latency_target: 500, timeout: 5000, part: 0.78 },
@@ -32,91 +33,50 @@
 /// Seeds whose outcomes are added up.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=4;
 
-fn is_hard(at: u64) -> bool {
-    (10_000..30_000).contains(&at)
+const fn hard(at: u64, factor: f64) -> f64 {
+    if at >= 10_000 && at < 30_000 { factor } else { 1.0 }
 }
 
-fn calm(_: u64, _: usize, _: u8) -> f64 {
-    1.0
-}
-
-fn background_burst(at: u64, _: usize, priority: u8) -> f64 {
-    if is_hard(at) && priority == 2 { 6.0 } else { 1.0 }
-}
-
-fn wave(at: u64, _: usize, _: u8) -> f64 {
-    1.0 + 0.55 * (at as f64 / 2000.0).sin()
-}
-
-fn flood(at: u64, organisation: usize, _: u8) -> f64 {
-    if is_hard(at) && organisation == 0 { 6.0 } else { 1.0 }
-}
-
-fn doubled(at: u64, _: usize, _: u8) -> f64 {
-    if is_hard(at) { 2.0 } else { 1.0 }
-}
+const CALM: DemandFactor = |_, _, _| 1.0;
+const BURST: DemandFactor = |at, _, priority| hard(at, if priority == 2 { 6.0 } else { 1.0 });
+const FLOOD: DemandFactor = |at, first, _| hard(at, if first == 0 { 6.0 } else { 1.0 });
+const TWICE: DemandFactor = |at, _, _| hard(at, 2.0);
+const WAVE: DemandFactor = |at, _, _| 1.0 + 0.55 * (at as f64 / 2000.0).sin();
 
-struct DemandCase {
-    name: &'static str,
-    kinds: &'static [StreamKind],
-    hosts: usize,
-    load: f64,
-    factor: fn(u64, usize, u8) -> f64,
-    /// Whether the most urgent kind must be served as in calm times.
-    spares_urgent: bool,
-    /// Whether organisations other than the first must be served as in calm times.
-    spares_others: bool,
+/// Who must be served as in calm times.
+#[derive(PartialEq)]
+enum Spared {
+    Nobody,
+    /// The most urgent kind.
+    Urgent,
+    /// Organisations other than the first.
+    Others,
 }
 
-const fn case(
-    name: &'static str,
-    kinds: &'static [StreamKind],
-    load: f64,
-    factor: fn(u64, usize, u8) -> f64,
-) -> DemandCase {
-    DemandCase { name, kinds, hosts: 10, load, factor, spares_urgent: false, spares_others: false }
-}
+struct DemandCase(&'static str, &'static [StreamKind], usize, f64, DemandFactor, Spared);
 
+/// Name, kinds, hosts, base demand relative to the capacity, factor on it, and who is spared.
 const DEMAND_CASES: &[DemandCase] = &[
-    case("calm", OFICINA, 0.7, calm),
-    DemandCase {
-        spares_urgent: true,
-        ..case("burst of the least urgent", OFICINA, 0.85, background_burst)
-    },
-    DemandCase {
-        spares_urgent: true,
-        ..case("burst with little room", OFICINA, 0.95, background_burst)
-    },
-    DemandCase {
-        hosts: 3,
-        spares_urgent: true,
-        ..case("burst at three hosts", OFICINA, 0.85, background_burst)
-    },
-    DemandCase { spares_urgent: true, ..case("wave", COSECHA, 0.95, wave) },
-    DemandCase { spares_others: true, ..case("flood", OFICINA, 0.85, flood) },
-    DemandCase { spares_others: true, ..case("flood, little room", OFICINA, 0.95, flood) },
-    DemandCase { spares_others: true, ..case("flood, few urgent", COSECHA, 0.95, flood) },
-    DemandCase { hosts: 3, spares_others: true, ..case("flood, 3 hosts", OFICINA, 0.85, flood) },
-    case("twice the demand", OFICINA, 0.85, doubled),
-    case("twice the demand, little room", OFICINA, 0.95, doubled),
-    DemandCase { spares_urgent: true, ..case("twice, few urgent", COSECHA, 0.85, doubled) },
-    DemandCase { hosts: 3, ..case("twice the demand, 3 hosts", COSECHA, 0.85, doubled) },
+    DemandCase("calm", OFICINA, 10, 0.7, CALM, Spared::Nobody),
+    DemandCase("burst of the least urgent", OFICINA, 10, 0.85, BURST, Spared::Urgent),
+    DemandCase("burst with little room", OFICINA, 10, 0.95, BURST, Spared::Urgent),
+    DemandCase("burst at three hosts", OFICINA, 3, 0.85, BURST, Spared::Urgent),
+    DemandCase("wave", COSECHA, 10, 0.95, WAVE, Spared::Urgent),
+    DemandCase("flood", OFICINA, 10, 0.85, FLOOD, Spared::Others),
+    DemandCase("flood with little room", OFICINA, 10, 0.95, FLOOD, Spared::Others),
+    DemandCase("flood, few urgent", COSECHA, 10, 0.95, FLOOD, Spared::Others),
+    DemandCase("flood at three hosts", OFICINA, 3, 0.85, FLOOD, Spared::Others),
+    DemandCase("twice the demand", OFICINA, 10, 0.85, TWICE, Spared::Nobody),
+    DemandCase("twice the demand, little room", OFICINA, 10, 0.95, TWICE, Spared::Nobody),
+    DemandCase("twice the demand, few urgent", COSECHA, 10, 0.85, TWICE, Spared::Urgent),
+    DemandCase("twice the demand at three hosts", COSECHA, 3, 0.85, TWICE, Spared::Nobody),
 ];
 
-fn record_of(case: &DemandCase, factor: fn(u64, usize, u8) -> f64) -> Record {
+fn record_of(case: &DemandCase, factor: DemandFactor) -> Record {
+    let DemandCase(_, kinds, hosts, load, ..) = *case;
     let mut record = Record::default();
     for seed in SEEDS {
-        let scenario = Scenario {
-            hosts: case.hosts,
-            engines: 10,
-            organisations: 16,
-            kinds: case.kinds,
-            load: case.load,
-            factor,
-            duration: 40_000,
-            seed,
-        };
-        run(&scenario, &mut record);
+        run(&Scenario { hosts, kinds, load, factor, seed }, &mut record);
     }
     record
 }
@@ -126,29 +86,24 @@
 #[test]
 fn short_capacity_goes_to_urgent_requests_and_to_all_organisations() {
     for case in DEMAND_CASES {
-        let record = record_of(case, case.factor);
-        let hard = |at: u64| is_hard(at * 1000);
-        let kind = |priority| record.served(|at, _, other| hard(at) && other == priority);
-        let (kinds, all) = ([kind(0), kind(1), kind(2)], record.served(|at, _, _| hard(at)));
-        let first = record.served(|at, organisation, _| hard(at) && organisation == 0);
-        let others = record.served(|at, organisation, _| hard(at) && organisation != 0);
-        println!(
-            "{}: all {all:.3}, kinds {kinds:.3?}, first {first:.3}, others {others:.3}",
-            case.name
-        );
+        let DemandCase(name, _, _, load, factor, spared) = case;
+        let (record, usual) = (record_of(case, *factor), record_of(case, CALM));
+        let kind = |record: &Record, priority| record.served(|_, other| other == priority);
+        let kinds = [0, 1, 2].map(|priority| kind(&record, priority));
+        let all = record.served(|_, _| true);
+        let others = |record: &Record| record.served(|organisation, _| organisation != 0);
+        println!("{name}: all {all:.3}, kinds {kinds:.3?}, others {:.3}", others(&record));
         for (priority, served) in kinds.iter().enumerate() {
-            assert!(4.0 * served > all, "{}: priority {priority} starves", case.name);
+            assert!(4.0 * served > all, "{name}: priority {priority} starves");
             for less_urgent in &kinds[priority..] {
-                assert!(served + MAX_LOSS > *less_urgent, "{}: priority {priority}", case.name);
+                assert!(served + MAX_LOSS > *less_urgent, "{name}: priority {priority}");
             }
         }
-        let usual = record_of(case, calm);
-        let usual_urgent = usual.served(|at, _, priority| hard(at) && priority == 0);
-        assert!(!case.spares_urgent || kinds[0] > usual_urgent - MAX_LOSS, "{}", case.name);
-        let usual_others = usual.served(|at, organisation, _| hard(at) && organisation != 0);
-        assert!(!case.spares_others || others > usual_others - MAX_LOSS, "{}", case.name);
-        let refused = usual.refusals.values().sum::<u64>();
-        assert!(case.load > 0.7 || refused == 0, "{}: {refused} refused in calm times", case.name);
+        let (urgent_loss, others_loss) =
+            (kind(&usual, 0) - kinds[0], others(&usual) - others(&record));
+        assert!(*spared != Spared::Urgent || urgent_loss < MAX_LOSS, "{name}: {urgent_loss}");
+        assert!(*spared != Spared::Others || others_loss < MAX_LOSS, "{name}: {others_loss}");
+        assert!(*load > 0.7 || usual.refusals == 0, "{name}: refusals in calm times");
     }
 }
 
@@ -189,126 +144,70 @@
     assert_eq!(decision, PriorityDecision::Admit);
 }
 
-/// A request in a shortage. Unit of the times: milliseconds.
-struct RefusalCase {
-    name: &'static str,
-    arrival: PriorityArrival<'static>,
-    /// The range of the retry time, or `None` if the request is admitted.
-    retry_after: Option<(u64, u64)>,
-}
+/// A request in a shortage, and the range of its retry time in milliseconds, or `None` if it is
+/// admitted.
+struct RefusalCase(&'static str, PriorityArrival<'static>, Option<(u64, u64)>);
 
 /// Guards against refusals by busy engines where the chosen one is free, and against retry times
 /// beyond a third of the remaining time or all at one moment.
 #[test]
 fn refused_requests_get_spread_retry_times_within_a_third_of_their_time() {
+    let busy = arrival(1, 24, u32::MAX);
+    let low_spread = PriorityArrival { hash: u64::from(u32::MAX) << 32, ..busy };
+    let little_time = PriorityArrival { remaining: Duration::from_millis(300), ..busy };
+    let (room, cold) = (arrival(1, 11, u32::MAX), PriorityArrival { loaded: false, ..busy });
     let cases = [
-        RefusalCase {
-            name: "low hash",
-            arrival: arrival(1, 24, u32::MAX - 1),
-            retry_after: Some((990, 1000)),
-        },
-        RefusalCase {
-            name: "low spread",
-            arrival: PriorityArrival { hash: u64::from(u32::MAX) << 32, ..arrival(1, 24, 0) },
-            retry_after: Some((660, 670)),
-        },
-        RefusalCase {
-            name: "little time left",
-            arrival: PriorityArrival {
-                remaining: Duration::from_millis(300),
-                ..arrival(1, 24, u32::MAX)
-            },
-            retry_after: Some((90, 100)),
-        },
-        RefusalCase { name: "free engine", arrival: arrival(1, 11, u32::MAX), retry_after: None },
-        RefusalCase { name: "within the minimum", arrival: arrival(1, 24, 0), retry_after: None },
-        RefusalCase {
-            name: "adapter not loaded, all engines busy",
-            arrival: PriorityArrival { loaded: false, ..arrival(1, 24, u32::MAX) },
-            retry_after: Some((900, 1000)),
-        },
-        RefusalCase {
-            name: "adapter not loaded, an engine with room",
-            arrival: PriorityArrival { loaded: false, ..arrival(1, 11, u32::MAX) },
-            retry_after: None,
-        },
+        RefusalCase("high hash", busy, Some((990, 1000))),
+        RefusalCase("low spread", low_spread, Some((660, 670))),
+        RefusalCase("little time left", little_time, Some((90, 100))),
+        RefusalCase("free engine", room, None),
+        RefusalCase("within the minimum", arrival(1, 24, 0), None),
+        RefusalCase("adapter not loaded, all engines busy", cold, Some((900, 1000))),
+        RefusalCase("not loaded, one free", PriorityArrival { loaded: false, ..room }, None),
     ];
-    for case in cases {
-        let mut admission = short_admission();
-        let decision = admission.decide(&case.arrival, ClockMillis::from_millis(3000));
-        match (decision, case.retry_after) {
-            (PriorityDecision::Admit, None) => {}
-            (PriorityDecision::Refuse { cause, retry_after }, Some((from, to))) => {
-                assert_eq!(cause, PriorityCause::PriorityLevel, "{}", case.name);
-                let millis = retry_after.as_millis();
-                assert!((from.into()..=to.into()).contains(&millis), "{}: {millis}", case.name);
+    for RefusalCase(name, arrival, expected) in cases {
+        let decision = short_admission().decide(&arrival, ClockMillis::from_millis(3000));
+        let retry_after = match decision {
+            PriorityDecision::Admit => None,
+            PriorityDecision::Refuse { cause, retry_after } => {
+                assert_eq!(cause, PriorityCause::PriorityLevel, "{name}");
+                Some(duration_millis(retry_after))
             }
-            (decision, _) => panic!("{}: {decision:?}", case.name),
-        }
+        };
+        let within =
+            |(from, to): (u64, u64)| retry_after.is_some_and(|at| (from..=to).contains(&at));
+        assert!(expected.map_or(retry_after.is_none(), within), "{name}: {retry_after:?}");
     }
 }
 
-/// Tokens requested by organisations, and what a shortage leaves of them.
-struct ShareCase {
-    name: &'static str,
-    /// Tokens requested by each organisation, in requests of 100.
-    requested: &'static [u64],
-    /// Fraction that engines answer in time.
-    fraction: f64,
-    /// The admitted fractions of the first and of the last organisation.
-    admitted: (f64, f64),
-}
+/// Requests of 100 tokens by organisation, the fraction that engines answer in time, and the
+/// admitted fractions of the first and of the last organisation.
+struct ShareCase(&'static str, &'static [u64], f64, (f64, f64));
 
 const SHARE_CASES: &[ShareCase] = &[
-    ShareCase {
-        name: "no shortage",
-        requested: &[60_000, 1000],
-        fraction: 1.0,
-        admitted: (1.0, 1.0),
-    },
-    ShareCase {
-        name: "equal organisations leave the order to priorities",
-        requested: &[5000, 5000, 5000, 5000],
-        fraction: 0.8,
-        admitted: (0.8, 0.8),
-    },
-    ShareCase {
-        name: "a flood gets a quarter more than an equal share",
-        requested: &[30_000, 5000, 5000, 5000],
-        fraction: 20.0 / 45.0,
-        admitted: (6250.0 / 30_000.0 * 20.0 / 21.25, 20.0 / 21.25),
-    },
-    ShareCase {
-        name: "unused shares are lent",
-        requested: &[30_000, 1000, 1000, 1000],
-        fraction: 23.0 / 33.0,
-        admitted: (20.0 / 30.0 * 25.0 / 20.0 * 23.0 / 28.0, 23.0 / 28.0),
-    },
-    ShareCase {
-        name: "a single organisation",
-        requested: &[5000],
-        fraction: 0.5,
-        admitted: (0.5, 0.5),
-    },
+    ShareCase("no shortage", &[600, 10], 1.0, (1.0, 1.0)),
+    ShareCase("equal ones leave the order to priorities", &[50, 50, 50, 50], 0.8, (0.8, 0.8)),
+    ShareCase("a flood gets 1.25 shares", &[300, 50, 50, 50], 20.0 / 45.0, (0.1961, 0.9412)),
+    ShareCase("unused shares are lent", &[300, 10, 10, 10], 23.0 / 33.0, (0.6845, 0.8214)),
+    ShareCase("a single organisation", &[50], 0.5, (0.5, 0.5)),
 ];
 
 /// Guards against refusals of organisations within their shares, and against capacity that is held
 /// for organisations that do not want it.
 #[test]
 fn capacity_is_shared_between_organisations() {
-    for case in SHARE_CASES {
+    for ShareCase(name, requested, fraction, expected) in SHARE_CASES {
         let (mut shares, now) = (FairShares::default(), ClockMillis::from_millis(1));
         let names: Vec<OrganisationName> =
-            (0..case.requested.len()).map(|index| Arc::from(format!("o{index}"))).collect();
-        for (name, tokens) in names.iter().zip(case.requested) {
-            (0..tokens / 100).for_each(|_| shares.record(name, 100, now));
+            (0..requested.len()).map(|index| Arc::from(format!("o{index}"))).collect();
+        for (organisation, requests) in names.iter().zip(*requested) {
+            (0..*requests).for_each(|_| shares.record(organisation, 100, now));
         }
-        shares.update(case.fraction, now);
+        shares.update(*fraction, now);
         let own = |name: Option<&OrganisationName>| shares.fraction(name, now).own;
-        let admitted = (own(names.first()), own(names.last()));
-        let close = |one: f64, other: f64| (one - other).abs() < 0.001;
-        let expected = close(admitted.0, case.admitted.0) && close(admitted.1, case.admitted.1);
-        assert!(expected, "{}: {admitted:?} for {:?}", case.name, case.admitted);
+        let (first, last) = (own(names.first()), own(names.last()));
+        let error = (first - expected.0).abs().max((last - expected.1).abs());
+        assert!(error < 0.001, "{name}: {first} and {last}");
     }
 }
 
--- a/crates/core/tests/priority_admission/simulation.rs
+++ b/crates/core/tests/priority_admission/simulation.rs
@@ -14,6 +14,9 @@
 };
 
 const STEP_MS: usize = 10;
+const DURATION_MS: u64 = 40_000;
+const ORGANISATIONS: usize = 16;
+const ENGINES: usize = 10;
 const SLOTS: u32 = 12;
 const MEAN_RUN_MS: u64 = 1000;
 /// Engines that hold one adapter, among which a host chooses.
@@ -29,47 +32,43 @@
     pub(crate) part: f64,
 }
 
+/// Factor on the base demand by time in milliseconds, organisation and priority.
+pub(crate) type DemandFactor = fn(u64, usize, u8) -> f64;
+
 /// A deployment with its demand.
-#[derive(Clone, Copy)]
 pub(crate) struct Scenario {
     pub(crate) hosts: usize,
-    pub(crate) engines: usize,
-    pub(crate) organisations: usize,
     pub(crate) kinds: &'static [StreamKind],
     /// Base demand relative to the capacity.
     pub(crate) load: f64,
-    /// Factor on the base demand by time in milliseconds, organisation and priority.
-    pub(crate) factor: fn(u64, usize, u8) -> f64,
-    pub(crate) duration: u64,
+    pub(crate) factor: DemandFactor,
     pub(crate) seed: u64,
 }
 
-/// Numbers of requests that first arrived in one second.
-#[derive(Clone, Copy, Default)]
-pub(crate) struct Outcomes {
-    pub(crate) offered: f64,
-    pub(crate) served: f64,
-}
-
-/// Outcomes by second of the first arrival, organisation and priority.
+/// Outcomes of the requests that first arrived from 10 to 30 s.
 #[derive(Default)]
 pub(crate) struct Record {
-    outcomes: BTreeMap<(u64, usize, u8), Outcomes>,
-    /// Refusals by second.
-    pub(crate) refusals: BTreeMap<u64, u64>,
+    /// Offered and served requests by organisation and priority.
+    outcomes: BTreeMap<(usize, u8), (f64, f64)>,
+    pub(crate) refusals: u64,
 }
 
 impl Record {
     /// Returns the served fraction of the selected requests.
-    pub(crate) fn served(&self, selects: impl Fn(u64, usize, u8) -> bool) -> f64 {
-        let selected =
-            self.outcomes.iter().filter(|((at, who, kind), _)| selects(*at, *who, *kind));
-        let sum = selected.fold(Outcomes::default(), |sum, (_, outcomes)| Outcomes {
-            offered: sum.offered + outcomes.offered,
-            served: sum.served + outcomes.served,
-        });
-        assert!(sum.offered > 0.0, "no request selected");
-        sum.served / sum.offered
+    pub(crate) fn served(&self, selects: impl Fn(usize, u8) -> bool) -> f64 {
+        let selected = self.outcomes.iter().filter(|((who, priority), _)| selects(*who, *priority));
+        let (offered, served) = selected
+            .fold((0.0, 0.0), |sum, (_, outcomes)| (sum.0 + outcomes.0, sum.1 + outcomes.1));
+        assert!(offered > 0.0, "no request selected");
+        served / offered
+    }
+
+    fn add(&mut self, request: &Request, offered: f64, served: f64) {
+        if (10_000..30_000).contains(&request.first_arrival) {
+            let key = (request.organisation, request.kind.priority);
+            let sum = self.outcomes.entry(key).or_default();
+            *sum = (sum.0 + offered, sum.1 + served);
+        }
     }
 }
 
@@ -114,14 +113,14 @@
 pub(crate) fn run(scenario: &Scenario, record: &mut Record) {
     let mut draws = Draws(scenario.seed);
     let mut hosts = vec![PriorityAdmission::default(); scenario.hosts];
-    let mut engines: Vec<Engine> = (0..scenario.engines).map(|_| Engine::default()).collect();
+    let mut engines: Vec<Engine> = (0..ENGINES).map(|_| Engine::default()).collect();
     let names: Vec<OrganisationName> =
-        (0..scenario.organisations).map(|index| Arc::from(format!("o{index}"))).collect();
+        (0..ORGANISATIONS).map(|index| Arc::from(format!("o{index}"))).collect();
     let mut returning: BTreeMap<(u64, u64), Request> = BTreeMap::new();
-    let capacity = scenario.engines as f64 * f64::from(SLOTS) / MEAN_RUN_MS as f64;
-    let per_step = capacity * scenario.load * STEP_MS as f64 / scenario.organisations as f64;
+    let capacity = ENGINES as f64 * f64::from(SLOTS) / MEAN_RUN_MS as f64;
+    let per_step = capacity * scenario.load * STEP_MS as f64 / ORGANISATIONS as f64;
     let mut ids = 0;
-    for now in (0..scenario.duration).step_by(STEP_MS) {
+    for now in (0..DURATION_MS).step_by(STEP_MS) {
         for engine in &mut engines {
             advance_engine(engine, &mut hosts, record, &mut draws, now);
         }
@@ -129,36 +128,30 @@
         while returning.first_key_value().is_some_and(|((due, _), _)| *due <= now) {
             arriving.extend(returning.pop_first().map(|(_, request)| request));
         }
-        for organisation in 0..scenario.organisations {
-            for kind in scenario.kinds {
-                let mut expected =
-                    per_step * kind.part * (scenario.factor)(now, organisation, kind.priority);
-                while expected > 0.0 {
-                    if draws.unit() < expected.min(0.2) {
-                        ids += 1;
-                        arriving.push(Request {
-                            id: ids,
-                            kind: *kind,
-                            organisation,
-                            first_arrival: now,
-                            arrival: now,
-                            host: 0,
-                        });
-                        let key = (now / 1000, organisation, kind.priority);
-                        record.outcomes.entry(key).or_default().offered += 1.0;
-                    }
-                    expected -= 0.2;
+        for (organisation, kind) in
+            (0..ORGANISATIONS).flat_map(|who| scenario.kinds.iter().map(move |kind| (who, *kind)))
+        {
+            let factor = (scenario.factor)(now, organisation, kind.priority);
+            let mut expected = per_step * kind.part * factor;
+            while expected > 0.0 {
+                if draws.unit() < expected.min(0.2) {
+                    ids += 1;
+                    let (first_arrival, arrival) = (now, now);
+                    let request =
+                        Request { id: ids, kind, organisation, first_arrival, arrival, host: 0 };
+                    record.add(&request, 1.0, 0.0);
+                    arriving.push(request);
                 }
+                expected -= 0.2;
             }
         }
         for mut request in arriving {
             request.arrival = now;
             request.host = draws.below(scenario.hosts);
-            let engine = (0..HOLDERS)
-                .map(|_| draws.below(scenario.engines))
-                .min_by_key(|index| engines[*index].running.len() + engines[*index].queue.len())
-                .unwrap_or_default();
-            let open = engines[engine].running.len() + engines[engine].queue.len();
+            let candidates: Vec<usize> = (0..HOLDERS).map(|_| draws.below(ENGINES)).collect();
+            let open_at =
+                |index: &usize| engines[*index].running.len() + engines[*index].queue.len();
+            let engine = candidates.into_iter().min_by_key(open_at).unwrap_or_default();
             let remaining = request.kind.timeout.saturating_sub(now - request.first_arrival);
             let arrival = PriorityArrival {
                 priority: request.kind.priority,
@@ -168,17 +161,16 @@
                 remaining: Duration::from_millis(remaining),
                 engine_wait: Some(EngineWait {
                     pending_prefill_time: Duration::ZERO,
-                    open: u32::try_from(open).unwrap_or(u32::MAX),
+                    open: u32::try_from(open_at(&engine)).unwrap_or(u32::MAX),
                     slots: SLOTS,
                 }),
                 loaded: true,
                 returning: request.first_arrival < now,
                 hash: draws.next(),
             };
-            let decision = hosts[request.host].decide(&arrival, ClockMillis::from_millis(now));
-            match decision {
+            match hosts[request.host].decide(&arrival, ClockMillis::from_millis(now)) {
                 PriorityDecision::Refuse { retry_after, .. } => {
-                    *record.refusals.entry(now / 1000).or_default() += 1;
+                    record.refusals += 1;
                     let time = duration_millis(retry_after);
                     assert!(3 * time <= remaining, "a client waits at most a third of its time");
                     if time > 0 && remaining > time {
@@ -214,8 +206,7 @@
         let time = MEAN_RUN_MS / 2 + draws.next() % MEAN_RUN_MS;
         engine.running.push((now + time, time, request.host));
         if now - request.arrival <= request.kind.latency_target {
-            let key = (request.first_arrival / 1000, request.organisation, request.kind.priority);
-            record.outcomes.entry(key).or_default().served += 1.0;
+            record.add(&request, 0.0, 1.0);
         }
     }
 }
--- a/crates/gateway/tests/host/priorities.rs
+++ b/crates/gateway/tests/host/priorities.rs
@@ -47,37 +47,31 @@
     field.expect("a retry time").trim().parse().expect("a number")
 }
 
-/// A configuration, and whether it admits by priority.
-struct AdmissionCase {
-    name: &'static str,
-    revision: u64,
-    admits_by_priority: bool,
-}
+/// A configuration, and whether requests are admitted by priority under it.
+struct AdmissionCase(&'static str, u64, bool);
 
-const CASES: &[AdmissionCase] = &[
-    AdmissionCase { name: "tight", revision: 1, admits_by_priority: true },
-    AdmissionCase { name: "long", revision: LONG_TIMEOUTS_REVISION, admits_by_priority: false },
-];
+const CASES: &[AdmissionCase] =
+    &[AdmissionCase("tight", 1, true), AdmissionCase("long", LONG_TIMEOUTS_REVISION, false)];
 
 /// Guards against a host that never consults the level, that consults it where timeouts are long,
 /// and against retry times beyond a third of the remaining time.
 #[test]
 fn streams_are_refused_by_priority_only_where_timeouts_are_tight() {
-    for case in CASES {
+    for AdmissionCase(name, revision, by_priority) in CASES {
         let site = TestSite::without_configuration();
-        site.store.put("configuration", "routes", &case.revision.to_string());
-        let host = site.host(&format!("priority-{}", case.name));
+        site.store.put("configuration", "routes", &revision.to_string());
+        let host = site.host(&format!("priority-{name}"));
         for engine in &site.engines {
             engine.set_behaviours(&[EngineBehaviour::Stream(40)]);
         }
         let responses = send_streams(&host);
         let refused: Vec<&String> =
             responses.iter().filter(|response| response.contains(REFUSAL_TEXT)).collect();
-        assert_eq!(!refused.is_empty(), case.admits_by_priority, "{}", case.name);
+        assert_eq!(!refused.is_empty(), *by_priority, "{name}");
         assert!(refused.iter().all(|response| response.starts_with("HTTP/1.1 503")));
         let longest = refused.iter().map(|response| retry_after(response)).fold(0.0, f64::max);
-        assert!(longest <= 0.51, "{}: {longest} s of 1.5 s", case.name);
+        assert!(longest <= 0.51, "{name}: {longest} s of 1.5 s");
         let served = responses.iter().filter(|response| response.ends_with("0\r\n\r\n")).count();
-        assert!(served >= CLIENTS as usize, "{}: {served} served", case.name);
+        assert!(served >= CLIENTS as usize, "{name}: {served} served");
     }
 }
