--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,7 +2,10 @@
 
 mod cold;
 
-use std::{collections::BTreeSet, sync::Mutex};
+use std::{
+    collections::BTreeSet,
+    sync::{Mutex, atomic::AtomicU64},
+};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
@@ -249,6 +252,8 @@
     pub cooling_engines: Gauge,
     /// Requests whose adapter no engine holds.
     pub cold: ColdMetrics,
+    /// Fraction of a service's requests that are admitted by priority.
+    pub admission_level: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
 }
 
 /// Returns the kind under which a declaration is counted, unless it is absent.
@@ -316,6 +321,7 @@
             departing_engines: Gauge::default(),
             cooling_engines: Gauge::default(),
             cold: ColdMetrics::default(),
+            admission_level: Family::default(),
         };
         metrics.register();
         metrics
@@ -378,6 +384,8 @@
         registry.register("departing_engines", help, self.departing_engines.clone());
         let help = "Engines within a cooldown that they have asked this host for";
         registry.register("cooling_engines", help, self.cooling_engines.clone());
+        let help = "Fraction of a service's requests that this host admits, by priority and share";
+        registry.register("admission_level", help, self.admission_level.clone());
         registry.register("resumes", "Streams taken up at another engine", self.resumes.clone());
         registry.register(
             "engine_connects",
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -160,6 +160,10 @@
     pub cooling_by: Option<EngineName>,
     /// Counts the request as open at a plain service, once it is admitted.
     pub(super) open_at_service: Option<ServiceOpenGuard>,
+    /// Whether admission by priority has been decided.
+    pub(super) priority_decided: bool,
+    /// The admission level at which the request was refused.
+    pub refused_at_level: Option<f64>,
     /// The configuration revision that determined the route.
     pub revision: ConfigRevision,
 }
@@ -237,6 +241,8 @@
             limited_by: None,
             cooling_engines: None,
             cooling_by: None,
+            priority_decided: false,
+            refused_at_level: None,
             may_have_run: false,
             waited: Duration::ZERO,
             cold_cause: None,
@@ -259,7 +265,11 @@
             return self.refuse_unadmitted(time).await;
         }
         loop {
-            match self.pick() {
+            let picked = self.pick();
+            if let Some(refusal) = self.priority_refusal(&picked) {
+                return self.refuse_by_priority(refusal).await;
+            }
+            match picked {
                 EnginePick::Engine(entry, version) => {
                     if let Some(time) = self.queue_retry_after(&entry) {
                         return self.refuse_long_queue(time).await;
--- a/crates/gateway/src/traffic/wait.rs
+++ b/crates/gateway/src/traffic/wait.rs
@@ -122,7 +122,7 @@
         let started_at = self.traffic.now();
         let mut guard = self.metadata.model.clone().map(|key| {
             let tokens = self.metadata.prompt.tokens();
-            let worth = self.waiting_worth(started_at);
+            let worth = self.weighted_worth(self.waiting_worth(started_at));
             WaitGuard::new(self.traffic, &self.service, &key, tokens, worth)
         });
         let mut cooldown_counted = false;
@@ -131,7 +131,7 @@
                 break WaitOutcome::Rejected(rejection);
             }
             if let Some(guard) = &mut guard {
-                guard.update_worth(self.waiting_worth(started_at));
+                guard.update_worth(self.weighted_worth(self.waiting_worth(started_at)));
             }
             let wait = match self.decide_wait(started_at) {
                 ColdDecision::Wait(time) => time,
