feat(gateway): bound what slow clients and engines make a host hold

An engine that aborted a response because the client did not read counted as failed, with its requests as suspects, and the stream was resumed elsewhere. The host's own responses had no write timeout.

Ruled out: streams were already read only as fast as their clients read, one reader did not delay others, and no engine connection was held beyond the deadline.

Engines are not held responsible for responses left unread for a second. Unread output of clients is bounded in the system. Bodies over 16 kB are shared instead of copied, with the same bytes on the wire. The request event has the retry time.

--- a/crates/gateway/src/engines/send.rs
+++ b/crates/gateway/src/engines/send.rs
@@ -2,7 +2,6 @@
 
 use std::{pin::pin, time::Duration};
 
-use bytes::Bytes;
 use reelreel_core::fleet::announcement::EngineAnnouncements;
 use reelreel_http::{BodyDecoder, BodyFraming, HttpStream, ReadError, ResponseHead};
 use tokio::io::AsyncWriteExt;
@@ -10,6 +9,7 @@
 use crate::{
     codec::{RequestCodec, ResponseMetadata},
     engines::EngineConnection,
+    traffic::forward::ForwardedRequest,
 };
 
 /// Maximum size of a response head.
@@ -67,7 +67,7 @@
 pub async fn send_request(
     connection: &mut EngineConnection,
     codec: &dyn RequestCodec,
-    request: &Bytes,
+    request: &ForwardedRequest,
     method: &str,
     id: &str,
 ) -> Result<EngineResponse, SendError> {
@@ -112,10 +112,13 @@
 /// Writes the request while reading the first head; returns whether the request was fully written.
 async fn write_and_read(
     stream: &mut HttpStream,
-    request: &Bytes,
+    request: &ForwardedRequest,
 ) -> Result<(ResponseHead, bool), ReadError> {
     let (mut reader, mut writer) = stream.split();
-    let mut write = pin!(writer.write_all(request));
+    let mut write = pin!(async {
+        writer.write_all(&request.head).await?;
+        writer.write_all(&request.body).await
+    });
     let mut read = pin!(reader.read_response_head(HEAD_LIMIT));
     let mut write_finished = false;
     let mut fully_written = false;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -310,6 +310,9 @@
     pub late: bool,
     /// Status code sent to the client; zero if none was sent.
     pub status: u16,
+    /// The time after which the client was told to retry. Unit: milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after: Option<u64>,
     /// The organisation of the key, if there was one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub organisation: Option<String>,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -160,6 +160,12 @@
     pub connections: Gauge,
     /// Open requests.
     pub open_requests: Gauge,
+    /// Memory reserved for the bodies of requests and responses. Unit: bytes.
+    pub buffered_bytes: Gauge,
+    /// Requests refused because the memory for bodies was used up.
+    pub buffers_refused: Counter,
+    /// Responses that ended because their clients did not read them.
+    pub unread_responses: Counter,
     /// Revision of the configuration in force.
     pub revision: Gauge,
     /// Placement leases that this host holds.
@@ -243,6 +249,9 @@
             hosts_assumed: Gauge::default(),
             connections: Gauge::default(),
             open_requests: Gauge::default(),
+            buffered_bytes: Gauge::default(),
+            buffers_refused: Counter::default(),
+            unread_responses: Counter::default(),
             revision: Gauge::default(),
             leases: Gauge::default(),
             engines: Gauge::default(),
@@ -345,6 +354,12 @@
         registry.register("hosts_assumed", help, self.hosts_assumed.clone());
         registry.register("connections", "Open client connections", self.connections.clone());
         registry.register("open_requests", "Open requests", self.open_requests.clone());
+        let help = "Memory reserved for the bodies of requests and responses";
+        registry.register("buffered_bytes", help, self.buffered_bytes.clone());
+        let help = "Requests refused because the memory for bodies was used up";
+        registry.register("buffers_refused", help, self.buffers_refused.clone());
+        let help = "Responses that ended because their clients did not read them";
+        registry.register("unread_responses", help, self.unread_responses.clone());
         registry.register("configuration", "Configuration in force", self.revision.clone());
         registry.register("leases", "Placement leases that are held", self.leases.clone());
         registry.register("engines", "Engines that are listed", self.engines.clone());
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`connection`]: one client connection.
 //! - [`prepare`], [`exchange`]: one request.
+//! - [`buffer_budget`]: memory for buffered bodies.
 //! - [`pick`]: selection of an engine.
 //! - [`wait`]: waiting for an adapter, a permit or the end of a cooldown.
 //! - [`attempt`]: one send to an engine, after the checks of [`preflight`].
@@ -12,6 +13,7 @@
 
 pub mod local_response;
 pub mod attempt;
+pub mod buffer_budget;
 pub mod preflight;
 pub mod connection;
 pub mod deadline;
@@ -51,6 +53,7 @@
     engines::{EnginePool, end_detection::EndDetector},
     host::SharedState,
     table::ServingTable,
+    traffic::buffer_budget::BufferBudget,
 };
 
 /// Interval at which expired idle connections and stale state are dropped.
@@ -93,8 +96,11 @@
     pub admissions: RefCell<HashMap<ServiceName, AdmissionController>>,
     /// Models and adapters that engines reported as not loaded, with the time of the report.
     absent_copies: RefCell<HashMap<(EngineName, ModelKey), ClockMillis>>,
-    /// Total size of the buffered request bodies, in bytes.
-    pub body_bytes: Cell<usize>,
+    /// Memory for the buffered request bodies.
+    pub request_buffers: Rc<BufferBudget>,
+    /// Memory for the buffered response bodies. Apart from that of requests, which hold theirs until
+    /// their responses are complete and would otherwise wait for each other.
+    pub response_buffers: Rc<BufferBudget>,
     /// Number of open client connections.
     pub connections: Cell<usize>,
     table: watch::Receiver<Arc<ServingTable>>,
@@ -103,6 +109,7 @@
 impl TrafficState {
     fn new(shared: Arc<SharedState>) -> Self {
         let table = shared.table.subscribe();
+        let buffer_limit = shared.profile.max_body_bytes;
         Self {
             shared,
             pool: Rc::default(),
@@ -110,7 +117,8 @@
             retry_shares: RefCell::default(),
             admissions: RefCell::default(),
             absent_copies: RefCell::default(),
-            body_bytes: Cell::new(0),
+            request_buffers: BufferBudget::new(buffer_limit),
+            response_buffers: BufferBudget::new(buffer_limit),
             connections: Cell::new(0),
             table,
         }
@@ -137,6 +145,12 @@
         table.is_complete() && (serves_keys || !has_keyed_routes)
     }
 
+    /// Returns whether what slow readers make this host hold is bounded by its memory.
+    pub fn bounds_slow_readers(&self) -> bool {
+        let table = self.table();
+        table.routes.as_ref().is_some_and(|routes| routes.has_tight_timeouts())
+    }
+
     /// Returns a receiver that is notified of the next serving table.
     pub fn table_changes(&self) -> watch::Receiver<Arc<ServingTable>> {
         let mut changes = self.table.clone();
@@ -255,6 +269,11 @@
         metrics.held_requests.set(i64::try_from(held).unwrap_or(i64::MAX));
     }
 
+    fn update_buffer_metrics(&self) {
+        let held = self.request_buffers.held() + self.response_buffers.held();
+        self.shared.metrics.buffered_bytes.set(i64::try_from(held).unwrap_or(i64::MAX));
+    }
+
     fn clean_up(&self) {
         let (table, now) = (self.table(), self.now());
         let entries = table.engines.values().flatten();
@@ -268,6 +287,7 @@
             .borrow_mut()
             .retain(|_, reported_at| now.since(*reported_at) < ABSENCE_TTL);
         self.update_suspect_metrics(now);
+        self.update_buffer_metrics();
         let allowance = &self.shared.profile.bounds.retry_policy;
         for share in self.retry_shares.borrow_mut().values_mut() {
             share.expire_requests(allowance, now);
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -2,7 +2,6 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use reelreel_core::{
     ClockMillis,
     fleet::{
@@ -20,7 +19,7 @@
     host::ResponseKind,
     traffic::{
         exchange::{ConnectionAction, Exchange, READ_AHEAD_LIMIT, SendOutcome},
-        forward::forwarded_request,
+        forward::{ForwardedRequest, forwarded_request},
         pick::{EnginePick, EngineRequirements, pick_engine},
         preflight::SendRejection,
     },
@@ -235,6 +234,7 @@
     /// Records a send to an engine.
     pub(super) fn record_send(&mut self, entry: &EngineEntry) {
         self.sends += 1;
+        self.longest_unread = Duration::ZERO;
         self.charge_repeated_run();
         self.last_sent_ms = self.elapsed_ms();
         self.record_run_start();
@@ -310,7 +310,7 @@
         entry: &EngineEntry,
         version: Option<WeightVersion>,
         resume_after: Option<&str>,
-    ) -> Bytes {
+    ) -> ForwardedRequest {
         let metadata = ForwardMetadata {
             engine: &entry.name,
             remaining: self.deadline.remaining(),
--- a/crates/gateway/src/traffic/connection.rs
+++ b/crates/gateway/src/traffic/connection.rs
@@ -3,14 +3,16 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use reelreel_core::fleet::routes::ClientLimits;
+use reelreel_core::{clock::duration_millis, fleet::routes::ClientLimits};
 use reelreel_http::{
     BodyDecoder, BodyError, BodyFraming, HeadError, HttpStream, ReadError, RequestHead,
 };
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::events::{HostEvent, RequestEvent};
 use crate::traffic::{
     TrafficState,
+    buffer_budget::{BudgetedBody, BufferReservation, OverflowPolicy, read_budgeted_body},
     exchange::{ClientRequest, ConnectionAction, run_exchange},
     local_response::LocalResponse,
 };
@@ -24,6 +26,26 @@
 /// How long an idle connection stays open after a planned stop has begun.
 const SHUTDOWN_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum size of the system's buffer for output that a client has not read. Unit: bytes.
+///
+/// Takes 5 ms of a link of 200 Mbit/s; the system's own limit of some MB would let a hundred
+/// clients that do not read exceed a host's memory.
+const OUTPUT_BUFFER_BYTES: usize = 128 * 1024;
+
+/// Time after which a connection fails if its client reads nothing of the output.
+///
+/// Also ends connections that the host has closed; longer than tight timeouts are.
+const UNREAD_OUTPUT_TIMEOUT: Duration = Duration::from_secs(12);
+
+/// Maximum time for writing a response of the host itself.
+const LOCAL_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time after which a client may repeat a request that was refused for lack of memory.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Divides the time of a request to get its maximum retry time.
+const RETRY_AFTER_DIVISOR: u32 = 3;
+
 /// Why a client's request could not be read.
 enum ReadFailure {
     /// The client disconnected.
@@ -103,22 +125,10 @@
     }
 }
 
-/// Reserves memory for a request body while it exists.
-pub struct BodyReservation {
-    traffic: Rc<TrafficState>,
-    bytes: usize,
-}
-
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        let reserved = self.traffic.body_bytes.get();
-        self.traffic.body_bytes.set(reserved.saturating_sub(self.bytes));
-    }
-}
-
 async fn serve_client(traffic: Rc<TrafficState>, socket: TcpStream) {
     let _count = ConnectionGuard::new(&traffic);
     let Ok(mut client) = HttpStream::new(socket) else { return };
+    let mut output_bounded = false;
     loop {
         let limits = client_limits(&traffic);
         if !wait_for_request(&traffic, &mut client, &limits).await {
@@ -129,12 +139,17 @@
             Err(ReadFailure::Disconnected) => return,
             Err(ReadFailure::Respond(response)) => {
                 let bytes = response.write(&*traffic.shared.codecs.request, None, true);
-                if client.write(&bytes).await.is_ok() {
+                if write_local_response(&traffic, &mut client, &bytes).await {
                     client.close_gracefully(LINGER_TIMEOUT).await;
                 }
                 return;
             }
         };
+        if !output_bounded && traffic.bounds_slow_readers() {
+            // If it fails, the socket is closed already.
+            let _ = client.bound_output(OUTPUT_BUFFER_BYTES, UNREAD_OUTPUT_TIMEOUT);
+            output_bounded = true;
+        }
         let action = run_exchange(&traffic, &mut client, request).await;
         drop(reservation);
         match action {
@@ -176,7 +191,7 @@
     traffic: &Rc<TrafficState>,
     client: &mut HttpStream,
     limits: &ClientLimits,
-) -> Result<(ClientRequest, BodyReservation), ReadFailure> {
+) -> Result<(ClientRequest, BufferReservation), ReadFailure> {
     let arrived = traffic.now();
     let reading = client.read_request_head(limits.head_bytes);
     let Ok(head) = tokio::time::timeout(limits.head_timeout, reading).await else {
@@ -195,7 +210,7 @@
     head: &RequestHead,
     framing: BodyFraming,
     limits: &ClientLimits,
-) -> Result<(Bytes, BodyReservation), ReadFailure> {
+) -> Result<(Bytes, BufferReservation), ReadFailure> {
     let too_large =
         LocalResponse::new(413, "the body is longer than the limit; send a shorter one");
     let announced = match framing {
@@ -205,33 +220,93 @@
     if announced > limits.body_bytes {
         return Err(ReadFailure::Respond(too_large));
     }
-    let mut reservation = reserve_body(traffic, announced)?;
+    let bounded = traffic.bounds_slow_readers();
+    let mut reservation = traffic.request_buffers.reservation();
+    let reserved = if bounded {
+        reservation.try_reserve_by_size(announced)
+    } else {
+        reservation.try_reserve(announced)
+    };
+    if !reserved {
+        return Err(refuse_for_memory(traffic, head));
+    }
     if framing != BodyFraming::Empty && head.fields.has_token("expect", "100-continue") {
         client.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.map_err(ReadError::from)?;
     }
     let mut decoder = BodyDecoder::new(framing);
-    let reading = client.read_full_body(&mut decoder, limits.body_bytes);
-    let Ok(body) = tokio::time::timeout(limits.idle_timeout, reading).await else {
+    let limit = limits.body_bytes;
+    let reading = async {
+        if bounded {
+            let policy = OverflowPolicy::Refuse;
+            let memory = &mut reservation;
+            return read_budgeted_body(client, &mut decoder, announced, limit, memory, policy)
+                .await;
+        }
+        let body = client.read_full_body(&mut decoder, limit).await?;
+        let Some(body) = body else { return Ok(BudgetedBody::TooLarge) };
+        let reserved = reservation.try_reserve(body.len());
+        Ok(if reserved { BudgetedBody::Complete(body) } else { BudgetedBody::NoMemory })
+    };
+    let time_limit =
+        if bounded { body_time_limit(traffic, head, limits) } else { limits.idle_timeout };
+    let Ok(body) = tokio::time::timeout(time_limit, reading).await else {
         let text = "the body took too long; send it without pauses";
         return Err(ReadFailure::Respond(LocalResponse::new(408, text)));
     };
-    let Some(body) = body? else {
-        return Err(ReadFailure::Respond(too_large));
-    };
-    if body.len() > reservation.bytes {
-        drop(reservation);
-        reservation = reserve_body(traffic, body.len())?;
+    match body? {
+        BudgetedBody::Complete(body) => Ok((body, reservation)),
+        BudgetedBody::TooLarge => Err(ReadFailure::Respond(too_large)),
+        BudgetedBody::NoMemory => Err(refuse_for_memory(traffic, head)),
+    }
+}
+
+/// Returns the maximum time for a body: a request can't be served after its route's timeout, and its
+/// body takes memory meanwhile.
+fn body_time_limit(traffic: &TrafficState, head: &RequestHead, limits: &ClientLimits) -> Duration {
+    route_timeout(traffic, head).map_or(limits.idle_timeout, |time| time.min(limits.idle_timeout))
+}
+
+fn route_timeout(traffic: &TrafficState, head: &RequestHead) -> Option<Duration> {
+    let table = traffic.table();
+    let host = head.fields.text("host").unwrap_or_default();
+    table.routes.as_ref()?.route(host, &head.target).map(|route| route.timeout)
+}
+
+/// Refuses a request for whose body there is no memory.
+fn refuse_for_memory(traffic: &TrafficState, head: &RequestHead) -> ReadFailure {
+    let text = "this host holds too many bodies; come back shortly";
+    let mut retry_after = NO_MEMORY_RETRY_AFTER;
+    if traffic.bounds_slow_readers() {
+        if let Some(timeout) = route_timeout(traffic, head) {
+            retry_after = retry_after.min(timeout / RETRY_AFTER_DIVISOR);
+        }
+        log_memory_refusal(traffic, head, retry_after);
     }
-    Ok((body, reservation))
+    ReadFailure::Respond(LocalResponse::refusal(text, retry_after))
+}
+
+fn log_memory_refusal(traffic: &TrafficState, head: &RequestHead, retry_after: Duration) {
+    let metadata = traffic.shared.codecs.request.decode_request(head).ok();
+    traffic.shared.metrics.buffers_refused.inc();
+    traffic.shared.events.write(HostEvent::Request(RequestEvent {
+        id: metadata.map(|metadata| metadata.id).unwrap_or_default(),
+        route: head.target.clone(),
+        outcome: "buffers_full".into(),
+        status: 503,
+        retry_after: Some(duration_millis(retry_after)),
+        ..RequestEvent::default()
+    }));
 }
 
-fn reserve_body(traffic: &Rc<TrafficState>, bytes: usize) -> Result<BodyReservation, ReadFailure> {
-    let reserved = traffic.body_bytes.get() + bytes;
-    if reserved > traffic.shared.profile.max_body_bytes {
-        let text = "this host holds too many bodies; come back shortly";
-        let response = LocalResponse::refusal(text, Duration::from_millis(500));
-        return Err(ReadFailure::Respond(response));
+/// Writes a response of the host itself; returns whether the client's connection has taken it.
+pub(super) async fn write_local_response(
+    traffic: &TrafficState,
+    client: &mut HttpStream,
+    bytes: &[u8],
+) -> bool {
+    let writing = client.write(bytes);
+    if !traffic.bounds_slow_readers() {
+        return writing.await.is_ok();
     }
-    traffic.body_bytes.set(reserved);
-    Ok(BodyReservation { traffic: Rc::clone(traffic), bytes })
+    matches!(tokio::time::timeout(LOCAL_WRITE_TIMEOUT, writing).await, Ok(Ok(())))
 }
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -25,6 +25,7 @@
     engines::EngineResponse,
     traffic::{
         TrafficState,
+        buffer_budget::BufferReservation,
         deadline::RequestDeadline,
         local_response::{DEADLINE_EXCEEDED, ENGINE_FAILED},
         permit::PermitWait,
@@ -126,6 +127,8 @@
     pub sent_to: Vec<EngineName>,
     /// The status sent to the client.
     pub status: u16,
+    /// The retry time sent to the client.
+    pub(super) retry_after: Option<Duration>,
     /// Time from the arrival to the first byte sent to the client, in milliseconds.
     pub first_byte_ms: u64,
     /// Time from the arrival to the last send, in milliseconds.
@@ -136,6 +139,11 @@
     pub prefill_ahead: u64,
     /// The longest time between two relayed events.
     pub longest_event_gap: Duration,
+    /// The longest time for which the current response of an engine was not read, because its client
+    /// or the memory for bodies did not allow it.
+    pub(super) longest_unread: Duration,
+    /// Memory for the body of the engine's response.
+    pub(super) response_memory: Option<BufferReservation>,
     /// Number of sends.
     pub sends: u32,
     /// Whether an engine may have run the request.
@@ -218,11 +226,14 @@
             quota_cost,
             sent_to: Vec::new(),
             status: 0,
+            retry_after: None,
             first_byte_ms: 0,
             last_sent_ms: 0,
             current_run: None,
             prefill_ahead: 0,
             longest_event_gap: Duration::ZERO,
+            longest_unread: Duration::ZERO,
+            response_memory: None,
             excluded_engines: Vec::new(),
             sends: 0,
             failed_connects: 0,
--- a/crates/gateway/src/traffic/preflight.rs
+++ b/crates/gateway/src/traffic/preflight.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use reelreel_core::fleet::{EngineEntry, WeightVersion};
 
 use crate::{
@@ -10,6 +9,7 @@
     metrics::EngineCallKind,
     traffic::{
         exchange::{ConnectionAction, Exchange},
+        forward::ForwardedRequest,
         local_response::{
             DEADLINE_EXCEEDED, ENGINE_FAILED, KEY_VALIDITY_UNKNOWN, LocalResponse, UNKNOWN_KEY,
         },
@@ -37,7 +37,7 @@
 }
 
 impl Exchange<'_> {
-    /// Checks and records a send right before its first byte; returns the bytes to send.
+    /// Checks and records a send right before its first byte; returns the request to send.
     ///
     /// Every send goes through here: a request may have waited for a permit or a connection since
     /// its engine was chosen.
@@ -50,7 +50,7 @@
         version: Option<WeightVersion>,
         resume_after: Option<&str>,
         permit: &mut HeldPermit,
-    ) -> Result<Bytes, SendRejection> {
+    ) -> Result<ForwardedRequest, SendRejection> {
         if let Some(rejection) = self.request_rejection() {
             return Err(rejection);
         }
--- a/crates/gateway/src/traffic/prepare.rs
+++ b/crates/gateway/src/traffic/prepare.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use reelreel_core::{
+    clock::duration_millis,
     fleet::{
         ServiceName,
         quarantine::{RequestIdentity, RequestMark},
@@ -19,6 +20,7 @@
     metrics::RequestLabels,
     traffic::{
         TrafficState,
+        connection::write_local_response,
         exchange::{ClientRequest, ConnectionAction},
         local_response::{
             INVALID_FIELDS, KEY_VALIDITY_UNKNOWN, LocalResponse, NO_REVISION, NO_ROUTE, NOT_READY,
@@ -164,7 +166,7 @@
     let fingerprint = metadata.as_ref().and_then(|metadata| metadata.key.fingerprint());
     let id = metadata.map(|metadata| metadata.id);
     let bytes = response.write(&**codec, id.as_deref(), !keep);
-    let written = client.write(&bytes).await.is_ok();
+    let written = write_local_response(traffic, client, &bytes).await;
     let labels =
         RequestLabels { route: String::from("none"), outcome: response.status.to_string() };
     traffic.shared.metrics.requests.get_or_create(&labels).inc();
@@ -176,6 +178,7 @@
         route: request.head.target.clone(),
         outcome: outcome.into(),
         status: response.status,
+        retry_after: response.retry_after.map(duration_millis),
         organisation: organisation.map(|name| name.to_string()),
         fingerprint: fingerprint.filter(|_| response.status == UNKNOWN_KEY.status),
         revision: NO_REVISION,
--- a/crates/gateway/src/traffic/quarantine.rs
+++ b/crates/gateway/src/traffic/quarantine.rs
@@ -53,7 +53,12 @@
     /// Records that the current run was interrupted and checks whether its engine terminated.
     ///
     /// A retryable request waits for the check: sent at once, it could terminate another engine.
+    /// An engine that aborted a response which this host left unread is not held responsible.
     pub(super) async fn handle_interrupted_run(&mut self, entry: &Arc<EngineEntry>) {
+        if self.was_left_unread() {
+            self.current_run = None;
+            return;
+        }
         self.record_outcome(entry, EngineOutcome::Failed);
         let Some(run) = self.current_run.take() else { return };
         let end_check = check_after_failure(self.traffic, entry, run);
--- a/crates/gateway/src/traffic/refusal.rs
+++ b/crates/gateway/src/traffic/refusal.rs
@@ -5,6 +5,7 @@
 use reelreel_core::fleet::{EngineEntry, EngineName, queue_admission::QueueCandidate};
 
 use crate::traffic::{
+    connection::write_local_response,
     exchange::{ConnectionAction, Exchange},
     local_response::{ENGINE_FAILED, LocalResponse},
     pick::{CoolingEngines, EnginePick},
@@ -159,7 +160,8 @@
         let codec = &*self.traffic.shared.codecs.request;
         let bytes = response.write(codec, Some(&self.metadata.id), !keep);
         self.status = response.status;
-        let written = self.client.write(&bytes).await.is_ok();
+        self.retry_after = response.retry_after;
+        let written = write_local_response(self.traffic, self.client, &bytes).await;
         let action = if keep && written { ConnectionAction::Keep } else { ConnectionAction::Close };
         (action, outcome)
     }
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -8,13 +8,14 @@
     fleet::{EngineEntry, health::EngineOutcome, limits::share::PermitUse, routes::RouteKind},
 };
 use reelreel_http::{
-    BodyDecoder, ResponseHead,
+    BodyDecoder, BodyFraming, ResponseHead,
     body::{LAST_CHUNK, write_chunk},
 };
 
 use crate::{
     engines::{EngineConnection, EnginePool, EngineResponse, send_request},
     traffic::{
+        buffer_budget::{BudgetedBody, LARGE_BODY_BYTES, OverflowPolicy, read_budgeted_body},
         exchange::{ConnectionAction, Exchange, READ_AHEAD_LIMIT, SendOutcome},
         pick::EnginePick,
         stream::EventSplitter,
@@ -30,6 +31,14 @@
 /// Time beyond the deadline in which the engine may end a response itself.
 const STREAM_DEADLINE_SLACK: Duration = Duration::from_millis(120);
 
+/// Time for which a response has to be unread for its end to be caused by that. Engines abort
+/// responses that stay unread for some seconds.
+const UNREAD_LIMIT: Duration = Duration::from_secs(1);
+
+/// Size up to which a body is copied behind its head, so that both are sent in one write.
+/// Unit: bytes.
+const COPIED_BODY_BYTES: usize = 16 * 1024;
+
 /// Maximum number of resumes of one stream.
 const RESUME_LIMIT: u32 = 3;
 
@@ -41,6 +50,8 @@
     Interrupted,
     /// The client disconnected.
     ClientGone,
+    /// The client did not read the response.
+    ClientSlow,
     /// The request's deadline has passed.
     DeadlineExceeded,
 }
@@ -66,8 +77,25 @@
         connection: &mut EngineConnection,
         response: &mut EngineResponse,
     ) -> Result<Bytes, SendOutcome> {
-        let reading = connection.stream.read_full_body(&mut response.decoder, BUFFERED_BODY_LIMIT);
-        tokio::select! {
+        let bounded = self.traffic.bounds_slow_readers();
+        // Releases the memory of an earlier send's response.
+        self.response_memory = None;
+        let mut memory = self.traffic.response_buffers.reservation();
+        let announced = announced_length(&response.head, &self.request.head.method);
+        let (stream, decoder) = (&mut connection.stream, &mut response.decoder);
+        let reading = async {
+            if !bounded {
+                return stream.read_full_body(decoder, BUFFERED_BODY_LIMIT).await;
+            }
+            let (limit, policy) = (BUFFERED_BODY_LIMIT, OverflowPolicy::Pause);
+            let reading =
+                read_budgeted_body(stream, decoder, announced, limit, &mut memory, policy);
+            match reading.await? {
+                BudgetedBody::Complete(body) => Ok(Some(body)),
+                BudgetedBody::TooLarge | BudgetedBody::NoMemory => Ok(None),
+            }
+        };
+        let outcome = tokio::select! {
             biased;
             body = reading => match body {
                 Ok(Some(body)) => Ok(body),
@@ -78,7 +106,18 @@
             }
             () = self.deadline.clone().expired(STREAM_DEADLINE_SLACK) =>
                 Err(SendOutcome::DeadlineExceeded),
+        };
+        self.longest_unread = memory.paused();
+        if outcome.is_ok() {
+            self.response_memory = Some(memory);
         }
+        outcome
+    }
+
+    /// Returns whether the current response ended after it had been left unread for so long that
+    /// its engine may have aborted it for that.
+    pub(super) fn was_left_unread(&self) -> bool {
+        self.longest_unread >= UNREAD_LIMIT && self.traffic.bounds_slow_readers()
     }
 
     /// Returns the connection to the pool if it can be reused, and closes it otherwise.
@@ -99,7 +138,9 @@
         mut connection: EngineConnection,
         mut response: EngineResponse,
     ) {
-        let reading = connection.stream.read_full_body(&mut response.decoder, BUFFERED_BODY_LIMIT);
+        let bounded = self.traffic.bounds_slow_readers();
+        let limit = if bounded { LARGE_BODY_BYTES } else { BUFFERED_BODY_LIMIT };
+        let reading = connection.stream.read_full_body(&mut response.decoder, limit);
         match tokio::time::timeout(DRAIN_TIMEOUT, reading).await {
             Ok(Ok(Some(_))) => self.keep_or_close(connection, &response),
             _ => connection.close(),
@@ -120,18 +161,24 @@
         if !keep_connection {
             head.fields.push("Connection", "close");
         }
-        let mut bytes = BytesMut::with_capacity(512 + body.len());
+        // A copy of a large body would double its memory while the client reads slowly.
+        let copied = if body.len() <= COPIED_BODY_BYTES { body.len() } else { 0 };
+        let mut bytes = BytesMut::with_capacity(512 + copied);
         head.write_to(&mut bytes);
-        bytes.extend_from_slice(body);
+        bytes.extend_from_slice(&body[..copied]);
         self.status = head.status;
         self.record_first_byte();
-        if self.write_to_client(&bytes).await.is_err() {
+        if self.write_to_client(&bytes).await.is_err()
+            || self.write_to_client(&body[copied..]).await.is_err()
+        {
             return ConnectionAction::Reset;
         }
         if keep_connection { ConnectionAction::Keep } else { ConnectionAction::Close }
     }
 
     /// Writes to the client until the request's deadline.
+    ///
+    /// Nothing is read from the engine meanwhile, so that a slow client makes its engine wait.
     async fn write_to_client(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         tokio::select! {
             biased;
@@ -186,6 +233,10 @@
                     connection.close();
                     return SendOutcome::Finished(ConnectionAction::Reset, "client_gone");
                 }
+                SegmentOutcome::ClientSlow => {
+                    connection.close();
+                    return self.end_unread_stream();
+                }
                 SegmentOutcome::DeadlineExceeded => {
                     connection.close();
                     return stream_failure(&progress, "time_over");
@@ -193,6 +244,10 @@
                 SegmentOutcome::Interrupted => {
                     connection.close();
                     self.handle_interrupted_run(&entry).await;
+                    if self.was_left_unread() {
+                        // Another engine would wait for the same client.
+                        return self.end_unread_stream();
+                    }
                 }
             }
             if progress.pending_head.is_some() {
@@ -212,6 +267,12 @@
         }
     }
 
+    /// Ends a stream that its client did not read.
+    fn end_unread_stream(&self) -> SendOutcome {
+        self.traffic.shared.metrics.unread_responses.inc();
+        SendOutcome::Finished(ConnectionAction::Reset, "client_slow")
+    }
+
     /// Relays what one engine sends of a stream.
     async fn relay_segment(
         &mut self,
@@ -258,8 +319,18 @@
             if events.is_empty() {
                 continue;
             }
-            if self.relay_events(&events, progress).await.is_err() {
-                return SegmentOutcome::ClientGone;
+            let unread_since = self.traffic.now();
+            let relayed = self.relay_events(&events, progress).await;
+            self.longest_unread = self.longest_unread.max(self.traffic.now().since(unread_since));
+            match relayed {
+                Ok(()) => {}
+                Err(error)
+                    if error.kind() == ErrorKind::TimedOut
+                        && self.traffic.bounds_slow_readers() =>
+                {
+                    return SegmentOutcome::ClientSlow;
+                }
+                Err(_) => return SegmentOutcome::ClientGone,
             }
         }
     }
@@ -372,6 +443,14 @@
     SendOutcome::Finished(ConnectionAction::Reset, outcome)
 }
 
+/// Returns the body length that a response head announces, or zero.
+fn announced_length(head: &ResponseHead, method: &str) -> usize {
+    match BodyFraming::of_response(head, method) {
+        Ok(BodyFraming::Length(length)) => usize::try_from(length).unwrap_or(usize::MAX),
+        _ => 0,
+    }
+}
+
 /// Returns a response head without the engine's hop-by-hop fields and `Content-Length`.
 fn relayed_head(head: &ResponseHead) -> ResponseHead {
     let mut fields = head.fields.end_to_end();
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -39,6 +39,7 @@
             fingerprint: None,
             mark: (outcome != "answered").then(|| format_mark(self.mark)),
             status: self.status,
+            retry_after: self.retry_after.map(duration_millis),
             key: self.metadata.model.as_ref().map(ToString::to_string),
             engine: self.sent_to.last().map(ToString::to_string),
             limited_by: self.limited_by.as_ref().map(ToString::to_string),
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -23,6 +23,10 @@
     Echo,
     /// Responds with this many events, with a delay between them.
     Stream(u32),
+    /// Sends large events until the peer has read nothing for this long, then aborts.
+    StreamUntilUnread(Duration),
+    /// Responds with a body of this many bytes.
+    LargeBody(usize),
     /// Sends this many events, then closes the connection within the next one.
     TruncateStream(u32),
     /// Responds that the request did not run.
@@ -56,6 +60,10 @@
     orders: Vec<Value>,
     sequence: u64,
     client_disconnects: u32,
+    /// Number of large events that the system took.
+    large_events: usize,
+    /// Number of unlimited streams that ended.
+    aborts: usize,
     /// Start of the current incarnation; zero if not reported.
     incarnation: u64,
     /// The highest fence token among the orders it accepted.
@@ -85,6 +93,9 @@
 /// Start of the first incarnation of each engine.
 pub(crate) const FIRST_INCARNATION: u64 = 1;
 
+/// Size of the events of [`EngineBehaviour::StreamUntilUnread`]. Unit: bytes.
+const LARGE_EVENT_BYTES: usize = 64 * 1024;
+
 /// How long an engine runs a request that crashes it.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
@@ -272,6 +283,13 @@
         self.lock().requests.iter().filter(|(_, arrived)| *arrived >= from).count()
     }
 
+    /// Returns the number of bytes of large events that the system took, and of such streams that
+    /// ended.
+    pub(crate) fn large_event_bytes_and_ends(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.large_events * LARGE_EVENT_BYTES, state.aborts)
+    }
+
     /// Returns the number of clients that disconnected during a response.
     pub(crate) fn client_disconnects(&self) -> u32 {
         self.lock().client_disconnects
@@ -425,6 +443,19 @@
     let body = String::from_utf8_lossy(&request.body).into_owned();
     match behaviour {
         EngineBehaviour::Echo => connection.answer(200, &head, &body),
+        EngineBehaviour::LargeBody(bytes) => connection.answer(200, &head, &"x".repeat(bytes)),
+        EngineBehaviour::StreamUntilUnread(max_wait) => {
+            connection
+                .write(&format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n"))?;
+            let _ = connection.socket.set_write_timeout(Some(max_wait));
+            let event = format!("data: {}\n\n", "x".repeat(LARGE_EVENT_BYTES));
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            while connection.write(&chunk).is_some() {
+                state.lock().unwrap_or_else(PoisonError::into_inner).large_events += 1;
+            }
+            state.lock().unwrap_or_else(PoisonError::into_inner).aborts += 1;
+            None
+        }
         EngineBehaviour::Error => connection.answer(500, &head, "engine error"),
         EngineBehaviour::UnmarkedRefusal => connection.answer(503, &head, "busy"),
         EngineBehaviour::NotRun => connection.answer(
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -127,6 +127,7 @@
             fingerprint: Some(String::from("0badc0de")),
             mark: Some(String::from("0f0f0f0f0f0f0f0f")),
             status: 200,
+            retry_after: Some(1),
             key: Some(String::from("m/a1")),
             engine: Some(engine()),
             limited_by: Some(engine()),
--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -19,6 +19,7 @@
 mod engine_restart;
 mod store_rollback;
 mod site;
+mod slow_readers;
 mod stale_reader;
 mod stopping;
 mod store;
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -83,6 +83,17 @@
         socket.set_tcp_user_timeout(Some(timeout))
     }
 
+    /// Bounds output that the peer has not read: the system buffers about `buffer_bytes`, and the
+    /// socket fails when the peer takes nothing of it within `timeout`, also after it was closed.
+    ///
+    /// # Errors
+    /// Returns the socket's error.
+    pub fn bound_output(&self, buffer_bytes: usize, timeout: Duration) -> io::Result<()> {
+        let socket = SockRef::from(&self.socket);
+        socket.set_send_buffer_size(buffer_bytes)?;
+        socket.set_tcp_user_timeout(Some(timeout))
+    }
+
     /// Returns whether the read buffer has unconsumed bytes.
     pub fn has_buffered_bytes(&self) -> bool {
         !self.buffer.is_empty()
