feat(cli): explain names the decision that refused a request, with its inputs

Cause: eight outcomes, `service_full` and `quota_used_up` among them, were reported as unknown, and of the inputs of a decision only some were shown.

Change: a table of decisions by outcome, and all fields of the request's line, also those of later versions; a 429 or 503 with an outcome that the program does not know is named as a refusal with that outcome. `reelreel losses` counts by the same causes.

Ruled out: keeping all fields of all lines, which would double the memory of `losses`; only the explained request's are kept.

--- a/crates/cli/src/logs/cause.rs
+++ b/crates/cli/src/logs/cause.rs
@@ -103,8 +103,26 @@
     ClientLeftBeforeFirstByte,
     /// The client disconnected during the answer.
     ClientLeftDuringAnswer,
-    /// The outcome is not known to this version.
-    Unknown,
+    /// A plain service was asked for more than it carries.
+    ServiceFull,
+    /// Capacity was short, and only more urgent requests were admitted.
+    LessUrgent,
+    /// Capacity was short, and the organisation used more than its fair share.
+    AboveFairShare,
+    /// The organisation's quota was used up.
+    OverQuota,
+    /// The key belongs to no organisation.
+    KeyRefused,
+    /// The host could not tell whether the key still holds.
+    KeysInDoubt,
+    /// The host had no memory for the request's body.
+    NoBodyMemory,
+    /// The client did not read its stream.
+    ClientSlow,
+    /// Refused by a decision that this version does not know, with the outcome.
+    UnknownRefusal(String),
+    /// An outcome that this version does not know.
+    Unknown(String),
 }
 
 impl fmt::Display for RequestCause {
@@ -139,7 +157,25 @@
             Self::ClientLeftDuringLoad => "its client left while its adapter was loaded",
             Self::ClientLeftBeforeFirstByte => "its client left before the engine's first byte",
             Self::ClientLeftDuringAnswer => "its client left in the middle of the answer",
-            Self::Unknown => "an outcome that this program does not know",
+            Self::ServiceFull => "its plain service was asked for more than it carries",
+            Self::LessUrgent => "capacity was short, and others were more urgent",
+            Self::AboveFairShare => {
+                "capacity was short, and its organisation had used its fair share"
+            }
+            Self::OverQuota => "its organisation's quota was used up",
+            Self::KeyRefused => "its key belongs to no organisation",
+            Self::KeysInDoubt => "its host could not tell whether its key still holds",
+            Self::NoBodyMemory => "its host held too many bodies",
+            Self::ClientSlow => "its client did not read its answer",
+            Self::UnknownRefusal(outcome) => {
+                return formatter.pad(&format!(
+                    "refused by a decision that this program does not know: {outcome}"
+                ));
+            }
+            Self::Unknown(outcome) => {
+                return formatter
+                    .pad(&format!("an outcome that this program does not know: {outcome}"));
+            }
         };
         formatter.pad(text)
     }
@@ -169,7 +205,18 @@
             }
             "client_gone" if request.event.sends == 0 => Self::ClientLeftDuringLoad,
             "client_gone" => Self::ClientLeftBeforeFirstByte,
-            _ => Self::Unknown,
+            "service_full" => Self::ServiceFull,
+            "priority_level" => Self::LessUrgent,
+            "fair_share" => Self::AboveFairShare,
+            "quota_used_up" => Self::OverQuota,
+            "key_refused" => Self::KeyRefused,
+            "keys_in_doubt" => Self::KeysInDoubt,
+            "buffers_full" => Self::NoBodyMemory,
+            "client_slow" => Self::ClientSlow,
+            outcome if matches!(request.event.status, 429 | 503) => {
+                Self::UnknownRefusal(outcome.to_owned())
+            }
+            outcome => Self::Unknown(outcome.to_owned()),
         }
     }
 
--- a/crates/cli/src/logs/explain.rs
+++ b/crates/cli/src/logs/explain.rs
@@ -7,6 +7,7 @@
 
 use super::{
     cause::{RequestCause, RequestLine},
+    decision::{decision_inputs, refusal_decision},
     line::{HostLogs, LogLine},
 };
 
@@ -18,13 +19,12 @@
 /// # Errors
 /// Returns an error if a file cannot be read or no line mentions the request.
 pub(crate) fn explain(id: &str, files: &[PathBuf]) -> eyre::Result<String> {
-    let logs = HostLogs::read(files)?;
-    let request = logs
-        .lines
-        .iter()
-        .filter_map(RequestLine::from_log_line)
-        .find(|request| request.event.id == id);
-    let Some(request) = request else {
+    let logs = HostLogs::read_for(files, id)?;
+    let request = logs.lines.iter().find_map(|line| {
+        let request = RequestLine::from_log_line(line)?;
+        (request.event.id == id).then_some((line, request))
+    });
+    let Some((request_line, request)) = request else {
         bail!(
             "no log line mentions request {id}; pass the logs of all hosts, and note that only one in \
              sixteen of the requests served in time is logged"
@@ -32,6 +32,11 @@
     };
     let mut text = String::new();
     write_summary(&mut text, &request)?;
+    if let Some(decision) = refusal_decision(&request.event) {
+        writeln!(text, "  refused   by {decision}")?;
+        let inputs = request_line.fields.as_ref().map(decision_inputs).unwrap_or_default();
+        writeln!(text, "  inputs    {inputs}")?;
+    }
     writeln!(text, "  read      {}", configuration_source(&logs, &request))?;
     if let Some(engine) = &request.event.limited_by {
         writeln!(text, "  limit     {}", limit_source(&logs, &request, engine))?;
--- a/crates/cli/tests/logs/main.rs
+++ b/crates/cli/tests/logs/main.rs
@@ -167,6 +167,24 @@
         context: &[],
         cause: "the host knew no configuration",
     },
+    CauseCase {
+        name: "service-full",
+        request: r#""outcome":"service_full","status":503,"sends":0,"waited":0,"first":0,"total":0"#,
+        context: &[],
+        cause: "its plain service was asked for more than it carries",
+    },
+    CauseCase {
+        name: "unknown-refusal",
+        request: r#""outcome":"later_rule","status":503,"sends":0,"waited":0,"first":0,"total":0"#,
+        context: &[],
+        cause: "refused by a decision that this program does not know: later_rule",
+    },
+    CauseCase {
+        name: "unknown-outcome",
+        request: r#""outcome":"later_rule","status":200,"sends":1,"waited":0,"first":4,"total":9"#,
+        context: &[],
+        cause: "an outcome that this program does not know: later_rule",
+    },
     CauseCase {
         name: "left-queued",
         request: r#""outcome":"client_gone","status":0,"engine":"e1","sends":1,"waited":0,"first":0,"total":3200"#,
@@ -195,6 +213,103 @@
     }
 }
 
+struct DecisionCase {
+    name: &'static str,
+    /// Fields of the request's log line.
+    request: &'static str,
+    /// The decision that is named, or `None` if the request was not refused.
+    decision: Option<&'static str>,
+    inputs: &'static str,
+}
+
+const DECISION_CASES: &[DecisionCase] = &[
+    DecisionCase {
+        name: "cold-start",
+        request: r#""outcome":"adapter_absent","status":503,"key":"m/a1","prompt":90,"sends":0,"waited":130,"retry_after":420,"first":0,"total":130"#,
+        decision: Some(
+            "cold start: no engine held the adapter, and its load was not due in time; it has not run",
+        ),
+        inputs: "key m/a1, prompt 90 tokens, retry_after 420 ms, sends 0, waited 130 ms",
+    },
+    DecisionCase {
+        name: "cold-start-after-run",
+        request: r#""outcome":"adapter_absent","status":502,"engine":"e1","sends":1,"waited":130,"first":0,"total":130"#,
+        decision: Some(
+            "cold start: no engine held the adapter, and its load was not due in time; it may have run",
+        ),
+        inputs: "engine e1, sends 1, waited 130 ms",
+    },
+    DecisionCase {
+        name: "priority",
+        request: r#""outcome":"priority_level","status":503,"organisation":"north","level":1,"priority":2,"sends":0,"waited":0,"first":0,"total":0"#,
+        decision: Some(
+            "priority admission: capacity was short, and only more urgent requests were admitted; it has not run",
+        ),
+        inputs: "level 1, organisation north, priority 2, sends 0, waited 0 ms",
+    },
+    DecisionCase {
+        name: "fair-share",
+        request: r#""outcome":"fair_share","status":429,"organisation":"north","share":0.25,"sends":0,"waited":0,"first":0,"total":0"#,
+        decision: Some(
+            "fair share: capacity was short, and the organisation used more than its fair share; it has not run",
+        ),
+        inputs: "organisation north, sends 0, share 0.25, waited 0 ms",
+    },
+    DecisionCase {
+        name: "plain-service",
+        request: r#""outcome":"service_full","status":503,"sends":0,"waited":0,"retry_after":150,"first":0,"total":0"#,
+        decision: Some(
+            "admission to plain services: the plain service was asked for more than it carries; it has not run",
+        ),
+        inputs: "retry_after 150 ms, sends 0, waited 0 ms",
+    },
+    DecisionCase {
+        name: "no-route",
+        request: r#""outcome":"refused_early","status":404,"sends":0,"waited":0,"first":0,"total":0"#,
+        decision: Some("routing: no route of the configuration matches; it has not run"),
+        inputs: "sends 0, waited 0 ms",
+    },
+    DecisionCase {
+        name: "unknown-decision",
+        request: r#""outcome":"later_rule","status":503,"threshold":{"delay":90},"sends":0,"waited":0,"first":0,"total":0"#,
+        decision: Some("\"later_rule\", which this program does not know; it has not run"),
+        inputs: r#"sends 0, threshold {"delay":90}, waited 0 ms"#,
+    },
+    DecisionCase {
+        name: "time-over-at-engine",
+        request: r#""outcome":"time_over","status":504,"engine":"e1","sends":1,"waited":0,"first":0,"total":4120"#,
+        decision: None,
+        inputs: "",
+    },
+    DecisionCase {
+        name: "answered",
+        request: r#""outcome":"answered","status":200,"engine":"e1","sends":1,"waited":0,"first":9,"total":20"#,
+        decision: None,
+        inputs: "",
+    },
+];
+
+/// Guards against refusals without a named decision, and against losing fields of later versions.
+#[test]
+fn explain_names_the_decision_that_refused_a_request_and_its_inputs() {
+    for case in DECISION_CASES {
+        let request = format!(
+            r#"{{"at":10000,"host":"one","event":"request","id":"r1","route":"r",{},"revision":3}}"#,
+            case.request
+        );
+        let log = LogFile::new(&format!("decision-{}", case.name), &[&request]);
+        let (success, text) = reelreel(&["explain", "r1"], &log);
+        assert!(success, "{}: {text}", case.name);
+        let expected = case
+            .decision
+            .map(|decision| format!("  refused   by {decision}\n  inputs    {}\n", case.inputs));
+        match expected {
+            Some(expected) => assert!(text.contains(&expected), "{}: {text}", case.name),
+            None => assert!(!text.contains("  refused "), "{}: {text}", case.name),
+        }
+    }
+}
+
 #[test]
 fn explain_shows_only_relevant_lines_in_time_order() {
     let log = LogFile::new(
