--- a/crates/gateway/tests/host/site.rs
+++ b/crates/gateway/tests/host/site.rs
@@ -146,6 +146,13 @@
 }
 
 pub(crate) fn routes(revision: u64, with_late_route: bool) -> RouteTable {
+    routes_with_timeout(revision, with_late_route, Duration::from_millis(1500))
+}
+
+/// The revision of a configuration without tight timeouts.
+pub(crate) const LOOSE_TIMEOUTS_REVISION: u64 = 5;
+
+fn routes_with_timeout(revision: u64, with_late_route: bool, timeout: Duration) -> RouteTable {
     let mut routes = vec![
         route("/safe/", RouteKind::Idempotent, "plain", 2),
         route("/single/", RouteKind::AtMostOnce, "plain", 1),
@@ -157,6 +164,9 @@
     if with_late_route {
         routes.push(route("/late/", RouteKind::AtMostOnce, "plain", 1));
     }
+    for route in &mut routes {
+        route.timeout = timeout;
+    }
     let hosting = ModelHosting {
         models: vec![ModelSize {
             name: MODEL_NAME.to_owned(),
@@ -313,6 +323,14 @@
         let routes_by_revision = HashMap::from([
             (1, Arc::new(routes(1, false))),
             (2, Arc::new(routes(2, true))),
+            (
+                LOOSE_TIMEOUTS_REVISION,
+                Arc::new(routes_with_timeout(
+                    LOOSE_TIMEOUTS_REVISION,
+                    false,
+                    Duration::from_secs(15),
+                )),
+            ),
             (
                 ORGANISATIONS_REVISION,
                 Arc::new(routes_with_organisations(ORGANISATIONS_REVISION, &["key-n1", "key-n2"])),
--- a/crates/gateway/tests/host/slow_readers.rs
+++ b/crates/gateway/tests/host/slow_readers.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     engine::{EngineBehaviour, StandInEngine},
-    site::{MODEL_NAME, TestHost, TestSite, read_all, wait_until},
+    site::{LOOSE_TIMEOUTS_REVISION, MODEL_NAME, TestHost, TestSite, read_all, wait_until},
 };
 
 /// The memory for bodies of a test host. Unit: bytes.
@@ -214,6 +214,36 @@
     wait_until("all memory is released", || host.shared.metrics.buffered_bytes.get() == 0);
 }
 
+/// Guards against the bound taking effect where timeouts are not tight, which keeps the old rules.
+#[test]
+fn without_tight_timeouts_unfinished_bodies_are_not_refused() {
+    let site = TestSite::without_configuration();
+    let revision = LOOSE_TIMEOUTS_REVISION.to_string();
+    site.store.put("configuration", "routes", &revision);
+    let host = site.host("loose");
+    assert!(
+        !host
+            .shared
+            .table
+            .borrow()
+            .routes
+            .as_ref()
+            .is_some_and(|routes| routes.has_tight_timeouts())
+    );
+    let chunk = format!("{BODY_BYTES:x}\r\n{}", "x".repeat(BODY_BYTES));
+    let sockets: Vec<TcpStream> = (0..60)
+        .map(|number| {
+            let fields = format!("X-Request: part{number}\r\nTransfer-Encoding: chunked\r\n");
+            open(&host, "/single/a", &fields, chunk.as_bytes())
+        })
+        .collect();
+    let responses: Vec<String> =
+        sockets.into_iter().map(|mut socket| read_part(&mut socket)).collect();
+    // The idle timeout ends them.
+    assert!(responses.iter().all(|text| text.starts_with("HTTP/1.1 408")), "{responses:?}");
+    assert_eq!(host.shared.metrics.buffers_refused.get(), 0);
+}
+
 /// Guards against bodies that stay in memory beyond their deadline because an engine doesn't read.
 #[test]
 fn an_engine_that_stops_reading_holds_bodies_only_until_their_deadline() {
