fix(gateway): a refusal for lack of body memory carries the request's id and keeps to the client's time

Cause: such a refusal had no id, which a client on a platform needs to match it, and told a client with a short deadline to wait up to a third of the route's timeout instead of its own.

--- a/crates/gateway/src/traffic/connection.rs
+++ b/crates/gateway/src/traffic/connection.rs
@@ -52,6 +52,8 @@
     Disconnected,
     /// The request is invalid or refused: respond and close the connection.
     Respond(LocalResponse),
+    /// The request with this id is refused: respond and close the connection.
+    RespondTo(String, LocalResponse),
 }
 
 impl From<ReadError> for ReadFailure {
@@ -138,11 +140,10 @@
             Ok(request) => request,
             Err(ReadFailure::Disconnected) => return,
             Err(ReadFailure::Respond(response)) => {
-                let bytes = response.write(&*traffic.shared.codecs.request, None, true);
-                if write_local_response(&traffic, &mut client, &bytes).await {
-                    client.close_gracefully(LINGER_TIMEOUT).await;
-                }
-                return;
+                return respond_and_close(&traffic, client, None, response).await;
+            }
+            Err(ReadFailure::RespondTo(id, response)) => {
+                return respond_and_close(&traffic, client, Some(&id), response).await;
             }
         };
         if !output_bounded && traffic.bounds_slow_readers() {
@@ -160,6 +161,18 @@
     }
 }
 
+async fn respond_and_close(
+    traffic: &TrafficState,
+    mut client: HttpStream,
+    id: Option<&str>,
+    response: LocalResponse,
+) {
+    let bytes = response.write(&*traffic.shared.codecs.request, id, true);
+    if write_local_response(traffic, &mut client, &bytes).await {
+        client.close_gracefully(LINGER_TIMEOUT).await;
+    }
+}
+
 fn client_limits(traffic: &TrafficState) -> ClientLimits {
     traffic.table().routes.as_ref().map(|routes| *routes.limits()).unwrap_or_default()
 }
@@ -275,27 +288,29 @@
 /// Refuses a request for whose body there is no memory.
 fn refuse_for_memory(traffic: &TrafficState, head: &RequestHead) -> ReadFailure {
     let text = "this host holds too many bodies; come back shortly";
-    let mut retry_after = NO_MEMORY_RETRY_AFTER;
-    if traffic.bounds_slow_readers() {
-        if let Some(timeout) = route_timeout(traffic, head) {
-            retry_after = retry_after.min(timeout / RETRY_AFTER_DIVISOR);
-        }
-        log_memory_refusal(traffic, head, retry_after);
+    if !traffic.bounds_slow_readers() {
+        return ReadFailure::Respond(LocalResponse::refusal(text, NO_MEMORY_RETRY_AFTER));
     }
-    ReadFailure::Respond(LocalResponse::refusal(text, retry_after))
-}
-
-fn log_memory_refusal(traffic: &TrafficState, head: &RequestHead, retry_after: Duration) {
     let metadata = traffic.shared.codecs.request.decode_request(head).ok();
+    let deadline = metadata.as_ref().and_then(|metadata| metadata.deadline);
+    let time_limit = [deadline, route_timeout(traffic, head)].into_iter().flatten().min();
+    let max_retry_after = time_limit.map_or(Duration::MAX, |time| time / RETRY_AFTER_DIVISOR);
+    let retry_after = NO_MEMORY_RETRY_AFTER.min(max_retry_after);
+    let id = metadata.map(|metadata| metadata.id);
     traffic.shared.metrics.buffers_refused.inc();
     traffic.shared.events.write(HostEvent::Request(RequestEvent {
-        id: metadata.map(|metadata| metadata.id).unwrap_or_default(),
+        id: id.clone().unwrap_or_default(),
         route: head.target.clone(),
         outcome: "buffers_full".into(),
         status: 503,
         retry_after: Some(duration_millis(retry_after)),
         ..RequestEvent::default()
     }));
+    let response = LocalResponse::refusal(text, retry_after);
+    match id {
+        Some(id) => ReadFailure::RespondTo(id, response),
+        None => ReadFailure::Respond(response),
+    }
 }
 
 /// Writes a response of the host itself; returns whether the client's connection has taken it.
--- a/crates/gateway/tests/host/slow_readers.rs
+++ b/crates/gateway/tests/host/slow_readers.rs
@@ -194,7 +194,10 @@
     let chunk = format!("{BODY_BYTES:x}\r\n{}", "x".repeat(BODY_BYTES));
     let sockets: Vec<TcpStream> = (0..60)
         .map(|number| {
-            let fields = format!("X-Request: part{number}\r\nTransfer-Encoding: chunked\r\n");
+            // The last client has less time than its route's timeout of 1,500 ms.
+            let deadline = if number == 59 { "X-Deadline: 600\r\n" } else { "" };
+            let fields =
+                format!("X-Request: part{number}\r\n{deadline}Transfer-Encoding: chunked\r\n");
             open(&host, "/single/a", &fields, chunk.as_bytes())
         })
         .collect();
@@ -209,7 +212,13 @@
     let refusals: Vec<&String> =
         responses.iter().filter(|response| response.starts_with("HTTP/1.1 503")).collect();
     assert!(refusals.len() >= 30, "{} of 60 were refused", refusals.len());
-    assert!(refusals.iter().all(|response| response.contains("Retry-After: 0.50")));
+    assert!(refusals.iter().all(|response| response.contains("X-Request: part")));
+    // At most a third of the time that the client has.
+    let told = |time: &str| {
+        let field = format!("Retry-After: {time}\r\n");
+        refusals.iter().filter(|response| response.contains(&field)).count()
+    };
+    assert_eq!((told("0.50"), told("0.20")), (refusals.len() - 1, 1));
     assert_eq!(site.plain.runs().len(), 1, "a refused request ran");
     wait_until("all memory is released", || host.shared.metrics.buffered_bytes.get() == 0);
 }
