--- a/crates/cli/src/logs/cause.rs
+++ b/crates/cli/src/logs/cause.rs
@@ -32,7 +32,7 @@
     /// Returns the request that a line logs, or `None` for another event.
     pub(super) fn from_log_line(line: &LogLine) -> Option<Self> {
         let HostEvent::Request(event) = &line.event else { return None };
-        Some(Self { at: line.at, host: line.host.clone(), event: event.clone() })
+        Some(Self { at: line.at, host: line.host.clone(), event: RequestEvent::clone(event) })
     }
 
     /// Returns the wall-clock time of arrival. Unit: milliseconds since 1970.
@@ -75,10 +75,6 @@
     AdapterNotLoaded,
     /// The best engine had too many prompt tokens queued, so the request was refused on arrival.
     QueueTooLong,
-    /// Capacity was short, and more urgent requests went first.
-    LessUrgent,
-    /// Capacity was short, and the organisation took more than its fair share.
-    AboveFairShare,
     /// Engines rejected the request without running it because they were full or not ready.
     EnginesRefused,
     /// No engine accepted requests, or none was reachable.
@@ -107,8 +103,26 @@
     ClientLeftBeforeFirstByte,
     /// The client disconnected during the answer.
     ClientLeftDuringAnswer,
-    /// The outcome is not known to this version.
-    Unknown,
+    /// A plain service was asked for more than it carries.
+    ServiceFull,
+    /// Capacity was short, and only more urgent requests were admitted.
+    LessUrgent,
+    /// Capacity was short, and the organisation used more than its fair share.
+    AboveFairShare,
+    /// The organisation's quota was used up.
+    OverQuota,
+    /// The key belongs to no organisation.
+    KeyRefused,
+    /// The host could not tell whether the key still holds.
+    KeysInDoubt,
+    /// The host had no memory for the request's body.
+    NoBodyMemory,
+    /// The client did not read its stream.
+    ClientSlow,
+    /// Refused by a decision that this version does not know, with the outcome.
+    UnknownRefusal(String),
+    /// An outcome that this version does not know.
+    Unknown(String),
 }
 
 impl fmt::Display for RequestCause {
@@ -127,8 +141,6 @@
             Self::AdapterLoadedLate => "its adapter was loaded too late",
             Self::AdapterNotLoaded => "its adapter was not loaded",
             Self::QueueTooLong => "its engines had too much to read before it",
-            Self::LessUrgent => "its host admitted more urgent requests only",
-            Self::AboveFairShare => "its organisation took more than its share of the engines",
             Self::EnginesRefused => "its engines were full or not ready",
             Self::NoEngine => "no engine could be reached",
             Self::RateLimited => "its engines take only so many requests, and had named that limit",
@@ -145,7 +157,25 @@
             Self::ClientLeftDuringLoad => "its client left while its adapter was loaded",
             Self::ClientLeftBeforeFirstByte => "its client left before the engine's first byte",
             Self::ClientLeftDuringAnswer => "its client left in the middle of the answer",
-            Self::Unknown => "an outcome that this program does not know",
+            Self::ServiceFull => "its plain service was asked for more than it carries",
+            Self::LessUrgent => "capacity was short, and others were more urgent",
+            Self::AboveFairShare => {
+                "capacity was short, and its organisation had used its fair share"
+            }
+            Self::OverQuota => "its organisation's quota was used up",
+            Self::KeyRefused => "its key belongs to no organisation",
+            Self::KeysInDoubt => "its host could not tell whether its key still holds",
+            Self::NoBodyMemory => "its host held too many bodies",
+            Self::ClientSlow => "its client did not read its answer",
+            Self::UnknownRefusal(outcome) => {
+                return formatter.pad(&format!(
+                    "refused by a decision that this program does not know: {outcome}"
+                ));
+            }
+            Self::Unknown(outcome) => {
+                return formatter
+                    .pad(&format!("an outcome that this program does not know: {outcome}"));
+            }
         };
         formatter.pad(text)
     }
@@ -162,8 +192,6 @@
             "refused_early" => Self::RejectedOnArrival,
             "adapter_absent" => Self::classify_adapter_absent(request, logs),
             "queue_too_long" => Self::QueueTooLong,
-            "priority_level" => Self::LessUrgent,
-            "fair_share" => Self::AboveFairShare,
             "not_run" => Self::EnginesRefused,
             "no_engine" | "unreachable" => Self::NoEngine,
             "limit_used" => Self::RateLimited,
@@ -177,7 +205,18 @@
             }
             "client_gone" if request.event.sends == 0 => Self::ClientLeftDuringLoad,
             "client_gone" => Self::ClientLeftBeforeFirstByte,
-            _ => Self::Unknown,
+            "service_full" => Self::ServiceFull,
+            "priority_level" => Self::LessUrgent,
+            "fair_share" => Self::AboveFairShare,
+            "quota_used_up" => Self::OverQuota,
+            "key_refused" => Self::KeyRefused,
+            "keys_in_doubt" => Self::KeysInDoubt,
+            "buffers_full" => Self::NoBodyMemory,
+            "client_slow" => Self::ClientSlow,
+            outcome if matches!(request.event.status, 429 | 503) => {
+                Self::UnknownRefusal(outcome.to_owned())
+            }
+            outcome => Self::Unknown(outcome.to_owned()),
         }
     }
 
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -32,7 +32,7 @@
         if outcome == "answered" && !late && !id_hash.is_multiple_of(LOG_SAMPLE_INTERVAL) {
             return;
         }
-        shared.events.write(HostEvent::Request(RequestEvent {
+        shared.events.write(HostEvent::Request(Box::new(RequestEvent {
             id: self.metadata.id.clone(),
             route: self.route.name.clone(),
             outcome: outcome.into(),
@@ -41,6 +41,7 @@
             fingerprint: None,
             mark: (outcome != "answered").then(|| format_mark(self.mark)),
             status: self.status,
+            retry_after: self.retry_after.map(duration_millis),
             key: self.metadata.model.as_ref().map(ToString::to_string),
             engine: self.sent_to.last().map(ToString::to_string),
             limited_by: self.limited_by.as_ref().map(ToString::to_string),
@@ -55,7 +56,7 @@
             pause: duration_millis(self.longest_event_gap),
             total: self.elapsed_ms(),
             revision: self.revision,
-        }));
+        })));
     }
 
     /// Returns whether the first byte missed the latency target or a gap between events was too
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -129,33 +129,39 @@
             answer: String::from("Accepted"),
             millis: 1,
         },
-        HostEvent::Request(RequestEvent {
-            id: String::from("r1"),
-            route: String::from("r"),
-            outcome: "answered".into(),
-            late: true,
-            organisation: Some(String::from("north")),
-            fingerprint: Some(String::from("0badc0de")),
-            mark: Some(String::from("0f0f0f0f0f0f0f0f")),
-            status: 200,
-            key: Some(String::from("m/a1")),
-            engine: Some(engine()),
-            limited_by: Some(engine()),
-            cooling_by: Some(engine()),
-            level: Some(0.5),
-            sends: 1,
-            prompt: 1,
-            waited: 1,
-            cold: Some("load_due".into()),
-            sent: 1,
-            first: 1,
-            pause: 1,
-            total: 1,
-            revision: 1,
-        }),
+        HostEvent::Request(Box::new(request_event())),
     ]
 }
 
+fn request_event() -> RequestEvent {
+    let engine = || String::from("i-1");
+    RequestEvent {
+        id: String::from("r1"),
+        route: String::from("r"),
+        outcome: "answered".into(),
+        late: true,
+        organisation: Some(String::from("north")),
+        fingerprint: Some(String::from("0badc0de")),
+        mark: Some(String::from("0f0f0f0f0f0f0f0f")),
+        status: 200,
+        retry_after: Some(1),
+        key: Some(String::from("m/a1")),
+        engine: Some(engine()),
+        limited_by: Some(engine()),
+        cooling_by: Some(engine()),
+        level: Some(0.5),
+        sends: 1,
+        prompt: 1,
+        waited: 1,
+        cold: Some("load_due".into()),
+        sent: 1,
+        first: 1,
+        pause: 1,
+        total: 1,
+        revision: 1,
+    }
+}
+
 /// Fails to compile when a kind of event is added and [`one_event_of_each_kind`] is not extended.
 fn is_listed(event: &HostEvent) -> bool {
     use HostEvent as Event;
--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -23,6 +23,7 @@
 mod store_rollback;
 mod service_limits;
 mod site;
+mod slow_readers;
 mod stale_reader;
 mod stopping;
 mod store;
--- a/crates/gateway/tests/host/priorities.rs
+++ b/crates/gateway/tests/host/priorities.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     engine::EngineBehaviour,
-    site::{LONG_TIMEOUTS_REVISION, MODEL_NAME, TestHost, TestSite},
+    site::{LOOSE_TIMEOUTS_REVISION, MODEL_NAME, TestHost, TestSite},
 };
 
 /// Streams at a time: nearly twice the slots of both engines.
@@ -51,7 +51,7 @@
 struct AdmissionCase(&'static str, u64, bool);
 
 const CASES: &[AdmissionCase] =
-    &[AdmissionCase("tight", 1, true), AdmissionCase("long", LONG_TIMEOUTS_REVISION, false)];
+    &[AdmissionCase("tight", 1, true), AdmissionCase("loose", LOOSE_TIMEOUTS_REVISION, false)];
 
 /// Guards against a host that never consults the level, that consults it where timeouts are long,
 /// and against retry times beyond a third of the remaining time.
--- a/crates/gateway/tests/host/site.rs
+++ b/crates/gateway/tests/host/site.rs
@@ -148,6 +148,13 @@
 }
 
 pub(crate) fn routes(revision: u64, with_late_route: bool) -> RouteTable {
+    routes_with_timeout(revision, with_late_route, Duration::from_millis(1500))
+}
+
+/// The revision of a configuration without tight timeouts.
+pub(crate) const LOOSE_TIMEOUTS_REVISION: u64 = 5;
+
+fn routes_with_timeout(revision: u64, with_late_route: bool, timeout: Duration) -> RouteTable {
     let mut routes = vec![
         route("/safe/", RouteKind::Idempotent, "plain", 2),
         route("/single/", RouteKind::AtMostOnce, "plain", 1),
@@ -159,6 +166,9 @@
     if with_late_route {
         routes.push(route("/late/", RouteKind::AtMostOnce, "plain", 1));
     }
+    for route in &mut routes {
+        route.timeout = timeout;
+    }
     RouteTable::new(revision, client_limits(), routes, services())
 }
 
@@ -182,33 +192,6 @@
     vec![service("plain", None), service("assist", Some(hosting))]
 }
 
-/// The revision with streams whose timeouts are long compared with their latency targets.
-pub(crate) const LONG_TIMEOUTS_REVISION: u64 = 6;
-
-fn routes_with_long_timeouts() -> RouteTable {
-    let stream = RouteEntry {
-        timeout: Duration::from_secs(6),
-        ..route("/stream/", RouteKind::Stream { resumable: false }, "assist", 1)
-    };
-    RouteTable::new(LONG_TIMEOUTS_REVISION, client_limits(), vec![stream], services())
-}
-
-/// The revision of a configuration in which no route has a tight timeout; those of the others do.
-pub(crate) const LOOSE_TIMEOUTS_REVISION: u64 = 5;
-
-/// Returns a configuration in which every timeout is at least twelve latency targets.
-fn routes_with_loose_timeouts() -> RouteTable {
-    let routes = ["/stream/", "/resumable/"].map(|prefix| {
-        let kind = RouteKind::Stream { resumable: prefix == "/resumable/" };
-        let timeout = Duration::from_secs(6);
-        RouteEntry { timeout, ..route(prefix, kind, "assist", 2) }
-    });
-    let table = self::routes(LOOSE_TIMEOUTS_REVISION, false);
-    let services = ["plain", "assist"]
-        .map(|name| ServiceEntry::clone(table.service(name).expect("a service")));
-    RouteTable::new(LOOSE_TIMEOUTS_REVISION, client_limits(), routes.to_vec(), services.to_vec())
-}
-
 /// The revision of the configuration with organisations.
 pub(crate) const ORGANISATIONS_REVISION: u64 = 3;
 
@@ -356,8 +339,14 @@
         let routes_by_revision = HashMap::from([
             (1, Arc::new(routes(1, false))),
             (2, Arc::new(routes(2, true))),
-            (LOOSE_TIMEOUTS_REVISION, Arc::new(routes_with_loose_timeouts())),
-            (LONG_TIMEOUTS_REVISION, Arc::new(routes_with_long_timeouts())),
+            (
+                LOOSE_TIMEOUTS_REVISION,
+                Arc::new(routes_with_timeout(
+                    LOOSE_TIMEOUTS_REVISION,
+                    false,
+                    Duration::from_secs(15),
+                )),
+            ),
             (
                 ORGANISATIONS_REVISION,
                 Arc::new(routes_with_organisations(ORGANISATIONS_REVISION, &["key-n1", "key-n2"])),
