--- a/crates/core/src/organisation.rs
+++ b/crates/core/src/organisation.rs
@@ -13,6 +13,7 @@
 pub mod ledger;
 pub mod quota;
 pub mod share;
+pub mod usage_window;
 
 use key::{KeyDigest, PresentedKey};
 use quota::QuotaLimit;
--- a/crates/core/src/organisation/ledger.rs
+++ b/crates/core/src/organisation/ledger.rs
@@ -16,6 +16,7 @@
         OrganisationDirectory, OrganisationName,
         quota::{QuotaLimit, QuotaTolerance, RecentUsage},
         share::{LOW_LEVEL_FRACTION, OpeningLevel, QuotaLevel, QuotaUsage},
+        usage_window::UsageWindow,
     },
 };
 
@@ -40,8 +41,12 @@
 #[derive(Debug, Clone)]
 struct QuotaAccount {
     limit: QuotaLimit,
+    /// The most that a host takes as left. An account is listed below [`LOW_LEVEL_FRACTION`] of it.
     capacity: f64,
     level: f64,
+    /// What was granted lately, if the account limits the grants of each window. Otherwise it is a
+    /// bucket that refills at the limit's rate.
+    window: Option<UsageWindow>,
     refilled_at: ClockMillis,
     opened_at: ClockMillis,
     hosts: HashMap<Arc<str>, HostUsage>,
@@ -50,7 +55,32 @@
 impl QuotaAccount {
     fn new(limit: QuotaLimit, capacity: f64, level: f64, now: ClockMillis) -> Self {
         let hosts = HashMap::new();
-        Self { limit, capacity, level, refilled_at: now, opened_at: now, hosts }
+        Self { limit, capacity, level, window: None, refilled_at: now, opened_at: now, hosts }
+    }
+
+    /// Limits the grants of each window instead of their rate, starting from the account's level.
+    fn limit_window(&mut self, span: Duration, now: ClockMillis) {
+        let used = self.limit.units_within(span) + self.limit.burst - self.level;
+        self.window = Some(UsageWindow::spread(span, used, now));
+    }
+
+    /// Subtracts what hosts granted.
+    fn charge(&mut self, amount: f64, now: ClockMillis) {
+        self.level -= amount;
+        if let Some(window) = &mut self.window {
+            window.add(amount, now);
+        }
+    }
+
+    /// Applies a limit and the capacity that results from it.
+    fn set_limit(&mut self, limit: QuotaLimit, capacity: f64, span: Duration) {
+        if self.window.is_some() {
+            let allowed = |limit: &QuotaLimit| limit.units_within(span) + limit.burst;
+            self.level += allowed(&limit) - allowed(&self.limit);
+        } else {
+            self.level = self.level.min(capacity);
+        }
+        (self.limit, self.capacity) = (limit, capacity);
     }
 
     /// Adds the units since the last call, less what is reserved for unreachable hosts.
@@ -61,9 +91,14 @@
             .map(|(_, fraction)| fraction)
             .sum::<f64>()
             .min(1.0);
-        let refilled = self.limit.units_within(now.since(self.refilled_at)) * (1.0 - reserved);
-        self.level = (self.level + refilled).min(self.capacity);
+        let units = self.limit.units_within(now.since(self.refilled_at));
         self.refilled_at = now;
+        if let Some(window) = &mut self.window {
+            self.level += window.take_expired(now);
+            self.charge(units * reserved, now);
+        } else {
+            self.level = (self.level + units * (1.0 - reserved)).min(self.capacity);
+        }
     }
 
     fn used(&self, now: ClockMillis) -> f64 {
@@ -91,6 +126,7 @@
     accounts: BTreeMap<OrganisationName, QuotaAccount>,
     /// The level at which accounts open.
     opening_level: OpeningLevel,
+    limits_windows: bool,
 }
 
 impl QuotaLedger {
@@ -111,7 +147,16 @@
         partition_grace: Duration,
     ) -> Self {
         let (last_reported, accounts) = (HashMap::new(), BTreeMap::new());
-        Self { tolerance, partition_grace, last_reported, accounts, opening_level }
+        let limits_windows = false;
+        Self { tolerance, partition_grace, last_reported, accounts, opening_level, limits_windows }
+    }
+
+    /// Limits what is granted within each window instead of the rate of grants.
+    ///
+    /// The quota allows the rate and the burst in each window. A bucket gives the burst only once,
+    /// so that an organisation slightly above its rate is refused what its quota still allows.
+    pub fn limit_windows(&mut self) {
+        self.limits_windows = true;
     }
 
     /// Applies the limits of a configuration; levels are capped at the new capacity.
@@ -129,8 +174,10 @@
             let mut account =
                 existing.unwrap_or_else(|| QuotaAccount::new(limit, capacity, level, now));
             account.refill(now);
-            (account.limit, account.capacity) = (limit, capacity);
-            account.level = account.level.min(capacity);
+            account.set_limit(limit, capacity, self.tolerance.window);
+            if self.limits_windows && account.window.is_none() {
+                account.limit_window(self.tolerance.window, now);
+            }
             accounts.insert(Arc::clone(&organisation.name), account);
         }
         self.accounts = accounts;
@@ -149,9 +196,9 @@
             if let Some(level) = usage.level
                 && now.since(account.opened_at) < REOPENING_PERIOD
             {
-                account.level = account.level.min(level);
+                account.charge((account.level - level).max(0.0), now);
             }
-            account.level -= usage.amount;
+            account.charge(usage.amount, now);
             let host = account.hosts.entry(Arc::clone(host)).or_default();
             host.recent.add(usage.amount, now);
             host.reserved = None;
--- a/crates/gateway/src/control/aggregates/quotas.rs
+++ b/crates/gateway/src/control/aggregates/quotas.rs
@@ -53,6 +53,9 @@
             return;
         }
         self.revision = revision;
+        if routes.is_some_and(RouteTable::has_tight_timeouts) {
+            self.quotas.limit_windows();
+        }
         if let Some(organisations) = routes.and_then(RouteTable::organisations) {
             self.quotas.set_limits(organisations, now);
         }
--- a/crates/gateway/src/traffic/wait.rs
+++ b/crates/gateway/src/traffic/wait.rs
@@ -187,7 +187,8 @@
 
     /// Decides whether the request keeps waiting.
     fn decide_wait(&mut self, started_at: ClockMillis) -> ColdDecision {
-        if self.waits_by_schedule() {
+        // A request that may have run cannot be refused, so it waits for any copy.
+        if self.waits_by_schedule() && !self.may_have_run {
             self.decide_by_schedule(started_at)
         } else {
             self.cold_request().decide()
