--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -72,6 +72,8 @@
     pub(super) load_queue: Vec<ModelKey>,
     residency: &'static dyn ResidencyPolicy,
     pub(super) run_time: RunTimeEstimator,
+    /// The number of parallel loads that was assumed last.
+    assumed_parallel_loads: f64,
     pub(super) load_suspects: LoadSuspects,
     pub(super) limited_engines: LimitedEngines,
     /// Loads that were pending when their engine was delisted or restarted, and that may have
@@ -100,6 +102,7 @@
             load_queue: Vec::new(),
             residency: &StandingResidency,
             run_time: RunTimeEstimator::default(),
+            assumed_parallel_loads: 0.0,
             load_suspects: LoadSuspects::default(),
             limited_engines: LimitedEngines::default(),
             interrupted_loads: Vec::new(),
@@ -154,12 +157,19 @@
         self.throughput_estimator = ThroughputEstimator::new(throughput);
     }
 
-    /// Assumes a throughput of the weight store that no placer has measured yet.
+    /// Assumes a throughput of the weight store that no placer has measured yet, unless loads have
+    /// been started. The engines of a new fleet are listed one after the other, so the assumption
+    /// follows their number.
     pub fn assume_throughput(&mut self) {
         let loads_per_second = self.hosting.loads_per_second;
         let parallel_loads =
             self.residency.assumed_parallel_loads(loads_per_second, self.engines.len());
-        self.restore_throughput(StoreThroughput::assumed(parallel_loads));
+        let assumed = StoreThroughput::assumed(parallel_loads);
+        let unchanged = (assumed.parallel_loads - self.assumed_parallel_loads).abs() < 0.5;
+        if !unchanged && !self.throughput_estimator.has_loads() {
+            self.assumed_parallel_loads = assumed.parallel_loads;
+            self.restore_throughput(assumed);
+        }
     }
 
     /// Returns the estimated throughput of the weight store.
--- a/crates/core/src/placement/throughput_estimator.rs
+++ b/crates/core/src/placement/throughput_estimator.rs
@@ -176,6 +176,11 @@
         self.models[self.selected].throughput
     }
 
+    /// Returns whether a load was started or observed, so that the estimate is no mere assumption.
+    pub fn has_loads(&self) -> bool {
+        !self.loads.is_empty() || self.observations > 0.0
+    }
+
     /// Returns the due time of each pending load according to the selected model.
     pub fn due_times(&mut self, now: ClockMillis) -> Vec<(OrderId, ClockMillis)> {
         self.advance_models(now);
--- a/crates/gateway/src/control/domain.rs
+++ b/crates/gateway/src/control/domain.rs
@@ -253,6 +253,11 @@
         }
     }
 
+    /// Returns whether a throughput of the weight store is known, not only assumed.
+    pub const fn has_throughput(&self) -> bool {
+        self.store_throughput.is_some()
+    }
+
     /// Applies a host's report of the throughput, unless this host knows one.
     pub fn receive_throughput(&mut self, throughput: StoreThroughput) {
         if self.assumed_throughput.take().is_some() {
--- a/crates/gateway/src/control/placement.rs
+++ b/crates/gateway/src/control/placement.rs
@@ -200,6 +200,8 @@
         planner.set_engines(&engines);
         if is_new {
             planner.restore_weight_caches(&domain.weight_caches);
+        }
+        if is_new || !domain.has_throughput() {
             domain.restore_throughput();
         }
         let planner = domain.planner.as_mut()?;
