test(gateway): quota levels reach hosts while a plain service is short of capacity

Three hosts, one organisation at three of its four requests per second after half of its burst, and a plain service whose servers are full. Ruled out in the test: the coordinator's own host, which knows the levels without frames, and a low level, which is published anyway.

--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -5,6 +5,7 @@
 mod cold_requests;
 mod configuration;
 mod quarantine;
+mod quota_heartbeat;
 mod codec;
 mod engine;
 mod engine_faults;
--- a/crates/gateway/tests/host/service_limits.rs
+++ b/crates/gateway/tests/host/service_limits.rs
@@ -11,7 +11,7 @@
 /// A third of the timeout of the test's route, in seconds.
 const MAX_RETRY_AFTER: f64 = 0.5;
 
-fn has_limit(host: &TestHost) -> bool {
+pub(crate) fn has_limit(host: &TestHost) -> bool {
     let now = host.shared.clock.now();
     let shares = host.shared.service_shares();
     shares.limits(now).any(|(_, limit)| limit.is_some_and(|limit| limit.measured))
