test(core): residency by affinity under its load patterns

Each case names the pattern that it guards: return to an engine that remembers the adapter, eviction of the least requested idle adapter at once, steady use against many adapters requested once, demand that moved, three loads from the weight store at one engine, an unanswered order, engines that leave or have an unknown sequence number, versions named by the operator. The cost of a round is not tested: nothing public counts its work.

--- a/crates/core/tests/placement/main.rs
+++ b/crates/core/tests/placement/main.rs
@@ -8,4 +8,5 @@
 mod late_loads;
 mod limited_engines;
 mod load_schedule;
+mod residency;
 mod simulation;
--- a/crates/core/tests/placement/simulation.rs
+++ b/crates/core/tests/placement/simulation.rs
@@ -179,6 +179,8 @@
     pub(crate) pending_reports: Vec<(u64, u64, String, EngineReport)>,
     pub(crate) incarnations: usize,
     pub(crate) load_orders: usize,
+    /// All orders sent.
+    pub(crate) orders: Vec<PlannedOrder>,
 }
 
 impl Simulation {
@@ -193,6 +195,7 @@
             pending_reports: Vec::new(),
             incarnations: 0,
             load_orders: 0,
+            orders: Vec::new(),
         };
         simulation.update_engine_list();
         simulation.planner.begin_tenure(simulation.time());
@@ -260,7 +263,8 @@
         self.planner.record_work(&Arc::from("host"), &host_work, self.time());
     }
 
-    fn report_request_count(&mut self, engine: usize, numbers: &[usize], open: u32) {
+    /// Reports the open requests on an engine for each of some adapters.
+    pub(crate) fn report_request_count(&mut self, engine: usize, numbers: &[usize], open: u32) {
         let engine = Arc::clone(&self.engines[engine].entry.name);
         let entry = |number: &usize| OpenRequestsEntry {
             engine: Arc::clone(&engine),
@@ -328,6 +332,7 @@
                 }
             }
             PlacementAction::SendOrder(order) => {
+                self.orders.push(order.clone());
                 let engine =
                     self.engines.iter_mut().find(|engine| engine.entry.name == order.engine.name);
                 let Some(engine) = engine else {
