--- a/crates/core/src/placement/residency/affinity.rs
+++ b/crates/core/src/placement/residency/affinity.rs
@@ -32,9 +32,9 @@
 /// The rest serves the engine's other adapters.
 const MAX_SLOT_SHARE: f64 = 0.5;
 
-/// Number of missed requests after which an adapter's demand counts as gone: one that was asked for
-/// twenty times a second is dropped 100 ms after the last request, one asked for every second after
-/// two.
+/// Number of missed requests from which an adapter's rate no longer counts in full: the rate is at
+/// most this number divided by the time since the last request. One requested twenty times a second
+/// loses value 100 ms after its last request, one requested every second after two seconds.
 const MISSED_REQUESTS: f64 = 2.0;
 
 /// How long an order in progress at an engine that remembers the adapter is waited for, instead of
