fix(core): an adapter stays queued while another is evicted for it

Cause: a round that ordered the eviction took the waiting adapter as ordered and left it out of the queue, so its schedule was unknown until the next round and hosts refused its requests as unscheduled. Copies that no request waits for are no longer queued beyond the limit of orders per round either; they were in that one case only. The test finds Unknown without the change and Queued with it.

--- a/crates/core/src/placement/residency/affinity.rs
+++ b/crates/core/src/placement/residency/affinity.rs
@@ -70,15 +70,14 @@
         let mut orders = round.order_models(planner);
         planner.load_queue.clear();
         for wanted in wanted_adapters(planner, now) {
-            if orders.len() >= MAX_ORDERS_PER_ROUND {
+            let may_order = orders.len() < MAX_ORDERS_PER_ROUND;
+            let order = if may_order { round.order_adapter(planner, &wanted) } else { None };
+            let loads = order.as_ref().is_some_and(|order| order.key == wanted.key);
+            // The load is still to be ordered while another adapter is evicted for it.
+            if wanted.waiting > 0 && !loads {
                 planner.load_queue.push(wanted.key);
-                continue;
-            }
-            match round.order_adapter(planner, &wanted) {
-                Some(order) => orders.push(order),
-                None if wanted.waiting > 0 => planner.load_queue.push(wanted.key),
-                None => {}
             }
+            orders.extend(order);
         }
         orders
     }
--- a/crates/core/tests/placement/residency.rs
+++ b/crates/core/tests/placement/residency.rs
@@ -4,7 +4,7 @@
 
 use reelreel_core::{
     fleet::{EngineEntry, work::EngineWork},
-    placement::{DemandEntry, HostWork, OrderKind, residency::AffinityResidency},
+    placement::{DemandEntry, HostWork, LoadSchedule, OrderKind, residency::AffinityResidency},
 };
 
 use crate::simulation::*;
@@ -255,6 +255,21 @@
     }
 }
 
+/// Guards against hosts that refuse requests as unscheduled while an adapter is evicted for them.
+#[test]
+fn an_adapter_is_queued_while_another_is_evicted_for_it() {
+    let mut simulation = simulation(1);
+    for number in 1..=4 {
+        load(&mut simulation, number);
+    }
+    simulation.request(9, 1);
+    let sent = simulation.orders.len();
+    simulation.step(1, OrderOutcome::Answered);
+    assert!(simulation.orders[sent..].iter().all(|order| order.kind == OrderKind::Unload));
+    let schedule = simulation.planner.load_schedule(&key(9), simulation.time());
+    assert!(matches!(schedule, LoadSchedule::Queued { .. }), "{schedule:?}");
+}
+
 /// Guards against a copy on a leaving engine that counts as usable, and against loads there.
 #[test]
 fn adapters_are_loaded_elsewhere_than_on_a_leaving_engine() {
