fix(core): a base model that can not be ordered yet is queued

Cause: residency by affinity queued only adapters, so requests for a base model whose load the store's rate limit postpones had no schedule and were refused as unscheduled; the standing policy queues them. Each is queued once, not per empty engine, so that it does not move later keys back. The test finds Unknown in the first round without the change and never with it.

--- a/crates/core/src/placement/residency/affinity.rs
+++ b/crates/core/src/placement/residency/affinity.rs
@@ -67,8 +67,8 @@
         planner.totals = RoundTotals::for_held(planner, now);
         planner.update_run_time(now);
         let mut round = ResidencyRound::new(planner, now);
-        let mut orders = round.order_models(planner);
         planner.load_queue.clear();
+        let mut orders = round.order_models(planner);
         for wanted in wanted_adapters(planner, now) {
             let may_order = orders.len() < MAX_ORDERS_PER_ROUND;
             let order = if may_order { round.order_adapter(planner, &wanted) } else { None };
@@ -197,7 +197,8 @@
         Self { places, by_cost, unresolved, accepting, now }
     }
 
-    /// Orders base models for empty engines, and new versions of adapters in use.
+    /// Orders base models for empty engines, and new versions of adapters in use. Queues base models
+    /// that can not be ordered yet.
     fn order_models(&mut self, planner: &mut PlacementPlanner) -> Vec<PlannedOrder> {
         let mut candidates = planner.base_model_candidates(self.now);
         candidates.extend(planner.outdated_adapter_candidates(self.now));
@@ -213,6 +214,10 @@
             if let Some(order) = planner.order_for(&candidate, self.now) {
                 self.mark_ordered(&order);
                 orders.push(order);
+            } else if adapter_name(&candidate.key).is_none()
+                && !planner.load_queue.contains(&candidate.key)
+            {
+                planner.load_queue.push(candidate.key);
             }
         }
         orders
--- a/crates/core/tests/placement/residency.rs
+++ b/crates/core/tests/placement/residency.rs
@@ -270,6 +270,22 @@
     assert!(matches!(schedule, LoadSchedule::Queued { .. }), "{schedule:?}");
 }
 
+/// Guards against hosts that refuse requests for a base model as unscheduled while the rate limit of
+/// the weight store postpones its load.
+#[test]
+fn a_base_model_is_queued_until_it_is_loaded() {
+    let mut simulation = Simulation::new(2);
+    simulation.planner.set_residency_policy(&AffinityResidency);
+    for engine in &mut simulation.engines {
+        engine.held.clear();
+    }
+    while !simulation.any_engine_holds(&Arc::from(MODEL)) {
+        simulation.step(10, OrderOutcome::Answered);
+        let schedule = simulation.planner.load_schedule(MODEL, simulation.time());
+        assert_ne!(schedule, LoadSchedule::Unknown, "at {} ms", simulation.now);
+    }
+}
+
 /// Guards against a copy on a leaving engine that counts as usable, and against loads there.
 #[test]
 fn adapters_are_loaded_elsewhere_than_on_a_leaving_engine() {
