fix(core): idle adapters give way where memory is used up before the places

Cause: an engine whose memory was full counted as unable to hold another adapter even if one could be evicted, so requests waited until their time ran out, also where memory holds exactly as many adapters as there are places. Now an engine can take an adapter if it fits or an idle one can be evicted. Without the change the adapter after the last that fits is never loaded, in each of the two cases; with it, it is. Where memory holds more adapters than there are places, the choice is the same as before.

--- a/crates/core/src/placement/residency/affinity.rs
+++ b/crates/core/src/placement/residency/affinity.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     clock::ClockMillis,
-    fleet::{ModelKey, adapter_name},
+    fleet::{ModelKey, adapter_name, base_model},
     placement::{
         EngineInventory, OrderKind, PlacementPlanner, PlannedOrder,
         load_candidates::LoadCandidate,
@@ -244,10 +244,11 @@
     ) -> Option<PlannedOrder> {
         let index = self.choose_engine(planner, wanted)?;
         let now = self.now;
+        let fits = self.fits(planner, index, &wanted.key);
         self.start_order(index);
         let places = &mut self.places[index];
         let engine = Arc::clone(&places.engine);
-        if places.free == 0 {
+        if !fits {
             let victim = places.idle.pop()?;
             return planner.issue_order(&engine, OrderKind::Unload, victim.key, wanted.value, now);
         }
@@ -283,6 +284,29 @@
         }
     }
 
+    /// Returns whether an engine has a free place and memory for an adapter that it lacks.
+    fn fits(&self, planner: &PlacementPlanner, index: usize, key: &ModelKey) -> bool {
+        let places = &self.places[index];
+        let inventory = planner.engines.get(&places.engine);
+        places.free > 0 && inventory.is_some_and(|inventory| planner.may_hold(inventory, key))
+    }
+
+    /// Returns whether an engine that lacks an adapter can take it, possibly after evicting one that
+    /// is expected to serve fewer than `max_rate` requests per second.
+    fn can_take(
+        &self,
+        planner: &PlacementPlanner,
+        index: usize,
+        key: &ModelKey,
+        max_rate: f64,
+    ) -> bool {
+        let places = &self.places[index];
+        let Some(inventory) = planner.engines.get(&places.engine) else { return false };
+        let lacks = inventory.held.contains_key(base_model(key))
+            && !inventory.has(key, planner.latest_version(key));
+        lacks && (places.can_evict(max_rate) || self.fits(planner, index, key))
+    }
+
     /// Returns the engine that remembers the adapter with the lowest cost.
     fn best_remembering(
         &self,
@@ -297,8 +321,7 @@
         let options = self.places.iter().enumerate().filter_map(|(index, places)| {
             let inventory = planner.engines.get(&places.engine)?;
             let usable = inventory.has_cached(&wanted.key)
-                && places.has_room(max_rate)
-                && planner.may_hold(inventory, &wanted.key);
+                && self.can_take(planner, index, &wanted.key, max_rate);
             let soon =
                 places.accepts_soon && self.now.since(inventory.last_order_sent_at) < ORDER_WAIT;
             if !usable || !(places.accepts || soon) {
@@ -322,11 +345,7 @@
             let places = &self.places[*index];
             places.accepts
                 && places.pending < MAX_PENDING_STORE_LOADS
-                && places.has_room(max_rate)
-                && planner
-                    .engines
-                    .get(&places.engine)
-                    .is_some_and(|inventory| planner.may_hold(inventory, &wanted.key))
+                && self.can_take(planner, *index, &wanted.key, max_rate)
         };
         let unresolved = self.unresolved.get(&wanted.key).copied().filter(fetches);
         let index = unresolved.or_else(|| self.by_cost.iter().copied().find(fetches))?;
--- a/crates/core/src/placement/residency/engine_places.rs
+++ b/crates/core/src/placement/residency/engine_places.rs
@@ -79,10 +79,10 @@
         orders + PENDING_LOAD_COST * self.pending + self.backlog
     }
 
-    /// Returns whether the engine has a free place or can evict an adapter that is expected to
-    /// serve fewer than `max_rate` requests per second.
-    pub(super) fn has_room(&self, max_rate: f64) -> bool {
-        self.free > 0 || self.idle.last().is_some_and(|idle| idle.expected_rate < max_rate)
+    /// Returns whether the engine can evict an adapter that is expected to serve fewer than
+    /// `max_rate` requests per second.
+    pub(super) fn can_evict(&self, max_rate: f64) -> bool {
+        self.idle.last().is_some_and(|idle| idle.expected_rate < max_rate)
     }
 }
 
--- a/crates/core/tests/placement/residency.rs
+++ b/crates/core/tests/placement/residency.rs
@@ -331,3 +331,31 @@
     run(&mut simulation, 1000);
     assert!(simulation.any_engine_holds(&key(1)));
 }
+
+/// Memory of an engine that is used up before its places for adapters, or together with them.
+struct MemoryCase {
+    guards_against: &'static str,
+    adapters: usize,
+}
+
+const MEMORY_CASES: [MemoryCase; 2] = [
+    MemoryCase { guards_against: "waiting forever where memory holds two adapters", adapters: 2 },
+    MemoryCase { guards_against: "waiting forever where memory holds no spare one", adapters: 4 },
+];
+
+#[test]
+fn an_idle_adapter_gives_way_where_memory_is_used_up() {
+    for case in &MEMORY_CASES {
+        let mut simulation = simulation(1);
+        let mut small = hosting();
+        let model = &small.models[0];
+        small.memory_megabytes =
+            (case.adapters as f64).mul_add(model.adapter_megabytes, model.weight_megabytes);
+        simulation.planner.set_hosting(&small);
+        for number in 0..=case.adapters {
+            load(&mut simulation, number);
+        }
+        let held = simulation.engines[0].held.keys().filter(|key| key.contains('/')).count();
+        assert_eq!(held, case.adapters, "{}", case.guards_against);
+    }
+}
