--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -7,8 +7,8 @@
 /// Half-life of the request rate.
 pub const RATE_HALF_LIFE: Duration = Duration::from_secs(8);
 
-/// Half-life of the burst rate.
-const BURST_HALF_LIFE: Duration = Duration::from_millis(1500);
+/// Half-life of the burst rate and the rate of all requests.
+pub const BURST_HALF_LIFE: Duration = Duration::from_millis(1500);
 
 /// How long a host's count of waiting requests stays valid without renewal.
 const WAITING_TTL: Duration = Duration::from_secs(3);
--- a/crates/core/tests/placement/residency.rs
+++ b/crates/core/tests/placement/residency.rs
@@ -189,6 +189,49 @@
     assert!(loaded.count() > 30, "the others were not loaded");
 }
 
+/// A rate of requests for one adapter, and the copies that it needs.
+struct CopyCase {
+    guards_against: &'static str,
+    /// Unit: requests per second.
+    rate: u64,
+    copies: usize,
+}
+
+/// Requests take 250 ms, engines have 16 slots, and one adapter may take half of them.
+const COPY_CASES: [CopyCase; 3] = [
+    CopyCase { guards_against: "copies of adapters that are rarely requested", rate: 1, copies: 1 },
+    CopyCase { guards_against: "a copy more than the slots require", rate: 20, copies: 1 },
+    CopyCase { guards_against: "requests that queue for one engine", rate: 50, copies: 2 },
+];
+
+#[test]
+fn adapters_have_as_many_copies_as_their_requests_need_slots() {
+    for case in &COPY_CASES {
+        let mut simulation = simulation(4);
+        load(&mut simulation, 1);
+        let interval = 1000 / case.rate;
+        for elapsed in (0..8000).step_by(10) {
+            if elapsed % interval == 0 {
+                simulation.request(1, 0);
+            }
+            report_open(&mut simulation, 1, u32::try_from(case.rate / 4).unwrap_or(u32::MAX));
+            simulation.step(10, OrderOutcome::Answered);
+        }
+        assert_eq!(copies(&simulation, 1), case.copies, "{}", case.guards_against);
+    }
+}
+
+/// Reports open requests, spread over the engines that hold an adapter.
+fn report_open(simulation: &mut Simulation, number: usize, open: u32) {
+    let engines: Vec<usize> =
+        (0..simulation.engines.len()).filter(|engine| holds(simulation, *engine, number)).collect();
+    let share = open / u32::try_from(engines.len()).unwrap_or(1).max(1);
+    for engine in engines {
+        simulation.report_request_count(engine, &[number], share);
+        report_work(simulation, engine, share, 0);
+    }
+}
+
 fn report_work(simulation: &mut Simulation, engine: usize, open: u32, prompt_tokens: u64) {
     let work = EngineWork { open, pending_prefill_tokens: prompt_tokens };
     let engines = vec![(Arc::clone(&simulation.engines[engine].entry.name), work)];
