--- a/crates/core/src/placement/residency/affinity.rs
+++ b/crates/core/src/placement/residency/affinity.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     clock::ClockMillis,
-    fleet::{ModelKey, adapter_name},
+    fleet::{ModelKey, adapter_name, base_model},
     placement::{
         EngineInventory, OrderKind, PlacementPlanner, PlannedOrder,
         load_candidates::LoadCandidate,
@@ -32,9 +32,9 @@
 /// The rest serves the engine's other adapters.
 const MAX_SLOT_SHARE: f64 = 0.5;
 
-/// Number of missed requests after which an adapter's demand counts as gone: one that was asked for
-/// twenty times a second is dropped 100 ms after the last request, one asked for every second after
-/// two.
+/// Number of missed requests from which an adapter's rate no longer counts in full: the rate is at
+/// most this number divided by the time since the last request. One requested twenty times a second
+/// loses value 100 ms after its last request, one requested every second after two seconds.
 const MISSED_REQUESTS: f64 = 2.0;
 
 /// How long an order in progress at an engine that remembers the adapter is waited for, instead of
@@ -67,18 +67,17 @@
         planner.totals = RoundTotals::for_held(planner, now);
         planner.update_run_time(now);
         let mut round = ResidencyRound::new(planner, now);
-        let mut orders = round.order_models(planner);
         planner.load_queue.clear();
+        let mut orders = round.order_models(planner);
         for wanted in wanted_adapters(planner, now) {
-            if orders.len() >= MAX_ORDERS_PER_ROUND {
+            let may_order = orders.len() < MAX_ORDERS_PER_ROUND;
+            let order = if may_order { round.order_adapter(planner, &wanted) } else { None };
+            let loads = order.as_ref().is_some_and(|order| order.key == wanted.key);
+            // The load is still to be ordered while another adapter is evicted for it.
+            if wanted.waiting > 0 && !loads {
                 planner.load_queue.push(wanted.key);
-                continue;
-            }
-            match round.order_adapter(planner, &wanted) {
-                Some(order) => orders.push(order),
-                None if wanted.waiting > 0 => planner.load_queue.push(wanted.key),
-                None => {}
             }
+            orders.extend(order);
         }
         orders
     }
@@ -198,7 +197,8 @@
         Self { places, by_cost, unresolved, accepting, now }
     }
 
-    /// Orders base models for empty engines, and new versions of adapters in use.
+    /// Orders base models for empty engines, and new versions of adapters in use. Queues base models
+    /// that can not be ordered yet.
     fn order_models(&mut self, planner: &mut PlacementPlanner) -> Vec<PlannedOrder> {
         let mut candidates = planner.base_model_candidates(self.now);
         candidates.extend(planner.outdated_adapter_candidates(self.now));
@@ -214,6 +214,10 @@
             if let Some(order) = planner.order_for(&candidate, self.now) {
                 self.mark_ordered(&order);
                 orders.push(order);
+            } else if adapter_name(&candidate.key).is_none()
+                && !planner.load_queue.contains(&candidate.key)
+            {
+                planner.load_queue.push(candidate.key);
             }
         }
         orders
@@ -240,10 +244,11 @@
     ) -> Option<PlannedOrder> {
         let index = self.choose_engine(planner, wanted)?;
         let now = self.now;
+        let fits = self.fits(planner, index, &wanted.key);
         self.start_order(index);
         let places = &mut self.places[index];
         let engine = Arc::clone(&places.engine);
-        if places.free == 0 {
+        if !fits {
             let victim = places.idle.pop()?;
             return planner.issue_order(&engine, OrderKind::Unload, victim.key, wanted.value, now);
         }
@@ -279,6 +284,29 @@
         }
     }
 
+    /// Returns whether an engine has a free place and memory for an adapter that it lacks.
+    fn fits(&self, planner: &PlacementPlanner, index: usize, key: &ModelKey) -> bool {
+        let places = &self.places[index];
+        let inventory = planner.engines.get(&places.engine);
+        places.free > 0 && inventory.is_some_and(|inventory| planner.may_hold(inventory, key))
+    }
+
+    /// Returns whether an engine that lacks an adapter can take it, possibly after evicting one that
+    /// is expected to serve fewer than `max_rate` requests per second.
+    fn can_take(
+        &self,
+        planner: &PlacementPlanner,
+        index: usize,
+        key: &ModelKey,
+        max_rate: f64,
+    ) -> bool {
+        let places = &self.places[index];
+        let Some(inventory) = planner.engines.get(&places.engine) else { return false };
+        let lacks = inventory.held.contains_key(base_model(key))
+            && !inventory.has(key, planner.latest_version(key));
+        lacks && (places.can_evict(max_rate) || self.fits(planner, index, key))
+    }
+
     /// Returns the engine that remembers the adapter with the lowest cost.
     fn best_remembering(
         &self,
@@ -293,8 +321,7 @@
         let options = self.places.iter().enumerate().filter_map(|(index, places)| {
             let inventory = planner.engines.get(&places.engine)?;
             let usable = inventory.has_cached(&wanted.key)
-                && places.has_room(max_rate)
-                && planner.may_hold(inventory, &wanted.key);
+                && self.can_take(planner, index, &wanted.key, max_rate);
             let soon =
                 places.accepts_soon && self.now.since(inventory.last_order_sent_at) < ORDER_WAIT;
             if !usable || !(places.accepts || soon) {
@@ -318,11 +345,7 @@
             let places = &self.places[*index];
             places.accepts
                 && places.pending < MAX_PENDING_STORE_LOADS
-                && places.has_room(max_rate)
-                && planner
-                    .engines
-                    .get(&places.engine)
-                    .is_some_and(|inventory| planner.may_hold(inventory, &wanted.key))
+                && self.can_take(planner, *index, &wanted.key, max_rate)
         };
         let unresolved = self.unresolved.get(&wanted.key).copied().filter(fetches);
         let index = unresolved.or_else(|| self.by_cost.iter().copied().find(fetches))?;
