fix(placement): one eviction for a waiting adapter, and a full store leaves it to engines that remember it

Cause (review): rounds that followed while an eviction was in progress evicted at further engines too (3 evictions for one load with rounds every 1 ms), and where a fetch seemed cheaper but the store was full nothing was ordered.

--- a/crates/core/src/placement/planner.rs
+++ b/crates/core/src/placement/planner.rs
@@ -72,6 +72,8 @@
     pub(super) load_queue: Vec<ModelKey>,
     residency: &'static dyn ResidencyPolicy,
     pub(super) run_time: RunTimeEstimator,
+    /// Engines that evict an adapter to make room for a key, and since when.
+    pub(super) making_room: HashMap<ModelKey, (EngineName, ClockMillis)>,
     /// The number of parallel loads that was assumed last.
     assumed_parallel_loads: f64,
     pub(super) load_suspects: LoadSuspects,
@@ -102,6 +104,7 @@
             load_queue: Vec::new(),
             residency: &StandingResidency,
             run_time: RunTimeEstimator::default(),
+            making_room: HashMap::new(),
             assumed_parallel_loads: 0.0,
             load_suspects: LoadSuspects::default(),
             limited_engines: LimitedEngines::default(),
--- a/crates/core/src/placement/residency/affinity.rs
+++ b/crates/core/src/placement/residency/affinity.rs
@@ -66,6 +66,7 @@
     fn plan_orders(&self, planner: &mut PlacementPlanner, now: ClockMillis) -> Vec<PlannedOrder> {
         planner.totals = RoundTotals::for_held(planner, now);
         planner.update_run_time(now);
+        planner.making_room.retain(|_, (_, ordered_at)| now.since(*ordered_at) < ORDER_WAIT);
         let mut round = ResidencyRound::new(planner, now);
         planner.load_queue.clear();
         let mut orders = round.order_models(planner);
@@ -144,6 +145,13 @@
         crowded.collect()
     }
 
+    /// Returns whether an engine is evicting another adapter to make room for `key`. Otherwise the
+    /// next rounds would evict one at other engines as well.
+    fn is_making_room(&self, key: &ModelKey) -> bool {
+        let inventory = self.making_room.get(key).and_then(|(engine, _)| self.engines.get(engine));
+        inventory.is_some_and(|inventory| inventory.outstanding_order.is_some())
+    }
+
     fn mean_slots(&self) -> f64 {
         let slots: u32 = self.engines.values().map(|inventory| inventory.entry.slots).sum();
         f64::from(slots) / self.engines.len().max(1) as f64
@@ -242,6 +250,9 @@
         planner: &mut PlacementPlanner,
         wanted: &WantedAdapter,
     ) -> Option<PlannedOrder> {
+        if planner.is_making_room(&wanted.key) {
+            return None;
+        }
         let index = self.choose_engine(planner, wanted)?;
         let now = self.now;
         let fits = self.fits(planner, index, &wanted.key);
@@ -250,6 +261,7 @@
         let engine = Arc::clone(&places.engine);
         if !fits {
             let victim = places.idle.pop()?;
+            planner.making_room.insert(Arc::clone(&wanted.key), (Arc::clone(&engine), now));
             return planner.issue_order(&engine, OrderKind::Unload, victim.key, wanted.value, now);
         }
         places.free -= 1;
@@ -278,10 +290,10 @@
         let fetching = || self.best_fetching(planner, wanted, max_rate);
         let fetching = fetching().map(|(cost, index)| (cost + fetch_time, index));
         let fetching = fetching.filter(|(cost, _)| limit.is_none_or(|limit| *cost < limit));
-        match fetching {
-            Some((_, index)) => planner.store_has_capacity(&wanted.key, self.now).then_some(index),
-            None => remembering.map(|(_, index)| index).filter(|index| self.places[*index].accepts),
-        }
+        let fetching = fetching.filter(|_| planner.store_has_capacity(&wanted.key, self.now));
+        let remembering =
+            || remembering.map(|(_, index)| index).filter(|index| self.places[*index].accepts);
+        fetching.map(|(_, index)| index).or_else(remembering)
     }
 
     /// Returns whether an engine has a free place and memory for an adapter that it lacks.
