--- a/crates/gateway/tests/host/recheck_before_send.rs
+++ b/crates/gateway/tests/host/recheck_before_send.rs
@@ -23,6 +23,12 @@
         engine.set_behaviours(&[EngineBehaviour::Stream(3)]);
     }
     let host = site.host(name);
+    // A host that joins before it knows the configuration joins again, and nobody holds the lease
+    // meanwhile.
+    wait_until("the host holds the lease under its last name", || {
+        let members = site.store.members();
+        members.len() == 1 && members[0].contains('/') && host.shared.metrics.leases.get() == 1
+    });
     wait_until("an adapter is served", || {
         send(&host, "early", key, "first").starts_with("HTTP/1.1 200")
     });
