fix(gateway): a request whose copies have no connection to spare waits for one

Ruled out: the placer's schedule, since engines hold the model. It waits while an answer is still useful, as before the early decision.

--- a/crates/gateway/src/traffic/load_wait.rs
+++ b/crates/gateway/src/traffic/load_wait.rs
@@ -23,6 +23,10 @@
 /// delivery, and a late timer of the client.
 const RETURN_MARGIN: Duration = Duration::from_millis(250);
 
+/// Time until an engine that holds the adapter is expected to have a connection to spare: with some
+/// dozens of requests of a host in progress, one ends every few milliseconds.
+const CONNECTION_WAIT: Duration = Duration::from_millis(20);
+
 /// Worth of a refused request whose client is expected back: as much as a new one.
 const RETURNING_WORTH: f64 = 1.0;
 
@@ -52,8 +56,8 @@
         }
     }
 
-    /// Returns the time until an engine that holds the adapter is used again: its backoff ends, or
-    /// its report that it lacks the adapter expires.
+    /// Returns the time until an engine that holds the adapter is used again: its backoff ends, its
+    /// report that it lacks the adapter expires, or it has a connection to spare.
     fn copy_available_in(&self, now: ClockMillis) -> Option<Duration> {
         let key = self.metadata.model.as_ref()?;
         let table = self.traffic.table();
@@ -79,8 +83,8 @@
                 times.push(health.backoff_remaining(now).max(absent));
             }
         }
-        // An engine that is used again at once is not avoided: it has no connection to spare.
-        times.into_iter().filter(|time| !time.is_zero()).min()
+        // An engine that is not avoided has no connection to spare.
+        times.into_iter().map(|time| if time.is_zero() { CONNECTION_WAIT } else { time }).min()
     }
 
     /// Decides by the schedule whether the request keeps waiting, and records the cause.
--- a/crates/gateway/tests/host/slow_readers.rs
+++ b/crates/gateway/tests/host/slow_readers.rs
@@ -299,6 +299,11 @@
     for engine in &site.engines {
         engine.set_behaviours(&[EngineBehaviour::Stream(6)]);
     }
+    // Streams are refused until a placer has told the host of their model's engines.
+    wait_until("a stream is served", || {
+        let fields = format!("X-Request: first\r\nX-Model: {MODEL_NAME}\r\n");
+        host.post("/stream/a", &fields, "{}").starts_with("HTTP/1.1 200")
+    });
     let slow: Vec<TcpStream> =
         (0..300).map(|number| open_stream(&host, &format!("idle{number}"))).collect();
     let pauses: Vec<Duration> = (0..5).map(|_| longest_pause(&host, "reader", 6)).collect();
