feat(gateway): failed connects to engines by cause, in metrics and in the line of a request

reelreel_engine_connect_failures_total counts failed connects by cause (timed_out, refused, reset, other), reelreel_unconnected_engines the engines to which the last connect failed, and the line of a request says to how many engines its host could not connect and why.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -10,6 +10,7 @@
 //! - [`cooldown`]: engines that accept no requests from this host for a while
 //! - [`departures`]: engines that announced that they are leaving
 //! - [`engine_choice`]: the engine that a request is sent to
+//! - [`engine_links`]: this host's connections to engines
 //! - [`engine_pace`]: recent speed of engines
 //! - [`first_event`]: choice of an engine by the expected time to the first event
 //! - [`freshness`]: until when keys are accepted without a confirmed configuration
@@ -35,6 +36,7 @@
 pub mod cooldown;
 pub mod departures;
 pub mod engine_choice;
+pub mod engine_links;
 pub mod engine_pace;
 pub mod first_event;
 pub mod freshness;
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -12,6 +12,7 @@
     ClockMillis,
     fleet::{
         EngineEntry, EngineName, HallName, ModelKey, ServiceName,
+        engine_links::ConnectFailure,
         engine_pace::{EnginePace, ServicePace},
         health::{EngineHealth, EngineOutcome},
         reachability::{ConnectTimeEstimator, HallReachability},
@@ -47,6 +48,8 @@
     idle: Vec<IdleConnection>,
     health: EngineHealth,
     pace: EnginePace,
+    /// Why the last connect failed, if it did.
+    connect_failure: Option<ConnectFailure>,
     /// The engine's data hall, known after the first connect.
     hall: Option<HallName>,
     /// This host's work at the engine.
@@ -160,6 +163,7 @@
 
     fn record_connect(&mut self, entry: &EngineEntry, time: Duration) {
         self.connect_time.record(time);
+        self.set_connect_failure(&entry.name, None);
         self.halls.entry(Arc::clone(&entry.hall)).or_default().record_success();
     }
 
@@ -169,12 +173,24 @@
         error: &std::io::Error,
         now: ClockMillis,
     ) {
-        if error.kind() == std::io::ErrorKind::TimedOut {
+        let failure = ConnectFailure::from(error);
+        self.set_connect_failure(&entry.name, Some(failure));
+        if failure == ConnectFailure::TimedOut {
             self.connect_time.record_timeout();
             self.halls.entry(Arc::clone(&entry.hall)).or_default().record_timeout(&entry.name, now);
         }
     }
 
+    fn set_connect_failure(&mut self, engine: &EngineName, failure: Option<ConnectFailure>) {
+        let state = self.engines.entry(Arc::clone(engine)).or_default();
+        state.connect_failure = failure;
+    }
+
+    /// Returns the number of engines to which the last connect failed.
+    pub fn unconnected_engines(&self) -> usize {
+        self.engines.values().filter(|state| state.connect_failure.is_some()).count()
+    }
+
     /// Closes expired connections and those to engines that accept no more requests, and drops
     /// engines that are not listed.
     pub fn clean_up(
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -354,6 +354,12 @@
     pub level: Option<f64>,
     /// Number of engines that it was sent to.
     pub sends: u32,
+    /// Number of engines that its host could not connect to for it.
+    #[serde(default, skip_serializing_if = "is_zero_u32")]
+    pub unconnected: u32,
+    /// Why the last of these connects failed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub connect_failure: Option<Cow<'static, str>>,
     /// Length of its prompt. Unit: tokens.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub prompt: u64,
@@ -396,6 +402,11 @@
     *count == 0
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+const fn is_zero_u32(count: &u32) -> bool {
+    *count == 0
+}
+
 /// Queues events for the writer thread without blocking.
 #[derive(Debug, Clone)]
 pub struct EventLog {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,7 @@
 use reelreel_core::fleet::{
     announcement::{Declared, EngineAnnouncements},
     engine_choice::HealthSignal,
+    engine_links::ConnectFailure,
     service_limit::PublishedLimit,
 };
 
@@ -159,6 +160,13 @@
     pub hall: &'static str,
 }
 
+/// Labels of the counter of failed connects to engines.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ConnectFailureLabels {
+    /// Why the connection was not established.
+    pub cause: &'static str,
+}
+
 /// The metrics of a host.
 pub struct HostMetrics {
     registry: Mutex<Registry>,
@@ -182,6 +190,10 @@
     pub resumes: Counter,
     /// New connections to engines.
     pub engine_connects: Counter,
+    /// Failed connects to engines, by cause.
+    connect_failures: Family<ConnectFailureLabels, Counter>,
+    /// Engines to which the last connect failed.
+    pub unconnected_engines: Gauge,
     /// Failed calls to the store.
     pub store_failures: Counter,
     /// Calls to the store.
@@ -292,6 +304,8 @@
             retries_refused: Counter::default(),
             resumes: Counter::default(),
             engine_connects: Counter::default(),
+            connect_failures: Family::default(),
+            unconnected_engines: Gauge::default(),
             store_failures: Counter::default(),
             store_calls: Counter::default(),
             store_era: Gauge::default(),
@@ -401,6 +415,10 @@
             "New connections to engines",
             self.engine_connects.clone(),
         );
+        let help = "Failed connects to engines, by cause";
+        registry.register("engine_connect_failures", help, self.connect_failures.clone());
+        let help = "Engines to which the last connect failed";
+        registry.register("unconnected_engines", help, self.unconnected_engines.clone());
         let help = "Calls to the store without a useful answer";
         registry.register("store_failures", help, self.store_failures.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
@@ -488,6 +506,12 @@
         self.rejections.get_or_create(&RejectionLabels { repeat, cooldown }).inc();
     }
 
+    /// Counts a failed connect to an engine.
+    pub fn count_connect_failure(&self, failure: ConnectFailure) {
+        let labels = ConnectFailureLabels { cause: failure.name() };
+        self.connect_failures.get_or_create(&labels).inc();
+    }
+
     /// Counts an engine choice that was diverted by a health signal.
     pub fn count_health_diversion(&self, signal: HealthSignal) {
         let signal = match signal {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -299,7 +299,11 @@
         let listed = |engine: &str| entries.contains_key(engine);
         let accepts_requests =
             |engine: &str| entries.get(engine).is_some_and(|entry| !entry.leaving);
-        self.pool.borrow_mut().clean_up(listed, accepts_requests, now);
+        let mut pool = self.pool.borrow_mut();
+        pool.clean_up(listed, accepts_requests, now);
+        let unconnected = i64::try_from(pool.unconnected_engines()).unwrap_or(i64::MAX);
+        drop(pool);
+        self.shared.metrics.unconnected_engines.set(unconnected);
         self.absent_copies
             .borrow_mut()
             .retain(|_, reported_at| now.since(*reported_at) < ABSENCE_TTL);
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -8,6 +8,7 @@
         EngineEntry, WeightVersion, adapter_name,
         admission::AdmissionSignal,
         announcement::{Declared, EngineAnnouncements},
+        engine_links::ConnectFailure,
         health::EngineOutcome,
         limits::share::PermitUse,
     },
@@ -87,10 +88,14 @@
                 return SendOutcome::Finished(ConnectionAction::Reset, "client_gone");
             }
         };
-        let Ok(mut connection) = connected else {
-            self.record_outcome(entry, EngineOutcome::Unreachable);
-            self.traffic.record_unreachable(&self.service, &entry.name);
-            return SendOutcome::NotSent;
+        let mut connection = match connected {
+            Ok(connection) => connection,
+            Err(error) => {
+                self.record_connect_failure(ConnectFailure::from(&error));
+                self.record_outcome(entry, EngineOutcome::Unreachable);
+                self.traffic.record_unreachable(&self.service, &entry.name);
+                return SendOutcome::NotSent;
+            }
         };
         if !connection.reused {
             self.traffic.shared.metrics.engine_connects.inc();
@@ -148,6 +153,13 @@
         self.handle_response(connection, response, sent_at, version).await
     }
 
+    /// Records a failed connect in the metrics, and for the log event of the request.
+    fn record_connect_failure(&mut self, failure: ConnectFailure) {
+        self.failed_connects += 1;
+        self.connect_failure = Some(failure);
+        self.traffic.shared.metrics.count_connect_failure(failure);
+    }
+
     async fn handle_response(
         &mut self,
         mut connection: EngineConnection,
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -13,6 +13,7 @@
     fleet::{
         EngineEntry, EngineName, ServiceName, WeightVersion,
         cold_decision::DecisionCause,
+        engine_links::ConnectFailure,
         quarantine::{InterruptedRun, RequestMark},
         routes::{ConfigRevision, RouteEntry},
     },
@@ -156,7 +157,10 @@
     pub(super) cold_cause: Option<DecisionCause>,
     /// Engines that are not tried again: unreachable, full, or failed.
     pub(super) excluded_engines: Vec<EngineName>,
-    failed_connects: u32,
+    /// Number of failed connects.
+    pub(super) failed_connects: u32,
+    /// Why the last failed connect failed.
+    pub(super) connect_failure: Option<ConnectFailure>,
     slow_connects: u32,
     /// The wait for a permit of an engine with a limit.
     pub(super) permit_wait: Option<PermitWait>,
@@ -247,6 +251,7 @@
             excluded_engines: Vec::new(),
             sends: 0,
             failed_connects: 0,
+            connect_failure: None,
             slow_connects: 0,
             permit_wait: None,
             limited_by: None,
@@ -355,7 +360,6 @@
             SendOutcome::DeadlineExceeded => Some(self.give_up("time_over").await),
             SendOutcome::NotSent => {
                 self.excluded_engines.push(Arc::clone(&entry.name));
-                self.failed_connects += 1;
                 self.slow_connects += u32::from(started_at.elapsed() >= SLOW_CONNECT_TIME);
                 if self.failed_connects < CONNECT_FAILURE_LIMIT
                     && self.slow_connects < SLOW_CONNECT_LIMIT
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -48,6 +48,8 @@
             cooling_by: self.cooling_by.as_ref().map(ToString::to_string),
             level: self.refused_at_level,
             sends: self.sends,
+            unconnected: self.failed_connects,
+            connect_failure: self.connect_failure.map(|failure| failure.name().into()),
             prompt: self.metadata.prompt.tokens(),
             waited: duration_millis(self.waited),
             cold: self.cold_cause.map(|cause| cause.name().into()),
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -151,6 +151,8 @@
         cooling_by: Some(engine()),
         level: Some(0.5),
         sends: 1,
+        unconnected: 1,
+        connect_failure: Some("timed_out".into()),
         prompt: 1,
         waited: 1,
         cold: Some("load_due".into()),
