test(gateway): hosts that are cut off from all engines, failing

Callers of hosts whose links to all engines are cut are refused while the other hosts serve theirs. Three forms: connections that hang, are reset, or live on while new ones are refused; one host of four, half of each hall, all of a hall.

Links are cut per host: a host resolves the addresses of engines through a trait, and those of these tests lead through links of its own. A hang fills the accept queue, so that connects time out as behind a cut that drops packets.

--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -3,7 +3,7 @@
 //! An implementation encodes requests and decodes responses. It knows names and formats and makes
 //! no decisions: no timers, no retries, no state. This crate does connections, timeouts and retries.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use reelreel_core::{
@@ -306,7 +306,23 @@
     fn decode_engine(&self, record: &KeyedRecord) -> Result<EngineEntry, CodecError>;
 }
 
-/// The codecs that a host uses.
+/// Resolves the addresses to which this host connects for engines.
+pub trait AddressResolver: Send + Sync {
+    /// Returns the address for connections to an engine.
+    fn engine_address(&self, entry: &EngineEntry) -> SocketAddr;
+}
+
+/// Resolves engines to the addresses in their entries.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ListedAddresses;
+
+impl AddressResolver for ListedAddresses {
+    fn engine_address(&self, entry: &EngineEntry) -> SocketAddr {
+        entry.address
+    }
+}
+
+/// The codecs that a host uses, and how it resolves addresses.
 #[derive(Clone)]
 pub struct Codecs {
     /// For clients' requests, also towards engines.
@@ -315,4 +331,6 @@
     pub engine: Arc<dyn EngineCodec>,
     /// For the platform's store.
     pub store: Arc<dyn StoreCodec>,
+    /// For connections to engines.
+    pub addresses: Arc<dyn AddressResolver>,
 }
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -12,7 +12,7 @@
 use crate::{
     availability::EngineAvailability,
     call::{CallClient, CallError},
-    codec::CallResponse,
+    codec::{AddressResolver, CallResponse},
     control::SharedControl,
     events::HostEvent,
     host::{ResponseKind, SharedState},
@@ -36,8 +36,9 @@
 }
 
 impl OrderClients {
-    fn take(&mut self, engine: &EngineEntry) -> CallClient {
-        self.clients.remove(&engine.name).unwrap_or_else(|| CallClient::new(engine.address))
+    fn take(&mut self, engine: &EngineEntry, addresses: &dyn AddressResolver) -> CallClient {
+        let new = || CallClient::new(addresses.engine_address(engine));
+        self.clients.remove(&engine.name).unwrap_or_else(new)
     }
 
     fn put_back(&mut self, engine: &EngineName, client: CallClient) {
@@ -82,13 +83,13 @@
     order: PlannedOrder,
 ) {
     let shared = Arc::clone(state.borrow().shared());
-    let codec = &shared.codecs.engine;
+    let (codec, addresses) = (&shared.codecs.engine, &*shared.codecs.addresses);
     if shared.availability().without_limit(&order.engine) != EngineAvailability::Available {
         let now = shared.clock.now();
         state.borrow_mut().handle_order_answer(&service, token, &order, OrderAnswer::NotSent, now);
         return;
     }
-    let mut client = state.borrow_mut().order_clients().take(&order.engine);
+    let mut client = state.borrow_mut().order_clients().take(&order.engine, addresses);
     let call = codec.encode_order(&order, &shared.profile.name, token);
     let sent_at = shared.clock.now();
     shared.count_engine_call(&order.engine.name, EngineCallKind::Order);
@@ -143,14 +144,14 @@
 
 async fn request_report(state: SharedControl, service: ServiceName, engine: Arc<EngineEntry>) {
     let shared = Arc::clone(state.borrow().shared());
-    let codec = &shared.codecs.engine;
+    let (codec, addresses) = (&shared.codecs.engine, &*shared.codecs.addresses);
     if shared.availability().without_limit(&engine) != EngineAvailability::Available {
         if let Some(planner) = state.borrow_mut().planner(&service) {
             planner.handle_report_failure(&engine.name, false);
         }
         return;
     }
-    let mut client = state.borrow_mut().order_clients().take(&engine);
+    let mut client = state.borrow_mut().order_clients().take(&engine, addresses);
     let sent_at = shared.clock.now();
     let call = codec.encode_report_request(&engine.name);
     shared.count_engine_call(&engine.name, EngineCallKind::Report);
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -22,6 +22,8 @@
 use reelreel_http::HttpStream;
 use tokio::time::Instant;
 
+use crate::codec::AddressResolver;
+
 /// How long a peer may leave data or keep-alive probes unacknowledged before its connection fails.
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -61,8 +63,8 @@
 }
 
 /// Connection pool of the engines, with this host's view of their health and work.
-#[derive(Default)]
 pub struct EnginePool {
+    addresses: Arc<dyn AddressResolver>,
     engines: HashMap<EngineName, EngineState>,
     halls: HashMap<HallName, HallReachability>,
     /// What is usual for the streams of each service.
@@ -82,6 +84,17 @@
 }
 
 impl EnginePool {
+    /// Creates an empty pool.
+    pub fn new(addresses: Arc<dyn AddressResolver>) -> Self {
+        Self {
+            addresses,
+            engines: HashMap::new(),
+            halls: HashMap::new(),
+            paces: HashMap::new(),
+            connect_time: ConnectTimeEstimator::default(),
+        }
+    }
+
     /// Returns an engine's health and this host's work there.
     pub fn health_and_work(&self, engine: &str) -> (EngineHealth, EngineWork) {
         self.engines.get(engine).map(|state| (state.health.clone(), state.work)).unwrap_or_default()
@@ -284,8 +297,9 @@
         now: ClockMillis,
     ) -> std::io::Result<HttpStream> {
         let timeout = pool.borrow().connect_time.timeout();
+        let address = pool.borrow().addresses.engine_address(entry);
         let started_at = Instant::now();
-        let connected = HttpStream::connect(entry.address, timeout).await;
+        let connected = HttpStream::connect(address, timeout).await;
         let time = started_at.elapsed();
         let mut pool = pool.borrow_mut();
         match connected {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -118,9 +118,10 @@
     fn new(shared: Arc<SharedState>) -> Self {
         let table = shared.table.subscribe();
         let buffer_limit = shared.profile.max_body_bytes;
+        let pool = EnginePool::new(Arc::clone(&shared.codecs.addresses));
         Self {
             shared,
-            pool: Rc::default(),
+            pool: Rc::new(RefCell::new(pool)),
             end_detector: RefCell::default(),
             retry_shares: RefCell::default(),
             admissions: RefCell::default(),
--- a/crates/gateway/tests/host/codec.rs
+++ b/crates/gateway/tests/host/codec.rs
@@ -17,9 +17,10 @@
     placement::{EngineReport, OrderAnswer, OrderKind, PlannedOrder},
 };
 use reelreel_gateway::codec::{
-    CallRequest, CallResponse, CodecError, Codecs, ConfigurationRecord, EngineCodec,
-    ForwardMetadata, GroupAssignment, KeyedRecord, KeyedTopic, RecordBatch, RequestCodec,
-    RequestError, RequestMetadata, ResponseMetadata, SnapshotPage, StoreCodec,
+    AddressResolver, CallRequest, CallResponse, CodecError, Codecs, ConfigurationRecord,
+    EngineCodec, ForwardMetadata, GroupAssignment, KeyedRecord, KeyedTopic, ListedAddresses,
+    RecordBatch, RequestCodec, RequestError, RequestMetadata, ResponseMetadata, SnapshotPage,
+    StoreCodec,
 };
 use reelreel_http::{HeaderFields, RequestHead, ResponseHead};
 use serde_json::{Value, json};
@@ -45,6 +46,9 @@
 pub(crate) const ENTRY_HOST: &str = "X-Entered";
 pub(crate) const TOKENS: &str = "X-Tokens";
 
+/// The data hall of hosts and engines that state none.
+pub(crate) const HALL: &str = "hall";
+
 /// Configurations by the revision that records name.
 pub(crate) type RoutesByRevision = Arc<HashMap<u64, Arc<RouteTable>>>;
 
@@ -320,7 +324,7 @@
             address: text("address")
                 .parse()
                 .map_err(|_| CodecError::Malformed(record.key.clone()))?,
-            hall: Arc::from("hall"),
+            hall: Arc::from(body["hall"].as_str().unwrap_or(HALL)),
             slots: 16,
             leaving: body["leaving"].as_bool().unwrap_or_default(),
             sequence: body["sequence"].as_u64().unwrap_or_default(),
@@ -330,9 +334,17 @@
 }
 
 pub(crate) fn codecs(routes: RoutesByRevision) -> Codecs {
+    codecs_with_addresses(routes, Arc::new(ListedAddresses))
+}
+
+pub(crate) fn codecs_with_addresses(
+    routes: RoutesByRevision,
+    addresses: Arc<dyn AddressResolver>,
+) -> Codecs {
     Codecs {
         request: Arc::new(PlainExchange),
         engine: Arc::new(PlainEngines),
         store: Arc::new(PlainStore { routes }),
+        addresses,
     }
 }
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -74,6 +74,8 @@
     limit: Option<(String, usize)>,
     /// The version of the weights that it reports for the requests it ran.
     version: Option<u64>,
+    /// It closes the connection after one in this many responses; zero for never.
+    close_interval: usize,
     /// The announced departure.
     leaving: Option<String>,
     /// The cooldown that its rejections announce. Unit: seconds.
@@ -211,6 +213,11 @@
         self.lock().version = Some(version);
     }
 
+    /// Closes the connection after one in `interval` responses from now on.
+    pub(crate) fn close_connection_every(&self, interval: usize) {
+        self.lock().close_interval = interval;
+    }
+
     /// Stops announcing a departure.
     pub(crate) fn withdraw_departure(&self) {
         self.lock().leaving = None;
@@ -306,6 +313,14 @@
         .to_string()
     }
 
+    /// Returns its entry in a data hall.
+    pub(crate) fn entry_in_hall(&self, service: &str, hall: &str) -> String {
+        let mut entry: Value =
+            serde_json::from_str(&self.entry(service, false)).expect("a JSON entry");
+        entry["hall"] = json!(hall);
+        entry.to_string()
+    }
+
     /// Sets the start of the current incarnation.
     pub(crate) fn set_incarnation(&self, incarnation: u64) {
         self.lock().incarnation = incarnation;
@@ -329,6 +344,7 @@
         let locked = || state.lock().unwrap_or_else(PoisonError::into_inner);
         locked().calls.push(Instant::now());
         let announcements = locked().announcement_fields();
+        let closes = locked().closes_connection();
         let served = match request.head.target.as_str() {
             "/orders" => {
                 let status = apply_order(&mut locked(), &request);
@@ -342,7 +358,7 @@
             }
             _ => run(state, name, &request, connection),
         };
-        if served.is_none() {
+        if served.is_none() || closes {
             return;
         }
     }
@@ -357,7 +373,13 @@
             announced.map_or_else(String::new, |(limit, _)| format!("{LIMIT}: {limit}\r\n"));
         let leaving = self.leaving.as_ref().map(|value| format!("{LEAVING}: {value}\r\n"));
         let version = self.version.map(|version| format!("{VERSION}: {version}\r\n"));
-        limit + &leaving.unwrap_or_default() + &version.unwrap_or_default()
+        let closing = if self.closes_connection() { "Connection: close\r\n" } else { "" };
+        limit + &leaving.unwrap_or_default() + &version.unwrap_or_default() + closing
+    }
+
+    /// Returns whether it closes the connection after the present response.
+    fn closes_connection(&self) -> bool {
+        self.close_interval > 0 && self.calls.len().is_multiple_of(self.close_interval)
     }
 
     /// Records a request and the announcements that its response carries.
--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -12,6 +12,8 @@
 mod events;
 mod first_event;
 mod fleet;
+mod isolation;
+mod links;
 mod following;
 mod malformed_requests;
 mod limits;
--- a/crates/gateway/tests/host/site.rs
+++ b/crates/gateway/tests/host/site.rs
@@ -29,12 +29,18 @@
     placement::HostCapacity,
 };
 use reelreel_gateway::{
+    codec::{AddressResolver, ListedAddresses},
     events::EventLog,
     host::{SharedState, run_host},
     profile::{HostProfile, OperatorBounds},
 };
 
-use crate::{codec::codecs, engine::StandInEngine, store::StandInStore};
+use crate::{
+    codec::{HALL, codecs_with_addresses},
+    engine::StandInEngine,
+    links::EngineLinks,
+    store::StandInStore,
+};
 
 /// How long a test waits for a condition.
 pub(crate) const WAIT_LIMIT: Duration = Duration::from_secs(10);
@@ -54,6 +60,8 @@
     revocation: Option<Duration>,
     store: SocketAddr,
     engines_enforce_fencing: bool,
+    hall: &'static str,
+    addresses: Arc<dyn AddressResolver>,
     pub(crate) clock: Arc<dyn ClockSource>,
 }
 
@@ -66,16 +74,18 @@
             revocation: None,
             store,
             engines_enforce_fencing: true,
+            hall: HALL,
+            addresses: Arc::new(ListedAddresses),
             clock: Arc::new(MonotonicClock::new()),
         }
     }
 
     /// Returns the complete profile of a host.
     pub(crate) fn profile(self, name: &str) -> HostProfile {
-        let Self { seeds, capacity, revocation, store, engines_enforce_fencing, .. } = self;
+        let Self { seeds, capacity, revocation, store, engines_enforce_fencing, hall, .. } = self;
         HostProfile {
             name: Arc::from(name),
-            hall: Arc::from("hall"),
+            hall: Arc::from(hall),
             client_address: free_address(),
             readiness_address: free_address(),
             peer_address: free_address(),
@@ -293,6 +303,21 @@
         host
     }
 
+    /// Starts a host in a data hall that reaches engines over links of its own, and waits until it
+    /// is ready.
+    pub(crate) fn host_with_links(
+        &self,
+        name: &str,
+        hall: &'static str,
+        links: &Arc<EngineLinks>,
+    ) -> TestHost {
+        let addresses: Arc<dyn AddressResolver> = Arc::clone(links) as _;
+        let profile = TestProfile { hall, addresses, ..TestProfile::new(self.store.address) };
+        let host = TestHost::start(name, profile);
+        host.wait_ready();
+        host
+    }
+
     /// Starts a host with this clock and waits until it is ready.
     pub(crate) fn host_with_clock(
         &self,
@@ -357,13 +382,14 @@
             ),
         ]);
         let clock = Arc::clone(&profile.clock);
+        let addresses = Arc::clone(&profile.addresses);
         let profile = profile.profile(name);
         let (client_address, readiness_address) =
             (profile.client_address, profile.readiness_address);
         let events = EventLog::start(Arc::from(name)).expect("a thread for log lines");
         let shared = Arc::new(SharedState::new(
             profile,
-            codecs(Arc::new(routes_by_revision)),
+            codecs_with_addresses(Arc::new(routes_by_revision), addresses),
             events,
             clock,
         ));
