fix(gateway): a refused connection shows the end of an engine only if others are reached

What callers saw: nothing in the record; found by looking for the same cause elsewhere. When the links of a host are reset and new connections are refused, it took all engines at which its requests ran for ended. Their requests were marked on all hosts, and held back after two such ends.

Cause: one host's refused connection was taken for the truth about an engine, in end detection and in the placer's reports.

Evidence: isolation::no_engine_counts_as_ended_when_the_links_of_a_host_are_cut fails without this change (["linked-0"] counts ended engines).

What changed: before a refused connect counts as the end of an engine, other engines are tried; a host that opens a tunnel does the same before it says that the engine refuses.

--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -161,13 +161,14 @@
     }
     // Only a refused connection shows that the process has ended; other errors may be caused by
     // this host or its network.
-    let connection_refused = matches!(&response, Err(CallError::NotSent(error)) if error.kind() == ErrorKind::ConnectionRefused);
+    let refused = matches!(&response, Err(CallError::NotSent(error)) if error.kind() == ErrorKind::ConnectionRefused);
+    let process_ended = refused && shared.links.confirm_refusal(shared.clock.now()).await;
     let report = response.ok().and_then(|response| codec.decode_report(&response).ok());
     let mut state = state.borrow_mut();
     state.order_clients().put_back(&engine.name, client);
     let Some(planner) = state.planner(&service) else { return };
     match report {
         Some(report) => planner.handle_report(&engine.name, &report, sent_at),
-        None => planner.handle_report_failure(&engine.name, connection_refused),
+        None => planner.handle_report_failure(&engine.name, process_ended),
     }
 }
--- a/crates/gateway/src/engines/end_detection.rs
+++ b/crates/gateway/src/engines/end_detection.rs
@@ -1,9 +1,9 @@
 //! Detects whether an engine terminated when its runs were interrupted.
 //!
 //! An interrupted response has many causes, such as a network fault or an engine that closes one
-//! connection. A new connection tells them apart: an engine that refuses it has terminated, one
-//! that accepts it is alive (the connection is kept for the next request), and a timeout shows
-//! neither.
+//! connection. A new connection tells them apart: an engine that refuses it has terminated, unless
+//! this host is refused by all engines, one that accepts it is alive (the connection is kept for the
+//! next request), and a timeout shows neither.
 
 use std::{collections::HashMap, io::ErrorKind, rc::Rc, sync::Arc};
 
@@ -68,10 +68,14 @@
 
 async fn reconnect(traffic: Rc<TrafficState>, entry: Arc<EngineEntry>) {
     let connected = EnginePool::connect_idle(&traffic.pool, &entry, traffic.now()).await;
+    let refused = connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused);
+    // A host that refuses a tunnel for its engine has confirmed this itself.
+    let links = &traffic.shared.links;
+    let has_ended = refused && (links.is_isolated() || links.confirm_refusal(traffic.now()).await);
     let Some(mut pending) = traffic.end_detector.borrow_mut().pending.remove(&entry.name) else {
         return;
     };
-    if connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused) {
+    if has_ended {
         pending.runs.sort_by_key(|run| std::cmp::Reverse(run.began));
         report_engine_end(&traffic, &entry, &pending.runs);
     }
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -332,26 +332,17 @@
             let pool = pool.borrow();
             (Arc::clone(&pool.links), pool.tunnels.clone())
         };
-        let mut error = std::io::Error::from(ErrorKind::NotConnected);
         // A refused connect takes no time, so an isolated host that is refused keeps trying.
         if !links.monitor().has_lost_open_connections() {
-            match Self::open_direct(pool, entry, now).await {
-                Ok(stream) => {
-                    let path = ConnectionPath { opened_at: now, tunnel: None };
-                    return Ok(OpenedStream { stream, path });
-                }
-                Err(direct_error) => error = direct_error,
-            }
-            // The state is waited for: a tunnel may help.
-            if links.verdict().await != LinkState::Isolated {
-                return Err(error);
+            let opened = Self::open_direct(pool, entry, now).await;
+            // After a failure the state is waited for: a tunnel may help.
+            if opened.is_ok() || links.verdict().await != LinkState::Isolated {
+                let path = ConnectionPath { opened_at: now, tunnel: None };
+                return opened.map(|stream| OpenedStream { stream, path });
             }
         }
-        let (stream, guard) = match tunnels.open(entry, now).await {
-            Ok(opened) => opened,
-            Err(no_host) if no_host.kind() == ErrorKind::NotConnected => return Err(error),
-            Err(engine_error) => return Err(engine_error),
-        };
+        // From here on the direct failure says nothing about the engine.
+        let (stream, guard) = tunnels.open(entry, now).await?;
         stream.set_dead_peer_timeout(UNRESPONSIVE_TIMEOUT)?;
         let path = ConnectionPath { opened_at: now, tunnel: Some(guard) };
         Ok(OpenedStream { stream, path })
--- a/crates/gateway/tests/host/isolation.rs
+++ b/crates/gateway/tests/host/isolation.rs
@@ -217,6 +217,42 @@
     }
 }
 
+/// Number of events of a stream that lasts longer than a cut takes to show.
+const LONG_STREAM: u32 = 40;
+
+/// A host whose links are cut is refused by all engines. Guards against it reporting that they
+/// ended, for which all hosts would hold back the requests that ran there.
+#[test]
+fn no_engine_counts_as_ended_when_the_links_of_a_host_are_cut() {
+    let fleet = LinkedFleet::start();
+    for engine in fleet.engines.iter().filter(|engine| engine.name.starts_with("assist")) {
+        engine.set_behaviours(&[EngineBehaviour::Stream(LONG_STREAM)]);
+    }
+    let (host, links) = &fleet.hosts[0];
+    let body = |number: u32| format!("stream-{number}");
+    let send = |host: &TestHost, number: u32| {
+        let fields = format!("X-Request: s{number}\r\nX-Model: {MODEL_NAME}\r\n");
+        host.post("/stream/a", &fields, &body(number))
+    };
+    for round in 0..3 {
+        thread::scope(|scope| {
+            for number in 0..8 {
+                scope.spawn(move || send(host, number));
+            }
+            thread::sleep(Duration::from_millis(200));
+            links.cut(CutForm::Reset);
+        });
+        thread::sleep(Duration::from_millis(500));
+        assert_eq!(fleet.hosts_with(|host| count(&host.shared.metrics.engines_ended)), [""; 0]);
+        links.repair();
+        wait_until("the host is connected", || !host.shared.links.is_isolated());
+        for (host, _) in &fleet.hosts {
+            let response = send(host, round);
+            assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        }
+    }
+}
+
 fn count(counter: &prometheus_client::metrics::counter::Counter) -> i64 {
     i64::try_from(counter.get()).expect("a small count")
 }
@@ -236,7 +272,9 @@
     let placer = fleet.hosts.iter().position(|(host, _)| host.shared.metrics.leases.get() == 1);
     let cut: Vec<_> = (0..4).filter(|index| Some(*index) != placer).take(2).collect();
     for form in [CutForm::Hang, CutForm::Reset] {
-        cut.iter().for_each(|index| fleet.hosts[*index].1.cut(form));
+        for index in &cut {
+            fleet.hosts[*index].1.cut(form);
+        }
         for number in 0..30 {
             thread::scope(|scope| {
                 for (host, _) in &fleet.hosts {
@@ -247,7 +285,9 @@
             });
         }
         assert_eq!(fleet.loads_of(&key), loads, "{form:?}");
-        cut.iter().for_each(|index| fleet.hosts[*index].1.repair());
+        for index in &cut {
+            fleet.hosts[*index].1.repair();
+        }
         thread::sleep(RETURN_TIME);
     }
 }
