fix(gateway): an isolated host gives its leases up

While the placer can reach no engine, no adapter is loaded for any host.

Cause: the lease depends on the store only, which reaches a host that is cut off from all engines.

What changed: an isolated host leaves the group at its next join and does not join again before it is connected; orders and reports tell the host's links as requests do.

--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -233,7 +233,12 @@
     }
 
     /// Returns whether this host should join the group with its present members.
+    ///
+    /// An isolated host can't give orders to engines.
     pub fn should_join(&self) -> bool {
+        if self.shared.links.is_isolated() {
+            return false;
+        }
         if self.selects_by_grade() {
             return self.graded_group().should_join();
         }
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -123,7 +123,9 @@
 
 /// Returns whether this host stays in the group as `member`.
 fn membership_need(state: &ControlState, member: GroupMember) -> MembershipNeed {
-    if own_member(state) != member {
+    if state.shared().links.is_isolated() {
+        MembershipNeed::Isolated
+    } else if own_member(state) != member {
         MembershipNeed::Renamed
     } else if state.should_leave() {
         MembershipNeed::Unneeded
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -93,9 +93,12 @@
     let call = codec.encode_order(&order, &shared.profile.name, token);
     let sent_at = shared.clock.now();
     shared.count_engine_call(&order.engine.name, EngineCallKind::Order);
+    shared.links.monitor().record_send(&order.engine.name, sent_at);
     let timeout =
         if state.borrow().has_tight_timeouts() { TIGHT_ORDER_TIMEOUT } else { ORDER_TIMEOUT };
-    let answer = match client.call(&call, timeout).await {
+    let response = client.call(&call, timeout).await;
+    record_link_result(&shared, &order.engine, &response);
+    let answer = match response {
         Ok(response) => {
             record_announcements(&shared, &order.engine, &response, sent_at);
             codec.decode_order_response(&response)
@@ -131,6 +134,23 @@
     }
 }
 
+/// Records what a call shows of this host's links to engines.
+fn record_link_result(
+    shared: &SharedState,
+    engine: &EngineEntry,
+    response: &Result<CallResponse, CallError>,
+) {
+    let now = shared.clock.now();
+    match response {
+        // When the connection was opened is not known, so nothing is said about new ones.
+        Ok(_) => shared.links.record_received(ClockMillis::default(), now),
+        Err(CallError::NotSent(error)) => {
+            shared.links.record_failure(&engine.name, error.into(), now);
+        }
+        Err(CallError::NoResponse(_) | CallError::TimedOut) => {}
+    }
+}
+
 /// Records the announcements in an engine's response to an order or report request.
 fn record_announcements(
     shared: &SharedState,
@@ -155,7 +175,9 @@
     let sent_at = shared.clock.now();
     let call = codec.encode_report_request(&engine.name);
     shared.count_engine_call(&engine.name, EngineCallKind::Report);
+    shared.links.monitor().record_send(&engine.name, sent_at);
     let response = client.call(&call, REPORT_TIMEOUT).await;
+    record_link_result(&shared, &engine, &response);
     if let Ok(response) = &response {
         record_announcements(&shared, &engine, response, sent_at);
     }
--- a/crates/gateway/src/store/membership.rs
+++ b/crates/gateway/src/store/membership.rs
@@ -158,10 +158,12 @@
     Unneeded,
     /// The host is to be a member by another name.
     Renamed,
+    /// The host can't give orders to engines, so another one must hold its leases.
+    Isolated,
 }
 
-/// Stays in the group until `need` was unneeded in several consecutive checks or is renamed; passes every update to
-/// `sink`. Returns why the member leaves.
+/// Stays in the group until `need` was unneeded in several consecutive checks, is renamed or isolated; passes every
+/// update to `sink`. Returns why the member leaves.
 pub async fn run_membership(
     client: &mut StoreClient,
     member: GroupMember,
@@ -182,6 +184,7 @@
             MembershipNeed::Needed => 0,
             MembershipNeed::Unneeded => unneeded_checks + 1,
             MembershipNeed::Renamed => return MembershipNeed::Renamed,
+            MembershipNeed::Isolated => return MembershipNeed::Isolated,
         };
         if unneeded_checks >= UNNEEDED_CHECKS {
             return MembershipNeed::Unneeded;
--- a/crates/gateway/tests/host/isolation.rs
+++ b/crates/gateway/tests/host/isolation.rs
@@ -257,6 +257,43 @@
     i64::try_from(counter.get()).expect("a small count")
 }
 
+/// Time from the start of a cut within which all hosts must get adapters again.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(3);
+
+/// Guards against adapters that are not loaded for any host because their placer, which can give no
+/// orders, keeps its lease.
+#[test]
+fn adapters_are_loaded_again_soon_after_the_placer_was_cut_off() {
+    let fleet = LinkedFleet::start();
+    for form in [CutForm::Hang, CutForm::Reset, CutForm::RefuseNew] {
+        let holds_lease = |host: &TestHost| host.shared.metrics.leases.get() == 1;
+        let placer = || fleet.hosts.iter().find(|(host, _)| holds_lease(host));
+        wait_until("a host holds the lease", || placer().is_some());
+        let (isolated, links) = placer().expect("a placer");
+        let request = |host: &TestHost, adapter: &str| {
+            let fields = format!("X-Request: {adapter}\r\nX-Model: {MODEL_NAME}/{adapter}\r\n");
+            host.post("/stream/a", &fields, "{}").starts_with("HTTP/1.1 200")
+        };
+        let began = Instant::now();
+        links.cut(form);
+        thread::scope(|scope| {
+            for (number, (host, _)) in fleet.hosts.iter().enumerate() {
+                let request = &request;
+                scope.spawn(move || {
+                    let adapter = format!("{form:?}-{number}");
+                    while !request(host, &adapter) {
+                        let elapsed = began.elapsed();
+                        assert!(elapsed < HANDOVER_LIMIT, "{form:?}: host {number}, {elapsed:?}");
+                        thread::sleep(Duration::from_millis(100));
+                    }
+                });
+            }
+        });
+        links.repair();
+        wait_until("the host is connected", || !isolated.shared.links.is_isolated());
+    }
+}
+
 /// Guards against adapters being loaded again because cut-off hosts can't reach the engines that
 /// hold them.
 #[test]
