fix(gateway): tunnels end when the requesting host is gone

What callers saw: nothing; found by reading the diff. A host that forwards for another one kept the tunnel of a requester that had lost its power or link for as long as TCP repeats what it sends, with the run at the engine.

Cause: keep-alive probes were set on the connection to the engine only.

What changed: both connections of a tunnel get the probes and the timeout of connections to engines. The tests are of tunnels in general: a client that leaves ends its run behind a tunnel within 0.5 s, a stopping host completes the streams that it forwards, and a host that can go through no other one refuses within 150 ms, on a connection that it closes, and is not ready. Not tested: a requester without power, which loopback can not show.

--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -32,7 +32,7 @@
 };
 
 /// How long a peer may leave data or keep-alive probes unacknowledged before its connection fails.
-const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(2500);
+pub const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// How long an idle connection is kept if the engine announces no keep-alive time.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
--- a/crates/gateway/src/traffic/tunnels.rs
+++ b/crates/gateway/src/traffic/tunnels.rs
@@ -12,6 +12,7 @@
     ClockMillis,
     fleet::{EngineEntry, is_same_incarnation},
 };
+use reelreel_http::set_dead_peer_timeout;
 use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -22,7 +23,7 @@
 
 use crate::{
     availability::EngineAvailability,
-    engines::EnginePool,
+    engines::{EnginePool, pool::UNRESPONSIVE_TIMEOUT},
     peers::{
         PeerStream,
         frame::FrameBody,
@@ -91,7 +92,9 @@
         return;
     }
     let (Some(host), Some(engine)) = (stream.into_socket(), engine) else { return };
-    forward(&traffic, host, engine).await;
+    if set_dead_peer_timeout(&host, UNRESPONSIVE_TIMEOUT).is_ok() {
+        forward(&traffic, host, engine).await;
+    }
 }
 
 /// Connects to the engine of a request.
--- a/crates/gateway/tests/host/isolation.rs
+++ b/crates/gateway/tests/host/isolation.rs
@@ -1,6 +1,8 @@
 //! Hosts that are cut off from all engines, while clients, the store and other hosts reach them.
 
 use std::{
+    io::{Read, Write},
+    net::TcpStream,
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -10,7 +12,7 @@
     codec::ENTRY_HOST,
     engine::{EngineBehaviour, StandInEngine},
     links::{CutForm, EngineLinks},
-    site::{MODEL_NAME, TestHost, TestSite, wait_until},
+    site::{LOOSE_TIMEOUTS_REVISION, MODEL_NAME, TestHost, TestSite, wait_until},
 };
 
 /// The halls of the hosts, and of each third engine.
@@ -54,8 +56,7 @@
 struct LinkedFleet {
     hosts: Vec<(TestHost, Arc<EngineLinks>)>,
     engines: Vec<StandInEngine>,
-    /// Kept because it owns the stand-ins.
-    _site: TestSite,
+    site: TestSite,
 }
 
 /// First attempts sent to a host, and those that were served.
@@ -85,6 +86,10 @@
 
 impl LinkedFleet {
     fn start() -> Self {
+        Self::start_hosts(4)
+    }
+
+    fn start_hosts(count: usize) -> Self {
         let site = TestSite::start();
         for engine in ["engine-1", "engine-2", "plain-1"] {
             site.store.put("engines", engine, "");
@@ -106,13 +111,13 @@
             let name = format!("linked-{number}");
             (site.host_with_links(&name, HALLS[number % HALLS.len()], &links), links)
         };
-        let hosts: Vec<_> = (0..4).map(start).collect();
+        let hosts: Vec<_> = (0..count).map(start).collect();
         for (host, _) in &hosts {
             wait_until("both services are served", || {
                 is_served(host, "first", 0) && is_served(host, "first", 1)
             });
         }
-        Self { hosts, engines, _site: site }
+        Self { hosts, engines, site }
     }
 
     /// Sends requests to all hosts for `time`; returns the counts of the cut hosts and of the
@@ -357,3 +362,94 @@
         assert_eq!(fleet.hosts_with(|host| count(&host.shared.metrics.engines_ended)), [""; 0]);
     }
 }
+
+/// Number of events of a stream that lasts about a second.
+const SECOND_LONG_STREAM: u32 = 66;
+
+fn stream_fields(id: &str) -> String {
+    format!("X-Request: {id}\r\nX-Model: {MODEL_NAME}\r\n")
+}
+
+/// Cuts off a host and waits until it knows.
+fn isolate(host: &TestHost, links: &EngineLinks) {
+    links.cut(CutForm::Hang);
+    wait_until("the host is isolated", || {
+        host.post("/stream/a", &stream_fields("probe"), "{}");
+        host.shared.links.is_isolated()
+    });
+}
+
+/// Guards against runs that go on at an engine after their client has left an isolated host.
+#[test]
+fn a_client_that_leaves_an_isolated_host_ends_its_run() {
+    let fleet = LinkedFleet::start_hosts(2);
+    let (host, links) = &fleet.hosts[0];
+    isolate(host, links);
+    let disconnects =
+        || -> u32 { fleet.engines.iter().map(StandInEngine::client_disconnects).sum() };
+    let before = disconnects();
+    for engine in &fleet.engines {
+        engine.set_behaviours(&[EngineBehaviour::Stream(SECOND_LONG_STREAM)]);
+    }
+    let request = format!(
+        "POST /stream/a HTTP/1.1\r\nHost: site.example\r\nContent-Length: 2\r\n{}\r\n{{}}",
+        stream_fields("leaves")
+    );
+    let mut client = TcpStream::connect(host.client_address).expect("a connection");
+    client.write_all(request.as_bytes()).expect("the request is sent");
+    let mut bytes = [0; 64];
+    assert!(client.read(&mut bytes).is_ok_and(|count| count > 0), "the stream begins");
+    drop(client);
+    let left_at = Instant::now();
+    wait_until("the run ends", || disconnects() > before);
+    assert!(left_at.elapsed() < Duration::from_millis(500), "{:?}", left_at.elapsed());
+}
+
+/// Guards against streams of an isolated host that break off when the host that forwards them stops.
+#[test]
+fn a_stopping_host_completes_the_streams_of_an_isolated_one() {
+    let mut fleet = LinkedFleet::start_hosts(2);
+    let (host, links) = &fleet.hosts[0];
+    let revision = LOOSE_TIMEOUTS_REVISION.to_string();
+    fleet.site.store.put("configuration", "routes", &revision);
+    let in_force = || host.shared.metrics.revision.get().to_string() == revision;
+    wait_until("streams may last longer than a stop usually takes", in_force);
+    isolate(host, links);
+    for engine in &fleet.engines {
+        engine.set_behaviours(&[EngineBehaviour::Stream(SECOND_LONG_STREAM * 4)]);
+    }
+    let (forwarding, _) = fleet.hosts.pop().expect("a second host");
+    let (host, _) = &fleet.hosts[0];
+    thread::scope(|scope| {
+        let stream = scope.spawn(|| host.post("/stream/a", &stream_fields("long"), "{}"));
+        thread::sleep(Duration::from_millis(300));
+        assert!(forwarding.shared.metrics.tunnels.served.get() > 0, "no tunnel");
+        forwarding.stop();
+        let response = stream.join().expect("a response");
+        assert!(response.ends_with("0\r\n\r\n"), "{} bytes", response.len());
+    });
+}
+
+/// Time within which a request is refused that can't be sent to any engine.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(150);
+
+/// Guards against clients that wait at a host which can't serve them, and stay connected to it.
+#[test]
+fn an_isolated_host_without_others_refuses_at_once() {
+    let fleet = LinkedFleet::start_hosts(1);
+    let (host, links) = &fleet.hosts[0];
+    isolate(host, links);
+    wait_until("the host is not ready", || !host.is_ready());
+    for path in ["/stream/a", "/single/a"] {
+        let began = Instant::now();
+        let response = host.post(path, &stream_fields("refused"), "{}");
+        let elapsed = began.elapsed();
+        assert!(response.starts_with("HTTP/1.1 503"), "{path}: {response}");
+        assert!(response.contains("Retry-After: "), "{path}: {response}");
+        assert!(response.contains("Connection: close"), "{path}: {response}");
+        assert!(elapsed < REFUSAL_LIMIT, "{path}: after {elapsed:?}");
+    }
+    links.repair();
+    host.wait_ready();
+    wait_until("a request is served", || is_served(host, "served", 0));
+}
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -40,6 +40,22 @@
     Socket(#[from] io::Error),
 }
 
+/// Sets TCP keepalive and `TCP_USER_TIMEOUT`, so that the socket fails about `timeout` after the
+/// peer's host stops responding.
+///
+/// # Errors
+/// Returns the socket's error.
+pub fn set_dead_peer_timeout(socket: &TcpStream, timeout: Duration) -> io::Result<()> {
+    let socket = SockRef::from(socket);
+    let probe_interval = (timeout / (KEEPALIVE_PROBES + 1)).max(Duration::from_secs(1));
+    let keepalive = TcpKeepalive::new()
+        .with_time(probe_interval)
+        .with_interval(probe_interval)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(timeout))
+}
+
 /// A TCP socket with its read buffer.
 #[derive(Debug)]
 pub struct HttpStream {
@@ -73,14 +89,7 @@
     /// # Errors
     /// Returns the socket's error.
     pub fn set_dead_peer_timeout(&self, timeout: Duration) -> io::Result<()> {
-        let socket = SockRef::from(&self.socket);
-        let probe_interval = (timeout / (KEEPALIVE_PROBES + 1)).max(Duration::from_secs(1));
-        let keepalive = TcpKeepalive::new()
-            .with_time(probe_interval)
-            .with_interval(probe_interval)
-            .with_retries(KEEPALIVE_PROBES);
-        socket.set_tcp_keepalive(&keepalive)?;
-        socket.set_tcp_user_timeout(Some(timeout))
+        set_dead_peer_timeout(&self.socket, timeout)
     }
 
     /// Bounds output that the peer has not read: the system buffers about `buffer_bytes`, and the
