feat(cli): explain names a host that was cut off from all engines

A request that was refused or broke off because its host had lost its links was explained by its outcome alone: no engine could be reached, its adapter was not loaded, its engine broke off. Explain and losses now name the cut where the host's own links lines show one, since when it lasted, through which host the request was sent and how many other hosts were cut off.

--- a/crates/cli/src/logs/cause.rs
+++ b/crates/cli/src/logs/cause.rs
@@ -17,6 +17,20 @@
 /// A request is quarantined only after it has ended another engine, so this window is longer.
 const QUARANTINE_WINDOW_MS: u64 = 60_000;
 
+/// Outcomes that a cut of the host's links can have.
+const FAILURES_OF_LINKS: &[&str] = &[
+    "no_engine",
+    "unreachable",
+    "adapter_absent",
+    "queue_too_long",
+    "engine_failed",
+    "stream_broken",
+    "time_over",
+];
+
+/// How long before a host knows that it is isolated its requests may fail for that.
+const ISOLATION_DETECTION_MS: u64 = 2000;
+
 /// A request's log line.
 #[derive(Debug, Clone)]
 pub(super) struct RequestLine {
@@ -79,6 +93,8 @@
     EnginesRefused,
     /// No engine accepted requests, or none was reachable.
     NoEngine,
+    /// The host was cut off from all engines.
+    HostIsolated,
     /// The rate limits of the engines left no permit before the deadline.
     RateLimited,
     /// The engines were in a cooldown that they had requested of this host.
@@ -143,6 +159,7 @@
             Self::QueueTooLong => "its engines had too much to read before it",
             Self::EnginesRefused => "its engines were full or not ready",
             Self::NoEngine => "no engine could be reached",
+            Self::HostIsolated => "its host was cut off from all engines",
             Self::RateLimited => "its engines take only so many requests, and had named that limit",
             Self::EnginesInCooldown => "its engines had asked its host to send nothing for a while",
             Self::Quarantined => "held back: engines ended while they ran it",
@@ -185,6 +202,10 @@
     /// Determines the cause from the request's line and the lines logged around it.
     pub(super) fn classify(request: &RequestLine, logs: &HostLogs) -> Self {
         match &*request.event.outcome {
+            "isolated" => Self::HostIsolated,
+            outcome if FAILURES_OF_LINKS.contains(&outcome) && host_was_isolated(request, logs) => {
+                Self::HostIsolated
+            }
             "answered" if request.event.late => Self::classify_late(&request.event),
             "answered" => Self::Served,
             "refused_early" if request.event.status == 404 => Self::NoRoute,
@@ -294,6 +315,25 @@
     quarantined.collect()
 }
 
+/// Returns whether the request's host was isolated while it had the request, and sent it through no
+/// other host.
+fn host_was_isolated(request: &RequestLine, logs: &HostLogs) -> bool {
+    if request.event.tunnel.is_some() {
+        return false;
+    }
+    let states = logs.lines_between(0, request.at + ISOLATION_DETECTION_MS).iter();
+    let states =
+        states.filter(|line| line.host == request.host).filter_map(|line| match &line.event {
+            HostEvent::Links { state, .. } => Some((line.at, &**state == "isolated")),
+            _ => None,
+        });
+    let mut was_isolated = false;
+    for (at, isolated) in states {
+        was_isolated = isolated || (was_isolated && at > request.arrived());
+    }
+    was_isolated
+}
+
 fn engine_was_removed(request: &RequestLine, logs: &HostLogs) -> bool {
     let (from, until) = request.cause_window();
     logs.lines_between(from, until).iter().any(|line| match &line.event {
--- a/crates/cli/src/logs/decision.rs
+++ b/crates/cli/src/logs/decision.rs
@@ -32,6 +32,11 @@
         decision: "cold start",
         reason: "no engine held the adapter, and its load was not due in time",
     },
+    RefusalRule {
+        outcome: "isolated",
+        decision: "links",
+        reason: "the host could send to no engine, neither itself nor through another host",
+    },
     RefusalRule {
         outcome: "queue_too_long",
         decision: "queue admission",
--- a/crates/cli/src/logs/explain.rs
+++ b/crates/cli/src/logs/explain.rs
@@ -1,6 +1,6 @@
 //! `reelreel explain`: reports the log lines related to one request and the cause of its outcome.
 
-use std::{fmt::Write as _, path::PathBuf};
+use std::{collections::BTreeMap, fmt::Write as _, path::PathBuf};
 
 use eyre::bail;
 use reelreel_gateway::events::HostEvent;
@@ -38,6 +38,9 @@
         writeln!(text, "  inputs    {inputs}")?;
     }
     writeln!(text, "  read      {}", configuration_source(&logs, &request))?;
+    if let Some(links) = links_of_host(&logs, &request) {
+        writeln!(text, "  links     {links}")?;
+    }
     if let Some(engine) = &request.event.limited_by {
         writeln!(text, "  limit     {}", limit_source(&logs, &request, engine))?;
     }
@@ -86,6 +89,38 @@
     )
 }
 
+/// Describes the links of the request's host to engines, if it was isolated or sent the request
+/// through another host.
+fn links_of_host(logs: &HostLogs, request: &RequestLine) -> Option<String> {
+    let (_, until) = request.cause_window();
+    let mut isolated_since = BTreeMap::new();
+    let mut own = None;
+    for line in logs.lines_between(0, until) {
+        let HostEvent::Links { state, .. } = &line.event else { continue };
+        if state == "isolated" {
+            isolated_since.insert(line.host.as_str(), line.at);
+        } else if line.at <= request.arrived() {
+            isolated_since.remove(line.host.as_str());
+        }
+        if line.host == request.host {
+            own = isolated_since.get(line.host.as_str()).copied();
+        }
+    }
+    let since = own.map(|at| match request.at.checked_sub(at) {
+        Some(ago) => format!("isolated {ago} ms before its end"),
+        None => format!("isolated {} ms after its end", at - request.at),
+    });
+    let forwarded =
+        request.event.tunnel.as_ref().map(|address| format!("last sent through {address}"));
+    if since.is_none() && forwarded.is_none() {
+        return None;
+    }
+    let forwarded = forwarded.unwrap_or_else(|| String::from("sent through no other host"));
+    let since = since.unwrap_or_else(|| String::from("no line logs since when it was isolated"));
+    let others = isolated_since.keys().filter(|host| **host != request.host).count();
+    Some(format!("{since}, {forwarded}; {others} other hosts were isolated too"))
+}
+
 /// Describes the rate limit that an engine had announced, its age, and the host that issued the permits.
 fn limit_source(logs: &HostLogs, request: &RequestLine, engine: &str) -> String {
     let before = || logs.lines_between(0, request.at).iter().rev();
--- a/crates/cli/tests/logs/main.rs
+++ b/crates/cli/tests/logs/main.rs
@@ -66,6 +66,45 @@
         context: &[],
         cause: "served late, sent more than once",
     },
+    CauseCase {
+        name: "isolated",
+        request: r#""outcome":"isolated","status":503,"sends":0,"waited":0,"first":0,"total":1"#,
+        context: &[],
+        cause: "its host was cut off from all engines",
+    },
+    CauseCase {
+        name: "isolated-later",
+        request: r#""outcome":"no_engine","status":503,"sends":0,"unconnected":3,"connect_failure":"timed_out","waited":0,"first":0,"total":244"#,
+        context: &[
+            r#"{"at":10100,"host":"one","event":"links","state":"isolated","failed":4,"connect_failure":"timed_out"}"#,
+        ],
+        cause: "its host was cut off from all engines",
+    },
+    CauseCase {
+        name: "isolated-elsewhere",
+        request: r#""outcome":"no_engine","status":503,"sends":0,"unconnected":3,"connect_failure":"refused","waited":0,"first":0,"total":2"#,
+        context: &[
+            r#"{"at":9000,"host":"two","event":"links","state":"isolated","failed":4,"connect_failure":"timed_out"}"#,
+        ],
+        cause: "no engine could be reached",
+    },
+    CauseCase {
+        name: "isolated-before",
+        request: r#""outcome":"engine_failed","status":502,"engine":"e1","sends":1,"waited":0,"first":0,"total":90"#,
+        context: &[
+            r#"{"at":7000,"host":"one","event":"links","state":"isolated","failed":4,"connect_failure":"timed_out"}"#,
+            r#"{"at":9000,"host":"one","event":"links","state":"connected","failed":0,"isolated_millis":2000}"#,
+        ],
+        cause: "its engine broke off and stayed listed",
+    },
+    CauseCase {
+        name: "forwarded",
+        request: r#""outcome":"engine_failed","status":502,"engine":"e1","sends":1,"tunnel":"10.1.0.4:7380","waited":0,"first":0,"total":90"#,
+        context: &[
+            r#"{"at":9000,"host":"one","event":"links","state":"isolated","failed":4,"connect_failure":"timed_out"}"#,
+        ],
+        cause: "its engine broke off and stayed listed",
+    },
     CauseCase {
         name: "limit-used",
         request: r#""outcome":"limit_used","status":503,"limited_by":"e1","sends":0,"waited":90,"first":0,"total":91"#,
@@ -213,6 +252,23 @@
     }
 }
 
+#[test]
+fn explain_tells_since_when_a_host_was_cut_off_and_who_forwarded() {
+    let log = LogFile::new(
+        "forwarded-by",
+        &[
+            r#"{"at":8000,"host":"two","event":"links","state":"isolated","failed":4,"connect_failure":"timed_out"}"#,
+            r#"{"at":9000,"host":"one","event":"links","state":"isolated","failed":4,"connect_failure":"timed_out"}"#,
+            r#"{"at":10000,"host":"one","event":"request","id":"r1","route":"r","outcome":"engine_error","status":500,"engine":"e1","sends":1,"tunnel":"10.1.0.4:7380","waited":0,"first":9,"total":90,"revision":3}"#,
+        ],
+    );
+    let (success, text) = reelreel(&["explain", "r1"], &log);
+    assert!(success, "{text}");
+    let links = "  links     isolated 1000 ms before its end, last sent through 10.1.0.4:7380; \
+                 1 other hosts were isolated too\n";
+    assert!(text.contains(links), "{text}");
+}
+
 struct DecisionCase {
     name: &'static str,
     /// Fields of the request's log line.
