--- a/crates/gateway/tests/host/codec.rs
+++ b/crates/gateway/tests/host/codec.rs
@@ -39,6 +39,7 @@
 pub(crate) const PRIORITY: &str = "X-Rank";
 pub(crate) const ERA: &str = "X-Era";
 pub(crate) const LIMIT: &str = "X-Limit";
+pub(crate) const BRITTLE: &str = "X-Brittle";
 pub(crate) const VERSION: &str = "X-Version";
 pub(crate) const LEAVING: &str = "X-Leaving";
 pub(crate) const COOLDOWN: &str = "X-Cooldown";
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -12,8 +12,8 @@
 use serde_json::{Value, json};
 
 use crate::codec::{
-    COOLDOWN, DEADLINE, ENGINE, ENTRY_HOST, LEAVING, LIMIT, MODEL, NOT_RUN, REQUEST, RESUME_AFTER,
-    RUN_BY, VERSION,
+    BRITTLE, COOLDOWN, DEADLINE, ENGINE, ENTRY_HOST, LEAVING, LIMIT, MODEL, NOT_RUN, REQUEST,
+    RESUME_AFTER, RUN_BY, VERSION,
 };
 
 /// How an engine handles a request.
@@ -68,6 +68,12 @@
     incarnation: u64,
     /// The highest fence token among the orders it accepted.
     highest_token: u64,
+    /// The announced brittleness, if it is brittle.
+    brittle: Option<Brittleness>,
+    /// Number of requests that it runs.
+    running: usize,
+    /// When it rejected requests for lack of room, in the last second.
+    rejected_at: Vec<Instant>,
     /// Request bodies that crash it.
     crashing_bodies: Vec<Vec<u8>>,
     /// The announced request limit, and the interval of responses that carry it.
@@ -101,6 +107,18 @@
 /// How long an engine runs a request that crashes it.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
+/// An engine that crashes when it rejects too many requests.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Brittleness {
+    /// Number of requests that it runs or lets wait.
+    pub(crate) room: usize,
+    /// Number of rejections within a second that it survives.
+    pub(crate) bound: usize,
+}
+
+/// Time over which a brittle engine counts its rejections.
+const REJECTION_WINDOW: Duration = Duration::from_secs(1);
+
 /// A stand-in for an engine.
 #[derive(Clone)]
 pub(crate) struct StandInEngine {
@@ -144,6 +162,11 @@
         engine
     }
 
+    /// Makes a crashable engine brittle; it announces that in all responses.
+    pub(crate) fn make_brittle(&self, brittleness: Brittleness) {
+        self.lock().brittle = Some(brittleness);
+    }
+
     /// Crashes a crashable engine.
     pub(crate) fn crash(&self) {
         let server = self.lock().server.clone();
@@ -373,8 +396,26 @@
             announced.map_or_else(String::new, |(limit, _)| format!("{LIMIT}: {limit}\r\n"));
         let leaving = self.leaving.as_ref().map(|value| format!("{LEAVING}: {value}\r\n"));
         let version = self.version.map(|version| format!("{VERSION}: {version}\r\n"));
+        let brittle = self.brittle.map(|brittle| format!("{BRITTLE}: {}\r\n", brittle.bound));
         let closing = if self.closes_connection() { "Connection: close\r\n" } else { "" };
-        limit + &leaving.unwrap_or_default() + &version.unwrap_or_default() + closing
+        limit
+            + &leaving.unwrap_or_default()
+            + &version.unwrap_or_default()
+            + &brittle.unwrap_or_default()
+            + closing
+    }
+
+    /// Returns whether a brittle engine has no room for a request; it counts the rejection, and
+    /// crashes after too many.
+    fn rejects_for_room(&mut self) -> bool {
+        let full = self.brittle.filter(|brittle| self.running >= brittle.room);
+        let Some(Brittleness { bound, .. }) = full else { return false };
+        self.rejected_at.retain(|rejected_at| rejected_at.elapsed() < REJECTION_WINDOW);
+        self.rejected_at.push(Instant::now());
+        if self.rejected_at.len() > bound {
+            self.server.stop();
+        }
+        true
     }
 
     /// Returns whether it closes the connection after the present response.
@@ -420,6 +461,15 @@
     }
 }
 
+/// Counts a request as running while it exists.
+struct RunGuard<'engine>(&'engine Mutex<EngineState>);
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).running -= 1;
+    }
+}
+
 fn run(
     state: &Mutex<EngineState>,
     name: &str,
@@ -444,6 +494,10 @@
             format!("{REQUEST}: {id}\r\n{NOT_RUN}: 1\r\n{COOLDOWN}: {seconds}\r\n{announcements}");
         return connection.answer(503, &head, "");
     }
+    if locked.rejects_for_room() {
+        drop(locked);
+        return reject(connection, &id, &announcements);
+    }
     if locked.crashing_bodies.contains(&request.body) {
         locked.runs.push(request.clone());
         let server = locked.server.clone();
@@ -460,7 +514,9 @@
     if behaviour != EngineBehaviour::NotRun {
         locked.runs.push(request.clone());
     }
+    locked.running += 1;
     drop(locked);
+    let _running = RunGuard(state);
     let head = format!("{REQUEST}: {id}\r\n{RUN_BY}: {name}\r\n{announcements}");
     let body = String::from_utf8_lossy(&request.body).into_owned();
     match behaviour {
@@ -480,11 +536,7 @@
         }
         EngineBehaviour::Error => connection.answer(500, &head, "engine error"),
         EngineBehaviour::UnmarkedRefusal => connection.answer(503, &head, "busy"),
-        EngineBehaviour::NotRun => connection.answer(
-            503,
-            &format!("{REQUEST}: {id}\r\n{NOT_RUN}: 1\r\n{announcements}"),
-            "",
-        ),
+        EngineBehaviour::NotRun => reject(connection, &id, &announcements),
         EngineBehaviour::CloseConnection => None,
         EngineBehaviour::Hang => {
             connection.closes_within(Duration::from_secs(5));
@@ -519,6 +571,12 @@
     }
 }
 
+/// Responds that a request did not run.
+fn reject(connection: &mut ServedConnection, id: &str, announcements: &str) -> Option<()> {
+    let head = format!("{REQUEST}: {id}\r\n{NOT_RUN}: 1\r\n{announcements}");
+    connection.answer(503, &head, "")
+}
+
 fn stream(
     state: &Mutex<EngineState>,
     request: &ServedRequest,
--- a/crates/gateway/tests/host/isolation.rs
+++ b/crates/gateway/tests/host/isolation.rs
@@ -31,13 +31,13 @@
 const ADAPTATION_TIME: Duration = Duration::from_secs(2);
 
 /// Time for which the requests at cut hosts are then measured.
-const MEASURED_TIME: Duration = Duration::from_secs(3);
+pub(crate) const MEASURED_TIME: Duration = Duration::from_secs(3);
 
 /// Time from the end of a cut until requests at the hosts must be served as elsewhere.
-const RETURN_TIME: Duration = Duration::from_secs(1);
+pub(crate) const RETURN_TIME: Duration = Duration::from_secs(1);
 
 /// Share of first attempts that must be served at cut hosts, compared to the other hosts.
-const MIN_SERVED_SHARE: f64 = 0.95;
+pub(crate) const MIN_SERVED_SHARE: f64 = 0.95;
 
 /// A cut of some hosts.
 struct CutCase {
@@ -53,39 +53,43 @@
 ];
 
 /// Hosts in two halls, each with links of its own to the engines of two services.
-struct LinkedFleet {
-    hosts: Vec<(TestHost, Arc<EngineLinks>)>,
-    engines: Vec<StandInEngine>,
+pub(crate) struct LinkedFleet {
+    pub(crate) hosts: Vec<(TestHost, Arc<EngineLinks>)>,
+    pub(crate) engines: Vec<StandInEngine>,
     site: TestSite,
 }
 
 /// First attempts sent to a host, and those that were served.
 #[derive(Debug, Clone, Copy, Default)]
-struct AttemptCount {
+pub(crate) struct AttemptCount {
     sent: usize,
     served: usize,
 }
 
 impl AttemptCount {
-    fn share(self) -> f64 {
+    pub(crate) fn share(self) -> f64 {
         self.served as f64 / self.sent.max(1) as f64
     }
 }
 
-/// Sends a request, to a service that depends on its number; returns whether it was served.
-fn is_served(host: &TestHost, id: &str, number: u32) -> bool {
+/// Sends a request, to a service that depends on its number; returns the response.
+pub(crate) fn post(host: &TestHost, id: &str, number: u32) -> String {
     let name = &host.shared.profile.name;
     let fields = format!("X-Request: {id}\r\n{ENTRY_HOST}: {name}\r\n");
-    let response = if number.is_multiple_of(2) {
+    if number.is_multiple_of(2) {
         host.post("/single/a", &fields, "{}")
     } else {
         host.post("/stream/a", &format!("{fields}X-Model: {MODEL_NAME}\r\n"), "{}")
-    };
-    response.starts_with("HTTP/1.1 200")
+    }
+}
+
+/// Sends a request, to a service that depends on its number; returns whether it was served.
+fn is_served(host: &TestHost, id: &str, number: u32) -> bool {
+    post(host, id, number).starts_with("HTTP/1.1 200")
 }
 
 impl LinkedFleet {
-    fn start() -> Self {
+    pub(crate) fn start() -> Self {
         Self::start_hosts(4)
     }
 
@@ -122,7 +126,12 @@
 
     /// Sends requests to all hosts for `time`; returns the counts of the cut hosts and of the
     /// others.
-    fn measure(&self, cut: &[usize], label: &str, time: Duration) -> (AttemptCount, AttemptCount) {
+    pub(crate) fn measure(
+        &self,
+        cut: &[usize],
+        label: &str,
+        time: Duration,
+    ) -> (AttemptCount, AttemptCount) {
         let began = Instant::now();
         let interval = Duration::from_secs(1) / RATE;
         let requests = u32::try_from(time.as_millis() / interval.as_millis()).expect("few");
@@ -157,7 +166,7 @@
     }
 
     /// Returns the hosts whose metric has a value other than zero.
-    fn hosts_with(&self, metric: impl Fn(&TestHost) -> i64) -> Vec<&str> {
+    pub(crate) fn hosts_with(&self, metric: impl Fn(&TestHost) -> i64) -> Vec<&str> {
         let hosts = self.hosts.iter().filter(|(host, _)| metric(host) != 0);
         hosts.map(|(host, _)| &*host.shared.profile.name).collect()
     }
@@ -258,7 +267,7 @@
     }
 }
 
-fn count(counter: &prometheus_client::metrics::counter::Counter) -> i64 {
+pub(crate) fn count(counter: &prometheus_client::metrics::counter::Counter) -> i64 {
     i64::try_from(counter.get()).expect("a small count")
 }
 
