perf(gateway): links are checked for silence five times a second

Twenty times a second had no use: failed connects wake the task at once, and a silence is 0.5 s or longer.

--- a/crates/gateway/src/traffic/links.rs
+++ b/crates/gateway/src/traffic/links.rs
@@ -17,8 +17,9 @@
 
 use crate::{engines::EnginePool, events::HostEvent, traffic::TrafficState};
 
-/// Interval at which it is checked whether engines have fallen silent.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which it is checked whether engines have fallen silent, and whether an isolated host
+/// is due to try them again. Failed connects are handled at once.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Monitors this host's links to engines. Never returns.
 pub async fn monitor_links(traffic: Rc<TrafficState>) {
