--- a/crates/gateway/tests/host/isolation.rs
+++ b/crates/gateway/tests/host/isolation.rs
@@ -431,8 +431,8 @@
     let (host, _) = &fleet.hosts[0];
     thread::scope(|scope| {
         let stream = scope.spawn(|| host.post("/stream/a", &stream_fields("long"), "{}"));
-        thread::sleep(Duration::from_millis(300));
-        assert!(forwarding.shared.metrics.tunnels.served.get() > 0, "no tunnel");
+        let is_forwarding = || forwarding.shared.metrics.tunnels.served.get() > 0;
+        wait_until("the stream is forwarded", is_forwarding);
         forwarding.stop();
         let response = stream.join().expect("a response");
         assert!(response.ends_with("0\r\n\r\n"), "{} bytes", response.len());
