fix(core): a refusal still on its way does not lift the limit of a full service

What callers saw: at a plain service whose only server refuses everything, hosts now and then sent all requests for a tenth of a second instead of a tenth of them.

Cause: the limit asks whether a server refuses most requests by comparing the refusals of an interval with the admissions of the same one. A request that is admitted at the end of an interval and refused in the next is counted as admitted and not refused: with two admitted, one refused and one open, the server counted as having room, and the open requests of a server with 16 slots were allowed again.

Why this works: requests that are still open are left out of the comparison.

--- a/crates/core/src/fleet/service_limit.rs
+++ b/crates/core/src/fleet/service_limit.rs
@@ -264,7 +264,9 @@
             return;
         }
         let servers = f64::from(self.ready_servers.max(1));
-        let mostly_full = full > admitted * MOSTLY_FULL_FRACTION;
+        // Requests that are still open are no evidence of servers with room.
+        let decided = load.sums.answered.max(load.sums.admitted.saturating_sub(load.open));
+        let mostly_full = full > f64::from(decided) * MOSTLY_FULL_FRACTION;
         let slots =
             if mostly_full { 0.0 } else { f64::from(load.slots) * MIN_MAX_OPEN_PER_SLOT / servers };
         let open = f64::from(load.open) / servers;
--- a/crates/core/tests/service_limit/main.rs
+++ b/crates/core/tests/service_limit/main.rs
@@ -4,6 +4,12 @@
 mod random;
 mod simulation;
 
+use std::time::Duration;
+
+use reelreel_core::{
+    ClockMillis,
+    fleet::service_limit::{IntervalLoad, LoadSums, ServiceLimit},
+};
 use simulation::{Coordination, SERVER_CAPACITY, Scenario, Tally, simulate};
 
 /// Hosts in the fleets of the design page, and in a small one.
@@ -211,3 +217,43 @@
         }
     }
 }
+
+/// Guards against a full service that gets all requests because one of its refusals is still on the
+/// way when an interval ends.
+#[test]
+fn a_refusal_that_is_still_open_does_not_lift_the_limit_of_a_full_service() {
+    struct OpenCase {
+        admitted: u32,
+        full: u32,
+        open: u32,
+    }
+    let cases = [
+        OpenCase { admitted: 2, full: 1, open: 1 },
+        OpenCase { admitted: 2, full: 0, open: 2 },
+        OpenCase { admitted: 1, full: 1, open: 1 },
+        OpenCase { admitted: 4, full: 1, open: 3 },
+    ];
+    let interval = Duration::from_millis(100);
+    for OpenCase { admitted, full, open } in cases {
+        let mut now = ClockMillis::from_millis(1000);
+        let mut limit = ServiceLimit::new(1, now);
+        let mut update = |admitted, full, open| {
+            now = now + interval;
+            let sums = LoadSums { arrivals: 12, admitted, full, ..LoadSums::default() };
+            let latency_target = Duration::from_millis(500);
+            let load = IntervalLoad {
+                sums,
+                open,
+                elapsed: interval,
+                ready_servers: 1,
+                slots: 16,
+                latency_target,
+            };
+            limit.update(&load, now);
+            limit.published(now).expect("a limit").rate
+        };
+        let full_rate = (0..5).map(|_| update(2, 2, 0)).fold(0.0, f64::max);
+        let rate = update(admitted, full, open);
+        assert!(rate <= 2.0 * full_rate, "{rate:.0} after {full_rate:.0} requests per second");
+    }
+}
