--- a/crates/cli/src/logs/explain.rs
+++ b/crates/cli/src/logs/explain.rs
@@ -125,8 +125,8 @@
 fn limit_source(logs: &HostLogs, request: &RequestLine, engine: &str) -> String {
     let before = || logs.lines_between(0, request.at).iter().rev();
     let limit_event = before().find_map(|line| match &line.event {
-        HostEvent::EngineLimited { engine: limited, limit, .. } if limited == engine => {
-            Some((line.at, *limit))
+        HostEvent::EngineLimited { engine: limited, limit, max_open, .. } if limited == engine => {
+            Some((line.at, describe_limit(*limit, *max_open)))
         }
         _ => None,
     });
@@ -139,11 +139,18 @@
         || format!("no line logs the limit of {engine}; permits were issued by {permit_issuer}"),
         |(at, limit)| {
             let ago = request.arrived().saturating_sub(at);
-            format!("{engine} takes {limit} requests a second, as logged {ago} ms before; permits were issued by {permit_issuer}")
+            format!("{engine} takes {limit}, as logged {ago} ms before; permits were issued by {permit_issuer}")
         },
     )
 }
 
+fn describe_limit(limit: Option<f64>, max_open: Option<u32>) -> String {
+    let rate = limit.map(|limit| format!("{limit} requests a second"));
+    let open = max_open.map(|max_open| format!("{max_open} requests at a time, as it is brittle"));
+    let parts: Vec<String> = rate.into_iter().chain(open).collect();
+    parts.join(" and ")
+}
+
 /// Describes the cooldown that an engine had requested of the request's host, and its age.
 fn cooldown_source(logs: &HostLogs, request: &RequestLine, engine: &str) -> String {
     let cooldown_event =
--- a/crates/core/src/fleet/announcement.rs
+++ b/crates/core/src/fleet/announcement.rs
@@ -63,6 +63,23 @@
     }
 }
 
+/// Announcement that an engine is brittle: it crashes when it has to reject more than this many
+/// requests in a second for lack of room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RejectionBound(u32);
+
+impl RejectionBound {
+    /// Wraps a number of rejections per second.
+    pub const fn new(per_second: u32) -> Self {
+        Self(per_second)
+    }
+
+    /// Returns the number of rejections per second that the engine survives.
+    pub const fn per_second(self) -> u32 {
+        self.0
+    }
+}
+
 /// All announcements of one response.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct EngineAnnouncements {
@@ -72,9 +89,28 @@
     pub departure: Declared<Departure>,
     /// How long the engine accepts no requests from this host.
     pub cooldown: Declared<Cooldown>,
+    /// Whether the engine is brittle.
+    pub rejection_bound: Declared<RejectionBound>,
 }
 
 impl EngineAnnouncements {
+    /// Returns the limit that follows from the announcements of an engine with `slots` slots.
+    ///
+    /// The waiting room of a brittle engine may shrink at any time; what it runs in its slots is
+    /// never rejected for lack of room.
+    pub fn effective_limit(&self, slots: u32) -> Declared<RequestLimit> {
+        match (self.limit, self.rejection_bound) {
+            (Declared::Present(limit), Declared::Present(_)) => {
+                Declared::Present(limit.with_max_open(slots))
+            }
+            (Declared::Absent, Declared::Present(_)) => {
+                Declared::Present(RequestLimit::open_only(slots))
+            }
+            (Declared::Absent, Declared::Unreadable) => Declared::Unreadable,
+            (limit, _) => limit,
+        }
+    }
+
     /// Combines this with the announcements of an earlier response on the same connection; this one
     /// takes precedence.
     #[must_use]
@@ -83,6 +119,7 @@
             limit: self.limit.or(earlier.limit),
             departure: self.departure.or(earlier.departure),
             cooldown: self.cooldown.or(earlier.cooldown),
+            rejection_bound: self.rejection_bound.or(earlier.rejection_bound),
         }
     }
 }
--- a/crates/core/src/fleet/limits/engine_share.rs
+++ b/crates/core/src/fleet/limits/engine_share.rs
@@ -49,6 +49,7 @@
     pub(super) received: u64,
     pub(super) unused: u64,
     pub(super) unpermitted: u64,
+    pub(super) rejected: u32,
     /// The demand that was last sent.
     pub(super) sent: PermitDemand,
     pub(super) sent_at: ClockMillis,
@@ -81,6 +82,7 @@
             received: 0,
             unused: 0,
             unpermitted: 0,
+            rejected: 0,
             sent: PermitDemand::default(),
             sent_at: ClockMillis::default(),
             expected_at: None,
@@ -100,13 +102,14 @@
         limit: RequestLimit,
         responded_at: ClockMillis,
     ) {
-        let Self { resumed, waiting, received, unused, unpermitted, .. } = *self;
+        let Self { resumed, waiting, received, unused, unpermitted, rejected, .. } = *self;
         *self = Self {
             resumed,
             waiting,
             received,
             unused,
             unpermitted,
+            rejected,
             ..Self::new(incarnation, limit, responded_at)
         };
     }
@@ -149,11 +152,12 @@
 
     /// Returns whether a request of this host would use one more permit.
     pub(super) fn wants_permit(&self, now: ClockMillis) -> bool {
-        let demand = self.demand(now);
+        let demand = self.demand(0, now);
         demand.resumed > 0 || demand.waiting > 0 || demand.diverted
     }
 
-    pub(super) fn demand(&self, now: ClockMillis) -> PermitDemand {
+    /// Returns the demand of this host, which has `open` requests open at the engine.
+    pub(super) fn demand(&self, open: u32, now: ClockMillis) -> PermitDemand {
         let mut permits = u32::try_from(self.permits.len()).unwrap_or(u32::MAX);
         let [resumed, waiting] = [self.resumed, self.waiting].map(|wanted| {
             let covered = wanted.min(permits);
@@ -163,7 +167,9 @@
         let diverted = self
             .diverted_at
             .is_some_and(|diverted_at| now.since(diverted_at) < DIVERTED_DEMAND_TTL);
-        let Self { received, unused, unpermitted, .. } = *self;
+        let Self { received, unused, unpermitted, rejected, .. } = *self;
+        let unused_permits = u32::try_from(self.permits.len()).unwrap_or(u32::MAX);
+        let held = self.limit.max_open().map_or(0, |_| open.saturating_add(unused_permits));
         PermitDemand {
             resumed,
             waiting,
@@ -171,12 +177,14 @@
             received,
             unused,
             unpermitted,
+            held,
+            rejected,
         }
     }
 
     /// Returns the demand if it is due to be sent.
-    pub(super) fn due_demand(&self, now: ClockMillis) -> Option<PermitDemand> {
-        let demand = self.demand(now);
+    pub(super) fn due_demand(&self, open: u32, now: ClockMillis) -> Option<PermitDemand> {
+        let demand = self.demand(open, now);
         let waits = demand.resumed > 0 || demand.waiting > 0;
         let waited_before = self.sent.resumed > 0 || self.sent.waiting > 0;
         let elapsed = now.since(self.sent_at);
@@ -186,7 +194,11 @@
             // Received permits are reported with the next demand, unused ones at once, unpermitted calls at the
             // interval.
             let unused = demand.unused != self.sent.unused;
+            let held = demand.held != self.sent.held
+                || demand.held > 0 && elapsed >= DEMAND_RENEWAL_INTERVAL;
             unused
+                || held
+                || demand.rejected > 0
                 || (demand.diverted || demand.unpermitted > 0)
                     && elapsed >= DIVERTED_DEMAND_INTERVAL
         };
--- a/crates/core/src/fleet/limits/ledger.rs
+++ b/crates/core/src/fleet/limits/ledger.rs
@@ -16,7 +16,8 @@
         EngineIncarnation, EngineName, is_same_incarnation,
         limits::{
             bucket::TokenBucket,
-            limit::RequestLimit,
+            limit::{BRITTLE_RETENTION, RequestLimit},
+            open_room::OpenRoom,
             report::{LimitReport, LimitState, PermitDemand, PermitGrant},
         },
     },
@@ -63,8 +64,7 @@
     /// Returns the demand beyond the permits in flight to the host: resumed streams, other waiting requests,
     /// diverted requests.
     fn outstanding(&self) -> [u32; 3] {
-        let mut in_flight =
-            u32::try_from(self.granted.saturating_sub(self.demand.received)).unwrap_or(u32::MAX);
+        let mut in_flight = self.in_flight();
         [self.demand.resumed, self.demand.waiting, u32::from(self.demand.diverted)].map(|wanted| {
             let covered = wanted.min(in_flight);
             in_flight -= covered;
@@ -76,6 +76,16 @@
         let [resumed, waiting, _] = self.outstanding();
         resumed.saturating_add(waiting)
     }
+
+    /// Returns the number of permits in flight to the host.
+    fn in_flight(&self) -> u32 {
+        u32::try_from(self.granted.saturating_sub(self.demand.received)).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the host's open requests and the permits that it holds or that are in flight to it.
+    fn held(&self) -> u32 {
+        self.demand.held.saturating_add(self.in_flight())
+    }
 }
 
 /// The account of one engine that declares a limit.
@@ -92,6 +102,8 @@
     /// When that rate was last raised.
     recovery_raised_at: ClockMillis,
     bucket: TokenBucket,
+    /// The room, if the number of open requests is limited.
+    room: Option<OpenRoom>,
     demands: HashMap<Arc<str>, HostDemand>,
     /// The hosts with a demand, in the order of their turns.
     round_robin: VecDeque<Arc<str>>,
@@ -109,6 +121,7 @@
             recovery_rate: None,
             recovery_raised_at: now,
             bucket: TokenBucket::empty(now),
+            room: report.limit.max_open().map(|max_open| OpenRoom::new(max_open, now)),
             demands: HashMap::new(),
             round_robin: VecDeque::new(),
             published: None,
@@ -142,7 +155,36 @@
             *rate *= time.div_duration_f64(RECOVERY_DOUBLING_TIME).exp2();
         }
         let rate = self.rate() * fraction;
-        self.bucket.refill(rate, now);
+        if rate.is_finite() {
+            self.bucket.refill(rate, now);
+        }
+    }
+
+    /// Sets the declared limit.
+    fn set_limit(&mut self, limit: RequestLimit, now: ClockMillis) {
+        self.limit = limit;
+        match (limit.max_open(), &mut self.room) {
+            (Some(max_open), Some(room)) => room.set_max(max_open),
+            (max_open, room) => *room = max_open.map(|max_open| OpenRoom::new(max_open, now)),
+        }
+    }
+
+    /// Returns the requests that are open or permitted at all hosts.
+    fn held(&self) -> u32 {
+        self.demands.values().fold(0, |total, demand| total.saturating_add(demand.held()))
+    }
+
+    fn is_half_full(&self) -> bool {
+        let held = self.held();
+        self.room.as_ref().is_some_and(|room| held.saturating_mul(2) >= room.current())
+    }
+
+    /// Takes what one more permit needs: room, and a token where the rate is limited.
+    fn take(&mut self, fraction: f64, now: ClockMillis) -> bool {
+        let held = self.held();
+        let has_room =
+            self.room.as_ref().is_none_or(|room| room.available(held, fraction, now) > 0);
+        has_room && (self.rate().is_infinite() || self.bucket.take())
     }
 
     fn drop_expired_demands(&mut self, now: ClockMillis) {
@@ -159,11 +201,13 @@
     }
 
     /// Grants the available permits; returns how many each host gets.
-    fn grant_permits(&mut self) -> BTreeMap<Arc<str>, u32> {
+    fn grant_permits(&mut self, fraction: f64, now: ClockMillis) -> BTreeMap<Arc<str>, u32> {
         let mut granted_permits = BTreeMap::new();
         for class in 0..3 {
             while let Some(position) = self.next_host(class) {
-                if !self.bucket.take() {
+                // A permit for a later request occupies room until it is used.
+                let wastes_room = class == 2 && self.is_half_full();
+                if wastes_room || !self.take(fraction, now) {
                     return granted_permits;
                 }
                 let Some(host) = self.round_robin.remove(position) else { return granted_permits };
@@ -181,7 +225,14 @@
     /// rate.
     fn expected_wait(&self, fraction: f64) -> Duration {
         let waiting: u32 = self.demands.values().map(HostDemand::waiting).sum();
-        let seconds = self.bucket.seconds_until(f64::from(waiting.max(1)), self.rate() * fraction);
+        let waiting = f64::from(waiting.max(1));
+        let rate = self.rate() * fraction;
+        let for_rate =
+            if rate.is_finite() { self.bucket.seconds_until(waiting, rate) } else { 0.0 };
+        let for_room = self.room.as_ref().map_or(0.0, |room| {
+            waiting / room.turnover().unwrap_or_else(|| f64::from(room.current()))
+        });
+        let seconds = for_rate.max(for_room);
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
 }
@@ -219,7 +270,12 @@
         }) else {
             // A limit that ended under the previous ledger gets an account as well: hosts wait for the report that
             // it is lifted.
+            let previous = self.accounts.remove(&report.engine);
             let mut account = LimitAccount::new(report, responded_at, now);
+            if let Some(previous) = previous.filter(|previous| previous.room.is_some()) {
+                // The engine has restarted, and may be brittle still.
+                account.inherit_room(previous);
+            }
             account.recovery_rate = recovering.then_some(account.recovery_start_rate());
             self.accounts.insert(Arc::clone(&report.engine), account);
             return;
@@ -230,7 +286,8 @@
         if !recovering {
             if responded_at >= account.responded_at {
                 account.refill(fraction, now);
-                (account.limit, account.recovery_rate) = (report.limit, None);
+                account.set_limit(report.limit, now);
+                account.recovery_rate = None;
                 (account.responded_at, account.requested_at) = (responded_at, requested_at);
             }
         } else if requested_at > account.responded_at && account.recovery_rate.is_none() {
@@ -254,7 +311,7 @@
             return;
         };
         account.refill(fraction, now);
-        let rate = account.rate();
+        let (rate, held_before) = (account.rate(), account.held());
         // The unused permits of an expired demand were settled before.
         let settled_demand = || HostDemand {
             demand: PermitDemand { unused: demand.unused, ..PermitDemand::default() },
@@ -267,8 +324,13 @@
         // Permits that were granted to an expired demand have arrived.
         host_demand.granted = host_demand.granted.max(demand.received);
         host_demand.wait_report_due |= host_demand.waiting() > waiting_before;
-        account.bucket.refund(unused as f64);
-        account.bucket.charge(demand.unpermitted as f64, rate);
+        if rate.is_finite() {
+            account.bucket.refund(unused as f64);
+            account.bucket.charge(demand.unpermitted as f64, rate);
+        }
+        let ended_early = demand.rejected.saturating_add(u32::try_from(unused).unwrap_or(u32::MAX));
+        account.update_room(held_before, ended_early, now);
+        account.record_rejections(demand.rejected, now);
         if !account.round_robin.contains(host) {
             account.round_robin.push_back(Arc::clone(host));
         }
@@ -290,7 +352,10 @@
         for (engine, account) in &mut self.accounts {
             account.refill(fraction, now);
             account.drop_expired_demands(now);
-            let mut granted_permits = account.grant_permits();
+            if let Some(room) = &mut account.room {
+                room.raise(now);
+            }
+            let mut granted_permits = account.grant_permits(fraction, now);
             let wait = account.expected_wait(fraction);
             for (host, demand) in &mut account.demands {
                 let waits = std::mem::take(&mut demand.wait_report_due) && demand.waiting() > 0;
@@ -323,10 +388,7 @@
                 .any(|demand| demand.outstanding().iter().any(|wanted| *wanted > 0))
         });
         let fraction = self.fraction();
-        let wait_seconds = accounts_with_demand
-            .map(|account| account.bucket.seconds_until(1.0, account.rate() * fraction));
-        let wait_seconds = wait_seconds.min_by(f64::total_cmp)?;
-        Some(now + Duration::try_from_secs_f64(wait_seconds).unwrap_or(DEMAND_TTL))
+        accounts_with_demand.filter_map(|account| account.next_due(fraction, now)).min()
     }
 
     /// Returns the reports to publish: new limits, significant changes, and lifted limits, whose accounts are
@@ -358,14 +420,65 @@
     }
 
     /// Drops engines that are no longer listed in that incarnation; `incarnation_of` returns the listed one.
-    pub fn retain(&mut self, incarnation_of: impl Fn(&str) -> Option<EngineIncarnation>) {
+    ///
+    /// A brittle engine that restarts is brittle until it responds otherwise.
+    pub fn retain(
+        &mut self,
+        incarnation_of: impl Fn(&str) -> Option<EngineIncarnation>,
+        now: ClockMillis,
+    ) {
         self.accounts.retain(|engine, account| {
-            incarnation_of(engine).is_some_and(|incarnation| account.is_incarnation(incarnation))
+            let listed = incarnation_of(engine);
+            if account.room.is_some() && now.since(account.responded_at) < BRITTLE_RETENTION {
+                account.incarnation = listed.unwrap_or(account.incarnation);
+                return true;
+            }
+            listed.is_some_and(|incarnation| account.is_incarnation(incarnation))
         });
     }
 }
 
 impl LimitAccount {
+    /// Takes over what was learned of an earlier incarnation.
+    fn inherit_room(&mut self, previous: Self) {
+        if self.limit.max_open().is_none() {
+            return;
+        }
+        (self.room, self.demands) = (previous.room, previous.demands);
+        (self.round_robin, self.published) = (previous.round_robin, previous.published);
+        if let (Some(room), Some(max_open)) = (&mut self.room, self.limit.max_open()) {
+            room.set_max(max_open);
+        }
+    }
+
+    /// Counts requests that ended, of which `not_run` did not run; `held_before` is what all hosts held before.
+    fn update_room(&mut self, held_before: u32, not_run: u32, now: ClockMillis) {
+        let ended = held_before.saturating_sub(self.held()).saturating_sub(not_run);
+        if let Some(room) = &mut self.room {
+            room.record_ended(ended, now);
+        }
+    }
+
+    /// Reduces the room after rejections.
+    fn record_rejections(&mut self, rejected: u32, now: ClockMillis) {
+        let held = self.held();
+        if let Some(room) = self.room.as_mut().filter(|_| rejected > 0) {
+            room.record_rejection(held, now);
+        }
+    }
+
+    /// Returns when the next permit for an outstanding demand is available, if that does not depend on the hosts.
+    fn next_due(&self, fraction: f64, now: ClockMillis) -> Option<ClockMillis> {
+        if let Some(room) = &self.room
+            && room.available(self.held(), fraction, now) == 0
+        {
+            return room.next_change(now);
+        }
+        let rate = self.rate() * fraction;
+        let seconds = if rate.is_finite() { self.bucket.seconds_until(1.0, rate) } else { 0.0 };
+        Some(now + Duration::try_from_secs_f64(seconds).unwrap_or(DEMAND_TTL))
+    }
+
     fn report(&self, engine: &EngineName, now: ClockMillis) -> LimitReport {
         let recovering = self.recovery_rate.is_some();
         LimitReport {
--- a/crates/core/src/fleet/limits/limit.rs
+++ b/crates/core/src/fleet/limits/limit.rs
@@ -1,35 +1,73 @@
 //! The limit that one response declares.
 
-use std::fmt;
+use std::time::Duration;
 
 use crate::{clock::ClockMillis, fleet::announcement::Declared};
 
-/// How many requests an engine accepts from all hosts together. Unit: requests per second; zero for none.
+/// The time for which a request is taken to be open where it is not measured.
+const ASSUMED_OPEN_TIME: Duration = Duration::from_secs(1);
+
+/// How long the maximum of open requests is kept for an engine that is not listed or has restarted.
+pub const BRITTLE_RETENTION: Duration = Duration::from_secs(20);
+
+/// What an engine accepts from all hosts together: a rate of requests, a number of requests that are open at a time,
+/// or both.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
-pub struct RequestLimit(f64);
+pub struct RequestLimit {
+    /// Unit: requests per second; infinite if only `max_open` limits.
+    per_second: f64,
+    max_open: Option<u32>,
+}
 
 impl RequestLimit {
-    /// Wraps a rate; `None` if it is negative, infinite or not a number.
+    /// Limits the rate, zero for no requests; `None` if it is negative, infinite or not a number.
     pub fn new(per_second: f64) -> Option<Self> {
-        (per_second.is_finite() && per_second >= 0.0).then(|| Self(per_second.abs()))
+        (per_second.is_finite() && per_second >= 0.0)
+            .then(|| Self { per_second: per_second.abs(), max_open: None })
+    }
+
+    /// Limits only the number of open requests, to one or more.
+    pub fn open_only(max_open: u32) -> Self {
+        Self { per_second: f64::INFINITY, max_open: Some(max_open.max(1)) }
+    }
+
+    /// Limits the number of open requests as well, to one or more.
+    #[must_use]
+    pub fn with_max_open(self, max_open: u32) -> Self {
+        Self { max_open: Some(max_open.max(1)), ..self }
     }
 
-    /// Returns the rate. Unit: requests per second.
+    /// Returns the rate, infinite if it is not limited. Unit: requests per second.
     pub const fn per_second(self) -> f64 {
-        self.0
+        self.per_second
+    }
+
+    /// Returns the rate if it is limited. Unit: requests per second.
+    pub fn rate(self) -> Option<f64> {
+        self.per_second.is_finite().then_some(self.per_second)
+    }
+
+    /// Returns the maximum number of open requests, if it is limited.
+    pub const fn max_open(self) -> Option<u32> {
+        self.max_open
+    }
+
+    /// Returns the rate, estimated where only the number of open requests is limited. Unit: requests per second.
+    pub fn estimated_rate(self) -> f64 {
+        let max_open = f64::from(self.max_open.unwrap_or(u32::MAX));
+        self.per_second.min(max_open / ASSUMED_OPEN_TIME.as_secs_f64())
     }
 
     /// Returns whether this differs from `other` by more than a quarter, which is worth publishing and logging.
     pub fn differs_significantly(self, other: Self) -> bool {
         const SIGNIFICANT_CHANGE: f64 = 0.25;
-        let larger = self.0.max(other.0);
-        (self.0 - other.0).abs() > larger * SIGNIFICANT_CHANGE
-    }
-}
-
-impl fmt::Display for RequestLimit {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(formatter)
+        let rate_differs = match (self.rate(), other.rate()) {
+            (Some(rate), Some(other)) => {
+                (rate - other).abs() > rate.max(other) * SIGNIFICANT_CHANGE
+            }
+            (rate, other) => rate.is_some() != other.is_some(),
+        };
+        rate_differs || self.max_open != other.max_open
     }
 }
 
--- a/crates/core/src/fleet/limits/report.rs
+++ b/crates/core/src/fleet/limits/report.rs
@@ -54,6 +54,10 @@
     pub unused: u64,
     /// The number of calls without a permit since the last report.
     pub unpermitted: u64,
+    /// At an engine with a maximum of open requests: the host's open requests and unused permits.
+    pub held: u32,
+    /// The number of requests that such an engine rejected for lack of room since the last report.
+    pub rejected: u32,
 }
 
 /// The ledger's reply to one host on one engine.
--- a/crates/core/src/fleet/limits/share.rs
+++ b/crates/core/src/fleet/limits/share.rs
@@ -12,7 +12,7 @@
             engine_share::EngineShare,
             events::{EventThrottle, LimitEvent},
             ledger::{PROBE_RATE, UNCOORDINATED_FRACTION},
-            limit::{LimitDeclaration, RequestLimit},
+            limit::{BRITTLE_RETENTION, LimitDeclaration, RequestLimit},
             report::{LimitReport, PermitDemand, PermitGrant},
         },
     },
@@ -67,6 +67,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct LimitShare {
     engines: HashMap<EngineName, EngineShare>,
+    /// The number of this host's open requests at each engine, with a limit or not.
+    open: HashMap<EngineName, u32>,
     /// When a frame of the ledger last arrived.
     ledger_received_at: ClockMillis,
     event_throttle: EventThrottle,
@@ -131,16 +133,28 @@
         self.engines.get(engine).is_some_and(|share| !share.recovering)
     }
 
-    /// Returns the limits of all engines that have one or recover from one.
-    pub fn limits(&self) -> HashMap<EngineName, RequestLimit> {
-        let shares = self.engines.iter();
+    /// Returns the limits of all engines whose rate is limited or recovers from a limit.
+    pub fn rate_limits(&self) -> HashMap<EngineName, RequestLimit> {
+        let shares = self.engines.iter().filter(|(_, share)| share.limit.rate().is_some());
         shares.map(|(engine, share)| (Arc::clone(engine), share.limit)).collect()
     }
 
     /// Drops engines that are no longer listed in that incarnation; `incarnation_of` returns the listed one.
-    pub fn retain(&mut self, incarnation_of: impl Fn(&str) -> Option<EngineIncarnation>) {
+    ///
+    /// A brittle engine that restarts is brittle until it responds otherwise.
+    pub fn retain(
+        &mut self,
+        incarnation_of: impl Fn(&str) -> Option<EngineIncarnation>,
+        now: ClockMillis,
+    ) {
         self.engines.retain(|engine, share| {
-            incarnation_of(engine).is_some_and(|incarnation| share.is_incarnation(incarnation))
+            let listed = incarnation_of(engine);
+            let limits_open = share.limit.max_open().is_some();
+            if limits_open && now.since(share.responded_at) < BRITTLE_RETENTION {
+                share.incarnation = listed.unwrap_or(share.incarnation);
+                return true;
+            }
+            listed.is_some_and(|incarnation| share.is_incarnation(incarnation))
         });
         self.event_throttle.retain(|engine| incarnation_of(engine).is_some());
     }
@@ -198,6 +212,33 @@
         }
     }
 
+    /// Counts a request as open at an engine until [`Self::end_request`].
+    pub fn begin_request(&mut self, engine: &EngineName) {
+        *self.open.entry(Arc::clone(engine)).or_default() += 1;
+    }
+
+    /// Counts a request as ended; returns whether the ledger has to receive that.
+    pub fn end_request(&mut self, engine: &str) -> bool {
+        if let Some(open) = self.open.get_mut(engine) {
+            *open -= 1;
+            if *open == 0 {
+                self.open.remove(engine);
+            }
+        }
+        self.engines.get(engine).is_some_and(|share| share.limit.max_open().is_some())
+    }
+
+    /// Records that an engine rejected a request for lack of room. Unused permits are returned, since the ledger granted
+    /// them before it knew.
+    pub fn record_rejection(&mut self, engine: &str) {
+        let share = self.engines.get_mut(engine);
+        if let Some(share) = share.filter(|share| share.limit.max_open().is_some()) {
+            share.rejected = share.rejected.saturating_add(1);
+            share.unused += share.permits.len() as u64;
+            share.permits.clear();
+        }
+    }
+
     /// Records that a request starts to wait for a permit.
     pub fn begin_wait(&mut self, engine: &str, wanted: PermitUse) {
         if let Some(share) = self.engines.get_mut(engine) {
@@ -237,7 +278,7 @@
     /// Successive calls return later times, so that clients do not all retry at once.
     pub fn retry_after(&mut self, engine: &str, hosts: u32, now: ClockMillis) -> Option<Duration> {
         let share = self.engines.get_mut(engine)?;
-        let interval = f64::from(hosts.max(1)) / share.limit.per_second().max(PROBE_RATE);
+        let interval = f64::from(hosts.max(1)) / share.limit.estimated_rate().max(PROBE_RATE);
         let interval = Duration::try_from_secs_f64(interval).unwrap_or(Duration::MAX);
         let first = share.expected_at.unwrap_or(now).max(now);
         let next = share
@@ -250,7 +291,7 @@
     /// Returns the time that the requests waiting here take at the engine's limit. Unit: seconds.
     pub fn queued_seconds(&self, engine: &str) -> f64 {
         let Some(share) = self.engines.get(engine) else { return 0.0 };
-        f64::from(share.resumed + share.waiting) / share.limit.per_second().max(PROBE_RATE)
+        f64::from(share.resumed + share.waiting) / share.limit.estimated_rate().max(PROBE_RATE)
     }
 }
 
@@ -332,14 +373,16 @@
             if std::mem::take(&mut share.pending) {
                 update.reports.push(share.report(engine, now));
             }
-            let Some(demand) = share.due_demand(now) else { continue };
-            let only_diverted = demand.resumed + demand.waiting == 0;
+            let open = self.open.get(engine).copied().unwrap_or_default();
+            let Some(demand) = share.due_demand(open, now) else { continue };
+            let only_diverted = demand.resumed + demand.waiting + demand.rejected == 0
+                && demand.held == share.sent.held;
             diverted_demands += usize::from(only_diverted);
             if only_diverted && diverted_demands > MAX_DIVERTED_DEMANDS {
                 continue;
             }
             share.sent.clone_from(&demand);
-            (share.sent_at, share.unpermitted) = (now, 0);
+            (share.sent_at, share.unpermitted, share.rejected) = (now, 0, 0);
             update.demands.push((Arc::clone(engine), demand));
         }
         update
@@ -356,6 +399,7 @@
             if let Some(share) = self.engines.get_mut(engine) {
                 share.sent = PermitDemand::default();
                 share.unpermitted += demand.unpermitted;
+                share.rejected = share.rejected.saturating_add(demand.rejected);
             }
         }
     }
@@ -388,9 +432,12 @@
             if is_fallback(engine) {
                 share.drop_expired_permits(now);
                 let bucket = share.fallback_bucket.get_or_insert_with(|| TokenBucket::empty(now));
-                let rate = share.limit.per_second().max(PROBE_RATE) * UNCOORDINATED_FRACTION;
+                let rate = share.limit.estimated_rate().max(PROBE_RATE) * UNCOORDINATED_FRACTION;
                 bucket.refill(rate, now);
-                if share.permits.is_empty() && bucket.take() {
+                let open = self.open.get(engine).copied().unwrap_or_default();
+                let max_open = share.limit.max_open().map(|max_open| (max_open / 2).max(1));
+                let has_room = max_open.is_none_or(|max_open| open < max_open);
+                if share.permits.is_empty() && has_room && bucket.take() {
                     share.permits.push_back(now + PERMIT_TTL);
                     permits_changed = true;
                 }
--- a/crates/core/tests/engine_limits/host_ledger.rs
+++ b/crates/core/tests/engine_limits/host_ledger.rs
@@ -46,7 +46,7 @@
             ledger.receive_demand(&host, engine, demand, now);
         }
         let is_listed = now >= start + Duration::from_millis(LISTED_AFTER_MS);
-        ledger.retain(|_| is_listed.then_some(7));
+        ledger.retain(|_| is_listed.then_some(7), now);
         for report in ledger.take_changes(now) {
             share.receive(&report, now);
         }
--- a/crates/core/tests/engine_limits/main.rs
+++ b/crates/core/tests/engine_limits/main.rs
@@ -4,5 +4,6 @@
 mod faults;
 mod fleet;
 mod host_ledger;
+mod open_room;
 mod simulation;
 mod strategies;
--- /dev/null
+++ b/crates/core/tests/engine_limits/open_room.rs
@@ -0,0 +1,275 @@
+//! The room of brittle engines, which limit the number of open requests.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use reelreel_core::{
+    ClockMillis,
+    fleet::{
+        EngineName,
+        announcement::Declared,
+        limits::{
+            ledger::LimitLedger,
+            limit::{LimitDeclaration, RequestLimit},
+            open_room::OpenRoom,
+            report::{LimitReport, PermitGrant},
+            share::{LimitShare, LimitUpdate, PermitUse},
+        },
+    },
+};
+
+/// The step of a simulation.
+const STEP: Duration = Duration::from_millis(5);
+
+/// The time of a message between a host and the ledger.
+const LINK_TIME: Duration = Duration::from_millis(20);
+
+/// The time until the engine has run a request.
+const RUN_TIME: Duration = Duration::from_millis(400);
+
+/// When the engine may let fewer requests wait.
+const SHRINKS_AT: Duration = Duration::from_secs(3);
+
+const END: Duration = Duration::from_secs(23);
+
+/// How often the listing is applied.
+const LISTING_INTERVAL: u32 = 20;
+
+/// An engine that is brittle, and the requests for it.
+struct RoomCase {
+    hosts: usize,
+    /// Number of requests that the engine lists to run at a time.
+    listed: u32,
+    /// Number of requests that it runs or lets wait once its room has shrunk.
+    room: usize,
+    /// Requests over all hosts, as a multiple of what the engine runs.
+    load: f64,
+    /// Number of rejections in a second that it survives.
+    bound: usize,
+    /// Least part of its slots that is used.
+    min_used: f64,
+}
+
+/// A host with its requests at the engine.
+#[derive(Default)]
+struct SimulatedHost {
+    share: LimitShare,
+    /// When each of its open requests ends.
+    open: VecDeque<ClockMillis>,
+    waiting: u32,
+    updates: VecDeque<(ClockMillis, LimitUpdate)>,
+    replies: VecDeque<(ClockMillis, Vec<LimitReport>, Vec<PermitGrant>)>,
+}
+
+/// Rejections and ended requests of a simulation.
+#[derive(Default)]
+struct RoomTally {
+    rejected: Vec<ClockMillis>,
+    ended: usize,
+}
+
+impl RoomTally {
+    fn max_rejected_in_a_second(&self) -> usize {
+        let until = |first: ClockMillis| {
+            self.rejected.partition_point(|at| *at < first + Duration::from_secs(1))
+        };
+        let rejected = self.rejected.iter().enumerate();
+        rejected.map(|(index, first)| until(*first) - index).max().unwrap_or_default()
+    }
+}
+
+fn pop_due<Item>(queue: &mut VecDeque<Item>, is_due: impl Fn(&Item) -> bool) -> Option<Item> {
+    if queue.front().is_some_and(is_due) { queue.pop_front() } else { None }
+}
+
+impl SimulatedHost {
+    /// Ends due requests; returns how many.
+    fn end_requests(&mut self, engine: &str, now: ClockMillis) -> usize {
+        let mut ended = 0;
+        while pop_due(&mut self.open, |ends_at| *ends_at <= now).is_some() {
+            self.share.end_request(engine);
+            ended += 1;
+        }
+        ended
+    }
+
+    /// Sends what waits and is permitted.
+    fn send(
+        &mut self,
+        engine: &EngineName,
+        limit: RequestLimit,
+        is_full: bool,
+        now: ClockMillis,
+    ) -> bool {
+        if self.waiting == 0 || !self.share.take(engine, PermitUse::Waiting, now) {
+            return false;
+        }
+        let limit = Declared::Present(limit);
+        let declaration =
+            LimitDeclaration { limit, requested_at: now, absence_is_conclusive: true };
+        self.share.receive_declaration(engine, 1, declaration, now);
+        self.share.begin_request(engine);
+        if is_full {
+            self.share.record_rejection(engine);
+            self.share.end_request(engine);
+        } else {
+            self.waiting -= 1;
+            self.share.end_wait(engine, PermitUse::Waiting);
+            self.open.push_back(now + RUN_TIME);
+        }
+        true
+    }
+
+    /// Exchanges messages with the ledger.
+    fn exchange(&mut self, host: &Arc<str>, ledger: &mut LimitLedger, now: ClockMillis) {
+        let update = self.share.take_pending(now);
+        if update != LimitUpdate::default() {
+            self.updates.push_back((now + LINK_TIME, update));
+        }
+        while let Some((_, update)) = pop_due(&mut self.updates, |(due, _)| *due <= now) {
+            for report in &update.reports {
+                ledger.receive(report, now);
+            }
+            for (engine, demand) in &update.demands {
+                ledger.receive_demand(host, engine, demand, now);
+            }
+        }
+        while let Some((_, reports, grants)) = pop_due(&mut self.replies, |(due, ..)| *due <= now) {
+            self.share.record_ledger_frame(now);
+            for report in &reports {
+                self.share.receive(report, now);
+            }
+            self.share.receive_grants(&grants, now);
+        }
+    }
+}
+
+fn simulate(case: &RoomCase) -> RoomTally {
+    let engine: EngineName = Arc::from("e");
+    let limit = RequestLimit::open_only(case.listed);
+    let names: Vec<Arc<str>> = (0..case.hosts).map(|host| Arc::from(format!("h{host}"))).collect();
+    let mut hosts: Vec<SimulatedHost> = names.iter().map(|_| SimulatedHost::default()).collect();
+    let mut ledger = LimitLedger::default();
+    let mut tally = RoomTally::default();
+    let start = ClockMillis::from_millis(1000);
+    let slots = f64::from(case.listed).min(case.room as f64);
+    let arrivals_per_step = case.load * slots / RUN_TIME.as_secs_f64() * STEP.as_secs_f64();
+    let (mut arrivals, mut next_host, mut step) = (0.0, 0, 0);
+    while STEP * step < END {
+        let now = start + STEP * step;
+        let room = if STEP * step < SHRINKS_AT { usize::MAX } else { case.room };
+        arrivals += arrivals_per_step;
+        while arrivals >= 1.0 {
+            arrivals -= 1.0;
+            let host = &mut hosts[next_host % case.hosts];
+            next_host += 1;
+            host.waiting += 1;
+            host.share.begin_wait(&engine, PermitUse::Waiting);
+        }
+        let ended: usize = hosts.iter_mut().map(|host| host.end_requests(&engine, now)).sum();
+        tally.ended += if STEP * step < SHRINKS_AT { 0 } else { ended };
+        for index in 0..case.hosts {
+            loop {
+                let running: usize = hosts.iter().map(|host| host.open.len()).sum();
+                let is_full = running >= room;
+                if !hosts[index].send(&engine, limit, is_full, now) {
+                    break;
+                }
+                if is_full {
+                    tally.rejected.push(now);
+                }
+            }
+            hosts[index].exchange(&names[index], &mut ledger, now);
+            if step % LISTING_INTERVAL == 0 {
+                hosts[index].share.retain(|_| Some(1), now);
+            }
+        }
+        let changes = ledger.take_changes(now);
+        let mut grants = ledger.grant_permits(now);
+        for (name, host) in names.iter().zip(&mut hosts) {
+            let granted = grants.remove(name).unwrap_or_default();
+            host.replies.push_back((now + LINK_TIME, changes.clone(), granted));
+        }
+        step += 1;
+    }
+    tally
+}
+
+/// Guards against hosts that together make a brittle engine reject more requests than it survives.
+#[test]
+fn a_brittle_engine_rejects_no_more_requests_than_it_survives() {
+    let cases = [
+        RoomCase { hosts: 6, listed: 4, room: 4, load: 1.25, bound: 0, min_used: 0.85 },
+        RoomCase { hosts: 30, listed: 4, room: 5, load: 1.25, bound: 0, min_used: 0.85 },
+        RoomCase { hosts: 60, listed: 3, room: 5, load: 1.25, bound: 0, min_used: 0.85 },
+        RoomCase { hosts: 60, listed: 16, room: 18, load: 0.75, bound: 0, min_used: 0.7 },
+        RoomCase { hosts: 60, listed: 16, room: 16, load: 3.0, bound: 0, min_used: 0.85 },
+        // The engine runs fewer requests than it lists.
+        RoomCase { hosts: 6, listed: 16, room: 5, load: 1.25, bound: 3, min_used: 0.6 },
+        RoomCase { hosts: 30, listed: 16, room: 5, load: 1.25, bound: 3, min_used: 0.6 },
+        RoomCase { hosts: 60, listed: 16, room: 10, load: 1.25, bound: 3, min_used: 0.6 },
+    ];
+    for case in &cases {
+        let tally = simulate(case);
+        let rejected = tally.max_rejected_in_a_second();
+        let slots = f64::from(case.listed).min(case.room as f64);
+        let runs = (END.saturating_sub(SHRINKS_AT)).as_secs_f64() / RUN_TIME.as_secs_f64();
+        let used = tally.ended as f64 / (runs * slots);
+        let RoomCase { hosts, listed, room, load, bound, min_used } = *case;
+        println!(
+            "{hosts} hosts, {listed} listed, room {room}, load {load}: {rejected} rejected in a second, {used:.2} used"
+        );
+        assert!(
+            rejected <= bound,
+            "{rejected} rejections in a second at {hosts} hosts, room {room}"
+        );
+        assert!(used >= min_used, "{used:.2} of the slots used at {hosts} hosts, room {room}");
+    }
+}
+
+/// Guards against rejections that were under way before a reduction and cause another one.
+#[test]
+fn requests_that_are_rejected_together_reduce_the_room_once() {
+    let now = ClockMillis::from_millis(1000);
+    let mut room = OpenRoom::new(16, now);
+    for (held, after_ms) in [(11, 0), (10, 5), (9, 40)] {
+        room.record_rejection(held, now + Duration::from_millis(after_ms));
+        assert_eq!(room.current(), 5, "after the rejection beside {held} requests");
+    }
+    room.record_rejection(4, now + Duration::from_millis(100));
+    assert_eq!(room.current(), 4);
+    room.raise(now + Duration::from_secs(2));
+    assert_eq!(room.current(), 4, "raised too early");
+    room.raise(now + Duration::from_secs(6));
+    assert_eq!(room.current(), 5);
+}
+
+/// Guards against an engine that crashed and is filled before its first response.
+#[test]
+fn an_engine_that_was_brittle_is_limited_after_its_restart() {
+    let engine: EngineName = Arc::from("e");
+    let start = ClockMillis::from_millis(1000);
+    let limit = Declared::Present(RequestLimit::open_only(4));
+    let declaration = LimitDeclaration { limit, requested_at: start, absence_is_conclusive: true };
+    let mut share = LimitShare::default();
+    share.receive_declaration(&engine, 1, declaration, start);
+    share.retain(|_| None, start + Duration::from_secs(1));
+    assert!(share.is_limited(&engine), "forgotten while it restarts");
+    share.retain(|_| Some(2), start + Duration::from_secs(4));
+    assert!(share.is_limited(&engine), "forgotten after its restart");
+    // Its first response tells that it is not brittle any more.
+    let sound = LimitDeclaration {
+        limit: Declared::Absent,
+        requested_at: start + Duration::from_secs(5),
+        absence_is_conclusive: true,
+    };
+    let now = start + Duration::from_secs(6);
+    assert!(share.receive_declaration(&engine, 2, sound, now));
+    let mut ledger = LimitLedger::default();
+    for report in &share.take_pending(now).reports {
+        ledger.receive(report, now);
+    }
+    for report in ledger.take_changes(now) {
+        share.receive(&report, now);
+    }
+    assert!(!share.is_limited(&engine), "limited after a response without the announcement");
+}
--- a/crates/gateway/src/control/aggregates/limits.rs
+++ b/crates/gateway/src/control/aggregates/limits.rs
@@ -112,7 +112,7 @@
     fn publish(&mut self, frame: &mut AggregateFrame, _: bool, context: &AggregateContext<'_>) {
         let Some(ledger) = &mut self.ledger else { return };
         let now = context.now;
-        ledger.retain(|engine| context.active_incarnation(engine));
+        ledger.retain(|engine| context.active_incarnation(engine), now);
         ledger.set_confirmed(context.confirmed);
         let limit_changes = ledger.take_changes(now);
         frame.limits = limit_changes.iter().map(Into::into).collect();
@@ -156,7 +156,7 @@
 
     fn tick(&mut self, context: &AggregateContext<'_>) {
         let mut share = self.shared.limits();
-        share.retain(|engine| context.active_incarnation(engine));
+        share.retain(|engine| context.active_incarnation(engine), context.now);
         let changed = share
             .grant_fallback_permits(|engine| context.is_fallback_coordinator(engine), context.now);
         let limited_count = i64::try_from(share.limited_count()).unwrap_or(i64::MAX);
@@ -182,11 +182,13 @@
             LimitEvent::Limited { engine, incarnation, limit, previous } => Self::EngineLimited {
                 engine: engine.to_string(),
                 incarnation,
-                limit: limit.per_second(),
-                before: previous.map(RequestLimit::per_second),
+                limit: limit.rate(),
+                max_open: limit.max_open(),
+                before: previous.and_then(RequestLimit::rate),
             },
             LimitEvent::Ended { engine, limit } => {
-                Self::LimitEnded { engine: engine.to_string(), limit: limit.per_second() }
+                let (limit, max_open) = (limit.rate(), limit.max_open());
+                Self::LimitEnded { engine: engine.to_string(), limit, max_open }
             }
             LimitEvent::Unreadable { engine, responses } => {
                 Self::LimitUnreadable { engine: engine.to_string(), answers: responses }
--- a/crates/gateway/src/control/placement.rs
+++ b/crates/gateway/src/control/placement.rs
@@ -206,7 +206,7 @@
         }
         let planner = domain.planner.as_mut()?;
         planner.set_versions(&versions);
-        planner.set_limits(self.shared.limits().limits());
+        planner.set_limits(self.shared.limits().rate_limits());
         planner.set_cooldowns(self.shared.cooldowns().unavailable_engines(now).cloned().collect());
         if let Some(speed) = self.shared.prefill_speeds().get(service) {
             planner.set_prefill_speed(speed);
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -27,7 +27,7 @@
 
 use crate::{
     codec::AddressResolver,
-    engines::tunnel::TunnelClient,
+    engines::{open_request::OpenRequest, tunnel::TunnelClient},
     links::{HostLinks, TunnelGuard},
 };
 
@@ -105,6 +105,8 @@
     path: ConnectionPath,
     /// Whether the connection was used before.
     pub reused: bool,
+    /// Counts the request that was sent as open at the engine.
+    open_request: Option<OpenRequest>,
 }
 
 impl EnginePool {
@@ -312,7 +314,14 @@
             None => Self::open(pool, entry, now).await?,
         };
         let OpenedStream { stream, path } = opened;
-        Ok(EngineConnection { request_count, entry: Arc::clone(entry), stream, path, reused })
+        Ok(EngineConnection {
+            request_count,
+            entry: Arc::clone(entry),
+            stream,
+            path,
+            reused,
+            open_request: None,
+        })
     }
 }
 
@@ -394,8 +403,9 @@
         self.path.tunnel.as_ref().map(|tunnel| tunnel.address)
     }
 
-    /// Records that a request was sent.
-    pub fn record_sent(&self, now: ClockMillis) {
+    /// Records that a request is sent.
+    pub fn record_sent(&mut self, open_request: OpenRequest, now: ClockMillis) {
+        self.open_request = Some(open_request);
         if self.path.tunnel.is_none() {
             let links = Arc::clone(&self.request_count.pool.borrow().links);
             links.monitor().record_send(&self.entry.name, now);
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -234,8 +234,12 @@
         /// Start of the declaring incarnation by its own clock. Unit: milliseconds since 1970.
         #[serde(rename = "born")]
         incarnation: u64,
-        /// The limit. Unit: requests per second.
-        limit: f64,
+        /// The limit of the rate, if there is one. Unit: requests per second.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        limit: Option<f64>,
+        /// The maximum number of open requests, if the engine is brittle.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        max_open: Option<u32>,
         /// The previous limit, if there was one. Unit: requests per second.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         before: Option<f64>,
@@ -244,8 +248,12 @@
     LimitEnded {
         /// The engine.
         engine: String,
-        /// The last declared limit. Unit: requests per second.
-        limit: f64,
+        /// The last declared limit of the rate, if there was one. Unit: requests per second.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        limit: Option<f64>,
+        /// The last maximum number of open requests, if the engine was brittle.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        max_open: Option<u32>,
     },
     /// An engine's declaration of a limit could not be parsed and was ignored.
     LimitUnreadable {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -227,7 +227,7 @@
         if !self.departures().is_departing(engine, incarnation) {
             let absence_is_conclusive = kind == ResponseKind::Accepted;
             let declaration = LimitDeclaration {
-                limit: announcements.limit,
+                limit: announcements.effective_limit(entry.slots),
                 requested_at: sent,
                 absence_is_conclusive,
             };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -98,6 +98,8 @@
     Departure,
     /// The engine requests a cooldown from this host.
     Cooldown,
+    /// The engine is brittle.
+    RejectionBound,
     /// A malformed announcement, which has no effect.
     Unreadable,
 }
@@ -495,11 +497,12 @@
 
     /// Counts the announcements in an engine's response.
     pub fn count_announcements(&self, announcements: &EngineAnnouncements) {
-        let EngineAnnouncements { limit, departure, cooldown } = announcements;
+        let EngineAnnouncements { limit, departure, cooldown, rejection_bound } = announcements;
         let kinds = [
             declared_kind(limit, AnnouncementKind::Limit),
             declared_kind(departure, AnnouncementKind::Departure),
             declared_kind(cooldown, AnnouncementKind::Cooldown),
+            declared_kind(rejection_bound, AnnouncementKind::RejectionBound),
         ];
         for kind in kinds.into_iter().flatten() {
             self.announcements.get_or_create(&AnnouncementLabels { kind }).inc();
--- a/crates/gateway/src/peers/limit_messages.rs
+++ b/crates/gateway/src/peers/limit_messages.rs
@@ -37,6 +37,9 @@
     /// Whether the engine counts as unlimited again.
     #[prost(bool, tag = "7")]
     pub lifted: bool,
+    /// The maximum number of open requests, if it is limited; `limit` is infinite if only this limits.
+    #[prost(uint32, optional, tag = "8")]
+    pub max_open: Option<u32>,
 }
 
 /// A host's demand for permits at one engine with a limit.
@@ -63,6 +66,12 @@
     /// Number of calls without a permit since the last report.
     #[prost(uint64, tag = "7")]
     pub unpermitted: u64,
+    /// Open requests and unused permits, if the number of open requests is limited.
+    #[prost(uint32, tag = "8")]
+    pub held: u32,
+    /// Number of requests that such an engine rejected since the last report.
+    #[prost(uint32, tag = "9")]
+    pub rejected: u32,
 }
 
 /// A host's permits at one engine.
@@ -88,6 +97,7 @@
             engine: report.engine.to_string(),
             incarnation: report.incarnation,
             limit: report.limit.per_second(),
+            max_open: report.limit.max_open(),
             withdrawn: report.state != LimitState::Active,
             lifted: report.is_lifted(),
             responded_ago: duration_millis(report.responded_ago),
@@ -96,10 +106,18 @@
     }
 }
 
+fn decode_limit(message: &LimitMessage) -> Option<RequestLimit> {
+    match message.max_open {
+        Some(max_open) if message.limit == f64::INFINITY => Some(RequestLimit::open_only(max_open)),
+        Some(max_open) => Some(RequestLimit::new(message.limit)?.with_max_open(max_open)),
+        None => RequestLimit::new(message.limit),
+    }
+}
+
 /// Decodes reports; one with an invalid limit is skipped.
 pub fn decode_limits(messages: &[LimitMessage]) -> Vec<LimitReport> {
     let decoded = messages.iter().filter_map(|message| {
-        let Some(limit) = RequestLimit::new(message.limit) else {
+        let Some(limit) = decode_limit(message) else {
             log::warn!("skipping invalid limit of engine {} from a peer", message.engine);
             return None;
         };
@@ -121,18 +139,44 @@
 
 impl From<&(EngineName, PermitDemand)> for PermitDemandMessage {
     fn from((engine, demand): &(EngineName, PermitDemand)) -> Self {
-        let PermitDemand { resumed, waiting, diverted, received, unused, unpermitted } = *demand;
+        let PermitDemand {
+            resumed,
+            waiting,
+            diverted,
+            received,
+            unused,
+            unpermitted,
+            held,
+            rejected,
+        } = *demand;
         let engine = engine.to_string();
-        Self { engine, resumed, waiting, diverted, received, unused, unpermitted }
+        Self { engine, resumed, waiting, diverted, received, unused, unpermitted, held, rejected }
     }
 }
 
 impl From<&PermitDemandMessage> for (EngineName, PermitDemand) {
     fn from(message: &PermitDemandMessage) -> Self {
         let PermitDemandMessage {
-            resumed, waiting, diverted, received, unused, unpermitted, ..
+            resumed,
+            waiting,
+            diverted,
+            received,
+            unused,
+            unpermitted,
+            held,
+            rejected,
+            ..
         } = *message;
-        let demand = PermitDemand { resumed, waiting, diverted, received, unused, unpermitted };
+        let demand = PermitDemand {
+            resumed,
+            waiting,
+            diverted,
+            received,
+            unused,
+            unpermitted,
+            held,
+            rejected,
+        };
         (Arc::from(message.engine.as_str()), demand)
     }
 }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -16,7 +16,9 @@
 
 use crate::{
     codec::ForwardMetadata,
-    engines::{ConnectOptions, EngineConnection, EnginePool, EngineResponse, send_request},
+    engines::{
+        ConnectOptions, EngineConnection, EnginePool, EngineResponse, OpenRequest, send_request,
+    },
     host::ResponseKind,
     traffic::{
         exchange::{ConnectionAction, Exchange, READ_AHEAD_LIMIT, SendOutcome},
@@ -114,7 +116,7 @@
             }
         };
         let sent_at = self.traffic.now();
-        self.record_path(&connection, sent_at);
+        self.record_path(&mut connection, sent_at);
         let codec = Arc::clone(&self.traffic.shared.codecs.request);
         let deadline_expired = self.deadline.clone().expired(DEADLINE_SLACK);
         let first_byte_timeout = self.first_byte_timeout(entry, connection.lost());
@@ -165,8 +167,9 @@
     }
 
     /// Records how the request is sent to its engine.
-    pub(super) fn record_path(&mut self, connection: &EngineConnection, now: ClockMillis) {
-        connection.record_sent(now);
+    pub(super) fn record_path(&mut self, connection: &mut EngineConnection, now: ClockMillis) {
+        let open_request = OpenRequest::new(&self.traffic.shared, &connection.entry.name);
+        connection.record_sent(open_request, now);
         self.tunnel_host = connection.tunnel_host();
         if self.tunnel_host.is_some() {
             self.traffic.shared.metrics.tunnels.sends.inc();
@@ -191,6 +194,7 @@
         if response.metadata.not_run || response.metadata.misdirected {
             if !response.metadata.misdirected {
                 self.record_outcome(&entry, EngineOutcome::Refused);
+                self.traffic.shared.limits().record_rejection(&entry.name);
             }
             let absent = response.metadata.misdirected;
             self.drain_and_keep(connection, response).await;
--- a/crates/gateway/src/traffic/pick.rs
+++ b/crates/gateway/src/traffic/pick.rs
@@ -12,7 +12,7 @@
         work::EngineWork,
     },
 };
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     availability::EngineAvailability,
@@ -108,7 +108,7 @@
             eligible.into_iter().partition(|eligible| eligible.permitted);
         eligible = permitted;
         let Some(best) = best_index(traffic, &table, requirements, &eligible, now) else {
-            return EnginePick::Limited(order_by_permit_time(traffic, limited));
+            return EnginePick::Limited(order_by_permit_time(traffic, limited, requirements.id));
         };
         traffic.shared.metrics.limit_diverted.inc();
         return to_pick(&eligible[best]);
@@ -249,16 +249,21 @@
     eligible.iter().position(|eligible| eligible.entry.name == best)
 }
 
-/// Orders engines with a limit by the length of this host's permit queue.
+/// Orders engines with a limit by the length of this host's permit queue; equal queues by a hash,
+/// so that hosts do not all wait for the same engine.
 fn order_by_permit_time(
     traffic: &TrafficState,
     limited: Vec<EligibleEngine>,
+    id: &str,
 ) -> Vec<Arc<EngineEntry>> {
     let limits = traffic.shared.limits();
     let mut entries: Vec<Arc<EngineEntry>> =
         limited.into_iter().map(|eligible| eligible.entry).collect();
+    let hash =
+        |entry: &EngineEntry| xxh3_64_with_seed(entry.name.as_bytes(), xxh3_64(id.as_bytes()));
     entries.sort_by(|left, right| {
-        limits.queued_seconds(&left.name).total_cmp(&limits.queued_seconds(&right.name))
+        let queued = |entry: &EngineEntry| limits.queued_seconds(&entry.name);
+        queued(left).total_cmp(&queued(right)).then_with(|| hash(left).cmp(&hash(right)))
     });
     entries
 }
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -411,7 +411,7 @@
             return None;
         };
         self.traffic.shared.metrics.resumes.inc();
-        self.record_path(&connection, now);
+        self.record_path(&mut connection, now);
         let codec = Arc::clone(&self.traffic.shared.codecs.request);
         let (method, id) = (self.request.head.method.clone(), self.metadata.id.clone());
         let sending = send_request(&mut connection, &*codec, &request, &method, &id);
--- a/crates/gateway/tests/host/codec.rs
+++ b/crates/gateway/tests/host/codec.rs
@@ -7,7 +7,7 @@
     StorePosition,
     fleet::{
         EngineEntry, LoadedModel, ModelKey,
-        announcement::{Cooldown, Declared, Departure, EngineAnnouncements},
+        announcement::{Cooldown, Declared, Departure, EngineAnnouncements, RejectionBound},
         limits::limit::RequestLimit,
         prompt::PromptMetadata,
         routes::RouteTable,
@@ -106,6 +106,9 @@
             limit: declared(head, LIMIT, |text| RequestLimit::new(text.parse().ok()?)),
             departure: declared(head, LEAVING, |text| (text == "yes").then_some(Departure)),
             cooldown: declared(head, COOLDOWN, |text| Cooldown::from_seconds(text.parse().ok()?)),
+            rejection_bound: declared(head, BRITTLE, |text| {
+                Some(RejectionBound::new(text.parse().ok()?))
+            }),
         }
     }
 
@@ -326,7 +329,7 @@
                 .parse()
                 .map_err(|_| CodecError::Malformed(record.key.clone()))?,
             hall: Arc::from(body["hall"].as_str().unwrap_or(HALL)),
-            slots: 16,
+            slots: body["slots"].as_u64().and_then(|slots| slots.try_into().ok()).unwrap_or(16),
             leaving: body["leaving"].as_bool().unwrap_or_default(),
             sequence: body["sequence"].as_u64().unwrap_or_default(),
             loaded_models: loaded_models(&body["held"]),
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -167,6 +167,11 @@
         self.lock().brittle = Some(brittleness);
     }
 
+    /// Ends the brittleness.
+    pub(crate) fn make_sound(&self) {
+        self.lock().brittle = None;
+    }
+
     /// Crashes a crashable engine.
     pub(crate) fn crash(&self) {
         let server = self.lock().server.clone();
@@ -336,6 +341,14 @@
         .to_string()
     }
 
+    /// Returns its entry with the number of requests that it runs at a time.
+    pub(crate) fn entry_with_slots(&self, service: &str, slots: u32) -> String {
+        let mut entry: Value =
+            serde_json::from_str(&self.entry(service, false)).expect("a JSON entry");
+        entry["slots"] = json!(slots);
+        entry.to_string()
+    }
+
     /// Returns its entry in a data hall.
     pub(crate) fn entry_in_hall(&self, service: &str, hall: &str) -> String {
         let mut entry: Value =
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -111,10 +111,11 @@
         HostEvent::EngineLimited {
             engine: engine(),
             incarnation: 1,
-            limit: 1.7,
+            limit: Some(1.7),
+            max_open: Some(8),
             before: Some(2.4),
         },
-        HostEvent::LimitEnded { engine: engine(), limit: 1.7 },
+        HostEvent::LimitEnded { engine: engine(), limit: Some(1.7), max_open: Some(8) },
         HostEvent::LimitUnreadable { engine: engine(), answers: 3 },
         HostEvent::LoadHeld {
             service: String::from("s"),
