fix(limits): requests do not wait 0.7 s when an engine begins to be brittle

What callers would have seen: at the first announcement of a brittle engine all new requests for it wait until the ledger has heard from every host what is open there; where all engines of a service begin at once, that is all of its requests.

Cause: hosts asked for permits from the moment at which they knew of the limit, the ledger deals none before it has settled. Found by reading the diff; the delay was not measured on hosts.

Why this works: the ledger's report says how long it takes to settle, and until then hosts send as before and only report. A host that starts later, an engine that restarts and a new ledger get no such time.

Evidence: open_room::requests_need_no_permit_while_the_hosts_report_what_they_have_open (new; not run on the code before, which has no such time).

--- a/crates/core/src/fleet/limits/engine_share.rs
+++ b/crates/core/src/fleet/limits/engine_share.rs
@@ -36,6 +36,8 @@
     pub(super) responded_at: ClockMillis,
     /// When the request of that response was sent.
     pub(super) requested_at: ClockMillis,
+    /// Until then this host needs no permits.
+    pub(super) in_force_from: ClockMillis,
     /// When this host itself last received a response that declared the limit. Times from the ledger's reports are
     /// less exact, since their time in transit is not counted.
     pub(super) declared_here_at: Option<ClockMillis>,
@@ -73,6 +75,7 @@
             recovering: false,
             responded_at,
             requested_at: responded_at,
+            in_force_from: ClockMillis::default(),
             declared_here_at: None,
             pending: true,
             permits: VecDeque::new(),
@@ -213,6 +216,7 @@
             state: if self.recovering { LimitState::Recovering } else { LimitState::Active },
             responded_ago: now.since(self.responded_at),
             requested_ago: now.since(self.requested_at),
+            settles_in: self.in_force_from.since(now),
         }
     }
 }
--- a/crates/core/src/fleet/limits/ledger.rs
+++ b/crates/core/src/fleet/limits/ledger.rs
@@ -488,6 +488,7 @@
             state: if recovering { LimitState::Recovering } else { LimitState::Active },
             responded_ago: now.since(self.responded_at),
             requested_ago: now.since(self.requested_at),
+            settles_in: self.room.as_ref().map_or(Duration::ZERO, |room| room.settles_in(now)),
         }
     }
 }
--- a/crates/core/src/fleet/limits/open_room.rs
+++ b/crates/core/src/fleet/limits/open_room.rs
@@ -4,8 +4,9 @@
 
 use crate::clock::ClockMillis;
 
-/// The time in which the hosts report the requests that they had open when the limit was declared.
-const SETTLING_TIME: Duration = Duration::from_millis(700);
+/// The time in which the hosts report the requests that they had open when the limit was declared. Until then they
+/// send as before.
+pub const SETTLING_TIME: Duration = Duration::from_millis(700);
 
 /// Divides the open requests where a rejection shows that the room is smaller by an unknown number.
 const REDUCTION_DIVISOR: u32 = 2;
@@ -61,10 +62,15 @@
         self.current = self.current.min(max);
     }
 
+    /// Returns the time until the open requests of all hosts are known.
+    pub fn settles_in(&self, now: ClockMillis) -> Duration {
+        SETTLING_TIME.saturating_sub(now.since(self.created_at))
+    }
+
     /// Returns how many more requests may be sent while `held` are open or permitted; `fraction` is the part of the
     /// room that this ledger grants.
     pub fn available(&self, held: u32, fraction: f64, now: ClockMillis) -> u32 {
-        if now.since(self.created_at) < SETTLING_TIME {
+        if !self.settles_in(now).is_zero() {
             return 0;
         }
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "within u32")]
@@ -111,9 +117,9 @@
 
     /// Returns when the room next changes by itself.
     pub fn next_change(&self, now: ClockMillis) -> Option<ClockMillis> {
-        let settled_at = self.created_at + SETTLING_TIME;
-        if now < settled_at {
-            return Some(settled_at);
+        let settles_in = self.settles_in(now);
+        if !settles_in.is_zero() {
+            return Some(now + settles_in);
         }
         (self.current < self.max).then(|| (self.changed_at + RAISE_INTERVAL).max(now))
     }
--- a/crates/core/src/fleet/limits/report.rs
+++ b/crates/core/src/fleet/limits/report.rs
@@ -30,6 +30,8 @@
     pub responded_ago: Duration,
     /// How long ago the request of that response was sent.
     pub requested_ago: Duration,
+    /// The time for which hosts need no permits yet and only report their open requests.
+    pub settles_in: Duration,
 }
 
 impl LimitReport {
--- a/crates/core/src/fleet/limits/share.rs
+++ b/crates/core/src/fleet/limits/share.rs
@@ -13,6 +13,7 @@
             events::{EventThrottle, LimitEvent},
             ledger::{PROBE_RATE, UNCOORDINATED_FRACTION},
             limit::{BRITTLE_RETENTION, LimitDeclaration, RequestLimit},
+            open_room::SETTLING_TIME,
             report::{LimitReport, PermitDemand, PermitGrant},
         },
     },
@@ -86,7 +87,11 @@
     ) -> bool {
         match declaration.limit {
             Declared::Present(limit) => {
-                let new = || EngineShare::new(incarnation, limit, now);
+                let new = || {
+                    let settling = limit.max_open().map_or(Duration::ZERO, |_| SETTLING_TIME);
+                    let in_force_from = now + settling;
+                    EngineShare { in_force_from, ..EngineShare::new(incarnation, limit, now) }
+                };
                 let share = self.engines.entry(Arc::clone(engine)).or_insert_with(new);
                 if !share.is_incarnation(incarnation) {
                     share.begin_incarnation(incarnation, limit, now);
@@ -178,6 +183,9 @@
         let Some(share) = self.engines.get_mut(engine) else {
             return LimitStatus::Unlimited;
         };
+        if now < share.in_force_from {
+            return LimitStatus::Unlimited;
+        }
         share.drop_expired_permits(now);
         if share.available_permits(wanted) > 0 {
             LimitStatus::Permitted
@@ -325,6 +333,7 @@
         }
         let Some(share) = share else {
             let mut new = EngineShare::new(report.incarnation, report.limit, responded_at);
+            new.in_force_from = now + report.settles_in;
             new.apply(report, now);
             self.engines.insert(Arc::clone(&report.engine), new);
             return;
--- a/crates/core/tests/engine_limits/open_room.rs
+++ b/crates/core/tests/engine_limits/open_room.rs
@@ -10,9 +10,9 @@
         limits::{
             ledger::LimitLedger,
             limit::{LimitDeclaration, RequestLimit},
-            open_room::OpenRoom,
+            open_room::{OpenRoom, SETTLING_TIME},
             report::{LimitReport, PermitGrant},
-            share::{LimitShare, LimitUpdate, PermitUse},
+            share::{LimitShare, LimitStatus, LimitUpdate, PermitUse},
         },
     },
 };
@@ -273,3 +273,34 @@
     }
     assert!(!share.is_limited(&engine), "limited after a response without the announcement");
 }
+
+/// Guards against requests that all wait when an engine begins to be brittle.
+#[test]
+fn requests_need_no_permit_while_the_hosts_report_what_they_have_open() {
+    let engine: EngineName = Arc::from("e");
+    let start = ClockMillis::from_millis(1000);
+    let limit = Declared::Present(RequestLimit::open_only(4));
+    let declaration = LimitDeclaration { limit, requested_at: start, absence_is_conclusive: true };
+    let (mut first, mut second) = (LimitShare::default(), LimitShare::default());
+    let mut ledger = LimitLedger::default();
+    first.receive_declaration(&engine, 1, declaration, start);
+    let reported_at = start + Duration::from_millis(100);
+    for report in &first.take_pending(start).reports {
+        ledger.receive(report, reported_at);
+    }
+    for report in ledger.take_changes(reported_at) {
+        second.receive(&report, reported_at);
+    }
+    let mut late = LimitShare::default();
+    let joined_at = start + SETTLING_TIME * 2;
+    for report in ledger.snapshot(joined_at) {
+        late.receive(&report, joined_at);
+    }
+    let before = reported_at + SETTLING_TIME / 2;
+    let status = |share: &mut LimitShare, now| share.limit_status(&engine, PermitUse::New, now);
+    assert_eq!(status(&mut first, before), LimitStatus::Unlimited);
+    assert_eq!(status(&mut second, before), LimitStatus::Unlimited);
+    for share in [&mut first, &mut second, &mut late] {
+        assert_eq!(status(share, joined_at), LimitStatus::Exhausted);
+    }
+}
--- a/crates/gateway/src/peers/limit_messages.rs
+++ b/crates/gateway/src/peers/limit_messages.rs
@@ -40,6 +40,9 @@
     /// The maximum number of open requests, if it is limited; `limit` is infinite if only this limits.
     #[prost(uint32, optional, tag = "8")]
     pub max_open: Option<u32>,
+    /// Time until permits are needed. Unit: milliseconds.
+    #[prost(uint64, tag = "9")]
+    pub settles_in: u64,
 }
 
 /// A host's demand for permits at one engine with a limit.
@@ -102,6 +105,7 @@
             lifted: report.is_lifted(),
             responded_ago: duration_millis(report.responded_ago),
             requested_ago: duration_millis(report.requested_ago),
+            settles_in: duration_millis(report.settles_in),
         }
     }
 }
@@ -132,6 +136,7 @@
             },
             responded_ago: Duration::from_millis(message.responded_ago),
             requested_ago: Duration::from_millis(message.requested_ago),
+            settles_in: Duration::from_millis(message.settles_in),
         })
     });
     decoded.collect()
--- a/crates/gateway/src/traffic/permit.rs
+++ b/crates/gateway/src/traffic/permit.rs
@@ -2,7 +2,10 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use reelreel_core::fleet::{EngineEntry, EngineName, limits::share::PermitUse};
+use reelreel_core::fleet::{
+    EngineEntry, EngineName,
+    limits::share::{LimitStatus, PermitUse},
+};
 
 use crate::traffic::{
     TrafficState,
@@ -77,11 +80,11 @@
     ) -> Option<HeldPermit> {
         let now = self.traffic.now();
         let mut limits = self.traffic.shared.limits();
-        let limited = limits.is_limited(&entry.name);
+        let status = limits.limit_status(&entry.name, permit_use, now);
         limits.take(&entry.name, permit_use, now).then(|| HeldPermit {
             traffic: Rc::clone(self.traffic),
             engine: Arc::clone(&entry.name),
-            held: limited,
+            held: status == LimitStatus::Permitted,
         })
     }
 
