--- a/crates/core/src/fleet/tunnel_hosts.rs
+++ b/crates/core/src/fleet/tunnel_hosts.rs
@@ -2,7 +2,7 @@
 //!
 //! A tunnel is a connection to an engine through another host. The isolated host spreads its tunnels
 //! over the hosts that can open them, and avoids hosts that could not. The coordinator knows which
-//! hosts are isolated and tells each of them a few others.
+//! hosts are isolated and sends each of these the addresses of a few hosts that are not.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
