--- a/crates/cli/tests/processes/promises.rs
+++ b/crates/cli/tests/processes/promises.rs
@@ -107,6 +107,27 @@
     assert!(adapters.iter().all(|adapter| expected.contains(&adapter.as_str())), "{adapters:?}");
 }
 
+/// Guards against streams that break off because reads from the engine fail when their host continues
+/// after a suspension.
+#[test]
+fn streams_of_a_host_that_is_often_suspended_are_complete() {
+    const SUSPENSIONS: u32 = 12;
+    let site = Site::start();
+    load_adapter(&site, "north/brakes");
+    let completion = Completion::new("north/brakes", 400).header("x-repeatable", "false");
+    let answers = run_streams_during(&site, 0, 6, &completion, || {
+        for _ in 0..SUSPENSIONS {
+            site.hosts[0].signal("STOP");
+            thread::sleep(Duration::from_millis(20));
+            site.hosts[0].signal("CONT");
+            thread::sleep(Duration::from_millis(80));
+        }
+    });
+    for answer in &answers {
+        assert!(answer.complete && answer.tokens == 400, "{answer:?}");
+    }
+}
+
 #[test]
 fn rolling_restart_under_load_interrupts_no_stream() {
     let mut site = Site::start();
