feat(logs): tell responses that a host gives up from those that engines break off

A stream that this host interrupts itself, because it takes its links to engines for cut, was logged like one that its engine broke off: stream_broken without a body_end. And neither an isolated host nor a follower that lost its reader said whether bytes still arrived.

Now body_end is abandoned, in a request's line and in reelreel_engine_body_ends_total; links lines have received_ago, and reader_lost has its cause and the bytes of an unfinished frame.

--- a/crates/core/src/fleet/engine_links.rs
+++ b/crates/core/src/fleet/engine_links.rs
@@ -114,6 +114,8 @@
     pub failure: Option<ConnectFailure>,
     /// How long the host was isolated, if it no longer is.
     pub isolated_for: Option<Duration>,
+    /// Time since bytes were last received on a direct connection.
+    pub received_ago: Duration,
 }
 
 /// Tells a host that can't connect to any engine from engines that can't be connected to.
@@ -357,6 +359,7 @@
             failed_engines: self.failed.len(),
             failure: last.map(|(failure, _)| *failure),
             isolated_for,
+            received_ago: now.since(self.received_at),
         })
     }
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -117,6 +117,12 @@
     ReaderLost {
         /// The reader's address for peers.
         reader: String,
+        /// Why: its feed timed out or ended, or this host reads the store itself.
+        #[serde(default, skip_serializing_if = "str::is_empty")]
+        cause: Cow<'static, str>,
+        /// Received part of a frame that was not complete. Unit: bytes.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        received: u64,
     },
     /// This host started or stopped reading the store for others.
     Reading {
@@ -216,6 +222,10 @@
         /// How long the host was isolated, if it no longer is. Unit: milliseconds.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         isolated_millis: Option<u64>,
+        /// Time since bytes were last received on an open connection to an engine; a link that is slow
+        /// still carries some. Unit: milliseconds.
+        #[serde(default)]
+        received_ago: u64,
     },
     /// The process of an engine has ended: it refuses connections after requests at it were
     /// interrupted.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -73,6 +73,11 @@
         parts.read_buf.is_empty().then_some(parts.io)
     }
 
+    /// Returns the received part of a frame that is not complete. Unit: bytes.
+    pub fn received_part(&self) -> usize {
+        self.framed.read_buffer().len()
+    }
+
     /// Returns whether the peer closed the connection cleanly, as opposed to a connection error.
     pub const fn is_closed(&self) -> bool {
         self.closed
--- a/crates/gateway/src/peers/feed.rs
+++ b/crates/gateway/src/peers/feed.rs
@@ -42,17 +42,21 @@
     let Some(mut requested_at) = request_feed(state, &mut stream).await else { return false };
     let mut clock = None;
     let mut followed = false;
-    loop {
-        let Ok(Some(frame)) = timeout(READER_TIMEOUT, stream.receive()).await else { break };
+    let cause = loop {
+        let frame = match timeout(READER_TIMEOUT, stream.receive()).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => break "ended",
+            Err(_) => break "timed_out",
+        };
         let Some(FrameBody::State(frame)) = frame.body else { continue };
         clock = frame.clock.as_ref().map(PeerClock::from).or(clock);
         if state.borrow().shared().clock.now().since(requested_at) >= CLOCK_INTERVAL {
-            let Some(sent_at) = request_feed(state, &mut stream).await else { break };
+            let Some(sent_at) = request_feed(state, &mut stream).await else { break "ended" };
             requested_at = sent_at;
         }
         let mut state = state.borrow_mut();
         if state.is_reader() {
-            break;
+            break "reads_store";
         }
         state.reader_responded();
         state.apply_peer_state(&frame, reader, clock);
@@ -70,10 +74,13 @@
             let reader = reader.to_string();
             state.shared().events.write(HostEvent::Following { reader });
         }
-    }
+    };
     if followed {
-        let reader = reader.to_string();
-        state.borrow().shared().events.write(HostEvent::ReaderLost { reader });
+        state.borrow().shared().events.write(HostEvent::ReaderLost {
+            reader: reader.to_string(),
+            cause: cause.into(),
+            received: stream.received_part() as u64,
+        });
     }
     followed
 }
--- a/crates/gateway/src/traffic/body_end.rs
+++ b/crates/gateway/src/traffic/body_end.rs
@@ -15,6 +15,8 @@
     Truncated,
     /// With a failure of the connection.
     Reset,
+    /// Not at all: this host closed the connection, because it took its links to engines for cut.
+    Abandoned,
 }
 
 impl BodyEnd {
@@ -34,6 +36,7 @@
             Self::WithinEvent => "within_event",
             Self::Truncated => "truncated",
             Self::Reset => "reset",
+            Self::Abandoned => "abandoned",
         }
     }
 }
--- a/crates/gateway/src/traffic/links.rs
+++ b/crates/gateway/src/traffic/links.rs
@@ -126,5 +126,6 @@
         failed: change.failed_engines,
         connect_failure: change.failure.map(|failure| failure.name().into()),
         isolated_millis: change.isolated_for.map(duration_millis),
+        received_ago: duration_millis(change.received_ago),
     });
 }
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -338,7 +338,10 @@
                 biased;
                 chunk = connection.stream.read_body(&mut response.decoder) => chunk,
                 () = self.client.wait_closed(READ_AHEAD_LIMIT) => return SegmentOutcome::ClientGone,
-                () = &mut lost, if progress.resumable => return SegmentOutcome::Interrupted,
+                () = &mut lost, if progress.resumable => {
+                    self.record_end(framing, BodyEnd::Abandoned);
+                    return SegmentOutcome::Interrupted;
+                }
                 () = self.deadline.clone().expired(STREAM_DEADLINE_SLACK) =>
                     return SegmentOutcome::DeadlineExceeded,
             };
@@ -355,9 +358,10 @@
                     return match end {
                         BodyEnd::Announced => SegmentOutcome::Complete,
                         BodyEnd::Closed => SegmentOutcome::Closed,
-                        BodyEnd::WithinEvent | BodyEnd::Truncated | BodyEnd::Reset => {
-                            SegmentOutcome::Interrupted
-                        }
+                        BodyEnd::WithinEvent
+                        | BodyEnd::Truncated
+                        | BodyEnd::Reset
+                        | BodyEnd::Abandoned => SegmentOutcome::Interrupted,
                     };
                 }
                 Err(error) => {
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -73,7 +73,11 @@
             known: 61,
         },
         HostEvent::Following { reader: String::from("127.0.0.1:1") },
-        HostEvent::ReaderLost { reader: String::from("127.0.0.1:1") },
+        HostEvent::ReaderLost {
+            reader: String::from("127.0.0.1:1"),
+            cause: "timed_out".into(),
+            received: 65_536,
+        },
         HostEvent::Reading { reads: true, age: Some(20) },
         HostEvent::HostsCounted { hosts: 6 },
         service_limit(),
@@ -87,6 +91,7 @@
             failed: 2,
             connect_failure: Some("refused".into()),
             isolated_millis: Some(900),
+            received_ago: 12,
         },
         HostEvent::RequestHeld {
             mark: String::from("0f0f0f0f0f0f0f0f"),
