test: streams and feeds over slow links, failing

- a host whose connects to engines time out, while its open connections bring bytes, takes itself for isolated (core);
- it then breaks off streams that go on: 3 of 6 resumable ones, body_end abandoned, links isolated with received_ago 16 ms (sockets);
- a follower drops its reader when a frame takes over 0.6 s, and has all of it sent again elsewhere: a configuration is not in force after 10 s.

--- a/crates/core/tests/engine_links.rs
+++ b/crates/core/tests/engine_links.rs
@@ -189,6 +189,52 @@
     },
 ];
 
+/// Cases in which open connections to engines bring bytes while connects time out.
+const SLOW_CASES: &[LinkCase] = &[
+    LinkCase {
+        name: "a host whose open connections bring bytes is not isolated",
+        observations: &[
+            (10, Failed("a", TIMED_OUT)),
+            (20, Failed("b", TIMED_OUT)),
+            (60, Received(5)),
+            (100, Checked(None)),
+        ],
+        state: LinkState::Connected,
+        at_fault: &[],
+    },
+    LinkCase {
+        name: "bytes from before the first failure don't count",
+        observations: &[
+            (9, Received(5)),
+            (10, Failed("a", TIMED_OUT)),
+            (20, Failed("b", TIMED_OUT)),
+            (100, Checked(None)),
+        ],
+        state: LinkState::Isolated,
+        at_fault: &[],
+    },
+    LinkCase {
+        name: "a host whose connects time out for long is isolated, though open connections go on",
+        observations: &[
+            (10, Failed("a", TIMED_OUT)),
+            (20, Failed("b", TIMED_OUT)),
+            (60, Received(5)),
+            (100, Checked(None)),
+            (500, Received(5)),
+            (600, Failed("a", TIMED_OUT)),
+            (610, Failed("b", TIMED_OUT)),
+            (650, Received(5)),
+            (700, Checked(None)),
+            (1_200, Failed("a", TIMED_OUT)),
+            (1_210, Failed("b", TIMED_OUT)),
+            (1_250, Received(5)),
+            (1_300, Checked(None)),
+        ],
+        state: LinkState::Isolated,
+        at_fault: &[],
+    },
+];
+
 fn names(engines: &[EngineName]) -> Vec<String> {
     engines.iter().map(ToString::to_string).collect()
 }
@@ -217,7 +263,17 @@
 
 #[test]
 fn a_host_tells_its_own_links_from_engines_at_fault() {
-    for case in CASES {
+    check_cases(CASES);
+}
+
+/// Guards against a host with a slow link that takes itself for isolated.
+#[test]
+fn slow_links_are_not_taken_for_cut_ones() {
+    check_cases(SLOW_CASES);
+}
+
+fn check_cases(cases: &[LinkCase]) {
+    for case in cases {
         let mut monitor = LinkMonitor::default();
         let mut at_fault = Vec::new();
         for (time, observation) in case.observations {
--- a/crates/gateway/tests/host/isolation.rs
+++ b/crates/gateway/tests/host/isolation.rs
@@ -94,7 +94,7 @@
         Self::start_hosts(4)
     }
 
-    fn start_hosts(count: usize) -> Self {
+    pub(crate) fn start_hosts(count: usize) -> Self {
         let site = TestSite::start();
         for engine in ["engine-1", "engine-2", "plain-1"] {
             site.store.put("engines", engine, "");
--- a/crates/gateway/tests/host/links.rs
+++ b/crates/gateway/tests/host/links.rs
@@ -33,6 +33,9 @@
     Reset,
     /// Open connections go on, and new ones are refused.
     RefuseNew,
+    /// Open connections go on, and new ones are not answered: a link that is too busy for a connect
+    /// within its timeout.
+    HangNew,
 }
 
 #[derive(Default)]
@@ -109,7 +112,7 @@
         let mut state = lock(&self.state);
         state.cut = Some(form);
         match form {
-            CutForm::Hang => {
+            CutForm::Hang | CutForm::HangNew => {
                 if let Some(listener) = &state.listener {
                     let _ = listener.listen(0);
                 }
--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -30,6 +30,7 @@
 mod store_rollback;
 mod service_limits;
 mod site;
+mod slow_links;
 mod slow_readers;
 mod software_versions;
 mod stale_reader;
