fix(links): a host with a slow link does not break off its streams

Callers saw streams reset in the middle of an answer, with seconds of their time left, while their hosts took a large configuration.

Cause: while a link is busy, connects to engines take longer than their timeout (80 ms). Three that time out were taken for a cut of all links, open ones included, and EngineConnection::lost interrupted all running streams 50 ms later, although their bytes went on arriving. Class: slow is taken for cut, and what works is given up.

Now connects that time out while open connections bring bytes mean a slow link: the host stays connected, failures from that time are forgotten, and connects get the maximum timeout. If it lasts for a second (new connections may be blocked), new requests go through other hosts, and open connections go on. A running response is given up only after 0.5 s of silence of its own, and while all other open connections are silent too.

--- a/crates/core/src/fleet/engine_links.rs
+++ b/crates/core/src/fleet/engine_links.rs
@@ -69,6 +69,10 @@
 /// all refuse, which takes no time.
 const CHECKED_ENGINES: usize = 64;
 
+/// How long connects may time out, while open connections bring bytes, until the host counts as
+/// isolated: a slow link recovers, or new connections are blocked.
+const SLOW_LINK_LIMIT: Duration = Duration::from_secs(1);
+
 /// How long a failed connect counts.
 const FAILURE_TTL: Duration = Duration::from_secs(2);
 
@@ -116,6 +120,8 @@
     pub isolated_for: Option<Duration>,
     /// Time since bytes were last received on a direct connection.
     pub received_ago: Duration,
+    /// Whether connects time out because the host's links are slow.
+    pub is_slow: bool,
 }
 
 /// Tells a host that can't connect to any engine from engines that can't be connected to.
@@ -142,8 +148,11 @@
     /// When bytes were last received on a direct connection.
     received_at: ClockMillis,
     isolated_since: ClockMillis,
-    /// Whether open connections fall silent too, rather than only new ones failing.
-    open_connections_lost: bool,
+    /// Whether connects time out, rather than being refused or reset: open connections may have
+    /// fallen silent too.
+    connects_time_out: bool,
+    /// Since when connects have timed out while open connections bring bytes.
+    slow_since: Option<ClockMillis>,
 }
 
 impl Default for LinkMonitor {
@@ -159,7 +168,8 @@
             silent_since: ClockMillis::default(),
             received_at: ClockMillis::default(),
             isolated_since: ClockMillis::default(),
-            open_connections_lost: false,
+            connects_time_out: false,
+            slow_since: None,
         }
     }
 }
@@ -176,8 +186,10 @@
     }
 
     /// Returns whether open connections must not be used any more.
-    pub fn has_lost_open_connections(&self) -> bool {
-        self.is_isolated() && self.open_connections_lost
+    pub fn has_lost_open_connections(&self, now: ClockMillis) -> bool {
+        let bring_bytes =
+            self.received_at >= self.failing_since && now.since(self.received_at) < RECENT_RESPONSE;
+        self.is_isolated() && self.connects_time_out && !bring_bytes
     }
 
     /// Returns whether new connections were reset, so that one counts as open only after a while.
@@ -199,6 +211,9 @@
     ) -> Option<LinkChange> {
         self.failed.retain(|_, (_, failed_at)| now.since(*failed_at) < FAILURE_TTL);
         if self.failed.is_empty() {
+            if now.since(self.failing_since) >= FAILURE_TTL {
+                self.slow_since = None;
+            }
             self.failing_since = now;
         }
         self.failed.insert(Arc::clone(engine), (failure, now));
@@ -236,6 +251,9 @@
     ) -> (Option<LinkChange>, Vec<EngineName>) {
         self.unanswered.clear();
         self.received_at = now;
+        if opened_at > self.failing_since {
+            self.slow_since = None;
+        }
         match self.state {
             LinkState::Isolated if opened_at > self.isolated_since => {
                 let change = self.apply(LinkEvent::Reachable, now);
@@ -328,6 +346,7 @@
         let reached = results.iter().any(|result| result.failure.is_none());
         if reached {
             let was_isolated = self.is_isolated();
+            self.slow_since = None;
             let change = self.apply(LinkEvent::Reachable, now);
             let failed = self.take_failed();
             (change, if was_isolated { Vec::new() } else { failed })
@@ -336,12 +355,30 @@
         } else {
             let timed_out =
                 |(failure, _): &(ConnectFailure, ClockMillis)| *failure == ConnectFailure::TimedOut;
-            self.open_connections_lost = self.failed.values().any(timed_out);
+            self.connects_time_out = self.failed.values().any(timed_out);
+            if self.failed.values().all(timed_out) && self.has_slow_links(now) {
+                let mut change = self.apply(LinkEvent::Reachable, now);
+                if let Some(change) = &mut change {
+                    change.is_slow = true;
+                }
+                self.failed.clear();
+                return (change, Vec::new());
+            }
             self.apply(LinkEvent::Failing, now);
             (self.apply(LinkEvent::Unreachable, now), Vec::new())
         }
     }
 
+    /// Returns whether the host's links are slow rather than cut: open connections have brought bytes
+    /// since connects began to time out, and not for long.
+    fn has_slow_links(&mut self, now: ClockMillis) -> bool {
+        if self.received_at < self.failing_since {
+            return false;
+        }
+        let slow_since = *self.slow_since.get_or_insert(self.failing_since);
+        now.since(slow_since) < SLOW_LINK_LIMIT
+    }
+
     fn apply(&mut self, event: LinkEvent, now: ClockMillis) -> Option<LinkChange> {
         let previous = self.state;
         self.state = previous.after(event);
@@ -360,6 +397,7 @@
             failure: last.map(|(failure, _)| *failure),
             isolated_for,
             received_ago: now.since(self.received_at),
+            is_slow: false,
         })
     }
 }
--- a/crates/core/tests/engine_links.rs
+++ b/crates/core/tests/engine_links.rs
@@ -313,7 +313,24 @@
         let results = [CheckResult { engine: Arc::from("a"), failure: Some(failure) }];
         monitor.finish_check(&results, at(20));
         assert!(monitor.is_isolated(), "{name}");
-        assert_eq!(monitor.has_lost_open_connections(), lost, "{name}");
+        assert_eq!(monitor.has_lost_open_connections(at(20)), lost, "{name}");
+    }
+}
+
+/// Guards against giving up open connections, which bring bytes, together with new ones.
+#[test]
+fn open_connections_that_bring_bytes_are_not_lost() {
+    let mut monitor = LinkMonitor::default();
+    for (engine, _) in ENGINES {
+        monitor.record_failure(&Arc::from(*engine), TIMED_OUT, at(10));
+    }
+    monitor
+        .finish_check(&[CheckResult { engine: Arc::from("a"), failure: Some(TIMED_OUT) }], at(20));
+    assert!(monitor.is_isolated() && monitor.has_lost_open_connections(at(20)));
+    monitor.record_received(at(5), at(30));
+    assert!(monitor.is_isolated());
+    for (now, lost) in [(30, false), (200, false), (300, true)] {
+        assert_eq!(monitor.has_lost_open_connections(at(now)), lost, "at {now} ms");
     }
 }
 
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -3,7 +3,7 @@
 mod connect;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
@@ -12,7 +12,7 @@
 };
 
 use reelreel_core::{
-    ClockMillis,
+    ClockMillis, ClockSource,
     chart::LinkState,
     fleet::{
         EngineEntry, EngineName, HallName, ModelKey, ServiceName,
@@ -29,6 +29,7 @@
     codec::AddressResolver,
     engines::{open_request::OpenRequest, tunnel::TunnelClient},
     links::{HostLinks, TunnelGuard},
+    timer::sleep_until,
 };
 
 /// How long a peer may leave data or keep-alive probes unacknowledged before its connection fails.
@@ -43,6 +44,15 @@
 /// Maximum idle time of a connection for a request that must not run twice.
 const RECENT_IDLE_LIMIT: Duration = Duration::from_millis(1500);
 
+/// How long a connection must have been silent, on a host that is isolated, to count as lost.
+///
+/// A response that goes on over a slow link must not be interrupted; its client would lose what the
+/// engine still sends.
+const SILENCE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Interval at which a silent connection is looked at again while others bring bytes.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Maximum number of idle connections to one engine.
 const IDLE_CONNECTION_LIMIT: usize = 16;
 
@@ -107,6 +117,8 @@
     pub reused: bool,
     /// Counts the request that was sent as open at the engine.
     open_request: Option<OpenRequest>,
+    /// When the request was sent, or bytes of its response were last received.
+    active_at: Rc<Cell<ClockMillis>>,
 }
 
 impl EnginePool {
@@ -225,6 +237,11 @@
         }
     }
 
+    /// Forgets connect times, so that connects over a slow link get the maximum timeout.
+    pub fn forget_connect_times(&mut self) {
+        self.connect_time = ConnectTimeEstimator::default();
+    }
+
     /// Forgets failures that were due to this host's links.
     pub fn forget_link_failures(&mut self) {
         self.halls.clear();
@@ -265,7 +282,7 @@
         now: ClockMillis,
     ) -> Option<OpenedStream> {
         let isolated = self.links.is_isolated();
-        let lost = isolated && self.links.monitor().has_lost_open_connections();
+        let lost = isolated && self.links.monitor().has_lost_open_connections(now);
         let state = self.engines.get_mut(engine)?;
         while let Some(idle) = state.idle.pop() {
             let idle_time = now.since(idle.idle_since);
@@ -321,6 +338,7 @@
             path,
             reused,
             open_request: None,
+            active_at: Rc::new(Cell::new(now)),
         })
     }
 }
@@ -406,6 +424,7 @@
     /// Records that a request is sent.
     pub fn record_sent(&mut self, open_request: OpenRequest, now: ClockMillis) {
         self.open_request = Some(open_request);
+        self.active_at.set(now);
         if self.path.tunnel.is_none() {
             let links = Arc::clone(&self.request_count.pool.borrow().links);
             links.monitor().record_send(&self.entry.name, now);
@@ -414,6 +433,7 @@
 
     /// Records that bytes of a response were received.
     pub fn record_received(&self, now: ClockMillis) {
+        self.active_at.set(now);
         if self.path.tunnel.is_none() {
             let links = Arc::clone(&self.request_count.pool.borrow().links);
             links.record_received(self.path.opened_at, now);
@@ -429,16 +449,31 @@
         }
     }
 
-    /// Completes when the connection has become useless because this host is isolated.
-    pub fn lost(&self) -> impl Future<Output = ()> + use<> {
+    /// Completes when the connection has become useless: this host is isolated, and the connection
+    /// has been silent for [`SILENCE_LIMIT`] as all others are.
+    pub fn lost(&self, clock: &Arc<dyn ClockSource>) -> impl Future<Output = ()> + use<> {
         let links = Arc::clone(&self.request_count.pool.borrow().links);
         let direct = self.path.tunnel.is_none();
+        let (clock, active_at) = (Arc::clone(clock), Rc::clone(&self.active_at));
         async move {
             let mut changes = links.state_changes();
-            let isolated = changes.wait_for(|state| *state == LinkState::Isolated).await.is_ok();
-            if !(direct && isolated && links.monitor().has_lost_open_connections()) {
-                std::future::pending::<()>().await;
+            // Waiting for a state can't fail: the links hold the sender.
+            while direct && changes.wait_for(|state| *state == LinkState::Isolated).await.is_ok() {
+                let silent_at = active_at.get() + SILENCE_LIMIT;
+                tokio::select! {
+                    () = sleep_until(&*clock, silent_at) => {}
+                    _ = changes.wait_for(|state| *state != LinkState::Isolated) => continue,
+                }
+                let is_silent = active_at.get() + SILENCE_LIMIT <= clock.now();
+                if is_silent && links.monitor().has_lost_open_connections(clock.now()) {
+                    return;
+                }
+                if is_silent {
+                    // Other connections still bring bytes.
+                    tokio::time::sleep(RECHECK_INTERVAL).await;
+                }
             }
+            std::future::pending::<()>().await;
         }
     }
 
--- a/crates/gateway/src/engines/pool/connect.rs
+++ b/crates/gateway/src/engines/pool/connect.rs
@@ -38,7 +38,7 @@
             (Arc::clone(&pool.links), pool.tunnels.clone())
         };
         // A refused connect takes no time, so an isolated host that is refused keeps trying.
-        if !links.monitor().has_lost_open_connections() {
+        if !links.monitor().has_lost_open_connections(now) {
             let opened = Self::open_direct(pool, entry, now).await;
             // After a failure the state is waited for: a tunnel may help.
             if opened.is_ok() || links.verdict().await != LinkState::Isolated {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -226,6 +226,9 @@
         /// still carries some. Unit: milliseconds.
         #[serde(default)]
         received_ago: u64,
+        /// Whether connects timed out because the links are slow, rather than cut.
+        #[serde(default, skip_serializing_if = "is_false")]
+        slow: bool,
     },
     /// The process of an engine has ended: it refuses connections after requests at it were
     /// interrupted.
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -71,7 +71,7 @@
     /// Returns whether this host may be able to send requests to engines, itself or through other
     /// hosts.
     pub fn reaches_engines(&self, now: ClockMillis) -> bool {
-        !self.monitor().has_lost_open_connections() || self.tunnel_hosts().is_available(now)
+        !self.monitor().has_lost_open_connections(now) || self.tunnel_hosts().is_available(now)
     }
 
     /// Returns a receiver of the state.
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -122,7 +122,8 @@
         self.record_path(&mut connection, sent_at);
         let codec = Arc::clone(&self.traffic.shared.codecs.request);
         let deadline_expired = self.deadline.clone().expired(DEADLINE_SLACK);
-        let first_byte_timeout = self.first_byte_timeout(entry, connection.lost());
+        let first_byte_timeout =
+            self.first_byte_timeout(entry, connection.lost(&self.traffic.shared.clock));
         let sending = send_request(
             &mut connection,
             &*codec,
--- a/crates/gateway/src/traffic/links.rs
+++ b/crates/gateway/src/traffic/links.rs
@@ -106,9 +106,13 @@
     let was_or_is_isolated = change
         .as_ref()
         .is_some_and(|change| change.state == LinkState::Isolated || change.isolated_for.is_some());
-    if was_or_is_isolated {
+    let is_slow = change.as_ref().is_some_and(|change| change.is_slow);
+    if was_or_is_isolated || is_slow {
         traffic.pool.borrow_mut().forget_link_failures();
     }
+    if is_slow {
+        traffic.pool.borrow_mut().forget_connect_times();
+    }
     links.publish(change);
     links.report_at_fault(at_fault);
     if was_or_is_isolated {
@@ -127,5 +131,6 @@
         connect_failure: change.failure.map(|failure| failure.name().into()),
         isolated_millis: change.isolated_for.map(duration_millis),
         received_ago: duration_millis(change.received_ago),
+        slow: change.is_slow,
     });
 }
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -331,7 +331,7 @@
         let mut tracker = EventTracker::default();
         let mut awaiting_first_byte = true;
         let mut pace = PaceObserver::new(self.traffic, &self.service, &connection.entry);
-        let mut lost = pin!(connection.lost());
+        let mut lost = pin!(connection.lost(&self.traffic.shared.clock));
         loop {
             pace.record_wait();
             let chunk = tokio::select! {
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -92,6 +92,7 @@
             connect_failure: Some("refused".into()),
             isolated_millis: Some(900),
             received_ago: 12,
+            slow: false,
         },
         HostEvent::RequestHeld {
             mark: String::from("0f0f0f0f0f0f0f0f"),
