fix(peers): a large frame over a slow link is not taken for silence

Hosts with narrow links (10 Mbit/s) got a configuration with thousands of routes more than a second late, and their links were full for as long, since they had it sent two to three times.

Cause: a follower waited 0.6 s for a whole frame of its reader, and a host 0.7 s for a whole response to a state request. Over a slow link a large frame takes longer; the follower dropped its reader in the middle of the frame, asked the next one for the complete state, and dropped that one too.

Now a peer counts as silent only if no byte arrives for that time; a frame may take five seconds in all. A state request runs beside the check of placers, not within it.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -21,7 +21,10 @@
 use futures_util::{SinkExt, StreamExt};
 use prometheus_client::metrics::{counter::Counter, family::Family};
 use prost::Message;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout},
+};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use frame::{EncodedFrame, PeerFrame};
@@ -34,6 +37,29 @@
 /// Timeout for sending a frame. It passes only when the buffers on the way are full, so the peer is several seconds behind.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum time in which a frame may arrive whose bytes keep arriving: the largest one over a link of
+/// 10 Mbit/s takes less.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Why no frame was received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReceiveFailure {
+    /// The peer was silent for too long, or a frame took too long.
+    TimedOut,
+    /// The connection ended, or a frame is malformed.
+    Ended,
+}
+
+impl ReceiveFailure {
+    /// Returns the name used in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::TimedOut => "timed_out",
+            Self::Ended => "ended",
+        }
+    }
+}
+
 /// A framed connection between two hosts.
 pub struct PeerStream {
     framed: Framed<TcpStream, LengthDelimitedCodec>,
@@ -67,6 +93,27 @@
         PeerFrame::decode(bytes).ok()
     }
 
+    /// Receives the next frame from a peer that may be silent for `max_silence`.
+    ///
+    /// A large frame over a slow link takes longer; as long as its bytes arrive, it is waited for.
+    ///
+    /// # Errors
+    /// Returns why no frame was received.
+    pub async fn receive_within(
+        &mut self,
+        max_silence: Duration,
+    ) -> Result<PeerFrame, ReceiveFailure> {
+        let until = Instant::now() + FRAME_TIMEOUT;
+        loop {
+            let received = self.received_part();
+            match timeout(max_silence, self.receive()).await {
+                Ok(frame) => return frame.ok_or(ReceiveFailure::Ended),
+                Err(_) if self.received_part() > received && Instant::now() < until => {}
+                Err(_) => return Err(ReceiveFailure::TimedOut),
+            }
+        }
+    }
+
     /// Returns the socket, or `None` if bytes after the last frame were received.
     pub fn into_socket(self) -> Option<TcpStream> {
         let parts = self.framed.into_parts();
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -26,7 +26,7 @@
 /// Timeout for connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Timeout for a peer's response to a state request.
+/// How long a peer may be silent before it has sent its response to a state request.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Number of polls between two state requests.
@@ -52,6 +52,7 @@
 /// Maintains one connection to each remote placer. Never returns.
 pub async fn run_peer_client(state: SharedControl) {
     let mut tasks: HashMap<ServiceName, (SocketAddr, JoinHandle<()>)> = HashMap::new();
+    let mut state_request: Option<JoinHandle<()>> = None;
     let mut polls = 0;
     loop {
         let placers = state.borrow().remote_placers();
@@ -70,8 +71,13 @@
             });
         }
         let attempt = polls / POLLS_PER_STATE_REQUEST;
-        if polls % POLLS_PER_STATE_REQUEST == 0 && state.borrow().needs_peer_state(attempt) {
-            request_peer_state(&state, attempt).await;
+        let is_requesting = state_request.as_ref().is_some_and(|request| !request.is_finished());
+        if polls % POLLS_PER_STATE_REQUEST == 0
+            && !is_requesting
+            && state.borrow().needs_peer_state(attempt)
+        {
+            let request = request_peer_state(Rc::clone(&state), attempt);
+            state_request = Some(tokio::task::spawn_local(request));
         }
         polls += 1;
         tokio::time::sleep(POLL_INTERVAL).await;
@@ -147,7 +153,7 @@
 }
 
 /// Requests store data from one of the known hosts, a different one on each attempt.
-async fn request_peer_state(state: &SharedControl, attempt: u32) {
+async fn request_peer_state(state: SharedControl, attempt: u32) {
     let mut peers = state.borrow().other_members();
     peers.extend_from_slice(&state.borrow().shared().profile.seeds);
     let own_address = state.borrow().shared().profile.peer_address;
@@ -155,15 +161,14 @@
     let Some(index) = (attempt as usize).checked_rem(peers.len()) else { return };
     let requested_at = state.borrow().shared().clock.now().as_millis();
     let request = async {
-        let mut stream = connect(state, peers[index]).await?;
+        let mut stream = connect(&state, peers[index]).await?;
         stream
             .send(FrameBody::StateRequest(StateRequestFrame { requested_at }).encoded())
             .await
             .ok()?;
-        stream.receive().await?.body
+        stream.receive_within(RESPONSE_TIMEOUT).await.ok()?.body
     };
-    let response = tokio::time::timeout(RESPONSE_TIMEOUT, request).await.ok().flatten();
-    if let Some(FrameBody::State(frame)) = response {
+    if let Some(FrameBody::State(frame)) = request.await {
         let clock = frame.clock.as_ref().map(PeerClock::from);
         state.borrow_mut().apply_peer_state(&frame, peers[index], clock);
     }
--- a/crates/gateway/src/peers/feed.rs
+++ b/crates/gateway/src/peers/feed.rs
@@ -3,15 +3,16 @@
 use std::{net::SocketAddr, time::Duration};
 
 use reelreel_core::{ClockMillis, fleet::freshness::PeerClock};
-use tokio::time::timeout;
 
 use crate::{
     control::SharedControl,
     events::HostEvent,
-    peers::{PeerStream, client::connect, frame::FrameBody, state_frames::FollowFrame},
+    peers::{
+        PeerStream, ReceiveFailure, client::connect, frame::FrameBody, state_frames::FollowFrame,
+    },
 };
 
-/// Timeout for frames from a reader.
+/// How long a reader may be silent. It sends heartbeats more often.
 const READER_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Interval at which the reader's clock is requested again, so that a drift of 100 ppm adds up to at most three
@@ -43,15 +44,16 @@
     let mut clock = None;
     let mut followed = false;
     let cause = loop {
-        let frame = match timeout(READER_TIMEOUT, stream.receive()).await {
-            Ok(Some(frame)) => frame,
-            Ok(None) => break "ended",
-            Err(_) => break "timed_out",
+        let frame = match stream.receive_within(READER_TIMEOUT).await {
+            Ok(frame) => frame,
+            Err(failure) => break failure.name(),
         };
         let Some(FrameBody::State(frame)) = frame.body else { continue };
         clock = frame.clock.as_ref().map(PeerClock::from).or(clock);
         if state.borrow().shared().clock.now().since(requested_at) >= CLOCK_INTERVAL {
-            let Some(sent_at) = request_feed(state, &mut stream).await else { break "ended" };
+            let Some(sent_at) = request_feed(state, &mut stream).await else {
+                break ReceiveFailure::Ended.name();
+            };
             requested_at = sent_at;
         }
         let mut state = state.borrow_mut();
