feat(gateway): log and count why an interrupted stream was not resumed

Callers saw streams reset in the middle; the log said only stream_broken, whatever had kept their host from resuming them: no engine with the adapter, the retry budget, the route's limit of engines, a failed connect.

The causes have names now (ResumeFailure): not_resumed in the line of a request, reelreel_stream_resume_failures_total{cause}, a line in `reelreel explain`, and a cause of its own in `reelreel losses`. The resume moves from relay.rs to resume.rs; it decides as before.

--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -1,7 +1,7 @@
 //! Analysis of the hosts' structured logs.
 //!
 //! [`mod@line`] parses lines, [`cause`] classifies why a request ended as it did, [`decision`] names the decision that
-//! refused it, [`explain`] reports on one request,
+//! refused it, [`resume`] why a stream was not resumed, [`explain`] reports on one request,
 //! and [`losses`] counts requests by cause.
 
 mod cause;
@@ -9,3 +9,4 @@
 pub(crate) mod explain;
 mod line;
 pub(crate) mod losses;
+mod resume;
--- a/crates/cli/src/logs/cause.rs
+++ b/crates/cli/src/logs/cause.rs
@@ -4,7 +4,10 @@
 
 use reelreel_gateway::events::{HostEvent, RequestEvent};
 
-use super::line::{HostLogs, LogLine};
+use super::{
+    line::{HostLogs, LogLine},
+    resume::describe_resume_failure,
+};
 
 /// How long after a request ended a load or an engine end may still explain it.
 const CAUSE_WINDOW_AFTER_MS: u64 = 5000;
@@ -28,6 +31,9 @@
     "time_over",
 ];
 
+/// Logged cause of streams that their routes do not allow to be resumed.
+const NOT_RESUMABLE: &str = "not_resumable";
+
 /// How long before a host knows that it is isolated its requests may fail for that.
 const ISOLATION_DETECTION_MS: u64 = 2000;
 
@@ -105,6 +111,8 @@
     CrashedItsEngine,
     /// The engine ended while it also ran another request, which was quarantined for that.
     EngineCrashedByOther,
+    /// The stream was interrupted and could not be resumed, with the logged cause.
+    NotResumed(String),
     /// The engine ended or left the host list.
     EngineGone,
     /// The engine stopped responding or closed the connection, and stayed listed.
@@ -184,6 +192,11 @@
             Self::KeysInDoubt => "its host could not tell whether its key still holds",
             Self::NoBodyMemory => "its host held too many bodies",
             Self::ClientSlow => "its client did not read its answer",
+            Self::NotResumed(cause) => {
+                let reason = describe_resume_failure(cause);
+                return formatter
+                    .pad(&format!("its stream broke off and was not resumed: {reason}"));
+            }
             Self::UnknownRefusal(outcome) => {
                 return formatter.pad(&format!(
                     "refused by a decision that this program does not know: {outcome}"
@@ -250,6 +263,10 @@
         if marks.iter().any(|mark| quarantined.contains(mark)) {
             return Self::EngineCrashedByOther;
         }
+        let not_resumed = request.event.not_resumed.as_deref();
+        if let Some(cause) = not_resumed.filter(|cause| *cause != NOT_RESUMABLE) {
+            return Self::NotResumed(cause.to_owned());
+        }
         if !marks.is_empty() || engine_was_removed(request, logs) {
             return Self::EngineGone;
         }
--- a/crates/cli/src/logs/explain.rs
+++ b/crates/cli/src/logs/explain.rs
@@ -9,6 +9,7 @@
     cause::{RequestCause, RequestLine},
     decision::{decision_inputs, refusal_decision},
     line::{HostLogs, LogLine},
+    resume::describe_resume_failure,
 };
 
 /// Maximum number of related lines shown.
@@ -37,6 +38,9 @@
         let inputs = request_line.fields.as_ref().map(decision_inputs).unwrap_or_default();
         writeln!(text, "  inputs    {inputs}")?;
     }
+    if let Some(cause) = &request.event.not_resumed {
+        writeln!(text, "  resumed   not: {}", describe_resume_failure(cause))?;
+    }
     writeln!(text, "  read      {}", configuration_source(&logs, &request))?;
     if let Some(links) = links_of_host(&logs, &request) {
         writeln!(text, "  links     {links}")?;
--- a/crates/cli/tests/logs/main.rs
+++ b/crates/cli/tests/logs/main.rs
@@ -141,6 +141,24 @@
         ],
         cause: "its engine ended under another request that is held back since",
     },
+    CauseCase {
+        name: "not-resumed",
+        request: r#""outcome":"stream_broken","status":200,"mark":"bb22","engine":"e1","sends":1,"waited":0,"first":40,"body_end":"reset","not_resumed":"excluded","total":900"#,
+        context: &[r#"{"at":10001,"host":"one","event":"engine_gone","engine":"e1"}"#],
+        cause: "its stream broke off and was not resumed: only engines that had broken it off held its adapter",
+    },
+    CauseCase {
+        name: "not-resumed-unknown",
+        request: r#""outcome":"stream_broken","status":200,"mark":"bb22","engine":"e1","sends":1,"waited":0,"first":40,"not_resumed":"later_rule","total":900"#,
+        context: &[],
+        cause: "its stream broke off and was not resumed: \"later_rule\", which this program does not know",
+    },
+    CauseCase {
+        name: "not-resumable",
+        request: r#""outcome":"stream_broken","status":200,"mark":"bb22","engine":"e1","sends":1,"waited":0,"first":40,"not_resumed":"not_resumable","total":900"#,
+        context: &[],
+        cause: "its engine broke off and stayed listed",
+    },
     CauseCase {
         name: "ended-for-nobody",
         request: r#""outcome":"stream_broken","status":200,"mark":"bb22","engine":"e1","sends":1,"waited":0,"first":40,"total":900"#,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -417,6 +417,9 @@
     /// The framing of that body.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub framing: Option<Cow<'static, str>>,
+    /// Why its interrupted stream was not resumed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub not_resumed: Option<Cow<'static, str>>,
     /// When it ended. Unit: milliseconds after its arrival.
     pub total: u64,
     /// Revision of the configuration by which it was routed.
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -8,7 +8,7 @@
 //! - [`attempt`]: one send to an engine, after the checks of [`preflight`].
 //! - [`admission`]: load shedding for services without models.
 //! - [`resend`]: after an engine's error response.
-//! - [`resumed_stream`]: streams that clients resume.
+//! - [`resume`]: resuming interrupted streams; [`resumed_stream`]: streams that clients resume.
 //! - [`priority`]: admission by priority and by fair share.
 //! - [`refusal`]: responses without an engine.
 //! - [`quarantine`]: requests whose engines terminated.
@@ -38,6 +38,7 @@
 pub mod request_log;
 pub mod refusal;
 pub mod resend;
+pub mod resume;
 pub mod resumed_stream;
 pub mod stream;
 pub mod load_wait;
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -37,6 +37,7 @@
         pick::{CoolingEngines, EnginePick, EngineRequirements, pick_engine},
         preflight::SendRejection,
         prepare::{PreparedRequest, prepare, refuse_early},
+        resume::ResumeFailure,
         wait::WaitOutcome,
     },
 };
@@ -154,6 +155,8 @@
     pub(super) required_software: Option<SoftwareVersion>,
     /// How the last response of an engine ended whose body was read.
     pub(super) response_end: Option<ResponseEnd>,
+    /// Why the stream was not resumed after it had been interrupted.
+    pub(super) resume_failure: Option<ResumeFailure>,
     /// Memory for the body of the engine's response.
     pub(super) response_memory: Option<BufferReservation>,
     /// Number of sends.
@@ -263,6 +266,7 @@
             software: Vec::new(),
             required_software: None,
             response_end: None,
+            resume_failure: None,
             response_memory: None,
             excluded_engines: Vec::new(),
             sends: 0,
@@ -452,7 +456,12 @@
 
     /// Returns whether the request's own limits allow another send.
     pub fn within_send_limits(&self) -> bool {
-        self.sends < SEND_LIMIT && self.deadline.remaining() > RETRY_DELAY
+        self.sends < SEND_LIMIT && self.has_time_for_resend()
+    }
+
+    /// Returns whether the deadline leaves time for another send.
+    pub(super) fn has_time_for_resend(&self) -> bool {
+        self.deadline.remaining() > RETRY_DELAY
     }
 
     /// Spends another send from the retry budget if all limits allow it.
--- a/crates/gateway/src/traffic/permit.rs
+++ b/crates/gateway/src/traffic/permit.rs
@@ -20,6 +20,14 @@
 /// Interval at which an interrupted stream looks for an engine.
 const RESUME_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Result of picking an engine for an interrupted stream.
+pub(super) enum ResumePick {
+    /// The engine, or why there is none.
+    Picked(EnginePick),
+    /// No limit or cooldown of the candidates ended in time.
+    TimedOut,
+}
+
 /// Counts a request as waiting for a permit while it exists.
 pub struct PermitWait {
     traffic: Rc<TrafficState>,
@@ -130,7 +138,7 @@
     ///
     /// Resumed streams take precedence over other requests: their clients would lose what they have
     /// got.
-    pub(super) async fn pick_for_resume(&self, excluded: &[EngineName]) -> EnginePick {
+    pub(super) async fn pick_for_resume(&self, excluded: &[EngineName]) -> ResumePick {
         let requirements = EngineRequirements {
             service: &self.service,
             key: self.metadata.model.as_ref(),
@@ -145,7 +153,7 @@
         let engines = match pick_engine(self.traffic, &requirements) {
             EnginePick::Limited(engines) => engines,
             EnginePick::Cooling(_) => Vec::new(),
-            pick => return pick,
+            pick => return ResumePick::Picked(pick),
         };
         let wait = |first: &Arc<EngineEntry>| {
             PermitWait::new(self.traffic, &first.name, PermitUse::Resumed)
@@ -162,6 +170,7 @@
                 }
             }
         };
-        tokio::time::timeout(RESUME_TIMEOUT, permitted).await.unwrap_or(EnginePick::Unavailable)
+        let picked = tokio::time::timeout(RESUME_TIMEOUT, permitted).await;
+        picked.map_or(ResumePick::TimedOut, ResumePick::Picked)
     }
 }
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use reelreel_core::{
     ClockMillis,
-    fleet::{EngineEntry, health::EngineOutcome, limits::share::PermitUse, routes::RouteKind},
+    fleet::{health::EngineOutcome, routes::RouteKind},
 };
 use reelreel_http::{
     BodyFraming, ResponseHead,
@@ -13,13 +13,13 @@
 };
 
 use crate::{
-    engines::{EngineConnection, EnginePool, EngineResponse, send_request},
+    engines::{EngineConnection, EngineResponse},
     traffic::{
         body_end::{BodyEnd, ResponseEnd},
         buffer_budget::{BudgetedBody, LARGE_BODY_BYTES, OverflowPolicy, read_budgeted_body},
         exchange::{ConnectionAction, Exchange, READ_AHEAD_LIMIT, SendOutcome},
         first_event::PaceObserver,
-        pick::EnginePick,
+        resume::ResumeFailure,
         stream::{EventSplitter, EventTracker},
     },
 };
@@ -302,12 +302,19 @@
             }
             progress.splitter.drop_partial();
             resumes += 1;
-            if !progress.resumable || resumes > RESUME_LIMIT {
-                return stream_failure(&progress, "stream_broken");
-            }
-            match self.resume(&entry, &progress).await {
-                Some(next) => segment = next,
-                None => return stream_failure(&progress, "stream_broken"),
+            let next = if !progress.resumable {
+                Err(ResumeFailure::NotResumable)
+            } else if resumes > RESUME_LIMIT {
+                Err(ResumeFailure::ResumeLimit)
+            } else {
+                self.resume(&entry, progress.splitter.last_id()).await
+            };
+            match next {
+                Ok(next) => segment = next,
+                Err(failure) => {
+                    self.record_resume_failure(failure);
+                    return stream_failure(&progress, "stream_broken");
+                }
             }
         }
     }
@@ -481,65 +488,6 @@
         self.client.reset_on_drop(false);
         Ok(())
     }
-
-    /// Resumes an interrupted stream at another engine, after the last complete event.
-    async fn resume(
-        &mut self,
-        interrupted: &EngineEntry,
-        progress: &StreamProgress,
-    ) -> Option<(EngineConnection, EngineResponse, ClockMillis)> {
-        let attempts_exhausted = self.sent_to.len() >= self.route.attempt_limit.max(1) as usize;
-        if attempts_exhausted || !self.try_spend_resend() {
-            return None;
-        }
-        let excluded = [Arc::clone(&interrupted.name)];
-        let pick = self.pick_for_resume(&excluded).await;
-        let EnginePick::Engine(entry, version) = pick else { return None };
-        let mut permit = self.acquire_permit(&entry, PermitUse::Resumed)?;
-        let now = self.traffic.now();
-        let options = self.connect_options(true);
-        let connecting = EnginePool::connect(&self.traffic.pool, &entry, options, now);
-        let mut connection = connecting.await.ok()?;
-        let Ok(request) =
-            self.begin_send(&entry, version, progress.splitter.last_id(), &mut permit)
-        else {
-            connection.close();
-            return None;
-        };
-        self.traffic.shared.metrics.streams.resumes.inc();
-        self.record_path(&mut connection, now);
-        let codec = Arc::clone(&self.traffic.shared.codecs.request);
-        let (method, id) = (self.request.head.method.clone(), self.metadata.id.clone());
-        let sending = send_request(&mut connection, &*codec, &request, &method, &id);
-        let response = tokio::select! {
-            biased;
-            response = sending => Some(response),
-            () = self.client.wait_closed(READ_AHEAD_LIMIT) => None,
-            () = self.deadline.clone().expired(Duration::ZERO) => None,
-        };
-        if let Some(Ok(response)) = &response {
-            connection.record_received(self.traffic.now());
-            self.record_announcements(&entry, response, now);
-        }
-        match response {
-            Some(Ok(response))
-                if response.head.status == 200
-                    && response.metadata.signed
-                    && !self.ran_other_version(&entry, &response, version) =>
-            {
-                Some((connection, response, now))
-            }
-            Some(Err(_)) => {
-                connection.close();
-                self.handle_interrupted_run(&entry).await;
-                None
-            }
-            _ => {
-                connection.close();
-                None
-            }
-        }
-    }
 }
 
 /// Returns the outcome of a stream that can't continue: the client still gets an error response if
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -72,6 +72,7 @@
             pause: duration_millis(self.longest_event_gap),
             body_end: unusual_end.map(|response| response.end.name().into()),
             framing: unusual_end.map(|response| response.framing.name().into()),
+            not_resumed: self.resume_failure.map(|failure| failure.name().into()),
             total: self.elapsed_ms(),
             revision: self.revision,
         })));
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -172,6 +172,7 @@
         pause: 1,
         body_end: Some("closed".into()),
         framing: Some("until_close".into()),
+        not_resumed: Some("no_copy".into()),
         total: 1,
         revision: 1,
     }
--- a/crates/gateway/tests/host/streams.rs
+++ b/crates/gateway/tests/host/streams.rs
@@ -7,8 +7,9 @@
 
 use crate::{
     codec::RESUME_AFTER,
-    engine::EngineBehaviour,
-    site::{MODEL_NAME, TestSite, wait_until},
+    cut_response::{ConnectionEnd, CutResponse, Delimiter, event_body},
+    engine::{EngineBehaviour, StandInEngine},
+    site::{MODEL_NAME, TestSite, free_address, wait_until},
 };
 
 fn events(response: &str) -> Vec<u32> {
@@ -46,6 +47,34 @@
     assert_eq!(runs, 1, "a stream that can't be resumed ran again");
 }
 
+/// Guards against streams that end without a trace of why they were not resumed.
+#[test]
+fn a_stream_that_is_not_resumed_is_counted_by_cause() {
+    let cut = CutResponse {
+        delimiter: Delimiter::Chunks,
+        sent_bytes: event_body(0).len() / 2,
+        end: ConnectionEnd::ProcessEnd,
+        further: Delimiter::Chunks,
+    };
+    for (path, cause) in [("/stream/a", "not_resumable"), ("/resumable/a", "excluded")] {
+        let site = TestSite::start();
+        for engine in &site.engines {
+            site.store.put("engines", &engine.name, "");
+        }
+        let engine = StandInEngine::start_crashable("only", &[MODEL_NAME], free_address(), &[]);
+        engine.set_behaviours(&[EngineBehaviour::Cut(cut)]);
+        site.store.put("engines", "only", &engine.entry("assist", false));
+        let host = site.host("counted");
+        wait_until("the engine is listed", || host.shared.metrics.engines.get() == 2);
+        let response = host.post(path, &fields(&format!("unresumed-{cause}")), "{}");
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        assert!(!response.ends_with("0\r\n\r\n"), "{response}");
+        let line = format!("reelreel_stream_resume_failures_total{{cause=\"{cause}\"}} 1");
+        let metrics = host.shared.metrics.encode();
+        assert!(metrics.lines().any(|metric| metric == line), "{line}: {metrics}");
+    }
+}
+
 #[test]
 fn a_resumed_stream_has_no_gaps_or_duplicates() {
     let site = TestSite::start();
