test(gateway): streams whose adapter lives on one engine are reset when they are cut

Failing on purpose: of streams that are cut once, with the same engine or another of their software version alive, 0.95 are to go on to their end. With the code as it is none does:

All are counted as reelreel_stream_resume_failures_total{cause="excluded"}: the engine that cut them is left out, and nothing is waited for. Each test asserts that the adapters have one copy before it begins. The hosts get a large retry budget, so that the tests are about the choice of engines.

--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -36,6 +36,7 @@
 mod stopping;
 mod store;
 mod rollback_histories;
+mod stream_resume;
 mod streams;
 mod suspended;
 mod reserved_fields;
--- a/crates/gateway/tests/host/site.rs
+++ b/crates/gateway/tests/host/site.rs
@@ -60,6 +60,7 @@
     revocation: Option<Duration>,
     store: SocketAddr,
     engines_enforce_fencing: bool,
+    retry_burst: f64,
     hall: &'static str,
     addresses: Arc<dyn AddressResolver>,
     pub(crate) clock: Arc<dyn ClockSource>,
@@ -74,6 +75,7 @@
             revocation: None,
             store,
             engines_enforce_fencing: true,
+            retry_burst: 50.0,
             hall: HALL,
             addresses: Arc::new(ListedAddresses),
             clock: Arc::new(MonotonicClock::new()),
@@ -83,6 +85,7 @@
     /// Returns the complete profile of a host.
     pub(crate) fn profile(self, name: &str) -> HostProfile {
         let Self { seeds, capacity, revocation, store, engines_enforce_fencing, hall, .. } = self;
+        let burst = self.retry_burst;
         HostProfile {
             name: Arc::from(name),
             hall: Arc::from(hall),
@@ -105,11 +108,7 @@
                 handover_wait: Duration::from_millis(600),
                 engines_enforce_fencing,
                 max_version_delay: Duration::from_secs(2),
-                retry_policy: RetryPolicy {
-                    ratio: 0.2,
-                    burst: 50.0,
-                    window: Duration::from_secs(10),
-                },
+                retry_policy: RetryPolicy { ratio: 0.2, burst, window: Duration::from_secs(10) },
                 load_window: Duration::from_secs(5),
                 load_overage: 1.1,
                 max_revocation_delay: revocation,
@@ -303,6 +302,14 @@
         host
     }
 
+    /// Starts a host whose retry budget allows many retries, and waits until it is ready.
+    pub(crate) fn host_with_large_retry_budget(&self, name: &str) -> TestHost {
+        let profile = TestProfile { retry_burst: 5000.0, ..TestProfile::new(self.store.address) };
+        let host = TestHost::start(name, profile);
+        host.wait_ready();
+        host
+    }
+
     /// Starts a host in a data hall that reaches engines over links of its own, and waits until it
     /// is ready.
     pub(crate) fn host_with_links(
--- /dev/null
+++ b/crates/gateway/tests/host/stream_resume.rs
@@ -0,0 +1,274 @@
+//! Streams whose adapter lives on one engine and that are cut midway: they go on at that engine, or
+//! at another one that loads the adapter.
+
+use std::{
+    sync::atomic::{AtomicU32, Ordering},
+    thread,
+    time::Duration,
+};
+
+use crate::{
+    cut_response::{
+        CUT_EVENTS, ClaimedEnd, ClientView, ConnectionEnd, CutResponse, Delimiter, event_body,
+    },
+    engine::{EngineBehaviour, StandInEngine},
+    site::{LOOSE_TIMEOUTS_REVISION, MODEL_NAME, TestHost, TestSite, free_address, wait_until},
+};
+
+/// Number of engines that hold adapters.
+const HOLDERS: usize = 10;
+
+/// Number of adapters that only one engine holds, for each engine.
+const ADAPTERS: usize = 2;
+
+/// Part of the streams that are cut once which have to go on to their end.
+const MIN_WHOLE_SHARE: f64 = 0.95;
+
+/// Time after which a host uses an engine again that has interrupted a response.
+const BACKOFF: Duration = Duration::from_millis(500);
+
+/// Number of events of a long stream; it takes about a second.
+const LONG_EVENTS: u32 = 60;
+
+/// Time after which a long stream is cut.
+const CUT_AFTER: Duration = Duration::from_millis(300);
+
+/// Engines of which each holds adapters that no other engine holds, and engines with the base model
+/// alone.
+struct SingleCopySite {
+    site: TestSite,
+    holders: Vec<StandInEngine>,
+    host: TestHost,
+}
+
+fn adapter(holder: usize, number: usize) -> String {
+    format!("{MODEL_NAME}/only-{holder}-{number}")
+}
+
+fn adapters_of(holder: usize) -> Vec<String> {
+    (0..ADAPTERS).map(|number| adapter(holder, number)).collect()
+}
+
+impl SingleCopySite {
+    fn start(name: &str, holders: usize, loose_timeouts: bool) -> Self {
+        let site = TestSite::start();
+        let start_holder = |holder: usize| {
+            let name = format!("holder-{holder}");
+            let adapters = adapters_of(holder);
+            let mut models = vec![MODEL_NAME];
+            models.extend(adapters.iter().map(String::as_str));
+            let engine = StandInEngine::start_crashable(&name, &models, free_address(), &[]);
+            site.store.put("engines", &name, &engine.entry("assist", false));
+            engine
+        };
+        let holders: Vec<_> = (0..holders).map(start_holder).collect();
+        if loose_timeouts {
+            site.store.put("configuration", "routes", &LOOSE_TIMEOUTS_REVISION.to_string());
+        }
+        let host = site.host_with_large_retry_budget(name);
+        let listed = i64::try_from(holders.len() + 3).expect("a few engines");
+        wait_until("the engines are listed", || host.shared.metrics.engines.get() == listed);
+        wait_until("the host places", || host.shared.metrics.leases.get() > 0);
+        Self { site, holders, host }
+    }
+
+    fn set_behaviours(&self, behaviours: &[EngineBehaviour]) {
+        let engines = self.site.engines.iter().chain(&self.holders);
+        engines.for_each(|engine| engine.set_behaviours(behaviours));
+    }
+
+    /// Sends one stream for each adapter at the same time while `meanwhile` runs; returns what the
+    /// clients got.
+    fn send_all(&self, adapters: &[String], meanwhile: impl FnOnce()) -> Vec<ClientView> {
+        for key in adapters {
+            let table = self.host.shared.table.borrow();
+            let copies = table.copies.get(key.as_str()).map_or(0, Vec::len);
+            assert_eq!(copies, 1, "{key} has {copies} copies");
+        }
+        thread::scope(|scope| {
+            let streams = adapters.iter().map(|key| scope.spawn(|| self.send(key)));
+            let streams: Vec<_> = streams.collect();
+            meanwhile();
+            streams.into_iter().map(|stream| stream.join().expect("a response")).collect()
+        })
+    }
+
+    fn send(&self, key: &str) -> ClientView {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let fields = format!("X-Request: resumed-{number}\r\nX-Model: {key}\r\n");
+        ClientView::parse(&self.host.post("/resumable/a", &fields, "{}"))
+    }
+
+    /// Returns the causes for which streams were not resumed, for messages.
+    fn resume_failures(&self) -> String {
+        let metrics = self.host.shared.metrics.encode();
+        let lines = metrics.lines().filter(|line| line.contains("resume_failures_total{"));
+        lines.collect::<Vec<_>>().join(", ")
+    }
+}
+
+/// Returns what is wrong if too few streams are whole.
+///
+/// # Panics
+/// Panics if a stream claims to be complete and isn't.
+fn loss(site: &SingleCopySite, case: &str, views: &[ClientView], body: &str) -> Option<String> {
+    for view in views {
+        let claims_whole = view.status == 200 && view.end == ClaimedEnd::Complete;
+        assert!(!claims_whole || view.body == body, "{case}: {view:?}");
+    }
+    let whole = views.iter().filter(|view| view.looks_whole() && view.body == body).count();
+    let share = whole as f64 / views.len() as f64;
+    println!("{case}: {whole} of {} streams went on to their end", views.len());
+    (share < MIN_WHOLE_SHARE).then(|| {
+        let failures = site.resume_failures();
+        format!("{case}: {whole} of {} streams went on to their end; {failures}", views.len())
+    })
+}
+
+/// Returns the body of a stream of that many events.
+fn stream_body(events: u32) -> String {
+    let events = (0..events).map(|number| format!("id: {number}\ndata: {number}\n\n"));
+    events.collect::<Vec<_>>().concat()
+}
+
+/// A way in which streams are cut while their engine lives on.
+struct CutCase {
+    name: &'static str,
+    delimiter: Delimiter,
+    /// Number of bytes of the body that are sent.
+    sent_bytes: fn(usize) -> usize,
+    end: ConnectionEnd,
+    loose_timeouts: bool,
+}
+
+const CUT_CASES: &[CutCase] = &[
+    CutCase {
+        name: "reset between events",
+        delimiter: Delimiter::Chunks,
+        sent_bytes: |length| length / 2,
+        end: ConnectionEnd::Reset,
+        loose_timeouts: false,
+    },
+    CutCase {
+        name: "closed without the last chunk",
+        delimiter: Delimiter::Chunks,
+        sent_bytes: |length| length / 2,
+        end: ConnectionEnd::Close,
+        loose_timeouts: false,
+    },
+    CutCase {
+        name: "closed within an event",
+        delimiter: Delimiter::Connection,
+        sent_bytes: |length| length / 2 + 3,
+        end: ConnectionEnd::Close,
+        loose_timeouts: false,
+    },
+    CutCase {
+        name: "reset before the end of its length, loose timeouts",
+        delimiter: Delimiter::Length,
+        sent_bytes: |length| length / 2,
+        end: ConnectionEnd::Reset,
+        loose_timeouts: true,
+    },
+];
+
+/// Guards against interrupted streams that are given up because only the engine that interrupted
+/// them holds their adapter.
+#[test]
+fn a_cut_stream_goes_on_although_one_engine_holds_its_adapter() {
+    let mut losses = Vec::new();
+    for (number, case) in CUT_CASES.iter().enumerate() {
+        let site = SingleCopySite::start(&format!("cut-{number}"), HOLDERS, case.loose_timeouts);
+        let cut = CutResponse {
+            delimiter: case.delimiter,
+            sent_bytes: (case.sent_bytes)(event_body(0).len()),
+            end: case.end,
+            further: case.delimiter,
+        };
+        site.set_behaviours(&[EngineBehaviour::Cut(cut)]);
+        let mut views = Vec::new();
+        for number in 0..ADAPTERS {
+            let adapters: Vec<_> = (0..HOLDERS).map(|holder| adapter(holder, number)).collect();
+            views.extend(site.send_all(&adapters, || {}));
+            thread::sleep(BACKOFF);
+        }
+        losses.extend(loss(&site, case.name, &views, &event_body(0)));
+    }
+    assert!(losses.is_empty(), "{}", losses.join("\n"));
+}
+
+/// Guards against streams that are given up when the only engine with their adapter ends, although
+/// others can load it.
+#[test]
+fn a_stream_goes_on_elsewhere_after_the_only_engine_with_its_adapter_has_ended() {
+    let mut losses = Vec::new();
+    for loose_timeouts in [false, true] {
+        let site = SingleCopySite::start("ended-holders", HOLDERS, loose_timeouts);
+        site.set_behaviours(&[EngineBehaviour::Stream(LONG_EVENTS)]);
+        let mut views = Vec::new();
+        for holder in 0..HOLDERS / 2 {
+            let adapters = adapters_of(holder);
+            // Two streams of each adapter.
+            let adapters = [&adapters[..], &adapters[..]].concat();
+            views.extend(site.send_all(&adapters, || {
+                thread::sleep(CUT_AFTER);
+                site.holders[holder].crash();
+            }));
+            // As its supervisor does.
+            site.site.store.put("engines", &site.holders[holder].name, "");
+        }
+        let name = if loose_timeouts { "loose timeouts" } else { "tight timeouts" };
+        losses.extend(loss(&site, name, &views, &stream_body(LONG_EVENTS)));
+    }
+    assert!(losses.is_empty(), "{}", losses.join("\n"));
+}
+
+/// Guards against streams that are given up when the only engine with their adapter cuts them time
+/// and again, although others can load it.
+#[test]
+fn a_stream_leaves_the_only_engine_with_its_adapter_if_it_cuts_it_twice() {
+    let site = SingleCopySite::start("cut-twice", HOLDERS, true);
+    let mut views = Vec::new();
+    for (number, holder) in site.holders.iter().enumerate() {
+        site.set_behaviours(&[EngineBehaviour::Stream(CUT_EVENTS)]);
+        holder.set_behaviours(&[EngineBehaviour::TruncateStream(3)]);
+        let adapters = adapters_of(number);
+        views.extend(site.send_all(&adapters, || {}));
+    }
+    let loss = loss(&site, "cut twice", &views, &event_body(0));
+    assert!(loss.is_none(), "{}", loss.unwrap_or_default());
+}
+
+/// Guards against a stream that goes on at another software version because only engines of that one
+/// load its adapter.
+#[test]
+fn an_adapter_is_loaded_at_the_software_version_of_an_interrupted_stream() {
+    let site = TestSite::start();
+    for engine in &site.engines {
+        site.store.put("engines", &engine.name, "");
+    }
+    let key = format!("{MODEL_NAME}/versioned");
+    let start = |name: &str, software: &str, models: &[&str]| {
+        let engine = StandInEngine::start_crashable(name, models, free_address(), &[]);
+        engine.set_behaviours(&[EngineBehaviour::Stream(LONG_EVENTS)]);
+        site.store.put("engines", name, &engine.entry_with_software("assist", software));
+        engine
+    };
+    let others = ["v2-a", "v2-b", "v2-c"].map(|name| start(name, "v2", &[MODEL_NAME]));
+    let only = start("v1-only", "v1", &[MODEL_NAME, &key]);
+    let same = start("v1-same", "v1", &[MODEL_NAME]);
+    let host = site.host_with_large_retry_budget("versioned");
+    wait_until("the engines are listed", || host.shared.metrics.engines.get() == 6);
+    wait_until("the host places", || host.shared.metrics.leases.get() > 0);
+    let fields = format!("X-Request: versioned\r\nX-Model: {key}\r\n");
+    let view = thread::scope(|scope| {
+        let stream = scope.spawn(|| ClientView::parse(&host.post("/resumable/a", &fields, "{}")));
+        thread::sleep(CUT_AFTER);
+        only.crash();
+        stream.join().expect("a response")
+    });
+    assert!(view.looks_whole() && view.body == stream_body(LONG_EVENTS), "{view:?}");
+    assert_eq!(same.runs().len(), 1);
+    assert!(others.iter().all(|engine| engine.runs().is_empty()));
+}
