fix(gateway): an interrupted stream waits for an engine as a first attempt does

Callers saw streams reset midway with seconds of their time left: every stream that was cut and whose adapter no second engine held.

Cause: what a first send may wait for, a resume may not. The engine that cut the stream was left out, whether it lived on or not, and "no engine holds the adapter" was taken for final; so were a failed connect, a rejection by the next engine and a permit that had just gone.

Now (traffic/resume.rs, decided by core fleet/resume_wait.rs): - The engine that cut a stream is a candidate if no other can take it, also within its backoff. It is left out once the check after the cut shows that it ended, or after it has cut the stream twice. - A stream waits for a load, permit, cooldown or backoff that ends before its client gives up (four targets, eight gaps or 2 s after the last event) and before its deadline. Engines beyond max_attempts are still left out. - A client that leaves ends the wait, and a connect or pause in it. - A request under which an engine ended before waits for the whole check. - A copy at an engine of another software version, or beyond the limit of attempts, is no longer waited for (copy_available_in).

--- a/crates/cli/src/logs/resume.rs
+++ b/crates/cli/src/logs/resume.rs
@@ -11,14 +11,11 @@
     ("retry_budget", "the retry budget was used up"),
     ("deadline", "its time was over"),
     ("held", "it is held back"),
-    ("no_copy", "no engine held its adapter"),
-    ("excluded", "only engines that had broken it off held its adapter"),
+    ("no_copy", "no engine held its adapter, and no load of it was due in time"),
+    ("excluded", "only engines that could not take it again held its adapter"),
     ("no_engine", "no engine of its software version accepted work"),
     ("no_permit", "the limits and cooldowns of the engines left no permit in time"),
-    ("connect_failed", "the next engine could not be connected to"),
-    ("rejected", "its key or the next engine had changed"),
-    ("engine_refused", "the next engine refused it"),
-    ("interrupted", "the next engine broke off too"),
+    ("rejected", "its key had changed"),
     ("client_gone", "its client left"),
 ];
 
--- a/crates/cli/tests/logs/main.rs
+++ b/crates/cli/tests/logs/main.rs
@@ -145,7 +145,7 @@
         name: "not-resumed",
         request: r#""outcome":"stream_broken","status":200,"mark":"bb22","engine":"e1","sends":1,"waited":0,"first":40,"body_end":"reset","not_resumed":"excluded","total":900"#,
         context: &[r#"{"at":10001,"host":"one","event":"engine_gone","engine":"e1"}"#],
-        cause: "its stream broke off and was not resumed: only engines that had broken it off held its adapter",
+        cause: "its stream broke off and was not resumed: only engines that could not take it again held its adapter",
     },
     CauseCase {
         name: "not-resumed-unknown",
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -22,6 +22,7 @@
 //! - [`quarantine`]: requests held back because engines ended while running them
 //! - [`queue_admission`]: whether a request joins an engine's queue
 //! - [`reachability`]: reachability of data halls
+//! - [`resume_wait`]: whether an interrupted stream waits for an engine
 //! - [`retry_share`]: this host's share of the retry budget
 //! - [`routes`]: routes and services of the configuration
 //! - [`stale_listing`]: engine entries from a store that was restored from an older copy
@@ -50,6 +51,7 @@
 pub mod quarantine;
 pub mod queue_admission;
 pub mod reachability;
+pub mod resume_wait;
 pub mod retry_share;
 pub mod routes;
 pub mod service_limit;
--- a/crates/core/src/fleet/cold_start.rs
+++ b/crates/core/src/fleet/cold_start.rs
@@ -17,7 +17,7 @@
 /// step. A quarter of short prompts have their first event after 20 to 44 ms.
 pub(super) const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(60);
 
-/// How long a client waits for the first event, in maximum event gaps.
+/// How long a client waits for an event, in maximum event gaps.
 const CLIENT_WAIT_EVENT_GAPS: u32 = 8;
 
 /// Added to an estimate to get a retry time.
@@ -32,10 +32,10 @@
 /// Divides the remaining time of a request to get its maximum retry time.
 pub(super) const RETRY_AFTER_DIVISOR: u32 = 3;
 
-/// How long a client waits for the first event, in latency targets.
+/// How long a client waits for an event, in latency targets.
 const CLIENT_WAIT_LATENCY_TARGETS: u32 = 4;
 
-/// Minimum time that a client is assumed to wait for the first event.
+/// Minimum time that a client is assumed to wait for an event.
 const MIN_CLIENT_WAIT: Duration = Duration::from_secs(2);
 
 /// How long before the client gives up a waiting request is refused.
@@ -88,14 +88,17 @@
     Refuse(Duration),
 }
 
+/// Returns how long a client waits for the next event of its stream, or for the first one.
+pub fn client_patience(latency_target: Duration, max_event_gap: Option<Duration>) -> Duration {
+    let event_gaps = max_event_gap.unwrap_or_default() * CLIENT_WAIT_EVENT_GAPS;
+    (latency_target * CLIENT_WAIT_LATENCY_TARGETS).max(MIN_CLIENT_WAIT).max(event_gaps)
+}
+
 impl ColdRequest {
     /// Returns the time since arrival after which a waiting request is refused, shortly before its
     /// client gives up.
     pub(super) fn client_wait_limit(&self) -> Duration {
-        let event_gaps = self.max_event_gap.unwrap_or_default() * CLIENT_WAIT_EVENT_GAPS;
-        let client_wait_limit = (self.latency_target * CLIENT_WAIT_LATENCY_TARGETS)
-            .max(MIN_CLIENT_WAIT)
-            .max(event_gaps);
+        let client_wait_limit = client_patience(self.latency_target, self.max_event_gap);
         client_wait_limit.min(self.elapsed + self.remaining).saturating_sub(REFUSAL_MARGIN)
     }
 
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -65,6 +65,7 @@
                     key,
                     software: software.as_ref(),
                     excluded: &excluded,
+                    ignores_backoff: &[],
                     id: &id,
                     permit_use,
                     retryable: true,
@@ -180,7 +181,7 @@
     }
 
     /// Records a failed connect in the metrics, and for the log event of the request.
-    fn record_connect_failure(&mut self, failure: ConnectFailure) {
+    pub(super) fn record_connect_failure(&mut self, failure: ConnectFailure) {
         self.failed_connects += 1;
         self.connect_failure = Some(failure);
         self.traffic.shared.metrics.count_connect_failure(failure);
@@ -195,10 +196,7 @@
     ) -> SendOutcome {
         let entry = Arc::clone(&connection.entry);
         if response.metadata.not_run || response.metadata.misdirected {
-            if !response.metadata.misdirected {
-                self.record_outcome(&entry, EngineOutcome::Refused);
-                self.traffic.shared.limits().record_rejection(&entry.name);
-            }
+            self.record_not_run(&entry, &response);
             let absent = response.metadata.misdirected;
             self.drain_and_keep(connection, response).await;
             return SendOutcome::NotRun { absent };
@@ -247,6 +245,18 @@
         SendOutcome::Finished(action, "answered")
     }
 
+    /// Records that an engine did not run a request.
+    pub(super) fn record_not_run(&self, entry: &EngineEntry, response: &EngineResponse) {
+        if response.metadata.misdirected {
+            if let Some(key) = &self.metadata.model {
+                self.traffic.record_absence(&self.service, &entry.name, key);
+            }
+        } else {
+            self.record_outcome(entry, EngineOutcome::Refused);
+            self.traffic.shared.limits().record_rejection(&entry.name);
+        }
+    }
+
     /// Returns whether an engine ran a request for a base model on another version than requested.
     pub(super) fn ran_other_version(
         &self,
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -169,6 +169,8 @@
     pub(super) cold_cause: Option<DecisionCause>,
     /// Engines that are not tried again: unreachable, full, or failed.
     pub(super) excluded_engines: Vec<EngineName>,
+    /// Engines that interrupted the stream once and have not ended.
+    pub(super) interrupted_by: Vec<EngineName>,
     /// Number of failed connects.
     pub(super) failed_connects: u32,
     /// Why the last failed connect failed.
@@ -269,6 +271,7 @@
             resume_failure: None,
             response_memory: None,
             excluded_engines: Vec::new(),
+            interrupted_by: Vec::new(),
             sends: 0,
             failed_connects: 0,
             connect_failure: None,
@@ -346,6 +349,20 @@
 
     /// Picks an engine for the request.
     pub fn pick(&self) -> EnginePick {
+        self.pick_excluding(&self.unusable_engines())
+    }
+
+    /// Excludes an engine that could not be connected to.
+    pub(super) fn exclude_unconnected(&mut self, entry: &EngineEntry) {
+        if self.traffic.shared.links.is_isolated() {
+            self.excluded_engines.push(Arc::clone(&entry.name));
+        } else {
+            self.unconnected_engines.push(Arc::clone(&entry.name));
+        }
+    }
+
+    /// Returns the engines that the request must not be sent to.
+    pub(super) fn unusable_engines(&self) -> Vec<EngineName> {
         let mut excluded = self.excluded_engines.clone();
         if !self.traffic.shared.links.is_isolated() {
             excluded.extend_from_slice(&self.unconnected_engines);
@@ -359,7 +376,7 @@
             let others = others.filter(|entry| !self.sent_to.contains(&entry.name));
             excluded.extend(others.map(|entry| Arc::clone(&entry.name)));
         }
-        self.pick_excluding(&excluded)
+        excluded
     }
 
     /// Picks an engine as for a new attempt of the client, which has no excluded engines.
@@ -373,6 +390,7 @@
             key: self.metadata.model.as_ref(),
             software: self.needed_software(),
             excluded,
+            ignores_backoff: &[],
             id: &self.metadata.id,
             permit_use: self.permit_use(),
             retryable: self.route.kind.is_retryable() && self.sends == 0,
@@ -396,11 +414,7 @@
             }
             SendOutcome::DeadlineExceeded => Some(self.give_up("time_over").await),
             SendOutcome::NotSent => {
-                if self.traffic.shared.links.is_isolated() {
-                    self.excluded_engines.push(Arc::clone(&entry.name));
-                } else {
-                    self.unconnected_engines.push(Arc::clone(&entry.name));
-                }
+                self.exclude_unconnected(entry);
                 self.slow_connects += u32::from(started_at.elapsed() >= SLOW_CONNECT_TIME);
                 if self.failed_connects < CONNECT_FAILURE_LIMIT
                     && self.slow_connects < SLOW_CONNECT_LIMIT
@@ -412,10 +426,7 @@
             SendOutcome::NotRun { absent: false } if self.traffic.has_no_models(&self.service) => {
                 self.handle_full_server(entry).await
             }
-            SendOutcome::NotRun { absent } => {
-                if absent && let Some(key) = &self.metadata.model {
-                    self.traffic.record_absence(&self.service, &entry.name, key);
-                }
+            SendOutcome::NotRun { .. } => {
                 if !self.try_spend_resend() {
                     return Some(self.give_up("not_run").await);
                 }
--- a/crates/gateway/src/traffic/load_wait.rs
+++ b/crates/gateway/src/traffic/load_wait.rs
@@ -8,6 +8,7 @@
 use reelreel_core::{
     ClockMillis,
     fleet::{cold_decision::LoadWait, cold_start::ColdDecision},
+    placement::LoadSchedule,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -42,12 +43,10 @@
     /// Returns the state of a wait that began at `started_at`.
     pub(super) fn load_wait(&self, started_at: ClockMillis) -> LoadWait {
         let now = self.traffic.now();
-        let table = self.traffic.table();
-        let schedule = self.metadata.model.as_ref().and_then(|key| table.estimates.get(key));
         let waiting = now.since(started_at);
         LoadWait {
             request: self.cold_request(),
-            schedule: schedule.copied().unwrap_or_default(),
+            schedule: self.load_schedule(),
             copy_available_in: self.copy_available_in(now),
             now,
             waiting,
@@ -56,12 +55,20 @@
         }
     }
 
+    /// Returns the newest schedule of the load of the request's adapter.
+    pub(super) fn load_schedule(&self) -> LoadSchedule {
+        let table = self.traffic.table();
+        let schedule = self.metadata.model.as_ref().and_then(|key| table.estimates.get(key));
+        schedule.copied().unwrap_or_default()
+    }
+
     /// Returns the time until an engine that holds the adapter is used again: its backoff ends, its
     /// report that it lacks the adapter expires, or it has a connection to spare.
-    fn copy_available_in(&self, now: ClockMillis) -> Option<Duration> {
+    pub(super) fn copy_available_in(&self, now: ClockMillis) -> Option<Duration> {
         let key = self.metadata.model.as_ref()?;
         let table = self.traffic.table();
         let copies = table.copies.get(key)?;
+        let unusable = self.unusable_engines();
         let pool = self.traffic.pool.borrow();
         let availability = self.traffic.shared.availability();
         let mut times = Vec::new();
@@ -74,7 +81,8 @@
                 published.allows(*version, max_delay, now)
             });
             if allowed
-                && !self.excluded_engines.contains(&entry.name)
+                && !unusable.contains(&entry.name)
+                && self.allows_software(entry)
                 && !pool.is_hall_unreachable(entry, now)
                 && availability.without_limit(entry) == EngineAvailability::Available
             {
--- a/crates/gateway/src/traffic/permit.rs
+++ b/crates/gateway/src/traffic/permit.rs
@@ -13,21 +13,6 @@
     pick::{EnginePick, EngineRequirements, pick_engine},
 };
 
-/// How long an interrupted stream waits for an engine to resume at; about the gap that streams may
-/// have.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Interval at which an interrupted stream looks for an engine.
-const RESUME_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Result of picking an engine for an interrupted stream.
-pub(super) enum ResumePick {
-    /// The engine, or why there is none.
-    Picked(EnginePick),
-    /// No limit or cooldown of the candidates ended in time.
-    TimedOut,
-}
-
 /// Counts a request as waiting for a permit while it exists.
 pub struct PermitWait {
     traffic: Rc<TrafficState>,
@@ -41,6 +26,11 @@
         traffic.shared.wake_control.notify_one();
         Self { traffic: Rc::clone(traffic), engine: Arc::clone(engine), permit_use }
     }
+
+    /// Returns the estimated time until the request gets its permit.
+    pub(super) fn expected_wait(&self) -> Option<Duration> {
+        self.traffic.shared.limits().expected_wait(&self.engine, self.traffic.now())
+    }
 }
 
 impl Drop for PermitWait {
@@ -122,8 +112,7 @@
 
     /// Returns the estimated time until the request gets the permit that it waits for.
     pub(super) fn permit_estimate(&self) -> Option<Duration> {
-        let wait = self.permit_wait.as_ref()?;
-        self.traffic.shared.limits().expected_wait(&wait.engine, self.traffic.now())
+        self.permit_wait.as_ref().and_then(PermitWait::expected_wait)
     }
 
     /// Returns the retry time of a client that is refused while its request waits for a permit.
@@ -133,44 +122,49 @@
         self.traffic.shared.limits().retry_after(&wait.engine, hosts, self.traffic.now())
     }
 
-    /// Picks an engine to resume an interrupted stream; waits briefly if all candidates have a
-    /// limit or a cooldown.
+    /// Picks an engine to resume an interrupted stream; those in `ignores_backoff` may be picked
+    /// within their backoff.
     ///
     /// Resumed streams take precedence over other requests: their clients would lose what they have
     /// got.
-    pub(super) async fn pick_for_resume(&self, excluded: &[EngineName]) -> ResumePick {
+    pub(super) fn pick_for_resume(
+        &self,
+        excluded: &[EngineName],
+        ignores_backoff: &[EngineName],
+    ) -> EnginePick {
         let requirements = EngineRequirements {
             service: &self.service,
             key: self.metadata.model.as_ref(),
             software: self.needed_software(),
             excluded,
+            ignores_backoff,
             id: &self.metadata.id,
             permit_use: PermitUse::Resumed,
             retryable: false,
             need: self.next_event_need(),
         };
-        let mut permits = self.traffic.shared.permits.subscribe();
-        let engines = match pick_engine(self.traffic, &requirements) {
-            EnginePick::Limited(engines) => engines,
-            EnginePick::Cooling(_) => Vec::new(),
-            pick => return ResumePick::Picked(pick),
-        };
-        let wait = |first: &Arc<EngineEntry>| {
-            PermitWait::new(self.traffic, &first.name, PermitUse::Resumed)
-        };
-        let _wait = engines.first().map(wait);
-        let permitted = async {
-            loop {
-                // Polls with a timeout because the end of a cooldown is not signalled. `changed`
-                // can't fail: the shared state holds the sender.
-                let _ = tokio::time::timeout(RESUME_POLL_INTERVAL, permits.changed()).await;
-                let pick = pick_engine(self.traffic, &requirements);
-                if !matches!(pick, EnginePick::Limited(_) | EnginePick::Cooling(_)) {
-                    return pick;
-                }
-            }
+        pick_engine(self.traffic, &requirements)
+    }
+
+    /// Registers an interrupted stream as waiting for a permit if that is all that the picked
+    /// engines lack.
+    pub(super) fn update_resume_permit(
+        &self,
+        picked: &EnginePick,
+        permit_wait: &mut Option<PermitWait>,
+    ) {
+        let engines = match picked {
+            EnginePick::Limited(engines) => &engines[..],
+            _ => &[],
         };
-        let picked = tokio::time::timeout(RESUME_TIMEOUT, permitted).await;
-        picked.map_or(ResumePick::TimedOut, ResumePick::Picked)
+        let is_kept = permit_wait
+            .as_ref()
+            .is_some_and(|wait| engines.iter().any(|entry| entry.name == wait.engine));
+        if !is_kept {
+            let wait = |first: &Arc<EngineEntry>| {
+                PermitWait::new(self.traffic, &first.name, PermitUse::Resumed)
+            };
+            *permit_wait = engines.first().map(wait);
+        }
     }
 }
--- a/crates/gateway/src/traffic/pick.rs
+++ b/crates/gateway/src/traffic/pick.rs
@@ -61,6 +61,8 @@
     pub software: Option<&'request SoftwareVersion>,
     /// Engines that must not be picked.
     pub excluded: &'request [EngineName],
+    /// Engines that may be picked within the backoff after a failure.
+    pub ignores_backoff: &'request [EngineName],
     /// The request's id, hashed to spread requests over equal candidates.
     pub id: &'request str,
     /// The use of a permit: by a new, waiting or resumed request.
@@ -94,7 +96,7 @@
     let ready =
         table.ready_engines(requirements.service).any(|entry| requirements.allows_software(entry));
     let (mut eligible, cooling) = eligible_engines(traffic, &table, requirements, now);
-    retain_reachable(traffic, requirements.key.is_some(), &mut eligible, now);
+    retain_reachable(traffic, requirements, &mut eligible, now);
     if !eligible.is_empty() && !cooling.is_empty() {
         traffic.shared.metrics.cooldown_diverted.inc();
     }
@@ -203,14 +205,18 @@
 /// another copy. Engines without models are retained if none is reachable.
 fn retain_reachable(
     traffic: &TrafficState,
-    needs_copy: bool,
+    requirements: &EngineRequirements<'_>,
     eligible: &mut Vec<EligibleEngine>,
     now: ClockMillis,
 ) {
     let pool = traffic.pool.borrow();
     let reachable = |eligible: &EligibleEngine| !pool.is_hall_unreachable(&eligible.entry, now);
-    if needs_copy {
-        eligible.retain(|eligible| !eligible.health.is_in_backoff(now) && reachable(eligible));
+    if requirements.key.is_some() {
+        let avoided = |eligible: &EligibleEngine| {
+            eligible.health.is_in_backoff(now)
+                && !requirements.ignores_backoff.contains(&eligible.entry.name)
+        };
+        eligible.retain(|eligible| !avoided(eligible) && reachable(eligible));
     } else if eligible.iter().any(reachable) {
         eligible.retain(reachable);
     }
--- a/crates/gateway/src/traffic/quarantine.rs
+++ b/crates/gateway/src/traffic/quarantine.rs
@@ -52,21 +52,27 @@
 
     /// Records that the current run was interrupted and checks whether its engine terminated.
     ///
-    /// A retryable request waits for the check: sent at once, it could terminate another engine.
-    /// An engine that aborted a response which this host left unread is not held responsible.
-    pub(super) async fn handle_interrupted_run(&mut self, entry: &Arc<EngineEntry>) {
+    /// Returns whether it is known to have. A retryable request waits for the check: sent at once, it
+    /// could terminate another engine. An engine that aborted a response which this host left unread
+    /// is not held responsible.
+    pub(super) async fn handle_interrupted_run(&mut self, entry: &Arc<EngineEntry>) -> bool {
         if self.was_left_unread() {
             self.current_run = None;
-            return;
+            return false;
         }
         self.record_outcome(entry, EngineOutcome::Failed);
-        let Some(run) = self.current_run.take() else { return };
+        let Some(run) = self.current_run.take() else { return false };
+        let is_suspect = self.is_suspect();
         let end_check = check_after_failure(self.traffic, entry, run);
-        if self.route.kind.is_retryable() && self.may_try_other_engine() {
-            // Without a result in time the engine counts as alive; a further send shows if it is
-            // not.
-            let _ = tokio::time::timeout(END_CHECK_TIMEOUT, end_check).await;
+        let is_stream = self.route.kind.is_stream();
+        if !self.route.kind.is_retryable() || !(is_stream || self.may_try_other_engine()) {
+            return false;
         }
+        if is_suspect {
+            return end_check.await;
+        }
+        // Without a result in time the engine counts as alive; a further send shows if it is not.
+        tokio::time::timeout(END_CHECK_TIMEOUT, end_check).await.unwrap_or(false)
     }
 
     /// Returns whether the current run's engine is known to have terminated with its response, whose
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -260,8 +260,10 @@
             let entry = Arc::clone(&connection.entry);
             let mut outcome =
                 self.relay_segment(&mut connection, &mut response, &mut progress, sent_at).await;
+            let mut has_ended = false;
             if matches!(outcome, SegmentOutcome::Closed) && self.ended_with_engine(&entry).await {
                 outcome = SegmentOutcome::Interrupted;
+                has_ended = true;
             }
             match outcome {
                 SegmentOutcome::Complete => {
@@ -288,7 +290,7 @@
                 }
                 SegmentOutcome::Interrupted => {
                     connection.close();
-                    self.handle_interrupted_run(&entry).await;
+                    has_ended |= self.handle_interrupted_run(&entry).await;
                     if self.was_left_unread() {
                         // Another engine would wait for the same client.
                         return self.end_unread_stream();
@@ -301,19 +303,21 @@
                 return SendOutcome::Failed;
             }
             progress.splitter.drop_partial();
+            self.record_interruption(&entry.name, has_ended);
             resumes += 1;
             let next = if !progress.resumable {
                 Err(ResumeFailure::NotResumable)
             } else if resumes > RESUME_LIMIT {
                 Err(ResumeFailure::ResumeLimit)
             } else {
-                self.resume(&entry, progress.splitter.last_id()).await
+                let last_event = progress.last_event.unwrap_or_else(|| self.traffic.now());
+                self.resume(progress.splitter.last_id(), last_event).await
             };
             match next {
                 Ok(next) => segment = next,
                 Err(failure) => {
                     self.record_resume_failure(failure);
-                    return stream_failure(&progress, "stream_broken");
+                    return stream_failure(&progress, failure.outcome());
                 }
             }
         }
--- a/crates/gateway/src/traffic/resumed_stream.rs
+++ b/crates/gateway/src/traffic/resumed_stream.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use reelreel_core::fleet::{
-    SoftwareVersion,
+    EngineEntry, SoftwareVersion,
     routes::RouteKind,
     stream_origins::{StreamId, stream_id},
 };
@@ -96,4 +96,9 @@
     pub(super) fn needed_software(&self) -> Option<&SoftwareVersion> {
         self.software.first().or(self.required_software.as_ref())
     }
+
+    /// Returns whether an engine runs the software version that the next run needs.
+    pub(super) fn allows_software(&self, entry: &EngineEntry) -> bool {
+        self.needed_software().is_none_or(|software| *software == entry.software)
+    }
 }
--- a/crates/gateway/src/traffic/wait.rs
+++ b/crates/gateway/src/traffic/wait.rs
@@ -21,7 +21,7 @@
 };
 
 /// Interval at which a waiting request checks whether an engine has become reachable again.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(150);
+pub(super) const RECHECK_INTERVAL: Duration = Duration::from_millis(150);
 
 /// How long an estimated load time is used after it has passed.
 const ESTIMATE_GRACE: Duration = Duration::from_millis(300);
@@ -48,7 +48,7 @@
 }
 
 impl WaitGuard {
-    fn new(
+    pub(super) fn new(
         traffic: &Rc<TrafficState>,
         service: &ServiceName,
         key: &ModelKey,
@@ -221,7 +221,7 @@
 
     /// Reports which software version a resumed stream needs: copies at engines of another one do not
     /// help it.
-    fn record_needed_software(&self) {
+    pub(super) fn record_needed_software(&self) {
         let Some((key, software)) = self.metadata.model.as_ref().zip(self.needed_software()) else {
             return;
         };
--- a/crates/gateway/tests/host/cold_requests.rs
+++ b/crates/gateway/tests/host/cold_requests.rs
@@ -40,7 +40,7 @@
 
 /// Starts hosts that own all partitions of the group and order no load, and waits until `host`
 /// follows one of them: it answers demand with `estimate` once and then ends, or never answers.
-fn start_failing_placers(site: &TestSite, host: &TestHost, estimate: Option<Duration>) {
+pub(crate) fn start_failing_placers(site: &TestSite, host: &TestHost, estimate: Option<Duration>) {
     let subscriptions: Arc<AtomicU32> = Arc::default();
     let ended: Arc<AtomicBool> = Arc::default();
     let offset = u16::try_from(std::process::id() * 31 % 3000).unwrap_or_default();
--- a/crates/gateway/tests/host/stream_resume.rs
+++ b/crates/gateway/tests/host/stream_resume.rs
@@ -2,12 +2,15 @@
 //! at another one that loads the adapter.
 
 use std::{
+    io::{Read, Write},
+    net::TcpStream,
     sync::atomic::{AtomicU32, Ordering},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
+    cold_requests::start_failing_placers,
     cut_response::{
         CUT_EVENTS, ClaimedEnd, ClientView, ConnectionEnd, CutResponse, Delimiter, event_body,
     },
@@ -27,11 +30,19 @@
 /// Time after which a host uses an engine again that has interrupted a response.
 const BACKOFF: Duration = Duration::from_millis(500);
 
-/// Number of events of a long stream; it takes about a second.
-const LONG_EVENTS: u32 = 60;
+/// Number of events of a long stream; it takes some 600 ms of the 1.5 s that tight timeouts leave.
+const LONG_EVENTS: u32 = 24;
+
+/// Upper limit of the time until a stream that can't go on is reset: half of what its client waits
+/// for an event. Leaves room for a busy machine.
+const RESET_LIMIT: Duration = Duration::from_secs(1);
 
 /// Time after which a long stream is cut.
-const CUT_AFTER: Duration = Duration::from_millis(300);
+const CUT_AFTER: Duration = Duration::from_millis(200);
+
+/// Time for which a placer has been acting before streams begin. It takes loads for recent ones in
+/// the first 600 ms of its process.
+const SETTLING_TIME: Duration = Duration::from_secs(1);
 
 /// Engines of which each holds adapters that no other engine holds, and engines with the base model
 /// alone.
@@ -69,6 +80,7 @@
         let listed = i64::try_from(holders.len() + 3).expect("a few engines");
         wait_until("the engines are listed", || host.shared.metrics.engines.get() == listed);
         wait_until("the host places", || host.shared.metrics.leases.get() > 0);
+        thread::sleep(SETTLING_TIME);
         Self { site, holders, host }
     }
 
@@ -261,6 +273,7 @@
     let host = site.host_with_large_retry_budget("versioned");
     wait_until("the engines are listed", || host.shared.metrics.engines.get() == 6);
     wait_until("the host places", || host.shared.metrics.leases.get() > 0);
+    thread::sleep(SETTLING_TIME);
     let fields = format!("X-Request: versioned\r\nX-Model: {key}\r\n");
     let view = thread::scope(|scope| {
         let stream = scope.spawn(|| ClientView::parse(&host.post("/resumable/a", &fields, "{}")));
@@ -272,3 +285,68 @@
     assert_eq!(same.runs().len(), 1);
     assert!(others.iter().all(|engine| engine.runs().is_empty()));
 }
+
+/// Guards against a stream that is held to its deadline although nothing can resume it.
+#[test]
+fn a_stream_that_nothing_can_resume_is_reset_at_once() {
+    struct HopelessCase {
+        name: &'static str,
+        /// Whether other engines could load the adapter, but no placer answers.
+        others_live: bool,
+    }
+    let cases = [
+        HopelessCase { name: "no other engine", others_live: false },
+        HopelessCase { name: "no placer", others_live: true },
+    ];
+    for HopelessCase { name, others_live } in cases {
+        let site = SingleCopySite::start("hopeless", 1, true);
+        site.set_behaviours(&[EngineBehaviour::Stream(LONG_EVENTS)]);
+        if others_live {
+            start_failing_placers(&site.site, &site.host, None);
+        } else {
+            for engine in &site.site.engines {
+                site.site.store.put("engines", &engine.name, "");
+            }
+            wait_until("others are gone", || site.host.shared.metrics.engines.get() == 2);
+        }
+        let mut cut_at = Instant::now();
+        let views = site.send_all(&[adapter(0, 0)], || {
+            thread::sleep(CUT_AFTER);
+            site.holders[0].crash();
+            cut_at = Instant::now();
+        });
+        assert!(cut_at.elapsed() < RESET_LIMIT, "{name}: reset after {:?}", cut_at.elapsed());
+        assert_eq!(views[0].status, 200, "{name}");
+        assert_eq!(views[0].end, ClaimedEnd::BrokenOff, "{name}");
+    }
+}
+
+/// Guards against a stream that waits on, or is sent on, after its client has left.
+#[test]
+fn a_client_that_leaves_ends_the_wait_of_its_interrupted_stream() {
+    let site = SingleCopySite::start("left-waiting", 1, true);
+    site.set_behaviours(&[EngineBehaviour::Stream(LONG_EVENTS)]);
+    start_failing_placers(&site.site, &site.host, Some(Duration::from_millis(1500)));
+    let mut socket = TcpStream::connect(site.host.client_address).expect("a connection");
+    let request = format!(
+        "POST /resumable/a HTTP/1.1\r\nHost: site.example\r\nX-Request: left-waiting\r\n\
+         X-Model: {}\r\nContent-Length: 2\r\n\r\n{{}}",
+        adapter(0, 0)
+    );
+    socket.write_all(request.as_bytes()).expect("the request is sent");
+    let (mut text, mut bytes) = (String::new(), [0; 1024]);
+    while !text.contains("data: 3\n") {
+        let count = socket.read(&mut bytes).expect("the stream goes on");
+        text.push_str(&String::from_utf8_lossy(&bytes[..count]));
+    }
+    site.holders[0].crash();
+    let open_requests = || site.host.shared.metrics.open_requests.get();
+    // Longer than a stream waits without the estimate of a load.
+    thread::sleep(Duration::from_millis(600));
+    assert_eq!(open_requests(), 1, "the stream does not wait for the load");
+    let left_at = Instant::now();
+    drop(socket);
+    wait_until("the wait ends", || open_requests() == 0);
+    assert!(left_at.elapsed() < Duration::from_millis(500), "{:?}", left_at.elapsed());
+    assert!(site.site.engines.iter().all(|engine| engine.runs().is_empty()));
+}
