--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -65,6 +65,7 @@
                     key,
                     software: software.as_ref(),
                     excluded: &excluded,
+                    ignores_backoff: &[],
                     id: &id,
                     permit_use,
                     retryable: true,
@@ -162,7 +163,8 @@
             connection.record_interrupted(self.traffic.now());
             connection.close();
             self.may_have_run = true;
-            self.handle_interrupted_run(entry).await;
+            let has_ended = self.handle_interrupted_run(entry).await;
+            self.record_interruption(&entry.name, has_ended);
             return SendOutcome::Failed;
         };
         connection.record_received(self.traffic.now());
@@ -181,7 +183,7 @@
     }
 
     /// Records a failed connect in the metrics, and for the log event of the request.
-    fn record_connect_failure(&mut self, failure: ConnectFailure) {
+    pub(super) fn record_connect_failure(&mut self, failure: ConnectFailure) {
         self.failed_connects += 1;
         self.connect_failure = Some(failure);
         self.traffic.shared.metrics.count_connect_failure(failure);
@@ -196,10 +198,7 @@
     ) -> SendOutcome {
         let entry = Arc::clone(&connection.entry);
         if response.metadata.not_run || response.metadata.misdirected {
-            if !response.metadata.misdirected {
-                self.record_outcome(&entry, EngineOutcome::Refused);
-                self.traffic.shared.limits().record_rejection(&entry.name);
-            }
+            self.record_not_run(&entry, &response);
             let absent = response.metadata.misdirected;
             self.drain_and_keep(connection, response).await;
             return SendOutcome::NotRun { absent };
@@ -213,6 +212,7 @@
             // success is unsigned, or the response was computed with other weights.
             connection.close();
             self.record_outcome(&entry, EngineOutcome::Failed);
+            self.record_interruption(&entry.name, false);
             return SendOutcome::Failed;
         }
         if success && self.route.kind.is_stream() {
@@ -224,7 +224,8 @@
             Err(outcome) => {
                 connection.close();
                 if matches!(outcome, SendOutcome::Failed) {
-                    self.handle_interrupted_run(&entry).await;
+                    let has_ended = self.handle_interrupted_run(&entry).await;
+                    self.record_interruption(&entry.name, has_ended);
                 }
                 return outcome;
             }
@@ -233,6 +234,7 @@
         if is_open && self.ended_with_engine(&entry).await {
             connection.close();
             self.record_outcome(&entry, EngineOutcome::Failed);
+            self.record_interruption(&entry.name, true);
             return SendOutcome::Failed;
         }
         self.record_complete_run();
@@ -248,6 +250,18 @@
         SendOutcome::Finished(action, "answered")
     }
 
+    /// Records that an engine did not run a request.
+    pub(super) fn record_not_run(&self, entry: &EngineEntry, response: &EngineResponse) {
+        if response.metadata.misdirected {
+            if let Some(key) = &self.metadata.model {
+                self.traffic.record_absence(&self.service, &entry.name, key);
+            }
+        } else {
+            self.record_outcome(entry, EngineOutcome::Refused);
+            self.traffic.shared.limits().record_rejection(&entry.name);
+        }
+    }
+
     /// Returns whether an engine ran a request for a base model on another version than requested.
     pub(super) fn ran_other_version(
         &self,
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -37,6 +37,7 @@
         pick::{CoolingEngines, EnginePick, EngineRequirements, pick_engine},
         preflight::SendRejection,
         prepare::{PreparedRequest, prepare, refuse_early},
+        resume::ResumeFailure,
         wait::WaitOutcome,
     },
 };
@@ -154,6 +155,8 @@
     pub(super) required_software: Option<SoftwareVersion>,
     /// How the last response of an engine ended whose body was read.
     pub(super) response_end: Option<ResponseEnd>,
+    /// Why the stream was not resumed after it had been interrupted.
+    pub(super) resume_failure: Option<ResumeFailure>,
     /// Memory for the body of the engine's response.
     pub(super) response_memory: Option<BufferReservation>,
     /// Number of sends.
@@ -166,6 +169,8 @@
     pub(super) cold_cause: Option<DecisionCause>,
     /// Engines that are not tried again: unreachable, full, or failed.
     pub(super) excluded_engines: Vec<EngineName>,
+    /// Engines that interrupted the request once and have not ended.
+    pub(super) interrupted_by: Vec<EngineName>,
     /// Number of failed connects.
     pub(super) failed_connects: u32,
     /// Why the last failed connect failed.
@@ -263,8 +268,10 @@
             software: Vec::new(),
             required_software: None,
             response_end: None,
+            resume_failure: None,
             response_memory: None,
             excluded_engines: Vec::new(),
+            interrupted_by: Vec::new(),
             sends: 0,
             failed_connects: 0,
             connect_failure: None,
@@ -341,7 +348,31 @@
     }
 
     /// Picks an engine for the request.
+    ///
+    /// An engine that has interrupted it is picked only if no other can take it.
     pub fn pick(&self) -> EnginePick {
+        let unusable = self.unusable_engines();
+        if self.interrupted_by.is_empty() {
+            return self.pick_excluding(&unusable, &[]);
+        }
+        let excluded = [&unusable[..], &self.interrupted_by].concat();
+        match self.pick_excluding(&excluded, &[]) {
+            EnginePick::Engine(entry, version) => EnginePick::Engine(entry, version),
+            _ => self.pick_excluding(&unusable, &self.interrupted_by),
+        }
+    }
+
+    /// Excludes an engine that could not be connected to.
+    pub(super) fn exclude_unconnected(&mut self, entry: &EngineEntry) {
+        if self.traffic.shared.links.is_isolated() {
+            self.excluded_engines.push(Arc::clone(&entry.name));
+        } else {
+            self.unconnected_engines.push(Arc::clone(&entry.name));
+        }
+    }
+
+    /// Returns the engines that the request must not be sent to.
+    pub(super) fn unusable_engines(&self) -> Vec<EngineName> {
         let mut excluded = self.excluded_engines.clone();
         if !self.traffic.shared.links.is_isolated() {
             excluded.extend_from_slice(&self.unconnected_engines);
@@ -355,20 +386,25 @@
             let others = others.filter(|entry| !self.sent_to.contains(&entry.name));
             excluded.extend(others.map(|entry| Arc::clone(&entry.name)));
         }
-        self.pick_excluding(&excluded)
+        excluded
     }
 
     /// Picks an engine as for a new attempt of the client, which has no excluded engines.
     pub(super) fn pick_without_exclusions(&self) -> EnginePick {
-        self.pick_excluding(&[])
+        self.pick_excluding(&[], &[])
     }
 
-    fn pick_excluding(&self, excluded: &[EngineName]) -> EnginePick {
+    fn pick_excluding(
+        &self,
+        excluded: &[EngineName],
+        ignores_backoff: &[EngineName],
+    ) -> EnginePick {
         let requirements = EngineRequirements {
             service: &self.service,
             key: self.metadata.model.as_ref(),
             software: self.needed_software(),
             excluded,
+            ignores_backoff,
             id: &self.metadata.id,
             permit_use: self.permit_use(),
             retryable: self.route.kind.is_retryable() && self.sends == 0,
@@ -392,11 +428,7 @@
             }
             SendOutcome::DeadlineExceeded => Some(self.give_up("time_over").await),
             SendOutcome::NotSent => {
-                if self.traffic.shared.links.is_isolated() {
-                    self.excluded_engines.push(Arc::clone(&entry.name));
-                } else {
-                    self.unconnected_engines.push(Arc::clone(&entry.name));
-                }
+                self.exclude_unconnected(entry);
                 self.slow_connects += u32::from(started_at.elapsed() >= SLOW_CONNECT_TIME);
                 if self.failed_connects < CONNECT_FAILURE_LIMIT
                     && self.slow_connects < SLOW_CONNECT_LIMIT
@@ -408,10 +440,7 @@
             SendOutcome::NotRun { absent: false } if self.traffic.has_no_models(&self.service) => {
                 self.handle_full_server(entry).await
             }
-            SendOutcome::NotRun { absent } => {
-                if absent && let Some(key) = &self.metadata.model {
-                    self.traffic.record_absence(&self.service, &entry.name, key);
-                }
+            SendOutcome::NotRun { .. } => {
                 if !self.try_spend_resend() {
                     return Some(self.give_up("not_run").await);
                 }
@@ -426,9 +455,8 @@
                 None
             }
             SendOutcome::Failed => {
-                let may_retry = self.route.kind.is_retryable() && self.may_try_other_engine();
-                if may_retry && self.try_spend_resend() {
-                    self.excluded_engines.push(Arc::clone(&entry.name));
+                let may_retry = self.may_try_other_engine() || !self.interrupted_by.is_empty();
+                if self.route.kind.is_retryable() && may_retry && self.try_spend_resend() {
                     return None;
                 }
                 Some(self.respond(ENGINE_FAILED, "engine_failed").await)
@@ -452,7 +480,12 @@
 
     /// Returns whether the request's own limits allow another send.
     pub fn within_send_limits(&self) -> bool {
-        self.sends < SEND_LIMIT && self.deadline.remaining() > RETRY_DELAY
+        self.sends < SEND_LIMIT && self.has_time_for_resend()
+    }
+
+    /// Returns whether the deadline leaves time for another send.
+    pub(super) fn has_time_for_resend(&self) -> bool {
+        self.deadline.remaining() > RETRY_DELAY
     }
 
     /// Spends another send from the retry budget if all limits allow it.
