feat(logs): show the prompt parts of the runs that an engine's end interrupts

What callers saw: requests of one kind crashed engine after engine. The logs could not tell why: `engine_ended` named the digest of each interrupted request, and no two of these requests are alike; nothing said which parts of a prompt they share, nor which of the runs had begun to answer when the engine ended.

Change: `engine_ended` has the number of runs with an event (`begun`) and a bounded list of shared prompt parts with the runs that were still waiting or had begun; lines of requests that were not answered name their shared parts; `reelreel_interrupted_runs_total{begun}` counts both kinds of runs; `reelreel explain` adds up what all hosts logged of the end of a request's engine and shows the parts that its runs without an event have in common, with the number of engines that ended under them. A prompt's last part is its request's own and is left out. The metrics of the quarantine have a module of their own.

No decision is changed.

--- a/crates/cli/src/logs/decision.rs
+++ b/crates/cli/src/logs/decision.rs
@@ -7,7 +7,7 @@
 /// Fields of a request's log line that are no inputs of a decision, or that the summary shows.
 const OTHER_FIELDS: &[&str] = &[
     "at", "host", "machine", "event", "left_out", "id", "route", "outcome", "late", "status",
-    "mark", "first", "pause", "total", "revision",
+    "mark", "parts", "first", "pause", "total", "revision",
 ];
 
 /// Fields whose unit is milliseconds.
--- a/crates/cli/src/logs/explain.rs
+++ b/crates/cli/src/logs/explain.rs
@@ -8,6 +8,7 @@
 use super::{
     cause::{RequestCause, RequestLine},
     decision::{decision_inputs, refusal_decision},
+    engine_end::EngineEndSummary,
     line::{HostLogs, LogLine},
 };
 
@@ -47,6 +48,9 @@
     if let Some(engine) = &request.event.cooling_by {
         writeln!(text, "  cooldown  {}", cooldown_source(&logs, &request, engine))?;
     }
+    if let Some(summary) = EngineEndSummary::of_request(&request, &logs) {
+        writeln!(text, "  ended     {summary}")?;
+    }
     let (from, until) = request.cause_window();
     let context_lines: Vec<&LogLine> =
         logs.lines_between(from, until).iter().filter(|line| is_relevant(line, &request)).collect();
@@ -181,6 +185,9 @@
         request.event.route, request.event.revision
     )?;
     writeln!(text, "  named     {}", request.event.key.as_deref().unwrap_or("no model"))?;
+    if !request.event.parts.is_empty() {
+        writeln!(text, "  parts     {}", request.event.parts.join(" "))?;
+    }
     let engine = request.event.engine.as_deref().unwrap_or("no engine");
     writeln!(text, "  sent      {} times, last to {engine}", request.event.sends)?;
     writeln!(text, "  waited    {} ms for its adapter", request.event.waited)?;
--- a/crates/cli/tests/logs/main.rs
+++ b/crates/cli/tests/logs/main.rs
@@ -269,6 +269,29 @@
     assert!(text.contains(links), "{text}");
 }
 
+/// Guards against crashes that look unrelated, since no two requests that cause them are alike.
+#[test]
+fn explain_shows_the_prompt_part_that_interrupted_runs_have_in_common() {
+    let log = LogFile::new(
+        "common-part",
+        &[
+            r#"{"at":6000,"host":"one","event":"engine_ended","engine":"e0","runs":1,"marks":["cc33"],"parts":[{"part":"0bad","waiting":1,"begun":0},{"part":"0first","waiting":1,"begun":0}]}"#,
+            r#"{"at":10000,"host":"one","event":"request","id":"r1","route":"r","outcome":"engine_failed","status":502,"mark":"aa11","parts":["0first","0bad"],"engine":"e1","sends":1,"waited":0,"first":0,"total":90,"revision":3}"#,
+            r#"{"at":10001,"host":"one","event":"engine_ended","engine":"e1","runs":2,"begun":1,"marks":["aa11","bb22"],"parts":[{"part":"0bad","waiting":1,"begun":0},{"part":"0first","waiting":1,"begun":1}]}"#,
+            r#"{"at":10002,"host":"two","event":"engine_ended","engine":"e1","runs":3,"begun":1,"marks":["dd44"],"parts":[{"part":"0first","waiting":2,"begun":1},{"part":"0other","waiting":1,"begun":0}]}"#,
+            r#"{"at":10500,"host":"two","event":"engine_ended","engine":"e2","runs":1,"marks":["ee55"]}"#,
+        ],
+    );
+    let (success, text) = reelreel(&["explain", "r1"], &log);
+    assert!(success, "{text}");
+    assert!(text.contains("  parts     0first 0bad\n"), "{text}");
+    let ended = "  ended     e1 with 5 runs of 2 hosts, 2 with an event; prompt parts of the others:\n            \
+                 0bad in 1 of them and 0 with an event, at 2 of 3 engines that ended\n            \
+                 0first in 3 of them and 2 with an event, at 2 of 3 engines that ended\n            \
+                 0other in 1 of them and 0 with an event, at 1 of 3 engines that ended\n";
+    assert!(text.contains(ended), "{text}");
+}
+
 struct DecisionCase {
     name: &'static str,
     /// Fields of the request's log line.
--- a/crates/core/src/fleet/prompt.rs
+++ b/crates/core/src/fleet/prompt.rs
@@ -6,6 +6,11 @@
 /// Identifies a prompt part; equal parts of different requests have the same ID.
 pub type PromptPartId = u64;
 
+/// Formats the ID of a prompt part for logs.
+pub fn format_part(part: PromptPartId) -> String {
+    format!("{part:016x}")
+}
+
 /// A part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -25,6 +30,11 @@
 }
 
 impl PromptMetadata {
+    /// Returns the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared_parts)| shared_parts)
+    }
+
     /// Returns the number of tokens to prefill without a cache, at least one.
     pub fn tokens(&self) -> u64 {
         let parts: u64 = self.parts.iter().map(|part| u64::from(part.tokens)).sum();
--- a/crates/gateway/src/engines/end_detection.rs
+++ b/crates/gateway/src/engines/end_detection.rs
@@ -5,23 +5,48 @@
 //! this host is refused by all engines, one that accepts it is alive (the connection is kept for the
 //! next request), and a timeout shows neither.
 
-use std::{collections::HashMap, io::ErrorKind, rc::Rc, sync::Arc};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, HashMap},
+    io::ErrorKind,
+    rc::Rc,
+    sync::Arc,
+};
 
 use reelreel_core::fleet::{
     EngineEntry, EngineName,
+    prompt::{PromptPartId, format_part},
     quarantine::{InterruptedRun, RequestMark, engine_incarnation_id, format_mark},
 };
 use tokio::sync::watch;
 
-use crate::{engines::EnginePool, events::HostEvent, traffic::TrafficState};
+use crate::{
+    engines::EnginePool,
+    events::{HostEvent, InterruptedPart},
+    traffic::TrafficState,
+};
 
 /// Maximum number of request marks in a log event.
 const LOGGED_MARK_LIMIT: usize = 8;
 
+/// Maximum number of prompt parts in a log event.
+const LOGGED_PART_LIMIT: usize = 32;
+
+/// A run at an engine, as its host observes it.
+#[derive(Debug, Clone)]
+pub struct ObservedRun {
+    /// The run, reported if its engine terminates.
+    pub run: InterruptedRun,
+    /// Parts of its prompt that other requests may share.
+    pub parts: Vec<PromptPartId>,
+    /// Whether its first event has arrived.
+    pub has_begun: bool,
+}
+
 /// The interrupted runs of an engine that is being checked.
 #[derive(Debug)]
 struct PendingCheck {
-    runs: Vec<InterruptedRun>,
+    runs: Vec<ObservedRun>,
     /// Whether the engine has terminated; closed when the check has finished, by dropping it.
     finished: watch::Sender<bool>,
 }
@@ -35,7 +60,7 @@
 impl EndDetector {
     /// Adds an interrupted run; returns whether it is the first of its engine, and a receiver of
     /// the result that is closed when the check has finished.
-    fn add(&mut self, engine: &EngineName, run: InterruptedRun) -> (bool, watch::Receiver<bool>) {
+    fn add(&mut self, engine: &EngineName, run: ObservedRun) -> (bool, watch::Receiver<bool>) {
         let new = || PendingCheck { runs: Vec::new(), finished: watch::Sender::new(false) };
         let pending = self.pending.entry(Arc::clone(engine)).or_insert_with(new);
         pending.runs.push(run);
@@ -45,7 +70,7 @@
     /// Returns a receiver that is closed when the check of an engine that was interrupted while
     /// running a request with this mark has finished, if there is one.
     pub fn check_of(&self, mark: RequestMark) -> Option<watch::Receiver<bool>> {
-        let ran = |check: &&PendingCheck| check.runs.iter().any(|run| run.mark == mark);
+        let ran = |check: &&PendingCheck| check.runs.iter().any(|run| run.run.mark == mark);
         self.pending.values().find(ran).map(|check| check.finished.subscribe())
     }
 }
@@ -57,7 +82,7 @@
 pub fn check_after_failure(
     traffic: &Rc<TrafficState>,
     entry: &Arc<EngineEntry>,
-    run: InterruptedRun,
+    run: ObservedRun,
 ) -> impl Future<Output = bool> + use<> {
     let (is_first, mut finished) = traffic.end_detector.borrow_mut().add(&entry.name, run);
     if is_first {
@@ -80,20 +105,47 @@
     };
     if has_ended {
         pending.finished.send_replace(true);
-        pending.runs.sort_by_key(|run| std::cmp::Reverse(run.began));
+        pending.runs.sort_by_key(|run| Reverse(run.run.began));
         report_engine_end(&traffic, &entry, &pending.runs);
     }
 }
 
-fn report_engine_end(traffic: &TrafficState, entry: &EngineEntry, runs: &[InterruptedRun]) {
+fn report_engine_end(traffic: &TrafficState, entry: &EngineEntry, runs: &[ObservedRun]) {
     let shared = &traffic.shared;
     let incarnation = engine_incarnation_id(&entry.name, entry.incarnation);
-    shared.quarantine().record_crash(incarnation, runs, traffic.now());
+    let interrupted_runs: Vec<InterruptedRun> = runs.iter().map(|run| run.run.clone()).collect();
+    shared.quarantine().record_crash(incarnation, &interrupted_runs, traffic.now());
     shared.wake_control.notify_one();
-    shared.metrics.engines_ended.inc();
+    let begun = runs.iter().filter(|run| run.has_begun).count();
+    shared.metrics.quarantine.engines_ended.inc();
+    shared.metrics.quarantine.count_interrupted_runs(begun, runs.len() - begun);
+    let marks = interrupted_runs.iter().take(LOGGED_MARK_LIMIT);
     shared.events.write(HostEvent::EngineEnded {
         engine: entry.name.to_string(),
         runs: runs.len(),
-        marks: runs.iter().take(LOGGED_MARK_LIMIT).map(|run| format_mark(run.mark)).collect(),
+        begun,
+        marks: marks.map(|run| format_mark(run.mark)).collect(),
+        parts: interrupted_parts(runs),
+    });
+}
+
+/// Returns the prompt parts of interrupted runs, those of most runs without an event first.
+fn interrupted_parts(runs: &[ObservedRun]) -> Vec<InterruptedPart> {
+    let mut counts: BTreeMap<PromptPartId, (usize, usize)> = BTreeMap::new();
+    for run in runs {
+        let parts: BTreeSet<PromptPartId> = run.parts.iter().copied().collect();
+        for part in parts {
+            let (waiting, begun) = counts.entry(part).or_default();
+            *(if run.has_begun { begun } else { waiting }) += 1;
+        }
+    }
+    let mut counts: Vec<_> = counts.into_iter().collect();
+    counts.sort_by_key(|(_, (waiting, begun))| (Reverse(*waiting), *begun));
+    let logged = counts.into_iter().take(LOGGED_PART_LIMIT);
+    let logged = logged.map(|(part, (waiting, begun))| InterruptedPart {
+        part: format_part(part),
+        waiting,
+        begun,
     });
+    logged.collect()
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -224,8 +224,15 @@
         engine: String,
         /// Number of this host's requests that were interrupted.
         runs: usize,
+        /// Number of them whose first event had arrived.
+        #[serde(default)]
+        begun: usize,
         /// Marks that identify these requests, the most recent first; truncated if there are many.
         marks: Vec<String>,
+        /// Shared parts of their prompts, those of most requests without an event first; truncated
+        /// if there are many.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        parts: Vec<InterruptedPart>,
     },
     /// An engine has declared or changed its limit on the requests of all hosts together.
     EngineLimited {
@@ -333,6 +340,17 @@
     Request(Box<RequestEvent>),
 }
 
+/// A prompt part among the runs that the end of an engine interrupted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InterruptedPart {
+    /// Identifies the part without revealing it.
+    pub part: String,
+    /// Number of runs with it whose first event had not arrived.
+    pub waiting: usize,
+    /// Number of runs with it whose first event had arrived.
+    pub begun: usize,
+}
+
 /// How a request ended, and why.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct RequestEvent {
@@ -359,6 +377,10 @@
     /// Mark that identifies the request when it is retried; absent if it was answered.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub mark: Option<String>,
+    /// Parts of its prompt that other requests may share, in order; truncated if there are many,
+    /// and empty if it was answered.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<String>,
     /// The model or adapter.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub key: Option<String>,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a host, in the Prometheus text format.
 
 mod cold;
+mod quarantine;
 mod streams;
 mod tunnels;
 
@@ -29,7 +30,10 @@
 
 use crate::traffic::body_end::BodyEnd;
 
-pub use crate::metrics::{cold::ColdMetrics, streams::StreamMetrics, tunnels::TunnelMetrics};
+pub use crate::metrics::{
+    cold::ColdMetrics, quarantine::QuarantineMetrics, streams::StreamMetrics,
+    tunnels::TunnelMetrics,
+};
 
 /// Labels of request counters.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -244,12 +248,8 @@
     pub leases: Gauge,
     /// Listed engines.
     pub engines: Gauge,
-    /// Engines that crashed while this host had requests at them.
-    pub engines_ended: Counter,
-    /// Requests during which engines crashed since they last completed.
-    pub suspects: Gauge,
-    /// Requests in quarantine because engines crashed during them.
-    pub held_requests: Gauge,
+    /// Engines that ended, and requests in quarantine.
+    pub quarantine: QuarantineMetrics,
     /// Engines with a declared limit.
     pub limited_engines: Gauge,
     /// Requests diverted from the best engine because of its limit.
@@ -343,9 +343,7 @@
             revision: Gauge::default(),
             leases: Gauge::default(),
             engines: Gauge::default(),
-            engines_ended: Counter::default(),
-            suspects: Gauge::default(),
-            held_requests: Gauge::default(),
+            quarantine: QuarantineMetrics::default(),
             limited_engines: Gauge::default(),
             limit_diverted: Counter::default(),
             limit_waited: Counter::default(),
@@ -387,12 +385,7 @@
         registry.register("retries", "Requests sent again", self.retries.clone());
         let help = "Further sends that the retry budget refused";
         registry.register("retries_refused", help, self.retries_refused.clone());
-        let help = "Engines that ended while this host had runs at them";
-        registry.register("engines_ended", help, self.engines_ended.clone());
-        let help = "Requests under which engines ended since they last ran whole";
-        registry.register("suspects", help, self.suspects.clone());
-        let help = "Requests that are held back since engines ended under them";
-        registry.register("held_requests", help, self.held_requests.clone());
+        self.quarantine.register(&mut registry);
         let help = "Engines that have said how many requests a second they take";
         registry.register("limited_engines", help, self.limited_engines.clone());
         let help =
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -305,7 +305,7 @@
         quarantine.evict_expired(now);
         let (suspects, held) = quarantine.counts();
         drop(quarantine);
-        let metrics = &self.shared.metrics;
+        let metrics = &self.shared.metrics.quarantine;
         metrics.suspects.set(i64::try_from(suspects).unwrap_or(i64::MAX));
         metrics.held_requests.set(i64::try_from(held).unwrap_or(i64::MAX));
     }
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -15,7 +15,7 @@
         EngineEntry, EngineName, ServiceName, SoftwareVersion, WeightVersion,
         cold_decision::DecisionCause,
         engine_links::ConnectFailure,
-        quarantine::{InterruptedRun, RequestMark},
+        quarantine::RequestMark,
         routes::{ConfigRevision, RouteEntry},
     },
     organisation::OrganisationEntry,
@@ -25,7 +25,7 @@
 
 use crate::{
     codec::RequestMetadata,
-    engines::EngineResponse,
+    engines::{EngineResponse, end_detection::ObservedRun},
     traffic::{
         TrafficState,
         admission::ServiceOpenGuard,
@@ -139,7 +139,7 @@
     /// Time from the arrival to the last send, in milliseconds.
     pub last_sent_ms: u64,
     /// The current run, reported if its engine terminates.
-    pub current_run: Option<InterruptedRun>,
+    pub current_run: Option<ObservedRun>,
     /// Tokens that the engine had to prefill before this prompt at the last send.
     pub prefill_ahead: u64,
     /// The longest time between two relayed events.
--- a/crates/gateway/src/traffic/quarantine.rs
+++ b/crates/gateway/src/traffic/quarantine.rs
@@ -7,7 +7,10 @@
     health::EngineOutcome, quarantine::InterruptedRun,
 };
 
-use crate::{engines::end_detection::check_after_failure, traffic::exchange::Exchange};
+use crate::{
+    engines::end_detection::{ObservedRun, check_after_failure},
+    traffic::exchange::Exchange,
+};
 
 /// How long a retry waits for the check whether its engine terminated.
 ///
@@ -35,12 +38,21 @@
         if shared.quarantine().record_start(self.mark, now) {
             shared.wake_control.notify_one();
         }
-        self.current_run = Some(InterruptedRun {
+        let run = InterruptedRun {
             mark: self.mark,
             organisation: self.organisation.as_ref().map(|entry| Arc::clone(&entry.name)),
             began: now,
             version: self.published_version(),
-        });
+        };
+        let parts = self.metadata.prompt.shared_parts().iter().map(|part| part.id).collect();
+        self.current_run = Some(ObservedRun { run, parts, has_begun: false });
+    }
+
+    /// Records that the first event of the current run has arrived.
+    pub(super) const fn record_first_event(&mut self) {
+        if let Some(run) = &mut self.current_run {
+            run.has_begun = true;
+        }
     }
 
     /// Records that an engine completed the request, successfully or not.
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -370,6 +370,7 @@
             connection.record_received(self.traffic.now());
             if std::mem::take(&mut awaiting_first_byte) {
                 connection.record_prefill_done();
+                self.record_first_event();
                 let (time, prompt_tokens) =
                     (self.traffic.now().since(sent_at), self.metadata.prompt.tokens());
                 self.traffic.record_prefill_time(
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use reelreel_core::{clock::duration_millis, fleet::quarantine::format_mark};
+use reelreel_core::{
+    clock::duration_millis,
+    fleet::{prompt::format_part, quarantine::format_mark},
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -14,6 +17,9 @@
 /// One in this many requests that were answered in time is logged.
 pub const LOG_SAMPLE_INTERVAL: u64 = 16;
 
+/// Maximum number of prompt parts in a log event.
+const LOGGED_PART_LIMIT: usize = 16;
+
 impl Exchange<'_> {
     /// Records the outcome of the request in the metrics and the event log.
     ///
@@ -37,6 +43,10 @@
             [_, _, ..] => self.software.iter().map(ToString::to_string).collect(),
             _ => Vec::new(),
         };
+        let parts = match outcome {
+            "answered" => &[],
+            _ => self.metadata.prompt.shared_parts(),
+        };
         let answered_in_time = outcome == "answered" && !late && !broken_off;
         let answered_in_time = answered_in_time && resumed.is_none() && joined.is_empty();
         if answered_in_time && !id_hash.is_multiple_of(LOG_SAMPLE_INTERVAL) {
@@ -50,6 +60,7 @@
             organisation: self.organisation.as_ref().map(|entry| entry.name.to_string()),
             fingerprint: None,
             mark: (outcome != "answered").then(|| format_mark(self.mark)),
+            parts: parts.iter().take(LOGGED_PART_LIMIT).map(|part| format_part(part.id)).collect(),
             status: self.status,
             retry_after: self.retry_after.map(duration_millis),
             key: self.metadata.model.as_ref().map(ToString::to_string),
--- a/crates/gateway/tests/host/cut_series.rs
+++ b/crates/gateway/tests/host/cut_series.rs
@@ -123,7 +123,7 @@
     wait_until("all hosts are connected", || {
         fleet.hosts.iter().all(|(host, _)| !host.shared.links.is_isolated())
     });
-    let ended = fleet.hosts_with(|host| count(&host.shared.metrics.engines_ended));
+    let ended = fleet.hosts_with(|host| count(&host.shared.metrics.quarantine.engines_ended));
     assert_eq!(ended, [""; 0], "seed {seed}");
     fleet.measure(&[], "return", RETURN_TIME);
     let began = Instant::now();
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use reelreel_gateway::events::{EventLog, HostEvent, RequestEvent};
+use reelreel_gateway::events::{EventLog, HostEvent, InterruptedPart, RequestEvent};
 use serde_json::Value;
 
 /// Number of lines written: far more than a pipe and the queue hold.
@@ -80,7 +80,13 @@
         HostEvent::EngineEnded {
             engine: engine(),
             runs: 3,
+            begun: 1,
             marks: vec![String::from("0f0f0f0f0f0f0f0f")],
+            parts: vec![InterruptedPart {
+                part: String::from("00000000000000aa"),
+                waiting: 2,
+                begun: 1,
+            }],
         },
         HostEvent::Links {
             state: "connected".into(),
@@ -150,6 +156,7 @@
         organisation: Some(String::from("north")),
         fingerprint: Some(String::from("0badc0de")),
         mark: Some(String::from("0f0f0f0f0f0f0f0f")),
+        parts: vec![String::from("00000000000000aa")],
         status: 200,
         retry_after: Some(1),
         key: Some(String::from("m/a1")),
--- a/crates/gateway/tests/host/isolation.rs
+++ b/crates/gateway/tests/host/isolation.rs
@@ -258,7 +258,10 @@
             links.cut(CutForm::Reset);
         });
         thread::sleep(Duration::from_millis(500));
-        assert_eq!(fleet.hosts_with(|host| count(&host.shared.metrics.engines_ended)), [""; 0]);
+        assert_eq!(
+            fleet.hosts_with(|host| count(&host.shared.metrics.quarantine.engines_ended)),
+            [""; 0]
+        );
         links.repair();
         wait_until("the host is connected", || !host.shared.links.is_isolated());
         for (host, _) in &fleet.hosts {
@@ -369,7 +372,10 @@
             silent.requests_since(repaired_at) > 0
         });
         assert_eq!(fleet.hosts_with(|host| i64::from(host.shared.links.is_isolated())), [""; 0]);
-        assert_eq!(fleet.hosts_with(|host| count(&host.shared.metrics.engines_ended)), [""; 0]);
+        assert_eq!(
+            fleet.hosts_with(|host| count(&host.shared.metrics.quarantine.engines_ended)),
+            [""; 0]
+        );
     }
 }
 
--- a/crates/gateway/tests/host/slow_readers.rs
+++ b/crates/gateway/tests/host/slow_readers.rs
@@ -150,7 +150,7 @@
     drop(slow);
     let text = metrics.encode();
     assert!(text.contains(r#"outcome="client_slow"} 1"#), "{text}");
-    assert_eq!(metrics.engines_ended.get(), 0, "the engine counts as crashed");
+    assert_eq!(metrics.quarantine.engines_ended.get(), 0, "the engine counts as crashed");
 }
 
 /// Guards against whole responses that are buffered without bound for clients that don't read.
