--- a/crates/gateway/tests/host/codec.rs
+++ b/crates/gateway/tests/host/codec.rs
@@ -9,7 +9,7 @@
         EngineEntry, LoadedModel, ModelKey,
         announcement::{Cooldown, Declared, Departure, EngineAnnouncements, RejectionBound},
         limits::limit::RequestLimit,
-        prompt::PromptMetadata,
+        prompt::{PromptMetadata, PromptPart, PromptPartId},
         routes::RouteTable,
     },
     id::{FenceToken, GroupGeneration, StoreEra},
@@ -47,6 +47,11 @@
 /// Names the host to which a test sent the request; forwarded to engines like any client field.
 pub(crate) const ENTRY_HOST: &str = "X-Entered";
 pub(crate) const TOKENS: &str = "X-Tokens";
+/// Hexadecimal ids of the parts of the prompt, separated by commas.
+pub(crate) const PARTS: &str = "X-Parts";
+
+/// Length of each prompt part. Unit: tokens.
+const PART_TOKENS: u32 = 16;
 
 /// The data hall of hosts and engines that state none.
 pub(crate) const HALL: &str = "hall";
@@ -66,7 +71,7 @@
             id: head.fields.text(REQUEST).ok_or(RequestError::MissingId)?.to_owned(),
             deadline: deadline.map(Duration::from_millis),
             model: head.fields.text(MODEL).map(ModelKey::from),
-            prompt: PromptMetadata::default(),
+            prompt: prompt_metadata(&head.fields),
             tokens: head.fields.text(TOKENS).and_then(|text| text.parse().ok()),
             key: PresentedKey::from_values(head.fields.values(KEY)),
             resumed: head.fields.text(RESUME_AFTER).map(|_| ResumedStream {
@@ -125,6 +130,14 @@
     }
 }
 
+/// Returns what a request declares about its prompt.
+pub(crate) fn prompt_metadata(fields: &HeaderFields) -> PromptMetadata {
+    let ids = fields.text(PARTS).unwrap_or_default().split(',');
+    let ids = ids.filter_map(|id| PromptPartId::from_str_radix(id, 16).ok());
+    let parts = ids.map(|id| PromptPart { id, tokens: PART_TOKENS });
+    PromptMetadata { length: 0, parts: parts.collect() }
+}
+
 fn declared<Value>(
     head: &ResponseHead,
     name: &str,
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -8,12 +8,13 @@
     time::{Duration, Instant},
 };
 
+use reelreel_core::fleet::prompt::PromptPartId;
 use reelreel_stand_ins::connection::{ServedConnection, ServedRequest, StoppableServer, serve};
 use serde_json::{Value, json};
 
 use crate::codec::{
     BRITTLE, COOLDOWN, DEADLINE, ENGINE, ENTRY_HOST, LEAVING, LIMIT, MODEL, NOT_RUN, REQUEST,
-    RESUME_AFTER, RUN_BY, VERSION,
+    RESUME_AFTER, RUN_BY, VERSION, prompt_metadata,
 };
 use crate::cut_response::{
     ConnectionEnd, CutResponse, is_first_run, write_cut_response, write_paused_stream,
@@ -84,6 +85,12 @@
     rejected_at: Vec<Instant>,
     /// Request bodies that crash it.
     crashing_bodies: Vec<Vec<u8>>,
+    /// The prompt part that crashes it when it begins to answer.
+    crashing_part: Option<PromptPartId>,
+    /// When requests with that part reached it.
+    crashing_part_arrivals: Vec<Instant>,
+    /// Time until the first event of a stream.
+    prefill_time: Duration,
     /// The announced request limit, and the interval of responses that carry it.
     limit: Option<(String, usize)>,
     /// The version of the weights that it reports for the requests it ran.
@@ -170,6 +177,19 @@
         engine
     }
 
+    /// Makes a crashable engine crash when it begins to answer a request with a prompt part, unless
+    /// that is the prompt's last one; each stream begins after `prefill_time`.
+    pub(crate) fn crash_on_part(&self, part: PromptPartId, prefill_time: Duration) {
+        let mut state = self.lock();
+        state.crashing_part = Some(part);
+        state.prefill_time = prefill_time;
+    }
+
+    /// Returns when requests with the part that crashes it reached it.
+    pub(crate) fn crashing_part_arrivals(&self) -> Vec<Instant> {
+        self.lock().crashing_part_arrivals.clone()
+    }
+
     /// Makes a crashable engine brittle; it announces that in all responses.
     pub(crate) fn make_brittle(&self, brittleness: Brittleness) {
         self.lock().brittle = Some(brittleness);
@@ -447,6 +467,12 @@
         true
     }
 
+    /// Returns whether beginning to answer a request crashes it.
+    fn crashes_on_part(&self, request: &ServedRequest) -> bool {
+        let prompt = prompt_metadata(&request.head.fields);
+        prompt.shared_parts().iter().any(|part| Some(part.id) == self.crashing_part)
+    }
+
     /// Returns whether it closes the connection after the present response.
     fn closes_connection(&self) -> bool {
         self.close_interval > 0 && self.calls.len().is_multiple_of(self.close_interval)
@@ -535,6 +561,10 @@
         server.stop();
         return None;
     }
+    if locked.crashes_on_part(request) {
+        drop(locked);
+        return crash_on_answer(state, name, request, connection);
+    }
     let behaviour = match locked.behaviours.len() {
         0 => EngineBehaviour::Echo,
         1 => locked.behaviours[0],
@@ -602,6 +632,27 @@
     }
 }
 
+/// Begins to answer a request with the part that crashes the engine: it sends the head of a
+/// response, and no event.
+fn crash_on_answer(
+    state: &Mutex<EngineState>,
+    name: &str,
+    request: &ServedRequest,
+    connection: &mut ServedConnection,
+) -> Option<()> {
+    let mut locked = state.lock().unwrap_or_else(PoisonError::into_inner);
+    locked.crashing_part_arrivals.push(Instant::now());
+    locked.runs.push(request.clone());
+    let (server, prefill_time) = (locked.server.clone(), locked.prefill_time);
+    drop(locked);
+    thread::sleep(prefill_time);
+    let id = request.head.fields.text(REQUEST).unwrap_or_default();
+    let head = format!("HTTP/1.1 200 OK\r\n{REQUEST}: {id}\r\n{RUN_BY}: {name}\r\n");
+    let written = connection.write(&format!("{head}Transfer-Encoding: chunked\r\n\r\n"));
+    server.stop();
+    written
+}
+
 /// Cuts the response to the first run of a request, and ends the engine's process if it is to end.
 fn cut_response(
     state: &Mutex<EngineState>,
@@ -639,6 +690,8 @@
     partial_event: Option<&str>,
 ) -> Option<()> {
     let resume_after = request.head.fields.text(RESUME_AFTER).and_then(|after| after.parse().ok());
+    let prefill_time = state.lock().unwrap_or_else(PoisonError::into_inner).prefill_time;
+    thread::sleep(prefill_time);
     connection.write(&format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n"))?;
     for number in resume_after.map_or(0, |after: u32| after + 1)..count {
         let event = format!("id: {number}\ndata: {number}\n\n");
--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -3,6 +3,8 @@
 mod announcements;
 mod recheck_before_send;
 mod cold_requests;
+mod crashable_fleet;
+mod crashing_parts;
 mod configuration;
 mod cut_series;
 mod quarantine;
--- a/crates/gateway/tests/host/quarantine.rs
+++ b/crates/gateway/tests/host/quarantine.rs
@@ -1,133 +1,16 @@
 //! Requests that crash engines: how many engines crash, and whether other requests are affected.
 
 use std::{
-    net::SocketAddr,
     thread,
     time::{Duration, Instant},
 };
 
 use crate::{
-    engine::{EngineBehaviour, StandInEngine},
-    site::{MODEL_NAME, TestHost, TestSite, WAIT_LIMIT, free_address, wait_until},
-    store::StandInStore,
+    crashable_fleet::{CrashableFleet, RESTART_DELAY, fields, is_complete, start_hosts},
+    engine::EngineBehaviour,
+    site::{TestSite, WAIT_LIMIT, wait_until},
 };
 
-/// How long a crashed engine stays down.
-const RESTART_DELAY: Duration = Duration::from_millis(300);
-
-/// Number of events in the stream of a harmless request.
-const STREAM_EVENTS: u32 = 6;
-
-/// Engines that crash on some request bodies and restart at their addresses.
-struct CrashableFleet {
-    store: StandInStore,
-    service: &'static str,
-    loaded_models: &'static [&'static str],
-    crashing_bodies: &'static [&'static str],
-    /// Whether a restarted engine keeps its name.
-    reuses_names: bool,
-    engines: Vec<StandInEngine>,
-    /// When each engine that is down crashed.
-    down_since: Vec<Option<Instant>>,
-    /// When engines crashed, in order.
-    crashes: Vec<Instant>,
-    incarnations: usize,
-    /// The request bodies that reached earlier incarnations.
-    earlier_arrivals: Vec<Vec<u8>>,
-}
-
-impl CrashableFleet {
-    /// Starts `count` engines of a service that crash on each of the `crashing_bodies`.
-    fn start(
-        site: &TestSite,
-        count: usize,
-        service: &'static str,
-        crashing_bodies: &'static [&'static str],
-    ) -> Self {
-        let loaded_models: &[&str] = if service == "assist" { &[MODEL_NAME] } else { &[] };
-        let mut fleet = Self {
-            store: site.store.clone(),
-            service,
-            loaded_models,
-            crashing_bodies,
-            reuses_names: false,
-            engines: Vec::new(),
-            down_since: vec![None; count],
-            crashes: Vec::new(),
-            incarnations: 0,
-            earlier_arrivals: Vec::new(),
-        };
-        for _ in 0..count {
-            let name = format!("mortal-{}", fleet.incarnations + 1);
-            let engine = fleet.start_engine(&name, free_address());
-            fleet.engines.push(engine);
-        }
-        fleet
-    }
-
-    /// Starts an incarnation of an engine.
-    fn start_engine(&mut self, name: &str, address: SocketAddr) -> StandInEngine {
-        self.incarnations += 1;
-        let engine =
-            StandInEngine::start_crashable(name, self.loaded_models, address, self.crashing_bodies);
-        engine.set_incarnation(self.incarnations as u64);
-        engine.set_behaviours(&[EngineBehaviour::Stream(STREAM_EVENTS)]);
-        self.store.put("engines", name, &engine.entry(self.service, false));
-        engine
-    }
-
-    /// Records crashes, and restarts engines that were down for [`RESTART_DELAY`].
-    fn poll(&mut self) {
-        for index in 0..self.engines.len() {
-            let engine = &self.engines[index];
-            match self.down_since[index] {
-                None if engine.has_crashed() => {
-                    let now = Instant::now();
-                    self.crashes.push(now);
-                    self.down_since[index] = Some(now);
-                }
-                Some(crashed_at) if crashed_at.elapsed() >= RESTART_DELAY => {
-                    self.earlier_arrivals
-                        .extend(engine.arrivals().into_iter().map(|request| request.body));
-                    let (mut name, address) = (engine.name.clone(), engine.address);
-                    if !self.reuses_names {
-                        self.store.put("engines", &name, "");
-                        name = format!("mortal-{}", self.incarnations + 1);
-                    }
-                    self.engines[index] = self.start_engine(&name, address);
-                    self.down_since[index] = None;
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// Returns how many requests with this body reached engines.
-    fn arrivals(&self, body: &str) -> usize {
-        let current = self.engines.iter().flat_map(StandInEngine::arrivals);
-        let bodies =
-            current.map(|request| request.body).chain(self.earlier_arrivals.iter().cloned());
-        bodies.filter(|received| received == body.as_bytes()).count()
-    }
-}
-
-/// Returns whether a response is a complete stream.
-fn is_complete(response: &str) -> bool {
-    response.starts_with("HTTP/1.1 200") && response.ends_with("0\r\n\r\n")
-}
-
-fn fields(id: &str) -> String {
-    format!("X-Request: {id}\r\nX-Model: {MODEL_NAME}\r\n")
-}
-
-/// Starts hosts whose engines are all crashable.
-fn start_hosts(site: &TestSite, names: &[&str]) -> Vec<TestHost> {
-    for engine in &site.engines {
-        site.store.put("engines", &engine.name, "");
-    }
-    names.iter().map(|name| site.host(name)).collect()
-}
-
 /// Guards against a request that is sent again and again by different hosts and crashes each engine
 /// that runs it, along with all other streams there.
 #[test]
