test(core): a prompt part that crashes engines is sent on (fails)

Requests that share one part of their prompts, and nothing else that the quarantine knows, crash engine after engine: the quarantine identifies a request by the digest of everything in it, so that crashes never add up.

The test fails on this code.

The second test, of crashes that no part causes, passes: no part is known yet.

--- a/crates/core/tests/quarantine/main.rs
+++ b/crates/core/tests/quarantine/main.rs
@@ -1,6 +1,8 @@
 //! Poison requests, which crash the engines that run them: how many engines crash, how many other requests fail,
 //! and a comparison of strategies.
 
+mod part_simulation;
+mod parts;
 #[path = "../random/mod.rs"]
 mod random;
 mod simulation;
