--- a/crates/core/src/fleet/quarantine/period.rs
+++ b/crates/core/src/fleet/quarantine/period.rs
@@ -1,11 +1,8 @@
-//! How long a request is quarantined.
+//! How long a suspect is quarantined.
 
 use std::time::Duration;
 
-use crate::{
-    clock::ClockMillis,
-    fleet::{WeightVersion, quarantine::suspect::Suspect},
-};
+use crate::clock::ClockMillis;
 
 /// How long a suspect is remembered that is not quarantined, and a quarantined one beyond its quarantine.
 pub(super) const SUSPECT_RETENTION: Duration = Duration::from_mins(10);
@@ -24,6 +21,18 @@
 /// crash.
 const NEW_VERSION_PERIOD: Duration = Duration::from_mins(1);
 
+/// The quarantines of a shared trait after two crashes, three and more. After the fifth crash it is probed three times
+/// within a day.
+const SHARED_TRAIT_PERIODS: [Duration; 7] = [
+    FIRST_PERIOD,
+    SECOND_PERIOD,
+    Duration::from_mins(5),
+    Duration::from_mins(30),
+    Duration::from_hours(2),
+    Duration::from_hours(8),
+    Duration::from_hours(24),
+];
+
 /// Enough doublings to reach the longest quarantine.
 const MAX_DOUBLINGS: usize = 8;
 
@@ -42,6 +51,12 @@
         Some(Self(period.min(MAX_PERIOD)))
     }
 
+    /// Returns the quarantine of a shared trait after this many crashes, consecutive or not.
+    pub(crate) fn of_shared_trait(crashes: usize) -> Self {
+        let last = SHARED_TRAIT_PERIODS.len() - 1;
+        Self(SHARED_TRAIT_PERIODS[crashes.saturating_sub(2).min(last)])
+    }
+
     /// Returns how long the suspect is remembered.
     pub(crate) fn retention(self) -> Duration {
         self.0 * 2 + SUSPECT_RETENTION
@@ -52,17 +67,15 @@
         if is_newer_version { self.0.min(NEW_VERSION_PERIOD) } else { self.0 }
     }
 
-    /// Returns how much of it is left. `version` is the current version of the model; `stagger`, from zero to one,
-    /// spreads the hosts' probes: the last host waits twice as long as the first.
+    /// Returns how much of it is left since the suspect's last crash or probe. `stagger`, from zero to one, spreads the
+    /// hosts' probes: the last host waits twice as long as the first.
     pub(super) fn remaining(
         self,
-        suspect: &Suspect,
-        version: WeightVersion,
+        since: ClockMillis,
+        is_newer_version: bool,
         stagger: f64,
         now: ClockMillis,
     ) -> Duration {
-        self.duration(version > suspect.version)
-            .mul_f64(1.0 + stagger)
-            .saturating_sub(now.since(suspect.last_activity()))
+        self.duration(is_newer_version).mul_f64(1.0 + stagger).saturating_sub(now.since(since))
     }
 }
--- a/crates/core/src/fleet/quarantine/suspect.rs
+++ b/crates/core/src/fleet/quarantine/suspect.rs
@@ -1,72 +1,48 @@
-//! A request that was running at engines when they crashed.
+//! A trait of requests that were running at engines when they crashed.
 
 use std::time::Duration;
 
 use crate::{
     clock::ClockMillis,
-    fleet::quarantine::RequestMark,
     fleet::{
         WeightVersion,
         quarantine::{
-            EngineIncarnationId,
+            RequestTrait, TraitKind,
+            crash_history::{CrashHistory, TraitCrash},
+            period::QuarantinePeriod,
+            recent_successes::SHARED_RETENTION,
             report::{ReportedCrash, SuspectReport},
+            tracker::QuarantineThresholds,
         },
     },
     organisation::OrganisationName,
 };
 
-/// The most crashes that are remembered of one request: enough for the longest quarantine.
-const MAX_CRASHES: usize = 8;
-
-/// The least time that an engine takes to restart. It has to exceed the inaccuracy of reported ages, which is the
-/// transit time of a report.
-const MIN_RESTART_TIME: Duration = Duration::from_millis(200);
-
-/// A crash of an engine while it ran a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct SuspectCrash {
-    /// The incarnation that crashed.
-    pub(super) incarnation: EngineIncarnationId,
-    /// When the request was sent there.
-    pub(super) began: ClockMillis,
-    /// When the engine crashed.
-    pub(super) at: ClockMillis,
-}
-
-impl SuspectCrash {
-    /// Returns whether two hosts report the same crash.
-    ///
-    /// An engine may restart before its new entry is listed: a run that began well after the crash ran in the next
-    /// incarnation, even if its host took it for the earlier one.
-    fn is_same_crash(&self, other: &Self) -> bool {
-        let (first, second) = if self.at <= other.at { (self, other) } else { (other, self) };
-        self.incarnation == other.incarnation && second.began < first.at + MIN_RESTART_TIME
-    }
-}
-
-/// A request that was running at engines when they crashed.
+/// A trait of requests that were running at engines when they crashed.
 #[derive(Debug, Clone)]
 pub(super) struct Suspect {
-    /// The crashes since it last completed, by time.
-    crashes: Vec<SuspectCrash>,
-    /// When it last completed.
+    kind: TraitKind,
+    /// The crashes since it last succeeded.
+    crashes: CrashHistory,
+    /// When it last succeeded.
     cleared_at: Option<ClockMillis>,
     /// When it was last probed after a quarantine.
     pub(super) probed_at: Option<ClockMillis>,
     /// When this host first learned of it.
     first_seen: ClockMillis,
-    /// The newest version of its model at any of the crashes.
+    /// The newest version of the request's model at any of the crashes.
     pub(super) version: WeightVersion,
-    /// The organisation that sends it, if keys identify one.
+    /// The organisation that sends the request, if keys identify one.
     pub(super) organisation: Option<OrganisationName>,
     /// Whether any coordinator has published it to all hosts.
     pub(super) published: bool,
 }
 
 impl Suspect {
-    pub(super) const fn new(now: ClockMillis) -> Self {
+    pub(super) const fn new(kind: TraitKind, now: ClockMillis) -> Self {
         Self {
-            crashes: Vec::new(),
+            kind,
+            crashes: CrashHistory::new(kind),
             cleared_at: None,
             probed_at: None,
             first_seen: now,
@@ -76,53 +52,78 @@
         }
     }
 
-    /// Returns the number of consecutive crashes: each of an engine to which the request was sent after the crash
-    /// before.
-    ///
-    /// Engines that crash together, as in a power failure of a rack, count as one, however many of them ran the
-    /// request.
+    /// Returns the number of consecutive crashes.
     pub(super) fn consecutive_crashes(&self) -> usize {
-        let mut count = 0;
-        let mut last_crash = None;
-        for crash in &self.crashes {
-            if last_crash.is_none_or(|last_crash| crash.began >= last_crash) {
-                count += 1;
-                last_crash = Some(crash.at);
-            }
-        }
-        count
+        self.crashes.consecutive()
     }
 
-    /// Adds a crash; returns whether it was new.
-    pub(super) fn add_crash(&mut self, crash: SuspectCrash) -> bool {
-        if self.crashes.iter().any(|other| other.is_same_crash(&crash))
-            || self.cleared_at.is_some_and(|cleared_at| crash.at <= cleared_at)
-        {
+    /// Returns the number of crashes, consecutive or not.
+    pub(super) fn total_crashes(&self) -> usize {
+        self.crashes.total()
+    }
+
+    /// Returns whether requests with a shared trait succeeded not long before the first crash.
+    ///
+    /// A part that crashes engines never succeeds, whereas one that many requests have succeeds all the time, even if
+    /// the host that combines the reports has not learned of it since.
+    pub(super) fn has_succeeded(&self) -> bool {
+        let (Some(cleared_at), Some(first_crash)) = (self.cleared_at, self.crashes.first_at())
+        else {
             return false;
+        };
+        first_crash.since(cleared_at) < SHARED_RETENTION
+    }
+
+    /// Returns how many consecutive crashes quarantine it.
+    fn threshold(&self, thresholds: &QuarantineThresholds) -> usize {
+        match self.kind {
+            TraitKind::Request => thresholds.request,
+            TraitKind::PromptPart if self.has_succeeded() => thresholds.known_part,
+            TraitKind::PromptPart => thresholds.new_part,
         }
-        let index = self.crashes.partition_point(|other| other.at <= crash.at);
-        self.crashes.insert(index, crash);
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
+    }
+
+    /// Returns how long it is quarantined after its last crash or probe, if it has enough crashes.
+    pub(super) fn period(&self, thresholds: &QuarantineThresholds) -> Option<QuarantinePeriod> {
+        let (crashes, threshold) = (self.consecutive_crashes(), self.threshold(thresholds));
+        match self.kind {
+            TraitKind::Request => QuarantinePeriod::after(crashes, threshold),
+            TraitKind::PromptPart if crashes < threshold => None,
+            TraitKind::PromptPart => Some(QuarantinePeriod::of_shared_trait(self.total_crashes())),
         }
-        true
     }
 
-    /// Returns whether any of the crashes was at `moment` or before.
-    pub(super) fn crashed_before(&self, moment: ClockMillis) -> bool {
-        self.crashes.first().is_some_and(|crash| crash.at <= moment)
+    /// Returns how much of its quarantine is left, if any. `version` is the current version of the request's model;
+    /// `stagger`, from zero to one, spreads the hosts' probes.
+    pub(super) fn quarantine_left(
+        &self,
+        thresholds: &QuarantineThresholds,
+        version: WeightVersion,
+        stagger: f64,
+        now: ClockMillis,
+    ) -> Option<Duration> {
+        let is_newer_version = self.kind == TraitKind::Request && version > self.version;
+        let period = self.period(thresholds)?;
+        let left = period.remaining(self.last_activity(), is_newer_version, stagger, now);
+        Some(left).filter(|left| !left.is_zero())
+    }
+
+    /// Adds a crash; returns whether it was new.
+    pub(super) fn add_crash(&mut self, crash: TraitCrash) -> bool {
+        let is_before_success = self.cleared_at.is_some_and(|cleared_at| crash.at <= cleared_at);
+        !is_before_success && self.crashes.add(crash)
     }
 
-    /// Records that it completed at `at`, and drops the crashes until then.
+    /// Records that it succeeded at `at`, and drops the crashes until then.
     pub(super) fn clear(&mut self, at: ClockMillis) {
         let cleared_at = self.cleared_at.map_or(at, |cleared_at| cleared_at.max(at));
         self.cleared_at = Some(cleared_at);
-        self.crashes.retain(|crash| crash.at > cleared_at);
+        self.crashes.clear_until(cleared_at);
     }
 
     /// Merges another host's report; returns whether anything was new.
     pub(super) fn merge(&mut self, report: &SuspectReport, now: ClockMillis) -> bool {
-        let previous = (self.crashes.len(), self.cleared_at, self.probed_at);
+        let previous = (self.total_crashes(), self.cleared_at, self.probed_at);
         self.version = self.version.max(report.version);
         self.organisation = self.organisation.take().or_else(|| report.organisation.clone());
         if let Some(ago) = report.cleared_ago {
@@ -133,28 +134,33 @@
         }
         let mut added = false;
         for reported in &report.crashes {
-            let (began, at) = (now - reported.began_ago, now - reported.crashed_ago);
-            added |= self.add_crash(SuspectCrash { incarnation: reported.incarnation, began, at });
+            added |= self.add_crash(TraitCrash {
+                incarnation: reported.incarnation,
+                began: now - reported.began_ago,
+                at: now - reported.crashed_ago,
+                requests: reported.requests.clone(),
+            });
         }
-        added || previous != (self.crashes.len(), self.cleared_at, self.probed_at)
+        added || previous != (self.total_crashes(), self.cleared_at, self.probed_at)
     }
 
-    /// Returns the time of its last crash, probe or completion.
+    /// Returns the time of its last crash, probe or success.
     pub(super) fn last_activity(&self) -> ClockMillis {
-        let last_crash = self.crashes.last().map(|crash| crash.at);
+        let last_crash = self.crashes.last_at();
         last_crash.max(self.probed_at).max(self.cleared_at).unwrap_or(self.first_seen)
     }
 
     /// Returns the report on it.
-    pub(super) fn report(&self, mark: RequestMark, now: ClockMillis) -> SuspectReport {
+    pub(super) fn report(&self, suspect: RequestTrait, now: ClockMillis) -> SuspectReport {
         let ago = |moment: ClockMillis| -> Duration { now.since(moment) };
-        let reported = |crash: &SuspectCrash| ReportedCrash {
+        let reported = |crash: &TraitCrash| ReportedCrash {
             incarnation: crash.incarnation,
             began_ago: ago(crash.began),
             crashed_ago: ago(crash.at),
+            requests: crash.requests.clone(),
         };
         SuspectReport {
-            mark,
+            suspect,
             organisation: self.organisation.clone(),
             version: self.version,
             crashes: self.crashes.iter().map(reported).collect(),
--- a/crates/core/src/fleet/quarantine/tracker.rs
+++ b/crates/core/src/fleet/quarantine/tracker.rs
@@ -12,11 +12,12 @@
     fleet::{
         WeightVersion,
         quarantine::{
-            EngineIncarnationId, RequestMark,
-            completed_runs::CompletedRuns,
+            EngineIncarnationId, RequestTrait, RequestTraits, TraitKind, TraitMark,
+            crash_history::{TraitCrash, sampled_request},
             period::{QuarantinePeriod, SUSPECT_RETENTION},
+            recent_successes::RecentSuccesses,
             report::SuspectReport,
-            suspect::{Suspect, SuspectCrash},
+            suspect::Suspect,
         },
     },
     organisation::OrganisationName,
@@ -27,6 +28,23 @@
 /// (median of nine simulated storms of three poison requests at twelve engines).
 pub const CRASHES_UNTIL_QUARANTINED: usize = 2;
 
+/// How many consecutive crashes quarantine a trait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuarantineThresholds {
+    /// Of a request.
+    pub request: usize,
+    /// Of a prompt part that no answer is known to have begun with.
+    pub new_part: usize,
+    /// Of a prompt part that answers began with not long before the first crash.
+    pub known_part: usize,
+}
+
+impl Default for QuarantineThresholds {
+    fn default() -> Self {
+        Self { request: CRASHES_UNTIL_QUARANTINED, new_part: 2, known_part: 4 }
+    }
+}
+
 /// How many crashes it takes until a suspect is published to all hosts. Below that only the coordinator needs the
 /// reports: every request that ran at a crashed engine has one crash.
 const CRASHES_UNTIL_PUBLISHED: usize = 2;
@@ -42,111 +60,146 @@
 /// What happened to a suspect, for logs and metrics.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuarantineEvent {
-    /// The request is quarantined.
+    /// Requests with the trait are quarantined.
     Quarantined {
-        /// The request.
-        mark: RequestMark,
-        /// The organisation that sends it, if keys identify one.
+        /// The trait.
+        suspect: RequestTrait,
+        /// The organisation that sends the request, if keys identify one; `None` for other traits.
         organisation: Option<OrganisationName>,
-        /// The number of consecutive crashes that this host knows.
+        /// The number of crashes that this host knows.
         crashes: usize,
         /// How long it is quarantined.
         duration: Duration,
     },
-    /// A completed run cleared a quarantined request.
+    /// A success cleared a quarantined trait.
     Cleared {
-        /// The request.
-        mark: RequestMark,
+        /// The trait.
+        suspect: RequestTrait,
     },
 }
 
 /// A run that its engine's crash interrupted.
 #[derive(Debug, Clone)]
 pub struct InterruptedRun {
-    /// The request.
-    pub mark: RequestMark,
+    /// The traits of the request.
+    pub traits: RequestTraits,
     /// The organisation that sent it, if keys identify one.
     pub organisation: Option<OrganisationName>,
     /// When it was sent.
     pub began: ClockMillis,
     /// The version of its model at that time.
     pub version: WeightVersion,
+    /// Whether the answer had begun, which clears the prompt's parts.
+    pub has_answered: bool,
+}
+
+/// The trait for which a request is quarantined.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuarantinedTrait {
+    /// The trait.
+    pub suspect: RequestTrait,
+    /// How long the quarantine remains.
+    pub left: Duration,
 }
 
 /// One host's suspects.
 #[derive(Debug)]
 pub struct QuarantineTracker {
-    crashes_until_quarantined: usize,
+    thresholds: QuarantineThresholds,
     /// The hash of the host's name, which staggers the probes.
     host_seed: u64,
-    suspects: HashMap<RequestMark, Suspect>,
-    /// The requests that completed at this host recently.
-    completed_runs: CompletedRuns,
+    suspects: HashMap<RequestTrait, Suspect>,
+    /// The traits that succeeded at this host recently.
+    recent_successes: RecentSuccesses,
     /// Suspects that the coordinator has not received yet.
-    pending: BTreeSet<RequestMark>,
+    pending: BTreeSet<RequestTrait>,
     /// Suspects that have not been published yet, where this host is the coordinator.
-    unpublished: BTreeSet<RequestMark>,
+    unpublished: BTreeSet<RequestTrait>,
     events: Vec<QuarantineEvent>,
 }
 
 impl QuarantineTracker {
-    /// Creates a tracker without suspects; `crashes_until_quarantined` is the threshold of consecutive crashes.
-    pub fn new(host: &str, crashes_until_quarantined: usize) -> Self {
+    /// Creates a tracker without suspects.
+    pub fn new(host: &str, thresholds: QuarantineThresholds) -> Self {
         Self {
-            crashes_until_quarantined,
+            thresholds,
             host_seed: xxh3_64(host.as_bytes()),
             suspects: HashMap::new(),
-            completed_runs: CompletedRuns::default(),
+            recent_successes: RecentSuccesses::default(),
             pending: BTreeSet::new(),
             unpublished: BTreeSet::new(),
             events: Vec::new(),
         }
     }
 
-    /// Returns how long a request remains quarantined, if it is; `version` is the current version of its model.
+    /// Returns the trait for which a request is quarantined longest, if any; `version` is the current version of its
+    /// model.
     pub fn quarantine_left(
         &self,
-        mark: RequestMark,
+        traits: &RequestTraits,
         version: WeightVersion,
         now: ClockMillis,
-    ) -> Option<Duration> {
-        let suspect = self.suspects.get(&mark)?;
-        let remaining =
-            self.period(suspect)?.remaining(suspect, version, self.probe_stagger(mark), now);
-        Some(remaining).filter(|remaining| !remaining.is_zero())
+    ) -> Option<QuarantinedTrait> {
+        let quarantined = traits.all().filter_map(|suspect| {
+            let stagger = self.probe_stagger(suspect.mark);
+            let known = self.suspects.get(&suspect)?;
+            let left = known.quarantine_left(&self.thresholds, version, stagger, now)?;
+            Some(QuarantinedTrait { suspect, left })
+        });
+        quarantined.max_by_key(|quarantined| quarantined.left)
     }
 
     /// Returns the host's place in the order of probes, from zero to one. Hosts probe one after the other, so that
     /// the first can report the outcome.
-    fn probe_stagger(&self, mark: RequestMark) -> f64 {
+    fn probe_stagger(&self, mark: TraitMark) -> f64 {
         let hash = xxh3_64_with_seed(&mark.to_le_bytes(), self.host_seed);
         hash as f64 / u64::MAX as f64
     }
 
-    /// Returns whether engines crashed under a request since it last completed.
-    pub fn is_suspect(&self, mark: RequestMark) -> bool {
-        self.suspects.get(&mark).is_some_and(|suspect| suspect.consecutive_crashes() > 0)
+    /// Returns whether a request may crash its engine: engines crashed under it since it last completed, or under a
+    /// part of its prompt that no answer is known to have begun with.
+    pub fn is_suspect(&self, traits: &RequestTraits) -> bool {
+        traits.all().any(|suspect| {
+            self.suspects.get(&suspect).is_some_and(|known| {
+                let is_shared = suspect.kind != TraitKind::Request;
+                known.consecutive_crashes() > 0 && !(is_shared && known.has_succeeded())
+            })
+        })
     }
 
-    /// Records that a request is sent to an engine; returns whether this probes a request after its quarantine,
-    /// which the other hosts have to learn.
-    pub fn record_start(&mut self, mark: RequestMark, now: ClockMillis) -> bool {
-        let threshold = self.crashes_until_quarantined;
-        let suspect = self
-            .suspects
-            .get_mut(&mark)
-            .filter(|suspect| suspect.consecutive_crashes() >= threshold);
-        let Some(suspect) = suspect else { return false };
-        suspect.probed_at = Some(now);
-        self.pending.insert(mark);
-        true
+    /// Records that a request is sent to an engine; returns whether this probes a trait after its quarantine, which
+    /// the other hosts have to learn.
+    pub fn record_start(&mut self, traits: &RequestTraits, now: ClockMillis) -> bool {
+        let mut is_probe = false;
+        for suspect in traits.all() {
+            let known = self.suspects.get_mut(&suspect);
+            let probed = known.filter(|known| known.period(&self.thresholds).is_some());
+            let Some(known) = probed else { continue };
+            known.probed_at = Some(now);
+            self.pending.insert(suspect);
+            is_probe = true;
+        }
+        is_probe
+    }
+
+    /// Records that the answer to a request began, which clears the parts of its prompt of earlier crashes.
+    pub fn record_first_event(&mut self, traits: &RequestTraits, now: ClockMillis) {
+        for shared in traits.shared() {
+            self.record_success(shared, now);
+        }
+    }
+
+    /// Records that an engine ran a request to its end and is alive, which clears all its traits of earlier crashes.
+    pub fn record_completion(&mut self, traits: &RequestTraits, now: ClockMillis) {
+        for succeeded in traits.all() {
+            self.record_success(succeeded, now);
+        }
     }
 
-    /// Records that an engine ran a request to its end and is alive, which clears the request of earlier crashes.
-    pub fn record_completion(&mut self, mark: RequestMark, now: ClockMillis) {
-        self.completed_runs.record(mark, now);
-        if self.is_suspect(mark) {
-            self.clear(mark, now);
+    fn record_success(&mut self, succeeded: RequestTrait, now: ClockMillis) {
+        self.recent_successes.record(succeeded, now);
+        if self.crash_count(succeeded) > 0 {
+            self.clear(succeeded, now);
         }
     }
 
@@ -158,34 +211,60 @@
         now: ClockMillis,
     ) {
         for run in runs {
-            let crash = SuspectCrash { incarnation, began: run.began, at: now };
-            let previous_crashes = self.crash_count(run.mark);
-            let suspect = self.suspects.entry(run.mark).or_insert_with(|| Suspect::new(now));
-            suspect.version = suspect.version.max(run.version);
-            suspect.organisation = suspect.organisation.take().or_else(|| run.organisation.clone());
-            if suspect.add_crash(crash) {
-                self.pending.insert(run.mark);
-                self.update_quarantine(run.mark, previous_crashes, now);
+            self.add_crash(run.traits.request(), incarnation, run, now);
+            if !run.has_answered {
+                for shared in run.traits.shared() {
+                    self.add_crash(shared, incarnation, run, now);
+                }
             }
         }
         self.evict_excess();
     }
 
+    fn add_crash(
+        &mut self,
+        suspect: RequestTrait,
+        incarnation: EngineIncarnationId,
+        run: &InterruptedRun,
+        now: ClockMillis,
+    ) {
+        let previous_crashes = self.crash_count(suspect);
+        let last_success = self.recent_successes.last(suspect);
+        let is_request = suspect.kind == TraitKind::Request;
+        let known = self.suspects.entry(suspect).or_insert_with(|| Suspect::new(suspect.kind, now));
+        let mut requests = Vec::new();
+        if is_request {
+            known.version = known.version.max(run.version);
+            known.organisation = known.organisation.take().or_else(|| run.organisation.clone());
+        } else {
+            requests.push(sampled_request(run.traits.request_mark()));
+            if let Some(last_success) = last_success {
+                known.clear(last_success);
+            }
+        }
+        let crash = TraitCrash { incarnation, began: run.began, at: now, requests };
+        if known.add_crash(crash) {
+            self.pending.insert(suspect);
+            self.update_quarantine(suspect, previous_crashes, now);
+        }
+    }
+
     /// Merges another host's reports; `is_coordinator` is whether this host publishes them.
     pub fn receive(&mut self, reports: &[SuspectReport], is_coordinator: bool, now: ClockMillis) {
         for report in reports {
-            let previous_crashes = self.crash_count(report.mark);
-            let suspect = self.suspects.entry(report.mark).or_insert_with(|| Suspect::new(now));
-            let changed = suspect.merge(report, now);
-            if suspect.consecutive_crashes() == 0
-                && previous_crashes >= self.crashes_until_quarantined
-            {
-                self.events.push(QuarantineEvent::Cleared { mark: report.mark });
+            let suspect = report.suspect;
+            let previous_crashes = self.crash_count(suspect);
+            let was_quarantined = self.has_enough_crashes(suspect);
+            let known =
+                self.suspects.entry(suspect).or_insert_with(|| Suspect::new(suspect.kind, now));
+            let changed = known.merge(report, now);
+            self.apply_own_success(suspect);
+            if was_quarantined && !self.has_enough_crashes(suspect) {
+                self.events.push(QuarantineEvent::Cleared { suspect });
             }
-            self.clear_by_local_run(report.mark);
-            self.update_quarantine(report.mark, previous_crashes, now);
+            self.update_quarantine(suspect, previous_crashes, now);
             if changed && is_coordinator {
-                self.unpublished.insert(report.mark);
+                self.unpublished.insert(suspect);
             }
         }
         self.evict_excess();
@@ -193,20 +272,19 @@
 
     /// Returns the reports that the coordinator has to receive.
     pub fn take_pending(&mut self, now: ClockMillis) -> Vec<SuspectReport> {
-        let marks = take_for_frame(&mut self.pending);
-        self.reports(&marks, now)
+        let suspects = take_for_frame(&mut self.pending);
+        self.reports(&suspects, now)
     }
 
     /// Marks reports that could not be sent as pending again.
     pub fn resend(&mut self, reports: &[SuspectReport]) {
-        self.pending.extend(reports.iter().map(|report| report.mark));
+        self.pending.extend(reports.iter().map(|report| report.suspect));
     }
 
     /// Marks everything as pending for another coordinator.
     pub fn resend_all(&mut self) {
-        let reportable =
-            self.suspects.iter().filter(|(_, suspect)| suspect.consecutive_crashes() > 0);
-        self.pending.extend(reportable.map(|(mark, _)| *mark));
+        let reportable = self.suspects.iter().filter(|(_, known)| known.total_crashes() > 0);
+        self.pending.extend(reportable.map(|(suspect, _)| *suspect));
     }
 
     /// Queues this host's own pending reports for publication, on the coordinator.
@@ -216,26 +294,28 @@
 
     /// Returns the reports to publish: suspects with enough crashes, and those published before.
     pub fn take_unpublished(&mut self, now: ClockMillis) -> Vec<SuspectReport> {
-        let mut marks = take_for_frame(&mut self.unpublished);
-        marks.retain(|mark| self.suspects.get(mark).is_some_and(|suspect| suspect.published));
-        self.reports(&marks, now)
+        let mut suspects = take_for_frame(&mut self.unpublished);
+        suspects.retain(|suspect| self.suspects.get(suspect).is_some_and(|known| known.published));
+        self.reports(&suspects, now)
     }
 
     /// Returns the reports for a new subscriber.
     pub fn snapshot(&self, now: ClockMillis) -> Vec<SuspectReport> {
-        let mut marks: Vec<RequestMark> = self.suspects.keys().copied().collect();
-        marks.retain(|mark| self.crash_count(*mark) >= CRASHES_UNTIL_PUBLISHED);
-        marks.sort_by_key(|mark| std::cmp::Reverse(self.crash_count(*mark)));
-        marks.truncate(MAX_REPORTS_PER_FRAME);
-        self.reports(&marks, now)
+        let mut suspects: Vec<RequestTrait> = self.suspects.keys().copied().collect();
+        suspects.retain(|suspect| self.crash_count(*suspect) >= CRASHES_UNTIL_PUBLISHED);
+        // Shared traits come first, since they concern the most requests.
+        suspects
+            .sort_by_key(|suspect| std::cmp::Reverse((suspect.kind, self.crash_count(*suspect))));
+        suspects.truncate(MAX_REPORTS_PER_FRAME);
+        self.reports(&suspects, now)
     }
 
     /// Drops suspects whose retention is over.
     pub fn evict_expired(&mut self, now: ClockMillis) {
-        let threshold = self.crashes_until_quarantined;
-        self.suspects.retain(|_, suspect| {
-            let period = QuarantinePeriod::after(suspect.consecutive_crashes(), threshold);
-            now.since(suspect.last_activity())
+        let thresholds = self.thresholds;
+        self.suspects.retain(|_, known| {
+            let period = known.period(&thresholds);
+            now.since(known.last_activity())
                 < period.map_or(SUSPECT_RETENTION, QuarantinePeriod::retention)
         });
     }
@@ -247,67 +327,69 @@
 
     /// Returns the number of suspects, and how many of them are quarantined.
     pub fn counts(&self) -> (usize, usize) {
-        let crashes = self.suspects.values().map(Suspect::consecutive_crashes);
-        let suspects = crashes.clone().filter(|crashes| *crashes > 0).count();
-        (suspects, crashes.filter(|crashes| *crashes >= self.crashes_until_quarantined).count())
+        let suspects = self.suspects.values().filter(|known| known.total_crashes() > 0);
+        let quarantined = suspects.clone().filter(|known| known.period(&self.thresholds).is_some());
+        (suspects.count(), quarantined.count())
     }
 
-    fn crash_count(&self, mark: RequestMark) -> usize {
-        self.suspects.get(&mark).map_or(0, Suspect::consecutive_crashes)
+    fn crash_count(&self, suspect: RequestTrait) -> usize {
+        self.suspects.get(&suspect).map_or(0, Suspect::consecutive_crashes)
     }
 
-    fn period(&self, suspect: &Suspect) -> Option<QuarantinePeriod> {
-        QuarantinePeriod::after(suspect.consecutive_crashes(), self.crashes_until_quarantined)
+    fn has_enough_crashes(&self, suspect: RequestTrait) -> bool {
+        self.suspects.get(&suspect).is_some_and(|known| known.period(&self.thresholds).is_some())
     }
 
-    /// Clears a request that completed at `at`, and marks it as pending.
-    fn clear(&mut self, mark: RequestMark, at: ClockMillis) {
-        let previous_crashes = self.crash_count(mark);
-        let Some(suspect) = self.suspects.get_mut(&mark) else { return };
-        suspect.clear(at);
-        self.pending.insert(mark);
-        if previous_crashes >= self.crashes_until_quarantined
-            && suspect.consecutive_crashes() < self.crashes_until_quarantined
-        {
-            self.events.push(QuarantineEvent::Cleared { mark });
+    /// Clears a trait that succeeded at `at`, and marks it as pending.
+    fn clear(&mut self, suspect: RequestTrait, at: ClockMillis) {
+        let was_quarantined = self.has_enough_crashes(suspect);
+        let Some(known) = self.suspects.get_mut(&suspect) else { return };
+        known.clear(at);
+        self.pending.insert(suspect);
+        if was_quarantined && !self.has_enough_crashes(suspect) {
+            self.events.push(QuarantineEvent::Cleared { suspect });
         }
     }
 
-    /// Clears a request that completed here before this host learned of its crashes.
-    fn clear_by_local_run(&mut self, mark: RequestMark) {
-        let Some(at) = self.completed_runs.last_completed(mark) else { return };
-        let crashed_before =
-            self.suspects.get(&mark).is_some_and(|suspect| suspect.crashed_before(at));
-        if crashed_before {
-            self.clear(mark, at);
+    /// Clears a trait that succeeded here before this host learned of its crashes.
+    fn apply_own_success(&mut self, suspect: RequestTrait) {
+        let Some(at) = self.recent_successes.last(suspect) else { return };
+        let Some(known) = self.suspects.get_mut(&suspect) else { return };
+        let previous = (known.total_crashes(), known.has_succeeded());
+        known.clear(at);
+        if previous != (known.total_crashes(), known.has_succeeded()) {
+            self.pending.insert(suspect);
         }
     }
 
     /// Updates a suspect that had `previous_crashes` before, and logs its quarantine.
-    fn update_quarantine(&mut self, mark: RequestMark, previous_crashes: usize, now: ClockMillis) {
-        let Some(suspect) = self.suspects.get_mut(&mark) else { return };
-        let crashes = suspect.consecutive_crashes();
-        // A later coordinator has to publish that the request is cleared, since all hosts know of the crashes.
-        suspect.published |= crashes >= CRASHES_UNTIL_PUBLISHED;
-        let Some(suspect) = self.suspects.get(&mark) else { return };
+    fn update_quarantine(
+        &mut self,
+        suspect: RequestTrait,
+        previous_crashes: usize,
+        now: ClockMillis,
+    ) {
+        let stagger = self.probe_stagger(suspect.mark);
+        let Some(known) = self.suspects.get_mut(&suspect) else { return };
+        let crashes = known.consecutive_crashes();
+        // A later coordinator has to publish that the trait is cleared, since all hosts know of the crashes.
+        known.published |= crashes >= CRASHES_UNTIL_PUBLISHED;
         if crashes > previous_crashes
-            && let Some(period) = self.period(suspect)
+            && let Some(period) = known.period(&self.thresholds)
         {
-            let organisation = suspect.organisation.clone();
-            let duration =
-                period.remaining(suspect, suspect.version, self.probe_stagger(mark), now);
             self.events.push(QuarantineEvent::Quarantined {
-                mark,
-                organisation,
-                crashes,
-                duration,
+                suspect,
+                organisation: known.organisation.clone(),
+                crashes: known.total_crashes(),
+                duration: period.remaining(known.last_activity(), false, stagger, now),
             });
         }
     }
 
-    fn reports(&self, marks: &[RequestMark], now: ClockMillis) -> Vec<SuspectReport> {
-        let reportable = marks.iter().filter_map(|mark| Some((*mark, self.suspects.get(mark)?)));
-        reportable.map(|(mark, suspect)| suspect.report(mark, now)).collect()
+    fn reports(&self, suspects: &[RequestTrait], now: ClockMillis) -> Vec<SuspectReport> {
+        let reportable =
+            suspects.iter().filter_map(|suspect| Some((*suspect, self.suspects.get(suspect)?)));
+        reportable.map(|(suspect, known)| known.report(suspect, now)).collect()
     }
 
     /// Enforces the bound on suspects: drops those with the fewest crashes first, of these the oldest, so that a
@@ -317,24 +399,25 @@
         if excess == 0 {
             return;
         }
-        let rank_of = |(mark, suspect): (&RequestMark, &Suspect)| {
-            (suspect.consecutive_crashes(), suspect.last_activity(), *mark)
+        let rank_of = |(suspect, known): (&RequestTrait, &Suspect)| {
+            (known.consecutive_crashes(), known.last_activity(), *suspect)
         };
         let mut ranked: Vec<_> = self.suspects.iter().map(rank_of).collect();
         ranked.sort_unstable();
-        for (_, _, mark) in ranked.iter().take(excess) {
-            self.suspects.remove(mark);
-            self.pending.remove(mark);
-            self.unpublished.remove(mark);
+        for (_, _, suspect) in ranked.iter().take(excess) {
+            self.suspects.remove(suspect);
+            self.pending.remove(suspect);
+            self.unpublished.remove(suspect);
         }
     }
 }
 
-/// Takes the marks for one frame.
-fn take_for_frame(marks: &mut BTreeSet<RequestMark>) -> Vec<RequestMark> {
-    let taken: Vec<RequestMark> = marks.iter().copied().take(MAX_REPORTS_PER_FRAME).collect();
-    for mark in &taken {
-        marks.remove(mark);
+/// Takes the suspects for one frame: shared traits first, since they concern the most requests.
+fn take_for_frame(suspects: &mut BTreeSet<RequestTrait>) -> Vec<RequestTrait> {
+    let taken: Vec<RequestTrait> =
+        suspects.iter().rev().copied().take(MAX_REPORTS_PER_FRAME).collect();
+    for suspect in &taken {
+        suspects.remove(suspect);
     }
     taken
 }
--- a/crates/core/tests/quarantine/part_simulation.rs
+++ b/crates/core/tests/quarantine/part_simulation.rs
@@ -6,9 +6,10 @@
 
 use reelreel_core::{
     ClockMillis,
+    fleet::prompt::{PromptMetadata, PromptPart},
     fleet::quarantine::{
-        CRASHES_UNTIL_QUARANTINED, InterruptedRun, QuarantineTracker, RequestMark, SuspectReport,
-        engine_incarnation_id,
+        InterruptedRun, QuarantineThresholds, QuarantineTracker, QuarantinedTrait, RequestMark,
+        RequestTraits, SuspectReport, TraitKind, engine_incarnation_id,
     },
 };
 
@@ -128,13 +129,14 @@
 }
 
 struct Request {
-    mark: RequestMark,
+    traits: RequestTraits,
     parts: Vec<u64>,
     host: usize,
     arrived: u64,
     attempts: u32,
     has_begun: bool,
     is_rejected: bool,
+    is_rejected_for_part: bool,
 }
 
 impl Request {
@@ -194,10 +196,18 @@
     ClockMillis::from_millis(1_000_000 + millis)
 }
 
+fn traits(mark: RequestMark, parts: &[u64]) -> RequestTraits {
+    let parts = parts.iter().map(|id| PromptPart { id: *id, tokens: 100 }).collect();
+    RequestTraits::new(mark, "service", &PromptMetadata { length: 0, parts })
+}
+
 /// Runs a simulation.
-pub(crate) fn simulate_parts(load: &PartLoad, seed: u64) -> PartOutcome {
-    let new_tracker =
-        |host: usize| QuarantineTracker::new(&format!("host-{host}"), CRASHES_UNTIL_QUARANTINED);
+pub(crate) fn simulate_parts(
+    load: &PartLoad,
+    thresholds: QuarantineThresholds,
+    seed: u64,
+) -> PartOutcome {
+    let new_tracker = |host: usize| QuarantineTracker::new(&format!("host-{host}"), thresholds);
     let new_engine = |_| Engine { life: 0, down_until: 0, runs: Vec::new() };
     let mut simulation = PartSimulation {
         load,
@@ -287,13 +297,14 @@
         parts.push(u64::MAX - number as u64);
         let host = self.living_host();
         self.requests.push(Request {
-            mark: 1_000_000 + number as RequestMark,
+            traits: traits(1_000_000 + number as RequestMark, &parts),
             parts,
             host,
             arrived: now,
             attempts: 0,
             has_begun: false,
             is_rejected: false,
+            is_rejected_for_part: false,
         });
         self.waiting.push((now, number));
     }
@@ -314,8 +325,10 @@
         if self.is_host_killed[host] || now >= request.arrived + REQUEST_TIMEOUT_MS {
             return;
         }
-        if self.is_quarantined(number, now) {
+        if let Some(quarantined) = self.quarantined(number, now) {
+            let is_part = quarantined.suspect.kind == TraitKind::PromptPart;
             self.requests[number].is_rejected = true;
+            self.requests[number].is_rejected_for_part = is_part;
             return;
         }
         let running: Vec<usize> = (0..self.engines.len())
@@ -355,6 +368,7 @@
                     let until = now + STEP_MS + self.below(MAX_ANSWER_MS) as u64;
                     self.engines[engine].runs[index].state = RunState::Answering { until };
                     self.requests[number].has_begun = true;
+                    self.record_first_event(number, now);
                 }
                 RunState::Answering { until } if until <= now => {
                     self.record_completion(number, now);
@@ -506,29 +520,37 @@
         }
     }
 
-    fn is_quarantined(&self, number: usize, now: u64) -> bool {
+    fn quarantined(&self, number: usize, now: u64) -> Option<QuarantinedTrait> {
         let request = &self.requests[number];
-        self.trackers[request.host].quarantine_left(request.mark, 0, at(now)).is_some()
+        self.trackers[request.host].quarantine_left(&request.traits, 0, at(now))
     }
 
     fn record_start(&mut self, number: usize, now: u64) {
         let request = &self.requests[number];
-        let _ = self.trackers[request.host].record_start(request.mark, at(now));
+        let _ = self.trackers[request.host].record_start(&request.traits, at(now));
+    }
+
+    fn record_first_event(&mut self, number: usize, now: u64) {
+        let request = &self.requests[number];
+        if !self.is_host_killed[request.host] {
+            self.trackers[request.host].record_first_event(&request.traits, at(now));
+        }
     }
 
     fn record_completion(&mut self, number: usize, now: u64) {
         let request = &self.requests[number];
         if !self.is_host_killed[request.host] {
-            self.trackers[request.host].record_completion(request.mark, at(now));
+            self.trackers[request.host].record_completion(&request.traits, at(now));
         }
     }
 
     fn record_crash(&mut self, detection: &Detection, now: u64) {
         let interrupted = |run: &Run| InterruptedRun {
-            mark: self.requests[run.request].mark,
+            traits: self.requests[run.request].traits.clone(),
             organisation: None,
             began: at(run.sent_at),
             version: 0,
+            has_answered: matches!(run.state, RunState::Answering { .. }),
         };
         let runs: Vec<InterruptedRun> = detection.runs.iter().map(interrupted).collect();
         let incarnation = engine_incarnation_id(&detection.incarnation, 0);
@@ -544,6 +566,7 @@
         // Requests of the last moments may begin after the end.
         let end = DURATION_MS - REQUEST_TIMEOUT_MS;
         let rejected = |request: &&Request| !request.is_poison() && request.is_rejected;
+        let for_part = |request: &&Request| rejected(request) && request.is_rejected_for_part;
         PartOutcome {
             crashes: self.crashed_at.len(),
             late_runs: self.poison_runs.iter().filter(is_late).count(),
@@ -551,7 +574,7 @@
             begun_during: self.begun(first, recovered_at),
             begun_after: self.begun(recovered_at, end),
             rejected: self.requests.iter().filter(rejected).count(),
-            rejected_for_parts: 0,
+            rejected_for_parts: self.requests.iter().filter(for_part).count(),
             reports: self.reports,
         }
     }
--- a/crates/core/tests/quarantine/parts.rs
+++ b/crates/core/tests/quarantine/parts.rs
@@ -1,5 +1,7 @@
 //! Parts of prompts that crash the engines that begin to answer them.
 
+use reelreel_core::fleet::quarantine::QuarantineThresholds;
+
 use crate::part_simulation::{Coordination, EngineFaults, PartLoad, PartOutcome, simulate_parts};
 
 const SEEDS: [u64; 5] = [0x61, 0x62, 0x63, 0x64, 0x65];
@@ -147,7 +149,12 @@
     );
     let results: Vec<Vec<PartOutcome>> = POISON_LOADS
         .iter()
-        .map(|load| SEEDS.iter().map(|seed| simulate_parts(load, *seed)).collect())
+        .map(|load| {
+            SEEDS
+                .iter()
+                .map(|seed| simulate_parts(load, QuarantineThresholds::default(), *seed))
+                .collect()
+        })
         .collect();
     for (load, outcomes) in POISON_LOADS.iter().zip(&results) {
         print_figures(load, outcomes);
@@ -166,7 +173,8 @@
 #[test]
 fn parts_are_not_blamed_for_other_crashes() {
     for load in CRASH_ONLY_LOADS {
-        let outcomes = SEEDS.map(|seed| simulate_parts(load, seed));
+        let outcomes =
+            SEEDS.map(|seed| simulate_parts(load, QuarantineThresholds::default(), seed));
         print_figures(load, &outcomes);
         for (seed, outcome) in SEEDS.iter().zip(&outcomes) {
             assert_eq!(outcome.rejected_for_parts, 0, "{}, seed {seed:x}: {outcome:?}", load.name);
--- a/crates/core/tests/quarantine/simulation.rs
+++ b/crates/core/tests/quarantine/simulation.rs
@@ -4,9 +4,10 @@
 
 use reelreel_core::{
     ClockMillis,
+    fleet::prompt::PromptMetadata,
     fleet::quarantine::{
-        EngineIncarnationId, InterruptedRun, QuarantineTracker, RequestMark, SuspectReport,
-        engine_incarnation_id,
+        EngineIncarnationId, InterruptedRun, QuarantineThresholds, QuarantineTracker, RequestMark,
+        RequestTraits, SuspectReport, engine_incarnation_id,
     },
 };
 
@@ -143,11 +144,18 @@
     ClockMillis::from_millis(1_000_000 + millis)
 }
 
+/// Returns the traits of a request without a prompt.
+fn traits(mark: RequestMark) -> RequestTraits {
+    RequestTraits::new(mark, "service", &PromptMetadata::default())
+}
+
 /// Runs a simulation.
 pub(crate) fn simulate(workload: &Workload, strategy: &QuarantineStrategy, seed: u64) -> Outcome {
     let trackers = (0..workload.hosts)
         .map(|host| {
-            QuarantineTracker::new(&format!("host-{host}"), strategy.crashes_until_quarantined)
+            let request = strategy.crashes_until_quarantined;
+            let thresholds = QuarantineThresholds { request, ..QuarantineThresholds::default() };
+            QuarantineTracker::new(&format!("host-{host}"), thresholds)
         })
         .collect();
     let engines = (0..workload.engines).map(|_| Engine { incarnation: 0, down_until: 0 }).collect();
@@ -237,7 +245,8 @@
     }
 
     fn arrive(&mut self, arrival: &Arrival, now: u64) {
-        let quarantined = self.trackers[arrival.host].quarantine_left(arrival.mark, 0, at(now));
+        let quarantined =
+            self.trackers[arrival.host].quarantine_left(&traits(arrival.mark), 0, at(now));
         if quarantined.is_some() && self.strategy.sharing != Sharing::Disabled {
             self.refuse(arrival);
         } else {
@@ -277,7 +286,7 @@
             self.late_runs[request] +=
                 u32::from(third_crash.is_some_and(|third_crash| now > third_crash + 3000));
         }
-        let _ = self.trackers[arrival.host].record_start(arrival.mark, at(now));
+        let _ = self.trackers[arrival.host].record_start(&traits(arrival.mark), at(now));
         self.runs.push(Run {
             mark: arrival.mark,
             host: arrival.host,
@@ -293,7 +302,7 @@
         let due: Vec<Run> =
             self.runs.extract_if(.., |run| !run.is_poison && run.ends_at <= now).collect();
         for run in due {
-            self.trackers[run.host].record_completion(run.mark, at(now));
+            self.trackers[run.host].record_completion(&traits(run.mark), at(now));
         }
         while let Some(run) = self.runs.iter().find(|run| run.is_poison && run.ends_at <= now) {
             let (engine, request) = (run.engine, usize::try_from(run.mark).unwrap_or_default());
@@ -339,10 +348,11 @@
         let tracker = &mut self.trackers[host];
         let interrupted_runs: Vec<InterruptedRun> = interrupted
             .map(|run| InterruptedRun {
-                mark: run.mark,
+                traits: traits(run.mark),
                 organisation: None,
                 began: at(run.sent_at),
                 version: 0,
+                has_answered: false,
             })
             .collect();
         tracker.record_crash(incarnation, &interrupted_runs, at(now));
@@ -386,7 +396,7 @@
             return;
         };
         let quarantined =
-            |tracker: &QuarantineTracker| tracker.quarantine_left(0, 0, at(now)).is_some();
+            |tracker: &QuarantineTracker| tracker.quarantine_left(&traits(0), 0, at(now)).is_some();
         if self.outcome.detected_after.is_none() && self.trackers.iter().all(quarantined) {
             self.outcome.detected_after = Some(now - third_crash);
         }
--- a/crates/core/tests/quarantine/tracker.rs
+++ b/crates/core/tests/quarantine/tracker.rs
@@ -5,24 +5,36 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 use reelreel_core::{
     ClockMillis,
+    fleet::prompt::PromptMetadata,
     fleet::quarantine::{
-        CRASHES_UNTIL_QUARANTINED, InterruptedRun, QuarantineEvent, QuarantineTracker, RequestMark,
-        SuspectReport, engine_incarnation_id,
+        InterruptedRun, QuarantineEvent, QuarantineThresholds, QuarantineTracker, RequestMark,
+        RequestTrait, RequestTraits, SuspectReport, TraitKind, engine_incarnation_id,
     },
 };
 
 const POISON: RequestMark = 7;
+const POISON_REQUEST: RequestTrait = RequestTrait { kind: TraitKind::Request, mark: POISON };
 
 fn at(millis: u64) -> ClockMillis {
     ClockMillis::from_millis(10_000_000 + millis)
 }
 
 fn tracker(host: &str) -> QuarantineTracker {
-    QuarantineTracker::new(host, CRASHES_UNTIL_QUARANTINED)
+    QuarantineTracker::new(host, QuarantineThresholds::default())
+}
+
+/// Returns the traits of a request without a prompt.
+fn traits(mark: RequestMark) -> RequestTraits {
+    RequestTraits::new(mark, "service", &PromptMetadata::default())
+}
+
+fn interrupted(traits: RequestTraits, sent_at: u64) -> InterruptedRun {
+    let organisation = Some(Arc::from("north"));
+    InterruptedRun { traits, organisation, began: at(sent_at), version: 1, has_answered: false }
 }
 
 fn run(mark: RequestMark, sent_at: u64) -> InterruptedRun {
-    InterruptedRun { mark, organisation: Some(Arc::from("north")), began: at(sent_at), version: 1 }
+    interrupted(traits(mark), sent_at)
 }
 
 /// An event of the poison request.
@@ -166,10 +178,10 @@
                         at(crashed_at),
                     );
                 }
-                Step::Complete(now) => tracker.record_completion(POISON, at(now)),
+                Step::Complete(now) => tracker.record_completion(&traits(POISON), at(now)),
                 Step::Probe(now) => {
                     assert!(
-                        tracker.record_start(POISON, at(now)),
+                        tracker.record_start(&traits(POISON), at(now)),
                         "{}: a probe is reported",
                         case.name
                     );
@@ -178,13 +190,13 @@
         }
         let (checked_at, version) = case.checked_at;
         assert_eq!(
-            tracker.quarantine_left(POISON, version, at(checked_at)).is_some(),
+            tracker.quarantine_left(&traits(POISON), version, at(checked_at)).is_some(),
             case.is_quarantined,
             "{}",
             case.name
         );
         assert_eq!(
-            tracker.quarantine_left(POISON + 1, version, at(checked_at)),
+            tracker.quarantine_left(&traits(POISON + 1), version, at(checked_at)),
             None,
             "{}: another request",
             case.name
@@ -205,29 +217,34 @@
     one.record_crash(engine_incarnation_id("a", 0), &[run(POISON, 0)], at(50));
     two.record_crash(engine_incarnation_id("b", 0), &[run(POISON, 60)], at(90));
     for host in [&mut one, &mut two] {
-        assert_eq!(host.quarantine_left(POISON, 1, at(95)), None, "no host quarantines it alone");
+        assert_eq!(
+            host.quarantine_left(&traits(POISON), 1, at(95)),
+            None,
+            "no host quarantines it alone"
+        );
     }
     coordinator.receive(&one.take_pending(at(100)), true, at(110));
     assert!(coordinator.take_unpublished(at(110)).is_empty(), "one crash is not published");
     coordinator.receive(&two.take_pending(at(100)), true, at(120));
-    assert!(coordinator.quarantine_left(POISON, 1, at(120)).is_some());
+    assert!(coordinator.quarantine_left(&traits(POISON), 1, at(120)).is_some());
     publish_to(&mut coordinator, &mut one, at(130));
-    assert!(one.quarantine_left(POISON, 1, at(140)).is_some());
+    assert!(one.quarantine_left(&traits(POISON), 1, at(140)).is_some());
     // A new subscriber receives the snapshot.
     late.receive(&coordinator.snapshot(at(200)), false, at(210));
-    assert!(late.quarantine_left(POISON, 1, at(210)).is_some());
+    assert!(late.quarantine_left(&traits(POISON), 1, at(210)).is_some());
     let events = late.take_events();
-    let [QuarantineEvent::Quarantined { mark: POISON, organisation, crashes: 2, .. }] = &events[..]
+    let [QuarantineEvent::Quarantined { suspect: POISON_REQUEST, organisation, crashes: 2, .. }] =
+        &events[..]
     else {
         panic!("{events:?}");
     };
     assert_eq!(organisation.as_deref(), Some("north"));
     // A completed run at any host clears the request on all.
-    one.record_completion(POISON, at(300));
+    one.record_completion(&traits(POISON), at(300));
     coordinator.receive(&one.take_pending(at(300)), true, at(310));
     publish_to(&mut coordinator, &mut late, at(320));
-    assert_eq!(late.quarantine_left(POISON, 1, at(330)), None);
-    assert_eq!(late.take_events(), [QuarantineEvent::Cleared { mark: POISON }]);
+    assert_eq!(late.quarantine_left(&traits(POISON), 1, at(330)), None);
+    assert_eq!(late.take_events(), [QuarantineEvent::Cleared { suspect: POISON_REQUEST }]);
 }
 
 /// A common request is interrupted at a few hosts and completes at many. Hosts that saw no crash clear it once two
@@ -237,17 +254,21 @@
     let (mut one, mut two, mut coordinator, mut other) =
         (tracker("one"), tracker("two"), tracker("coordinator"), tracker("other"));
     one.record_crash(engine_incarnation_id("a", 0), &[run(POISON, 0)], at(50));
-    other.record_completion(POISON, at(500));
+    other.record_completion(&traits(POISON), at(500));
     two.record_crash(engine_incarnation_id("b", 0), &[run(POISON, 600)], at(900));
     for host in [&mut one, &mut two] {
         coordinator.receive(&host.take_pending(at(1000)), true, at(1000));
     }
     publish_to(&mut coordinator, &mut other, at(1000));
-    assert_eq!(other.quarantine_left(POISON, 1, at(1001)), None);
+    assert_eq!(other.quarantine_left(&traits(POISON), 1, at(1001)), None);
     coordinator.receive(&other.take_pending(at(1010)), true, at(1010));
-    assert_eq!(coordinator.quarantine_left(POISON, 1, at(1010)), None, "one crash is left");
+    assert_eq!(
+        coordinator.quarantine_left(&traits(POISON), 1, at(1010)),
+        None,
+        "one crash is left"
+    );
     publish_to(&mut coordinator, &mut one, at(1020));
-    assert_eq!(one.quarantine_left(POISON, 1, at(1020)), None);
+    assert_eq!(one.quarantine_left(&traits(POISON), 1, at(1020)), None);
 }
 
 /// A coordinator that did not publish the crashes still publishes that the request is cleared.
@@ -265,11 +286,11 @@
     let reports = first.take_unpublished(at(200));
     next.receive(&reports, false, at(200));
     other.receive(&reports, false, at(200));
-    assert!(other.quarantine_left(POISON, 1, at(210)).is_some());
-    next.record_completion(POISON, at(300));
+    assert!(other.quarantine_left(&traits(POISON), 1, at(210)).is_some());
+    next.record_completion(&traits(POISON), at(300));
     next.publish_own();
     publish_to(&mut next, &mut other, at(310));
-    assert_eq!(other.quarantine_left(POISON, 1, at(310)), None);
+    assert_eq!(other.quarantine_left(&traits(POISON), 1, at(310)), None);
 }
 
 #[test]
@@ -298,8 +319,8 @@
     let (suspects, quarantined) = host.counts();
     assert!(suspects <= 2048, "{suspects} suspects");
     assert_eq!(quarantined, 1);
-    assert!(host.quarantine_left(POISON, 1, at(2200)).is_some());
-    assert!(host.is_suspect(1000 + 19_999), "the newest is kept");
+    assert!(host.quarantine_left(&traits(POISON), 1, at(2200)).is_some());
+    assert!(host.is_suspect(&traits(1000 + 19_999)), "the newest is kept");
     host.evict_expired(at(2200 + 700_000));
     assert_eq!(host.counts(), (0, 0), "all suspects expire");
 }
@@ -331,7 +352,7 @@
         if let Some(cleared_at) = cleared_at {
             let mut host = tracker("completed");
             host.receive(&reports, false, now);
-            host.record_completion(POISON, at(cleared_at));
+            host.record_completion(&traits(POISON), at(cleared_at));
             reports.extend(host.take_pending(now));
         }
         let (mut in_order, mut shuffled) = (tracker("host"), tracker("host"));
@@ -344,7 +365,7 @@
         for report in &reports {
             shuffled.receive(std::slice::from_ref(report), false, now);
         }
-        prop_assert_eq!(in_order.quarantine_left(POISON, 1, now), shuffled.quarantine_left(POISON, 1, now));
-        prop_assert_eq!(in_order.is_suspect(POISON), shuffled.is_suspect(POISON));
+        prop_assert_eq!(in_order.quarantine_left(&traits(POISON), 1, now), shuffled.quarantine_left(&traits(POISON), 1, now));
+        prop_assert_eq!(in_order.is_suspect(&traits(POISON)), shuffled.is_suspect(&traits(POISON)));
     }
 }
--- a/crates/core/tests/suspended.rs
+++ b/crates/core/tests/suspended.rs
@@ -8,8 +8,10 @@
     chart::TenureState,
     fleet::{
         freshness::ConfigurationFreshness,
+        prompt::PromptMetadata,
         quarantine::{
-            CRASHES_UNTIL_QUARANTINED, InterruptedRun, QuarantineTracker, engine_incarnation_id,
+            InterruptedRun, QuarantineThresholds, QuarantineTracker, RequestTraits,
+            engine_incarnation_id,
         },
         retry_share::{RetryPolicy, RetryShare},
     },
@@ -94,16 +96,23 @@
 
 #[test]
 fn a_quarantine_ends_during_a_suspension() {
-    let mut tracker = QuarantineTracker::new("host", CRASHES_UNTIL_QUARANTINED);
+    let mut tracker = QuarantineTracker::new("host", QuarantineThresholds::default());
+    let traits = RequestTraits::new(1, "service", &PromptMetadata::default());
     for (engine, began) in [("a", 0), ("b", 200)] {
         let began = SUSPENDED_AT + Duration::from_millis(began);
-        let run = InterruptedRun { mark: 1, organisation: None, began, version: 0 };
+        let run = InterruptedRun {
+            traits: traits.clone(),
+            organisation: None,
+            began,
+            version: 0,
+            has_answered: false,
+        };
         tracker.record_crash(
             engine_incarnation_id(engine, 0),
             &[run],
             began + Duration::from_millis(50),
         );
     }
-    assert!(tracker.quarantine_left(1, 0, SUSPENDED_AT + Duration::from_secs(1)).is_some());
-    assert_eq!(tracker.quarantine_left(1, 0, RESUMED_AT), None);
+    assert!(tracker.quarantine_left(&traits, 0, SUSPENDED_AT + Duration::from_secs(1)).is_some());
+    assert_eq!(tracker.quarantine_left(&traits, 0, RESUMED_AT), None);
 }
