fix(gateway): requests that share a prompt part crash engine after engine

What callers saw: engines crashed for as long as requests with one part in their prompts came, no two of them alike, at any host; sound requests beside them were broken off, or found no engine.

Cause: a request was known to the quarantine by the digest of everything in it, so that crashes under requests that share a part never added up.

Change: the traits of a request (its mark, and the parts of its prompt except the last) are built once in `prepare`. They are recorded at the start of each run, at the first event of a stream, at completion, and with an interrupted run, together with whether it had begun to answer; they are checked before an engine is chosen and right before each send, resumes too. Messages between hosts have a kind and, for each crash of a part, some of its requests; hosts of the version before skip both, and what they send concerns requests. `request_held` and `request_cleared` say whether a request or a prompt part is meant, the line of a refused request names the mark that holds it (`held_by`), and `reelreel_held_prompt_parts` counts the parts. The refusal says that the request was not run. Lines of the log name parts by the marks of the quarantine.

Not covered: a buffered answer counts as begun once it is complete, not at its first byte.

The bounds are as they were; refusals are checked in addition.

--- a/crates/cli/src/logs/cause.rs
+++ b/crates/cli/src/logs/cause.rs
@@ -101,6 +101,9 @@
     EnginesInCooldown,
     /// The request is quarantined because engines ended while they ran it.
     Quarantined,
+    /// The request is quarantined because engines ended while they ran requests with a part of its
+    /// prompt.
+    PartQuarantined,
     /// The engine ended while it ran this request, which was quarantined for that.
     CrashedItsEngine,
     /// The engine ended while it also ran another request, which was quarantined for that.
@@ -163,6 +166,9 @@
             Self::RateLimited => "its engines take only so many requests, and had named that limit",
             Self::EnginesInCooldown => "its engines had asked its host to send nothing for a while",
             Self::Quarantined => "held back: engines ended while they ran it",
+            Self::PartQuarantined => {
+                "held back: engines ended while they ran requests with a part of its prompt"
+            }
             Self::CrashedItsEngine => "its engine ended under it, as others did",
             Self::EngineCrashedByOther => {
                 "its engine ended under another request that is held back since"
@@ -217,6 +223,8 @@
             "no_engine" | "unreachable" => Self::NoEngine,
             "limit_used" => Self::RateLimited,
             "engines_cooling" => Self::EnginesInCooldown,
+            "held_back" if request.event.held_by == request.event.mark => Self::Quarantined,
+            "held_back" if request.event.held_by.is_some() => Self::PartQuarantined,
             "held_back" => Self::Quarantined,
             "engine_failed" | "stream_broken" => Self::classify_failure(request, logs),
             "engine_error" => Self::EngineError,
@@ -244,10 +252,14 @@
     fn classify_failure(request: &RequestLine, logs: &HostLogs) -> Self {
         let marks = marks_at_engine_end(request, logs);
         let quarantined = quarantined_marks(request, logs);
-        if request.event.mark.as_ref().is_some_and(|mark| quarantined.contains(mark)) {
+        // A part crashes an engine before the first event.
+        let is_suspect = |mark| quarantined.contains(mark);
+        let has_suspect_part =
+            request.event.first == 0 && request.event.parts.iter().any(is_suspect);
+        if has_suspect_part || request.event.mark.as_ref().is_some_and(is_suspect) {
             return Self::CrashedItsEngine;
         }
-        if marks.iter().any(|mark| quarantined.contains(mark)) {
+        if marks.iter().any(is_suspect) {
             return Self::EngineCrashedByOther;
         }
         if !marks.is_empty() || engine_was_removed(request, logs) {
@@ -291,21 +303,23 @@
     }
 }
 
-/// Returns the marks of the requests that the request's engine ran when it ended, as logged by any host.
+/// Returns the marks of the requests that the request's engine ran when it ended, and of the prompt
+/// parts of those without an event, as logged by any host.
 fn marks_at_engine_end(request: &RequestLine, logs: &HostLogs) -> BTreeSet<String> {
     let (from, until) = request.cause_window();
     let engine_ends = logs.lines_between(from, until).iter().filter_map(|line| match &line.event {
-        HostEvent::EngineEnded { engine, marks, .. }
+        HostEvent::EngineEnded { engine, marks, parts, .. }
             if Some(engine) == request.event.engine.as_ref() =>
         {
-            Some(marks)
+            let waiting_parts = parts.iter().filter(|part| part.waiting > 0);
+            Some(marks.iter().chain(waiting_parts.map(|part| &part.part)))
         }
         _ => None,
     });
     engine_ends.flatten().cloned().collect()
 }
 
-/// Returns the marks quarantined up to the end of the quarantine window.
+/// Returns the marks of requests and prompt parts quarantined up to the end of the quarantine window.
 fn quarantined_marks(request: &RequestLine, logs: &HostLogs) -> BTreeSet<String> {
     let quarantined = logs.lines_between(0, request.at + QUARANTINE_WINDOW_MS).iter();
     let quarantined = quarantined.filter_map(|line| match &line.event {
--- a/crates/cli/src/logs/decision.rs
+++ b/crates/cli/src/logs/decision.rs
@@ -85,7 +85,7 @@
     RefusalRule {
         outcome: "held_back",
         decision: "quarantine",
-        reason: "engines ended while they ran the request",
+        reason: "engines ended while they ran the request, or others with the prompt part in held_by",
     },
     RefusalRule {
         outcome: "not_run",
--- a/crates/cli/tests/logs/main.rs
+++ b/crates/cli/tests/logs/main.rs
@@ -123,6 +123,36 @@
         context: &[],
         cause: "held back: engines ended while they ran it",
     },
+    CauseCase {
+        name: "held-back-for-itself",
+        request: r#""outcome":"held_back","status":503,"mark":"aa11","parts":["0bad"],"held_by":"aa11","sends":0,"waited":0,"first":0,"total":1"#,
+        context: &[],
+        cause: "held back: engines ended while they ran it",
+    },
+    CauseCase {
+        name: "held-back-for-a-part",
+        request: r#""outcome":"held_back","status":503,"mark":"aa11","parts":["0bad"],"held_by":"0bad","sends":0,"waited":0,"first":0,"total":1"#,
+        context: &[],
+        cause: "held back: engines ended while they ran requests with a part of its prompt",
+    },
+    CauseCase {
+        name: "ended-under-a-part",
+        request: r#""outcome":"engine_failed","status":502,"mark":"aa11","parts":["0first","0bad"],"engine":"e1","sends":1,"waited":0,"first":0,"total":90"#,
+        context: &[
+            r#"{"at":10001,"host":"one","event":"engine_ended","engine":"e1","runs":1,"marks":["aa11"],"parts":[{"part":"0bad","waiting":1,"begun":0}]}"#,
+            r#"{"at":11500,"host":"two","event":"request_held","mark":"0bad","kind":"prompt_part","ends":2,"millis":5000}"#,
+        ],
+        cause: "its engine ended under it, as others did",
+    },
+    CauseCase {
+        name: "ended-beside-a-part",
+        request: r#""outcome":"stream_broken","status":200,"mark":"bb22","parts":["0first"],"engine":"e1","sends":1,"waited":0,"first":40,"total":900"#,
+        context: &[
+            r#"{"at":10001,"host":"two","event":"engine_ended","engine":"e1","runs":1,"marks":["aa11"],"parts":[{"part":"0bad","waiting":1,"begun":0}]}"#,
+            r#"{"at":11500,"host":"two","event":"request_held","mark":"0bad","kind":"prompt_part","ends":2,"millis":5000}"#,
+        ],
+        cause: "its engine ended under another request that is held back since",
+    },
     CauseCase {
         name: "ended-under",
         request: r#""outcome":"engine_failed","status":502,"mark":"aa11","engine":"e1","sends":1,"waited":0,"first":0,"total":90"#,
--- a/crates/core/src/fleet/prompt.rs
+++ b/crates/core/src/fleet/prompt.rs
@@ -6,11 +6,6 @@
 /// Identifies a prompt part; equal parts of different requests have the same ID.
 pub type PromptPartId = u64;
 
-/// Formats the ID of a prompt part for logs.
-pub fn format_part(part: PromptPartId) -> String {
-    format!("{part:016x}")
-}
-
 /// A part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/core/src/fleet/quarantine/tracker.rs
+++ b/crates/core/src/fleet/quarantine/tracker.rs
@@ -332,6 +332,12 @@
         (suspects.count(), quarantined.count())
     }
 
+    /// Returns the number of quarantined traits of a kind.
+    pub fn quarantined_count(&self, kind: TraitKind) -> usize {
+        let suspects = self.suspects.iter().filter(|(suspect, _)| suspect.kind == kind);
+        suspects.filter(|(_, known)| known.period(&self.thresholds).is_some()).count()
+    }
+
     fn crash_count(&self, suspect: RequestTrait) -> usize {
         self.suspects.get(&suspect).map_or(0, Suspect::consecutive_crashes)
     }
--- a/crates/core/src/fleet/quarantine/traits.rs
+++ b/crates/core/src/fleet/quarantine/traits.rs
@@ -45,8 +45,7 @@
     /// the request's own.
     pub fn new(request: RequestMark, service: &str, prompt: &PromptMetadata) -> Self {
         let service = xxh3_64(service.as_bytes());
-        let shared_parts = prompt.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        let marks = shared_parts.iter().map(|part| part_mark(service, part.id));
+        let marks = prompt.shared_parts().iter().map(|part| part_mark(service, part.id));
         Self { request, parts: marks.take(MAX_TRAIT_PARTS).collect() }
     }
 
--- a/crates/gateway/src/control/aggregates/suspects.rs
+++ b/crates/gateway/src/control/aggregates/suspects.rs
@@ -97,17 +97,19 @@
         let events = self.shared.quarantine().take_events();
         for event in events {
             self.shared.events.write(match event {
-                QuarantineEvent::Quarantined { mark, organisation, crashes, duration } => {
+                QuarantineEvent::Quarantined { suspect, organisation, crashes, duration } => {
                     HostEvent::RequestHeld {
-                        mark: format_mark(mark),
+                        mark: format_mark(suspect.mark),
+                        kind: suspect.kind.into(),
                         organisation: organisation.map(|name| name.to_string()),
                         ends: crashes,
                         millis: duration_millis(duration),
                     }
                 }
-                QuarantineEvent::Cleared { mark } => {
-                    HostEvent::RequestCleared { mark: format_mark(mark) }
-                }
+                QuarantineEvent::Cleared { suspect } => HostEvent::RequestCleared {
+                    mark: format_mark(suspect.mark),
+                    kind: suspect.kind.into(),
+                },
             });
         }
     }
--- a/crates/gateway/src/engines/end_detection.rs
+++ b/crates/gateway/src/engines/end_detection.rs
@@ -15,8 +15,7 @@
 
 use reelreel_core::fleet::{
     EngineEntry, EngineName,
-    prompt::{PromptPartId, format_part},
-    quarantine::{InterruptedRun, RequestMark, engine_incarnation_id, format_mark},
+    quarantine::{InterruptedRun, RequestMark, TraitMark, engine_incarnation_id, format_mark},
 };
 use tokio::sync::watch;
 
@@ -32,21 +31,10 @@
 /// Maximum number of prompt parts in a log event.
 const LOGGED_PART_LIMIT: usize = 32;
 
-/// A run at an engine, as its host observes it.
-#[derive(Debug, Clone)]
-pub struct ObservedRun {
-    /// The run, reported if its engine terminates.
-    pub run: InterruptedRun,
-    /// Parts of its prompt that other requests may share.
-    pub parts: Vec<PromptPartId>,
-    /// Whether its first event has arrived.
-    pub has_begun: bool,
-}
-
 /// The interrupted runs of an engine that is being checked.
 #[derive(Debug)]
 struct PendingCheck {
-    runs: Vec<ObservedRun>,
+    runs: Vec<InterruptedRun>,
     /// Whether the engine has terminated; closed when the check has finished, by dropping it.
     finished: watch::Sender<bool>,
 }
@@ -60,7 +48,7 @@
 impl EndDetector {
     /// Adds an interrupted run; returns whether it is the first of its engine, and a receiver of
     /// the result that is closed when the check has finished.
-    fn add(&mut self, engine: &EngineName, run: ObservedRun) -> (bool, watch::Receiver<bool>) {
+    fn add(&mut self, engine: &EngineName, run: InterruptedRun) -> (bool, watch::Receiver<bool>) {
         let new = || PendingCheck { runs: Vec::new(), finished: watch::Sender::new(false) };
         let pending = self.pending.entry(Arc::clone(engine)).or_insert_with(new);
         pending.runs.push(run);
@@ -70,7 +58,8 @@
     /// Returns a receiver that is closed when the check of an engine that was interrupted while
     /// running a request with this mark has finished, if there is one.
     pub fn check_of(&self, mark: RequestMark) -> Option<watch::Receiver<bool>> {
-        let ran = |check: &&PendingCheck| check.runs.iter().any(|run| run.run.mark == mark);
+        let ran =
+            |check: &&PendingCheck| check.runs.iter().any(|run| run.traits.request_mark() == mark);
         self.pending.values().find(ran).map(|check| check.finished.subscribe())
     }
 }
@@ -82,7 +71,7 @@
 pub fn check_after_failure(
     traffic: &Rc<TrafficState>,
     entry: &Arc<EngineEntry>,
-    run: ObservedRun,
+    run: InterruptedRun,
 ) -> impl Future<Output = bool> + use<> {
     let (is_first, mut finished) = traffic.end_detector.borrow_mut().add(&entry.name, run);
     if is_first {
@@ -105,45 +94,44 @@
     };
     if has_ended {
         pending.finished.send_replace(true);
-        pending.runs.sort_by_key(|run| Reverse(run.run.began));
+        pending.runs.sort_by_key(|run| Reverse(run.began));
         report_engine_end(&traffic, &entry, &pending.runs);
     }
 }
 
-fn report_engine_end(traffic: &TrafficState, entry: &EngineEntry, runs: &[ObservedRun]) {
+fn report_engine_end(traffic: &TrafficState, entry: &EngineEntry, runs: &[InterruptedRun]) {
     let shared = &traffic.shared;
     let incarnation = engine_incarnation_id(&entry.name, entry.incarnation);
-    let interrupted_runs: Vec<InterruptedRun> = runs.iter().map(|run| run.run.clone()).collect();
-    shared.quarantine().record_crash(incarnation, &interrupted_runs, traffic.now());
+    shared.quarantine().record_crash(incarnation, runs, traffic.now());
     shared.wake_control.notify_one();
-    let begun = runs.iter().filter(|run| run.has_begun).count();
+    let begun = runs.iter().filter(|run| run.has_answered).count();
     shared.metrics.quarantine.engines_ended.inc();
     shared.metrics.quarantine.count_interrupted_runs(begun, runs.len() - begun);
-    let marks = interrupted_runs.iter().take(LOGGED_MARK_LIMIT);
+    let marks = runs.iter().take(LOGGED_MARK_LIMIT);
     shared.events.write(HostEvent::EngineEnded {
         engine: entry.name.to_string(),
         runs: runs.len(),
         begun,
-        marks: marks.map(|run| format_mark(run.mark)).collect(),
+        marks: marks.map(|run| format_mark(run.traits.request_mark())).collect(),
         parts: interrupted_parts(runs),
     });
 }
 
 /// Returns the prompt parts of interrupted runs, those of most runs without an event first.
-fn interrupted_parts(runs: &[ObservedRun]) -> Vec<InterruptedPart> {
-    let mut counts: BTreeMap<PromptPartId, (usize, usize)> = BTreeMap::new();
+fn interrupted_parts(runs: &[InterruptedRun]) -> Vec<InterruptedPart> {
+    let mut counts: BTreeMap<TraitMark, (usize, usize)> = BTreeMap::new();
     for run in runs {
-        let parts: BTreeSet<PromptPartId> = run.parts.iter().copied().collect();
+        let parts: BTreeSet<TraitMark> = run.traits.shared().map(|part| part.mark).collect();
         for part in parts {
             let (waiting, begun) = counts.entry(part).or_default();
-            *(if run.has_begun { begun } else { waiting }) += 1;
+            *(if run.has_answered { begun } else { waiting }) += 1;
         }
     }
     let mut counts: Vec<_> = counts.into_iter().collect();
     counts.sort_by_key(|(_, (waiting, begun))| (Reverse(*waiting), *begun));
     let logged = counts.into_iter().take(LOGGED_PART_LIMIT);
     let logged = logged.map(|(part, (waiting, begun))| InterruptedPart {
-        part: format_part(part),
+        part: format_mark(part),
         waiting,
         begun,
     });
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -15,6 +15,7 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
+use reelreel_core::fleet::quarantine::TraitKind;
 use serde::{Deserialize, Serialize};
 
 /// Maximum number of events queued for the writer.
@@ -269,22 +270,29 @@
         /// Number of responses with such a declaration since the last event.
         answers: u64,
     },
-    /// A request was quarantined because engines crashed while running it.
+    /// A request, or all requests with a prompt part, were quarantined because engines crashed while
+    /// running them.
     RequestHeld {
-        /// The mark that identifies it.
+        /// The mark that identifies the request or the part.
         mark: String,
-        /// The organisation that sends it, if its route requires keys.
+        /// What the mark identifies.
+        #[serde(default)]
+        kind: HeldKind,
+        /// The organisation that sends the request, if its route requires keys.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         organisation: Option<String>,
-        /// Number of consecutive engines that crashed.
+        /// Number of engines that crashed.
         ends: usize,
         /// How long this host quarantines it. Unit: milliseconds.
         millis: u64,
     },
-    /// A quarantined request has completed.
+    /// A quarantined request has completed, or an answer with a quarantined prompt part has begun.
     RequestCleared {
-        /// The mark that identifies it.
+        /// The mark that identifies the request or the part.
         mark: String,
+        /// What the mark identifies.
+        #[serde(default)]
+        kind: HeldKind,
     },
     /// An adapter is temporarily not loaded because engines crashed while loading it.
     LoadHeld {
@@ -340,6 +348,26 @@
     Request(Box<RequestEvent>),
 }
 
+/// What is quarantined.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HeldKind {
+    /// A request.
+    #[default]
+    Request,
+    /// All requests with a prompt part.
+    PromptPart,
+}
+
+impl From<TraitKind> for HeldKind {
+    fn from(kind: TraitKind) -> Self {
+        match kind {
+            TraitKind::Request => Self::Request,
+            TraitKind::PromptPart => Self::PromptPart,
+        }
+    }
+}
+
 /// A prompt part among the runs that the end of an engine interrupted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InterruptedPart {
@@ -381,6 +409,9 @@
     /// and empty if it was answered.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub parts: Vec<String>,
+    /// The mark for which it was quarantined: its own, or that of a part of its prompt.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub held_by: Option<String>,
     /// The model or adapter.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub key: Option<String>,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -18,7 +18,7 @@
         departures::DepartureRegistry,
         limits::{limit::LimitDeclaration, share::LimitShare},
         prefill_speed::PrefillSpeed,
-        quarantine::{CRASHES_UNTIL_QUARANTINED, QuarantineTracker},
+        quarantine::{QuarantineThresholds, QuarantineTracker},
         service_share::ServiceShares,
         stream_origins::StreamOrigins,
     },
@@ -113,7 +113,7 @@
     ) -> Self {
         let quotas =
             if profile.first_start { QuotaShare::unspent() } else { QuotaShare::default() };
-        let quarantine = QuarantineTracker::new(&profile.name, CRASHES_UNTIL_QUARANTINED);
+        let quarantine = QuarantineTracker::new(&profile.name, QuarantineThresholds::default());
         let links = HostLinks::new(Arc::clone(&profile.name), Arc::clone(&profile.hall));
         let (tunnel_sockets, tunnel_receiver) = mpsc::channel(TUNNEL_QUEUE_LENGTH);
         Self {
--- a/crates/gateway/src/metrics/quarantine.rs
+++ b/crates/gateway/src/metrics/quarantine.rs
@@ -20,10 +20,12 @@
     pub engines_ended: Counter,
     /// Runs that the ends of engines interrupted.
     interrupted_runs: Family<InterruptedRunLabels, Counter>,
-    /// Requests during which engines crashed since they last completed.
+    /// Requests and prompt parts during which engines crashed since they last succeeded.
     pub suspects: Gauge,
     /// Requests in quarantine because engines crashed during them.
     pub held_requests: Gauge,
+    /// Prompt parts whose requests are in quarantine.
+    pub held_parts: Gauge,
 }
 
 impl QuarantineMetrics {
@@ -32,10 +34,12 @@
         registry.register("engines_ended", help, self.engines_ended.clone());
         let help = "Runs that ends of engines interrupted, by whether their first event had come";
         registry.register("interrupted_runs", help, self.interrupted_runs.clone());
-        let help = "Requests under which engines ended since they last ran whole";
+        let help = "Requests and prompt parts under which engines ended since they last succeeded";
         registry.register("suspects", help, self.suspects.clone());
         let help = "Requests that are held back since engines ended under them";
         registry.register("held_requests", help, self.held_requests.clone());
+        let help = "Prompt parts whose requests are held back since engines ended under them";
+        registry.register("held_prompt_parts", help, self.held_parts.clone());
     }
 
     /// Counts runs that the end of an engine interrupted, after and before their first event.
--- a/crates/gateway/src/peers/suspect_messages.rs
+++ b/crates/gateway/src/peers/suspect_messages.rs
@@ -1,16 +1,25 @@
-//! Messages for requests during which engines crashed.
+//! Messages for requests, and for parts of their prompts, during which engines crashed.
 
 use std::{sync::Arc, time::Duration};
 
 use reelreel_core::{
     clock::duration_millis,
-    fleet::quarantine::{ReportedCrash, RequestMark, SuspectReport},
+    fleet::quarantine::{ReportedCrash, RequestTrait, SuspectReport, TraitKind, TraitMark},
 };
 
-/// The crash history of one request.
+/// The value of [`SuspectMessage::kind`] for a request, also where the field is absent.
+const REQUEST_KIND: u32 = 0;
+
+/// The value of [`SuspectMessage::kind`] for a prompt part.
+const PROMPT_PART_KIND: u32 = 1;
+
+/// Maximum number of requests of a crash that are decoded.
+const MAX_CRASH_REQUESTS: usize = 4;
+
+/// The crash history of one request, or of one prompt part.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct SuspectMessage {
-    /// The request's mark, in little-endian byte order.
+    /// The mark, in little-endian byte order.
     #[prost(bytes = "bytes", tag = "1")]
     pub mark: bytes::Bytes,
     /// The sending organisation, where keys identify one.
@@ -28,6 +37,9 @@
     /// Time since the last probe in quarantine. Unit: milliseconds.
     #[prost(uint64, optional, tag = "6")]
     pub probed_ago: Option<u64>,
+    /// What the mark identifies: zero for a request, one for a prompt part.
+    #[prost(uint32, tag = "7")]
+    pub kind: u32,
 }
 
 /// An engine's crash during a request.
@@ -42,6 +54,9 @@
     /// Time since the crash. Unit: milliseconds.
     #[prost(uint64, tag = "3")]
     pub crashed_ago: u64,
+    /// Some of the interrupted requests with a prompt part.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub requests: Vec<u64>,
 }
 
 /// Encodes reports of suspect requests.
@@ -54,25 +69,32 @@
         incarnation: crash.incarnation,
         began_ago: duration_millis(crash.began_ago),
         crashed_ago: duration_millis(crash.crashed_ago),
+        requests: crash.requests.clone(),
+    };
+    let kind = match report.suspect.kind {
+        TraitKind::Request => REQUEST_KIND,
+        TraitKind::PromptPart => PROMPT_PART_KIND,
     };
     SuspectMessage {
-        mark: bytes::Bytes::copy_from_slice(&report.mark.to_le_bytes()),
+        mark: bytes::Bytes::copy_from_slice(&report.suspect.mark.to_le_bytes()),
         organisation: report.organisation.as_ref().map(ToString::to_string),
         version: report.version,
         crashes: report.crashes.iter().map(crash).collect(),
         cleared_ago: report.cleared_ago.map(duration_millis),
         probed_ago: report.probed_ago.map(duration_millis),
+        kind,
     }
 }
 
-/// Decodes reports; one with a mark of the wrong length is skipped.
+/// Decodes reports; one with a mark of the wrong length or of an unknown kind is skipped.
 pub fn decode_suspects(messages: &[SuspectMessage]) -> Vec<SuspectReport> {
     let decoded = messages.iter().filter_map(|message| {
         let report = decode_suspect(message);
         if report.is_none() {
             log::warn!(
-                "skipping suspect request from a peer: the mark has {} bytes",
-                message.mark.len()
+                "skipping a suspect from a peer: its mark has {} bytes, its kind is {}",
+                message.mark.len(),
+                message.kind
             );
         }
         report
@@ -85,9 +107,16 @@
         incarnation: crash.incarnation,
         began_ago: Duration::from_millis(crash.began_ago),
         crashed_ago: Duration::from_millis(crash.crashed_ago),
+        requests: crash.requests.iter().copied().take(MAX_CRASH_REQUESTS).collect(),
+    };
+    let kind = match message.kind {
+        REQUEST_KIND => TraitKind::Request,
+        PROMPT_PART_KIND => TraitKind::PromptPart,
+        _ => return None,
     };
+    let mark = TraitMark::from_le_bytes((*message.mark).try_into().ok()?);
     Some(SuspectReport {
-        mark: RequestMark::from_le_bytes((*message.mark).try_into().ok()?),
+        suspect: RequestTrait { kind, mark },
         organisation: message.organisation.as_deref().map(Arc::from),
         version: message.version,
         crashes: message.crashes.iter().map(crash).collect(),
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -57,7 +57,7 @@
     ClockMillis,
     fleet::{
         EngineEntry, EngineName, ModelKey, ServiceName, admission::AdmissionController,
-        priority_admission::PriorityAdmission, retry_share::RetryShare,
+        priority_admission::PriorityAdmission, quarantine::TraitKind, retry_share::RetryShare,
     },
 };
 use tokio::{net::TcpListener, runtime::Builder, sync::watch, task::LocalSet};
@@ -303,11 +303,15 @@
     fn update_suspect_metrics(&self, now: ClockMillis) {
         let mut quarantine = self.shared.quarantine();
         quarantine.evict_expired(now);
-        let (suspects, held) = quarantine.counts();
+        let (suspects, _) = quarantine.counts();
+        let held_requests = quarantine.quarantined_count(TraitKind::Request);
+        let held_parts = quarantine.quarantined_count(TraitKind::PromptPart);
         drop(quarantine);
         let metrics = &self.shared.metrics.quarantine;
-        metrics.suspects.set(i64::try_from(suspects).unwrap_or(i64::MAX));
-        metrics.held_requests.set(i64::try_from(held).unwrap_or(i64::MAX));
+        let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        metrics.suspects.set(count(suspects));
+        metrics.held_requests.set(count(held_requests));
+        metrics.held_parts.set(count(held_parts));
     }
 
     fn update_buffer_metrics(&self) {
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -15,7 +15,7 @@
         EngineEntry, EngineName, ServiceName, SoftwareVersion, WeightVersion,
         cold_decision::DecisionCause,
         engine_links::ConnectFailure,
-        quarantine::RequestMark,
+        quarantine::{InterruptedRun, RequestTraits, TraitMark},
         routes::{ConfigRevision, RouteEntry},
     },
     organisation::OrganisationEntry,
@@ -25,7 +25,7 @@
 
 use crate::{
     codec::RequestMetadata,
-    engines::{EngineResponse, end_detection::ObservedRun},
+    engines::EngineResponse,
     traffic::{
         TrafficState,
         admission::ServiceOpenGuard,
@@ -122,8 +122,8 @@
     pub service: ServiceName,
     /// The requesting organisation; `None` if the route requires no key.
     pub organisation: Option<Arc<OrganisationEntry>>,
-    /// Identity of the request, the same when a client repeats it.
-    pub mark: RequestMark,
+    /// The request's identity and the parts of its prompt, by which it may be quarantined.
+    pub traits: RequestTraits,
     /// What was charged to the organisation's quota.
     pub quota_cost: u64,
     /// When the client stops waiting for a response.
@@ -139,7 +139,9 @@
     /// Time from the arrival to the last send, in milliseconds.
     pub last_sent_ms: u64,
     /// The current run, reported if its engine terminates.
-    pub current_run: Option<ObservedRun>,
+    pub current_run: Option<InterruptedRun>,
+    /// The trait for which the request was refused.
+    pub(super) held_by: Option<TraitMark>,
     /// Tokens that the engine had to prefill before this prompt at the last send.
     pub prefill_ahead: u64,
     /// The longest time between two relayed events.
@@ -237,8 +239,15 @@
         request: ClientRequest,
         prepared: PreparedRequest,
     ) -> Self {
-        let PreparedRequest { metadata, route, service, organisation, mark, quota_cost, revision } =
-            prepared;
+        let PreparedRequest {
+            metadata,
+            route,
+            service,
+            organisation,
+            traits,
+            quota_cost,
+            revision,
+        } = prepared;
         let time_limit = metadata.deadline.unwrap_or(route.timeout).min(route.timeout);
         Self {
             traffic,
@@ -249,7 +258,7 @@
             route,
             service,
             organisation,
-            mark,
+            traits,
             quota_cost,
             sent_to: Vec::new(),
             status: 0,
@@ -257,6 +266,7 @@
             first_byte_ms: 0,
             last_sent_ms: 0,
             current_run: None,
+            held_by: None,
             prefill_ahead: 0,
             longest_event_gap: Duration::ZERO,
             longest_unread: Duration::ZERO,
@@ -459,7 +469,7 @@
     pub fn try_spend_resend(&self) -> bool {
         // A request that terminated two engines in a row is not sent to a third one.
         self.within_send_limits()
-            && self.quarantine_time().is_none()
+            && self.quarantined_trait().is_none()
             && self.traffic.try_spend_retry(&self.service)
     }
 
--- a/crates/gateway/src/traffic/local_response.rs
+++ b/crates/gateway/src/traffic/local_response.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use reelreel_core::fleet::routes::ConfigRevision;
+use reelreel_core::fleet::{
+    quarantine::{QuarantinedTrait, TraitKind},
+    routes::ConfigRevision,
+};
 use reelreel_http::ResponseHead;
 
 use crate::codec::RequestCodec;
@@ -30,10 +33,17 @@
         Self { status: 503, text, retry_after: Some(retry_after) }
     }
 
-    /// A refusal of a quarantined request: it did not run and may be retried after `time`.
-    pub const fn quarantined(time: Duration) -> Self {
-        let text = "engines ended while they ran this request; change it, or come back after the time in Retry-After";
-        Self::refusal(text, time)
+    /// A refusal of a quarantined request: it did not run and may be retried after the quarantine.
+    pub const fn quarantined(quarantined: QuarantinedTrait) -> Self {
+        let text = match quarantined.suspect.kind {
+            TraitKind::Request => {
+                "not run: engines ended while they ran this request; change it, or come back after the time in Retry-After"
+            }
+            TraitKind::PromptPart => {
+                "not run: engines ended while they ran requests with a part of this prompt; change it, or come back after the time in Retry-After"
+            }
+        };
+        Self::refusal(text, quarantined.left)
     }
 
     /// A refusal of a request beyond its organisation's quota: it did not run and may be retried
--- a/crates/gateway/src/traffic/preflight.rs
+++ b/crates/gateway/src/traffic/preflight.rs
@@ -1,8 +1,6 @@
 //! Checks right before a send: decisions made on arrival may no longer hold.
 
-use std::time::Duration;
-
-use reelreel_core::fleet::{EngineEntry, WeightVersion};
+use reelreel_core::fleet::{EngineEntry, WeightVersion, quarantine::QuarantinedTrait};
 
 use crate::{
     availability::EngineAvailability,
@@ -20,8 +18,8 @@
 /// Why a request is not sent to the chosen engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendRejection {
-    /// Engines terminated while running the request; it is quarantined for this time.
-    Quarantined(Duration),
+    /// Engines terminated while running the request, or others with a part of its prompt.
+    Quarantined(QuarantinedTrait),
     /// The key no longer belongs to the organisation that the request was accepted for.
     KeyRejected,
     /// This host can't tell whether the key is still valid.
@@ -87,8 +85,8 @@
         if self.deadline.remaining().is_zero() {
             return Some(SendRejection::DeadlineExceeded);
         }
-        if let Some(time) = self.quarantine_time() {
-            return Some(SendRejection::Quarantined(time));
+        if let Some(quarantined) = self.quarantined_trait() {
+            return Some(SendRejection::Quarantined(quarantined));
         }
         let organisation = self.organisation.as_ref()?;
         if !self.traffic.shared.serves_keys(self.traffic.now()) {
@@ -118,7 +116,10 @@
             SendRejection::EngineChanged
             | SendRejection::EngineCooling
             | SendRejection::NoPermit => return None,
-            SendRejection::Quarantined(time) => (LocalResponse::quarantined(time), "held_back"),
+            SendRejection::Quarantined(quarantined) => {
+                self.held_by = Some(quarantined.suspect.mark);
+                (LocalResponse::quarantined(quarantined), "held_back")
+            }
             SendRejection::KeyRejected => (UNKNOWN_KEY, "key_refused"),
             SendRejection::KeyValidityUnknown => (KEY_VALIDITY_UNKNOWN, "keys_in_doubt"),
             SendRejection::DeadlineExceeded if self.may_have_run => {
--- a/crates/gateway/src/traffic/prepare.rs
+++ b/crates/gateway/src/traffic/prepare.rs
@@ -6,7 +6,7 @@
     clock::duration_millis,
     fleet::{
         ServiceName,
-        quarantine::{RequestIdentity, RequestMark},
+        quarantine::{RequestIdentity, RequestTraits},
         routes::{ConfigRevision, RouteEntry},
     },
     organisation::{OrganisationEntry, OrganisationName, share::QuotaContext},
@@ -40,8 +40,8 @@
     pub service: ServiceName,
     /// The requesting organisation; `None` if the route requires no key.
     pub organisation: Option<Arc<OrganisationEntry>>,
-    /// Identity of the request, the same when a client repeats it.
-    pub mark: RequestMark,
+    /// The request's identity and the parts of its prompt, by which it may be quarantined.
+    pub traits: RequestTraits,
     /// What was charged to the organisation's quota; zero if it has none.
     pub quota_cost: u64,
     /// The configuration revision that determined the route.
@@ -109,7 +109,8 @@
     let (route, service) = (Arc::clone(route), Arc::clone(service));
     let revision = routes.revision();
     let mark = marked_request(request, &metadata, organisation.as_deref()).mark();
-    Ok(PreparedRequest { metadata, route, service, organisation, mark, quota_cost, revision })
+    let traits = RequestTraits::new(mark, &service, &metadata.prompt);
+    Ok(PreparedRequest { metadata, route, service, organisation, traits, quota_cost, revision })
 }
 
 /// Returns the parts of a request that identify it when it is repeated.
--- a/crates/gateway/src/traffic/quarantine.rs
+++ b/crates/gateway/src/traffic/quarantine.rs
@@ -3,14 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use reelreel_core::fleet::{
-    EngineEntry, WeightVersion, base_model, engine_choice::PublishedVersions,
-    health::EngineOutcome, quarantine::InterruptedRun,
+    EngineEntry, WeightVersion, base_model,
+    engine_choice::PublishedVersions,
+    health::EngineOutcome,
+    quarantine::{InterruptedRun, QuarantinedTrait},
 };
 
-use crate::{
-    engines::end_detection::{ObservedRun, check_after_failure},
-    traffic::exchange::Exchange,
-};
+use crate::{engines::end_detection::check_after_failure, traffic::exchange::Exchange};
 
 /// How long a retry waits for the check whether its engine terminated.
 ///
@@ -19,47 +18,49 @@
 const END_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
 impl Exchange<'_> {
-    /// Returns the remaining quarantine of the request, if it is quarantined.
-    pub(super) fn quarantine_time(&self) -> Option<Duration> {
+    /// Returns the trait for which the request is quarantined, if it is.
+    pub(super) fn quarantined_trait(&self) -> Option<QuarantinedTrait> {
         let now = self.traffic.now();
         let version = self.published_version();
-        self.traffic.shared.quarantine().quarantine_left(self.mark, version, now)
+        self.traffic.shared.quarantine().quarantine_left(&self.traits, version, now)
     }
 
-    /// Returns whether an engine terminated while running the request since its last complete run.
+    /// Returns whether the request may terminate its engine: one terminated while running it since
+    /// its last complete run, or running requests with a part of its prompt that no answer is known
+    /// to have begun with.
     pub(super) fn is_suspect(&self) -> bool {
-        self.traffic.shared.quarantine().is_suspect(self.mark)
+        self.traffic.shared.quarantine().is_suspect(&self.traits)
     }
 
     /// Records that a run of the request starts.
     pub(super) fn record_run_start(&mut self) {
         let now = self.traffic.now();
         let shared = &self.traffic.shared;
-        if shared.quarantine().record_start(self.mark, now) {
+        if shared.quarantine().record_start(&self.traits, now) {
             shared.wake_control.notify_one();
         }
-        let run = InterruptedRun {
-            mark: self.mark,
+        self.current_run = Some(InterruptedRun {
+            traits: self.traits.clone(),
             organisation: self.organisation.as_ref().map(|entry| Arc::clone(&entry.name)),
             began: now,
             version: self.published_version(),
-        };
-        let parts = self.metadata.prompt.shared_parts().iter().map(|part| part.id).collect();
-        self.current_run = Some(ObservedRun { run, parts, has_begun: false });
+            has_answered: false,
+        });
     }
 
     /// Records that the first event of the current run has arrived.
-    pub(super) const fn record_first_event(&mut self) {
-        if let Some(run) = &mut self.current_run {
-            run.has_begun = true;
-        }
+    pub(super) fn record_first_event(&mut self) {
+        let Some(run) = &mut self.current_run else { return };
+        run.has_answered = true;
+        let now = self.traffic.now();
+        self.traffic.shared.quarantine().record_first_event(&self.traits, now);
     }
 
     /// Records that an engine completed the request, successfully or not.
     pub(super) fn record_complete_run(&mut self) {
         self.current_run = None;
         let now = self.traffic.now();
-        self.traffic.shared.quarantine().record_completion(self.mark, now);
+        self.traffic.shared.quarantine().record_completion(&self.traits, now);
     }
 
     /// Records that the current run was interrupted and checks whether its engine terminated.
@@ -98,7 +99,7 @@
 
     /// Waits while it is being checked whether an engine terminated while running the same request.
     pub(super) async fn await_end_check(&self) {
-        let check = self.traffic.end_detector.borrow().check_of(self.mark);
+        let check = self.traffic.end_detector.borrow().check_of(self.traits.request_mark());
         if let Some(mut check) = check {
             let finished = async { while check.changed().await.is_ok() {} };
             let _ = tokio::time::timeout(END_CHECK_TIMEOUT, finished).await;
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -2,10 +2,7 @@
 
 use std::time::Duration;
 
-use reelreel_core::{
-    clock::duration_millis,
-    fleet::{prompt::format_part, quarantine::format_mark},
-};
+use reelreel_core::{clock::duration_millis, fleet::quarantine::format_mark};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -43,10 +40,8 @@
             [_, _, ..] => self.software.iter().map(ToString::to_string).collect(),
             _ => Vec::new(),
         };
-        let parts = match outcome {
-            "answered" => &[],
-            _ => self.metadata.prompt.shared_parts(),
-        };
+        let logged_parts = if outcome == "answered" { 0 } else { LOGGED_PART_LIMIT };
+        let parts = self.traits.shared().take(logged_parts);
         let answered_in_time = outcome == "answered" && !late && !broken_off;
         let answered_in_time = answered_in_time && resumed.is_none() && joined.is_empty();
         if answered_in_time && !id_hash.is_multiple_of(LOG_SAMPLE_INTERVAL) {
@@ -59,8 +54,9 @@
             late,
             organisation: self.organisation.as_ref().map(|entry| entry.name.to_string()),
             fingerprint: None,
-            mark: (outcome != "answered").then(|| format_mark(self.mark)),
-            parts: parts.iter().take(LOGGED_PART_LIMIT).map(|part| format_part(part.id)).collect(),
+            mark: (outcome != "answered").then(|| format_mark(self.traits.request_mark())),
+            parts: parts.map(|part| format_mark(part.mark)).collect(),
+            held_by: self.held_by.map(format_mark),
             status: self.status,
             retry_after: self.retry_after.map(duration_millis),
             key: self.metadata.model.as_ref().map(ToString::to_string),
--- a/crates/gateway/tests/host/crashing_parts.rs
+++ b/crates/gateway/tests/host/crashing_parts.rs
@@ -23,9 +23,12 @@
 /// How long a crashed engine stays down, half of the least time on the platform.
 const RESTART_DELAY: Duration = Duration::from_secs(1);
 
-/// How long requests are sent.
+/// How long requests are sent at least.
 const LOAD_TIME: Duration = Duration::from_secs(10);
 
+/// How long requests are sent once sound ones have to be served.
+const CALM_TIME: Duration = Duration::from_secs(3);
+
 /// Time between the crashing requests of one host.
 const CRASHING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -139,9 +142,13 @@
                 let delay = CRASHING_INTERVAL * position / host_count;
                 scope.spawn(move || load.send_crashing_requests(host, self.path, delay));
             }
-            let began = Instant::now();
-            while began.elapsed() < LOAD_TIME {
+            let mut end = Instant::now() + LOAD_TIME;
+            while Instant::now() < end {
                 fleet.poll();
+                // A probe may crash one of the first engines late.
+                if let Some(crash) = last_counted_crash(&fleet) {
+                    end = end.max(crash + 2 * CONTACT_TIME + CALM_TIME);
+                }
                 thread::sleep(Duration::from_millis(5));
             }
             load.stopping.store(true, Ordering::Relaxed);
@@ -155,7 +162,7 @@
         let crashing = load.crashing.into_inner().unwrap_or_else(PoisonError::into_inner);
         let crashes = fleet.crashes.len();
         assert!(crashes >= 2, "{}: only {crashes} engines crashed", self.name);
-        let last_needed = fleet.crashes[crashes.min(MAX_CRASHES) - 1];
+        let last_needed = last_counted_crash(fleet).expect("a crash");
         let arrivals = fleet.crashing_part_arrivals();
         let late = arrivals.iter().filter(|at| **at > last_needed + CONTACT_TIME).count();
         let calm = sound.iter().filter(|sent| sent.at > last_needed + 2 * CONTACT_TIME);
@@ -174,6 +181,12 @@
             early.iter().filter(|served| **served).count(),
             early.len(),
         );
+        // Requests that reached an engine get 502, those that none saw say when to come back.
+        let held = crashing.iter().filter(|sent| sent.response.starts_with("HTTP/1.1 503"));
+        let says_when =
+            |response: &str| response.contains("Retry-After: ") && response.contains("not run: ");
+        let unclear = held.clone().filter(|sent| !says_when(&sent.response)).count();
+        assert_eq!(unclear, 0, "{}: of {} held requests", self.name, held.count());
         assert!(calm.len() >= 60, "{}: only {} sound requests", self.name, calm.len());
         assert!(late <= MAX_LATE_ARRIVALS, "{}: {late} reached engines late", self.name);
         assert!(crashes <= MAX_CRASHES + late, "{}: {crashes} engines crashed", self.name);
@@ -181,6 +194,11 @@
     }
 }
 
+/// Returns when the last engine crashed that may until the part is known.
+fn last_counted_crash(fleet: &CrashableFleet) -> Option<Instant> {
+    fleet.crashes.get(MAX_CRASHES - 1).or(fleet.crashes.last()).copied()
+}
+
 /// Guards against a prompt part that crashes each engine that answers a request with it, while no
 /// two of these requests are alike.
 #[test]
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use reelreel_gateway::events::{EventLog, HostEvent, InterruptedPart, RequestEvent};
+use reelreel_gateway::events::{EventLog, HeldKind, HostEvent, InterruptedPart, RequestEvent};
 use serde_json::Value;
 
 /// Number of lines written: far more than a pipe and the queue hold.
@@ -96,11 +96,15 @@
         },
         HostEvent::RequestHeld {
             mark: String::from("0f0f0f0f0f0f0f0f"),
+            kind: HeldKind::PromptPart,
             organisation: Some(String::from("north")),
             ends: 2,
             millis: 5000,
         },
-        HostEvent::RequestCleared { mark: String::from("0f0f0f0f0f0f0f0f") },
+        HostEvent::RequestCleared {
+            mark: String::from("0f0f0f0f0f0f0f0f"),
+            kind: HeldKind::Request,
+        },
         HostEvent::EngineJoined { engine: engine(), service: String::from("s"), address },
         HostEvent::Freshness { state: "expired".into(), age: Some(5000) },
         HostEvent::EngineReborn { engine: engine(), incarnation: 1_788_253_401_202 },
@@ -157,6 +161,7 @@
         fingerprint: Some(String::from("0badc0de")),
         mark: Some(String::from("0f0f0f0f0f0f0f0f")),
         parts: vec![String::from("00000000000000aa")],
+        held_by: Some(String::from("00000000000000aa")),
         status: 200,
         retry_after: Some(1),
         key: Some(String::from("m/a1")),
--- a/crates/gateway/tests/host/recheck_before_send.rs
+++ b/crates/gateway/tests/host/recheck_before_send.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use reelreel_core::fleet::quarantine::{InterruptedRun, RequestIdentity, RequestMark};
+use reelreel_core::fleet::{
+    prompt::PromptMetadata,
+    quarantine::{InterruptedRun, RequestIdentity, RequestMark, RequestTraits},
+};
 
 use crate::{
     engine::{EngineBehaviour, StandInEngine},
@@ -87,7 +90,13 @@
 fn quarantine_request(host: &TestHost, mark: RequestMark) {
     let now = host.shared.clock.now();
     for incarnation in 1..=2 {
-        let run = InterruptedRun { mark, organisation: None, began: now, version: 0 };
+        let run = InterruptedRun {
+            traits: RequestTraits::new(mark, "assist", &PromptMetadata::default()),
+            organisation: None,
+            began: now,
+            version: 0,
+            has_answered: false,
+        };
         host.shared.quarantine().record_crash(incarnation, &[run], now);
     }
 }
