fix(gateway): runs that wait with a crashing prompt part crash engines after the verdict

What callers saw: once a prompt part was known to crash engines, requests with it that had been sent before still crashed the engines where they waited for their first event.

Cause: a request was checked up to its first byte to the engine, and not while it waited there.

Change: when a request or part is quarantined, running requests are notified; one that waits for its first event and has a quarantined part closes its connection to the engine and gets 502, since it may have run. A run that probes a part after its quarantine goes on. Streams whose client has got events, and buffered answers whose head has come, are not called off.

--- a/crates/gateway/src/control/aggregates/suspects.rs
+++ b/crates/gateway/src/control/aggregates/suspects.rs
@@ -95,6 +95,10 @@
 
     fn tick(&mut self, _: &AggregateContext<'_>) {
         let events = self.shared.quarantine().take_events();
+        let is_quarantined = |event| matches!(event, &QuarantineEvent::Quarantined { .. });
+        if events.iter().any(is_quarantined) {
+            self.shared.quarantine_changes.send_replace(());
+        }
         for event in events {
             self.shared.events.write(match event {
                 QuarantineEvent::Quarantined { suspect, organisation, crashes, duration } => {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -101,6 +101,8 @@
     stream_origins: Mutex<StreamOrigins>,
     /// Notifies waiting requests of changes: permits may have arrived, or an engine has accepted a probe.
     pub permits: watch::Sender<()>,
+    /// Notifies running requests that a request or prompt part was quarantined.
+    pub quarantine_changes: watch::Sender<()>,
 }
 
 impl SharedState {
@@ -142,6 +144,7 @@
             service_shares: Mutex::default(),
             stream_origins: Mutex::default(),
             permits: watch::Sender::new(()),
+            quarantine_changes: watch::Sender::new(()),
         }
     }
 
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -123,6 +123,7 @@
         let codec = Arc::clone(&self.traffic.shared.codecs.request);
         let deadline_expired = self.deadline.clone().expired(DEADLINE_SLACK);
         let first_byte_timeout = self.first_byte_timeout(entry, connection.lost());
+        let part_quarantined = self.part_quarantined();
         let sending = send_request(
             &mut connection,
             &*codec,
@@ -151,6 +152,11 @@
                 }
                 return SendOutcome::FirstByteTimeout;
             }
+            quarantined = part_quarantined => {
+                connection.close();
+                self.may_have_run = true;
+                return SendOutcome::Rejected(SendRejection::Quarantined(quarantined));
+            }
             () = deadline_expired => {
                 connection.close();
                 self.may_have_run = true;
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -140,6 +140,8 @@
     pub last_sent_ms: u64,
     /// The current run, reported if its engine terminates.
     pub current_run: Option<InterruptedRun>,
+    /// Whether the current run probes a trait of the request after its quarantine.
+    pub(super) is_probe: bool,
     /// The trait for which the request was refused.
     pub(super) held_by: Option<TraitMark>,
     /// Tokens that the engine had to prefill before this prompt at the last send.
@@ -266,6 +268,7 @@
             first_byte_ms: 0,
             last_sent_ms: 0,
             current_run: None,
+            is_probe: false,
             held_by: None,
             prefill_ahead: 0,
             longest_event_gap: Duration::ZERO,
--- a/crates/gateway/src/traffic/quarantine.rs
+++ b/crates/gateway/src/traffic/quarantine.rs
@@ -1,12 +1,12 @@
 //! Quarantine of requests whose engines terminated while running them.
 
-use std::{sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use reelreel_core::fleet::{
     EngineEntry, WeightVersion, base_model,
     engine_choice::PublishedVersions,
     health::EngineOutcome,
-    quarantine::{InterruptedRun, QuarantinedTrait},
+    quarantine::{InterruptedRun, QuarantinedTrait, TraitKind},
 };
 
 use crate::{engines::end_detection::check_after_failure, traffic::exchange::Exchange};
@@ -36,7 +36,8 @@
     pub(super) fn record_run_start(&mut self) {
         let now = self.traffic.now();
         let shared = &self.traffic.shared;
-        if shared.quarantine().record_start(&self.traits, now) {
+        self.is_probe = shared.quarantine().record_start(&self.traits, now);
+        if self.is_probe {
             shared.wake_control.notify_one();
         }
         self.current_run = Some(InterruptedRun {
@@ -48,6 +49,29 @@
         });
     }
 
+    /// Completes once a part of the prompt is quarantined, unless the current run probes it.
+    ///
+    /// An engine that has not begun to answer may drop the run instead of crashing.
+    pub(super) fn part_quarantined(&self) -> impl Future<Output = QuarantinedTrait> + use<> {
+        let (traffic, traits) = (Rc::clone(self.traffic), self.traits.clone());
+        let mut changes = traffic.shared.quarantine_changes.subscribe();
+        let is_probe = self.is_probe;
+        async move {
+            // `changed` can't fail: the shared state holds the sender.
+            while !is_probe && changes.changed().await.is_ok() {
+                let now = traffic.now();
+                let quarantined =
+                    traffic.shared.quarantine().quarantine_left(&traits, WeightVersion::MAX, now);
+                if let Some(quarantined) = quarantined
+                    && quarantined.suspect.kind == TraitKind::PromptPart
+                {
+                    return quarantined;
+                }
+            }
+            std::future::pending().await
+        }
+    }
+
     /// Records that the first event of the current run has arrived.
     pub(super) fn record_first_event(&mut self) {
         let Some(run) = &mut self.current_run else { return };
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -5,7 +5,10 @@
 use bytes::{Bytes, BytesMut};
 use reelreel_core::{
     ClockMillis,
-    fleet::{EngineEntry, health::EngineOutcome, limits::share::PermitUse, routes::RouteKind},
+    fleet::{
+        EngineEntry, health::EngineOutcome, limits::share::PermitUse, quarantine::QuarantinedTrait,
+        routes::RouteKind,
+    },
 };
 use reelreel_http::{
     BodyFraming, ResponseHead,
@@ -20,6 +23,7 @@
         exchange::{ConnectionAction, Exchange, READ_AHEAD_LIMIT, SendOutcome},
         first_event::PaceObserver,
         pick::EnginePick,
+        preflight::SendRejection,
         stream::{EventSplitter, EventTracker},
     },
 };
@@ -52,6 +56,8 @@
     Closed,
     /// The engine's response was interrupted.
     Interrupted,
+    /// A part of the prompt was quarantined before the first event of the stream.
+    Quarantined(QuarantinedTrait),
     /// The client disconnected.
     ClientGone,
     /// The client did not read the response.
@@ -286,6 +292,11 @@
                     connection.close();
                     return stream_failure(&progress, "time_over");
                 }
+                SegmentOutcome::Quarantined(quarantined) => {
+                    connection.close();
+                    self.status = 0;
+                    return SendOutcome::Rejected(SendRejection::Quarantined(quarantined));
+                }
                 SegmentOutcome::Interrupted => {
                     connection.close();
                     self.handle_interrupted_run(&entry).await;
@@ -332,6 +343,7 @@
         let mut awaiting_first_byte = true;
         let mut pace = PaceObserver::new(self.traffic, &self.service, &connection.entry);
         let mut lost = pin!(connection.lost());
+        let mut part_quarantined = pin!(self.part_quarantined());
         loop {
             pace.record_wait();
             let chunk = tokio::select! {
@@ -339,6 +351,9 @@
                 chunk = connection.stream.read_body(&mut response.decoder) => chunk,
                 () = self.client.wait_closed(READ_AHEAD_LIMIT) => return SegmentOutcome::ClientGone,
                 () = &mut lost, if progress.resumable => return SegmentOutcome::Interrupted,
+                quarantined = &mut part_quarantined,
+                    if awaiting_first_byte && progress.pending_head.is_some() =>
+                        return SegmentOutcome::Quarantined(quarantined),
                 () = self.deadline.clone().expired(STREAM_DEADLINE_SLACK) =>
                     return SegmentOutcome::DeadlineExceeded,
             };
--- a/crates/gateway/tests/host/crashing_parts.rs
+++ b/crates/gateway/tests/host/crashing_parts.rs
@@ -225,3 +225,44 @@
     }
     .check();
 }
+
+/// Time from the arrival of a request at an engine to its first event, in the test of runs that wait.
+const LONG_PREFILL_TIME: Duration = Duration::from_millis(600);
+
+/// Time between the requests of that test, far less than the time to the first event.
+const SHORT_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Guards against crashes by requests that were sent before their prompt part was known to crash
+/// engines, and that no engine has begun to answer.
+#[test]
+fn waiting_runs_with_a_crashing_prompt_part_are_cancelled_once_it_is_known() {
+    let site = site_with_organisations();
+    let mut fleet = CrashableFleet::start(&site, 8, "assist", &[]);
+    fleet.crash_on_part(CRASHING_PART, LONG_PREFILL_TIME);
+    let hosts = start_hosts(&site, &["waiting-1", "waiting-2", "waiting-3"]);
+    let load = PartLoad::default();
+    for host in &hosts {
+        wait_until("a request is served", || {
+            load.send(host, "/stream/a", &COMMON_PARTS).response.starts_with("HTTP/1.1 200")
+        });
+    }
+    let sent = thread::scope(|scope| {
+        let senders: Vec<_> = hosts
+            .iter()
+            .cycle()
+            .take(9)
+            .map(|host| {
+                thread::sleep(SHORT_INTERVAL);
+                scope.spawn(|| load.send(host, "/stream/a", &[CRASHING_PART]))
+            })
+            .collect();
+        let sent = senders.into_iter().map(|sender| sender.join().expect("a response"));
+        sent.collect::<Vec<_>>()
+    });
+    fleet.poll();
+    let crashes = fleet.crashes.len();
+    let arrivals = fleet.crashing_part_arrivals().len();
+    println!("{crashes} engines crashed, {arrivals} of {} reached engines", sent.len());
+    assert!(arrivals > MAX_CRASHES, "only {arrivals} requests were at engines");
+    assert!(crashes <= MAX_CRASHES, "{crashes} engines crashed");
+}
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -645,7 +645,10 @@
     locked.runs.push(request.clone());
     let (server, prefill_time) = (locked.server.clone(), locked.prefill_time);
     drop(locked);
-    thread::sleep(prefill_time);
+    // A run whose client disconnects is dropped.
+    if connection.closes_within(prefill_time) {
+        return None;
+    }
     let id = request.head.fields.text(REQUEST).unwrap_or_default();
     let head = format!("HTTP/1.1 200 OK\r\n{REQUEST}: {id}\r\n{RUN_BY}: {name}\r\n");
     let written = connection.write(&format!("{head}Transfer-Encoding: chunked\r\n\r\n"));
