--- a/crates/core/tests/quarantine/main.rs
+++ b/crates/core/tests/quarantine/main.rs
@@ -2,6 +2,7 @@
 //! and a comparison of strategies.
 
 mod part_simulation;
+mod part_tracker;
 mod parts;
 #[path = "../random/mod.rs"]
 mod random;
--- a/crates/core/tests/quarantine/part_simulation.rs
+++ b/crates/core/tests/quarantine/part_simulation.rs
@@ -27,8 +27,7 @@
 /// The requests that an engine runs at a time.
 const ENGINE_SLOTS: usize = 8;
 
-/// The longest time that an engine prefills a prompt and that it answers.
-const MAX_PREFILL_MS: usize = 200;
+/// The longest time that an engine answers.
 const MAX_ANSWER_MS: usize = 1200;
 
 /// The least time that a crashed engine is down, and the range above it.
@@ -98,6 +97,8 @@
     pub(crate) engines: usize,
     /// Healthy requests per second.
     pub(crate) rate: f64,
+    /// The longest time that an engine prefills a prompt.
+    pub(crate) max_prefill_ms: usize,
     /// The number of poison parts.
     pub(crate) poison_parts: u64,
     /// Requests with each poison part per second.
@@ -106,6 +107,8 @@
     pub(crate) is_first_part_new: bool,
     pub(crate) coordination: Coordination,
     pub(crate) faults: EngineFaults,
+    /// The most crashes, where requests do not come faster than crashes can be noticed.
+    pub(crate) max_crashes: Option<usize>,
 }
 
 /// The outcome of a simulation.
@@ -381,7 +384,7 @@
         let mut busy = runs.iter().filter(|run| run.state != RunState::Queued).count();
         for index in 0..runs.len() {
             if busy < ENGINE_SLOTS && self.engines[engine].runs[index].state == RunState::Queued {
-                let until = now + STEP_MS + self.below(MAX_PREFILL_MS) as u64;
+                let until = now + STEP_MS + self.below(self.load.max_prefill_ms) as u64;
                 self.engines[engine].runs[index].state = RunState::Prefilling { until };
                 busy += 1;
             }
--- a/crates/core/tests/quarantine/tracker.rs
+++ b/crates/core/tests/quarantine/tracker.rs
@@ -5,7 +5,7 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 use reelreel_core::{
     ClockMillis,
-    fleet::prompt::PromptMetadata,
+    fleet::prompt::{PromptMetadata, PromptPart},
     fleet::quarantine::{
         InterruptedRun, QuarantineEvent, QuarantineThresholds, QuarantineTracker, RequestMark,
         RequestTrait, RequestTraits, SuspectReport, TraitKind, engine_incarnation_id,
@@ -33,6 +33,12 @@
     InterruptedRun { traits, organisation, began: at(sent_at), version: 1, has_answered: false }
 }
 
+/// Returns the traits of a request that has a prompt part in common with others.
+fn with_part(mark: RequestMark) -> RequestTraits {
+    let parts = [2, 1000].map(|id| PromptPart { id, tokens: 100 }).to_vec();
+    RequestTraits::new(mark, "service", &PromptMetadata { length: 0, parts })
+}
+
 fn run(mark: RequestMark, sent_at: u64) -> InterruptedRun {
     interrupted(traits(mark), sent_at)
 }
@@ -368,4 +374,51 @@
         prop_assert_eq!(in_order.quarantine_left(&traits(POISON), 1, now), shuffled.quarantine_left(&traits(POISON), 1, now));
         prop_assert_eq!(in_order.is_suspect(&traits(POISON)), shuffled.is_suspect(&traits(POISON)));
     }
+
+    /// Reports on a prompt part that arrive in another order or twice have the same effect, also those of different
+    /// requests that one crash interrupted.
+    #[test]
+    fn part_reports_in_any_order_have_the_same_effect(
+        crashes in proptest::collection::vec((0..6_u64, 0..4000_u64, 0..3_u64), 1..8),
+        cleared_at in proptest::option::of(0..4000_u64),
+        order in Just((0..16_usize).collect::<Vec<_>>()).prop_shuffle(),
+    ) {
+        let request = |number: u64| with_part(RequestMark::from(number));
+        let mut reports: Vec<SuspectReport> = Vec::new();
+        let now = at(5000);
+        for (engine, age, number) in &crashes {
+            let mut host = tracker("crashed");
+            // Each incarnation crashes once, whichever host reports it.
+            let crashed_at = 600 * (engine + 1);
+            let sent_at = crashed_at.saturating_sub(*age);
+            host.record_crash(
+                engine_incarnation_id("e", *engine),
+                &[interrupted(request(*number), sent_at)],
+                at(crashed_at),
+            );
+            reports.extend(host.take_pending(now));
+        }
+        if let Some(cleared_at) = cleared_at {
+            let mut host = tracker("completed");
+            host.receive(&reports, false, now);
+            host.record_completion(&request(0), at(cleared_at));
+            reports.extend(host.take_pending(now));
+        }
+        let (mut in_order, mut shuffled) = (tracker("host"), tracker("host"));
+        in_order.receive(&reports, false, now);
+        for index in &order {
+            if let Some(report) = reports.get(*index % reports.len()) {
+                shuffled.receive(std::slice::from_ref(report), false, now);
+            }
+        }
+        for report in &reports {
+            shuffled.receive(std::slice::from_ref(report), false, now);
+        }
+        let other = with_part(RequestMark::from(99_u64));
+        prop_assert_eq!(
+            in_order.quarantine_left(&other, 1, now),
+            shuffled.quarantine_left(&other, 1, now)
+        );
+        prop_assert_eq!(in_order.is_suspect(&other), shuffled.is_suspect(&other));
+    }
 }
