--- a/crates/core/src/fleet/quarantine/tracker.rs
+++ b/crates/core/src/fleet/quarantine/tracker.rs
@@ -49,8 +49,8 @@
 /// reports: every request that ran at a crashed engine has one crash.
 const CRASHES_UNTIL_PUBLISHED: usize = 2;
 
-/// The most suspects that a host remembers, which bounds its memory: 360 bytes each with two crashes are 1.2% of the
-/// 64 MB that a host has for control.
+/// The most suspects that a host remembers, which bounds its memory: 650 bytes each with one or two crashes are 2.1% of
+/// the 64 MB that a host has for control.
 const MAX_SUSPECTS: usize = 2048;
 
 /// The most reports in one frame, which bounds the bandwidth for control: at under 100 bytes each, less than half of
