--- a/crates/core/src/fleet/prompt.rs
+++ b/crates/core/src/fleet/prompt.rs
@@ -25,6 +25,11 @@
 }
 
 impl PromptMetadata {
+    /// Returns the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared_parts)| shared_parts)
+    }
+
     /// Returns the number of tokens to prefill without a cache, at least one.
     pub fn tokens(&self) -> u64 {
         let parts: u64 = self.parts.iter().map(|part| u64::from(part.tokens)).sum();
--- a/crates/gateway/src/control/aggregates/suspects.rs
+++ b/crates/gateway/src/control/aggregates/suspects.rs
@@ -95,19 +95,25 @@
 
     fn tick(&mut self, _: &AggregateContext<'_>) {
         let events = self.shared.quarantine().take_events();
+        let is_quarantined = |event| matches!(event, &QuarantineEvent::Quarantined { .. });
+        if events.iter().any(is_quarantined) {
+            self.shared.quarantine_changes.send_replace(());
+        }
         for event in events {
             self.shared.events.write(match event {
-                QuarantineEvent::Quarantined { mark, organisation, crashes, duration } => {
+                QuarantineEvent::Quarantined { suspect, organisation, crashes, duration } => {
                     HostEvent::RequestHeld {
-                        mark: format_mark(mark),
+                        mark: format_mark(suspect.mark),
+                        kind: suspect.kind.into(),
                         organisation: organisation.map(|name| name.to_string()),
                         ends: crashes,
                         millis: duration_millis(duration),
                     }
                 }
-                QuarantineEvent::Cleared { mark } => {
-                    HostEvent::RequestCleared { mark: format_mark(mark) }
-                }
+                QuarantineEvent::Cleared { suspect } => HostEvent::RequestCleared {
+                    mark: format_mark(suspect.mark),
+                    kind: suspect.kind.into(),
+                },
             });
         }
     }
--- a/crates/gateway/src/engines/end_detection.rs
+++ b/crates/gateway/src/engines/end_detection.rs
@@ -5,19 +5,32 @@
 //! this host is refused by all engines, one that accepts it is alive (the connection is kept for the
 //! next request), and a timeout shows neither.
 
-use std::{collections::HashMap, io::ErrorKind, rc::Rc, sync::Arc};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, HashMap},
+    io::ErrorKind,
+    rc::Rc,
+    sync::Arc,
+};
 
 use reelreel_core::fleet::{
     EngineEntry, EngineName,
-    quarantine::{InterruptedRun, RequestMark, engine_incarnation_id, format_mark},
+    quarantine::{InterruptedRun, RequestMark, TraitMark, engine_incarnation_id, format_mark},
 };
 use tokio::sync::watch;
 
-use crate::{engines::EnginePool, events::HostEvent, traffic::TrafficState};
+use crate::{
+    engines::EnginePool,
+    events::{HostEvent, InterruptedPart},
+    traffic::TrafficState,
+};
 
 /// Maximum number of request marks in a log event.
 const LOGGED_MARK_LIMIT: usize = 8;
 
+/// Maximum number of prompt parts in a log event.
+const LOGGED_PART_LIMIT: usize = 32;
+
 /// The interrupted runs of an engine that is being checked.
 #[derive(Debug)]
 struct PendingCheck {
@@ -45,7 +58,8 @@
     /// Returns a receiver that is closed when the check of an engine that was interrupted while
     /// running a request with this mark has finished, if there is one.
     pub fn check_of(&self, mark: RequestMark) -> Option<watch::Receiver<bool>> {
-        let ran = |check: &&PendingCheck| check.runs.iter().any(|run| run.mark == mark);
+        let ran =
+            |check: &&PendingCheck| check.runs.iter().any(|run| run.traits.request_mark() == mark);
         self.pending.values().find(ran).map(|check| check.finished.subscribe())
     }
 }
@@ -80,7 +94,7 @@
     };
     if has_ended {
         pending.finished.send_replace(true);
-        pending.runs.sort_by_key(|run| std::cmp::Reverse(run.began));
+        pending.runs.sort_by_key(|run| Reverse(run.began));
         report_engine_end(&traffic, &entry, &pending.runs);
     }
 }
@@ -90,10 +104,36 @@
     let incarnation = engine_incarnation_id(&entry.name, entry.incarnation);
     shared.quarantine().record_crash(incarnation, runs, traffic.now());
     shared.wake_control.notify_one();
-    shared.metrics.engines_ended.inc();
+    let begun = runs.iter().filter(|run| run.has_answered).count();
+    shared.metrics.quarantine.engines_ended.inc();
+    shared.metrics.quarantine.count_interrupted_runs(begun, runs.len() - begun);
+    let marks = runs.iter().take(LOGGED_MARK_LIMIT);
     shared.events.write(HostEvent::EngineEnded {
         engine: entry.name.to_string(),
         runs: runs.len(),
-        marks: runs.iter().take(LOGGED_MARK_LIMIT).map(|run| format_mark(run.mark)).collect(),
+        begun,
+        marks: marks.map(|run| format_mark(run.traits.request_mark())).collect(),
+        parts: interrupted_parts(runs),
+    });
+}
+
+/// Returns the prompt parts of interrupted runs, those of most runs without an event first.
+fn interrupted_parts(runs: &[InterruptedRun]) -> Vec<InterruptedPart> {
+    let mut counts: BTreeMap<TraitMark, (usize, usize)> = BTreeMap::new();
+    for run in runs {
+        let parts: BTreeSet<TraitMark> = run.traits.shared().map(|part| part.mark).collect();
+        for part in parts {
+            let (waiting, begun) = counts.entry(part).or_default();
+            *(if run.has_answered { begun } else { waiting }) += 1;
+        }
+    }
+    let mut counts: Vec<_> = counts.into_iter().collect();
+    counts.sort_by_key(|(_, (waiting, begun))| (Reverse(*waiting), *begun));
+    let logged = counts.into_iter().take(LOGGED_PART_LIMIT);
+    let logged = logged.map(|(part, (waiting, begun))| InterruptedPart {
+        part: format_mark(part),
+        waiting,
+        begun,
     });
+    logged.collect()
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -18,7 +18,7 @@
         departures::DepartureRegistry,
         limits::{limit::LimitDeclaration, share::LimitShare},
         prefill_speed::PrefillSpeed,
-        quarantine::{CRASHES_UNTIL_QUARANTINED, QuarantineTracker},
+        quarantine::{QuarantineThresholds, QuarantineTracker},
         service_share::ServiceShares,
         stream_origins::StreamOrigins,
     },
@@ -101,6 +101,8 @@
     stream_origins: Mutex<StreamOrigins>,
     /// Notifies waiting requests of changes: permits may have arrived, or an engine has accepted a probe.
     pub permits: watch::Sender<()>,
+    /// Notifies running requests that a request or prompt part was quarantined.
+    pub quarantine_changes: watch::Sender<()>,
 }
 
 impl SharedState {
@@ -113,7 +115,7 @@
     ) -> Self {
         let quotas =
             if profile.first_start { QuotaShare::unspent() } else { QuotaShare::default() };
-        let quarantine = QuarantineTracker::new(&profile.name, CRASHES_UNTIL_QUARANTINED);
+        let quarantine = QuarantineTracker::new(&profile.name, QuarantineThresholds::default());
         let links = HostLinks::new(Arc::clone(&profile.name), Arc::clone(&profile.hall));
         let (tunnel_sockets, tunnel_receiver) = mpsc::channel(TUNNEL_QUEUE_LENGTH);
         Self {
@@ -142,6 +144,7 @@
             service_shares: Mutex::default(),
             stream_origins: Mutex::default(),
             permits: watch::Sender::new(()),
+            quarantine_changes: watch::Sender::new(()),
         }
     }
 
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -125,6 +125,7 @@
         let deadline_expired = self.deadline.clone().expired(DEADLINE_SLACK);
         let first_byte_timeout =
             self.first_byte_timeout(entry, connection.lost(&self.traffic.shared.clock));
+        let part_quarantined = self.part_quarantined();
         let sending = send_request(
             &mut connection,
             &*codec,
@@ -153,6 +154,11 @@
                 }
                 return SendOutcome::FirstByteTimeout;
             }
+            quarantined = part_quarantined => {
+                connection.close();
+                self.may_have_run = true;
+                return SendOutcome::Rejected(SendRejection::Quarantined(quarantined));
+            }
             () = deadline_expired => {
                 connection.close();
                 self.may_have_run = true;
--- a/crates/gateway/src/traffic/quarantine.rs
+++ b/crates/gateway/src/traffic/quarantine.rs
@@ -1,10 +1,12 @@
 //! Quarantine of requests whose engines terminated while running them.
 
-use std::{sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use reelreel_core::fleet::{
-    EngineEntry, WeightVersion, base_model, engine_choice::PublishedVersions,
-    health::EngineOutcome, quarantine::InterruptedRun,
+    EngineEntry, WeightVersion, base_model,
+    engine_choice::PublishedVersions,
+    health::EngineOutcome,
+    quarantine::{InterruptedRun, QuarantinedTrait, TraitKind},
 };
 
 use crate::{engines::end_detection::check_after_failure, traffic::exchange::Exchange};
@@ -16,38 +18,73 @@
 const END_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
 impl Exchange<'_> {
-    /// Returns the remaining quarantine of the request, if it is quarantined.
-    pub(super) fn quarantine_time(&self) -> Option<Duration> {
+    /// Returns the trait for which the request is quarantined, if it is.
+    pub(super) fn quarantined_trait(&self) -> Option<QuarantinedTrait> {
         let now = self.traffic.now();
         let version = self.published_version();
-        self.traffic.shared.quarantine().quarantine_left(self.mark, version, now)
+        self.traffic.shared.quarantine().quarantine_left(&self.traits, version, now)
     }
 
-    /// Returns whether an engine terminated while running the request since its last complete run.
+    /// Returns whether the request may terminate its engine: one terminated while running it since
+    /// its last complete run, or running requests with a part of its prompt that no answer is known
+    /// to have begun with.
     pub(super) fn is_suspect(&self) -> bool {
-        self.traffic.shared.quarantine().is_suspect(self.mark)
+        self.traffic.shared.quarantine().is_suspect(&self.traits)
     }
 
     /// Records that a run of the request starts.
     pub(super) fn record_run_start(&mut self) {
         let now = self.traffic.now();
         let shared = &self.traffic.shared;
-        if shared.quarantine().record_start(self.mark, now) {
+        self.is_probe = shared.quarantine().record_start(&self.traits, now);
+        if self.is_probe {
             shared.wake_control.notify_one();
         }
         self.current_run = Some(InterruptedRun {
-            mark: self.mark,
+            traits: self.traits.clone(),
             organisation: self.organisation.as_ref().map(|entry| Arc::clone(&entry.name)),
             began: now,
             version: self.published_version(),
+            has_answered: false,
         });
     }
 
+    /// Completes once a part of the prompt is quarantined, unless the current run probes it.
+    ///
+    /// An engine that has not begun to answer may drop the run instead of crashing.
+    pub(super) fn part_quarantined(&self) -> impl Future<Output = QuarantinedTrait> + use<> {
+        let (traffic, traits) = (Rc::clone(self.traffic), self.traits.clone());
+        let mut changes = traffic.shared.quarantine_changes.subscribe();
+        let is_probe = self.is_probe;
+        async move {
+            // `changed` can't fail: the shared state holds the sender.
+            while !is_probe && changes.changed().await.is_ok() {
+                let now = traffic.now();
+                let quarantined =
+                    traffic.shared.quarantine().quarantine_left(&traits, WeightVersion::MAX, now);
+                if let Some(quarantined) = quarantined
+                    && quarantined.suspect.kind == TraitKind::PromptPart
+                {
+                    return quarantined;
+                }
+            }
+            std::future::pending().await
+        }
+    }
+
+    /// Records that the first event of the current run has arrived.
+    pub(super) fn record_first_event(&mut self) {
+        let Some(run) = &mut self.current_run else { return };
+        run.has_answered = true;
+        let now = self.traffic.now();
+        self.traffic.shared.quarantine().record_first_event(&self.traits, now);
+    }
+
     /// Records that an engine completed the request, successfully or not.
     pub(super) fn record_complete_run(&mut self) {
         self.current_run = None;
         let now = self.traffic.now();
-        self.traffic.shared.quarantine().record_completion(self.mark, now);
+        self.traffic.shared.quarantine().record_completion(&self.traits, now);
     }
 
     /// Records that the current run was interrupted and checks whether its engine terminated.
@@ -95,7 +132,7 @@
 
     /// Waits while it is being checked whether an engine terminated while running the same request.
     pub(super) async fn await_end_check(&self) {
-        let check = self.traffic.end_detector.borrow().check_of(self.mark);
+        let check = self.traffic.end_detector.borrow().check_of(self.traits.request_mark());
         if let Some(mut check) = check {
             let finished = async { while check.changed().await.is_ok() {} };
             let _ = tokio::time::timeout(END_CHECK_TIMEOUT, finished).await;
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use reelreel_core::{
     ClockMillis,
-    fleet::{health::EngineOutcome, routes::RouteKind},
+    fleet::{health::EngineOutcome, quarantine::QuarantinedTrait, routes::RouteKind},
 };
 use reelreel_http::{
     BodyFraming, ResponseHead,
@@ -19,6 +19,7 @@
         buffer_budget::{BudgetedBody, LARGE_BODY_BYTES, OverflowPolicy, read_budgeted_body},
         exchange::{ConnectionAction, Exchange, READ_AHEAD_LIMIT, SendOutcome},
         first_event::PaceObserver,
+        preflight::SendRejection,
         resume::ResumeFailure,
         stream::{EventSplitter, EventTracker},
     },
@@ -52,6 +53,8 @@
     Closed,
     /// The engine's response was interrupted.
     Interrupted,
+    /// A part of the prompt was quarantined before the first event of the stream.
+    Quarantined(QuarantinedTrait),
     /// The client disconnected.
     ClientGone,
     /// The client did not read the response.
@@ -288,6 +291,11 @@
                     connection.close();
                     return stream_failure(&progress, "time_over");
                 }
+                SegmentOutcome::Quarantined(quarantined) => {
+                    connection.close();
+                    self.status = 0;
+                    return SendOutcome::Rejected(SendRejection::Quarantined(quarantined));
+                }
                 SegmentOutcome::Interrupted => {
                     connection.close();
                     has_ended |= self.handle_interrupted_run(&entry).await;
@@ -343,6 +351,7 @@
         let mut awaiting_first_byte = true;
         let mut pace = PaceObserver::new(self.traffic, &self.service, &connection.entry);
         let mut lost = pin!(connection.lost(&self.traffic.shared.clock));
+        let mut part_quarantined = pin!(self.part_quarantined());
         loop {
             pace.record_wait();
             let chunk = tokio::select! {
@@ -353,6 +362,9 @@
                     self.record_end(framing, BodyEnd::Abandoned);
                     return SegmentOutcome::Interrupted;
                 }
+                quarantined = &mut part_quarantined,
+                    if awaiting_first_byte && progress.pending_head.is_some() =>
+                        return SegmentOutcome::Quarantined(quarantined),
                 () = self.deadline.clone().expired(STREAM_DEADLINE_SLACK) =>
                     return SegmentOutcome::DeadlineExceeded,
             };
@@ -385,6 +397,7 @@
             connection.record_received(self.traffic.now());
             if std::mem::take(&mut awaiting_first_byte) {
                 connection.record_prefill_done();
+                self.record_first_event();
                 let (time, prompt_tokens) =
                     (self.traffic.now().since(sent_at), self.metadata.prompt.tokens());
                 self.traffic.record_prefill_time(
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -14,6 +14,9 @@
 /// One in this many requests that were answered in time is logged.
 pub const LOG_SAMPLE_INTERVAL: u64 = 16;
 
+/// Maximum number of prompt parts in a log event.
+const LOGGED_PART_LIMIT: usize = 16;
+
 impl Exchange<'_> {
     /// Records the outcome of the request in the metrics and the event log.
     ///
@@ -37,6 +40,8 @@
             [_, _, ..] => self.software.iter().map(ToString::to_string).collect(),
             _ => Vec::new(),
         };
+        let logged_parts = if outcome == "answered" { 0 } else { LOGGED_PART_LIMIT };
+        let parts = self.traits.shared().take(logged_parts);
         let answered_in_time = outcome == "answered" && !late && !broken_off;
         let answered_in_time = answered_in_time && resumed.is_none() && joined.is_empty();
         if answered_in_time && !id_hash.is_multiple_of(LOG_SAMPLE_INTERVAL) {
@@ -49,7 +54,9 @@
             late,
             organisation: self.organisation.as_ref().map(|entry| entry.name.to_string()),
             fingerprint: None,
-            mark: (outcome != "answered").then(|| format_mark(self.mark)),
+            mark: (outcome != "answered").then(|| format_mark(self.traits.request_mark())),
+            parts: parts.map(|part| format_mark(part.mark)).collect(),
+            held_by: self.held_by.map(format_mark),
             status: self.status,
             retry_after: self.retry_after.map(duration_millis),
             key: self.metadata.model.as_ref().map(ToString::to_string),
--- a/crates/gateway/src/traffic/resume.rs
+++ b/crates/gateway/src/traffic/resume.rs
@@ -416,7 +416,7 @@
 
     /// Returns why no further send is allowed.
     fn resend_failure(&self) -> ResumeFailure {
-        if self.quarantine_time().is_some() {
+        if self.quarantined_trait().is_some() {
             ResumeFailure::Held
         } else if !self.has_time_for_resend() {
             ResumeFailure::Deadline
