--- a/crates/stand-ins/src/connection.rs
+++ b/crates/stand-ins/src/connection.rs
@@ -2,10 +2,11 @@
 //! on which the stand-in reads and writes directly.
 
 use std::{
+    collections::BTreeMap,
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -14,6 +15,7 @@
 
 use bytes::BytesMut;
 use reelreel_http::{BodyDecoder, BodyFraming, BodyPart, RequestHead};
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// A request received by a stand-in.
 #[derive(Debug, Clone)]
@@ -29,9 +31,19 @@
     /// The socket.
     pub socket: TcpStream,
     buffer: BytesMut,
+    resets: bool,
 }
 
 impl ServedConnection {
+    fn new(socket: TcpStream) -> Self {
+        Self { socket, buffer: BytesMut::new(), resets: false }
+    }
+
+    /// Resets the connection when it is closed, rather than ending it in order.
+    pub fn reset_on_close(&mut self) {
+        self.resets = SockRef::from(&self.socket).set_linger(Some(Duration::ZERO)).is_ok();
+    }
+
     fn read_more(&mut self) -> Option<()> {
         let mut bytes = [0; 4096];
         let count = self.socket.read(&mut bytes).ok().filter(|count| *count > 0)?;
@@ -108,7 +120,7 @@
             let serve = Arc::clone(&serve);
             thread::spawn(move || {
                 let _ = socket.set_nodelay(true);
-                serve(&mut ServedConnection { socket, buffer: BytesMut::new() });
+                serve(&mut ServedConnection::new(socket));
             });
         }
     });
@@ -118,12 +130,19 @@
 /// The interval at which a server polls for connections and for its stop.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
+/// The number of connections that wait to be accepted at a server that accepts them.
+const BACKLOG: i32 = 128;
+
+/// The number of connections that fill the queue of a server that accepts none.
+const QUEUE_FILLERS: usize = 3;
+
 /// A server that can stop like a process that exits: it closes its listener and all connections.
 #[derive(Clone, Default)]
 pub struct StoppableServer {
+    stalled: Arc<AtomicBool>,
     stopping: Arc<AtomicBool>,
     stopped: Arc<AtomicBool>,
-    sockets: Arc<Mutex<Vec<TcpStream>>>,
+    sockets: Arc<Mutex<BTreeMap<u64, TcpStream>>>,
 }
 
 impl StoppableServer {
@@ -140,20 +159,37 @@
         listener.set_nonblocking(true).expect("the listener can be set to non-blocking");
         let (server, serve) = (self.clone(), Arc::new(serve));
         thread::spawn(move || {
+            let mut fillers = Vec::new();
+            let mut connection_count = 0;
             while !server.stopping.load(Ordering::Acquire) {
+                if server.stalled.load(Ordering::Acquire) {
+                    if fillers.is_empty() {
+                        fillers = fill_queue(&listener, address);
+                    }
+                    thread::sleep(STOP_POLL_INTERVAL);
+                    continue;
+                }
+                if !fillers.is_empty() {
+                    fillers.clear();
+                    let _ = SockRef::from(&listener).listen(BACKLOG);
+                }
                 let Ok((socket, _)) = listener.accept() else {
                     thread::sleep(STOP_POLL_INTERVAL);
                     continue;
                 };
                 let _ = socket.set_nodelay(true);
                 let handle = socket.try_clone().expect("the socket can be cloned");
-                server.sockets.lock().unwrap_or_else(PoisonError::into_inner).push(handle);
-                let serve = Arc::clone(&serve);
+                connection_count += 1;
+                server.lock_sockets().insert(connection_count, handle);
+                let (serve, server) = (Arc::clone(&serve), server.clone());
                 thread::spawn(move || {
-                    let mut connection = ServedConnection { socket, buffer: BytesMut::new() };
+                    let mut connection = ServedConnection::new(socket);
                     serve(&mut connection);
-                    // The server holds another handle of the socket.
-                    let _ = connection.socket.shutdown(Shutdown::Both);
+                    // A reset is sent when the last handle is closed.
+                    drop(server.lock_sockets().remove(&connection_count));
+                    if !connection.resets {
+                        let _ = connection.socket.shutdown(Shutdown::Both);
+                    }
                 });
             }
             drop(listener);
@@ -161,19 +197,41 @@
         });
     }
 
+    /// Accepts no new connections while `stalled`: connects get no response. Open connections go on.
+    pub fn stall_connects(&self, stalled: bool) {
+        self.stalled.store(stalled, Ordering::Release);
+    }
+
     /// Stops the server; returns once the listener is closed and the connections are shut down.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
         while !self.stopped.load(Ordering::Acquire) {
             thread::sleep(STOP_POLL_INTERVAL);
         }
-        for socket in self.sockets.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+        for socket in self.lock_sockets().values() {
             let _ = socket.shutdown(Shutdown::Both);
         }
     }
 
+    fn lock_sockets(&self) -> MutexGuard<'_, BTreeMap<u64, TcpStream>> {
+        self.sockets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether the server has stopped listening.
     pub fn has_stopped(&self) -> bool {
         self.stopped.load(Ordering::Acquire)
     }
 }
+
+/// Fills the queue of connections that wait to be accepted, so that further connects get no response.
+fn fill_queue(listener: &TcpListener, address: SocketAddr) -> Vec<Socket> {
+    let _ = SockRef::from(listener).listen(0);
+    let fillers = (0..QUEUE_FILLERS).filter_map(|_| {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None).ok()?;
+        socket.set_nonblocking(true).ok()?;
+        // The connect is under way, or waits like all further ones.
+        let _ = socket.connect(&address.into());
+        Some(socket)
+    });
+    fillers.collect()
+}
