fix(gateway): a repeatable request may go to the only engine with its adapter once more

Callers got 502 after 770 ms of 900 for repeatable requests, and for streams before their first event, whose engine broke off and was the only one with their adapter.

The engine was left out for the rest of the request, and the placer was not told that its copy is of no use: it ordered another only after 700 ms, when copies seem unreachable.

Now the engine is a candidate once more if no other can take the request and it has not ended, also within its backoff and at the limit of engines (services with models only: a server without models is left to others); and a request that waits while an engine with a copy has failed tells the placer that it needs another.

The test was written with the mend.

--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -162,7 +162,8 @@
             connection.record_interrupted(self.traffic.now());
             connection.close();
             self.may_have_run = true;
-            self.handle_interrupted_run(entry).await;
+            let has_ended = self.handle_interrupted_run(entry).await;
+            self.record_interruption(&entry.name, has_ended);
             return SendOutcome::Failed;
         };
         connection.record_received(self.traffic.now());
@@ -210,6 +211,7 @@
             // success is unsigned, or the response was computed with other weights.
             connection.close();
             self.record_outcome(&entry, EngineOutcome::Failed);
+            self.record_interruption(&entry.name, false);
             return SendOutcome::Failed;
         }
         if success && self.route.kind.is_stream() {
@@ -221,7 +223,8 @@
             Err(outcome) => {
                 connection.close();
                 if matches!(outcome, SendOutcome::Failed) {
-                    self.handle_interrupted_run(&entry).await;
+                    let has_ended = self.handle_interrupted_run(&entry).await;
+                    self.record_interruption(&entry.name, has_ended);
                 }
                 return outcome;
             }
@@ -230,6 +233,7 @@
         if is_open && self.ended_with_engine(&entry).await {
             connection.close();
             self.record_outcome(&entry, EngineOutcome::Failed);
+            self.record_interruption(&entry.name, true);
             return SendOutcome::Failed;
         }
         self.record_complete_run();
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -169,7 +169,9 @@
     pub(super) cold_cause: Option<DecisionCause>,
     /// Engines that are not tried again: unreachable, full, or failed.
     pub(super) excluded_engines: Vec<EngineName>,
-    /// Engines that interrupted the stream once and have not ended.
+    /// Engines that ended while they ran the request, or interrupted it twice.
+    pub(super) failed_engines: Vec<EngineName>,
+    /// Engines that interrupted the request once and have not ended.
     pub(super) interrupted_by: Vec<EngineName>,
     /// Number of failed connects.
     pub(super) failed_connects: u32,
@@ -271,6 +273,7 @@
             resume_failure: None,
             response_memory: None,
             excluded_engines: Vec::new(),
+            failed_engines: Vec::new(),
             interrupted_by: Vec::new(),
             sends: 0,
             failed_connects: 0,
@@ -348,8 +351,18 @@
     }
 
     /// Picks an engine for the request.
+    ///
+    /// An engine that has interrupted it is picked only if no other can take it.
     pub fn pick(&self) -> EnginePick {
-        self.pick_excluding(&self.unusable_engines())
+        let unusable = self.unusable_engines();
+        if self.interrupted_by.is_empty() {
+            return self.pick_excluding(&unusable, &[]);
+        }
+        let excluded = [&unusable[..], &self.interrupted_by].concat();
+        match self.pick_excluding(&excluded, &[]) {
+            EnginePick::Engine(entry, version) => EnginePick::Engine(entry, version),
+            _ => self.pick_excluding(&unusable, &self.interrupted_by),
+        }
     }
 
     /// Excludes an engine that could not be connected to.
@@ -363,7 +376,7 @@
 
     /// Returns the engines that the request must not be sent to.
     pub(super) fn unusable_engines(&self) -> Vec<EngineName> {
-        let mut excluded = self.excluded_engines.clone();
+        let mut excluded = [&self.excluded_engines[..], &self.failed_engines].concat();
         if !self.traffic.shared.links.is_isolated() {
             excluded.extend_from_slice(&self.unconnected_engines);
         }
@@ -381,16 +394,20 @@
 
     /// Picks an engine as for a new attempt of the client, which has no excluded engines.
     pub(super) fn pick_without_exclusions(&self) -> EnginePick {
-        self.pick_excluding(&[])
+        self.pick_excluding(&[], &[])
     }
 
-    fn pick_excluding(&self, excluded: &[EngineName]) -> EnginePick {
+    fn pick_excluding(
+        &self,
+        excluded: &[EngineName],
+        ignores_backoff: &[EngineName],
+    ) -> EnginePick {
         let requirements = EngineRequirements {
             service: &self.service,
             key: self.metadata.model.as_ref(),
             software: self.needed_software(),
             excluded,
-            ignores_backoff: &[],
+            ignores_backoff,
             id: &self.metadata.id,
             permit_use: self.permit_use(),
             retryable: self.route.kind.is_retryable() && self.sends == 0,
@@ -441,9 +458,8 @@
                 None
             }
             SendOutcome::Failed => {
-                let may_retry = self.route.kind.is_retryable() && self.may_try_other_engine();
-                if may_retry && self.try_spend_resend() {
-                    self.excluded_engines.push(Arc::clone(&entry.name));
+                let may_retry = self.may_try_other_engine() || !self.interrupted_by.is_empty();
+                if self.route.kind.is_retryable() && may_retry && self.try_spend_resend() {
                     return None;
                 }
                 Some(self.respond(ENGINE_FAILED, "engine_failed").await)
--- a/crates/gateway/src/traffic/quarantine.rs
+++ b/crates/gateway/src/traffic/quarantine.rs
@@ -64,8 +64,11 @@
         let Some(run) = self.current_run.take() else { return false };
         let is_suspect = self.is_suspect();
         let end_check = check_after_failure(self.traffic, entry, run);
-        let is_stream = self.route.kind.is_stream();
-        if !self.route.kind.is_retryable() || !(is_stream || self.may_try_other_engine()) {
+        // An engine with models may get the request again.
+        let may_run_again = self.may_try_other_engine()
+            || self.metadata.model.is_some()
+            || self.route.kind.is_stream();
+        if !self.route.kind.is_retryable() || !may_run_again {
             return false;
         }
         if is_suspect {
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -297,13 +297,13 @@
                     }
                 }
             }
+            self.record_interruption(&entry.name, has_ended);
             if progress.pending_head.is_some() {
                 // The client has got nothing, so the request may be sent again from its start.
                 self.status = 0;
                 return SendOutcome::Failed;
             }
             progress.splitter.drop_partial();
-            self.record_interruption(&entry.name, has_ended);
             resumes += 1;
             let next = if !progress.resumable {
                 Err(ResumeFailure::NotResumable)
--- a/crates/gateway/src/traffic/resume.rs
+++ b/crates/gateway/src/traffic/resume.rs
@@ -134,13 +134,15 @@
         self.traffic.shared.metrics.streams.count_resume_failure(failure);
     }
 
-    /// Records that an engine interrupted the stream.
+    /// Records that an engine interrupted the request, or that its response was of no use.
     ///
-    /// One that lives on holds the adapter and often the prompt, so it may get the stream once more.
+    /// One that lives on holds the adapter and often the prompt, so it may get the request once
+    /// more. A server without models is left to other requests, unless a stream goes on.
     pub(super) fn record_interruption(&mut self, engine: &EngineName, has_ended: bool) {
-        if has_ended || self.interrupted_by.contains(engine) {
+        let may_return = self.metadata.model.is_some() || self.first_byte_ms > 0;
+        if has_ended || !may_return || self.interrupted_by.contains(engine) {
             self.interrupted_by.retain(|name| name != engine);
-            self.excluded_engines.push(Arc::clone(engine));
+            self.failed_engines.push(Arc::clone(engine));
         } else {
             self.interrupted_by.push(Arc::clone(engine));
         }
@@ -291,8 +293,10 @@
     /// one becomes available.
     fn count_waiting_stream(&self, wait: &ResumeWait, guard: &mut Option<WaitGuard>) {
         let Some(key) = &self.metadata.model else { return };
-        if !wait.expects_copy() {
-            self.record_needed_software();
+        // The copies are of use to other hosts, and to this one through them.
+        let is_isolated = self.traffic.shared.links.is_isolated();
+        if !wait.expects_copy() && !is_isolated {
+            self.report_needed_copy();
         }
         let worth = self.weighted_worth(wait.worth());
         if let Some(guard) = guard {
@@ -435,7 +439,7 @@
             Some(key) => table.loaded_version(key, engine).is_some(),
             None => true,
         };
-        if !self.may_try_other_engine() && self.has_candidate(&self.excluded_engines) {
+        if !self.may_try_other_engine() && self.has_candidate(&self.failed_engines) {
             ResumeFailure::AttemptLimit
         } else if self.unusable_engines().iter().any(is_held) {
             ResumeFailure::Excluded
--- a/crates/gateway/src/traffic/wait.rs
+++ b/crates/gateway/src/traffic/wait.rs
@@ -5,7 +5,7 @@
 use reelreel_core::{
     ClockMillis,
     fleet::{
-        ModelKey, ServiceName,
+        EngineName, ModelKey, ServiceName,
         cold_start::{ColdDecision, ColdRequest, CoolingEngine, LATE_WORTH},
     },
 };
@@ -212,22 +212,30 @@
             EnginePick::ColdStart => {
                 self.cooling_engines = None;
                 self.update_permit_wait(&[]);
-                self.record_needed_software();
+                self.report_needed_copy();
             }
             EnginePick::Engine(..) | EnginePick::Unavailable => return false,
         }
         true
     }
 
-    /// Reports which software version a resumed stream needs: copies at engines of another one do not
-    /// help it.
-    pub(super) fn record_needed_software(&self) {
-        let Some((key, software)) = self.metadata.model.as_ref().zip(self.needed_software()) else {
+    /// Reports that the request needs another copy: it resumes a stream, so that copies at engines of
+    /// another software version do not help it, or engines with a copy have failed.
+    pub(super) fn report_needed_copy(&self) {
+        let Some(key) = &self.metadata.model else { return };
+        let software = self.needed_software();
+        let table = self.traffic.table();
+        let is_held = |engine: &EngineName| table.loaded_version(key, engine).is_some();
+        let has_lost_copy =
+            !self.traffic.shared.links.is_isolated() && self.failed_engines.iter().any(is_held);
+        if software.is_none() && !has_lost_copy {
             return;
-        };
+        }
         let until = self.traffic.now() + 2 * RECHECK_INTERVAL;
         let mut demand = self.traffic.shared.demand();
-        demand.set_needed_software(&self.service, key, software, until);
+        if let Some(software) = software {
+            demand.set_needed_software(&self.service, key, software, until);
+        }
         demand.set_copies_unavailable(&self.service, key, until);
     }
 
--- a/crates/gateway/tests/host/site.rs
+++ b/crates/gateway/tests/host/site.rs
@@ -171,6 +171,7 @@
         route("/resumable/", RouteKind::Stream { resumable: true }, "assist", 2),
         route("/safe/deeper/", RouteKind::AtMostOnce, "plain", 1),
     ];
+    routes.push(route("/repeatable/", RouteKind::Idempotent, "assist", 2));
     routes.push(RouteEntry { public: true, ..route("/open/", RouteKind::AtMostOnce, "plain", 1) });
     if with_late_route {
         routes.push(route("/late/", RouteKind::AtMostOnce, "plain", 1));
--- a/crates/gateway/tests/host/stream_resume.rs
+++ b/crates/gateway/tests/host/stream_resume.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    codec::DEADLINE,
     cold_requests::start_failing_placers,
     cut_response::{
         CUT_EVENTS, ClaimedEnd, ClientView, ConnectionEnd, CutResponse, Delimiter, event_body,
@@ -33,6 +34,9 @@
 /// Number of events of a long stream; it takes some 600 ms of the 1.5 s that tight timeouts leave.
 const LONG_EVENTS: u32 = 24;
 
+/// Time that a client leaves for an answer that it gets in one piece: three times that of a load.
+const CLIENT_DEADLINE: Duration = Duration::from_millis(900);
+
 /// Upper limit of the time until a stream that can't go on is reset: half of what its client waits
 /// for an event. Leaves room for a busy machine.
 const RESET_LIMIT: Duration = Duration::from_secs(1);
@@ -106,10 +110,15 @@
     }
 
     fn send(&self, key: &str) -> ClientView {
+        self.send_on("/resumable/a", key, "")
+    }
+
+    /// Sends a request on a route, with further header fields.
+    fn send_on(&self, path: &str, key: &str, fields: &str) -> ClientView {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
-        let fields = format!("X-Request: resumed-{number}\r\nX-Model: {key}\r\n");
-        ClientView::parse(&self.host.post("/resumable/a", &fields, "{}"))
+        let fields = format!("X-Request: resumed-{number}\r\nX-Model: {key}\r\n{fields}");
+        ClientView::parse(&self.host.post(path, &fields, "{}"))
     }
 
     /// Returns the causes for which streams were not resumed, for messages.
@@ -350,3 +359,44 @@
     assert!(left_at.elapsed() < Duration::from_millis(500), "{:?}", left_at.elapsed());
     assert!(site.site.engines.iter().all(|engine| engine.runs().is_empty()));
 }
+
+/// Guards against requests that may run again and get no whole answer because the only engine with
+/// their adapter broke off before the client got anything.
+#[test]
+fn a_repeatable_request_runs_again_although_one_engine_holds_its_adapter() {
+    struct RepeatCase {
+        name: &'static str,
+        path: &'static str,
+        end: ConnectionEnd,
+    }
+    let cases = [
+        RepeatCase { name: "buffered, reset", path: "/repeatable/a", end: ConnectionEnd::Reset },
+        RepeatCase { name: "stream, reset", path: "/resumable/a", end: ConnectionEnd::Reset },
+        RepeatCase {
+            name: "buffered, engine ends",
+            path: "/repeatable/a",
+            end: ConnectionEnd::ProcessEnd,
+        },
+        RepeatCase {
+            name: "stream, engine ends",
+            path: "/resumable/a",
+            end: ConnectionEnd::ProcessEnd,
+        },
+    ];
+    let mut losses = Vec::new();
+    for RepeatCase { name, path, end } in cases {
+        let site = SingleCopySite::start("repeated", HOLDERS, false);
+        let cut = CutResponse {
+            delimiter: Delimiter::Length,
+            sent_bytes: 5,
+            end,
+            further: Delimiter::Length,
+        };
+        site.set_behaviours(&[EngineBehaviour::Cut(cut)]);
+        let deadline = format!("{DEADLINE}: {}\r\n", CLIENT_DEADLINE.as_millis());
+        let send = |holder| site.send_on(path, &adapter(holder, 0), &deadline);
+        let views: Vec<_> = (0..HOLDERS).map(send).collect();
+        losses.extend(loss(&site, name, &views, &event_body(0)));
+    }
+    assert!(losses.is_empty(), "{}", losses.join("\n"));
+}
