fix(core): an interrupted stream waits longer for a load that takes longer than expected

Found by a test beside load (load average 80): of 20 streams whose engine cut them twice 18 went on; two were reset 411 and 421 ms after their wait had begun although their loads had been ordered at once and accepted.

Cause: a load counted as lost 150 ms after it was due, as for cold requests. Those are refused and come back; a stream would lose what its client has got. It now waits 400 ms beyond the due time, as it does without any schedule, and never beyond its client's patience.

--- a/crates/core/src/fleet/cold_decision.rs
+++ b/crates/core/src/fleet/cold_decision.rs
@@ -31,7 +31,7 @@
 
 /// How long after its due time a load still counts as on its way. Covers the delivery of the plan
 /// from a busy placer to a busy host.
-pub(super) const OVERDUE_GRACE: Duration = Duration::from_millis(150);
+const OVERDUE_GRACE: Duration = Duration::from_millis(150);
 
 /// Divides the time until a load is due to get the time over which retries are spread.
 const SPREAD_DIVISOR: u32 = 4;
--- a/crates/core/src/fleet/resume_wait.rs
+++ b/crates/core/src/fleet/resume_wait.rs
@@ -9,15 +9,12 @@
 
 use crate::{
     clock::ClockMillis,
-    fleet::{
-        cold_decision::OVERDUE_GRACE,
-        cold_start::{FIRST_EVENT_OVERHEAD, LATE_WORTH, MIN_RECHECK_INTERVAL, client_patience},
-    },
+    fleet::cold_start::{FIRST_EVENT_OVERHEAD, LATE_WORTH, MIN_RECHECK_INTERVAL, client_patience},
     placement::{LoadSchedule, store_throughput::MIN_LOAD_TIME},
 };
 
-/// How long a stream waits while nothing shows when an engine can resume it, or until its load is
-/// ordered.
+/// How long a stream waits while nothing shows when an engine can resume it: without the schedule of
+/// a load, until a queued load is ordered, and after a load was due.
 const UNSCHEDULED_WAIT: Duration = Duration::from_millis(400);
 
 /// Worth of the events that a client has got: the run that would have to be repeated for them.
@@ -72,11 +69,11 @@
         if !self.loadable {
             return None;
         }
-        let fresh = |due: ClockMillis| self.now.since(due) < OVERDUE_GRACE;
+        let fresh = |due: ClockMillis| self.now.since(due) < UNSCHEDULED_WAIT;
         match self.schedule {
             LoadSchedule::Loading { due } if fresh(due) => {
                 let useful = self.is_useful_after(due.since(self.now));
-                useful.then(|| (due + OVERDUE_GRACE).since(self.now))
+                useful.then(|| (due + UNSCHEDULED_WAIT).since(self.now))
             }
             LoadSchedule::Queued { due } if fresh(due) => {
                 if !self.is_useful_after(due.since(self.now)) {
@@ -84,7 +81,7 @@
                 }
                 // A load that is due within one load time should be ordered at this moment.
                 let is_next = due.since(self.now) <= MIN_LOAD_TIME;
-                let next = is_next.then(|| (due + OVERDUE_GRACE).since(self.now));
+                let next = is_next.then(|| (due + UNSCHEDULED_WAIT).since(self.now));
                 self.wait_for_news().or(next)
             }
             _ => self.wait_for_news(),
--- a/crates/core/tests/resume_wait.rs
+++ b/crates/core/tests/resume_wait.rs
@@ -68,6 +68,16 @@
             },
             waits: false,
         },
+        WaitCase {
+            name: "a load takes somewhat longer than expected",
+            wait: ResumeWait {
+                waited: Duration::from_millis(500),
+                silence: Duration::from_millis(520),
+                schedule: LoadSchedule::Loading { due: NOW - Duration::from_millis(200) },
+                ..interrupted()
+            },
+            waits: true,
+        },
         WaitCase {
             name: "a load is overdue and the stream has waited",
             wait: ResumeWait {
