--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -173,6 +173,8 @@
     pub(super) cold_cause: Option<DecisionCause>,
     /// Engines that are not tried again: unreachable, full, or failed.
     pub(super) excluded_engines: Vec<EngineName>,
+    /// Engines that ended while they ran the request, or interrupted it twice.
+    pub(super) failed_engines: Vec<EngineName>,
     /// Engines that interrupted the request once and have not ended.
     pub(super) interrupted_by: Vec<EngineName>,
     /// Number of failed connects.
@@ -284,6 +286,7 @@
             resume_failure: None,
             response_memory: None,
             excluded_engines: Vec::new(),
+            failed_engines: Vec::new(),
             interrupted_by: Vec::new(),
             sends: 0,
             failed_connects: 0,
@@ -386,7 +389,7 @@
 
     /// Returns the engines that the request must not be sent to.
     pub(super) fn unusable_engines(&self) -> Vec<EngineName> {
-        let mut excluded = self.excluded_engines.clone();
+        let mut excluded = [&self.excluded_engines[..], &self.failed_engines].concat();
         if !self.traffic.shared.links.is_isolated() {
             excluded.extend_from_slice(&self.unconnected_engines);
         }
--- a/crates/gateway/src/traffic/wait.rs
+++ b/crates/gateway/src/traffic/wait.rs
@@ -220,13 +220,15 @@
     }
 
     /// Reports that the request needs another copy: it resumes a stream, so that copies at engines of
-    /// another software version do not help it, or engines with a copy are excluded.
+    /// another software version do not help it, or engines with a copy have failed.
     pub(super) fn report_needed_copy(&self) {
         let Some(key) = &self.metadata.model else { return };
         let software = self.needed_software();
         let table = self.traffic.table();
         let is_held = |engine: &EngineName| table.loaded_version(key, engine).is_some();
-        if software.is_none() && !self.excluded_engines.iter().any(is_held) {
+        let has_lost_copy =
+            !self.traffic.shared.links.is_isolated() && self.failed_engines.iter().any(is_held);
+        if software.is_none() && !has_lost_copy {
             return;
         }
         let until = self.traffic.now() + 2 * RECHECK_INTERVAL;
