test(core): retries, quotas and permits follow requests that meet one host

Nine in ten of all requests at one host for 4 s, then at another, total demand unchanged or half as many again; the served fraction from 3 s on is compared with the one before.

The existing case of brittle engines passes its hosts in the same order as before.

--- a/crates/core/tests/engine_limits/main.rs
+++ b/crates/core/tests/engine_limits/main.rs
@@ -3,6 +3,7 @@
 mod declarations;
 mod faults;
 mod fleet;
+mod herds;
 mod host_ledger;
 mod open_room;
 mod simulation;
--- a/crates/core/tests/engine_limits/open_room.rs
+++ b/crates/core/tests/engine_limits/open_room.rs
@@ -64,7 +64,8 @@
 #[derive(Default)]
 struct RoomTally {
     rejected: Vec<ClockMillis>,
-    ended: usize,
+    /// When requests ended after the room has shrunk.
+    ended: Vec<ClockMillis>,
 }
 
 impl RoomTally {
@@ -143,7 +144,8 @@
     }
 }
 
-fn simulate(case: &RoomCase) -> RoomTally {
+/// Simulates a case; `host_of` returns the host of a request, by the number of requests before it and the time.
+fn simulate(case: &RoomCase, host_of: impl Fn(usize, Duration) -> usize) -> RoomTally {
     let engine: EngineName = Arc::from("e");
     let limit = RequestLimit::open_only(case.listed);
     let names: Vec<Arc<str>> = (0..case.hosts).map(|host| Arc::from(format!("h{host}"))).collect();
@@ -153,20 +155,22 @@
     let start = ClockMillis::from_millis(1000);
     let slots = f64::from(case.listed).min(case.room as f64);
     let arrivals_per_step = case.load * slots / RUN_TIME.as_secs_f64() * STEP.as_secs_f64();
-    let (mut arrivals, mut next_host, mut step) = (0.0, 0, 0);
+    let (mut arrivals, mut arrived, mut step) = (0.0, 0, 0);
     while STEP * step < END {
         let now = start + STEP * step;
         let room = if STEP * step < SHRINKS_AT { usize::MAX } else { case.room };
         arrivals += arrivals_per_step;
         while arrivals >= 1.0 {
             arrivals -= 1.0;
-            let host = &mut hosts[next_host % case.hosts];
-            next_host += 1;
+            let host = &mut hosts[host_of(arrived, STEP * step)];
+            arrived += 1;
             host.waiting += 1;
             host.share.begin_wait(&engine, PermitUse::Waiting);
         }
         let ended: usize = hosts.iter_mut().map(|host| host.end_requests(&engine, now)).sum();
-        tally.ended += if STEP * step < SHRINKS_AT { 0 } else { ended };
+        if STEP * step >= SHRINKS_AT {
+            tally.ended.extend(std::iter::repeat_n(now, ended));
+        }
         for index in 0..case.hosts {
             loop {
                 let running: usize = hosts.iter().map(|host| host.open.len()).sum();
@@ -209,11 +213,11 @@
         RoomCase { hosts: 60, listed: 16, room: 10, load: 1.25, bound: 3, min_used: 0.6 },
     ];
     for case in &cases {
-        let tally = simulate(case);
+        let tally = simulate(case, |arrived, _| arrived % case.hosts);
         let rejected = tally.max_rejected_in_a_second();
         let slots = f64::from(case.listed).min(case.room as f64);
         let runs = (END.saturating_sub(SHRINKS_AT)).as_secs_f64() / RUN_TIME.as_secs_f64();
-        let used = tally.ended as f64 / (runs * slots);
+        let used = tally.ended.len() as f64 / (runs * slots);
         let RoomCase { hosts, listed, room, load, bound, min_used } = *case;
         println!(
             "{hosts} hosts, {listed} listed, room {room}, load {load}: {rejected} rejected in a second, {used:.2} used"
@@ -226,6 +230,54 @@
     }
 }
 
+/// When nine in ten of all requests begin to arrive at one host.
+const HERD_START: Duration = Duration::from_secs(14);
+
+/// Time for which they arrive at one host, before they do at the next.
+const HERD_TIME: Duration = Duration::from_secs(4);
+
+/// Time from which requests must be served as before.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Least ratio of the ended requests in the herd and before.
+const MIN_SERVED_RATIO: f64 = 0.75;
+
+/// Guards against permits that stay with hosts which have few requests.
+#[test]
+fn a_host_that_gets_most_requests_uses_the_room_of_a_brittle_engine() {
+    let case = |hosts, listed, load| {
+        let (room, bound, min_used) = (usize::MAX, 0, 0.0);
+        RoomCase { hosts, listed, room, load, bound, min_used }
+    };
+    let cases = [
+        case(6, 4, 0.9),
+        case(6, 16, 1.25),
+        case(60, 16, 0.75),
+        case(60, 4, 1.25),
+        case(300, 16, 0.9),
+    ];
+    for case in &cases {
+        let tally = simulate(case, |arrived, elapsed| match arrived % 10 {
+            0 => arrived / 10 % case.hosts,
+            _ if elapsed < HERD_START => arrived % case.hosts,
+            _ => usize::from(elapsed >= HERD_START + HERD_TIME),
+        });
+        let start = ClockMillis::from_millis(1000);
+        let rate = |from: Duration, until: Duration| {
+            let ended = tally.ended.iter();
+            let ended = ended.filter(|at| (start + from..start + until).contains(*at)).count();
+            ended as f64 / until.saturating_sub(from).as_secs_f64()
+        };
+        let before = rate(Duration::from_secs(6), HERD_START);
+        let herd = rate(HERD_START + CONTACT_TIME, HERD_START + 2 * HERD_TIME);
+        let RoomCase { hosts, listed, load, .. } = *case;
+        println!(
+            "{hosts} hosts, {listed} slots, load {load}: {before:.1} a second, {herd:.1} in the herd"
+        );
+        assert!(herd >= MIN_SERVED_RATIO * before, "{herd:.1} of {before:.1} at {hosts} hosts");
+    }
+}
+
 /// Guards against rejections that were under way before a reduction and cause another one.
 #[test]
 fn requests_that_are_rejected_together_reduce_the_room_once() {
--- a/crates/core/tests/quotas/main.rs
+++ b/crates/core/tests/quotas/main.rs
@@ -3,6 +3,7 @@
 
 #[path = "../random/mod.rs"]
 mod random;
+mod herds;
 mod scenario;
 mod simulation;
 mod strategies;
