--- a/crates/core/tests/priority_admission/main.rs
+++ b/crates/core/tests/priority_admission/main.rs
@@ -76,7 +76,8 @@
     let DemandCase(_, kinds, hosts, load, ..) = *case;
     let mut record = Record::default();
     for seed in SEEDS {
-        run(&Scenario { hosts, kinds, load, factor, seed }, &mut record);
+        let herd_start = u64::MAX;
+        run(&Scenario { hosts, kinds, load, factor, herd_start, seed }, &mut record);
     }
     record
 }
@@ -107,6 +108,74 @@
     }
 }
 
+/// From the users' rule: least ratio of the served fractions while one host gets most requests and otherwise.
+const MIN_SERVED_RATIO: f64 = 0.75;
+
+const HALF_AGAIN: DemandFactor = |at, _, _| hard(at, 1.5);
+
+struct HerdCase(&'static str, &'static [StreamKind], f64, DemandFactor);
+
+/// Name, kinds, base demand relative to the capacity and factor on it, for loads of which one host gets nine tenths.
+const HERD_CASES: &[HerdCase] = &[
+    HerdCase("calm", OFICINA, 0.7, CALM),
+    HerdCase("wave", COSECHA, 0.95, WAVE),
+    HerdCase("half as many again", OFICINA, 0.6, HALF_AGAIN),
+    HerdCase("half as many again, little room", OFICINA, 0.85, HALF_AGAIN),
+    HerdCase("half as many again, few urgent", COSECHA, 0.85, HALF_AGAIN),
+];
+
+/// The same with more than half as many requests again.
+const LARGER_HERD_CASES: &[HerdCase] = &[
+    HerdCase("burst of the least urgent", OFICINA, 0.85, BURST),
+    HerdCase("burst with little room", OFICINA, 0.95, BURST),
+    HerdCase("flood", OFICINA, 0.85, FLOOD),
+    HerdCase("flood with little room", OFICINA, 0.95, FLOOD),
+    HerdCase("flood, few urgent", COSECHA, 0.95, FLOOD),
+    HerdCase("twice the demand", OFICINA, 0.85, TWICE),
+    HerdCase("twice the demand, little room", OFICINA, 0.95, TWICE),
+    HerdCase("twice the demand, few urgent", COSECHA, 0.85, TWICE),
+];
+
+/// Fails if the first attempts of a load are served less often in a herd than evenly.
+fn check_herds(cases: &[HerdCase]) {
+    let mut failures = Vec::new();
+    for HerdCase(name, kinds, load, factor) in cases {
+        for hosts in [6, 20, 72] {
+            let served = [u64::MAX, 7000].map(|herd_start| {
+                let mut record = Record::default();
+                for seed in SEEDS {
+                    let (load, factor) = (*load, *factor);
+                    run(&Scenario { hosts, kinds, load, factor, herd_start, seed }, &mut record);
+                }
+                (record.served_first(), record.served(|_, _| true))
+            });
+            let [(before, all_before), (herd, all_herd)] = served;
+            let line = format!(
+                "{name}, {hosts} hosts: first attempts {before:.3} evenly, {herd:.3} in the herd; \
+                 all {all_before:.3}, {all_herd:.3}"
+            );
+            println!("{line}");
+            if herd < MIN_SERVED_RATIO * before {
+                failures.push(line);
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Guards against a shortage that hosts with few requests do not see: they admit clients that return, and the
+/// host that gets most requests refuses the more.
+#[test]
+fn a_host_that_gets_most_requests_admits_as_many_as_all_did() {
+    check_herds(HERD_CASES);
+}
+
+/// Guards against the same while capacity is far too short.
+#[test]
+fn a_host_that_gets_most_requests_of_a_flood_admits_as_many_as_all_did() {
+    check_herds(LARGER_HERD_CASES);
+}
+
 fn arrival(priority: u8, open: u32, draw: u32) -> PriorityArrival<'static> {
     PriorityArrival {
         priority,
--- a/crates/core/tests/priority_admission/simulation.rs
+++ b/crates/core/tests/priority_admission/simulation.rs
@@ -22,6 +22,9 @@
 /// Engines that hold one adapter, among which a host chooses.
 const HOLDERS: usize = 3;
 
+/// Time for which nine in ten requests arrive at one host.
+const HERD_MS: u64 = 4000;
+
 /// Streams of one priority. Unit of times: milliseconds.
 #[derive(Clone, Copy)]
 pub(crate) struct StreamKind {
@@ -42,6 +45,8 @@
     /// Base demand relative to the capacity.
     pub(crate) load: f64,
     pub(crate) factor: DemandFactor,
+    /// From when on nine in ten requests arrive at one host, and at the next after [`HERD_MS`]. Unit: milliseconds.
+    pub(crate) herd_start: u64,
     pub(crate) seed: u64,
 }
 
@@ -50,6 +55,8 @@
 pub(crate) struct Record {
     /// Offered and served requests by organisation and priority.
     outcomes: BTreeMap<(usize, u8), (f64, f64)>,
+    /// Offered requests, and those served at the first attempt.
+    first_attempts: (f64, f64),
     pub(crate) refusals: u64,
 }
 
@@ -63,8 +70,17 @@
         served / offered
     }
 
+    /// Returns the fraction of all requests that was served at the first attempt.
+    pub(crate) fn served_first(&self) -> f64 {
+        self.first_attempts.1 / self.first_attempts.0
+    }
+
     fn add(&mut self, request: &Request, offered: f64, served: f64) {
         if (10_000..30_000).contains(&request.first_arrival) {
+            self.first_attempts.0 += offered;
+            if request.arrival == request.first_arrival {
+                self.first_attempts.1 += served;
+            }
             let key = (request.organisation, request.kind.priority);
             let sum = self.outcomes.entry(key).or_default();
             *sum = (sum.0 + offered, sum.1 + served);
@@ -147,7 +163,7 @@
         }
         for mut request in arriving {
             request.arrival = now;
-            request.host = draws.below(scenario.hosts);
+            request.host = draw_host(scenario, &mut draws, &request);
             let candidates: Vec<usize> = (0..HOLDERS).map(|_| draws.below(ENGINES)).collect();
             let open_at =
                 |index: &usize| engines[*index].running.len() + engines[*index].queue.len();
@@ -183,6 +199,17 @@
     }
 }
 
+/// Returns the host that gets a request. Clients that return after a refusal meet any host.
+fn draw_host(scenario: &Scenario, draws: &mut Draws, request: &Request) -> usize {
+    let herd_time = request.arrival.checked_sub(scenario.herd_start);
+    match herd_time.filter(|_| request.arrival == request.first_arrival) {
+        Some(time) if draws.unit() < 0.9 => {
+            usize::try_from(time / HERD_MS).unwrap_or_default() % scenario.hosts
+        }
+        _ => draws.below(scenario.hosts),
+    }
+}
+
 /// Ends runs and starts queued requests; one that starts within its latency target is served.
 fn advance_engine(
     engine: &mut Engine,
