fix(admission): a host with few requests sees a shortage of engines

Callers saw first attempts refused at the host that gets most connections, while capacity went to clients that came back to other hosts.

Cause: a host forgot expected waits after 0.5 s, weighed each of them alike and lowered its level once for each request at the most, but raised it for all the time since the last one. A host with two requests a second or fewer therefore admitted nearly everything in any shortage, and the only host with many requests lowered its level for all. Evidence: the served fraction of first attempts at 20 and 72 hosts, as the failing tests show; at 6 hosts, where all get enough requests, nothing was wrong.

Change: the steps that fell due since the last wait are taken together, at most one second of them; a wait weighs the more the older those before it are; waits expire after 3 s. A host with ten requests a second or more decides nearly as before.

--- a/crates/core/src/fleet/priority_admission/level.rs
+++ b/crates/core/src/fleet/priority_admission/level.rs
@@ -19,8 +19,9 @@
 /// shortage; a host with ten requests a second notices one within half a second.
 const WAIT_SMOOTHING: f64 = 0.25;
 
-/// Time without expected waits after which capacity is assumed to be sufficient.
-const WAIT_EXPIRY: Duration = Duration::from_millis(500);
+/// Time without expected waits after which capacity is assumed to be sufficient. A host that gets few requests while
+/// most go to another one still sees a shortage that lasts.
+const WAIT_EXPIRY: Duration = Duration::from_secs(3);
 
 /// Minimum time between two changes of the level.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
@@ -28,6 +29,9 @@
 /// Minimum factor of one reduction; more would cut deeper than queues are long.
 const MIN_DECREASE_FACTOR: f64 = 0.8;
 
+/// Maximum time between two waits for which the level is reduced.
+const MAX_DECREASE_TIME: Duration = Duration::from_secs(1);
+
 /// Ratio of the smoothed wait to the previous one below which queues shrink fast enough, so that
 /// the level is not reduced further.
 const SHRINKING_RATIO: f64 = 0.97;
@@ -80,7 +84,10 @@
         if self.is_expired(now) {
             self.wait_ratio = 0.0;
         }
-        self.wait_ratio += WAIT_SMOOTHING * (wait_ratio.min(MAX_WAIT_RATIO) - self.wait_ratio);
+        // The longer the previous waits are ago, the less they say.
+        let updates = now.since(self.observed_at).div_duration_f64(UPDATE_INTERVAL).max(1.0);
+        let weight = 1.0 - (1.0 - WAIT_SMOOTHING).powf(updates);
+        self.wait_ratio += weight * (wait_ratio.min(MAX_WAIT_RATIO) - self.wait_ratio);
         self.observed_at = now;
     }
 
@@ -96,7 +103,9 @@
         let fraction = if wait_ratio > HIGH_WAIT_FRACTION {
             let shrinking = wait_ratio < previous * SHRINKING_RATIO;
             let factor = (HIGH_WAIT_FRACTION / wait_ratio).max(MIN_DECREASE_FACTOR);
-            if shrinking { self.fraction } else { self.fraction * factor }
+            // A host with few requests updates its level less often than others.
+            let decreases = elapsed.min(MAX_DECREASE_TIME).div_duration_f64(UPDATE_INTERVAL);
+            if shrinking { self.fraction } else { self.fraction * factor.powf(decreases) }
         } else if wait_ratio > LOW_WAIT_FRACTION {
             self.fraction + PROBE_INCREASE_PER_SECOND * elapsed.as_secs_f64()
         } else {
