fix(gateway): connections to engines follow the requests of a connection herd

Callers saw requests wait and be refused, as if no engine held their model, at a host that gets most connections.

Cause: a host could open its equal part of the connections that an engine accepts (the limit by the number of hosts), whatever the other hosts had open: 5 of 360 at 72 hosts, where 40 requests for one engine came to one host. Evidence: in herds::a_host_that_gets_most_streams_opens_as_many_as_all_did the log has 280 requests refused as "adapter_absent" and 66 out of time, from the second in which the herd begins, and no other failure.

Change: of services with models, half of the connections are divided evenly; the rest is lent by the open requests of all hosts, which the placer publishes anyway: a host may exceed what it has open by its part of what is free, once for each report and 0.3 s. A host that hears no reports for 2 s returns to its reserve. Where half of the connections is less than 1.25 times the slots, all are divided evenly as before. No new messages.

The sum: demand of 20 to 100 times the usual at all hosts or at one, also with a third of the hosts cut off from reports: at most 297 of 360, 140 of 200, 94 of 100 open.

Plain services and engines whose limit is too small keep equal parts. Idle connections are not counted, as before.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -35,6 +35,7 @@
 pub mod announcement;
 pub mod cold_decision;
 pub mod cold_start;
+pub mod connection_share;
 pub mod cooldown;
 pub mod departures;
 pub mod engine_choice;
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -314,7 +314,12 @@
 
     /// Returns whether a service's placer has not reported for longer than its interval.
     pub fn is_stale(&self, service: &str, now: ClockMillis) -> bool {
-        self.confirmed_at.get(service).is_none_or(|at| now.since(*at) > MAX_WORK_AGE)
+        self.report_age(service, now).is_none_or(|age| age > MAX_WORK_AGE)
+    }
+
+    /// Returns how long ago a service's placer last reported everything that has changed.
+    pub fn report_age(&self, service: &str, now: ClockMillis) -> Option<Duration> {
+        self.confirmed_at.get(service).map(|at| now.since(*at))
     }
 
     /// Drops everything, because it is no longer updated.
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -57,7 +57,8 @@
     ClockMillis,
     fleet::{
         EngineEntry, EngineName, ModelKey, ServiceName, admission::AdmissionController,
-        priority_admission::PriorityAdmission, retry_share::RetryShare,
+        connection_share::ConnectionShare, priority_admission::PriorityAdmission,
+        retry_share::RetryShare,
     },
 };
 use tokio::{net::TcpListener, runtime::Builder, sync::watch, task::LocalSet};
@@ -105,6 +106,8 @@
     pub end_detector: RefCell<EndDetector>,
     /// This host's share of each service's retry budget.
     retry_shares: RefCell<HashMap<ServiceName, RetryShare>>,
+    /// This host's shares of the connections to engines.
+    pub connection_shares: RefCell<HashMap<EngineName, ConnectionShare>>,
     /// Admission control of each service without models.
     pub admissions: RefCell<HashMap<ServiceName, AdmissionController>>,
     /// Admission by priority of each service with models.
@@ -138,6 +141,7 @@
             pool: Rc::new(RefCell::new(pool)),
             end_detector: RefCell::default(),
             retry_shares: RefCell::default(),
+            connection_shares: RefCell::default(),
             admissions: RefCell::default(),
             priorities: RefCell::default(),
             absent_copies: RefCell::default(),
@@ -327,6 +331,7 @@
         pool.clean_up(listed, accepts_requests, now);
         let unconnected = i64::try_from(pool.unconnected_engines()).unwrap_or(i64::MAX);
         drop(pool);
+        self.connection_shares.borrow_mut().retain(|engine, _| listed(engine));
         self.shared.metrics.unconnected_engines.set(unconnected);
         self.absent_copies
             .borrow_mut()
--- a/crates/gateway/src/traffic/pick.rs
+++ b/crates/gateway/src/traffic/pick.rs
@@ -6,6 +6,7 @@
     ClockMillis,
     fleet::{
         EngineEntry, EngineName, ModelKey, SoftwareVersion, WeightVersion, adapter_name,
+        connection_share::ConnectionUse,
         engine_choice::{EngineCandidate, choose_engine, diverting_signal},
         health::EngineHealth,
         limits::share::PermitUse,
@@ -138,7 +139,6 @@
     requirements: &EngineRequirements<'_>,
     now: ClockMillis,
 ) -> (Vec<EligibleEngine>, Vec<(Duration, EngineName)>) {
-    let limit = connection_share(table, requirements.service);
     let mut availability = traffic.shared.availability();
     let (mut eligible, mut cooling) = (Vec::new(), Vec::new());
     for entry in table.ready_engines(requirements.service) {
@@ -151,7 +151,7 @@
         if !requirements.retryable {
             health.defer_failure_probe();
         }
-        if local_work.open < limit {
+        if allows_connection(traffic, table, entry, local_work.open, now) {
             let permitted = match availability.for_request(entry, requirements.permit_use) {
                 EngineAvailability::Available => true,
                 EngineAvailability::Limited => false,
@@ -279,11 +279,32 @@
     entries
 }
 
-/// Returns this host's share of an engine's connection limit.
-fn connection_share(table: &ServingTable, service: &str) -> u32 {
-    let service = table.routes.as_ref().and_then(|routes| routes.service(service));
-    let limit = service.map_or(u32::MAX, |service| service.connection_limit);
-    (limit / table.hosts.max(1)).max(1)
+/// Returns whether this host's share of an engine's connections allows one more request.
+fn allows_connection(
+    traffic: &TrafficState,
+    table: &ServingTable,
+    entry: &EngineEntry,
+    own_open: u32,
+    now: ClockMillis,
+) -> bool {
+    let service = table.routes.as_ref().and_then(|routes| routes.service(&entry.service));
+    let Some(service) = service.filter(|_| own_open > 0) else { return true };
+    let work = traffic.shared.shared_work();
+    let connections = ConnectionUse {
+        limit: service.connection_limit,
+        hosts: table.hosts,
+        slots: entry.slots,
+        own_open,
+        reported_open: work.get(&entry.name).open,
+        report_age: work.report_age(&entry.service, now),
+    };
+    drop(work);
+    if service.hosting.is_none() {
+        // Nobody reports the requests to plain services.
+        return own_open < connections.equal_share();
+    }
+    let mut shares = traffic.connection_shares.borrow_mut();
+    shares.entry(Arc::clone(&entry.name)).or_default().allows(&connections, now)
 }
 
 /// Whether an engine's copy of a model or adapter can serve a request.
