test(gateway): hosts of a connection herd are stopped when their case ends

The four cases start 28 hosts, which went on beside all later tests of the process; with the tests of isolation it had 3,883 open descriptors at the most. The whole binary was not run again.

--- a/crates/gateway/tests/host/herds.rs
+++ b/crates/gateway/tests/host/herds.rs
@@ -143,6 +143,12 @@
             due += Duration::from_secs_f64(1.0 / rate);
         }
     });
+    // Later tests in this process would share the processor with so many hosts.
+    thread::scope(|scope| {
+        for host in fleet.hosts {
+            scope.spawn(|| host.stop());
+        }
+    });
     (before.fraction(), herd.fraction())
 }
 
