--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -51,6 +51,17 @@
     }
 }
 
+fn links() -> HostEvent {
+    HostEvent::Links {
+        state: "connected".into(),
+        failed: 2,
+        connect_failure: Some("refused".into()),
+        isolated_millis: Some(900),
+        received_ago: 12,
+        slow: false,
+    }
+}
+
 /// Returns one event of each kind.
 fn one_event_of_each_kind() -> Vec<HostEvent> {
     let address = "127.0.0.1:1".parse().expect("an address");
@@ -92,14 +103,7 @@
                 begun: 1,
             }],
         },
-        HostEvent::Links {
-            state: "connected".into(),
-            failed: 2,
-            connect_failure: Some("refused".into()),
-            isolated_millis: Some(900),
-            received_ago: 12,
-            slow: false,
-        },
+        links(),
         HostEvent::RequestHeld {
             mark: String::from("0f0f0f0f0f0f0f0f"),
             kind: HeldKind::PromptPart,
