fix(links): a link that is cut after a slow connect is not taken for slow

Callers at a host whose links are cut would wait up to half a second longer for other ways.

Cause: bytes since the first failed connect meant a slow link, however long ago they came. If one engine times out, bytes come for 0.3 s and then the links are cut, the next check still said slow. Now the bytes must be from the last 0.2 s, as they must be for sends on open connections. Core case: failed at 10, bytes at 300, failed at 400, nobody reached at 510: connected before, isolated now.

--- a/crates/core/src/fleet/engine_links.rs
+++ b/crates/core/src/fleet/engine_links.rs
@@ -187,9 +187,17 @@
 
     /// Returns whether open connections must not be used any more.
     pub fn has_lost_open_connections(&self, now: ClockMillis) -> bool {
-        let bring_bytes =
-            self.received_at >= self.failing_since && now.since(self.received_at) < RECENT_RESPONSE;
-        self.is_isolated() && self.connects_time_out && !bring_bytes
+        self.is_isolated() && self.connects_time_out && !self.open_connections_go_on(now)
+    }
+
+    /// Returns the time since bytes were last received on a direct connection.
+    pub fn silence(&self, now: ClockMillis) -> Duration {
+        now.since(self.received_at)
+    }
+
+    /// Returns whether open connections bring bytes, and have since connects began to fail.
+    fn open_connections_go_on(&self, now: ClockMillis) -> bool {
+        self.received_at >= self.failing_since && self.silence(now) < RECENT_RESPONSE
     }
 
     /// Returns whether new connections were reset, so that one counts as open only after a while.
@@ -372,7 +380,7 @@
     /// Returns whether the host's links are slow rather than cut: open connections have brought bytes
     /// since connects began to time out, and not for long.
     fn has_slow_links(&mut self, now: ClockMillis) -> bool {
-        if self.received_at < self.failing_since {
+        if !self.open_connections_go_on(now) {
             return false;
         }
         let slow_since = *self.slow_since.get_or_insert(self.failing_since);
@@ -396,7 +404,7 @@
             failed_engines: self.failed.len(),
             failure: last.map(|(failure, _)| *failure),
             isolated_for,
-            received_ago: now.since(self.received_at),
+            received_ago: self.silence(now),
             is_slow: false,
         })
     }
--- a/crates/core/tests/engine_links.rs
+++ b/crates/core/tests/engine_links.rs
@@ -213,6 +213,17 @@
         state: LinkState::Isolated,
         at_fault: &[],
     },
+    LinkCase {
+        name: "bytes from before the links were cut don't count",
+        observations: &[
+            (10, Failed("a", TIMED_OUT)),
+            (300, Received(5)),
+            (400, Failed("b", TIMED_OUT)),
+            (510, Checked(None)),
+        ],
+        state: LinkState::Isolated,
+        at_fault: &[],
+    },
     LinkCase {
         name: "a host whose connects time out for long is isolated, though open connections go on",
         observations: &[
