fix(links): a pause of a busy engine does not end a stream of an isolated host

A narrow host with a few streams, isolated after a second of slow connects, could still break one off after 0.5 s of silence.

--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -44,11 +44,12 @@
 /// Maximum idle time of a connection for a request that must not run twice.
 const RECENT_IDLE_LIMIT: Duration = Duration::from_millis(1500);
 
-/// How long a connection must have been silent, on a host that is isolated, to count as lost.
+/// How long a connection, and all others to engines, must have been silent, on a host that is
+/// isolated, for the connection to count as lost.
 ///
-/// A response that goes on over a slow link must not be interrupted; its client would lose what the
-/// engine still sends.
-const SILENCE_LIMIT: Duration = Duration::from_millis(500);
+/// Longer than the pauses of busy engines: a response that goes on must not be interrupted, since its
+/// client would lose what the engine still sends.
+const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Interval at which a silent connection is looked at again while others bring bytes.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -449,8 +450,8 @@
         }
     }
 
-    /// Completes when the connection has become useless: this host is isolated, and the connection
-    /// has been silent for [`SILENCE_LIMIT`] as all others are.
+    /// Completes when the connection has become useless: this host is isolated, and no connection to
+    /// an engine has brought bytes for [`SILENCE_LIMIT`].
     pub fn lost(&self, clock: &Arc<dyn ClockSource>) -> impl Future<Output = ()> + use<> {
         let links = Arc::clone(&self.request_count.pool.borrow().links);
         let direct = self.path.tunnel.is_none();
@@ -464,14 +465,16 @@
                     () = sleep_until(&*clock, silent_at) => {}
                     _ = changes.wait_for(|state| *state != LinkState::Isolated) => continue,
                 }
-                let is_silent = active_at.get() + SILENCE_LIMIT <= clock.now();
-                if is_silent && links.monitor().has_lost_open_connections(clock.now()) {
-                    return;
+                let now = clock.now();
+                if active_at.get() + SILENCE_LIMIT > now {
+                    continue;
                 }
-                if is_silent {
-                    // Other connections still bring bytes.
-                    tokio::time::sleep(RECHECK_INTERVAL).await;
+                let monitor = links.monitor().clone();
+                if monitor.has_lost_open_connections(now) && monitor.silence(now) >= SILENCE_LIMIT {
+                    return;
                 }
+                // Other connections bring bytes.
+                tokio::time::sleep(RECHECK_INTERVAL).await;
             }
             std::future::pending::<()>().await;
         }
