fix(gateway): an interrupted stream does not spend a retry before it can be sent

Streams were reset for want of a retry while others had spent theirs on a wait that led to no send.

Now the retry is spent when an engine can take the stream, once for each send that reaches one. A budget that is used up is asked again for 0.4 s, since requests refill it; then the stream is reset.

--- a/crates/gateway/src/traffic/resume.rs
+++ b/crates/gateway/src/traffic/resume.rs
@@ -29,6 +29,12 @@
 /// Delay before an engine is picked again after a check right before the send failed.
 const REPICK_DELAY: Duration = Duration::from_millis(10);
 
+/// How long an interrupted stream waits for the retry budget.
+const RETRY_BUDGET_WAIT: Duration = Duration::from_millis(400);
+
+/// Interval at which it asks for the budget meanwhile.
+const RETRY_BUDGET_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Why an interrupted stream was not resumed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResumeFailure {
@@ -160,19 +166,37 @@
     ) -> Result<ResumedSegment, ResumeFailure> {
         let interrupted_at = self.traffic.now();
         let point = ResumePoint { last_id, last_event, interrupted_at };
+        let mut is_paid = false;
         loop {
-            if !self.try_spend_resend() {
+            if !self.within_send_limits() {
                 return Err(self.resend_failure());
             }
-            loop {
-                let (entry, version) = self.wait_to_resume(&point).await?;
-                match self.send_to_resume(&entry, version, &point).await? {
-                    ResumeSend::Resumed(segment) => return Ok(*segment),
-                    ResumeSend::NotContinued => break,
-                    ResumeSend::NotSent => {}
-                }
+            let (entry, version) = self.wait_to_resume(&point).await?;
+            if !is_paid && !self.try_spend_resend() {
+                self.await_retry_budget(&point).await?;
+                continue;
             }
+            is_paid = true;
+            match self.send_to_resume(&entry, version, &point).await? {
+                ResumeSend::Resumed(segment) => return Ok(*segment),
+                ResumeSend::NotContinued => is_paid = false,
+                ResumeSend::NotSent => {}
+            }
+        }
+    }
+
+    /// Waits a moment for the retry budget, which requests refill.
+    ///
+    /// # Errors
+    /// Returns why the stream is given up: the budget was not refilled in time, or no further send
+    /// is allowed.
+    async fn await_retry_budget(&mut self, point: &ResumePoint<'_>) -> Result<(), ResumeFailure> {
+        let failure = self.resend_failure();
+        let waited = self.traffic.now().since(point.interrupted_at);
+        if failure != ResumeFailure::RetryBudget || waited >= RETRY_BUDGET_WAIT {
+            return Err(failure);
         }
+        self.delay_repick(RETRY_BUDGET_INTERVAL).await
     }
 
     /// Waits until an engine can resume the stream.
