fix(gateway): a resumed stream does not wait for a silent engine beyond its client

A resumed run whose engine sent no head kept its slot until the request's deadline, although its client had given up. The head is now waited for as long as the client waits for the next event. No test of its own.

--- a/crates/gateway/src/traffic/resume.rs
+++ b/crates/gateway/src/traffic/resume.rs
@@ -381,11 +381,13 @@
         let codec = Arc::clone(&self.traffic.shared.codecs.request);
         let (method, id) = (self.request.head.method.clone(), self.metadata.id.clone());
         let sending = send_request(&mut connection, &*codec, &request, &method, &id);
+        let patience = self.client_patience().saturating_sub(sent_at.since(point.last_event));
         let response = tokio::select! {
             biased;
             response = sending => Ok(response),
             () = self.client.wait_closed(READ_AHEAD_LIMIT) => Err(ResumeFailure::ClientGone),
             () = self.deadline.clone().expired(Duration::ZERO) => Err(ResumeFailure::Deadline),
+            () = tokio::time::sleep(patience) => Err(ResumeFailure::Deadline),
         };
         match response {
             Ok(Ok(response)) => {
