fix(peers): a plan that has arrived counts before its timeout

After a pause of this process of two seconds, the timeout of a placer's plans could be handled before the plan that lay in the socket, and the host dropped a placer that works. The select is now biased: frames first.

--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -103,6 +103,8 @@
     let mut received_at = clock.now();
     loop {
         let alive = tokio::select! {
+            // What has arrived counts before the timeout, also after a pause of this process.
+            biased;
             received = stream.receive() => match received.and_then(|frame| frame.body) {
                 Some(FrameBody::Plan(plan)) => {
                     state.borrow_mut().apply_placer_plan(&plan);
