fix(peers): a large frame has the time that a slow link needs for it

A frame of some megabytes over a link of 10 Mbit/s beside other traffic takes more than the 2 s within which it had to be sent, and close to the 5 s within which it had to arrive; its feed was ended in the middle, to begin anew. Both now allow 400 kB a second.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -34,12 +34,15 @@
 /// Maximum length of a frame.
 const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 
-/// Timeout for sending a frame. It passes only when the buffers on the way are full, so the peer is several seconds behind.
+/// Timeout for sending a small frame. It passes only when the buffers on the way are full, so the peer is several seconds behind.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum time in which a frame may arrive whose bytes keep arriving: the largest one over a link of
-/// 10 Mbit/s takes less.
-const FRAME_TIMEOUT: Duration = Duration::from_secs(5);
+/// Rate at which a link carries a frame beside other traffic at least. Unit: bytes per second.
+const MIN_FRAME_RATE: f64 = 400_000.0;
+
+/// Maximum time in which a frame may arrive whose bytes keep arriving: the largest one at the minimum
+/// rate takes less.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(12);
 
 /// Why no frame was received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -82,7 +85,8 @@
     pub async fn send(&mut self, frame: EncodedFrame) -> std::io::Result<()> {
         let labels = FrameLabels { kind: String::from(frame.kind) };
         self.sent_bytes.get_or_create(&labels).inc_by(frame.bytes.len() as u64);
-        timeout(SEND_TIMEOUT, self.framed.send(frame.bytes)).await?
+        let sending_time = Duration::from_secs_f64(frame.bytes.len() as f64 / MIN_FRAME_RATE);
+        timeout(SEND_TIMEOUT + sending_time, self.framed.send(frame.bytes)).await?
     }
 
     /// Receives the next frame; `None` when the connection ended or the frame is malformed.
