test(stand-ins): a connection is served before the server stalls

Traced: the connection was in the queue of the server when the stall began, and a stalled server accepts none, so it was never served; the read had no timeout.

--- a/crates/stand-ins/tests/stoppable_server.rs
+++ b/crates/stand-ins/tests/stoppable_server.rs
@@ -33,6 +33,21 @@
     true
 }
 
+/// Sends a request; returns whether all of a successful response arrives.
+fn is_served(open: &mut TcpStream) -> bool {
+    open.set_read_timeout(Some(SETTLE_TIMEOUT)).expect("a socket option");
+    open.write_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n").expect("the connection is open");
+    let mut response = String::new();
+    let mut bytes = [0; 256];
+    while !response.ends_with("served") {
+        match open.read(&mut bytes) {
+            Ok(0) | Err(_) => return false,
+            Ok(count) => response.push_str(&String::from_utf8_lossy(&bytes[..count])),
+        }
+    }
+    response.starts_with("HTTP/1.1 200")
+}
+
 /// Guards against a stall that ends open connections, or lets new ones through.
 #[test]
 fn a_stalled_server_serves_open_connections_and_accepts_none() {
@@ -45,13 +60,12 @@
         }
     });
     let mut open = TcpStream::connect(address).expect("the server accepts connections");
+    // A connection that was only queued when the stall began would not be served.
+    assert!(is_served(&mut open), "the connection is not served before the stall");
     server.stall_connects(true);
     assert!(eventually(|| !connects(address)), "connects succeed");
     assert!((0..5).all(|_| !connects(address)), "a connect succeeded");
-    open.write_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n").expect("the connection is open");
-    let mut bytes = [0; 12];
-    open.read_exact(&mut bytes).expect("the open connection is served");
-    assert!(bytes.ends_with(b"200"), "{bytes:?}");
+    assert!(is_served(&mut open), "the open connection is not served");
     server.stall_connects(false);
     assert!(eventually(|| connects(address)), "connects still fail");
     server.stop();
