--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -451,7 +451,7 @@
     }
 
     /// Completes when the connection has become useless: this host is isolated, and no connection to
-    /// an engine has brought bytes for [`SILENCE_LIMIT`].
+    /// an engine has brought bytes for a second.
     pub fn lost(&self, clock: &Arc<dyn ClockSource>) -> impl Future<Output = ()> + use<> {
         let links = Arc::clone(&self.request_count.pool.borrow().links);
         let direct = self.path.tunnel.is_none();
