refactor: names and comments of the new code that a newcomer would stop at

client_patience is client_event_timeout, and observe_slow_links, which changes state, no longer reads like a question. No change of behaviour.

--- a/crates/core/src/fleet/cold_start.rs
+++ b/crates/core/src/fleet/cold_start.rs
@@ -89,7 +89,7 @@
 }
 
 /// Returns how long a client waits for the next event of its stream, or for the first one.
-pub fn client_patience(latency_target: Duration, max_event_gap: Option<Duration>) -> Duration {
+pub fn client_event_timeout(latency_target: Duration, max_event_gap: Option<Duration>) -> Duration {
     let event_gaps = max_event_gap.unwrap_or_default() * CLIENT_WAIT_EVENT_GAPS;
     (latency_target * CLIENT_WAIT_LATENCY_TARGETS).max(MIN_CLIENT_WAIT).max(event_gaps)
 }
@@ -98,7 +98,7 @@
     /// Returns the time since arrival after which a waiting request is refused, shortly before its
     /// client gives up.
     pub(super) fn client_wait_limit(&self) -> Duration {
-        let client_wait_limit = client_patience(self.latency_target, self.max_event_gap);
+        let client_wait_limit = client_event_timeout(self.latency_target, self.max_event_gap);
         client_wait_limit.min(self.elapsed + self.remaining).saturating_sub(REFUSAL_MARGIN)
     }
 
--- a/crates/core/src/fleet/engine_links.rs
+++ b/crates/core/src/fleet/engine_links.rs
@@ -364,7 +364,7 @@
             let timed_out =
                 |(failure, _): &(ConnectFailure, ClockMillis)| *failure == ConnectFailure::TimedOut;
             self.connects_time_out = self.failed.values().any(timed_out);
-            if self.failed.values().all(timed_out) && self.has_slow_links(now) {
+            if self.failed.values().all(timed_out) && self.observe_slow_links(now) {
                 let mut change = self.apply(LinkEvent::Reachable, now);
                 if let Some(change) = &mut change {
                     change.is_slow = true;
@@ -377,9 +377,9 @@
         }
     }
 
-    /// Returns whether the host's links are slow rather than cut: open connections have brought bytes
-    /// since connects began to time out, and not for long.
-    fn has_slow_links(&mut self, now: ClockMillis) -> bool {
+    /// Records since when connects time out although open connections bring bytes, and returns whether
+    /// that means slow links: it does for a second, and then that new connections are blocked.
+    fn observe_slow_links(&mut self, now: ClockMillis) -> bool {
         if !self.open_connections_go_on(now) {
             return false;
         }
--- a/crates/core/src/fleet/resume_wait.rs
+++ b/crates/core/src/fleet/resume_wait.rs
@@ -9,7 +9,9 @@
 
 use crate::{
     clock::ClockMillis,
-    fleet::cold_start::{FIRST_EVENT_OVERHEAD, LATE_WORTH, MIN_RECHECK_INTERVAL, client_patience},
+    fleet::cold_start::{
+        FIRST_EVENT_OVERHEAD, LATE_WORTH, MIN_RECHECK_INTERVAL, client_event_timeout,
+    },
     placement::{LoadSchedule, store_throughput::MIN_LOAD_TIME},
 };
 
@@ -97,8 +99,8 @@
     /// Returns whether the client still waits for the next event if an engine accepts the request
     /// after `time`.
     fn is_useful_after(&self, time: Duration) -> bool {
-        let patience = client_patience(self.latency_target, self.max_event_gap);
+        let event_timeout = client_event_timeout(self.latency_target, self.max_event_gap);
         let next_event = time + self.prefill_time + FIRST_EVENT_OVERHEAD;
-        next_event <= patience.saturating_sub(self.silence).min(self.remaining)
+        next_event <= event_timeout.saturating_sub(self.silence).min(self.remaining)
     }
 }
--- a/crates/gateway/src/traffic/resume.rs
+++ b/crates/gateway/src/traffic/resume.rs
@@ -8,7 +8,7 @@
 use reelreel_core::{
     ClockMillis,
     fleet::{
-        EngineEntry, EngineName, WeightVersion, cold_start::client_patience,
+        EngineEntry, EngineName, WeightVersion, cold_start::client_event_timeout,
         engine_links::ConnectFailure, health::EngineOutcome, limits::share::PermitUse,
         resume_wait::ResumeWait,
     },
@@ -214,7 +214,7 @@
             if let Some(rejection) = self.request_rejection() {
                 break Err(rejection.into());
             }
-            if self.traffic.now().since(point.last_event) > self.client_patience() {
+            if self.traffic.now().since(point.last_event) > self.client_event_timeout() {
                 break Err(ResumeFailure::Deadline);
             }
             let picked = match self.pick_to_resume() {
@@ -244,8 +244,8 @@
     }
 
     /// Returns how long the client waits for the next event.
-    fn client_patience(&self) -> Duration {
-        client_patience(self.route.latency_target, self.route.max_event_gap)
+    fn client_event_timeout(&self) -> Duration {
+        client_event_timeout(self.route.latency_target, self.route.max_event_gap)
     }
 
     /// Waits before an engine is picked again.
@@ -381,13 +381,14 @@
         let codec = Arc::clone(&self.traffic.shared.codecs.request);
         let (method, id) = (self.request.head.method.clone(), self.metadata.id.clone());
         let sending = send_request(&mut connection, &*codec, &request, &method, &id);
-        let patience = self.client_patience().saturating_sub(sent_at.since(point.last_event));
+        let head_timeout =
+            self.client_event_timeout().saturating_sub(sent_at.since(point.last_event));
         let response = tokio::select! {
             biased;
             response = sending => Ok(response),
             () = self.client.wait_closed(READ_AHEAD_LIMIT) => Err(ResumeFailure::ClientGone),
             () = self.deadline.clone().expired(Duration::ZERO) => Err(ResumeFailure::Deadline),
-            () = tokio::time::sleep(patience) => Err(ResumeFailure::Deadline),
+            () = tokio::time::sleep(head_timeout) => Err(ResumeFailure::Deadline),
         };
         match response {
             Ok(Ok(response)) => {
