--- /dev/null
+++ b/review/stand_ins/open_answers.rs
@@ -0,0 +1,89 @@
+//! An engine is taken away at short notice while it sends answers that end with their connection.
+
+use std::{io, net::SocketAddr, thread, time::Duration};
+
+use crate::{
+    Outcome,
+    client::{Answer, AnswerEnd, Request, send},
+    deployment::{Deployment, MODEL_SERVICE, Recorder},
+    engine::event_text,
+};
+
+/// The number of ordinary streams, so that the two without a length are 5 in 100.
+const ORDINARY_STREAMS: usize = 38;
+
+/// The events of the streams without a length, and the time between two of them.
+const EVENTS: u64 = 80;
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// When the engine announces its end after the streams have begun, and the time that it has left.
+const NOTICE_AFTER: Duration = Duration::from_millis(500);
+const TIME_LEFT: Duration = Duration::from_millis(2000);
+
+/// Runs the case.
+pub fn run(trouble: bool) -> io::Result<Outcome> {
+    let mut deployment = Deployment::new(2)?;
+    // Only the first engine holds the adapter of the streams.
+    deployment.start_engine(MODEL_SERVICE, 64, 192, "a1,a2")?;
+    deployment.start_engine(MODEL_SERVICE, 64, 192, "a3,a4")?;
+    deployment.start_hosts()?;
+    let recorder = deployment.recorder.clone();
+    let address = deployment.hosts[0].client_address;
+    let mut breaks = Vec::new();
+    for number in 0..ORDINARY_STREAMS {
+        let request = request(format!("ordinary-{number}"), "/lookup/parts", "events=4&interval_ms=5");
+        let answer = ask(address, &recorder, &request);
+        breaks.extend(check(&request.id, 4, answer.as_ref().ok()));
+    }
+    let body = format!("events={EVENTS}&interval_ms={}&open=1", INTERVAL.as_millis());
+    let streams = [("open-lookup", "/lookup/parts"), ("open-draft", "/draft/order")];
+    let streams = streams.map(|(id, path)| {
+        let (request, recorder) = (request(id.to_owned(), path, &body), recorder.clone());
+        thread::spawn(move || (request.id.clone(), ask(address, &recorder, &request)))
+    });
+    if trouble {
+        thread::sleep(NOTICE_AFTER);
+        deployment.engines[0].announce_end(TIME_LEFT)?;
+        thread::sleep(TIME_LEFT);
+        deployment.engines[0].kill();
+    }
+    for stream in streams {
+        let Ok((id, answer)) = stream.join() else { continue };
+        breaks.extend(check(&id, EVENTS, answer.as_ref().ok()));
+    }
+    // The hosts write their logs a moment later.
+    thread::sleep(Duration::from_secs(1));
+    deployment.record_log("open-lookup");
+    deployment.record_log("open-draft");
+    Ok(Outcome { recorder, breaks })
+}
+
+fn request(id: String, path: &str, body: &str) -> Request {
+    let (path, body) = (path.to_owned(), body.to_owned());
+    let deadline = Duration::from_secs(15);
+    Request { id, method: "POST", path, adapter: Some("a1"), deadline, body }
+}
+
+fn ask(address: SocketAddr, recorder: &Recorder, request: &Request) -> io::Result<Answer> {
+    recorder.add(format!("client sends {}: {}", request.id, request.body));
+    let answer = send(address, request);
+    let text = match &answer {
+        Ok(answer) => {
+            format!("{}, {} events", answer.describe(), answer.body.matches("\n\n").count())
+        }
+        Err(error) => format!("no answer ({error})"),
+    };
+    recorder.add(format!("client gets {}: {text}", request.id));
+    answer
+}
+
+/// Returns the rule that an answer breaks, if any.
+fn check(id: &str, events: u64, answer: Option<&Answer>) -> Option<String> {
+    let answer = answer.filter(|answer| answer.head.status() == 200)?;
+    let whole: String = (0..events).map(|event| event_text(id, event)).collect();
+    if answer.end == AnswerEnd::Whole && answer.body != whole {
+        let got = answer.body.matches("\n\n").count();
+        return Some(format!("ORDER: {id} ended as complete after {got} of {events} pieces"));
+    }
+    (!whole.starts_with(&answer.body)).then(|| format!("ORDER: {id} has other pieces"))
+}
