test: review case 2, an answer cut by the end of its engine looks complete

Seen: an engine that answers without a length reports that it is taken away in 2 s and is then killed. Its hosts end the answers in order, so that clients take 44 of 80 events for the whole stream; the stream that may be resumed is not.

Cause: whether an engine ended with its answer is not asked when the engine is leaving.

--- a/review/stand_ins/engine.rs
+++ b/review/stand_ins/engine.rs
@@ -17,7 +17,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -88,7 +88,7 @@
     fence: u64,
     adapters: BTreeSet<String>,
     pending: BTreeSet<String>,
-    remaining_ms: Option<u64>,
+    ends_at: Option<Instant>,
 }
 
 struct Engine {
@@ -122,7 +122,8 @@
     for line in io::stdin().lock().lines() {
         let line = line?;
         if let Some(millis) = line.strip_prefix("drain ") {
-            engine.lock().remaining_ms = millis.trim().parse().ok();
+            let left = Duration::from_millis(millis.trim().parse().unwrap_or_default());
+            engine.lock().ends_at = Some(Instant::now() + left);
             engine.write_entry();
             tell(&format!("draining, {millis} ms left"));
         }
@@ -156,8 +157,11 @@
     fn write_entry(&self) {
         let entry = {
             let state = self.lock();
-            let phase = match state.remaining_ms {
-                Some(millis) => format!("\"draining\",\"remaining_ms\":{millis}"),
+            let phase = match state.ends_at {
+                Some(end) => {
+                    let left = end.saturating_duration_since(Instant::now()).as_millis();
+                    format!("\"draining\",\"remaining_ms\":{left}")
+                }
                 None => String::from("\"ready\""),
             };
             format!(
