--- a/review/stand_ins/deployment.rs
+++ b/review/stand_ins/deployment.rs
@@ -147,6 +147,12 @@
         self.input.flush()
     }
 
+    /// Has the engine leave without saying so.
+    pub fn retire(&mut self) -> io::Result<()> {
+        writeln!(self.input, "retire")?;
+        self.input.flush()
+    }
+
     /// Ends the process (SIGKILL).
     pub fn kill(&mut self) {
         self.recorder.add(format!("engine {} is gone", self.name));
--- a/review/stand_ins/engine.rs
+++ b/review/stand_ins/engine.rs
@@ -8,14 +8,19 @@
 //! - `surplus`: if the request is rejected, this answer is sent once more, late: in the place of the
 //!   next one that is due on the connection.
 //!
-//! Lines on standard output tell what happens; a line `drain MILLIS` on standard input announces
-//! that the engine is taken away. The engine ends with its standard input.
+//! Lines on standard output tell what happens. A line `drain MILLIS` on standard input announces that
+//! the engine is taken away; with a line `retire` it leaves without having said `draining`: its entry
+//! goes, it serves on for a while, and ends once its last request has ended. The engine ends with its
+//! standard input.
 
 use std::{
     collections::BTreeSet,
     io::{self, BufRead, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -31,6 +36,12 @@
 /// The time that the load of an adapter takes.
 const LOAD_TIME: Duration = Duration::from_millis(250);
 
+/// How long an engine serves on after its entry has gone: `drain_ms` and a little longer.
+const SERVES_ON: Duration = Duration::from_millis(2500);
+
+/// The interval in which connections are accepted.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
+
 /// How an engine is started.
 #[derive(Debug, Clone)]
 pub struct EngineOptions {
@@ -89,6 +100,7 @@
     adapters: BTreeSet<String>,
     pending: BTreeSet<String>,
     ends_at: Option<Instant>,
+    is_unlisted: bool,
 }
 
 struct Engine {
@@ -104,17 +116,26 @@
     let state = State { adapters: adapters.map(str::to_owned).collect(), ..State::default() };
     let engine = Arc::new(Engine { options, state: Mutex::new(state), slot_freed: Condvar::new() });
     let accepting = Arc::clone(&engine);
+    let accepts = Arc::new(AtomicBool::new(true));
+    let accepts_still = Arc::clone(&accepts);
+    listener.set_nonblocking(true)?;
     thread::spawn(move || {
-        for socket in listener.incoming().flatten() {
+        while accepts_still.load(Ordering::Acquire) {
+            let Ok((socket, _)) = listener.accept() else {
+                thread::sleep(ACCEPT_INTERVAL);
+                continue;
+            };
             let engine = Arc::clone(&accepting);
             thread::spawn(move || {
+                let _ = socket.set_nonblocking(false);
                 let _ = engine.serve(&mut Connection::new(socket));
             });
         }
+        tell("accepts no more connections");
     });
     let beating = Arc::clone(&engine);
     thread::spawn(move || {
-        loop {
+        while !beating.lock().is_unlisted {
             beating.write_entry();
             thread::sleep(HEARTBEAT);
         }
@@ -127,6 +148,10 @@
             engine.write_entry();
             tell(&format!("draining, {millis} ms left"));
         }
+        if line == "retire" {
+            engine.retire(&accepts);
+            return Ok(());
+        }
     }
     Ok(())
 }
@@ -154,8 +179,25 @@
         format!("[{{\"name\":\"{MODEL}\",\"version\":1,\"adapters\":[{}]}}]", adapters.join(","))
     }
 
+    /// Leaves without having said so, and returns once the last request has ended.
+    fn retire(&self, accepts: &AtomicBool) {
+        self.lock().is_unlisted = true;
+        self.write_entry();
+        tell("its entry is gone");
+        thread::sleep(SERVES_ON);
+        accepts.store(false, Ordering::Release);
+        thread::sleep(ACCEPT_INTERVAL * 5);
+        while self.lock().accepted > 0 {
+            thread::sleep(Duration::from_millis(1));
+        }
+        tell("has ended all requests and ends");
+    }
+
+    /// Writes the engine's entry, or removes it.
     fn write_entry(&self) {
-        let entry = {
+        let entry = if self.lock().is_unlisted {
+            String::new()
+        } else {
             let state = self.lock();
             let phase = match state.ends_at {
                 Some(end) => {
@@ -295,7 +337,9 @@
             *surplus = has("surplus").then_some(fields);
             return Ok(true);
         }
-        let result = self.run(&id, &body, connection, surplus);
+        let after = request.field("last-event-id").and_then(|id| id.parse::<u64>().ok());
+        let first = after.map_or(0, |after| after + 1);
+        let result = self.run(&id, &body, first, connection, surplus);
         let mut state = self.lock();
         state.accepted -= 1;
         drop(state);
@@ -308,6 +352,7 @@
         &self,
         id: &str,
         body: &str,
+        first: u64,
         connection: &mut Connection,
         surplus: &mut Option<String>,
     ) -> io::Result<bool> {
@@ -322,7 +367,7 @@
             return Ok(false);
         }
         tell(&format!("begins {id}"));
-        let answered = self.answer(id, body, connection, surplus);
+        let answered = self.answer(id, body, first, connection, surplus);
         let end = if matches!(answered, Ok(Some(_))) { "ends" } else { "drops" };
         tell(&format!("{end} {id}"));
         self.lock().running -= 1;
@@ -330,11 +375,13 @@
         Ok(answered?.unwrap_or(false))
     }
 
-    /// Answers a request; returns whether the connection is kept, or nothing if the caller has left.
+    /// Answers a request, a stream from the event `first` on; returns whether the connection is kept,
+    /// or nothing if the caller has left.
     fn answer(
         &self,
         id: &str,
         body: &str,
+        first: u64,
         connection: &mut Connection,
         surplus: &mut Option<String>,
     ) -> io::Result<Option<bool>> {
@@ -365,7 +412,7 @@
         let framing = if is_open { "" } else { "Transfer-Encoding: chunked\r\n" };
         let head = format!("{head}Content-Type: text/event-stream\r\n{framing}\r\n");
         connection.write(head.as_bytes())?;
-        for event in 0..number("events").unwrap_or(1) {
+        for event in first..number("events").unwrap_or(1) {
             let text = event_text(id, event);
             let text =
                 if is_open { text } else { format!("{:x}\r\n{text}\r\n", text.len()) };
--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -16,7 +16,7 @@
     time::Duration,
 };
 
-use crate::{deployment::Recorder, engine::EngineOptions};
+use crate::{deployment::Recorder, engine::EngineOptions, open_answers::Leaving};
 
 /// The longest time that a case takes; its processes end with this one.
 const TIME_LIMIT: Duration = Duration::from_secs(110);
@@ -65,7 +65,8 @@
     });
     let outcome = match name {
         "surplus-answers" => surplus_answers::run(trouble),
-        "open-answers" => open_answers::run(trouble),
+        "engine-taken-away" => open_answers::run(Leaving::TakenAway, trouble),
+        "engine-retires" => open_answers::run(Leaving::Retires, trouble),
         "memory" => memory::run(trouble),
         _ => Err(std::io::Error::other("there is no such case")),
     };
--- a/review/stand_ins/open_answers.rs
+++ b/review/stand_ins/open_answers.rs
@@ -1,4 +1,4 @@
-//! An engine is taken away at short notice while it sends answers that end with their connection.
+//! An engine leaves while it sends answers that end with their connection.
 
 use std::{io, net::SocketAddr, thread, time::Duration};
 
@@ -16,12 +16,22 @@
 const EVENTS: u64 = 80;
 const INTERVAL: Duration = Duration::from_millis(50);
 
-/// When the engine announces its end after the streams have begun, and the time that it has left.
-const NOTICE_AFTER: Duration = Duration::from_millis(500);
+/// When the engine's leaving begins after the streams have, and the time that it has left if it is
+/// taken away.
+const LEAVES_AFTER: Duration = Duration::from_millis(500);
 const TIME_LEFT: Duration = Duration::from_millis(2000);
 
+/// How the engine leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Leaving {
+    /// It is taken away at short notice, whatever it runs.
+    TakenAway,
+    /// Its entry goes, it serves on, and ends after its last request.
+    Retires,
+}
+
 /// Runs the case.
-pub fn run(trouble: bool) -> io::Result<Outcome> {
+pub fn run(leaving: Leaving, trouble: bool) -> io::Result<Outcome> {
     let mut deployment = Deployment::new(2)?;
     // Only the first engine holds the adapter of the streams.
     deployment.start_engine(MODEL_SERVICE, 64, 192, "a1,a2")?;
@@ -33,28 +43,37 @@
     for number in 0..ORDINARY_STREAMS {
         let request = request(format!("ordinary-{number}"), "/lookup/parts", "events=4&interval_ms=5");
         let answer = ask(address, &recorder, &request);
-        breaks.extend(check(&request.id, 4, answer.as_ref().ok()));
+        breaks.extend(check(&request.id, 4, answer.as_ref().ok(), &recorder));
     }
     let body = format!("events={EVENTS}&interval_ms={}&open=1", INTERVAL.as_millis());
-    let streams = [("open-lookup", "/lookup/parts"), ("open-draft", "/draft/order")];
+    let second = match leaving {
+        Leaving::TakenAway => ("open-draft", "/draft/order"),
+        Leaving::Retires => ("open-lookup-2", "/lookup/parts"),
+    };
+    let streams = [("open-lookup-1", "/lookup/parts"), second];
     let streams = streams.map(|(id, path)| {
         let (request, recorder) = (request(id.to_owned(), path, &body), recorder.clone());
         thread::spawn(move || (request.id.clone(), ask(address, &recorder, &request)))
     });
     if trouble {
-        thread::sleep(NOTICE_AFTER);
-        deployment.engines[0].announce_end(TIME_LEFT)?;
-        thread::sleep(TIME_LEFT);
-        deployment.engines[0].kill();
+        thread::sleep(LEAVES_AFTER);
+        let engine = &mut deployment.engines[0];
+        if leaving == Leaving::TakenAway {
+            engine.announce_end(TIME_LEFT)?;
+            thread::sleep(TIME_LEFT);
+            engine.kill();
+        } else {
+            engine.retire()?;
+        }
     }
     for stream in streams {
         let Ok((id, answer)) = stream.join() else { continue };
-        breaks.extend(check(&id, EVENTS, answer.as_ref().ok()));
+        // What the engine tells arrives a moment later.
+        thread::sleep(Duration::from_millis(200));
+        breaks.extend(check(&id, EVENTS, answer.as_ref().ok(), &recorder));
     }
-    // The hosts write their logs a moment later.
     thread::sleep(Duration::from_secs(1));
-    deployment.record_log("open-lookup");
-    deployment.record_log("open-draft");
+    deployment.record_log("\"open-");
     Ok(Outcome { recorder, breaks })
 }
 
@@ -78,12 +97,21 @@
 }
 
 /// Returns the rule that an answer breaks, if any.
-fn check(id: &str, events: u64, answer: Option<&Answer>) -> Option<String> {
+fn check(id: &str, events: u64, answer: Option<&Answer>, recorder: &Recorder) -> Option<String> {
     let answer = answer.filter(|answer| answer.head.status() == 200)?;
     let whole: String = (0..events).map(|event| event_text(id, event)).collect();
-    if answer.end == AnswerEnd::Whole && answer.body != whole {
-        let got = answer.body.matches("\n\n").count();
-        return Some(format!("ORDER: {id} ended as complete after {got} of {events} pieces"));
+    let got = answer.body.matches("\n\n").count();
+    if answer.end == AnswerEnd::Whole {
+        let is_cut = answer.body != whole;
+        return is_cut
+            .then(|| format!("ORDER: {id} ended as complete after {got} of {events} pieces"));
+    }
+    if !whole.starts_with(&answer.body) {
+        return Some(format!("ORDER: {id} has other pieces"));
     }
-    (!whole.starts_with(&answer.body)).then(|| format!("ORDER: {id} has other pieces"))
+    let ended = recorder.matching(&format!(" ends {id}"));
+    let has_ended = ended.iter().any(|line| line.ends_with(id));
+    has_ended.then(|| {
+        format!("LOST: the run of {id} ended well, and its connection was reset after {got} pieces")
+    })
 }
