--- a/review/stand_ins/open_answers.rs
+++ b/review/stand_ins/open_answers.rs
@@ -73,7 +73,9 @@
         breaks.extend(check(&id, EVENTS, answer.as_ref().ok(), &recorder));
     }
     thread::sleep(Duration::from_secs(1));
-    deployment.record_log("\"open-");
+    for text in ["\"open-", "\"engine_gone\"", "\"engine_leaving\"", "\"engine_ended\""] {
+        deployment.record_log(text);
+    }
     Ok(Outcome { recorder, breaks })
 }
 
