feat: metrics and log lines of a host's own processor, link and descriptors

What callers saw: while most new connections of a region arrived at one weak host, most of its requests were late, refused or failed. Its logs blamed engines, services and links (queue_too_long, service_full, isolated); nothing told a host that is beyond its own size from engines that are.

The traffic thread samples how late its event loop runs, the bytes of clients and engines against the settings' bandwidth, and the open connections against their maximum. host_load lines say when one of them is used up; connections closed unread are counted by cause. No decision is changed.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -15,6 +15,7 @@
 //! - [`first_event`]: choice of an engine by the expected time to the first event
 //! - [`freshness`]: until when keys are accepted without a confirmed configuration
 //! - [`health`]: engine health from the outcomes of this host's requests
+//! - [`host_load`]: use of the host's own processor, link and descriptors
 //! - [`limits`]: request rate limits declared by engines
 //! - [`prefill_speed`]: prefill throughput of a service's engines
 //! - [`priority_admission`]: which requests are admitted when capacity is short
@@ -45,6 +46,7 @@
 pub mod first_event;
 pub mod freshness;
 pub mod health;
+pub mod host_load;
 pub mod limits;
 pub mod prefill_speed;
 pub mod priority_admission;
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -23,7 +23,7 @@
         work::EngineWork,
     },
 };
-use reelreel_http::HttpStream;
+use reelreel_http::{ByteCounter, HttpStream};
 
 use crate::{
     codec::AddressResolver,
@@ -104,6 +104,8 @@
     /// What is usual for the streams of each service.
     paces: HashMap<ServiceName, ServicePace>,
     connect_time: ConnectTimeEstimator,
+    /// Bytes of direct connections to engines.
+    link_bytes: ByteCounter,
 }
 
 /// A connection to an engine, counted as an open request while it exists.
@@ -124,7 +126,11 @@
 
 impl EnginePool {
     /// Creates an empty pool.
-    pub fn new(addresses: Arc<dyn AddressResolver>, tunnels: TunnelClient) -> Self {
+    pub fn new(
+        addresses: Arc<dyn AddressResolver>,
+        tunnels: TunnelClient,
+        link_bytes: ByteCounter,
+    ) -> Self {
         Self {
             addresses,
             links: Arc::clone(&tunnels.links),
@@ -133,6 +139,7 @@
             halls: HashMap::new(),
             paces: HashMap::new(),
             connect_time: ConnectTimeEstimator::default(),
+            link_bytes,
         }
     }
 
--- a/crates/gateway/src/engines/pool/connect.rs
+++ b/crates/gateway/src/engines/pool/connect.rs
@@ -106,7 +106,8 @@
         let time = started_at.elapsed();
         let mut pool = pool.borrow_mut();
         match connected {
-            Ok(stream) => {
+            Ok(mut stream) => {
+                stream.count_bytes(&pool.link_bytes);
                 pool.record_connect(entry, time);
                 stream.set_dead_peer_timeout(UNRESPONSIVE_TIMEOUT)?;
                 Ok(stream)
--- a/crates/gateway/src/engines/send.rs
+++ b/crates/gateway/src/engines/send.rs
@@ -4,7 +4,6 @@
 
 use reelreel_core::fleet::announcement::EngineAnnouncements;
 use reelreel_http::{BodyDecoder, BodyFraming, HttpStream, ReadError, ResponseHead};
-use tokio::io::AsyncWriteExt;
 
 use crate::{
     codec::{RequestCodec, ResponseMetadata},
@@ -119,8 +118,8 @@
 ) -> Result<(ResponseHead, bool), ReadError> {
     let (mut reader, mut writer) = stream.split();
     let mut write = pin!(async {
-        writer.write_all(&request.head).await?;
-        writer.write_all(&request.body).await
+        writer.write(&request.head).await?;
+        writer.write(&request.body).await
     });
     let mut read = pin!(reader.read_response_head(HEAD_LIMIT));
     let mut write_finished = false;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -231,6 +231,23 @@
         #[serde(default, skip_serializing_if = "is_false")]
         slow: bool,
     },
+    /// The host's own processor, link or descriptors are used up, or no longer are.
+    HostLoad {
+        /// Overloaded or normal.
+        state: Cow<'static, str>,
+        /// The resource that is closest to its limit.
+        resource: Cow<'static, str>,
+        /// Its use, relative to what may be used of it.
+        pressure: f64,
+        /// The standing delay of the event loop. Unit: milliseconds.
+        loop_delay: u64,
+        /// The used part of the link.
+        link_use: f64,
+        /// Number of open client connections.
+        connections: usize,
+        /// Number of open requests.
+        open: usize,
+    },
     /// The process of an engine has ended: it refuses connections after requests at it were
     /// interrupted.
     EngineEnded {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a host, in the Prometheus text format.
 
 mod cold;
+mod host_load;
 mod quarantine;
 mod streams;
 mod tunnels;
@@ -31,7 +32,10 @@
 use crate::traffic::body_end::BodyEnd;
 
 pub use crate::metrics::{
-    cold::ColdMetrics, quarantine::QuarantineMetrics, streams::StreamMetrics,
+    cold::ColdMetrics,
+    host_load::{HostLoadMetrics, UnreadCloseCause},
+    quarantine::QuarantineMetrics,
+    streams::StreamMetrics,
     tunnels::TunnelMetrics,
 };
 
@@ -286,6 +290,8 @@
     pub cooling_engines: Gauge,
     /// Requests whose adapter no engine holds.
     pub cold: ColdMetrics,
+    /// Use of the host's own resources.
+    pub host_load: HostLoadMetrics,
     /// Resumed streams.
     pub streams: StreamMetrics,
     /// Links to engines, and tunnels.
@@ -362,6 +368,7 @@
             departing_engines: Gauge::default(),
             cooling_engines: Gauge::default(),
             cold: ColdMetrics::default(),
+            host_load: HostLoadMetrics::default(),
             streams: StreamMetrics::default(),
             tunnels: TunnelMetrics::default(),
             admission_level: Family::default(),
@@ -465,6 +472,7 @@
         registry.register("leases", "Placement leases that are held", self.leases.clone());
         registry.register("engines", "Engines that are listed", self.engines.clone());
         self.cold.register(&mut registry);
+        self.host_load.register(&mut registry);
         self.streams.register(&mut registry);
         self.tunnels.register(&mut registry);
         *self.registry.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = registry;
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -12,6 +12,7 @@
 //! - [`priority`]: admission by priority and by fair share.
 //! - [`refusal`]: responses without an engine.
 //! - [`quarantine`]: requests whose engines terminated.
+//! - [`host_load`]: this host's own load.
 //! - [`links`]: checks of this host's links to engines; [`tunnels`]: connections for other hosts.
 //! - [`relay`], [`stream`]: passing responses and event streams to the client.
 //! - [`body_end`]: how the body of an engine's response ended.
@@ -27,6 +28,7 @@
 pub mod exchange;
 pub mod first_event;
 pub mod forward;
+pub mod host_load;
 pub mod relay;
 pub mod permit;
 pub mod pick;
@@ -58,10 +60,11 @@
     ClockMillis,
     fleet::{
         EngineEntry, EngineName, ModelKey, ServiceName, admission::AdmissionController,
-        connection_share::ConnectionShare, priority_admission::PriorityAdmission,
-        quarantine::TraitKind, retry_share::RetryShare,
+        connection_share::ConnectionShare, host_load::HostLoad,
+        priority_admission::PriorityAdmission, quarantine::TraitKind, retry_share::RetryShare,
     },
 };
+use reelreel_http::ByteCounter;
 use tokio::{net::TcpListener, runtime::Builder, sync::watch, task::LocalSet};
 
 use crate::{
@@ -122,6 +125,10 @@
     pub response_buffers: Rc<BufferBudget>,
     /// Number of open client connections.
     pub connections: Cell<usize>,
+    /// Bytes of connections to clients and engines.
+    pub link_bytes: ByteCounter,
+    /// The use of this host's own resources.
+    pub host_load: RefCell<HostLoad>,
     /// Number of tunnels served for other hosts.
     pub tunnels: Cell<usize>,
     table: watch::Receiver<Arc<ServingTable>>,
@@ -136,7 +143,11 @@
             metrics: shared.metrics.tunnels.clone(),
             sent_bytes: shared.metrics.peer_sent_bytes.clone(),
         };
-        let pool = EnginePool::new(Arc::clone(&shared.codecs.addresses), tunnels);
+        let link_bytes = ByteCounter::default();
+        let addresses = Arc::clone(&shared.codecs.addresses);
+        let pool = EnginePool::new(addresses, tunnels, link_bytes.clone());
+        let link_mbps = shared.profile.capacity.bandwidth_mbps;
+        let host_load = HostLoad::new(link_mbps, shared.profile.max_connections);
         Self {
             shared,
             pool: Rc::new(RefCell::new(pool)),
@@ -149,6 +160,8 @@
             request_buffers: BufferBudget::new(buffer_limit),
             response_buffers: BufferBudget::new(buffer_limit),
             connections: Cell::new(0),
+            link_bytes,
+            host_load: RefCell::new(host_load),
             tunnels: Cell::new(0),
             table,
         }
@@ -382,6 +395,7 @@
     tokio::task::spawn_local(clean_up_periodically(Rc::clone(&traffic)));
     tokio::task::spawn_local(report_work_periodically(Rc::clone(&traffic)));
     tokio::task::spawn_local(links::monitor_links(Rc::clone(&traffic)));
+    tokio::task::spawn_local(host_load::monitor_load(Rc::clone(&traffic)));
     if let Some(sockets) = shared.take_tunnel_receiver() {
         tokio::task::spawn_local(tunnels::serve_tunnels(Rc::clone(&traffic), sockets));
     }
--- a/crates/gateway/src/traffic/connection.rs
+++ b/crates/gateway/src/traffic/connection.rs
@@ -9,12 +9,15 @@
 };
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::events::{HostEvent, RequestEvent};
-use crate::traffic::{
-    TrafficState,
-    buffer_budget::{BudgetedBody, BufferReservation, OverflowPolicy, read_budgeted_body},
-    exchange::{ClientRequest, ConnectionAction, run_exchange},
-    local_response::LocalResponse,
+use crate::{
+    events::{HostEvent, RequestEvent},
+    metrics::UnreadCloseCause,
+    traffic::{
+        TrafficState,
+        buffer_budget::{BudgetedBody, BufferReservation, OverflowPolicy, read_budgeted_body},
+        exchange::{ClientRequest, ConnectionAction, run_exchange},
+        local_response::LocalResponse,
+    },
 };
 
 /// Delay after a connection could not be accepted.
@@ -102,6 +105,9 @@
             Ok((socket, _)) => {
                 if traffic.connections.get() < traffic.shared.profile.max_connections {
                     tokio::task::spawn_local(serve_client(Rc::clone(&traffic), socket));
+                } else {
+                    let metrics = &traffic.shared.metrics.host_load;
+                    metrics.count_unread_close(UnreadCloseCause::ConnectionLimit);
                 }
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
@@ -130,6 +136,7 @@
 async fn serve_client(traffic: Rc<TrafficState>, socket: TcpStream) {
     let _count = ConnectionGuard::new(&traffic);
     let Ok(mut client) = HttpStream::new(socket) else { return };
+    client.count_bytes(&traffic.link_bytes);
     let mut output_bounded = false;
     loop {
         let limits = client_limits(&traffic);
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -51,6 +51,18 @@
     }
 }
 
+fn host_load() -> HostEvent {
+    HostEvent::HostLoad {
+        state: "overloaded".into(),
+        resource: "link".into(),
+        pressure: 1.2,
+        loop_delay: 15,
+        link_use: 0.9,
+        connections: 340,
+        open: 320,
+    }
+}
+
 fn links() -> HostEvent {
     HostEvent::Links {
         state: "connected".into(),
@@ -104,6 +116,7 @@
             }],
         },
         links(),
+        host_load(),
         HostEvent::RequestHeld {
             mark: String::from("0f0f0f0f0f0f0f0f"),
             kind: HeldKind::PromptPart,
@@ -226,6 +239,7 @@
         | Event::CooldownBegan { .. }
         | Event::CooldownEnded { .. }
         | Event::EngineEnded { .. }
+        | Event::HostLoad { .. }
         | Event::Links { .. }
         | Event::EngineReborn { .. }
         | Event::RequestHeld { .. }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,6 +1,14 @@
 //! An HTTP connection: a TCP socket with its read buffer.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
@@ -56,12 +64,43 @@
     socket.set_tcp_user_timeout(Some(timeout))
 }
 
+/// Counts the payload bytes of several connections.
+#[derive(Debug, Clone, Default)]
+pub struct ByteCounter(Arc<CountedBytes>);
+
+#[derive(Debug, Default)]
+struct CountedBytes {
+    received: AtomicU64,
+    sent: AtomicU64,
+}
+
+impl ByteCounter {
+    /// Returns the number of received bytes.
+    pub fn received(&self) -> u64 {
+        self.0.received.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of sent bytes.
+    pub fn sent(&self) -> u64 {
+        self.0.sent.load(Ordering::Relaxed)
+    }
+
+    fn add_received(&self, count: usize) {
+        self.0.received.fetch_add(count as u64, Ordering::Relaxed);
+    }
+
+    fn add_sent(&self, count: usize) {
+        self.0.sent.fetch_add(count as u64, Ordering::Relaxed);
+    }
+}
+
 /// A TCP socket with its read buffer.
 #[derive(Debug)]
 pub struct HttpStream {
     socket: TcpStream,
     buffer: BytesMut,
     resets_on_drop: bool,
+    counter: ByteCounter,
 }
 
 impl HttpStream {
@@ -71,7 +110,13 @@
     /// Returns the socket's error.
     pub fn new(socket: TcpStream) -> io::Result<Self> {
         socket.set_nodelay(true)?;
-        Ok(Self { socket, buffer: BytesMut::new(), resets_on_drop: false })
+        let counter = ByteCounter::default();
+        Ok(Self { socket, buffer: BytesMut::new(), resets_on_drop: false, counter })
+    }
+
+    /// Counts the bytes of this connection from now on.
+    pub fn count_bytes(&mut self, counter: &ByteCounter) {
+        self.counter = counter.clone();
     }
 
     /// Connects to `address` within `timeout`.
@@ -141,7 +186,9 @@
     /// Returns the socket's error.
     pub async fn read_more(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_RESERVE_BYTES);
-        self.socket.read_buf(&mut self.buffer).await
+        let count = self.socket.read_buf(&mut self.buffer).await?;
+        self.counter.add_received(count);
+        Ok(count)
     }
 
     /// Waits until the peer closes its side or the socket fails.
@@ -243,13 +290,17 @@
     /// # Errors
     /// Returns the socket's error.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.socket.write_all(bytes).await
+        self.socket.write_all(bytes).await?;
+        self.counter.add_sent(bytes.len());
+        Ok(())
     }
 
     /// Splits the stream, so that a response can be read while its request is still being written.
-    pub fn split(&mut self) -> (HttpReader<'_>, tokio::net::tcp::WriteHalf<'_>) {
-        let (socket, writer) = self.socket.split();
-        (HttpReader { socket, buffer: &mut self.buffer }, writer)
+    pub fn split(&mut self) -> (HttpReader<'_>, HttpWriter<'_>) {
+        let (reader, writer) = self.socket.split();
+        let counter = &self.counter;
+        let reader = HttpReader { socket: reader, buffer: &mut self.buffer, counter };
+        (reader, HttpWriter { socket: writer, counter })
     }
 
     /// Sets whether the connection is closed with a TCP reset when it is dropped, also when the
@@ -289,6 +340,7 @@
 pub struct HttpReader<'stream> {
     socket: tokio::net::tcp::ReadHalf<'stream>,
     buffer: &'stream mut BytesMut,
+    counter: &'stream ByteCounter,
 }
 
 impl HttpReader<'_> {
@@ -306,8 +358,27 @@
             match self.socket.read_buf(self.buffer).await? {
                 0 if started => return Err(ReadError::TruncatedHead),
                 0 => return Err(ReadError::Closed),
-                _ => {}
+                count => self.counter.add_received(count),
             }
         }
     }
 }
+
+/// The write half of a split [`HttpStream`].
+#[derive(Debug)]
+pub struct HttpWriter<'stream> {
+    socket: tokio::net::tcp::WriteHalf<'stream>,
+    counter: &'stream ByteCounter,
+}
+
+impl HttpWriter<'_> {
+    /// Writes all of `bytes`.
+    ///
+    /// # Errors
+    /// Returns the socket's error.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.socket.write_all(bytes).await?;
+        self.counter.add_sent(bytes.len());
+        Ok(())
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -12,5 +12,5 @@
 pub mod head;
 
 pub use body::{BodyDecoder, BodyError, BodyFraming, BodyPart};
-pub use connection::{HttpStream, ReadError, set_dead_peer_timeout};
+pub use connection::{ByteCounter, HttpStream, ReadError, set_dead_peer_timeout};
 pub use head::{HeadError, HeaderField, HeaderFields, RequestHead, ResponseHead};
