test: hosts beyond their own processor or link (known red)

Nine in ten of 280 requests a second at one of four hosts, whose processor can serve 200 a second, or whose link carries half of them. A stand-in codec keeps the event loop busy for each request; a pacing relay is the link.

--- a/crates/gateway/tests/host/codec.rs
+++ b/crates/gateway/tests/host/codec.rs
@@ -59,10 +59,17 @@
 /// Configurations by the revision that records name.
 pub(crate) type RoutesByRevision = Arc<HashMap<u64, Arc<RouteTable>>>;
 
-pub(crate) struct PlainExchange;
+#[derive(Default)]
+pub(crate) struct PlainExchange {
+    /// Time for which each request keeps the traffic thread busy, as a weak processor would be.
+    pub(crate) request_cost: Duration,
+}
 
 impl RequestCodec for PlainExchange {
     fn decode_request(&self, head: &RequestHead) -> Result<RequestMetadata, RequestError> {
+        if !self.request_cost.is_zero() {
+            std::thread::sleep(self.request_cost);
+        }
         let deadline = match head.fields.text(DEADLINE) {
             Some(text) => Some(text.parse().map_err(|_| RequestError::InvalidNumber)?),
             None => None,
@@ -356,15 +363,17 @@
 }
 
 pub(crate) fn codecs(routes: RoutesByRevision) -> Codecs {
-    codecs_with_addresses(routes, Arc::new(ListedAddresses))
+    codecs_for_host(routes, Arc::new(ListedAddresses), Duration::ZERO)
 }
 
-pub(crate) fn codecs_with_addresses(
+/// Returns the codecs of a host with these ways to engines, and this time for each request.
+pub(crate) fn codecs_for_host(
     routes: RoutesByRevision,
     addresses: Arc<dyn AddressResolver>,
+    request_cost: Duration,
 ) -> Codecs {
     Codecs {
-        request: Arc::new(PlainExchange),
+        request: Arc::new(PlainExchange { request_cost }),
         engine: Arc::new(PlainEngines),
         store: Arc::new(PlainStore { routes }),
         addresses,
--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -26,6 +26,7 @@
 mod limits;
 mod store_restore;
 mod organisations;
+mod overloaded_hosts;
 mod placement;
 mod placer_start;
 mod priorities;
--- a/crates/gateway/tests/host/site.rs
+++ b/crates/gateway/tests/host/site.rs
@@ -36,7 +36,7 @@
 };
 
 use crate::{
-    codec::{HALL, codecs_with_addresses},
+    codec::{HALL, codecs_for_host},
     engine::StandInEngine,
     links::EngineLinks,
     store::StandInStore,
@@ -63,6 +63,7 @@
     retry_burst: f64,
     hall: &'static str,
     addresses: Arc<dyn AddressResolver>,
+    request_cost: Duration,
     pub(crate) clock: Arc<dyn ClockSource>,
 }
 
@@ -78,6 +79,7 @@
             retry_burst: 50.0,
             hall: HALL,
             addresses: Arc::new(ListedAddresses),
+            request_cost: Duration::ZERO,
             clock: Arc::new(MonotonicClock::new()),
         }
     }
@@ -311,6 +313,21 @@
         host
     }
 
+    /// Starts a host of this capacity whose traffic thread each request keeps busy for this time, and
+    /// waits until it is ready.
+    pub(crate) fn host_with_request_cost(
+        &self,
+        name: &str,
+        capacity: HostCapacity,
+        request_cost: Duration,
+    ) -> TestHost {
+        let profile =
+            TestProfile { capacity, request_cost, ..TestProfile::new(self.store.address) };
+        let host = TestHost::start(name, profile);
+        host.wait_ready();
+        host
+    }
+
     /// Starts a host in a data hall that reaches engines over links of its own, and waits until it
     /// is ready.
     pub(crate) fn host_with_links(
@@ -391,13 +408,14 @@
         ]);
         let clock = Arc::clone(&profile.clock);
         let addresses = Arc::clone(&profile.addresses);
+        let request_cost = profile.request_cost;
         let profile = profile.profile(name);
         let (client_address, readiness_address) =
             (profile.client_address, profile.readiness_address);
         let events = EventLog::start(Arc::from(name)).expect("a thread for log lines");
         let shared = Arc::new(SharedState::new(
             profile,
-            codecs_with_addresses(Arc::new(routes_by_revision), addresses),
+            codecs_for_host(Arc::new(routes_by_revision), addresses, request_cost),
             events,
             clock,
         ));
