fix: an overloaded host does not take its own delay for full plain servers

What callers saw: at a host beyond its own size requests to a plain service with a target of 100 ms were refused (service_full: 20 to 70 log lines a second) although its servers were idle.

Cause: the delay of an answer includes the host's own, and a late answer lowers the fraction that is admitted. While the host is overloaded only quick answers and refusals of servers count now; a slow answer shows nothing then. Test: slow_answers_at_an_overloaded_host_do_not_limit_a_plain_service (there was no such distinction before).

--- a/crates/core/src/fleet/admission.rs
+++ b/crates/core/src/fleet/admission.rs
@@ -57,6 +57,17 @@
     ServerFull,
 }
 
+impl AdmissionSignal {
+    /// Returns whether the signal shows what servers can carry if the host itself is overloaded: its own delay is part
+    /// of all delays then, so that slow answers say nothing of servers.
+    pub fn counts_while_overloaded(self, latency_target: Duration) -> bool {
+        match self {
+            Self::Answered(delay) => delay <= latency_target.mul_f64(LOW_DELAY_FRACTION),
+            Self::ServerFull => true,
+        }
+    }
+}
+
 /// Decides which of a host's requests to a plain service are admitted.
 #[derive(Debug, Clone)]
 pub struct AdmissionController {
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -306,3 +306,26 @@
     assert!(parts.is_sorted(), "{parts:?}");
     assert!(parts[0] < 0.2 && parts[2] > 0.25 && parts[3] > 0.99, "{parts:?}");
 }
+
+/// Answers that a host observes, and whether they count while it is itself overloaded.
+struct SignalCase {
+    name: &'static str,
+    signal: AdmissionSignal,
+    counts: bool,
+}
+
+/// Guards against a host that takes its own delay for an overload of the servers.
+#[test]
+fn slow_answers_at_an_overloaded_host_do_not_limit_a_plain_service() {
+    let answered = |millis| AdmissionSignal::Answered(Duration::from_millis(millis));
+    let cases = [
+        SignalCase { name: "a quick answer", signal: answered(20), counts: true },
+        SignalCase { name: "an answer near the target", signal: answered(60), counts: false },
+        SignalCase { name: "a late answer", signal: answered(400), counts: false },
+        SignalCase { name: "a full server", signal: AdmissionSignal::ServerFull, counts: true },
+    ];
+    let target = Duration::from_millis(100);
+    for SignalCase { name, signal, counts } in cases {
+        assert_eq!(signal.counts_while_overloaded(target), counts, "{name}");
+    }
+}
--- a/crates/gateway/src/traffic/admission.rs
+++ b/crates/gateway/src/traffic/admission.rs
@@ -122,10 +122,14 @@
 
     /// Records the outcome of a request to a service without models for its admission control.
     pub(super) fn record_admission(&self, signal: AdmissionSignal) {
+        let target = self.route.latency_target;
+        if self.traffic.is_overloaded() && !signal.counts_while_overloaded(target) {
+            return;
+        }
         if self.traffic.has_no_models(&self.service) {
             let mut admissions = self.traffic.admissions.borrow_mut();
             let admission = admissions.entry(Arc::clone(&self.service)).or_default();
-            admission.record(signal, self.route.latency_target, self.traffic.now());
+            admission.record(signal, target, self.traffic.now());
         }
         if let AdmissionSignal::Answered(_) = signal {
             self.record_load(signal);
--- a/crates/gateway/src/traffic/host_load.rs
+++ b/crates/gateway/src/traffic/host_load.rs
@@ -102,6 +102,11 @@
         self.concurrency_limit.borrow_mut().record_admission(self.now());
     }
 
+    /// Returns whether this host's own processor or link is used up, so that its delays show nothing of engines.
+    pub(super) fn is_overloaded(&self) -> bool {
+        self.concurrency_limit.borrow().is_active()
+    }
+
     /// Returns whether a client's connection may be kept for further requests, as far as this host's load allows it.
     pub(super) fn has_room_for_kept_connections(&self) -> bool {
         self.concurrency_limit.borrow().has_room(self.busy_connections.get())
