fix: a request that may have run waits for any engine instead of failing at one moment

Cause: it was decided like a first attempt without a schedule: wait for an estimate until 0.17 of the latency target (85 ms of 500), refuse exactly then, and wait on if the decision comes later. The clock counts whole milliseconds, so a timer that fired at 85 ms refused and one at 86 did not. The logs of both failures fit: elapsed 7 and 8, waited 78 and 77 ms. Such a request can't be refused, so its refusal became a 502.

decide_unrefusable waits for any engine until shortly before the client gives up, as the comment at the caller said before.

--- a/crates/core/src/fleet/cold_start.rs
+++ b/crates/core/src/fleet/cold_start.rs
@@ -136,6 +136,17 @@
         }
     }
 
+    /// Decides for a request that may have run: it can't be refused, and a late answer is better than none. It waits for any
+    /// engine until shortly before its client gives up.
+    pub fn decide_unrefusable(&self) -> ColdDecision {
+        let remaining_wait = self.client_wait_limit().saturating_sub(self.elapsed);
+        if remaining_wait.is_zero() {
+            return ColdDecision::Refuse(self.retry_after());
+        }
+        let cooldown = self.cooling.map(|engine| engine.available_in.max(MIN_RECHECK_INTERVAL));
+        ColdDecision::Wait(cooldown.unwrap_or(remaining_wait).min(remaining_wait))
+    }
+
     /// Returns whether an answer would still be in time if an engine accepted the request after
     /// `time`.
     fn is_useful_after(&self, time: Duration) -> bool {
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -6,7 +6,7 @@
 use reelreel_core::{
     ClockMillis,
     fleet::{
-        cold_start::{ColdDecision, ColdRequest, LATE_WORTH},
+        cold_start::{ColdDecision, ColdRequest, CoolingEngine, LATE_WORTH},
         engine_choice::PublishedVersions,
         retry_share::{RetryPolicy, RetryShare},
         routes::{ClientLimits, RouteEntry, RouteKind, RouteTable, WeightedBackend},
@@ -289,6 +289,63 @@
     }
 }
 
+/// A request that may have run, with a latency target of 500 ms.
+struct UnrefusableCase {
+    name: &'static str,
+    elapsed: u64,
+    estimate: Option<u64>,
+    cooling: Option<u64>,
+    decision: ColdDecision,
+}
+
+/// Guards against a request that may have run and gets 502 because its adapter's load had not been announced at one moment.
+#[test]
+fn a_request_that_may_have_run_waits_for_any_engine_until_its_client_gives_up() {
+    let no_news = UnrefusableCase {
+        name: "no news of a load",
+        elapsed: 10,
+        estimate: None,
+        cooling: None,
+        decision: ColdDecision::Wait(millis(740)),
+    };
+    let cases = [
+        UnrefusableCase {
+            name: "when a first attempt stops waiting for an estimate",
+            elapsed: 85,
+            decision: ColdDecision::Wait(millis(665)),
+            ..no_news
+        },
+        UnrefusableCase { name: "a late load", estimate: Some(700), ..no_news },
+        UnrefusableCase {
+            name: "a cooldown that is longer than the target",
+            cooling: Some(600),
+            decision: ColdDecision::Wait(millis(600)),
+            ..no_news
+        },
+        UnrefusableCase {
+            name: "the client is about to give up",
+            elapsed: 760,
+            decision: ColdDecision::Refuse(millis(250)),
+            ..no_news
+        },
+        no_news,
+    ];
+    for UnrefusableCase { name, elapsed, estimate, cooling, decision } in cases {
+        let engine = |time| CoolingEngine { available_in: millis(time), loadable_elsewhere: false };
+        let request = ColdRequest {
+            elapsed: millis(elapsed),
+            latency_target: millis(500),
+            remaining: millis(900 - elapsed),
+            estimate: estimate.map(millis),
+            cooling: cooling.map(engine),
+            prefill_time: Duration::ZERO,
+            max_event_gap: None,
+            client_retried: false,
+        };
+        assert_eq!(request.decide_unrefusable(), decision, "{name}");
+    }
+}
+
 proptest! {
     /// A refusal comes within a quarter of the latency target, or shortly before the client gives
     /// up.
--- a/crates/gateway/src/traffic/wait.rs
+++ b/crates/gateway/src/traffic/wait.rs
@@ -187,8 +187,9 @@
 
     /// Decides whether the request keeps waiting.
     fn decide_wait(&mut self, started_at: ClockMillis) -> ColdDecision {
-        // A request that may have run cannot be refused, so it waits for any copy.
-        if self.waits_by_schedule() && !self.may_have_run {
+        if self.may_have_run {
+            self.cold_request().decide_unrefusable()
+        } else if self.waits_by_schedule() {
             self.decide_by_schedule(started_at)
         } else {
             self.cold_request().decide()
