fix: connects that time out over a slow link no longer count against engines

Class: a host's own lack taken for the state of others.

A check that reaches an engine within a slow episode now ends it as slow: failures are forgotten and no engine is at fault. Connects that began before that and fail later are not counted either.

--- a/crates/core/src/fleet/engine_links.rs
+++ b/crates/core/src/fleet/engine_links.rs
@@ -354,10 +354,13 @@
         let reached = results.iter().any(|result| result.failure.is_none());
         if reached {
             let was_isolated = self.is_isolated();
-            self.slow_since = None;
-            let change = self.apply(LinkEvent::Reachable, now);
+            let was_slow = self.slow_since.take().is_some();
+            let mut change = self.apply(LinkEvent::Reachable, now);
+            if let Some(change) = &mut change {
+                change.is_slow = was_slow;
+            }
             let failed = self.take_failed();
-            (change, if was_isolated { Vec::new() } else { failed })
+            (change, if was_isolated || was_slow { Vec::new() } else { failed })
         } else if results.is_empty() || self.is_isolated() {
             (None, Vec::new())
         } else {
--- a/crates/core/tests/engine_links.rs
+++ b/crates/core/tests/engine_links.rs
@@ -244,6 +244,21 @@
         state: LinkState::Isolated,
         at_fault: &[],
     },
+    LinkCase {
+        name: "engines to which connects timed out while the links were slow are not at fault",
+        observations: &[
+            (10, Failed("a", TIMED_OUT)),
+            (20, Failed("b", TIMED_OUT)),
+            (60, Received(5)),
+            (100, Checked(None)),
+            (300, Failed("a", TIMED_OUT)),
+            (310, Failed("b", TIMED_OUT)),
+            (350, Received(5)),
+            (400, Checked(Some("north"))),
+        ],
+        state: LinkState::Connected,
+        at_fault: &[],
+    },
 ];
 
 fn names(engines: &[EngineName]) -> Vec<String> {
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -104,6 +104,8 @@
     /// What is usual for the streams of each service.
     paces: HashMap<ServiceName, ServicePace>,
     connect_time: ConnectTimeEstimator,
+    /// When failures were last found to be due to this host's links.
+    links_at_fault_until: ClockMillis,
     /// Bytes of direct connections to engines.
     link_bytes: ByteCounter,
 }
@@ -139,6 +141,7 @@
             halls: HashMap::new(),
             paces: HashMap::new(),
             connect_time: ConnectTimeEstimator::default(),
+            links_at_fault_until: ClockMillis::default(),
             link_bytes,
         }
     }
@@ -250,8 +253,22 @@
         self.connect_time = ConnectTimeEstimator::default();
     }
 
+    /// Records that a connect, begun at `began`, failed. One that was begun before this host's links were found to be at fault
+    /// says nothing of the engine.
+    pub fn record_unreachable(
+        &mut self,
+        engine: &EngineName,
+        began: ClockMillis,
+        now: ClockMillis,
+    ) {
+        if began >= self.links_at_fault_until {
+            self.record_outcome(engine, EngineOutcome::Unreachable, now);
+        }
+    }
+
     /// Forgets failures that were due to this host's links.
-    pub fn forget_link_failures(&mut self) {
+    pub fn forget_link_failures(&mut self, now: ClockMillis) {
+        self.links_at_fault_until = now;
         self.halls.clear();
         self.engines.values_mut().for_each(|state| state.health.forget_failures());
     }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -105,7 +105,7 @@
             Ok(connection) => connection,
             Err(error) => {
                 self.record_connect_failure(ConnectFailure::from(&error));
-                self.record_outcome(entry, EngineOutcome::Unreachable);
+                self.record_unreachable(entry, now);
                 return SendOutcome::NotSent;
             }
         };
@@ -372,6 +372,12 @@
         self.traffic.pool.borrow_mut().record_outcome(&entry.name, outcome, self.traffic.now());
     }
 
+    /// Records that a connect to an engine, begun at `began`, failed.
+    pub(super) fn record_unreachable(&self, entry: &EngineEntry, began: ClockMillis) {
+        let now = self.traffic.now();
+        self.traffic.pool.borrow_mut().record_unreachable(&entry.name, began, now);
+    }
+
     /// Serializes the request for an engine.
     pub(super) fn engine_request(
         &self,
--- a/crates/gateway/src/traffic/links.rs
+++ b/crates/gateway/src/traffic/links.rs
@@ -108,7 +108,7 @@
         .is_some_and(|change| change.state == LinkState::Isolated || change.isolated_for.is_some());
     let is_slow = change.as_ref().is_some_and(|change| change.is_slow);
     if was_or_is_isolated || is_slow {
-        traffic.pool.borrow_mut().forget_link_failures();
+        traffic.pool.borrow_mut().forget_link_failures(now);
     }
     if is_slow {
         traffic.pool.borrow_mut().forget_connect_times();
--- a/crates/gateway/src/traffic/resume.rs
+++ b/crates/gateway/src/traffic/resume.rs
@@ -359,7 +359,7 @@
             Ok(connection) => connection,
             Err(error) => {
                 self.record_connect_failure(ConnectFailure::from(&error));
-                self.record_outcome(entry, EngineOutcome::Unreachable);
+                self.record_unreachable(entry, now);
                 self.exclude_unconnected(entry);
                 return Ok(ResumeSend::NotSent);
             }
