fix: a host that could not listen again after a pause tries until it can

Found by reading the mend of overloaded hosts: an error of the bind, as when descriptors are used up, ended the task that accepts clients while the host went on calling itself ready. It is retried now. And a host whose kept connections exceed its limit took on a tenth of the limit each half second; connections that wait are now taken on up to a tenth beyond the limit, counting the open ones. Test: a_host_far_beyond_its_limit_takes_on_one_connection_each_half_second (the count of open ones was no argument before). No test makes a bind fail.

--- a/crates/core/src/fleet/concurrency_limit.rs
+++ b/crates/core/src/fleet/concurrency_limit.rs
@@ -49,8 +49,8 @@
 /// Part of the limit below which new connections are taken on again.
 const RESUME_FRACTION: f64 = 0.9;
 
-/// Part of the limit that may be taken on beyond it.
-const OVERSHOOT_FRACTION: f64 = 0.1;
+/// Ratio to the limit up to which connections are taken on that wait when the host stops listening.
+const MAX_OVERSHOOT_RATIO: f64 = 1.1;
 
 /// Interval at which a new connection is taken on whatever is open. A ready host must not turn all clients away.
 const MIN_INTAKE_INTERVAL: Duration = Duration::from_millis(500);
@@ -137,11 +137,12 @@
             || now.since(self.admitted_at) >= MIN_INTAKE_INTERVAL
     }
 
-    /// Returns the number of new connections that may be taken on beyond the limit, because their requests have already
-    /// arrived.
+    /// Returns the number of new connections that may be taken on beyond the limit beside the open requests, because
+    /// theirs have already arrived.
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small number")]
-    pub fn overshoot(&self) -> usize {
-        self.limit.map_or(0, |limit| (limit * OVERSHOOT_FRACTION).ceil() as usize)
+    pub fn overshoot(&self, open: usize) -> usize {
+        let max_open = |limit: f64| (limit * MAX_OVERSHOOT_RATIO).ceil() as usize;
+        self.limit.map_or(0, |limit| max_open(limit).saturating_sub(open))
     }
 
     /// Records that a new connection was taken on.
--- a/crates/core/tests/concurrency_limit.rs
+++ b/crates/core/tests/concurrency_limit.rs
@@ -326,3 +326,71 @@
     }
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
+
+/// Guards against a ready host that turns all clients away for seconds because kept connections reach its limit, and
+/// against one that takes on many connections beyond it.
+#[test]
+fn a_host_far_beyond_its_limit_takes_on_one_connection_each_half_second() {
+    struct IntakeCase {
+        name: &'static str,
+        open: usize,
+        /// Time since a connection was last taken on. Unit: milliseconds.
+        idle: u64,
+        admits: bool,
+        may_resume: bool,
+        overshoot: usize,
+    }
+    let cases = [
+        IntakeCase {
+            name: "far beyond the limit",
+            open: 200,
+            idle: 400,
+            admits: false,
+            may_resume: false,
+            overshoot: 0,
+        },
+        IntakeCase {
+            name: "far beyond the limit, nothing taken on for a while",
+            open: 200,
+            idle: 500,
+            admits: true,
+            may_resume: true,
+            overshoot: 0,
+        },
+        IntakeCase {
+            name: "at the limit",
+            open: 140,
+            idle: 0,
+            admits: false,
+            may_resume: false,
+            overshoot: 14,
+        },
+        IntakeCase {
+            name: "a little below it",
+            open: 130,
+            idle: 0,
+            admits: true,
+            may_resume: false,
+            overshoot: 24,
+        },
+        IntakeCase {
+            name: "well below it",
+            open: 120,
+            idle: 0,
+            admits: true,
+            may_resume: true,
+            overshoot: 34,
+        },
+    ];
+    let began = ClockMillis::from_millis(10_000);
+    let mut limit = ConcurrencyLimit::default();
+    limit.update(2.0, 200, began);
+    limit.record_admission(began);
+    assert_eq!(limit.limit(), Some(140.0));
+    for IntakeCase { name, open, idle, admits, may_resume, overshoot } in cases {
+        let now = began + Duration::from_millis(idle);
+        assert_eq!(limit.admits(open, now), admits, "{name}");
+        assert_eq!(limit.may_resume(open, now), may_resume, "{name}");
+        assert_eq!(limit.overshoot(open), overshoot, "{name}");
+    }
+}
--- a/crates/gateway/src/traffic/connection.rs
+++ b/crates/gateway/src/traffic/connection.rs
@@ -1,6 +1,6 @@
 //! One client connection: reads requests completely and processes them one after the other.
 
-use std::{future::poll_fn, rc::Rc, task::Poll, time::Duration};
+use std::{future::poll_fn, net::SocketAddr, rc::Rc, task::Poll, time::Duration};
 
 use bytes::Bytes;
 use reelreel_core::{clock::duration_millis, fleet::routes::ClientLimits};
@@ -119,14 +119,7 @@
             while !traffic.may_resume_intake() {
                 tokio::time::sleep(INTAKE_POLL_INTERVAL).await;
             }
-            listener = match bind_with_retry(traffic.shared.profile.client_address).await {
-                Ok(listener) => listener,
-                Err(error) => {
-                    let address = traffic.shared.profile.client_address;
-                    log::error!("no longer listening for clients on {address}: {error}");
-                    return;
-                }
-            };
+            listener = listen_again(traffic.shared.profile.client_address).await;
         }
         match listener.accept().await {
             Ok((socket, _)) => take_on(&traffic, socket),
@@ -135,6 +128,17 @@
     }
 }
 
+/// Listens for clients again after a pause. Retries until it succeeds: descriptors may be short for a moment.
+async fn listen_again(address: SocketAddr) -> TcpListener {
+    loop {
+        match bind_with_retry(address).await {
+            Ok(listener) => return listener,
+            Err(error) => log::error!("failed to listen for clients on {address}: {error}"),
+        }
+        tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+    }
+}
+
 fn take_on(traffic: &Rc<TrafficState>, socket: TcpStream) {
     traffic.record_intake();
     let busy = BusyGuard::new(traffic);
--- a/crates/gateway/src/traffic/host_load.rs
+++ b/crates/gateway/src/traffic/host_load.rs
@@ -94,7 +94,7 @@
 
     /// Returns how many connections are taken on beyond the limit when a pause begins.
     pub(super) fn intake_overshoot(&self) -> usize {
-        self.concurrency_limit.borrow().overshoot()
+        self.concurrency_limit.borrow().overshoot(self.busy_connections.get())
     }
 
     /// Records that a client connection was taken on.
