--- a/crates/core/src/fleet/concurrency_limit.rs
+++ b/crates/core/src/fleet/concurrency_limit.rs
@@ -37,11 +37,11 @@
 const UNUSED_TIME: Duration = Duration::from_secs(1);
 
 /// Minimum limit.
-const MIN_LIMIT: f64 = 16.0;
+const MIN_LIMIT: f64 = 32.0;
 
 /// Ratio of the limit to the usual number of open requests, at least. All hosts may be short of time at one moment, for
 /// a new configuration; clients could not go to others then.
-const MIN_USUAL_RATIO: f64 = 1.5;
+const MIN_USUAL_RATIO: f64 = 2.5;
 
 /// Time constant of the usual number of open requests.
 const USUAL_PERIOD: Duration = Duration::from_secs(10);
