--- a/crates/gateway/tests/host/overloaded_hosts.rs
+++ b/crates/gateway/tests/host/overloaded_hosts.rs
@@ -265,6 +265,8 @@
     assert!(ratio >= MIN_SERVED_RATIO, "{name}: {ratio:.3} of the served fraction before");
     let has_moved = herd.unread.load(Ordering::Relaxed) == 0 || moved >= MIN_MOVED_SHARE;
     assert!(has_moved, "{name}: {moved:.3} of those closed unread were served elsewhere");
+    assert_eq!(before.unread.load(Ordering::Relaxed), 0, "{name}: closed unread before the herd");
+    assert_eq!(after.unread.load(Ordering::Relaxed), 0, "{name}: closed unread after the herd");
     let after = after.served_share();
     assert!(after >= MIN_SERVED_RATIO, "{name}: {after:.3} are served after the herd");
     thread::scope(|scope| {
