--- a/crates/core/src/fleet/concurrency_limit.rs
+++ b/crates/core/src/fleet/concurrency_limit.rs
@@ -1,7 +1,8 @@
-//! Limits a host's open requests while its own processor or link is used up.
+//! Limits a host's busy connections while its own processor or link is used up: client connections that have a request, or
+//! are new.
 //!
 //! A host that reads more requests than it can carry makes all of them late, those that it could have served in time
-//! included. While it is overloaded it therefore takes on new connections only up to a limit of open requests. The
+//! included. While it is overloaded it therefore takes on new connections only up to a limit of busy ones. The
 //! limit is lowered as long as the pressure is high, and raised while it is low and the limit is reached. It ends when
 //! far fewer requests are open.
 
@@ -55,12 +56,12 @@
 /// Interval at which a new connection is taken on whatever is open. A ready host must not turn all clients away.
 const MIN_INTAKE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Limits a host's open requests while its own processor or link is used up.
+/// Limits a host's busy connections while its own processor or link is used up.
 #[derive(Debug, Clone, Default)]
 pub struct ConcurrencyLimit {
-    /// Maximum number of open requests, while the host is overloaded.
+    /// Maximum number of busy connections, while the host is overloaded.
     limit: Option<f64>,
-    /// Smoothed number of open requests while the host was not overloaded.
+    /// Smoothed number of busy connections while the host was not overloaded.
     usual_open: f64,
     updated_at: ClockMillis,
     decreased_at: ClockMillis,
@@ -71,7 +72,7 @@
 }
 
 impl ConcurrencyLimit {
-    /// Returns whether the number of open requests is limited.
+    /// Returns whether the number of busy connections is limited.
     pub const fn is_active(&self) -> bool {
         self.limit.is_some()
     }
--- a/crates/gateway/src/metrics/host_load.rs
+++ b/crates/gateway/src/metrics/host_load.rs
@@ -39,7 +39,7 @@
     link_use: Gauge<f64, AtomicU64>,
     /// Use of the resource that is closest to its limit, relative to what may be used of it.
     pressure: Gauge<f64, AtomicU64>,
-    /// Maximum number of open requests while the host is overloaded, or -1.
+    /// Maximum number of busy connections while the host is overloaded, or -1.
     concurrency_limit: Gauge<f64, AtomicU64>,
     /// Times at which the host stopped listening for clients, by cause.
     intake_pauses: Family<IntakePauseLabels, Counter>,
@@ -66,7 +66,7 @@
         registry.register("link_use", help, self.link_use.clone());
         let help = "Use of the host's scarcest resource, relative to what may be used of it";
         registry.register("host_pressure", help, self.pressure.clone());
-        let help = "Maximum number of open requests while the host is overloaded, or -1";
+        let help = "Maximum number of busy client connections while the host is overloaded, or -1";
         registry.register("concurrency_limit", help, self.concurrency_limit.clone());
         let help = "Times at which the host stopped listening for clients, by cause";
         registry.register("intake_pauses", help, self.intake_pauses.clone());
