--- a/crates/stand-ins/src/connection.rs
+++ b/crates/stand-ins/src/connection.rs
@@ -32,11 +32,13 @@
     pub socket: TcpStream,
     buffer: BytesMut,
     resets: bool,
+    /// A response that is sent once more in the place of the next one.
+    late_copy: Option<String>,
 }
 
 impl ServedConnection {
     fn new(socket: TcpStream) -> Self {
-        Self { socket, buffer: BytesMut::new(), resets: false }
+        Self { socket, buffer: BytesMut::new(), resets: false, late_copy: None }
     }
 
     /// Resets the connection when it is closed, rather than ending it in order.
@@ -94,6 +96,21 @@
         ))
     }
 
+    /// Keeps a response without a body for [`Self::send_late_copy`].
+    pub fn keep_late_copy(&mut self, status: u16, fields: &str) {
+        self.late_copy =
+            Some(format!("HTTP/1.1 {status} Status\r\n{fields}Content-Length: 0\r\n\r\n"));
+    }
+
+    /// Writes the kept copy of a response, in the place of the next one that is due. Returns whether
+    /// there was one, or `None` if the connection is closed.
+    pub fn send_late_copy(&mut self) -> Option<bool> {
+        match self.late_copy.take() {
+            Some(response) => self.write(&response).map(|()| true),
+            None => Some(false),
+        }
+    }
+
     /// Returns whether the peer closes its side within `max_wait`.
     pub fn closes_within(&mut self, max_wait: Duration) -> bool {
         let _ = self.socket.set_read_timeout(Some(max_wait));
