--- a/crates/stand-ins/src/connection.rs
+++ b/crates/stand-ins/src/connection.rs
@@ -90,16 +90,12 @@
 
     /// Writes a complete response; `fields` are header lines, each terminated by CRLF.
     pub fn answer(&mut self, status: u16, fields: &str, body: &str) -> Option<()> {
-        let length = body.len();
-        self.write(&format!(
-            "HTTP/1.1 {status} Status\r\n{fields}Content-Length: {length}\r\n\r\n{body}"
-        ))
+        self.write(&format_response(status, fields, body))
     }
 
-    /// Keeps a response without a body for [`Self::send_late_copy`].
-    pub fn keep_late_copy(&mut self, status: u16, fields: &str) {
-        self.late_copy =
-            Some(format!("HTTP/1.1 {status} Status\r\n{fields}Content-Length: 0\r\n\r\n"));
+    /// Keeps a response for [`Self::send_late_copy`].
+    pub fn keep_late_copy(&mut self, status: u16, fields: &str, body: &str) {
+        self.late_copy = Some(format_response(status, fields, body));
     }
 
     /// Writes the kept copy of a response, in the place of the next one that is due. Returns whether
@@ -124,6 +120,11 @@
     }
 }
 
+fn format_response(status: u16, fields: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status} Status\r\n{fields}Content-Length: {length}\r\n\r\n{body}")
+}
+
 /// Serves connections with `serve` on a free port until the process ends.
 ///
 /// # Panics
