feat(gateway): metrics and log fields that tell duplicate responses apart

- reelreel_engine_repeats_total{connection}: the same connection, another open one, a new one;
- reelreel_engine_rejections_total has has_id;
- reelreel_engine_skipped_responses_total{has_id}: responses that belonged to no request of their connection, counted as they are skipped, also if none follows;
- the log line of a request has rejections and same_connection, and reelreel explain shows both.

No decision depends on them yet.

--- a/crates/cli/src/logs/explain.rs
+++ b/crates/cli/src/logs/explain.rs
@@ -194,6 +194,13 @@
     }
     let engine = request.event.engine.as_deref().unwrap_or("no engine");
     writeln!(text, "  sent      {} times, last to {engine}", request.event.sends)?;
+    if request.event.rejections > 0 {
+        writeln!(
+            text,
+            "  rejected  {} times by engines, {} sends over a connection that had carried it",
+            request.event.rejections, request.event.same_connection
+        )?;
+    }
     writeln!(text, "  waited    {} ms for its adapter", request.event.waited)?;
     writeln!(text, "  first     {} ms after its arrival (0: none)", request.event.first)?;
     writeln!(
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -4,6 +4,7 @@
 pub mod open_request;
 pub mod pool;
 pub mod send;
+pub mod sent_ids;
 pub mod tunnel;
 
 pub use open_request::OpenRequest;
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -27,7 +27,7 @@
 
 use crate::{
     codec::AddressResolver,
-    engines::{open_request::OpenRequest, tunnel::TunnelClient},
+    engines::{open_request::OpenRequest, sent_ids::SentIds, tunnel::TunnelClient},
     links::{HostLinks, TunnelGuard},
     timer::sleep_until,
 };
@@ -69,6 +69,14 @@
 struct OpenedStream {
     stream: HttpStream,
     path: ConnectionPath,
+    sent_ids: SentIds,
+}
+
+impl OpenedStream {
+    /// Creates a connection that has carried no requests.
+    fn new(stream: HttpStream, path: ConnectionPath) -> Self {
+        Self { stream, path, sent_ids: SentIds::default() }
+    }
 }
 
 struct IdleConnection {
@@ -120,6 +128,7 @@
     path: ConnectionPath,
     /// Whether the connection was used before.
     pub reused: bool,
+    sent_ids: SentIds,
     /// Counts the request that was sent as open at the engine.
     open_request: Option<OpenRequest>,
     /// When the request was sent, or bytes of its response were last received.
@@ -355,13 +364,14 @@
             Some(opened) => opened,
             None => Self::open(pool, entry, now).await?,
         };
-        let OpenedStream { stream, path } = opened;
+        let OpenedStream { stream, path, sent_ids } = opened;
         Ok(EngineConnection {
             request_count,
             entry: Arc::clone(entry),
             stream,
             path,
             reused,
+            sent_ids,
             open_request: None,
             active_at: Rc::new(Cell::new(now)),
         })
@@ -446,8 +456,14 @@
         self.path.tunnel.as_ref().map(|tunnel| tunnel.address)
     }
 
-    /// Records that a request is sent.
-    pub fn record_sent(&mut self, open_request: OpenRequest, now: ClockMillis) {
+    /// Returns whether the connection has carried a request with this id.
+    pub fn has_carried(&self, id: &str) -> bool {
+        self.sent_ids.contains(id)
+    }
+
+    /// Records that the request with this id is sent.
+    pub fn record_sent(&mut self, id: &str, open_request: OpenRequest, now: ClockMillis) {
+        self.sent_ids.record(id);
         self.open_request = Some(open_request);
         self.active_at.set(now);
         if self.path.tunnel.is_none() {
@@ -506,10 +522,10 @@
 
     /// Returns the connection to the pool; `keep_alive` is the engine's announced keep-alive time.
     pub fn keep(self, keep_alive: Option<Duration>, now: ClockMillis) {
-        let Self { request_count, entry, mut stream, path, .. } = self;
+        let Self { request_count, entry, mut stream, path, sent_ids, .. } = self;
         stream.release_buffer();
         let time = keep_alive.map_or(DEFAULT_KEEP_ALIVE, |time| time.mul_f64(KEEP_ALIVE_FRACTION));
-        let opened = OpenedStream { stream, path };
+        let opened = OpenedStream { stream, path, sent_ids };
         request_count.pool.borrow_mut().keep_idle(&entry, opened, time, now);
     }
 
--- a/crates/gateway/src/engines/pool/connect.rs
+++ b/crates/gateway/src/engines/pool/connect.rs
@@ -43,14 +43,14 @@
             // After a failure the state is waited for: a tunnel may help.
             if opened.is_ok() || links.verdict().await != LinkState::Isolated {
                 let path = ConnectionPath { opened_at: now, tunnel: None };
-                return opened.map(|stream| OpenedStream { stream, path });
+                return opened.map(|stream| OpenedStream::new(stream, path));
             }
         }
         // From here on the direct failure says nothing about the engine.
         let (stream, guard) = tunnels.open(entry, now).await?;
         stream.set_dead_peer_timeout(UNRESPONSIVE_TIMEOUT)?;
         let path = ConnectionPath { opened_at: now, tunnel: Some(guard) };
-        Ok(OpenedStream { stream, path })
+        Ok(OpenedStream::new(stream, path))
     }
 
     /// Tries to connect to an engine, and keeps the connection for later requests.
@@ -71,7 +71,7 @@
             return Err(ErrorKind::ConnectionReset.into());
         }
         let path = ConnectionPath { opened_at: now, tunnel: None };
-        let opened = OpenedStream { stream, path };
+        let opened = OpenedStream::new(stream, path);
         pool.borrow_mut().keep_idle(entry, opened, DEFAULT_KEEP_ALIVE, now);
         Ok(())
     }
--- a/crates/gateway/src/engines/send.rs
+++ b/crates/gateway/src/engines/send.rs
@@ -6,8 +6,7 @@
 use reelreel_http::{BodyDecoder, BodyFraming, HttpStream, ReadError, ResponseHead};
 
 use crate::{
-    codec::{RequestCodec, ResponseMetadata},
-    engines::EngineConnection,
+    codec::ResponseMetadata, engines::EngineConnection, host::SharedState,
     traffic::forward::ForwardedRequest,
 };
 
@@ -67,7 +66,7 @@
 /// Returns why there is no response; the request may have run.
 pub async fn send_request(
     connection: &mut EngineConnection,
-    codec: &dyn RequestCodec,
+    shared: &SharedState,
     request: &ForwardedRequest,
     method: &str,
     id: &str,
@@ -82,7 +81,7 @@
         }
         let framing = BodyFraming::of_response(&head, method).map_err(ReadError::from)?;
         let mut decoder = BodyDecoder::new(framing);
-        let metadata = codec.decode_response(&head);
+        let metadata = shared.codecs.request.decode_response(&head);
         let rejected = metadata.not_run || metadata.misdirected;
         let matches_request =
             metadata.id.as_deref().map_or(rejected, |response_id| response_id == id);
@@ -97,6 +96,7 @@
                 unrelated_announcements,
             });
         }
+        shared.metrics.count_skipped_response(metadata.id.is_some());
         unrelated_announcements = metadata.announcements.merged(unrelated_announcements);
         if framing == BodyFraming::UntilClose || !head.keeps_connection() {
             break;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -472,6 +472,12 @@
     pub level: Option<f64>,
     /// Number of engines that it was sent to.
     pub sends: u32,
+    /// Number of its sends that engines rejected.
+    #[serde(default, skip_serializing_if = "is_zero_u32")]
+    pub rejections: u32,
+    /// Number of its sends over a connection to an engine that had carried it before.
+    #[serde(default, skip_serializing_if = "is_zero_u32")]
+    pub same_connection: u32,
     /// Number of engines that its host could not connect to for it.
     #[serde(default, skip_serializing_if = "is_zero_u32")]
     pub unconnected: u32,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -130,6 +130,33 @@
     pub repeat: bool,
     /// Whether the engine requested a cooldown.
     pub cooldown: bool,
+    /// Whether the rejection carries the request's id.
+    pub has_id: bool,
+}
+
+/// The connection over which a request is sent again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum RepeatConnection {
+    /// One that has carried the request before.
+    Same,
+    /// Another one that was open.
+    Other,
+    /// A new one.
+    New,
+}
+
+/// Labels of the counter of repeated requests.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RepeatLabels {
+    /// The connection.
+    pub connection: RepeatConnection,
+}
+
+/// Labels of the counter of skipped responses.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SkippedLabels {
+    /// Whether the response carries an id, which is another request's.
+    pub has_id: bool,
 }
 
 /// What became of a request to a plain service whose limit all hosts share.
@@ -276,6 +303,10 @@
     announcements: Family<AnnouncementLabels, Counter>,
     /// Requests rejected by engines.
     rejections: Family<RejectionLabels, Counter>,
+    /// Requests that were sent again, by connection.
+    repeats: Family<RepeatLabels, Counter>,
+    /// Responses of engines that did not belong to the request of their connection.
+    skipped_responses: Family<SkippedLabels, Counter>,
     /// Engine choices that skipped the least loaded engine because of its health, by signal.
     health_diversions: Family<HealthDiversionLabels, Counter>,
     /// Requests to plain services by decision.
@@ -361,6 +392,8 @@
             engine_calls: Family::default(),
             announcements: Family::default(),
             rejections: Family::default(),
+            repeats: Family::default(),
+            skipped_responses: Family::default(),
             health_diversions: Family::default(),
             service_decisions: Family::default(),
             service_limits: Family::default(),
@@ -409,6 +442,11 @@
         registry.register("engine_announcements", help, self.announcements.clone());
         let help = "Requests that engines rejected, and whether they asked for a cooldown";
         registry.register("engine_rejections", help, self.rejections.clone());
+        let help =
+            "Requests that were sent again, by whether their connection had carried them before";
+        registry.register("engine_repeats", help, self.repeats.clone());
+        let help = "Responses of engines that were skipped since they belonged to another request";
+        registry.register("engine_skipped_responses", help, self.skipped_responses.clone());
         let help = "Choices that passed over an engine within a cooldown";
         registry.register("cooldown_diverted", help, self.cooldown_diverted.clone());
         let help = "Requests that waited for the end of a cooldown, or for another copy";
@@ -529,8 +567,18 @@
     }
 
     /// Counts a request that an engine rejected.
-    pub fn count_rejection(&self, repeat: bool, cooldown: bool) {
-        self.rejections.get_or_create(&RejectionLabels { repeat, cooldown }).inc();
+    pub fn count_rejection(&self, repeat: bool, cooldown: bool, has_id: bool) {
+        self.rejections.get_or_create(&RejectionLabels { repeat, cooldown, has_id }).inc();
+    }
+
+    /// Counts a request that is sent again.
+    pub fn count_repeat(&self, connection: RepeatConnection) {
+        self.repeats.get_or_create(&RepeatLabels { connection }).inc();
+    }
+
+    /// Counts a response that did not belong to the request of its connection.
+    pub fn count_skipped_response(&self, has_id: bool) {
+        self.skipped_responses.get_or_create(&SkippedLabels { has_id }).inc();
     }
 
     /// Counts a failed connect to an engine.
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -22,6 +22,7 @@
         ConnectOptions, EngineConnection, EnginePool, EngineResponse, OpenRequest, send_request,
     },
     host::ResponseKind,
+    metrics::RepeatConnection,
     traffic::{
         exchange::{ConnectionAction, Exchange, READ_AHEAD_LIMIT, SendOutcome},
         forward::{ForwardedRequest, forwarded_request},
@@ -121,14 +122,14 @@
         };
         let sent_at = self.traffic.now();
         self.record_path(&mut connection, sent_at);
-        let codec = Arc::clone(&self.traffic.shared.codecs.request);
+        let shared = Arc::clone(&self.traffic.shared);
         let deadline_expired = self.deadline.clone().expired(DEADLINE_SLACK);
         let first_byte_timeout =
             self.first_byte_timeout(entry, connection.lost(&self.traffic.shared.clock));
         let part_quarantined = self.part_quarantined();
         let sending = send_request(
             &mut connection,
-            &*codec,
+            &shared,
             &request,
             &self.request.head.method,
             &self.metadata.id,
@@ -180,14 +181,31 @@
 
     /// Records how the request is sent to its engine.
     pub(super) fn record_path(&mut self, connection: &mut EngineConnection, now: ClockMillis) {
+        self.record_connection(connection);
         let open_request = OpenRequest::new(&self.traffic.shared, &connection.entry.name);
-        connection.record_sent(open_request, now);
+        connection.record_sent(&self.metadata.id, open_request, now);
         self.tunnel_host = connection.tunnel_host();
         if self.tunnel_host.is_some() {
             self.traffic.shared.metrics.tunnels.sends.inc();
         }
     }
 
+    /// Records which connection a repeated request is sent over.
+    fn record_connection(&mut self, connection: &EngineConnection) {
+        if self.sends < 2 {
+            return;
+        }
+        let kind = if connection.has_carried(&self.metadata.id) {
+            self.same_connection += 1;
+            RepeatConnection::Same
+        } else if connection.reused {
+            RepeatConnection::Other
+        } else {
+            RepeatConnection::New
+        };
+        self.traffic.shared.metrics.count_repeat(kind);
+    }
+
     /// Records a failed connect in the metrics, and for the log event of the request.
     pub(super) fn record_connect_failure(&mut self, failure: ConnectFailure) {
         self.failed_connects += 1;
@@ -257,7 +275,8 @@
     }
 
     /// Records that an engine did not run a request.
-    pub(super) fn record_not_run(&self, entry: &EngineEntry, response: &EngineResponse) {
+    pub(super) fn record_not_run(&mut self, entry: &EngineEntry, response: &EngineResponse) {
+        self.rejections += 1;
         if response.metadata.misdirected {
             if let Some(key) = &self.metadata.model {
                 self.traffic.record_absence(&self.service, &entry.name, key);
@@ -363,7 +382,8 @@
         shared.record_announcements(entry, &metadata.announcements, sent_at, kind);
         if metadata.not_run {
             let cooldown = matches!(metadata.announcements.cooldown, Declared::Present(_));
-            shared.metrics.count_rejection(self.sends > 1, cooldown);
+            let has_id = metadata.id.is_some();
+            shared.metrics.count_rejection(self.sends > 1, cooldown, has_id);
         }
     }
 
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -165,6 +165,10 @@
     pub(super) response_memory: Option<BufferReservation>,
     /// Number of sends.
     pub sends: u32,
+    /// Number of sends over a connection that had carried the request before.
+    pub(super) same_connection: u32,
+    /// Number of sends that engines rejected.
+    pub(super) rejections: u32,
     /// Whether an engine may have run the request.
     pub may_have_run: bool,
     /// Total time spent waiting for an engine.
@@ -289,6 +293,8 @@
             failed_engines: Vec::new(),
             interrupted_by: Vec::new(),
             sends: 0,
+            same_connection: 0,
+            rejections: 0,
             failed_connects: 0,
             connect_failure: None,
             slow_connects: 0,
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -68,6 +68,8 @@
             cooling_by: self.cooling_by.as_ref().map(ToString::to_string),
             level: self.refused_at_level,
             sends: self.sends,
+            rejections: self.rejections,
+            same_connection: self.same_connection,
             unconnected: self.failed_connects,
             connect_failure: self.connect_failure.map(|failure| failure.name().into()),
             tunnel: self.tunnel_host.map(|address| address.to_string()),
--- a/crates/gateway/src/traffic/resume.rs
+++ b/crates/gateway/src/traffic/resume.rs
@@ -378,9 +378,9 @@
         self.traffic.shared.metrics.streams.resumes.inc();
         let sent_at = self.traffic.now();
         self.record_path(&mut connection, sent_at);
-        let codec = Arc::clone(&self.traffic.shared.codecs.request);
+        let shared = Arc::clone(&self.traffic.shared);
         let (method, id) = (self.request.head.method.clone(), self.metadata.id.clone());
-        let sending = send_request(&mut connection, &*codec, &request, &method, &id);
+        let sending = send_request(&mut connection, &shared, &request, &method, &id);
         let head_timeout =
             self.client_event_timeout().saturating_sub(sent_at.since(point.last_event));
         let response = tokio::select! {
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -197,6 +197,8 @@
         cooling_by: Some(engine()),
         level: Some(0.5),
         sends: 1,
+        rejections: 1,
+        same_connection: 1,
         unconnected: 1,
         connect_failure: Some("timed_out".into()),
         tunnel: Some(String::from("127.0.0.1:1")),
