test(gateway): a duplicate rejection is taken for the response to another send (fails)

Callers get 503 for requests that run, and streams that may run once run twice, when an engine sends a rejection once more in the place of the next response on its connection.

--- /dev/null
+++ b/crates/gateway/tests/host/duplicate_responses.rs
@@ -0,0 +1,120 @@
+//! Engines that send a rejection once more, later: in the place of the next response on the connection.
+
+use crate::{
+    engine::{DuplicateId, EngineBehaviour},
+    site::{MODEL_NAME, TestSite},
+};
+
+/// The id of the second request of a case.
+const SECOND_ID: &str = "second";
+
+struct DuplicateCase {
+    name: &'static str,
+    path: &'static str,
+    /// The copy of the first request's rejection.
+    duplicate: DuplicateId,
+    /// The engine's behaviour after the rejection.
+    then: EngineBehaviour,
+    /// Whether the rejection is that of an earlier request, so that its copy arrives in the place of
+    /// the response to a request that was sent once.
+    is_earlier: bool,
+    /// The start of the client's response.
+    status_line: &'static str,
+}
+
+const CASES: &[DuplicateCase] = &[
+    DuplicateCase {
+        name: "a request to a plain server is sent again",
+        path: "/single/a",
+        duplicate: DuplicateId::Own,
+        then: EngineBehaviour::Echo,
+        is_earlier: false,
+        status_line: "HTTP/1.1 200",
+    },
+    DuplicateCase {
+        name: "a stream that may run once is sent again",
+        path: "/stream/a",
+        duplicate: DuplicateId::Own,
+        then: EngineBehaviour::Stream(3),
+        is_earlier: false,
+        status_line: "HTTP/1.1 200",
+    },
+    DuplicateCase {
+        name: "a stream that may be resumed is sent again",
+        path: "/resumable/a",
+        duplicate: DuplicateId::Own,
+        then: EngineBehaviour::Stream(3),
+        is_earlier: false,
+        status_line: "HTTP/1.1 200",
+    },
+    DuplicateCase {
+        name: "a copy without an id arrives before the response to the same request",
+        path: "/single/a",
+        duplicate: DuplicateId::Missing,
+        then: EngineBehaviour::Echo,
+        is_earlier: false,
+        status_line: "HTTP/1.1 200",
+    },
+    DuplicateCase {
+        name: "a copy without an id arrives before the response to another request",
+        path: "/single/a",
+        duplicate: DuplicateId::Missing,
+        then: EngineBehaviour::Echo,
+        is_earlier: true,
+        status_line: "HTTP/1.1 200",
+    },
+    DuplicateCase {
+        name: "a copy without an id arrives before another stream that may run once",
+        path: "/stream/a",
+        duplicate: DuplicateId::Missing,
+        then: EngineBehaviour::Stream(3),
+        is_earlier: true,
+        status_line: "HTTP/1.1 200",
+    },
+    DuplicateCase {
+        name: "a response with two ids arrives before the response to another request",
+        path: "/single/a",
+        duplicate: DuplicateId::Ambiguous(SECOND_ID),
+        then: EngineBehaviour::Echo,
+        is_earlier: true,
+        status_line: "HTTP/1.1 502",
+    },
+];
+
+/// Guards against a 503 for a request that runs, and against a second run.
+#[test]
+fn a_duplicate_rejection_is_not_the_response_to_another_send() {
+    let mut failures = Vec::new();
+    for (number, case) in CASES.iter().enumerate() {
+        let site = TestSite::start();
+        let host = site.host(&format!("duplicates-{number}"));
+        let engines = [&site.engines[0], &site.engines[1], &site.plain];
+        let rejection = EngineBehaviour::NotRunTwice(case.duplicate);
+        for engine in engines {
+            engine.set_behaviours(&[rejection, case.then]);
+        }
+        let model = if case.path.starts_with("/single/") {
+            String::new()
+        } else {
+            format!("X-Model: {MODEL_NAME}\r\n")
+        };
+        if case.is_earlier {
+            // Its deadline leaves no time for a second send.
+            let fields = format!("X-Request: first\r\nX-Deadline: 50\r\n{model}");
+            host.post(case.path, &fields, "hello");
+        }
+        let fields = format!("X-Request: {SECOND_ID}\r\n{model}");
+        let response = host.post(case.path, &fields, "hello");
+        let runs: Vec<String> = engines
+            .iter()
+            .flat_map(|engine| engine.runs())
+            .filter_map(|run| run.head.fields.text("X-Request").map(ToOwned::to_owned))
+            .collect();
+        let second_runs = runs.iter().filter(|id| *id == SECOND_ID).count();
+        if !response.starts_with(case.status_line) || second_runs != 1 {
+            let status_line = response.lines().next().unwrap_or_default();
+            failures.push(format!("{}: {status_line}, {second_runs} runs", case.name));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -40,6 +40,8 @@
     TruncateStream(u32),
     /// Responds that the request did not run.
     NotRun,
+    /// The same, and sends a copy in the place of the next response on the connection.
+    NotRunTwice(DuplicateId),
     /// Responds with status 500.
     Error,
     /// Closes the connection without a response.
@@ -60,6 +62,17 @@
     UnmarkedRefusal,
 }
 
+/// The ids in a copy of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DuplicateId {
+    /// The id of the request.
+    Own,
+    /// None.
+    Missing,
+    /// The id of the next request on the connection, and then that of another one.
+    Ambiguous(&'static str),
+}
+
 #[derive(Default)]
 struct EngineState {
     behaviours: Vec<EngineBehaviour>,
@@ -413,6 +426,9 @@
 
 fn serve_engine(state: &Mutex<EngineState>, name: &str, connection: &mut ServedConnection) {
     while let Some(request) = connection.next_request() {
+        if connection.send_late_copy().is_none() {
+            return;
+        }
         let locked = || state.lock().unwrap_or_else(PoisonError::into_inner);
         locked().calls.push(Instant::now());
         let announcements = locked().announcement_fields();
@@ -570,7 +586,7 @@
         1 => locked.behaviours[0],
         _ => locked.behaviours.pop().unwrap_or(EngineBehaviour::Echo),
     };
-    if behaviour != EngineBehaviour::NotRun {
+    if !matches!(behaviour, EngineBehaviour::NotRun | EngineBehaviour::NotRunTwice(_)) {
         locked.runs.push(request.clone());
     }
     locked.running += 1;
@@ -596,6 +612,18 @@
         EngineBehaviour::Error => connection.answer(500, &head, "engine error"),
         EngineBehaviour::UnmarkedRefusal => connection.answer(503, &head, "busy"),
         EngineBehaviour::NotRun => reject(connection, &id, &announcements),
+        EngineBehaviour::NotRunTwice(duplicate) => {
+            reject(connection, &id, &announcements)?;
+            let ids = match duplicate {
+                DuplicateId::Own => format!("{REQUEST}: {id}\r\n"),
+                DuplicateId::Missing => String::new(),
+                DuplicateId::Ambiguous(next) => {
+                    format!("{REQUEST}: {next}\r\n{REQUEST}: another\r\n")
+                }
+            };
+            connection.keep_late_copy(503, &format!("{ids}{NOT_RUN}: 1\r\n"), "");
+            Some(())
+        }
         EngineBehaviour::CloseConnection => None,
         EngineBehaviour::Hang => {
             connection.closes_within(Duration::from_secs(5));
--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -7,6 +7,7 @@
 mod crashing_parts;
 mod configuration;
 mod cut_series;
+mod duplicate_responses;
 mod quarantine;
 mod quota_heartbeat;
 mod brittle;
