fix(gateway): a rejected request is not sent again over the same connection

What callers saw: 503 for requests that an engine ran, and streams that may run once ran twice.

Cause: a response is matched to its request by the request's id, and a repeat carries the same id. If an engine sends its rejection once more, in the place of the next response on the connection, the host takes it for the response to the repeat, since EnginePool took the connection of the first send again.

Mend: a connection carries an id at most once. It keeps the ids of what it has carried, and the pool passes over those that have carried the request's; another open connection is used, or a new one. A copy is then always that of another request's response, which its id shows.

--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -312,15 +312,18 @@
     fn take_idle(
         &mut self,
         engine: &str,
-        recent_only: bool,
+        options: &ConnectOptions,
         now: ClockMillis,
     ) -> Option<OpenedStream> {
         let isolated = self.links.is_isolated();
         let lost = isolated && self.links.monitor().has_lost_open_connections(now);
         let state = self.engines.get_mut(engine)?;
-        while let Some(idle) = state.idle.pop() {
+        let is_candidate = |idle: &IdleConnection| !idle.opened.sent_ids.contains(&options.id);
+        while let Some(index) = state.idle.iter().rposition(is_candidate) {
+            let idle = state.idle.remove(index);
             let idle_time = now.since(idle.idle_since);
-            let usable = now < idle.expires_at && (!recent_only || idle_time < RECENT_IDLE_LIMIT);
+            let usable =
+                now < idle.expires_at && (!options.recent_only || idle_time < RECENT_IDLE_LIMIT);
             let by_usable_path = if idle.opened.path.tunnel.is_some() { isolated } else { !lost };
             if usable && by_usable_path && idle.opened.stream.is_idle() {
                 return Some(idle.opened);
@@ -337,12 +340,13 @@
         now: ClockMillis,
     ) {
         let state = self.engines.entry(Arc::clone(&entry.name)).or_default();
-        if !entry.leaving && state.idle.len() < IDLE_CONNECTION_LIMIT {
+        let has_room = state.idle.len() < IDLE_CONNECTION_LIMIT && !opened.sent_ids.is_full();
+        if !entry.leaving && has_room {
             state.idle.push(IdleConnection { opened, idle_since: now, expires_at: now + time });
         }
     }
 
-    /// Returns an idle connection to an engine, or a new one.
+    /// Returns an idle connection to an engine that has not carried the request, or a new one.
     ///
     /// A request that must not run twice gets a recently used or a new connection: the engine might
     /// close one that has been idle for long at the moment of the send.
@@ -355,7 +359,7 @@
         options: ConnectOptions,
         now: ClockMillis,
     ) -> std::io::Result<EngineConnection> {
-        let idle = pool.borrow_mut().take_idle(&entry.name, options.recent_only, now);
+        let idle = pool.borrow_mut().take_idle(&entry.name, &options, now);
         let hall = Some(Arc::clone(&entry.hall));
         pool.borrow_mut().engines.entry(Arc::clone(&entry.name)).or_default().hall = hall;
         let reused = idle.is_some();
@@ -381,6 +385,8 @@
 /// Options of a connection for one request.
 #[derive(Debug, Clone)]
 pub struct ConnectOptions {
+    /// The request's id, which a connection carries at most once.
+    pub id: String,
     /// Whether an idle connection must have been used recently: for a request that must not run
     /// twice.
     pub recent_only: bool,
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -312,6 +312,7 @@
     /// that have been idle for long.
     pub fn connect_options(&self, recent_only: bool) -> ConnectOptions {
         ConnectOptions {
+            id: self.metadata.id.clone(),
             recent_only,
             key: self.metadata.model.clone(),
             prefill_tokens: self.metadata.prompt.tokens(),
