fix(gateway): a rejection without an id belongs to no request

What callers saw: 503 for requests that an engine ran, also for those that were sent once, and streams that may run once ran twice.

Cause: send_request took a response without an id for that to the present request if it said that the request did not run. Every response of an engine carries the id of its request, so one without is no response: such as a copy of an earlier rejection that has lost its id, which then hits whatever request the connection carries next.

--- a/crates/gateway/src/engines/send.rs
+++ b/crates/gateway/src/engines/send.rs
@@ -82,10 +82,7 @@
         let framing = BodyFraming::of_response(&head, method).map_err(ReadError::from)?;
         let mut decoder = BodyDecoder::new(framing);
         let metadata = shared.codecs.request.decode_response(&head);
-        let rejected = metadata.not_run || metadata.misdirected;
-        let matches_request =
-            metadata.id.as_deref().map_or(rejected, |response_id| response_id == id);
-        if matches_request {
+        if metadata.id.as_deref() == Some(id) {
             reusable &= head.keeps_connection() && framing != BodyFraming::UntilClose;
             return Ok(EngineResponse {
                 head,
