fix(platform): a response with several ids belongs to no request

An engine's response that names two requests was taken for that to the first one it names.

Mend: the id of a response counts if all its fields have the same value. A response without one is skipped, and the request waits for its own.

--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -114,7 +114,7 @@
 /// Metadata of an engine's response.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ResponseMetadata {
-    /// Id of the request that it belongs to.
+    /// Id of the request that it belongs to; absent if it states none, or several.
     pub id: Option<String>,
     /// Whether the engine guarantees that the request has not run and will not run.
     pub not_run: bool,
--- a/crates/gateway/tests/host/codec.rs
+++ b/crates/gateway/tests/host/codec.rs
@@ -105,7 +105,7 @@
 
     fn decode_response(&self, head: &ResponseHead) -> ResponseMetadata {
         ResponseMetadata {
-            id: head.fields.text(REQUEST).map(ToOwned::to_owned),
+            id: head.fields.unambiguous_text(REQUEST).map(ToOwned::to_owned),
             not_run: head.fields.text(NOT_RUN).is_some(),
             misdirected: head.status == 421,
             signed: head.fields.text(RUN_BY).is_some(),
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -79,6 +79,15 @@
         self.values(name).next().and_then(|value| std::str::from_utf8(value).ok())
     }
 
+    /// Returns the value of the fields named `name` if all of them have the same one and it is valid
+    /// UTF-8.
+    pub fn unambiguous_text(&self, name: &str) -> Option<&str> {
+        let mut values = self.values(name);
+        let first = values.next()?;
+        values.all(|value| value == first).then_some(first)?;
+        std::str::from_utf8(first).ok()
+    }
+
     /// Returns whether a comma-separated list field named `name` contains `token`.
     pub fn has_token(&self, name: &str, token: &str) -> bool {
         self.values(name).any(|value| {
