--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -19,6 +19,7 @@
 use crate::cut_response::{
     ConnectionEnd, CutResponse, is_first_run, write_cut_response, write_paused_stream,
 };
+use crate::endless_responses::{EndlessResponse, EndlessWrite, write_without_end};
 
 /// How an engine handles a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +43,8 @@
     NotRun,
     /// The same, and sends a copy in the place of the next response on the connection.
     NotRunTwice(DuplicateId),
+    /// Sends bytes without end until the peer closes the connection.
+    WithoutEnd(EndlessResponse),
     /// Responds with status 500.
     Error,
     /// Closes the connection without a response.
@@ -86,6 +89,10 @@
     large_events: usize,
     /// Number of unlimited streams that ended.
     aborts: usize,
+    /// Responses without end, once the peer has closed their connection.
+    endless_writes: Vec<EndlessWrite>,
+    /// How it responds to orders and report requests, if without end.
+    endless_calls: Option<EndlessResponse>,
     /// Start of the current incarnation; zero if not reported.
     incarnation: u64,
     /// The highest fence token among the orders it accepted.
@@ -367,6 +374,16 @@
     }
 
     /// Returns the number of clients that disconnected during a response.
+    /// Returns the responses without end whose connections the peer has closed.
+    pub(crate) fn endless_writes(&self) -> Vec<EndlessWrite> {
+        self.lock().endless_writes.clone()
+    }
+
+    /// Responds to orders and report requests without end from now on.
+    pub(crate) fn respond_to_calls_without_end(&self, endless: EndlessResponse) {
+        self.lock().endless_calls = Some(endless);
+    }
+
     pub(crate) fn client_disconnects(&self) -> u32 {
         self.lock().client_disconnects
     }
@@ -433,7 +450,15 @@
         locked().calls.push(Instant::now());
         let announcements = locked().announcement_fields();
         let closes = locked().closes_connection();
+        let endless = locked()
+            .endless_calls
+            .filter(|_| matches!(request.head.target.as_str(), "/orders" | "/state"));
         let served = match request.head.target.as_str() {
+            _ if endless.is_some() => {
+                let written = endless.map(|endless| write_without_end(connection, "", endless));
+                locked().endless_writes.extend(written);
+                None
+            }
             "/orders" => {
                 let status = apply_order(&mut locked(), &request);
                 connection.answer(status, &announcements, "null")
@@ -625,6 +650,11 @@
             Some(())
         }
         EngineBehaviour::CloseConnection => None,
+        EngineBehaviour::WithoutEnd(endless) => {
+            let written = write_without_end(connection, &head, endless);
+            state.lock().unwrap_or_else(PoisonError::into_inner).endless_writes.push(written);
+            None
+        }
         EngineBehaviour::Hang => {
             connection.closes_within(Duration::from_secs(5));
             None
