fix(gateway): a stream without end ends at its deadline

What callers saw: a stream whose engine sends without end went on for as long as the engine sent; the host read and relayed it, long after the route's timeout.

Cause: the deadline is a branch of a select that reads the engine first, and is not polled while bytes are always available: the task yields when its budget is used up, and the next poll begins with the read again.

Evidence: endless_responses, streams of chunks and events at full speed: 8.1 to 8.3 s until the engine gave up, at a timeout of 1.5 s. A timer outside the task's budget changes nothing (tried): the select polls no branch then.

What had arrived by then is still delivered, as for a host that was suspended.

After: both close within the test's 2 s. The same test still fails for chunk extensions, trailers, and an event without end.

--- a/crates/gateway/src/traffic/deadline.rs
+++ b/crates/gateway/src/traffic/deadline.rs
@@ -24,6 +24,11 @@
         self.expires_at.since(self.clock.now())
     }
 
+    /// Returns whether the time until `slack` after the deadline has passed.
+    pub fn has_expired(&self, slack: Duration) -> bool {
+        self.clock.now() >= self.expires_at + slack
+    }
+
     /// Waits until `slack` after the deadline.
     pub async fn expired(self, slack: Duration) {
         sleep_until(&*self.clock, self.expires_at + slack).await;
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -42,6 +42,10 @@
 /// Unit: bytes.
 const COPIED_BODY_BYTES: usize = 16 * 1024;
 
+/// Maximum number of bytes of a stream that are relayed after its deadline: what had arrived by then is
+/// delivered. Unit: bytes.
+const LATE_BYTES_LIMIT: usize = 256 * 1024;
+
 /// Maximum number of resumes of one stream.
 const RESUME_LIMIT: u32 = 3;
 
@@ -349,6 +353,7 @@
         let has_events = has_events(response);
         let mut tracker = EventTracker::default();
         let mut awaiting_first_byte = true;
+        let mut late_bytes = 0;
         let mut pace = PaceObserver::new(self.traffic, &self.service, &connection.entry);
         let mut lost = pin!(connection.lost(&self.traffic.shared.clock));
         let mut part_quarantined = pin!(self.part_quarantined());
@@ -392,6 +397,13 @@
                     return SegmentOutcome::Interrupted;
                 }
             };
+            // The branch of the deadline is not reached while bytes are always available.
+            if self.deadline.has_expired(STREAM_DEADLINE_SLACK) {
+                late_bytes += data.len();
+                if late_bytes > LATE_BYTES_LIMIT {
+                    return SegmentOutcome::DeadlineExceeded;
+                }
+            }
             pace.record_data();
             tracker.push(&data);
             connection.record_received(self.traffic.now());
