fix(http): chunk extensions and trailers without end are an error

What callers saw: 504 at the deadline, after their host had read 270 to 820 MB for one request.

Cause: the limits were on one line of a chunk's size and of the trailer; the number of lines was not limited, and they count for no body limit.

Mend: all chunk extensions and trailer fields of one body may have 16 KB.

--- a/crates/gateway/src/traffic/connection.rs
+++ b/crates/gateway/src/traffic/connection.rs
@@ -73,6 +73,10 @@
                 400,
                 "a chunk is malformed; write its size in hexadecimal and end lines with CRLF",
             )),
+            ReadError::Body(BodyError::TooMuchFraming) => Self::Respond(LocalResponse::new(
+                400,
+                "chunk extensions and trailer fields are longer than the limit; leave them out",
+            )),
             ReadError::Closed
             | ReadError::TruncatedHead
             | ReadError::Body(BodyError::Truncated)
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -10,6 +10,9 @@
 /// Maximum length of one line of the trailer section.
 const MAX_TRAILER_LINE_BYTES: usize = 4096;
 
+/// Maximum number of bytes that chunk extensions and trailer fields of one body may have in total.
+const MAX_FRAMING_BYTES: usize = 16 * 1024;
+
 /// Maximum number of hexadecimal digits in a chunk size.
 const MAX_CHUNK_SIZE_DIGITS: usize = 12;
 
@@ -32,6 +35,9 @@
     /// A chunk does not conform to RFC 9112.
     #[error("a chunk is malformed; write its size in hexadecimal and end lines with CRLF")]
     MalformedChunk,
+    /// Chunk extensions and trailer fields are too long in total.
+    #[error("chunk extensions and trailer fields are longer than the limit; leave them out")]
+    TooMuchFraming,
     /// The connection closed before the end of the body.
     #[error("the connection ended within the body")]
     Truncated,
@@ -143,6 +149,8 @@
 #[derive(Debug, Clone)]
 pub struct BodyDecoder {
     state: DecoderState,
+    /// Bytes of chunk extensions and trailer fields.
+    framing_bytes: usize,
 }
 
 impl BodyDecoder {
@@ -154,7 +162,7 @@
             BodyFraming::Chunked => DecoderState::ChunkLine,
             BodyFraming::UntilClose => DecoderState::UntilClose,
         };
-        Self { state }
+        Self { state, framing_bytes: 0 }
     }
 
     /// Returns whether the body is complete.
@@ -165,7 +173,8 @@
     /// Removes the next part of the body from the front of `buffer`.
     ///
     /// # Errors
-    /// Returns [`BodyError::MalformedChunk`] if a chunk does not conform to RFC 9112.
+    /// Returns [`BodyError::MalformedChunk`] if a chunk does not conform to RFC 9112, and
+    /// [`BodyError::TooMuchFraming`] if chunk extensions and trailer fields are too long.
     pub fn next_part(&mut self, buffer: &mut BytesMut) -> Result<BodyPart, BodyError> {
         loop {
             match self.state {
@@ -195,7 +204,11 @@
                 }
                 DecoderState::ChunkLine => match take_line(buffer, MAX_CHUNK_LINE_BYTES)? {
                     None => return Ok(BodyPart::Incomplete),
-                    Some(line) => self.state = parse_chunk_line(&line)?,
+                    Some(line) => {
+                        self.state = parse_chunk_line(&line)?;
+                        let size = line.iter().position(|byte| *byte == b';');
+                        self.count_framing(size.map_or(0, |size| line.len() - size))?;
+                    }
                 },
                 DecoderState::ChunkEnd => {
                     if buffer.len() < 2 {
@@ -210,12 +223,20 @@
                 DecoderState::Trailer => match take_line(buffer, MAX_TRAILER_LINE_BYTES)? {
                     None => return Ok(BodyPart::Incomplete),
                     Some(line) if line.is_empty() => self.state = DecoderState::Done,
-                    Some(_) => {}
+                    Some(line) => self.count_framing(line.len())?,
                 },
             }
         }
     }
 
+    const fn count_framing(&mut self, bytes: usize) -> Result<(), BodyError> {
+        self.framing_bytes += bytes;
+        if self.framing_bytes > MAX_FRAMING_BYTES {
+            return Err(BodyError::TooMuchFraming);
+        }
+        Ok(())
+    }
+
     /// Handles an orderly close of the connection by the peer.
     ///
     /// # Errors
