fix(gateway): an event without end no longer takes the processor

What callers saw: a resumable stream whose engine sends one event without end ended with 504 after up to 3 s, past its deadline of 1.5 s, and other requests of that host waited meanwhile.

Cause: the splitter searched all pending bytes for the end of an event at each piece of 16 bytes, up to 256 KB: quadratic.

Mend: only the new bytes and the three before them are searched; an end further back would have been found.

--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -5,6 +5,9 @@
 /// Maximum size of an event that is buffered until it is complete.
 const EVENT_SIZE_LIMIT: usize = 256 * 1024;
 
+/// The longest end of an event: a line feed and a blank line. Unit: bytes.
+const EVENT_END_BYTES: usize = 3;
+
 /// Tells whether the bytes of a stream end within an event.
 ///
 /// An event ends with an empty line. Comments belong to no event.
@@ -51,8 +54,11 @@
     ///
     /// Returns `None` if an event exceeds the size limit.
     pub fn push(&mut self, data: &[u8]) -> Option<Bytes> {
+        // An event that ended within the bytes before would not be pending.
+        let searched = self.pending.len().saturating_sub(EVENT_END_BYTES);
         self.pending.extend_from_slice(data);
-        let Some(end) = last_event_end(&self.pending) else {
+        let end = last_event_end(&self.pending[searched..]).map(|end| searched + end);
+        let Some(end) = end else {
             return (self.pending.len() <= EVENT_SIZE_LIMIT).then(Bytes::new);
         };
         let complete = self.pending.split_to(end).freeze();
