fix(gateway): an engine's response to an order or report request has a limit of 64 KB

What callers saw: nothing by itself. A placer read up to 8 MB, and with chunk extensions or trailers 136 MB, for one order or report, and asked that engine again at once; with many such engines its memory and link are used up. A body beyond the limit was taken for an empty one, and an interim response for the final one, so that an order which an engine took counted as rejected.

Mend: the responses of engines to calls may have 64 KB, others 8 MB as before.

--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -26,6 +26,9 @@
 /// the time that a load from the weight store takes.
 const TIGHT_ORDER_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Maximum size of an engine's response to an order or a report request. Unit: bytes.
+const RESPONSE_LIMIT: usize = 64 * 1024;
+
 /// Timeout of a report request.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -37,7 +40,8 @@
 
 impl OrderClients {
     fn take(&mut self, engine: &EngineEntry, addresses: &dyn AddressResolver) -> CallClient {
-        let new = || CallClient::new(addresses.engine_address(engine));
+        let new =
+            || CallClient::new(addresses.engine_address(engine)).with_body_limit(RESPONSE_LIMIT);
         self.clients.remove(&engine.name).unwrap_or_else(new)
     }
 
@@ -104,7 +108,7 @@
             codec.decode_order_response(&response)
         }
         Err(CallError::NotSent(_)) => OrderAnswer::NotSent,
-        Err(CallError::NoResponse(_) | CallError::TimedOut) => OrderAnswer::Unknown,
+        Err(_) => OrderAnswer::Unknown,
     };
     let now = shared.clock.now();
     let mut state = state.borrow_mut();
@@ -144,10 +148,11 @@
     match response {
         // When the connection was opened is not known, so nothing is said about new ones.
         Ok(_) => shared.links.record_received(ClockMillis::default(), now),
-        Err(CallError::NotSent(error)) => {
-            shared.links.record_failure(&engine.name, error.into(), now);
+        Err(error) => {
+            if let Some(error) = error.connect_error() {
+                shared.links.record_failure(&engine.name, error.into(), now);
+            }
         }
-        Err(CallError::NoResponse(_) | CallError::TimedOut) => {}
     }
 }
 
