fix(gateway): bodies of engines' responses have one memory budget on all deployments

What callers saw: nothing so far; found with responses without end. Where timeouts are not tight, each request could buffer 8 MB of its engine's response, without a bound over all: some forty engines that send without end at once take a host of 260 MB over its memory. A rejection's body, which nobody gets, was read up to 8 MB as well.

Mend: the budget that holds where timeouts are tight (docs/design/slow-readers.md) holds everywhere for responses: reading pauses when it is used up, and a quarter is left to bodies of up to 64 KB. Of an unneeded body 64 KB are read, then its connection is closed.

--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -97,7 +97,6 @@
         connection: &mut EngineConnection,
         response: &mut EngineResponse,
     ) -> Result<Bytes, SendOutcome> {
-        let bounded = self.traffic.bounds_slow_readers();
         // Releases the memory of an earlier send's response.
         self.response_memory = None;
         let mut memory = self.traffic.response_buffers.reservation();
@@ -105,9 +104,6 @@
         let framing = response.framing;
         let (stream, decoder) = (&mut connection.stream, &mut response.decoder);
         let reading = async {
-            if !bounded {
-                return stream.read_full_body(decoder, BUFFERED_BODY_LIMIT).await;
-            }
             let (limit, policy) = (BUFFERED_BODY_LIMIT, OverflowPolicy::Pause);
             let reading =
                 read_budgeted_body(stream, decoder, announced, limit, &mut memory, policy);
@@ -172,9 +168,7 @@
         mut connection: EngineConnection,
         mut response: EngineResponse,
     ) {
-        let bounded = self.traffic.bounds_slow_readers();
-        let limit = if bounded { LARGE_BODY_BYTES } else { BUFFERED_BODY_LIMIT };
-        let reading = connection.stream.read_full_body(&mut response.decoder, limit);
+        let reading = connection.stream.read_full_body(&mut response.decoder, LARGE_BODY_BYTES);
         match tokio::time::timeout(DRAIN_TIMEOUT, reading).await {
             Ok(Ok(Some(_))) => self.keep_or_close(connection, &response),
             _ => connection.close(),
