fix(gateway): limits and cooldowns of skipped responses do not count

What callers saw: nothing so far; found by looking for the cause of duplicate responses elsewhere. A duplicate that is skipped may declare an engine's limit or a cooldown; it counted as of the send of the present request, so that an outdated limit replaced a newer one, and a cooldown began again.

Mend: of a skipped response only a departure counts, which holds for the engine's incarnation. The response to the request itself follows on the same connection and declares what holds.

--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -367,15 +367,11 @@
         sent_at: ClockMillis,
     ) {
         let shared = &self.traffic.shared;
-        if response.unrelated_announcements != EngineAnnouncements::default() {
-            // The send time of the other request is unknown, so missing announcements carry no
-            // meaning.
-            shared.record_announcements(
-                entry,
-                &response.unrelated_announcements,
-                sent_at,
-                ResponseKind::Other,
-            );
+        // A limit or cooldown of a response to another request, whose send time is unknown, may be outdated.
+        let departure = response.unrelated_announcements.departure;
+        let unrelated = EngineAnnouncements { departure, ..EngineAnnouncements::default() };
+        if unrelated != EngineAnnouncements::default() {
+            shared.record_announcements(entry, &unrelated, sent_at, ResponseKind::Other);
         }
         let metadata = &response.metadata;
         let ran = metadata.signed && !metadata.not_run && !metadata.misdirected;
