--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -46,3 +46,16 @@
 fn five_hosts_hold_the_guarantees_under_random_faults() {
     run_case(&SoakCase { seed: 12, hosts: 5, seconds: 25 });
 }
+
+/// Engines reject requests and repeat each rejection later without its id, while hosts are killed,
+/// stopped and paused.
+#[test]
+fn four_hosts_hold_the_guarantees_while_engines_repeat_rejections() {
+    run_case(&SoakCase { seed: 230_005, hosts: 4, seconds: 12 });
+}
+
+/// Engines send responses without end.
+#[test]
+fn four_hosts_hold_the_guarantees_while_engines_send_without_end() {
+    run_case(&SoakCase { seed: 240_000, hosts: 4, seconds: 20 });
+}
