--- a/crates/gateway/examples/path_cost.rs
+++ b/crates/gateway/examples/path_cost.rs
@@ -13,6 +13,8 @@
 mod codec;
 #[path = "../tests/host/cut_response.rs"]
 mod cut_response;
+#[path = "../tests/host/endless_response.rs"]
+mod endless_response;
 #[path = "../tests/host/engine.rs"]
 mod engine;
 #[path = "../tests/host/links.rs"]
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -442,11 +442,6 @@
         registry.register("engine_announcements", help, self.announcements.clone());
         let help = "Requests that engines rejected, and whether they asked for a cooldown";
         registry.register("engine_rejections", help, self.rejections.clone());
-        let help =
-            "Requests that were sent again, by whether their connection had carried them before";
-        registry.register("engine_repeats", help, self.repeats.clone());
-        let help = "Responses of engines that were skipped since they belonged to another request";
-        registry.register("engine_skipped_responses", help, self.skipped_responses.clone());
         let help = "Choices that passed over an engine within a cooldown";
         registry.register("cooldown_diverted", help, self.cooldown_diverted.clone());
         let help = "Requests that waited for the end of a cooldown, or for another copy";
@@ -513,9 +508,18 @@
         self.host_load.register(&mut registry);
         self.streams.register(&mut registry);
         self.tunnels.register(&mut registry);
+        self.register_repeats(&mut registry);
         *self.registry.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = registry;
     }
 
+    fn register_repeats(&self, registry: &mut Registry) {
+        let help =
+            "Requests that were sent again, by whether their connection had carried them before";
+        registry.register("engine_repeats", help, self.repeats.clone());
+        let help = "Responses of engines that were skipped since they belonged to another request";
+        registry.register("engine_skipped_responses", help, self.skipped_responses.clone());
+    }
+
     /// Counts a request of an organisation.
     pub fn count_organisation(&self, organisation: &str, outcome: &str) {
         let mut labelled_organisations =
--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -19,7 +19,7 @@
 use crate::cut_response::{
     ConnectionEnd, CutResponse, is_first_run, write_cut_response, write_paused_stream,
 };
-use crate::endless_responses::{EndlessResponse, EndlessWrite, write_without_end};
+use crate::endless_response::{EndlessResponse, EndlessWrite, write_without_end};
 
 /// How an engine handles a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -638,31 +638,13 @@
         EngineBehaviour::Echo => connection.answer(200, &head, &body),
         EngineBehaviour::LargeBody(bytes) => connection.answer(200, &head, &"x".repeat(bytes)),
         EngineBehaviour::StreamUntilUnread(max_wait) => {
-            connection
-                .write(&format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n"))?;
-            let _ = connection.socket.set_write_timeout(Some(max_wait));
-            let event = format!("data: {}\n\n", "x".repeat(LARGE_EVENT_BYTES));
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            while connection.write(&chunk).is_some() {
-                state.lock().unwrap_or_else(PoisonError::into_inner).large_events += 1;
-            }
-            state.lock().unwrap_or_else(PoisonError::into_inner).aborts += 1;
-            None
+            stream_until_unread(state, connection, &head, max_wait)
         }
         EngineBehaviour::Error => connection.answer(500, &head, "engine error"),
         EngineBehaviour::UnmarkedRefusal => connection.answer(503, &head, "busy"),
         EngineBehaviour::NotRun => reject(connection, &id, &announcements),
         EngineBehaviour::NotRunTwice(duplicate) => {
-            reject(connection, &id, &announcements)?;
-            let ids = match duplicate {
-                DuplicateId::Own => format!("{REQUEST}: {id}\r\n"),
-                DuplicateId::Missing => String::new(),
-                DuplicateId::Ambiguous(next) => {
-                    format!("{REQUEST}: {next}\r\n{REQUEST}: another\r\n")
-                }
-            };
-            connection.keep_late_copy(503, &format!("{ids}{NOT_RUN}: 1\r\n"), "");
-            Some(())
+            reject_twice(connection, &id, &announcements, duplicate)
         }
         EngineBehaviour::CloseConnection => None,
         EngineBehaviour::WithoutEnd(endless) => {
@@ -757,6 +739,41 @@
     connection.answer(503, &head, "")
 }
 
+/// The same, and keeps a copy for the place of the next response on the connection.
+fn reject_twice(
+    connection: &mut ServedConnection,
+    id: &str,
+    announcements: &str,
+    duplicate: DuplicateId,
+) -> Option<()> {
+    reject(connection, id, announcements)?;
+    let ids = match duplicate {
+        DuplicateId::Own => format!("{REQUEST}: {id}\r\n"),
+        DuplicateId::Missing => String::new(),
+        DuplicateId::Ambiguous(next) => format!("{REQUEST}: {next}\r\n{REQUEST}: another\r\n"),
+    };
+    connection.keep_late_copy(503, &format!("{ids}{NOT_RUN}: 1\r\n"), "");
+    Some(())
+}
+
+/// Sends large events until the peer has read nothing for `max_wait`.
+fn stream_until_unread(
+    state: &Mutex<EngineState>,
+    connection: &mut ServedConnection,
+    head: &str,
+    max_wait: Duration,
+) -> Option<()> {
+    connection.write(&format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n"))?;
+    let _ = connection.socket.set_write_timeout(Some(max_wait));
+    let event = format!("data: {}\n\n", "x".repeat(LARGE_EVENT_BYTES));
+    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+    while connection.write(&chunk).is_some() {
+        state.lock().unwrap_or_else(PoisonError::into_inner).large_events += 1;
+    }
+    state.lock().unwrap_or_else(PoisonError::into_inner).aborts += 1;
+    None
+}
+
 fn stream(
     state: &Mutex<EngineState>,
     request: &ServedRequest,
