--- a/review/stand_ins_2/client.rs
+++ b/review/stand_ins_2/client.rs
@@ -64,6 +64,7 @@
     let model = "Model: m0\r\nToken-Usage: 100,80\r\nPrompt-Prefix: 5c1e07a2:100\r\n";
     let (path, fields) = match seen.kind {
         Kind::Stream => ("/stream/x", model),
+        Kind::Resumable => ("/resumable/x", model),
         Kind::Draft => ("/draft/x", model),
         Kind::Plain => ("/plain/x", ""),
     };
--- a/review/stand_ins_2/engine.rs
+++ b/review/stand_ins_2/engine.rs
@@ -27,6 +27,10 @@
 pub const PLAIN_PARTS: usize = 12;
 const PLAIN_GAP: Duration = Duration::from_millis(2);
 
+/// The end of the ids of attempts whose answer is spoiled, and the event that is.
+pub const SPOILED: &str = "-spoiled";
+const SPOILED_EVENT: usize = 11;
+
 /// The kinds of requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -34,6 +38,8 @@
     Stream,
     /// An answer in [`EVENTS`] parts, from an engine with a model.
     Draft,
+    /// A stream that may be resumed, in chunks.
+    Resumable,
     /// A quick answer of a plain service.
     Plain,
 }
@@ -145,6 +151,9 @@
         }
         self.note(&format!("runs {attempt}"));
         let target = request.target().1;
+        if target.starts_with("/resumable/") {
+            return self.stream_in_chunks(connection, request, &attempt, &fields);
+        }
         let is_stream = target.starts_with("/stream/");
         let (kind, parts, gap) = if is_stream {
             ("text/event-stream", EVENTS, EVENT_GAP)
@@ -172,6 +181,46 @@
     }
 }
 
+impl Engine {
+    /// Answers with a stream that goes on after `Last-Event-Id`.
+    ///
+    /// Where the id of the attempt says so, a faulty engine spoils a byte of one event, and breaks off
+    /// after it.
+    fn stream_in_chunks(
+        &self,
+        connection: &mut Connection,
+        request: &Message,
+        attempt: &str,
+        fields: &str,
+    ) -> Result<bool> {
+        let after = request.field("Last-Event-Id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{fields}Server-Signature: s.{attempt}\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        connection.socket.write_all(head.as_bytes())?;
+        for number in after + 1..=EVENTS {
+            thread::sleep(EVENT_GAP);
+            let mut part = event(attempt, number).into_bytes();
+            let is_spoiled = attempt.ends_with(SPOILED) && after == 0 && number == SPOILED_EVENT;
+            if is_spoiled {
+                let last = part.len() - 3;
+                part[last] = 0xff;
+            }
+            let chunk = [format!("{:x}\r\n", part.len()).as_bytes(), &part, b"\r\n"].concat();
+            connection.socket.write_all(&chunk)?;
+            if is_spoiled {
+                thread::sleep(Duration::from_millis(20));
+                self.note(&format!("spoils event {number} of {attempt} and breaks off"));
+                return Ok(false);
+            }
+        }
+        connection.socket.write_all(b"0\r\n\r\n")?;
+        self.note(&format!("ends {attempt} after the events {} to {EVENTS}", after + 1));
+        Ok(true)
+    }
+}
+
 /// Runs an engine until its standard input ends.
 pub fn run(options: &[&str]) -> i32 {
     let [id, service, address, platform, log] = options else { return 2 };
--- a/review/stand_ins_2/scenario.rs
+++ b/review/stand_ins_2/scenario.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     client::{self, End, Seen},
-    engine::{EVENTS, Kind, PLAIN_PARTS, event, plain_part},
+    engine::{EVENTS, Kind, PLAIN_PARTS, SPOILED, event, plain_part},
     http::call,
     platform::{PARTS, Platform},
 };
@@ -105,6 +105,8 @@
 const CONFIGURATION: &str = r#""routes":[
 {"name":"r-stream","host":"desk.example","path_prefix":"/stream/","type":"streaming","timeout_ms":15000,
 "target_latency_ms":800,"priority":2,"service":"assist","max_attempts":1,"sticky":true,"resumable":false,"target_gap_ms":250},
+{"name":"r-resumable","host":"desk.example","path_prefix":"/resumable/","type":"streaming","timeout_ms":15000,
+"target_latency_ms":1000,"priority":1,"service":"assist","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":250},
 {"name":"r-draft","host":"desk.example","path_prefix":"/draft/","type":"non_idempotent","timeout_ms":15000,
 "target_latency_ms":800,"priority":2,"service":"assist","max_attempts":1,"sticky":true},
 {"name":"r-plain","host":"desk.example","path_prefix":"/plain/","type":"non_idempotent","timeout_ms":15000,
@@ -246,7 +248,7 @@
     /// Notes what a client saw of an answer; returns whether it looked complete and was not.
     fn judge(&self, seen: &Seen) -> bool {
         let (rule, whole) = match seen.kind {
-            Kind::Stream => {
+            Kind::Stream | Kind::Resumable => {
                 ("ORDER", (1..=EVENTS).map(|number| event(&seen.id, number)).collect::<String>())
             }
             Kind::Draft => {
@@ -290,6 +292,7 @@
     let outcome = match name {
         "crash" => crash(&mut site, trouble),
         "leaving" => leaving(&mut site, trouble),
+        "spoiled" => spoiled(&mut site, trouble),
         "uploads" => uploads(&mut site, trouble),
         "revoked" => revoked(&mut site, trouble),
         _ => Err(std::io::Error::other("there is no such scenario")),
@@ -310,7 +313,7 @@
     let complete = complete.count();
     let short = seen.iter().filter(|seen| site.judge(seen)).count();
     let summary = format!(
-        "{} requests, {complete} answers with success that look complete, {short} of them short",
+        "{} requests, {complete} answers with success that look complete, {short} of them not as the engine made them",
         seen.len()
     );
     site.note(&summary);
@@ -353,6 +356,17 @@
     judge_all(site, requests)
 }
 
+/// One of forty answers is spoiled and broken off.
+fn spoiled(site: &mut Site, trouble: bool) -> std::io::Result<bool> {
+    let mut requests = site.send("resumable", 39, Kind::Resumable);
+    let id = format!("resumable-39{}", if trouble { SPOILED } else { "" });
+    let host = site.addresses[0];
+    let deadline = Duration::from_secs(15);
+    requests.push(thread::spawn(move || client::send(host, &id, Kind::Resumable, "", deadline)));
+    site.note("40 resumable streams sent");
+    judge_all(site, requests)
+}
+
 /// Resident memory of a process. Unit: megabytes.
 fn memory(id: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
