--- a/review/stand_ins_2/engine.rs
+++ b/review/stand_ins_2/engine.rs
@@ -1,6 +1,7 @@
 //! A stand-in for an engine, as a process of its own, so that a scenario can kill it.
 //!
-//! Its answers have neither a length nor chunks and end with their connection, as the pages allow.
+//! One in twenty of its answers has neither a length nor chunks and ends with its connection, as the
+//! pages allow; the others come in chunks.
 
 use std::{
     fs::File,
@@ -31,6 +32,16 @@
 pub const SPOILED: &str = "-spoiled";
 const SPOILED_EVENT: usize = 11;
 
+/// Returns whether the answer to a request has neither a length nor chunks: one in
+/// [`OPEN_DIVISOR`], by the number that its id ends with.
+pub fn is_open(attempt: &str) -> bool {
+    let number = attempt.rsplit('-').next().and_then(|number| number.parse::<usize>().ok());
+    number.is_some_and(|number| number % OPEN_DIVISOR == 0)
+}
+
+/// The share of answers without a length, as the bench's `unframed` has it (x = 0.05).
+const OPEN_DIVISOR: usize = 20;
+
 /// The kinds of requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -162,22 +173,28 @@
         } else {
             ("text/plain", PLAIN_PARTS, PLAIN_GAP)
         };
+        let is_open = is_open(&attempt);
+        let framing = if is_open { "Connection: close" } else { "Transfer-Encoding: chunked" };
         let head = format!(
             "HTTP/1.1 200 OK\r\n{fields}Server-Signature: s.{attempt}\r\nContent-Type: {kind}\r\n\
-             Connection: close\r\n\r\n"
+             {framing}\r\n\r\n"
         );
         connection.socket.write_all(head.as_bytes())?;
         for number in 1..=parts {
             thread::sleep(gap);
             let part =
                 if is_stream { event(&attempt, number) } else { plain_part(&attempt, number) };
-            if let Err(error) = connection.socket.write_all(part.as_bytes()) {
+            let sent = if is_open { part } else { format!("{:x}\r\n{part}\r\n", part.len()) };
+            if let Err(error) = connection.socket.write_all(sent.as_bytes()) {
                 self.note(&format!("stops {attempt} after part {}", number - 1));
                 return Err(error);
             }
         }
+        if !is_open {
+            connection.socket.write_all(b"0\r\n\r\n")?;
+        }
         self.note(&format!("ends {attempt} after all {parts} parts"));
-        Ok(false)
+        Ok(!is_open)
     }
 }
 
--- a/review/stand_ins_2/scenario.rs
+++ b/review/stand_ins_2/scenario.rs
@@ -327,9 +327,9 @@
 
 /// One of twelve engines is taken away at short notice, while its answers run.
 fn leaving(site: &mut Site, trouble: bool) -> std::io::Result<bool> {
-    let mut requests = site.send("stream", 48, Kind::Stream);
-    requests.extend(site.send("draft", 48, Kind::Draft));
-    site.note("48 streams and 48 other requests sent; their answers take 4 s");
+    let mut requests = site.send("stream", 400, Kind::Stream);
+    requests.extend(site.send("draft", 300, Kind::Draft));
+    site.note("400 streams and 300 other requests sent; their answers take 4 s, 35 have no length");
     thread::sleep(Duration::from_millis(400));
     if trouble {
         if let Some(input) = &mut site.engines[0].stdin {
@@ -345,9 +345,9 @@
 
 /// Two of twelve engines crash, while their answers run.
 fn crash(site: &mut Site, trouble: bool) -> std::io::Result<bool> {
-    let mut requests = site.send("stream", 105, Kind::Stream);
-    requests.extend(site.send("draft", 105, Kind::Draft));
-    site.note("105 streams and 105 other requests sent; their answers take 4 s");
+    let mut requests = site.send("stream", 400, Kind::Stream);
+    requests.extend(site.send("draft", 300, Kind::Draft));
+    site.note("400 streams and 300 other requests sent; their answers take 4 s, 35 have no length");
     thread::sleep(Duration::from_millis(2500));
     if trouble {
         site.engines[..2].iter_mut().for_each(kill);
