--- a/crates/gateway/src/control/era.rs
+++ b/crates/gateway/src/control/era.rs
@@ -27,15 +27,23 @@
     /// the state of a peer, or for [`REWRITE_GRACE_PERIOD`], within which the operator writes
     /// again. If the store was never restored, it does not wait.
     pub(super) fn update_may_serve(&mut self, now: ClockMillis) {
-        let was_restored = self.eras.current() > 0;
-        let grace_over = now.since(self.started_at) >= REWRITE_GRACE_PERIOD;
-        if !self.may_serve
-            && self.is_complete()
-            && (!was_restored || self.has_peer_state() || grace_over)
-        {
-            self.may_serve = true;
-            self.table_changed = true;
+        if self.may_serve || !self.is_complete() {
+            return;
         }
+        let waited = now.since(self.started_at);
+        let (cause, peer) = if self.eras.current() == 0 {
+            ("never_restored", None)
+        } else if let Some(peer) = self.peer_state_source {
+            ("peer_state", Some(peer))
+        } else if waited >= REWRITE_GRACE_PERIOD {
+            ("grace_period", None)
+        } else {
+            return;
+        };
+        self.may_serve = true;
+        self.table_changed = true;
+        let (cause, age) = (cause.into(), duration_millis(waited));
+        self.shared.events.write(HostEvent::ServingStarted { cause, peer, age });
     }
 
     /// Handles an era of the store that became known since the last call.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -64,7 +64,8 @@
     pub(super) reader_until: ClockMillis,
     pub(super) store_health: StoreHealth,
     pub(super) eras: EraTracker,
-    received_peer_state: bool,
+    /// The first peer that has sent its complete state since this process started.
+    pub(super) peer_state_source: Option<SocketAddr>,
     /// When this host started to read the store.
     pub(super) started_at: ClockMillis,
     /// Whether this host may serve by what it has read from the store.
@@ -113,7 +114,7 @@
             reader_until: ClockMillis::default(),
             store_health: StoreHealth::default(),
             eras: EraTracker::default(),
-            received_peer_state: false,
+            peer_state_source: None,
             started_at,
             may_serve: false,
             last_known_era: 0,
@@ -307,7 +308,9 @@
         let full_read_end =
             (frame.complete && read_to > StorePosition::default()).then_some(read_to);
         self.apply_peer_engines(updates, full_read_end);
-        self.received_peer_state |= full_read_end.is_some();
+        if full_read_end.is_some() {
+            self.peer_state_source.get_or_insert(peer);
+        }
         if is_current {
             self.apply_owners(&frame.owners);
         }
@@ -339,7 +342,7 @@
 
     /// Returns whether a peer has sent its complete state since this process started.
     pub const fn has_peer_state(&self) -> bool {
-        self.received_peer_state
+        self.peer_state_source.is_some()
     }
 
     /// Returns whether the configuration and the engines are known.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -93,6 +93,17 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         age: Option<u64>,
     },
+    /// The host serves by what it has read from the store.
+    ServingStarted {
+        /// Why it may: the store was never restored, a peer has sent its state, or the time in which
+        /// lost records are written again is over.
+        cause: Cow<'static, str>,
+        /// The address of that peer.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        peer: Option<SocketAddr>,
+        /// Time since the host started to read the store. Unit: milliseconds.
+        age: u64,
+    },
     /// A topic of the store was read in full.
     TopicRead {
         /// The topic that was read.
--- a/crates/gateway/tests/host/events.rs
+++ b/crates/gateway/tests/host/events.rs
@@ -88,6 +88,7 @@
         HostEvent::StoreLost { what: "engines".into() },
         HostEvent::StoreRegained { what: "engines".into() },
         HostEvent::StoreEra { from: 3, to: 4, teller: "store".into(), age: Some(2500) },
+        HostEvent::ServingStarted { cause: "peer_state".into(), peer: Some(address), age: 405 },
         HostEvent::TopicRead {
             what: "engines".into(),
             records: 16,
@@ -229,6 +230,7 @@
         | Event::StoreLost { .. }
         | Event::StoreRegained { .. }
         | Event::StoreEra { .. }
+        | Event::ServingStarted { .. }
         | Event::TopicRead { .. }
         | Event::Following { .. }
         | Event::ReaderLost { .. }
