fix(gateway): hosts that start together after a store restore no longer release each other

Cause: a host that starts after a restore waits for the state of a peer, since the copy may list withdrawn keys. Any peer's state released it, also that of a host that had itself read nothing but the copy. serving_started shows it: hosts 0 and 1 are released by host 2, host 2 by host 1, each 405 ms after its start. Ruled out: that the era was unknown (store_era precedes the configuration on all three). Not needed for it: the feed, which has the same fault by reading.

The mend: a host's state is verified if it is known to include what the store had before its last restore (core/fleet/state_verification.rs). That is so if the store was never restored, if the host followed the store through the restore, if a verified peer has sent its state, if the store has the hosts' record of its era, or after four seconds. Only a verified state - is passed on as such, in answers and in feeds, so that it can't be had from a host that knows no more; - lets a starting host accept keys, and lets reads of the store confirm the configuration. A host whose keys had lapsed when the store was restored (it was suspended or cut off) is not verified either. A starting host asks up to eight hosts in a round, four at once, with a small frame, instead of one each 0.4 s; a follower that ran on offers its state to a reader that has just started; a reader that ran on compares its state once. Where all hosts start, nobody knows more than the copy: they wait four seconds, but only while the restore is recent. Once it is not, and the store has the configuration in force again, a reader writes a record of the era to the topic keyed.reelreel; a copy from before has an earlier era, or none.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -28,6 +28,7 @@
 //! - [`retry_share`]: this host's share of the retry budget
 //! - [`routes`]: routes and services of the configuration
 //! - [`stale_listing`]: engine entries from a store that was restored from an older copy
+//! - [`state_verification`]: whether a host may lack records that a restore of the store has lost
 //! - [`stream_origins`]: the software versions that began streams
 //! - [`tunnel_hosts`]: hosts through which an isolated host reaches engines
 //! - [`work`]: open requests and pending prefill of an engine
@@ -62,6 +63,7 @@
 pub mod service_limit;
 pub mod service_share;
 pub mod stale_listing;
+pub mod state_verification;
 pub mod stream_origins;
 pub mod tunnel_hosts;
 pub mod work;
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -220,13 +220,15 @@
     pub partitions: Vec<u32>,
 }
 
-/// Topics of the store that hosts read.
+/// Topics of the store that hosts read or write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum KeyedTopic {
     /// Configurations and weight versions, written by the operator.
     Configuration,
     /// Engine entries, written by the engines.
     Engines,
+    /// Records that the hosts themselves keep.
+    Hosts,
 }
 
 /// A decoded record of the configuration topic.
@@ -275,6 +277,15 @@
         response: &CallResponse,
     ) -> Result<RecordBatch, CodecError>;
 
+    /// Encodes a call that writes a record.
+    fn encode_append(&self, topic: KeyedTopic, key: &str, value: &[u8]) -> CallRequest;
+
+    /// Checks the response to a call that writes a record.
+    ///
+    /// # Errors
+    /// Returns that the record was not written.
+    fn check_append(&self, response: &CallResponse) -> Result<(), CodecError>;
+
     /// Encodes a request that joins the group of hosts or renews the membership; `generation` is the last one received in this
     /// era.
     fn encode_join(
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -11,6 +11,7 @@
 pub mod topic_mirror;
 pub mod configuration;
 pub mod orders;
+pub mod restore_record;
 pub mod placement;
 pub mod plan_encoding;
 pub mod state;
@@ -25,6 +26,7 @@
     codec::KeyedTopic,
     control::{
         membership::{maintain_membership, own_member},
+        restore_record::maintain_restore_record,
         state::ControlState,
     },
     host::SharedState,
@@ -57,6 +59,9 @@
 /// through an outage.
 const REVOCATION_BOUND_DIVISOR: u32 = 10;
 
+/// Maximum long-poll time of the configuration until the state of this host is verified.
+const UNVERIFIED_POLL_WAIT: Duration = Duration::from_millis(150);
+
 /// Divides the bound for a change to get the long-poll time. A connection that is lost silently is
 /// detected only when a read on it times out, so the long poll and the client's timeout must both
 /// fit into the bound.
@@ -94,6 +99,7 @@
         tokio::task::spawn_local(run_peer_client(Rc::clone(&state))),
         tokio::task::spawn_local(run_feed_client(Rc::clone(&state))),
         tokio::task::spawn_local(run_origin_sender(Rc::clone(&state))),
+        tokio::task::spawn_local(maintain_restore_record(Rc::clone(&state))),
     ];
     let mut stopping = shared.stopping.subscribe();
     loop {
@@ -140,12 +146,10 @@
     let client = store_client(&state);
     let bounds = &shared.profile.bounds;
     let revocation_bound = bounds.max_revocation_delay;
-    let wait = long_poll_time(bounds.max_configuration_delay);
     let options = FollowOptions {
         topic: KeyedTopic::Configuration,
         min_interval: CONFIGURATION_READ_INTERVAL,
-        poll_wait: revocation_bound
-            .map_or(wait, |bound| (bound / REVOCATION_BOUND_DIVISOR).min(wait)),
+        poll_wait: configuration_poll_wait(&state),
         clock: Arc::clone(&shared.clock),
         max_backoff: max_backoff(&state, revocation_bound.is_some()),
     };
@@ -156,6 +160,25 @@
     follow_topic(client, options, backoff, following, sink).await;
 }
 
+/// Returns the long-poll time of the configuration.
+///
+/// It is short until the state of this host is verified, since only a read that is requested after
+/// that confirms that keys may be accepted.
+fn configuration_poll_wait(state: &SharedControl) -> Box<dyn Fn() -> Duration> {
+    let shared = Arc::clone(state.borrow().shared());
+    let bounds = &shared.profile.bounds;
+    let wait = long_poll_time(bounds.max_configuration_delay);
+    let wait = bounds
+        .max_revocation_delay
+        .map_or(wait, |bound| (bound / REVOCATION_BOUND_DIVISOR).min(wait));
+    let state = Rc::clone(state);
+    Box::new(move || {
+        let state = state.borrow();
+        let is_unverified = state.eras().current() > 0 && !state.is_verified();
+        if is_unverified { wait.min(UNVERIFIED_POLL_WAIT) } else { wait }
+    })
+}
+
 /// Returns the long-poll time of a read whose changes must be in force within `bound`.
 fn long_poll_time(bound: Duration) -> Duration {
     (bound / CHANGE_BOUND_DIVISOR).min(LONG_POLL_WAIT)
@@ -177,10 +200,11 @@
     let client = store_client(&state);
     let sink = |update| state.borrow_mut().apply_engines_update(update);
     let following = state.borrow().following();
+    let leaving_wait = long_poll_time(shared.profile.bounds.max_leaving_delay);
     let options = FollowOptions {
         topic: KeyedTopic::Engines,
         min_interval: ENGINES_READ_INTERVAL,
-        poll_wait: long_poll_time(shared.profile.bounds.max_leaving_delay),
+        poll_wait: Box::new(move || leaving_wait),
         clock: Arc::clone(&shared.clock),
         max_backoff: Box::new(|| MAX_BACKOFF),
     };
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -26,6 +26,7 @@
             TopicUpdate::Records { records, requested_at: asked } => (records, asked),
             TopicUpdate::Unavailable => return,
         };
+        self.verification.record_complete_state();
         self.apply_configuration(&records);
         if let Some(asked) = asked {
             self.confirm_configuration(asked);
@@ -85,11 +86,14 @@
     /// Applies a configuration unless its revision is not higher. The revision never decreases
     /// while the process runs.
     fn apply_routes(&mut self, routes: Arc<RouteTable>, position: StorePosition) -> bool {
-        let newer = self.routes.as_ref().is_none_or(|old| old.revision() < routes.revision());
-        if !newer {
+        let revision = routes.revision();
+        let in_force = self.routes.as_ref().map_or(0, |routes| routes.revision());
+        if revision >= in_force {
+            self.routes_era = self.routes_era.max(position.era);
+        }
+        if self.routes.is_some() && revision <= in_force {
             return false;
         }
-        let revision = routes.revision();
         warn_of_ambiguous_keys(&routes);
         let StorePosition { era, offset } = position;
         self.shared.events.write(HostEvent::ConfigurationInForce { revision, era, offset });
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -152,12 +152,12 @@
 
     /// Returns the complete state, encoded once until it changes.
     ///
-    /// It does not say how recent it is; the next heartbeat does.
+    /// It does not say how recent it is, or whether it is verified; the next heartbeat does.
     fn full_frame(&mut self) -> EncodedFrame {
         if let Some(full) = &self.feed.full_frame {
             return full.clone();
         }
-        let frame = StateFrame { confirmed_at: 0, ..self.state_frame() };
+        let frame = StateFrame { confirmed_at: 0, verified: false, ..self.state_frame() };
         let full = FrameBody::State(frame).encoded();
         self.feed.full_frame = Some(full.clone());
         full
@@ -195,8 +195,8 @@
             self.state_frame()
         } else {
             let (names, engines) = encode_engines(&engines);
-            let StateFrame { confirmed_at: confirmed, era, .. } = self.freshness_frame();
-            StateFrame { confirmed_at: confirmed, names, engines, era, ..pending }
+            let StateFrame { confirmed_at, era, verified, .. } = self.freshness_frame();
+            StateFrame { confirmed_at, names, engines, era, verified, ..pending }
         };
         self.feed.broadcast(&FrameBody::State(frame).encoded(), now);
     }
@@ -207,6 +207,11 @@
         StateFrame { clock: Some(self.clock_message(requested_at)), ..self.state_frame() }
     }
 
+    /// Returns the response to a peer that asks whether this host's state is verified.
+    pub fn verification_frame(&self) -> StateFrame {
+        StateFrame { confirmed_at: 0, ..self.freshness_frame() }
+    }
+
     /// Queues the owners of the partitions for the followers.
     pub fn queue_owners(&mut self) {
         self.feed.full_frame = None;
--- a/crates/gateway/src/control/freshness.rs
+++ b/crates/gateway/src/control/freshness.rs
@@ -11,8 +11,12 @@
 impl ControlState {
     /// Records that the configuration was the latest at a time of this host's clock.
     ///
-    /// Must be called only after everything up to that time has been published.
+    /// Must be called only after everything up to that time has been published. A store that was
+    /// restored confirms nothing to a host whose state is not verified.
     pub(super) fn confirm_configuration(&mut self, confirmed_at: ClockMillis) {
+        if !self.verification.is_confirmed_by_read(confirmed_at) {
+            return;
+        }
         self.freshness.confirm(confirmed_at, self.shared.clock.now());
         self.shared.accept_keys_until(self.freshness.keys_valid_until());
         self.update_freshness();
@@ -42,7 +46,8 @@
     /// Returns a frame with the freshness of the configuration that this host passes on.
     pub fn freshness_frame(&self) -> StateFrame {
         let confirmed = self.confirmed_at().map_or(0, ClockMillis::as_millis);
-        StateFrame { confirmed_at: confirmed, ..self.era_frame() }
+        let verified = self.verification.is_verified();
+        StateFrame { confirmed_at: confirmed, verified, ..self.era_frame() }
     }
 
     /// Returns a frame with nothing but the newest known era of the store.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -15,6 +15,7 @@
         engine_choice::PublishedVersions,
         freshness::{ConfigurationFreshness, PeerClock},
         routes::RouteTable,
+        state_verification::StateVerification,
     },
     id::{StoreEra, generation_token},
     placement::{LeaseRules, PlacementPlanner},
@@ -66,6 +67,16 @@
     pub(super) eras: EraTracker,
     /// The first peer that has sent its complete state since this process started.
     pub(super) peer_state_source: Option<SocketAddr>,
+    /// Whether the state includes what the store had before its last restore.
+    pub(super) verification: StateVerification,
+    /// The last era in which a verified peer has sent its state.
+    pub(super) compared_era: StoreEra,
+    /// Followers that say that their state is verified, while this host's is not.
+    pub(super) verified_followers: BTreeSet<SocketAddr>,
+    /// The last era in which the store is known to have the configuration in force.
+    pub(super) routes_era: StoreEra,
+    /// The last era whose restore record is known to be written.
+    pub(super) recorded_era: StoreEra,
     /// When this host started to read the store.
     pub(super) started_at: ClockMillis,
     /// Whether this host may serve by what it has read from the store.
@@ -115,6 +126,11 @@
             store_health: StoreHealth::default(),
             eras: EraTracker::default(),
             peer_state_source: None,
+            verification: StateVerification::new(started_at),
+            compared_era: 0,
+            verified_followers: BTreeSet::new(),
+            routes_era: 0,
+            recorded_era: 0,
             started_at,
             may_serve: false,
             last_known_era: 0,
@@ -310,6 +326,10 @@
         self.apply_peer_engines(updates, full_read_end);
         if full_read_end.is_some() {
             self.peer_state_source.get_or_insert(peer);
+            self.verification.record_complete_state();
+            if is_current && frame.verified {
+                self.record_verified_peer(peer);
+            }
         }
         if is_current {
             self.apply_owners(&frame.owners);
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -2,8 +2,10 @@
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
+use futures_util::stream::{self, StreamExt};
 use reelreel_core::fleet::{ServiceName, freshness::PeerClock};
 use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     control::{SharedControl, domain::PEER_QUEUE_LENGTH, state::ControlState},
@@ -37,6 +39,12 @@
 /// One is sent every 0.4 s, and a starting host must know the configuration in force within three seconds.
 const MAX_INITIAL_STATE_REQUESTS: u32 = 8;
 
+/// Number of known hosts that a host asks in one round whether their state is verified.
+const CANDIDATES_PER_ROUND: usize = 8;
+
+/// Number of hosts that are asked at the same time.
+const PARALLEL_VERIFICATIONS: usize = 4;
+
 impl ControlState {
     /// Returns whether to request a peer's store data, after `attempt` earlier attempts.
     ///
@@ -53,6 +61,9 @@
 pub async fn run_peer_client(state: SharedControl) {
     let mut tasks: HashMap<ServiceName, (SocketAddr, JoinHandle<()>)> = HashMap::new();
     let mut state_request: Option<JoinHandle<()>> = None;
+    let mut verification: Option<JoinHandle<()>> = None;
+    let mut verification_round = 0;
+    let mut next_verification = 0;
     let mut polls = 0;
     loop {
         let placers = state.borrow().remote_placers();
@@ -79,6 +90,13 @@
             let request = request_peer_state(Rc::clone(&state), attempt);
             state_request = Some(tokio::task::spawn_local(request));
         }
+        let is_verifying = verification.as_ref().is_some_and(|task| !task.is_finished());
+        if polls >= next_verification && !is_verifying && state.borrow().needs_verified_peer() {
+            let search = find_verified_peer(Rc::clone(&state), verification_round);
+            verification = Some(tokio::task::spawn_local(search));
+            verification_round += 1;
+            next_verification = polls + POLLS_PER_STATE_REQUEST;
+        }
         polls += 1;
         tokio::time::sleep(POLL_INTERVAL).await;
     }
@@ -154,23 +172,72 @@
     sent
 }
 
+/// Returns the addresses of the other hosts that this one knows.
+fn known_peers(state: &ControlState) -> Vec<SocketAddr> {
+    let mut peers = state.other_members();
+    let profile = &state.shared().profile;
+    peers.extend(profile.seeds.iter().filter(|seed| **seed != profile.peer_address));
+    peers
+}
+
+/// Asks several hosts at once whether their state is verified, and requests the store data of the
+/// first one whose state is.
+async fn find_verified_peer(state: SharedControl, round: usize) {
+    let candidates = verification_candidates(&state.borrow(), round);
+    let requests = candidates.into_iter().map(|peer| request_verified_state(&state, peer));
+    let mut responses = stream::iter(requests).buffer_unordered(PARALLEL_VERIFICATIONS);
+    while let Some(is_verified) = responses.next().await {
+        if is_verified {
+            return;
+        }
+    }
+}
+
+/// Returns the hosts to ask in a round: followers that say that they are verified, and some of the
+/// other known hosts, in an order that differs between hosts and rounds.
+fn verification_candidates(state: &ControlState, round: usize) -> Vec<SocketAddr> {
+    let name = &state.shared().profile.name;
+    let mut peers = known_peers(state);
+    peers.sort_by_cached_key(|peer| xxh3_64(format!("{name} {peer}").as_bytes()));
+    peers.dedup();
+    let rounds = peers.chunks(CANDIDATES_PER_ROUND).len().max(1);
+    let candidates = peers.into_iter().skip(round % rounds * CANDIDATES_PER_ROUND);
+    let followers = state.verified_followers().iter().copied();
+    followers.chain(candidates.take(CANDIDATES_PER_ROUND)).collect()
+}
+
+/// Requests a host's store data if its state is verified; returns whether it was received.
+async fn request_verified_state(state: &SharedControl, peer: SocketAddr) -> bool {
+    let Some(mut stream) = connect(state, peer).await else { return false };
+    for verification_only in [true, false] {
+        let requested_at = state.borrow().shared().clock.now().as_millis();
+        let request = StateRequestFrame { requested_at, verification_only };
+        if stream.send(FrameBody::StateRequest(request).encoded()).await.is_err() {
+            return false;
+        }
+        let Ok(response) = stream.receive_within(RESPONSE_TIMEOUT).await else { return false };
+        let Some(FrameBody::State(frame)) = response.body else { return false };
+        let clock = frame.clock.as_ref().map(PeerClock::from);
+        state.borrow_mut().apply_peer_state(&frame, peer, clock);
+        if !frame.verified {
+            return false;
+        }
+    }
+    true
+}
+
 /// Requests store data from one of the known hosts, a different one on each attempt.
 async fn request_peer_state(state: SharedControl, attempt: u32) {
-    let mut peers = state.borrow().other_members();
-    peers.extend_from_slice(&state.borrow().shared().profile.seeds);
-    let own_address = state.borrow().shared().profile.peer_address;
-    peers.retain(|peer| *peer != own_address);
+    let peers = known_peers(&state.borrow());
     let Some(index) = (attempt as usize).checked_rem(peers.len()) else { return };
     let requested_at = state.borrow().shared().clock.now().as_millis();
-    let request = async {
+    let request = StateRequestFrame { requested_at, verification_only: false };
+    let response = async {
         let mut stream = connect(&state, peers[index]).await?;
-        stream
-            .send(FrameBody::StateRequest(StateRequestFrame { requested_at }).encoded())
-            .await
-            .ok()?;
+        stream.send(FrameBody::StateRequest(request).encoded()).await.ok()?;
         stream.receive_within(RESPONSE_TIMEOUT).await.ok()?.body
     };
-    if let Some(FrameBody::State(frame)) = request.await {
+    if let Some(FrameBody::State(frame)) = response.await {
         let clock = frame.clock.as_ref().map(PeerClock::from);
         state.borrow_mut().apply_peer_state(&frame, peers[index], clock);
     }
--- a/crates/gateway/src/peers/feed.rs
+++ b/crates/gateway/src/peers/feed.rs
@@ -43,6 +43,7 @@
     let Some(mut requested_at) = request_feed(state, &mut stream).await else { return false };
     let mut clock = None;
     let mut followed = false;
+    let mut is_synchronized = false;
     let cause = loop {
         let frame = match stream.receive_within(READER_TIMEOUT).await {
             Ok(frame) => frame,
@@ -61,7 +62,11 @@
             break "reads_store";
         }
         state.reader_responded();
+        if is_synchronized && frame.verified {
+            state.verify_by_reader(&frame, reader);
+        }
         state.apply_peer_state(&frame, reader, clock);
+        is_synchronized |= frame.complete;
         if !state.is_complete() {
             continue;
         }
@@ -89,7 +94,11 @@
 
 /// Requests a reader's feed, or its clock where the feed is active; returns when the request was sent.
 async fn request_feed(state: &SharedControl, stream: &mut PeerStream) -> Option<ClockMillis> {
-    let now = state.borrow().shared().clock.now();
-    let request = FrameBody::Follow(FollowFrame { requested_at: now.as_millis() });
+    let (now, verified_address) = {
+        let state = state.borrow();
+        (state.shared().clock.now(), state.verified_address())
+    };
+    let requested_at = now.as_millis();
+    let request = FrameBody::Follow(FollowFrame { requested_at, verified_address });
     stream.send(request.encoded()).await.ok().map(|()| now)
 }
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -74,7 +74,11 @@
                     }
                     Some(FrameBody::HostReport(report)) => state.borrow_mut().aggregate_peer_reports(&report),
                     Some(FrameBody::StateRequest(request)) => {
-                        let response = state.borrow().response_frame(request.requested_at);
+                        let response = if request.verification_only {
+                            state.borrow().verification_frame()
+                        } else {
+                            state.borrow().response_frame(request.requested_at)
+                        };
                         if stream.send(FrameBody::State(response).encoded()).await.is_err() {
                             return;
                         }
@@ -91,6 +95,7 @@
                         }
                     }
                     Some(FrameBody::Follow(follow)) => {
+                        state.borrow_mut().record_follower(&follow);
                         // The feed owns the sender; dropping it there ends this task.
                         if state.borrow_mut().add_follower(sender.clone(), follow.requested_at) {
                             feed_follower(&state, stream, sender, frames).await;
@@ -150,6 +155,7 @@
             received = stream.receive() => {
                 let Some(frame) = received else { return };
                 let Some(FrameBody::Follow(follow)) = frame.body else { continue };
+                state.borrow_mut().record_follower(&follow);
                 let response = state.borrow().clock_frame(follow.requested_at);
                 if stream.send(FrameBody::State(response).encoded()).await.is_err() {
                     return;
--- a/crates/gateway/src/peers/state_frames.rs
+++ b/crates/gateway/src/peers/state_frames.rs
@@ -10,6 +10,9 @@
     /// The requesting host's clock. Unit: milliseconds.
     #[prost(uint64, tag = "1")]
     pub requested_at: u64,
+    /// Whether to send just whether the data is verified.
+    #[prost(bool, tag = "2")]
+    pub verification_only: bool,
 }
 
 /// Subscribes to the peer's store data, or, on an active feed, requests just its clock.
@@ -18,6 +21,9 @@
     /// The requesting host's clock. Unit: milliseconds.
     #[prost(uint64, tag = "1")]
     pub requested_at: u64,
+    /// The requesting host's address for peers, if its own store data is verified.
+    #[prost(string, tag = "2")]
+    pub verified_address: String,
 }
 
 /// The clock of the responding host.
@@ -65,6 +71,9 @@
     /// The era of `engines_end`.
     #[prost(uint64, tag = "12")]
     pub engines_era: u64,
+    /// Whether the sender's data includes everything that the store had before its last restore.
+    #[prost(bool, tag = "13")]
+    pub verified: bool,
 }
 
 impl StateFrame {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,6 +4,7 @@
 pub mod follow;
 pub mod health;
 pub mod membership;
+pub mod restore_record;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -11,7 +11,7 @@
 };
 
 /// Timeout of a call that is not a long poll.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Timeout of a call that probes whether the store has recovered. It is short, because one lost call must not hide that
 /// the store responds to others.
@@ -53,8 +53,8 @@
     pub topic: KeyedTopic,
     /// Delay before each long poll, so that a busy topic is read in batches.
     pub min_interval: Duration,
-    /// How long the store holds a long poll without new records.
-    pub poll_wait: Duration,
+    /// Returns how long the store holds a long poll without new records.
+    pub poll_wait: Box<dyn Fn() -> Duration>,
     /// The clock for the times of requests.
     pub clock: Arc<dyn ClockSource>,
     /// Returns the current maximum delay between failing calls.
@@ -120,14 +120,8 @@
         let read = if unavailable {
             read_records(client, topic, from, Duration::ZERO, PROBE_TIMEOUT).await
         } else {
-            read_records(
-                client,
-                topic,
-                from,
-                options.poll_wait,
-                options.poll_wait + LONG_POLL_MARGIN,
-            )
-            .await
+            let wait = (options.poll_wait)();
+            read_records(client, topic, from, wait, wait + LONG_POLL_MARGIN).await
         };
         match read {
             Ok(batch) => {
--- a/crates/gateway/tests/host/codec.rs
+++ b/crates/gateway/tests/host/codec.rs
@@ -228,6 +228,7 @@
     match topic {
         KeyedTopic::Configuration => "configuration",
         KeyedTopic::Engines => "engines",
+        KeyedTopic::Hosts => "hosts",
     }
 }
 
@@ -291,6 +292,16 @@
         Ok(RecordBatch { records, next, end: position(era, &body["end"]) })
     }
 
+    fn encode_append(&self, topic: KeyedTopic, key: &str, value: &[u8]) -> CallRequest {
+        let value = String::from_utf8_lossy(value);
+        let body = json!({ "key": key, "value": value });
+        call("POST", format!("/append/{}", topic_name(topic)), &body)
+    }
+
+    fn check_append(&self, response: &CallResponse) -> Result<(), CodecError> {
+        parse_json(response).map(|_| ())
+    }
+
     fn encode_join(
         &self,
         member: &str,
--- a/crates/gateway/tests/host/store.rs
+++ b/crates/gateway/tests/host/store.rs
@@ -392,6 +392,15 @@
             }
             (200, json!({ "records": topic.since(from), "end": topic.records.len() }))
         }
+        ["append", name] => {
+            let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+            let text = |field: &str| body[field].as_str().unwrap_or_default().to_owned();
+            let topic = locked.topics.entry((*name).to_owned()).or_default();
+            topic.records.push((text("key"), text("value")));
+            drop(locked);
+            changes.notify_all();
+            (200, Value::Null)
+        }
         ["join"] => {
             locked.joins.push(Instant::now());
             let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
--- a/crates/gateway/tests/host/store_restore.rs
+++ b/crates/gateway/tests/host/store_restore.rs
@@ -53,7 +53,7 @@
 }
 
 /// Asserts that a condition holds continuously for a time.
-fn assert_holds_for(time: Duration, what: &str, condition: impl Fn() -> bool) {
+fn assert_holds_for(time: Duration, what: &str, mut condition: impl FnMut() -> bool) {
     let began = Instant::now();
     while began.elapsed() < time {
         assert!(condition(), "{what}: no longer holds after {:?}", began.elapsed());
@@ -117,7 +117,7 @@
     wait_until("the change is in force", || serves_late_route(&first));
     site.store.restore(&snapshot);
     wait_until("the first host knows the new era", || knows_era(&first, 1));
-    for capacity in [WEAK_CAPACITY, HostCapacity { cpu_share: 0.25, bandwidth_mbps: 1000.0 }] {
+    for capacity in [WEAK_CAPACITY, STRONG_CAPACITY] {
         let late = site.start_host_with_capacity(
             "late",
             vec![first.shared.profile.peer_address],
@@ -151,6 +151,156 @@
     assert_holds_for(APPLY_LIMIT, key_refused, || send("key-n1").starts_with("HTTP/1.1 401"));
 }
 
+const STRONG_CAPACITY: HostCapacity = HostCapacity { cpu_share: 0.25, bandwidth_mbps: 1000.0 };
+
+fn send_with_key(host: &TestHost, key: &str) -> String {
+    host.get("/single/a", &format!("X-Request: k\r\nX-Key: {key}\r\n"))
+}
+
+fn serves_key(host: &TestHost, key: &str) -> bool {
+    send_with_key(host, key).starts_with("HTTP/1.1 200")
+}
+
+fn revoke_key(site: &TestSite) {
+    site.store.put("configuration", "routes", &REVOKED_KEY_REVISION.to_string());
+}
+
+/// Hosts before and after a restore whose snapshot lists a revoked key.
+struct RestartCase {
+    name: &'static str,
+    /// The hosts that know of the revocation.
+    before: &'static [HostCapacity],
+    /// Number of them, from the first, that end with the restore.
+    stopped: usize,
+    /// Number of hosts that start together after it.
+    started: usize,
+    /// Whether these serve other keys before the operator has written again.
+    serves_before_rewrite: bool,
+}
+
+const RESTART_CASES: &[RestartCase] = &[
+    RestartCase {
+        name: "one host runs through the restore",
+        before: &[STRONG_CAPACITY],
+        stopped: 0,
+        started: 2,
+        serves_before_rewrite: true,
+    },
+    RestartCase {
+        name: "most hosts end",
+        before: &[STRONG_CAPACITY, STRONG_CAPACITY, STRONG_CAPACITY],
+        stopped: 2,
+        started: 4,
+        serves_before_rewrite: true,
+    },
+    RestartCase {
+        name: "only a follower runs through the restore",
+        before: &[STRONG_CAPACITY, WEAK_CAPACITY],
+        stopped: 1,
+        started: 2,
+        serves_before_rewrite: true,
+    },
+    RestartCase {
+        name: "all hosts end",
+        before: &[STRONG_CAPACITY],
+        stopped: 1,
+        started: 3,
+        serves_before_rewrite: false,
+    },
+];
+
+/// Hosts that start together must not release each other: they know nothing but the snapshot.
+#[test]
+fn hosts_that_start_together_after_a_store_restore_serve_no_revoked_key() {
+    thread::scope(|scope| {
+        for case in RESTART_CASES {
+            scope.spawn(|| run_restart_case(case));
+        }
+    });
+}
+
+fn run_restart_case(case: &RestartCase) {
+    let site = site_with_organisations();
+    let start = |capacity: &HostCapacity| {
+        let host = site.start_host_with_capacity("before", Vec::new(), *capacity);
+        host.wait_ready();
+        host
+    };
+    let mut running: Vec<TestHost> = case.before.iter().map(start).collect();
+    let snapshot = site.store.snapshot();
+    revoke_key(&site);
+    wait_until(case.name, || {
+        running.iter().all(|host| send_with_key(host, "key-n1").starts_with("HTTP/1.1 401"))
+    });
+    for host in running.drain(..case.stopped) {
+        host.stop();
+    }
+    site.store.restore(&snapshot);
+    let mut started: Vec<TestHost> = Vec::new();
+    for _ in 0..case.started {
+        let seeds = started.iter().map(|host| host.shared.profile.peer_address).collect();
+        started.push(site.start_host("after", seeds));
+    }
+    let mut serves_others = false;
+    assert_holds_for(Duration::from_secs(2), case.name, || {
+        serves_others |= started.iter().all(|host| serves_key(host, "key-n2"));
+        !running.iter().chain(&started).any(|host| serves_key(host, "key-n1"))
+    });
+    assert_eq!(serves_others, case.serves_before_rewrite, "{}", case.name);
+    assert!(running.iter().all(|host| serves_key(host, "key-n2")), "{}", case.name);
+    revoke_key(&site);
+    wait_until(case.name, || started.iter().all(|host| serves_key(host, "key-n2")));
+    assert!(started.iter().all(|host| !serves_key(host, "key-n1")), "{}", case.name);
+}
+
+/// The record that a restore is not recent spares hosts that start the wait for the operator.
+#[test]
+fn hosts_that_start_together_long_after_a_store_restore_serve_at_once() {
+    let site = site_with_organisations();
+    let host = site.host("before");
+    let snapshot = site.store.snapshot();
+    site.store.restore(&snapshot);
+    wait_until("the record is written", || site.store.end("hosts") > 0);
+    host.stop();
+    let started = ["one", "two", "three"].map(|name| site.start_host(name, Vec::new()));
+    let time =
+        time_until("the key is served", || started.iter().all(|host| serves_key(host, "key-n1")));
+    assert!(time <= APPLY_LIMIT, "served only after {time:?}");
+}
+
+/// A later snapshot may contain the record of an earlier restore.
+#[test]
+fn the_record_of_an_earlier_restore_does_not_release_a_starting_host() {
+    let site = site_with_organisations();
+    let host = site.host("before");
+    site.store.restore(&site.store.snapshot());
+    wait_until("the record is written", || site.store.end("hosts") > 0);
+    let snapshot = site.store.snapshot();
+    revoke_key(&site);
+    wait_until("the key is refused", || !serves_key(&host, "key-n1"));
+    host.stop();
+    site.store.restore(&snapshot);
+    let host = site.start_host("after", Vec::new());
+    wait_until("the host knows the new era", || knows_era(&host, 2));
+    assert_holds_for(Duration::from_secs(2), "the refusal of the key", || {
+        !serves_key(&host, "key-n1")
+    });
+}
+
+/// The record must not be written before the operator has written again what a host knows.
+#[test]
+fn a_restore_is_not_recorded_as_settled_while_the_store_lists_a_revoked_key() {
+    let site = site_with_organisations();
+    let host = site.host("before");
+    let snapshot = site.store.snapshot();
+    revoke_key(&site);
+    wait_until("the key is refused", || !serves_key(&host, "key-n1"));
+    site.store.restore(&snapshot);
+    assert_holds_for(Duration::from_secs(6), "no record", || site.store.end("hosts") == 0);
+    revoke_key(&site);
+    wait_until("the record is written", || site.store.end("hosts") > 0);
+}
+
 /// The incarnation and leaving flag of the plain server's entry; `None` for a deleted entry.
 type Entry = Option<(u64, bool)>;
 
@@ -366,7 +516,7 @@
     let options = FollowOptions {
         topic: KeyedTopic::Configuration,
         min_interval: Duration::from_millis(5),
-        poll_wait: Duration::from_millis(200),
+        poll_wait: Box::new(|| Duration::from_millis(200)),
         clock: Arc::new(MonotonicClock::new()),
         max_backoff: Box::new(|| Duration::from_millis(50)),
     };
