test(gateway): a duplicate rejection through a tunnel

Tunnels rely on the same pool, which was known by reading only. The test holds on this code; where a connection may carry an id twice (the filter of take_idle left out) it fails with 503 for a request that runs, and so does a_duplicate_rejection_is_not_the_response_to_another_send in three rows (503 for a request that runs once; two streams run twice).

--- a/crates/gateway/tests/host/isolation.rs
+++ b/crates/gateway/tests/host/isolation.rs
@@ -8,10 +8,12 @@
     time::{Duration, Instant},
 };
 
+use reelreel_stand_ins::connection::ServedRequest;
+
 use crate::{
-    codec::ENTRY_HOST,
+    codec::{ENTRY_HOST, REQUEST},
     cut_response::{ClientView, event_body},
-    engine::{EngineBehaviour, StandInEngine},
+    engine::{DuplicateId, EngineBehaviour, StandInEngine},
     links::{CutForm, EngineLinks},
     site::{LOOSE_TIMEOUTS_REVISION, MODEL_NAME, TestHost, TestSite, WAIT_LIMIT, wait_until},
 };
@@ -232,6 +234,34 @@
     }
 }
 
+/// Guards against a 503 for a request that runs, and against a second run, where the rejection and
+/// its copy arrive through tunnels.
+#[test]
+fn a_duplicate_rejection_through_a_tunnel_is_not_the_response_to_another_send() {
+    let fleet = LinkedFleet::start_hosts(2);
+    for engine in &fleet.engines {
+        // With one server, both sends meet its behaviours in order.
+        if engine.name.starts_with("plain") && &*engine.name != "plain-0" {
+            fleet.site.store.put("engines", &engine.name, "");
+        }
+    }
+    let server = fleet.engines.iter().find(|engine| &*engine.name == "plain-0").expect("a server");
+    let (host, links) = &fleet.hosts[0];
+    links.cut(CutForm::Reset);
+    let tunnel_sends = || host.shared.metrics.tunnels.sends.get();
+    wait_until("a request is served through a tunnel", || {
+        is_served(host, "before", 0) && tunnel_sends() > 0
+    });
+    let rejection = EngineBehaviour::NotRunTwice(DuplicateId::Own);
+    server.set_behaviours(&[rejection, EngineBehaviour::Echo]);
+    let sends = tunnel_sends();
+    let response = post(host, "rejected", 0);
+    assert_eq!(tunnel_sends() - sends, 2);
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    let is_own = |run: &&ServedRequest| run.head.fields.text(REQUEST) == Some("rejected");
+    assert_eq!(server.runs().iter().filter(is_own).count(), 1);
+}
+
 /// Number of events of a stream that lasts longer than a cut takes to show.
 const LONG_STREAM: u32 = 40;
 
