--- a/crates/gateway/tests/host/suspended.rs
+++ b/crates/gateway/tests/host/suspended.rs
@@ -14,7 +14,7 @@
 use crate::{
     engine::EngineBehaviour,
     organisations::site_with_organisations,
-    site::{TestSite, wait_until},
+    site::{REVOKED_KEY_REVISION, TestSite, wait_until},
 };
 
 /// Duration of a suspension: longer than the validity of any cached state.
@@ -60,6 +60,37 @@
     wait_until("the key is served again", || send().starts_with("HTTP/1.1 200"));
 }
 
+/// Guards against a restored store that confirms the configuration of a host that was suspended
+/// when a key was revoked: the restore has lost the revocation.
+#[test]
+fn a_host_that_was_suspended_through_a_store_restore_serves_no_revoked_key() {
+    let site = site_with_organisations();
+    let clock = SuspendableClock::new();
+    let source: Arc<dyn ClockSource> = clock.clone();
+    let host = site.host_with_clock("suspended-restore", source, Some(Duration::from_secs(4)));
+    let serves = |key: &str| {
+        host.get("/single/a", &format!("X-Request: k\r\nX-Key: {key}\r\n"))
+            .starts_with("HTTP/1.1 200")
+    };
+    assert!(serves("key-n1"));
+    let snapshot = site.store.snapshot();
+    site.store.refuse(true);
+    clock.suspend();
+    let revoked = REVOKED_KEY_REVISION.to_string();
+    site.store.put("configuration", "routes", &revoked);
+    site.store.restore(&snapshot);
+    site.store.refuse(false);
+    wait_until("the new era is known", || host.shared.metrics.store_era.get() == 1);
+    let known_at = Instant::now();
+    while known_at.elapsed() < Duration::from_secs(2) {
+        assert!(!serves("key-n1"), "served {:?} after the restore", known_at.elapsed());
+        thread::sleep(Duration::from_millis(10));
+    }
+    site.store.put("configuration", "routes", &revoked);
+    wait_until("another key is served", || serves("key-n2"));
+    assert!(!serves("key-n1"));
+}
+
 /// The request must end, and its engine must be released.
 #[test]
 fn a_request_whose_deadline_passed_during_a_suspension_ends() {
