fix(gateway): a restore counts as settled only once the store has the configuration in force

What callers could have seen: after a store restore a host starts, reads the withdrawn key from the copy and learns of the revocation from a verified peer. Four seconds later it records the era as settled, although the operator has not written again. If then all hosts are killed, those that start trust the record and serve the key.

Cause: routes_era, the era in which the store is known to have the configuration in force, kept the era of the older revision when a newer one came from a peer with a position of an earlier era.

The mend: a newer revision takes the era of its own position; the same revision can only raise it.

--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -87,12 +87,13 @@
     /// while the process runs.
     fn apply_routes(&mut self, routes: Arc<RouteTable>, position: StorePosition) -> bool {
         let revision = routes.revision();
-        let in_force = self.routes.as_ref().map_or(0, |routes| routes.revision());
-        if revision >= in_force {
-            self.routes_era = self.routes_era.max(position.era);
-        }
-        if self.routes.is_some() && revision <= in_force {
-            return false;
+        match self.routes.as_ref().map(|routes| routes.revision()) {
+            Some(in_force) if revision < in_force => return false,
+            Some(in_force) if revision == in_force => {
+                self.routes_era = self.routes_era.max(position.era);
+                return false;
+            }
+            _ => self.routes_era = position.era,
         }
         warn_of_ambiguous_keys(&routes);
         let StorePosition { era, offset } = position;
--- a/crates/gateway/src/control/restore_record.rs
+++ b/crates/gateway/src/control/restore_record.rs
@@ -13,8 +13,8 @@
 /// Interval at which this host checks whether it needs the record, or should write it.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Maximum delay after a failed call.
-const MAX_RECORD_BACKOFF: Duration = Duration::from_secs(30);
+/// Maximum delay after a failed call, before jitter.
+const MAX_RECORD_BACKOFF: Duration = Duration::from_secs(6);
 
 /// Maximum delay after a failed call while this host waits for the record.
 const MAX_WAITING_BACKOFF: Duration = Duration::from_millis(800);
--- a/crates/gateway/tests/host/store_restore.rs
+++ b/crates/gateway/tests/host/store_restore.rs
@@ -288,7 +288,9 @@
     });
 }
 
-/// The record must not be written before the operator has written again what a host knows.
+/// The record must not be written before the operator has written again what hosts know: one that
+/// ran through the restore, and one that has read the revoked key from the store and then learned
+/// of the revocation.
 #[test]
 fn a_restore_is_not_recorded_as_settled_while_the_store_lists_a_revoked_key() {
     let site = site_with_organisations();
@@ -297,6 +299,8 @@
     revoke_key(&site);
     wait_until("the key is refused", || !serves_key(&host, "key-n1"));
     site.store.restore(&snapshot);
+    let started = site.start_host("after", Vec::new());
+    wait_until("the started host learns of the revocation", || serves_key(&started, "key-n2"));
     assert_holds_for(Duration::from_secs(6), "no record", || site.store.end("hosts") == 0);
     revoke_key(&site);
     wait_until("the record is written", || site.store.end("hosts") > 0);
