fix(gateway): a host that may have missed a revocation verifies no other host

What callers could have seen: a host is suspended or cut off for three seconds while a key is revoked and the store is restored. Its keys have not lapsed yet, so its state counted as verified, and it vouched for a host that starts, before it had compared its own state. The started host, a reader, then asked nobody else and served the revoked key until the operator wrote again.

Cause: "may use its own state" and "can verify others" were one flag. The first ends by itself when the keys lapse; what another host takes over does not.

The mend: a host whose configuration had been unconfirmed for longer than the bound for revocations less four seconds, when it heard of the restore, uses its state as before and verifies nobody, until a verified peer has sent its state or four seconds have passed. Within that limit, what it may have missed is written again before the bound is over.

Comments that a newcomer would stop at say what they mean.

--- a/crates/core/src/fleet/state_verification.rs
+++ b/crates/core/src/fleet/state_verification.rs
@@ -1,9 +1,9 @@
-//! Whether a host's state of the store can lack records that were lost when the store was restored.
+//! Whether a host's state is known to include everything that the store had before it was restored.
 //!
-//! A store that was restored from an older copy lists, for some seconds, keys that the operator has
-//! revoked. A host that has read nothing but the restored store can not tell, and neither can a peer
-//! that knows no more. A host's state is verified if it is known to include what the store had
-//! acknowledged before the restore, and only a verified host can verify another one.
+//! A store that was restored from an older copy lists revoked keys again until the operator has
+//! written its last configuration once more. A host that starts in that time reads nothing else, so
+//! it accepts no keys until its state is verified: by a peer that has the state from before the
+//! restore, or by time. A peer that does not have that state can not verify it.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -42,6 +42,18 @@
     }
 }
 
+/// How up to date a running host's state was when it learned that the store was restored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StateAge {
+    /// The configuration had been confirmed just before. The host can verify others.
+    Recent,
+    /// The configuration had not been confirmed for a while, so the host may have missed a change.
+    /// It uses its state, but verifies no others.
+    Unconfirmed,
+    /// Keys were no longer accepted, or the host has just started. Its state is not verified.
+    Outdated,
+}
+
 /// Whether a host's state includes all records from before the last restore of the store.
 #[derive(Debug, Clone)]
 pub struct StateVerification {
@@ -49,6 +61,8 @@
     /// When this host learned of the era.
     era_learned_at: ClockMillis,
     source: Option<VerificationSource>,
+    /// Whether the state can verify that of other hosts, once it is verified itself.
+    verifies_others: bool,
     /// Reads of the store before this time do not confirm its configuration.
     valid_from: ClockMillis,
 }
@@ -56,18 +70,24 @@
 impl StateVerification {
     /// Creates the state of a host that starts at `now`.
     pub fn new(now: ClockMillis) -> Self {
-        Self { era: 0, era_learned_at: now, source: None, valid_from: ClockMillis::default() }
+        Self {
+            era: 0,
+            era_learned_at: now,
+            source: None,
+            verifies_others: true,
+            valid_from: ClockMillis::default(),
+        }
     }
 
-    /// Records an era of the store. `is_up_to_date` tells whether the host has followed the store
-    /// up to now; if not, it may lack records that were lost with the restore.
-    pub fn begin_era(&mut self, era: StoreEra, is_up_to_date: bool, now: ClockMillis) {
+    /// Records that the store was restored, which began this era.
+    pub fn begin_era(&mut self, era: StoreEra, age: StateAge, now: ClockMillis) {
         if era <= self.era {
             return;
         }
         self.era = era;
         self.era_learned_at = now;
-        if !is_up_to_date {
+        self.verifies_others &= age == StateAge::Recent;
+        if age == StateAge::Outdated {
             self.source = None;
         }
     }
@@ -98,6 +118,7 @@
     }
 
     fn verify(&mut self, source: VerificationSource, valid_from: ClockMillis) {
+        self.verifies_others = true;
         if self.source.is_none() {
             self.source = Some(source);
             self.valid_from = valid_from;
@@ -118,6 +139,11 @@
         self.source.is_some()
     }
 
+    /// Returns whether the state can verify that of other hosts.
+    pub const fn verifies_others(&self) -> bool {
+        self.is_verified() && self.verifies_others
+    }
+
     /// Returns whether a read of the store that was requested at `requested_at` confirms that the
     /// host's configuration is the latest.
     pub fn is_confirmed_by_read(&self, requested_at: ClockMillis) -> bool {
--- a/crates/gateway/src/control/era.rs
+++ b/crates/gateway/src/control/era.rs
@@ -3,7 +3,9 @@
 use std::{collections::BTreeSet, net::SocketAddr};
 
 use reelreel_core::{
-    ClockMillis, StorePosition, clock::duration_millis, fleet::stale_listing::REWRITE_GRACE_PERIOD,
+    ClockMillis, StorePosition,
+    clock::duration_millis,
+    fleet::{stale_listing::REWRITE_GRACE_PERIOD, state_verification::StateAge},
     id::StoreEra,
 };
 
@@ -75,7 +77,7 @@
 
     /// Records a follower; one whose state is verified can verify this host's.
     pub fn record_follower(&mut self, follow: &FollowFrame) {
-        if self.verification.is_verified()
+        if self.verification.verifies_others()
             || self.verified_followers.len() >= MAX_VERIFIED_FOLLOWERS
         {
             return;
@@ -90,9 +92,10 @@
         &self.verified_followers
     }
 
-    /// Returns this host's address for peers if its state is verified, or an empty string.
+    /// Returns this host's address for peers if its state can verify that of others, or an empty
+    /// string.
     pub fn verified_address(&self) -> String {
-        if self.verification.is_verified() {
+        if self.verification.verifies_others() {
             self.shared.profile.peer_address.to_string()
         } else {
             String::new()
@@ -106,8 +109,8 @@
 
     /// Returns whether to look for a peer with a verified state.
     ///
-    /// Followers learn from their reader. A reader whose state is verified does so once an era: if it
-    /// was suspended or cut off when the store was restored, others may know more.
+    /// Followers learn from their reader. A reader does so once an era even if its state is verified:
+    /// it may have missed a change shortly before the restore.
     pub fn needs_verified_peer(&self) -> bool {
         let era = self.eras.current();
         if era == 0 || self.verification.is_settled(self.shared.clock.now()) {
@@ -116,7 +119,7 @@
         if self.is_assigned_reader() {
             return self.compared_era < era;
         }
-        !self.is_verified() && !*self.following.borrow()
+        !self.verification.verifies_others() && !*self.following.borrow()
     }
 
     /// Returns whether the store's restore record could verify this host's state.
@@ -145,10 +148,24 @@
         }
     }
 
-    /// Returns whether this host has followed the store until just now, as far as it knows.
-    fn is_up_to_date(&self, now: ClockMillis) -> bool {
-        let bound = self.shared.profile.bounds.max_revocation_delay.unwrap_or(REWRITE_GRACE_PERIOD);
-        self.confirmed_at().is_some_and(|confirmed_at| now.since(confirmed_at) < bound)
+    /// Returns how up to date this host's state is when it learns of a restore.
+    ///
+    /// A host that verifies others may have missed a revocation since its configuration was last
+    /// confirmed. That time and the time until the operator has written again must not exceed the
+    /// bound for revocations.
+    fn state_age(&self, now: ClockMillis) -> StateAge {
+        let Some(confirmed_at) = self.confirmed_at() else { return StateAge::Outdated };
+        let bound = self.shared.profile.bounds.max_revocation_delay;
+        let recent_limit =
+            bound.map_or(REWRITE_GRACE_PERIOD, |bound| bound.saturating_sub(REWRITE_GRACE_PERIOD));
+        let unconfirmed_time = now.since(confirmed_at);
+        if unconfirmed_time <= recent_limit {
+            StateAge::Recent
+        } else if unconfirmed_time < bound.unwrap_or(REWRITE_GRACE_PERIOD) {
+            StateAge::Unconfirmed
+        } else {
+            StateAge::Outdated
+        }
     }
 
     /// Handles an era of the store that became known since the last call.
@@ -159,7 +176,7 @@
         }
         let from = std::mem::replace(&mut self.last_known_era, newest.era);
         let now = self.shared.clock.now();
-        self.verification.begin_era(newest.era, self.is_up_to_date(now), now);
+        self.verification.begin_era(newest.era, self.state_age(now), now);
         let age = self.confirmed_at().map(|confirmed_at| duration_millis(now.since(confirmed_at)));
         self.shared.metrics.store_era.set(i64::try_from(newest.era).unwrap_or(i64::MAX));
         let (to, teller) = (newest.era, newest.source);
--- a/crates/gateway/src/control/freshness.rs
+++ b/crates/gateway/src/control/freshness.rs
@@ -46,7 +46,7 @@
     /// Returns a frame with the freshness of the configuration that this host passes on.
     pub fn freshness_frame(&self) -> StateFrame {
         let confirmed = self.confirmed_at().map_or(0, ClockMillis::as_millis);
-        let verified = self.verification.is_verified();
+        let verified = self.verification.verifies_others();
         StateFrame { confirmed_at: confirmed, verified, ..self.era_frame() }
     }
 
--- a/crates/gateway/src/peers/state_frames.rs
+++ b/crates/gateway/src/peers/state_frames.rs
@@ -21,7 +21,7 @@
     /// The requesting host's clock. Unit: milliseconds.
     #[prost(uint64, tag = "1")]
     pub requested_at: u64,
-    /// The requesting host's address for peers, if its own store data is verified.
+    /// The requesting host's address for peers, if its own store data can verify that of others.
     #[prost(string, tag = "2")]
     pub verified_address: String,
 }
@@ -71,7 +71,8 @@
     /// The era of `engines_end`.
     #[prost(uint64, tag = "12")]
     pub engines_era: u64,
-    /// Whether the sender's data includes everything that the store had before its last restore.
+    /// Whether the sender's data is known to include everything that the store had before its last
+    /// restore, so that it can verify the receiver's.
     #[prost(bool, tag = "13")]
     pub verified: bool,
 }
--- a/crates/gateway/src/store/restore_record.rs
+++ b/crates/gateway/src/store/restore_record.rs
@@ -1,7 +1,8 @@
 //! The hosts' record that the store has again what its last restore had lost.
 //!
-//! It names the era of the store. A copy from before lists an earlier one, so the record of the
-//! current era tells a host that starts that the restore is not recent.
+//! It names the store's era. The copy that a store is restored from has the record of an earlier era
+//! or none. So a host that starts and finds the record of the current era knows that the last restore
+//! was long enough ago.
 
 use reelreel_core::id::StoreEra;
 
--- a/crates/gateway/tests/host/suspended.rs
+++ b/crates/gateway/tests/host/suspended.rs
@@ -32,7 +32,11 @@
     }
 
     fn suspend(&self) {
-        self.suspended_millis.fetch_add(duration_millis(SUSPENSION), Ordering::Relaxed);
+        self.suspend_for(SUSPENSION);
+    }
+
+    fn suspend_for(&self, time: Duration) {
+        self.suspended_millis.fetch_add(duration_millis(time), Ordering::Relaxed);
     }
 }
 
@@ -91,6 +95,32 @@
     assert!(!serves("key-n1"));
 }
 
+/// Guards against a starting host that is released by one that was suspended when a key was revoked,
+/// for less than the bound within which keys stay valid.
+#[test]
+fn a_host_that_was_suspended_through_a_store_restore_verifies_no_other() {
+    let site = site_with_organisations();
+    let clock = SuspendableClock::new();
+    let source: Arc<dyn ClockSource> = clock.clone();
+    let bound = Some(Duration::from_secs(5));
+    let suspended = site.host_with_clock("suspended-shortly", source, bound);
+    let snapshot = site.store.snapshot();
+    site.store.refuse(true);
+    clock.suspend_for(Duration::from_secs(3));
+    let revoked = REVOKED_KEY_REVISION.to_string();
+    site.store.put("configuration", "routes", &revoked);
+    site.store.restore(&snapshot);
+    site.store.refuse(false);
+    wait_until("the new era is known", || suspended.shared.metrics.store_era.get() == 1);
+    let started = site.start_host("started", vec![suspended.shared.profile.peer_address]);
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(2) {
+        let response = started.get("/single/a", "X-Request: k\r\nX-Key: key-n1\r\n");
+        assert!(!response.starts_with("HTTP/1.1 200"), "served after {:?}", began.elapsed());
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// The request must end, and its engine must be released.
 #[test]
 fn a_request_whose_deadline_passed_during_a_suspension_ends() {
