docs(gateway): all causes for which a host begins to serve

The description of `serving_started` left out the restore record, and that a peer's state has to be verified unless no organisations have keys. A comment only.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -95,7 +95,8 @@
     },
     /// The host serves by what it has read from the store.
     ServingStarted {
-        /// Why it may: the store was never restored, a peer has sent its state, or the time in which
+        /// Why it may: the store was never restored, a verified peer has sent its state, or any peer
+        /// has if no organisations have keys, the store has the restore record, or the time in which
         /// lost records are written again is over.
         cause: Cow<'static, str>,
         /// The address of that peer.
