test(gateway): bytes that a client has received of a stream without end are not held

Cause: the bound is for what a host may hold. In these two rows the host passes on what it reads, so the bytes that the engine has written grow with the speed of the machine until the deadline: 9.6 MB beside much load, 25.4 to 29.6 MB beside less, where the test failed in 3 of 3 runs. Of these the client had received all but 2.9 to 3.6 MB.

The test now takes off what the client has received, and compares the rest with the same bound.

--- a/crates/gateway/tests/host/endless_responses.rs
+++ b/crates/gateway/tests/host/endless_responses.rs
@@ -14,8 +14,8 @@
 /// The timeout of routes at the test's site, and what may pass until its end is noticed.
 const MAX_TIME: Duration = Duration::from_secs(2);
 
-/// More than a body may have, with what the system buffers on both sides.
-const MAX_BYTES: usize = 8 * 1024 * 1024 + 12 * 1024 * 1024;
+/// More than a host may hold of a body, with what the system buffers on both sides.
+const MAX_HELD_BYTES: usize = 8 * 1024 * 1024 + 12 * 1024 * 1024;
 
 struct EndlessCase {
     part: EndlessPart,
@@ -86,7 +86,9 @@
         thread::sleep(Duration::from_millis(5));
     }
     for write in engine.endless_writes() {
-        if write.time > MAX_TIME || write.bytes > MAX_BYTES {
+        // What the client has received of a stream is no longer held.
+        let held = write.bytes.saturating_sub(response.len());
+        if write.time > MAX_TIME || held > MAX_HELD_BYTES {
             failures.push(format!("{name}: {write:?}"));
         }
     }
