fix(gateway): a host that has ended leaves no thread behind

Cause: run_host ended its traffic thread only. The control thread went on to call the store, follow others and answer peers until the process ended, and a host that a test dropped went on whole.

Now the control thread ends with the traffic thread, SharedState::abort ends a host at once, and the hosts of a test end with it.

No check and no bound is changed. a_host_that_has_ended_listens_and_calls_no_more fails without the change to the control thread ("planned stop: not within 10 s", the peer address still accepts connections).

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -76,7 +76,7 @@
 /// Control state shared by the tasks of the control thread.
 pub type SharedControl = Rc<RefCell<ControlState>>;
 
-/// Runs the control thread until the host stops.
+/// Runs the control thread until the host has ended.
 pub fn run_control(shared: &Arc<SharedState>) {
     let runtime = match Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
@@ -86,7 +86,12 @@
         }
     };
     let local = LocalSet::new();
-    local.block_on(&runtime, run_control_loop(shared));
+    local.block_on(&runtime, async {
+        tokio::select! {
+            () = run_control_loop(shared) => {}
+            () = shared.wait_until_ended() => {}
+        }
+    });
 }
 
 async fn run_control_loop(shared: &Arc<SharedState>) {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -73,6 +73,8 @@
     pub table: watch::Sender<Arc<ServingTable>>,
     /// Whether a planned stop has begun.
     pub stopping: watch::Sender<bool>,
+    /// Whether the host has ended. Its threads then end too.
+    ended: watch::Sender<bool>,
     /// The structured event log.
     pub events: EventLog,
     /// Counters and histograms.
@@ -127,6 +129,7 @@
             clock,
             table: watch::Sender::new(Arc::default()),
             stopping: watch::Sender::new(false),
+            ended: watch::Sender::new(false),
             events,
             metrics: HostMetrics::default(),
             open_requests: AtomicUsize::new(0),
@@ -309,9 +312,20 @@
             self.events.write(HostEvent::Stopping { open });
         }
     }
+
+    /// Ends the host at once, with its open requests: all its connections are closed.
+    pub fn abort(&self) {
+        self.ended.send_replace(true);
+    }
+
+    /// Waits until the host has ended.
+    pub async fn wait_until_ended(&self) {
+        // Can't fail: `self` holds the sender.
+        let _ = self.ended.subscribe().wait_for(|ended| *ended).await;
+    }
 }
 
-/// Runs a host until its planned stop has ended.
+/// Runs a host until its planned stop has ended, or [`SharedState::abort`] is called.
 ///
 /// The calling thread becomes the traffic thread; the control thread is spawned.
 ///
@@ -323,10 +337,12 @@
         .name(String::from("control"))
         .stack_size(CONTROL_STACK_BYTES)
         .spawn(move || run_control(&control))?;
-    run_traffic(shared)?;
+    let result = run_traffic(shared);
+    shared.abort();
+    result?;
     let open = shared.open_requests.load(Ordering::Relaxed);
     shared.events.write(HostEvent::Stopped { open });
-    // The control thread leaves the group when the stop begins, so there is no need to join it.
+    // The control thread has left the group when the stop began, so there is no need to join it.
     drop(thread);
     Ok(())
 }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -373,7 +373,7 @@
     }
 }
 
-/// Runs the traffic thread until a planned stop has completed.
+/// Runs the traffic thread until a planned stop has completed or the host has ended.
 ///
 /// # Errors
 /// Returns the error of an address that can't be bound.
@@ -409,11 +409,19 @@
     if let Some(sockets) = shared.take_tunnel_receiver() {
         tokio::task::spawn_local(tunnels::serve_tunnels(Rc::clone(&traffic), sockets));
     }
-    let mut stopping = shared.stopping.subscribe();
+    tokio::select! {
+        () = stop_gracefully(&traffic) => {}
+        () = shared.wait_until_ended() => {}
+    }
+    Ok(())
+}
+
+/// Waits for a planned stop, and until it has completed.
+async fn stop_gracefully(traffic: &TrafficState) {
+    let mut stopping = traffic.shared.stopping.subscribe();
     // Can't fail: the shared state holds the sender.
     let _ = stopping.wait_for(|stopping| *stopping).await;
-    drain(&traffic).await;
-    Ok(())
+    drain(traffic).await;
 }
 
 async fn bind_with_retry(address: SocketAddr) -> std::io::Result<TcpListener> {
--- a/crates/gateway/tests/host/site.rs
+++ b/crates/gateway/tests/host/site.rs
@@ -464,6 +464,13 @@
     }
 }
 
+/// Ends the host with its test: one that went on would slow down the tests that run later.
+impl Drop for TestHost {
+    fn drop(&mut self) {
+        self.shared.abort();
+    }
+}
+
 /// Waits until `condition` holds.
 pub(crate) fn wait_until(what: &str, condition: impl Fn() -> bool) {
     let began = Instant::now();
--- a/crates/gateway/tests/host/stopping.rs
+++ b/crates/gateway/tests/host/stopping.rs
@@ -1,11 +1,15 @@
 //! A planned stop: readiness fails immediately, open responses complete, and the host ends within
 //! its grace period.
 
-use std::{thread, time::Duration};
+use std::{
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
 
 use crate::{
     engine::EngineBehaviour,
-    site::{MODEL_NAME, TestSite, raw_exchange},
+    site::{MODEL_NAME, TestHost, TestSite, raw_exchange, wait_until},
 };
 
 #[test]
@@ -37,3 +41,37 @@
     let elapsed = stopping.join().expect("the host ends");
     assert!(elapsed < Duration::from_secs(6), "{elapsed:?}");
 }
+
+/// A way in which a host ends.
+struct EndCase {
+    name: &'static str,
+    end: fn(TestHost),
+}
+
+const END_CASES: &[EndCase] = &[
+    EndCase {
+        name: "planned stop",
+        end: |host| {
+            host.stop();
+        },
+    },
+    EndCase { name: "abort", end: drop },
+];
+
+/// Guards against threads that outlive their host: they would go on to call the store and answer
+/// other hosts.
+#[test]
+fn a_host_that_has_ended_listens_and_calls_no_more() {
+    for case in END_CASES {
+        let site = TestSite::start();
+        let host = site.host("ended");
+        let addresses =
+            [host.client_address, host.readiness_address, host.shared.profile.peer_address];
+        (case.end)(host);
+        let refuses = |address: &SocketAddr| TcpStream::connect(address).is_err();
+        wait_until(case.name, || addresses.iter().all(refuses));
+        let calls = site.store.calls();
+        thread::sleep(Duration::from_secs(1));
+        assert_eq!(site.store.calls(), calls, "{}", case.name);
+    }
+}
