fix(http): a status outside of 100 to 599 is malformed

Clients got an engine's response of status 000 as a response to their request, as "HTTP/1.1 0 None", with the engine's signature and body.

Cause: the parser accepts any three digits as a status, and nothing after it checked the range. What was neither a success nor an error of 500 or more was relayed as it came.

Why it works: RFC 9110 has no other statuses, and each head that this project reads through its own parser (requests, tunnels, orders, reports, store, the clients of the soak) passes the one place that checks it now.

--- a/crates/gateway/tests/host/engine.rs
+++ b/crates/gateway/tests/host/engine.rs
@@ -61,6 +61,9 @@
     OmitLength,
     /// Sends bytes that are not an HTTP response.
     Garbage,
+    /// Begins the response to the first run of a request, at any engine, with these lines; further
+    /// ones are whole.
+    MalformedHead(&'static str),
     /// Responds with 503 although the request ran, without the field that says it did not run.
     UnmarkedRefusal,
 }
@@ -655,6 +658,7 @@
             connection.write("not an HTTP response\r\n\r\n")?;
             None
         }
+        EngineBehaviour::MalformedHead(lines) => malform(connection, &id, lines, &head, &body),
         EngineBehaviour::TruncateBody => {
             connection
                 .write(&format!("HTTP/1.1 200 OK\r\n{head}Content-Length: 900\r\n\r\nshort"))?;
@@ -682,6 +686,21 @@
     }
 }
 
+/// Begins the response to the first run of a request with these lines.
+fn malform(
+    connection: &mut ServedConnection,
+    id: &str,
+    lines: &str,
+    fields: &str,
+    body: &str,
+) -> Option<()> {
+    if !is_first_run(id) {
+        return connection.answer(200, fields, body);
+    }
+    let length = body.len();
+    connection.write(&format!("{lines}\r\n{fields}Content-Length: {length}\r\n\r\n{body}"))
+}
+
 /// Begins to answer a request with the part that crashes the engine: it sends the head of a
 /// response, and no event.
 fn crash_on_answer(
--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -26,6 +26,7 @@
 mod following;
 mod herds;
 mod malformed_requests;
+mod malformed_responses;
 mod limits;
 mod store_restore;
 mod organisations;
--- /dev/null
+++ b/crates/gateway/tests/host/malformed_responses.rs
@@ -0,0 +1,79 @@
+//! Engines that send heads which are not a response by RFC 9112.
+
+use crate::{
+    cut_response::ClientView,
+    engine::{EngineBehaviour, StandInEngine},
+    site::{MODEL_NAME, TestHost, TestSite, wait_until},
+};
+
+/// The body of requests and of whole responses: an event, so that it is one on streaming routes too.
+const BODY: &str = "id: 0\ndata: hello\n\n";
+
+struct RouteCase {
+    path: &'static str,
+    model: bool,
+    /// Whether another engine may run the request.
+    may_run_again: bool,
+}
+
+const ROUTES: &[RouteCase] = &[
+    RouteCase { path: "/single/a", model: false, may_run_again: false },
+    RouteCase { path: "/safe/a", model: false, may_run_again: true },
+    RouteCase { path: "/stream/a", model: true, may_run_again: false },
+    RouteCase { path: "/resumable/a", model: true, may_run_again: true },
+];
+
+/// A site with two engines of each service, and one host.
+struct MalformedSite {
+    site: TestSite,
+    other_plain: StandInEngine,
+    host: TestHost,
+}
+
+impl MalformedSite {
+    fn start(name: &str) -> Self {
+        let site = TestSite::start();
+        let other_plain = StandInEngine::start("plain-2", &[]);
+        site.store.put("engines", "plain-2", &other_plain.entry("plain", false));
+        let host = site.host(name);
+        wait_until("both plain services are listed", || host.shared.metrics.engines.get() == 4);
+        Self { site, other_plain, host }
+    }
+
+    /// Sends a request whose first response begins with these lines; returns what is wrong with the
+    /// client's one, if anything.
+    fn check(&self, route: &RouteCase, lines: &'static str, id: &str) -> Option<String> {
+        let engines = self.site.engines.iter().chain([&self.site.plain, &self.other_plain]);
+        let behaviours = [EngineBehaviour::MalformedHead(lines)];
+        engines.for_each(|engine| engine.set_behaviours(&behaviours));
+        let model = if route.model { format!("X-Model: {MODEL_NAME}\r\n") } else { String::new() };
+        let fields = format!("X-Request: {id}\r\n{model}");
+        let received = self.host.post(route.path, &fields, BODY);
+        let view = ClientView::parse(&received);
+        let expected = if route.may_run_again {
+            view.looks_whole() && view.body == BODY
+        } else {
+            view.status == 502
+        };
+        (!expected).then(|| format!("{}, {:?}: {received:?}", route.path, lines))
+    }
+}
+
+/// Checks all routes with each of the `heads`, with hosts and engines of its own.
+fn check_heads(name: &str, heads: &[&'static str]) {
+    let mut mistakes = Vec::new();
+    for (number, lines) in heads.iter().enumerate() {
+        let site = MalformedSite::start(&format!("{name}-{number}"));
+        for (index, route) in ROUTES.iter().enumerate() {
+            mistakes.extend(site.check(route, lines, &format!("{name}-{number}-{index}")));
+        }
+    }
+    assert!(mistakes.is_empty(), "{} mistakes:\n{}", mistakes.len(), mistakes.join("\n"));
+}
+
+/// Guards against a response of status 000, or another one outside of 100 to 599, that reaches a client.
+#[test]
+fn a_status_outside_of_100_to_599_is_not_relayed() {
+    let heads = ["HTTP/1.1 000 None", "HTTP/1.1 000", "HTTP/1.1 099 Low", "HTTP/1.1 600 High"];
+    check_heads("malformed-status", &heads);
+}
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -1,12 +1,15 @@
 //! Request and response heads: parsing, validation and writing.
 
-use std::fmt::Write as _;
+use std::{fmt::Write as _, ops::RangeInclusive};
 
 use bytes::{Buf, BytesMut};
 
 /// Maximum number of header fields in a head.
 const MAX_HEADER_FIELDS: usize = 64;
 
+/// Status codes that a response may have (RFC 9110 section 15).
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Hop-by-hop header fields, which are never forwarded.
 const CONNECTION_FIELDS: &[&str] = &[
     "connection",
@@ -221,8 +224,9 @@
             return Ok(None);
         };
         check_line_ends(&buffer[..length])?;
+        let status = response.code.filter(|status| VALID_STATUSES.contains(status));
         let head = Self {
-            status: response.code.ok_or(HeadError::Malformed)?,
+            status: status.ok_or(HeadError::Malformed)?,
             reason: response.reason.unwrap_or_default().to_owned(),
             is_http11: response.version == Some(1),
             fields: to_header_fields(response.headers),
