test(http): field names with blanks and control bytes

Heads whose field names hold a blank or a control byte were handled already: the parser rejects them, and clients get 502 or another engine's response. 64 heads in the parser's test, 7 on four routes of a host; both tests passed on the code as it was. Nothing else is changed for them.

--- a/crates/gateway/tests/host/malformed_responses.rs
+++ b/crates/gateway/tests/host/malformed_responses.rs
@@ -77,3 +77,19 @@
     let heads = ["HTTP/1.1 000 None", "HTTP/1.1 000", "HTTP/1.1 099 Low", "HTTP/1.1 600 High"];
     check_heads("malformed-status", &heads);
 }
+
+/// Guards against a response that reaches a client although the name of a field in its head has a
+/// blank or a control byte.
+#[test]
+fn a_field_name_with_a_blank_or_control_byte_is_not_relayed() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\nX-A B: 1",
+        "HTTP/1.1 200 OK\r\nX-A : 1",
+        "HTTP/1.1 200 OK\r\n X-A: 1",
+        "HTTP/1.1 200 OK\r\nX-A\u{1}B: 1",
+        "HTTP/1.1 200 OK\r\nX-A\u{7f}: 1",
+        "HTTP/1.1 200 OK\r\nContent-Length : 5",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding\u{1}: chunked",
+    ];
+    check_heads("malformed-field", &heads);
+}
--- a/crates/http/tests/response_heads.rs
+++ b/crates/http/tests/response_heads.rs
@@ -48,3 +48,54 @@
         }
     }
 }
+
+/// Header lines of which none has a valid name, or a valid value.
+const INVALID_LINES: &[&[u8]] = &[
+    b"A B: 1",
+    b"A : 1",
+    b"A\t: 1",
+    b" A: 1",
+    b"\tA: 1",
+    b"A\tB: 1",
+    b"A\x00B: 1",
+    b"A\x01B: 1",
+    b"A\x01: 1",
+    b"\x01A: 1",
+    b"A\x0bB: 1",
+    b"A\x0cB: 1",
+    b"A\x1fB: 1",
+    b"A\x7fB: 1",
+    b"A\x7f: 1",
+    b"A\rB: 1",
+    b"A\x80B: 1",
+    b"A\xa0: 1",
+    b"A(B): 1",
+    b"A/B: 1",
+    b": 1",
+    b"A",
+    b"A: 1\r\n folded",
+    b"A: 1\r\n\tfolded",
+    b"A: 1\x012",
+    b"A: 1\x002",
+    b"A: 1\x7f2",
+    b"A: 1\r2",
+    b"Content-Length : 3",
+    b"Content-Length\x01: 3",
+    b"Transfer-Encoding : chunked",
+    b"Transfer-Encoding\x0b: chunked",
+];
+
+/// Guards against a field name with a blank or a control byte, at any place of a head, that is passed
+/// on or changes how the body is framed.
+#[test]
+fn a_field_name_with_a_blank_or_control_byte_is_malformed() {
+    let valid: &[u8] = b"Content-Length: 5";
+    for line in INVALID_LINES {
+        for lines in [[line, valid], [valid, line]] {
+            let head = [b"HTTP/1.1 200 OK", lines[0], lines[1], b"", b"hello"].join(&b"\r\n"[..]);
+            let parsed = ResponseHead::parse(&mut BytesMut::from(&head[..]), HEAD_LIMIT);
+            let text = head.escape_ascii();
+            assert_eq!(parsed, Err(HeadError::Malformed), "{text}");
+        }
+    }
+}
