fix(http): a reset that a write has reported truncates a body without a length

Clients got a part of an engine's response as a complete one: the engine responded to a long upload at once, without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the system reports a reset once. The host writes the request while it reads the response, and when both are possible the write goes first: it took the error, and the reads after it got what had arrived and then the end of the stream, which is the proper end of such a body. The failed write was kept as "not fully written", which only kept the connection out of the pool.

Why it works: the connection keeps the error of a failed write and returns it in place of the end of the stream, so that it does not matter which half the system told. Framed bodies are not affected: their end was always checked.

--- a/crates/gateway/tests/host/main.rs
+++ b/crates/gateway/tests/host/main.rs
@@ -14,6 +14,7 @@
 mod broken_off_answers;
 mod codec;
 mod cut_response;
+mod early_responses;
 mod endless_response;
 mod endless_responses;
 mod engine;
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -101,6 +101,9 @@
     buffer: BytesMut,
     resets_on_drop: bool,
     counter: ByteCounter,
+    /// The error of a failed write. The system reports a reset only once, so that reads after the
+    /// write get the end of the stream instead.
+    write_error: Option<io::ErrorKind>,
 }
 
 impl HttpStream {
@@ -111,7 +114,13 @@
     pub fn new(socket: TcpStream) -> io::Result<Self> {
         socket.set_nodelay(true)?;
         let counter = ByteCounter::default();
-        Ok(Self { socket, buffer: BytesMut::new(), resets_on_drop: false, counter })
+        Ok(Self {
+            socket,
+            buffer: BytesMut::new(),
+            resets_on_drop: false,
+            counter,
+            write_error: None,
+        })
     }
 
     /// Counts the bytes of this connection from now on.
@@ -183,10 +192,13 @@
     /// Reads more bytes into the buffer; zero means that the peer closed its side.
     ///
     /// # Errors
-    /// Returns the socket's error.
+    /// Returns the socket's error, also if it was reported to an earlier write.
     pub async fn read_more(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_RESERVE_BYTES);
         let count = self.socket.read_buf(&mut self.buffer).await?;
+        if let (0, Some(error)) = (count, self.write_error) {
+            return Err(error.into());
+        }
         self.counter.add_received(count);
         Ok(count)
     }
@@ -290,9 +302,7 @@
     /// # Errors
     /// Returns the socket's error.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.socket.write_all(bytes).await?;
-        self.counter.add_sent(bytes.len());
-        Ok(())
+        self.split().1.write(bytes).await
     }
 
     /// Splits the stream, so that a response can be read while its request is still being written.
@@ -300,7 +310,7 @@
         let (reader, writer) = self.socket.split();
         let counter = &self.counter;
         let reader = HttpReader { socket: reader, buffer: &mut self.buffer, counter };
-        (reader, HttpWriter { socket: writer, counter })
+        (reader, HttpWriter { socket: writer, counter, write_error: &mut self.write_error })
     }
 
     /// Sets whether the connection is closed with a TCP reset when it is dropped, also when the
@@ -369,6 +379,7 @@
 pub struct HttpWriter<'stream> {
     socket: tokio::net::tcp::WriteHalf<'stream>,
     counter: &'stream ByteCounter,
+    write_error: &'stream mut Option<io::ErrorKind>,
 }
 
 impl HttpWriter<'_> {
@@ -377,7 +388,10 @@
     /// # Errors
     /// Returns the socket's error.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.socket.write_all(bytes).await?;
+        if let Err(error) = self.socket.write_all(bytes).await {
+            *self.write_error = Some(error.kind());
+            return Err(error);
+        }
         self.counter.add_sent(bytes.len());
         Ok(())
     }
