fix(node): statuses above 599 of plain services do not reach callers

Callers of a host's own interface got a plain service's response of status 600 or 999 as it came. Found while the places that read responses were checked for status 000, which this interface handled already.

Cause: the HTTP client library accepts statuses from 100 to 999, and a plain service's status was written to the caller unchecked. Responses of model engines were not affected: only 200 and 400 to 499 of them are forwarded.

Evidence: a service that sends ten broken responses, over real processes. Before, 600 and 999 reached the caller; status 000 and 099, field names with a blank or a control byte, and responses that are reset during an upload of 4 MiB gave 502 already.

Why it works: a response with such a status counts as interrupted, as any other response that can't be read.

--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod site;
 
+mod broken_responses;
 mod configuration;
 mod promises;
 mod serving;
--- a/crates/cli/tests/processes/site.rs
+++ b/crates/cli/tests/processes/site.rs
@@ -201,6 +201,15 @@
         put(self.service.address("address"), "/faults", kind);
     }
 
+    /// Registers the server at an address in the place of the plain service.
+    pub(crate) fn replace_service(&self, address: &str) {
+        let record = json!({
+            "role": "server", "id": 1, "hall": 1, "address": address, "state": "live",
+            "incarnation": 2, "service": "orders",
+        });
+        put(self.platform.address("address"), "/hosts", &record);
+    }
+
     /// Sets a switch of an engine.
     pub(crate) fn set_engine_switch(&self, engine: usize, name: &str, value: &Value) {
         put(self.engines[engine].address("address"), &format!("/switch/{name}"), value);
--- a/crates/node/src/callers/plain.rs
+++ b/crates/node/src/callers/plain.rs
@@ -24,6 +24,9 @@
 /// Maximum size of a plain service's response, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 16 << 20;
 
+/// The highest status code that a response may have (RFC 9110 section 15).
+const MAX_STATUS: u16 = 599;
+
 /// Request headers that are forwarded; the others are for this connection or this host.
 const FORWARDED_HEADERS: [&str; 4] = ["content-type", "accept", "authorization", "idempotency-key"];
 
@@ -101,7 +104,11 @@
         }
     }
     let call = call.body(body.clone()).map_err(ureq::Error::Http)?;
-    server.backends.run(call)
+    let response = server.backends.run(call)?;
+    match response.status().as_u16() {
+        status if status > MAX_STATUS => Err(ureq::Error::StatusCode(status)),
+        _ => Ok(response),
+    }
 }
 
 /// What the caller got of a server's response.
--- a/crates/stand-ins/src/connection.rs
+++ b/crates/stand-ins/src/connection.rs
@@ -46,6 +46,12 @@
         self.resets = SockRef::from(&self.socket).set_linger(Some(Duration::ZERO)).is_ok();
     }
 
+    /// Limits what the system receives for the stand-in before it reads. Unit: bytes.
+    pub fn limit_receive_buffer(&self, bytes: usize) {
+        // On failure the peer can write more before it has to wait.
+        let _ = SockRef::from(&self.socket).set_recv_buffer_size(bytes);
+    }
+
     fn read_more(&mut self) -> Option<()> {
         let mut bytes = [0; 4096];
         let count = self.socket.read(&mut bytes).ok().filter(|count| *count > 0)?;
