fix(http): the end of a connection does not end a body while the request is unwritten

Clients got a part of an engine's response as a complete one also where the engine ended the connection in order, and reset it later: it responded to a long upload at once, without a length, while the host was still writing the upload.

Cause: once the head of the response had come, the host stopped writing, and the reads of the body knew nothing of that. The end of the stream then looked like the end of the body, although the engine had not read the request.

Why it works: the connection keeps that its last write did not finish, failed or dropped, and returns an error in place of the end of the stream. An engine that responds without a length, in order, to a request that it has not read is not told from one that was cut off: its client gets 502 or another engine's response, where before it could have got a part as the whole.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -101,9 +101,8 @@
     buffer: BytesMut,
     resets_on_drop: bool,
     counter: ByteCounter,
-    /// The error of a failed write. The system reports a reset only once, so that reads after the
-    /// write get the end of the stream instead.
-    write_error: Option<io::ErrorKind>,
+    /// Why the last write did not finish, if it did not.
+    unfinished_write: Option<io::ErrorKind>,
 }
 
 impl HttpStream {
@@ -119,7 +118,7 @@
             buffer: BytesMut::new(),
             resets_on_drop: false,
             counter,
-            write_error: None,
+            unfinished_write: None,
         })
     }
 
@@ -192,11 +191,13 @@
     /// Reads more bytes into the buffer; zero means that the peer closed its side.
     ///
     /// # Errors
-    /// Returns the socket's error, also if it was reported to an earlier write.
+    /// Returns the socket's error, and an error in place of the end of the stream if the last write did
+    /// not finish: the system reports a reset only once, which may have been to the write, and a peer
+    /// that closes before it has received all resets the connection only when more arrives.
     pub async fn read_more(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_RESERVE_BYTES);
         let count = self.socket.read_buf(&mut self.buffer).await?;
-        if let (0, Some(error)) = (count, self.write_error) {
+        if let (0, Some(error)) = (count, self.unfinished_write) {
             return Err(error.into());
         }
         self.counter.add_received(count);
@@ -310,7 +311,8 @@
         let (reader, writer) = self.socket.split();
         let counter = &self.counter;
         let reader = HttpReader { socket: reader, buffer: &mut self.buffer, counter };
-        (reader, HttpWriter { socket: writer, counter, write_error: &mut self.write_error })
+        let unfinished_write = &mut self.unfinished_write;
+        (reader, HttpWriter { socket: writer, counter, unfinished_write })
     }
 
     /// Sets whether the connection is closed with a TCP reset when it is dropped, also when the
@@ -379,7 +381,7 @@
 pub struct HttpWriter<'stream> {
     socket: tokio::net::tcp::WriteHalf<'stream>,
     counter: &'stream ByteCounter,
-    write_error: &'stream mut Option<io::ErrorKind>,
+    unfinished_write: &'stream mut Option<io::ErrorKind>,
 }
 
 impl HttpWriter<'_> {
@@ -388,10 +390,11 @@
     /// # Errors
     /// Returns the socket's error.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        if let Err(error) = self.socket.write_all(bytes).await {
-            *self.write_error = Some(error.kind());
-            return Err(error);
-        }
+        // Stays if the future is dropped.
+        *self.unfinished_write = Some(io::ErrorKind::ConnectionAborted);
+        let written = self.socket.write_all(bytes).await;
+        *self.unfinished_write = written.as_ref().err().map(io::Error::kind);
+        written?;
         self.counter.add_sent(bytes.len());
         Ok(())
     }
