fix(gateway): a reset that follows the end of a connection cuts off its response

Clients got a part of an engine's response without a length as a complete one where the engine closed its connection after the host's system had taken the whole upload, but before the engine had received it: the end came first, the reset on the next segment after it.

Cause: the end of the stream was taken as it came. The host already makes sure by one connect that the engine has not ended with the response, and did not look at the connection again after that.

Why it works: by the time that the connect has its answer, a reset that segments on their way have caused has arrived; the socket reports it. A forwarding host makes no such connect and waits for the reset, 10 ms at most, before it ends a tunnel.

--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -254,12 +254,14 @@
                 return outcome;
             }
         };
-        let is_open = response.framing == BodyFraming::UntilClose;
-        if is_open && self.ended_with_engine(&entry).await {
-            connection.close();
-            self.record_outcome(&entry, EngineOutcome::Failed);
-            self.record_interruption(&entry.name, true);
-            return SendOutcome::Failed;
+        if response.framing == BodyFraming::UntilClose {
+            let has_ended = self.ended_with_engine(&entry).await;
+            if has_ended || connection.stream.has_failed() {
+                connection.close();
+                self.record_outcome(&entry, EngineOutcome::Failed);
+                self.record_interruption(&entry.name, has_ended);
+                return SendOutcome::Failed;
+            }
         }
         self.record_complete_run();
         let delay = self.traffic.now().since(sent_at);
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -262,9 +262,11 @@
             let mut outcome =
                 self.relay_segment(&mut connection, &mut response, &mut progress, sent_at).await;
             let mut has_ended = false;
-            if matches!(outcome, SegmentOutcome::Closed) && self.ended_with_engine(&entry).await {
-                outcome = SegmentOutcome::Interrupted;
-                has_ended = true;
+            if matches!(outcome, SegmentOutcome::Closed) {
+                has_ended = self.ended_with_engine(&entry).await;
+                if has_ended || connection.stream.has_failed() {
+                    outcome = SegmentOutcome::Interrupted;
+                }
             }
             match outcome {
                 SegmentOutcome::Complete => {
--- a/crates/gateway/src/traffic/tunnels.rs
+++ b/crates/gateway/src/traffic/tunnels.rs
@@ -15,7 +15,7 @@
 use reelreel_http::set_dead_peer_timeout;
 use socket2::SockRef;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWriteExt, Interest},
     net::{TcpStream, tcp::ReadHalf, tcp::WriteHalf},
     sync::mpsc,
     time::sleep,
@@ -45,6 +45,9 @@
 /// Interval at which an open tunnel of a stopping host is checked.
 const STOPPING_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long a reset may follow the end of an engine's connection: more than a round trip.
+const RESET_WAIT: Duration = Duration::from_millis(10);
+
 /// A request for a tunnel, handed over by the control thread.
 pub struct TunnelSocket {
     /// The connection to the requesting host.
@@ -191,11 +194,18 @@
         () = forward_request => None,
         () = wait_until_stopped(traffic, &activity) => None,
     };
-    if matches!(end, Some(ForwardEnd::Closed)) && !activity.has_unwritten_request.get() {
+    let is_closed = matches!(end, Some(ForwardEnd::Closed));
+    if is_closed && !activity.has_unwritten_request.get() && !is_reset_after_end(&engine).await {
         let _ = SockRef::from(&host).set_linger(None);
     }
 }
 
+/// Returns whether a connection is reset after its end: its peer had not received all that was sent.
+async fn is_reset_after_end(socket: &TcpStream) -> bool {
+    let _ = tokio::time::timeout(RESET_WAIT, socket.ready(Interest::ERROR)).await;
+    !matches!(socket.take_error(), Ok(None))
+}
+
 async fn forward_direction(
     traffic: &TrafficState,
     mut reader: ReadHalf<'_>,
--- a/crates/gateway/tests/host/early_responses.rs
+++ b/crates/gateway/tests/host/early_responses.rs
@@ -78,6 +78,14 @@
     UploadCase { bytes: LONG_UPLOAD_BYTES, end: EarlyEnd::Shutdown },
     UploadCase { bytes: BUFFERED_UPLOAD_BYTES, end: EarlyEnd::Reset },
     UploadCase { bytes: BUFFERED_UPLOAD_BYTES, end: EarlyEnd::Close },
+    UploadCase { bytes: BUFFERED_UPLOAD_BYTES, end: EarlyEnd::ShutdownAndReset },
+];
+
+/// Cases in which the engine ends the connection in order, while the host's system still has a part of
+/// the upload that it can't send.
+const UNSENT_CASES: &[UploadCase] = &[
+    UploadCase { bytes: BUFFERED_UPLOAD_BYTES, end: EarlyEnd::CloseAfterRead },
+    UploadCase { bytes: BUFFERED_UPLOAD_BYTES, end: EarlyEnd::Shutdown },
 ];
 
 /// An early response.
@@ -291,6 +299,17 @@
     check_uploads(&host, &state, CASES);
 }
 
+/// Guards against the same while the system still has bytes of the upload that the engine has not
+/// received.
+#[test]
+fn a_part_of_an_early_response_to_a_buffered_upload_does_not_look_whole() {
+    let state = EarlyState::new();
+    let site = start_site(&state);
+    let host = site.host("early-buffered");
+    wait_until("the engines are listed", || host.shared.metrics.engines.get() == 6);
+    check_uploads(&host, &state, UNSENT_CASES);
+}
+
 /// Guards against the same at a host that reaches its engines through another one.
 #[test]
 fn a_part_of_an_early_response_through_a_tunnel_does_not_look_whole() {
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -204,6 +204,12 @@
         Ok(count)
     }
 
+    /// Returns whether the socket has failed since it was last read or written, such as by a reset
+    /// that follows the end of the stream.
+    pub fn has_failed(&self) -> bool {
+        !matches!(self.socket.take_error(), Ok(None))
+    }
+
     /// Waits until the peer closes its side or the socket fails.
     ///
     /// Bytes that arrive meanwhile stay in the buffer. Once it has `limit` bytes, reading stops and
