fix(gateway): restarted hosts resume no stream whose software version is unknown

Clients that resume a stream without naming the attempt that began it got text joined from two software versions, as a 200 that ran to its end, after all hosts had been killed: the first part from a version whose engines had left, the rest from the other one.

Cause: such a stream goes on at the only version that the host has seen in the time for which streams are known. A host that has just started has seen none of that time, and did not take that into account.

Evidence: real hosts and four engines of two versions; 12 streams are begun, all hosts are killed and started again, and the engines of one version leave before that, meanwhile, after it or never.

Why it works: a host that is not started for the first time of the system counts a version as the only one once it has known all listed engines for 45 s, as long as streams are known. A stream that can't be attributed is refused with the advice to begin anew, as before.

--- a/crates/core/src/fleet/stream_origins.rs
+++ b/crates/core/src/fleet/stream_origins.rs
@@ -72,11 +72,23 @@
     hosts: Vec<SocketAddr>,
     /// When engines were last delisted, by service and software version.
     delisted: HashMap<ServiceName, HashMap<SoftwareVersion, ClockMillis>>,
+    /// Since when this host has known all listed engines, if streams may have begun before.
+    observed_since: Option<ClockMillis>,
     /// Streams to send to a host.
     unsent: Vec<(SocketAddr, StreamId, VersionIndex)>,
 }
 
 impl StreamOrigins {
+    /// Creates the state of a host that starts at `now`, while streams may be running.
+    pub fn of_restarted_host(now: ClockMillis) -> Self {
+        Self { observed_since: Some(now), ..Self::default() }
+    }
+
+    /// Records that this host knows all listed engines for the first time.
+    pub fn record_first_listing(&mut self, now: ClockMillis) {
+        self.observed_since = self.observed_since.map(|_| now);
+    }
+
     /// Records a stream that this host begins or resumes, to be sent to its keepers.
     pub fn record(&mut self, stream: StreamId, software: &SoftwareVersion, now: ClockMillis) {
         let index = self.insert(stream, software, now);
@@ -111,13 +123,16 @@
     }
 
     /// Returns the software version of a service, if all engines run it which are listed or were in
-    /// the time for which streams are known.
+    /// the time for which streams are known. A host that has not observed them for so long can't know.
     pub fn sole_software<'entries>(
         &self,
         service: &str,
         mut listed: impl Iterator<Item = &'entries EngineEntry>,
         now: ClockMillis,
     ) -> Option<SoftwareVersion> {
+        if self.observed_since.is_some_and(|since| now.since(since) < ORIGIN_TTL) {
+            return None;
+        }
         let sole = &listed.next()?.software;
         let mut delisted = self.delisted.get(service).into_iter().flatten();
         let is_sole = listed.all(|entry| entry.software == *sole)
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -5,7 +5,7 @@
 use reelreel_core::{
     ClockMillis,
     fleet::{
-        SoftwareVersion,
+        EngineEntry, ServiceName, SoftwareVersion,
         stream_origins::{KEEPERS, KnownOrigin, ORIGIN_TTL, StreamOrigins, stream_id},
     },
 };
@@ -145,3 +145,75 @@
     assert_eq!(second[0], first[1]);
     assert_eq!(told, [second[1]], "only the new keeper is told");
 }
+
+/// Since when a host observes the engines of a service that run one software version, and whether it
+/// knows that this version began a stream.
+struct SoleCase {
+    name: &'static str,
+    /// Unit: seconds.
+    started_at: Option<u64>,
+    /// Unit: seconds.
+    first_listing_at: u64,
+    /// Unit: seconds.
+    asked_at: u64,
+    is_known: bool,
+}
+
+const SOLE_CASES: &[SoleCase] = &[
+    SoleCase {
+        name: "the first start of the system",
+        started_at: None,
+        first_listing_at: 1,
+        asked_at: 2,
+        is_known: true,
+    },
+    SoleCase {
+        name: "just restarted",
+        started_at: Some(100),
+        first_listing_at: 101,
+        asked_at: 102,
+        is_known: false,
+    },
+    SoleCase {
+        name: "restarted, and without engines for long",
+        started_at: Some(100),
+        first_listing_at: 130,
+        asked_at: 174,
+        is_known: false,
+    },
+    SoleCase {
+        name: "restarted long ago",
+        started_at: Some(100),
+        first_listing_at: 130,
+        asked_at: 175,
+        is_known: true,
+    },
+];
+
+/// Guards against a host that takes the only software version it has seen since its start for the only
+/// one that can have begun a stream.
+#[test]
+fn a_restarted_host_does_not_know_which_software_version_was_the_only_one() {
+    let service: ServiceName = Arc::from("assist");
+    let entry = EngineEntry {
+        name: Arc::from("engine"),
+        incarnation: 1,
+        service: Arc::clone(&service),
+        address: hosts()[0],
+        hall: Arc::from("hall"),
+        slots: 1,
+        leaving: false,
+        sequence: 0,
+        software: version("v2"),
+        loaded_models: Vec::new(),
+    };
+    for case in SOLE_CASES {
+        let mut origins = match case.started_at {
+            Some(started_at) => StreamOrigins::of_restarted_host(at(started_at)),
+            None => StreamOrigins::default(),
+        };
+        origins.record_first_listing(at(case.first_listing_at));
+        let sole = origins.sole_software(&service, [&entry].into_iter(), at(case.asked_at));
+        assert_eq!(sole, case.is_known.then(|| version("v2")), "{}", case.name);
+    }
+}
--- a/crates/gateway/src/control/engine_list.rs
+++ b/crates/gateway/src/control/engine_list.rs
@@ -77,7 +77,9 @@
             );
             self.feed.queue_all();
         }
-        self.engine_records.fully_read = true;
+        if !std::mem::replace(&mut self.engine_records.fully_read, true) {
+            self.shared.stream_origins().record_first_listing(self.shared.clock.now());
+        }
     }
 
     /// Returns all listed engines in the form that is sent to followers.
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -118,6 +118,11 @@
         let quotas =
             if profile.first_start { QuotaShare::unspent() } else { QuotaShare::default() };
         let quarantine = QuarantineTracker::new(&profile.name, QuarantineThresholds::default());
+        let stream_origins = if profile.first_start {
+            StreamOrigins::default()
+        } else {
+            StreamOrigins::of_restarted_host(clock.now())
+        };
         let links = HostLinks::new(Arc::clone(&profile.name), Arc::clone(&profile.hall));
         let (tunnel_sockets, tunnel_receiver) = mpsc::channel(TUNNEL_QUEUE_LENGTH);
         Self {
@@ -145,7 +150,7 @@
             departures: Mutex::default(),
             cooldowns: Mutex::default(),
             service_shares: Mutex::default(),
-            stream_origins: Mutex::default(),
+            stream_origins: Mutex::new(stream_origins),
             permits: watch::Sender::new(()),
             quarantine_changes: watch::Sender::new(()),
         }
--- a/crates/gateway/tests/host/site.rs
+++ b/crates/gateway/tests/host/site.rs
@@ -64,6 +64,7 @@
     hall: &'static str,
     addresses: Arc<dyn AddressResolver>,
     request_cost: Duration,
+    first_start: bool,
     pub(crate) clock: Arc<dyn ClockSource>,
 }
 
@@ -80,6 +81,7 @@
             hall: HALL,
             addresses: Arc::new(ListedAddresses),
             request_cost: Duration::ZERO,
+            first_start: true,
             clock: Arc::new(MonotonicClock::new()),
         }
     }
@@ -87,6 +89,7 @@
     /// Returns the complete profile of a host.
     pub(crate) fn profile(self, name: &str) -> HostProfile {
         let Self { seeds, capacity, revocation, store, engines_enforce_fencing, hall, .. } = self;
+        let first_start = self.first_start;
         let burst = self.retry_burst;
         HostProfile {
             name: Arc::from(name),
@@ -102,7 +105,7 @@
             partitions: 4,
             min_membership_ttl: Duration::from_millis(500),
             capacity,
-            first_start: true,
+            first_start,
             bounds: OperatorBounds {
                 stop_grace: Duration::from_secs(6),
                 max_configuration_delay: Duration::from_secs(2),
@@ -258,6 +261,14 @@
         host
     }
 
+    /// Starts a host of a system that has been running before, and waits until it is ready.
+    pub(crate) fn restarted_host(&self, name: &str) -> TestHost {
+        let profile = TestProfile { first_start: false, ..TestProfile::new(self.store.address) };
+        let host = TestHost::start(name, profile);
+        host.wait_ready();
+        host
+    }
+
     /// Starts a host without waiting until it is ready.
     pub(crate) fn start_host(&self, name: &str, seeds: Vec<SocketAddr>) -> TestHost {
         self.start_host_with_capacity(
--- a/crates/gateway/tests/host/software_versions.rs
+++ b/crates/gateway/tests/host/software_versions.rs
@@ -96,11 +96,17 @@
 
     /// Resumes a stream at a host; returns the attempt and the response.
     fn resume(&self, host: usize, begun_as: &str, model: &str) -> (String, String) {
+        self.resume_as(host, Some(begun_as), model)
+    }
+
+    /// The same for a client that may not name the attempt that began its stream.
+    fn resume_as(&self, host: usize, begun_as: Option<&str>, model: &str) -> (String, String) {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let id = format!("resumed-{}", NUMBER.fetch_add(1, Ordering::Relaxed));
         let after = READ_EVENTS - 1;
-        let resumes = format!("{RESUMES}: {begun_as}\r\n{RESUME_AFTER}: {after}\r\n");
-        let fields = fields(&id, model) + &resumes;
+        let begun_as = begun_as.map(|begun_as| format!("{RESUMES}: {begun_as}\r\n"));
+        let resumes = format!("{RESUME_AFTER}: {after}\r\n");
+        let fields = fields(&id, model) + &begun_as.unwrap_or_default() + &resumes;
         let response = self.hosts[host].post("/resumable/a", &fields, "{}");
         (id, response)
     }
@@ -256,3 +262,67 @@
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     assert_eq!(site.version_of(&id), Some(version));
 }
+
+/// When the engines of one of two software versions leave, while all hosts are killed and started
+/// again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Departure {
+    Never,
+    BeforeTheKill,
+    WhileHostsAreDown,
+    AfterTheStart,
+}
+
+/// Guards against streams that go on at another software version than theirs after all hosts have been
+/// killed, since no host remembers that there was another one.
+#[test]
+fn streams_are_not_joined_after_all_hosts_were_killed() {
+    let departures = [
+        Departure::Never,
+        Departure::BeforeTheKill,
+        Departure::WhileHostsAreDown,
+        Departure::AfterTheStart,
+    ];
+    let mut mistakes = Vec::new();
+    for departure in departures {
+        let mut site = SoftwareSite::start(2, ALL_MODELS);
+        let begun: Vec<_> = (0..STREAMS).map(|_| site.begin_stream(0, MODEL_NAME)).collect();
+        std::thread::sleep(NOTICE_TIME);
+        let remaining = if departure == Departure::Never { 5 } else { 3 };
+        let depart = |site: &SoftwareSite| {
+            for engine in site.engines.iter().step_by(2) {
+                site.site.store.put("engines", &engine.name, "");
+            }
+        };
+        if departure == Departure::BeforeTheKill {
+            depart(&site);
+            let engines = || site.hosts[0].shared.metrics.engines.get();
+            wait_until("the engines are no longer listed", || engines() == remaining);
+        }
+        site.hosts.clear();
+        if departure == Departure::WhileHostsAreDown {
+            depart(&site);
+        }
+        site.hosts =
+            (0..2).map(|index| site.site.restarted_host(&format!("restarted-{index}"))).collect();
+        if departure == Departure::AfterTheStart {
+            depart(&site);
+        }
+        for host in &site.hosts {
+            let engines = || host.shared.metrics.engines.get();
+            wait_until("the engines are listed", || engines() == remaining);
+        }
+        for (number, begun_as) in begun.iter().enumerate() {
+            let began_at = site.version_of(begun_as).expect("it ran");
+            for is_named in [true, false] {
+                let begun_as = is_named.then_some(begun_as.as_str());
+                let (id, response) = site.resume_as(number % 2, begun_as, MODEL_NAME);
+                let joined = site.version_of(&id).is_some_and(|version| version != began_at);
+                if joined {
+                    mistakes.push(format!("{departure:?}, named: {is_named}: {response:.12}"));
+                }
+            }
+        }
+    }
+    assert!(mistakes.is_empty(), "{} mistakes:\n{}", mistakes.len(), mistakes.join("\n"));
+}
