feat(gateway): origins of streams last in the store while versions differ

Cause: hosts keep the software versions of streams in memory for each other; when all are killed at the same moment, every stream is unknown, and what is not known is not resumed.

Change: while a service has engines of several software versions, or had them in the time for which streams are known, each host saves the streams that it begins to a topic of the store, and a host that starts reads them. What is not found there stays refused, so that no refusal becomes a join.

Not mended: with one software version nothing is saved, so that streams taken up after all hosts were killed are refused as before.

--- a/crates/core/src/fleet/stream_origins.rs
+++ b/crates/core/src/fleet/stream_origins.rs
@@ -6,7 +6,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -28,6 +28,15 @@
 /// Number of hosts that are told of a stream.
 pub const KEEPERS: usize = 2;
 
+/// Length of the windows in which a host groups the streams that it begins. Unit: milliseconds.
+const WINDOW_MILLIS: u64 = 5_000;
+
+/// Maximum number of windows whose streams are known.
+pub const WINDOW_COUNT: u64 = 10;
+
+/// Maximum number of streams in a window.
+const WINDOW_STREAM_LIMIT: usize = 5_000;
+
 /// Maximum number of streams recorded in half of the time for which they are known.
 const STREAM_LIMIT: usize = 50_000;
 
@@ -48,6 +57,9 @@
 /// A stream and the software version that began it.
 pub type StreamOrigin = (StreamId, SoftwareVersion);
 
+/// Number of a window since the start of the clock.
+pub type WindowNumber = u64;
+
 /// What is known of the origin of one stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KnownOrigin {
@@ -68,6 +80,8 @@
     recent: HashMap<StreamId, VersionIndex>,
     earlier: HashMap<StreamId, VersionIndex>,
     rotated_at: ClockMillis,
+    /// The streams that this host began or resumed in the time for which streams are known.
+    own: BTreeMap<WindowNumber, Vec<(StreamId, VersionIndex)>>,
     /// Hosts among which keepers are chosen.
     hosts: Vec<SocketAddr>,
     /// When engines were last delisted, by service and software version.
@@ -92,6 +106,11 @@
     /// Records a stream that this host begins or resumes, to be sent to its keepers.
     pub fn record(&mut self, stream: StreamId, software: &SoftwareVersion, now: ClockMillis) {
         let index = self.insert(stream, software, now);
+        self.own.retain(|number, _| !has_expired(*number, now));
+        let window = self.own.entry(window_number(now)).or_default();
+        if window.len() < WINDOW_STREAM_LIMIT {
+            window.push((stream, index));
+        }
         for keeper in keepers(stream, &self.hosts, KEEPERS) {
             self.queue(keeper, stream, index);
         }
@@ -142,6 +161,44 @@
         is_sole.then(|| Arc::clone(sole))
     }
 
+    /// Returns whether engines of several software versions of one service are listed or were in the
+    /// time for which streams are known.
+    pub fn had_several_versions<'entries>(
+        &self,
+        listed: impl Iterator<Item = &'entries EngineEntry>,
+        now: ClockMillis,
+    ) -> bool {
+        let mut versions: HashMap<&ServiceName, &SoftwareVersion> = HashMap::new();
+        let listed = listed.map(|entry| (&entry.service, &entry.software));
+        let delisted = self.delisted.iter().flat_map(|(service, versions)| {
+            let recent =
+                versions.iter().filter(|(_, delisted_at)| now.since(**delisted_at) < ORIGIN_TTL);
+            recent.map(move |(software, _)| (service, software))
+        });
+        let mut all = listed.chain(delisted);
+        all.any(|(service, software)| *versions.entry(service).or_insert(software) != software)
+    }
+
+    /// Returns the windows of the streams that this host began or resumed, with their lengths.
+    pub fn own_windows(&self, now: ClockMillis) -> Vec<(WindowNumber, usize)> {
+        let known = self.own.iter().filter(|(number, _)| !has_expired(**number, now));
+        known.map(|(number, streams)| (*number, streams.len())).collect()
+    }
+
+    /// Returns the streams of a window.
+    pub fn window_streams(&self, number: WindowNumber) -> Vec<StreamOrigin> {
+        let streams = self.own.get(&number).into_iter().flatten();
+        let named = streams.filter_map(|(stream, index)| {
+            Some((*stream, Arc::clone(self.versions.get(usize::from(*index))?)))
+        });
+        named.collect()
+    }
+
+    /// Returns the number of hosts among which keepers are chosen.
+    pub const fn host_count(&self) -> usize {
+        self.hosts.len()
+    }
+
     /// Returns whether streams of several software versions were recorded.
     pub const fn has_several_versions(&self) -> bool {
         self.versions.len() > 1
@@ -222,6 +279,15 @@
     }
 }
 
+fn window_number(now: ClockMillis) -> WindowNumber {
+    now.as_millis() / WINDOW_MILLIS
+}
+
+/// Returns whether the streams of a window are no longer known.
+fn has_expired(number: WindowNumber, now: ClockMillis) -> bool {
+    now >= ClockMillis::from_millis((number + 1) * WINDOW_MILLIS) + ORIGIN_TTL
+}
+
 /// Returns the keepers of a stream: the same at all hosts that know the same hosts, and mostly the same
 /// when a host comes or goes.
 fn keepers(stream: StreamId, hosts: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -1,12 +1,14 @@
 //! Origins of streams: who keeps them, for how long, and what conflicting reports do.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use reelreel_core::{
     ClockMillis,
     fleet::{
         EngineEntry, ServiceName, SoftwareVersion,
-        stream_origins::{KEEPERS, KnownOrigin, ORIGIN_TTL, StreamOrigins, stream_id},
+        stream_origins::{
+            KEEPERS, KnownOrigin, ORIGIN_TTL, StreamOrigins, WINDOW_COUNT, stream_id,
+        },
     },
 };
 
@@ -146,6 +148,21 @@
     assert_eq!(told, [second[1]], "only the new keeper is told");
 }
 
+fn entry(service: &str, software: &str) -> EngineEntry {
+    EngineEntry {
+        name: Arc::from("engine"),
+        incarnation: 1,
+        service: Arc::from(service),
+        address: hosts()[0],
+        hall: Arc::from("hall"),
+        slots: 1,
+        leaving: false,
+        sequence: 0,
+        software: version(software),
+        loaded_models: Vec::new(),
+    }
+}
+
 /// Since when a host observes the engines of a service that run one software version, and whether it
 /// knows that this version began a stream.
 struct SoleCase {
@@ -195,18 +212,7 @@
 #[test]
 fn a_restarted_host_does_not_know_which_software_version_was_the_only_one() {
     let service: ServiceName = Arc::from("assist");
-    let entry = EngineEntry {
-        name: Arc::from("engine"),
-        incarnation: 1,
-        service: Arc::clone(&service),
-        address: hosts()[0],
-        hall: Arc::from("hall"),
-        slots: 1,
-        leaving: false,
-        sequence: 0,
-        software: version("v2"),
-        loaded_models: Vec::new(),
-    };
+    let entry = entry("assist", "v2");
     for case in SOLE_CASES {
         let mut origins = match case.started_at {
             Some(started_at) => StreamOrigins::of_restarted_host(at(started_at)),
@@ -217,3 +223,90 @@
         assert_eq!(sole, case.is_known.then(|| version("v2")), "{}", case.name);
     }
 }
+
+/// Engines that are listed or were, by service and software version.
+struct VersionCase {
+    name: &'static str,
+    listed: &'static [(&'static str, &'static str)],
+    /// With the time. Unit: seconds.
+    delisted: &'static [(&'static str, &'static str, u64)],
+    had_several: bool,
+}
+
+const VERSION_CASES: &[VersionCase] = &[
+    VersionCase { name: "none", listed: &[], delisted: &[], had_several: false },
+    VersionCase {
+        name: "one each of two services",
+        listed: &[("assist", "v1"), ("ledger", "v2"), ("assist", "v1")],
+        delisted: &[],
+        had_several: false,
+    },
+    VersionCase {
+        name: "two of one service",
+        listed: &[("assist", "v1"), ("ledger", "v1"), ("assist", "v2")],
+        delisted: &[],
+        had_several: true,
+    },
+    VersionCase {
+        name: "another one until lately",
+        listed: &[("assist", "v2")],
+        delisted: &[("assist", "v1", 70)],
+        had_several: true,
+    },
+    VersionCase {
+        name: "another one until long ago",
+        listed: &[("assist", "v2")],
+        delisted: &[("assist", "v1", 50)],
+        had_several: false,
+    },
+    VersionCase {
+        name: "two until lately",
+        listed: &[],
+        delisted: &[("assist", "v1", 70), ("assist", "v2", 71)],
+        had_several: true,
+    },
+];
+
+/// Guards against origins that are not saved while a stream could go on at a wrong version, and against
+/// writes to the store while none could.
+#[test]
+fn services_with_several_software_versions_are_known() {
+    for case in VERSION_CASES {
+        let mut origins = StreamOrigins::default();
+        for (service, software, second) in case.delisted {
+            origins.record_delisted(&Arc::from(*service), &version(software), at(*second));
+        }
+        let listed: Vec<_> =
+            case.listed.iter().map(|(service, software)| entry(service, software)).collect();
+        let had_several = origins.had_several_versions(listed.iter(), at(100));
+        assert_eq!(had_several, case.had_several, "{}", case.name);
+    }
+}
+
+/// Guards against more windows than there are records for them, and against streams that leave their
+/// window while they are known.
+#[test]
+fn own_streams_stay_in_a_bounded_number_of_windows_while_they_are_known() {
+    let mut origins = StreamOrigins::default();
+    origins.set_hosts(hosts());
+    let step = Duration::from_millis(500);
+    let mut begun = Vec::new();
+    for number in 0..400 {
+        let now = at(0) + step * number;
+        let stream = stream_id(&format!("attempt-{number}"));
+        origins.record(stream, &version("v1"), now);
+        origins.receive(stream_id(&format!("other-{number}")), &version("v1"), now);
+        begun.push((stream, now));
+        let windows = origins.own_windows(now);
+        let slots: HashSet<_> = windows.iter().map(|(window, _)| window % WINDOW_COUNT).collect();
+        assert_eq!(slots.len(), windows.len(), "at {now:?}");
+        let saved: Vec<_> =
+            windows.iter().flat_map(|(window, _)| origins.window_streams(*window)).collect();
+        let lengths: usize = windows.iter().map(|(_, length)| length).sum();
+        assert_eq!(saved.len(), lengths);
+        let known = begun.iter().filter(|(_, begun_at)| now.since(*begun_at) < ORIGIN_TTL);
+        for (stream, begun_at) in known {
+            assert!(saved.contains(&(*stream, version("v1"))), "of {begun_at:?} at {now:?}");
+        }
+    }
+}
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -229,6 +229,8 @@
     Engines,
     /// Records that the hosts themselves keep.
     Hosts,
+    /// The software versions that began streams, written by the hosts.
+    Streams,
 }
 
 /// A decoded record of the configuration topic.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -12,6 +12,7 @@
 pub mod configuration;
 pub mod orders;
 pub mod restore_record;
+pub mod stream_records;
 pub mod placement;
 pub mod plan_encoding;
 pub mod state;
@@ -28,6 +29,7 @@
         membership::{maintain_membership, own_member},
         restore_record::maintain_restore_record,
         state::ControlState,
+        stream_records::maintain_stream_records,
     },
     host::SharedState,
     peers::{
@@ -105,6 +107,7 @@
         tokio::task::spawn_local(run_feed_client(Rc::clone(&state))),
         tokio::task::spawn_local(run_origin_sender(Rc::clone(&state))),
         tokio::task::spawn_local(maintain_restore_record(Rc::clone(&state))),
+        tokio::task::spawn_local(maintain_stream_records(Rc::clone(&state))),
     ];
     let mut stopping = shared.stopping.subscribe();
     loop {
--- a/crates/gateway/src/control/engine_list.rs
+++ b/crates/gateway/src/control/engine_list.rs
@@ -82,6 +82,13 @@
         }
     }
 
+    /// Returns whether a service has engines of several software versions, or had them in the time for
+    /// which streams are known.
+    pub(super) fn had_several_versions(&self, now: ClockMillis) -> bool {
+        let listed = self.engines.values().map(|entry| &**entry);
+        self.shared.stream_origins().had_several_versions(listed, now)
+    }
+
     /// Returns all listed engines in the form that is sent to followers.
     pub(super) fn listed_engines(&self) -> Vec<EngineUpdate> {
         let listed = self.engine_records.records.iter().filter_map(|(name, (position, ()))| {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -5,6 +5,7 @@
 pub mod health;
 pub mod membership;
 pub mod restore_record;
+pub mod stream_records;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -152,7 +152,10 @@
 /// The position is the end of the topic as of the first page: records written during later pages may belong to keys of
 /// earlier pages, and following from the last page's end would miss them. If the era changes between pages, the snapshot
 /// is restarted.
-async fn read_snapshot(
+///
+/// # Errors
+/// Returns that a call failed.
+pub async fn read_snapshot(
     client: &mut StoreClient,
     topic: KeyedTopic,
 ) -> Result<(Vec<KeyedRecord>, StorePosition), StoreError> {
--- a/crates/gateway/tests/host/codec.rs
+++ b/crates/gateway/tests/host/codec.rs
@@ -229,6 +229,7 @@
         KeyedTopic::Configuration => "configuration",
         KeyedTopic::Engines => "engines",
         KeyedTopic::Hosts => "hosts",
+        KeyedTopic::Streams => "streams",
     }
 }
 
--- a/crates/gateway/tests/host/software_versions.rs
+++ b/crates/gateway/tests/host/software_versions.rs
@@ -33,6 +33,9 @@
 /// Time until an attempt's software version is known to other hosts.
 const NOTICE_TIME: Duration = Duration::from_millis(400);
 
+/// Time until it is in the store, and until a host that starts has read it.
+const SAVE_TIME: Duration = Duration::from_millis(700);
+
 /// Time within which a request that can't be resumed is refused.
 const REFUSAL_LIMIT: Duration = Duration::from_millis(400);
 
@@ -326,3 +329,24 @@
     }
     assert!(mistakes.is_empty(), "{} mistakes:\n{}", mistakes.len(), mistakes.join("\n"));
 }
+
+/// Guards against streams that are refused after all hosts have been killed, although engines of their
+/// software version serve.
+#[test]
+fn streams_are_resumed_after_all_hosts_were_killed() {
+    let mut site = SoftwareSite::start(2, ALL_MODELS);
+    for round in 0..2 {
+        let begun: Vec<_> =
+            (0..STREAMS).map(|number| site.begin_stream(number as usize % 2, MODEL_NAME)).collect();
+        std::thread::sleep(SAVE_TIME);
+        site.hosts.clear();
+        site.hosts =
+            (0..2).map(|index| site.site.restarted_host(&format!("software-{index}"))).collect();
+        for host in &site.hosts {
+            wait_until("the engines are listed", || host.shared.metrics.engines.get() == 5);
+        }
+        std::thread::sleep(SAVE_TIME);
+        assert_eq!(site.resume_all(&begun, 0), STREAMS, "round {round}, first host");
+        assert_eq!(site.resume_all(&begun, 1), STREAMS, "round {round}, second host");
+    }
+}
