perf(gateway): hosts save at most two records of streams at once

When a second software version appears, a host has up to ten windows to save; all hosts did so at once, at 370 hosts 3,700 writes in a moment, where the store takes 400 a second and leases depend on it (by reading, not seen). Now each save writes the newest record and one other, so that all hosts together stay at 80 writes a second, and at 40 once the earlier windows are saved.

--- a/crates/gateway/src/control/stream_records.rs
+++ b/crates/gateway/src/control/stream_records.rs
@@ -1,7 +1,7 @@
 //! Saves the software versions that began streams to the store, and reads them when this host starts.
 //!
-//! Hosts keep origins in memory for each other. The store has them for the case that all hosts are
-//! killed, and only while a stream could go on at a wrong version.
+//! Hosts keep the versions in memory for each other. The store has them for the case that all hosts
+//! are killed, and only while a stream could go on at a wrong version.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    control::{SharedControl, backoff, store_client},
+    control::{SharedControl, backoff, state::ControlState, store_client},
     store::{
         StoreClient, StoreError,
         stream_records::{StreamRecordKey, read_stream_records, write_stream_record},
@@ -21,9 +21,12 @@
 /// Minimum interval at which this host saves its new streams.
 const MIN_SAVE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Minimum interval at which all hosts together write records: a tenth of the writes that a store of 400
-/// writes per second takes.
-const SHARED_WRITE_INTERVAL: Duration = Duration::from_millis(25);
+/// Minimum interval between the saves of all hosts.
+const SHARED_SAVE_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Maximum number of records written at once: the newest one, and one that was left over, such as when
+/// a second software version appears.
+const WRITES_PER_SAVE: usize = 2;
 
 /// Maximum delay after a failed call, before jitter.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
@@ -71,7 +74,7 @@
 /// Returns the interval at which this host saves its new streams.
 fn save_interval(state: &SharedControl) -> Duration {
     let hosts = state.borrow().shared().stream_origins().host_count();
-    let shared = SHARED_WRITE_INTERVAL * u32::try_from(hosts).unwrap_or(u32::MAX);
+    let shared = SHARED_SAVE_INTERVAL * u32::try_from(hosts).unwrap_or(u32::MAX);
     shared.max(MIN_SAVE_INTERVAL)
 }
 
@@ -101,38 +104,65 @@
     Ok(own)
 }
 
+/// A write that is due.
+#[derive(Debug, Clone, Copy)]
+enum DueWrite {
+    /// Saves a window of this length.
+    Save(WindowNumber, usize),
+    /// Removes the record in a slot.
+    Remove(u64),
+    /// Removes the last record of earlier starts.
+    RemoveEarlier,
+}
+
 impl OwnRecords {
-    /// Saves the windows that have new streams, and removes records whose streams are no longer known.
+    /// Saves windows that have new streams, and removes records whose streams are no longer known.
     async fn save(
         &mut self,
         state: &SharedControl,
         client: &mut StoreClient,
     ) -> Result<(), StoreError> {
-        let now = state.borrow().shared().clock.now();
-        let windows = state.borrow().shared().stream_origins().own_windows(now);
-        let is_needed = state.borrow().had_several_versions(now);
-        for (number, length) in windows.iter().rev().copied().filter(|_| is_needed) {
-            let slot = number % WINDOW_COUNT;
-            if self.saved.get(&slot) != Some(&(number, length)) {
-                let streams = state.borrow().shared().stream_origins().window_streams(number);
-                write_stream_record(client, &self.key(state, slot), &streams).await?;
-                self.saved.insert(slot, (number, length));
+        let due_writes = self.due_writes(&state.borrow());
+        for due_write in due_writes.into_iter().take(WRITES_PER_SAVE) {
+            match due_write {
+                DueWrite::Save(number, length) => {
+                    let slot = number % WINDOW_COUNT;
+                    let streams = state.borrow().shared().stream_origins().window_streams(number);
+                    write_stream_record(client, &self.key(state, slot), &streams).await?;
+                    self.saved.insert(slot, (number, length));
+                }
+                DueWrite::Remove(slot) => {
+                    write_stream_record(client, &self.key(state, slot), &[]).await?;
+                    self.saved.remove(&slot);
+                }
+                DueWrite::RemoveEarlier => {
+                    let Some((key, _)) = self.earlier.last() else { continue };
+                    write_stream_record(client, key, &[]).await?;
+                    self.earlier.pop();
+                }
             }
         }
+        Ok(())
+    }
+
+    /// Returns the writes that are due: windows first, the newest ones before others.
+    fn due_writes(&self, state: &ControlState) -> Vec<DueWrite> {
+        let now = state.shared().clock.now();
+        let windows = state.shared().stream_origins().own_windows(now);
         let oldest = windows.first().map_or(WindowNumber::MAX, |(number, _)| *number);
-        let expired = |(_, (number, _)): &(&u64, &(WindowNumber, usize))| *number < oldest;
-        while let Some((slot, _)) =
-            self.saved.iter().find(expired).map(|(slot, saved)| (*slot, *saved))
-        {
-            write_stream_record(client, &self.key(state, slot), &[]).await?;
-            self.saved.remove(&slot);
+        let mut due_writes = Vec::new();
+        if state.had_several_versions(now) {
+            let unsaved = windows.iter().rev().filter(|(number, length)| {
+                self.saved.get(&(number % WINDOW_COUNT)) != Some(&(*number, *length))
+            });
+            due_writes.extend(unsaved.map(|(number, length)| DueWrite::Save(*number, *length)));
         }
-        while let Some((key, _)) = self.earlier.last().filter(|(_, expires_at)| now >= *expires_at)
-        {
-            write_stream_record(client, key, &[]).await?;
-            self.earlier.pop();
+        let expired = self.saved.iter().filter(|(_, (number, _))| *number < oldest);
+        due_writes.extend(expired.map(|(slot, _)| DueWrite::Remove(*slot)));
+        if self.earlier.last().is_some_and(|(_, expires_at)| now >= *expires_at) {
+            due_writes.push(DueWrite::RemoveEarlier);
         }
-        Ok(())
+        due_writes
     }
 
     fn key(&self, state: &SharedControl, slot: u64) -> StreamRecordKey {
