--- a/crates/gateway/tests/host/broken_off_answers.rs
+++ b/crates/gateway/tests/host/broken_off_answers.rs
@@ -45,14 +45,14 @@
 }
 
 /// A site with two engines of each service, and one host.
-struct CutSite {
+pub(crate) struct PairedSite {
     site: TestSite,
-    host: TestHost,
+    pub(crate) host: TestHost,
     other_plain: StandInEngine,
 }
 
-impl CutSite {
-    fn start(name: &str) -> Self {
+impl PairedSite {
+    pub(crate) fn start(name: &str) -> Self {
         let site = TestSite::start();
         let other_plain = StandInEngine::start("plain-2", &[]);
         site.store.put("engines", "plain-2", &other_plain.entry("plain", false));
@@ -61,10 +61,15 @@
         Self { site, host, other_plain }
     }
 
+    /// Sets how all engines handle requests.
+    pub(crate) fn set_behaviour(&self, behaviour: EngineBehaviour) {
+        let engines = self.site.engines.iter().chain([&self.site.plain, &self.other_plain]);
+        engines.for_each(|engine| engine.set_behaviours(&[behaviour]));
+    }
+
     /// Sends a request whose first run is cut, and whose further ones are whole.
     fn send(&self, route: RouteCase, cut: CutResponse) -> ClientView {
-        let engines = self.site.engines.iter().chain([&self.site.plain, &self.other_plain]);
-        engines.for_each(|engine| engine.set_behaviours(&[EngineBehaviour::Cut(cut)]));
+        self.set_behaviour(EngineBehaviour::Cut(cut));
         send(&self.host, route)
     }
 }
@@ -106,7 +111,7 @@
 /// Guards against answers that were broken off and reach their callers framed as complete.
 #[test]
 fn a_broken_off_answer_is_not_framed_as_complete() {
-    let site = CutSite::start("cut");
+    let site = PairedSite::start("cut");
     let mut mistakes = Vec::new();
     let positions = [0, events_length(3) - 4, events_length(3), whole_length()];
     let mut check = |route: RouteCase, cut: CutResponse| {
@@ -134,7 +139,7 @@
 /// Guards against whole answers that become failures, whatever delimits them.
 #[test]
 fn a_whole_answer_stays_whole_in_any_framing() {
-    let site = CutSite::start("whole-framing");
+    let site = PairedSite::start("whole-framing");
     for route in ROUTES {
         for delimiter in DELIMITERS {
             let (sent_bytes, end) = (whole_length(), ConnectionEnd::Close);
@@ -153,7 +158,7 @@
 /// response than its engine said.
 #[test]
 fn no_answer_claims_more_than_its_engine_did() {
-    let site = CutSite::start("drawn");
+    let site = PairedSite::start("drawn");
     let config = Config {
         cases: DRAWN_CASES,
         rng_seed: RngSeed::Fixed(0x0bad_c10e),
--- a/crates/gateway/tests/host/malformed_responses.rs
+++ b/crates/gateway/tests/host/malformed_responses.rs
@@ -1,9 +1,8 @@
 //! Engines that send heads which are not a response by RFC 9112.
 
 use crate::{
-    cut_response::ClientView,
-    engine::{EngineBehaviour, StandInEngine},
-    site::{MODEL_NAME, TestHost, TestSite, wait_until},
+    broken_off_answers::PairedSite, cut_response::ClientView, engine::EngineBehaviour,
+    site::MODEL_NAME,
 };
 
 /// The body of requests and of whole responses: an event, so that it is one on streaming routes too.
@@ -23,49 +22,34 @@
     RouteCase { path: "/resumable/a", model: true, may_run_again: true },
 ];
 
-/// A site with two engines of each service, and one host.
-struct MalformedSite {
-    site: TestSite,
-    other_plain: StandInEngine,
-    host: TestHost,
-}
-
-impl MalformedSite {
-    fn start(name: &str) -> Self {
-        let site = TestSite::start();
-        let other_plain = StandInEngine::start("plain-2", &[]);
-        site.store.put("engines", "plain-2", &other_plain.entry("plain", false));
-        let host = site.host(name);
-        wait_until("both plain services are listed", || host.shared.metrics.engines.get() == 4);
-        Self { site, other_plain, host }
-    }
-
-    /// Sends a request whose first response begins with these lines; returns what is wrong with the
-    /// client's one, if anything.
-    fn check(&self, route: &RouteCase, lines: &'static str, id: &str) -> Option<String> {
-        let engines = self.site.engines.iter().chain([&self.site.plain, &self.other_plain]);
-        let behaviours = [EngineBehaviour::MalformedHead(lines)];
-        engines.for_each(|engine| engine.set_behaviours(&behaviours));
-        let model = if route.model { format!("X-Model: {MODEL_NAME}\r\n") } else { String::new() };
-        let fields = format!("X-Request: {id}\r\n{model}");
-        let received = self.host.post(route.path, &fields, BODY);
-        let view = ClientView::parse(&received);
-        let expected = if route.may_run_again {
-            view.looks_whole() && view.body == BODY
-        } else {
-            view.status == 502
-        };
-        (!expected).then(|| format!("{}, {:?}: {received:?}", route.path, lines))
-    }
+/// Sends a request whose first response begins with these lines; returns what is wrong with the
+/// client's one, if anything.
+fn find_mistake(
+    site: &PairedSite,
+    route: &RouteCase,
+    lines: &'static str,
+    id: &str,
+) -> Option<String> {
+    site.set_behaviour(EngineBehaviour::MalformedHead(lines));
+    let model = if route.model { format!("X-Model: {MODEL_NAME}\r\n") } else { String::new() };
+    let received = site.host.post(route.path, &format!("X-Request: {id}\r\n{model}"), BODY);
+    let view = ClientView::parse(&received);
+    let expected = if route.may_run_again {
+        view.looks_whole() && view.body == BODY
+    } else {
+        view.status == 502
+    };
+    (!expected).then(|| format!("{}, {lines:?}: {received:?}", route.path))
 }
 
 /// Checks all routes with each of the `heads`, with hosts and engines of its own.
 fn check_heads(name: &str, heads: &[&'static str]) {
     let mut mistakes = Vec::new();
     for (number, lines) in heads.iter().enumerate() {
-        let site = MalformedSite::start(&format!("{name}-{number}"));
+        let site = PairedSite::start(&format!("{name}-{number}"));
         for (index, route) in ROUTES.iter().enumerate() {
-            mistakes.extend(site.check(route, lines, &format!("{name}-{number}-{index}")));
+            let id = format!("{name}-{number}-{index}");
+            mistakes.extend(find_mistake(&site, route, lines, &id));
         }
     }
     assert!(mistakes.is_empty(), "{} mistakes:\n{}", mistakes.len(), mistakes.join("\n"));
