fix(gateway): the pace of saved stream origins follows the number of hosts

Found when the change was read again: the interval at which hosts save the origins of streams grew with the members of the group, which are at most as many as it has partitions (24), not with the hosts. At 370 hosts each would have saved each 600 ms, 617 saves a second where 40 were meant and the store takes 400 writes (computed, not run; at 7 hosts both counts give 250 ms).

Now it follows the estimated number of hosts that fleet-wide budgets use, and a test holds all hosts together to 40 saves a second at 0 to 1,000 hosts.

--- a/crates/core/src/fleet/stream_origins.rs
+++ b/crates/core/src/fleet/stream_origins.rs
@@ -34,6 +34,12 @@
 /// Maximum number of windows whose streams are known.
 pub const WINDOW_COUNT: u64 = 10;
 
+/// Minimum interval at which a host saves its new streams to the store.
+const MIN_SAVE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Minimum interval between the saves of all hosts.
+const SHARED_SAVE_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Maximum number of streams in a window.
 const WINDOW_STREAM_LIMIT: usize = 5_000;
 
@@ -48,6 +54,11 @@
     xxh3_64(attempt.as_bytes())
 }
 
+/// Returns the interval at which each of `hosts` hosts saves its new streams to the store.
+pub fn save_interval(hosts: u32) -> Duration {
+    (SHARED_SAVE_INTERVAL * hosts).max(MIN_SAVE_INTERVAL)
+}
+
 /// Index of a software version.
 type VersionIndex = u16;
 
@@ -194,11 +205,6 @@
         named.collect()
     }
 
-    /// Returns the number of hosts among which keepers are chosen.
-    pub const fn host_count(&self) -> usize {
-        self.hosts.len()
-    }
-
     /// Returns whether streams of several software versions were recorded.
     pub const fn has_several_versions(&self) -> bool {
         self.versions.len() > 1
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -7,7 +7,7 @@
     fleet::{
         EngineEntry, ServiceName, SoftwareVersion,
         stream_origins::{
-            KEEPERS, KnownOrigin, ORIGIN_TTL, StreamOrigins, WINDOW_COUNT, stream_id,
+            KEEPERS, KnownOrigin, ORIGIN_TTL, StreamOrigins, WINDOW_COUNT, save_interval, stream_id,
         },
     },
 };
@@ -310,3 +310,12 @@
         }
     }
 }
+
+/// Guards against hosts that together write more often than the store takes.
+#[test]
+fn all_hosts_together_save_at_most_forty_times_a_second() {
+    for hosts in [0, 1, 7, 24, 72, 370, 1000] {
+        let saves_per_second = f64::from(hosts) / save_interval(hosts).as_secs_f64();
+        assert!(saves_per_second <= 40.0, "{hosts} hosts: {saves_per_second}");
+    }
+}
--- a/crates/gateway/src/control/stream_records.rs
+++ b/crates/gateway/src/control/stream_records.rs
@@ -7,7 +7,7 @@
 
 use reelreel_core::{
     ClockMillis,
-    fleet::stream_origins::{ORIGIN_TTL, WINDOW_COUNT, WindowNumber},
+    fleet::stream_origins::{ORIGIN_TTL, WINDOW_COUNT, WindowNumber, save_interval},
 };
 
 use crate::{
@@ -18,12 +18,6 @@
     },
 };
 
-/// Minimum interval at which this host saves its new streams.
-const MIN_SAVE_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Minimum interval between the saves of all hosts.
-const SHARED_SAVE_INTERVAL: Duration = Duration::from_millis(25);
-
 /// Maximum number of records written at once: the newest one, and one that was left over, such as when
 /// a second software version appears.
 const WRITES_PER_SAVE: usize = 2;
@@ -60,7 +54,7 @@
         let delay = match records.save(&state, &mut client).await {
             Ok(()) => {
                 backoff.reset();
-                backoff.jitter(save_interval(&state))
+                backoff.jitter(save_interval(state.borrow().hosts()))
             }
             Err(error) => {
                 log::debug!("failed to save the records of streams: {error}");
@@ -71,13 +65,6 @@
     }
 }
 
-/// Returns the interval at which this host saves its new streams.
-fn save_interval(state: &SharedControl) -> Duration {
-    let hosts = state.borrow().shared().stream_origins().host_count();
-    let shared = SHARED_SAVE_INTERVAL * u32::try_from(hosts).unwrap_or(u32::MAX);
-    shared.max(MIN_SAVE_INTERVAL)
-}
-
 /// Reads the records of all hosts, so that this host knows the streams that were begun before it started.
 async fn load_records(
     state: &SharedControl,
